--- /dev/null
+++ b/cmd/lovagelift/main.go
@@ -0,0 +1,4 @@
+// Command lovagelift runs and operates lovagelift.
+package main
+
+func main() {}
