standin: a stand-in engine and plain service that announce themselves

Cause: the thin path needs upstreams that anyone can run and that a test can drive by its own clock.

--- /dev/null
+++ b/internal/standin/announcer_test.go
@@ -0,0 +1,172 @@
+package standin_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/standin"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// network answers the calls to instances in the process. An instance that it
+// does not know cannot be reached.
+type network struct {
+	mu        sync.Mutex
+	instances map[string]*instance
+}
+
+// instance records what an upstream tells it.
+type instance struct {
+	welcome   upstreamapi.Welcome
+	announced chan upstreamapi.Announcement
+	left      chan upstreamapi.Leave
+	token     string
+}
+
+func newInstance(others ...string) *instance {
+	return &instance{
+		welcome:   upstreamapi.Welcome{RenewEvery: time.Second, Lease: 3 * time.Second, Instances: others},
+		announced: make(chan upstreamapi.Announcement, 16),
+		left:      make(chan upstreamapi.Leave, 16),
+	}
+}
+
+func (n *network) RoundTrip(r *http.Request) (*http.Response, error) {
+	n.mu.Lock()
+	to := n.instances[r.URL.Host]
+	n.mu.Unlock()
+	if to == nil {
+		return nil, errors.Newf("%s cannot be reached", r.URL.Host)
+	}
+	w := httptest.NewRecorder()
+	to.serve(w, r)
+	return w.Result(), nil
+}
+
+func (n *network) drop(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.instances, name)
+}
+
+func (i *instance) serve(w http.ResponseWriter, r *http.Request) {
+	if i.token != "" && r.Header.Get("Authorization") != "Bearer "+i.token {
+		w.WriteHeader(http.StatusUnauthorized)
+		return
+	}
+	switch r.URL.Path {
+	case upstreamapi.AnnouncePath:
+		var a upstreamapi.Announcement
+		_ = json.NewDecoder(r.Body).Decode(&a)
+		i.announced <- a
+		_ = json.NewEncoder(w).Encode(i.welcome)
+	case upstreamapi.LeavePath:
+		var l upstreamapi.Leave
+		_ = json.NewDecoder(r.Body).Decode(&l)
+		i.left <- l
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func announceTo(n *network, names ...string) standin.AnnounceOptions {
+	return standin.AnnounceOptions{To: names, Client: &http.Client{Transport: n}}
+}
+
+var _ = Describe("Announcing", func() {
+	It("announces at once, then once every renewal, then leaves", func() {
+		one := newInstance()
+		clock := standin.NewManualClock(start)
+		engine := standin.NewEngine(standin.EngineOptions{
+			Name: "engine-1", Address: "127.0.0.1:7701", FailureDomain: "kgn-a", Clock: clock,
+			Resident: []upstreamapi.Resident{{Model: "letters"}},
+			Announce: announceTo(&network{instances: map[string]*instance{"one": one}}, "one"),
+		})
+		first := <-one.announced
+		Expect(first.Name).To(Equal("engine-1"))
+		Expect(first.Address).To(Equal("127.0.0.1:7701"))
+		Expect(first.Resident).To(Equal([]upstreamapi.Resident{{Model: "letters"}}))
+
+		clock.AwaitWaiters(1)
+		clock.Advance(time.Second)
+		second := <-one.announced
+		Expect(second.Sequence).To(BeNumerically(">", first.Sequence))
+		Expect(second.Incarnation).To(Equal(first.Incarnation))
+
+		clock.AwaitWaiters(1)
+		Expect(engine.Close(context.Background())).To(Succeed())
+		Expect(<-one.left).To(Equal(upstreamapi.Leave{Name: "engine-1", Incarnation: first.Incarnation}))
+		clock.Advance(time.Minute)
+		Expect(one.announced).To(BeEmpty())
+	})
+
+	// The upstream knows one instance from its settings; that one names another
+	// and is lost. Callers would lose the upstream after its lease, unless the
+	// next renewal goes to the other instance at once.
+	It("turns to the next known instance when one is lost", func() {
+		one, two := newInstance("two"), newInstance()
+		net := &network{instances: map[string]*instance{"one": one, "two": two}}
+		clock := standin.NewManualClock(start)
+		service := standin.NewService(standin.ServiceOptions{
+			Name: "pings-1", Clock: clock, Announce: announceTo(net, "one"),
+		})
+		<-one.announced
+		clock.AwaitWaiters(1)
+		net.drop("one")
+		clock.Advance(time.Second)
+		Expect((<-two.announced).Name).To(Equal("pings-1"))
+		clock.AwaitWaiters(1)
+		Expect(service.Close(context.Background())).To(Succeed())
+		Expect(two.left).To(HaveLen(1))
+	})
+
+	// No instance can be reached when the upstream starts. It goes on trying,
+	// because nobody else tells the system that it is there.
+	It("retries while no instance can be reached, and with the right token", func() {
+		net := &network{instances: map[string]*instance{}}
+		clock := standin.NewManualClock(start)
+		options := announceTo(net, "one")
+		options.Token = "secret"
+		service := standin.NewService(standin.ServiceOptions{Name: "pings-1", Clock: clock, Announce: options})
+		clock.AwaitWaiters(1)
+		one := newInstance()
+		one.token = "secret"
+		net.mu.Lock()
+		net.instances["one"] = one
+		net.mu.Unlock()
+		clock.Advance(time.Second)
+		<-one.announced
+		clock.AwaitWaiters(1)
+		Expect(service.Announced()).To(BeEquivalentTo(1))
+		net.drop("one")
+		Expect(service.Close(context.Background())).To(MatchError(ContainSubstring("standin: leave")))
+	})
+
+	It("keeps the names in their order when the process starts again", func() {
+		clock := standin.NewManualClock(start)
+		one := newInstance()
+		options := standin.ServiceOptions{
+			Name: "pings-1", Clock: clock,
+			Announce: announceTo(&network{instances: map[string]*instance{"one": one}}, "one"),
+		}
+		before := standin.NewService(options)
+		old := <-one.announced
+		Expect(before.Close(context.Background())).To(Succeed())
+		clock.Advance(time.Millisecond)
+		after := standin.NewService(options)
+		Expect((<-one.announced).Incarnation).To(BeNumerically(">", old.Incarnation))
+		Expect(after.Close(context.Background())).To(Succeed())
+	})
+})
--- /dev/null
+++ b/internal/standin/engine_test.go
@@ -0,0 +1,154 @@
+package standin_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/standin"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+func post(handler http.Handler, path, id, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(upstreamapi.RequestIDHeader, id)
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, r)
+	return w
+}
+
+type answered struct {
+	Object  string
+	Model   string
+	Choices []struct {
+		Message, Delta struct{ Role, Content string }
+		Text           string
+		FinishReason   *string `json:"finish_reason"`
+	}
+	Usage *struct {
+		PromptTokens     int `json:"prompt_tokens"`
+		CompletionTokens int `json:"completion_tokens"`
+		TotalTokens      int `json:"total_tokens"`
+	}
+}
+
+func decode(text string) answered {
+	var a answered
+	ExpectWithOffset(1, json.Unmarshal([]byte(text), &a)).To(Succeed())
+	return a
+}
+
+// events returns the data of each event of a stream.
+func events(stream string) []string {
+	var all []string
+	for _, event := range strings.Split(strings.TrimSuffix(stream, "\n\n"), "\n\n") {
+		data, found := strings.CutPrefix(event, "data: ")
+		ExpectWithOffset(1, found).To(BeTrue(), event)
+		all = append(all, data)
+	}
+	return all
+}
+
+var letters = []upstreamapi.Resident{{Model: "letters", Adapters: []string{"letters-clerk"}}}
+
+var _ = Describe("Engine", func() {
+	var engine *standin.Engine
+
+	BeforeEach(func() {
+		engine = standin.NewEngine(standin.EngineOptions{Name: "engine-1", Resident: letters})
+	})
+
+	It("answers a chat completion whole, with the words of its last message", func() {
+		w := post(engine, "/v1/chat/completions", "r1",
+			`{"model":"letters","messages":[{"role":"system","content":"be brief"},{"role":"user","content":"excuse juror nine"}]}`)
+		Expect(w.Code).To(Equal(http.StatusOK))
+		a := decode(w.Body.String())
+		Expect(a.Object).To(Equal("chat.completion"))
+		Expect(a.Choices[0].Message.Content).To(Equal("excuse juror nine"))
+		Expect(*a.Choices[0].FinishReason).To(Equal("stop"))
+		Expect(a.Usage.PromptTokens).To(Equal(5))
+		Expect(a.Usage.CompletionTokens).To(Equal(3))
+		Expect(a.Usage.TotalTokens).To(Equal(8))
+		Expect(engine.Runs("r1")).To(Equal(1))
+	})
+
+	It("streams one event for each token, the end, the usage and the end mark", func() {
+		w := post(engine, "/v1/chat/completions", "r1",
+			`{"model":"letters-clerk","stream":true,"stream_options":{"include_usage":true},
+			  "messages":[{"role":"user","content":[{"type":"text","text":"excuse juror nine"}]}]}`)
+		Expect(w.Header().Get("Content-Type")).To(Equal("text/event-stream"))
+		got := events(w.Body.String())
+		Expect(got).To(HaveLen(5))
+		text := ""
+		for _, event := range got[:3] {
+			a := decode(event)
+			Expect(a.Choices[0].FinishReason).To(BeNil())
+			text += a.Choices[0].Delta.Content
+		}
+		Expect(text).To(Equal("excuse juror nine"))
+		last := decode(got[3])
+		Expect(*last.Choices[0].FinishReason).To(Equal("stop"))
+		Expect(last.Usage.CompletionTokens).To(Equal(3))
+		Expect(got[4]).To(Equal("[DONE]"))
+	})
+
+	It("answers a text completion up to its limit of tokens", func() {
+		w := post(engine, "/v1/completions", "r1", `{"model":"letters","prompt":"one two three","max_tokens":2}`)
+		a := decode(w.Body.String())
+		Expect(a.Object).To(Equal("text_completion"))
+		Expect(a.Choices[0].Text).To(Equal("one two"))
+		Expect(*a.Choices[0].FinishReason).To(Equal("length"))
+	})
+
+	It("lists what it holds", func() {
+		w := httptest.NewRecorder()
+		engine.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/models", nil))
+		Expect(w.Body.String()).To(MatchJSON(`{"object":"list","data":[
+			{"id":"letters","object":"model","owned_by":"engine-1"},
+			{"id":"letters-clerk","object":"model","owned_by":"letters"}]}`))
+	})
+
+	DescribeTable("refuses what it has not run, and says so",
+		func(body string, status int) {
+			w := post(engine, "/v1/chat/completions", "r1", body)
+			Expect(w.Code).To(Equal(status))
+			Expect(w.Header().Get(upstreamapi.RefusedHeader)).To(Equal(upstreamapi.RefusedNotRun))
+			Expect(engine.Runs("r1")).To(BeZero())
+		},
+		Entry("a model it does not hold", `{"model":"other","messages":[]}`, http.StatusNotFound),
+		Entry("a broken body", `{"model":`, http.StatusBadRequest),
+		Entry("a part that is no text", `{"model":"letters","messages":[{"content":[{"type":"image"}]}]}`, http.StatusBadRequest),
+	)
+
+	// Two callers want the one slot of an engine. The second is told at once that
+	// its request was not run, while the first still waits for its tokens.
+	It("refuses beyond its limit and takes its time by the clock", func() {
+		clock := standin.NewManualClock(start)
+		engine = standin.NewEngine(standin.EngineOptions{
+			Name: "engine-1", Resident: letters, MaxRunning: 1, Clock: clock,
+			FirstTokenDelay: time.Second, TokenDelay: 100 * time.Millisecond,
+		})
+		body := `{"model":"letters","prompt":"one two"}`
+		first := make(chan *httptest.ResponseRecorder)
+		go func() {
+			defer GinkgoRecover()
+			first <- post(engine, "/v1/completions", "r1", body)
+		}()
+		clock.AwaitWaiters(1)
+		second := post(engine, "/v1/completions", "r2", body)
+		Expect(second.Code).To(Equal(http.StatusTooManyRequests))
+		Expect(engine.Runs("r2")).To(BeZero())
+
+		clock.Advance(time.Second)
+		clock.AwaitWaiters(1)
+		Expect(first).NotTo(Receive())
+		clock.Advance(100 * time.Millisecond)
+		Expect(decode((<-first).Body.String()).Choices[0].Text).To(Equal("one two"))
+	})
+})
--- /dev/null
+++ b/internal/standin/manualclock.go
@@ -0,0 +1,76 @@
+package standin
+
+import (
+	"sync"
+	"time"
+)
+
+// ManualClock is a Clock that stands still until it is advanced. It is safe for
+// concurrent use.
+type ManualClock struct {
+	mu      sync.Mutex
+	now     time.Time
+	waiters []waiter
+	// changed is signalled when a waiter is added.
+	changed *sync.Cond
+}
+
+type waiter struct {
+	due time.Time
+	c   chan time.Time
+}
+
+// NewManualClock returns a clock that stands at now.
+func NewManualClock(now time.Time) *ManualClock {
+	c := &ManualClock{now: now}
+	c.changed = sync.NewCond(&c.mu)
+	return c
+}
+
+// Now returns the time at which the clock stands.
+func (c *ManualClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+// After returns a channel that receives the time once the clock has been
+// advanced by d.
+func (c *ManualClock) After(d time.Duration) <-chan time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := waiter{due: c.now.Add(d), c: make(chan time.Time, 1)}
+	if d <= 0 {
+		w.c <- c.now
+		return w.c
+	}
+	c.waiters = append(c.waiters, w)
+	c.changed.Broadcast()
+	return w.c
+}
+
+// Advance moves the clock by d and wakes the waiters that are due.
+func (c *ManualClock) Advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+	kept := c.waiters[:0]
+	for _, w := range c.waiters {
+		if w.due.After(c.now) {
+			kept = append(kept, w)
+			continue
+		}
+		w.c <- c.now
+	}
+	c.waiters = kept
+}
+
+// AwaitWaiters blocks until at least n waiters wait for the clock. A waiter that
+// has given up counts until its time has passed.
+func (c *ManualClock) AwaitWaiters(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.waiters) < n {
+		c.changed.Wait()
+	}
+}
--- a/internal/upstreamapi/announcement.go
+++ b/internal/upstreamapi/announcement.go
@@ -29,6 +29,9 @@
 	RefusedHeader = "Lovagelift-Refused"
 )
 
+// RefusedNotRun is the value of RefusedHeader.
+const RefusedNotRun = "not-run"
+
 // Kind says what an upstream is.
 type Kind string
 
