roster: who takes part, pulled between instances

Cause: upstreams announce themselves to one instance and all must know. Change: a table of versioned records with change cursors; a renewal of an unchanged member travels without its static part; ages are counted from the moment of asking. Ruled out: counting from arrival, which makes a lost member look alive for as long as an answer is held up.

--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,264 @@
+// Package roster keeps who takes part: the instances and the upstreams that are
+// alive, as far as this instance knows (membership).
+//
+// Instances pull changes from one another, so that an upstream that announced
+// itself to one is known to all. A member that is not heard of for a lease
+// receives no new work, whichever way it was lost.
+package roster
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// forgetAfter is how many leases a lapsed member is remembered, so that a
+// record of it that arrives late is not taken for a new member.
+const forgetAfter = 30
+
+// ErrNameTaken is returned when an upstream announces itself under the name of
+// another that is still alive.
+var ErrNameTaken = errors.New("roster: name is taken")
+
+// Upstream is an upstream as this instance knows it.
+type Upstream struct {
+	// Announcement is the newest one. Its slices must not be changed.
+	Announcement upstreamapi.Announcement
+	// Heard is when the announcement was made at the latest.
+	Heard time.Time
+	// Leaving is true when the upstream said that it goes.
+	Leaving bool
+}
+
+// InstanceStatic is what seldom changes of an instance.
+type InstanceStatic struct {
+	CallerAddress   string
+	UpstreamAddress string
+	InnerAddress    string
+	FailureDomain   string
+	Voter           bool
+}
+
+// InstanceBeat is what an instance tells with each heartbeat.
+type InstanceBeat struct {
+	// Draining is true from the start of a planned stop.
+	Draining bool
+	// Stale is true while the instance admits no new work because it cannot
+	// confirm that its configuration is in force.
+	Stale bool
+	// Streams is the number of requests in progress.
+	Streams int
+}
+
+// Instance is an instance as this one knows it.
+type Instance struct {
+	Name string
+	InstanceStatic
+	InstanceBeat
+	Heard time.Time
+}
+
+// upstreamStatic is an announcement without what changes with each renewal.
+type upstreamStatic = upstreamapi.Announcement
+
+// UpstreamRecord is what one instance tells another about an upstream.
+type UpstreamRecord = Record[upstreamStatic, upstreamapi.Load]
+
+// InstanceRecord is what one instance tells another about an instance.
+type InstanceRecord = Record[InstanceStatic, InstanceBeat]
+
+// Options configures a Roster.
+type Options struct {
+	// Self is the name of this instance.
+	Self string
+	// Incarnation grows with every start of this instance.
+	Incarnation uint64
+	// Static describes this instance.
+	Static InstanceStatic
+	// Lease is how long a member counts as alive after it was heard of.
+	Lease time.Duration
+}
+
+// Roster is the members known to one instance. It is not safe for concurrent
+// use.
+type Roster struct {
+	options   Options
+	upstreams *Table[upstreamStatic, upstreamapi.Load]
+	instances *Table[InstanceStatic, InstanceBeat]
+	sequence  uint64
+}
+
+// New returns a Roster that knows only this instance.
+func New(options Options) *Roster {
+	return &Roster{
+		options:   options,
+		upstreams: NewTable[upstreamStatic, upstreamapi.Load](),
+		instances: NewTable[InstanceStatic, InstanceBeat](),
+	}
+}
+
+// Beat renews this instance's own record.
+func (r *Roster) Beat(now time.Time, beat InstanceBeat) {
+	r.sequence++
+	record := InstanceRecord{
+		Name:        r.options.Self,
+		Incarnation: r.options.Incarnation,
+		Sequence:    r.sequence,
+		Beat:        beat,
+	}
+	if r.sequence == 1 {
+		record.Static = &r.options.Static
+	}
+	r.instances.Put(record, now)
+}
+
+// Announce takes an announcement that an upstream made to this instance.
+//
+// If another live upstream holds the name, that is one with the same
+// incarnation or an unexpired lease at another address, Announce returns an
+// error that wraps ErrNameTaken and changes nothing. An announcement that is
+// older than the one held is ignored.
+func (r *Roster) Announce(now time.Time, announcement upstreamapi.Announcement) error {
+	held, known := r.upstreams.rows[announcement.Name]
+	if known && held.static.Address != announcement.Address {
+		alive := !held.left && now.Sub(held.heard) < r.options.Lease
+		if alive || held.incarnation >= announcement.Incarnation {
+			return errors.Wrapf(ErrNameTaken, "%q is announced from %s, this announcement gives %s",
+				announcement.Name, held.static.Address, announcement.Address)
+		}
+	}
+	record := UpstreamRecord{
+		Name:        announcement.Name,
+		Incarnation: announcement.Incarnation,
+		Sequence:    announcement.Sequence,
+		Beat:        announcement.Load,
+	}
+	static := staticPart(announcement)
+	if !known || held.incarnation != announcement.Incarnation || !reflect.DeepEqual(held.static, static) {
+		record.Static = &static
+	}
+	r.upstreams.Put(record, now)
+	return nil
+}
+
+// Leave takes an upstream's word that it goes. If the upstream is not known or
+// has another incarnation, Leave does nothing.
+func (r *Roster) Leave(now time.Time, leave upstreamapi.Leave) {
+	held, known := r.upstreams.rows[leave.Name]
+	if !known || held.incarnation != leave.Incarnation {
+		return
+	}
+	r.upstreams.Put(UpstreamRecord{
+		Name:        leave.Name,
+		Incarnation: leave.Incarnation,
+		// No renewal of this incarnation may undo the leave: one that was sent
+		// before it can arrive after it.
+		Sequence: lastSequence,
+		Left:     true,
+		Beat:     held.beat,
+	}, now)
+}
+
+// lastSequence is higher than the sequence of any renewal.
+const lastSequence = ^uint64(0)
+
+// Cursor says how far one instance has pulled from another. The zero value asks
+// for everything.
+type Cursor struct {
+	// Incarnation is that of the instance pulled from. A restart begins anew.
+	Incarnation uint64
+	Upstreams   uint64
+	Instances   uint64
+}
+
+// Changes answers a pull.
+type Changes struct {
+	Upstreams []UpstreamRecord
+	Instances []InstanceRecord
+	Next      Cursor
+}
+
+// Since returns what has changed after cursor.
+func (r *Roster) Since(now time.Time, cursor Cursor) Changes {
+	if cursor.Incarnation != r.options.Incarnation {
+		cursor = Cursor{Incarnation: r.options.Incarnation}
+	}
+	changes := Changes{Next: Cursor{Incarnation: r.options.Incarnation}}
+	changes.Upstreams, changes.Next.Upstreams = r.upstreams.Since(now, cursor.Upstreams)
+	changes.Instances, changes.Next.Instances = r.instances.Since(now, cursor.Instances)
+	return changes
+}
+
+// Merge takes the answer to a pull that was asked at time asked.
+//
+// Ages are counted back from the moment of asking, not of the answer's arrival:
+// an answer that was held up on its way would otherwise make a lost member look
+// alive for as long as it was held up.
+func (r *Roster) Merge(asked time.Time, changes Changes) {
+	for _, record := range changes.Upstreams {
+		r.upstreams.Put(record, asked.Add(-record.Age))
+	}
+	for _, record := range changes.Instances {
+		if record.Name == r.options.Self {
+			continue
+		}
+		r.instances.Put(record, asked.Add(-record.Age))
+	}
+}
+
+// Sweep forgets members that lapsed long ago.
+func (r *Roster) Sweep(now time.Time) {
+	horizon := now.Add(-forgetAfter * r.options.Lease)
+	r.upstreams.Forget(horizon)
+	r.instances.Forget(horizon)
+}
+
+// Upstreams returns the upstreams that may receive new work, sorted by name.
+func (r *Roster) Upstreams(now time.Time) []Upstream {
+	var alive []Upstream
+	for _, name := range r.upstreams.sortedNames() {
+		held := r.upstreams.rows[name]
+		if held.left || now.Sub(held.heard) >= r.options.Lease {
+			continue
+		}
+		alive = append(alive, upstreamOf(held))
+	}
+	return alive
+}
+
+// Instances returns the instances that are alive, this one included, sorted by
+// name.
+func (r *Roster) Instances(now time.Time) []Instance {
+	var alive []Instance
+	for _, name := range r.instances.sortedNames() {
+		held := r.instances.rows[name]
+		if held.left || now.Sub(held.heard) >= r.options.Lease {
+			continue
+		}
+		alive = append(alive, Instance{
+			Name:           name,
+			InstanceStatic: held.static,
+			InstanceBeat:   held.beat,
+			Heard:          held.heard,
+		})
+	}
+	return alive
+}
+
+func upstreamOf(held *row[upstreamStatic, upstreamapi.Load]) Upstream {
+	announcement := held.static
+	announcement.Incarnation = held.incarnation
+	announcement.Sequence = held.sequence
+	announcement.Load = held.beat
+	return Upstream{Announcement: announcement, Heard: held.heard, Leaving: held.left}
+}
+
+func staticPart(announcement upstreamapi.Announcement) upstreamStatic {
+	announcement.Incarnation = 0
+	announcement.Sequence = 0
+	announcement.Load = upstreamapi.Load{}
+	return announcement
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,107 @@
+package roster_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+const lease = 3 * time.Second
+
+var start = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func newRoster(name string) *roster.Roster {
+	return roster.New(roster.Options{Self: name, Incarnation: 1, Lease: lease})
+}
+
+func announcement(sequence uint64) upstreamapi.Announcement {
+	return upstreamapi.Announcement{
+		Name:        "engine-1",
+		Incarnation: 1,
+		Sequence:    sequence,
+		Address:     "127.0.0.1:8001",
+		Kind:        upstreamapi.KindEngine,
+		Resident:    []upstreamapi.Resident{{Model: "m"}},
+		Load:        upstreamapi.Load{Running: int(sequence)},
+	}
+}
+
+var _ = Describe("Roster", func() {
+	It("gives an upstream no new work once its lease has passed", func() {
+		r := newRoster("a")
+		Expect(r.Announce(at(0), announcement(1))).To(Succeed())
+		Expect(r.Upstreams(at(2.9))).To(HaveLen(1))
+		Expect(r.Upstreams(at(3))).To(BeEmpty())
+	})
+
+	It("refuses a reused name with a different address and changes nothing", func() {
+		r := newRoster("a")
+		Expect(r.Announce(at(0), announcement(1))).To(Succeed())
+		other := announcement(2)
+		other.Incarnation = 2
+		other.Address = "127.0.0.1:8002"
+		Expect(r.Announce(at(1), other)).To(MatchError(roster.ErrNameTaken))
+		Expect(r.Upstreams(at(1))[0].Announcement.Address).To(Equal("127.0.0.1:8001"))
+		Expect(r.Announce(at(4), other)).To(Succeed(), "the lease of the first has passed")
+	})
+
+	// An upstream says that it goes. A renewal that it sent before arrives
+	// after, from another path. It must not come back to life: callers would be
+	// sent to a process that is ending.
+	It("keeps an upstream that left away, whatever arrives late", func() {
+		r := newRoster("a")
+		Expect(r.Announce(at(0), announcement(1))).To(Succeed())
+		r.Leave(at(1), upstreamapi.Leave{Name: "engine-1", Incarnation: 1})
+		Expect(r.Upstreams(at(1))).To(BeEmpty())
+		Expect(r.Announce(at(1.1), announcement(2))).To(Succeed())
+		Expect(r.Upstreams(at(1.1))).To(BeEmpty())
+		again := announcement(1)
+		again.Incarnation = 2
+		Expect(r.Announce(at(1.2), again)).To(Succeed())
+		Expect(r.Upstreams(at(1.2))).To(HaveLen(1))
+	})
+
+	It("tells another instance what changed, and sends an unchanged upstream's load alone", func() {
+		a, b := newRoster("a"), newRoster("b")
+		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
+		first := a.Since(at(0.5), roster.Cursor{})
+		b.Merge(at(0.5), first)
+		Expect(b.Upstreams(at(0.5))).To(HaveLen(1))
+		Expect(a.Announce(at(1), announcement(2))).To(Succeed())
+		second := a.Since(at(1.5), first.Next)
+		Expect(second.Upstreams).To(HaveLen(1))
+		Expect(second.Upstreams[0].Static).To(BeNil())
+		b.Merge(at(1.5), second)
+		Expect(b.Upstreams(at(1.5))[0].Announcement.Load.Running).To(Equal(2))
+		Expect(a.Since(at(2), second.Next).Upstreams).To(BeEmpty())
+	})
+
+	// An answer to a pull is held up for a minute on its way, while the upstream
+	// in it was lost long ago. Counted from its arrival it would look alive;
+	// counted from the moment of asking its lease has passed.
+	It("takes no lost upstream for a live one because its record came late", func() {
+		a, b := newRoster("a"), newRoster("b")
+		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
+		held := a.Since(at(1), roster.Cursor{})
+		b.Merge(at(1), held)
+		Expect(b.Upstreams(at(61))).To(BeEmpty())
+	})
+
+	It("begins anew with an instance that was restarted", func() {
+		a, b := newRoster("a"), newRoster("b")
+		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
+		seen := a.Since(at(0), roster.Cursor{})
+		restarted := roster.New(roster.Options{Self: "a", Incarnation: 2, Lease: lease})
+		Expect(restarted.Announce(at(1), announcement(2))).To(Succeed())
+		b.Merge(at(1), restarted.Since(at(1), seen.Next))
+		Expect(b.Upstreams(at(1))).To(HaveLen(1))
+	})
+})
