courier: calls between instances over net/rpc

Cause: instances pull one another's rosters. Change: a pool of connections with a timeout on every call; a connection on which a call timed out is closed, since it may stay silent for good.

--- /dev/null
+++ b/internal/courier/pool.go
@@ -0,0 +1,125 @@
+// Package courier is the inner protocol: the calls that instances make to one
+// another, over net/rpc on TCP.
+package courier
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Dial opens a connection to the inner address of an instance.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// Pool keeps one connection to each instance that is called. It is safe for
+// concurrent use.
+type Pool struct {
+	dial    Dial
+	timeout time.Duration
+
+	mu      sync.Mutex
+	clients map[string]*rpc.Client
+	closed  bool
+}
+
+// NewPool returns a Pool whose calls are given up after timeout, connecting
+// included.
+func NewPool(dial Dial, timeout time.Duration) *Pool {
+	return &Pool{dial: dial, timeout: timeout, clients: map[string]*rpc.Client{}}
+}
+
+// Call calls method at address and waits for the reply. If ctx ends or the
+// pool's timeout passes before, Call returns an error and the callee may or may
+// not have run the call.
+//
+// A connection on which a call timed out is closed. Something between the two
+// ends may have lost track of it: it would stay silent for good while new
+// connections work, and every later call on it would time out as well.
+func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	client, err := p.client(ctx, address)
+	if err != nil {
+		return errors.Wrapf(err, "courier: connecting to %s", address)
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error != nil {
+			p.dropUnlessAnswered(address, client, call.Error)
+			return errors.Wrapf(call.Error, "courier: %s at %s", method, address)
+		}
+		return nil
+	case <-ctx.Done():
+		p.drop(address, client)
+		return errors.Wrapf(ctx.Err(), "courier: %s at %s", method, address)
+	}
+}
+
+// Close closes all connections. Calls in progress return an error.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for address, client := range p.clients {
+		client.Close()
+		delete(p.clients, address)
+	}
+}
+
+func (p *Pool) client(ctx context.Context, address string) (*rpc.Client, error) {
+	p.mu.Lock()
+	client, ok := p.clients[address]
+	closed := p.closed
+	p.mu.Unlock()
+	if closed {
+		return nil, errors.New("courier: pool is closed")
+	}
+	if ok {
+		return client, nil
+	}
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return p.keep(address, rpc.NewClient(conn))
+}
+
+// keep stores a fresh client, unless another call has stored one meanwhile.
+func (p *Pool) keep(address string, fresh *rpc.Client) (*rpc.Client, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		fresh.Close()
+		return nil, errors.New("courier: pool is closed")
+	}
+	if held, ok := p.clients[address]; ok {
+		fresh.Close()
+		return held, nil
+	}
+	p.clients[address] = fresh
+	return fresh, nil
+}
+
+func (p *Pool) drop(address string, client *rpc.Client) {
+	p.mu.Lock()
+	if p.clients[address] == client {
+		delete(p.clients, address)
+	}
+	p.mu.Unlock()
+	client.Close()
+}
+
+// dropUnlessAnswered keeps the connection when the callee itself answered with
+// an error: such a connection works.
+func (p *Pool) dropUnlessAnswered(address string, client *rpc.Client, err error) {
+	var answered rpc.ServerError
+	if errors.As(err, &answered) {
+		return
+	}
+	p.drop(address, client)
+}
--- /dev/null
+++ b/internal/courier/roster.go
@@ -0,0 +1,43 @@
+package courier
+
+import (
+	"context"
+
+	"github.com/lovagelift/lovagelift/internal/roster"
+)
+
+// RosterService answers other instances' pulls of the roster.
+type RosterService struct {
+	changes func(roster.Cursor) roster.Changes
+}
+
+// NewRosterService returns a service that answers with what changes returns.
+// changes is called from many goroutines at once.
+func NewRosterService(changes func(roster.Cursor) roster.Changes) *RosterService {
+	return &RosterService{changes: changes}
+}
+
+// PullArgs asks for what has changed in the callee's roster.
+type PullArgs struct {
+	Cursor roster.Cursor
+}
+
+// PullReply answers PullArgs.
+type PullReply struct {
+	Changes roster.Changes
+}
+
+// Pull is the net/rpc method "Roster.Pull".
+func (s *RosterService) Pull(args PullArgs, reply *PullReply) error {
+	reply.Changes = s.changes(args.Cursor)
+	return nil
+}
+
+// PullRoster asks the instance at address for what has changed in its roster.
+func (p *Pool) PullRoster(ctx context.Context, address string, cursor roster.Cursor) (roster.Changes, error) {
+	var reply PullReply
+	if err := p.Call(ctx, address, "Roster.Pull", PullArgs{Cursor: cursor}, &reply); err != nil {
+		return roster.Changes{}, err
+	}
+	return reply.Changes, nil
+}
