shuttle: one request to one upstream and its answer back

Cause: the promise of outcomes needs requests that go out exactly as decided. Change: no redirects, no resends by net/http (a body that can't be rewound, a connection of its own for what is not idempotent), and a stream is whole only with its last event.

--- /dev/null
+++ b/internal/shuttle/relay.go
@@ -0,0 +1,119 @@
+package shuttle
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/outcome"
+)
+
+// relayBufferBytes holds many tokens' events and is small enough for thousands
+// of open streams.
+const relayBufferBytes = 8 << 10
+
+// endOfStream is the last event of a whole stream of the OpenAI interface.
+var endOfStream = []byte("data: [DONE]")
+
+// ErrCutOff is wrapped by the Error of an answer that ended before it was
+// whole.
+var ErrCutOff = errors.New("the upstream's answer was cut off")
+
+// Prefetch reads the whole body of answer if it has at most limit bytes, so that
+// nothing goes to the caller before all of it is here. If the body is larger,
+// the caller gets it as it comes. If the body is cut off within limit bytes,
+// Prefetch returns a *Error and closes the body.
+func Prefetch(answer *Answer, limit int64) error {
+	if answer.Length > limit {
+		return nil
+	}
+	prefix, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
+	if err != nil {
+		answer.Body.Close()
+		return &Error{Outcome: outcome.Ran, cause: errors.Mark(err, ErrCutOff)}
+	}
+	answer.Body = &prefixed{
+		Reader: io.MultiReader(bytes.NewReader(prefix), answer.Body),
+		Closer: answer.Body,
+	}
+	return nil
+}
+
+// prefixed is a body of which a part was read ahead.
+type prefixed struct {
+	io.Reader
+	io.Closer
+}
+
+// Head writes the status and the headers of answer to w.
+func Head(w http.ResponseWriter, answer *Answer) {
+	header := w.Header()
+	for name, values := range forwardable(answer.Header) {
+		header[name] = values
+	}
+	w.WriteHeader(answer.Status)
+}
+
+// Stream relays the body of answer to w as it comes, each piece flushed at
+// once. If the upstream's body ends before it is whole, Stream returns a
+// *Error that wraps ErrCutOff. If the caller went away, Stream returns the
+// error of writing.
+//
+// If events is true, the body is a stream of events and is whole only if its
+// last event was "data: [DONE]": an engine that dies may end its connection
+// like one that has finished.
+func Stream(w http.ResponseWriter, answer *Answer, events bool) error {
+	defer answer.Body.Close()
+	control := http.NewResponseController(w)
+	buffer := make([]byte, relayBufferBytes)
+	var end tail
+	for {
+		n, readErr := answer.Body.Read(buffer)
+		if n > 0 {
+			end.add(buffer[:n])
+			if _, err := w.Write(buffer[:n]); err != nil {
+				return errors.Wrap(err, "shuttle: writing to the caller")
+			}
+			if err := control.Flush(); err != nil {
+				return errors.Wrap(err, "shuttle: flushing to the caller")
+			}
+		}
+		if readErr == io.EOF {
+			break
+		}
+		if readErr != nil {
+			return &Error{Outcome: outcome.Ran, cause: errors.Mark(readErr, ErrCutOff)}
+		}
+	}
+	if events && !end.whole() {
+		return &Error{Outcome: outcome.Ran, cause: errors.Wrap(ErrCutOff, "no last event")}
+	}
+	return nil
+}
+
+// tailBytes is enough for endOfStream and the line ends around it.
+const tailBytes = 32
+
+// tail holds the last bytes of a stream.
+type tail struct {
+	held [tailBytes]byte
+	n    int
+}
+
+func (t *tail) add(piece []byte) {
+	if len(piece) >= tailBytes {
+		t.n = copy(t.held[:], piece[len(piece)-tailBytes:])
+		return
+	}
+	keep := min(t.n, tailBytes-len(piece))
+	copy(t.held[:], t.held[t.n-keep:t.n])
+	copy(t.held[keep:], piece)
+	t.n = keep + len(piece)
+}
+
+func (t *tail) whole() bool {
+	trimmed := bytes.TrimRight(t.held[:t.n], "\r\n")
+	return bytes.HasSuffix(trimmed, endOfStream)
+}
--- /dev/null
+++ b/internal/shuttle/shuttle.go
@@ -0,0 +1,215 @@
+// Package shuttle carries one request to one upstream and its answer back
+// (reverse proxy).
+//
+// It sends exactly what it is told to send, once: it follows no redirects and
+// resends nothing. Whether to try again is decided elsewhere.
+package shuttle
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// Request is what is sent to an upstream.
+type Request struct {
+	// ID names this attempt; the upstream knows the request by it.
+	ID string
+	// Method, Target and Header are the caller's. Target is the path and query.
+	Method string
+	Target string
+	Header http.Header
+	Body   []byte
+	// Idempotent is true if running the request twice does no harm.
+	Idempotent bool
+	Priority   int
+	// Remaining is the time that is left to the deadline.
+	Remaining time.Duration
+}
+
+// Answer is an upstream's answer whose body is still to be read.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the number of bytes of Body, negative if it is not known.
+	Length int64
+	Body   io.ReadCloser
+}
+
+// Error says why there is no whole answer, and whether the request ran.
+type Error struct {
+	// Outcome is what may be promised to the caller.
+	Outcome outcome.Outcome
+	// RetryAfter is the time that the upstream asked for, 0 if it did not.
+	RetryAfter time.Duration
+	cause      error
+}
+
+// Error returns the cause and the outcome.
+func (f *Error) Error() string {
+	return "shuttle: " + f.Outcome.String() + ": " + f.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (f *Error) Unwrap() error {
+	return f.cause
+}
+
+// Shuttle sends requests to upstreams. It is safe for concurrent use.
+type Shuttle struct {
+	kept  *http.Transport
+	fresh *http.Transport
+}
+
+// Options configures a Shuttle. The zero value uses TCP and the defaults.
+type Options struct {
+	// Dial connects to an upstream. Nil stands for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// ConnectTimeout bounds the time to connect, 0 stands for 1 s.
+	ConnectTimeout time.Duration
+	// IdleConnections is how many idle connections are kept to each upstream, 0
+	// stands for 64.
+	IdleConnections int
+}
+
+// Defaults of Options.
+const (
+	defaultConnectTimeout  = time.Second
+	defaultIdleConnections = 64
+	idleConnectionTimeout  = 30 * time.Second
+)
+
+// New returns a Shuttle.
+func New(options Options) *Shuttle {
+	if options.ConnectTimeout == 0 {
+		options.ConnectTimeout = defaultConnectTimeout
+	}
+	if options.IdleConnections == 0 {
+		options.IdleConnections = defaultIdleConnections
+	}
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{}).DialContext
+	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, options.ConnectTimeout)
+		defer cancel()
+		return options.Dial(ctx, network, address)
+	}
+	return &Shuttle{
+		kept: &http.Transport{
+			DialContext:         dial,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: options.IdleConnections,
+			IdleConnTimeout:     idleConnectionTimeout,
+		},
+		fresh: &http.Transport{
+			DialContext:        dial,
+			DisableCompression: true,
+			DisableKeepAlives:  true,
+		},
+	}
+}
+
+// Close closes the idle connections.
+func (s *Shuttle) Close() {
+	s.kept.CloseIdleConnections()
+	s.fresh.CloseIdleConnections()
+}
+
+// Send sends request to the upstream at address and waits for the head of its
+// answer. If there is none, or the upstream refused before running, Send
+// returns a *Error. The body of the Answer must be closed.
+//
+// ctx bounds the whole attempt, reading the body included.
+func (s *Shuttle) Send(ctx context.Context, address string, request Request) (*Answer, error) {
+	var reached atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		// From here on bytes may go out. Everything before is connecting.
+		GotConn: func(httptrace.GotConnInfo) { reached.Store(true) },
+	})
+	outgoing, err := s.build(ctx, address, request)
+	if err != nil {
+		return nil, &Error{Outcome: outcome.NotRun, cause: err}
+	}
+	response, err := s.transport(request).RoundTrip(outgoing)
+	if err != nil {
+		return nil, failed(err, reached.Load())
+	}
+	if response.Header.Get(upstreamapi.RefusedHeader) == outcome.NotRun.String() {
+		defer response.Body.Close()
+		return nil, refused(response)
+	}
+	return &Answer{
+		Status: response.StatusCode,
+		Header: response.Header,
+		Length: response.ContentLength,
+		Body:   response.Body,
+	}, nil
+}
+
+// transport chooses a fresh connection for a request that must not run twice.
+//
+// On a kept connection that the other end has lost track of, the request would
+// be written and never answered: its outcome would be unknown although it never
+// arrived. net/http would moreover resend on another connection what it takes
+// for idempotent, and an Idempotency-Key header is enough for that. On a
+// connection of its own net/http resends nothing.
+func (s *Shuttle) transport(request Request) *http.Transport {
+	if request.Idempotent {
+		return s.kept
+	}
+	return s.fresh
+}
+
+func (s *Shuttle) build(ctx context.Context, address string, request Request) (*http.Request, error) {
+	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address+request.Target, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "building the request")
+	}
+	outgoing.Header = forwardable(request.Header)
+	outgoing.Header.Set(upstreamapi.RequestIDHeader, request.ID)
+	outgoing.Header.Set(upstreamapi.PriorityHeader, strconv.Itoa(request.Priority))
+	outgoing.Header.Set(upstreamapi.DeadlineHeader, strconv.FormatInt(request.Remaining.Milliseconds(), 10))
+	outgoing.ContentLength = int64(len(request.Body))
+	// A body that net/http can't rewind, even an empty one, keeps it from ever
+	// sending the request again by itself.
+	outgoing.Body = io.NopCloser(bytes.NewReader(request.Body))
+	outgoing.GetBody = nil
+	return outgoing, nil
+}
+
+func failed(err error, reached bool) *Error {
+	if !reached {
+		return &Error{Outcome: outcome.NotRun, cause: err}
+	}
+	return &Error{Outcome: outcome.Unknown, cause: err}
+}
+
+func refused(response *http.Response) *Error {
+	return &Error{
+		Outcome:    outcome.NotRun,
+		RetryAfter: retryAfter(response.Header),
+		cause:      errors.Newf("upstream refused with status %d", response.StatusCode),
+	}
+}
+
+// retryAfter reads a Retry-After header given in seconds; the form with a date
+// is not used between upstreams and the system.
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
