instance: callers, upstreams and the roster put together

Change: entries, models, completions and plain services for callers; announcements of upstreams; a drain that serves on while callers may keep the address, then refuses, then ends.

--- /dev/null
+++ b/internal/desk/body.go
@@ -0,0 +1,102 @@
+package desk
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/outcome"
+)
+
+// readBody reads the whole body of a caller's request. Nothing has been sent to
+// an upstream when it fails.
+func (d *Desk) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, d.options.Limits.BodyBytes))
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &RefusalError{
+			Status:  http.StatusRequestEntityTooLarge,
+			Code:    CodeTooLarge,
+			Message: fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit),
+			Outcome: outcome.NotRun,
+		}
+	}
+	return nil, badRequest(finding.Finding{
+		Place:   finding.Place{File: "body"},
+		Problem: fmt.Sprintf("the body ended after %d bytes, before it was whole", len(body)),
+	})
+}
+
+// completionRequest is what routing needs of a request for a completion. The
+// body goes to the upstream as the caller wrote it.
+type completionRequest struct {
+	Model string `json:"model"`
+}
+
+func parseCompletion(body []byte) (completionRequest, error) {
+	var request completionRequest
+	if at := invalidUTF8(body); at >= 0 {
+		return request, badRequest(bodyFinding(at, "invalid UTF-8", "send JSON in UTF-8"))
+	}
+	if err := json.Unmarshal(body, &request); err != nil {
+		return request, badRequest(jsonFinding(body, err))
+	}
+	if request.Model == "" {
+		return request, badRequest(finding.Finding{
+			Place:   finding.Place{File: "body"},
+			Problem: "\"model\" is missing",
+			Advice:  "name a model that GET /v1/models lists",
+		})
+	}
+	return request, nil
+}
+
+// invalidUTF8 returns the offset of the first byte that is not UTF-8, or -1.
+func invalidUTF8(body []byte) int {
+	for at := 0; at < len(body); {
+		r, size := utf8.DecodeRune(body[at:])
+		if r == utf8.RuneError && size == 1 {
+			return at
+		}
+		at += size
+	}
+	return -1
+}
+
+func jsonFinding(body []byte, err error) finding.Finding {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return bodyFinding(int(syntax.Offset), "invalid JSON: "+syntax.Error(), "")
+	}
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		problem := fmt.Sprintf("%q is of the type %s", wrongType.Field, wrongType.Value)
+		return bodyFinding(int(wrongType.Offset), problem, "write a "+wrongType.Type.String())
+	}
+	return bodyFinding(len(body), err.Error(), "")
+}
+
+func bodyFinding(offset int, problem, advice string) finding.Finding {
+	return finding.Finding{
+		Place:   finding.Place{File: "body", Line: 1, Column: offset + 1},
+		Problem: problem,
+		Advice:  advice,
+	}
+}
+
+func badRequest(finding finding.Finding) *RefusalError {
+	return &RefusalError{
+		Status:  http.StatusBadRequest,
+		Code:    CodeBadRequest,
+		Message: finding.String(),
+		Outcome: outcome.NotRun,
+	}
+}
--- /dev/null
+++ b/internal/desk/desk.go
@@ -0,0 +1,128 @@
+// Package desk answers callers over HTTP (API server): which instance to use,
+// which models there are, completions in the OpenAI-compatible form, and the
+// calls of plain services.
+package desk
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
+)
+
+// Instance is what the desk asks of the instance that it answers for. Its
+// methods are called from many goroutines at once.
+type Instance interface {
+	// Admits returns nil, or the refusal of new work while the instance is
+	// draining or can't confirm its configuration.
+	Admits(now time.Time) *RefusalError
+	// Entries returns the addresses a caller may use.
+	Entries(now time.Time) Entries
+	// Upstreams returns the upstreams that may receive new work, by name.
+	Upstreams(now time.Time) []roster.Upstream
+}
+
+// Entries is where callers may connect.
+type Entries struct {
+	List []Entry
+	// Keep is how long a caller may use List before it asks again.
+	Keep time.Duration
+}
+
+// Entry is one instance that callers may connect to.
+type Entry struct {
+	Name          string
+	Address       string
+	FailureDomain string
+}
+
+// Limits bounds what a caller may send and what is held for it.
+type Limits struct {
+	// BodyBytes is the largest body of a request.
+	BodyBytes int64
+	// AnswerBytes is the largest answer that is read whole before it goes to
+	// the caller.
+	AnswerBytes int64
+	// Deadline is the time for a request whose service gives none.
+	Deadline time.Duration
+	// Attempts is the most upstreams that one request is sent to.
+	Attempts int
+}
+
+// DefaultLimits are used for what Options leaves at zero.
+var DefaultLimits = Limits{
+	BodyBytes:   8 << 20,
+	AnswerBytes: 8 << 20,
+	Deadline:    2 * time.Minute,
+	Attempts:    3,
+}
+
+// Options configures a Desk.
+type Options struct {
+	Instance Instance
+	Shuttle  *shuttle.Shuttle
+	// Now returns the present time.
+	Now    func() time.Time
+	Log    zerolog.Logger
+	Limits Limits
+}
+
+// Desk is the handler of all callers' requests. It is safe for concurrent use.
+type Desk struct {
+	options Options
+	echo    *echo.Echo
+	streams atomic.Int64
+	chooser *chooser
+}
+
+// New returns a Desk.
+func New(options Options) *Desk {
+	options.Limits = withDefaults(options.Limits)
+	d := &Desk{
+		options: options,
+		echo:    echo.New(),
+		chooser: newChooser(),
+	}
+	d.echo.HTTPErrorHandler = d.handleError
+	d.echo.Use(d.recoverPanic)
+	d.echo.GET("/v1/entries", d.entries)
+	d.echo.GET("/v1/models", d.models)
+	d.echo.POST("/v1/chat/completions", d.completions)
+	d.echo.POST("/v1/completions", d.completions)
+	d.echo.Any("/services/:name", d.services)
+	d.echo.Any("/services/:name/*", d.services)
+	return d
+}
+
+// ServeHTTP answers one request of a caller.
+func (d *Desk) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.streams.Add(1)
+	defer d.streams.Add(-1)
+	d.echo.ServeHTTP(w, r)
+}
+
+// Streams returns the number of requests in progress.
+func (d *Desk) Streams() int {
+	return int(d.streams.Load())
+}
+
+func withDefaults(limits Limits) Limits {
+	if limits.BodyBytes == 0 {
+		limits.BodyBytes = DefaultLimits.BodyBytes
+	}
+	if limits.AnswerBytes == 0 {
+		limits.AnswerBytes = DefaultLimits.AnswerBytes
+	}
+	if limits.Deadline == 0 {
+		limits.Deadline = DefaultLimits.Deadline
+	}
+	if limits.Attempts == 0 {
+		limits.Attempts = DefaultLimits.Attempts
+	}
+	return limits
+}
--- /dev/null
+++ b/internal/instance/members.go
@@ -0,0 +1,144 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/desk"
+	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// Admits returns the refusal of new work while the instance is draining.
+func (i *Instance) Admits(now time.Time) *desk.RefusalError {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.refusing {
+		return nil
+	}
+	refusal := &desk.RefusalError{
+		Status:  http.StatusServiceUnavailable,
+		Code:    desk.CodeDraining,
+		Message: "this instance is stopping; use another",
+		Outcome: outcome.NotRun,
+	}
+	for _, entry := range i.entriesLocked(now) {
+		refusal.Others = append(refusal.Others, entry.Address)
+	}
+	return refusal
+}
+
+// Entries returns the instances that callers may use.
+func (i *Instance) Entries(now time.Time) desk.Entries {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return desk.Entries{List: i.entriesLocked(now), Keep: i.options.Timing.KeepEntries}
+}
+
+func (i *Instance) entriesLocked(now time.Time) []desk.Entry {
+	var entries []desk.Entry
+	for _, instance := range i.roster.Instances(now) {
+		if instance.Draining || instance.Stale {
+			continue
+		}
+		entries = append(entries, desk.Entry{
+			Name:          instance.Name,
+			Address:       instance.CallerAddress,
+			FailureDomain: instance.FailureDomain,
+		})
+	}
+	return entries
+}
+
+// Upstreams returns the upstreams that may receive new work.
+func (i *Instance) Upstreams(now time.Time) []roster.Upstream {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.roster.Upstreams(now)
+}
+
+// Announce takes an announcement that an upstream made to this instance.
+func (i *Instance) Announce(now time.Time, announcement upstreamapi.Announcement) (upstreamapi.Welcome, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if err := i.roster.Announce(now, announcement); err != nil {
+		return upstreamapi.Welcome{}, err
+	}
+	welcome := upstreamapi.Welcome{
+		RenewEvery: i.options.Timing.RenewEvery,
+		Lease:      i.options.Timing.MemberLease,
+	}
+	for _, instance := range i.roster.Instances(now) {
+		if instance.Name != i.options.Name && !instance.Draining {
+			welcome.Instances = append(welcome.Instances, instance.UpstreamAddress)
+		}
+	}
+	return welcome, nil
+}
+
+// Leave takes an upstream's word that it goes.
+func (i *Instance) Leave(now time.Time, leave upstreamapi.Leave) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.roster.Leave(now, leave)
+}
+
+func (i *Instance) changes(cursor roster.Cursor) roster.Changes {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.roster.Since(i.options.Now(), cursor)
+}
+
+// beat renews this instance's own record and forgets members long lost.
+func (i *Instance) beat(ctx context.Context) {
+	ticker := time.NewTicker(i.options.Timing.PullEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := i.options.Now()
+		i.mu.Lock()
+		i.beatLocked(now)
+		i.roster.Sweep(now)
+		i.mu.Unlock()
+	}
+}
+
+func (i *Instance) beatLocked(now time.Time) {
+	i.roster.Beat(now, roster.InstanceBeat{Draining: i.draining, Streams: i.desk.Streams()})
+}
+
+// pullFrom keeps asking one other instance for what changed in its roster.
+func (i *Instance) pullFrom(ctx context.Context, peer Peer) {
+	ticker := time.NewTicker(i.options.Timing.PullEvery)
+	defer ticker.Stop()
+	for {
+		i.pullOnce(ctx, peer)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (i *Instance) pullOnce(ctx context.Context, peer Peer) {
+	i.mu.Lock()
+	cursor := i.cursors[peer.Name]
+	i.mu.Unlock()
+	asked := i.options.Now()
+	changes, err := i.pool.PullRoster(ctx, peer.InnerAddress, cursor)
+	if err != nil {
+		i.options.Log.Debug().Err(err).Str("peer", peer.Name).Msg("roster not pulled")
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.roster.Merge(asked, changes)
+	i.cursors[peer.Name] = changes.Next
+}
