--- a/cmd/lovagelift/main.go
+++ b/cmd/lovagelift/main.go
@@ -1,4 +1,18 @@
 // Command lovagelift runs and operates lovagelift.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/lovagelift/lovagelift/internal/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Run(ctx, os.Args[1:], command.Streams{Out: os.Stdout, Err: os.Stderr})
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/command/serve.go
@@ -0,0 +1,28 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/lovagelift/lovagelift/internal/host"
+)
+
+func newServe() command {
+	var options host.Options
+	flags := newSubcommand("serve", "runs one instance until it is interrupted", "lovagelift serve --example")
+	flags.Bool(&options.Example, "", "example", "run one instance with a built-in engine and service")
+	flags.String(&options.CallerAddress, "", "caller-address", "IP:port for callers instead of 127.0.0.1:7600")
+	run := func(ctx context.Context, streams Streams) int {
+		if !options.Example {
+			fmt.Fprintln(streams.Err, "command: serve needs --example")
+			return ExitBadInput
+		}
+		options.Log = streams.Err
+		if err := host.Run(ctx, options); err != nil {
+			fmt.Fprintln(streams.Err, err)
+			return ExitFailed
+		}
+		return ExitOK
+	}
+	return command{flags: flags, run: run}
+}
