settings: one instance's TOML file, all findings with their places

Cause: an operator who starts an instance with a wrong file must learn everything that is wrong with it at once, where it stands and what to write instead; go-toml's own decoder stops at the first value of a wrong type.

Change: package form walks go-toml's syntax tree and reads typed values that know their place; package settings reads the settings of one instance with it and checks what they say together (leases against renewals, listeners on one address, own name among the others, voters without a disk, certificates without keys, listeners beyond loopback without TLS).

--- /dev/null
+++ b/internal/form/nearest.go
@@ -0,0 +1,39 @@
+package form
+
+// Nearest returns the one of known that differs least from word, by the number
+// of bytes to insert, remove or replace (Levenshtein distance). If all of known
+// differ in more than a third of word, and in more than two bytes, Nearest
+// returns false. Among equals, the first of known wins.
+func Nearest(word string, known []string) (string, bool) {
+	best := ""
+	least := max(2, len(word)/3) + 1
+	for _, candidate := range known {
+		if len(candidate)-len(word) >= least || len(word)-len(candidate) >= least {
+			continue
+		}
+		if d := distance(word, candidate); d < least {
+			best, least = candidate, d
+		}
+	}
+	return best, best != ""
+}
+
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diagonal := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			substitute := diagonal
+			if a[i-1] != b[j-1] {
+				substitute++
+			}
+			diagonal = row[j]
+			row[j] = min(substitute, row[j]+1, row[j-1]+1)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/internal/form/scalar.go
@@ -0,0 +1,181 @@
+package form
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/gommon/bytes"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// maxSize bounds sizes, so that sums of thousands of them fit in an int64.
+const maxSize = 1 << 50
+
+// Text returns the text under key, or fallback if there is none. An empty text
+// makes a finding.
+func (r *Reader) Text(key, fallback string) string {
+	v := r.takeKind(key, "a text", `"..."`, unstable.String)
+	if v == nil {
+		return fallback
+	}
+	if v.text == "" {
+		r.badValue(key, v, "is empty", `"..."`)
+		return fallback
+	}
+	return v.text
+}
+
+// Choice returns the text under key, which must be one of choices, or fallback
+// if there is none.
+func (r *Reader) Choice(key, fallback string, choices ...string) string {
+	v := r.takeKind(key, "a text", strconv.Quote(choices[0]), unstable.String)
+	if v == nil {
+		return fallback
+	}
+	for _, choice := range choices {
+		if v.text == choice {
+			return choice
+		}
+	}
+	advice := "write one of " + strings.Join(choices, ", ")
+	if nearest, ok := Nearest(v.text, choices); ok {
+		advice = fmt.Sprintf("write %q", nearest)
+	}
+	r.failed[key] = true
+	r.list.Add(v.place, fmt.Sprintf("%q cannot be %q", key, v.text), advice)
+	return fallback
+}
+
+// Texts returns the texts in the array under key.
+func (r *Reader) Texts(key string) []Text {
+	v := r.takeKind(key, "an array of texts", `["..."]`, unstable.Array)
+	if v == nil {
+		return nil
+	}
+	texts := make([]Text, 0, len(v.items))
+	for _, item := range v.items {
+		if item.kind != unstable.String {
+			r.wrongType(key, item, "an array of texts", `["..."]`)
+			continue
+		}
+		texts = append(texts, Text{Value: item.text, Place: item.place})
+	}
+	return texts
+}
+
+// Flag returns true or false as under key, or fallback if there is none.
+func (r *Reader) Flag(key string, fallback bool) bool {
+	v := r.takeKind(key, "true or false", "true", unstable.Bool)
+	if v == nil {
+		return fallback
+	}
+	return v.text == "true"
+}
+
+// Count returns the whole number under key, or fallback if there is none. A
+// number below least or above most makes a finding.
+func (r *Reader) Count(key string, fallback, least, most int) int {
+	example := strconv.Itoa(max(least, min(fallback, most)))
+	v := r.takeKind(key, "a whole number", example, unstable.Integer)
+	if v == nil {
+		return fallback
+	}
+	n, err := strconv.ParseInt(strings.ReplaceAll(v.text, "_", ""), 0, 64)
+	if err != nil || n < int64(least) || n > int64(most) {
+		r.badValue(key, v, fmt.Sprintf("must be from %d to %d, not %s", least, most, v.text), example)
+		return fallback
+	}
+	return int(n)
+}
+
+// Number returns the number under key, or fallback if there is none. A number
+// below least or above most makes a finding.
+func (r *Reader) Number(key string, fallback, least, most float64) float64 {
+	example := strconv.FormatFloat(max(least, min(fallback, most)), 'g', -1, 64)
+	v := r.takeKind(key, "a number", example, unstable.Float, unstable.Integer)
+	if v == nil {
+		return fallback
+	}
+	n, err := strconv.ParseFloat(strings.ReplaceAll(v.text, "_", ""), 64)
+	if err != nil || math.IsNaN(n) || n < least || n > most {
+		r.badValue(key, v, fmt.Sprintf("must be from %g to %g, not %s", least, most, v.text), example)
+		return fallback
+	}
+	return n
+}
+
+// Duration returns the duration under key, or fallback if there is none. It is
+// written as a text with a unit, such as "540ms". A duration below least or
+// above most makes a finding.
+func (r *Reader) Duration(key string, fallback, least, most time.Duration) time.Duration {
+	example := strconv.Quote(max(least, min(fallback, most)).String())
+	v := r.takeKind(key, "a duration with its unit", example, unstable.String)
+	if v == nil {
+		return fallback
+	}
+	d, err := time.ParseDuration(v.text)
+	if err != nil {
+		r.badValue(key, v, fmt.Sprintf("is no duration: %q", v.text), example)
+		return fallback
+	}
+	if d < least || d > most {
+		r.badValue(key, v, fmt.Sprintf("must be from %s to %s, not %s", least, most, v.text), example)
+		return fallback
+	}
+	return d
+}
+
+// Size returns the bytes under key, or fallback if there is none. A size is
+// written as a text with a unit, such as "24 GiB". A size below least makes a
+// finding.
+func (r *Reader) Size(key string, fallback, least int64) int64 {
+	v := r.takeKind(key, "a size with its unit", `"24 GiB"`, unstable.String)
+	if v == nil {
+		return fallback
+	}
+	n, err := bytes.Parse(v.text)
+	if err != nil || !strings.HasSuffix(strings.ToUpper(v.text), "B") {
+		r.badValue(key, v, fmt.Sprintf("is no size: %q", v.text), `"24 GiB"`)
+		return fallback
+	}
+	if n < least || n > maxSize {
+		r.badValue(key, v, fmt.Sprintf("must be from %d B to %d TiB, not %s", least, maxSize>>40, v.text), `"24 GiB"`)
+		return fallback
+	}
+	return n
+}
+
+// Address returns the IP number and port under key, or fallback if there is
+// none. Host names are refused: instances find each other by IP numbers.
+func (r *Reader) Address(key string, fallback netip.AddrPort) netip.AddrPort {
+	v := r.takeKind(key, "an IP number and a port", `"127.0.0.1:7600"`, unstable.String)
+	if v == nil {
+		return fallback
+	}
+	address, err := netip.ParseAddrPort(v.text)
+	if err != nil || address.Port() == 0 {
+		r.badValue(key, v, fmt.Sprintf("must be an IP number and a port, not %q", v.text), `"127.0.0.1:7600"`)
+		return fallback
+	}
+	return address
+}
+
+// takeKind makes key known and returns its value if that is of one of kinds. If
+// it is of another kind, takeKind adds a finding and returns nil.
+func (r *Reader) takeKind(key, want, example string, kinds ...unstable.Kind) *value {
+	v := r.take(key)
+	if v == nil {
+		return nil
+	}
+	for _, kind := range kinds {
+		if v.kind == kind {
+			return v
+		}
+	}
+	r.wrongType(key, v, want, example)
+	return nil
+}
--- /dev/null
+++ b/internal/form/table.go
@@ -0,0 +1,190 @@
+// Package form reads TOML documents into typed values and collects every
+// finding with its place (a decoder with diagnostics).
+//
+// go-toml parses the document; this package only walks its syntax tree, since
+// the decoder of that library stops at the first value of a wrong type.
+package form
+
+import (
+	"sort"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"github.com/lovagelift/lovagelift/internal/finding"
+)
+
+// table is one table of a document. Keys are unique: go-toml refuses a document
+// that defines one twice.
+type table struct {
+	place  finding.Place
+	values map[string]*value
+}
+
+// value is one value of a document.
+type value struct {
+	place finding.Place
+	// keyPlace is the place of the key that holds the value.
+	keyPlace finding.Place
+	kind     unstable.Kind
+	// text is the content of a text, and the source of a number or a flag.
+	text string
+	// items are the elements of an array.
+	items []*value
+	// table is set if kind is unstable.InlineTable or unstable.Table.
+	table *table
+}
+
+// parse returns the root table of the document data, whose places name file.
+// If data is not TOML, parse adds one finding with its place and returns false.
+func parse(file string, data []byte, list *finding.List) (*table, bool) {
+	var ignored map[string]any
+	if err := toml.Unmarshal(data, &ignored); err != nil {
+		addBroken(file, err, list)
+		return nil, false
+	}
+	b := newBuilder(file, data)
+	for b.parser.NextExpression() {
+		b.add(b.parser.Expression())
+	}
+	if err := b.parser.Error(); err != nil {
+		addBroken(file, err, list)
+		return nil, false
+	}
+	return b.root, true
+}
+
+func addBroken(file string, err error, list *finding.List) {
+	place := finding.Place{File: file}
+	var broken *toml.DecodeError
+	if errors.As(err, &broken) {
+		place.Line, place.Column = broken.Position()
+	}
+	list.Add(place, "broken TOML: "+err.Error(), "")
+}
+
+// builder makes tables of the expressions of a document.
+type builder struct {
+	file   string
+	parser unstable.Parser
+	// lines holds the offset of the first byte of each line.
+	lines []int
+	root  *table
+	// current takes the keys that follow the last table header.
+	current *table
+}
+
+func newBuilder(file string, data []byte) *builder {
+	b := &builder{file: file, lines: []int{0}}
+	for i, c := range data {
+		if c == '\n' {
+			b.lines = append(b.lines, i+1)
+		}
+	}
+	b.root = newTable(finding.Place{File: file})
+	b.current = b.root
+	b.parser.Reset(data)
+	return b
+}
+
+func newTable(place finding.Place) *table {
+	return &table{place: place, values: map[string]*value{}}
+}
+
+func (b *builder) place(raw unstable.Range) finding.Place {
+	offset := int(raw.Offset)
+	line := sort.SearchInts(b.lines, offset+1)
+	return finding.Place{File: b.file, Line: line, Column: offset - b.lines[line-1] + 1}
+}
+
+func (b *builder) add(node *unstable.Node) {
+	switch node.Kind {
+	case unstable.Table:
+		parent, last := b.descend(b.root, node.Key())
+		b.current = b.child(parent, last)
+	case unstable.ArrayTable:
+		parent, last := b.descend(b.root, node.Key())
+		b.current = b.appendItem(parent, last)
+	case unstable.KeyValue:
+		b.addKeyValue(b.current, node)
+	default:
+	}
+}
+
+func (b *builder) addKeyValue(to *table, node *unstable.Node) {
+	parent, last := b.descend(to, node.Key())
+	keyPlace := b.place(last.Raw)
+	v := b.value(node.Value(), keyPlace)
+	v.keyPlace = keyPlace
+	parent.values[string(last.Data)] = v
+}
+
+// descend walks all parts of key but the last, making tables where there are
+// none, and returns the table it came to and the last part.
+func (b *builder) descend(from *table, key unstable.Iterator) (*table, *unstable.Node) {
+	key.Next()
+	last := key.Node()
+	for key.Next() {
+		from = b.child(from, last)
+		last = key.Node()
+	}
+	return from, last
+}
+
+// child returns the table that key names in parent: for an array of tables, its
+// last element.
+func (b *builder) child(parent *table, key *unstable.Node) *table {
+	name := string(key.Data)
+	place := b.place(key.Raw)
+	held, ok := parent.values[name]
+	if !ok {
+		made := newTable(place)
+		parent.values[name] = &value{place: place, keyPlace: place, kind: unstable.Table, table: made}
+		return made
+	}
+	if len(held.items) > 0 {
+		held = held.items[len(held.items)-1]
+	}
+	if held.table == nil {
+		// go-toml has refused such a document before it came here.
+		held.table = newTable(place)
+	}
+	return held.table
+}
+
+func (b *builder) appendItem(parent *table, key *unstable.Node) *table {
+	name := string(key.Data)
+	place := b.place(key.Raw)
+	held, ok := parent.values[name]
+	if !ok {
+		held = &value{place: place, keyPlace: place, kind: unstable.Array}
+		parent.values[name] = held
+	}
+	made := newTable(place)
+	held.items = append(held.items, &value{place: place, keyPlace: place, kind: unstable.Table, table: made})
+	return made
+}
+
+// value returns the value of node. Arrays have no place of their own in the
+// syntax tree and get fallback.
+func (b *builder) value(node *unstable.Node, fallback finding.Place) *value {
+	v := &value{place: fallback, keyPlace: fallback, kind: node.Kind}
+	if node.Raw.Length > 0 {
+		v.place = b.place(node.Raw)
+	}
+	switch node.Kind {
+	case unstable.Array:
+		for it := node.Children(); it.Next(); {
+			v.items = append(v.items, b.value(it.Node(), v.place))
+		}
+	case unstable.InlineTable:
+		v.table = newTable(v.place)
+		for it := node.Children(); it.Next(); {
+			b.addKeyValue(v.table, it.Node())
+		}
+	default:
+		v.text = string(node.Data)
+	}
+	return v
+}
--- /dev/null
+++ b/internal/settings/combinations.go
@@ -0,0 +1,212 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/form"
+)
+
+func (p *parser) checkAdvertised(root *form.Reader, l listener) {
+	if !l.advertise.Addr().IsUnspecified() {
+		return
+	}
+	if root.Has("advertise-" + l.key) {
+		root.Add("advertise-"+l.key, fmt.Sprintf("nobody can connect to %s", l.advertise), "write an IP number of this instance")
+		return
+	}
+	root.Add(l.key, fmt.Sprintf("%s listens on every address, and others must be told one", l.key),
+		fmt.Sprintf("write advertise-%s with an IP number of this instance", l.key))
+}
+
+// checkListeners finds two listeners on one address. Listening on every address
+// takes the port from all.
+func (p *parser) checkListeners(root *form.Reader, s *Settings) {
+	all := listeners(s)
+	for i, later := range all {
+		for _, earlier := range all[:i] {
+			if !root.Good(earlier.key, later.key) || !overlap(*earlier.listen, *later.listen) {
+				continue
+			}
+			key, other := later.key, earlier.key
+			if !root.Has(key) {
+				key, other = other, key
+			}
+			root.Add(key, fmt.Sprintf("%s and %s are on one address, %s", key, other, later.listen),
+				fmt.Sprintf("write another port for %s", key))
+		}
+	}
+}
+
+func overlap(a, b netip.AddrPort) bool {
+	if a.Port() != b.Port() {
+		return false
+	}
+	return a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+}
+
+// checkInstances finds what is wrong with this instance and the others together.
+// The readers in tables are those of s.Instances.
+func (p *parser) checkInstances(root *form.Reader, s Settings, tables []*form.Reader) {
+	names := map[string]finding.Place{s.Name: root.Place("name")}
+	addresses := map[netip.AddrPort]finding.Place{
+		s.Advertise.Inner:  root.Place("inner-address"),
+		s.Advertise.Caller: root.Place("caller-address"),
+	}
+	for i, r := range tables {
+		p.checkName(r, s.Instances[i].Name, s.Name, names)
+		p.checkAddress(r, "inner-address", s.Instances[i].InnerAddress, addresses)
+		p.checkAddress(r, "caller-address", s.Instances[i].CallerAddress, addresses)
+	}
+	p.checkVoters(root, s)
+}
+
+func (p *parser) checkVoters(root *form.Reader, s Settings) {
+	if s.Voter && s.DataFolder == "" && root.Good("data-folder") {
+		root.Add("voter", "a voter must keep its vote, and there is no data-folder",
+			`write data-folder = "data", or voter = false`)
+	}
+	voters := 0
+	if s.Voter {
+		voters++
+	}
+	for _, other := range s.Instances {
+		if other.Voter {
+			voters++
+		}
+	}
+	if voters == 0 && root.Good("voter") {
+		root.Add("voter", "no instance is a voter, so no configuration could ever be accepted",
+			"write voter = true here or in one of the instances with a disk")
+	}
+}
+
+func (p *parser) checkName(r *form.Reader, name, own string, names map[string]finding.Place) {
+	if name == "" {
+		return
+	}
+	first, taken := names[name]
+	switch {
+	case name == own:
+		r.Add("name", fmt.Sprintf("%q is this instance's own name (%s)", name, first),
+			"list only the other instances, or write another name")
+	case taken:
+		r.Add("name", fmt.Sprintf("instance %q stands twice, first at %s", name, first), "remove one or write another name")
+	default:
+		names[name] = r.Place("name")
+	}
+}
+
+func (p *parser) checkAddress(r *form.Reader, key string, address netip.AddrPort, addresses map[netip.AddrPort]finding.Place) {
+	if !address.IsValid() {
+		return
+	}
+	if address.Addr().IsUnspecified() {
+		r.Add(key, fmt.Sprintf("nobody can connect to %s", address), "write an IP number of that instance")
+		return
+	}
+	if first, taken := addresses[address]; taken {
+		r.Add(key, fmt.Sprintf("%s is already the address of another listener, at %s", address, first), "write the address of that instance")
+		return
+	}
+	addresses[address] = r.Place(key)
+}
+
+// checkOpenListeners refuses to give operators' and inner traffic to a network
+// without TLS. Without it, whoever reads the network reads the operators'
+// token, and whoever reaches the inner listener speaks as an instance.
+func (p *parser) checkOpenListeners(root *form.Reader, s Settings) {
+	if s.AllowOpenListeners {
+		return
+	}
+	p.checkOpen(root, "operator-address", s.Listen.Operator, s.TLS.Operators, "tls.operators")
+	p.checkOpen(root, "inner-address", s.Listen.Inner, s.TLS.Inner, "tls.inner")
+}
+
+func (p *parser) checkOpen(root *form.Reader, key string, listen netip.AddrPort, pair KeyPair, section string) {
+	if pair.IsSet() || listen.Addr().IsLoopback() {
+		return
+	}
+	root.Add(key, fmt.Sprintf("%s %s is beyond loopback without TLS", key, listen),
+		fmt.Sprintf("write [%s], or allow-open-listeners = true", section))
+}
+
+func checkKeyPair(r *form.Reader) {
+	cert, key, ca := r.Has("cert"), r.Has("key"), r.Has("ca")
+	switch {
+	case cert && !key:
+		r.Add("cert", "a certificate without its key", `write key = "key.pem"`)
+	case key && !cert:
+		r.Add("key", "a key without its certificate", `write cert = "cert.pem"`)
+	case ca && !cert:
+		r.Add("ca", "a ca without a certificate of our own", `write cert and key`)
+	default:
+	}
+}
+
+// pair is two durations of which one must be longer by a factor.
+type pair struct {
+	long, short           string
+	longValue, shortValue time.Duration
+	// factor is by how much longer, at least 1.
+	factor int
+	reason string
+}
+
+func checkTiming(r *form.Reader, t Timing) {
+	pairs := []pair{
+		{
+			"election-timeout", "heartbeat", t.ElectionTimeout, t.Heartbeat, 3,
+			"a lost heartbeat must not start an election",
+		},
+		{
+			"configuration-lease", "configuration-renewal", t.ConfigurationLease, t.ConfigurationRenewal, 1,
+			"it would run out before it is renewed",
+		},
+		{
+			"configuration-lease", "election-timeout", t.ConfigurationLease, t.ElectionTimeout, 1,
+			"every change of leader would stop new work",
+		},
+		{
+			"upstream-lease", "upstream-renewal", t.UpstreamLease, t.UpstreamRenewal, 1,
+			"it would run out before it is renewed",
+		},
+		{
+			"drain-time", "entry-time", t.DrainTime, t.EntryTime, 1,
+			"callers would still come when the instance has stopped",
+		},
+	}
+	for _, c := range pairs {
+		checkPair(r, c)
+	}
+}
+
+func checkPair(r *form.Reader, c pair) {
+	if !r.Good(c.long, c.short) || c.longValue > c.shortValue*time.Duration(c.factor) {
+		return
+	}
+	key := c.long
+	if !r.Has(key) {
+		key = c.short
+	}
+	bound := "is not longer than"
+	if c.factor > 1 {
+		bound = fmt.Sprintf("is not longer than %d times", c.factor)
+	}
+	r.Add(key, fmt.Sprintf("%s %s %s %s %s: %s", c.long, c.longValue, bound, c.short, c.shortValue, c.reason),
+		fmt.Sprintf("write %s above %s", c.long, c.shortValue*time.Duration(c.factor)))
+}
+
+func checkLimits(r *form.Reader, l Limits) {
+	if !r.Good("docket-answer-size", "docket-size") || l.DocketAnswerBytes <= l.DocketBytes {
+		return
+	}
+	key := "docket-answer-size"
+	if !r.Has(key) {
+		key = "docket-size"
+	}
+	r.Add(key, fmt.Sprintf("docket-answer-size %d B is above docket-size %d B", l.DocketAnswerBytes, l.DocketBytes),
+		"write docket-answer-size at most as large as docket-size")
+}
--- /dev/null
+++ b/internal/settings/fuzz_test.go
@@ -0,0 +1,49 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/settings"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// FuzzParse shows that any bytes give settings or findings with a place inside
+// the file, and never a panic.
+func FuzzParse(f *testing.F) {
+	paths, err := filepath.Glob("../../examples/three/*.toml")
+	if err != nil || len(paths) == 0 {
+		f.Fatalf("no examples: %v", err)
+	}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := settings.Parse("x.toml", data)
+		if err == nil {
+			if s.Name == "" || s.FailureDomain == "" || s.Timing.UpstreamLease <= s.Timing.UpstreamRenewal {
+				t.Fatalf("accepted %+v", s)
+			}
+			return
+		}
+		var found *finding.Error
+		if !errors.As(err, &found) || len(found.Findings) == 0 {
+			t.Fatalf("an error without findings: %v", err)
+		}
+		for _, one := range found.Findings {
+			if one.Place.File != "x.toml" || one.Problem == "" || one.Place.Line < 0 {
+				t.Fatalf("a finding without a place: %+v", one)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/settings/parse_test.go
@@ -0,0 +1,162 @@
+package settings_test
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/settings"
+)
+
+const least = `name = "a"
+failure-domain = "kgn-a"
+data-folder = "data"
+voter = true
+`
+
+func findings(text string) []string {
+	_, err := settings.Parse("etc/a.toml", []byte(text))
+	if err == nil {
+		return nil
+	}
+	var found *finding.Error
+	ExpectWithOffset(1, errors.As(err, &found)).To(BeTrue())
+	lines := make([]string, 0)
+	for _, f := range found.Findings {
+		ExpectWithOffset(1, f.Place.File).To(Equal("etc/a.toml"))
+		lines = append(lines, f.String())
+	}
+	return lines
+}
+
+var _ = Describe("Parse", func() {
+	It("fills in the defaults", func() {
+		s, err := settings.Parse("etc/a.toml", []byte(least))
+		Expect(err).NotTo(HaveOccurred())
+		want := settings.Default()
+		want.Name, want.FailureDomain = "a", "kgn-a"
+		want.DataFolder, want.Voter = filepath.Join("etc", "data"), true
+		want.Instances = []settings.Instance{}
+		Expect(s).To(Equal(want))
+	})
+
+	It("advertises what it listens on unless told otherwise", func() {
+		s, err := settings.Parse("a.toml", []byte(least+
+			"caller-address = \"0.0.0.0:80\"\nadvertise-caller-address = \"10.0.0.7:80\"\nupstream-address = \"127.0.0.1:81\"\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Listen.Caller).To(Equal(netip.MustParseAddrPort("0.0.0.0:80")))
+		Expect(s.Advertise.Caller).To(Equal(netip.MustParseAddrPort("10.0.0.7:80")))
+		Expect(s.Advertise.Upstream).To(Equal(netip.MustParseAddrPort("127.0.0.1:81")))
+	})
+
+	It("reads what instances keep among themselves", func() {
+		s, err := settings.Parse("a.toml", []byte(least+`
+[[instances]]
+name = "b"
+inner-address = "127.0.0.1:7613"
+caller-address = "127.0.0.1:7610"
+failure-domain = "kgn-b"
+[timing]
+heartbeat = "50ms"
+[weight-store]
+concurrent = 9
+[policy]
+weight-of-moves = 4
+`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Instances).To(HaveLen(1))
+		Expect(s.Instances[0].Name).To(Equal("b"))
+		Expect(s.Timing.Heartbeat).To(Equal(50 * time.Millisecond))
+		Expect(s.WeightStore).To(Equal(settings.WeightStore{LoadsPerSecond: 1.6, Concurrent: 9}))
+		Expect(s.Policy.WeightOfMoves).To(Equal(4.0))
+	})
+
+	It("reports every finding of a file in one error", func() {
+		Expect(findings(`naem = "a"
+failure-domain = 3
+voter = true
+inner-address = "127.0.0.1:7600"
+[timing]
+upstream-lease = "1s"
+[limits]
+body-size = "4 Mib!"
+`)).To(Equal([]string{
+			`etc/a.toml: key "name" is missing; write name = "a"`,
+			`etc/a.toml:1:1: unknown key "naem"; write "name"`,
+			`etc/a.toml:2:18: "failure-domain" must be a text, not a whole number; write for example "..."`,
+			`etc/a.toml:3:9: a voter must keep its vote, and there is no data-folder; write data-folder = "data", or voter = false`,
+			`etc/a.toml:4:17: inner-address and caller-address are on one address, 127.0.0.1:7600; write another port for inner-address`,
+			`etc/a.toml:6:18: upstream-lease 1s is not longer than upstream-renewal 1s: it would run out before it is renewed; write upstream-lease above 1s`,
+			`etc/a.toml:8:13: "body-size" is no size: "4 Mib!"; write for example "24 GiB"`,
+		}))
+	})
+
+	DescribeTable("refuses impossible combinations",
+		func(addition, want string) {
+			found := findings(least + addition)
+			Expect(found).To(HaveLen(1), strings.Join(found, "\n"))
+			Expect(found[0]).To(HavePrefix("etc/a.toml:" + want))
+		},
+		Entry("an election before three heartbeats", "[timing]\nelection-timeout = \"300ms\"\n", "6:20: election-timeout 300ms is not longer than 3 times heartbeat 100ms"),
+		Entry("a lease that ends before its renewal", "[timing]\nconfiguration-renewal = \"3s\"\n", "6:25: configuration-lease 3s is not longer than configuration-renewal 3s"),
+		Entry("a drain that ends before callers forget", "[timing]\nentry-time = \"60s\"\n", "6:14: drain-time 1m0s is not longer than entry-time 1m0s"),
+		Entry("one port for every address and for one", "caller-address = \"0.0.0.0:7601\"\nadvertise-caller-address = \"10.0.0.7:7601\"\n", "5:18: caller-address and upstream-address are on one address"),
+		Entry("an address nobody can be told", "caller-address = \"0.0.0.0:7600\"\n", "5:18: caller-address listens on every address"),
+		Entry("operators beyond loopback without TLS", "operator-address = \"10.0.0.7:7602\"\n", "5:20: operator-address 10.0.0.7:7602 is beyond loopback without TLS"),
+		Entry("instances beyond loopback without TLS", "inner-address = \"10.0.0.7:7603\"\n", "5:17: inner-address 10.0.0.7:7603 is beyond loopback without TLS"),
+		Entry("a certificate without a key", "[tls.callers]\ncert = \"c.pem\"\n", "6:8: a certificate without its key"),
+		Entry("a key without a certificate", "[tls.callers]\nkey = \"k.pem\"\n", "6:7: a key without its certificate"),
+		Entry("instances that check one side only", "[tls.inner]\ncert = \"c.pem\"\nkey = \"k.pem\"\n", "6:8: tls between instances checks both sides"),
+		Entry("a deadline before the first token", "[goals]\ndeadline = \"200ms\"\n", "6:12: the deadline 200ms is not after"),
+		Entry("an answer larger than the docket", "[limits]\ndocket-size = \"32 KiB\"\n", "6:15: docket-answer-size 65536 B is above docket-size 32768 B"),
+		Entry("its own name among the others", other("a", 7613, 7610), `6:8: "a" is this instance's own name (etc/a.toml:1:8)`),
+		Entry("an instance twice", other("b", 7613, 7610)+other("b", 7623, 7620), `11:8: instance "b" stands twice, first at etc/a.toml:6:8`),
+		Entry("two instances on one address", other("b", 7613, 7610)+other("c", 7613, 7620), "12:17: 127.0.0.1:7613 is already the address of another listener, at etc/a.toml:7:17"),
+		Entry("another instance on its own address", other("b", 7613, 7600), "8:18: 127.0.0.1:7600 is already the address of another listener"),
+		Entry("an instance without its failure domain", "[[instances]]\nname = \"b\"\ninner-address = \"127.0.0.1:7613\"\ncaller-address = \"127.0.0.1:7610\"\n", `5:3: key "failure-domain" is missing in instances`),
+	)
+
+	It("asks for one voter among all instances", func() {
+		Expect(findings("name = \"a\"\nfailure-domain = \"kgn-a\"\n")).To(ConsistOf(
+			HavePrefix("etc/a.toml: no instance is a voter")))
+	})
+
+	It("allows open listeners when told explicitly", func() {
+		Expect(findings(least + "operator-address = \"10.0.0.7:7602\"\nallow-open-listeners = true\n")).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Load", func() {
+	It("accepts the three instances of the examples", func() {
+		paths, err := filepath.Glob("../../examples/three/instance-*.toml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(paths).To(HaveLen(3))
+		for _, path := range paths {
+			s, err := settings.Load(path)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.Instances).To(HaveLen(2))
+		}
+	})
+
+	It("says which file it could not read", func() {
+		_, err := settings.Load("no-such-file.toml")
+		Expect(errors.Is(err, os.ErrNotExist)).To(BeTrue())
+		Expect(err).To(MatchError(ContainSubstring("settings: reading the file: open no-such-file.toml")))
+	})
+})
+
+func other(name string, inner, caller int) string {
+	return strings.NewReplacer("NAME", name, "INNER", itoa(inner), "CALLER", itoa(caller)).Replace(`[[instances]]
+name = "NAME"
+inner-address = "127.0.0.1:INNER"
+caller-address = "127.0.0.1:CALLER"
+failure-domain = "kgn-b"
+`)
+}
