--- a/internal/upstreamapi/announcement.go
+++ b/internal/upstreamapi/announcement.go
@@ -6,32 +6,11 @@
 // is one new package beside it.
 package upstreamapi
 
-import "time"
-
-// Paths that an instance serves to upstreams.
-const (
-	// AnnouncePath takes a POST of an Announcement and answers a Welcome.
-	AnnouncePath = "/upstream/v1/announce"
-	// LeavePath takes a POST of a Leave and answers 204.
-	LeavePath = "/upstream/v1/leave"
+import (
+	"slices"
+	"time"
 )
 
-// Headers that a request carries from an instance to an upstream.
-const (
-	// RequestIDHeader names one attempt at one request.
-	RequestIDHeader = "Lovagelift-Request"
-	// PriorityHeader carries the priority of the service, 0 being the highest.
-	PriorityHeader = "Lovagelift-Priority"
-	// DeadlineHeader carries the milliseconds that are left to the deadline.
-	DeadlineHeader = "Lovagelift-Deadline-Milliseconds"
-	// RefusedHeader is set to "not-run" by an upstream that refused a request
-	// before running any of it.
-	RefusedHeader = "Lovagelift-Refused"
-)
-
-// RefusedNotRun is the value of RefusedHeader.
-const RefusedNotRun = "not-run"
-
 // Kind says what an upstream is.
 type Kind string
 
@@ -69,6 +48,15 @@
 	// FailureDomain is one of the declared failure domains.
 	FailureDomain string  `json:"failure-domain"`
 	Fencing       Fencing `json:"fencing,omitempty"`
+	// OrderAuthorization says whether the upstream checks the token of those who
+	// order. Absence counts as AuthorizationIgnored.
+	OrderAuthorization Authorization `json:"order-authorization,omitempty"`
+	// Capabilities are the optional parts of the interface that the upstream
+	// speaks.
+	Capabilities []Capability `json:"capabilities,omitempty"`
+	// Clock is the upstream's own time when it sent the announcement. It need
+	// not agree with any other clock: Order.NotAfter is read on it as well.
+	Clock time.Time `json:"clock,omitzero"`
 	// Services are the names of the plain services it answers for, if Kind is
 	// KindService.
 	Services []string `json:"services,omitempty"`
@@ -76,7 +64,31 @@
 	Accelerators []Accelerator `json:"accelerators,omitempty"`
 	// Resident is what an engine holds in memory and can run now.
 	Resident []Resident `json:"resident,omitempty"`
-	Load     Load       `json:"load"`
+	// Role is what an engine does of a request, empty if it does all of it.
+	Role Role `json:"role,omitempty"`
+	// RoleMemoryBytes is what the role takes of each accelerator beside the
+	// residents.
+	RoleMemoryBytes int64 `json:"role-memory-bytes,omitempty"`
+	// HighestFencing is the highest fencing number of an order that reached the
+	// upstream, whether it checks them or not.
+	HighestFencing uint64 `json:"highest-fencing,omitempty"`
+	// UnderWay are the orders that are being carried out.
+	UnderWay []OrderUnderWay `json:"under-way,omitempty"`
+	Load     Load            `json:"load"`
+}
+
+// Has tells whether the upstream announced the capability.
+func (a Announcement) Has(capability Capability) bool {
+	return slices.Contains(a.Capabilities, capability)
+}
+
+// OrderUnderWay is an order that an upstream is carrying out.
+type OrderUnderWay struct {
+	ID string `json:"id"`
+	// Accelerators and MemoryBytes are what the order holds of the memory until
+	// it ends, beyond what the residents and the role hold.
+	Accelerators []string `json:"accelerators,omitempty"`
+	MemoryBytes  int64    `json:"memory-bytes,omitempty"`
 }
 
 // Accelerator is one accelerator of an engine.
@@ -84,6 +96,9 @@
 	Name string `json:"name"`
 	// MemoryBytes is the memory that models, adapters and KV cache may take.
 	MemoryBytes int64 `json:"memory-bytes"`
+	// UsedBytes is what is taken of MemoryBytes now, orders under way included.
+	// An engine that does not know leaves it out.
+	UsedBytes *int64 `json:"used-bytes,omitempty"`
 }
 
 // Resident is a model that an engine holds in memory, with its adapters.
@@ -99,29 +114,6 @@
 	MemoryBytes int64 `json:"memory-bytes,omitempty"`
 }
 
-// Load is an engine's or a service's own report of its load, which lags.
-type Load struct {
-	// Age is how old the figures were when the announcement was sent, in
-	// nanoseconds.
-	Age time.Duration `json:"age,omitempty"`
-	// Running is the number of requests in the running batch.
-	Running int `json:"running"`
-	// Waiting is the number of requests in the upstream's own queue.
-	Waiting int `json:"waiting"`
-	// MaxRunning is the most requests that run at once, 0 if not known.
-	MaxRunning int `json:"max-running,omitempty"`
-	// WaitingPromptTokens is the number of prompt tokens yet to be prefilled.
-	WaitingPromptTokens int `json:"waiting-prompt-tokens,omitempty"`
-	// PrefillTokensPerSecond is the measured prefill speed, 0 if not known.
-	PrefillTokensPerSecond float64 `json:"prefill-tokens-per-second,omitempty"`
-	// TokenInterval is the measured time between tokens of one stream, in
-	// nanoseconds, 0 if not known.
-	TokenInterval time.Duration `json:"token-interval,omitempty"`
-	// KVUsedTokens and KVTotalTokens say how full the KV cache is.
-	KVUsedTokens  int64 `json:"kv-used-tokens,omitempty"`
-	KVTotalTokens int64 `json:"kv-total-tokens,omitempty"`
-}
-
 // Welcome answers an Announcement.
 type Welcome struct {
 	// RenewEvery is how often to announce again, in nanoseconds.
