--- /dev/null
+++ b/internal/archive/archive_test.go
@@ -0,0 +1,136 @@
+package archive_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/archive"
+	"github.com/lovagelift/lovagelift/internal/jury"
+)
+
+func command(index jury.Index, term jury.Term) jury.Entry {
+	return jury.Entry{Index: index, Term: term, Kind: jury.EntryCommand, Data: []byte(fmt.Sprint(index))}
+}
+
+var _ = Describe("Archive on the operating system's disk", func() {
+	var options archive.Options
+
+	BeforeEach(func() {
+		options = archive.Options{Folder: filepath.Join(GinkgoT().TempDir(), "state", "voter"), SegmentBytes: 400}
+	})
+
+	It("comes back with what it took", func() {
+		a, loaded, err := archive.Open(options)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Fresh).To(BeTrue())
+		Expect(loaded.Number).NotTo(BeZero())
+		var entries []jury.Entry
+		for i := jury.Index(1); i <= 100; i++ {
+			entries = append(entries, command(i, 1))
+			Expect(a.Append(jury.HardState{Term: 1, Vote: "kgn-a/1"}, 0, entries[i-1:])).To(Succeed())
+		}
+		snapshot := jury.Snapshot{Index: 90, Term: 1, Voters: []jury.Identity{"kgn-a/1"}, Data: []byte("state")}
+		Expect(a.SaveSnapshot(snapshot)).To(Succeed())
+		Expect(a.Compact(90)).To(Succeed())
+		Expect(a.Close()).To(Succeed())
+		Expect(a.Append(jury.HardState{Term: 1}, 0, nil)).To(MatchError(archive.ErrClosed))
+
+		again, reloaded, err := archive.Open(options)
+		Expect(err).NotTo(HaveOccurred())
+		defer again.Close()
+		Expect(reloaded).To(Equal(archive.Loaded{
+			Number:    loaded.Number,
+			HardState: jury.HardState{Term: 1, Vote: "kgn-a/1"},
+			Snapshot:  snapshot,
+			Entries:   entries[90:],
+		}))
+		logs, err := filepath.Glob(filepath.Join(options.Folder, "log-*"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(logs)).To(BeNumerically("<", 5))
+	})
+
+	// An operator starts the instance a second time by mistake. Two processes
+	// that append to one log would each acknowledge what the other overwrites.
+	It("refuses a second process, and a first one that ended leaves no lock", func() {
+		a, _, err := archive.Open(options)
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = archive.Open(options)
+		Expect(err).To(MatchError(archive.ErrLocked))
+		Expect(err).To(MatchError(ContainSubstring(options.Folder)))
+		Expect(a.Close()).To(Succeed())
+		a, _, err = archive.Open(options)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Close()).To(Succeed())
+	})
+
+	It("keeps the number and the cluster id that it was given first", func() {
+		a, first, err := archive.Open(options)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.ClusterID).To(BeEmpty())
+		Expect(a.RecordCluster("parish-courts")).To(Succeed())
+		Expect(a.RecordCluster("parish-courts")).To(Succeed())
+		Expect(a.RecordCluster("shuttles")).To(MatchError(ContainSubstring("belongs to cluster \"parish-courts\"")))
+		Expect(a.Close()).To(Succeed())
+		a, second, err := archive.Open(options)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.Fresh).To(BeFalse())
+		Expect(second.Number).To(Equal(first.Number))
+		Expect(second.ClusterID).To(Equal("parish-courts"))
+		Expect(a.Close()).To(Succeed())
+	})
+
+	It("draws another number for a folder that was lost", func() {
+		a, first, err := archive.Open(options)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Close()).To(Succeed())
+		Expect(os.RemoveAll(options.Folder)).To(Succeed())
+		a, second, err := archive.Open(options)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.Fresh).To(BeTrue())
+		Expect(second.Number).NotTo(Equal(first.Number))
+		Expect(a.Close()).To(Succeed())
+	})
+
+	It("refuses a batch that doesn't follow, and takes the next one that does", func() {
+		a, _, err := archive.Open(options)
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Close()
+		hard := jury.HardState{Term: 2}
+		Expect(a.Append(hard, 0, []jury.Entry{command(2, 2)})).To(MatchError(ContainSubstring("entry 2 where entry 1 comes next")))
+		Expect(a.Append(hard, 0, []jury.Entry{command(1, 2), command(2, 2)})).To(Succeed())
+		Expect(a.Append(hard, 0, []jury.Entry{command(2, 2)})).To(MatchError(ContainSubstring("entry 2 where entry 3 comes next")))
+		Expect(a.Append(jury.HardState{Term: 1}, 0, nil)).To(MatchError(ContainSubstring("term 1 after term 2")))
+		Expect(a.SaveSnapshot(jury.Snapshot{Index: 1, Term: 2})).To(Succeed())
+		Expect(a.SaveSnapshot(jury.Snapshot{Index: 1, Term: 2})).To(MatchError(ContainSubstring("after the one at 1")))
+		Expect(a.Append(hard, 1, nil)).To(MatchError(ContainSubstring("which the snapshot at 1 holds")))
+		Expect(a.Compact(2)).To(MatchError(ContainSubstring("above the snapshot at 1")))
+		Expect(a.Append(hard, 2, []jury.Entry{command(2, 2)})).To(Succeed())
+		Expect(a.Failed()).NotTo(HaveOccurred())
+	})
+
+	It("appends while a snapshot is written", func() {
+		a, _, err := archive.Open(options)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Append(jury.HardState{Term: 1}, 0, []jury.Entry{command(1, 1)})).To(Succeed())
+		var group sync.WaitGroup
+		group.Go(func() {
+			defer GinkgoRecover()
+			Expect(a.SaveSnapshot(jury.Snapshot{Index: 1, Term: 1, Data: make([]byte, 1<<20)})).To(Succeed())
+		})
+		for i := jury.Index(2); i <= 20; i++ {
+			Expect(a.Append(jury.HardState{Term: 1}, 0, []jury.Entry{command(i, 1)})).To(Succeed())
+		}
+		group.Wait()
+		Expect(a.Close()).To(Succeed())
+		a, loaded, err := archive.Open(options)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Snapshot.Data).To(HaveLen(1 << 20))
+		Expect(loaded.Entries).To(HaveLen(19))
+		Expect(a.Close()).To(Succeed())
+	})
+})
--- /dev/null
+++ b/internal/archive/snapshot.go
@@ -0,0 +1,56 @@
+package archive
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/lovagelift/lovagelift/internal/jury"
+)
+
+// Names of the files in the data folder. Numbers in names are hexadecimal and
+// of one length, so that names sort like their numbers.
+const (
+	lockName        = "lock"
+	identityName    = "identity"
+	segmentPrefix   = "log-"
+	snapshotPrefix  = "snapshot-"
+	temporarySuffix = ".tmp"
+)
+
+func numberedName(prefix string, number uint64) string {
+	return fmt.Sprintf("%s%016x", prefix, number)
+}
+
+// parseName returns the number in name. If name is not of that prefix, ok is
+// false.
+func parseName(prefix, name string) (number uint64, ok bool) {
+	digits, ok := strings.CutPrefix(name, prefix)
+	if !ok || len(digits) != 16 {
+		return 0, false
+	}
+	number, err := strconv.ParseUint(digits, 16, 64)
+	return number, err == nil
+}
+
+func appendSnapshot(buffer []byte, s jury.Snapshot) []byte {
+	buffer = binary.AppendUvarint(buffer, uint64(s.Index))
+	buffer = binary.AppendUvarint(buffer, uint64(s.Term))
+	buffer = binary.AppendUvarint(buffer, uint64(len(s.Voters)))
+	for _, voter := range s.Voters {
+		buffer = appendBytes(buffer, []byte(voter))
+	}
+	return appendBytes(buffer, s.Data)
+}
+
+func decodeSnapshot(payload []byte) (jury.Snapshot, error) {
+	r := reader{rest: payload}
+	s := jury.Snapshot{Index: jury.Index(r.uvarint()), Term: jury.Term(r.uvarint())}
+	count := r.uvarint()
+	for range min(count, uint64(len(payload))) {
+		s.Voters = append(s.Voters, jury.Identity(r.bytes()))
+	}
+	s.Data = r.bytes()
+	return s, r.end(true)
+}
