declaration: services, models, adapters and presets from version control

Cause: what all instances must agree on is kept in version control, is applied by people and scripts, and then lives in the replicated state; a wrong reference or a floor that cannot fit must be found before any of that.

Diff gives typed changes for plan. Calls of plain services that HTTP does not define as idempotent are not repeated unless declared repeatable.

--- /dev/null
+++ b/internal/declaration/diff.go
@@ -0,0 +1,249 @@
+package declaration
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Change is one difference between two Sets: Added, Removed or Altered.
+type Change interface {
+	// String returns the change as one line, without its fields.
+	String() string
+	// Fields returns what changes inside the item.
+	Fields() []FieldChange
+	change()
+}
+
+// Item is one declaration: a FailureDomain, an AcceleratorClass, a Service, a
+// Model, an Adapter or a Preset.
+type Item interface {
+	// Title returns the kind and the name of the item.
+	Title() string
+	fields() []field
+}
+
+// FieldChange is a field that differs. The value before is empty for an added
+// item, the value after for a removed one.
+type FieldChange struct {
+	Name   string
+	Before string
+	After  string
+}
+
+// Added is an item that only the later Set has.
+type Added struct{ Item Item }
+
+// Removed is an item that only the earlier Set has.
+type Removed struct{ Item Item }
+
+// Altered is an item that both Sets have and that differs.
+type Altered struct {
+	Before Item
+	After  Item
+}
+
+func (Added) change()   {}
+func (Removed) change() {}
+func (Altered) change() {}
+
+// String returns "add" and the item's title.
+func (a Added) String() string { return "add " + a.Item.Title() }
+
+// String returns "remove" and the item's title.
+func (r Removed) String() string { return "remove " + r.Item.Title() }
+
+// String returns "change" and the item's title.
+func (a Altered) String() string { return "change " + a.After.Title() }
+
+// Fields returns all fields of the item as values after.
+func (a Added) Fields() []FieldChange {
+	changes := make([]FieldChange, 0)
+	for _, f := range a.Item.fields() {
+		changes = append(changes, FieldChange{Name: f.name, After: f.value})
+	}
+	return changes
+}
+
+// Fields returns all fields of the item as values before.
+func (r Removed) Fields() []FieldChange {
+	changes := make([]FieldChange, 0)
+	for _, f := range r.Item.fields() {
+		changes = append(changes, FieldChange{Name: f.name, Before: f.value})
+	}
+	return changes
+}
+
+// Fields returns the fields that differ.
+func (a Altered) Fields() []FieldChange {
+	after := a.After.fields()
+	changes := make([]FieldChange, 0)
+	for i, f := range a.Before.fields() {
+		if f.value != after[i].value {
+			changes = append(changes, FieldChange{Name: f.name, Before: f.value, After: after[i].value})
+		}
+	}
+	return changes
+}
+
+// Diff returns the changes that lead from before to after, in the order in
+// which a Set lists its items and then by title. It returns none if both are
+// equal.
+func Diff(before, after Set) []Change {
+	changes := make([]Change, 0)
+	b, a := before.content, after.content
+	changes = append(changes, diffItems(items(b.FailureDomains), items(a.FailureDomains))...)
+	changes = append(changes, diffItems(items(b.AcceleratorClasses), items(a.AcceleratorClasses))...)
+	changes = append(changes, diffItems(items(b.Services), items(a.Services))...)
+	changes = append(changes, diffItems(items(b.Models), items(a.Models))...)
+	changes = append(changes, diffItems(items(b.Adapters), items(a.Adapters))...)
+	changes = append(changes, diffItems(items(b.Presets), items(a.Presets))...)
+	return changes
+}
+
+func items[T Item](typed []T) map[string]Item {
+	byTitle := map[string]Item{}
+	for _, one := range typed {
+		byTitle[one.Title()] = one
+	}
+	return byTitle
+}
+
+func diffItems(before, after map[string]Item) []Change {
+	titles := make([]string, 0, len(before)+len(after))
+	for title := range before {
+		titles = append(titles, title)
+	}
+	for title := range after {
+		if _, both := before[title]; !both {
+			titles = append(titles, title)
+		}
+	}
+	slices.Sort(titles)
+	changes := make([]Change, 0)
+	for _, title := range titles {
+		b, had := before[title]
+		a, has := after[title]
+		switch {
+		case !had:
+			changes = append(changes, Added{Item: a})
+		case !has:
+			changes = append(changes, Removed{Item: b})
+		case len(Altered{Before: b, After: a}.Fields()) > 0:
+			changes = append(changes, Altered{Before: b, After: a})
+		default:
+		}
+	}
+	return changes
+}
+
+// field is a field of an item as it is shown to people.
+type field struct {
+	name  string
+	value string
+}
+
+// Title returns the kind and the name.
+func (d FailureDomain) Title() string { return "failure-domain " + d.Name }
+
+func (d FailureDomain) fields() []field { return nil }
+
+// Title returns the kind and the name.
+func (a AcceleratorClass) Title() string { return "accelerator-class " + a.Name }
+
+func (a AcceleratorClass) fields() []field {
+	return []field{
+		{"memory", a.Memory.exact()},
+		{"count", fmt.Sprint(a.Count)},
+	}
+}
+
+// Title returns the kind and the name.
+func (s Service) Title() string { return "service " + s.Name }
+
+func (s Service) fields() []field {
+	return []field{
+		{"kind", string(s.Kind)},
+		{"goal.first-token", s.Goal.FirstToken.String()},
+		{"goal.between-tokens", s.Goal.BetweenTokens.String()},
+		{"goal.deadline", s.Goal.Deadline.String()},
+		{"goal.priority", fmt.Sprint(s.Goal.Priority)},
+		{"models", strings.Join(s.Models, ", ")},
+		{"non-idempotent", fmt.Sprint(s.NonIdempotent)},
+		{"non-repeatable", strings.Join(callTexts(s.NonRepeatable), ", ")},
+		{"repeatable", strings.Join(callTexts(s.Repeatable), ", ")},
+	}
+}
+
+// Title returns the kind and the name.
+func (m Model) Title() string { return "model " + m.Name }
+
+func (m Model) fields() []field {
+	layouts := make([]string, 0, len(m.Layouts))
+	for _, layout := range m.Layouts {
+		layouts = append(layouts, fmt.Sprintf("%d × %s", layout.Accelerators, layout.Memory.exact()))
+	}
+	versions := make([]string, 0, len(m.Versions))
+	for _, version := range m.Versions {
+		versions = append(versions, version.Name+" from "+version.Weights)
+	}
+	return []field{
+		{"layouts", strings.Join(layouts, ", ")},
+		{"kv-space", m.KVSpace.exact()},
+		{"versions", strings.Join(versions, ", ")},
+		{"version", m.Version},
+	}
+}
+
+// Title returns the kind and the name.
+func (a Adapter) Title() string { return "adapter " + a.Name }
+
+func (a Adapter) fields() []field {
+	return []field{
+		{"model", a.Model},
+		{"memory", a.Memory.exact()},
+		{"weights", a.Weights},
+		{"services", strings.Join(a.Services, ", ")},
+	}
+}
+
+// Title returns the kind and the name.
+func (p Preset) Title() string { return "preset " + p.Name }
+
+func (p Preset) fields() []field {
+	floors := make([]string, 0, len(p.Floors))
+	for _, floor := range p.Floors {
+		floors = append(floors, fmt.Sprintf("%s: %d in %d", floor.Model, floor.Copies, floor.FailureDomains))
+	}
+	shares := make([]string, 0, len(p.Shares))
+	for _, share := range p.Shares {
+		shares = append(shares, fmt.Sprintf("%s: %g", share.Service, share.Weight))
+	}
+	weight := "as in settings"
+	if p.WeightOfMoves >= 0 {
+		weight = fmt.Sprint(p.WeightOfMoves)
+	}
+	return []field{
+		{"first", fmt.Sprint(p.First)},
+		{"copies", fmt.Sprint(p.Copies)},
+		{"floors", strings.Join(floors, ", ")},
+		{"reserve-percent", fmt.Sprint(p.ReservePercent)},
+		{"tolerate-engines", fmt.Sprint(p.TolerateEngines)},
+		{"tolerate-failure-domains", fmt.Sprint(p.TolerateFailureDomains)},
+		{"weight-of-moves", weight},
+		{"shares", strings.Join(shares, ", ")},
+	}
+}
+
+// exact returns the amount such that different amounts differ.
+func (b Bytes) exact() string {
+	for _, unit := range []struct {
+		size Bytes
+		name string
+	}{{1 << 40, "TiB"}, {1 << 30, "GiB"}, {1 << 20, "MiB"}, {1 << 10, "KiB"}} {
+		if b != 0 && b%unit.size == 0 {
+			return fmt.Sprintf("%d %s", b/unit.size, unit.name)
+		}
+	}
+	return fmt.Sprintf("%d B", b)
+}
--- a/internal/form/reader_test.go
+++ b/internal/form/reader_test.go
@@ -84,7 +84,7 @@
 			`x.toml:4:5: "d" is no size: "24"; write for example "24 GiB"`,
 			`x.toml:5:5: "e" must be an IP number and a port, not "localhost:80"; write for example "127.0.0.1:7600"`,
 			`x.toml:6:5: "f" cannot be "hgih"; write "high"`,
-			`x.toml:7:5: "g" must be from 0 B to 1024 TiB, not -1 GiB; write for example "24 GiB"`,
+			`x.toml:7:5: "g" must be at least 0 B, not -1 GiB; write for example "24 GiB"`,
 		}))
 		Expect(r.Good("a")).To(BeFalse())
 		Expect(r.Good("absent")).To(BeTrue())
--- a/internal/form/scalar.go
+++ b/internal/form/scalar.go
@@ -142,8 +142,12 @@
 		r.badValue(key, v, fmt.Sprintf("is no size: %q", v.text), `"24 GiB"`)
 		return fallback
 	}
-	if n < least || n > maxSize {
-		r.badValue(key, v, fmt.Sprintf("must be from %d B to %d TiB, not %s", least, maxSize>>40, v.text), `"24 GiB"`)
+	if n < least {
+		r.badValue(key, v, fmt.Sprintf("must be at least %d B, not %s", least, v.text), `"24 GiB"`)
+		return fallback
+	}
+	if n > maxSize {
+		r.badValue(key, v, fmt.Sprintf("must be at most %d TiB, not %s", maxSize>>40, v.text), `"24 GiB"`)
 		return fallback
 	}
 	return n
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	maxTime     = 24 * time.Hour
-	maxCount    = 10_000_000
-	maxPriority = 9
+	maxTime  = 24 * time.Hour
+	maxCount = 10_000_000
 )
 
 // Load returns the settings in the file path. If they are wrong, Load returns a
@@ -217,7 +216,6 @@
 	g.FirstToken = r.Duration("first-token", g.FirstToken, least, maxTime)
 	g.BetweenTokens = r.Duration("between-tokens", g.BetweenTokens, least, maxTime)
 	g.Deadline = r.Duration("deadline", g.Deadline, least, maxTime)
-	g.Priority = r.Count("priority", g.Priority, 0, maxPriority)
 	r.Done()
 	if r.Good("deadline", "first-token") && g.Deadline <= g.FirstToken {
 		r.Add("deadline", "the deadline "+g.Deadline.String()+" is not after the first token's goal "+g.FirstToken.String(),
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -123,6 +123,14 @@
 		Entry("an instance without its failure domain", "[[instances]]\nname = \"b\"\ninner-address = \"127.0.0.1:7613\"\ncaller-address = \"127.0.0.1:7610\"\n", `5:3: key "failure-domain" is missing in instances`),
 	)
 
+	It("makes one finding of one mistake", func() {
+		Expect(findings(least + "caller-address = 3\nupstream-address = \"127.0.0.1:7600\"\n" +
+			"[timing]\nheartbeat = 1\nelection-timeout = \"200ms\"\n")).To(Equal([]string{
+			`etc/a.toml:5:18: "caller-address" must be an IP number and a port, not a whole number; write for example "127.0.0.1:7600"`,
+			`etc/a.toml:8:13: "heartbeat" must be a duration with its unit, not a whole number; write for example "100ms"`,
+		}))
+	})
+
 	It("asks for one voter among all instances", func() {
 		Expect(findings("name = \"a\"\nfailure-domain = \"kgn-a\"\n")).To(ConsistOf(
 			HavePrefix("etc/a.toml: no instance is a voter")))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -183,8 +183,6 @@
 	FirstToken    time.Duration
 	BetweenTokens time.Duration
 	Deadline      time.Duration
-	// Priority counts from 0, which is the highest.
-	Priority int
 }
 
 // Default returns the settings of an instance whose file names nothing but what
@@ -231,7 +229,6 @@
 			FirstToken:    540 * time.Millisecond,
 			BetweenTokens: 75 * time.Millisecond,
 			Deadline:      60 * time.Second,
-			Priority:      1,
 		},
 	}
 }
