command: check and version

Settings of several instances are compared with each other (addresses, failure domains, voters, timing), since each may be good alone. version prints the version; the flag of that name, which flaggy adds, is gone. A misspelt model of a service made one more finding for each of its adapters: 16 for one letter in the Kingston example.

--- /dev/null
+++ b/internal/command/check.go
@@ -0,0 +1,128 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/declaration"
+	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/settings"
+)
+
+// maxPaths bounds the paths of one check: flaggy wants each positional value
+// defined.
+const maxPaths = 64
+
+func newCheck() command {
+	paths := make([]string, maxPaths)
+	asJSON := false
+	flags := newSubcommand("check", "checks settings files and declaration folders; changes nothing",
+		"lovagelift check examples/three/instance-a.toml examples/declarations/kingston")
+	flags.AddPositionalValue(&paths[0], "path", 1, true, "a settings file or a folder of declarations; up to 64 of them")
+	for i := 1; i < maxPaths; i++ {
+		flags.AddPositionalValue(&paths[i], "path", i+1, false, "another one")
+		flags.PositionalFlags[i].Hidden = true
+	}
+	flags.Bool(&asJSON, "", "json", "write the findings as JSON")
+	run := func(_ context.Context, streams Streams) int {
+		var c checker
+		for _, path := range paths {
+			if path != "" {
+				c.check(path)
+			}
+		}
+		c.compareSettings()
+		return c.report(streams, asJSON)
+	}
+	return command{flags: flags, run: run}
+}
+
+// checker gathers what is found over all paths.
+type checker struct {
+	list     finding.List
+	folders  int
+	settings []loaded
+}
+
+// loaded is settings with the file they came from.
+type loaded struct {
+	path     string
+	settings settings.Settings
+}
+
+func (c *checker) check(path string) {
+	info, err := os.Stat(path)
+	if err != nil {
+		c.add(path, err)
+		return
+	}
+	if info.IsDir() {
+		c.folders++
+		_, err = declaration.Read(os.DirFS(path), filepath.ToSlash(path))
+		c.add(path, err)
+		return
+	}
+	s, err := settings.Load(path)
+	if err != nil {
+		c.add(path, err)
+		return
+	}
+	c.settings = append(c.settings, loaded{path: path, settings: s})
+}
+
+func (c *checker) add(path string, err error) {
+	if err == nil {
+		return
+	}
+	var found *finding.Error
+	if !errors.As(err, &found) {
+		c.list.Add(finding.Place{File: path}, err.Error(), "")
+		return
+	}
+	for _, f := range found.Findings {
+		c.list.Add(f.Place, f.Problem, f.Advice)
+	}
+}
+
+func (c *checker) report(streams Streams, asJSON bool) int {
+	if asJSON {
+		writeJSON(streams.Out, checkOutput{Findings: findingsOutput(c.list.All())})
+	}
+	if err := c.list.Err(); err != nil {
+		if !asJSON {
+			fmt.Fprintln(streams.Err, err)
+		}
+		return ExitBadInput
+	}
+	if !asJSON {
+		fmt.Fprintf(streams.Out, "good: %d settings files, %d declaration folders\n", len(c.settings), c.folders)
+	}
+	return ExitOK
+}
+
+// checkOutput is what check writes with --json.
+type checkOutput struct {
+	Findings []findingOutput `json:"findings"`
+}
+
+type findingOutput struct {
+	File    string `json:"file"`
+	Line    int    `json:"line,omitempty"`
+	Column  int    `json:"column,omitempty"`
+	Problem string `json:"problem"`
+	Advice  string `json:"advice,omitempty"`
+}
+
+func findingsOutput(findings []finding.Finding) []findingOutput {
+	output := make([]findingOutput, 0, len(findings))
+	for _, f := range findings {
+		output = append(output, findingOutput{
+			File: f.Place.File, Line: f.Place.Line, Column: f.Place.Column, Problem: f.Problem, Advice: f.Advice,
+		})
+	}
+	return output
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -42,9 +42,13 @@
 	parser := flaggy.NewParser("lovagelift")
 	parser.Description = "serves many models on fewer accelerators"
 	parser.Version = Version
+	// The version command is the one place that prints it.
+	parser.DisableShowVersionWithVersion()
 	commands := []command{
 		newServe(),
 		newAsk(),
+		newCheck(),
+		newVersion(),
 	}
 	for _, command := range commands {
 		parser.AttachSubcommand(command.flags, 1)
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -325,33 +325,37 @@
 	if a.Weights == "" {
 		v.missing(path, "weights", `"..."`)
 	}
+	known := false
 	if a.Model == "" {
 		v.missing(path, "model", `"..."`)
 	} else {
-		v.refer(v.targets, path+".model", "model", a.Model)
+		known = v.refer(v.targets, path+".model", "model", a.Model)
 	}
 	v.unique(path+".services", a.Services)
 	for i, service := range a.Services {
 		where := item(path+".services", i)
-		if v.refer(v.services, where, "service", service) && a.Model != "" && !v.uses(service, a.Model) {
+		if v.refer(v.services, where, "service", service) && known && v.cannotUse(service, a.Model) {
 			v.add(where, fmt.Sprintf("service %q does not use model %q, which the adapter is loaded beside", service, a.Model),
 				fmt.Sprintf("write %q among the models of that service, or leave the service out", a.Model))
 		}
 	}
 }
 
-func (v *validator) uses(service, model string) bool {
+// cannotUse tells whether the service called name does not use model. If it
+// uses one that is not declared, that finding comes first: the model may be the
+// misspelt one, and its adapters are no mistakes of their own.
+func (v *validator) cannotUse(name, model string) bool {
 	for _, s := range v.content.Services {
-		if s.Name != service {
+		if s.Name != name {
 			continue
 		}
 		for _, used := range s.Models {
-			if used == model {
-				return true
+			if used == model || v.targets.first[used].kind != "model" {
+				return false
 			}
 		}
 	}
-	return false
+	return true
 }
 
 // unique adds a finding for each text of the list at path that stands in it
