--- a/internal/archive/snapshot.go
+++ b/internal/archive/snapshot.go
@@ -1,12 +1,12 @@
 package archive
 
 import (
-	"encoding/binary"
 	"fmt"
 	"strconv"
 	"strings"
 
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/parcel"
 )
 
 // Names of the files in the data folder. Numbers in names are hexadecimal and
@@ -35,22 +35,21 @@
 }
 
 func appendSnapshot(buffer []byte, s jury.Snapshot) []byte {
-	buffer = binary.AppendUvarint(buffer, uint64(s.Index))
-	buffer = binary.AppendUvarint(buffer, uint64(s.Term))
-	buffer = binary.AppendUvarint(buffer, uint64(len(s.Voters)))
+	buffer = parcel.AppendUint(buffer, uint64(s.Index))
+	buffer = parcel.AppendUint(buffer, uint64(s.Term))
+	buffer = parcel.AppendUint(buffer, uint64(len(s.Voters)))
 	for _, voter := range s.Voters {
-		buffer = appendBytes(buffer, []byte(voter))
+		buffer = parcel.AppendBytes(buffer, voter)
 	}
-	return appendBytes(buffer, s.Data)
+	return parcel.AppendBytes(buffer, s.Data)
 }
 
 func decodeSnapshot(payload []byte) (jury.Snapshot, error) {
-	r := reader{rest: payload}
-	s := jury.Snapshot{Index: jury.Index(r.uvarint()), Term: jury.Term(r.uvarint())}
-	count := r.uvarint()
-	for range min(count, uint64(len(payload))) {
-		s.Voters = append(s.Voters, jury.Identity(r.bytes()))
+	r := parcel.NewReader(payload)
+	s := jury.Snapshot{Index: jury.Index(r.Uint()), Term: jury.Term(r.Uint())}
+	for range r.Count() {
+		s.Voters = append(s.Voters, jury.Identity(r.String()))
 	}
-	s.Data = r.bytes()
-	return s, r.end(true)
+	s.Data = r.Bytes()
+	return s, r.End()
 }
--- /dev/null
+++ b/internal/parcel/parcel_test.go
@@ -0,0 +1,52 @@
+package parcel_test
+
+import (
+	"math"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/parcel"
+)
+
+var _ = Describe("Reader", func() {
+	record := func() []byte {
+		b := parcel.AppendUint(nil, math.MaxUint64)
+		b = parcel.AppendBytes(b, "kgn-a")
+		b = parcel.AppendBytes(b, []byte{})
+		return append(b, 7)
+	}
+
+	It("returns what was appended", func() {
+		r := parcel.NewReader(record())
+		Expect(r.Uint()).To(Equal(uint64(math.MaxUint64)))
+		Expect(r.String()).To(Equal("kgn-a"))
+		Expect(r.Bytes()).To(BeNil())
+		Expect(r.Byte()).To(Equal(byte(7)))
+		Expect(r.End()).To(Succeed())
+	})
+
+	It("says that bytes are left over", func() {
+		r := parcel.NewReader(record())
+		r.Uint()
+		Expect(r.End()).To(MatchError(ContainSubstring("8 bytes too many")))
+	})
+
+	It("says that a record is too short, wherever it was cut", func() {
+		whole := record()
+		for cut := range whole {
+			r := parcel.NewReader(whole[:cut])
+			r.Uint()
+			_ = r.String()
+			r.Bytes()
+			r.Byte()
+			Expect(r.End()).To(MatchError(parcel.ErrShort))
+		}
+	})
+
+	It("takes no count that the record can't hold", func() {
+		r := parcel.NewReader(parcel.AppendUint(nil, 1<<40))
+		Expect(r.Count()).To(BeZero())
+		Expect(r.End()).To(MatchError(parcel.ErrShort))
+	})
+})
