standin: orders, memory, resume, cancel, cache events and KV in the engine

Cause: placement and dispatch need an engine that does what real ones do, and that goes wrong on demand, to be tested against. Every stream event has an id. The engine's time moves from the announcement into Load, where it is passed on with each renewal without making the rest of the announcement look changed.

--- a/examples/engine/main.go
+++ b/examples/engine/main.go
@@ -25,6 +25,8 @@
 		FirstTokenDelay: 50 * time.Millisecond,
 		TokenDelay:      20 * time.Millisecond,
 		MaxRunning:      32,
+		LoadDelay:       2 * time.Second,
+		CachedPrefixes:  1024,
 	}
 	models := []string{}
 	memory := int64(80)
@@ -44,6 +46,9 @@
 	flaggy.Duration(&options.FirstTokenDelay, "", "first-token-delay", "time before the first token")
 	flaggy.Duration(&options.TokenDelay, "", "token-delay", "time before each further token")
 	flaggy.Int(&options.MaxRunning, "", "max-running", "most requests that run at once, 0 for no limit")
+	flaggy.Duration(&options.ResumeWindow, "", "resume-window", "how long an answer goes on without a connection")
+	flaggy.Duration(&options.LoadDelay, "", "load-delay", "how long a load takes")
+	flaggy.String(&options.OrderToken, "", "order-token", "bearer token that orders must carry")
 	flaggy.Bool(&checked, "", "check-fencing", "refuse orders that carry an old fencing number")
 	flaggy.Parse()
 
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -1,106 +1,40 @@
 package standin
 
 import (
-	"encoding/json"
-	"fmt"
-	"net/http"
 	"strings"
 
 	"github.com/cockroachdb/errors"
-	"github.com/labstack/echo/v4"
-
-	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
-// answer is one completion under way.
+// answer is the answer to one completion request. The engine knows it whole from
+// the start, and makes its tokens one by one.
 type answer struct {
 	id      string
 	chat    bool
 	request completionRequest
 	created int64
 	tokens  []string
-	finish  string
-}
-
-// completions answers POST /v1/chat/completions and /v1/completions.
-func (e *Engine) completions(c echo.Context) error {
-	var request completionRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&request); err != nil {
-		return refuse(c, &refusal{http.StatusBadRequest, "invalid_body", "standin: body: " + err.Error()})
-	}
-	id := c.Request().Header.Get(upstreamapi.RequestIDHeader)
-	if refused := e.begin(id, request.Model); refused != nil {
-		return refuse(c, refused)
-	}
-	defer e.end()
-	a := newAnswer(id, strings.HasPrefix(c.Path(), "/v1/chat/"), request, e.clock.Now().Unix())
-	if request.Stream {
-		return e.stream(c, a)
-	}
-	return e.whole(c, a)
+	// first is the number of tokens that another engine has made before.
+	first  int
+	finish string
 }
 
-func newAnswer(id string, chat bool, request completionRequest, created int64) answer {
+// newAnswer returns the answer to a request. If the request goes on with an
+// answer that does not begin like this one, newAnswer returns an error.
+func newAnswer(id string, chat bool, request completionRequest, created int64) (answer, error) {
 	a := answer{id: id, chat: chat, request: request, created: created, finish: finishStop}
 	a.tokens = Answer(request.lastMessage())
 	if limit := request.limit(); limit > 0 && limit < len(a.tokens) {
 		a.tokens = a.tokens[:limit]
 		a.finish = finishLength
 	}
-	return a
-}
-
-func (e *Engine) whole(c echo.Context, a answer) error {
-	for i := range a.tokens {
-		if err := e.waitToken(c, i); err != nil {
-			return err
-		}
-	}
-	return c.JSON(http.StatusOK, a.complete())
-}
-
-func (e *Engine) stream(c echo.Context, a answer) error {
-	header := c.Response().Header()
-	header.Set(echo.HeaderContentType, "text/event-stream")
-	header.Set(echo.HeaderCacheControl, "no-store")
-	c.Response().WriteHeader(http.StatusOK)
-	c.Response().Flush()
-	for i := range a.tokens {
-		if err := e.waitToken(c, i); err != nil {
-			return err
-		}
-		if err := writeEvent(c, a.chunk(i)); err != nil {
-			return err
+	if from := request.Continue; from != nil {
+		if from.Events < 0 || from.Events > len(a.tokens) || strings.Join(a.tokens[:from.Events], "") != from.Text {
+			return answer{}, errors.Newf("standin: the answer does not begin with the %d tokens that were given", from.Events)
 		}
+		a.first = from.Events
 	}
-	if err := writeEvent(c, a.last()); err != nil {
-		return err
-	}
-	if _, err := fmt.Fprint(c.Response(), "data: [DONE]\n\n"); err != nil {
-		return errors.Wrap(err, "standin: write")
-	}
-	c.Response().Flush()
-	return nil
-}
-
-func (e *Engine) waitToken(c echo.Context, index int) error {
-	delay := e.options.TokenDelay
-	if index == 0 {
-		delay = e.options.FirstTokenDelay
-	}
-	return e.wait(c.Request().Context(), delay)
-}
-
-func writeEvent(c echo.Context, event completion) error {
-	data, err := json.Marshal(event)
-	if err != nil {
-		return errors.Wrap(err, "standin: encode")
-	}
-	if _, err := fmt.Fprintf(c.Response(), "data: %s\n\n", data); err != nil {
-		return errors.Wrap(err, "standin: write")
-	}
-	c.Response().Flush()
-	return nil
+	return a, nil
 }
 
 // complete returns the whole answer.
--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -5,6 +5,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // Objects of the OpenAI-compatible interface.
@@ -33,6 +35,8 @@
 	MaxCompletionTokens int            `json:"max_completion_tokens"`
 	Stream              bool           `json:"stream"`
 	StreamOptions       *streamOptions `json:"stream_options"`
+	// Continue makes the engine go on with an answer that another began.
+	Continue *upstreamapi.ContinueFrom `json:"lovagelift-continue"`
 }
 
 type streamOptions struct {
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -44,17 +45,34 @@
 	return a
 }
 
-// events returns the data of each event of a stream.
-func events(stream string) []string {
+// events returns the data of each event of a stream whose events have the ids
+// after the given one. The end mark has none.
+func events(stream string, after int) []string {
 	var all []string
-	for _, event := range strings.Split(strings.TrimSuffix(stream, "\n\n"), "\n\n") {
-		data, found := strings.CutPrefix(event, "data: ")
+	for i, event := range strings.Split(strings.TrimSuffix(stream, "\n\n"), "\n\n") {
+		data, found := strings.CutPrefix(event, fmt.Sprintf("id: %d\ndata: ", after+1+i))
+		if !found {
+			data, found = "[DONE]", event == "data: [DONE]"
+		}
 		ExpectWithOffset(1, found).To(BeTrue(), event)
 		all = append(all, data)
 	}
 	return all
 }
 
+// deltas returns the text that the events of a stream carry, and their number.
+func deltas(stream string, after int) (text string, count int) {
+	for _, event := range events(stream, after) {
+		if event == "[DONE]" {
+			break
+		}
+		a := decode(event)
+		text += a.Choices[0].Delta.Content
+		count++
+	}
+	return text, count
+}
+
 var letters = []upstreamapi.Resident{{Model: "letters", Adapters: []string{"letters-clerk"}}}
 
 var _ = Describe("Engine", func() {
@@ -83,7 +101,7 @@
 			`{"model":"letters-clerk","stream":true,"stream_options":{"include_usage":true},
 			  "messages":[{"role":"user","content":[{"type":"text","text":"excuse juror nine"}]}]}`)
 		Expect(w.Header().Get("Content-Type")).To(Equal("text/event-stream"))
-		got := events(w.Body.String())
+		got := events(w.Body.String(), 0)
 		Expect(got).To(HaveLen(5))
 		text := ""
 		for _, event := range got[:3] {
--- a/internal/upstreamapi/announcement.go
+++ b/internal/upstreamapi/announcement.go
@@ -54,9 +54,6 @@
 	// Capabilities are the optional parts of the interface that the upstream
 	// speaks.
 	Capabilities []Capability `json:"capabilities,omitempty"`
-	// Clock is the upstream's own time when it sent the announcement. It need
-	// not agree with any other clock: Order.NotAfter is read on it as well.
-	Clock time.Time `json:"clock,omitzero"`
 	// Services are the names of the plain services it answers for, if Kind is
 	// KindService.
 	Services []string `json:"services,omitempty"`
--- a/internal/upstreamapi/fuzz_test.go
+++ b/internal/upstreamapi/fuzz_test.go
@@ -14,7 +14,7 @@
 func FuzzAnnouncement(f *testing.F) {
 	f.Add([]byte(goodEngine))
 	f.Add([]byte(`{"name":"pings-1","incarnation":1,"sequence":1,"address":"[::1]:80","kind":"service",` +
-		`"failure-domain":"kgn-b","services":["pings"],"clock":"2026-01-01T00:00:00.5Z","load":{}}`))
+		`"failure-domain":"kgn-b","services":["pings"],"load":{"clock":"2026-01-01T00:00:00.5Z"}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		before, findings := upstreamapi.DecodeAnnouncement(data)
 		if findings.Len() > 0 {
--- a/internal/upstreamapi/load.go
+++ b/internal/upstreamapi/load.go
@@ -4,6 +4,9 @@
 
 // Load is an engine's or a service's own report of its load, which lags.
 type Load struct {
+	// Clock is the upstream's own time when it sent the report. It need not agree
+	// with any other clock: Order.NotAfter is read on it as well.
+	Clock time.Time `json:"clock,omitzero"`
 	// Age is how old the figures were when the announcement was sent, in
 	// nanoseconds.
 	Age time.Duration `json:"age,omitempty"`
--- a/internal/upstreamapi/order.go
+++ b/internal/upstreamapi/order.go
@@ -32,7 +32,7 @@
 	// another incarnation refuses it.
 	Incarnation uint64 `json:"incarnation"`
 	// NotAfter is the time on the engine's own clock after which it refuses to
-	// begin the order. The leader derives it from Announcement.Clock, so that no
+	// begin the order. The leader derives it from Load.Clock, so that no
 	// two clocks need to agree.
 	NotAfter time.Time `json:"not-after,omitzero"`
 	Kind     OrderKind `json:"kind"`
@@ -90,7 +90,7 @@
 	State OrderState `json:"state"`
 	// Reason is for people. It is empty if State is OrderDone.
 	Reason string `json:"reason,omitempty"`
-	// Incarnation, Clock and HighestFencing are as in Announcement.
+	// Incarnation and HighestFencing are as in Announcement, Clock is as in Load.
 	Incarnation    uint64    `json:"incarnation"`
 	Clock          time.Time `json:"clock,omitzero"`
 	HighestFencing uint64    `json:"highest-fencing,omitempty"`
