--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,260 @@
+package registrar_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/registrar"
+)
+
+var ctx = context.Background()
+
+var _ = Describe("Change", func() {
+	var f *fixture
+	BeforeEach(func() { f = newFixture() })
+
+	It("brings declarations and preset into force, byte for byte", func() {
+		c := client("token of kim", serve(f.handler))
+		before, err := c.InForce(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(before).To(Equal(registrar.InForce{}))
+		Expect(c.Change(ctx, change(0, "ordinary"))).To(Equal(registrar.Answer{Revision: 1}))
+		after, err := c.InForce(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after.Revision).To(Equal(uint64(1)))
+		Expect(after.Preset).To(Equal("ordinary"))
+		Expect(string(after.Declarations.Canonical())).To(Equal(string(declarations("ordinary"))))
+		Expect(f.register.last.By).To(Equal("kim"))
+		Expect(f.register.last.Now).To(Equal(noon))
+		Expect(f.register.last.Summary).To(Equal("add model m, add preset ordinary; preset ordinary"))
+	})
+
+	It("lets exactly one of two operators with equal revisions win, and tells the other what changed", func() {
+		// Kim and Ada both saw revision 0. Kim's change arrives first. Ada's must
+		// not undo it unseen, and Ada must learn whose change to look at.
+		address := serve(f.handler)
+		_, err := client("token of kim", address).Change(ctx, change(0, "ordinary"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client("token of ada", address).Change(ctx, change(0, "peak"))
+		var conflict *registrar.ConflictError
+		Expect(errors.As(err, &conflict)).To(BeTrue())
+		Expect(*conflict).To(Equal(registrar.ConflictError{
+			Revision: 1, ChangeID: change(0, "ordinary").ID, By: "kim",
+			Summary: "add model m, add preset ordinary; preset ordinary",
+		}))
+		Expect(f.register.InForce(noon).Preset).To(Equal("ordinary"))
+	})
+
+	It("asks the next instance after a lost answer and changes nothing twice", func() {
+		// The first instance accepts the change and dies before it answers. The
+		// operator's client cannot know, and resends the change elsewhere. The
+		// ID is the same, so the first answer comes back.
+		lossy := serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.handler.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}))
+		answer, err := client("token of kim", lossy, serve(f.handler)).Change(ctx, change(0, "ordinary"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Revision).To(Equal(uint64(1)))
+		Expect(f.register.InForce(noon).Revision).To(Equal(uint64(1)))
+	})
+
+	DescribeTable("stays unknown after a lost answer unless an instance knows better",
+		func(next func(f *fixture) netip.AddrPort) {
+			// The first instance accepts the change and dies before it answers.
+			// Nobody else can tell whether it did; to say "not accepted" would
+			// be a lie that makes the operator do it twice.
+			lossy := serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				f.handler.ServeHTTP(httptest.NewRecorder(), r)
+				panic(http.ErrAbortHandler)
+			}))
+			_, err := client("token of kim", lossy, next(f)).Change(ctx, change(0, "ordinary"))
+			var unknown *registrar.UnknownError
+			Expect(errors.As(err, &unknown)).To(BeTrue(), "%v", err)
+		},
+		Entry("the next is down", func(*fixture) netip.AddrPort { return closedAddress() }),
+		Entry("the next has no quorum", func(*fixture) netip.AddrPort {
+			other := newFixture()
+			other.register.failure = &registrar.UnavailableError{Reason: "no quorum"}
+			return serve(other.handler)
+		}),
+		Entry("the next refuses what it is too old to know", func(*fixture) netip.AddrPort {
+			other := newFixture()
+			other.register.failure = &registrar.RefusedError{Reason: "format 2"}
+			return serve(other.handler)
+		}),
+		Entry("the next knows other tokens", func(f *fixture) netip.AddrPort {
+			return serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				r.Header.Del("Authorization")
+				f.handler.ServeHTTP(w, r)
+			}))
+		}),
+	)
+
+	It("knows after a lost answer that a conflict elsewhere is final", func() {
+		// Kim's first try dies with its instance before it is proposed. Ada's
+		// change wins meanwhile. The replicated state refuses Kim's revision for
+		// good, so there is nothing unknown left.
+		_, err := client("token of ada", serve(f.handler)).Change(ctx, change(0, "peak"))
+		Expect(err).NotTo(HaveOccurred())
+		lossy := serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+		_, err = client("token of kim", lossy, serve(f.handler)).Change(ctx, change(0, "ordinary"))
+		Expect(errors.HasType(err, (*registrar.ConflictError)(nil))).To(BeTrue(), "%v", err)
+	})
+
+	It("says truthfully that nothing was accepted when no instance can be reached", func() {
+		_, err := client("token of kim", closedAddress(), closedAddress()).Change(ctx, change(0, "ordinary"))
+		var unavailable *registrar.UnavailableError
+		Expect(errors.As(err, &unavailable)).To(BeTrue(), "%v", err)
+	})
+
+	It("carries each kind of refusal to the client", func() {
+		c := client("token of kim", serve(f.handler))
+		for _, failure := range []error{
+			&registrar.UnavailableError{Reason: "no quorum", RetryAfter: 2 * time.Second},
+			&registrar.RefusedError{Reason: "preset x is not declared"},
+		} {
+			f.register.failure = failure
+			_, err := c.Change(ctx, change(0, "ordinary"))
+			Expect(err).To(Equal(failure))
+		}
+		f.register.failure = errors.New("the leader went away")
+		_, err := c.Change(ctx, change(0, "ordinary"))
+		Expect(errors.HasType(err, (*registrar.UnknownError)(nil))).To(BeTrue())
+		Expect(err).To(MatchError(ContainSubstring("the leader went away")))
+	})
+})
+
+var _ = Describe("ChangeID", func() {
+	It("is equal for equal changes only", func() {
+		ids := map[string]bool{
+			registrar.ChangeID(0, []byte("ab"), "c"): true,
+			registrar.ChangeID(1, []byte("ab"), "c"): true,
+			registrar.ChangeID(0, []byte("a"), "bc"): true,
+			registrar.ChangeID(0, nil, "abc"):        true,
+		}
+		Expect(ids).To(HaveLen(4))
+		Expect(ids).To(HaveKey(registrar.ChangeID(0, []byte("ab"), "c")))
+	})
+})
+
+var _ = Describe("Registrar", func() {
+	var f *fixture
+	BeforeEach(func() { f = newFixture() })
+
+	post := func(body string) *httptest.ResponseRecorder {
+		request := httptest.NewRequest(http.MethodPost, "/operator/v1/changes", strings.NewReader(body))
+		request.Header.Set("Authorization", "Bearer token of kim")
+		recorder := httptest.NewRecorder()
+		f.handler.ServeHTTP(recorder, request)
+		return recorder
+	}
+
+	DescribeTable("refuses bad input with one clear error and changes nothing",
+		func(body string, status int, message string) {
+			answer := post(body)
+			Expect(answer.Code).To(Equal(status))
+			Expect(answer.Header().Get(outcome.Header)).To(Equal("not-run"))
+			Expect(answer.Body.String()).To(ContainSubstring(message))
+			Expect(f.register.InForce(noon).Revision).To(BeZero())
+		},
+		Entry("no JSON", "{", 400, "the body is no change"),
+		Entry("bytes that are no UTF-8", "\xff\xfe", 400, "the body is no change"),
+		Entry("a key nobody knows", `{"change-id":"x","expected-revision":0,"preset":"p","force":true}`, 400, `unknown field \"force\"`),
+		Entry("two changes", `{"change-id":"x","expected-revision":0,"preset":"p"}{}`, 400, "goes on after the change"),
+		Entry("everything missing", `{}`, 400, "change-id must have from 1 to 128 bytes; expected-revision is missing; neither declarations nor preset"),
+		Entry("a huge change id", `{"change-id":"`+strings.Repeat("x", 129)+`","expected-revision":0,"preset":"p"}`, 400, "change-id must have"),
+		Entry("wrong declarations", `{"change-id":"x","expected-revision":0,"declarations":{"format":1,"presets":[]}}`, 422, `"place":"declarations","problem":"no preset is declared`),
+		Entry("declarations of a newer version", `{"change-id":"x","expected-revision":0,"declarations":{"format":9}}`, 422, "upgrade all instances first"),
+		Entry("an oversized body", `{"preset":"`+strings.Repeat("x", 1<<20)+`"}`, 413, "the body is above 1048576 bytes"),
+	)
+
+	It("changes nothing after a body that was cut off", func() {
+		// The client promises more bytes than it sends and closes its side. What
+		// arrived may be a whole change by chance; it must not count.
+		address := serve(f.handler)
+		var dialer net.Dialer
+		connection, err := dialer.DialContext(ctx, "tcp", address.String())
+		Expect(err).NotTo(HaveOccurred())
+		defer connection.Close()
+		fmt.Fprintf(connection, "POST /operator/v1/changes HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer token of kim\r\nContent-Length: 500\r\n\r\n%s",
+			`{"change-id":"x","expected-revision":0,"preset":"p"}`)
+		Expect(connection.(*net.TCPConn).CloseWrite()).To(Succeed())
+		answer, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer answer.Body.Close()
+		Expect(answer.StatusCode).To(Equal(http.StatusBadRequest))
+		Expect(f.register.InForce(noon).Revision).To(BeZero())
+	})
+
+	It("does nothing for whoever shows no operators' token, and logs none", func() {
+		address := serve(f.handler)
+		for _, token := range []string{"", "token of eve"} {
+			c := client(token, address)
+			_, err := c.InForce(ctx)
+			Expect(err).To(MatchError(registrar.ErrUnauthorized))
+			_, err = c.Status(ctx)
+			Expect(err).To(MatchError(registrar.ErrUnauthorized))
+			_, err = c.Change(ctx, change(0, "ordinary"))
+			Expect(err).To(MatchError(registrar.ErrUnauthorized))
+			_, err = c.Drain(ctx)
+			Expect(err).To(MatchError(registrar.ErrUnauthorized))
+		}
+		Expect(f.register.InForce(noon).Revision).To(BeZero())
+		Expect(f.house.drained).To(BeEmpty())
+		_, err := client("token of kim", address).Change(ctx, change(0, "ordinary"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.log.String()).To(ContainSubstring(`"by":"kim"`))
+		Expect(f.log.String()).NotTo(ContainSubstring("token of"))
+	})
+
+	It("tells the state of the instance and drains only the first address", func() {
+		other := newFixture()
+		c := client("token of kim", serve(f.handler), serve(other.handler))
+		Expect(c.Drain(ctx)).To(Equal(3))
+		status, err := c.Status(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.Draining).To(BeTrue())
+		Expect(f.house.drained).To(Equal([]string{"kim"}))
+		Expect(other.house.drained).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Client", func() {
+	It("asks the next instance when one is down", func() {
+		f := newFixture()
+		status, err := client("token of kim", closedAddress(), serve(f.handler)).Status(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.Name).To(Equal("a"))
+	})
+
+	It("keeps the token from the network unless TLS or the operator allows it", func() {
+		options := registrar.ClientOptions{Addresses: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.7:7602")}}
+		_, err := registrar.NewClient(options)
+		Expect(err).To(MatchError(ContainSubstring("without TLS the token would go to 10.0.0.7:7602")))
+		options.AllowPlain = true
+		_, err = registrar.NewClient(options)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("follows no redirect with the token", func() {
+		reached := false
+		elsewhere := serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached = true }))
+		redirecting := serve(http.RedirectHandler("http://"+elsewhere.String(), http.StatusTemporaryRedirect))
+		_, err := client("token of kim", redirecting).Status(ctx)
+		Expect(err).To(MatchError(ContainSubstring("answered status 307")))
+		Expect(reached).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/registrar/wire.go
@@ -0,0 +1,100 @@
+package registrar
+
+import (
+	"encoding/json"
+
+	"github.com/lovagelift/lovagelift/internal/finding"
+)
+
+const (
+	inForcePath = "/operator/v1/in-force"
+	changesPath = "/operator/v1/changes"
+	statusPath  = "/operator/v1/status"
+	drainPath   = "/operator/v1/drain"
+)
+
+// The codes of failureReply.
+const (
+	codeUnauthorized = "unauthorized"
+	codeBadRequest   = "bad-request"
+	codeConflict     = "conflict"
+	codeRefused      = "refused"
+	codeUnavailable  = "unavailable"
+	codeUnknown      = "unknown"
+)
+
+// maxIDLength bounds change ids, which the replicated state keeps.
+const maxIDLength = 128
+
+type inForceReply struct {
+	Revision uint64 `json:"revision"`
+	Preset   string `json:"preset"`
+	Fresh    bool   `json:"fresh"`
+	// Declarations is absent before the first change.
+	Declarations json.RawMessage `json:"declarations,omitempty"`
+}
+
+type changeRequest struct {
+	ChangeID string `json:"change-id"`
+	// ExpectedRevision must be there: 0 is a revision like any other.
+	ExpectedRevision *uint64         `json:"expected-revision"`
+	Declarations     json.RawMessage `json:"declarations,omitempty"`
+	Preset           string          `json:"preset,omitempty"`
+}
+
+type changeReply struct {
+	Revision uint64 `json:"revision"`
+}
+
+type drainReply struct {
+	Streams int `json:"streams"`
+}
+
+type failureReply struct {
+	Error failure `json:"error"`
+}
+
+type failure struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	// Conflict is set for codeConflict.
+	Conflict *conflict      `json:"conflict,omitempty"`
+	Findings []findingReply `json:"findings,omitempty"`
+}
+
+type conflict struct {
+	Revision uint64 `json:"revision"`
+	ChangeID string `json:"change-id"`
+	By       string `json:"by"`
+	Summary  string `json:"summary"`
+}
+
+type findingReply struct {
+	Place   string `json:"place"`
+	Line    int    `json:"line,omitempty"`
+	Column  int    `json:"column,omitempty"`
+	Problem string `json:"problem"`
+	Advice  string `json:"advice,omitempty"`
+}
+
+func findingReplies(findings []finding.Finding) []findingReply {
+	replies := make([]findingReply, 0, len(findings))
+	for _, f := range findings {
+		replies = append(replies, findingReply{
+			Place: f.Place.File, Line: f.Place.Line, Column: f.Place.Column, Problem: f.Problem, Advice: f.Advice,
+		})
+	}
+	return replies
+}
+
+func findingsOf(replies []findingReply) []finding.Finding {
+	var findings []finding.Finding
+	for _, r := range replies {
+		findings = append(findings, finding.Finding{
+			Place:   finding.Place{File: r.Place, Line: r.Line, Column: r.Column},
+			Problem: r.Problem,
+			Advice:  r.Advice,
+		})
+	}
+	return findings
+}
