arrivals: every finding of a bad call in one answer; load reports

Cause: a bad announcement was refused for its first fault alone, or taken where it decoded, and load reports between announcements had no path. Change: announcements, load reports and leaves are checked by upstreamapi; the answer and one log line list all findings with their places. The roster takes a load report if it is newer than what it holds.

--- a/internal/arrivals/arrivals.go
+++ b/internal/arrivals/arrivals.go
@@ -3,7 +3,6 @@
 
 import (
 	"crypto/subtle"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -13,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
+	"github.com/lovagelift/lovagelift/internal/finding"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -26,6 +26,8 @@
 type Instance interface {
 	// Announce takes an announcement, or says why not and changes nothing.
 	Announce(now time.Time, announcement upstreamapi.Announcement) (upstreamapi.Welcome, error)
+	// Load takes a load report between two announcements.
+	Load(now time.Time, report upstreamapi.LoadReport)
 	// Leave takes an upstream's word that it goes.
 	Leave(now time.Time, leave upstreamapi.Leave)
 }
@@ -51,6 +53,7 @@
 	a := &Arrivals{options: options, echo: echo.New()}
 	a.echo.Use(a.checkToken)
 	a.echo.POST(upstreamapi.AnnouncePath, a.announce)
+	a.echo.POST(upstreamapi.LoadPath, a.load)
 	a.echo.POST(upstreamapi.LeavePath, a.leave)
 	return a
 }
@@ -60,10 +63,6 @@
 	a.echo.ServeHTTP(w, r)
 }
 
-type errorReply struct {
-	Error string `json:"error"`
-}
-
 func (a *Arrivals) checkToken(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		if a.options.Token == "" {
@@ -71,45 +70,81 @@
 		}
 		shown := strings.TrimPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
 		if subtle.ConstantTimeCompare([]byte(shown), []byte(a.options.Token)) != 1 {
-			return c.JSON(http.StatusUnauthorized, errorReply{"arrivals: the upstreams' token is missing or wrong"})
+			return a.refuse(c, http.StatusUnauthorized, "", "the upstreams' token is missing or wrong")
 		}
 		return next(c)
 	}
 }
 
 func (a *Arrivals) announce(c echo.Context) error {
-	var announcement upstreamapi.Announcement
-	if err := decode(c, &announcement); err != nil {
-		return c.JSON(http.StatusBadRequest, errorReply{err.Error()})
+	body, err := read(c)
+	if err != nil {
+		return a.refuse(c, http.StatusBadRequest, "", err.Error())
+	}
+	announcement, findings := upstreamapi.DecodeAnnouncement(body)
+	if findings.Len() > 0 {
+		return a.refuse(c, http.StatusBadRequest, announcement.Name, lines(findings)...)
 	}
 	welcome, err := a.options.Instance.Announce(a.options.Now(), announcement)
 	switch {
 	case errors.Is(err, roster.ErrNameTaken):
-		a.options.Log.Warn().Err(err).Str("upstream", announcement.Name).Msg("announcement refused")
-		return c.JSON(http.StatusConflict, errorReply{err.Error()})
+		return a.refuse(c, http.StatusConflict, announcement.Name, "$.name: "+err.Error())
 	case err != nil:
-		a.options.Log.Warn().Err(err).Str("upstream", announcement.Name).Msg("announcement refused")
-		return c.JSON(http.StatusBadRequest, errorReply{err.Error()})
+		return a.refuse(c, http.StatusBadRequest, announcement.Name, err.Error())
 	}
 	return c.JSON(http.StatusOK, welcome)
 }
 
+func (a *Arrivals) load(c echo.Context) error {
+	body, err := read(c)
+	if err != nil {
+		return a.refuse(c, http.StatusBadRequest, "", err.Error())
+	}
+	report, findings := upstreamapi.DecodeLoadReport(body)
+	if findings.Len() > 0 {
+		return a.refuse(c, http.StatusBadRequest, report.Name, lines(findings)...)
+	}
+	a.options.Instance.Load(a.options.Now(), report)
+	return c.NoContent(http.StatusNoContent)
+}
+
 func (a *Arrivals) leave(c echo.Context) error {
-	var leave upstreamapi.Leave
-	if err := decode(c, &leave); err != nil {
-		return c.JSON(http.StatusBadRequest, errorReply{err.Error()})
+	body, err := read(c)
+	if err != nil {
+		return a.refuse(c, http.StatusBadRequest, "", err.Error())
+	}
+	leave, findings := upstreamapi.DecodeLeave(body)
+	if findings.Len() > 0 {
+		return a.refuse(c, http.StatusBadRequest, leave.Name, lines(findings)...)
 	}
 	a.options.Instance.Leave(a.options.Now(), leave)
 	return c.NoContent(http.StatusNoContent)
 }
 
-func decode(c echo.Context, into any) error {
+// refuse answers with everything that is wrong with a call, and logs it.
+func (a *Arrivals) refuse(c echo.Context, status int, upstream string, findings ...string) error {
+	a.options.Log.Warn().
+		Str("upstream", upstream).
+		Str("path", c.Path()).
+		Str("remote", c.Request().RemoteAddr).
+		Int("status", status).
+		Strs("findings", findings).
+		Msg("call of an upstream refused")
+	return c.JSON(status, upstreamapi.Problem{Findings: findings})
+}
+
+func read(c echo.Context) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, bodyBytes))
 	if err != nil {
-		return errors.Wrap(err, "arrivals: reading the body")
+		return nil, errors.Wrap(err, "arrivals: reading the body")
 	}
-	if err := json.Unmarshal(body, into); err != nil {
-		return errors.Wrap(err, "arrivals: body")
+	return body, nil
+}
+
+func lines(findings finding.List) []string {
+	all := make([]string, 0, findings.Len())
+	for _, f := range findings.All() {
+		all = append(all, f.String())
 	}
-	return nil
+	return all
 }
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -78,6 +78,13 @@
 	return welcome, nil
 }
 
+// Load takes a load report between two announcements.
+func (i *Instance) Load(now time.Time, report upstreamapi.LoadReport) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.roster.Load(now, report)
+}
+
 // Leave takes an upstream's word that it goes.
 func (i *Instance) Leave(now time.Time, leave upstreamapi.Leave) {
 	i.mu.Lock()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -144,6 +144,17 @@
 	return nil
 }
 
+// Load takes a load report between two announcements. If the upstream is not
+// known, has another incarnation, or has told a later load, Load does nothing.
+func (r *Roster) Load(now time.Time, report upstreamapi.LoadReport) {
+	r.upstreams.Put(UpstreamRecord{
+		Name:        report.Name,
+		Incarnation: report.Incarnation,
+		Sequence:    report.Sequence,
+		Beat:        report.Load,
+	}, now)
+}
+
 // Leave takes an upstream's word that it goes. If the upstream is not known or
 // has another incarnation, Leave does nothing.
 func (r *Roster) Leave(now time.Time, leave upstreamapi.Leave) {
--- a/internal/upstreamapi/check.go
+++ b/internal/upstreamapi/check.go
@@ -58,6 +58,30 @@
 	return order, order.Check()
 }
 
+// DecodeLoadReport returns the load report that data holds and all that is wrong
+// with it. If the list is not empty, the report must not be used.
+func DecodeLoadReport(data []byte) (LoadReport, finding.List) {
+	var report LoadReport
+	findings := decode(data, &report)
+	if findings.Len() > 0 {
+		return LoadReport{}, findings
+	}
+	return report, report.Check()
+}
+
+// DecodeLeave returns the leave that data holds and all that is wrong with it.
+// If the list is not empty, the leave must not be used.
+func DecodeLeave(data []byte) (Leave, finding.List) {
+	var leave Leave
+	findings := decode(data, &leave)
+	if findings.Len() > 0 {
+		return Leave{}, findings
+	}
+	checkName(&findings, "$.name", leave.Name)
+	checkIncarnation(&findings, leave.Incarnation)
+	return leave, findings
+}
+
 // decode reads data into message. The place of what is wrong is the path of a
 // value of a wrong type, and the line and column of broken JSON.
 func decode(data []byte, message any) finding.List {
@@ -97,9 +121,7 @@
 	checkName(&findings, "$.name", a.Name)
 	checkName(&findings, "$.failure-domain", a.FailureDomain)
 	checkAddress(&findings, "$.address", a.Address)
-	if a.Incarnation == 0 {
-		findings.Add(at("$.incarnation"), "an incarnation is missing", "write a number that grows with each start")
-	}
+	checkIncarnation(&findings, a.Incarnation)
 	if a.Sequence == 0 {
 		findings.Add(at("$.sequence"), "a sequence is missing", "count the announcements from 1")
 	}
@@ -167,8 +189,9 @@
 func (r LoadReport) Check() finding.List {
 	var findings finding.List
 	checkName(&findings, "$.name", r.Name)
-	if r.Incarnation == 0 || r.Sequence == 0 {
-		findings.Add(at(whole), "the incarnation or the sequence is missing", "write those of the announcements")
+	checkIncarnation(&findings, r.Incarnation)
+	if r.Sequence == 0 {
+		findings.Add(at("$.sequence"), "a sequence is missing", "go on counting with the announcements")
 	}
 	r.Load.check(&findings, "$.load")
 	return findings
@@ -179,9 +202,7 @@
 func (e CacheEvents) Check() finding.List {
 	var findings finding.List
 	checkName(&findings, "$.name", e.Name)
-	if e.Incarnation == 0 {
-		findings.Add(at("$.incarnation"), "an incarnation is missing", "write that of the announcements")
-	}
+	checkIncarnation(&findings, e.Incarnation)
 	if e.First == 0 {
 		findings.Add(at("$.first"), "a sequence number is missing", "count the events from 1")
 	}
@@ -212,6 +233,12 @@
 	}
 }
 
+func checkIncarnation(findings *finding.List, incarnation uint64) {
+	if incarnation == 0 {
+		findings.Add(at("$.incarnation"), "an incarnation is missing", "write a number that grows with each start")
+	}
+}
+
 // checkName finds a name that is missing, too long or not printable.
 func checkName(findings *finding.List, path, name string) {
 	switch {
--- a/internal/upstreamapi/check_test.go
+++ b/internal/upstreamapi/check_test.go
@@ -173,7 +173,17 @@
 
 	It("checks a load report", func() {
 		Expect(lines(upstreamapi.LoadReport{Name: "e", Incarnation: 1, Sequence: 1}.Check())).To(BeEmpty())
-		Expect(lines(upstreamapi.LoadReport{Load: upstreamapi.Load{Running: -1}}.Check())).To(HaveLen(3))
+		_, findings := upstreamapi.DecodeLoadReport([]byte(`{"load":{"running":-1}}`))
+		Expect(lines(findings)).To(ConsistOf(HavePrefix("$.name"), HavePrefix("$.incarnation"),
+			HavePrefix("$.sequence"), HavePrefix("$.load.running")))
+	})
+
+	It("checks a leave", func() {
+		leave, findings := upstreamapi.DecodeLeave([]byte(`{"name":"engine-1","incarnation":7}`))
+		Expect(lines(findings)).To(BeEmpty())
+		Expect(leave).To(Equal(upstreamapi.Leave{Name: "engine-1", Incarnation: 7}))
+		_, findings = upstreamapi.DecodeLeave([]byte(`{}`))
+		Expect(lines(findings)).To(ConsistOf(HavePrefix("$.name"), HavePrefix("$.incarnation")))
 	})
 
 	It("tells which states are the end of an order, and prove that a request did not run", func() {
