--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -111,7 +111,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		lossy := serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 		_, err = client("token of kim", lossy, serve(f.handler)).Change(ctx, change(0, "ordinary"))
-		Expect(errors.HasType(err, (*registrar.ConflictError)(nil))).To(BeTrue(), "%v", err)
+		Expect(err).To(BeAssignableToTypeOf(&registrar.ConflictError{}))
 	})
 
 	It("says truthfully that nothing was accepted when no instance can be reached", func() {
