command: plan, apply, preset, status and drain

Cause: operators drive the system by declarations and presets; they race each other, and resend what they lost the answer to.

Change: plan shows the difference field by field and the revision to give to apply; apply and preset name the revision they expect and do nothing the second time; status shows an instance and what it knows; drain stops one instance. An exit code of its own (4) tells a script that another change came first, and 3 that the answer was lost; the same command again then tells. A preset that is asked for and the first one of a first change are part of the change's identity.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -19,6 +19,9 @@
 	ExitBadInput = 2
 	// ExitUnknown means that it may or may not have been done.
 	ExitUnknown = 3
+	// ExitConflict means that another change was accepted first, and this one
+	// was not.
+	ExitConflict = 4
 )
 
 // Version is set when a release is built.
@@ -48,6 +51,11 @@
 		newServe(),
 		newAsk(),
 		newCheck(),
+		newPlan(),
+		newApply(),
+		newPreset(),
+		newStatus(),
+		newDrain(),
 		newVersion(),
 	}
 	for _, command := range commands {
--- a/internal/registrar/client.go
+++ b/internal/registrar/client.go
@@ -23,15 +23,15 @@
 // ErrUnauthorized is returned when the token is missing or wrong.
 var ErrUnauthorized = errors.New("registrar: the operators' token is missing or wrong")
 
-// UnknownError is returned when a change may or may not have been accepted.
-// Proposing it again under the same ID is safe and tells.
+// UnknownError is returned when a change may or may not have been accepted, or a
+// drain started. Asking for the same again is safe and tells.
 type UnknownError struct {
 	Cause error
 }
 
 // Error returns the cause.
 func (e *UnknownError) Error() string {
-	return "registrar: the change may or may not be accepted: " + e.Cause.Error()
+	return "registrar: it may or may not be done: " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
@@ -103,15 +103,15 @@
 // Drain starts the planned stop of the instance at the first address, and of no
 // other. It returns the number of requests in progress there.
 func (c *Client) Drain(ctx context.Context) (int, error) {
+	var reply drainReply
 	response, err := c.send(ctx, c.options.Addresses[0], http.MethodPost, drainPath, nil)
-	if err != nil {
-		return 0, err
+	if err == nil {
+		err = response.decode(http.StatusAccepted, &reply)
 	}
-	var reply drainReply
-	if err := response.decode(http.StatusAccepted, &reply); err != nil {
-		return 0, err
+	if err == nil || errors.HasType(err, (*UnavailableError)(nil)) || errors.Is(err, ErrUnauthorized) {
+		return reply.Streams, err
 	}
-	return reply.Streams, nil
+	return 0, &UnknownError{Cause: err}
 }
 
 // ChangeID returns the idempotent identity of a change: a hash of its expected
