registry: the replicated state machine, configuration and docket

Cause: an accepted configuration must be in force everywhere and never revert, operators race with equal revisions and resend orders after losing the answer, and processes restart after hundreds of changes.

Change: Apply takes encoded commands in the order of the log. Declarations are checked once, before they are proposed, so that replicas of two versions can't judge them differently.

--- /dev/null
+++ b/internal/registry/command.go
@@ -0,0 +1,138 @@
+package registry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/docket"
+)
+
+// commandFormat is the newest format of commands that this program knows. It
+// grows with every new kind of command and every new field. An instance
+// proposes a newer command only when all voters run a program that knows it.
+const commandFormat = 1
+
+// Command is what the replicated log carries: a Change, or one of the commands
+// of package docket.
+type Command any
+
+// envelope is the encoding of a command. One field is set beside Format.
+type envelope struct {
+	Format  int             `json:"format"`
+	Change  *Change         `json:"change,omitempty"`
+	Claim   *docket.Claim   `json:"claim,omitempty"`
+	Record  *docket.Record  `json:"record,omitempty"`
+	Expire  *docket.Expire  `json:"expire,omitempty"`
+	Abandon *docket.Abandon `json:"abandon,omitempty"`
+}
+
+// Encode returns a command's bytes for the log.
+func Encode(command Command) ([]byte, error) {
+	e := envelope{Format: commandFormat}
+	switch c := command.(type) {
+	case Change:
+		if c.ID == "" || len(c.Declarations) > 0 && len(c.Presets) == 0 {
+			return nil, errors.AssertionFailedf("registry: change %q was not prepared", c.ID)
+		}
+		e.Change = &c
+	case docket.Claim:
+		e.Claim = &c
+	case docket.Record:
+		e.Record = &c
+	case docket.Expire:
+		e.Expire = &c
+	case docket.Abandon:
+		e.Abandon = &c
+	default:
+		return nil, errors.AssertionFailedf("registry: command %T", command)
+	}
+	data, err := json.Marshal(e)
+	return data, errors.Wrap(err, "registry: encode command")
+}
+
+// formatOnly reads the format of an envelope whatever else is in it.
+type formatOnly struct {
+	Format *int `json:"format"`
+}
+
+// NewerError says that a command or snapshot comes from a newer program.
+type NewerError struct {
+	// What is the thing that is not known here.
+	What string
+}
+
+// Error names the thing and gives the advice to upgrade.
+func (e *NewerError) Error() string {
+	return fmt.Sprintf("registry: %s comes from a newer program; upgrade this instance", e.What)
+}
+
+// Decode returns the command whose encoding is data. If data comes from a newer
+// program, Decode returns a *NewerError. A leader decodes every command before
+// it appends it, so that none enters the log that a voter of its own version
+// can't apply.
+func Decode(data []byte) (Command, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	var e envelope
+	err := decoder.Decode(&e)
+	if err != nil {
+		// A newer format may have fields of which only Format can be read here.
+		_ = json.Unmarshal(data, &formatOnly{Format: &e.Format})
+	}
+	if e.Format > commandFormat {
+		return nil, &NewerError{What: fmt.Sprintf("command format %d", e.Format)}
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "registry: decode command")
+	}
+	return e.command()
+}
+
+func (e envelope) command() (Command, error) {
+	var commands []Command
+	if e.Change != nil {
+		commands = append(commands, *e.Change)
+	}
+	if e.Claim != nil {
+		commands = append(commands, *e.Claim)
+	}
+	if e.Record != nil {
+		commands = append(commands, *e.Record)
+	}
+	if e.Expire != nil {
+		commands = append(commands, *e.Expire)
+	}
+	if e.Abandon != nil {
+		commands = append(commands, *e.Abandon)
+	}
+	if len(commands) != 1 {
+		return nil, errors.Newf("registry: decode command: %d commands in one", len(commands))
+	}
+	return commands[0], nil
+}
+
+// Result is what applying a command gave. One field is set.
+type Result struct {
+	Change *Answer        `json:"change,omitempty"`
+	Docket *docket.Answer `json:"docket,omitempty"`
+}
+
+// Encode returns the result's bytes, to be sent to the instance that proposed
+// the command.
+func (r Result) Encode() []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "registry: encode result"))
+	}
+	return data
+}
+
+// DecodeResult returns the result whose Encode is data.
+func DecodeResult(data []byte) (Result, error) {
+	var r Result
+	err := json.Unmarshal(data, &r)
+	return r, errors.Wrap(err, "registry: decode result")
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,169 @@
+// Package registry is the replicated state machine: the configuration in force
+// and the docket of non-idempotent requests.
+//
+// It is deterministic. Replicas that apply the same commands in the same order
+// hold the same state, and their snapshots have equal bytes.
+package registry
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/docket"
+	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/parcel"
+)
+
+// Registry is one replica of the state. Its methods are safe for concurrent
+// use; Apply, Snapshot and Restore are called by one goroutine, in the order of
+// the log.
+type Registry struct {
+	mutex sync.RWMutex
+	// applied is the index of the last command.
+	applied       jury.Index
+	configuration *configuration
+	docket        *docket.Docket
+	// view is the one of configuration, for readers that take no lock.
+	view atomic.Pointer[View]
+}
+
+// New returns the empty state.
+func New() *Registry {
+	r := &Registry{configuration: newConfiguration(), docket: docket.New()}
+	r.view.Store(r.configuration.view())
+	return r
+}
+
+// View returns the configuration in force. It takes no lock and makes no copy.
+func (r *Registry) View() *View {
+	return r.view.Load()
+}
+
+// Lookup returns what is recorded of a non-idempotent request.
+func (r *Registry) Lookup(key docket.Key) docket.Answer {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	return r.docket.Lookup(key)
+}
+
+// Docket returns the docket's counters, its number of records and the bytes
+// that its responses take.
+func (r *Registry) Docket() (counters docket.Counters, records int, responseBytes int64) {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	return r.docket.Counters(), r.docket.Len(), r.docket.ResponseBytes()
+}
+
+// Applied returns the index of the last command that was applied.
+func (r *Registry) Applied() jury.Index {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	return r.applied
+}
+
+// Apply carries out the committed command at index. After an error the replica
+// must stop: to skip a command that others carry out would fork the state. A
+// *NewerError says that it must be upgraded first.
+func (r *Registry) Apply(index jury.Index, command []byte) (Result, error) {
+	decoded, err := Decode(command)
+	if err != nil {
+		return Result{}, err
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if index <= r.applied {
+		return Result{}, errors.AssertionFailedf("registry: index %d applied after index %d", index, r.applied)
+	}
+	r.applied = index
+	switch c := decoded.(type) {
+	case Change:
+		answer := r.configuration.apply(c)
+		if r.view.Load().Revision != r.configuration.revision {
+			r.view.Store(r.configuration.view())
+		}
+		return Result{Change: &answer}, nil
+	case docket.Command:
+		answer := r.docket.Apply(c)
+		return Result{Docket: &answer}, nil
+	default:
+		return Result{}, errors.AssertionFailedf("registry: command %T", decoded)
+	}
+}
+
+// The names in a snapshot.
+const (
+	snapshotName         = "lovagelift-registry"
+	snapshotFormat       = 1
+	configurationSection = "configuration"
+	docketSection        = "docket"
+)
+
+// Snapshot returns the whole state. Equal states give equal bytes. A snapshot is
+// a list of named sections, so that later versions add their own.
+func (r *Registry) Snapshot() ([]byte, error) {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	configuration, err := json.Marshal(r.configuration.state())
+	if err != nil {
+		return nil, errors.Wrap(err, "registry: snapshot")
+	}
+	buffer := parcel.AppendBytes(nil, snapshotName)
+	buffer = parcel.AppendUint(buffer, snapshotFormat)
+	buffer = parcel.AppendUint(buffer, uint64(r.applied))
+	buffer = parcel.AppendUint(buffer, 2)
+	buffer = parcel.AppendBytes(buffer, configurationSection)
+	buffer = parcel.AppendBytes(buffer, configuration)
+	buffer = parcel.AppendBytes(buffer, docketSection)
+	return parcel.AppendBytes(buffer, r.docket.Snapshot(nil)), nil
+}
+
+// Restore takes over the state of a Snapshot. If data is damaged or comes from
+// a newer program, Restore returns an error and leaves the state as it is.
+func (r *Registry) Restore(data []byte) error {
+	reader := parcel.NewReader(data)
+	if name := reader.String(); name != snapshotName {
+		return errors.New("registry: this is no snapshot of a registry")
+	}
+	if format := reader.Uint(); format > snapshotFormat {
+		return &NewerError{What: fmt.Sprintf("snapshot format %d", format)}
+	}
+	applied := jury.Index(reader.Uint())
+	var configuration *configuration
+	var records *docket.Docket
+	for range reader.Count() {
+		name, section := reader.String(), reader.Bytes()
+		var err error
+		switch name {
+		case configurationSection:
+			var state configurationState
+			err = json.Unmarshal(section, &state)
+			configuration = state.restore()
+		case docketSection:
+			records, err = docket.Restore(section)
+		case "":
+			err = parcel.ErrShort
+		default:
+			err = &NewerError{What: fmt.Sprintf("snapshot section %q", name)}
+		}
+		if err != nil {
+			return errors.Wrapf(err, "registry: snapshot section %q", name)
+		}
+	}
+	if err := reader.End(); err != nil {
+		return errors.Wrap(err, "registry: snapshot")
+	}
+	if configuration == nil || records == nil {
+		return errors.New("registry: snapshot without configuration or docket")
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.applied = applied
+	r.configuration = configuration
+	r.docket = records
+	r.view.Store(configuration.view())
+	return nil
+}
