--- a/internal/jury/types.go
+++ b/internal/jury/types.go
@@ -5,6 +5,8 @@
 // and returns actions; it does no I/O, starts no goroutine and reads no clock.
 package jury
 
+import "strings"
+
 // Index is the position of an entry in the log, counting from 1.
 type Index uint64
 
@@ -39,6 +41,16 @@
 	Data  []byte
 }
 
+// Instance returns the name of the instance that the voter runs on. Two
+// identities of one instance are two data folders of it.
+func (i Identity) Instance() string {
+	slash := strings.LastIndexByte(string(i), '/')
+	if slash < 0 {
+		return string(i)
+	}
+	return string(i[:slash])
+}
+
 // HardState is what a voter must have synced before it answers a message.
 type HardState struct {
 	Term Term
@@ -49,8 +61,14 @@
 // Snapshot is the state that results from all entries up to Index.
 type Snapshot struct {
 	Index Index
-	Term  Term
-	// Voters is the set of voters in force at Index.
+	// Term is the term of the entry at Index. It is 0 only in the initial
+	// snapshot, which no leader made.
+	Term Term
+	// Cluster is the random name that the bootstrap gave to the set of voters.
+	// Members of different clusters ignore each other. It is never empty in a
+	// snapshot that is kept.
+	Cluster string
+	// Voters is the set of voters in force at Index, sorted, each once.
 	Voters []Identity
 	// Data is the encoded state of the replicated state machine.
 	Data []byte
