archive: a mark tells an acknowledged last record from a torn one

Cause: a last record that was acknowledged and then damaged on the disk, or lost with its file, looked like one that a crash tore. Open cut it off, and the voter would have forgotten a vote or an entry.

Change: after each fsync the record's sequence number goes into a small file, written over in place and never synced. Open refuses a log that ends before the marked record; it does without a mark that is torn or missing.

Seen to fail without its mechanism: the mark not read, written before the fsync, and its checksum not checked.

After a power cut the mark may be behind by some records, so that a last record damaged at the same time can still pass for torn.

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -85,6 +85,7 @@
 	// segments are the log files, oldest first. The last one is written to.
 	segments []segment
 	active   File
+	mark     File
 	spare    []byte
 }
 
@@ -137,7 +138,7 @@
 	}
 	a.journal.add(bare)
 	a.segments[len(a.segments)-1].note(b, int64(len(buffer)))
-	return nil
+	return a.writeMark()
 }
 
 // write makes one record durable in the last log file, or in a new one if that
@@ -332,6 +333,10 @@
 		a.active.Close()
 		a.active = nil
 	}
+	if a.mark != nil {
+		a.mark.Close()
+		a.mark = nil
+	}
 	if a.lock == nil {
 		return nil
 	}
--- a/internal/archive/crashfs_test.go
+++ b/internal/archive/crashfs_test.go
@@ -256,6 +256,22 @@
 	return len(b), nil
 }
 
+func (f *crashFile) WriteAt(b []byte, offset int64) (int, error) {
+	f.fs.mutex.Lock()
+	defer f.fs.mutex.Unlock()
+	for i := range b {
+		if err := f.fs.step(); err != nil {
+			return i, err
+		}
+		at := int(offset) + i
+		if at == len(f.node.data) {
+			f.node.data = append(f.node.data, 0)
+		}
+		f.node.data[at] = b[i]
+	}
+	return len(b), nil
+}
+
 func (f *crashFile) Sync() error {
 	f.fs.mutex.Lock()
 	defer f.fs.mutex.Unlock()
--- a/internal/archive/damage_test.go
+++ b/internal/archive/damage_test.go
@@ -145,6 +145,56 @@
 	return loaded.Number
 }
 
+var _ = Describe("an acknowledged end of the log", func() {
+	// The voter answered for its last record. Then a bit of it changes on the
+	// disk, or the last file gets lost, and the process starts again. The record
+	// must not pass for one that a crash tore.
+	It("is refused when it is damaged or missing", func() {
+		fs, segments, _ := filled()
+		last := segments[len(segments)-1]
+		data := fs.names[last].data
+		start := archive.LastRecord(data, folderNumber(fs))
+		for i := start; i < len(data); i++ {
+			data[i] ^= 0x40
+			damaged := expectDamage(fs)
+			Expect(damaged.File).To(Equal(last))
+			Expect(damaged.Offset).To(Equal(int64(start)))
+			Expect(damaged.Problem).To(Equal("the log ends with record 17, though record 18 was synced"))
+			data[i] ^= 0x40
+		}
+		fs.names[last].data = data[:start]
+		Expect(expectDamage(fs).Problem).To(ContainSubstring("though record 18 was synced"))
+		delete(fs.names, last)
+		Expect(expectDamage(fs).Problem).To(ContainSubstring("a log file is missing"))
+	})
+
+	// A power cut tears the mark, or leaves it behind, as it is never synced.
+	It("is judged without a mark that is torn or missing", func() {
+		whole, _, _ := filled()
+		for i := range whole.names["/data/mark"].data {
+			fs := whole.crash(keepAll, nil)
+			fs.names["/data/mark"].data[i] ^= 0x40
+			_, loaded, err := open(fs)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(loaded.Entries).To(HaveLen(11))
+			fs = whole.crash(keepAll, nil)
+			fs.names["/data/mark"].data = fs.names["/data/mark"].data[:i]
+			_, _, err = open(fs)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
+	It("is refused when the only log file is missing", func() {
+		fs := newCrashFS()
+		a, _, err := open(fs)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Append(jury.HardState{Term: 1, Vote: "kgn-a/1"}, 0, nil)).To(Succeed())
+		Expect(a.Close()).To(Succeed())
+		delete(fs.names, "/data/log-0000000000000001")
+		Expect(expectDamage(fs).Problem).To(Equal("the log ends with record 0, though record 1 was synced"))
+	})
+})
+
 var _ = Describe("a torn end of the log", func() {
 	It("is cut and told of, wherever the last record is torn", func() {
 		whole, segments, _ := filled()
@@ -156,6 +206,8 @@
 		for kept := lastRecord + 1; kept < size; kept++ {
 			fs, data := whole.crash(keepAll, nil), whole.names[last].data[:kept]
 			fs.names[last] = &inode{data: append([]byte(nil), data...), synced: kept}
+			// The machine lost power before the record was synced and marked.
+			delete(fs.names, "/data/mark")
 			_, loaded, err := open(fs)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(loaded.Cut).To(Equal(archive.Cut{File: last, Offset: int64(lastRecord), Bytes: int64(kept - lastRecord)}))
--- a/internal/archive/fs.go
+++ b/internal/archive/fs.go
@@ -30,9 +30,11 @@
 	SyncFolder(folder string) error
 }
 
-// File is a file that is written from its end on.
+// File is a file that is written.
 type File interface {
 	io.Writer
+	// WriterAt is used only on files that Create returned.
+	io.WriterAt
 	// Sync makes the bytes written so far durable. After an error the state of
 	// these bytes is not known, and a later Sync says nothing about them.
 	Sync() error
--- a/internal/archive/fuzz_test.go
+++ b/internal/archive/fuzz_test.go
@@ -27,6 +27,7 @@
 		a.Close()
 		node := fs.names["/data/log-0000000000000001"]
 		node.data = append(node.data[:min(int(kept), len(node.data))], tail...)
+		delete(fs.names, "/data/mark")
 		a, loaded, err := open(fs)
 		if err != nil {
 			var damaged *archive.DamageError
--- a/internal/archive/open.go
+++ b/internal/archive/open.go
@@ -89,6 +89,9 @@
 	if err := a.follows(snapshot, snapshotSequence); err != nil {
 		return Loaded{}, err
 	}
+	if err := a.reaches(l, scan, a.readMark()); err != nil {
+		return Loaded{}, err
+	}
 	// From here on nothing is damaged, and files may change.
 	if err := a.restart(l, scan); err != nil {
 		return Loaded{}, err
@@ -261,6 +264,19 @@
 	return scan{sound: data[:offset], cut: cut}, nil
 }
 
+// reaches returns a DamageError if the log ends before the marked record, which
+// was synced.
+func (a *Archive) reaches(l listing, found scan, marked uint64) error {
+	if a.journal.sequence >= marked {
+		return nil
+	}
+	path, offset := a.folder, int64(0)
+	if n := len(l.segments); n > 0 {
+		path, offset = a.path(l.segments[n-1]), int64(len(found.sound))
+	}
+	return damage(path, offset, errors.Newf("the log ends with record %d, though record %d was synced", a.journal.sequence, marked))
+}
+
 // follows returns a DamageError if log files are missing that the snapshot
 // relies on.
 func (a *Archive) follows(s jury.Snapshot, sequence uint64) error {
@@ -303,6 +319,19 @@
 			return err
 		}
 	}
+	if err := a.reopen(found); err != nil {
+		return err
+	}
+	mark, err := a.fs.Create(a.path(markName))
+	if err != nil {
+		return a.fail("create", a.path(markName), err)
+	}
+	a.mark = mark
+	return a.writeMark()
+}
+
+// reopen opens the last log file for appending.
+func (a *Archive) reopen(found scan) error {
 	if len(a.segments) == 0 {
 		return nil
 	}
