gazette: what is in force, decoded once and read without a lock

Cause: a request must see one preset and one set of declarations, never half of two; revisions must not go back; and the operators' interface needs the replicated state behind it.

Change: gazette publishes one immutable issue for each revision. registrar's Replicated is a Register over the registry: it prepares, encodes and proposes changes and turns verdicts into the errors that the handlers promise; it is told by a function which errors of a proposal mean "not accepted". declaration.Check has the form that the registry asks for and takes the place of Validate, which nothing used. A conflict lists all changes since the expected revision.

Seen to fail without its mechanism, by hand on a scratch edit, one at a time: revisions that only rise, one Publish after the other (race detector), a preset that is not declared, and each verdict's error.

--- a/internal/command/fakes_test.go
+++ b/internal/command/fakes_test.go
@@ -10,19 +10,24 @@
 	. "github.com/onsi/ginkgo/v2"
 	"github.com/rs/zerolog"
 
-	"github.com/lovagelift/lovagelift/internal/declaration"
+	"github.com/lovagelift/lovagelift/internal/gazette"
+	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/registrar"
+	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
 const token = "a token that a machine drew"
 
-// fakeInstance is an instance with its replicated state and nothing else.
+// fakeInstance is an instance with its replicated state and nothing else: no log,
+// no disk, no peers.
 type fakeInstance struct {
-	mu      sync.Mutex
-	inForce registrar.InForce
-	by      string
-	answers map[string]registrar.Answer
-	drained bool
+	gazette *gazette.Gazette
+
+	mu       sync.Mutex
+	registry *registry.Registry
+	index    jury.Index
+	stale    bool
+	drained  bool
 	// loseAnswers makes the instance break the connection instead of answering
 	// a change that it accepted.
 	loseAnswers bool
@@ -30,9 +35,14 @@
 }
 
 func newFakeInstance() *fakeInstance {
-	f := &fakeInstance{answers: map[string]registrar.Answer{}, inForce: registrar.InForce{Fresh: true}}
+	f := &fakeInstance{gazette: gazette.New(), registry: registry.New()}
 	handler := registrar.New(registrar.Options{
-		Register: f, House: f, Now: time.Now, Log: zerolog.Nop(),
+		Register: registrar.NewReplicated(registrar.ReplicatedOptions{
+			Gazette: f.gazette, Propose: f.propose,
+			NotAccepted: func(error) bool { return false },
+			Fresh:       func(time.Time) bool { return !f.isStale() },
+		}),
+		House: f, Now: time.Now, Log: zerolog.Nop(),
 		Holder: func(shown string) (string, bool) { return "kim", shown == token },
 	})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -59,43 +69,30 @@
 	f.loseAnswers = answers
 }
 
-func (f *fakeInstance) InForce(time.Time) registrar.InForce {
+func (f *fakeInstance) isStale() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.inForce
+	return f.stale
 }
 
-func (f *fakeInstance) Change(_ context.Context, change registrar.Change) (registrar.Answer, error) {
+func (f *fakeInstance) propose(_ context.Context, command []byte) (registry.Result, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if first, ok := f.answers[change.ID]; ok {
-		return first, nil
-	}
-	if change.Expected != f.inForce.Revision {
-		return registrar.Answer{}, &registrar.ConflictError{Revision: f.inForce.Revision, By: f.by, Summary: "something else"}
-	}
-	if change.Declarations != nil {
-		set, err := declaration.Decode(change.Declarations)
-		if err != nil {
-			return registrar.Answer{}, &registrar.RefusedError{Reason: err.Error()}
-		}
-		f.inForce.Declarations = set
-	}
-	if change.Preset != "" {
-		f.inForce.Preset = change.Preset
+	f.index++
+	result, err := f.registry.Apply(f.index, command)
+	if err != nil {
+		return result, err
 	}
-	f.inForce.Revision++
-	f.by = change.By
-	f.answers[change.ID] = registrar.Answer{Revision: f.inForce.Revision}
-	return f.answers[change.ID], nil
+	return result, f.gazette.Publish(f.registry.View())
 }
 
 func (f *fakeInstance) Status(time.Time) registrar.Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	issue := f.gazette.Latest()
 	return registrar.Status{
-		Name: "a", FailureDomain: "kgn-a", Version: "1", Revision: f.inForce.Revision, Preset: f.inForce.Preset,
-		Fresh: f.inForce.Fresh, Draining: f.drained, Streams: 2, Leader: "b", Term: 5,
+		Name: "a", FailureDomain: "kgn-a", Version: "1", Revision: uint64(issue.Revision), Preset: issue.Preset.Name,
+		Fresh: !f.stale, Draining: f.drained, Streams: 2, Leader: "b", Term: 5,
 		Instances: []registrar.InstanceStatus{{Name: "b", CallerAddress: "127.0.0.1:7610", FailureDomain: "kgn-b", Voter: true, Silent: 120 * time.Millisecond}},
 		Upstreams: []registrar.UpstreamStatus{{Name: "e1", Kind: "engine", Address: "127.0.0.1:9000", FailureDomain: "kgn-a", Holds: []string{"base", "base-kgn"}, Running: 4, Leaving: true}},
 	}
--- a/internal/command/operator_test.go
+++ b/internal/command/operator_test.go
@@ -65,7 +65,7 @@
 		Expect(code).To(Equal(command.ExitOK))
 		Expect(out).To(MatchJSON(`{"revision": 1, "fresh": true, "preset": "ordinary", "new-preset": "peak", "changes": [
 			{"change": "change", "item": "preset ordinary", "fields": [{"name": "reserve-percent", "before": "10", "after": "12"}]}]}`))
-		Expect(instance.inForce.Revision).To(Equal(uint64(1)))
+		Expect(instance.gazette.Latest().Revision).To(BeEquivalentTo(1))
 	})
 
 	It("refuses to overwrite what another operator did, with an exit code of its own", func() {
@@ -77,7 +77,7 @@
 		code, out, errors := operate("apply", "--expect", "1", changed("reserve-percent = 10", "reserve-percent = 13"))
 		Expect(code).To(Equal(command.ExitConflict))
 		Expect(out).To(BeEmpty())
-		Expect(errors).To(ContainSubstring("revision 2 is in force: kim changed it (something else)"))
+		Expect(errors).To(ContainSubstring("revision 2 is in force\nrevision 2 by kim at "))
 	})
 
 	It("tells the first answer to a change that is resent after its answer was lost", func() {
@@ -96,8 +96,8 @@
 		code, out, _ = operate("apply", "--expect", "1", "--json", folder)
 		Expect(code).To(Equal(command.ExitOK))
 		Expect(out).To(ContainSubstring("\"revision\": 2,\n  \"in-force\": 3,\n  \"changed\": true"))
-		Expect(instance.inForce.Revision).To(Equal(uint64(3)))
-		Expect(instance.inForce.Declarations.FirstPreset().ReservePercent).To(Equal(14))
+		Expect(instance.gazette.Latest().Revision).To(BeEquivalentTo(3))
+		Expect(instance.gazette.Latest().Declarations.FirstPreset().ReservePercent).To(Equal(14))
 	})
 
 	It("applies nothing that is wrong, and asks nobody", func() {
@@ -143,7 +143,7 @@
 			Expect(code).To(Equal(command.ExitBadInput))
 			Expect(errors).To(HavePrefix("--expect: the revision that the change was made for is missing"))
 		}
-		Expect(instance.inForce.Revision).To(BeZero())
+		Expect(instance.gazette.Latest().Revision).To(BeZero())
 	})
 
 	It("lets the replicated state decide when the instance may be behind", func() {
@@ -151,7 +151,7 @@
 		// was in force. What it shows as in force already may be history.
 		operate("apply", "--expect", "0", kingston)
 		instance.mu.Lock()
-		instance.inForce.Fresh = false
+		instance.stale = true
 		instance.mu.Unlock()
 		code, out, _ := operate("preset", "--expect", "1", "ordinary")
 		Expect(code).To(Equal(command.ExitOK))
--- a/internal/declaration/capacity.go
+++ b/internal/declaration/capacity.go
@@ -81,11 +81,18 @@
 
 func (v *validator) presetCapacity(path string, p Preset, leasts map[string]footprint, total float64) {
 	var models, adapters float64
+	floors := map[string]int{}
+	for _, floor := range p.Floors {
+		floors[floor.Model] = floor.Copies
+	}
 	copies := 0
 	for _, model := range v.content.Models {
-		floor := p.Floor(model.Name)
-		copies += floor.Copies
-		models += float64(floor.Copies) * leasts[model.Name].copy
+		floor, named := floors[model.Name]
+		if !named {
+			floor = p.Copies
+		}
+		copies += floor
+		models += float64(floor) * leasts[model.Name].copy
 		adapters += leasts[model.Name].adapters
 	}
 	reserve := total * float64(p.ReservePercent) / 100
--- a/internal/declaration/set.go
+++ b/internal/declaration/set.go
@@ -115,6 +115,20 @@
 	return Preset{}
 }
 
+// PresetNames returns the names of the presets, FirstPreset's first and the
+// others sorted.
+func (s Set) PresetNames() []string {
+	names := make([]string, 0, len(s.content.Presets))
+	for _, preset := range s.content.Presets {
+		if preset.First {
+			names = slices.Insert(names, 0, preset.Name)
+			continue
+		}
+		names = append(names, preset.Name)
+	}
+	return names
+}
+
 func find[T any](items []T, index map[string]int, name string) (T, bool) {
 	i, ok := index[name]
 	if !ok {
@@ -160,11 +174,14 @@
 	return s, nil
 }
 
-// Validate returns nil if Decode accepts data, and the error of Decode
-// otherwise. It depends on data alone.
-func Validate(data []byte) error {
-	_, err := Decode(data)
-	return err
+// Check returns the PresetNames of the declarations that data holds, or the
+// error of Decode. It depends on data alone.
+func Check(data []byte) ([]string, error) {
+	set, err := Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	return set.PresetNames(), nil
 }
 
 func decodeContent(data []byte) (content, error) {
--- a/internal/declaration/set_test.go
+++ b/internal/declaration/set_test.go
@@ -35,16 +35,27 @@
 		decoded, err := declaration.Decode(set.Canonical())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(decoded).To(Equal(set))
-		Expect(declaration.Validate(set.Canonical())).To(Succeed())
+		Expect(declaration.Check(set.Canonical())).To(Equal([]string{"ordinary", "peak"}))
 	})
 })
 
-var _ = Describe("Validate", func() {
+var _ = Describe("Check", func() {
 	canonical := func() string { return string(read("a.toml", whole).Canonical()) }
 
+	check := func(data string) error {
+		names, err := declaration.Check([]byte(data))
+		ExpectWithOffset(1, names).To(BeNil())
+		return err
+	}
+
+	It("names the first preset first", func() {
+		second := strings.Replace(strings.Replace(whole, "first = true\n", "", 1), `name = "peak"`, "name = \"peak\"\nfirst = true", 1)
+		Expect(declaration.Check(read("a.toml", second).Canonical())).To(Equal([]string{"peak", "ordinary"}))
+	})
+
 	It("finds the same as Read, with the path as the place", func() {
 		bad := strings.NewReplacer(`"model":"base"`, `"model":"bsae"`, `"kind":"plain"`, `"kind":"odd"`).Replace(canonical())
-		Expect(lines(declaration.Validate([]byte(bad)))).To(Equal([]string{
+		Expect(lines(check(bad))).To(Equal([]string{
 			`adapters[0].model: model "bsae" is not declared; write "base"`,
 			`presets[0].floors[0].model: model "bsae" is not declared; write "base"`,
 			`services[0].kind: "kind" cannot be "odd"; write "model-backed" or "plain"`,
@@ -55,7 +66,7 @@
 		func(old, replacement, want string) {
 			bad := strings.Replace(canonical(), old, replacement, 1)
 			Expect(bad).NotTo(Equal(canonical()))
-			Expect(declaration.Validate([]byte(bad))).To(MatchError(ContainSubstring(want)))
+			Expect(check(bad)).To(MatchError(ContainSubstring(want)))
 		},
 		Entry("of a newer version", `{"format":1`, `{"format":2`, "format 2, but this version knows only 1"),
 		Entry("with a key nobody knows", `{"format":1`, `{"format":1,"new":true`, `unknown field "new"`),
@@ -65,7 +76,7 @@
 	)
 
 	It("refuses what is no JSON", func() {
-		Expect(declaration.Validate(nil)).To(MatchError(ContainSubstring("declaration: broken JSON")))
+		Expect(check("")).To(MatchError(ContainSubstring("declaration: broken JSON")))
 	})
 })
 
--- a/internal/declaration/types.go
+++ b/internal/declaration/types.go
@@ -9,6 +9,7 @@
 
 import (
 	"path"
+	"slices"
 	"strings"
 	"time"
 
@@ -236,7 +237,8 @@
 	// one preset of a Set has it.
 	First bool `json:"first"`
 	// Copies is the floor of models that Floors does not name, at least 1.
-	Copies int     `json:"copies"`
+	Copies int `json:"copies"`
+	// Floors and Shares are sorted by the names of their models and services.
 	Floors []Floor `json:"floors"`
 	// ReservePercent is the part of accelerator memory that is kept free.
 	ReservePercent int `json:"reserve-percent"`
@@ -252,20 +254,18 @@
 
 // Floor returns the least that the model keeps under the preset.
 func (p Preset) Floor(model string) Floor {
-	for _, floor := range p.Floors {
-		if floor.Model == model {
-			return floor
-		}
+	i, ok := slices.BinarySearchFunc(p.Floors, model, func(f Floor, name string) int { return strings.Compare(f.Model, name) })
+	if ok {
+		return p.Floors[i]
 	}
 	return Floor{Model: model, Copies: p.Copies, FailureDomains: 1}
 }
 
 // Share returns the weight of the service under the preset.
 func (p Preset) Share(service string) float64 {
-	for _, share := range p.Shares {
-		if share.Service == service {
-			return share.Weight
-		}
+	i, ok := slices.BinarySearchFunc(p.Shares, service, func(s Share, name string) int { return strings.Compare(s.Service, name) })
+	if ok {
+		return p.Shares[i].Weight
 	}
 	return 1
 }
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -44,6 +44,8 @@
 	// targets are the models and adapters, which callers name alike.
 	targets names
 	presets names
+	// uses holds the models of each service by its name.
+	uses map[string][]string
 }
 
 // validate adds a finding for everything that is wrong with c or does not fit
@@ -52,6 +54,7 @@
 	v := &validator{
 		content: c, origin: o, list: list,
 		domains: newNames(), classes: newNames(), services: newNames(), targets: newNames(), presets: newNames(),
+		uses: map[string][]string{},
 	}
 	v.collectNames()
 	for i, class := range c.AcceleratorClasses {
@@ -115,6 +118,7 @@
 	}
 	for i, s := range c.Services {
 		v.declare(v.services, item("services", i), "service", s.Name, servicePattern)
+		v.uses[s.Name] = append(v.uses[s.Name], s.Models...)
 	}
 	for i, m := range c.Models {
 		v.declare(v.targets, item("models", i), "model", m.Name, modelPattern)
@@ -345,14 +349,9 @@
 // uses one that is not declared, that finding comes first: the model may be the
 // misspelt one, and its adapters are no mistakes of their own.
 func (v *validator) cannotUse(name, model string) bool {
-	for _, s := range v.content.Services {
-		if s.Name != name {
-			continue
-		}
-		for _, used := range s.Models {
-			if used == model || v.targets.first[used].kind != "model" {
-				return false
-			}
+	for _, used := range v.uses[name] {
+		if used == model || v.targets.first[used].kind != "model" {
+			return false
 		}
 	}
 	return true
--- /dev/null
+++ b/internal/gazette/gazette_test.go
@@ -0,0 +1,156 @@
+package gazette_test
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/fstest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/declaration"
+	"github.com/lovagelift/lovagelift/internal/gazette"
+	"github.com/lovagelift/lovagelift/internal/registry"
+)
+
+// viewOf returns a view whose preset is named for its revision.
+func viewOf(revision registry.Revision) *registry.View {
+	name := fmt.Sprintf("preset-%d", revision)
+	set, err := declaration.Read(fstest.MapFS{"a.toml": {Data: []byte("[[preset]]\nname = \"" + name + "\"\nfirst = true\n")}}, "decl")
+	if err != nil {
+		panic(err)
+	}
+	return &registry.View{Revision: revision, Preset: name, Declarations: set.Canonical()}
+}
+
+var _ = Describe("Gazette", func() {
+	It("begins with nothing declared and follows the revisions", func() {
+		g := gazette.New()
+		Expect(*g.Latest()).To(Equal(gazette.Issue{}))
+		Expect(g.Publish(&registry.View{})).To(Succeed())
+		Expect(g.Publish(viewOf(3))).To(Succeed())
+		Expect(g.Latest().Revision).To(Equal(registry.Revision(3)))
+		Expect(g.Latest().Preset.Name).To(Equal("preset-3"))
+	})
+
+	It("never goes back to an earlier revision", func() {
+		// An instance asks two others for the configuration. The answer of the
+		// one that is behind arrives last. Callers of the new preset must not
+		// meet the old one again.
+		g := gazette.New()
+		Expect(g.Publish(viewOf(8))).To(Succeed())
+		Expect(g.Publish(viewOf(7))).To(Succeed())
+		Expect(g.Latest().Preset.Name).To(Equal("preset-8"))
+	})
+
+	It("leaves what is in force when it cannot read what follows", func() {
+		g := gazette.New()
+		Expect(g.Publish(viewOf(1))).To(Succeed())
+		newer := viewOf(2)
+		newer.Declarations = []byte(`{"format":2}`)
+		Expect(g.Publish(newer)).To(MatchError(ContainSubstring("gazette: revision 2: declaration: format 2")))
+		undeclared := viewOf(2)
+		undeclared.Preset = "preset-1"
+		Expect(g.Publish(undeclared)).To(MatchError(ContainSubstring(`preset "preset-1" in force, which it does not declare`)))
+		Expect(g.Latest().Revision).To(Equal(registry.Revision(1)))
+	})
+
+	It("shows each reader whole issues in rising order", func() {
+		// Two publishers race with views in any order while requests read. Each
+		// request must see the preset of the revision it sees, and none earlier
+		// than one seen before.
+		const revisions = 50
+		g := gazette.New()
+		var publishers, readers sync.WaitGroup
+		stop := make(chan struct{})
+		for p := range 2 {
+			publishers.Go(func() {
+				defer GinkgoRecover()
+				for r := p + 1; r <= revisions; r += 1 + p {
+					Expect(g.Publish(viewOf(registry.Revision(r)))).To(Succeed())
+				}
+			})
+		}
+		for range 2 {
+			readers.Go(func() {
+				defer GinkgoRecover()
+				var last registry.Revision
+				for {
+					issue := g.Latest()
+					Expect(issue.Revision).To(BeNumerically(">=", last))
+					if issue.Revision > 0 {
+						Expect(issue.Preset.Name).To(Equal(fmt.Sprintf("preset-%d", issue.Revision)))
+					}
+					last = issue.Revision
+					select {
+					case <-stop:
+						return
+					default:
+					}
+				}
+			})
+		}
+		publishers.Wait()
+		close(stop)
+		readers.Wait()
+		Expect(g.Latest().Revision).To(Equal(registry.Revision(revisions)))
+	})
+})
+
+// BenchmarkPublish measures how long a new revision takes to be decoded, checked
+// and in force on one instance, over the number of models with five adapters
+// each, and how many bytes a change of declarations carries to each instance.
+func BenchmarkPublish(b *testing.B) {
+	for _, models := range []int{20, 200, 1700} {
+		b.Run(fmt.Sprintf("models=%d", models), func(b *testing.B) {
+			declarations := manyModels(b, models)
+			b.ReportAllocs()
+			for b.Loop() {
+				view := &registry.View{Revision: 1, Preset: "ordinary", Declarations: declarations}
+				if err := gazette.New().Publish(view); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(declarations)), "canonical-B")
+			b.ReportMetric(float64(compressed(b, declarations)), "deflated-B")
+		})
+	}
+}
+
+func compressed(b *testing.B, data []byte) int {
+	b.Helper()
+	var buffer bytes.Buffer
+	writer, err := flate.NewWriter(&buffer, flate.BestSpeed)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := writer.Write(data); err != nil {
+		b.Fatal(err)
+	}
+	if err := writer.Close(); err != nil {
+		b.Fatal(err)
+	}
+	return buffer.Len()
+}
+
+func manyModels(b *testing.B, models int) []byte {
+	b.Helper()
+	text := []byte("[[preset]]\nname = \"ordinary\"\nfirst = true\n")
+	for m := range models {
+		text = fmt.Appendf(text, "[[model]]\nname = \"model-%d\"\nkv-space = \"4 GiB\"\nlayouts = [{ accelerators = 1, memory = \"9 GiB\" }]\n"+
+			"versions = [{ name = \"2026-10\", weights = \"weights/model-%d/2026-10\" }]\nversion = \"2026-10\"\n", m, m)
+		text = fmt.Appendf(text, "[[service]]\nname = \"service-%d\"\nkind = \"model-backed\"\nmodels = [\"model-%d\"]\n", m, m)
+		for a := range 5 {
+			text = fmt.Appendf(text, "[[adapter]]\nname = \"adapter-%d-%d\"\nmodel = \"model-%d\"\nmemory = \"160 MiB\"\n"+
+				"weights = \"weights/adapter-%d-%d/1\"\nservices = [\"service-%d\"]\n", m, a, m, m, a, m)
+		}
+	}
+	set, err := declaration.Read(fstest.MapFS{"a.toml": {Data: text}}, "decl")
+	if err != nil {
+		b.Fatal(err)
+	}
+	return set.Canonical()
+}
--- a/internal/registrar/fakes_test.go
+++ b/internal/registrar/fakes_test.go
@@ -10,61 +10,79 @@
 	"testing/fstest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
+	"github.com/lovagelift/lovagelift/internal/gazette"
+	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/registrar"
+	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
 var noon = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
 
-// fakeRegister is the replicated state of one process.
-type fakeRegister struct {
-	mu      sync.Mutex
-	inForce registrar.InForce
-	last    registrar.Change
-	answers map[string]registrar.Answer
-	// failure, if set, is returned instead of an answer, and nothing changes.
+var (
+	errNoQuorum   = errors.New("no quorum")
+	errLeaderLost = errors.New("the leader went away")
+)
+
+// voter is the replicated state of one process, without a log or a disk.
+type voter struct {
+	mu       sync.Mutex
+	registry *registry.Registry
+	gazette  *gazette.Gazette
+	index    jury.Index
+	last     registry.Change
+	// failure, if set, is returned instead of a result, and nothing changes.
 	failure error
 }
 
-func (f *fakeRegister) InForce(time.Time) registrar.InForce {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.inForce
+func newVoter() *voter {
+	return &voter{registry: registry.New(), gazette: gazette.New()}
 }
 
-func (f *fakeRegister) Change(_ context.Context, change registrar.Change) (registrar.Answer, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.failure != nil {
-		return registrar.Answer{}, f.failure
-	}
-	if first, ok := f.answers[change.ID]; ok {
-		return first, nil
+func (v *voter) propose(_ context.Context, command []byte) (registry.Result, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.failure != nil {
+		return registry.Result{}, v.failure
 	}
-	if change.Expected != f.inForce.Revision {
-		return registrar.Answer{}, &registrar.ConflictError{
-			Revision: f.inForce.Revision, ChangeID: f.last.ID, By: f.last.By, Summary: f.last.Summary,
-		}
+	decoded, err := registry.Decode(command)
+	if err != nil {
+		return registry.Result{}, err
 	}
-	if change.Declarations != nil {
-		set, err := declaration.Decode(change.Declarations)
-		if err != nil {
-			return registrar.Answer{}, &registrar.RefusedError{Reason: err.Error()}
-		}
-		f.inForce.Declarations = set
+	v.index++
+	v.last = decoded.(registry.Change)
+	result, err := v.registry.Apply(v.index, command)
+	if err != nil {
+		return registry.Result{}, err
 	}
-	if change.Preset != "" {
-		f.inForce.Preset = change.Preset
-	}
-	f.inForce.Revision++
-	f.last = change
-	answer := registrar.Answer{Revision: f.inForce.Revision}
-	f.answers[change.ID] = answer
-	return answer, nil
+	return result, v.gazette.Publish(v.registry.View())
+}
+
+// restart replaces the state by one restored from its snapshot.
+func (v *voter) restart() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	snapshot, err := v.registry.Snapshot()
+	Expect(err).NotTo(HaveOccurred())
+	v.registry = registry.New()
+	Expect(v.registry.Restore(snapshot)).To(Succeed())
+	v.gazette = gazette.New()
+	Expect(v.gazette.Publish(v.registry.View())).To(Succeed())
+}
+
+func (v *voter) register() *registrar.Replicated {
+	return registrar.NewReplicated(registrar.ReplicatedOptions{
+		Gazette:     v.gazette,
+		Propose:     v.propose,
+		NotAccepted: func(err error) bool { return errors.Is(err, errNoQuorum) },
+		Fresh:       func(now time.Time) bool { return now.Equal(noon) },
+		RetryAfter:  1500 * time.Millisecond,
+	})
 }
 
 // fakeHouse is an instance with nothing behind it.
@@ -87,20 +105,21 @@
 
 // fixture is one replicated state with handlers in front of it.
 type fixture struct {
-	register *fakeRegister
-	house    *fakeHouse
-	handler  http.Handler
-	log      *bytes.Buffer
+	voter   *voter
+	house   *fakeHouse
+	handler http.Handler
+	log     *bytes.Buffer
 }
 
 func newFixture() *fixture {
-	f := &fixture{
-		register: &fakeRegister{answers: map[string]registrar.Answer{}},
-		house:    &fakeHouse{},
-		log:      &bytes.Buffer{},
-	}
+	return fixtureOf(newVoter())
+}
+
+// fixtureOf returns handlers over the state of v.
+func fixtureOf(v *voter) *fixture {
+	f := &fixture{voter: v, house: &fakeHouse{}, log: &bytes.Buffer{}}
 	f.handler = registrar.New(registrar.Options{
-		Register: f.register,
+		Register: v.register(),
 		House:    f.house,
 		Holder: func(token string) (string, bool) {
 			name, ok := map[string]string{"token of kim": "kim", "token of ada": "ada"}[token]
@@ -113,6 +132,10 @@
 	return f
 }
 
+func (f *fixture) inForce() registrar.InForce {
+	return f.voter.register().InForce(noon)
+}
+
 // serve serves handler on loopback and returns its address.
 func serve(handler http.Handler) netip.AddrPort {
 	server := httptest.NewServer(handler)
--- a/internal/registrar/register.go
+++ b/internal/registrar/register.go
@@ -12,6 +12,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
 // Register is what is in force, kept by the replicated state. Its methods are
@@ -70,16 +71,20 @@
 
 // ConflictError is returned when another change was accepted first.
 type ConflictError struct {
-	// Revision is in force, made by the change ChangeID of By.
+	// Revision is in force.
 	Revision uint64
-	ChangeID string
-	By       string
-	Summary  string
+	// Since lists the changes after the expected revision, the latest first, as
+	// far as they are kept.
+	Since []registry.Applied
 }
 
-// Error says who changed what.
+// Error says who changed what, one line for each change.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("registrar: revision %d is in force: %s changed it (%s)", e.Revision, e.By, e.Summary)
+	text := fmt.Sprintf("registrar: revision %d is in force", e.Revision)
+	for _, applied := range e.Since {
+		text += "\n" + applied.String()
+	}
+	return text
 }
 
 // RefusedError is returned when the change itself is wrong.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/registrar"
+	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
 var ctx = context.Background()
@@ -29,16 +31,16 @@
 		c := client("token of kim", serve(f.handler))
 		before, err := c.InForce(ctx)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(before).To(Equal(registrar.InForce{}))
+		Expect(before).To(Equal(registrar.InForce{Fresh: true}))
 		Expect(c.Change(ctx, change(0, "ordinary"))).To(Equal(registrar.Answer{Revision: 1}))
 		after, err := c.InForce(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(after.Revision).To(Equal(uint64(1)))
 		Expect(after.Preset).To(Equal("ordinary"))
 		Expect(string(after.Declarations.Canonical())).To(Equal(string(declarations("ordinary"))))
-		Expect(f.register.last.By).To(Equal("kim"))
-		Expect(f.register.last.Now).To(Equal(noon))
-		Expect(f.register.last.Summary).To(Equal("add model m, add preset ordinary; preset ordinary"))
+		Expect(f.voter.last.By).To(Equal("kim"))
+		Expect(f.voter.last.Now).To(Equal(noon))
+		Expect(f.voter.last.Summary).To(Equal("add model m, add preset ordinary; preset ordinary"))
 	})
 
 	It("lets exactly one of two operators with equal revisions win, and tells the other what changed", func() {
@@ -50,11 +52,13 @@
 		_, err = client("token of ada", address).Change(ctx, change(0, "peak"))
 		var conflict *registrar.ConflictError
 		Expect(errors.As(err, &conflict)).To(BeTrue())
-		Expect(*conflict).To(Equal(registrar.ConflictError{
-			Revision: 1, ChangeID: change(0, "ordinary").ID, By: "kim",
+		Expect(*conflict).To(Equal(registrar.ConflictError{Revision: 1, Since: []registry.Applied{{
+			Revision: 1, ID: change(0, "ordinary").ID, By: "kim", At: noon,
 			Summary: "add model m, add preset ordinary; preset ordinary",
-		}))
-		Expect(f.register.InForce(noon).Preset).To(Equal("ordinary"))
+		}}}))
+		Expect(err).To(MatchError("registrar: revision 1 is in force\n" +
+			"revision 1 by kim at 2026-12-02T12:00:00Z: add model m, add preset ordinary; preset ordinary"))
+		Expect(f.inForce().Preset).To(Equal("ordinary"))
 	})
 
 	It("asks the next instance after a lost answer and changes nothing twice", func() {
@@ -68,7 +72,32 @@
 		answer, err := client("token of kim", lossy, serve(f.handler)).Change(ctx, change(0, "ordinary"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Revision).To(Equal(uint64(1)))
-		Expect(f.register.InForce(noon).Revision).To(Equal(uint64(1)))
+		Expect(f.inForce().Revision).To(Equal(uint64(1)))
+	})
+
+	It("gives the first answer again after the state was restored", func() {
+		// Kim's change is accepted, and the answer is lost. All instances restart
+		// from a snapshot, and Ada changes something else. Kim resends.
+		first := change(0, "ordinary")
+		_, err := client("token of kim", serve(f.handler)).Change(ctx, first)
+		Expect(err).NotTo(HaveOccurred())
+		f.voter.restart()
+		restarted := client("token of kim", serve(fixtureOf(f.voter).handler))
+		second := registrar.Change{ID: "second", Expected: 1, Declarations: declarations("peak"), Preset: "peak"}
+		Expect(restarted.Change(ctx, second)).To(Equal(registrar.Answer{Revision: 2}))
+		Expect(restarted.Change(ctx, first)).To(Equal(registrar.Answer{Revision: 1}))
+		Expect(f.inForce().Preset).To(Equal("peak"))
+		_, err = restarted.Change(ctx, registrar.Change{ID: "second", Expected: 1, Preset: "peak"})
+		Expect(err).To(MatchError(ContainSubstring(`the change id "second" was used for another change`)))
+		Expect(errors.HasType(err, (*registrar.RefusedError)(nil))).To(BeTrue())
+	})
+
+	It("refuses a preset that nothing declares", func() {
+		c := client("token of kim", serve(f.handler))
+		_, err := c.Change(ctx, change(0, "ordinary"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.Change(ctx, registrar.Change{ID: "x", Expected: 1, Preset: "night"})
+		Expect(err).To(Equal(&registrar.RefusedError{Reason: `preset "night" is none of the declared ones ["ordinary"]`}))
 	})
 
 	DescribeTable("stays unknown after a lost answer unless an instance knows better",
@@ -87,13 +116,14 @@
 		Entry("the next is down", func(*fixture) netip.AddrPort { return closedAddress() }),
 		Entry("the next has no quorum", func(*fixture) netip.AddrPort {
 			other := newFixture()
-			other.register.failure = &registrar.UnavailableError{Reason: "no quorum"}
+			other.voter.failure = errNoQuorum
 			return serve(other.handler)
 		}),
 		Entry("the next refuses what it is too old to know", func(*fixture) netip.AddrPort {
-			other := newFixture()
-			other.register.failure = &registrar.RefusedError{Reason: "format 2"}
-			return serve(other.handler)
+			return serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				r.Body = io.NopCloser(strings.NewReader(`{"new-key": 1}`))
+				newFixture().handler.ServeHTTP(w, r)
+			}))
 		}),
 		Entry("the next knows other tokens", func(f *fixture) netip.AddrPort {
 			return serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -122,21 +152,28 @@
 
 	It("carries each kind of refusal to the client", func() {
 		c := client("token of kim", serve(f.handler))
-		for _, failure := range []error{
-			&registrar.UnavailableError{Reason: "no quorum", RetryAfter: 2 * time.Second},
-			&registrar.RefusedError{Reason: "preset x is not declared"},
-		} {
-			f.register.failure = failure
-			_, err := c.Change(ctx, change(0, "ordinary"))
-			Expect(err).To(Equal(failure))
-		}
-		f.register.failure = errors.New("the leader went away")
+		f.voter.failure = errNoQuorum
 		_, err := c.Change(ctx, change(0, "ordinary"))
+		Expect(err).To(Equal(&registrar.UnavailableError{Reason: "no quorum", RetryAfter: 2 * time.Second}))
+		f.voter.failure = errLeaderLost
+		_, err = c.Change(ctx, change(0, "ordinary"))
 		Expect(errors.HasType(err, (*registrar.UnknownError)(nil))).To(BeTrue())
 		Expect(err).To(MatchError(ContainSubstring("the leader went away")))
 	})
 })
 
+var _ = Describe("Replicated", func() {
+	It("calls a result that is no answer to the change neither accepted nor refused", func() {
+		r := registrar.NewReplicated(registrar.ReplicatedOptions{
+			Propose: func(context.Context, []byte) (registry.Result, error) { return registry.Result{}, nil },
+		})
+		_, err := r.Change(ctx, change(0, "ordinary"))
+		Expect(err).To(MatchError(ContainSubstring("holds no answer")))
+		Expect(errors.HasType(err, (*registrar.RefusedError)(nil))).To(BeFalse())
+		Expect(errors.HasType(err, (*registrar.UnavailableError)(nil))).To(BeFalse())
+	})
+})
+
 var _ = Describe("ChangeID", func() {
 	It("is equal for equal changes only", func() {
 		ids := map[string]bool{
@@ -168,7 +205,7 @@
 			Expect(answer.Code).To(Equal(status))
 			Expect(answer.Header().Get(outcome.Header)).To(Equal("not-run"))
 			Expect(answer.Body.String()).To(ContainSubstring(message))
-			Expect(f.register.InForce(noon).Revision).To(BeZero())
+			Expect(f.inForce().Revision).To(BeZero())
 		},
 		Entry("no JSON", "{", 400, "the body is no change"),
 		Entry("bytes that are no UTF-8", "\xff\xfe", 400, "the body is no change"),
@@ -196,7 +233,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		defer answer.Body.Close()
 		Expect(answer.StatusCode).To(Equal(http.StatusBadRequest))
-		Expect(f.register.InForce(noon).Revision).To(BeZero())
+		Expect(f.inForce().Revision).To(BeZero())
 	})
 
 	It("does nothing for whoever shows no operators' token, and logs none", func() {
@@ -212,7 +249,7 @@
 			_, err = c.Drain(ctx)
 			Expect(err).To(MatchError(registrar.ErrUnauthorized))
 		}
-		Expect(f.register.InForce(noon).Revision).To(BeZero())
+		Expect(f.inForce().Revision).To(BeZero())
 		Expect(f.house.drained).To(BeEmpty())
 		_, err := client("token of kim", address).Change(ctx, change(0, "ordinary"))
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/registrar/wire.go
+++ b/internal/registrar/wire.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
 const (
@@ -63,10 +64,8 @@
 }
 
 type conflict struct {
-	Revision uint64 `json:"revision"`
-	ChangeID string `json:"change-id"`
-	By       string `json:"by"`
-	Summary  string `json:"summary"`
+	Revision uint64             `json:"revision"`
+	Since    []registry.Applied `json:"since,omitempty"`
 }
 
 type findingReply struct {
