clerk: run a replica of the log with a disk, peers and a state machine

Change: Clerk owns a member in one goroutine. While one sync runs, proposals gather for the next. Propose goes to whichever replica leads, and tells not accepted from unknown. Follow feeds readers without a disk. Close hands over first. jury.Failed takes a cause, so that a command that cannot be carried out stops a replica as a failed disk does.

Two faults were found by its tests: a failed leader's refusal, which a follower passed on as final, is now a passing one; and a mark of cockroachdb/errors was not seen by the standard errors.Is, so that the unknown outcome is a type.

--- a/internal/jury/action.go
+++ b/internal/jury/action.go
@@ -80,7 +80,24 @@
 func (SteppedDown) action()  {}
 func (Answer) action()       {}
 
-// The refusals of an Answer.
+// FailedError is the refusal of a member that takes no further part.
+type FailedError struct {
+	// Cause is that of the Failed event.
+	Cause error
+}
+
+// Error returns the cause.
+func (e *FailedError) Error() string {
+	return "jury: the member has failed: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *FailedError) Unwrap() error {
+	return e.Cause
+}
+
+// The refusals of an Answer, besides FailedError and explanations of a change of
+// voters.
 var (
 	// ErrNotLeader means that the member does not lead.
 	ErrNotLeader = errors.New("jury: not the leader")
@@ -90,8 +107,6 @@
 	ErrTransferring = errors.New("jury: the leader is handing over")
 	// ErrOverloaded means that too many entries are uncommitted.
 	ErrOverloaded = errors.New("jury: too many entries are uncommitted")
-	// ErrDiskFailed means that the member's disk failed.
-	ErrDiskFailed = errors.New("jury: the disk failed")
 	// ErrChangePending means that the leader has not yet committed an entry of
 	// its term or the last change of voters.
 	ErrChangePending = errors.New("jury: an earlier change is not committed yet")
--- a/internal/jury/event.go
+++ b/internal/jury/event.go
@@ -1,7 +1,7 @@
 package jury
 
 // Event is what a Member handles. It is one of Tick, Receive, Propose, Synced,
-// Compact, ChangeVoters, TransferLeadership, Bootstrap and DiskFailed.
+// Compact, ChangeVoters, TransferLeadership, Bootstrap and Failed.
 type Event interface {
 	event()
 }
@@ -68,9 +68,13 @@
 	Data []byte
 }
 
-// DiskFailed reports that a write or sync failed, or that the disk is full. The
-// member takes no further part until its process starts anew.
-type DiskFailed struct{}
+// Failed reports that the driver cannot go on: a write or sync failed, the disk
+// is full, or the state machine could not apply an entry. The member takes no
+// further part until its process starts anew.
+type Failed struct {
+	// Cause must not be nil.
+	Cause error
+}
 
 func (Tick) event()               {}
 func (Receive) event()            {}
@@ -80,4 +84,4 @@
 func (ChangeVoters) event()       {}
 func (TransferLeadership) event() {}
 func (Bootstrap) event()          {}
-func (DiskFailed) event()         {}
+func (Failed) event()             {}
--- a/internal/jury/member.go
+++ b/internal/jury/member.go
@@ -135,8 +135,8 @@
 		m.transferLeadership(now, e)
 	case Bootstrap:
 		m.bootstrap(now, e)
-	case DiskFailed:
-		m.fail(ErrDiskFailed)
+	case Failed:
+		m.fail(&FailedError{Cause: e.Cause})
 	}
 	m.settle(now)
 	return m.out
@@ -175,7 +175,7 @@
 		m.out = append(m.out, Answer{ID: e.ID, Refusal: m.failure})
 	case Bootstrap:
 		m.out = append(m.out, Answer{ID: e.ID, Refusal: m.failure})
-	case Tick, Receive, Synced, Compact, DiskFailed:
+	case Tick, Receive, Synced, Compact, Failed:
 	}
 }
 
