chamber: an instance's part in the replicated state

Cause: clerk, registry and archive had no driver. Bootstrap needs every voter blank, so that one in place of a replacement does no harm. Ruled out: following the whole log on every instance (bytes and memory grow with claims at 330 nodes).

--- /dev/null
+++ b/internal/chamber/answers.go
@@ -0,0 +1,127 @@
+package chamber
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/clerk"
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/docket"
+	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/registry"
+)
+
+// This file is what a Voter answers to other instances (courier.Control) and
+// how its replica reaches them (clerk.Courier).
+
+// control answers the calls of other instances to a Voter.
+type control struct {
+	voter *Voter
+}
+
+// Control returns what answers other instances' calls.
+func (v *Voter) Control() courier.Control {
+	return control{v}
+}
+
+// Deliver takes in a message of another replica. One that is dropped is sent
+// again where it matters.
+func (c control) Deliver(message jury.Message) {
+	c.voter.clerk.Deliver(message)
+}
+
+// ProposeHere has command carried out if this voter leads.
+func (c control) ProposeHere(ctx context.Context, command []byte) courier.Proposed {
+	return proposedOf(c.voter.clerk.ProposeHere(ctx, command))
+}
+
+// Propose has command carried out by whichever voter leads.
+func (c control) Propose(ctx context.Context, command []byte) courier.Proposed {
+	return proposedOf(c.voter.clerk.Propose(ctx, command))
+}
+
+// Configuration returns what is in force, if it is newer than have.
+func (c control) Configuration(have registry.Revision) courier.Configuration {
+	// Freshness is read first: what it covers is in the view that is read after.
+	asOf, confirmed := c.voter.clerk.Freshness()
+	answer := courier.Configuration{
+		Cluster:   c.voter.clerk.Status().Cluster,
+		Confirmed: confirmed,
+	}
+	if confirmed {
+		answer.Age = max(0, c.voter.options.Now().Sub(asOf))
+	}
+	if view := c.voter.registry.View(); view.Revision > have {
+		answer.View = view
+	}
+	return answer
+}
+
+// Lookup returns what is recorded of a request.
+func (c control) Lookup(ctx context.Context, key docket.Key) courier.Recorded {
+	answer, err := c.voter.Lookup(ctx, key)
+	return courier.Recorded{Known: err == nil, Answer: answer}
+}
+
+func proposedOf(result []byte, err error) courier.Proposed {
+	if err == nil {
+		return courier.Proposed{Fate: courier.FateCarriedOut, Result: result}
+	}
+	var refused *clerk.NotAcceptedError
+	if errors.As(err, &refused) {
+		return courier.Proposed{
+			Fate:    courier.FateNotAccepted,
+			Leader:  refused.Leader,
+			Passing: refused.Passing,
+			Reason:  err.Error(),
+		}
+	}
+	return courier.Proposed{Fate: courier.FateUnknown, Reason: err.Error()}
+}
+
+// address returns the inner address of the instance that a replica runs on.
+func (v *Voter) address(identity jury.Identity) (string, error) {
+	for _, voter := range v.options.Voters {
+		if voter.Name == identity.Instance() {
+			return voter.InnerAddress, nil
+		}
+	}
+	return "", errors.Newf("chamber: the settings name no voter %q", identity.Instance())
+}
+
+// Deliver hands a message to the replica that it is for.
+func (v *Voter) Deliver(ctx context.Context, message jury.Message) error {
+	address, err := v.address(message.To)
+	if err != nil {
+		return err
+	}
+	pool := v.options.Heartbeats
+	switch message.Body.(type) {
+	case jury.Append, jury.InstallRequest:
+		pool = v.options.Entries
+	default:
+	}
+	return pool.Deliver(ctx, address, message)
+}
+
+// Forward has another replica propose command.
+func (v *Voter) Forward(ctx context.Context, to jury.Identity, command []byte) ([]byte, error) {
+	address, err := v.address(to)
+	if err != nil {
+		return nil, &clerk.NotAcceptedError{Passing: true, Cause: err}
+	}
+	proposed := v.options.Calls.Propose(ctx, address, command, true)
+	switch proposed.Fate {
+	case courier.FateCarriedOut:
+		return proposed.Result, nil
+	case courier.FateNotAccepted:
+		return nil, &clerk.NotAcceptedError{
+			Leader:  proposed.Leader,
+			Passing: proposed.Passing,
+			Cause:   errors.New(proposed.Reason),
+		}
+	default:
+		return nil, &clerk.UnknownError{Cause: errors.New(proposed.Reason)}
+	}
+}
--- /dev/null
+++ b/internal/chamber/bootstrap.go
@@ -0,0 +1,124 @@
+package chamber
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/registry"
+)
+
+// clusterIDBytes makes two clusters of one name as good as impossible.
+const clusterIDBytes = 8
+
+// Founding returns what a bootstrap must know of this voter.
+func (c control) Founding() courier.Founding {
+	status := c.voter.clerk.Status()
+	founding := courier.Founding{Identity: c.voter.identity, Cluster: status.Cluster}
+	if status.Cluster != "" && status.Last == bootstrapIndex {
+		founding.Charter = courier.Charter{Cluster: status.Cluster, Voters: status.Voters}
+	}
+	return founding
+}
+
+// bootstrapIndex is the index of the state that a cluster begins with.
+const bootstrapIndex = 1
+
+// Bootstrap makes this blank voter one of a new cluster.
+func (c control) Bootstrap(ctx context.Context, charter courier.Charter) error {
+	return c.voter.clerk.Bootstrap(ctx, charter.Cluster, charter.Voters, charter.Data)
+}
+
+// Bootstrap founds the cluster of all voters that the settings name. Every one
+// of them must answer and be blank, or hold the charter of an earlier bootstrap
+// that was cut off. If one does not, Bootstrap changes nothing and returns a
+// *finding.Error that names each.
+//
+// A voter that lost its disk is blank too, but the others are not: a bootstrap
+// in the place of a replacement is refused and does no harm. Only when all disks
+// are lost does it found a new cluster, and whoever knew the old one refuses to
+// follow it until it is restarted.
+func (v *Voter) Bootstrap(ctx context.Context) error {
+	foundings, err := v.foundings(ctx)
+	if err != nil {
+		return err
+	}
+	charter, err := charterOf(foundings)
+	if err != nil {
+		return err
+	}
+	for _, voter := range v.options.Voters {
+		if err := v.options.Calls.Bootstrap(ctx, voter.InnerAddress, charter); err != nil {
+			return errors.Wrapf(err, "chamber: voter %s; run the bootstrap again", voter.Name)
+		}
+	}
+	return v.Control().Bootstrap(ctx, charter)
+}
+
+// foundings asks all voters, this one included.
+func (v *Voter) foundings(ctx context.Context) ([]courier.Founding, error) {
+	var findings finding.List
+	foundings := []courier.Founding{v.Control().Founding()}
+	for _, voter := range v.options.Voters {
+		founding, err := v.options.Calls.Founding(ctx, voter.InnerAddress)
+		if err != nil {
+			findings.Add(finding.Place{File: voter.Name}, err.Error(), "start this voter before the bootstrap")
+			continue
+		}
+		foundings = append(foundings, founding)
+	}
+	return foundings, findings.Err()
+}
+
+// charterOf returns the charter for voters that told what they hold.
+func charterOf(foundings []courier.Founding) (courier.Charter, error) {
+	var findings finding.List
+	charter := courier.Charter{}
+	identities := make([]jury.Identity, 0, len(foundings))
+	for _, founding := range foundings {
+		identities = append(identities, founding.Identity)
+		if founding.Cluster == "" {
+			continue
+		}
+		place := finding.Place{File: founding.Identity.Instance()}
+		switch {
+		case founding.Charter.Cluster == "":
+			findings.Add(place, "this voter is at work in cluster "+founding.Cluster,
+				"to bring back a voter that lost its disk, replace it; do not bootstrap")
+		case charter.Cluster != "" && charter.Cluster != founding.Cluster:
+			findings.Add(place, "this voter was founded in another cluster, "+founding.Cluster,
+				"stop it and remove its data folder, unless the others are the wrong ones")
+		default:
+			charter = founding.Charter
+		}
+	}
+	slices.Sort(identities)
+	if charter.Cluster != "" && !slices.Equal(charter.Voters, identities) {
+		findings.Add(finding.Place{File: charter.Cluster}, "the cluster was founded for other voters",
+			"start the voters that it was founded for")
+	}
+	if err := findings.Err(); err != nil {
+		return courier.Charter{}, err
+	}
+	return complete(charter, identities)
+}
+
+// complete fills in what a charter lacks. Two bootstraps that run at once draw
+// two names, so that no voter of one joins the other.
+func complete(charter courier.Charter, identities []jury.Identity) (courier.Charter, error) {
+	if charter.Cluster == "" {
+		var id [clusterIDBytes]byte
+		rand.Read(id[:])
+		charter.Cluster = hex.EncodeToString(id[:])
+	}
+	charter.Voters = identities
+	data, err := registry.New().Snapshot()
+	charter.Data = data
+	return charter, err
+}
--- /dev/null
+++ b/internal/chamber/voter.go
@@ -0,0 +1,260 @@
+package chamber
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/archive"
+	"github.com/lovagelift/lovagelift/internal/clerk"
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/docket"
+	"github.com/lovagelift/lovagelift/internal/gazette"
+	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/registry"
+)
+
+// VoterOptions is what a Voter needs beside Options.
+type VoterOptions struct {
+	Options
+	// Folder is the data folder.
+	Folder string
+	// Heartbeats carries what must not wait behind entries and snapshots, and
+	// Entries the rest, each on connections of its own.
+	Heartbeats *courier.Pool
+	Entries    *courier.Pool
+	// Heartbeat, ElectionTimeout, ClockDrift and OrderFlight are those of
+	// jury.Options.
+	Heartbeat       time.Duration
+	ElectionTimeout time.Duration
+	ClockDrift      float64
+	OrderFlight     time.Duration
+	// Identities returns the identities of all voters that are known of.
+	Identities func() []jury.Identity
+	// Docket bounds the idempotency records.
+	Docket docket.Limits
+}
+
+// Voter is the part of an instance that is a voter: a replica of the log.
+type Voter struct {
+	options  VoterOptions
+	identity jury.Identity
+	gazette  *gazette.Gazette
+	registry *registry.Registry
+	archive  *archive.Archive
+	clerk    *clerk.Clerk
+	ticker   *time.Ticker
+
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// heartbeatTicks is how many ticks the clock of the protocol makes in one
+// heartbeat.
+const heartbeatTicks = 4
+
+// NewVoter opens the data folder and starts the replica. If the folder is
+// damaged or held by another process, NewVoter returns an error that says what
+// to do.
+func NewVoter(options VoterOptions) (*Voter, error) {
+	store, loaded, err := archive.Open(archive.Options{Folder: options.Folder})
+	if err != nil {
+		return nil, err
+	}
+	v := &Voter{
+		options:  options,
+		identity: jury.Identity(fmt.Sprintf("%s/%016x", options.Self, loaded.Number)),
+		gazette:  gazette.New(),
+		registry: registry.New(),
+		archive:  store,
+		ticker:   time.NewTicker(options.Heartbeat / heartbeatTicks),
+	}
+	v.clerk, err = clerk.New(clerk.Options{
+		Member: jury.Options{
+			Self:            v.identity,
+			Seed:            rand.Uint64(),
+			Heartbeat:       options.Heartbeat,
+			ElectionTimeout: options.ElectionTimeout,
+			ClockDrift:      options.ClockDrift,
+			OrderFlight:     options.OrderFlight,
+		},
+		State: jury.State{
+			HardState: loaded.HardState,
+			Snapshot:  loaded.Snapshot,
+			Entries:   loaded.Entries,
+		},
+		Store:   store,
+		Courier: v,
+		Machine: machine{v},
+		Peers:   options.Identities,
+		Now:     options.Now,
+		Ticks:   v.ticker.C,
+		Log:     options.Log,
+	})
+	if err != nil {
+		v.ticker.Stop()
+		return nil, errors.CombineErrors(err, store.Close())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	v.stop = cancel
+	v.done.Go(func() { v.keepDocket(ctx) })
+	return v, nil
+}
+
+// machine is the replicated state machine of a Voter.
+type machine struct {
+	voter *Voter
+}
+
+// Apply carries out a command and publishes the configuration that it made.
+func (m machine) Apply(index jury.Index, command []byte) ([]byte, error) {
+	result, err := m.voter.registry.Apply(index, command)
+	if err != nil {
+		return nil, err
+	}
+	if err := m.voter.gazette.Publish(m.voter.registry.View()); err != nil {
+		return nil, err
+	}
+	return result.Encode(), nil
+}
+
+// Snapshot returns the whole state.
+func (m machine) Snapshot() ([]byte, error) {
+	return m.voter.registry.Snapshot()
+}
+
+// Restore takes over a whole state and publishes its configuration.
+func (m machine) Restore(data []byte) error {
+	if err := m.voter.registry.Restore(data); err != nil {
+		return err
+	}
+	return m.voter.gazette.Publish(m.voter.registry.View())
+}
+
+// Gazette returns what holds the configuration in force.
+func (v *Voter) Gazette() *gazette.Gazette {
+	return v.gazette
+}
+
+// Identity returns the voter's identity.
+func (v *Voter) Identity() jury.Identity {
+	return v.identity
+}
+
+// Leader returns the leader that the voter follows, and its term.
+func (v *Voter) Leader() (jury.Identity, jury.Term) {
+	status := v.clerk.Status()
+	if status.Leader == "" {
+		return "", 0
+	}
+	return status.Leader, status.Term
+}
+
+// OrderRight is that of clerk.Clerk.
+func (v *Voter) OrderRight(now time.Time) (term jury.Term, until time.Time, ok bool) {
+	return v.clerk.OrderRight(now)
+}
+
+// Clerk returns the replica, for the change of voters.
+func (v *Voter) Clerk() *clerk.Clerk {
+	return v.clerk
+}
+
+// Fresh tells whether the voter holds its configuration lease.
+func (v *Voter) Fresh(now time.Time) bool {
+	asOf, ok := v.clerk.Freshness()
+	return ok && now.Sub(asOf) < v.options.Lease
+}
+
+// Close hands over a leadership and closes the data folder.
+func (v *Voter) Close(ctx context.Context) {
+	v.stop()
+	v.done.Wait()
+	v.clerk.Close(ctx)
+	v.ticker.Stop()
+	if err := v.archive.Close(); err != nil {
+		v.options.Log.Error().Err(err).Msg("data folder not closed")
+	}
+}
+
+// keepDocket moves the docket's clock on while this voter leads.
+func (v *Voter) keepDocket(ctx context.Context) {
+	ticker := time.NewTicker(v.options.Docket.MaxStep / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if v.clerk.Leader() != v.identity {
+			continue
+		}
+		expire := docket.Expire{Now: v.options.Now(), Limits: v.options.Docket}
+		tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
+		if _, err := v.Propose(tryCtx, expire); err != nil {
+			v.options.Log.Warn().Err(err).Msg("idempotency records not aged")
+		}
+		cancel()
+	}
+}
+
+// Propose has command carried out by whichever voter leads.
+//
+// Commands carry an idempotent identity, so one whose fate is open is proposed
+// again until ctx ends, and counts once.
+func (v *Voter) Propose(ctx context.Context, command registry.Command) (registry.Result, error) {
+	data, err := registry.Encode(command)
+	if err != nil {
+		return registry.Result{}, errors.Mark(err, ErrNotAccepted)
+	}
+	open := false
+	for {
+		tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
+		result, err := v.clerk.Propose(tryCtx, data)
+		cancel()
+		if err == nil {
+			return registry.DecodeResult(result)
+		}
+		proposed := proposedOf(nil, err)
+		open = open || proposed.Fate == courier.FateUnknown
+		if !open && !proposed.Passing {
+			return registry.Result{}, errorOf(proposed)
+		}
+		if !wait(ctx, retryEvery) {
+			if open {
+				proposed.Fate = courier.FateUnknown
+			}
+			return registry.Result{}, errorOf(proposed)
+		}
+	}
+}
+
+// Lookup waits until the voter is known to be up to date as of now.
+func (v *Voter) Lookup(ctx context.Context, key docket.Key) (docket.Answer, error) {
+	if !v.awaitFresh(ctx, v.options.Now()) {
+		return docket.Answer{}, errors.New("chamber: the voter could not confirm that it is up to date")
+	}
+	return v.registry.Lookup(key), nil
+}
+
+// freshPoll is how often a look-up asks whether the replica is up to date. A
+// heartbeat confirms it.
+const freshPoll = 5 * time.Millisecond
+
+// awaitFresh waits until the replica has all that was committed at from.
+func (v *Voter) awaitFresh(ctx context.Context, from time.Time) bool {
+	for {
+		asOf, ok := v.clerk.Freshness()
+		if ok && !asOf.Before(from) {
+			return true
+		}
+		if !wait(ctx, freshPoll) {
+			return false
+		}
+	}
+}
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -26,12 +26,28 @@
 	closed  bool
 }
 
+// errNotSent marks the error of a call of which nothing was sent.
+var errNotSent = errors.New("courier: the call was not sent")
+
+// isNotSent reports whether nothing of a call was sent.
+func isNotSent(err error) bool {
+	return errors.Is(err, errNotSent)
+}
+
 // NewPool returns a Pool whose calls are given up after timeout, connecting
-// included.
+// included, unless their context has a deadline of its own.
 func NewPool(dial Dial, timeout time.Duration) *Pool {
 	return &Pool{dial: dial, timeout: timeout, clients: map[string]*rpc.Client{}}
 }
 
+// remaining returns how long a call under ctx may take.
+func (p *Pool) remaining(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return time.Until(deadline)
+	}
+	return p.timeout
+}
+
 // Call calls method at address and waits for the reply. If ctx ends or the
 // pool's timeout passes before, Call returns an error and the callee may or may
 // not have run the call.
@@ -40,11 +56,11 @@
 // ends may have lost track of it: it would stay silent for good while new
 // connections work, and every later call on it would time out as well.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	ctx, cancel := context.WithTimeout(ctx, p.remaining(ctx))
 	defer cancel()
 	client, err := p.client(ctx, address)
 	if err != nil {
-		return errors.Wrapf(err, "courier: connecting to %s", address)
+		return errors.Mark(errors.Wrapf(err, "courier: connecting to %s", address), errNotSent)
 	}
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
@@ -82,6 +98,10 @@
 	if ok {
 		return client, nil
 	}
+	// A host that is gone answers nothing: connecting must not take all the time
+	// that a long call has.
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
 	conn, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
