--- a/internal/arrivals/arrivals.go
+++ b/internal/arrivals/arrivals.go
@@ -2,7 +2,6 @@
 package arrivals
 
 import (
-	"crypto/subtle"
 	"io"
 	"net/http"
 	"strings"
@@ -35,8 +34,8 @@
 // Options configures the handlers.
 type Options struct {
 	Instance Instance
-	// Token is what upstreams must show. If it is empty, none is asked for.
-	Token string
+	// Holder returns the name of the upstream who holds a token.
+	Holder func(token string) (string, bool)
 	// Now returns the present time.
 	Now func() time.Time
 	Log zerolog.Logger
@@ -65,11 +64,8 @@
 
 func (a *Arrivals) checkToken(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if a.options.Token == "" {
-			return next(c)
-		}
 		shown := strings.TrimPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(shown), []byte(a.options.Token)) != 1 {
+		if _, ok := a.options.Holder(shown); !ok {
 			return a.refuse(c, http.StatusUnauthorized, "", "the upstreams' token is missing or wrong")
 		}
 		return next(c)
--- a/internal/arrivals/arrivals_test.go
+++ b/internal/arrivals/arrivals_test.go
@@ -48,7 +48,7 @@
 		held = members{roster.New(roster.Options{Self: "one", Incarnation: 1, Lease: lease})}
 		handler = arrivals.New(arrivals.Options{
 			Instance: held,
-			Token:    "secret",
+			Holder:   func(token string) (string, bool) { return "engine", token == "secret" },
 			Now:      func() time.Time { return now },
 			Log:      zerolog.Nop(),
 		})
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -4,21 +4,32 @@
 	"context"
 	"fmt"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/finding"
 	"github.com/lovagelift/lovagelift/internal/host"
 )
 
 func newServe() command {
 	var options host.Options
 	flags := newSubcommand("serve", "runs one instance until it is interrupted", "lovagelift serve --example")
+	flags.String(&options.SettingsPath, "", "settings", "TOML file of the instance's settings")
 	flags.Bool(&options.Example, "", "example", "run one instance with a built-in engine and service")
 	flags.String(&options.CallerAddress, "", "caller-address", "IP:port for callers instead of 127.0.0.1:7600")
 	run := func(ctx context.Context, streams Streams) int {
-		if !options.Example {
-			fmt.Fprintln(streams.Err, "command: serve needs --example")
+		if options.Example == (options.SettingsPath != "") {
+			fmt.Fprintln(streams.Err, "command: serve needs either --example or --settings")
 			return ExitBadInput
 		}
 		options.Log = streams.Err
-		if err := host.Run(ctx, options); err != nil {
+		options.Version = Version
+		err := host.Run(ctx, options)
+		var findings *finding.Error
+		switch {
+		case errors.As(err, &findings):
+			fmt.Fprintln(streams.Err, err)
+			return ExitBadInput
+		case err != nil:
 			fmt.Fprintln(streams.Err, err)
 			return ExitFailed
 		}
--- a/internal/host/example.go
+++ b/internal/host/example.go
@@ -4,23 +4,26 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/instance"
+	"github.com/lovagelift/lovagelift/internal/settings"
 	"github.com/lovagelift/lovagelift/internal/standin"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // The example's addresses and names.
 const (
-	exampleCallerAddress = "127.0.0.1:7600"
-	exampleAnyPort       = "127.0.0.1:0"
-	exampleDomain        = "example"
-	exampleModel         = "example-model"
-	exampleService       = "seat-check"
+	exampleName    = "example"
+	exampleAnyPort = "127.0.0.1:0"
+	exampleDomain  = "example"
+	exampleModel   = "example-model"
+	exampleService = "seat-check"
 )
 
 // The example's engine is as fast as a small model on one accelerator.
@@ -41,45 +44,79 @@
 	servers  []*http.Server
 }
 
-// newExample starts the example. Its state is gone when it ends.
-func newExample(ctx context.Context, address string, log zerolog.Logger) (*example, error) {
-	if address == "" {
-		address = exampleCallerAddress
-	}
-	callers, err := listen(ctx, address)
+// runExample serves the example until ctx ends.
+func runExample(ctx context.Context, options Options) error {
+	folder, err := os.MkdirTemp("", "lovagelift-example-")
 	if err != nil {
-		return nil, err
+		return errors.Wrap(err, "host: the example's data folder")
 	}
-	upstreams, err := listen(ctx, exampleAnyPort)
+	defer os.RemoveAll(folder)
+	set, err := exampleSettings(options.CallerAddress, folder)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	inner, err := listen(ctx, exampleAnyPort)
+	log := newLog(options.Log, set)
+	running, err := newExample(ctx, set, options.Version, log)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	e := &example{}
-	e.instance, err = instance.New(instance.Options{
-		Name:             "example",
-		FailureDomain:    exampleDomain,
-		CallerListener:   callers,
-		UpstreamListener: upstreams,
-		InnerListener:    inner,
-		Log:              log,
-	})
-	if err != nil {
-		return nil, err
+	log.Info().Stringer("caller-address", set.Advertise.Caller).Str("model", exampleModel).Msg("example serves")
+	select {
+	case <-ctx.Done():
+	case <-running.instance.DrainAsked():
 	}
-	announce := standin.AnnounceOptions{To: []string{upstreams.Addr().String()}}
-	if err := e.startEngine(ctx, announce, log); err != nil {
+	running.stop(log)
+	return nil
+}
+
+// exampleSettings are those of one instance that is the only voter.
+func exampleSettings(callerAddress, folder string) (settings.Settings, error) {
+	set := settings.Default()
+	set.Name = exampleName
+	set.FailureDomain = exampleDomain
+	set.Voter = true
+	set.DataFolder = folder
+	anyPort := netip.MustParseAddrPort(exampleAnyPort)
+	if callerAddress != "" {
+		address, err := netip.ParseAddrPort(callerAddress)
+		if err != nil {
+			return set, errors.Wrap(err, "host: the example's caller address")
+		}
+		// Another port for callers means that the usual ones may be taken.
+		set.Listen = settings.Addresses{Caller: address, Upstream: anyPort, Operator: anyPort, Inner: anyPort}
+	}
+	set.Advertise = set.Listen
+	return set, nil
+}
+
+// newExample starts the example. Its state is gone when it ends.
+func newExample(
+	ctx context.Context, set settings.Settings, version string, log zerolog.Logger,
+) (*example, error) {
+	running, err := start(ctx, set, version, log)
+	if err != nil {
 		return nil, err
 	}
-	if err := e.startService(ctx, announce, log); err != nil {
+	e := &example{instance: running}
+	if err := e.open(ctx, log); err != nil {
+		e.stop(log)
 		return nil, err
 	}
 	return e, nil
 }
 
+// open founds the cluster and starts the stand-ins.
+func (e *example) open(ctx context.Context, log zerolog.Logger) error {
+	if err := e.instance.Bootstrap(ctx); err != nil {
+		return err
+	}
+	announce := standin.AnnounceOptions{To: []string{e.instance.UpstreamAddress()}}
+	if err := e.startEngine(ctx, announce, log); err != nil {
+		return err
+	}
+	return e.startService(ctx, announce, log)
+}
+
 func (e *example) startEngine(ctx context.Context, announce standin.AnnounceOptions, log zerolog.Logger) error {
 	listener, err := listen(ctx, exampleAnyPort)
 	if err != nil {
@@ -130,24 +167,22 @@
 	}()
 }
 
-// stop drains the instance and ends the stand-ins.
+// stop ends the stand-ins and the instance.
 func (e *example) stop(log zerolog.Logger) {
 	ctx, cancel := context.WithTimeout(context.Background(), exampleStopTime)
 	defer cancel()
-	if err := e.engine.Close(ctx); err != nil {
-		log.Warn().Err(err).Msg("engine not taken off")
+	if e.engine != nil {
+		if err := e.engine.Close(ctx); err != nil {
+			log.Warn().Err(err).Msg("engine not taken off")
+		}
 	}
-	if err := e.service.Close(ctx); err != nil {
-		log.Warn().Err(err).Msg("service not taken off")
+	if e.service != nil {
+		if err := e.service.Close(ctx); err != nil {
+			log.Warn().Err(err).Msg("service not taken off")
+		}
 	}
 	e.instance.Close()
 	for _, server := range e.servers {
 		server.Close()
 	}
 }
-
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	return listener, errors.Wrapf(err, "host: listening on %s", address)
-}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -5,29 +5,130 @@
 import (
 	"context"
 	"io"
+	"net"
+	"net/netip"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+
+	"github.com/lovagelift/lovagelift/internal/badge"
+	"github.com/lovagelift/lovagelift/internal/instance"
+	"github.com/lovagelift/lovagelift/internal/settings"
 )
 
 // Options configures Run.
 type Options struct {
-	// Example starts the built-in example instead of an instance from settings.
+	// SettingsPath is the TOML file of the instance's settings.
+	SettingsPath string
+	// Example starts the built-in example instead.
 	Example bool
-	// CallerAddress replaces the address for callers, if it is not empty.
+	// CallerAddress replaces the example's address for callers, if it is not
+	// empty.
 	CallerAddress string
+	// Version is the version of the program.
+	Version string
 	// Log receives JSON lines.
 	Log io.Writer
 }
 
-// Run serves until ctx ends, and then stops gracefully.
+// Run serves until ctx ends or an operator asks for a planned stop, and then
+// stops gracefully. If the settings are wrong, Run starts nothing and returns a
+// *finding.Error.
 func Run(ctx context.Context, options Options) error {
-	log := zerolog.New(options.Log).With().Timestamp().Logger()
-	running, err := newExample(ctx, options.CallerAddress, log)
+	if options.Example {
+		return runExample(ctx, options)
+	}
+	set, err := settings.Load(options.SettingsPath)
 	if err != nil {
 		return err
 	}
-	log.Info().Str("caller-address", exampleCallerAddress).Str("model", exampleModel).Msg("example serves")
-	<-ctx.Done()
-	running.stop(log)
-	return nil
+	log := newLog(options.Log, set)
+	running, err := start(ctx, set, options.Version, log)
+	if err != nil {
+		return err
+	}
+	log.Info().Str("caller-address", set.Advertise.Caller.String()).Msg("instance serves")
+	return serve(ctx, running, set)
+}
+
+// serve waits until it is time to stop, and drains.
+func serve(ctx context.Context, running *instance.Instance, set settings.Settings) error {
+	select {
+	case <-ctx.Done():
+	case <-running.DrainAsked():
+	}
+	return drain(running, set)
+}
+
+// drain stops the instance gracefully. A drain that takes longer than expected
+// goes on: it cuts off no request.
+func drain(running *instance.Instance, set settings.Settings) error {
+	expected, cancel := context.WithTimeout(context.Background(), drainFactor*set.Timing.DrainTime)
+	defer cancel()
+	return running.Drain(expected)
+}
+
+// drainFactor is how many drain times pass before a stop takes the requests that
+// are still open for lost. A caller's deadline has long passed by then.
+const drainFactor = 10
+
+func newLog(out io.Writer, set settings.Settings) zerolog.Logger {
+	level, err := zerolog.ParseLevel(string(set.LogLevel))
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	return zerolog.New(out).Level(level).With().Timestamp().Str("instance", set.Name).Logger()
+}
+
+// start opens the listeners and starts an instance on them. Addresses that name
+// no port get one.
+func start(
+	ctx context.Context, set settings.Settings, version string, log zerolog.Logger,
+) (*instance.Instance, error) {
+	options := instance.Options{Settings: set, Version: version, Log: log}
+	var err error
+	if options.Operators, err = book(set.Tokens.OperatorsFile); err != nil {
+		return nil, err
+	}
+	if options.Upstreams, err = book(set.Tokens.UpstreamsFile); err != nil {
+		return nil, err
+	}
+	advertise := &options.Settings.Advertise
+	for _, each := range []struct {
+		listen    netip.AddrPort
+		advertise *netip.AddrPort
+		listener  *net.Listener
+	}{
+		{set.Listen.Caller, &advertise.Caller, &options.Listeners.Caller},
+		{set.Listen.Upstream, &advertise.Upstream, &options.Listeners.Upstream},
+		{set.Listen.Operator, &advertise.Operator, &options.Listeners.Operator},
+		{set.Listen.Inner, &advertise.Inner, &options.Listeners.Inner},
+	} {
+		if *each.listener, err = listen(ctx, each.listen.String()); err != nil {
+			options.Listeners.Close()
+			return nil, err
+		}
+		if each.advertise.Port() == 0 {
+			*each.advertise = (*each.listener).Addr().(*net.TCPAddr).AddrPort()
+		}
+	}
+	return instance.New(options)
+}
+
+// book reads a file of tokens. If path is empty, book returns nil.
+func book(path string) (*badge.Book, error) {
+	if path == "" {
+		return nil, nil
+	}
+	read, err := badge.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	return &read, nil
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	return listener, errors.Wrapf(err, "host: listening on %s", address)
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -1,5 +1,6 @@
-// Package instance puts one instance together: its listeners, its roster and
-// the handlers of callers and upstreams (server process).
+// Package instance puts one instance together: its listeners, its roster, its
+// part in the replicated state, and the handlers of callers, upstreams and
+// operators (server process).
 package instance
 
 import (
@@ -10,173 +11,165 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/arrivals"
+	"github.com/lovagelift/lovagelift/internal/chamber"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/desk"
+	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
-// Peer is another instance, as this one's settings name it.
-type Peer struct {
-	Name         string
-	InnerAddress string
-}
-
-// Timing is the intervals of an instance. Zero values stand for DefaultTiming.
-type Timing struct {
-	// PullEvery is the time between pulls of the others' rosters.
-	PullEvery time.Duration
-	// MemberLease is how long an instance or upstream counts as alive after it
-	// was heard of.
-	MemberLease time.Duration
-	// RenewEvery is how often upstreams announce themselves again.
-	RenewEvery time.Duration
-	// KeepEntries is how long callers keep the addresses they were given.
-	KeepEntries time.Duration
-	// CallTimeout bounds one call between instances.
-	CallTimeout time.Duration
-	// HeaderTimeout bounds how long a caller may take to send its headers.
-	HeaderTimeout time.Duration
-	// BodyTimeout bounds how long a caller may take to send a whole request.
-	BodyTimeout time.Duration
-}
-
-// DefaultTiming is used for what Options leaves at zero. Three renewals fit
-// into a lease, so that one lost message loses nobody.
-var DefaultTiming = Timing{
-	PullEvery:     500 * time.Millisecond,
-	MemberLease:   3 * time.Second,
-	RenewEvery:    time.Second,
-	KeepEntries:   5 * time.Second,
-	CallTimeout:   time.Second,
-	HeaderTimeout: 5 * time.Second,
-	BodyTimeout:   30 * time.Second,
-}
-
-// Options configures an Instance.
-type Options struct {
-	Name          string
-	FailureDomain string
-	Voter         bool
-	// Listeners are open; the instance closes them.
-	CallerListener   net.Listener
-	UpstreamListener net.Listener
-	InnerListener    net.Listener
-	Peers            []Peer
-	// UpstreamToken is what upstreams must show, if it is not empty.
-	UpstreamToken string
-	Timing        Timing
-	Limits        desk.Limits
-	Log           zerolog.Logger
-	// Now returns the present time. Nil stands for time.Now.
-	Now func() time.Time
-}
-
 // Instance is one running instance. It is safe for concurrent use.
 type Instance struct {
-	options  Options
-	pool     *courier.Pool
-	inner    *courier.Server
-	shuttle  *shuttle.Shuttle
-	desk     *desk.Desk
-	callers  *http.Server
-	arrivals *http.Server
-
-	mu       sync.Mutex
-	roster   *roster.Roster
-	cursors  map[string]roster.Cursor
+	options     Options
+	incarnation uint64
+	pools       pools
+	inner       *courier.Server
+	chamber     chamber.Chamber
+	shuttle     *shuttle.Shuttle
+	desk        *desk.Desk
+	// callers, upstreams and operators serve the listeners of those names.
+	callers   *http.Server
+	upstreams *http.Server
+	operators *http.Server
+
+	mu      sync.Mutex
+	roster  *roster.Roster
+	cursors map[string]roster.Cursor
+	// draining is set at the start of a planned stop, refusing when callers have
+	// had the time to go elsewhere. refusing is never set without draining.
 	draining bool
 	refusing bool
+	// drainAsked is closed when an operator asks for a planned stop.
+	drainAsked chan struct{}
 
 	stop context.CancelFunc
 	done sync.WaitGroup
 }
 
-// New starts an instance. It answers callers until Drain or Close.
+// pools are the connections to other instances, by what must not wait for what.
+type pools struct {
+	rosters    *courier.Pool
+	calls      *courier.Pool
+	heartbeats *courier.Pool
+	entries    *courier.Pool
+}
+
+// New starts an instance. It answers callers until Drain or Close. If it can't
+// start, New closes the listeners and returns an error.
 func New(options Options) (*Instance, error) {
-	options.Timing = options.Timing.withDefaults()
 	if options.Now == nil {
 		options.Now = time.Now
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
-		options: options,
-		pool:    courier.NewPool(dialTCP, options.Timing.CallTimeout),
-		shuttle: shuttle.New(shuttle.Options{}),
-		cursors: map[string]roster.Cursor{},
-		stop:    cancel,
+		options:     options,
+		incarnation: uint64(options.Now().UnixNano()),
+		pools: pools{
+			rosters:    courier.NewPool(dialTCP, callTimeout),
+			calls:      courier.NewPool(dialTCP, callTimeout),
+			heartbeats: courier.NewPool(dialTCP, callTimeout),
+			entries:    courier.NewPool(dialTCP, callTimeout),
+		},
+		shuttle:    shuttle.New(shuttle.Options{}),
+		cursors:    map[string]roster.Cursor{},
+		drainAsked: make(chan struct{}),
+		stop:       cancel,
+	}
+	if err := i.join(); err != nil {
+		cancel()
+		options.Listeners.Close()
+		return nil, err
 	}
-	i.roster = roster.New(roster.Options{
-		Self:        options.Name,
-		Incarnation: uint64(options.Now().UnixNano()),
-		Static:      i.static(),
-		Lease:       options.Timing.MemberLease,
-	})
-	i.roster.Beat(options.Now(), roster.InstanceBeat{})
 	i.desk = desk.New(desk.Options{
 		Instance: i,
 		Shuttle:  i.shuttle,
 		Now:      options.Now,
 		Log:      options.Log,
-		Limits:   options.Limits,
+		Limits: desk.Limits{
+			BodyBytes: options.Settings.Limits.BodyBytes,
+			Deadline:  options.Settings.Goals.Deadline,
+		},
 	})
+	i.beatNow()
 	if err := i.listen(); err != nil {
-		cancel()
+		i.Close()
+		options.Listeners.Close()
 		return nil, err
 	}
-	for _, peer := range options.Peers {
+	for _, peer := range options.Settings.Instances {
 		i.done.Go(func() { i.pullFrom(ctx, peer) })
 	}
 	i.done.Go(func() { i.beat(ctx) })
 	return i, nil
 }
 
+// join starts this instance's part in the replicated state, and its roster,
+// which tells others of that part.
+func (i *Instance) join() error {
+	control, err := i.newChamber()
+	if err != nil {
+		return err
+	}
+	i.chamber = control
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.roster = roster.New(roster.Options{
+		Self:        i.options.Settings.Name,
+		Incarnation: i.incarnation,
+		Static:      i.static(),
+		Lease:       i.options.Settings.Timing.UpstreamLease,
+	})
+	return nil
+}
+
 func (i *Instance) listen() error {
-	inner, err := courier.NewServer(i.options.InnerListener, courier.Services{
+	services := courier.Services{
 		Roster: courier.NewRosterService(i.changes),
-	})
+		Others: map[string]any{},
+	}
+	if voter, ok := i.chamber.(*chamber.Voter); ok {
+		services.Others["Control"] = courier.NewControlService(voter.Control())
+	}
+	inner, err := courier.NewServer(i.options.Listeners.Inner, services)
 	if err != nil {
 		return errors.Wrap(err, "instance: inner listener")
 	}
 	i.inner = inner
-	i.callers = &http.Server{
-		Handler:           i.desk,
-		ReadHeaderTimeout: i.options.Timing.HeaderTimeout,
-		ReadTimeout:       i.options.Timing.BodyTimeout,
-	}
-	i.arrivals = &http.Server{
-		Handler: arrivals.New(arrivals.Options{
-			Instance: i,
-			Token:    i.options.UpstreamToken,
-			Now:      i.options.Now,
-			Log:      i.options.Log,
-		}),
-		ReadHeaderTimeout: i.options.Timing.HeaderTimeout,
-		ReadTimeout:       i.options.Timing.BodyTimeout,
-	}
-	i.done.Go(func() { i.serve("callers", i.callers, i.options.CallerListener) })
-	i.done.Go(func() { i.serve("upstreams", i.arrivals, i.options.UpstreamListener) })
+	i.callers = i.serve("callers", i.options.Listeners.Caller, i.desk)
+	i.upstreams = i.serve("upstreams", i.options.Listeners.Upstream, arrivals.New(arrivals.Options{
+		Instance: i,
+		Holder:   holder(i.options.Upstreams, "upstream"),
+		Now:      i.options.Now,
+		Log:      i.options.Log,
+	}))
+	i.operators = i.serve("operators", i.options.Listeners.Operator, registrar.New(registrar.Options{
+		Register: i.register(),
+		House:    house{i},
+		Holder:   holder(i.options.Operators, "operator"),
+		Now:      i.options.Now,
+		Log:      i.options.Log,
+	}))
 	return nil
 }
 
-func (i *Instance) serve(whom string, server *http.Server, listener net.Listener) {
-	err := server.Serve(listener)
-	if !errors.Is(err, http.ErrServerClosed) {
-		i.options.Log.Error().Err(err).Str("listener", whom).Msg("listener failed")
-	}
-}
-
-func (i *Instance) static() roster.InstanceStatic {
-	return roster.InstanceStatic{
-		CallerAddress:   i.options.CallerListener.Addr().String(),
-		UpstreamAddress: i.options.UpstreamListener.Addr().String(),
-		InnerAddress:    i.options.InnerListener.Addr().String(),
-		FailureDomain:   i.options.FailureDomain,
-		Voter:           i.options.Voter,
+func (i *Instance) serve(whom string, listener net.Listener, handler http.Handler) *http.Server {
+	limits := i.options.Settings.Limits
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: limits.HeaderTime,
+		ReadTimeout:       limits.HeaderTime + limits.BodyTime,
+		MaxHeaderBytes:    int(limits.HeaderBytes),
 	}
+	i.done.Go(func() {
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			i.options.Log.Error().Err(err).Str("listener", whom).Msg("listener failed")
+		}
+	})
+	return server
 }
 
 // Drain stops the instance gracefully: it cuts off no request.
@@ -192,7 +185,9 @@
 	i.beatLocked(i.options.Now())
 	i.mu.Unlock()
 	i.options.Log.Info().Msg("draining")
-	keep := time.NewTimer(i.options.Timing.KeepEntries + i.options.Timing.PullEvery)
+	// An answer with this instance in it may have been given up to one pull
+	// after the others could know.
+	keep := time.NewTimer(i.options.Settings.Timing.EntryTime + 2*pullEvery)
 	defer keep.Stop()
 	select {
 	case <-keep.C:
@@ -201,46 +196,46 @@
 	i.mu.Lock()
 	i.refusing = true
 	i.mu.Unlock()
-	i.callers.SetKeepAlivesEnabled(false)
 	// Shutdown stops listening before it waits, so no request can come in
 	// between the last answer and the close.
 	err := i.callers.Shutdown(ctx)
 	if err != nil {
 		err = errors.Wrapf(err, "instance: %d requests cut off", i.desk.Streams())
 	}
+	i.chamber.Close(ctx)
 	i.Close()
 	return err
 }
 
+// UpstreamAddress returns where upstreams announce themselves.
+func (i *Instance) UpstreamAddress() string {
+	return i.options.Settings.Advertise.Upstream.String()
+}
+
+// DrainAsked is closed when an operator asks for a planned stop.
+func (i *Instance) DrainAsked() <-chan struct{} {
+	return i.drainAsked
+}
+
 // Close stops the instance at once, cutting off requests in progress.
 func (i *Instance) Close() {
 	i.stop()
-	i.callers.Close()
-	i.arrivals.Close()
-	i.inner.Close()
-	i.pool.Close()
-	i.done.Wait()
-	i.shuttle.Close()
-}
-
-func (t Timing) withDefaults() Timing {
-	for _, interval := range []struct {
-		set *time.Duration
-		def time.Duration
-	}{
-		{&t.PullEvery, DefaultTiming.PullEvery},
-		{&t.MemberLease, DefaultTiming.MemberLease},
-		{&t.RenewEvery, DefaultTiming.RenewEvery},
-		{&t.KeepEntries, DefaultTiming.KeepEntries},
-		{&t.CallTimeout, DefaultTiming.CallTimeout},
-		{&t.HeaderTimeout, DefaultTiming.HeaderTimeout},
-		{&t.BodyTimeout, DefaultTiming.BodyTimeout},
-	} {
-		if *interval.set == 0 {
-			*interval.set = interval.def
+	for _, server := range []*http.Server{i.callers, i.upstreams, i.operators} {
+		if server != nil {
+			server.Close()
 		}
 	}
-	return t
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	i.chamber.Close(ended)
+	if i.inner != nil {
+		i.inner.Close()
+	}
+	for _, pool := range []*courier.Pool{i.pools.rosters, i.pools.calls, i.pools.heartbeats, i.pools.entries} {
+		pool.Close()
+	}
+	i.done.Wait()
+	i.shuttle.Close()
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -40,6 +40,8 @@
 	InnerAddress    string
 	FailureDomain   string
 	Voter           bool
+	// Identity is that of a voter's data folder, empty elsewhere.
+	Identity string
 }
 
 // InstanceBeat is what an instance tells with each heartbeat.
