--- a/internal/archive/disk.go
+++ b/internal/archive/disk.go
@@ -55,7 +55,7 @@
 	}
 	file.Close()
 	if errors.Is(err, syscall.EWOULDBLOCK) {
-		return nil, errors.Wrapf(ErrLocked, "archive: %s", path)
+		return nil, errors.WithStack(ErrLocked)
 	}
 	return nil, err
 }
--- a/internal/archive/errors.go
+++ b/internal/archive/errors.go
@@ -8,7 +8,7 @@
 )
 
 // ErrLocked says that another process has the data folder open.
-var ErrLocked = errors.New("archive: the data folder is in use by another process")
+var ErrLocked = errors.New("the data folder is in use by another process")
 
 // ErrClosed says that the archive was closed.
 var ErrClosed = errors.New("archive: closed")
--- a/internal/archive/open.go
+++ b/internal/archive/open.go
@@ -28,7 +28,7 @@
 	a := &Archive{fs: o.FS, folder: o.Folder, segmentBytes: o.SegmentBytes}
 	lock, err := o.FS.Lock(a.path(lockName))
 	if err != nil {
-		return nil, Loaded{}, errors.Wrap(err, "archive: lock the data folder")
+		return nil, Loaded{}, errors.Wrapf(err, "archive: lock %s", a.path(lockName))
 	}
 	a.lock = lock
 	loaded, err := a.load()
