--- a/internal/chamber/answers.go
+++ b/internal/chamber/answers.go
@@ -41,6 +41,14 @@
 	return proposedOf(c.voter.clerk.Propose(ctx, command))
 }
 
+// ChangeVoters adds a voter or removes one, if this voter leads.
+func (c control) ChangeVoters(ctx context.Context, change courier.VotersChange) courier.Proposed {
+	if change.Add != "" {
+		return proposedOf(nil, c.voter.clerk.AddVoter(ctx, change.Add))
+	}
+	return proposedOf(nil, c.voter.clerk.RemoveVoter(ctx, change.Remove))
+}
+
 // Configuration returns what is in force, if it is newer than have.
 func (c control) Configuration(have registry.Revision) courier.Configuration {
 	// Freshness is read first: what it covers is in the view that is read after.
--- a/internal/chamber/chamber.go
+++ b/internal/chamber/chamber.go
@@ -36,6 +36,9 @@
 	// Leader returns the leader that is known of, and its fencing number. Both
 	// are zero if none is.
 	Leader() (jury.Identity, jury.Term)
+	// ChangeVoters adds a voter or removes one. If it certainly did not happen,
+	// ChangeVoters returns an error that is ErrNotAccepted.
+	ChangeVoters(ctx context.Context, change courier.VotersChange) error
 	// Identity returns the identity of a voter, empty elsewhere.
 	Identity() jury.Identity
 	// Close ends the part, handing over a leadership before ctx ends.
--- a/internal/chamber/follower.go
+++ b/internal/chamber/follower.go
@@ -229,6 +229,18 @@
 	return recorded, err
 }
 
+// ChangeVoters asks the voters in turn until one of them leads and has done it.
+func (f *Follower) ChangeVoters(ctx context.Context, change courier.VotersChange) error {
+	proposed := courier.Proposed{Fate: courier.FateNotAccepted, Reason: "the settings name no voter"}
+	for _, voter := range f.options.Voters {
+		proposed = f.options.Calls.ChangeVoters(ctx, voter.InnerAddress, change)
+		if proposed.Fate != courier.FateNotAccepted || !proposed.Passing {
+			break
+		}
+	}
+	return errorOf(proposed)
+}
+
 // wait waits for d and reports false if ctx ended before.
 func wait(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -159,11 +159,6 @@
 	return v.clerk.OrderRight(now)
 }
 
-// Clerk returns the replica, for the change of voters.
-func (v *Voter) Clerk() *clerk.Clerk {
-	return v.clerk
-}
-
 // Fresh tells whether the voter holds its configuration lease.
 func (v *Voter) Fresh(now time.Time) bool {
 	asOf, ok := v.clerk.Freshness()
@@ -234,6 +229,24 @@
 	}
 }
 
+// ChangeVoters has the leader add a voter or remove one.
+func (v *Voter) ChangeVoters(ctx context.Context, change courier.VotersChange) error {
+	leader := v.clerk.Leader()
+	if leader == v.identity || leader == "" {
+		return errorOf(v.Control().ChangeVoters(ctx, change))
+	}
+	address, err := v.address(leader)
+	if err != nil {
+		return errors.Mark(err, ErrNotAccepted)
+	}
+	return errorOf(v.options.Calls.ChangeVoters(ctx, address, change))
+}
+
+// Status returns what the replica knows of itself.
+func (v *Voter) Status() jury.Status {
+	return v.clerk.Status()
+}
+
 // Lookup waits until the voter is known to be up to date as of now.
 func (v *Voter) Lookup(ctx context.Context, key docket.Key) (docket.Answer, error) {
 	if !v.awaitFresh(ctx, v.options.Now()) {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -56,6 +56,7 @@
 		newPreset(),
 		newStatus(),
 		newDrain(),
+		newVoters(),
 		newVersion(),
 	}
 	for _, command := range commands {
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -13,12 +13,12 @@
 func newServe() command {
 	var options host.Options
 	flags := newSubcommand("serve", "runs one instance until it is interrupted", "lovagelift serve --example")
-	flags.String(&options.SettingsPath, "", "settings", "TOML file of the instance's settings")
+	flags.AddPositionalValue(&options.SettingsPath, "settings", 1, false, "TOML file of the instance's settings")
 	flags.Bool(&options.Example, "", "example", "run one instance with a built-in engine and service")
 	flags.String(&options.CallerAddress, "", "caller-address", "IP:port for callers instead of 127.0.0.1:7600")
 	run := func(ctx context.Context, streams Streams) int {
 		if options.Example == (options.SettingsPath != "") {
-			fmt.Fprintln(streams.Err, "command: serve needs either --example or --settings")
+			fmt.Fprintln(streams.Err, "command: serve needs either --example or a settings file")
 			return ExitBadInput
 		}
 		options.Log = streams.Err
--- /dev/null
+++ b/internal/command/voters.go
@@ -0,0 +1,77 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/registrar"
+)
+
+func newVoters() command {
+	var operator operatorFlags
+	var change registrar.VotersChange
+	bootstrap := false
+	flags := newSubcommand("voters", "shows the voters, founds their cluster, or replaces one",
+		"lovagelift voters --bootstrap")
+	operator.addTo(flags)
+	flags.Bool(&bootstrap, "", "bootstrap", "found the cluster, once, when all voters are started for the first time")
+	flags.String(&change.Add, "", "add", "identity that is waiting and shall count")
+	flags.String(&change.Remove, "", "remove", "identity that shall not count any more")
+	run := func(ctx context.Context, streams Streams) int {
+		return voters(ctx, &operator, bootstrap, change, streams)
+	}
+	return command{flags: flags, run: run}
+}
+
+func voters(
+	ctx context.Context, operator *operatorFlags, bootstrap bool, change registrar.VotersChange, streams Streams,
+) int {
+	if countTrue(bootstrap, change.Add != "", change.Remove != "") > 1 {
+		var list finding.List
+		list.Add(flagPlace("bootstrap"), "voters does one thing at a time", "give one of --bootstrap, --add and --remove")
+		return fail(streams, list.Err())
+	}
+	client, err := operator.client()
+	if err != nil {
+		return fail(streams, err)
+	}
+	var set registrar.Voters
+	switch {
+	case bootstrap:
+		set, err = client.Bootstrap(ctx)
+	case change != registrar.VotersChange{}:
+		set, err = client.ChangeVoters(ctx, change)
+	default:
+		set, err = client.Voters(ctx)
+	}
+	if err != nil {
+		return fail(streams, err)
+	}
+	printVoters(operator, set, streams)
+	return ExitOK
+}
+
+func printVoters(operator *operatorFlags, set registrar.Voters, streams Streams) {
+	if operator.asJSON {
+		writeJSON(streams.Out, set)
+		return
+	}
+	fmt.Fprintf(streams.Out, "cluster %s, leader %s, term %d\n", set.Cluster, set.Leader, set.Term)
+	for _, identity := range set.Voters {
+		fmt.Fprintf(streams.Out, "voter    %s\n", identity)
+	}
+	for _, identity := range set.Waiting {
+		fmt.Fprintf(streams.Out, "waiting  %s\n", identity)
+	}
+}
+
+func countTrue(conditions ...bool) int {
+	n := 0
+	for _, condition := range conditions {
+		if condition {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/courier/control.go
+++ b/internal/courier/control.go
@@ -36,6 +36,8 @@
 	Configuration(have registry.Revision) Configuration
 	// Lookup returns what is recorded of a request, as of now or later.
 	Lookup(ctx context.Context, key docket.Key) Recorded
+	// ChangeVoters adds the identity or removes it, if this voter leads.
+	ChangeVoters(ctx context.Context, change VotersChange) Proposed
 	// Founding returns what a bootstrap must know of this voter.
 	Founding() Founding
 	// Bootstrap makes this blank voter one of a new cluster.
@@ -92,6 +94,12 @@
 	Charter Charter
 }
 
+// VotersChange adds one identity or removes one.
+type VotersChange struct {
+	Add    jury.Identity
+	Remove jury.Identity
+}
+
 // Charter is the first state of a cluster.
 type Charter struct {
 	Cluster string
@@ -173,6 +181,20 @@
 	return nil
 }
 
+// ChangeVotersArgs carries a change of voters.
+type ChangeVotersArgs struct {
+	Change  VotersChange
+	Timeout time.Duration
+}
+
+// ChangeVoters is the net/rpc method "Control.ChangeVoters".
+func (s *ControlService) ChangeVoters(args ChangeVotersArgs, reply *Proposed) error {
+	ctx, cancel := context.WithTimeout(context.Background(), min(args.Timeout, serviceTimeout))
+	defer cancel()
+	*reply = s.control.ChangeVoters(ctx, args.Change)
+	return nil
+}
+
 // Founding is the net/rpc method "Control.Founding".
 func (s *ControlService) Founding(_ Empty, reply *Founding) error {
 	*reply = s.control.Founding()
@@ -196,8 +218,19 @@
 // FateNotAccepted, and if the voter's answer was lost, FateUnknown.
 func (p *Pool) Propose(ctx context.Context, address string, command []byte, here bool) Proposed {
 	args := ProposeArgs{Command: command, Timeout: p.remaining(ctx), Here: here}
+	return p.propose(ctx, address, "Control.Propose", args)
+}
+
+// ChangeVoters has the voter at address change the voters, if it leads. Its
+// answers are those of Propose.
+func (p *Pool) ChangeVoters(ctx context.Context, address string, change VotersChange) Proposed {
+	args := ChangeVotersArgs{Change: change, Timeout: p.remaining(ctx)}
+	return p.propose(ctx, address, "Control.ChangeVoters", args)
+}
+
+func (p *Pool) propose(ctx context.Context, address, method string, args any) Proposed {
 	var reply Proposed
-	err := p.Call(ctx, address, "Control.Propose", args, &reply)
+	err := p.Call(ctx, address, method, args, &reply)
 	if err == nil {
 		return reply
 	}
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/chamber"
+	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/registrar"
@@ -105,6 +106,39 @@
 	return voter.Bootstrap(ctx)
 }
 
+// Voters returns the set of voters as this instance knows it.
+func (i *Instance) Voters(time.Time) registrar.Voters {
+	leader, term := i.chamber.Leader()
+	set := registrar.Voters{Leader: leader.Instance(), Term: uint64(term), Voters: []string{}, Waiting: []string{}}
+	var counted []jury.Identity
+	if voter, ok := i.chamber.(*chamber.Voter); ok {
+		status := voter.Status()
+		set.Cluster = status.Cluster
+		counted = status.Voters
+	}
+	for _, identity := range counted {
+		set.Voters = append(set.Voters, string(identity))
+	}
+	for _, identity := range append(i.identities(), i.chamber.Identity()) {
+		if identity != "" && !slices.Contains(counted, identity) {
+			set.Waiting = append(set.Waiting, string(identity))
+		}
+	}
+	return set
+}
+
+// ChangeVoters makes a caught-up voter count, or removes one.
+func (i *Instance) ChangeVoters(ctx context.Context, change registrar.VotersChange) error {
+	err := i.chamber.ChangeVoters(ctx, courier.VotersChange{
+		Add:    jury.Identity(change.Add),
+		Remove: jury.Identity(change.Remove),
+	})
+	if errors.Is(err, chamber.ErrNotAccepted) {
+		return &registrar.UnavailableError{Reason: err.Error()}
+	}
+	return err
+}
+
 // Status returns the state of this instance and what it knows of the others.
 func (i *Instance) Status(now time.Time) registrar.Status {
 	s := i.options.Settings
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -146,11 +146,12 @@
 		Log:      i.options.Log,
 	}))
 	i.operators = i.serve("operators", i.options.Listeners.Operator, registrar.New(registrar.Options{
-		Register: i.register(),
-		House:    house{i},
-		Holder:   holder(i.options.Operators, "operator"),
-		Now:      i.options.Now,
-		Log:      i.options.Log,
+		Register:   i.register(),
+		House:      house{i},
+		Electorate: i,
+		Holder:     holder(i.options.Operators, "operator"),
+		Now:        i.options.Now,
+		Log:        i.options.Log,
 	}))
 	return nil
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -30,6 +30,8 @@
 type Options struct {
 	Register Register
 	House    House
+	// Electorate may be nil where operators do not change voters.
+	Electorate Electorate
 	// Holder returns the name of the operator who holds a token.
 	Holder func(token string) (string, bool)
 	// BodyBytes bounds the body of a request. 0 stands for DefaultBodyBytes.
@@ -56,6 +58,11 @@
 	r.echo.POST(changesPath, r.change)
 	r.echo.GET(statusPath, r.status)
 	r.echo.POST(drainPath, r.drain)
+	if options.Electorate != nil {
+		r.echo.GET(votersPath, r.voters)
+		r.echo.POST(votersPath, r.changeVoters)
+		r.echo.POST(bootstrapPath, r.bootstrap)
+	}
 	return r
 }
 
