--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -257,6 +257,7 @@
 		Fencing:            e.options.Fencing,
 		OrderAuthorization: authorization,
 		Capabilities:       slices.Clone(e.options.Capabilities),
+		Revision:           e.orders.revision,
 		Accelerators:       accelerators,
 		Resident:           residents,
 		Role:               e.memory.role,
--- a/internal/standin/orderlog.go
+++ b/internal/standin/orderlog.go
@@ -11,6 +11,8 @@
 	// ids are in the order of arrival.
 	ids            []string
 	highestFencing uint64
+	// revision grows with every change of what the engine holds.
+	revision uint64
 	// overcommits counts the orders that would have taken more memory than there
 	// is.
 	overcommits int
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -86,6 +86,7 @@
 	entry := &orderEntry{order: order}
 	entry.state, entry.reason = e.judge(order)
 	e.orders.highestFencing = max(e.orders.highestFencing, order.Fencing)
+	e.orders.revision++
 	if entry.state == upstreamapi.OrderRunning {
 		e.begin(entry)
 	}
@@ -264,6 +265,7 @@
 func (e *Engine) loaded(entry *orderEntry) (leaving string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.orders.revision++
 	order := entry.order
 	switch order.Kind {
 	case upstreamapi.OrderLoadModel:
@@ -289,6 +291,7 @@
 func (e *Engine) unloaded(entry *orderEntry) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.orders.revision++
 	e.memory.free(entry.accelerators, entry.bytes)
 	if entry.order.Kind != upstreamapi.OrderUnloadAdapter {
 		e.cache.Drop(entry.order.Model)
@@ -308,13 +311,17 @@
 func (e *Engine) answerOrder(entry *orderEntry) upstreamapi.OrderAnswer {
 	accelerators, residents := e.memory.announced()
 	return upstreamapi.OrderAnswer{
-		ID:             entry.order.ID,
-		State:          entry.state,
-		Reason:         entry.reason,
-		Incarnation:    e.options.Incarnation,
-		Clock:          e.clock.Now(),
-		HighestFencing: e.orders.highestFencing,
-		Accelerators:   accelerators,
-		Resident:       residents,
+		ID:              entry.order.ID,
+		State:           entry.state,
+		Reason:          entry.reason,
+		Clock:           e.clock.Now(),
+		Incarnation:     e.options.Incarnation,
+		Revision:        e.orders.revision,
+		Accelerators:    accelerators,
+		Resident:        residents,
+		Role:            e.memory.role,
+		RoleMemoryBytes: e.memory.roleBytes,
+		HighestFencing:  e.orders.highestFencing,
+		UnderWay:        e.orders.UnderWay(),
 	}
 }
--- a/internal/upstreamapi/announcement.go
+++ b/internal/upstreamapi/announcement.go
@@ -57,6 +57,10 @@
 	// Services are the names of the plain services it answers for, if Kind is
 	// KindService.
 	Services []string `json:"services,omitempty"`
+	// Revision grows with every change of what an engine holds: of Accelerators,
+	// Resident, Role, HighestFencing or UnderWay. Two reports of one incarnation
+	// with the same revision say the same of these.
+	Revision uint64 `json:"revision,omitempty"`
 	// Accelerators are the accelerators of an engine.
 	Accelerators []Accelerator `json:"accelerators,omitempty"`
 	// Resident is what an engine holds in memory and can run now.
@@ -79,6 +83,36 @@
 	return slices.Contains(a.Capabilities, capability)
 }
 
+// Inventory returns what the engine holds by the announcement.
+func (a Announcement) Inventory() Inventory {
+	return Inventory{
+		Incarnation:     a.Incarnation,
+		Revision:        a.Revision,
+		Clock:           a.Load.Clock,
+		Accelerators:    a.Accelerators,
+		Resident:        a.Resident,
+		Role:            a.Role,
+		RoleMemoryBytes: a.RoleMemoryBytes,
+		HighestFencing:  a.HighestFencing,
+		UnderWay:        a.UnderWay,
+	}
+}
+
+// Inventory is what an engine says that it holds at one moment. It comes with
+// announcements and with answers to orders; Incarnation and then Revision tell
+// which of two is later.
+type Inventory struct {
+	Incarnation     uint64
+	Revision        uint64
+	Clock           time.Time
+	Accelerators    []Accelerator
+	Resident        []Resident
+	Role            Role
+	RoleMemoryBytes int64
+	HighestFencing  uint64
+	UnderWay        []OrderUnderWay
+}
+
 // OrderUnderWay is an order that an upstream is carrying out.
 type OrderUnderWay struct {
 	ID string `json:"id"`
--- a/internal/upstreamapi/order.go
+++ b/internal/upstreamapi/order.go
@@ -90,11 +90,29 @@
 	State OrderState `json:"state"`
 	// Reason is for people. It is empty if State is OrderDone.
 	Reason string `json:"reason,omitempty"`
-	// Incarnation and HighestFencing are as in Announcement, Clock is as in Load.
-	Incarnation    uint64    `json:"incarnation"`
-	Clock          time.Time `json:"clock,omitzero"`
-	HighestFencing uint64    `json:"highest-fencing,omitempty"`
-	// Accelerators and Resident are as in Announcement, at Clock.
-	Accelerators []Accelerator `json:"accelerators,omitempty"`
-	Resident     []Resident    `json:"resident,omitempty"`
+	// Clock is as in Load. What follows is as in Announcement, at that time.
+	Clock           time.Time       `json:"clock,omitzero"`
+	Incarnation     uint64          `json:"incarnation"`
+	Revision        uint64          `json:"revision,omitempty"`
+	Accelerators    []Accelerator   `json:"accelerators,omitempty"`
+	Resident        []Resident      `json:"resident,omitempty"`
+	Role            Role            `json:"role,omitempty"`
+	RoleMemoryBytes int64           `json:"role-memory-bytes,omitempty"`
+	HighestFencing  uint64          `json:"highest-fencing,omitempty"`
+	UnderWay        []OrderUnderWay `json:"under-way,omitempty"`
+}
+
+// Inventory returns what the engine holds by the answer.
+func (a OrderAnswer) Inventory() Inventory {
+	return Inventory{
+		Incarnation:     a.Incarnation,
+		Revision:        a.Revision,
+		Clock:           a.Clock,
+		Accelerators:    a.Accelerators,
+		Resident:        a.Resident,
+		Role:            a.Role,
+		RoleMemoryBytes: a.RoleMemoryBytes,
+		HighestFencing:  a.HighestFencing,
+		UnderWay:        a.UnderWay,
+	}
 }
