jury: tell the commit index at once, bound uncommitted bytes, keep to a cluster

A leader with slow followers could fill its memory with large commands.

Change: the leader tells a peer of the commit index when it has nothing more to send to it. Options.UncommittedBytes refuses more for certain. State.Cluster is the recorded cluster; a blank member takes no other.

--- a/internal/clerk/clerk_test.go
+++ b/internal/clerk/clerk_test.go
@@ -81,6 +81,46 @@
 		}
 	})
 
+	// The same with data folders on the disk: the cluster, the snapshot and the
+	// entries after it come back.
+	It("has the same state after all have restarted from their data folders", func() {
+		c := makeCourt(3)
+		folders := make([]string, len(c.replicas))
+		for i, r := range c.replicas {
+			folders[i] = GinkgoT().TempDir()
+			Expect(r.open(folders[i])).To(Succeed())
+			c.start(r)
+		}
+		c.begin()
+		for i := range 60 {
+			p := whilePassing(c, func() proposed { return propose(c.replicas[0], strings.Repeat("x", 100)+fmt.Sprint(i)) })
+			Expect(p.err).NotTo(HaveOccurred())
+		}
+		c.until(func() bool {
+			return c.replicas[0].clerk.Status().SnapshotIndex > 1 && len(c.replicas[0].machine.all()) == 60
+		})
+		want := c.replicas[0].machine.all()
+		c.close()
+		for i, r := range c.replicas {
+			Expect(r.archive.Close()).To(Succeed())
+			Expect(r.open(folders[i])).To(Succeed())
+			Expect(r.state.Snapshot.Index).To(BeNumerically(">", 1))
+			c.start(r)
+		}
+		DeferCleanup(func() {
+			c.close()
+			for _, r := range c.replicas {
+				Expect(r.archive.Close()).To(Succeed())
+			}
+		})
+		c.until(func() bool { return c.leader() != nil })
+		for _, r := range c.replicas {
+			c.until(func() bool { return len(r.machine.all()) == 60 })
+			Expect(r.machine.all()).To(Equal(want))
+			Expect(r.clerk.Status().Cluster).To(Equal("juryline"))
+		}
+	})
+
 	// A voter was down for hundreds of changes. What it lacks is compacted, so
 	// that the leader sends it a snapshot.
 	It("brings back a replica that was cut off for long", func() {
--- a/internal/jury/member.go
+++ b/internal/jury/member.go
@@ -33,6 +33,8 @@
 	hard HardState
 	log  entryLog
 	disk disk
+	// cluster is the only one that the member may belong to, or empty.
+	cluster string
 	// snapshot is the latest snapshot. Its Index is 0 in a blank member.
 	snapshot Snapshot
 	// sets are the sets of voters of the log in order, the first in force at
@@ -96,7 +98,9 @@
 		m.disk.pending = batch{dirty: true, truncate: state.Snapshot.Index}
 	}
 	m.freshness.next = m.random.Uint64() | 1
+	m.cluster = state.Cluster
 	if m.snapshot.Index > 0 {
+		m.snapshot.Cluster = state.Cluster
 		m.sets = []voterSet{newVoterSet(m.snapshot.Index, m.snapshot.Voters)}
 	}
 	for i := range log.entries {
@@ -254,6 +258,13 @@
 	}
 	entries := m.log.from(m.commit+1, 0)[:index-m.commit]
 	m.commit = index
+	if m.office != nil {
+		for _, entry := range entries {
+			if entry.Index >= m.office.barrier {
+				m.office.uncommitted -= len(entry.Data)
+			}
+		}
+	}
 	m.out = append(m.out, Commit{Entries: entries[:len(entries):len(entries)]})
 	m.confirmFreshness()
 }
@@ -293,7 +304,7 @@
 }
 
 func (m *Member) bootstrap(now time.Time, e Bootstrap) {
-	if !m.blank() && m.snapshot.Cluster != e.Cluster || e.Cluster == "" || len(e.Voters) == 0 {
+	if m.cluster != "" && m.cluster != e.Cluster || e.Cluster == "" || len(e.Voters) == 0 {
 		m.out = append(m.out, Answer{ID: e.ID, Refusal: ErrNotBlank})
 		return
 	}
@@ -312,6 +323,7 @@
 func (m *Member) restore(now time.Time, snapshot Snapshot) {
 	m.disk.installed(snapshot, m.commit)
 	m.snapshot = snapshot
+	m.cluster = snapshot.Cluster
 	m.log.reset(snapshot.Index, snapshot.Term)
 	m.sets = []voterSet{newVoterSet(snapshot.Index, snapshot.Voters)}
 	m.commit = snapshot.Index
--- a/internal/jury/office.go
+++ b/internal/jury/office.go
@@ -38,6 +38,8 @@
 	// sent is when the latest append was sent, and moved when match last rose.
 	sent  time.Time
 	moved time.Time
+	// told is the commit index that was last sent to the peer.
+	told Index
 	// token is the peer's latest freshness token, or 0.
 	token uint64
 }
@@ -63,6 +65,9 @@
 	peers       map[Identity]*peer
 	heartbeatAt time.Time
 	transfer    transfer
+	// uncommitted is the bytes of data in the entries of the term that are not
+	// committed.
+	uncommitted int
 }
 
 // names returns the peers in a fixed order.
@@ -151,7 +156,8 @@
 
 func (m *Member) heartbeatTo(now time.Time, name Identity) {
 	p := m.office.peers[name]
-	body := Heartbeat{Sent: m.stamp(now), Commit: min(m.commit, p.match), Token: p.token}
+	p.told = min(m.commit, p.match)
+	body := Heartbeat{Sent: m.stamp(now), Commit: p.told, Token: p.token}
 	if m.vouches(now) {
 		body.FreshIndex = m.commit
 	}
@@ -234,7 +240,17 @@
 	if m.leaveOffice(now) {
 		return
 	}
-	if m.commit == m.log.last() {
-		m.heartbeat(now)
+	m.tellCommit(now)
+}
+
+// tellCommit lets those peers know of the commit index that have nothing more
+// to be sent with it. Else an accepted change would be in force there only a
+// heartbeat later.
+func (m *Member) tellCommit(now time.Time) {
+	for _, name := range m.office.names() {
+		p := m.office.peers[name]
+		if p.next > m.log.last() && min(m.commit, p.match) > p.told {
+			m.heartbeatTo(now, name)
+		}
 	}
 }
--- a/internal/jury/options.go
+++ b/internal/jury/options.go
@@ -15,6 +15,7 @@
 	defaultInflight        = 8
 	defaultAppendBytes     = 256 << 10
 	defaultUncommitted     = 8192
+	defaultUncommittedSize = 16 << 20
 	defaultKept            = 1024
 )
 
@@ -50,6 +51,8 @@
 	// Uncommitted bounds the entries that a leader holds uncommitted. Further
 	// proposals are refused.
 	Uncommitted int
+	// UncommittedBytes bounds the data in them likewise, but for a single one.
+	UncommittedBytes int
 	// Kept is how many entries before a snapshot stay in memory for members
 	// that are a little behind.
 	Kept int
@@ -64,6 +67,7 @@
 	o.Inflight = defaulted(o.Inflight, defaultInflight)
 	o.AppendBytes = defaulted(o.AppendBytes, defaultAppendBytes)
 	o.Uncommitted = defaulted(o.Uncommitted, defaultUncommitted)
+	o.UncommittedBytes = defaulted(o.UncommittedBytes, defaultUncommittedSize)
 	o.Kept = defaulted(o.Kept, defaultKept)
 	return o
 }
@@ -78,7 +82,7 @@
 	case o.Heartbeat <= 0 || o.Lease() < 3*o.Heartbeat:
 		return errors.Newf("jury: election timeout %s leaves a lease of %s, less than three heartbeats of %s",
 			o.ElectionTimeout, o.Lease(), o.Heartbeat)
-	case o.OrderFlight < 0 || o.Inflight < 1 || o.AppendBytes < 1 || o.Uncommitted < 1 || o.Kept < 0:
+	case o.OrderFlight < 0 || o.Inflight < 1 || o.AppendBytes < 1 || o.Uncommitted < 1 || o.UncommittedBytes < 1 || o.Kept < 0:
 		return errors.New("jury: an option is negative")
 	}
 	return nil
--- a/internal/jury/receive.go
+++ b/internal/jury/receive.go
@@ -46,7 +46,7 @@
 	}
 	switch message.Body.(type) {
 	case Append, InstallRequest, Heartbeat:
-		return m.blank()
+		return m.blank() && (m.cluster == "" || m.cluster == message.Cluster)
 	case AppendAnswer, HeartbeatAnswer, Join:
 		return message.Cluster == ""
 	case VoteRequest, VoteAnswer:
--- a/internal/jury/replicate.go
+++ b/internal/jury/replicate.go
@@ -90,6 +90,7 @@
 	m.replicate(now, from, p)
 	m.advanceCommit(now)
 	if m.office != nil {
+		m.tellCommit(now)
 		m.continueTransfer(now)
 	}
 }
@@ -129,7 +130,7 @@
 	refusal := m.refusal(now)
 	appended := false
 	for _, proposal := range proposals {
-		if refusal == nil && m.log.last()-m.commit >= Index(m.options.Uncommitted) {
+		if refusal == nil && m.overloaded(len(proposal.Data)) {
 			refusal = ErrOverloaded
 		}
 		if refusal != nil {
@@ -144,10 +145,21 @@
 	}
 }
 
+// overloaded reports whether another entry with so many bytes of data is too
+// much. Without a bound, a leader whose followers are slow would fill its
+// memory, and every caller behind the queue would wait beyond its deadline.
+func (m *Member) overloaded(size int) bool {
+	if m.log.last()-m.commit >= Index(m.options.Uncommitted) {
+		return true
+	}
+	return m.office.uncommitted > 0 && m.office.uncommitted+size > m.options.UncommittedBytes
+}
+
 // appendOwn appends an entry of the leader and answers with its place.
 func (m *Member) appendOwn(id uint64, kind EntryKind, data []byte) {
 	entry := Entry{Index: m.log.last() + 1, Term: m.hard.Term, Kind: kind, Data: data}
 	m.append(entry)
+	m.office.uncommitted += len(data)
 	m.out = append(m.out, Answer{ID: id, Index: entry.Index, Term: entry.Term})
 }
 
--- a/internal/jury/scenario_test.go
+++ b/internal/jury/scenario_test.go
@@ -216,6 +216,73 @@
 	return w.history.err
 }
 
+// heldUpAnswer: a follower's answer is under way for long while the leader is
+// cut off, and comes when the follower no longer keeps to the leader.
+func heldUpAnswer(seed uint64, weakened jury.Safeguard) error {
+	w, leader := begun(seed, 3, weakened)
+	var held []jury.Message
+	w.drop = func(m jury.Message) bool {
+		if _, isAnswer := m.Body.(jury.HeartbeatAnswer); isAnswer && m.To == leader.self {
+			held = append(held, m)
+		}
+		return m.To == leader.self
+	}
+	w.until("an answer", func() bool { return len(held) > 0 })
+	w.isolate(leader, ever)
+	for arrival := w.now + testElection*5/6; w.now < arrival; {
+		w.step()
+	}
+	w.handle(leader, jury.Receive{Message: held[0]})
+	for range 60 {
+		w.step()
+		if now := w.leader(); now != nil && now != leader {
+			w.change(now, "moved on")
+		}
+	}
+	return w.history.err
+}
+
+// pausedLeader: a leader is paused while another takes over, and is asked how
+// fresh it is the moment that it goes on.
+func pausedLeader(seed uint64, weakened jury.Safeguard) error {
+	w, leader := begun(seed, 3, weakened)
+	leader.pausedUntil = w.now + ever
+	top := w.history.top
+	w.until("another leader's commit", func() bool { return w.history.top > top })
+	w.step()
+	w.history.checkRights(w, leader)
+	return w.history.err
+}
+
+// twoAdditions: a leader adds two voters one right after the other, and is then
+// cut off with them from the other two.
+func twoAdditions(seed uint64, weakened jury.Safeguard) error {
+	w, leader := begun(seed, 5, weakened)
+	old := slices.DeleteFunc(w.others(leader), func(n *node) bool { return !n.member.Status().Voter })
+	added := w.nodes[3:]
+	w.until("the learners have caught up", func() bool {
+		return added[0].applied == w.history.top && added[1].applied == w.history.top
+	})
+	w.drop = func(m jury.Message) bool {
+		_, isAppend := m.Body.(jury.Append)
+		return isAppend && (m.To == old[0].self || m.To == old[1].self)
+	}
+	for _, n := range added {
+		w.handle(leader, jury.ChangeVoters{Add: n.self})
+	}
+	for _, one := range append([]*node{leader}, added...) {
+		for _, other := range old {
+			w.mute(one, other)
+			w.mute(other, one)
+		}
+	}
+	w.drop = nil
+	for range 400 {
+		w.step()
+	}
+	return w.history.err
+}
+
 type scenario = func(seed uint64, weakened jury.Safeguard) error
 
 var _ = Describe("a scripted schedule", func() {
@@ -233,6 +300,9 @@
 		Entry("a leader that hands over has no lease", handover, jury.KeepLeaseInTransfer, "for the last as of"),
 		Entry("old entries are not counted alone", oldEntry, jury.CommitOldTerms, "without the committed entry"),
 		Entry("a blank member does not vote", wrongName, jury.BlankVotes, "without the committed entry"),
+		Entry("a lease counts from the sending", heldUpAnswer, jury.LeaseFromAnswer, "for the last as of"),
+		Entry("a leader vouches under its lease only", pausedLeader, jury.VouchWithoutLease, "for the last as of"),
+		Entry("changes of voters do not overlap", twoAdditions, jury.ChangeAtOnce, "without the committed entry"),
 		Entry("the first election takes all voters", twoBootstraps, jury.BeginByMajority, "two leaders"),
 	)
 
--- a/internal/jury/state.go
+++ b/internal/jury/state.go
@@ -5,8 +5,13 @@
 // State is what a member finds on its disk when it starts. The zero value is
 // that of a blank member.
 type State struct {
+	// Cluster is the cluster that the disk was recorded for. It is recorded
+	// before the first snapshot is written, so that it may be set without one.
+	// The disk then takes no other cluster.
+	Cluster   string
 	HardState HardState
-	Snapshot  Snapshot
+	// Snapshot may lack its Cluster.
+	Snapshot Snapshot
 	// Entries follow each other without a gap. They may begin before the end of
 	// Snapshot.
 	Entries []Entry
@@ -42,8 +47,12 @@
 		return errors.New("jury: the disk holds entries but no snapshot")
 	case blank && s.HardState.Vote != "":
 		return errors.New("jury: the disk holds a vote but no snapshot")
-	case !blank && (s.Snapshot.Cluster == "" || len(s.Snapshot.Voters) == 0):
-		return errors.New("jury: the snapshot on the disk names no cluster or no voters")
+	case !blank && s.Cluster == "":
+		return errors.New("jury: the disk holds a snapshot but no cluster")
+	case !blank && s.Snapshot.Cluster != "" && s.Snapshot.Cluster != s.Cluster:
+		return errors.Newf("jury: the disk is of cluster %q, its snapshot of %q", s.Cluster, s.Snapshot.Cluster)
+	case !blank && len(s.Snapshot.Voters) == 0:
+		return errors.New("jury: the snapshot on the disk names no voters")
 	}
 	return nil
 }
