--- a/internal/docket/docket_test.go
+++ b/internal/docket/docket_test.go
@@ -248,6 +248,15 @@
 		Expect(f.pass(time.Hour)).To(HaveField("Expired", 1))
 	})
 
+	// A leader proposes limits that its settings left empty. Without a retention
+	// the docket would drop all records, and every resend would run again.
+	It("stay as they are when a command brings none", func() {
+		run(0, 10)
+		Expect(f.Apply(docket.Expire{Now: f.now.Add(time.Second)})).To(HaveField("Expired", 0))
+		Expect(f.Limits()).To(Equal(f.limits))
+		Expect(f.Len()).To(Equal(1))
+	})
+
 	// A new leader's clock is a week ahead. If records expired by it, every key
 	// of the week would be new at once, and each resend a second run.
 	It("expire nothing early when a leader's clock is wrong", func() {
--- a/internal/docket/expiry.go
+++ b/internal/docket/expiry.go
@@ -7,7 +7,9 @@
 		step = 0
 	}
 	d.reported = c.Now
-	d.limits = c.Limits
+	if c.Limits.Valid() {
+		d.limits = c.Limits
+	}
 	d.clock += min(max(step, 0), d.limits.MaxStep)
 	answer := Answer{Verdict: VerdictRecorded}
 	for r := d.order.first; r != nil && r.touched+d.limits.Retention <= d.clock; r = d.order.first {
--- a/internal/docket/limits.go
+++ b/internal/docket/limits.go
@@ -24,6 +24,22 @@
 	MaxBodyBytes int `json:"max-body-bytes"`
 }
 
+// maxTime bounds every duration, so that sums of them never overflow.
+const maxTime = 20 * 365 * 24 * time.Hour
+
+// Valid tells whether all limits but those of responses are above 0, and no time
+// is above 20 years. A docket keeps its limits when an Expire brings invalid
+// ones: without a retention all records would expire at once, and every resend
+// would run again.
+func (l Limits) Valid() bool {
+	for _, d := range []time.Duration{l.Retention, l.Grace, l.MaxTimeout, l.MaxStep} {
+		if d <= 0 || d > maxTime {
+			return false
+		}
+	}
+	return l.MaxRecords > 0 && l.MaxResponseBytes >= 0 && l.MaxBodyBytes >= 0
+}
+
 // DefaultLimits returns the limits for the users' sizes of today.
 //
 // Retention is four days: a clerk's page that is left open on the evening
--- a/internal/docket/property_test.go
+++ b/internal/docket/property_test.go
@@ -142,6 +142,20 @@
 		}
 	})
 
+	// A clock about to overflow would make no record's expiry later than its last
+	// change, so that Expire never ended; a key twice would lose a record.
+	It("restores no snapshot that no docket can have", func() {
+		for _, spoil := range []func(*docket.Docket){docket.ClockAtEnd, docket.TouchedLater, docket.KeyTwice} {
+			f := newFixture()
+			f.claim(here)
+			_, err := docket.Restore(f.Snapshot(nil))
+			Expect(err).NotTo(HaveOccurred())
+			spoil(f.Docket)
+			_, err = docket.Restore(f.Snapshot(nil))
+			Expect(err).To(HaveOccurred())
+		}
+	})
+
 	It("restores no snapshot that was cut or is of a newer format", func() {
 		f := newFixture()
 		f.claim(here)
--- a/internal/docket/snapshot.go
+++ b/internal/docket/snapshot.go
@@ -43,6 +43,10 @@
 	d.records = make(map[Key]*entry, count)
 	for range count {
 		e := readEntry(r)
+		if !d.follows(e) {
+			r.Fail()
+			break
+		}
 		d.records[e.key] = e
 		d.order.push(e)
 		if e.response != nil {
@@ -53,9 +57,24 @@
 	if err := r.End(); err != nil {
 		return nil, errors.Wrap(err, "docket: snapshot")
 	}
+	if !d.limits.Valid() || d.clock < 0 || d.clock > maxTime*4 {
+		return nil, errors.New("docket: snapshot with impossible times")
+	}
 	return d, nil
 }
 
+// follows tells whether e can stand in a snapshot behind the entries so far.
+func (d *Docket) follows(e *entry) bool {
+	if _, twice := d.records[e.key]; twice || e.state < StateInFlight || e.state > StateUnknown {
+		return false
+	}
+	earliest := time.Duration(0)
+	if d.order.last != nil {
+		earliest = d.order.last.touched
+	}
+	return e.touched >= earliest && e.touched <= d.clock && e.until >= 0 && e.until <= d.clock+2*maxTime
+}
+
 // all returns the counters in the order of the snapshot.
 func (c *Counters) all() []*uint64 {
 	return []*uint64{&c.Granted, &c.Refused, &c.Expired, &c.Overdue, &c.ResponsesDropped}
