--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/archive"
 	"github.com/lovagelift/lovagelift/internal/clerk"
@@ -65,6 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
+	logLoaded(options.Log, loaded)
 	v := &Voter{
 		options:  options,
 		identity: jury.Identity(fmt.Sprintf("%s/%016x", options.Self, loaded.Number)),
@@ -105,6 +107,16 @@
 	return v, nil
 }
 
+// logLoaded tells what an operator should know of the data folder.
+func logLoaded(log zerolog.Logger, loaded archive.Loaded) {
+	log.Info().Bool("fresh", loaded.Fresh).Str("cluster-id", loaded.ClusterID).
+		Uint64("snapshot-index", uint64(loaded.Snapshot.Index)).Int("entries", len(loaded.Entries)).Msg("data folder opened")
+	if loaded.Cut.Bytes > 0 {
+		log.Warn().Str("file", loaded.Cut.File).Int64("offset", loaded.Cut.Offset).Int64("bytes", loaded.Cut.Bytes).
+			Msg("cut the torn end of the log, which was never acknowledged")
+	}
+}
+
 // machine is the replicated state machine of a Voter.
 type machine struct {
 	voter *Voter
