host: TLS on every listener from settings, mutual between instances

Cause: settings named TLS files that nothing used; a listener for operators beyond loopback needed no token; and a connection to the inner listener that never finished its handshake would have been held for good.

Change: host puts TLS on the listeners whose settings name files, and on connections to other instances (instance.Options.Dial, plain TCP if nil). The inner listener, whose server knows no time limit, gets one for handshakes. An operators' listener beyond loopback without tokens is a finding.

Seen to fail without its mechanism: with the limit for handshakes taken out, a silent connection was still open after 30 s (i/o timeout).

Not done: calls of instances to upstreams go without TLS; ask knows no TLS.

--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -40,7 +40,7 @@
 	f.timeout = operatorTimeout
 	flags.StringSlice(&f.addresses, "o", "operator-address",
 		"IP:port of an instance for operators; repeatable, the next is asked when one does not answer; "+defaultOperatorAddress+" if none is given")
-	flags.String(&f.tokenFile, "t", "token-file", "file that holds the operator's token")
+	flags.String(&f.tokenFile, "t", "token-file", "file that holds the operator's token; not needed where the settings name no tokens")
 	flags.String(&f.caFile, "", "ca", "file with the certificates that verify the instances; turns TLS on")
 	flags.Bool(&f.allowPlain, "", "allow-plain", "send the token beyond loopback without TLS")
 	flags.Duration(&f.timeout, "", "timeout", "longest time for one instance's answer, with its unit")
@@ -91,7 +91,6 @@
 
 func (f *operatorFlags) readToken(list *finding.List) string {
 	if f.tokenFile == "" {
-		list.Add(flagPlace("token-file"), "the operator's token is missing", "give the file that holds it")
 		return ""
 	}
 	data, err := os.ReadFile(f.tokenFile)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -93,18 +94,23 @@
 	if options.Upstreams, err = book(set.Tokens.UpstreamsFile); err != nil {
 		return nil, err
 	}
+	keeper := seals{now: time.Now, log: log}
+	if options.Dial, err = keeper.dial(set.TLS.Inner); err != nil {
+		return nil, err
+	}
 	advertise := &options.Settings.Advertise
 	for _, each := range []struct {
 		listen    netip.AddrPort
 		advertise *netip.AddrPort
+		files     settings.KeyPair
 		listener  *net.Listener
 	}{
-		{set.Listen.Caller, &advertise.Caller, &options.Listeners.Caller},
-		{set.Listen.Upstream, &advertise.Upstream, &options.Listeners.Upstream},
-		{set.Listen.Operator, &advertise.Operator, &options.Listeners.Operator},
-		{set.Listen.Inner, &advertise.Inner, &options.Listeners.Inner},
+		{set.Listen.Caller, &advertise.Caller, set.TLS.Callers, &options.Listeners.Caller},
+		{set.Listen.Upstream, &advertise.Upstream, set.TLS.Upstreams, &options.Listeners.Upstream},
+		{set.Listen.Operator, &advertise.Operator, set.TLS.Operators, &options.Listeners.Operator},
+		{set.Listen.Inner, &advertise.Inner, set.TLS.Inner, &options.Listeners.Inner},
 	} {
-		if *each.listener, err = listen(ctx, each.listen.String()); err != nil {
+		if *each.listener, err = keeper.listen(ctx, each.listen.String(), each.files); err != nil {
 			options.Listeners.Close()
 			return nil, err
 		}
@@ -112,6 +118,9 @@
 			*each.advertise = (*each.listener).Addr().(*net.TCPAddr).AddrPort()
 		}
 	}
+	if set.TLS.Inner.IsSet() {
+		options.Listeners.Inner = handshakeListener{Listener: options.Listeners.Inner, timeout: set.Limits.HeaderTime}
+	}
 	return instance.New(options)
 }
 
--- /dev/null
+++ b/internal/host/seals_test.go
@@ -0,0 +1,181 @@
+package host_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/host"
+	"github.com/lovagelift/lovagelift/internal/registrar"
+)
+
+// writeCertificate writes cert.pem, key.pem and ca.pem into folder, for a
+// certificate of 127.0.0.1 that is its own authority, and returns the pool that
+// verifies it.
+func writeCertificate(folder string) *x509.CertPool {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		NotBefore:    time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA:        true, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	Expect(err).NotTo(HaveOccurred())
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	Expect(err).NotTo(HaveOccurred())
+	certificate := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	for name, data := range map[string][]byte{
+		"cert.pem": certificate, "ca.pem": certificate,
+		"key.pem": pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}),
+	} {
+		Expect(os.WriteFile(filepath.Join(folder, name), data, 0o600)).To(Succeed())
+	}
+	pool := x509.NewCertPool()
+	Expect(pool.AppendCertsFromPEM(certificate)).To(BeTrue())
+	return pool
+}
+
+// member is the addresses of an instance in a test.
+type member struct {
+	name, caller, upstream, operator, inner string
+}
+
+func newMember(name string) member {
+	return member{name, freeAddress(), freeAddress(), freeAddress(), freeAddress()}
+}
+
+// settingsWith returns the settings of m beside other, with TLS everywhere.
+func (m member) settingsWith(other member) string {
+	return fmt.Sprintf(`
+name = %q
+failure-domain = "kgn-a"
+voter = true
+data-folder = "data-%s"
+timing.entry-time = "10ms"
+limits.header-time = "3s"
+caller-address = %q
+upstream-address = %q
+operator-address = %q
+inner-address = %q
+tls.callers = { cert = "cert.pem", key = "key.pem" }
+tls.upstreams = { cert = "cert.pem", key = "key.pem" }
+tls.operators = { cert = "cert.pem", key = "key.pem" }
+tls.inner = { cert = "cert.pem", key = "key.pem", ca = "ca.pem" }
+[[instances]]
+name = %q
+failure-domain = "kgn-b"
+inner-address = %q
+caller-address = %q
+voter = true
+`, m.name, m.name, m.caller, m.upstream, m.operator, m.inner, other.name, other.inner, other.caller)
+}
+
+var _ = Describe("TLS from settings", func() {
+	It("is on every listener and between instances", func(ctx SpecContext) {
+		folder := GinkgoT().TempDir()
+		pool := writeCertificate(folder)
+		a, b := newMember("a"), newMember("b")
+		serving, stop := context.WithCancel(ctx)
+		defer stop()
+		ended := make(chan error, 2)
+		for _, pair := range [][2]member{{a, b}, {b, a}} {
+			path := filepath.Join(folder, pair[0].name+".toml")
+			Expect(os.WriteFile(path, []byte(pair[0].settingsWith(pair[1])), 0o600)).To(Succeed())
+			go func() {
+				ended <- host.Run(serving, host.Options{SettingsPath: path, Log: io.Discard})
+			}()
+		}
+		trusting := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+		operator, err := registrar.NewClient(registrar.ClientOptions{
+			Addresses: []netip.AddrPort{netip.MustParseAddrPort(a.operator)}, TLS: trusting, Timeout: 10 * time.Second,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		names := func() ([]string, error) {
+			status, err := operator.Status(ctx)
+			var found []string
+			for _, instance := range status.Instances {
+				found = append(found, instance.Name)
+			}
+			return found, err
+		}
+		Eventually(ctx, names).WithTimeout(30 * time.Second).Should(ConsistOf("a", "b"))
+
+		for _, address := range []string{a.caller, a.upstream, a.operator} {
+			client := &http.Client{Transport: &http.Transport{TLSClientConfig: trusting}}
+			answer, err := get(ctx, client, "https://"+address+"/")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.TLS).NotTo(BeNil())
+			answer, err = get(ctx, http.DefaultClient, "http://"+address+"/")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.StatusCode).To(Equal(http.StatusBadRequest))
+		}
+		Expect(stranger(ctx, a.inner, trusting)).To(MatchError(ContainSubstring("certificate required")))
+		Expect(silent(ctx, a.inner)).To(MatchError(io.EOF))
+		stop()
+		for range 2 {
+			Eventually(ctx, ended).WithTimeout(30 * time.Second).Should(Receive(BeNil()))
+		}
+	})
+})
+
+// get returns the answer without its body.
+func get(ctx context.Context, client *http.Client, url string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	return answer, answer.Body.Close()
+}
+
+// stranger connects to an instance's inner listener without a certificate and
+// returns what it reads there.
+func stranger(ctx context.Context, address string, config *tls.Config) error {
+	dialer := tls.Dialer{Config: config}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	_, err = connection.Read(make([]byte, 1))
+	return err
+}
+
+// silent connects to address, says nothing, and returns what it reads once the
+// other side has had enough.
+func silent(ctx context.Context, address string) error {
+	var dialer net.Dialer
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	if err := connection.SetReadDeadline(time.Now().Add(30 * time.Second)); err != nil {
+		return err
+	}
+	_, err = connection.Read(make([]byte, 1))
+	return err
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -63,15 +63,18 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.Dial == nil {
+		options.Dial = dialTCP
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
 		options:     options,
 		incarnation: uint64(options.Now().UnixNano()),
 		pools: pools{
-			rosters:    courier.NewPool(dialTCP, callTimeout),
-			calls:      courier.NewPool(dialTCP, callTimeout),
-			heartbeats: courier.NewPool(dialTCP, callTimeout),
-			entries:    courier.NewPool(dialTCP, callTimeout),
+			rosters:    courier.NewPool(options.Dial, callTimeout),
+			calls:      courier.NewPool(options.Dial, callTimeout),
+			heartbeats: courier.NewPool(options.Dial, callTimeout),
+			entries:    courier.NewPool(options.Dial, callTimeout),
 		},
 		shuttle:    shuttle.New(shuttle.Options{}),
 		cursors:    map[string]roster.Cursor{},
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/badge"
+	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/settings"
 )
 
@@ -16,6 +17,8 @@
 	Settings settings.Settings
 	// Listeners are open; the instance closes them.
 	Listeners Listeners
+	// Dial connects to another instance. Nil stands for TCP without TLS.
+	Dial courier.Dial
 	// Operators and Upstreams hold the tokens that may be shown. If one is nil,
 	// none is asked for.
 	Operators *badge.Book
--- a/internal/settings/combinations.go
+++ b/internal/settings/combinations.go
@@ -115,12 +115,17 @@
 }
 
 // checkOpenListeners refuses to give operators' and inner traffic to a network
-// without TLS. Without it, whoever reads the network reads the operators'
-// token, and whoever reaches the inner listener speaks as an instance.
+// without TLS or tokens. Without TLS, whoever reads the network reads the
+// operators' token, and whoever reaches the inner listener speaks as an
+// instance.
 func (p *parser) checkOpenListeners(root *form.Reader, s Settings) {
 	if s.AllowOpenListeners {
 		return
 	}
+	if s.Tokens.OperatorsFile == "" && !s.Listen.Operator.Addr().IsLoopback() {
+		root.Add("operator-address", fmt.Sprintf("whoever reaches %s would be an operator", s.Listen.Operator),
+			`write [tokens] with operators = "operators.toml", or allow-open-listeners = true`)
+	}
 	p.checkOpen(root, "operator-address", s.Listen.Operator, s.TLS.Operators, "tls.operators")
 	p.checkOpen(root, "inner-address", s.Listen.Inner, s.TLS.Inner, "tls.inner")
 }
