command: check knows token files

Cause: the example of three instances got a file of operators' tokens, and check, which its test runs on all examples, took it for settings and failed.

Change: a file that lists tokens is checked as such. The test's list of examples is as long as before.

--- a/internal/badge/badge.go
+++ b/internal/badge/badge.go
@@ -20,6 +20,9 @@
 	holders []holder
 }
 
+// tokenKey is the key of the tables that list tokens.
+const tokenKey = "token"
+
 // holder is one who may act. Names and hashes differ within a Book.
 type holder struct {
 	name string
@@ -50,7 +53,7 @@
 	var book Book
 	names := map[string]finding.Place{}
 	hashes := map[[sha256.Size]byte]finding.Place{}
-	for _, table := range root.Tables("token") {
+	for _, table := range root.Tables(tokenKey) {
 		h := readHolder(table, names, hashes)
 		book.holders = append(book.holders, h)
 	}
@@ -65,6 +68,13 @@
 	return book, nil
 }
 
+// IsBook tells whether data is TOML that lists tokens, rightly or wrongly.
+func IsBook(data []byte) bool {
+	var ignored finding.List
+	root, ok := form.Open("", data, &ignored)
+	return ok && root.Has(tokenKey)
+}
+
 func readHolder(table *form.Reader, names map[string]finding.Place, hashes map[[sha256.Size]byte]finding.Place) holder {
 	table.Require("name", `"kim"`)
 	table.Require("sha256", `"..."`)
--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagelift/lovagelift/internal/badge"
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/finding"
 	"github.com/lovagelift/lovagelift/internal/settings"
@@ -20,9 +21,9 @@
 func newCheck() command {
 	paths := make([]string, maxPaths)
 	asJSON := false
-	flags := newSubcommand("check", "checks settings files and declaration folders; changes nothing",
+	flags := newSubcommand("check", "checks settings files, token files and declaration folders; changes nothing",
 		"lovagelift check examples/three/instance-a.toml examples/declarations/kingston")
-	flags.AddPositionalValue(&paths[0], "path", 1, true, "a settings file or a folder of declarations; up to 64 of them")
+	flags.AddPositionalValue(&paths[0], "path", 1, true, "a settings file, a token file or a folder of declarations; up to 64 of them")
 	for i := 1; i < maxPaths; i++ {
 		flags.AddPositionalValue(&paths[i], "path", i+1, false, "another one")
 		flags.PositionalFlags[i].Hidden = true
@@ -45,6 +46,7 @@
 type checker struct {
 	list     finding.List
 	folders  int
+	books    int
 	settings []loaded
 }
 
@@ -66,7 +68,18 @@
 		c.add(path, err)
 		return
 	}
-	s, err := settings.Load(path)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		c.add(path, err)
+		return
+	}
+	if badge.IsBook(data) {
+		c.books++
+		_, err = badge.Parse(path, data)
+		c.add(path, err)
+		return
+	}
+	s, err := settings.Parse(path, data)
 	if err != nil {
 		c.add(path, err)
 		return
@@ -99,7 +112,7 @@
 		return ExitBadInput
 	}
 	if !asJSON {
-		fmt.Fprintf(streams.Out, "good: %d settings files, %d declaration folders\n", len(c.settings), c.folders)
+		fmt.Fprintf(streams.Out, "good: %d settings files, %d token files, %d declaration folders\n", len(c.settings), c.books, c.folders)
 	}
 	return ExitOK
 }
--- a/internal/command/check_test.go
+++ b/internal/command/check_test.go
@@ -39,14 +39,15 @@
 		paths := append(examples("three/*.toml"), examples("declarations/*")...)
 		code, out, errors := run(append([]string{"check"}, paths...)...)
 		Expect(errors).To(BeEmpty())
-		Expect(out).To(Equal("good: 3 settings files, 2 declaration folders\n"))
+		Expect(out).To(Equal("good: 3 settings files, 1 token files, 2 declaration folders\n"))
 		Expect(code).To(Equal(command.ExitOK))
 	})
 
 	It("reports all findings of all paths and exits with 2", func() {
 		bad := write("bad.toml", "name = 1\n")
 		folder := filepath.Dir(write("decl.toml", "[[preset]]\nname = \"x\"\n"))
-		code, out, errors := run("check", bad, folder, "no-such-file.toml")
+		tokens := write("tokens.toml", "[[token]]\nname = \"kim\"\nsha256 = \"x\"\n")
+		code, out, errors := run("check", bad, folder, tokens, "no-such-file.toml")
 		Expect(code).To(Equal(command.ExitBadInput))
 		Expect(out).To(BeEmpty())
 		lines := strings.Split(strings.TrimSpace(errors), "\n")
@@ -54,6 +55,7 @@
 			HavePrefix(bad+": key \"failure-domain\" is missing"),
 			HavePrefix(bad+": no instance is a voter"),
 			HavePrefix(bad+":1:8: \"name\" must be a text"),
+			HavePrefix(tokens+":3:10: sha256 must be 64 hexadecimal digits"),
 			HavePrefix(folder+"/decl.toml:1:3: no preset is the first"),
 			HavePrefix("no-such-file.toml: stat no-such-file.toml: no such file"),
 		))
