--- a/internal/docket/export_test.go
+++ b/internal/docket/export_test.go
@@ -19,3 +19,8 @@
 	d.order.push(&twin)
 	d.records[Key{}] = &twin
 }
+
+// NoLimits takes all limits off.
+func NoLimits(d *Docket) {
+	d.limits = Limits{}
+}
--- a/internal/docket/property_test.go
+++ b/internal/docket/property_test.go
@@ -142,6 +142,15 @@
 		}
 	})
 
+	It("restores no empty snapshot with an impossible clock or limits", func() {
+		for _, spoil := range []func(*docket.Docket){docket.ClockAtEnd, docket.NoLimits} {
+			f := newFixture()
+			spoil(f.Docket)
+			_, err := docket.Restore(f.Snapshot(nil))
+			Expect(err).To(MatchError(ContainSubstring("impossible times")))
+		}
+	})
+
 	// A clock about to overflow would make no record's expiry later than its last
 	// change, so that Expire never ended; a key twice would lose a record.
 	It("restores no snapshot that no docket can have", func() {
