desk: claims of requests that must not run twice, goals from the configuration

Cause: a resend at another instance ran a booking again. Change: a key is claimed in the replicated docket before the first byte leaves; what came of it is recorded; a resend gets the recorded answer, waits, or is told unknown. A request takes one configuration and uses no other. A stream of events loses its Content-Length: with it a missing end could not be told (found by its spec, which failed before).

--- /dev/null
+++ b/internal/desk/admit.go
@@ -0,0 +1,58 @@
+package desk
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/declaration"
+	"github.com/lovagelift/lovagelift/internal/gazette"
+)
+
+// serviceHeader names the service that a completion belongs to. Without it, the
+// first declared service that uses the model gives the goal.
+const serviceHeader = "Lovagelift-Service"
+
+// admitted is a request that the instance has taken on, under one configuration.
+type admitted struct {
+	name string
+	// declared is the zero value if no such service is declared.
+	declared declaration.Service
+	goal     declaration.Goal
+	deadline time.Time
+}
+
+// admit takes a request on, or refuses it before anything is sent. Everything
+// that the request needs of the configuration is taken from one issue here, so
+// that it sees no half of another preset.
+func (d *Desk) admit(service, model string) (admitted, *RefusalError) {
+	now := d.options.Now()
+	if refusal := d.options.Instance.Admits(now); refusal != nil {
+		return admitted{}, refusal
+	}
+	issue := d.options.Instance.Issue()
+	a := admitted{name: service}
+	if service != "" {
+		a.declared, _ = issue.Declarations.Service(service)
+	} else {
+		a.declared = serviceOf(issue, model)
+		a.name = a.declared.Name
+	}
+	a.goal = a.declared.Goal
+	deadline := a.goal.Deadline
+	if deadline == 0 {
+		deadline = d.options.Limits.Deadline
+	}
+	a.deadline = now.Add(deadline)
+	return a, nil
+}
+
+// serviceOf returns the first declared service that uses a model, or the zero
+// value.
+func serviceOf(issue *gazette.Issue, model string) declaration.Service {
+	for _, service := range issue.Declarations.Services() {
+		if slices.Contains(service.Models, model) {
+			return service
+		}
+	}
+	return declaration.Service{}
+}
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -16,7 +16,9 @@
 
 // task is a caller's request that is ready to be routed.
 type task struct {
-	id       string
+	id string
+	// service is the service that the task belongs to. It may be empty.
+	service  string
 	need     need
 	request  shuttle.Request
 	deadline time.Time
@@ -24,16 +26,34 @@
 	events bool
 }
 
-// serve routes a task and answers the caller. It returns an error only while
-// nothing of an answer has gone to the caller.
+// serve routes a task that may run twice or has no key, and answers the caller.
+// It returns an error only while nothing of an answer has gone to the caller.
 func (d *Desk) serve(c echo.Context, task task) error {
-	if refusal := d.options.Instance.Admits(d.options.Now()); refusal != nil {
-		return refusal
-	}
 	ctx, cancel := d.attemptContext(c.Request().Context(), task)
 	defer cancel()
+	delivery, err := d.deliver(ctx, task)
+	if err != nil {
+		return d.giveUp(task, err)
+	}
+	defer delivery.done()
+	return d.relay(c, task, delivery.answer)
+}
+
+// delivery is an upstream's answer on its way to the caller.
+type delivery struct {
+	answer *shuttle.Answer
+	// done tells the routing that the upstream is no longer busy with it.
+	done func()
+}
+
+// errUnreachable means that no upstream holds what a task needs.
+var errUnreachable = errors.New("desk: no upstream")
+
+// deliver sends a task to one upstream after the other, as far as it may, until
+// one answers.
+func (d *Desk) deliver(ctx context.Context, task task) (delivery, error) {
 	var tried []string
-	var last error
+	last := errUnreachable
 	for attempt := 1; attempt <= d.options.Limits.Attempts; attempt++ {
 		now := d.options.Now()
 		choice, ok := d.chooser.choose(d.options.Instance.Upstreams(now), task.need, tried)
@@ -45,8 +65,7 @@
 		tried = append(tried, name)
 		answer, err := d.attempt(ctx, now, attempt, task, choice)
 		if err == nil {
-			defer d.chooser.done(name)
-			return d.relay(c, task, answer)
+			return delivery{answer: answer, done: func() { d.chooser.done(name) }}, nil
 		}
 		d.chooser.done(name)
 		d.logFailure(task, attempt, name, err)
@@ -55,7 +74,7 @@
 			break
 		}
 	}
-	return d.giveUp(task, last)
+	return delivery{}, last
 }
 
 // attemptContext bounds all attempts at a task by its deadline. A request that
@@ -99,6 +118,11 @@
 
 func (d *Desk) relay(c echo.Context, task task, answer *shuttle.Answer) error {
 	c.Response().Header().Set(outcome.Header, outcome.Ran.String())
+	if isEventStream(answer) {
+		// Whether the stream is whole shows only at its end. With its length
+		// given, what is missing could no longer be told.
+		answer.Header.Del("Content-Length")
+	}
 	shuttle.Head(c.Response(), answer)
 	err := shuttle.Stream(c.Response(), answer, task.events && isEventStream(answer))
 	if err == nil {
@@ -137,7 +161,7 @@
 const retryLater = 2 * time.Second
 
 func (d *Desk) giveUp(task task, last error) *RefusalError {
-	if last == nil {
+	if errors.Is(last, errUnreachable) {
 		return d.refuseUnreachable(task)
 	}
 	refusal := &RefusalError{
--- a/internal/desk/completions.go
+++ b/internal/desk/completions.go
@@ -22,18 +22,25 @@
 	if err != nil {
 		return err
 	}
-	return d.serve(c, task{
-		id:   newRequestID(),
-		need: need{model: request.Model},
+	admitted, refusal := d.admit(r.Header.Get(serviceHeader), request.Model)
+	if refusal != nil {
+		return refusal
+	}
+	return d.dispatch(c, task{
+		id:      newRequestID(),
+		service: admitted.name,
+		need:    need{model: request.Model},
 		request: shuttle.Request{
 			Method: r.Method,
 			Target: r.URL.RequestURI(),
 			Header: r.Header,
 			Body:   body,
-			// A completion changes nothing: run twice, it costs tokens only.
-			Idempotent: true,
+			// A completion changes nothing, unless its service says so: run
+			// twice, it costs tokens only.
+			Idempotent: !admitted.declared.NonIdempotent,
+			Priority:   admitted.goal.Priority,
 		},
-		deadline: d.options.Now().Add(d.options.Limits.Deadline),
+		deadline: admitted.deadline,
 		events:   true,
 	})
 }
@@ -45,20 +52,36 @@
 	if err != nil {
 		return err
 	}
-	return d.serve(c, task{
-		id:   newRequestID(),
-		need: need{service: c.Param("name")},
+	admitted, refusal := d.admit(c.Param("name"), "")
+	if refusal != nil {
+		return refusal
+	}
+	target := serviceTarget(r)
+	return d.dispatch(c, task{
+		id:      newRequestID(),
+		service: admitted.name,
+		need:    need{service: admitted.name},
 		request: shuttle.Request{
 			Method:     r.Method,
-			Target:     serviceTarget(r),
+			Target:     target,
 			Header:     r.Header,
 			Body:       body,
-			Idempotent: isSafeMethod(r.Method),
+			Idempotent: admitted.declared.MayRepeat(r.Method, calledPath(r)),
+			Priority:   admitted.goal.Priority,
 		},
-		deadline: d.options.Now().Add(d.options.Limits.Deadline),
+		deadline: admitted.deadline,
 	})
 }
 
+// dispatch serves a task once if it has a key and must not run twice.
+func (d *Desk) dispatch(c echo.Context, task task) error {
+	key := c.Request().Header.Get(KeyHeader)
+	if key == "" || task.request.Idempotent {
+		return d.serve(c, task)
+	}
+	return d.serveOnce(c, task, key)
+}
+
 // serviceTarget is the path and query below /services/{name}, escaped as the
 // caller escaped it.
 func serviceTarget(r *http.Request) string {
@@ -71,16 +94,11 @@
 	return target
 }
 
-// isSafeMethod reports whether a call of method changes nothing by its
-// definition (RFC 9110, section 9.2.1). All others count as not idempotent
-// unless a declaration says otherwise.
-func isSafeMethod(method string) bool {
-	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return true
-	default:
-		return false
-	}
+// calledPath is the unescaped path below /services/{name}.
+func calledPath(r *http.Request) string {
+	rest := strings.TrimPrefix(r.URL.Path, "/services/")
+	_, path, _ := strings.Cut(rest, "/")
+	return "/" + path
 }
 
 const requestIDBytes = 8
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -4,13 +4,18 @@
 package desk
 
 import (
+	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
+	"github.com/lovagelift/lovagelift/internal/docket"
+	"github.com/lovagelift/lovagelift/internal/gazette"
+	"github.com/lovagelift/lovagelift/internal/registry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
@@ -23,6 +28,12 @@
 	Admits(now time.Time) *RefusalError
 	// Entries returns the addresses a caller may use.
 	Entries(now time.Time) Entries
+	// Issue returns the configuration in force. A request takes one and uses no
+	// other.
+	Issue() *gazette.Issue
+	// Propose and Lookup are those of chamber.Chamber.
+	Propose(ctx context.Context, command registry.Command) (registry.Result, error)
+	Lookup(ctx context.Context, key docket.Key) (docket.Answer, error)
 	// Upstreams returns the upstreams that may receive new work, by name.
 	Upstreams(now time.Time) []roster.Upstream
 }
@@ -52,20 +63,27 @@
 	Deadline time.Duration
 	// Attempts is the most upstreams that one request is sent to.
 	Attempts int
+	// ProgressWait is how long a request waits for another with its key that is
+	// in progress.
+	ProgressWait time.Duration
 }
 
 // DefaultLimits are used for what Options leaves at zero.
 var DefaultLimits = Limits{
-	BodyBytes:   8 << 20,
-	AnswerBytes: 8 << 20,
-	Deadline:    2 * time.Minute,
-	Attempts:    3,
+	BodyBytes:    8 << 20,
+	AnswerBytes:  8 << 20,
+	Deadline:     2 * time.Minute,
+	Attempts:     3,
+	ProgressWait: 5 * time.Second,
 }
 
 // Options configures a Desk.
 type Options struct {
 	Instance Instance
-	Shuttle  *shuttle.Shuttle
+	// Name and Incarnation are those of the instance.
+	Name        string
+	Incarnation uint64
+	Shuttle     *shuttle.Shuttle
 	// Now returns the present time.
 	Now    func() time.Time
 	Log    zerolog.Logger
@@ -77,7 +95,11 @@
 	options Options
 	echo    *echo.Echo
 	streams atomic.Int64
-	chooser *chooser
+	// claims numbers the claims of this incarnation.
+	claims atomic.Uint64
+	// background is the recordings that callers don't wait for.
+	background sync.WaitGroup
+	chooser    *chooser
 }
 
 // New returns a Desk.
@@ -94,6 +116,7 @@
 	d.echo.GET("/v1/models", d.models)
 	d.echo.POST("/v1/chat/completions", d.completions)
 	d.echo.POST("/v1/completions", d.completions)
+	d.echo.GET("/v1/requests/:key", d.requests)
 	d.echo.Any("/services/:name", d.services)
 	d.echo.Any("/services/:name/*", d.services)
 	return d
@@ -106,6 +129,12 @@
 	d.echo.ServeHTTP(w, r)
 }
 
+// Wait returns when everything that was begun is recorded. No request may be in
+// progress.
+func (d *Desk) Wait() {
+	d.background.Wait()
+}
+
 // Streams returns the number of requests in progress.
 func (d *Desk) Streams() int {
 	return int(d.streams.Load())
@@ -121,6 +150,9 @@
 	if limits.Deadline == 0 {
 		limits.Deadline = DefaultLimits.Deadline
 	}
+	if limits.ProgressWait == 0 {
+		limits.ProgressWait = DefaultLimits.ProgressWait
+	}
 	if limits.Attempts == 0 {
 		limits.Attempts = DefaultLimits.Attempts
 	}
--- /dev/null
+++ b/internal/desk/fakes_test.go
@@ -0,0 +1,278 @@
+package desk_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/lovagelift/lovagelift/internal/chamber"
+	"github.com/lovagelift/lovagelift/internal/desk"
+	"github.com/lovagelift/lovagelift/internal/docket"
+	"github.com/lovagelift/lovagelift/internal/gazette"
+	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/registry"
+	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// specTimeout ends a spec whose request hangs. None waits for it otherwise.
+const specTimeout = 20 * time.Second
+
+// voters is the replicated state that several desks share.
+type voters struct {
+	mu       sync.Mutex
+	registry *registry.Registry
+	index    jury.Index
+	// fault is asked before and after each command is applied, and may return an
+	// error in place of the answer.
+	fault func(command registry.Command, applied bool) error
+}
+
+func newVoters() *voters {
+	return &voters{registry: registry.New(), fault: func(registry.Command, bool) error { return nil }}
+}
+
+func (v *voters) propose(command registry.Command) (registry.Result, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err := v.fault(command, false); err != nil {
+		return registry.Result{}, err
+	}
+	data, err := registry.Encode(command)
+	if err != nil {
+		return registry.Result{}, err
+	}
+	v.index++
+	result, err := v.registry.Apply(v.index, data)
+	if err == nil {
+		err = v.fault(command, true)
+	}
+	return result, err
+}
+
+// failClaims makes the next claim fail before or after it is applied.
+func (v *voters) failClaims(afterApply bool, with error) {
+	v.failNext(func(command registry.Command) bool { _, ok := command.(docket.Claim); return ok }, afterApply, with)
+}
+
+func (v *voters) failNext(matches func(registry.Command) bool, afterApply bool, with error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	failed := false
+	v.fault = func(command registry.Command, applied bool) error {
+		if failed || applied != afterApply || !matches(command) {
+			return nil
+		}
+		failed = true
+		return with
+	}
+}
+
+var (
+	errNoQuorum   = errors.Mark(errors.New("no quorum"), chamber.ErrNotAccepted)
+	errAnswerLost = errors.New("the answer was lost")
+)
+
+// fakeInstance is what a desk asks of its instance.
+type fakeInstance struct {
+	voters  *voters
+	gazette *gazette.Gazette
+
+	mu        sync.Mutex
+	refusal   *desk.RefusalError
+	upstreams []roster.Upstream
+}
+
+func (f *fakeInstance) Admits(time.Time) *desk.RefusalError {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refusal
+}
+
+func (f *fakeInstance) Entries(time.Time) desk.Entries {
+	return desk.Entries{List: []desk.Entry{{Name: "a", Address: "127.0.0.1:1", FailureDomain: "d"}}, Keep: time.Second}
+}
+
+func (f *fakeInstance) Upstreams(time.Time) []roster.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.upstreams
+}
+
+func (f *fakeInstance) Issue() *gazette.Issue {
+	return f.gazette.Latest()
+}
+
+func (f *fakeInstance) Propose(_ context.Context, command registry.Command) (registry.Result, error) {
+	return f.voters.propose(command)
+}
+
+func (f *fakeInstance) Lookup(_ context.Context, key docket.Key) (docket.Answer, error) {
+	return f.voters.registry.Lookup(key), nil
+}
+
+// serveAt makes the given addresses the upstreams of the service "booking" and
+// the model "m".
+func (f *fakeInstance) serveAt(addresses ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.upstreams = nil
+	for n, address := range addresses {
+		f.upstreams = append(f.upstreams,
+			roster.Upstream{Announcement: upstreamapi.Announcement{
+				Name: "service-" + string(rune('0'+n)), Kind: upstreamapi.KindService,
+				Address: address, Services: []string{"booking"},
+			}},
+			roster.Upstream{Announcement: upstreamapi.Announcement{
+				Name: "engine-" + string(rune('0'+n)), Kind: upstreamapi.KindEngine,
+				Address: address, Resident: []upstreamapi.Resident{{Model: "m"}},
+			}})
+	}
+}
+
+// entrance is a desk behind a listener.
+type entrance struct {
+	*fakeInstance
+	desk *desk.Desk
+	url  string
+}
+
+func newEntrance(v *voters, name string) *entrance {
+	instance := &fakeInstance{voters: v, gazette: gazette.New()}
+	carrier := shuttle.New(shuttle.Options{})
+	d := desk.New(desk.Options{
+		Instance: instance, Name: name, Incarnation: 1, Shuttle: carrier, Now: time.Now, Log: zerolog.Nop(),
+		Limits: desk.Limits{BodyBytes: 1 << 10, Deadline: 10 * time.Second, ProgressWait: 500 * time.Millisecond},
+	})
+	server := httptest.NewServer(d)
+	DeferCleanup(func() {
+		server.Close()
+		d.Wait()
+		carrier.Close()
+	})
+	return &entrance{fakeInstance: instance, desk: d, url: server.URL}
+}
+
+// told is what a caller is told.
+type told struct {
+	status   int
+	outcome  string
+	replayed bool
+	body     string
+	header   http.Header
+	// cutOff is true if the answer ended before it was whole.
+	cutOff bool
+}
+
+func (e *entrance) call(ctx context.Context, method, path, key, body string) told {
+	request, err := http.NewRequestWithContext(ctx, method, e.url+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	if key != "" {
+		request.Header.Set(desk.KeyHeader, key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return told{cutOff: true}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return told{
+		status:   response.StatusCode,
+		outcome:  response.Header.Get("Lovagelift-Outcome"),
+		replayed: response.Header.Get("Lovagelift-Replayed") == "true",
+		body:     string(data),
+		header:   response.Header,
+		cutOff:   err != nil,
+	}
+}
+
+func (e *entrance) book(ctx context.Context, key, body string) told {
+	return e.call(ctx, http.MethodPost, "/services/booking/book", key, body)
+}
+
+// bookings is an upstream that counts what it ran.
+type bookings struct {
+	*httptest.Server
+
+	mu   sync.Mutex
+	runs int
+	// then is what the upstream does with a request that it has counted. Nil
+	// answers "booked".
+	then http.HandlerFunc
+}
+
+func newBookings(then http.HandlerFunc) *bookings {
+	b := &bookings{then: then}
+	b.Server = httptest.NewServer(http.HandlerFunc(b.serve))
+	DeferCleanup(b.Close)
+	return b
+}
+
+func (b *bookings) serve(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.ReadAll(r.Body); err != nil {
+		return
+	}
+	b.mu.Lock()
+	b.runs++
+	then := b.then
+	b.mu.Unlock()
+	if then != nil {
+		then(w, r)
+		return
+	}
+	_, _ = io.WriteString(w, "booked")
+}
+
+func (b *bookings) address() string {
+	return b.Listener.Addr().String()
+}
+
+func (b *bookings) counted() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs
+}
+
+func (b *bookings) recover() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.then = nil
+}
+
+// die ends the connection without an answer.
+func die(http.ResponseWriter, *http.Request) {
+	panic(http.ErrAbortHandler)
+}
+
+// breakOff ends the connection in the middle of the answer.
+func breakOff(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "boo")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// refuse says that the request was not run.
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(upstreamapi.RefusedHeader, "not-run")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// nobody returns an address that refuses connections.
+func nobody() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().String()
+}
--- a/internal/desk/refusal.go
+++ b/internal/desk/refusal.go
@@ -35,6 +35,11 @@
 	CodeCutOff         Code = "answer-cut-off"
 	CodeDeadline       Code = "deadline-exceeded"
 	CodeInternal       Code = "internal"
+	CodeNotClaimed     Code = "not-claimed"
+	CodeKeyReused      Code = "key-reused"
+	CodeAnswerNotKept  Code = "answer-not-kept"
+	CodeOutcomeUnknown Code = "outcome-unknown"
+	CodeInProgress     Code = "in-progress"
 )
 
 // RefusalError is the final answer to a request that has no answer of an upstream.
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -10,6 +10,7 @@
 	"github.com/lovagelift/lovagelift/internal/chamber"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/docket"
+	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/registry"
@@ -78,6 +79,39 @@
 	return identities
 }
 
+// Issue returns the configuration in force.
+func (i *Instance) Issue() *gazette.Issue {
+	return i.chamber.Gazette().Latest()
+}
+
+// Propose has command carried out, see chamber.Chamber.
+func (i *Instance) Propose(ctx context.Context, command registry.Command) (registry.Result, error) {
+	return i.chamber.Propose(ctx, command)
+}
+
+// Lookup returns what is recorded of a request, see chamber.Chamber.
+func (i *Instance) Lookup(ctx context.Context, key docket.Key) (docket.Answer, error) {
+	return i.chamber.Lookup(ctx, key)
+}
+
+// abandonEarlier tells the voters that this instance was restarted, so that what
+// its earlier incarnations had claimed is unknown at once: nobody is left to
+// record what came of it, and callers who ask again would wait for the timeout.
+func (i *Instance) abandonEarlier(ctx context.Context) {
+	command := docket.Abandon{Instance: i.options.Settings.Name, Incarnation: i.incarnation}
+	for ctx.Err() == nil {
+		tryCtx, cancel := context.WithTimeout(ctx, abandonTimeout)
+		_, err := i.chamber.Propose(tryCtx, command)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
+
+// abandonTimeout bounds one try to tell of a restart.
+const abandonTimeout = 10 * time.Second
+
 // register returns what operators change, over the replicated state.
 func (i *Instance) register() registrar.Register {
 	return registrar.NewReplicated(registrar.ReplicatedOptions{
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -87,10 +87,12 @@
 		return nil, err
 	}
 	i.desk = desk.New(desk.Options{
-		Instance: i,
-		Shuttle:  i.shuttle,
-		Now:      options.Now,
-		Log:      options.Log,
+		Instance:    i,
+		Name:        options.Settings.Name,
+		Incarnation: i.incarnation,
+		Shuttle:     i.shuttle,
+		Now:         options.Now,
+		Log:         options.Log,
 		Limits: desk.Limits{
 			BodyBytes: options.Settings.Limits.BodyBytes,
 			Deadline:  options.Settings.Goals.Deadline,
@@ -106,6 +108,7 @@
 		i.done.Go(func() { i.pullFrom(ctx, peer) })
 	}
 	i.done.Go(func() { i.beat(ctx) })
+	i.done.Go(func() { i.abandonEarlier(ctx) })
 	return i, nil
 }
 
@@ -206,6 +209,8 @@
 	if err != nil {
 		err = errors.Wrapf(err, "instance: %d requests cut off", i.desk.Streams())
 	}
+	// What was run must be recorded before the voters are left.
+	i.desk.Wait()
 	i.chamber.Close(ctx)
 	i.Close()
 	return err
--- a/internal/shuttle/relay.go
+++ b/internal/shuttle/relay.go
@@ -34,6 +34,9 @@
 		answer.Body.Close()
 		return &Error{Outcome: outcome.Ran, cause: errors.Mark(err, ErrCutOff)}
 	}
+	if int64(len(prefix)) <= limit {
+		answer.whole = prefix
+	}
 	answer.Body = &prefixed{
 		Reader: io.MultiReader(bytes.NewReader(prefix), answer.Body),
 		Closer: answer.Body,
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -45,6 +45,13 @@
 	// Length is the number of bytes of Body, negative if it is not known.
 	Length int64
 	Body   io.ReadCloser
+	// whole is the body if it was read ahead whole, else nil.
+	whole []byte
+}
+
+// Whole returns the body if Prefetch read it whole. Body still gives it too.
+func (a *Answer) Whole() (body []byte, ok bool) {
+	return a.whole, a.whole != nil
 }
 
 // Error says why there is no whole answer, and whether the request ran.
