ledger: a model on several accelerators is tested

Cause: the property test has one accelerator. Change: two orders put one model on different pairs of accelerators; each counts where it may stand, and a report from where no order puts it contradicts.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -109,6 +109,34 @@
 		Expect(account(l).Worst()).To(BeZero())
 	})
 
+	// Two leaders ordered the same model to different accelerators. It stands on
+	// one of the two at most, and nobody knows on which.
+	It("counts a model on each accelerator where it may stand", func() {
+		report := e.report()
+		report.Incarnation, report.Resident = 2, nil
+		report.Accelerators = []upstreamapi.Accelerator{
+			{Name: "a0", MemoryBytes: 100}, {Name: "a1", MemoryBytes: 100}, {Name: "a2", MemoryBytes: 100},
+		}
+		first, second := load("o1", 1, "pings", 50), load("o2", 2, "pings", 60)
+		first.Incarnation, second.Incarnation = 2, 2
+		first.Accelerators, second.Accelerators = []string{"a0", "a1"}, []string{"a1", "a2"}
+		l = recorded(l.WithReport(report), first, second)
+		worst := func(name string) int64 {
+			a, known := l.Account(name)
+			Expect(known).To(BeTrue())
+			return a.Worst()
+		}
+		Expect([]int64{worst("a0"), worst("a1"), worst("a2")}).To(Equal([]int64{50, 60, 60}))
+
+		report.Revision++
+		report.Resident = []upstreamapi.Resident{{Model: "pings", Accelerators: []string{"a0", "a2"}, MemoryBytes: 50}}
+		Expect(paths(l.WithReport(report))).To(ConsistOf("$.resident[0]"), "no order puts it there")
+		report.Resident[0].Accelerators = []string{"a0", "a1"}
+		l = l.WithReport(report)
+		Expect(l.Contradictions()).To(BeEmpty())
+		Expect([]int64{worst("a0"), worst("a1"), worst("a2")}).To(Equal([]int64{50, 60, 60}))
+	})
+
 	// No report came between the load and the unload of a model. The answer to the
 	// load closes it while the unload still holds its memory.
 	It("counts a model that is on its way out before any report showed it", func() {
