jury: no change of voters that leaves none to spare

Change: a change that takes the last voter that can be spared is refused, with what to do. A lost voter can be removed once it no longer answers.

--- a/internal/jury/change.go
+++ b/internal/jury/change.go
@@ -56,11 +56,28 @@
 	default:
 		set = m.voters().without(e.Remove)
 	}
-	if live := m.live(now, set); live < set.quorum() {
-		return voterSet{}, errors.Newf("jury: only %d voters of the changed set of %d answer, fewer than a majority",
+	return set, m.checkSpare(now, set)
+}
+
+// checkSpare returns an error if the changed set may be without a majority.
+//
+// A change is in force from when it is appended. If the last voter that can be
+// spared were removed in the moment in which another one is lost, the change
+// could neither be committed nor be taken back, and the cluster would stand
+// still for good though a majority of the former set is there.
+func (m *Member) checkSpare(now time.Time, set voterSet) error {
+	before := m.live(now, m.voters()) - m.voters().quorum()
+	live := m.live(now, set)
+	after := live - set.quorum()
+	switch {
+	case after < 0:
+		return errors.Newf("jury: only %d voters of the changed set of %d answer, fewer than a majority",
 			live, len(set.names))
+	case before > 0 && after == 0:
+		return errors.Newf("jury: the changed set of %d voters could not lose one; add another voter before, "+
+			"or try again once the lost voter no longer answers", len(set.names))
 	}
-	return set, nil
+	return nil
 }
 
 // checkAddition returns why name cannot become a voter, or nil.
