admission: limits per upstream, queues by priority and fair share, early refusal

Cause: a request that waits for an upstream needs one place that decides who goes next, who is told at once that it won't be served, and when to come back.

Change: an adaptive limit (additive increase, multiplicative decrease on the time to the first token) as a value; one bounded queue for each pool by priority, then weighted fair share between services, then the earliest start; refusal at the offer when the drain can't reach a ticket in time, and again while it waits; Retry-After from the drain, spread one place apart. Strict priorities with a floor of one take in seventeen for lower ones; no ageing.

--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,188 @@
+package admission_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/admission"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ticket(id uint64, service string, priority uint8, patience time.Duration) admission.Ticket {
+	return admission.Ticket{ID: id, Service: service, Pool: "m", Priority: priority, StartBy: start.Add(patience)}
+}
+
+// takeAll returns the ids in the order in which they leave.
+func takeAll(q *admission.Queue, now time.Time) []uint64 {
+	var ids []uint64
+	for {
+		t, ok := q.Take(now, admission.Priorities-1, []string{"m"})
+		if !ok {
+			return ids
+		}
+		ids = append(ids, t.ID)
+	}
+}
+
+var _ = Describe("Queue", func() {
+	var q *admission.Queue
+
+	BeforeEach(func() {
+		q = admission.New(admission.Options{MaxWaiting: 8})
+	})
+
+	It("serves by priority, then by the earliest start", func() {
+		q.Offer(start, ticket(1, "drafts", 3, 3*time.Second), 0)
+		q.Offer(start, ticket(2, "drafts", 3, time.Second), 0)
+		q.Offer(start, ticket(3, "pings", 0, 5*time.Second), 0)
+		Expect(takeAll(q, start)).To(Equal([]uint64{3, 2, 1}))
+	})
+
+	It("shares a priority between services whatever their number of requests", func() {
+		// A burst of drafts stands in the queue when two summaries come. Without
+		// fair shares, the summaries' callers would wait for all of the burst.
+		for id := range uint64(6) {
+			q.Offer(start, ticket(id, "drafts", 2, time.Second), 0)
+		}
+		q.Offer(start, ticket(10, "summaries", 2, time.Minute), 0)
+		q.Offer(start, ticket(11, "summaries", 2, time.Minute), 0)
+		Expect(takeAll(q, start)[:4]).To(ConsistOf(uint64(0), uint64(1), uint64(10), uint64(11)))
+	})
+
+	It("gives one take in seventeen to a lower priority", func() {
+		// Pings come without end. The clerk's draft would wait until it is too late
+		// if priorities were strict.
+		q.Offer(start, ticket(1000, "drafts", 5, time.Minute), 0)
+		takes := 0
+		for id := uint64(0); ; id++ {
+			q.Offer(start, ticket(id, "pings", 0, time.Minute), 0)
+			t, ok := q.Take(start, admission.Priorities-1, []string{"m"})
+			Expect(ok).To(BeTrue())
+			takes++
+			if t.ID == 1000 {
+				break
+			}
+			Expect(takes).To(BeNumerically("<", 20))
+		}
+		Expect(takes).To(Equal(17))
+	})
+
+	It("refuses at once what the drain will not reach in time", func() {
+		// The upstreams start two requests a second. The third caller has patience
+		// for one second: it is told now, not after its second has gone by.
+		Expect(q.Offer(start, ticket(1, "drafts", 2, time.Second), 2).Queued).To(BeTrue())
+		Expect(q.Offer(start, ticket(2, "drafts", 2, time.Second), 2).Queued).To(BeTrue())
+		verdict := q.Offer(start, ticket(3, "drafts", 2, time.Second), 2)
+		Expect(verdict.Queued).To(BeFalse())
+		Expect(verdict.Refused.Cause).To(Equal(admission.CauseTooLate))
+		Expect(verdict.Refused.RetryAfter).To(Equal(time.Second))
+	})
+
+	It("tells refused callers to come back one after the other", func() {
+		// A hundred callers are refused at the same moment. Told the same time, they
+		// would come back as one burst, most of them to be refused again.
+		var last time.Duration
+		for id := range uint64(20) {
+			verdict := q.Offer(start, ticket(id, "drafts", 2, 0), 2)
+			Expect(verdict.Refused.RetryAfter).To(BeNumerically(">=", last+500*time.Millisecond))
+			last = verdict.Refused.RetryAfter
+		}
+	})
+
+	It("gives the place of the lowest priority to a higher one when full", func() {
+		for id := range uint64(8) {
+			q.Offer(start, ticket(id, "drafts", 3, time.Duration(id+1)*time.Second), 0)
+		}
+		verdict := q.Offer(start, ticket(100, "pings", 0, time.Second), 0)
+		Expect(verdict.Queued).To(BeTrue())
+		Expect(verdict.Displaced.Ticket.ID).To(Equal(uint64(7)))
+		Expect(verdict.Displaced.Cause).To(Equal(admission.CauseFull))
+		Expect(q.Offer(start, ticket(101, "drafts", 3, time.Minute), 0).Refused.Cause).To(Equal(admission.CauseFull))
+		Expect(q.Size()).To(Equal(8))
+	})
+
+	It("takes a place from the service that holds most of a full queue", func() {
+		for id := range uint64(8) {
+			q.Offer(start, ticket(id, "drafts", 3, time.Minute), 0)
+		}
+		verdict := q.Offer(start, ticket(100, "summaries", 3, time.Minute), 0)
+		Expect(verdict.Queued).To(BeTrue())
+		Expect(verdict.Displaced.Ticket.Service).To(Equal("drafts"))
+	})
+
+	It("refuses a waiting request as soon as its start has passed", func() {
+		q.Offer(start, ticket(1, "drafts", 2, time.Second), 0)
+		q.Offer(start, ticket(2, "drafts", 2, 3*time.Second), 0)
+		next, ok := q.NextExpiry()
+		Expect(ok).To(BeTrue())
+		Expect(next).To(Equal(start.Add(time.Second)))
+		refused := q.Expire(next, nil)
+		Expect(refused).To(HaveLen(1))
+		Expect(refused[0].Ticket.ID).To(Equal(uint64(1)))
+		Expect(q.Size()).To(Equal(1))
+	})
+
+	It("refuses ahead of time what a slower drain will not reach", func() {
+		// The upstreams were thought to start 100 a second and start one a second.
+		// The callers at the back learn it after some seconds, not at the end of
+		// their patience.
+		q = admission.New(admission.Options{})
+		for id := range uint64(60) {
+			q.Offer(start, ticket(id, "drafts", 2, 20*time.Second), 100)
+		}
+		now := start
+		for range 6 {
+			now = now.Add(time.Second)
+			q.Take(now, admission.Priorities-1, []string{"m"})
+		}
+		refused := q.Expire(now, nil)
+		Expect(len(refused)).To(BeNumerically(">", 20))
+		Expect(q.Size()).To(BeNumerically(">=", 10))
+		for _, r := range refused {
+			Expect(r.RetryAfter).To(BeNumerically(">", time.Second), fmt.Sprint(r))
+		}
+	})
+
+	It("forgets a caller that has gone", func() {
+		q.Offer(start, ticket(1, "drafts", 2, time.Second), 0)
+		Expect(q.Cancel("m", 1)).To(BeTrue())
+		Expect(q.Cancel("m", 1)).To(BeFalse())
+		Expect(takeAll(q, start)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Limit", func() {
+	const goal = 500 * time.Millisecond
+
+	It("grows while answers come early and shrinks once a round", func() {
+		l := admission.NewLimit(10, 20)
+		for i := range 10 {
+			l = l.WithFirstToken(start.Add(time.Duration(i)), start, goal/5, goal, 10)
+		}
+		Expect(l.Value()).To(Equal(10))
+		l = l.WithFirstToken(start.Add(10), start, goal/5, goal, 10)
+		Expect(l.Value()).To(Equal(11))
+		now := start.Add(time.Second)
+		cut := l.WithFirstToken(now, start, 2*goal, goal, 10)
+		Expect(cut.Value()).To(Equal(9))
+		Expect(cut.WithFirstToken(now.Add(1), start, 2*goal, goal, 10)).To(Equal(cut))
+	})
+
+	It("does not grow while it is not in use", func() {
+		l := admission.NewLimit(10, 20)
+		Expect(l.WithFirstToken(start, start, goal/5, goal, 1)).To(Equal(l))
+	})
+
+	It("keeps room for priority 0", func() {
+		l := admission.NewLimit(10, 20)
+		Expect(l.Room(8, 3)).To(BeTrue())
+		Expect(l.Room(9, 3)).To(BeFalse())
+		Expect(l.Room(10, 0)).To(BeTrue())
+		Expect(l.Room(11, 0)).To(BeFalse())
+		Expect(admission.NewLimit(1, 1).Room(0, 7)).To(BeTrue())
+	})
+})
