retry: what may be tried again, and a budget for each service

Cause: a retry of what may have run charges a rider twice, and retries without a bound multiply a fault.

Change: a verdict for a failed attempt (not idempotent and not provably not-run, answer begun, a retry itself, attempts spent, too late, budget spent), and a token bucket of a tenth of the fresh requests for each service.

--- /dev/null
+++ b/internal/retry/budgets.go
@@ -0,0 +1,36 @@
+package retry
+
+import "time"
+
+// Budgets holds a Budget for each service. Its memory is bounded by the names
+// that the caller passes, which it takes from the configuration in force.
+//
+// A Budgets is not safe for concurrent use.
+type Budgets struct {
+	options  Options
+	services map[string]*Budget
+}
+
+// NewBudgets returns a Budgets that makes each Budget with options.
+func NewBudgets(options Options) *Budgets {
+	return &Budgets{options: options, services: map[string]*Budget{}}
+}
+
+// Of returns the Budget of service.
+func (b *Budgets) Of(now time.Time, service string) *Budget {
+	budget := b.services[service]
+	if budget == nil {
+		budget = NewBudget(now, b.options)
+		b.services[service] = budget
+	}
+	return budget
+}
+
+// Keep forgets the services for which known returns false.
+func (b *Budgets) Keep(known func(service string) bool) {
+	for service := range b.services {
+		if !known(service) {
+			delete(b.services, service)
+		}
+	}
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,74 @@
+package retry_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/retry"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var _ = Describe("Budget", func() {
+	var budget *retry.Budget
+
+	BeforeEach(func() {
+		budget = retry.NewBudget(now, retry.Options{})
+	})
+
+	// A booking is sent and its connection breaks. It may have run: whatever else
+	// holds, another attempt could charge the rider twice.
+	DescribeTable("tries again only what did not run or is idempotent",
+		func(o outcome.Outcome, idempotent bool, verdict retry.Verdict) {
+			Expect(budget.Decide(now, retry.Attempt{Number: 1, Outcome: o, Idempotent: idempotent})).To(Equal(verdict))
+		},
+		Entry("not run", outcome.NotRun, false, retry.Again),
+		Entry("unknown", outcome.Unknown, false, retry.MayHaveRun),
+		Entry("ran", outcome.Ran, false, retry.MayHaveRun),
+		Entry("not run, idempotent", outcome.NotRun, true, retry.Again),
+		Entry("unknown, idempotent", outcome.Unknown, true, retry.Again),
+		Entry("ran, idempotent", outcome.Ran, true, retry.Again),
+	)
+
+	DescribeTable("keeps from trying again",
+		func(a retry.Attempt, verdict retry.Verdict) {
+			a.Idempotent = true
+			Expect(budget.Decide(now, a)).To(Equal(verdict))
+		},
+		Entry("a retry", retry.Attempt{Number: 1, Stacked: true}, retry.Stacked),
+		Entry("the third attempt", retry.Attempt{Number: 3}, retry.AttemptsSpent),
+		Entry("a begun answer", retry.Attempt{Number: 1, AnswerBegun: true}, retry.AnswerBegun),
+		Entry("what can't end in time",
+			retry.Attempt{Number: 1, Deadline: now.Add(time.Second), Needed: 2 * time.Second}, retry.TooLate),
+	)
+
+	It("bounds what a lasting fault adds to the load", func() {
+		// All upstreams refuse for ten seconds, at a hundred requests a second. With
+		// three attempts each, they would get three times the load.
+		retries := 0
+		at := now
+		for range 1000 {
+			at = at.Add(10 * time.Millisecond)
+			budget.Fresh()
+			for number := 1; budget.Decide(at, retry.Attempt{Number: number, Idempotent: true}) == retry.Again; number++ {
+				retries++
+			}
+		}
+		Expect(retries).To(BeNumerically(">=", 100))
+		Expect(retries).To(BeNumerically("<=", 113))
+	})
+
+	It("is separate for each service", func() {
+		budgets := retry.NewBudgets(retry.Options{Reserve: 1})
+		failed := retry.Attempt{Number: 1, Idempotent: true}
+		Expect(budgets.Of(now, "drafts").Decide(now, failed)).To(Equal(retry.Again))
+		Expect(budgets.Of(now, "drafts").Decide(now, failed)).To(Equal(retry.BudgetSpent))
+		Expect(budgets.Of(now, "pings").Decide(now, failed)).To(Equal(retry.Again))
+		budgets.Keep(func(service string) bool { return service == "pings" })
+		Expect(budgets.Of(now, "pings").Decide(now, failed)).To(Equal(retry.BudgetSpent))
+		Expect(budgets.Of(now, "drafts").Decide(now, failed)).To(Equal(retry.Again))
+	})
+})
