jury: begin with the state of a cluster that lost its majority

Cause: with Index 1 and term 0 a cluster that is founded anew would count its fencing numbers from 1, and upstreams that check them would refuse every order.

Conclusion: the new spec elects a leader above the former term and goes on after the former index.

--- a/internal/clerk/propose.go
+++ b/internal/clerk/propose.go
@@ -134,8 +134,28 @@
 // already hold that of the same cluster, and returns once it is synced. The
 // cluster begins when all voters hold it.
 func (c *Clerk) Bootstrap(ctx context.Context, cluster string, voters []jury.Identity, data []byte) error {
+	return c.BootstrapFrom(ctx, cluster, voters, Origin{Data: data})
+}
+
+// Origin is the state that a cluster begins with. Its Index and Term are those
+// of jury.Bootstrap.
+type Origin struct {
+	Index jury.Index
+	Term  jury.Term
+	Data  []byte
+}
+
+// BootstrapFrom is Bootstrap with the state of a cluster that lost its majority.
+func (c *Clerk) BootstrapFrom(ctx context.Context, cluster string, voters []jury.Identity, origin Origin) error {
 	return c.ask(ctx, false, func(id uint64) jury.Event {
-		return jury.Bootstrap{ID: id, Cluster: cluster, Voters: voters, Data: data}
+		return jury.Bootstrap{
+			ID:      id,
+			Cluster: cluster,
+			Voters:  voters,
+			Data:    origin.Data,
+			Index:   origin.Index,
+			Term:    origin.Term,
+		}
 	})
 }
 
--- a/internal/jury/event.go
+++ b/internal/jury/event.go
@@ -66,6 +66,12 @@
 	Voters []Identity
 	// Data is the initial state of the replicated state machine.
 	Data []byte
+	// Index and Term are those that Data was taken at, if it is the state of a
+	// cluster that lost its majority. The log goes on after Index, and the
+	// terms, which upstreams know as fencing numbers, after Term. Both are 0 for
+	// a new beginning.
+	Index Index
+	Term  Term
 }
 
 // Failed reports that the driver cannot go on: a write or sync failed, the disk
--- a/internal/jury/member.go
+++ b/internal/jury/member.go
@@ -309,14 +309,15 @@
 		return
 	}
 	if m.blank() {
+		m.hard.Term = max(m.hard.Term, e.Term)
 		m.restore(now, Snapshot{
-			Index:   1,
+			Index:   max(1, e.Index),
 			Cluster: e.Cluster,
 			Voters:  newVoterSet(1, e.Voters).names,
 			Data:    e.Data,
 		})
 	}
-	m.afterSync(Answer{ID: e.ID, Index: 1})
+	m.afterSync(Answer{ID: e.ID, Index: m.snapshot.Index})
 }
 
 // restore replaces all that the member holds by a snapshot.
--- a/internal/jury/member_test.go
+++ b/internal/jury/member_test.go
@@ -72,6 +72,24 @@
 		Expect(member.Handle(epoch, jury.Receive{Message: heartbeat})).NotTo(BeEmpty())
 	})
 
+	// Two of three voters are lost for good. The operator founds a new cluster
+	// with the state of the third. Upstreams that know the fencing numbers of
+	// the former leaders must take those of the new ones for later.
+	It("goes on after the index and the term that a former cluster had", func() {
+		w := newWorld(1, 3, quiet, 0)
+		for _, n := range w.nodes {
+			w.handle(n, jury.Bootstrap{
+				Cluster: "again", Voters: identities(w.nodes), Data: encodeState(5), Index: 4711, Term: 12,
+			})
+		}
+		w.until("a leader", func() bool { return w.leader() != nil && w.leader().applied > 4711 })
+		status := w.leader().member.Status()
+		Expect(status.Term).To(BeNumerically(">", 12))
+		Expect(status.Commit).To(BeEquivalentTo(4712))
+		w.profile.propose = 300
+		Expect(w.heal()).To(Succeed())
+	})
+
 	It("never campaigns", func() {
 		member := newMember(jury.State{})
 		for i := range 100 {
