--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -85,6 +85,7 @@
 			OrderFlight:     options.OrderFlight,
 		},
 		State: jury.State{
+			Cluster:   loaded.ClusterID,
 			HardState: loaded.HardState,
 			Snapshot:  loaded.Snapshot,
 			Entries:   loaded.Entries,
