--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -4,7 +4,7 @@
 
 // Priorities is the number of priorities, 0 being the highest. A Ticket of a
 // lower priority than the last counts as the last.
-const Priorities = 8
+const Priorities = 10
 
 // Ticket is one request that waits for an upstream.
 type Ticket struct {
