desk: an answer that is too large to keep doesn't go through the log

Cause: an answer of up to 8 MiB was proposed with its record and went through the log of every voter, for the docket to drop it. instance: telling of a restart was tried again without a pause when it was refused at once.

Change: the desk records no body above docket-answer-size, and the instance waits a second between tries.

--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -127,7 +127,7 @@
 		return d.giveUp(claim.task, err)
 	}
 	defer delivery.done()
-	response := captured(delivery.answer)
+	response := d.captured(delivery.answer)
 	d.background.Go(func() { d.record(claim, docket.StateCompleted, response) })
 	return d.relay(c, claim.task, delivery.answer)
 }
@@ -171,10 +171,10 @@
 }
 
 // captured returns an answer as it is recorded. A stream of events is not kept,
-// and neither is an answer that was not read ahead whole.
-func captured(answer *shuttle.Answer) *docket.Response {
+// and neither is an answer that was not read ahead whole or is too large.
+func (d *Desk) captured(answer *shuttle.Answer) *docket.Response {
 	body, whole := answer.Whole()
-	if !whole {
+	if !whole || int64(len(body)) > d.options.Limits.RecordedBytes {
 		return nil
 	}
 	response := &docket.Response{Status: answer.Status, Body: body}
--- a/internal/desk/claims_test.go
+++ b/internal/desk/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -100,6 +101,27 @@
 		Expect(asked.body).To(ContainSubstring(`"state":"completed","outcome":"ran"`))
 	})
 
+	// An answer of megabytes goes to its caller, but not through the log of every
+	// voter, which would hold up heartbeats and claims. A resend hears that the
+	// booking ran.
+	It("does not record an answer that is too large", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		large := strings.Repeat("x", docket.DefaultLimits().MaxBodyBytes+1)
+		upstream.then = func(w http.ResponseWriter, _ *http.Request) {
+			_, err := w.Write([]byte(large))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		state.failNext(func(command registry.Command) bool {
+			record, ok := command.(docket.Record)
+			return ok && record.Response != nil
+		}, false, errNoQuorum)
+		Expect(first.book(ctx, "k", "two seats").body).To(Equal(large))
+		first.desk.Wait()
+		again := second.book(ctx, "k", "two seats")
+		Expect(again.status).To(Equal(http.StatusConflict))
+		Expect(again.outcome).To(Equal("ran"))
+		Expect(upstream.counted()).To(Equal(1))
+	})
+
 	// Two instances get the same booking at the same moment. One claims it. The
 	// other waits and gets the same answer.
 	It("is run once when it comes to two instances at once", SpecTimeout(specTimeout), func(ctx SpecContext) {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -66,15 +66,20 @@
 	// ProgressWait is how long a request waits for another with its key that is
 	// in progress.
 	ProgressWait time.Duration
+	// RecordedBytes is the largest body that is recorded with what came of a
+	// request. A larger one would go through the log of every voter, for the
+	// docket to drop it.
+	RecordedBytes int64
 }
 
 // DefaultLimits are used for what Options leaves at zero.
 var DefaultLimits = Limits{
-	BodyBytes:    8 << 20,
-	AnswerBytes:  8 << 20,
-	Deadline:     2 * time.Minute,
-	Attempts:     3,
-	ProgressWait: 5 * time.Second,
+	BodyBytes:     8 << 20,
+	AnswerBytes:   8 << 20,
+	Deadline:      2 * time.Minute,
+	Attempts:      3,
+	ProgressWait:  5 * time.Second,
+	RecordedBytes: int64(docket.DefaultLimits().MaxBodyBytes),
 }
 
 // Options configures a Desk.
@@ -156,5 +161,8 @@
 	if limits.Attempts == 0 {
 		limits.Attempts = DefaultLimits.Attempts
 	}
+	if limits.RecordedBytes == 0 {
+		limits.RecordedBytes = DefaultLimits.RecordedBytes
+	}
 	return limits
 }
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -106,11 +106,20 @@
 		if err == nil {
 			return
 		}
+		// A refusal may come at once, again and again.
+		select {
+		case <-ctx.Done():
+		case <-time.After(abandonPause):
+		}
 	}
 }
 
-// abandonTimeout bounds one try to tell of a restart.
-const abandonTimeout = 10 * time.Second
+const (
+	// abandonTimeout bounds one try to tell of a restart.
+	abandonTimeout = 10 * time.Second
+	// abandonPause is the time between two tries.
+	abandonPause = time.Second
+)
 
 // register returns what operators change, over the replicated state.
 func (i *Instance) register() registrar.Register {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -94,8 +94,9 @@
 		Now:         options.Now,
 		Log:         options.Log,
 		Limits: desk.Limits{
-			BodyBytes: options.Settings.Limits.BodyBytes,
-			Deadline:  options.Settings.Goals.Deadline,
+			BodyBytes:     options.Settings.Limits.BodyBytes,
+			Deadline:      options.Settings.Goals.Deadline,
+			RecordedBytes: options.Settings.Limits.DocketAnswerBytes,
 		},
 	})
 	i.beatNow()
