--- /dev/null
+++ b/internal/host/restart_test.go
@@ -0,0 +1,82 @@
+package host_test
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/declaration"
+	"github.com/lovagelift/lovagelift/internal/host"
+	"github.com/lovagelift/lovagelift/internal/registrar"
+)
+
+// alone are the settings of the only instance.
+const alone = `
+name = "a"
+failure-domain = "kgn-a"
+voter = true
+data-folder = "data"
+caller-address = "CALLER"
+upstream-address = "UPSTREAM"
+operator-address = "OPERATOR"
+inner-address = "INNER"
+timing.entry-time = "10ms"
+`
+
+var _ = Describe("a voter", func() {
+	It("comes back from its data folder to the revision and the answers that it had", func(ctx SpecContext) {
+		// An instance founds a cluster, accepts declarations and a preset, and is
+		// stopped and started again. Callers must meet the same preset, and an
+		// operator whose answer was lost must get the first answer.
+		m := newMember("a")
+		path := filepath.Join(GinkgoT().TempDir(), "a.toml")
+		text := strings.NewReplacer("CALLER", m.caller, "UPSTREAM", m.upstream, "OPERATOR", m.operator, "INNER", m.inner).Replace(alone)
+		Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+		client, err := registrar.NewClient(registrar.ClientOptions{
+			Addresses: []netip.AddrPort{netip.MustParseAddrPort(m.operator)}, Timeout: 10 * time.Second,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		set, err := declaration.Read(os.DirFS("../../examples/declarations/kingston"), "kingston")
+		Expect(err).NotTo(HaveOccurred())
+		first := registrar.Change{ID: "first", Declarations: set.Canonical(), Preset: "ordinary"}
+		second := registrar.Change{ID: "second", Expected: 1, Preset: "peak"}
+
+		stop := run(ctx, path)
+		Eventually(ctx, func() error {
+			_, err := client.Bootstrap(ctx)
+			return err
+		}).WithTimeout(20 * time.Second).Should(Succeed())
+		Eventually(ctx, client.Change).WithArguments(ctx, first).WithTimeout(20 * time.Second).Should(Equal(registrar.Answer{Revision: 1}))
+		Expect(client.Change(ctx, second)).To(Equal(registrar.Answer{Revision: 2}))
+		stop()
+
+		stop = run(ctx, path)
+		defer stop()
+		fresh := func() (registrar.Status, error) { return client.Status(ctx) }
+		Eventually(ctx, fresh).WithTimeout(20 * time.Second).Should(And(
+			HaveField("Fresh", true), HaveField("Revision", uint64(2)), HaveField("Preset", "peak")))
+		Expect(client.Change(ctx, second)).To(Equal(registrar.Answer{Revision: 2}))
+		Expect(client.Change(ctx, first)).To(Equal(registrar.Answer{Revision: 1}))
+		inForce, err := client.InForce(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(inForce.Declarations).To(Equal(set))
+	})
+})
+
+// run runs an instance and returns a function that stops it gracefully.
+func run(ctx context.Context, path string) (stop func()) {
+	serving, cancel := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- host.Run(serving, host.Options{SettingsPath: path, Log: io.Discard}) }()
+	return func() {
+		cancel()
+		EventuallyWithOffset(1, ended).WithTimeout(30 * time.Second).Should(Receive(BeNil()))
+	}
+}
