registrar: a change is answered before the operator's client gives up

Cause: tried on three instances with two of them killed, `preset` heard nothing for 10 s and then ended as unknown (exit code 3), though the instance knew all the time that it had proposed nothing.

Change: a change waits at most 5 s, above the time within which it is in force, and the register then answers what it knows. The limit for bodies holds for all of the operators' calls, those about voters included.

--- a/internal/registrar/fakes_test.go
+++ b/internal/registrar/fakes_test.go
@@ -24,6 +24,9 @@
 
 var noon = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
 
+// changeTimeout is short: only proposals that wait for it take that long.
+const changeTimeout = 20 * time.Millisecond
+
 var (
 	errNoQuorum   = errors.New("no quorum")
 	errLeaderLost = errors.New("the leader went away")
@@ -38,15 +41,20 @@
 	last     registry.Change
 	// failure, if set, is returned instead of a result, and nothing changes.
 	failure error
+	// waits makes proposals wait until their context ends.
+	waits bool
 }
 
 func newVoter() *voter {
 	return &voter{registry: registry.New(), gazette: gazette.New()}
 }
 
-func (v *voter) propose(_ context.Context, command []byte) (registry.Result, error) {
+func (v *voter) propose(ctx context.Context, command []byte) (registry.Result, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.waits {
+		<-ctx.Done()
+	}
 	if v.failure != nil {
 		return registry.Result{}, v.failure
 	}
@@ -125,9 +133,10 @@
 			name, ok := map[string]string{"token of kim": "kim", "token of ada": "ada"}[token]
 			return name, ok
 		},
-		BodyBytes: 1 << 20,
-		Now:       func() time.Time { return noon },
-		Log:       zerolog.New(zerolog.SyncWriter(f.log)),
+		BodyBytes:     1 << 20,
+		ChangeTimeout: changeTimeout,
+		Now:           func() time.Time { return noon },
+		Log:           zerolog.New(zerolog.SyncWriter(f.log)),
 	})
 	return f
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -23,6 +24,10 @@
 // five adapters each take about 3 MB.
 const DefaultBodyBytes = 16 << 20
 
+// DefaultChangeTimeout is above the 4 s within which a change is in force, and a
+// change of leader with it, and below what operators' commands wait for.
+const DefaultChangeTimeout = 5 * time.Second
+
 // operatorKey is where the name of the operator stands in an echo context.
 const operatorKey = "operator"
 
@@ -36,6 +41,9 @@
 	Holder func(token string) (string, bool)
 	// BodyBytes bounds the body of a request. 0 stands for DefaultBodyBytes.
 	BodyBytes int64
+	// ChangeTimeout bounds how long a change waits to be accepted. 0 stands for
+	// DefaultChangeTimeout.
+	ChangeTimeout time.Duration
 	// Now returns the present time.
 	Now func() time.Time
 	Log zerolog.Logger
@@ -52,6 +60,9 @@
 	if options.BodyBytes == 0 {
 		options.BodyBytes = DefaultBodyBytes
 	}
+	if options.ChangeTimeout == 0 {
+		options.ChangeTimeout = DefaultChangeTimeout
+	}
 	r := &Registrar{options: options, echo: echo.New()}
 	r.echo.Use(r.checkToken)
 	r.echo.GET(inForcePath, r.inForce)
@@ -82,6 +93,7 @@
 			})
 		}
 		c.Set(operatorKey, name)
+		c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, r.options.BodyBytes)
 		return next(c)
 	}
 }
@@ -119,7 +131,12 @@
 	by, _ := c.Get(operatorKey).(string)
 	change.By = by
 	change.Now = r.options.Now()
-	answer, err := r.options.Register.Change(c.Request().Context(), change)
+	// Without a majority of the voters the register tries on for as long as it
+	// may. Left to the client's own time-out, the operator would hear nothing and
+	// would be told "unknown" of a change that was never proposed.
+	ctx, cancel := context.WithTimeout(c.Request().Context(), r.options.ChangeTimeout)
+	defer cancel()
+	answer, err := r.options.Register.Change(ctx, change)
 	r.logChange(change, answer, err)
 	if err != nil {
 		return writeChangeError(c, err)
@@ -152,7 +169,7 @@
 }
 
 func (r *Registrar) readChange(c echo.Context) (Change, *refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, r.options.BodyBytes))
+	body, err := io.ReadAll(c.Request().Body)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return Change{}, badRequest(http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is above %d bytes", tooLarge.Limit))
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -150,6 +150,15 @@
 		Expect(errors.As(err, &unavailable)).To(BeTrue(), "%v", err)
 	})
 
+	It("answers before the client gives up when the voters have no majority", func() {
+		// Two of three voters are lost. The third tries on until its time is up
+		// and knows that it never proposed the change. The operator must hear
+		// that, and not end in the client's own time-out, which says nothing.
+		f.voter.waits, f.voter.failure = true, errNoQuorum
+		_, err := client("token of kim", serve(f.handler)).Change(ctx, change(0, "ordinary"))
+		Expect(errors.HasType(err, (*registrar.UnavailableError)(nil))).To(BeTrue(), "%v", err)
+	})
+
 	It("carries each kind of refusal to the client", func() {
 		c := client("token of kim", serve(f.handler))
 		f.voter.failure = errNoQuorum
