clerk: the feed of entries is gone, as followers ask for configurations

Cause: instances without a disk follow by package chamber, which asks voters for the configuration in force and looks records up there.

Change: Follow, Page and their spec are removed.

--- a/internal/clerk/applier.go
+++ b/internal/clerk/applier.go
@@ -45,7 +45,6 @@
 // not delay heartbeats.
 type applier struct {
 	clerk *Clerk
-	feed  *feed
 
 	mutex sync.Mutex
 	// queue is unbounded; the member's limit of uncommitted entries and the
@@ -67,7 +66,6 @@
 func newApplier(c *Clerk, snapshot jury.Snapshot) *applier {
 	return &applier{
 		clerk:         c,
-		feed:          newFeed(snapshot),
 		awaited:       map[jury.Index]awaited{},
 		applied:       snapshot.Index,
 		wake:          make(chan struct{}, 1),
@@ -152,7 +150,6 @@
 	}
 	a.bytes += len(entry.Data)
 	a.entries++
-	a.feed.add(entry)
 	a.mutex.Lock()
 	a.applied = entry.Index
 	waiting, found := a.awaited[entry.Index]
@@ -175,7 +172,6 @@
 		return errors.Wrapf(err, "clerk: restore the snapshot at %d", snapshot.Index)
 	}
 	a.snapshotTaken(snapshot.Index, len(snapshot.Data))
-	a.feed.reset(snapshot)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.applied = snapshot.Index
@@ -204,7 +200,6 @@
 	select {
 	case a.clerk.compacts <- jury.Compact{Index: a.applied, Data: data}:
 		a.snapshotTaken(a.applied, len(data))
-		a.feed.snapshotted(a.applied, data)
 	default:
 		// The loop has not taken the last one yet; the next batch tries again.
 	}
--- a/internal/clerk/clerk_test.go
+++ b/internal/clerk/clerk_test.go
@@ -252,22 +252,4 @@
 		Expect(r.clerk.Bootstrap(context.Background(), "juryline", c.names(), nil)).To(Succeed())
 		Expect(r.clerk.Bootstrap(context.Background(), "other", c.names(), nil)).To(MatchError(jury.ErrNotBlank))
 	})
-
-	It("feeds readers without a disk entries, or a snapshot where entries are gone", func() {
-		c := newCourt(3)
-		leader := c.begin()
-		for i := range 3 {
-			whilePassing(c, func() proposed { return propose(leader, fmt.Sprint("change-", i)) })
-		}
-		page := leader.clerk.Follow(c.clock(), 0)
-		Expect(page.Snapshot.Index).To(BeEquivalentTo(1))
-		Expect(page.Entries).To(HaveLen(4), "a barrier and three changes")
-		Expect(page.Confirmed).To(BeTrue())
-		Expect(page.Age).To(BeNumerically("<", 100e6))
-		page = leader.clerk.Follow(c.clock(), page.Applied)
-		Expect(page.Snapshot.Index).To(BeZero())
-		Expect(page.Entries).To(BeEmpty())
-		ahead := leader.clerk.Follow(c.clock(), page.Applied+5)
-		Expect(ahead.Snapshot.Index).To(BeZero(), "a reader that is ahead is not set back")
-	})
 })
