--- a/internal/gazette/gazette_test.go
+++ b/internal/gazette/gazette_test.go
@@ -120,6 +120,24 @@
 	}
 }
 
+// BenchmarkPublishAgain publishes a revision whose declarations are those of the
+// one before, as after a change of the preset alone.
+func BenchmarkPublishAgain(b *testing.B) {
+	for _, models := range []int{20, 1700} {
+		b.Run(fmt.Sprintf("models=%d", models), func(b *testing.B) {
+			declarations := manyModels(b, models)
+			g := gazette.New()
+			revision := registry.Revision(0)
+			for b.Loop() {
+				revision++
+				if err := g.Publish(&registry.View{Revision: revision, Preset: "ordinary", Declarations: declarations}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 func compressed(b *testing.B, data []byte) int {
 	b.Helper()
 	var buffer bytes.Buffer
