--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -242,6 +242,22 @@
 	return alive
 }
 
+// UpstreamsSince returns the upstreams that changed after cursor, those that left
+// or whose lease has run out included, and the cursor to ask with next. A cursor
+// of 0 asks for all.
+func (r *Roster) UpstreamsSince(cursor uint64) ([]Upstream, uint64) {
+	var changed []Upstream
+	if cursor == r.upstreams.change {
+		return nil, cursor
+	}
+	for _, held := range r.upstreams.rows {
+		if held.changed > cursor {
+			changed = append(changed, upstreamOf(held))
+		}
+	}
+	return changed, r.upstreams.change
+}
+
 // Instances returns the instances that are alive, this one included, sorted by
 // name.
 func (r *Roster) Instances(now time.Time) []Instance {
