--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -38,6 +38,8 @@
 	mu      sync.Mutex
 	roster  *roster.Roster
 	cursors map[string]roster.Cursor
+	// told says how far the desk knows the upstreams.
+	told uint64
 	// draining is set at the start of a planned stop, refusing when callers have
 	// had the time to go elsewhere. refusing is never set without draining.
 	draining bool
@@ -91,8 +93,13 @@
 		Name:        options.Settings.Name,
 		Incarnation: i.incarnation,
 		Shuttle:     i.shuttle,
-		Now:         options.Now,
-		Log:         options.Log,
+
+		FailureDomain: options.Settings.FailureDomain,
+		Instances:     len(options.Settings.Instances) + 1,
+		UpstreamLease: options.Settings.Timing.UpstreamLease,
+
+		Now: options.Now,
+		Log: options.Log,
 		Limits: desk.Limits{
 			BodyBytes:     options.Settings.Limits.BodyBytes,
 			Deadline:      options.Settings.Goals.Deadline,
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/desk"
+	"github.com/lovagelift/lovagelift/internal/entries"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/settings"
@@ -51,11 +52,30 @@
 	}
 }
 
-// Entries returns the instances that callers may use.
-func (i *Instance) Entries(now time.Time) desk.Entries {
+// Entries returns the instances that the caller may use, the one to use first.
+func (i *Instance) Entries(now time.Time, caller string) desk.Entries {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return desk.Entries{List: i.entriesLocked(now), Keep: i.options.Settings.Timing.EntryTime}
+	var choices []entries.Instance
+	for _, instance := range i.roster.Instances(now) {
+		choices = append(choices, entries.Instance{
+			Name:          instance.Name,
+			Address:       instance.CallerAddress,
+			FailureDomain: instance.FailureDomain,
+			Leaving:       instance.Draining || instance.Stale,
+			Open:          instance.Streams,
+		})
+	}
+	answer := entries.Choose(now, caller, choices, entries.Options{Keep: i.options.Settings.Timing.EntryTime})
+	told := desk.Entries{Keep: answer.Keep}
+	for _, instance := range answer.Instances {
+		told.List = append(told.List, desk.Entry{
+			Name:          instance.Name,
+			Address:       instance.Address,
+			FailureDomain: instance.FailureDomain,
+		})
+	}
+	return told
 }
 
 func (i *Instance) entriesLocked(now time.Time) []desk.Entry {
@@ -87,6 +107,7 @@
 	if err := i.roster.Announce(now, announcement); err != nil {
 		return upstreamapi.Welcome{}, err
 	}
+	i.tellDeskLocked()
 	welcome := upstreamapi.Welcome{
 		RenewEvery: i.options.Settings.Timing.UpstreamRenewal,
 		Lease:      i.options.Settings.Timing.UpstreamLease,
@@ -104,6 +125,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.roster.Load(now, report)
+	i.tellDeskLocked()
 }
 
 // Leave takes an upstream's word that it goes.
@@ -111,6 +133,16 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.roster.Leave(now, leave)
+	i.tellDeskLocked()
+}
+
+// tellDeskLocked passes on what has changed of the upstreams.
+func (i *Instance) tellDeskLocked() {
+	var changed []roster.Upstream
+	changed, i.told = i.roster.UpstreamsSince(i.told)
+	if len(changed) > 0 {
+		i.desk.Update(changed)
+	}
 }
 
 func (i *Instance) changes(cursor roster.Cursor) roster.Changes {
@@ -176,5 +208,6 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.roster.Merge(asked, changes)
+	i.tellDeskLocked()
 	i.cursors[peer.Name] = changes.Next
 }
