roster: renewals in columns, sources that scale, members that introduce themselves

Cause: each instance pulled whole renewals from every other: at 330 instances and 1,100 upstreams 90,110 bytes a second from each source (the budget of a node is 24 KB for all control) and 108,570 connections. Ruled out: fewer renewals (an upstream that is lost must get no work after 3 s), and leaving loads out (routing by loads of one's own alone herds). Change: a renewal is a row of columns under a handle; rates travel only when they move by 5 %; beyond 16 instances each that is no voter pulls from one voter, the voters from each other and from those that lean on them; who pulls introduces itself, so that settings name the voters only.

--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -9,7 +9,6 @@
 	"github.com/lovagelift/lovagelift/internal/entries"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/roster"
-	"github.com/lovagelift/lovagelift/internal/settings"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -145,12 +144,6 @@
 	}
 }
 
-func (i *Instance) changes(cursor roster.Cursor) roster.Changes {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.roster.Since(i.options.Now(), cursor)
-}
-
 // beat renews this instance's own record and forgets members long lost.
 func (i *Instance) beat(ctx context.Context) {
 	ticker := time.NewTicker(pullEvery)
@@ -173,41 +166,18 @@
 	i.roster.Sweep(now)
 }
 
+// beatLocked renews this instance's own record when it is due, and at once when
+// callers must be sent elsewhere or may be sent here again.
 func (i *Instance) beatLocked(now time.Time) {
-	i.roster.Beat(now, roster.InstanceBeat{
+	beat := roster.InstanceBeat{
 		Draining: i.draining,
 		Stale:    !i.chamber.Fresh(now),
 		Streams:  i.desk.Streams(),
-	})
-}
-
-// pullFrom keeps asking one other instance for what changed in its roster.
-func (i *Instance) pullFrom(ctx context.Context, peer settings.Instance) {
-	ticker := time.NewTicker(pullEvery)
-	defer ticker.Stop()
-	for {
-		i.pullOnce(ctx, peer)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
 	}
-}
-
-func (i *Instance) pullOnce(ctx context.Context, peer settings.Instance) {
-	i.mu.Lock()
-	cursor := i.cursors[peer.Name]
-	i.mu.Unlock()
-	asked := i.options.Now()
-	changes, err := i.pools.rosters.PullRoster(ctx, peer.InnerAddress.String(), cursor)
-	if err != nil {
-		i.options.Log.Debug().Err(err).Str("peer", peer.Name).Msg("roster not pulled")
+	urgent := beat.Draining != i.lastBeat.Draining || beat.Stale != i.lastBeat.Stale
+	if !urgent && now.Sub(i.lastBeatAt) < i.options.Settings.Timing.UpstreamRenewal {
 		return
 	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.roster.Merge(asked, changes)
-	i.tellDeskLocked()
-	i.cursors[peer.Name] = changes.Next
+	i.lastBeat, i.lastBeatAt = beat, now
+	i.roster.Beat(now, beat)
 }
