--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -37,6 +37,11 @@
 		if c.ID == "" || len(c.Declarations) > 0 && len(c.Presets) == 0 {
 			return nil, errors.AssertionFailedf("registry: change %q was not prepared", c.ID)
 		}
+		packed, err := pack(c.Declarations)
+		if err != nil {
+			return nil, err
+		}
+		c.Declarations = packed
 		e.Change = &c
 	case docket.Claim:
 		e.Claim = &c
@@ -88,6 +93,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "registry: decode command")
 	}
+	if e.Change != nil {
+		if e.Change.Declarations, err = unpack(e.Change.Declarations); err != nil {
+			return nil, err
+		}
+	}
 	return e.command()
 }
 
