chamber: voters refuse commands that they can't carry out

Cause: a command that an upgraded instance proposes would have been committed through an older leader and have stopped every older voter.

--- a/internal/chamber/chamber_test.go
+++ b/internal/chamber/chamber_test.go
@@ -70,6 +70,20 @@
 		Eventually(ctx, revisionEverywhere(2)).Should(BeTrue())
 	})
 
+	// An upgraded instance proposes a command that the voters don't know. If it
+	// were committed, each of them would stop when it carried it out.
+	It("is not reached by a command that the voters don't know", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		Expect(apply(ctx, h.members["f"], change("first", 0))).To(HaveField("Verdict", registry.VerdictApplied))
+		for _, here := range []bool{false, true} {
+			for _, name := range []string{"a", "b", "c"} {
+				proposed := h.members["f"].pools[0].Propose(ctx, h.members[name].address(), []byte(`{"format":1000}`), here)
+				Expect(proposed.Fate).To(Equal(courier.FateNotAccepted))
+				Expect(proposed.Reason).To(ContainSubstring("newer program"))
+			}
+		}
+		Expect(apply(ctx, h.members["f"], change("second", 1))).To(HaveField("Verdict", registry.VerdictApplied))
+	})
+
 	// Eight operators have seen the same revision and change it at the same
 	// moment, through different instances. One wins; each other is told what
 	// was changed, and by whom.
