--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -75,9 +75,9 @@
 }
 
 // Decode returns the command whose encoding is data. If data comes from a newer
-// program, Decode returns a *NewerError. A leader decodes every command before
-// it appends it, so that none enters the log that a voter of its own version
-// can't apply.
+// program, Decode returns a *NewerError. A voter decodes every command that
+// another instance proposes, so that none enters the log that voters of its own
+// version can't apply.
 func Decode(data []byte) (Command, error) {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
