--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -54,7 +54,7 @@
 	options := registrar.ClientOptions{
 		Addresses:  f.parseAddresses(&list),
 		Token:      f.readToken(&list),
-		TLS:        readCA(f.caFile, &list),
+		TLS:        f.readCA(&list),
 		AllowPlain: f.allowPlain,
 		Timeout:    f.timeout,
 	}
@@ -105,19 +105,18 @@
 	return token
 }
 
-// readCA returns the TLS to use towards instances, or nil if no file is named.
-func readCA(caFile string, list *finding.List) *tls.Config {
-	if caFile == "" {
+func (f *operatorFlags) readCA(list *finding.List) *tls.Config {
+	if f.caFile == "" {
 		return nil
 	}
-	data, err := os.ReadFile(caFile)
+	data, err := os.ReadFile(f.caFile)
 	if err != nil {
 		list.Add(flagPlace("ca"), err.Error(), "")
 		return nil
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(data) {
-		list.Add(flagPlace("ca"), caFile+" holds no certificate", "give a file in PEM")
+		list.Add(flagPlace("ca"), f.caFile+" holds no certificate", "give a file in PEM")
 	}
 	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
 }
--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -10,7 +10,6 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/lovagelift/lovagelift/internal/chamber"
-	"github.com/lovagelift/lovagelift/internal/dispatch"
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
@@ -127,10 +126,10 @@
 		d.background.Go(func() { d.record(claim, stateAfter(err), nil) })
 		return d.giveUp(claim.task, err)
 	}
-	defer delivery.trip.end(dispatch.FailureCanceled)
+	defer delivery.done()
 	response := d.captured(delivery.answer)
 	d.background.Go(func() { d.record(claim, docket.StateCompleted, response) })
-	return d.relay(c, claim.task, delivery)
+	return d.relay(c, claim.task, delivery.answer)
 }
 
 // record tells the voters what came of a claimed request. If it can't, the claim
@@ -157,7 +156,11 @@
 
 // stateAfter returns what is recorded of a request that has no answer.
 func stateAfter(err error) docket.State {
-	switch outcomeOf(err) {
+	var failure *shuttle.Error
+	if !errors.As(err, &failure) {
+		return docket.StateUnknown
+	}
+	switch failure.Outcome {
 	case outcome.NotRun:
 		return docket.StateNotRun
 	case outcome.Ran:
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -26,17 +26,15 @@
 	// Admits returns nil, or the refusal of new work while the instance is
 	// draining or can't confirm its configuration.
 	Admits(now time.Time) *RefusalError
-	// Entries returns the addresses that the named caller may use, the one to use
-	// first.
-	Entries(now time.Time, caller string) Entries
+	// Entries returns the addresses a caller may use.
+	Entries(now time.Time) Entries
 	// Issue returns the configuration in force. A request takes one and uses no
 	// other.
 	Issue() *gazette.Issue
 	// Propose and Lookup are those of chamber.Chamber.
 	Propose(ctx context.Context, command registry.Command) (registry.Result, error)
 	Lookup(ctx context.Context, key docket.Key) (docket.Answer, error)
-	// Upstreams returns the upstreams that may receive new work, by name. Requests
-	// go by what Update was told.
+	// Upstreams returns the upstreams that may receive new work, by name.
 	Upstreams(now time.Time) []roster.Upstream
 }
 
@@ -91,16 +89,6 @@
 	Name        string
 	Incarnation uint64
 	Shuttle     *shuttle.Shuttle
-	// FailureDomain is that of the instance, RemoteDelay the time one way to
-	// another one.
-	FailureDomain string
-	RemoteDelay   time.Duration
-	// Instances is the number of instances that share the upstreams, 0 stands
-	// for 1.
-	Instances int
-	// UpstreamLease is how long an upstream receives new work after it was heard
-	// of.
-	UpstreamLease time.Duration
 	// Now returns the present time.
 	Now    func() time.Time
 	Log    zerolog.Logger
@@ -116,7 +104,7 @@
 	claims atomic.Uint64
 	// background is the recordings that callers don't wait for.
 	background sync.WaitGroup
-	router     *router
+	chooser    *chooser
 }
 
 // New returns a Desk.
@@ -125,7 +113,7 @@
 	d := &Desk{
 		options: options,
 		echo:    echo.New(),
-		router:  newRouter(options),
+		chooser: newChooser(),
 	}
 	d.echo.HTTPErrorHandler = d.handleError
 	d.echo.Use(d.recoverPanic)
@@ -146,11 +134,6 @@
 	d.echo.ServeHTTP(w, r)
 }
 
-// Update takes in what has changed of the upstreams.
-func (d *Desk) Update(upstreams []roster.Upstream) {
-	d.router.update(upstreams)
-}
-
 // Wait returns when everything that was begun is recorded. No request may be in
 // progress.
 func (d *Desk) Wait() {
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -72,18 +72,12 @@
 	u.health.succeeded()
 }
 
-// Finished takes in that the whole answer has come. If nothing is known of its
-// first token, the limit of the upstream goes by the queue that it reports.
+// Finished takes in that the whole answer has come.
 func (d *Dispatcher) Finished(now time.Time, flight *Flight) {
 	u := flight.upstream
-	if flight.firstAt.IsZero() {
-		u.health.succeeded()
-	} else {
+	if !flight.firstAt.IsZero() {
 		u.hold = moved(u.hold, now.Sub(flight.firstAt).Seconds())
 	}
-	if (flight.firstAt.IsZero() || flight.budget == 0) && u.view.Load.Waiting == 0 {
-		u.limit = u.limit.WithAnswer(u.inFlight)
-	}
 	d.end(now, flight)
 }
 
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -42,10 +42,8 @@
 	Start Start
 	// Reason is that of the last decision.
 	Reason Reason
-	// Queued says that the request waits. It comes out of Freed or Expired, of the
-	// latter at StartBy at the latest.
-	Queued  bool
-	StartBy time.Time
+	// Queued says that the request waits. It comes out of Freed or Expired.
+	Queued bool
 	// Refusal is the final answer if its Cause is set.
 	Refusal admission.Refusal
 	// Displaced is the final answer to another request, which gave its place in
@@ -83,8 +81,7 @@
 			return Answer{Reason: decision.Reason}
 		}
 	}
-	ticket := g.ticket(now, a, pool)
-	verdict := g.queue.Offer(now, ticket, g.dispatcher.Capacity(now, a.Target))
+	verdict := g.queue.Offer(now, g.ticket(now, a, pool), g.dispatcher.Capacity(now, a.Target))
 	if verdict.Queued {
 		g.waiting[a.ID] = a
 	}
@@ -94,7 +91,6 @@
 	return Answer{
 		Reason:    ReasonNoRoom,
 		Queued:    verdict.Queued,
-		StartBy:   ticket.StartBy,
 		Refusal:   verdict.Refused,
 		Displaced: verdict.Displaced,
 	}
--- a/internal/jury/export_test.go
+++ b/internal/jury/export_test.go
@@ -17,7 +17,6 @@
 	BlankVotes          = blankVotes
 	ChangeAtOnce        = changeAtOnce
 	LeaseFromAnswer     = leaseFromAnswer
-	IgnoreDrift         = ignoreDrift
 )
 
 // Weaken takes safeguards out of m.
--- a/internal/jury/lease.go
+++ b/internal/jury/lease.go
@@ -41,11 +41,7 @@
 	if m.office.transfer.surrendered && !m.unsafe(keepLeaseInTransfer) {
 		return time.Time{}, false
 	}
-	lease := m.options.Lease()
-	if m.unsafe(ignoreDrift) {
-		lease = m.options.ElectionTimeout
-	}
-	end := m.heardByQuorum(now).Add(lease)
+	end := m.heardByQuorum(now).Add(m.options.Lease())
 	return end, now.Before(end)
 }
 
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -42,11 +42,25 @@
 		victims = append(victims, victim{model: at, place: p, loss: d.lossOf(m, p)})
 	}
 	slices.SortStableFunc(victims, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(b.place.bytes, a.place.bytes))
+		return cmp.Or(a.compare(b), cmp.Compare(b.place.bytes, a.place.bytes))
 	})
 	return victims
 }
 
+// compare orders victims by their loss. Of equal ones, those that nobody declares
+// go first.
+func (v victim) compare(other victim) int {
+	return cmp.Or(cmp.Compare(v.loss, other.loss), cmp.Compare(v.declared(), other.declared()))
+}
+
+// declared returns 1 if the model is declared, otherwise 0.
+func (v victim) declared() int {
+	if v.model < 0 {
+		return 0
+	}
+	return 1
+}
+
 // planned tells whether an unload of the copy is in the draft already.
 func (d *draft) planned(engine string, c *copied) bool {
 	return slices.ContainsFunc(d.wants, func(w want) bool {
@@ -135,6 +149,21 @@
 	value float64
 }
 
+// better tells whether e gains more than other, or as much with fewer unloads of
+// what is declared, or with fewer unloads at all.
+func (e eviction) better(other eviction) bool {
+	declared, others := 0, 0
+	for _, v := range e.victims {
+		declared += v.declared()
+	}
+	for _, v := range other.victims {
+		others += v.declared()
+	}
+	return cmp.Or(
+		cmp.Compare(e.value, other.value), cmp.Compare(others, declared), cmp.Compare(len(other.victims), len(e.victims)),
+	) > 0
+}
+
 // makeRoom plans the unloads with the least loss that make room for a copy, and
 // the copy to follow. If there are none, makeRoom returns false.
 func (d *draft) makeRoom(q search) bool {
@@ -169,8 +198,7 @@
 		for _, sh := range q.model.shapes(false) {
 			e, fits := d.evictionAt(i, sh, victims, q.tier)
 			e.value = min(q.relief, max(s.limit(d.options)-s.load, 0))*q.model.share - e.loss
-			better := !ok || e.value > found.value || e.value == found.value && len(e.victims) < len(found.victims)
-			if fits && better {
+			if fits && (!ok || e.better(found)) {
 				found, ok = e, true
 			}
 		}
@@ -301,7 +329,7 @@
 			if !d.sites[i].ordered {
 				continue
 			}
-			if victims := d.removable(i, tierDemand); len(victims) > 0 && (found == nil || victims[0].loss < found.loss) {
+			if victims := d.removable(i, tierDemand); len(victims) > 0 && (found == nil || victims[0].compare(*found) < 0) {
 				found = &victims[0]
 			}
 		}
--- a/internal/placement/finish.go
+++ b/internal/placement/finish.go
@@ -14,7 +14,8 @@
 		Unreachable: d.unreachable(),
 		Problems:    d.problems,
 		Offered:     d.offered(),
-		Target:      d.target(),
+		models:      d.models,
+		sites:       d.sites,
 	}
 	slices.SortStableFunc(d.wants, func(a, b want) int {
 		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank))
@@ -105,22 +106,3 @@
 func serves(p Phase) bool {
 	return p == PhaseReady || p == PhaseUnproved || p == PhaseGoing
 }
-
-// target returns what engines hold and would hold.
-func (d *draft) target() []Placed {
-	var list []Placed
-	for i := range d.models {
-		for _, p := range d.models[i].places {
-			engine := d.sites[p.site].name
-			list = append(list, Placed{Engine: engine, Model: p.model, Version: p.version, Phase: p.phase})
-			for _, a := range p.adapters {
-				list = append(list, Placed{Engine: engine, Model: p.model, Version: p.version, Adapter: a.name, Phase: a.phase})
-			}
-		}
-	}
-	slices.SortStableFunc(list, func(a, b Placed) int {
-		return cmp.Or(cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Model, b.Model),
-			cmp.Compare(a.Version, b.Version), cmp.Compare(a.Adapter, b.Adapter))
-	})
-	return list
-}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -110,14 +110,14 @@
 	Unreachable []demand.Target
 	// Problems are needs that cannot be met, each with the arithmetic.
 	Problems []Problem
-	// Target is what engines would hold if all of Moves and Waiting were done,
-	// sorted by engine, model and adapter.
-	Target []Placed
 	// Served is the load that the present copies serve within the goals, and
 	// Offered the load in all, by the planner's model of engines.
 	Served, Offered float64
 	// Next is the Previous of the next plan.
 	Next State
+	// models and sites are the draft's, for Target.
+	models []model
+	sites  []site
 }
 
 // Problem is a need that cannot be met now.
@@ -128,36 +128,6 @@
 	Text string
 }
 
-// Placed is one copy of a model, or an adapter beside one, in Plan.Target.
-type Placed struct {
-	Engine  string
-	Model   string
-	Version string
-	// Adapter is empty for the model itself.
-	Adapter string
-	Phase   Phase
-}
-
-// Phase says how far a copy is.
-type Phase string
-
-// The phases.
-const (
-	// PhaseReady is reported by the engine, and no open order may remove it.
-	PhaseReady Phase = "ready"
-	// PhaseComing is being loaded by an open order.
-	PhaseComing Phase = "coming"
-	// PhaseDoubtful is loaded by an open order whose answer was lost.
-	PhaseDoubtful Phase = "doubtful"
-	// PhaseUnproved is announced by an engine whose reports contradict its ledger.
-	// It serves, and proves nothing.
-	PhaseUnproved Phase = "unproved"
-	// PhaseGoing may be removed by an open order or by a move of the plan.
-	PhaseGoing Phase = "going"
-	// PhasePlanned is loaded by a move of the plan.
-	PhasePlanned Phase = "planned"
-)
-
 // Planner makes plans. It is immutable and safe for concurrent use.
 type Planner struct {
 	options Options
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -178,8 +178,14 @@
 		Expect(w.missing()).To(BeZero())
 	})
 
-	DescribeTable("keeps its promises under faults at any step", func(seed uint64) {
+	// Engines and whole failure domains are lost at any moment, orders and answers
+	// vanish, leaders and presets change in the middle. Callers must notice nothing
+	// that a move did: only what a fault took may be out of reach, and it comes
+	// back once there are engines to hold it. With nine engines, memory is so short
+	// that most copies need another one to go.
+	DescribeTable("keeps its promises under faults at any step", func(seed uint64, count int) {
 		set, engines := example([]string{"kingston", "lagos"}[seed%2])
+		engines = engines[:count]
 		w := newWorld(set, engines...)
 		w.random = rand.New(rand.NewPCG(seed, 1))
 		w.in.WeightStore = placement.WeightStore{LoadsPerSecond: 1.6, Concurrent: 9}
@@ -195,11 +201,13 @@
 			}
 		}
 		settle(w, 900)
+		GinkgoWriter.Println("moves", w.all, "loads", w.loads, "unloads", w.unloads)
 		Expect(w.wrong).NotTo(HaveOccurred())
 		Expect(w.missing()).To(BeZero())
 	},
-		Entry(nil, uint64(1)), Entry(nil, uint64(2)), Entry(nil, uint64(3)), Entry(nil, uint64(4)),
-		Entry(nil, uint64(5)), Entry(nil, uint64(6)), Entry(nil, uint64(7)), Entry(nil, uint64(8)))
+		Entry(nil, uint64(1), 15), Entry(nil, uint64(2), 15), Entry(nil, uint64(3), 15), Entry(nil, uint64(4), 15),
+		Entry(nil, uint64(5), 9), Entry(nil, uint64(6), 9), Entry(nil, uint64(7), 9), Entry(nil, uint64(8), 9),
+		Entry(nil, uint64(9), 6), Entry(nil, uint64(10), 6), Entry(nil, uint64(11), 6), Entry(nil, uint64(12), 6))
 })
 
 // disturb brings one of the faults, now and then.
