--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -73,6 +73,15 @@
 	return l
 }
 
+// WithAnswer returns the Limit that follows from an answer which says nothing of
+// the time to its first token, but came from an upstream without a queue.
+func (l Limit) WithAnswer(inFlight int) Limit {
+	if float64(inFlight) >= l.value*limitBusyShare {
+		l.value = min(l.value+limitIncrease/l.value, l.ceiling)
+	}
+	return l
+}
+
 // WithCut returns the Limit that follows from a request, sent at sentAt, that
 // the upstream answered too late or refused for want of room.
 func (l Limit) WithCut(now, sentAt time.Time) Limit {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net/http"
 	"sync"
@@ -22,6 +23,8 @@
 	Known []string
 	// Client sends the requests. Nil stands for a client of the caller's own.
 	Client *http.Client
+	// TLS is used towards the instances, if it is not nil.
+	TLS *tls.Config
 	// Now returns the present time. Nil stands for time.Now.
 	Now func() time.Time
 }
@@ -47,7 +50,10 @@
 // New returns a Caller.
 func New(options Options) *Caller {
 	if options.Client == nil {
-		options.Client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
+		options.Client = &http.Client{Transport: &http.Transport{
+			DisableCompression: true,
+			TLSClientConfig:    options.TLS,
+		}}
 	}
 	if options.Now == nil {
 		options.Now = time.Now
@@ -105,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	var reply entriesReply
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/entries", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(address, "/v1/entries"), nil)
 	if err != nil {
 		return reply, errors.Wrap(err, "caller: entries")
 	}
@@ -123,6 +129,13 @@
 	return reply, nil
 }
 
+func (c *Caller) url(address, path string) string {
+	if c.options.TLS != nil {
+		return "https://" + address + path
+	}
+	return "http://" + address + path
+}
+
 func (c *Caller) keep(reply entriesReply) []Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/caller/complete.go
+++ b/internal/caller/complete.go
@@ -41,7 +41,8 @@
 
 // Ask sends a question and calls token with each piece of the answer as it
 // comes. A completion changes nothing, so Ask tries another instance after any
-// failure before the first piece. If no whole answer comes, Ask returns an
+// failure before the first piece. Once all have failed, it waits as long as it
+// was told to before it goes on. If no whole answer comes, Ask returns an
 // *Error.
 func (c *Caller) Ask(ctx context.Context, question Question, token func(string)) (Answer, error) {
 	var last error
@@ -64,10 +65,39 @@
 			break
 		}
 		c.forget()
+		if attempt%len(entries) == 0 && !wait(ctx, retryAfterOf(err)) {
+			break
+		}
 	}
 	return Answer{}, last
 }
 
+// The bounds of the wait before an instance is asked again.
+const (
+	minWait = 100 * time.Millisecond
+	maxWait = 5 * time.Second
+)
+
+func retryAfterOf(err error) time.Duration {
+	var failure *Error
+	if !errors.As(err, &failure) {
+		return minWait
+	}
+	return max(minWait, min(failure.RetryAfter, maxWait))
+}
+
+// wait waits for d and reports false if ctx ended before.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // isFinal reports whether another instance would answer the same.
 func isFinal(err error) bool {
 	var failure *Error
@@ -99,7 +129,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "caller: question")
 	}
-	url := "http://" + entry.Address + "/v1/chat/completions"
+	url := c.url(entry.Address, "/v1/chat/completions")
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return "", errors.Wrap(err, "caller: question")
--- a/internal/chamber/answers.go
+++ b/internal/chamber/answers.go
@@ -33,14 +33,31 @@
 
 // ProposeHere has command carried out if this voter leads.
 func (c control) ProposeHere(ctx context.Context, command []byte) courier.Proposed {
+	if refused, ok := unreadable(command); ok {
+		return refused
+	}
 	return proposedOf(c.voter.clerk.ProposeHere(ctx, command))
 }
 
 // Propose has command carried out by whichever voter leads.
 func (c control) Propose(ctx context.Context, command []byte) courier.Proposed {
+	if refused, ok := unreadable(command); ok {
+		return refused
+	}
 	return proposedOf(c.voter.clerk.Propose(ctx, command))
 }
 
+// unreadable refuses a command that this voter can't carry out. Once committed
+// it would stop every voter of this version: an upgraded instance could so end
+// the voters before they are upgraded.
+func unreadable(command []byte) (courier.Proposed, bool) {
+	_, err := registry.Decode(command)
+	if err == nil {
+		return courier.Proposed{}, false
+	}
+	return courier.Proposed{Fate: courier.FateNotAccepted, Reason: err.Error()}, true
+}
+
 // ChangeVoters adds a voter or removes one, if this voter leads.
 func (c control) ChangeVoters(ctx context.Context, change courier.VotersChange) courier.Proposed {
 	if change.Add != "" {
--- a/internal/chamber/chamber_test.go
+++ b/internal/chamber/chamber_test.go
@@ -50,6 +50,40 @@
 		Eventually(ctx, revisionEverywhere(20)).Should(BeTrue())
 	})
 
+	// One instance is upgraded and accepts declarations of a newer format. The
+	// others can't read them: they admit no new work. But they go on voting, so
+	// that the next change, which they can read, is accepted and in force.
+	It("that can't be read stops no voter", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		newer := change("newer", 0)
+		newer.Declarations = []byte(`{"format":1000}`)
+		Expect(apply(ctx, h.members["f"], newer)).To(HaveField("Verdict", registry.VerdictApplied))
+		Eventually(ctx, func() bool {
+			now := time.Now()
+			for _, part := range h.parts() {
+				if part.Fresh(now) {
+					return false
+				}
+			}
+			return true
+		}).Should(BeTrue())
+		Expect(apply(ctx, h.members["f"], change("readable", 1))).To(HaveField("Verdict", registry.VerdictApplied))
+		Eventually(ctx, revisionEverywhere(2)).Should(BeTrue())
+	})
+
+	// An upgraded instance proposes a command that the voters don't know. If it
+	// were committed, each of them would stop when it carried it out.
+	It("is not reached by a command that the voters don't know", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		Expect(apply(ctx, h.members["f"], change("first", 0))).To(HaveField("Verdict", registry.VerdictApplied))
+		for _, here := range []bool{false, true} {
+			for _, name := range []string{"a", "b", "c"} {
+				proposed := h.members["f"].pools[0].Propose(ctx, h.members[name].address(), []byte(`{"format":1000}`), here)
+				Expect(proposed.Fate).To(Equal(courier.FateNotAccepted))
+				Expect(proposed.Reason).To(ContainSubstring("newer program"))
+			}
+		}
+		Expect(apply(ctx, h.members["f"], change("second", 1))).To(HaveField("Verdict", registry.VerdictApplied))
+	})
+
 	// Eight operators have seen the same revision and change it at the same
 	// moment, through different instances. One wins; each other is told what
 	// was changed, and by whom.
--- a/internal/chamber/house_test.go
+++ b/internal/chamber/house_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing/fstest"
 	"time"
@@ -49,7 +50,8 @@
 
 // house is some members that know each other's addresses.
 type house struct {
-	members map[string]*member
+	members    map[string]*member
+	renewEvery time.Duration
 
 	mu sync.Mutex
 	// known is the identity of each voter that was started.
@@ -59,12 +61,18 @@
 // newHouse starts voters a, b and c, founds their cluster, and starts a
 // follower f.
 func newHouse(ctx context.Context) *house {
-	h := &house{members: map[string]*member{}, known: map[string]jury.Identity{}}
-	for _, name := range []string{"a", "b", "c", "f"} {
+	return newHouseOf(ctx, 50*time.Millisecond, "f")
+}
+
+// newHouseOf starts voters a, b and c, founds their cluster, and starts
+// followers that confirm their configuration as often as given.
+func newHouseOf(ctx context.Context, renewEvery time.Duration, followers ...string) *house {
+	h := &house{renewEvery: renewEvery, members: map[string]*member{}, known: map[string]jury.Identity{}}
+	for _, name := range append([]string{"a", "b", "c"}, followers...) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		h.members[name] = &member{
-			house: h, name: name, voter: name != "f", listener: listener,
+			house: h, name: name, voter: !slices.Contains(followers, name), listener: listener,
 			folder: filepath.Join(GinkgoT().TempDir(), name),
 		}
 	}
@@ -101,7 +109,7 @@
 // start starts the member on its address and data folder.
 func (m *member) start() {
 	options := chamber.Options{
-		Self: m.name, RenewEvery: 50 * time.Millisecond, Lease: lease, Now: time.Now, Log: zerolog.Nop(),
+		Self: m.name, RenewEvery: m.house.renewEvery, Lease: lease, Now: time.Now, Log: zerolog.Nop(),
 	}
 	for _, other := range m.house.members {
 		if other.voter && other.name != m.name {
--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -129,9 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := m.voter.gazette.Publish(m.voter.registry.View()); err != nil {
-		return nil, err
-	}
+	m.voter.publish()
 	return result.Encode(), nil
 }
 
@@ -145,7 +143,20 @@
 	if err := m.voter.registry.Restore(data); err != nil {
 		return err
 	}
-	return m.voter.gazette.Publish(m.voter.registry.View())
+	m.voter.publish()
+	return nil
+}
+
+// publish puts the replica's configuration into force here.
+//
+// Declarations that a newer program checked may be unreadable here. That ends
+// this instance's freshness, so that it admits nothing under an older revision,
+// but not its vote: otherwise one upgraded instance could have an operator's
+// change stop all voters, and nobody could accept the change that mends it.
+func (v *Voter) publish() {
+	if err := v.gazette.Publish(v.registry.View()); err != nil {
+		v.options.Log.Error().Err(err).Msg("the configuration in force can't be read here; upgrade this instance")
+	}
 }
 
 // Gazette returns what holds the configuration in force.
@@ -174,8 +185,10 @@
 
 // Fresh tells whether the voter holds its configuration lease.
 func (v *Voter) Fresh(now time.Time) bool {
+	// What the freshness covers is in the view that is read after it.
 	asOf, ok := v.clerk.Freshness()
-	return ok && now.Sub(asOf) < v.options.Lease
+	published := v.gazette.Latest().Revision >= v.registry.View().Revision
+	return ok && published && now.Sub(asOf) < v.options.Lease
 }
 
 // Close hands over a leadership and closes the data folder.
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -54,7 +54,7 @@
 	options := registrar.ClientOptions{
 		Addresses:  f.parseAddresses(&list),
 		Token:      f.readToken(&list),
-		TLS:        f.readCA(&list),
+		TLS:        readCA(f.caFile, &list),
 		AllowPlain: f.allowPlain,
 		Timeout:    f.timeout,
 	}
@@ -105,18 +105,19 @@
 	return token
 }
 
-func (f *operatorFlags) readCA(list *finding.List) *tls.Config {
-	if f.caFile == "" {
+// readCA returns the TLS to use towards instances, or nil if no file is named.
+func readCA(caFile string, list *finding.List) *tls.Config {
+	if caFile == "" {
 		return nil
 	}
-	data, err := os.ReadFile(f.caFile)
+	data, err := os.ReadFile(caFile)
 	if err != nil {
 		list.Add(flagPlace("ca"), err.Error(), "")
 		return nil
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(data) {
-		list.Add(flagPlace("ca"), f.caFile+" holds no certificate", "give a file in PEM")
+		list.Add(flagPlace("ca"), caFile+" holds no certificate", "give a file in PEM")
 	}
 	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
 }
--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -18,6 +18,8 @@
 	// declared is the zero value if no such service is declared.
 	declared declaration.Service
 	goal     declaration.Goal
+	// weight is the share of the service among those of its priority.
+	weight   float64
 	deadline time.Time
 }
 
@@ -38,6 +40,11 @@
 		a.name = a.declared.Name
 	}
 	a.goal = a.declared.Goal
+	if a.declared.Name == "" {
+		// The zero priority is the highest, which nobody gets without declaring it.
+		a.goal.Priority = declaration.DefaultPriority
+	}
+	a.weight = issue.Preset.Share(a.declared.Name)
 	deadline := a.goal.Deadline
 	if deadline == 0 {
 		deadline = d.options.Limits.Deadline
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/lovagelift/lovagelift/internal/dispatch"
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
@@ -18,9 +21,11 @@
 type task struct {
 	id string
 	// service is the service that the task belongs to. It may be empty.
-	service  string
-	need     need
-	request  shuttle.Request
+	service string
+	need    need
+	request shuttle.Request
+	// admitted is what the configuration says of the request.
+	admitted admitted
 	deadline time.Time
 	// events is true if a stream of events is whole only with its last event.
 	events bool
@@ -35,46 +40,44 @@
 	if err != nil {
 		return d.giveUp(task, err)
 	}
-	defer delivery.done()
-	return d.relay(c, task, delivery.answer)
+	// Whatever happens on the way to the caller, the place is given back.
+	defer delivery.trip.end(dispatch.FailureCanceled)
+	return d.relay(c, task, delivery)
 }
 
 // delivery is an upstream's answer on its way to the caller.
 type delivery struct {
 	answer *shuttle.Answer
-	// done tells the routing that the upstream is no longer busy with it.
-	done func()
+	trip   *trip
 }
 
-// errUnreachable means that no upstream holds what a task needs.
-var errUnreachable = errors.New("desk: no upstream")
-
 // deliver sends a task to one upstream after the other, as far as it may, until
-// one answers.
+// one answers. Its error tells the truth of all attempts: if one may have run,
+// that a later one did not run is no comfort.
 func (d *Desk) deliver(ctx context.Context, task task) (delivery, error) {
-	var tried []string
-	last := errUnreachable
-	for attempt := 1; attempt <= d.options.Limits.Attempts; attempt++ {
-		now := d.options.Now()
-		choice, ok := d.chooser.choose(d.options.Instance.Upstreams(now), task.need, tried)
-		if !ok {
-			break
+	arrival := d.arrival(task)
+	d.router.count(arrival.Service)
+	var failed error
+	for attempt := 1; ; attempt++ {
+		trip, err := d.router.route(ctx, arrival)
+		if err != nil {
+			d.logNoRoute(task, attempt, err)
+			return delivery{}, graver(failed, err)
 		}
-		d.logChoice(task, attempt, choice)
-		name := choice.chosen.Announcement.Name
-		tried = append(tried, name)
-		answer, err := d.attempt(ctx, now, attempt, task, choice)
+		d.logRoute(task, attempt, trip)
+		answer, err := d.attempt(ctx, attempt, task, trip)
 		if err == nil {
-			return delivery{answer: answer, done: func() { d.chooser.done(name) }}, nil
+			return delivery{answer: answer, trip: trip}, nil
 		}
-		d.chooser.done(name)
-		d.logFailure(task, attempt, name, err)
-		last = err
-		if !mayRetry(task, err) || ctx.Err() != nil {
-			break
+		trip.end(failureOf(ctx, err))
+		failed = graver(failed, err)
+		verdict := d.router.again(arrival, task, attempt, err)
+		d.logFailure(task, attempt, trip, verdict, err)
+		if verdict != retry.Again || ctx.Err() != nil {
+			return delivery{}, failed
 		}
+		arrival.Tried = append(arrival.Tried, trip.decision.Chosen.Name)
 	}
-	return delivery{}, last
 }
 
 // attemptContext bounds all attempts at a task by its deadline. A request that
@@ -87,36 +90,31 @@
 	return context.WithTimeout(ctx, task.deadline.Sub(d.options.Now()))
 }
 
-func (d *Desk) attempt(
-	ctx context.Context, now time.Time, attempt int, task task, choice choice,
-) (*shuttle.Answer, error) {
+func (d *Desk) attempt(ctx context.Context, attempt int, task task, trip *trip) (*shuttle.Answer, error) {
 	request := task.request
 	request.ID = fmt.Sprintf("%s-%d", task.id, attempt)
-	request.Remaining = task.deadline.Sub(now)
-	answer, err := d.options.Shuttle.Send(ctx, choice.chosen.Announcement.Address, request)
+	request.Remaining = task.deadline.Sub(d.options.Now())
+	request.Header = request.Header.Clone()
+	request.Header.Set(retry.AttemptHeader, strconv.Itoa(attempt))
+	answer, err := d.options.Shuttle.Send(ctx, trip.decision.Chosen.Address, request)
 	if err != nil {
 		return nil, err
 	}
 	if isEventStream(answer) {
+		answer.Body = &noted{ReadCloser: answer.Body, trip: trip}
 		return answer, nil
 	}
+	if !task.events {
+		trip.firstByte()
+	}
 	if err := shuttle.Prefetch(answer, d.options.Limits.AnswerBytes); err != nil {
 		return nil, err
 	}
 	return answer, nil
 }
 
-// mayRetry reports whether another upstream may be sent the task after err:
-// only if the failed one has not run it, or if running it twice does no harm.
-func mayRetry(task task, err error) bool {
-	if task.request.Idempotent {
-		return true
-	}
-	var failure *shuttle.Error
-	return errors.As(err, &failure) && failure.Outcome == outcome.NotRun
-}
-
-func (d *Desk) relay(c echo.Context, task task, answer *shuttle.Answer) error {
+func (d *Desk) relay(c echo.Context, task task, delivery delivery) error {
+	answer := delivery.answer
 	c.Response().Header().Set(outcome.Header, outcome.Ran.String())
 	if isEventStream(answer) {
 		// Whether the stream is whole shows only at its end. With its length
@@ -125,6 +123,7 @@
 	}
 	shuttle.Head(c.Response(), answer)
 	err := shuttle.Stream(c.Response(), answer, task.events && isEventStream(answer))
+	delivery.trip.end(failureOfAnswer(answer.Status, err))
 	if err == nil {
 		return nil
 	}
@@ -161,8 +160,12 @@
 const retryLater = 2 * time.Second
 
 func (d *Desk) giveUp(task task, last error) *RefusalError {
-	if errors.Is(last, errUnreachable) {
+	var decided *RefusalError
+	switch {
+	case errors.Is(last, errUnreachable):
 		return d.refuseUnreachable(task)
+	case errors.As(last, &decided):
+		return decided
 	}
 	refusal := &RefusalError{
 		Status:     http.StatusBadGateway,
@@ -207,24 +210,3 @@
 	}
 	return refusal
 }
-
-func (d *Desk) logChoice(task task, attempt int, choice choice) {
-	d.options.Log.Info().
-		Str("request", task.id).
-		Int("attempt", attempt).
-		Str("model", task.need.model).
-		Str("service", task.need.service).
-		Str("upstream", choice.chosen.Announcement.Name).
-		Str("reason", choice.reason).
-		Strs("runners-up", choice.runnersUp).
-		Msg("route")
-}
-
-func (d *Desk) logFailure(task task, attempt int, upstream string, err error) {
-	d.options.Log.Warn().
-		Err(err).
-		Str("request", task.id).
-		Int("attempt", attempt).
-		Str("upstream", upstream).
-		Msg("attempt failed")
-}
--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/lovagelift/lovagelift/internal/chamber"
+	"github.com/lovagelift/lovagelift/internal/dispatch"
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
@@ -126,10 +127,10 @@
 		d.background.Go(func() { d.record(claim, stateAfter(err), nil) })
 		return d.giveUp(claim.task, err)
 	}
-	defer delivery.done()
+	defer delivery.trip.end(dispatch.FailureCanceled)
 	response := d.captured(delivery.answer)
 	d.background.Go(func() { d.record(claim, docket.StateCompleted, response) })
-	return d.relay(c, claim.task, delivery.answer)
+	return d.relay(c, claim.task, delivery)
 }
 
 // record tells the voters what came of a claimed request. If it can't, the claim
@@ -156,11 +157,7 @@
 
 // stateAfter returns what is recorded of a request that has no answer.
 func stateAfter(err error) docket.State {
-	var failure *shuttle.Error
-	if !errors.As(err, &failure) {
-		return docket.StateUnknown
-	}
-	switch failure.Outcome {
+	switch outcomeOf(err) {
 	case outcome.NotRun:
 		return docket.StateNotRun
 	case outcome.Ran:
--- a/internal/desk/completions.go
+++ b/internal/desk/completions.go
@@ -40,6 +40,7 @@
 			Idempotent: !admitted.declared.NonIdempotent,
 			Priority:   admitted.goal.Priority,
 		},
+		admitted: admitted,
 		deadline: admitted.deadline,
 		events:   true,
 	})
@@ -69,6 +70,7 @@
 			Idempotent: admitted.declared.MayRepeat(r.Method, calledPath(r)),
 			Priority:   admitted.goal.Priority,
 		},
+		admitted: admitted,
 		deadline: admitted.deadline,
 	})
 }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -26,15 +26,17 @@
 	// Admits returns nil, or the refusal of new work while the instance is
 	// draining or can't confirm its configuration.
 	Admits(now time.Time) *RefusalError
-	// Entries returns the addresses a caller may use.
-	Entries(now time.Time) Entries
+	// Entries returns the addresses that the named caller may use, the one to use
+	// first.
+	Entries(now time.Time, caller string) Entries
 	// Issue returns the configuration in force. A request takes one and uses no
 	// other.
 	Issue() *gazette.Issue
 	// Propose and Lookup are those of chamber.Chamber.
 	Propose(ctx context.Context, command registry.Command) (registry.Result, error)
 	Lookup(ctx context.Context, key docket.Key) (docket.Answer, error)
-	// Upstreams returns the upstreams that may receive new work, by name.
+	// Upstreams returns the upstreams that may receive new work, by name. Requests
+	// go by what Update was told.
 	Upstreams(now time.Time) []roster.Upstream
 }
 
@@ -89,6 +91,16 @@
 	Name        string
 	Incarnation uint64
 	Shuttle     *shuttle.Shuttle
+	// FailureDomain is that of the instance, RemoteDelay the time one way to
+	// another one.
+	FailureDomain string
+	RemoteDelay   time.Duration
+	// Instances is the number of instances that share the upstreams, 0 stands
+	// for 1.
+	Instances int
+	// UpstreamLease is how long an upstream receives new work after it was heard
+	// of.
+	UpstreamLease time.Duration
 	// Now returns the present time.
 	Now    func() time.Time
 	Log    zerolog.Logger
@@ -104,7 +116,7 @@
 	claims atomic.Uint64
 	// background is the recordings that callers don't wait for.
 	background sync.WaitGroup
-	chooser    *chooser
+	router     *router
 }
 
 // New returns a Desk.
@@ -113,7 +125,7 @@
 	d := &Desk{
 		options: options,
 		echo:    echo.New(),
-		chooser: newChooser(),
+		router:  newRouter(options),
 	}
 	d.echo.HTTPErrorHandler = d.handleError
 	d.echo.Use(d.recoverPanic)
@@ -134,6 +146,11 @@
 	d.echo.ServeHTTP(w, r)
 }
 
+// Update takes in what has changed of the upstreams.
+func (d *Desk) Update(upstreams []roster.Upstream) {
+	d.router.update(upstreams)
+}
+
 // Wait returns when everything that was begun is recorded. No request may be in
 // progress.
 func (d *Desk) Wait() {
--- a/internal/desk/fakes_test.go
+++ b/internal/desk/fakes_test.go
@@ -92,6 +92,9 @@
 	mu        sync.Mutex
 	refusal   *desk.RefusalError
 	upstreams []roster.Upstream
+	// places is how many requests each upstream says that it runs at once, 0 if
+	// it does not say.
+	places int
 }
 
 func (f *fakeInstance) Admits(time.Time) *desk.RefusalError {
@@ -100,7 +103,7 @@
 	return f.refusal
 }
 
-func (f *fakeInstance) Entries(time.Time) desk.Entries {
+func (f *fakeInstance) Entries(time.Time, string) desk.Entries {
 	return desk.Entries{List: []desk.Entry{{Name: "a", Address: "127.0.0.1:1", FailureDomain: "d"}}, Keep: time.Second}
 }
 
@@ -133,19 +136,45 @@
 			roster.Upstream{Announcement: upstreamapi.Announcement{
 				Name: "service-" + string(rune('0'+n)), Kind: upstreamapi.KindService,
 				Address: address, Services: []string{"booking"},
+				Load: upstreamapi.Load{MaxRunning: f.places},
 			}},
 			roster.Upstream{Announcement: upstreamapi.Announcement{
 				Name: "engine-" + string(rune('0'+n)), Kind: upstreamapi.KindEngine,
 				Address: address, Resident: []upstreamapi.Resident{{Model: "m"}},
+				Load: upstreamapi.Load{MaxRunning: f.places},
 			}})
 	}
 }
 
+// serveAt also tells the desk. Upstreams that are not among the given ones any
+// more have left.
+func (e *entrance) serveAt(addresses ...string) {
+	e.sequence++
+	gone := e.Upstreams(time.Now())
+	e.fakeInstance.serveAt(addresses...)
+	e.tell(gone, true)
+	e.sequence++
+	e.tell(e.Upstreams(time.Now()), false)
+}
+
+func (e *entrance) tell(upstreams []roster.Upstream, leaving bool) {
+	var told []roster.Upstream
+	for _, upstream := range upstreams {
+		upstream.Announcement.Sequence = e.sequence
+		upstream.Heard = time.Now()
+		upstream.Leaving = leaving
+		told = append(told, upstream)
+	}
+	e.desk.Update(told)
+}
+
 // entrance is a desk behind a listener.
 type entrance struct {
 	*fakeInstance
 	desk *desk.Desk
 	url  string
+	// sequence is that of the last announcement.
+	sequence uint64
 }
 
 func newEntrance(v *voters, name string) *entrance {
@@ -153,7 +182,8 @@
 	carrier := shuttle.New(shuttle.Options{})
 	d := desk.New(desk.Options{
 		Instance: instance, Name: name, Incarnation: 1, Shuttle: carrier, Now: time.Now, Log: zerolog.Nop(),
-		Limits: desk.Limits{BodyBytes: 1 << 10, Deadline: 10 * time.Second, ProgressWait: 500 * time.Millisecond},
+		UpstreamLease: time.Hour,
+		Limits:        desk.Limits{BodyBytes: 1 << 10, Deadline: 10 * time.Second, ProgressWait: 500 * time.Millisecond},
 	})
 	server := httptest.NewServer(d)
 	DeferCleanup(func() {
--- a/internal/desk/lists.go
+++ b/internal/desk/lists.go
@@ -1,6 +1,7 @@
 package desk
 
 import (
+	"net"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
@@ -22,7 +23,7 @@
 // entries answers GET /v1/entries. It answers while draining too: a caller that
 // kept this address must learn where else to go.
 func (d *Desk) entries(c echo.Context) error {
-	entries := d.options.Instance.Entries(d.options.Now())
+	entries := d.options.Instance.Entries(d.options.Now(), callerOf(c))
 	reply := entriesReply{
 		Entries:     make([]entryReply, 0, len(entries.List)),
 		KeepSeconds: entries.Keep.Seconds(),
@@ -33,6 +34,25 @@
 	return c.JSON(http.StatusOK, reply)
 }
 
+// callerParam names the caller to GET /v1/entries, so that those behind one IP
+// number spread over the instances. maxCallerBytes bounds it.
+const (
+	callerParam    = "caller"
+	maxCallerBytes = 64
+)
+
+// callerOf returns the name of a caller, its IP number if it gives none.
+func callerOf(c echo.Context) string {
+	if name := c.QueryParam(callerParam); name != "" {
+		return name[:min(len(name), maxCallerBytes)]
+	}
+	host, _, err := net.SplitHostPort(c.Request().RemoteAddr)
+	if err != nil {
+		return c.Request().RemoteAddr
+	}
+	return host
+}
+
 type modelsReply struct {
 	Object string       `json:"object"`
 	Data   []modelReply `json:"data"`
--- a/internal/desk/refusal.go
+++ b/internal/desk/refusal.go
@@ -29,6 +29,7 @@
 	CodeUnknownModel   Code = "unknown-model"
 	CodeUnknownService Code = "unknown-service"
 	CodeNoUpstream     Code = "no-upstream"
+	CodeOverloaded     Code = "overloaded"
 	CodeDraining       Code = "draining"
 	CodeStale          Code = "configuration-not-confirmed"
 	CodeUpstreamFailed Code = "upstream-failed"
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -21,7 +21,7 @@
 	}
 	holder := d.holder(now, p, r)
 	if holder != nil {
-		d.compare(now, &decision, holder, r)
+		d.compare(now, &decision, holder, r, 0)
 	}
 	compared := d.sample(now, p, r, holder, &decision)
 	if compared == 0 && holder == nil {
@@ -35,7 +35,8 @@
 }
 
 // forecast returns the shortest predicted times to the first token at a few
-// candidates, full or not: idle if nothing else ran there, and loaded as it is.
+// candidates, full or not: idle if nothing else ran there, and loaded once a
+// place is free for r. The wait for that place is the queue's to tell.
 func (d *Dispatcher) forecast(now time.Time, r *Request) (idle, loaded time.Duration) {
 	p := d.pools[r.Target]
 	if p == nil {
@@ -49,7 +50,7 @@
 		if !u.alive(now) {
 			continue
 		}
-		d.compare(now, &decision, u, r)
+		d.compare(now, &decision, u, r, 1)
 		own := time.Duration(u.idle(r.PromptTokens) * float64(time.Second))
 		if idle == 0 || own < idle {
 			idle = own
@@ -65,7 +66,7 @@
 	if size <= d.options.Samples {
 		for _, u := range p.members {
 			if u != holder && d.fit(now, u, r) {
-				d.compare(now, decision, u, r)
+				d.compare(now, decision, u, r, 0)
 				compared++
 			}
 		}
@@ -81,7 +82,7 @@
 		}
 		insertSorted(drawn[:n+1], i)
 		if u := p.members[i]; u != holder && d.fit(now, u, r) {
-			d.compare(now, decision, u, r)
+			d.compare(now, decision, u, r, 0)
 			compared++
 		}
 	}
@@ -108,7 +109,7 @@
 	for i := 0; i < size && compared < d.options.Samples; i++ {
 		u := p.members[(start+i)%size]
 		if u.usable(now, r) && !u.health.ejected(now) {
-			d.compare(now, decision, u, r)
+			d.compare(now, decision, u, r, 0)
 			compared++
 		}
 	}
@@ -118,7 +119,7 @@
 	for i := 0; i < size && compared < d.options.Samples; i++ {
 		u := p.members[(start+i)%size]
 		if u.usable(now, r) {
-			d.compare(now, decision, u, r)
+			d.compare(now, decision, u, r, 0)
 			compared++
 		}
 	}
@@ -165,10 +166,11 @@
 	return nil
 }
 
-// compare predicts r at u and takes it into the decision.
-func (d *Dispatcher) compare(now time.Time, decision *Decision, u *upstream, r *Request) {
+// compare predicts r at u, after ended requests there have ended, and takes it
+// into the decision.
+func (d *Dispatcher) compare(now time.Time, decision *Decision, u *upstream, r *Request, ended int) {
 	cached := d.cachedTokens(now, u, r)
-	f := u.predict(max(r.PromptTokens-cached, 0), r.Priority)
+	f := u.predict(max(r.PromptTokens-cached, 0), r.Priority, ended)
 	if u.remote {
 		f.firstToken += 2 * d.options.RemoteDelay.Seconds()
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -22,6 +22,9 @@
 	// an upstream runs at once. The upstream's own queue covers the time that a
 	// freed place would otherwise stay empty until the next request gets there.
 	limitSlack = 1.25
+	// mostUnknown bounds the limit of an upstream that does not say how many it
+	// runs at once.
+	mostUnknown = 1024
 )
 
 // Options are the settings of a Dispatcher. The zero value is useful.
@@ -166,6 +169,12 @@
 	return total
 }
 
+// Serves reports whether an upstream holds target, whether or not it may be given
+// new work.
+func (d *Dispatcher) Serves(target Target) bool {
+	return d.pools[target] != nil
+}
+
 // InFlight returns the number of requests that this instance has open at an
 // upstream, and its limit. If the upstream is not known, both are 0.
 func (d *Dispatcher) InFlight(name string) (open, limit int) {
@@ -186,19 +195,24 @@
 
 func (d *Dispatcher) add(view View) *upstream {
 	d.lastID++
-	places := view.Load.MaxRunning
-	if places <= 0 {
-		places = assumedRunning
-	}
-	ceiling := int(float64(places) * limitSlack)
-	share := (ceiling + d.options.Instances - 1) / d.options.Instances
-	u := &upstream{id: d.lastID, bias: 1, limit: admission.NewLimit(share, ceiling)}
+	u := &upstream{id: d.lastID, bias: 1, limit: d.firstLimit(view.Load.MaxRunning)}
 	u.view.Incarnation = view.Incarnation
 	d.upstreams[view.Name] = u
 	d.byID[u.id] = u
 	return u
 }
 
+// firstLimit returns the limit of an upstream that runs places requests at once.
+// One that does not say how many is bounded by its answers alone.
+func (d *Dispatcher) firstLimit(places int) admission.Limit {
+	if places <= 0 {
+		return admission.NewLimit(assumedRunning, mostUnknown)
+	}
+	ceiling := int(float64(places) * limitSlack)
+	share := (ceiling + d.options.Instances - 1) / d.options.Instances
+	return admission.NewLimit(share, ceiling)
+}
+
 func (d *Dispatcher) joinPools(u *upstream) {
 	d.scratch = u.view.targets(d.scratch[:0])
 	for _, target := range d.scratch {
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -72,12 +72,18 @@
 	u.health.succeeded()
 }
 
-// Finished takes in that the whole answer has come.
+// Finished takes in that the whole answer has come. If nothing is known of its
+// first token, the limit of the upstream goes by the queue that it reports.
 func (d *Dispatcher) Finished(now time.Time, flight *Flight) {
 	u := flight.upstream
-	if !flight.firstAt.IsZero() {
+	if flight.firstAt.IsZero() {
+		u.health.succeeded()
+	} else {
 		u.hold = moved(u.hold, now.Sub(flight.firstAt).Seconds())
 	}
+	if (flight.firstAt.IsZero() || flight.budget == 0) && u.view.Load.Waiting == 0 {
+		u.limit = u.limit.WithAnswer(u.inFlight)
+	}
 	d.end(now, flight)
 }
 
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -42,8 +42,10 @@
 	Start Start
 	// Reason is that of the last decision.
 	Reason Reason
-	// Queued says that the request waits. It comes out of Freed or Expired.
-	Queued bool
+	// Queued says that the request waits. It comes out of Freed or Expired, of the
+	// latter at StartBy at the latest.
+	Queued  bool
+	StartBy time.Time
 	// Refusal is the final answer if its Cause is set.
 	Refusal admission.Refusal
 	// Displaced is the final answer to another request, which gave its place in
@@ -81,7 +83,8 @@
 			return Answer{Reason: decision.Reason}
 		}
 	}
-	verdict := g.queue.Offer(now, g.ticket(now, a, pool), g.dispatcher.Capacity(now, a.Target))
+	ticket := g.ticket(now, a, pool)
+	verdict := g.queue.Offer(now, ticket, g.dispatcher.Capacity(now, a.Target))
 	if verdict.Queued {
 		g.waiting[a.ID] = a
 	}
@@ -91,6 +94,7 @@
 	return Answer{
 		Reason:    ReasonNoRoom,
 		Queued:    verdict.Queued,
+		StartBy:   ticket.StartBy,
 		Refusal:   verdict.Refused,
 		Displaced: verdict.Displaced,
 	}
--- a/internal/dispatch/predict.go
+++ b/internal/dispatch/predict.go
@@ -27,9 +27,12 @@
 // An engine with a free place starts a request after the prompts that wait
 // before it. One without must first end as many requests as exceed its places;
 // it ends running/hold of them a second.
-func (u *upstream) predict(prompt int, priority uint8) forecast {
+//
+// The forecast is for the time after ended of the outstanding requests have ended.
+func (u *upstream) predict(prompt int, priority uint8, ended int) forecast {
+	outstanding := max(u.outstanding()-ended, 0)
 	if u.view.Kind == upstreamapi.KindService {
-		return u.predictService()
+		return u.predictService(outstanding)
 	}
 	load := &u.view.Load
 	places := load.MaxRunning
@@ -40,7 +43,6 @@
 	share := u.notAfter(priority)
 	waiting := max(load.WaitingPromptTokens+u.trail.promptTokens, 0)
 	seconds := (float64(waiting)*share + float64(prompt)) / prefill
-	outstanding := u.outstanding()
 	if excess := outstanding + 1 - places; excess > 0 {
 		seconds += float64(excess) * share * u.holding() / float64(places)
 	}
@@ -79,13 +81,13 @@
 	return time.Duration(float64(interval) * float64(places+running) / float64(places+then))
 }
 
-func (u *upstream) predictService() forecast {
+func (u *upstream) predictService(outstanding int) forecast {
 	answer := u.answer
 	if answer <= 0 {
 		answer = assumedAnswer
 	}
 	places := max(u.view.Load.MaxRunning, 1)
-	rounds := 1 + float64(u.outstanding())/float64(places)
+	rounds := 1 + float64(outstanding)/float64(places)
 	return forecast{firstToken: answer * rounds}
 }
 
--- a/internal/gazette/gazette.go
+++ b/internal/gazette/gazette.go
@@ -3,6 +3,7 @@
 package gazette
 
 import (
+	"bytes"
 	"sync"
 	"sync/atomic"
 
@@ -31,6 +32,8 @@
 	// publishing lets one Publish follow the other, so that a slower one does
 	// not put an older Issue in place of a newer.
 	publishing sync.Mutex
+	// encoded is what the declarations of latest were decoded from.
+	encoded []byte
 }
 
 // New returns a Gazette with the Issue of revision 0.
@@ -58,7 +61,7 @@
 	if view.Revision <= g.latest.Load().Revision {
 		return nil
 	}
-	set, err := declaration.Decode(view.Declarations)
+	set, err := g.decode(view.Declarations)
 	if err != nil {
 		return errors.Wrapf(err, "gazette: revision %d", view.Revision)
 	}
@@ -67,5 +70,15 @@
 		return errors.Newf("gazette: revision %d has preset %q in force, which it does not declare", view.Revision, view.Preset)
 	}
 	g.latest.Store(&Issue{Revision: view.Revision, Preset: preset, Declarations: set})
+	g.encoded = view.Declarations
 	return nil
 }
+
+// decode returns the declarations that encoded holds. A change of the preset
+// alone leaves them, so that a replay of hundreds of changes decodes them once.
+func (g *Gazette) decode(encoded []byte) (declaration.Set, error) {
+	if latest := g.latest.Load(); latest.Revision > 0 && bytes.Equal(encoded, g.encoded) {
+		return latest.Declarations, nil
+	}
+	return declaration.Decode(encoded)
+}
--- a/internal/gazette/gazette_test.go
+++ b/internal/gazette/gazette_test.go
@@ -1,8 +1,6 @@
 package gazette_test
 
 import (
-	"bytes"
-	"compress/flate"
 	"fmt"
 	"sync"
 	"testing"
@@ -115,25 +113,48 @@
 				}
 			}
 			b.ReportMetric(float64(len(declarations)), "canonical-B")
-			b.ReportMetric(float64(compressed(b, declarations)), "deflated-B")
+			change, view := wireSizes(b, declarations)
+			b.ReportMetric(float64(change), "change-B")
+			b.ReportMetric(float64(view), "view-B")
 		})
 	}
 }
 
-func compressed(b *testing.B, data []byte) int {
+// BenchmarkPublishAgain publishes a revision whose declarations are those of the
+// one before, as after a change of the preset alone.
+func BenchmarkPublishAgain(b *testing.B) {
+	for _, models := range []int{20, 1700} {
+		b.Run(fmt.Sprintf("models=%d", models), func(b *testing.B) {
+			declarations := manyModels(b, models)
+			g := gazette.New()
+			revision := registry.Revision(0)
+			for b.Loop() {
+				revision++
+				if err := g.Publish(&registry.View{Revision: revision, Preset: "ordinary", Declarations: declarations}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// wireSizes returns the bytes of a change on its way to the voters, and of what
+// is in force on its way to each other instance.
+func wireSizes(b *testing.B, declarations []byte) (change, view int) {
 	b.Helper()
-	var buffer bytes.Buffer
-	writer, err := flate.NewWriter(&buffer, flate.BestSpeed)
+	prepared, err := registry.Change{ID: "x", Declarations: declarations}.Prepare(declaration.Check)
 	if err != nil {
 		b.Fatal(err)
 	}
-	if _, err := writer.Write(data); err != nil {
+	command, err := registry.Encode(prepared)
+	if err != nil {
 		b.Fatal(err)
 	}
-	if err := writer.Close(); err != nil {
+	wire, err := (&registry.View{Revision: 1, Preset: "ordinary", Declarations: declarations}).GobEncode()
+	if err != nil {
 		b.Fatal(err)
 	}
-	return buffer.Len()
+	return len(command), len(wire)
 }
 
 func manyModels(b *testing.B, models int) []byte {
--- a/internal/host/seals_test.go
+++ b/internal/host/files_test.go
@@ -16,11 +16,14 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lovagelift/lovagelift/internal/finding"
 	"github.com/lovagelift/lovagelift/internal/host"
 	"github.com/lovagelift/lovagelift/internal/registrar"
 )
@@ -90,6 +93,32 @@
 `, m.name, m.name, m.caller, m.upstream, m.operator, m.inner, other.name, other.inner, other.caller)
 }
 
+var _ = Describe("the files that settings name", func() {
+	It("are all reported at once when they are wrong, and nothing is started", func(ctx SpecContext) {
+		folder := GinkgoT().TempDir()
+		writeCertificate(folder)
+		m := newMember("a")
+		Expect(os.WriteFile(filepath.Join(folder, "ca.pem"), []byte("none"), 0o600)).To(Succeed())
+		Expect(os.WriteFile(filepath.Join(folder, "tokens.toml"), []byte("[[token]]\nname = 1\n"), 0o600)).To(Succeed())
+		path := filepath.Join(folder, "a.toml")
+		text := "tokens = { operators = \"tokens.toml\", upstreams = \"gone.toml\" }\n" + m.settingsWith(newMember("b"))
+		Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+		err := host.Run(ctx, host.Options{SettingsPath: path, Log: io.Discard})
+		var found *finding.Error
+		Expect(errors.As(err, &found)).To(BeTrue(), "%v", err)
+		Expect(strings.Split(err.Error(), "\n")).To(ConsistOf(
+			ContainSubstring("ca.pem holds no certificate in PEM"),
+			HavePrefix(filepath.Join(folder, "gone.toml")+": badge: reading the file"),
+			HavePrefix(filepath.Join(folder, "tokens.toml")+":1:3: key \"sha256\" is missing"),
+			HavePrefix(filepath.Join(folder, "tokens.toml")+":2:8: \"name\" must be a text"),
+		))
+		Expect(filepath.Join(folder, "data-a")).NotTo(BeADirectory())
+		listener, err := net.Listen("tcp", m.caller)
+		Expect(err).NotTo(HaveOccurred())
+		listener.Close()
+	})
+})
+
 var _ = Describe("TLS from settings", func() {
 	It("is on every listener and between instances", func(ctx SpecContext) {
 		folder := GinkgoT().TempDir()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,13 +7,12 @@
 	"io"
 	"net"
 	"net/netip"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"github.com/lovagelift/lovagelift/internal/badge"
 	"github.com/lovagelift/lovagelift/internal/instance"
+	"github.com/lovagelift/lovagelift/internal/seal"
 	"github.com/lovagelift/lovagelift/internal/settings"
 )
 
@@ -81,61 +80,51 @@
 	return zerolog.New(out).Level(level).With().Timestamp().Str("instance", set.Name).Logger()
 }
 
-// start opens the listeners and starts an instance on them. Addresses that name
-// no port get one.
+// start opens the files and listeners and starts an instance on them. Addresses
+// that name no port get one.
 func start(
 	ctx context.Context, set settings.Settings, version string, log zerolog.Logger,
 ) (*instance.Instance, error) {
-	options := instance.Options{Settings: set, Version: version, Log: log}
-	var err error
-	if options.Operators, err = book(set.Tokens.OperatorsFile); err != nil {
+	opened, err := openFiles(set, log)
+	if err != nil {
 		return nil, err
 	}
-	if options.Upstreams, err = book(set.Tokens.UpstreamsFile); err != nil {
-		return nil, err
-	}
-	keeper := seals{now: time.Now, log: log}
-	if options.Dial, err = keeper.dial(set.TLS.Inner); err != nil {
-		return nil, err
+	options := instance.Options{
+		Settings:  set,
+		Dial:      dialer(opened.inner),
+		Operators: opened.operatorTokens,
+		Upstreams: opened.upstreamTokens,
+		Version:   version,
+		Log:       log,
 	}
 	advertise := &options.Settings.Advertise
 	for _, each := range []struct {
 		listen    netip.AddrPort
 		advertise *netip.AddrPort
-		files     settings.KeyPair
+		sealed    *seal.Seal
 		listener  *net.Listener
 	}{
-		{set.Listen.Caller, &advertise.Caller, set.TLS.Callers, &options.Listeners.Caller},
-		{set.Listen.Upstream, &advertise.Upstream, set.TLS.Upstreams, &options.Listeners.Upstream},
-		{set.Listen.Operator, &advertise.Operator, set.TLS.Operators, &options.Listeners.Operator},
-		{set.Listen.Inner, &advertise.Inner, set.TLS.Inner, &options.Listeners.Inner},
+		{set.Listen.Caller, &advertise.Caller, opened.callers, &options.Listeners.Caller},
+		{set.Listen.Upstream, &advertise.Upstream, opened.upstreams, &options.Listeners.Upstream},
+		{set.Listen.Operator, &advertise.Operator, opened.operators, &options.Listeners.Operator},
+		{set.Listen.Inner, &advertise.Inner, opened.inner, &options.Listeners.Inner},
 	} {
-		if *each.listener, err = keeper.listen(ctx, each.listen.String(), each.files); err != nil {
+		listener, err := listen(ctx, each.listen.String())
+		if err != nil {
 			options.Listeners.Close()
 			return nil, err
 		}
 		if each.advertise.Port() == 0 {
-			*each.advertise = (*each.listener).Addr().(*net.TCPAddr).AddrPort()
+			*each.advertise = listener.Addr().(*net.TCPAddr).AddrPort()
 		}
+		*each.listener = secured(listener, each.sealed)
 	}
-	if set.TLS.Inner.IsSet() {
+	if opened.inner != nil {
 		options.Listeners.Inner = handshakeListener{Listener: options.Listeners.Inner, timeout: set.Limits.HeaderTime}
 	}
 	return instance.New(options)
 }
 
-// book reads a file of tokens. If path is empty, book returns nil.
-func book(path string) (*badge.Book, error) {
-	if path == "" {
-		return nil, nil
-	}
-	read, err := badge.Load(path)
-	if err != nil {
-		return nil, err
-	}
-	return &read, nil
-}
-
 func listen(ctx context.Context, address string) (net.Listener, error) {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", address)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -35,9 +35,14 @@
 	upstreams *http.Server
 	operators *http.Server
 
-	mu      sync.Mutex
-	roster  *roster.Roster
-	cursors map[string]roster.Cursor
+	mu     sync.Mutex
+	roster *roster.Roster
+	peers  map[string]*pulled
+	// told says how far the desk knows the upstreams.
+	told uint64
+	// lastBeat is the last state that others were told, at lastBeatAt.
+	lastBeat   roster.InstanceBeat
+	lastBeatAt time.Time
 	// draining is set at the start of a planned stop, refusing when callers have
 	// had the time to go elsewhere. refusing is never set without draining.
 	draining bool
@@ -77,7 +82,7 @@
 			entries:    courier.NewPool(options.Dial, callTimeout),
 		},
 		shuttle:    shuttle.New(shuttle.Options{}),
-		cursors:    map[string]roster.Cursor{},
+		peers:      map[string]*pulled{},
 		drainAsked: make(chan struct{}),
 		stop:       cancel,
 	}
@@ -91,8 +96,13 @@
 		Name:        options.Settings.Name,
 		Incarnation: i.incarnation,
 		Shuttle:     i.shuttle,
-		Now:         options.Now,
-		Log:         options.Log,
+
+		FailureDomain: options.Settings.FailureDomain,
+		Instances:     len(options.Settings.Instances) + 1,
+		UpstreamLease: options.Settings.Timing.UpstreamLease,
+
+		Now: options.Now,
+		Log: options.Log,
 		Limits: desk.Limits{
 			BodyBytes:     options.Settings.Limits.BodyBytes,
 			Deadline:      options.Settings.Goals.Deadline,
@@ -105,9 +115,7 @@
 		options.Listeners.Close()
 		return nil, err
 	}
-	for _, peer := range options.Settings.Instances {
-		i.done.Go(func() { i.pullFrom(ctx, peer) })
-	}
+	i.done.Go(func() { i.pull(ctx) })
 	i.done.Go(func() { i.beat(ctx) })
 	i.done.Go(func() { i.abandonEarlier(ctx) })
 	return i, nil
@@ -134,7 +142,7 @@
 
 func (i *Instance) listen() error {
 	services := courier.Services{
-		Roster: courier.NewRosterService(i.changes),
+		Roster: courier.NewRosterService(i.answerPull),
 		Others: map[string]any{},
 	}
 	if voter, ok := i.chamber.(*chamber.Voter); ok {
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/desk"
+	"github.com/lovagelift/lovagelift/internal/entries"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/roster"
-	"github.com/lovagelift/lovagelift/internal/settings"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -51,11 +51,30 @@
 	}
 }
 
-// Entries returns the instances that callers may use.
-func (i *Instance) Entries(now time.Time) desk.Entries {
+// Entries returns the instances that the caller may use, the one to use first.
+func (i *Instance) Entries(now time.Time, caller string) desk.Entries {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return desk.Entries{List: i.entriesLocked(now), Keep: i.options.Settings.Timing.EntryTime}
+	var choices []entries.Instance
+	for _, instance := range i.roster.Instances(now) {
+		choices = append(choices, entries.Instance{
+			Name:          instance.Name,
+			Address:       instance.CallerAddress,
+			FailureDomain: instance.FailureDomain,
+			Leaving:       instance.Draining || instance.Stale,
+			Open:          instance.Streams,
+		})
+	}
+	answer := entries.Choose(now, caller, choices, entries.Options{Keep: i.options.Settings.Timing.EntryTime})
+	told := desk.Entries{Keep: answer.Keep}
+	for _, instance := range answer.Instances {
+		told.List = append(told.List, desk.Entry{
+			Name:          instance.Name,
+			Address:       instance.Address,
+			FailureDomain: instance.FailureDomain,
+		})
+	}
+	return told
 }
 
 func (i *Instance) entriesLocked(now time.Time) []desk.Entry {
@@ -87,6 +106,7 @@
 	if err := i.roster.Announce(now, announcement); err != nil {
 		return upstreamapi.Welcome{}, err
 	}
+	i.tellDeskLocked()
 	welcome := upstreamapi.Welcome{
 		RenewEvery: i.options.Settings.Timing.UpstreamRenewal,
 		Lease:      i.options.Settings.Timing.UpstreamLease,
@@ -104,6 +124,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.roster.Load(now, report)
+	i.tellDeskLocked()
 }
 
 // Leave takes an upstream's word that it goes.
@@ -111,12 +132,16 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.roster.Leave(now, leave)
+	i.tellDeskLocked()
 }
 
-func (i *Instance) changes(cursor roster.Cursor) roster.Changes {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.roster.Since(i.options.Now(), cursor)
+// tellDeskLocked passes on what has changed of the upstreams.
+func (i *Instance) tellDeskLocked() {
+	var changed []roster.Upstream
+	changed, i.told = i.roster.UpstreamsSince(i.told)
+	if len(changed) > 0 {
+		i.desk.Update(changed)
+	}
 }
 
 // beat renews this instance's own record and forgets members long lost.
@@ -141,40 +166,18 @@
 	i.roster.Sweep(now)
 }
 
+// beatLocked renews this instance's own record when it is due, and at once when
+// callers must be sent elsewhere or may be sent here again.
 func (i *Instance) beatLocked(now time.Time) {
-	i.roster.Beat(now, roster.InstanceBeat{
+	beat := roster.InstanceBeat{
 		Draining: i.draining,
 		Stale:    !i.chamber.Fresh(now),
 		Streams:  i.desk.Streams(),
-	})
-}
-
-// pullFrom keeps asking one other instance for what changed in its roster.
-func (i *Instance) pullFrom(ctx context.Context, peer settings.Instance) {
-	ticker := time.NewTicker(pullEvery)
-	defer ticker.Stop()
-	for {
-		i.pullOnce(ctx, peer)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
 	}
-}
-
-func (i *Instance) pullOnce(ctx context.Context, peer settings.Instance) {
-	i.mu.Lock()
-	cursor := i.cursors[peer.Name]
-	i.mu.Unlock()
-	asked := i.options.Now()
-	changes, err := i.pools.rosters.PullRoster(ctx, peer.InnerAddress.String(), cursor)
-	if err != nil {
-		i.options.Log.Debug().Err(err).Str("peer", peer.Name).Msg("roster not pulled")
+	urgent := beat.Draining != i.lastBeat.Draining || beat.Stale != i.lastBeat.Stale
+	if !urgent && now.Sub(i.lastBeatAt) < i.options.Settings.Timing.UpstreamRenewal {
 		return
 	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.roster.Merge(asked, changes)
-	i.cursors[peer.Name] = changes.Next
+	i.lastBeat, i.lastBeatAt = beat, now
+	i.roster.Beat(now, beat)
 }
--- a/internal/jury/export_test.go
+++ b/internal/jury/export_test.go
@@ -17,6 +17,7 @@
 	BlankVotes          = blankVotes
 	ChangeAtOnce        = changeAtOnce
 	LeaseFromAnswer     = leaseFromAnswer
+	IgnoreDrift         = ignoreDrift
 )
 
 // Weaken takes safeguards out of m.
--- a/internal/jury/lease.go
+++ b/internal/jury/lease.go
@@ -41,7 +41,11 @@
 	if m.office.transfer.surrendered && !m.unsafe(keepLeaseInTransfer) {
 		return time.Time{}, false
 	}
-	end := m.heardByQuorum(now).Add(m.options.Lease())
+	lease := m.options.Lease()
+	if m.unsafe(ignoreDrift) {
+		lease = m.options.ElectionTimeout
+	}
+	end := m.heardByQuorum(now).Add(lease)
 	return end, now.Before(end)
 }
 
--- a/internal/jury/safeguard.go
+++ b/internal/jury/safeguard.go
@@ -29,6 +29,8 @@
 	changeAtOnce
 	// leaseFromAnswer counts the lease from when the answer came.
 	leaseFromAnswer
+	// ignoreDrift gives the lease the length of the refusal to vote.
+	ignoreDrift
 )
 
 // unsafe reports whether a test took the safeguard out.
--- a/internal/jury/scenario_test.go
+++ b/internal/jury/scenario_test.go
@@ -254,6 +254,43 @@
 	return w.history.err
 }
 
+// setRate changes the rate of a node's clock from now on.
+func (w *world) setRate(n *node, rate float64) {
+	n.offset += time.Duration((n.rate - rate) * float64(w.now))
+	n.rate = rate
+}
+
+// unlikeClocks: a leader with the slowest clock is cut off from followers with
+// the fastest, again and again, as the next one must be elected very soon to
+// meet the end of the lease.
+func unlikeClocks(seed uint64, weakened jury.Safeguard) error {
+	w, leader := begun(seed, 3, weakened)
+	for range 6 {
+		w.setRate(leader, 1-testDrift)
+		for _, other := range w.others(leader) {
+			w.setRate(other, 1+testDrift)
+		}
+		w.unit = 100 * time.Microsecond
+		for range 200 {
+			w.step()
+		}
+		w.isolate(leader, ever)
+		for range 800 {
+			w.step()
+		}
+		w.unit = time.Millisecond
+		clear(w.cut)
+		w.until("one leader", func() bool {
+			next := w.leader()
+			return next != nil && !slices.ContainsFunc(w.nodes, func(n *node) bool {
+				return n.member.Status().Leader != next.self
+			})
+		})
+		leader = w.leader()
+	}
+	return w.history.err
+}
+
 // twoAdditions: a leader adds two voters one right after the other, and is then
 // cut off with them from the other two.
 func twoAdditions(seed uint64, weakened jury.Safeguard) error {
@@ -301,6 +338,7 @@
 		Entry("old entries are not counted alone", oldEntry, jury.CommitOldTerms, "without the committed entry"),
 		Entry("a blank member does not vote", wrongName, jury.BlankVotes, "without the committed entry"),
 		Entry("a lease counts from the sending", heldUpAnswer, jury.LeaseFromAnswer, "for the last as of"),
+		Entry("a lease allows for unlike clocks", unlikeClocks, jury.IgnoreDrift, "for the last as of"),
 		Entry("a leader vouches under its lease only", pausedLeader, jury.VouchWithoutLease, "for the last as of"),
 		Entry("changes of voters do not overlap", twoAdditions, jury.ChangeAtOnce, "without the committed entry"),
 		Entry("the first election takes all voters", twoBootstraps, jury.BeginByMajority, "two leaders"),
--- a/internal/jury/world_test.go
+++ b/internal/jury/world_test.go
@@ -130,8 +130,10 @@
 	profile  profile
 	weakened jury.Safeguard
 	now      time.Duration
-	nodes    []*node
-	packets  []packet
+	// unit is how fine the steps are.
+	unit    time.Duration
+	nodes   []*node
+	packets []packet
 	// cut holds the directions in which nothing passes, until a time.
 	cut map[[2]string]time.Duration
 	// sameName lets a node that lost its disk come back under its old identity.
@@ -154,6 +156,7 @@
 		random:   rand.New(rand.NewPCG(seed, 7)),
 		profile:  p,
 		weakened: weakened,
+		unit:     time.Millisecond,
 		cut:      map[[2]string]time.Duration{},
 		lost:     map[jury.Identity]platter{},
 		history:  newHistory(),
@@ -313,7 +316,7 @@
 
 // step lets a little time pass with whatever comes up in it.
 func (w *world) step() {
-	w.now += time.Duration(1+w.random.IntN(8)) * time.Millisecond
+	w.now += time.Duration(1+w.random.IntN(8)) * w.unit
 	w.deliver()
 	for _, n := range w.nodes {
 		if !n.runs(w.now) {
@@ -323,7 +326,7 @@
 			w.sync(n)
 		}
 		if n.tickAt <= w.now {
-			n.tickAt = w.now + time.Duration(5+w.random.IntN(10))*time.Millisecond
+			n.tickAt = w.now + time.Duration(5+w.random.IntN(10))*w.unit
 			w.handle(n, jury.Tick{})
 			w.join(n)
 		}
--- a/internal/registrar/fakes_test.go
+++ b/internal/registrar/fakes_test.go
@@ -97,12 +97,13 @@
 type fakeHouse struct {
 	mu      sync.Mutex
 	drained []string
+	fresh   bool
 }
 
 func (f *fakeHouse) Status(time.Time) registrar.Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return registrar.Status{Name: "a", Streams: 3, Draining: len(f.drained) > 0}
+	return registrar.Status{Name: "a", Streams: 3, Fresh: f.fresh, Draining: len(f.drained) > 0}
 }
 
 func (f *fakeHouse) Drain(by string) {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -65,6 +65,8 @@
 	}
 	r := &Registrar{options: options, echo: echo.New()}
 	r.echo.Use(r.checkToken)
+	r.echo.GET(healthPath, r.health)
+	r.echo.GET(readyPath, r.ready)
 	r.echo.GET(inForcePath, r.inForce)
 	r.echo.POST(changesPath, r.change)
 	r.echo.GET(statusPath, r.status)
@@ -84,6 +86,9 @@
 
 func (r *Registrar) checkToken(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		if c.Path() == healthPath || c.Path() == readyPath {
+			return next(c)
+		}
 		token, _ := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
 		name, ok := r.options.Holder(token)
 		if !ok {
@@ -98,6 +103,25 @@
 	}
 }
 
+// health answers as long as the process serves at all.
+func (r *Registrar) health(c echo.Context) error {
+	return c.String(http.StatusOK, "ok\n")
+}
+
+// ready tells whether the instance takes new work. Like health it asks for no
+// token, since what watches processes has none, and it tells nothing else.
+func (r *Registrar) ready(c echo.Context) error {
+	status := r.options.House.Status(r.options.Now())
+	switch {
+	case status.Draining:
+		return c.String(http.StatusServiceUnavailable, "draining\n")
+	case !status.Fresh:
+		return c.String(http.StatusServiceUnavailable, "cannot confirm its configuration\n")
+	default:
+		return c.String(http.StatusOK, "ready\n")
+	}
+}
+
 func (r *Registrar) inForce(c echo.Context) error {
 	now := r.options.inForceNow()
 	reply := inForceReply{Revision: now.Revision, Preset: now.Preset, Fresh: now.Fresh}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -266,6 +266,29 @@
 		Expect(f.log.String()).NotTo(ContainSubstring("token of"))
 	})
 
+	It("tells without a token whether the process lives and takes new work, and nothing else", func() {
+		get := func(path string) (int, string) {
+			recorder := httptest.NewRecorder()
+			f.handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+			return recorder.Code, recorder.Body.String()
+		}
+		expect := func(path string, code int, body string) {
+			gotCode, gotBody := get(path)
+			ExpectWithOffset(1, gotCode).To(Equal(code))
+			ExpectWithOffset(1, gotBody).To(Equal(body))
+		}
+		expect("/readyz", http.StatusServiceUnavailable, "cannot confirm its configuration\n")
+		f.house.fresh = true
+		expect("/readyz", http.StatusOK, "ready\n")
+		f.house.Drain("kim")
+		expect("/readyz", http.StatusServiceUnavailable, "draining\n")
+		expect("/healthz", http.StatusOK, "ok\n")
+		for _, path := range []string{"/", "/healthz/../operator/v1/status", "/operator/v1/status", "/healthz/", "//healthz"} {
+			code, _ := get(path)
+			Expect(code).To(Equal(http.StatusUnauthorized), path)
+		}
+	})
+
 	It("tells the state of the instance and drains only the first address", func() {
 		other := newFixture()
 		c := client("token of kim", serve(f.handler), serve(other.handler))
--- a/internal/registrar/wire.go
+++ b/internal/registrar/wire.go
@@ -7,6 +7,12 @@
 	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
+// Paths that ask for no token.
+const (
+	healthPath = "/healthz"
+	readyPath  = "/readyz"
+)
+
 const (
 	inForcePath = "/operator/v1/in-force"
 	changesPath = "/operator/v1/changes"
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -37,6 +37,11 @@
 		if c.ID == "" || len(c.Declarations) > 0 && len(c.Presets) == 0 {
 			return nil, errors.AssertionFailedf("registry: change %q was not prepared", c.ID)
 		}
+		packed, err := pack(c.Declarations)
+		if err != nil {
+			return nil, err
+		}
+		c.Declarations = packed
 		e.Change = &c
 	case docket.Claim:
 		e.Claim = &c
@@ -70,9 +75,9 @@
 }
 
 // Decode returns the command whose encoding is data. If data comes from a newer
-// program, Decode returns a *NewerError. A leader decodes every command before
-// it appends it, so that none enters the log that a voter of its own version
-// can't apply.
+// program, Decode returns a *NewerError. A voter decodes every command that
+// another instance proposes, so that none enters the log that voters of its own
+// version can't apply.
 func Decode(data []byte) (Command, error) {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
@@ -88,6 +93,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "registry: decode command")
 	}
+	if e.Change != nil {
+		if e.Change.Declarations, err = unpack(e.Change.Declarations); err != nil {
+			return nil, err
+		}
+	}
 	return e.command()
 }
 
--- a/internal/registry/export_test.go
+++ b/internal/registry/export_test.go
@@ -10,3 +10,16 @@
 	}
 	return len(r.configuration.answers)
 }
+
+// MaxUnpacked is maxUnpacked.
+const MaxUnpacked = maxUnpacked
+
+// Pack is pack.
+func Pack(data []byte) ([]byte, error) {
+	return pack(data)
+}
+
+// Unpack is unpack.
+func Unpack(data []byte) ([]byte, error) {
+	return unpack(data)
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -114,7 +114,29 @@
 	if r.sequence == 1 {
 		record.Static = &r.options.Static
 	}
-	r.instances.Put(record, now)
+	r.instances.Put(record, now, false)
+}
+
+// Introduction returns this instance's own record, for one that may not know it.
+func (r *Roster) Introduction(now time.Time) *InstanceRecord {
+	held, known := r.instances.rows[r.options.Self]
+	if !known {
+		return nil
+	}
+	record := held.record(now, r.options.Self)
+	return &record
+}
+
+// Introduce takes another instance's own record, which came with its pull. Its
+// age is not to be trusted, as it may have been held up on its way: what it is
+// good for is to be pulled from. Only an instance that is not known, or a later
+// incarnation of it, counts.
+func (r *Roster) Introduce(now time.Time, record InstanceRecord) {
+	held, known := r.instances.rows[record.Name]
+	if record.Name == r.options.Self || known && held.incarnation >= record.Incarnation && now.Sub(held.heard) < r.options.Lease {
+		return
+	}
+	r.instances.Put(record, now, true)
 }
 
 // Announce takes an announcement that an upstream made to this instance.
@@ -142,19 +164,24 @@
 	if !known || held.incarnation != announcement.Incarnation || !reflect.DeepEqual(held.static, static) {
 		record.Static = &static
 	}
-	r.upstreams.Put(record, now)
+	r.upstreams.Put(record, now, !known || !sameRates(held.beat, announcement.Load))
 	return nil
 }
 
 // Load takes a load report between two announcements. If the upstream is not
 // known, has another incarnation, or has told a later load, Load does nothing.
 func (r *Roster) Load(now time.Time, report upstreamapi.LoadReport) {
+	held, known := r.upstreams.rows[report.Name]
+	if !known {
+		return
+	}
 	r.upstreams.Put(UpstreamRecord{
 		Name:        report.Name,
 		Incarnation: report.Incarnation,
 		Sequence:    report.Sequence,
+		Left:        held.left,
 		Beat:        report.Load,
-	}, now)
+	}, now, !sameRates(held.beat, report.Load))
 }
 
 // Leave takes an upstream's word that it goes. If the upstream is not known or
@@ -172,56 +199,12 @@
 		Sequence: lastSequence,
 		Left:     true,
 		Beat:     held.beat,
-	}, now)
+	}, now, true)
 }
 
 // lastSequence is higher than the sequence of any renewal.
 const lastSequence = ^uint64(0)
 
-// Cursor says how far one instance has pulled from another. The zero value asks
-// for everything.
-type Cursor struct {
-	// Incarnation is that of the instance pulled from. A restart begins anew.
-	Incarnation uint64
-	Upstreams   uint64
-	Instances   uint64
-}
-
-// Changes answers a pull.
-type Changes struct {
-	Upstreams []UpstreamRecord
-	Instances []InstanceRecord
-	Next      Cursor
-}
-
-// Since returns what has changed after cursor.
-func (r *Roster) Since(now time.Time, cursor Cursor) Changes {
-	if cursor.Incarnation != r.options.Incarnation {
-		cursor = Cursor{Incarnation: r.options.Incarnation}
-	}
-	changes := Changes{Next: Cursor{Incarnation: r.options.Incarnation}}
-	changes.Upstreams, changes.Next.Upstreams = r.upstreams.Since(now, cursor.Upstreams)
-	changes.Instances, changes.Next.Instances = r.instances.Since(now, cursor.Instances)
-	return changes
-}
-
-// Merge takes the answer to a pull that was asked at time asked.
-//
-// Ages are counted back from the moment of asking, not of the answer's arrival:
-// an answer that was held up on its way would otherwise make a lost member look
-// alive for as long as it was held up.
-func (r *Roster) Merge(asked time.Time, changes Changes) {
-	for _, record := range changes.Upstreams {
-		r.upstreams.Put(record, asked.Add(-record.Age))
-	}
-	for _, record := range changes.Instances {
-		if record.Name == r.options.Self {
-			continue
-		}
-		r.instances.Put(record, asked.Add(-record.Age))
-	}
-}
-
 // Sweep forgets members that lapsed long ago.
 func (r *Roster) Sweep(now time.Time) {
 	horizon := now.Add(-forgetAfter * r.options.Lease)
@@ -242,6 +225,22 @@
 	return alive
 }
 
+// UpstreamsSince returns the upstreams that changed after cursor, those that left
+// or whose lease has run out included, and the cursor to ask with next. A cursor
+// of 0 asks for all.
+func (r *Roster) UpstreamsSince(cursor uint64) ([]Upstream, uint64) {
+	var changed []Upstream
+	if cursor == r.upstreams.change {
+		return nil, cursor
+	}
+	for _, held := range r.upstreams.rows {
+		if held.changed > cursor {
+			changed = append(changed, upstreamOf(held))
+		}
+	}
+	return changed, r.upstreams.change
+}
+
 // Instances returns the instances that are alive, this one included, sorted by
 // name.
 func (r *Roster) Instances(now time.Time) []Instance {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -72,16 +72,19 @@
 	It("tells another instance what changed, and sends an unchanged upstream's load alone", func() {
 		a, b := newRoster("a"), newRoster("b")
 		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
-		first := a.Since(at(0.5), roster.Cursor{})
-		b.Merge(at(0.5), first)
+		var source roster.Source
+		first := a.Since(at(0.5), source.Cursor())
+		b.Merge(at(0.5), &source, first)
 		Expect(b.Upstreams(at(0.5))).To(HaveLen(1))
 		Expect(a.Announce(at(1), announcement(2))).To(Succeed())
-		second := a.Since(at(1.5), first.Next)
-		Expect(second.Upstreams).To(HaveLen(1))
-		Expect(second.Upstreams[0].Static).To(BeNil())
-		b.Merge(at(1.5), second)
+		second := a.Since(at(1.5), source.Cursor())
+		Expect(second.Upstreams).To(BeEmpty())
+		Expect(second.UpstreamBeats.Handles).To(HaveLen(1))
+		b.Merge(at(1.5), &source, second)
 		Expect(b.Upstreams(at(1.5))[0].Announcement.Load.Running).To(Equal(2))
-		Expect(a.Since(at(2), second.Next).Upstreams).To(BeEmpty())
+		third := a.Since(at(2), source.Cursor())
+		Expect(third.Upstreams).To(BeEmpty())
+		Expect(third.UpstreamBeats.Handles).To(BeEmpty())
 	})
 
 	// An answer to a pull is held up for a minute on its way, while the upstream
@@ -91,17 +94,66 @@
 		a, b := newRoster("a"), newRoster("b")
 		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
 		held := a.Since(at(1), roster.Cursor{})
-		b.Merge(at(1), held)
+		b.Merge(at(1), &roster.Source{}, held)
 		Expect(b.Upstreams(at(61))).To(BeEmpty())
 	})
 
 	It("begins anew with an instance that was restarted", func() {
 		a, b := newRoster("a"), newRoster("b")
+		var source roster.Source
 		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
-		seen := a.Since(at(0), roster.Cursor{})
+		b.Merge(at(0), &source, a.Since(at(0), source.Cursor()))
 		restarted := roster.New(roster.Options{Self: "a", Incarnation: 2, Lease: lease})
 		Expect(restarted.Announce(at(1), announcement(2))).To(Succeed())
-		b.Merge(at(1), restarted.Since(at(1), seen.Next))
-		Expect(b.Upstreams(at(1))).To(HaveLen(1))
+		b.Merge(at(1), &source, restarted.Since(at(1), source.Cursor()))
+		Expect(b.Upstreams(at(3.5))).To(HaveLen(1))
+	})
+
+	// An instance was cut off from its source for so long that it forgot an
+	// upstream. The source goes on and sends the upstream's renewals alone,
+	// which say nothing to the instance. It must ask for everything again, or it
+	// would never route to that upstream any more.
+	It("asks for everything again after it forgot a member", func() {
+		a, b := newRoster("a"), newRoster("b")
+		var source roster.Source
+		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
+		b.Merge(at(0), &source, a.Since(at(0), source.Cursor()))
+		b.Sweep(at(200))
+		Expect(a.Announce(at(200), announcement(2))).To(Succeed())
+		b.Merge(at(200), &source, a.Since(at(200), source.Cursor()))
+		b.Merge(at(201), &source, a.Since(at(201), source.Cursor()))
+		Expect(b.Upstreams(at(201))).To(HaveLen(1))
+	})
+
+	// An upstream restarted and announced itself to b. The source a has not
+	// heard of that yet and sends a renewal of the old process, with a higher
+	// sequence. It must not hide the new process's renewals.
+	It("takes no renewal of an earlier incarnation for the present one", func() {
+		a, b := newRoster("a"), newRoster("b")
+		var source roster.Source
+		Expect(a.Announce(at(0), announcement(90))).To(Succeed())
+		b.Merge(at(0), &source, a.Since(at(0), source.Cursor()))
+		again := announcement(1)
+		again.Incarnation = 2
+		Expect(b.Announce(at(1), again)).To(Succeed())
+		Expect(a.Announce(at(1), announcement(91))).To(Succeed())
+		b.Merge(at(1), &source, a.Since(at(1), source.Cursor()))
+		again.Sequence = 2
+		again.Load.Running = 7
+		Expect(b.Announce(at(2), again)).To(Succeed())
+		Expect(b.Upstreams(at(2))[0].Announcement.Load.Running).To(Equal(7))
+	})
+
+	It("drops an answer whose columns do not fit together", func() {
+		a, b := newRoster("a"), newRoster("b")
+		var source roster.Source
+		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
+		b.Merge(at(0), &source, a.Since(at(0), source.Cursor()))
+		Expect(a.Announce(at(1), announcement(2))).To(Succeed())
+		torn := a.Since(at(1), source.Cursor())
+		torn.UpstreamBeats.Running = nil
+		b.Merge(at(1), &source, torn)
+		b.Merge(at(1), &source, a.Since(at(1), source.Cursor()))
+		Expect(b.Upstreams(at(1))[0].Announcement.Load.Running).To(Equal(2))
 	})
 })
--- /dev/null
+++ b/internal/roster/source.go
@@ -0,0 +1,162 @@
+package roster
+
+import (
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// Cursor says how far one instance has pulled from another. The zero value asks
+// for everything.
+type Cursor struct {
+	// Incarnation is that of the instance pulled from. A restart begins anew.
+	Incarnation uint64
+	Upstreams   uint64
+	Instances   uint64
+}
+
+// Changes answers a pull.
+type Changes struct {
+	Upstreams     []UpstreamRecord
+	UpstreamBeats UpstreamBeats
+	Instances     []InstanceRecord
+	InstanceBeats InstanceBeats
+	Next          Cursor
+}
+
+// Source is an instance that is pulled from: how far, and by which handles it
+// names members. The zero value has pulled nothing. It is not safe for
+// concurrent use.
+type Source struct {
+	cursor    Cursor
+	upstreams map[uint32]member
+	instances map[uint32]member
+}
+
+// member is whom a handle stands for.
+type member struct {
+	name        string
+	incarnation uint64
+}
+
+// Cursor returns what to pull with next.
+func (s *Source) Cursor() Cursor {
+	return s.cursor
+}
+
+// follow takes over the cursor of an answer. After a restart of the source its
+// handles name other members.
+func (s *Source) follow(next Cursor) {
+	if s.upstreams == nil || next.Incarnation != s.cursor.Incarnation {
+		s.upstreams, s.instances = map[uint32]member{}, map[uint32]member{}
+	}
+	s.cursor = next
+}
+
+// Since returns what has changed after cursor.
+func (r *Roster) Since(now time.Time, cursor Cursor) Changes {
+	if cursor.Incarnation != r.options.Incarnation {
+		cursor = Cursor{Incarnation: r.options.Incarnation}
+	}
+	changes := Changes{Next: Cursor{Incarnation: r.options.Incarnation}}
+	changes.Next.Upstreams = r.upstreams.since(cursor.Upstreams,
+		func(name string, held *upstreamRow) {
+			changes.Upstreams = append(changes.Upstreams, held.record(now, name))
+		},
+		func(_ string, held *upstreamRow) {
+			changes.UpstreamBeats.add(held.handle, held.sequence, now.Sub(held.heard))
+			changes.UpstreamBeats.addLoad(held.beat)
+		})
+	changes.Next.Instances = r.instances.since(cursor.Instances,
+		func(name string, held *instanceRow) {
+			changes.Instances = append(changes.Instances, held.record(now, name))
+		},
+		func(_ string, held *instanceRow) {
+			changes.InstanceBeats.add(held.handle, held.sequence, now.Sub(held.heard))
+			changes.InstanceBeats.addState(held.beat)
+		})
+	return changes
+}
+
+// Merge takes the answer to a pull from source that was asked at time asked. An
+// answer whose columns do not fit together is dropped whole: the next pull asks
+// for the same again.
+//
+// Ages are counted back from the moment of asking, not of the answer's arrival:
+// an answer that was held up on its way would otherwise make a lost member look
+// alive for as long as it was held up.
+func (r *Roster) Merge(asked time.Time, source *Source, changes Changes) {
+	if !changes.UpstreamBeats.wellFormed() || !changes.InstanceBeats.wellFormed() {
+		return
+	}
+	source.follow(changes.Next)
+	complete := true
+	for _, record := range changes.Upstreams {
+		source.upstreams[record.Handle] = member{record.Name, record.Incarnation}
+		r.upstreams.Put(record, asked.Add(-record.Age), true)
+	}
+	for n, handle := range changes.UpstreamBeats.Handles {
+		complete = r.renewUpstream(asked, source.upstreams[handle], n, &changes.UpstreamBeats) && complete
+	}
+	for _, record := range changes.Instances {
+		source.instances[record.Handle] = member{record.Name, record.Incarnation}
+		if record.Name != r.options.Self {
+			r.instances.Put(record, asked.Add(-record.Age), true)
+		}
+	}
+	for n, handle := range changes.InstanceBeats.Handles {
+		complete = r.renewInstance(asked, source.instances[handle], n, &changes.InstanceBeats) && complete
+	}
+	if !complete {
+		// A renewal of a member that was forgotten here says nothing without its
+		// whole record, which the source would not send again by itself: the
+		// member would stay unknown for good.
+		*source = Source{}
+	}
+}
+
+// renewUpstream takes a renewal and reports whether its member is known. The
+// renewal is of the incarnation that the source sent whole. If this instance has
+// heard of another meanwhile, it is not for that one.
+func (r *Roster) renewUpstream(asked time.Time, of member, n int, beats *UpstreamBeats) bool {
+	held, known := r.upstreams.rows[of.name]
+	if !known {
+		return false
+	}
+	if held.incarnation == of.incarnation {
+		r.upstreams.Put(UpstreamRecord{
+			Name:        of.name,
+			Incarnation: of.incarnation,
+			Sequence:    beats.Sequences[n],
+			Left:        held.left,
+			Beat:        beats.load(n, held.beat),
+		}, asked.Add(-beats.age(n)), false)
+	}
+	return true
+}
+
+func (r *Roster) renewInstance(asked time.Time, of member, n int, beats *InstanceBeats) bool {
+	if of.name == r.options.Self {
+		return true
+	}
+	held, known := r.instances.rows[of.name]
+	if !known {
+		return false
+	}
+	if held.incarnation == of.incarnation {
+		r.instances.Put(InstanceRecord{
+			Name:        of.name,
+			Incarnation: of.incarnation,
+			Sequence:    beats.Sequences[n],
+			Left:        held.left,
+			Beat:        beats.state(n),
+		}, asked.Add(-beats.age(n)), false)
+	}
+	return true
+}
+
+// upstreamRow and instanceRow are the rows of the two tables.
+type (
+	upstreamRow = row[upstreamStatic, upstreamapi.Load]
+	instanceRow = row[InstanceStatic, InstanceBeat]
+)
--- /dev/null
+++ b/internal/roster/sources_test.go
@@ -0,0 +1,146 @@
+package roster_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// sites returns n instances in ten failure domains, the first seven of them
+// voters.
+func sites(n int) []roster.Site {
+	all := make([]roster.Site, n)
+	for k := range all {
+		all[k] = roster.Site{
+			Name:          fmt.Sprintf("instance-%03d", k),
+			FailureDomain: fmt.Sprintf("domain-%d", k%10),
+			Voter:         k < 7,
+		}
+	}
+	return all
+}
+
+func without(all []roster.Site, lost ...string) []roster.Site {
+	var rest []roster.Site
+	for _, site := range all {
+		keep := true
+		for _, name := range lost {
+			keep = keep && site.Name != name
+		}
+		if keep {
+			rest = append(rest, site)
+		}
+	}
+	return rest
+}
+
+var _ = Describe("SourcesOf", func() {
+	It("is everybody while there are few", func() {
+		all := sites(7)
+		Expect(roster.SourcesOf(all[6], all[:6]).All).To(HaveLen(6))
+	})
+
+	It("is one voter after the other for one of many that is none", func() {
+		all := sites(330)
+		sources := roster.SourcesOf(all[100], without(all, all[100].Name))
+		Expect(sources.All).To(BeEmpty())
+		Expect(sources.FirstOf).To(HaveLen(7))
+		Expect(sources.FirstOf[0]).To(Equal("instance-000"), "the voter of its own failure domain")
+	})
+
+	It("spreads the instances over the voters", func() {
+		all := sites(330)
+		for _, voter := range all[:7] {
+			pulls := len(roster.SourcesOf(voter, without(all, voter.Name)).All)
+			Expect(pulls).To(BeNumerically(">", 50))
+			Expect(pulls).To(BeNumerically("<", 150))
+		}
+	})
+
+	// An upstream announces itself to one instance that is no voter. Everybody
+	// must know of it after three rounds of pulls, also when the voter that the
+	// instance leans on first is lost.
+	DescribeTable("carries news to everybody in three rounds",
+		func(lost ...string) {
+			all := without(sites(330), lost...)
+			rosters := map[string]*roster.Roster{}
+			sources := map[string]map[string]*roster.Source{}
+			for _, site := range all {
+				rosters[site.Name] = newRoster(site.Name)
+				sources[site.Name] = map[string]*roster.Source{}
+			}
+			Expect(rosters["instance-100"].Announce(at(0), announcement(1))).To(Succeed())
+			now := at(0)
+			for range 3 {
+				now = now.Add(250 * time.Millisecond)
+				pullRound(now, all, rosters, sources)
+			}
+			for _, site := range all {
+				Expect(rosters[site.Name].Upstreams(now)).To(HaveLen(1), site.Name)
+			}
+		},
+		Entry("with all voters"),
+		Entry("without the first voter of the instance", "instance-000"),
+		Entry("without three voters", "instance-000", "instance-003", "instance-005"),
+	)
+})
+
+// pullRound lets every instance pull once, all from what was known before.
+func pullRound(
+	now time.Time, all []roster.Site, rosters map[string]*roster.Roster, sources map[string]map[string]*roster.Source,
+) {
+	type answer struct {
+		to, from string
+		changes  roster.Changes
+	}
+	var answers []answer
+	for _, site := range all {
+		plan := roster.SourcesOf(site, without(all, site.Name))
+		for _, from := range append(plan.All, plan.FirstOf[:min(1, len(plan.FirstOf))]...) {
+			if sources[site.Name][from] == nil {
+				sources[site.Name][from] = &roster.Source{}
+			}
+			answers = append(answers, answer{site.Name, from, rosters[from].Since(now, sources[site.Name][from].Cursor())})
+		}
+	}
+	for _, a := range answers {
+		rosters[a.to].Merge(now, sources[a.to][a.from], a.changes)
+	}
+}
+
+var _ = Describe("a renewal", func() {
+	It("carries the load as far as routing needs it", func() {
+		a, b := newRoster("a"), newRoster("b")
+		var source roster.Source
+		first := announcement(1)
+		first.Load = upstreamapi.Load{KVTotalTokens: 1000, MaxRunning: 8, PrefillTokensPerSecond: 5000}
+		Expect(a.Announce(at(0), first)).To(Succeed())
+		b.Merge(at(0), &source, a.Since(at(0), source.Cursor()))
+		second := announcement(2)
+		second.Load = upstreamapi.Load{
+			KVTotalTokens: 1000, KVUsedTokens: 250, MaxRunning: 8, PrefillTokensPerSecond: 5100,
+			Running: 3, Waiting: 2, WaitingPromptTokens: 900, Clock: at(1),
+		}
+		Expect(a.Announce(at(1), second)).To(Succeed())
+		changes := a.Since(at(1), source.Cursor())
+		Expect(changes.Upstreams).To(BeEmpty())
+		b.Merge(at(1), &source, changes)
+		load := b.Upstreams(at(1))[0].Announcement.Load
+		Expect(load.Running).To(Equal(3))
+		Expect(load.Waiting).To(Equal(2))
+		Expect(load.WaitingPromptTokens).To(Equal(900))
+		Expect(load.KVUsedTokens).To(BeEquivalentTo(250))
+		Expect(load.Clock).To(BeTemporally("==", at(1)))
+		third := announcement(3)
+		third.Load = second.Load
+		third.Load.PrefillTokensPerSecond = 2500
+		Expect(a.Announce(at(2), third)).To(Succeed())
+		b.Merge(at(2), &source, a.Since(at(2), source.Cursor()))
+		Expect(b.Upstreams(at(2))[0].Announcement.Load.PrefillTokensPerSecond).To(BeEquivalentTo(2500))
+	})
+})
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -5,13 +5,12 @@
 	"time"
 )
 
-// Record is what one instance tells another about a member.
-//
-// Content that seldom changes travels in Static, and only when the receiver
-// has not had it; a renewal of an unchanged member carries Beat alone, so that
-// the bytes of a second stay small with a thousand members.
+// Record is what one instance tells another about a member, whole.
 type Record[S, B any] struct {
 	Name string
+	// Handle is the row's number in the sender's table. Later renewals name the
+	// member by it.
+	Handle uint32
 	// Incarnation and Sequence order the records of a member: the higher
 	// incarnation wins, then the higher sequence.
 	Incarnation uint64
@@ -20,7 +19,8 @@
 	Age time.Duration
 	// Left is true when the member said that it goes.
 	Left bool
-	// Static is nil when the receiver already holds it.
+	// Static is what seldom changes. It is nil in a record that this instance
+	// makes itself for a member whose static part has not changed.
 	Static *S
 	Beat   B
 }
@@ -31,19 +31,22 @@
 	rows map[string]*row[S, B]
 	// change numbers the changes of the table; it only grows.
 	change uint64
+	// handles is the number of rows that there have ever been.
+	handles uint32
 }
 
 type row[S, B any] struct {
+	handle      uint32
 	incarnation uint64
 	sequence    uint64
 	heard       time.Time
 	left        bool
 	static      S
 	beat        B
-	// changed and staticChanged are the numbers of the last change of the row
-	// and of its static part. changed is never below staticChanged.
-	changed       uint64
-	staticChanged uint64
+	// changed and wholeChanged are the numbers of the last change of the row
+	// and of what a renewal does not carry. changed is never below wholeChanged.
+	changed      uint64
+	wholeChanged uint64
 }
 
 // NewTable returns an empty table.
@@ -51,15 +54,17 @@
 	return &Table[S, B]{rows: map[string]*row[S, B]{}}
 }
 
-// Put stores a record that this instance heard of itself at time heard, and
-// reports whether it was newer than what the table held.
-func (t *Table[S, B]) Put(record Record[S, B], heard time.Time) bool {
+// Put stores a record that was heard of at time heard, and reports whether it
+// was newer than what the table held. whole says that others need more than a
+// renewal to follow the change.
+func (t *Table[S, B]) Put(record Record[S, B], heard time.Time, whole bool) bool {
 	held, known := t.rows[record.Name]
 	if !known {
 		if record.Static == nil {
 			return false
 		}
-		held = &row[S, B]{}
+		held = &row[S, B]{handle: t.handles}
+		t.handles++
 		t.rows[record.Name] = held
 	} else if !newer(record.Incarnation, record.Sequence, held.incarnation, held.sequence) {
 		return false
@@ -74,40 +79,56 @@
 	held.incarnation = record.Incarnation
 	held.sequence = record.Sequence
 	held.heard = heard
-	held.left = record.Left
 	held.beat = record.Beat
 	held.changed = t.change
+	if whole || record.Static != nil || held.left != record.Left {
+		held.wholeChanged = t.change
+	}
+	held.left = record.Left
 	if record.Static != nil {
 		held.static = *record.Static
-		held.staticChanged = t.change
 	}
 	return true
 }
 
-// Since returns the records that changed after cursor, and the cursor to ask
-// with next. A cursor of 0 asks for everything.
-func (t *Table[S, B]) Since(now time.Time, cursor uint64) ([]Record[S, B], uint64) {
-	var records []Record[S, B]
+// since calls whole for each row of which more than a renewal has changed after
+// cursor, and renewed for each other row that was renewed, in the order of
+// their handles. It returns the cursor to ask with next.
+func (t *Table[S, B]) since(cursor uint64, whole, renewed func(name string, held *row[S, B])) uint64 {
+	type changed struct {
+		name string
+		held *row[S, B]
+	}
+	var rows []changed
 	for name, held := range t.rows {
-		if held.changed <= cursor {
-			continue
-		}
-		record := Record[S, B]{
-			Name:        name,
-			Incarnation: held.incarnation,
-			Sequence:    held.sequence,
-			Age:         now.Sub(held.heard),
-			Left:        held.left,
-			Beat:        held.beat,
+		if held.changed > cursor {
+			rows = append(rows, changed{name, held})
 		}
-		if held.staticChanged > cursor {
-			static := held.static
-			record.Static = &static
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].held.handle < rows[j].held.handle })
+	for _, r := range rows {
+		if r.held.wholeChanged > cursor {
+			whole(r.name, r.held)
+		} else {
+			renewed(r.name, r.held)
 		}
-		records = append(records, record)
 	}
-	sort.Slice(records, func(i, j int) bool { return records[i].Name < records[j].Name })
-	return records, t.change
+	return t.change
+}
+
+// record returns a row whole, as handed out at now.
+func (h *row[S, B]) record(now time.Time, name string) Record[S, B] {
+	static := h.static
+	return Record[S, B]{
+		Name:        name,
+		Handle:      h.handle,
+		Incarnation: h.incarnation,
+		Sequence:    h.sequence,
+		Age:         now.Sub(h.heard),
+		Left:        h.left,
+		Static:      &static,
+		Beat:        h.beat,
+	}
 }
 
 // Forget removes the members that were last heard of before horizon.
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -58,6 +58,8 @@
 type Error struct {
 	// Outcome is what may be promised to the caller.
 	Outcome outcome.Outcome
+	// Refused is true if the upstream said that it ran nothing of the request.
+	Refused bool
 	// RetryAfter is the time that the upstream asked for, 0 if it did not.
 	RetryAfter time.Duration
 	cause      error
@@ -206,6 +208,7 @@
 func refused(response *http.Response) *Error {
 	return &Error{
 		Outcome:    outcome.NotRun,
+		Refused:    true,
 		RetryAfter: retryAfter(response.Header),
 		cause:      errors.Newf("upstream refused with status %d", response.StatusCode),
 	}
