roster: voters ask those that lean on them for what they heard alone

Cause: worked out for CAPACITY.md: a voter that pulls from 92 others would get from each all that the voters had told it, 92 x 17 KB a second. And an instance whose two voters are lost but stand in the settings was pulled from by nobody. Change: a cursor can ask for direct members only; lost instances of the settings are asked, and leaned on by no one.

--- a/internal/courier/slope_test.go
+++ b/internal/courier/slope_test.go
@@ -32,7 +32,7 @@
 	to := roster.New(roster.Options{Self: "instance", Incarnation: 1, Lease: 3 * time.Second})
 	var source, others roster.Source
 	renew(b, from, &others, now, 1, upstreams, instances)
-	to.Merge(now, &source, from.Since(now, source.Cursor()))
+	to.Merge(now, &source, from.Since(now, source.Cursor(false)))
 
 	var wire bytes.Buffer
 	encoder, decoder := gob.NewEncoder(&wire), gob.NewDecoder(&wire)
@@ -44,7 +44,7 @@
 		now = now.Add(time.Second)
 		renew(b, from, &others, now, sequence, upstreams, instances)
 		begin := time.Now()
-		if err := encoder.Encode(courier.PullReply{Changes: from.Since(now, source.Cursor())}); err != nil {
+		if err := encoder.Encode(courier.PullReply{Changes: from.Since(now, source.Cursor(false))}); err != nil {
 			b.Fatal(err)
 		}
 		pack += time.Since(begin)
--- a/internal/instance/pulls.go
+++ b/internal/instance/pulls.go
@@ -16,6 +16,8 @@
 type pulled struct {
 	address string
 	source  roster.Source
+	// direct says to ask only for what the other heard itself.
+	direct bool
 	// busy is true while a pull is under way.
 	busy bool
 	// failed is true if the last pull got no answer.
@@ -43,16 +45,21 @@
 func (i *Instance) beginPulls(now time.Time) []*pulled {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	sites, addresses := i.sitesLocked(now)
+	sites, lost, addresses := i.sitesLocked(now)
 	self := roster.Site{
 		Name:          i.options.Settings.Name,
 		FailureDomain: i.options.Settings.FailureDomain,
 		Voter:         i.options.Settings.Voter,
 	}
 	sources := roster.SourcesOf(self, sites)
-	wanted := slices.Concat(sources.All, i.firstAnswering(sources.FirstOf))
+	wanted := slices.Concat(sources.All, i.firstAnswering(sources.FirstOf), lost)
+	begun := i.beginLocked(wanted, addresses, false)
+	return append(begun, i.beginLocked(sources.Direct, addresses, true)...)
+}
+
+func (i *Instance) beginLocked(names []string, addresses map[string]string, direct bool) []*pulled {
 	var begun []*pulled
-	for _, name := range wanted {
+	for _, name := range names {
 		peer := i.peers[name]
 		if peer == nil || peer.address != addresses[name] {
 			peer = &pulled{address: addresses[name]}
@@ -60,6 +67,7 @@
 		}
 		if !peer.busy {
 			peer.busy = true
+			peer.direct = direct
 			peer.pulls++
 			begun = append(begun, peer)
 		}
@@ -79,28 +87,36 @@
 	return names
 }
 
-// sitesLocked returns the other instances that the settings name or that are
-// alive, with their inner addresses.
-func (i *Instance) sitesLocked(now time.Time) ([]roster.Site, map[string]string) {
-	var sites []roster.Site
-	addresses := map[string]string{}
-	for _, peer := range i.options.Settings.Instances {
-		addresses[peer.Name] = peer.InnerAddress.String()
-		sites = append(sites, roster.Site{Name: peer.Name, FailureDomain: peer.FailureDomain, Voter: peer.Voter})
-	}
+// sitesLocked returns the other instances that are alive, or that the settings
+// name and that were not tried yet, and the names of those of the settings that
+// are lost. These are asked all the same, to see when they are back, but nobody
+// must lean on them: what an instance hears would reach no one.
+func (i *Instance) sitesLocked(now time.Time) (sites []roster.Site, lost []string, addresses map[string]string) {
+	addresses = map[string]string{}
 	for _, alive := range i.roster.Instances(now) {
-		if alive.Name == i.options.Settings.Name || addresses[alive.Name] != "" {
+		if alive.Name == i.options.Settings.Name {
 			continue
 		}
 		addresses[alive.Name] = alive.InnerAddress
 		sites = append(sites, roster.Site{Name: alive.Name, FailureDomain: alive.FailureDomain, Voter: alive.Voter})
 	}
-	return sites, addresses
+	for _, named := range i.options.Settings.Instances {
+		if addresses[named.Name] != "" {
+			continue
+		}
+		addresses[named.Name] = named.InnerAddress.String()
+		if peer := i.peers[named.Name]; peer != nil && peer.failed {
+			lost = append(lost, named.Name)
+			continue
+		}
+		sites = append(sites, roster.Site{Name: named.Name, FailureDomain: named.FailureDomain, Voter: named.Voter})
+	}
+	return sites, lost, addresses
 }
 
 func (i *Instance) pullFrom(ctx context.Context, peer *pulled) {
 	i.mu.Lock()
-	cursor := peer.source.Cursor()
+	cursor := peer.source.Cursor(peer.direct)
 	var introduction *roster.InstanceRecord
 	if cursor.Incarnation == 0 || peer.pulls%introduceEvery == 0 {
 		introduction = i.roster.Introduction(i.options.Now())
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -114,7 +114,7 @@
 	if r.sequence == 1 {
 		record.Static = &r.options.Static
 	}
-	r.instances.Put(record, now, false)
+	r.instances.Put(record, Hearing{At: now, Direct: true})
 }
 
 // Introduction returns this instance's own record, for one that may not know it.
@@ -136,7 +136,7 @@
 	if record.Name == r.options.Self || known && held.incarnation >= record.Incarnation && now.Sub(held.heard) < r.options.Lease {
 		return
 	}
-	r.instances.Put(record, now, true)
+	r.instances.Put(record, Hearing{At: now, Direct: true, Whole: true})
 }
 
 // Announce takes an announcement that an upstream made to this instance.
@@ -164,7 +164,8 @@
 	if !known || held.incarnation != announcement.Incarnation || !reflect.DeepEqual(held.static, static) {
 		record.Static = &static
 	}
-	r.upstreams.Put(record, now, !known || !sameRates(held.beat, announcement.Load))
+	whole := !known || !sameRates(held.beat, announcement.Load)
+	r.upstreams.Put(record, Hearing{At: now, Direct: true, Whole: whole})
 	return nil
 }
 
@@ -181,7 +182,7 @@
 		Sequence:    report.Sequence,
 		Left:        held.left,
 		Beat:        report.Load,
-	}, now, !sameRates(held.beat, report.Load))
+	}, Hearing{At: now, Direct: true, Whole: !sameRates(held.beat, report.Load)})
 }
 
 // Leave takes an upstream's word that it goes. If the upstream is not known or
@@ -199,7 +200,7 @@
 		Sequence: lastSequence,
 		Left:     true,
 		Beat:     held.beat,
-	}, now, true)
+	}, Hearing{At: now, Direct: true, Whole: true})
 }
 
 // lastSequence is higher than the sequence of any renewal.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -73,16 +73,16 @@
 		a, b := newRoster("a"), newRoster("b")
 		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
 		var source roster.Source
-		first := a.Since(at(0.5), source.Cursor())
+		first := a.Since(at(0.5), source.Cursor(false))
 		b.Merge(at(0.5), &source, first)
 		Expect(b.Upstreams(at(0.5))).To(HaveLen(1))
 		Expect(a.Announce(at(1), announcement(2))).To(Succeed())
-		second := a.Since(at(1.5), source.Cursor())
+		second := a.Since(at(1.5), source.Cursor(false))
 		Expect(second.Upstreams).To(BeEmpty())
 		Expect(second.UpstreamBeats.Handles).To(HaveLen(1))
 		b.Merge(at(1.5), &source, second)
 		Expect(b.Upstreams(at(1.5))[0].Announcement.Load.Running).To(Equal(2))
-		third := a.Since(at(2), source.Cursor())
+		third := a.Since(at(2), source.Cursor(false))
 		Expect(third.Upstreams).To(BeEmpty())
 		Expect(third.UpstreamBeats.Handles).To(BeEmpty())
 	})
@@ -102,10 +102,10 @@
 		a, b := newRoster("a"), newRoster("b")
 		var source roster.Source
 		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
-		b.Merge(at(0), &source, a.Since(at(0), source.Cursor()))
+		b.Merge(at(0), &source, a.Since(at(0), source.Cursor(false)))
 		restarted := roster.New(roster.Options{Self: "a", Incarnation: 2, Lease: lease})
 		Expect(restarted.Announce(at(1), announcement(2))).To(Succeed())
-		b.Merge(at(1), &source, restarted.Since(at(1), source.Cursor()))
+		b.Merge(at(1), &source, restarted.Since(at(1), source.Cursor(false)))
 		Expect(b.Upstreams(at(3.5))).To(HaveLen(1))
 	})
 
@@ -117,11 +117,11 @@
 		a, b := newRoster("a"), newRoster("b")
 		var source roster.Source
 		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
-		b.Merge(at(0), &source, a.Since(at(0), source.Cursor()))
+		b.Merge(at(0), &source, a.Since(at(0), source.Cursor(false)))
 		b.Sweep(at(200))
 		Expect(a.Announce(at(200), announcement(2))).To(Succeed())
-		b.Merge(at(200), &source, a.Since(at(200), source.Cursor()))
-		b.Merge(at(201), &source, a.Since(at(201), source.Cursor()))
+		b.Merge(at(200), &source, a.Since(at(200), source.Cursor(false)))
+		b.Merge(at(201), &source, a.Since(at(201), source.Cursor(false)))
 		Expect(b.Upstreams(at(201))).To(HaveLen(1))
 	})
 
@@ -132,12 +132,12 @@
 		a, b := newRoster("a"), newRoster("b")
 		var source roster.Source
 		Expect(a.Announce(at(0), announcement(90))).To(Succeed())
-		b.Merge(at(0), &source, a.Since(at(0), source.Cursor()))
+		b.Merge(at(0), &source, a.Since(at(0), source.Cursor(false)))
 		again := announcement(1)
 		again.Incarnation = 2
 		Expect(b.Announce(at(1), again)).To(Succeed())
 		Expect(a.Announce(at(1), announcement(91))).To(Succeed())
-		b.Merge(at(1), &source, a.Since(at(1), source.Cursor()))
+		b.Merge(at(1), &source, a.Since(at(1), source.Cursor(false)))
 		again.Sequence = 2
 		again.Load.Running = 7
 		Expect(b.Announce(at(2), again)).To(Succeed())
@@ -148,12 +148,12 @@
 		a, b := newRoster("a"), newRoster("b")
 		var source roster.Source
 		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
-		b.Merge(at(0), &source, a.Since(at(0), source.Cursor()))
+		b.Merge(at(0), &source, a.Since(at(0), source.Cursor(false)))
 		Expect(a.Announce(at(1), announcement(2))).To(Succeed())
-		torn := a.Since(at(1), source.Cursor())
+		torn := a.Since(at(1), source.Cursor(false))
 		torn.UpstreamBeats.Running = nil
 		b.Merge(at(1), &source, torn)
-		b.Merge(at(1), &source, a.Since(at(1), source.Cursor()))
+		b.Merge(at(1), &source, a.Since(at(1), source.Cursor(false)))
 		Expect(b.Upstreams(at(1))[0].Announcement.Load.Running).To(Equal(2))
 	})
 })
--- a/internal/roster/source.go
+++ b/internal/roster/source.go
@@ -13,6 +13,9 @@
 	Incarnation uint64
 	Upstreams   uint64
 	Instances   uint64
+	// Direct asks only for members that told the callee themselves. A voter asks
+	// so an instance that got all the rest from the voters.
+	Direct bool
 }
 
 // Changes answers a pull.
@@ -39,15 +42,19 @@
 	incarnation uint64
 }
 
-// Cursor returns what to pull with next.
-func (s *Source) Cursor() Cursor {
+// Cursor returns what to pull with next. If direct is true, it asks only for
+// members that tell the source themselves; a change of direct begins anew.
+func (s *Source) Cursor(direct bool) Cursor {
+	if s.cursor.Direct != direct {
+		return Cursor{Direct: direct}
+	}
 	return s.cursor
 }
 
 // follow takes over the cursor of an answer. After a restart of the source its
 // handles name other members.
 func (s *Source) follow(next Cursor) {
-	if s.upstreams == nil || next.Incarnation != s.cursor.Incarnation {
+	if s.upstreams == nil || next.Direct != s.cursor.Direct || next.Incarnation != s.cursor.Incarnation {
 		s.upstreams, s.instances = map[uint32]member{}, map[uint32]member{}
 	}
 	s.cursor = next
@@ -56,10 +63,10 @@
 // Since returns what has changed after cursor.
 func (r *Roster) Since(now time.Time, cursor Cursor) Changes {
 	if cursor.Incarnation != r.options.Incarnation {
-		cursor = Cursor{Incarnation: r.options.Incarnation}
+		cursor = Cursor{Incarnation: r.options.Incarnation, Direct: cursor.Direct}
 	}
-	changes := Changes{Next: Cursor{Incarnation: r.options.Incarnation}}
-	changes.Next.Upstreams = r.upstreams.since(cursor.Upstreams,
+	changes := Changes{Next: Cursor{Incarnation: r.options.Incarnation, Direct: cursor.Direct}}
+	changes.Next.Upstreams = r.upstreams.since(cursor.Upstreams, cursor.Direct,
 		func(name string, held *upstreamRow) {
 			changes.Upstreams = append(changes.Upstreams, held.record(now, name))
 		},
@@ -67,7 +74,7 @@
 			changes.UpstreamBeats.add(held.handle, held.sequence, now.Sub(held.heard))
 			changes.UpstreamBeats.addLoad(held.beat)
 		})
-	changes.Next.Instances = r.instances.since(cursor.Instances,
+	changes.Next.Instances = r.instances.since(cursor.Instances, cursor.Direct,
 		func(name string, held *instanceRow) {
 			changes.Instances = append(changes.Instances, held.record(now, name))
 		},
@@ -93,7 +100,7 @@
 	complete := true
 	for _, record := range changes.Upstreams {
 		source.upstreams[record.Handle] = member{record.Name, record.Incarnation}
-		r.upstreams.Put(record, asked.Add(-record.Age), true)
+		r.upstreams.Put(record, Hearing{At: asked.Add(-record.Age), Whole: true})
 	}
 	for n, handle := range changes.UpstreamBeats.Handles {
 		complete = r.renewUpstream(asked, source.upstreams[handle], n, &changes.UpstreamBeats) && complete
@@ -101,7 +108,7 @@
 	for _, record := range changes.Instances {
 		source.instances[record.Handle] = member{record.Name, record.Incarnation}
 		if record.Name != r.options.Self {
-			r.instances.Put(record, asked.Add(-record.Age), true)
+			r.instances.Put(record, Hearing{At: asked.Add(-record.Age), Whole: true})
 		}
 	}
 	for n, handle := range changes.InstanceBeats.Handles {
@@ -130,7 +137,7 @@
 			Sequence:    beats.Sequences[n],
 			Left:        held.left,
 			Beat:        beats.load(n, held.beat),
-		}, asked.Add(-beats.age(n)), false)
+		}, Hearing{At: asked.Add(-beats.age(n))})
 	}
 	return true
 }
@@ -150,7 +157,7 @@
 			Sequence:    beats.Sequences[n],
 			Left:        held.left,
 			Beat:        beats.state(n),
-		}, asked.Add(-beats.age(n)), false)
+		}, Hearing{At: asked.Add(-beats.age(n))})
 	}
 	return true
 }
--- a/internal/roster/sources.go
+++ b/internal/roster/sources.go
@@ -19,6 +19,8 @@
 	All []string
 	// FirstOf are pulled from if those before them do not answer.
 	FirstOf []string
+	// Direct are pulled from for the members that tell them themselves.
+	Direct []string
 }
 
 const (
@@ -51,14 +53,14 @@
 	if !self.Voter {
 		return Sources{FirstOf: names(ranked(self, voters))}
 	}
-	all := names(voters)
+	sources := Sources{All: names(voters)}
 	for _, other := range rest {
 		hubs := ranked(other, append(slices.Clone(voters), self))
 		if slices.Contains(hubs[:min(hubsEach, len(hubs))], self) {
-			all = append(all, other.Name)
+			sources.Direct = append(sources.Direct, other.Name)
 		}
 	}
-	return Sources{All: all}
+	return sources
 }
 
 // ranked returns the voters in the order in which an instance leans on them:
--- a/internal/roster/sources_test.go
+++ b/internal/roster/sources_test.go
@@ -56,7 +56,7 @@
 	It("spreads the instances over the voters", func() {
 		all := sites(330)
 		for _, voter := range all[:7] {
-			pulls := len(roster.SourcesOf(voter, without(all, voter.Name)).All)
+			pulls := len(roster.SourcesOf(voter, without(all, voter.Name)).Direct)
 			Expect(pulls).To(BeNumerically(">", 50))
 			Expect(pulls).To(BeNumerically("<", 150))
 		}
@@ -101,11 +101,18 @@
 	var answers []answer
 	for _, site := range all {
 		plan := roster.SourcesOf(site, without(all, site.Name))
-		for _, from := range append(plan.All, plan.FirstOf[:min(1, len(plan.FirstOf))]...) {
+		ask := func(from string, direct bool) {
 			if sources[site.Name][from] == nil {
 				sources[site.Name][from] = &roster.Source{}
 			}
-			answers = append(answers, answer{site.Name, from, rosters[from].Since(now, sources[site.Name][from].Cursor())})
+			cursor := sources[site.Name][from].Cursor(direct)
+			answers = append(answers, answer{site.Name, from, rosters[from].Since(now, cursor)})
+		}
+		for _, from := range append(plan.All, plan.FirstOf[:min(1, len(plan.FirstOf))]...) {
+			ask(from, false)
+		}
+		for _, from := range plan.Direct {
+			ask(from, true)
 		}
 	}
 	for _, a := range answers {
@@ -113,6 +120,19 @@
 	}
 }
 
+var _ = Describe("a pull for what was heard directly", func() {
+	It("leaves out what other instances told", func() {
+		a, b, c := newRoster("a"), newRoster("b"), newRoster("c")
+		var fromA, fromB roster.Source
+		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
+		b.Merge(at(0), &fromA, a.Since(at(0), fromA.Cursor(false)))
+		c.Merge(at(0), &fromB, b.Since(at(0), fromB.Cursor(true)))
+		Expect(c.Upstreams(at(0))).To(BeEmpty())
+		c.Merge(at(0), &fromB, b.Since(at(0), fromB.Cursor(false)))
+		Expect(c.Upstreams(at(0))).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("a renewal", func() {
 	It("carries the load as far as routing needs it", func() {
 		a, b := newRoster("a"), newRoster("b")
@@ -120,14 +140,14 @@
 		first := announcement(1)
 		first.Load = upstreamapi.Load{KVTotalTokens: 1000, MaxRunning: 8, PrefillTokensPerSecond: 5000}
 		Expect(a.Announce(at(0), first)).To(Succeed())
-		b.Merge(at(0), &source, a.Since(at(0), source.Cursor()))
+		b.Merge(at(0), &source, a.Since(at(0), source.Cursor(false)))
 		second := announcement(2)
 		second.Load = upstreamapi.Load{
 			KVTotalTokens: 1000, KVUsedTokens: 250, MaxRunning: 8, PrefillTokensPerSecond: 5100,
 			Running: 3, Waiting: 2, WaitingPromptTokens: 900, Clock: at(1),
 		}
 		Expect(a.Announce(at(1), second)).To(Succeed())
-		changes := a.Since(at(1), source.Cursor())
+		changes := a.Since(at(1), source.Cursor(false))
 		Expect(changes.Upstreams).To(BeEmpty())
 		b.Merge(at(1), &source, changes)
 		load := b.Upstreams(at(1))[0].Announcement.Load
@@ -140,7 +160,7 @@
 		third.Load = second.Load
 		third.Load.PrefillTokensPerSecond = 2500
 		Expect(a.Announce(at(2), third)).To(Succeed())
-		b.Merge(at(2), &source, a.Since(at(2), source.Cursor()))
+		b.Merge(at(2), &source, a.Since(at(2), source.Cursor(false)))
 		Expect(b.Upstreams(at(2))[0].Announcement.Load.PrefillTokensPerSecond).To(BeEquivalentTo(2500))
 	})
 })
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -40,9 +40,11 @@
 	incarnation uint64
 	sequence    uint64
 	heard       time.Time
-	left        bool
-	static      S
-	beat        B
+	// direct is true if the member itself told this instance last.
+	direct bool
+	left   bool
+	static S
+	beat   B
 	// changed and wholeChanged are the numbers of the last change of the row
 	// and of what a renewal does not carry. changed is never below wholeChanged.
 	changed      uint64
@@ -54,10 +56,18 @@
 	return &Table[S, B]{rows: map[string]*row[S, B]{}}
 }
 
-// Put stores a record that was heard of at time heard, and reports whether it
-// was newer than what the table held. whole says that others need more than a
-// renewal to follow the change.
-func (t *Table[S, B]) Put(record Record[S, B], heard time.Time, whole bool) bool {
+// Hearing is how a record was heard of.
+type Hearing struct {
+	// At is the time of it.
+	At time.Time
+	// Direct is true if the member itself told, not another instance.
+	Direct bool
+	// Whole says that others need more than a renewal to follow the change.
+	Whole bool
+}
+
+// Put stores a record and reports whether it was newer than what the table held.
+func (t *Table[S, B]) Put(record Record[S, B], hearing Hearing) bool {
 	held, known := t.rows[record.Name]
 	if !known {
 		if record.Static == nil {
@@ -78,10 +88,11 @@
 	t.change++
 	held.incarnation = record.Incarnation
 	held.sequence = record.Sequence
-	held.heard = heard
+	held.heard = hearing.At
+	held.direct = hearing.Direct
 	held.beat = record.Beat
 	held.changed = t.change
-	if whole || record.Static != nil || held.left != record.Left {
+	if hearing.Whole || record.Static != nil || held.left != record.Left {
 		held.wholeChanged = t.change
 	}
 	held.left = record.Left
@@ -93,15 +104,16 @@
 
 // since calls whole for each row of which more than a renewal has changed after
 // cursor, and renewed for each other row that was renewed, in the order of
-// their handles. It returns the cursor to ask with next.
-func (t *Table[S, B]) since(cursor uint64, whole, renewed func(name string, held *row[S, B])) uint64 {
+// their handles. If direct is true, rows that another instance told of are left
+// out. It returns the cursor to ask with next.
+func (t *Table[S, B]) since(cursor uint64, direct bool, whole, renewed func(name string, held *row[S, B])) uint64 {
 	type changed struct {
 		name string
 		held *row[S, B]
 	}
 	var rows []changed
 	for name, held := range t.rows {
-		if held.changed > cursor {
+		if held.changed > cursor && (held.direct || !direct) {
 			rows = append(rows, changed{name, held})
 		}
 	}
