dispatch: old reports weigh less, and a share that is full by chance may be gone over

Cause: at 0.8 of the load that the engines carry, with reports a second late, 10 in 100 requests missed their goal, most of them refused: the choice went by reports that were no longer true, and limits divided between seven instances were full while others were empty.

Change: the weight of a report falls by e in 300 ms; the rest goes to this instance's own open requests times the instances. The cost is the sum of both shares of the goals, four candidates are compared, and a first token may take a fifth of the slack. One more request may go over a limit of two or more while the limits together are under 0.8 full and the upstream has answered in time for 2 s.

The spec "no room" sends two instead of one to an upstream of two places, as the limit of one of them is now gone over; it still expects no room after that.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -43,6 +43,16 @@
 	return int(max(l.value, limitFloor))
 }
 
+// Float returns the exact limit, of which Value is the whole part.
+func (l Limit) Float() float64 {
+	return max(l.value, limitFloor)
+}
+
+// Calm reports whether the limit was not cut in the time before now.
+func (l Limit) Calm(now time.Time, since time.Duration) bool {
+	return now.Sub(l.cutAt) > since
+}
+
 // Room reports whether a request of the given priority may be added to inFlight
 // open ones. Priority 0 may go over the limit by a tenth, at least one, and the
 // others stay a tenth under it, so that a burst of other work can't hold every
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -108,7 +108,7 @@
 	compared := 0
 	for i := 0; i < size && compared < d.options.Samples; i++ {
 		u := p.members[(start+i)%size]
-		if u.usable(now, r) && !u.health.ejected(now) {
+		if d.usable(now, u, r) && !u.health.ejected(now) {
 			d.compare(now, decision, u, r, 0)
 			compared++
 		}
@@ -118,7 +118,7 @@
 	}
 	for i := 0; i < size && compared < d.options.Samples; i++ {
 		u := p.members[(start+i)%size]
-		if u.usable(now, r) {
+		if d.usable(now, u, r) {
 			d.compare(now, decision, u, r, 0)
 			compared++
 		}
@@ -137,14 +137,14 @@
 }
 
 // usable reports whether u may be given r, ejected or not.
-func (u *upstream) usable(now time.Time, r *Request) bool {
-	return u.alive(now) && u.room(now, r.Priority) && !r.tried(u.view.Name)
+func (d *Dispatcher) usable(now time.Time, u *upstream, r *Request) bool {
+	return u.alive(now) && d.room(now, u, r.Priority) && !r.tried(u.view.Name)
 }
 
 // fit reports whether u may be given r. An upstream that returns from an
 // ejection is passed over at random, less and less often.
 func (d *Dispatcher) fit(now time.Time, u *upstream, r *Request) bool {
-	if !u.usable(now, r) || u.health.ejected(now) {
+	if !d.usable(now, u, r) || u.health.ejected(now) {
 		return false
 	}
 	share := u.health.share(now)
@@ -170,7 +170,7 @@
 // into the decision.
 func (d *Dispatcher) compare(now time.Time, decision *Decision, u *upstream, r *Request, ended int) {
 	cached := d.cachedTokens(now, u, r)
-	f := u.predict(max(r.PromptTokens-cached, 0), r.Priority, ended)
+	f := u.predict(now, max(r.PromptTokens-cached, 0), r.Priority, ended)
 	if u.remote {
 		f.firstToken += 2 * d.options.RemoteDelay.Seconds()
 	}
--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -57,8 +57,7 @@
 	TokenInterval time.Duration
 	// CachedTokens is the expected number of prompt tokens that need no prefill.
 	CachedTokens int
-	// Cost is the larger of FirstToken and TokenInterval, each as a share of its
-	// goal. Under 1, the goal is predicted to be met.
+	// Cost is the sum of FirstToken and TokenInterval, each as a share of its goal.
 	Cost float64
 
 	upstream *upstream
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	defaultSamples       = 2
+	defaultSamples       = 4
 	defaultPrefixEntries = 1 << 16
 	maxSamples           = 8
 	// limitSlack is how far the limits of all instances together may exceed what
@@ -34,7 +34,7 @@
 	// RemoteDelay is the time one way to an upstream in another failure domain.
 	RemoteDelay time.Duration
 	// Samples is the number of candidates compared for a request, besides the one
-	// whose cache holds its prefix: 2 if 0, at most 8.
+	// whose cache holds its prefix: 4 if 0, at most 8.
 	Samples int
 	// Instances is the number of instances that share the upstreams, 1 if 0. An
 	// instance starts with its share of an upstream's places.
@@ -64,7 +64,10 @@
 	pools     map[Target]*pool
 	prefixes  *prefixes
 	lastID    uint32
-	scratch   []Target
+	// inFlight and limits are the sums over upstreams.
+	inFlight int
+	limits   float64
+	scratch  []Target
 }
 
 // New returns a Dispatcher that knows no upstream.
@@ -115,7 +118,7 @@
 		d.joinPools(u)
 	}
 	if places := view.Load.MaxRunning; places > 0 {
-		u.limit = u.limit.WithCeiling(int(float64(places) * limitSlack))
+		d.setLimit(u, u.limit.WithCeiling(int(float64(places)*limitSlack)))
 	}
 	return true
 }
@@ -140,6 +143,7 @@
 	d.leavePools(u)
 	delete(d.upstreams, name)
 	delete(d.byID, u.id)
+	d.addUp()
 }
 
 // Sweep forgets the upstreams whose lease has run out before the given time.
@@ -195,10 +199,13 @@
 
 func (d *Dispatcher) add(view View) *upstream {
 	d.lastID++
-	u := &upstream{id: d.lastID, bias: 1, limit: d.firstLimit(view.Load.MaxRunning)}
+	u := &upstream{
+		id: d.lastID, bias: 1, instances: d.options.Instances, limit: d.firstLimit(view.Load.MaxRunning),
+	}
 	u.view.Incarnation = view.Incarnation
 	d.upstreams[view.Name] = u
 	d.byID[u.id] = u
+	d.addUp()
 	return u
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -146,6 +146,7 @@
 		now := start.Add(2 * time.Second)
 		d.Update(viewOf("a", 1, 2))
 		fly(now)
+		fly(now)
 		_, reason := choose(now)
 		Expect(reason).To(Equal(dispatch.ReasonNoRoom))
 		request.Priority = 0
@@ -173,6 +174,65 @@
 		Expect(reason).To(Equal(dispatch.ReasonNoRoom))
 	})
 
+	It("goes by its own requests when a report is old", func() {
+		// The report of a is from a busy time, seconds ago. All instances that
+		// still believed it would send everything to b.
+		busy := viewOf("a", 1, 64)
+		busy.Load.Running, busy.Load.TokenInterval = 8, 23*time.Millisecond
+		d.Update(busy)
+		d.Update(viewOf("b", 1, 64))
+		now := busy.LoadAt
+		for range 4 {
+			decision := d.Choose(now, request)
+			Expect(decision.Chosen.Name).To(Equal("b"))
+			flight := d.Sent(now, request, &decision)
+			d.FirstByte(now.Add(100*time.Millisecond), &flight) // as predicted
+		}
+		name, _ := choose(now.Add(5 * time.Second))
+		Expect(name).To(Equal("a"))
+	})
+
+	It("goes over no more limits than are idle", func() {
+		d = dispatch.New(dispatch.Options{Instances: 7, Seed: 1})
+		d.Update(viewOf("a", 1, 16))
+		d.Update(viewOf("b", 1, 16))
+		now := start.Add(10 * time.Second)
+		open := 0
+		for decision := d.Choose(now, request); decision.OK(); decision = d.Choose(now, request) {
+			d.Sent(now, request, &decision)
+			open++
+		}
+		// Two limits of 3 are 6, of which 0.8 are 4.8.
+		Expect(open).To(Equal(5))
+	})
+
+	It("goes one over a limit while its others stand idle, unless it was cut just now", func() {
+		// All requests of this instance are for the model of one engine, by chance.
+		// Its share of that engine is full and its shares of the others are empty:
+		// refusing would waste places.
+		d = dispatch.New(dispatch.Options{Instances: 7, Seed: 1})
+		other := viewOf("b", 1, 16)
+		other.Resident[0].Model = "other"
+		d.Update(other)
+		d.Update(viewOf("a", 1, 16))
+		now := start.Add(10 * time.Second)
+		var flights []dispatch.Flight
+		for range 3 {
+			flights = append(flights, fly(now))
+		}
+		_, reason := choose(now)
+		Expect(reason).To(Equal(dispatch.ReasonNoRoom))
+		d.Finished(now, &flights[0])
+		flights[0] = fly(now)
+
+		d.FirstByte(now.Add(time.Second), &flights[1]) // too late: the limit is cut to 2.7
+		d.Finished(now.Add(time.Second), &flights[1])
+		_, reason = choose(now.Add(time.Second))
+		Expect(reason).To(Equal(dispatch.ReasonNoRoom))
+		_, reason = choose(now.Add(4 * time.Second))
+		Expect(reason).To(Equal(dispatch.ReasonOnlyCandidate))
+	})
+
 	It("does not choose again what has failed the request", func() {
 		d.Update(viewOf("a", 1, 8))
 		d.Update(viewOf("b", 1, 8))
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -15,7 +15,7 @@
 	leastOpen     = 0.001
 	// budgetShare is the part of the slack to the goal that a request may spend at
 	// the upstream.
-	budgetShare = 0.35
+	budgetShare = 0.2
 )
 
 // Flight is one request that this instance has open at an upstream. It is given
@@ -45,8 +45,8 @@
 		promptTokens: int32(max(r.PromptTokens-chosen.CachedTokens, 0)),
 		priority:     r.Priority,
 	}
-	u.inFlight++
-	u.byPriority[level(r.Priority)]++
+	d.fly(u, r.Priority, 1)
+	u.unanswered += int(flight.promptTokens)
 	u.trail.add(step{at: now, requests: 1, promptTokens: flight.promptTokens})
 	// The cache will hold the prompt, and requests with the same prefix that come
 	// before the first token gain by waiting at the same upstream.
@@ -63,12 +63,13 @@
 	flight.firstAt = now
 	took := now.Sub(flight.sentAt)
 	u.trail.add(step{at: now, promptTokens: -flight.promptTokens})
+	u.unanswered -= int(flight.promptTokens)
 	u.answer = moved(u.answer, took.Seconds())
 	if flight.predicted >= leastForecast {
 		ratio := took.Seconds() / flight.predicted
 		u.bias = min(max(u.bias+learnRate*(ratio-u.bias), leastBias), mostBias)
 	}
-	u.limit = u.limit.WithFirstToken(now, flight.sentAt, took, flight.budget, u.inFlight)
+	d.setLimit(u, u.limit.WithFirstToken(now, flight.sentAt, took, flight.budget, u.inFlight))
 	u.health.succeeded()
 }
 
@@ -82,7 +83,7 @@
 		u.hold = moved(u.hold, now.Sub(flight.firstAt).Seconds())
 	}
 	if (flight.firstAt.IsZero() || flight.budget == 0) && u.view.Load.Waiting == 0 {
-		u.limit = u.limit.WithAnswer(u.inFlight)
+		d.setLimit(u, u.limit.WithAnswer(u.inFlight))
 	}
 	d.end(now, flight)
 }
@@ -121,7 +122,7 @@
 	d.end(now, flight)
 	switch failure {
 	case FailureRefused:
-		u.limit = u.limit.WithCut(now, flight.sentAt)
+		d.setLimit(u, u.limit.WithCut(now, flight.sentAt))
 	case FailureBroken:
 		u.health.failed()
 		return d.maybeEject(now, u)
@@ -133,11 +134,11 @@
 // end gives the place of a flight back.
 func (d *Dispatcher) end(now time.Time, flight *Flight) {
 	u := flight.upstream
-	u.inFlight--
-	u.byPriority[level(flight.priority)]--
+	d.fly(u, flight.priority, -1)
 	s := step{at: now, requests: -1}
 	if flight.firstAt.IsZero() {
 		s.promptTokens = -flight.promptTokens
+		u.unanswered -= int(flight.promptTokens)
 	}
 	u.trail.add(s)
 }
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -107,10 +107,10 @@
 	u := g.dispatcher.upstreams[name]
 	for u != nil && g.queue.Size() > 0 && u.alive(now) {
 		lowest := uint8(admission.Priorities - 1)
-		if !u.room(now, lowest) {
+		if !g.dispatcher.room(now, u, lowest) {
 			lowest = 0
 		}
-		if !u.room(now, lowest) {
+		if !g.dispatcher.room(now, u, lowest) {
 			return dst
 		}
 		t, ok := g.queue.Take(now, lowest, u.poolNames)
--- a/internal/dispatch/predict.go
+++ b/internal/dispatch/predict.go
@@ -29,20 +29,14 @@
 // it ends running/hold of them a second.
 //
 // The forecast is for the time after ended of the outstanding requests have ended.
-func (u *upstream) predict(prompt int, priority uint8, ended int) forecast {
-	outstanding := max(u.outstanding()-ended, 0)
+func (u *upstream) predict(now time.Time, prompt int, priority uint8, ended int) forecast {
+	outstanding := max(u.outstanding(now)-ended, 0)
 	if u.view.Kind == upstreamapi.KindService {
 		return u.predictService(outstanding)
 	}
-	load := &u.view.Load
-	places := load.MaxRunning
-	if places <= 0 {
-		places = assumedRunning
-	}
-	prefill := u.prefill()
+	places := u.places()
 	share := u.notAfter(priority)
-	waiting := max(load.WaitingPromptTokens+u.trail.promptTokens, 0)
-	seconds := (float64(waiting)*share + float64(prompt)) / prefill
+	seconds := (u.waitingTokens(now)*share + float64(prompt)) / u.prefill()
 	if excess := outstanding + 1 - places; excess > 0 {
 		seconds += float64(excess) * share * u.holding() / float64(places)
 	}
@@ -99,15 +93,15 @@
 	return assumedHold
 }
 
-// cost returns the larger of the predicted times as shares of their goals. For
-// a request without goals it is the predicted seconds to the first token.
+// cost returns the sum of the predicted times as shares of their goals. For a request without goals it is the
+// predicted seconds to the first token.
 func (g Goal) cost(f forecast) float64 {
-	cost := f.firstToken
+	first := f.firstToken
 	if g.FirstToken > 0 {
-		cost = f.firstToken / g.FirstToken.Seconds()
+		first = f.firstToken / g.FirstToken.Seconds()
 	}
-	if g.TokenInterval > 0 {
-		cost = max(cost, float64(f.interval)/float64(g.TokenInterval))
+	if g.TokenInterval <= 0 {
+		return first
 	}
-	return cost
+	return first + float64(f.interval)/float64(g.TokenInterval)
 }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/admission"
@@ -23,7 +24,12 @@
 	inFlight   int
 	byPriority [admission.Priorities]int
 	limit      admission.Limit
-	health     health
+	// unanswered is the number of prompt tokens of this instance's open requests
+	// that have no first token yet.
+	unanswered int
+	// instances is the number of instances that share the upstream.
+	instances int
+	health    health
 	// bias is the moving mean of observed to predicted time to the first token.
 	bias float64
 	// hold is the moving mean of a request's time from its first token to its end,
@@ -72,35 +78,42 @@
 	return !u.view.Leaving && now.Before(u.view.LeaseUntil)
 }
 
-// outstanding returns the estimated number of requests at the upstream,
-// whoever sent them.
-func (u *upstream) outstanding() int {
-	reported := u.view.Load.Running + u.view.Load.Waiting
-	return max(reported+u.trail.requests, u.inFlight, 0)
+// reportDecay is about how long a report says much: within it, a batch and a queue
+// of prompts turn over in part.
+const reportDecay = 300 * time.Millisecond
+
+// trusted returns the weight of the last report, from 1 for a new one towards 0.
+func (u *upstream) trusted(now time.Time) float64 {
+	age := max(now.Sub(u.view.LoadAt), 0)
+	return math.Exp(-float64(age) / float64(reportDecay))
 }
 
-// The bounds within which a report shows free places, see room.
-const (
-	freshFor  = 250 * time.Millisecond
-	freeShare = 0.75
-)
+// outstanding returns the estimated number of requests at the upstream, whoever
+// sent them: the corrected report as far as it is trusted, and for the rest this
+// instance's own count taken for a fair sample of what all instances have there.
+func (u *upstream) outstanding(now time.Time) int {
+	trusted := u.trusted(now)
+	reported := u.view.Load.Running + u.view.Load.Waiting + u.trail.requests
+	sampled := min(u.inFlight*u.instances, u.places()+u.inFlight)
+	mixed := trusted*float64(reported) + (1-trusted)*float64(sampled)
+	return max(int(math.Round(mixed)), u.inFlight, 0)
+}
 
-// room reports whether one more request of the given priority may go to u: that
-// is, if the limit has room, or lacks one place while a fresh report shows free
-// ones.
-//
-// The limits divide an upstream between the instances, and one instance's share
-// can be taken while others' are not. Reports that are not fresh don't count:
-// all instances would take the same free place.
-func (u *upstream) room(now time.Time, priority uint8) bool {
-	if u.limit.Room(u.inFlight, priority) {
-		return true
-	}
-	if now.Sub(u.view.LoadAt) > freshFor {
-		return false
+// waitingTokens returns the estimated number of prompt tokens that the upstream
+// has yet to prefill.
+func (u *upstream) waitingTokens(now time.Time) float64 {
+	trusted := u.trusted(now)
+	reported := u.view.Load.WaitingPromptTokens + u.trail.promptTokens
+	mixed := trusted*float64(reported) + (1-trusted)*float64(u.unanswered)
+	return max(mixed, float64(u.unanswered))
+}
+
+// places returns the most requests that the upstream runs at once.
+func (u *upstream) places() int {
+	if places := u.view.Load.MaxRunning; places > 0 {
+		return places
 	}
-	places := float64(u.view.Load.MaxRunning)
-	return float64(u.outstanding()) < places*freeShare && u.limit.Room(u.inFlight-1, priority)
+	return assumedRunning
 }
 
 // notAfter returns the share of this instance's open requests whose priority is
