desk: limits and goals' defaults of the settings hold

Cause: four settings were checked and read by nothing: streams, queue-length and two of the goals' defaults. And each completion copied the list of all services to find the one of its model.

Change: beyond streams a request is refused before anything of it is read, as not-run, naming other instances; the look-up of entries is still answered. The queue of each model is as long as set. Completions whose service names no goal are held to the default; plain services are not. declaration looks the service of a model or adapter up by name; an adapter, for which no service was found before, gets its own first service. queue-length 0 is refused, as it would have meant the default.

Seen to fail without its mechanism, by hand on a scratch edit, one at a time: the limit, the exception for entries, leaving out this instance, the default goal, the length of the queue.

--- a/internal/declaration/read_test.go
+++ b/internal/declaration/read_test.go
@@ -109,6 +109,15 @@
 		Expect(set.FirstPreset().Share("bookings")).To(Equal(1.0))
 	})
 
+	It("finds the first service that uses a model or an adapter", func() {
+		set := read("a.toml", whole, "b.toml", "[[service]]\nname = \"answers\"\nkind = \"model-backed\"\nmodels = [\"base\"]\n")
+		for target, want := range map[string]string{"base": "answers", "base-kgn": "drafts", "bookings": "", "": ""} {
+			service, ok := set.ServiceOf(target)
+			Expect(service.Name).To(Equal(want), target)
+			Expect(ok).To(Equal(want != ""), target)
+		}
+	})
+
 	It("accepts the declarations of both deployments at their sizes of today", func() {
 		for name, want := range map[string][2]int{"kingston": {15, 75}, "lagos": {20, 65}} {
 			set, err := declaration.Read(os.DirFS("../../examples/declarations/"+name), name)
--- a/internal/declaration/set.go
+++ b/internal/declaration/set.go
@@ -36,6 +36,8 @@
 	models   map[string]int
 	adapters map[string]int
 	presets  map[string]int
+	// users holds the first service that uses each model or adapter.
+	users map[string]int
 }
 
 func newSet(c content) Set {
@@ -47,15 +49,24 @@
 		models:   map[string]int{},
 		adapters: map[string]int{},
 		presets:  map[string]int{},
+		users:    map[string]int{},
 	}
-	for i := range c.Services {
-		s.services[c.Services[i].Name] = i
+	for i, service := range c.Services {
+		s.services[service.Name] = i
+		for _, model := range service.Models {
+			if _, used := s.users[model]; !used {
+				s.users[model] = i
+			}
+		}
 	}
 	for i := range c.Models {
 		s.models[c.Models[i].Name] = i
 	}
-	for i := range c.Adapters {
-		s.adapters[c.Adapters[i].Name] = i
+	for i, adapter := range c.Adapters {
+		s.adapters[adapter.Name] = i
+		if len(adapter.Services) > 0 {
+			s.users[adapter.Name] = s.services[adapter.Services[0]]
+		}
 	}
 	for i := range c.Presets {
 		s.presets[c.Presets[i].Name] = i
@@ -88,6 +99,12 @@
 	return find(s.content.Services, s.services, name)
 }
 
+// ServiceOf returns the first service, by name, that uses the model or adapter
+// called target, if there is one.
+func (s Set) ServiceOf(target string) (Service, bool) {
+	return find(s.content.Services, s.users, target)
+}
+
 // Model returns the model called name, if there is one.
 func (s Set) Model(name string) (Model, bool) {
 	return find(s.content.Models, s.models, name)
--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -1,11 +1,9 @@
 package desk
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
-	"github.com/lovagelift/lovagelift/internal/gazette"
 )
 
 // serviceHeader names the service that a completion belongs to. Without it, the
@@ -36,10 +34,13 @@
 	if service != "" {
 		a.declared, _ = issue.Declarations.Service(service)
 	} else {
-		a.declared = serviceOf(issue, model)
+		a.declared, _ = issue.Declarations.ServiceOf(model)
 		a.name = a.declared.Name
 	}
 	a.goal = a.declared.Goal
+	if model != "" {
+		a.goal = a.goal.WithDefaults(d.options.Limits.Goal)
+	}
 	if a.declared.Name == "" {
 		// The zero priority is the highest, which nobody gets without declaring it.
 		a.goal.Priority = declaration.DefaultPriority
@@ -52,14 +53,3 @@
 	a.deadline = now.Add(deadline)
 	return a, nil
 }
-
-// serviceOf returns the first declared service that uses a model, or the zero
-// value.
-func serviceOf(issue *gazette.Issue, model string) declaration.Service {
-	for _, service := range issue.Declarations.Services() {
-		if slices.Contains(service.Models, model) {
-			return service
-		}
-	}
-	return declaration.Service{}
-}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
+	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/registry"
@@ -63,6 +64,15 @@
 	AnswerBytes int64
 	// Deadline is the time for a request whose service gives none.
 	Deadline time.Duration
+	// Goal is that of completions whose service gives none. Calls of plain
+	// services have a goal only if it is declared: what comes first of their
+	// answers is no token.
+	Goal declaration.Goal
+	// Streams is the most requests in progress, 0 for no limit.
+	Streams int
+	// QueueLength is the most requests that wait for the upstreams of one model
+	// or service, 0 for the default of package admission.
+	QueueLength int
 	// Attempts is the most upstreams that one request is sent to.
 	Attempts int
 	// ProgressWait is how long a request waits for another with its key that is
@@ -129,7 +139,8 @@
 	}
 	d.echo.HTTPErrorHandler = d.handleError
 	d.echo.Use(d.recoverPanic)
-	d.echo.GET("/v1/entries", d.entries)
+	d.echo.Use(d.limitStreams)
+	d.echo.GET(entriesPath, d.entries)
 	d.echo.GET("/v1/models", d.models)
 	d.echo.POST("/v1/chat/completions", d.completions)
 	d.echo.POST("/v1/completions", d.completions)
--- a/internal/desk/fakes_test.go
+++ b/internal/desk/fakes_test.go
@@ -177,13 +177,18 @@
 	sequence uint64
 }
 
-func newEntrance(v *voters, name string) *entrance {
+// newEntrance returns a desk whose limits are those of all tests, changed as told.
+func newEntrance(v *voters, name string, changes ...func(*desk.Limits)) *entrance {
+	limits := desk.Limits{BodyBytes: 1 << 10, Deadline: 10 * time.Second, ProgressWait: 500 * time.Millisecond}
+	for _, change := range changes {
+		change(&limits)
+	}
 	instance := &fakeInstance{voters: v, gazette: gazette.New()}
 	carrier := shuttle.New(shuttle.Options{})
 	d := desk.New(desk.Options{
 		Instance: instance, Name: name, Incarnation: 1, Shuttle: carrier, Now: time.Now, Log: zerolog.Nop(),
 		UpstreamLease: time.Hour,
-		Limits:        desk.Limits{BodyBytes: 1 << 10, Deadline: 10 * time.Second, ProgressWait: 500 * time.Millisecond},
+		Limits:        limits,
 	})
 	server := httptest.NewServer(d)
 	DeferCleanup(func() {
--- a/internal/desk/router.go
+++ b/internal/desk/router.go
@@ -71,7 +71,7 @@
 		now:        options.Now,
 		lease:      options.UpstreamLease,
 		dispatcher: dispatcher,
-		gate:       dispatch.NewGate(dispatcher, admission.New(admission.Options{})),
+		gate:       dispatch.NewGate(dispatcher, admission.New(admission.Options{MaxWaiting: options.Limits.QueueLength})),
 		budgets:    retry.NewBudgets(retry.Options{Attempts: options.Limits.Attempts}),
 		waiting:    map[uint64]chan turn{},
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -15,6 +15,7 @@
 	"github.com/lovagelift/lovagelift/internal/arrivals"
 	"github.com/lovagelift/lovagelift/internal/chamber"
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/desk"
 	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/roster"
@@ -104,8 +105,14 @@
 		Now: options.Now,
 		Log: options.Log,
 		Limits: desk.Limits{
-			BodyBytes:     options.Settings.Limits.BodyBytes,
-			Deadline:      options.Settings.Goals.Deadline,
+			BodyBytes: options.Settings.Limits.BodyBytes,
+			Deadline:  options.Settings.Goals.Deadline,
+			Goal: declaration.Goal{
+				FirstToken:    options.Settings.Goals.FirstToken,
+				BetweenTokens: options.Settings.Goals.BetweenTokens,
+			},
+			Streams:       options.Settings.Limits.Streams,
+			QueueLength:   options.Settings.Limits.QueueLength,
 			RecordedBytes: options.Settings.Limits.DocketAnswerBytes,
 		},
 	})
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -154,7 +154,7 @@
 	l.HeaderBytes = r.Size("header-size", l.HeaderBytes, 1<<10)
 	l.HeaderTime = r.Duration("header-time", l.HeaderTime, leastTime, maxTime)
 	l.BodyTime = r.Duration("body-time", l.BodyTime, leastTime, maxTime)
-	l.QueueLength = r.Count("queue-length", l.QueueLength, 0, maxCount)
+	l.QueueLength = r.Count("queue-length", l.QueueLength, 1, maxCount)
 	l.Streams = r.Count("streams", l.Streams, 1, maxCount)
 	l.DocketRecords = r.Count("docket-records", l.DocketRecords, 1, maxCount)
 	l.DocketBytes = r.Size("docket-size", l.DocketBytes, 1<<10)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,7 +118,8 @@
 	HeaderTime time.Duration
 	// BodyTime bounds how long a client takes to send the body.
 	BodyTime time.Duration
-	// QueueLength bounds the requests that wait for an upstream.
+	// QueueLength bounds the requests that wait for the upstreams of one model
+	// or plain service.
 	QueueLength int
 	// Streams bounds the requests that are open at once.
 	Streams int
