--- a/internal/desk/limits_test.go
+++ b/internal/desk/limits_test.go
@@ -28,7 +28,9 @@
 	// past the end of the test's own context.
 	hold := func(ctx SpecContext, at *entrance) {
 		held := make(chan int, 1)
-		go func() { held <- at.call(context.Background(), http.MethodPost, "/v1/completions", "", `{"model":"m"}`).status }()
+		go func() {
+			held <- at.call(context.Background(), http.MethodPost, "/v1/completions", "", `{"model":"m"}`).status
+		}()
 		Eventually(ctx, busy.counted).Should(Equal(1))
 		DeferCleanup(func(ctx SpecContext) {
 			close(release)
@@ -82,7 +84,9 @@
 		})
 		hold(ctx, at)
 		for range 2 {
-			go func() { answers <- at.call(context.Background(), http.MethodPost, "/v1/completions", "", `{"model":"m"}`) }()
+			go func() {
+				answers <- at.call(context.Background(), http.MethodPost, "/v1/completions", "", `{"model":"m"}`)
+			}()
 		}
 		var first told
 		Eventually(ctx, answers).WithTimeout(specTimeout).Should(Receive(&first))
