chamber: expired idempotency records are reported and logged

Cause: when a record expires its key is a new request. The docket counted that, but nobody could see it.

Change: each voter reports the docket's records, bytes and counters as gauges, and the leader logs what expired or became unknown. Options.Metrics is passed on to the clerk too, which reported nowhere. Seen to fail without the report and without the ageing.

--- a/internal/chamber/chamber.go
+++ b/internal/chamber/chamber.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/docket"
@@ -69,6 +70,8 @@
 	Lease time.Duration
 	Now   func() time.Time
 	Log   zerolog.Logger
+	// Metrics is where a voter reports; nowhere if nil.
+	Metrics tally.Scope
 }
 
 // retryEvery is the time between two tries of a proposal whose fate is open.
--- a/internal/chamber/chamber_test.go
+++ b/internal/chamber/chamber_test.go
@@ -208,6 +208,31 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Verdict).To(Equal(docket.VerdictInProgress))
 	})
+
+	// A record's retention runs out, and its key is a new request from then on.
+	// Operators must see that it happens, at any voter.
+	It("is counted when it expires", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		limits := docket.DefaultLimits()
+		limits.Retention, limits.MaxStep = 200*time.Millisecond, 100*time.Millisecond
+		h := newHouseOf(ctx, houseOptions{renewEvery: 50 * time.Millisecond, docket: limits})
+		key, by := docket.KeyOf("booking", "k"), docket.Claimant{Instance: "a", Incarnation: 1, Request: 1}
+		propose := func(command registry.Command) docket.Verdict {
+			result, err := h.members["a"].Propose(ctx, command)
+			Expect(err).NotTo(HaveOccurred())
+			return result.Docket.Verdict
+		}
+		Expect(propose(docket.Claim{Key: key, Claimant: by, Timeout: time.Minute})).To(Equal(docket.VerdictGranted))
+		Expect(propose(docket.Record{Key: key, Claimant: by, Attempt: 1, State: docket.StateUnknown})).To(Equal(docket.VerdictRecorded))
+		for _, name := range []string{"a", "b", "c"} {
+			Eventually(ctx, func() float64 {
+				if gauge, ok := h.members[name].metrics.Snapshot().Gauges()["docket.expired+"]; ok {
+					return gauge.Value()
+				}
+				return 0
+			}).Should(Equal(1.0))
+		}
+		Expect(h.members["b"].Lookup(ctx, key)).To(HaveField("Verdict", docket.VerdictNone))
+	})
 })
 
 func changeVoters(ctx context.Context, h *house, c courier.VotersChange) {
--- a/internal/chamber/force_test.go
+++ b/internal/chamber/force_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
@@ -20,7 +21,7 @@
 	// confirm their configuration.
 	It("is in force everywhere in time", SpecTimeout(3*specTimeout), func(ctx SpecContext) {
 		const changes = 24
-		h := newHouseOf(ctx, 500*time.Millisecond, "d", "e", "f", "g")
+		h := newHouseOf(ctx, houseOptions{renewEvery: 500 * time.Millisecond, docket: docket.DefaultLimits()}, "d", "e", "f", "g")
 		var accepted, everywhere []time.Duration
 		for n := range changes {
 			start := time.Now()
--- a/internal/chamber/house_test.go
+++ b/internal/chamber/house_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/chamber"
 	"github.com/lovagelift/lovagelift/internal/courier"
@@ -39,6 +40,7 @@
 	folder   string
 	listener net.Listener
 	server   *courier.Server
+	metrics  tally.TestScope
 	pools    []*courier.Pool
 	chamber.Chamber
 
@@ -50,8 +52,8 @@
 
 // house is some members that know each other's addresses.
 type house struct {
-	members    map[string]*member
-	renewEvery time.Duration
+	members map[string]*member
+	options houseOptions
 
 	mu sync.Mutex
 	// known is the identity of each voter that was started.
@@ -61,13 +63,20 @@
 // newHouse starts voters a, b and c, founds their cluster, and starts a
 // follower f.
 func newHouse(ctx context.Context) *house {
-	return newHouseOf(ctx, 50*time.Millisecond, "f")
+	return newHouseOf(ctx, houseOptions{renewEvery: 50 * time.Millisecond, docket: docket.DefaultLimits()}, "f")
+}
+
+// houseOptions is what differs between houses.
+type houseOptions struct {
+	// renewEvery is how often followers confirm their configuration.
+	renewEvery time.Duration
+	docket     docket.Limits
 }
 
 // newHouseOf starts voters a, b and c, founds their cluster, and starts
-// followers that confirm their configuration as often as given.
-func newHouseOf(ctx context.Context, renewEvery time.Duration, followers ...string) *house {
-	h := &house{renewEvery: renewEvery, members: map[string]*member{}, known: map[string]jury.Identity{}}
+// followers.
+func newHouseOf(ctx context.Context, options houseOptions, followers ...string) *house {
+	h := &house{options: options, members: map[string]*member{}, known: map[string]jury.Identity{}}
 	for _, name := range append([]string{"a", "b", "c"}, followers...) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -109,13 +118,15 @@
 // start starts the member on its address and data folder.
 func (m *member) start() {
 	options := chamber.Options{
-		Self: m.name, RenewEvery: m.house.renewEvery, Lease: lease, Now: time.Now, Log: zerolog.Nop(),
+		Self: m.name, RenewEvery: m.house.options.renewEvery, Lease: lease, Now: time.Now, Log: zerolog.Nop(),
 	}
 	for _, other := range m.house.members {
 		if other.voter && other.name != m.name {
 			options.Voters = append(options.Voters, chamber.VoterAddress{Name: other.name, InnerAddress: other.address()})
 		}
 	}
+	m.metrics = tally.NewTestScope("", nil)
+	options.Metrics = m.metrics
 	m.pools = []*courier.Pool{m.newPool(), m.newPool(), m.newPool()}
 	options.Calls = m.pools[0]
 	services := courier.Services{Others: map[string]any{}}
@@ -123,7 +134,7 @@
 		voter, err := chamber.NewVoter(chamber.VoterOptions{
 			Options: options, Folder: m.folder, Heartbeats: m.pools[1], Entries: m.pools[2],
 			Heartbeat: heartbeat, ElectionTimeout: electionTimeout, ClockDrift: 0.05,
-			OrderFlight: 100 * time.Millisecond, Identities: m.house.identities, Docket: docket.DefaultLimits(),
+			OrderFlight: 100 * time.Millisecond, Identities: m.house.identities, Docket: m.house.options.docket,
 		})
 		Expect(err).NotTo(HaveOccurred())
 		m.Chamber = voter
--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/archive"
 	"github.com/lovagelift/lovagelift/internal/clerk"
@@ -67,6 +68,9 @@
 		return nil, err
 	}
 	logLoaded(options.Log, loaded)
+	if options.Metrics == nil {
+		options.Metrics = tally.NoopScope
+	}
 	v := &Voter{
 		options:  options,
 		identity: jury.Identity(fmt.Sprintf("%s/%016x", options.Self, loaded.Number)),
@@ -96,6 +100,7 @@
 		Peers:   options.Identities,
 		Now:     options.Now,
 		Ticks:   v.ticker.C,
+		Metrics: options.Metrics,
 		Log:     options.Log,
 	})
 	if err != nil {
@@ -212,15 +217,44 @@
 			return
 		case <-ticker.C:
 		}
-		if v.clerk.Leader() != v.identity {
-			continue
-		}
-		expire := docket.Expire{Now: v.options.Now(), Limits: v.options.Docket}
-		tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
-		if _, err := v.Propose(tryCtx, expire); err != nil {
-			v.options.Log.Warn().Err(err).Msg("idempotency records not aged")
+		v.reportDocket()
+		if v.clerk.Leader() == v.identity {
+			v.ageDocket(ctx)
 		}
-		cancel()
+	}
+}
+
+// ageDocket moves the docket's clock on. A record that expires makes its key a
+// new request, which operators must be able to see.
+func (v *Voter) ageDocket(ctx context.Context) {
+	tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	result, err := v.Propose(tryCtx, docket.Expire{Now: v.options.Now(), Limits: v.options.Docket})
+	if err != nil {
+		v.options.Log.Warn().Err(err).Msg("idempotency records not aged")
+		return
+	}
+	if aged := result.Docket; aged != nil && aged.Expired+aged.Overdue > 0 {
+		v.options.Log.Info().Int("expired", aged.Expired).Int("overdue", aged.Overdue).
+			Msg("idempotency records expired, or became unknown for want of an outcome")
+	}
+}
+
+// reportDocket reports how full the docket is and what became of its records
+// since it began. All voters report the same.
+func (v *Voter) reportDocket() {
+	counters, records, responseBytes := v.registry.Docket()
+	scope := v.options.Metrics.SubScope("docket")
+	for name, value := range map[string]float64{
+		"records":           float64(records),
+		"response-bytes":    float64(responseBytes),
+		"granted":           float64(counters.Granted),
+		"refused":           float64(counters.Refused),
+		"expired":           float64(counters.Expired),
+		"overdue":           float64(counters.Overdue),
+		"responses-dropped": float64(counters.ResponsesDropped),
+	} {
+		scope.Gauge(name).Update(value)
 	}
 }
 
