shuttle: a connection that goes silent costs no more than the silence time

Cause: the setting silence-time did nothing: on a kept connection that something on the way had lost track of, a caller waited up to its deadline. Ruled out: a second request beside every slow one (doubles the load of an upstream that has too much), and TCP's own time-outs alone (what forgets a connection may still acknowledge). Change: after the silence time the upstream is asked after the request on a new connection; busy, the wait goes on; not seen, it goes out again there; gone, the attempt ends so that another upstream is tried. What must not run twice still goes out once. An answer that pauses for 15 s is cut off, and a caller that takes nothing for 30 s is given up, so that a planned stop does not wait for it for good.

--- a/internal/desk/body.go
+++ b/internal/desk/body.go
@@ -38,7 +38,8 @@
 // completionRequest is what routing needs of a request for a completion. The
 // body goes to the upstream as the caller wrote it.
 type completionRequest struct {
-	Model string `json:"model"`
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
 }
 
 func parseCompletion(body []byte) (completionRequest, error) {
--- a/internal/desk/completions.go
+++ b/internal/desk/completions.go
@@ -38,6 +38,7 @@
 			// A completion changes nothing, unless its service says so: run
 			// twice, it costs tokens only.
 			Idempotent: !admitted.declared.NonIdempotent,
+			Streamed:   request.Stream,
 			Priority:   admitted.goal.Priority,
 		},
 		admitted: admitted,
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -82,7 +82,7 @@
 			heartbeats: courier.NewPool(options.Dial, callTimeout),
 			entries:    courier.NewPool(options.Dial, callTimeout),
 		},
-		shuttle:    shuttle.New(shuttle.Options{}),
+		shuttle:    shuttle.New(shuttle.Options{SilenceTime: options.Settings.Timing.SilenceTime}),
 		peers:      map[string]*pulled{},
 		drainAsked: make(chan struct{}),
 		stop:       cancel,
--- a/internal/shuttle/relay.go
+++ b/internal/shuttle/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,6 +15,9 @@
 // of open streams.
 const relayBufferBytes = 8 << 10
 
+// writeTimeout is how long a caller may take to take in one piece.
+const writeTimeout = 30 * time.Second
+
 // endOfStream is the last event of a whole stream of the OpenAI interface.
 var endOfStream = []byte("data: [DONE]")
 
@@ -76,6 +80,10 @@
 		n, readErr := answer.Body.Read(buffer)
 		if n > 0 {
 			end.add(buffer[:n])
+			// A caller that went silent takes nothing any more, and its stream would
+			// hold up a planned stop for good. A writer without deadlines is a
+			// test's.
+			_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, err := w.Write(buffer[:n]); err != nil {
 				return errors.Wrap(err, "shuttle: writing to the caller")
 			}
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -1,8 +1,10 @@
 // Package shuttle carries one request to one upstream and its answer back
 // (reverse proxy).
 //
-// It sends exactly what it is told to send, once: it follows no redirects and
-// resends nothing. Whether to try again is decided elsewhere.
+// It sends exactly what it is told to send, and follows no redirects. What must
+// not run twice goes out once. What is idempotent goes out again only to the same
+// upstream, when the connection that carried it has gone silent. Whether to try
+// another upstream is decided elsewhere.
 package shuttle
 
 import (
@@ -33,7 +35,10 @@
 	Body   []byte
 	// Idempotent is true if running the request twice does no harm.
 	Idempotent bool
-	Priority   int
+	// Streamed is true if the answer is a stream of events, whose head comes
+	// with the first.
+	Streamed bool
+	Priority int
 	// Remaining is the time that is left to the deadline.
 	Remaining time.Duration
 }
@@ -79,6 +84,11 @@
 type Shuttle struct {
 	kept  *http.Transport
 	fresh *http.Transport
+	// silence is how long an idempotent request may go without an answer before
+	// the upstream is asked after it.
+	silence     time.Duration
+	bodySilence time.Duration
+	hedges      *hedgeBudget
 }
 
 // Options configures a Shuttle. The zero value uses TCP and the defaults.
@@ -90,12 +100,21 @@
 	// IdleConnections is how many idle connections are kept to each upstream, 0
 	// stands for 64.
 	IdleConnections int
+	// SilenceTime is how long an idempotent request may go without an answer
+	// before the upstream is asked after it on another connection, 0 stands for
+	// 1 s.
+	SilenceTime time.Duration
+	// BodySilence is how long an answer may pause before it counts as cut off, 0
+	// stands for 15 s.
+	BodySilence time.Duration
 }
 
 // Defaults of Options.
 const (
 	defaultConnectTimeout  = time.Second
 	defaultIdleConnections = 64
+	defaultSilenceTime     = time.Second
+	defaultBodySilence     = 15 * time.Second
 	idleConnectionTimeout  = 30 * time.Second
 )
 
@@ -107,6 +126,12 @@
 	if options.IdleConnections == 0 {
 		options.IdleConnections = defaultIdleConnections
 	}
+	if options.SilenceTime == 0 {
+		options.SilenceTime = defaultSilenceTime
+	}
+	if options.BodySilence == 0 {
+		options.BodySilence = defaultBodySilence
+	}
 	if options.Dial == nil {
 		options.Dial = (&net.Dialer{}).DialContext
 	}
@@ -116,6 +141,9 @@
 		return options.Dial(ctx, network, address)
 	}
 	return &Shuttle{
+		silence:     options.SilenceTime,
+		bodySilence: options.BodySilence,
+		hedges:      newHedgeBudget(),
 		kept: &http.Transport{
 			DialContext:         dial,
 			DisableCompression:  true,
@@ -140,20 +168,80 @@
 // answer. If there is none, or the upstream refused before running, Send
 // returns a *Error. The body of the Answer must be closed.
 //
-// ctx bounds the whole attempt, reading the body included.
+// ctx bounds the whole attempt, reading the body included. A request that must
+// not run twice goes out exactly once. One that is idempotent may go out again to
+// the same upstream, on another connection, if the first has gone silent.
 func (s *Shuttle) Send(ctx context.Context, address string, request Request) (*Answer, error) {
-	var reached atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	if request.Idempotent {
+		return s.sendWatched(ctx, address, request)
+	}
+	// On a kept connection that the other end has lost track of, the request
+	// would be written and never answered: its outcome would be unknown although
+	// it never arrived. net/http would moreover resend on another connection what
+	// it takes for idempotent, and an Idempotency-Key header is enough for that.
+	// On a connection of its own net/http resends nothing.
+	return s.begin(ctx, s.fresh, address, request).wait()
+}
+
+// attempt is a request on one connection.
+type attempt struct {
+	cancel context.CancelFunc
+	// reached is true once bytes may have gone out.
+	reached atomic.Bool
+	// reused is true if the connection had carried a request before.
+	reused atomic.Bool
+	done   chan struct{}
+	// answer and err are set before done is closed.
+	answer *Answer
+	err    error
+}
+
+// begin sends request on a connection of transport.
+func (s *Shuttle) begin(ctx context.Context, transport *http.Transport, address string, request Request) *attempt {
+	ctx, cancel := context.WithCancel(ctx)
+	a := &attempt{cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(a.done)
+		a.answer, a.err = s.roundTrip(ctx, a, transport, address, request)
+		if a.err != nil {
+			cancel()
+		}
+	}()
+	return a
+}
+
+// wait returns the head of the answer.
+func (a *attempt) wait() (*Answer, error) {
+	<-a.done
+	return a.answer, a.err
+}
+
+// drop ends the attempt and whatever it brings yet.
+func (a *attempt) drop() {
+	a.cancel()
+	<-a.done
+	if a.answer != nil {
+		a.answer.Body.Close()
+	}
+}
+
+func (s *Shuttle) roundTrip(
+	ctx context.Context, a *attempt, transport *http.Transport, address string, request Request,
+) (*Answer, error) {
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		// From here on bytes may go out. Everything before is connecting.
-		GotConn: func(httptrace.GotConnInfo) { reached.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			a.reached.Store(true)
+			a.reused.Store(info.Reused)
+		},
 	})
-	outgoing, err := s.build(ctx, address, request)
+	outgoing, err := s.build(traced, address, request)
 	if err != nil {
 		return nil, &Error{Outcome: outcome.NotRun, cause: err}
 	}
-	response, err := s.transport(request).RoundTrip(outgoing)
+	response, err := transport.RoundTrip(outgoing)
 	if err != nil {
-		return nil, failed(err, reached.Load())
+		return nil, failed(err, a.reached.Load())
 	}
 	if response.Header.Get(upstreamapi.RefusedHeader) == outcome.NotRun.String() {
 		defer response.Body.Close()
@@ -163,24 +251,10 @@
 		Status: response.StatusCode,
 		Header: response.Header,
 		Length: response.ContentLength,
-		Body:   response.Body,
+		Body:   watchBody(response.Body, a.cancel, s.bodySilence),
 	}, nil
 }
 
-// transport chooses a fresh connection for a request that must not run twice.
-//
-// On a kept connection that the other end has lost track of, the request would
-// be written and never answered: its outcome would be unknown although it never
-// arrived. net/http would moreover resend on another connection what it takes
-// for idempotent, and an Idempotency-Key header is enough for that. On a
-// connection of its own net/http resends nothing.
-func (s *Shuttle) transport(request Request) *http.Transport {
-	if request.Idempotent {
-		return s.kept
-	}
-	return s.fresh
-}
-
 func (s *Shuttle) build(ctx context.Context, address string, request Request) (*http.Request, error) {
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address+request.Target, nil)
 	if err != nil {
@@ -223,3 +297,6 @@
 	}
 	return time.Duration(seconds) * time.Second
 }
+
+// errSilent is the cause of the Error of a request whose upstream went silent.
+var errSilent = errors.New("the upstream went silent and can't be asked")
--- a/internal/shuttle/upstream_test.go
+++ b/internal/shuttle/upstream_test.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // script is what a scripted upstream does with one connection. It may read
@@ -24,6 +27,8 @@
 	mu       sync.Mutex
 	conns    int
 	arrivals int
+	// requests are the arrivals that are no questions after a request.
+	requests int
 }
 
 // newScriptedUpstream plays the scripts in turn, the last one for all further
@@ -32,7 +37,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	u := &scriptedUpstream{listener: listener, scripts: scripts}
-	DeferCleanup(listener.Close)
+	DeferCleanup(func() { _ = listener.Close() })
 	go u.accept()
 	return u
 }
@@ -70,6 +75,9 @@
 	}
 	u.mu.Lock()
 	u.arrivals++
+	if !strings.HasPrefix(request.URL.Path, upstreamapi.RequestsPath) {
+		u.requests++
+	}
 	u.mu.Unlock()
 	return request
 }
@@ -79,3 +87,10 @@
 	defer u.mu.Unlock()
 	return u.conns, u.arrivals
 }
+
+// sent returns the number of requests that arrived, questions after them aside.
+func (u *scriptedUpstream) sent() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.requests
+}
