placement: does it fit, what a move costs, copies that do not go to and fro

Cause: declared models may fit by the sum of memory and on no engine.

Change: Fits places the floors on the engines as if they were empty, the largest first, and finds what has no place, with the arithmetic. A move costs all slots of its accelerators for as long as a load lasts. Each model is named in one problem, its most urgent.

--- a/internal/placement/decisions_test.go
+++ b/internal/placement/decisions_test.go
@@ -177,8 +177,7 @@
 	It("arises from an engine that leaves", func() {
 		w := bench(small(frugal, map[string]int{"a": 4}), of("e1", "d1", 10).holds("a", 4), of("e2", "d2", 10))
 		w.observe()
-		a := w.engine("e1").announcement()
-		w.in.Engines[0] = w.in.Engines[0].WithStanding(placement.Leaving, a)
+		w.in.Engines[0] = w.in.Engines[0].WithStanding(placement.Leaving)
 		w.plan = w.planner.Plan(w.now, w.in)
 		Expect(texts(w.plan.Moves)).To(ConsistOf("load-model e2 a"))
 	})
@@ -233,7 +232,7 @@
 		// 24 requests at once, of which one engine of 16 slots meets the goals of
 		// 12.8; for 600 s.
 		Expect(move.Gain).To(BeNumerically("~", (24-12.8)*600, 1))
-		Expect(move.Cost).To(BeNumerically("~", 30*0.25*16, 1))
+		Expect(move.Cost).To(BeNumerically("~", 30*16, 1))
 		Expect(move.Weight).To(Equal(1.0))
 		Expect(w.plan.Served).To(BeNumerically("~", 12.8, 0.01))
 		Expect(w.plan.Offered).To(BeNumerically("~", 24, 0.01))
@@ -250,3 +249,37 @@
 		Expect(w.missing()).To(BeZero())
 	})
 })
+
+var _ = Describe("Fits", func() {
+	DescribeTable("finds no fault with the deployments of today", func(name string) {
+		set, engines := example(name)
+		w := newWorld(set, engines...)
+		w.observe()
+		for _, preset := range set.Presets() {
+			list := w.planner.Fits(set, preset, w.in.Engines)
+			Expect(list.All()).To(BeEmpty())
+		}
+	},
+		Entry("Kingston", "kingston"),
+		Entry("Lagos", "lagos"))
+
+	// 24 GiB of models would fit into 30 GiB by the sum, and do not on engines of
+	// 15 GiB each, whatever they hold now.
+	It("refuses models that fit by the sum and on no engine, with the arithmetic", func() {
+		set := small(frugal, map[string]int{"a": 8, "b": 8, "c": 8})
+		w := bench(set, of("e1", "d1", 15).holds("a", 8), of("e2", "d2", 15))
+		w.observe()
+		list := w.planner.Fits(set, w.in.Preset, w.in.Engines)
+		Expect(list.All()).To(ConsistOf(HaveField("Problem",
+			`"c" has 0 copies in 0 failure domains, 1 in 1 are asked for, and no engine has room for another: 8.00GiB needed, 20.00GiB free in all, at most 7.00GiB on one accelerator`)))
+	})
+
+	It("refuses adapters that have no room beside any copy", func() {
+		set := withAdapters(small(frugal, map[string]int{"a": 8}), "a", "x", "y")
+		w := bench(set, of("e1", "d1", 9))
+		w.observe()
+		list := w.planner.Fits(set, w.in.Preset, w.in.Engines)
+		Expect(list.All()).To(ConsistOf(HaveField("Problem",
+			`the adapters of "a" take 2.00GiB beside a copy, and at most 1.00GiB are free there`)))
+	})
+})
--- a/internal/placement/draft.go
+++ b/internal/placement/draft.go
@@ -74,6 +74,8 @@
 	// rising and keeping are the loads of the model with its adapters.
 	rising, keeping float64
 	places          []place
+	// troubled means that a need of the model cannot be met.
+	troubled bool
 }
 
 // adapter is a declared adapter in a draft.
@@ -364,16 +366,12 @@
 	}
 }
 
-// moveCost returns what one load costs: while it lasts, the accelerators serve a
-// part less.
+// moveCost returns what one load costs: all slots of its accelerators for as long
+// as it lasts. It stands for the requests that it slows down, the memory that
+// serves nobody meanwhile, and a prefix cache that begins cold.
 func (d *draft) moveCost(accelerators int) float64 {
-	return d.options.LoadTime.Seconds() * disturbance * DefaultSlots * float64(accelerators)
+	return d.options.LoadTime.Seconds() * DefaultSlots * float64(accelerators)
 }
 
-const (
-	// disturbance is the part of an accelerator's slots that a load is taken to
-	// hold up.
-	disturbance = 0.25
-	// unloadPart is the cost of an unload as a part of a load's.
-	unloadPart = 0.25
-)
+// unloadPart is the cost of an unload as a part of a load's.
+const unloadPart = 0.25
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -36,6 +36,8 @@
 	// proved means that its reports do not contradict its ledger. What it holds
 	// otherwise serves as long as it does, but proves nothing.
 	proved bool
+	// takesOrders means that it has announced that it takes any.
+	takesOrders bool
 	// adapters and versions are whether it takes orders for them.
 	adapters, versions bool
 	// slots is how many requests it runs at once.
@@ -82,11 +84,12 @@
 		failureDomain: a.FailureDomain,
 		standing:      standing,
 		proved:        len(l.Contradictions()) == 0 && l.Incarnation() != 0,
+		takesOrders:   a.Has(upstreamapi.CapabilityOrders),
 		adapters:      a.Has(upstreamapi.CapabilityAdapters),
 		versions:      a.Has(upstreamapi.CapabilityVersions),
 		slots:         float64(a.Load.MaxRunning),
 	}
-	e.ordered = e.proved && standing == Serving && a.Has(upstreamapi.CapabilityOrders)
+	e.ordered = e.proved && e.takesOrders && standing == Serving
 	for _, name := range l.Accelerators() {
 		account, _ := l.Account(name)
 		free := max(account.Free(), 0)
@@ -101,9 +104,9 @@
 }
 
 // WithStanding returns the engine with another standing.
-func (e Engine) WithStanding(standing Standing, a upstreamapi.Announcement) Engine {
+func (e Engine) WithStanding(standing Standing) Engine {
 	e.standing = standing
-	e.ordered = e.proved && standing == Serving && a.Has(upstreamapi.CapabilityOrders)
+	e.ordered = e.proved && e.takesOrders && standing == Serving
 	return e
 }
 
--- a/internal/placement/engine_test.go
+++ b/internal/placement/engine_test.go
@@ -17,7 +17,9 @@
 	accelerators []upstreamapi.Accelerator
 	capabilities []upstreamapi.Capability
 	slots        int
-	models       map[string]*held
+	// loadSteps is how many steps a load of a model takes, if more than others.
+	loadSteps int
+	models    map[string]*held
 	// running are the orders under way, and left how many steps each still takes.
 	running []upstreamapi.Order
 	left    map[string]int
@@ -97,6 +99,9 @@
 	e.states[o.ID] = upstreamapi.OrderRunning
 	e.running = append(e.running, o)
 	e.left[o.ID] = orderSteps
+	if o.Kind == upstreamapi.OrderLoadModel {
+		e.left[o.ID] = max(e.loadSteps, orderSteps)
+	}
 }
 
 // orderSteps is how many steps an order takes.
--- a/internal/placement/meet.go
+++ b/internal/placement/meet.go
@@ -119,8 +119,13 @@
 	d.wants = append(d.wants, want{move: move, tier: t, priority: m.priority, rank: -m.share * m.rising})
 }
 
-// problem keeps the arithmetic of a need that cannot be met.
+// problem keeps the arithmetic of a need that cannot be met, the most urgent one
+// of each model.
 func (d *draft) problem(m *model, t tier, have, asked requirement) {
+	if m.troubled {
+		return
+	}
+	m.troubled = true
 	var hole int64
 	for i := range d.sites {
 		if d.sites[i].ordered {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -108,7 +108,8 @@
 	Waiting []Move
 	// Unreachable are what no engine can serve now, sorted.
 	Unreachable []demand.Target
-	// Problems are needs that cannot be met, each with the arithmetic.
+	// Problems are needs that cannot be met, the most urgent one of each model,
+	// with the arithmetic.
 	Problems []Problem
 	// Served is the load that the present copies serve within the goals, and
 	// Offered the load in all, by the planner's model of engines.
--- a/internal/placement/world_test.go
+++ b/internal/placement/world_test.go
@@ -21,6 +21,8 @@
 type world struct {
 	now     time.Time
 	planner placement.Planner
+	// policy replaces the planner's, if it is not nil.
+	policy  func(now time.Time, in placement.Input) placement.Plan
 	in      placement.Input
 	plan    placement.Plan
 	engines []*engine
@@ -32,8 +34,6 @@
 	random                *rand.Rand
 	// loads and unloads count the moves of models, and all the moves of all kinds.
 	loads, unloads, all int
-	// weighted is the sum of Served and Offered over all steps.
-	served, offered float64
 	// reachable is what could be reached after the last step.
 	reachable map[string]bool
 	// faulted says that an engine was lost since the last step.
@@ -55,10 +55,12 @@
 func (w *world) step() {
 	w.now = w.now.Add(time.Second)
 	w.observe()
-	w.plan = w.planner.Plan(w.now, w.in)
+	plan := w.planner.Plan
+	if w.policy != nil {
+		plan = w.policy
+	}
+	w.plan = plan(w.now, w.in)
 	w.in.Previous = w.plan.Next
-	w.served += w.plan.Served
-	w.offered += w.plan.Offered
 	for _, move := range w.plan.Moves {
 		w.order(move)
 	}
