manifest: engines, accounts and orders as replicated state

Cause: an order must be in the durable state before it is sent, so that a new leader finds every order that an earlier one may have sent.

Change: package manifest, pure: the commands Lead, Reports, Record, Resend, Answer, Lost, Withdraw and Forget over the accounts of package ledger, bounded in engines, open orders and texts. The registry has a section for it, which it leaves out while it is empty, and commands of format 2. Other commands keep format 1, so a cluster that gives no orders mixes versions as before. The specs of formats of a newer program now name format 3, as 2 is this program's.

An announcement comes by the roster, which joins an inventory with the clock of a later load report. By that clock an order that began in between would count as expired and not under way. Reports therefore prove no expiry; answers do.

Seen to fail: each of the specs on the joined clock, on records of an earlier leader, on a record that is proposed twice and on Forget fails without its check.

Conclusion: the state is ready for a leader that gives orders; none does yet.

--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -17,6 +17,7 @@
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/manifest"
 	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
@@ -188,6 +189,11 @@
 	return v.clerk.OrderRight(now)
 }
 
+// Manifest returns what this replica has recorded of engines and orders.
+func (v *Voter) Manifest() manifest.View {
+	return v.registry.Manifest()
+}
+
 // Fresh tells whether the voter holds its configuration lease.
 func (v *Voter) Fresh(now time.Time) bool {
 	// What the freshness covers is in the view that is read after it.
--- a/internal/ledger/holdings.go
+++ b/internal/ledger/holdings.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -71,3 +72,27 @@
 		Bytes:        order.MemoryBytes,
 	}, loads
 }
+
+// Clock returns the latest time on the engine's clock in what the account has
+// taken in.
+func (l Ledger) Clock() time.Time {
+	return l.clock
+}
+
+// Learns tells whether the announcement changes more of the account than the
+// time on the engine's clock.
+func (l Ledger) Learns(announcement upstreamapi.Announcement) bool {
+	return l.differs(l.WithReport(announcement))
+}
+
+// LearnsFrom tells whether the answer changes more of the account than the time
+// on the engine's clock.
+func (l Ledger) LearnsFrom(answer upstreamapi.OrderAnswer) bool {
+	return l.differs(l.WithAnswer(answer))
+}
+
+func (l Ledger) differs(next Ledger) bool {
+	same := func(a, b openOrder) bool { return a.Order.ID == b.Order.ID && a.Doubtful == b.Doubtful }
+	return next.incarnation != l.incarnation || next.revision != l.revision ||
+		len(next.contradictions) != len(l.contradictions) || !slices.EqualFunc(next.open, l.open, same)
+}
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -8,15 +8,21 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/docket"
+	"github.com/lovagelift/lovagelift/internal/manifest"
 )
 
 // commandFormat is the newest format of commands that this program knows. It
 // grows with every new kind of command and every new field. An instance
 // proposes a newer command only when all voters run a program that knows it.
-const commandFormat = 1
+const commandFormat = 2
+
+// baseFormat is the format of commands that every program knows. A command is
+// encoded in the oldest format that has its kind, so that voters that are not
+// upgraded yet can carry it out.
+const baseFormat = 1
 
 // Command is what the replicated log carries: a Change, or one of the commands
-// of package docket.
+// of packages docket and manifest.
 type Command any
 
 // envelope is the encoding of a command. One field is set beside Format.
@@ -27,11 +33,13 @@
 	Record  *docket.Record  `json:"record,omitempty"`
 	Expire  *docket.Expire  `json:"expire,omitempty"`
 	Abandon *docket.Abandon `json:"abandon,omitempty"`
+	// Manifest is the encoding of a manifest.Command. It came with format 2.
+	Manifest json.RawMessage `json:"manifest,omitempty"`
 }
 
 // Encode returns a command's bytes for the log.
 func Encode(command Command) ([]byte, error) {
-	e := envelope{Format: commandFormat}
+	e := envelope{Format: baseFormat}
 	switch c := command.(type) {
 	case Change:
 		if c.ID == "" || len(c.Declarations) > 0 && len(c.Presets) == 0 {
@@ -51,6 +59,12 @@
 		e.Expire = &c
 	case docket.Abandon:
 		e.Abandon = &c
+	case manifest.Command:
+		encoded, err := manifest.Encode(c)
+		if err != nil {
+			return nil, err
+		}
+		e.Format, e.Manifest = commandFormat, encoded
 	default:
 		return nil, errors.AssertionFailedf("registry: command %T", command)
 	}
@@ -118,6 +132,13 @@
 	if e.Abandon != nil {
 		commands = append(commands, *e.Abandon)
 	}
+	if e.Manifest != nil {
+		command, err := manifest.Decode(e.Manifest)
+		if err != nil {
+			return nil, err
+		}
+		commands = append(commands, command)
+	}
 	if len(commands) != 1 {
 		return nil, errors.Newf("registry: decode command: %d commands in one", len(commands))
 	}
@@ -126,8 +147,9 @@
 
 // Result is what applying a command gave. One field is set.
 type Result struct {
-	Change *Answer        `json:"change,omitempty"`
-	Docket *docket.Answer `json:"docket,omitempty"`
+	Change   *Answer          `json:"change,omitempty"`
+	Docket   *docket.Answer   `json:"docket,omitempty"`
+	Manifest *manifest.Result `json:"manifest,omitempty"`
 }
 
 // Encode returns the result's bytes, to be sent to the instance that proposed
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,5 +1,5 @@
-// Package registry is the replicated state machine: the configuration in force
-// and the docket of non-idempotent requests.
+// Package registry is the replicated state machine: the configuration in force,
+// the docket of non-idempotent requests, and the manifest of engines and orders.
 //
 // It is deterministic. Replicas that apply the same commands in the same order
 // hold the same state, and their snapshots have equal bytes.
@@ -15,6 +15,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/manifest"
 	"github.com/lovagelift/lovagelift/internal/parcel"
 )
 
@@ -27,13 +28,14 @@
 	applied       jury.Index
 	configuration *configuration
 	docket        *docket.Docket
+	manifest      *manifest.Manifest
 	// view is the one of configuration, for readers that take no lock.
 	view atomic.Pointer[View]
 }
 
 // New returns the empty state.
 func New() *Registry {
-	r := &Registry{configuration: newConfiguration(), docket: docket.New()}
+	r := &Registry{configuration: newConfiguration(), docket: docket.New(), manifest: manifest.New()}
 	r.view.Store(r.configuration.view())
 	return r
 }
@@ -58,6 +60,13 @@
 	return r.docket.Counters(), r.docket.Len(), r.docket.ResponseBytes()
 }
 
+// Manifest returns what is recorded of engines and orders.
+func (r *Registry) Manifest() manifest.View {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	return r.manifest.View()
+}
+
 // Applied returns the index of the last command that was applied.
 func (r *Registry) Applied() jury.Index {
 	r.mutex.RLock()
@@ -89,6 +98,9 @@
 	case docket.Command:
 		answer := r.docket.Apply(c)
 		return Result{Docket: &answer}, nil
+	case manifest.Command:
+		result := r.manifest.Apply(c)
+		return Result{Manifest: &result}, nil
 	default:
 		return Result{}, errors.AssertionFailedf("registry: command %T", decoded)
 	}
@@ -100,6 +112,7 @@
 	snapshotFormat       = 1
 	configurationSection = "configuration"
 	docketSection        = "docket"
+	manifestSection      = "manifest"
 )
 
 // Snapshot returns the whole state. Equal states give equal bytes. A snapshot is
@@ -114,11 +127,26 @@
 	buffer := parcel.AppendBytes(nil, snapshotName)
 	buffer = parcel.AppendUint(buffer, snapshotFormat)
 	buffer = parcel.AppendUint(buffer, uint64(r.applied))
-	buffer = parcel.AppendUint(buffer, 2)
+	// A program from before there were orders can read a snapshot without any.
+	withManifest := !r.manifest.Empty()
+	sections := uint64(2)
+	if withManifest {
+		sections++
+	}
+	buffer = parcel.AppendUint(buffer, sections)
 	buffer = parcel.AppendBytes(buffer, configurationSection)
 	buffer = parcel.AppendBytes(buffer, configuration)
 	buffer = parcel.AppendBytes(buffer, docketSection)
-	return parcel.AppendBytes(buffer, r.docket.Snapshot(nil)), nil
+	buffer = parcel.AppendBytes(buffer, r.docket.Snapshot(nil))
+	if !withManifest {
+		return buffer, nil
+	}
+	orders, err := r.manifest.Snapshot()
+	if err != nil {
+		return nil, errors.Wrap(err, "registry: snapshot")
+	}
+	buffer = parcel.AppendBytes(buffer, manifestSection)
+	return parcel.AppendBytes(buffer, orders), nil
 }
 
 // Restore takes over the state of a Snapshot. If data is damaged or comes from
@@ -134,6 +162,7 @@
 	applied := jury.Index(reader.Uint())
 	var configuration *configuration
 	var records *docket.Docket
+	orders := manifest.New()
 	for range reader.Count() {
 		name, section := reader.String(), reader.Bytes()
 		var err error
@@ -144,6 +173,8 @@
 			configuration = state.restore()
 		case docketSection:
 			records, err = docket.Restore(section)
+		case manifestSection:
+			orders, err = manifest.Restore(section)
 		case "":
 			err = parcel.ErrShort
 		default:
@@ -164,6 +195,7 @@
 	r.applied = applied
 	r.configuration = configuration
 	r.docket = records
+	r.manifest = orders
 	r.view.Store(configuration.view())
 	return nil
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -12,6 +12,7 @@
 	"github.com/lovagelift/lovagelift/internal/archive"
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/manifest"
 	"github.com/lovagelift/lovagelift/internal/parcel"
 	"github.com/lovagelift/lovagelift/internal/registry"
 )
@@ -89,8 +90,8 @@
 		Expect(err).To(HaveOccurred())
 		Expect(r.Applied()).To(BeZero())
 	},
-		Entry("newer format", `{"format":2,"placement":{}}`, true),
-		Entry("newer format of a known kind", `{"format":2,"change":{"id":"one"}}`, true),
+		Entry("newer format", `{"format":3,"placement":{}}`, true),
+		Entry("newer format of a known kind", `{"format":3,"change":{"id":"one"}}`, true),
 		Entry("unknown kind", `{"format":1,"placement":{}}`, false),
 		Entry("unknown field", `{"format":1,"change":{"id":"one","colour":"red"}}`, false),
 		Entry("none", `{"format":1}`, false),
@@ -170,3 +171,25 @@
 		Expect(again.change(choose("change 3", 3, "peak"))).To(Equal(registry.Answer{Verdict: registry.VerdictApplied, Revision: 4, Preset: "peak"}))
 	})
 })
+
+var _ = Describe("Manifest", func() {
+	It("is applied from the log, kept by a snapshot, and left out of it while it is empty", func() {
+		r := registry.New()
+		before, err := r.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(before)).NotTo(ContainSubstring("manifest"))
+		command, err := registry.Encode(manifest.Lead{Term: 3})
+		Expect(err).NotTo(HaveOccurred())
+		result, err := r.Apply(1, command)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Manifest).To(Equal(&manifest.Result{Accepted: true}))
+		snapshot, err := r.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		other := registry.New()
+		Expect(other.Restore(snapshot)).To(Succeed())
+		Expect(other.Manifest()).To(Equal(manifest.View{Term: 3}))
+		again, err := other.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again).To(Equal(snapshot))
+	})
+})
