placement: bursts count by the weight of moves, failed loads are not repeated at once

Cause: a burst counted half, and a need for demand waited 20 s, however little moves weigh. And a plan knows nothing of orders that failed, so an engine that fails a load every time would be asked for it with every plan.

Change: for adding copies, the 10 s average is divided by 1 + weight of moves, and a need for demand waits 20 s times that weight, 60 s at most. Input.Avoid names loads that failed; the one who gives orders says for how long.

--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -49,19 +49,21 @@
 		now := reports(e, start, 1, 3600, 2)
 		now = reports(e, now, 3601, 300, 20)
 		estimate := e.Estimates(now)[0]
-		Expect(estimate.Rising()).To(BeNumerically(">", 35))
+		Expect(estimate.Rising(4)).To(BeNumerically(">", 35))
 		Expect(estimate.Slow).To(BeNumerically("<", 12))
 		now = reports(e, now, 3901, 300, 2)
 		estimate = e.Estimates(now)[0]
 		Expect(estimate.Middle).To(BeNumerically("<", 8))
-		Expect(estimate.Keeping()).To(BeNumerically(">=", estimate.Rising()))
+		Expect(estimate.Keeping()).To(BeNumerically(">=", estimate.Rising(0)))
 	})
 
-	It("counts a burst of seconds half for rising and whole for keeping", func() {
+	It("counts a burst of seconds for rising the less the more moves weigh, and whole for keeping", func() {
 		now := reports(e, start, 1, 1800, 1)
 		now = reports(e, now, 1801, 5, 40)
 		estimate := e.Estimates(now)[0]
-		Expect(estimate.Rising()).To(BeNumerically("<", estimate.Fast))
+		Expect(estimate.Rising(0)).To(Equal(estimate.Fast))
+		Expect(estimate.Rising(1)).To(BeNumerically("~", estimate.Fast/2, 0.01))
+		Expect(estimate.Rising(1000)).To(Equal(estimate.Middle))
 		Expect(estimate.Keeping()).To(Equal(estimate.Fast))
 	})
 
--- a/internal/demand/estimator.go
+++ b/internal/demand/estimator.go
@@ -35,10 +35,12 @@
 	Fast, Middle, Slow float64
 }
 
-// Rising returns the load for which copies are worth adding. A burst counts half:
-// most are over before a load is.
-func (e Estimate) Rising() float64 {
-	return max(e.Middle, e.Fast/2)
+// Rising returns the load for which copies are worth adding, if moves weigh so
+// much: a burst counts whole if they weigh nothing, half at 1, a fifth at 4. Most
+// bursts are over soon after a load is, so where moves weigh much, only what lasts
+// counts.
+func (e Estimate) Rising(weightOfMoves float64) float64 {
+	return max(e.Middle, e.Fast/(1+max(weightOfMoves, 0)))
 }
 
 // Keeping returns the load for which copies are worth keeping. It is not less
--- a/internal/placement/adapters.go
+++ b/internal/placement/adapters.go
@@ -84,7 +84,7 @@
 		p := &m.places[i]
 		s := &d.sites[p.site]
 		beside := d.certain(p) && p.version == m.declared.Version && s.ordered && s.adapters && p.adapter(a.name) == nil
-		if !beside || !d.hasRoom(p, a.bytes-min(p.promised, a.bytes)) {
+		if !beside || d.avoids(p.site, m.declared.Name, a.name) || !d.hasRoom(p, a.bytes-min(p.promised, a.bytes)) {
 			continue
 		}
 		rated := 1 - min(d.fullness(p.site), 1)
--- a/internal/placement/decisions_test.go
+++ b/internal/placement/decisions_test.go
@@ -138,6 +138,15 @@
 		Expect(w.plan.Unreachable).To(ConsistOf(demand.Target{Model: "a"}))
 	})
 
+	// An engine fails the load each time, because its copy of the weights is bad.
+	// Asked again every second, it would keep the model out of reach for good.
+	It("goes to another engine than the one that failed", func() {
+		set := withAdapters(small(tolerant, map[string]int{"a": 10}), "a", "x")
+		w := bench(set, of("e1", "d1", 20), of("e2", "d2", 11), of("e3", "d3", 11).holds("a", 10))
+		w.in.Avoid = []placement.Avoided{{Engine: "e1", Model: "a"}, {Engine: "e3", Model: "a", Adapter: "x"}}
+		Expect(w.planned()).To(ConsistOf("load-model e2 a"))
+	})
+
 	It("waits for a load that is under way", func() {
 		w := bench(small(frugal, map[string]int{"a": 10}), of("e1", "d1", 10), of("e2", "d2", 10))
 		w.open("e1", loadOf("a", 10), false)
--- a/internal/placement/draft.go
+++ b/internal/placement/draft.go
@@ -30,6 +30,8 @@
 	servedNow float64
 	problems  []Problem
 	since     map[need]time.Time
+	// avoided are the loads of Input.Avoid.
+	avoided map[Avoided]bool
 }
 
 // want is a move with its urgency. The least of tier, priority and rank is the
@@ -110,6 +112,10 @@
 		index:   map[string]int{},
 		weight:  in.Preset.WeightOfMoves,
 		since:   map[need]time.Time{},
+		avoided: make(map[Avoided]bool, len(in.Avoid)),
+	}
+	for _, a := range in.Avoid {
+		d.avoided[a] = true
 	}
 	if d.weight < 0 {
 		d.weight = in.WeightOfMoves
@@ -211,13 +217,13 @@
 			continue
 		}
 		m := &d.models[i]
-		m.rising += e.Rising()
+		m.rising += e.Rising(d.weight)
 		m.keeping += e.Keeping()
 		at, found := slices.BinarySearchFunc(m.adapters, e.Target.Adapter, func(a adapter, name string) int {
 			return strings.Compare(a.name, name)
 		})
 		if found {
-			m.adapters[at].rising += e.Rising()
+			m.adapters[at].rising += e.Rising(d.weight)
 			m.adapters[at].keeping += e.Keeping()
 		}
 	}
@@ -288,6 +294,13 @@
 	return picked
 }
 
+// avoids tells whether a load failed at the site lately. An engine that fails a
+// load every time would otherwise be asked for it every second, while another
+// engine could do it.
+func (d *draft) avoids(site int, model, adapterName string) bool {
+	return len(d.avoided) > 0 && d.avoided[Avoided{Engine: d.sites[site].name, Model: model, Adapter: adapterName}]
+}
+
 // settled tells whether a need has lasted long enough to be met, and keeps since
 // when it has.
 func (d *draft) settled(n need) bool {
@@ -296,9 +309,21 @@
 		since = d.now
 	}
 	d.since[n] = since
-	return n.tier == tierUnreachable || d.in.Previous.at.IsZero() || d.now.Sub(since) >= d.options.Patience
+	patience := d.options.Patience
+	switch n.tier {
+	case tierUnreachable:
+		return true
+	case tierDemand:
+		patience = time.Duration(float64(patience) * min(d.weight, mostPatience))
+	default:
+	}
+	return d.in.Previous.at.IsZero() || d.now.Sub(since) >= patience
 }
 
+// mostPatience is how many times the patience a need of tierDemand waits at most.
+// Below that, it waits as many times as moves weigh.
+const mostPatience = 3
+
 // counts tells whether a place counts for a tier. What is in doubt or unproved
 // is enough in one direction only: a doubtful load must not keep a model
 // unreachable, and must not be ordered a second time for a mere floor.
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -188,7 +188,7 @@
 	ok := false
 	for i := range d.sites {
 		s := &d.sites[i]
-		if !s.ordered || q.takenBy(i) || q.newDomain && d.inDomain(q, s.domain) {
+		if d.closed(q, i) || q.newDomain && d.inDomain(q, s.domain) {
 			continue
 		}
 		victims := d.removable(i, q.tier)
--- a/internal/placement/measure_test.go
+++ b/internal/placement/measure_test.go
@@ -191,6 +191,7 @@
 		{"greedy by the last 10 s", placement.Options{Patience: 1}, 0, fastOnly},
 		{"ours, weight 0", placement.Options{}, 0, same},
 		{"ours, weight 0.5", placement.Options{}, 0.5, same},
+		{"ours, weight 1", placement.Options{}, 1, same},
 		{"ours, weight 2", placement.Options{}, 2, same},
 		{"ours, weight 4", placement.Options{}, 4, same},
 		{"ours, weight 8", placement.Options{}, 8, same},
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -76,11 +76,22 @@
 	WeightStore WeightStore
 	// WeightOfMoves is used if Preset names none.
 	WeightOfMoves float64
+	// Avoid are loads that should not be tried again yet, because the last ones of
+	// the kind failed. Who gives the orders decides for how long.
+	Avoid []Avoided
 	// Previous is the State of the last plan. The zero State is that of a leader
 	// that has planned nothing yet.
 	Previous State
 }
 
+// Avoided is a load that failed at an engine.
+type Avoided struct {
+	Engine string
+	Model  string
+	// Adapter is empty for the model itself.
+	Adapter string
+}
+
 // State is what one plan hands to the next. It is an immutable value. To lose it
 // does no harm beyond a load or two sooner than the patience allows.
 type State struct {
--- a/internal/placement/site.go
+++ b/internal/placement/site.go
@@ -63,8 +63,11 @@
 	relief float64
 }
 
-// takenBy tells whether the site is no place for another copy.
-func (q search) takenBy(site int) bool {
+// closed tells whether the site is no place for another copy.
+func (d *draft) closed(q search, site int) bool {
+	if !d.sites[site].ordered || d.avoids(site, q.model.declared.Name, "") {
+		return true
+	}
 	return slices.ContainsFunc(q.model.places, func(p place) bool {
 		return p.site == site && (!q.beside || p.version == q.model.declared.Version)
 	})
@@ -94,7 +97,7 @@
 	ok := false
 	for i := range d.sites {
 		s := &d.sites[i]
-		if !s.ordered || q.takenBy(i) || len(s.accelerators) == 0 {
+		if d.closed(q, i) || len(s.accelerators) == 0 {
 			continue
 		}
 		novel := !d.inDomain(q, s.domain)
