desk: prompts name their prefixes, and cache events move the choice

Cause: engines tell what their prefix caches hold, and nothing took it in: the instances answered 404 to their cache events.

Change: arrivals takes cache events; the desk names the blocks of a prompt to the engine and looks them up. The fake of arrivals' specs keeps what it was told.

Conclusion: a prompt goes to the engine that told that it holds its beginning; the spec fails if the events are dropped.

--- a/internal/arrivals/arrivals.go
+++ b/internal/arrivals/arrivals.go
@@ -29,6 +29,8 @@
 	Load(now time.Time, report upstreamapi.LoadReport)
 	// Leave takes an upstream's word that it goes.
 	Leave(now time.Time, leave upstreamapi.Leave)
+	// Cached takes what happened in an engine's prefix cache.
+	Cached(now time.Time, events upstreamapi.CacheEvents)
 }
 
 // Options configures the handlers.
@@ -54,6 +56,7 @@
 	a.echo.POST(upstreamapi.AnnouncePath, a.announce)
 	a.echo.POST(upstreamapi.LoadPath, a.load)
 	a.echo.POST(upstreamapi.LeavePath, a.leave)
+	a.echo.POST(upstreamapi.CacheEventsPath, a.cacheEvents)
 	return a
 }
 
@@ -117,6 +120,19 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
+func (a *Arrivals) cacheEvents(c echo.Context) error {
+	body, err := read(c)
+	if err != nil {
+		return a.refuse(c, http.StatusBadRequest, "", err.Error())
+	}
+	events, findings := upstreamapi.DecodeCacheEvents(body)
+	if findings.Len() > 0 {
+		return a.refuse(c, http.StatusBadRequest, events.Name, lines(findings)...)
+	}
+	a.options.Instance.Cached(a.options.Now(), events)
+	return c.NoContent(http.StatusNoContent)
+}
+
 // refuse answers with everything that is wrong with a call, and logs it.
 func (a *Arrivals) refuse(c echo.Context, status int, upstream string, findings ...string) error {
 	a.options.Log.Warn().
--- a/internal/arrivals/arrivals_test.go
+++ b/internal/arrivals/arrivals_test.go
@@ -29,6 +29,11 @@
 // members is an instance that only keeps a roster.
 type members struct {
 	*roster.Roster
+	cached *[]upstreamapi.CacheEvents
+}
+
+func (m members) Cached(_ time.Time, events upstreamapi.CacheEvents) {
+	*m.cached = append(*m.cached, events)
 }
 
 func (m members) Announce(now time.Time, announcement upstreamapi.Announcement) (upstreamapi.Welcome, error) {
@@ -45,7 +50,10 @@
 	)
 
 	BeforeEach(func() {
-		held = members{roster.New(roster.Options{Self: "one", Incarnation: 1, Lease: lease})}
+		held = members{
+			Roster: roster.New(roster.Options{Self: "one", Incarnation: 1, Lease: lease}),
+			cached: &[]upstreamapi.CacheEvents{},
+		}
 		handler = arrivals.New(arrivals.Options{
 			Instance: held,
 			Holder:   func(token string) (string, bool) { return "engine", token == "secret" },
@@ -109,6 +117,17 @@
 		Expect(findings).To(ConsistOf(ContainSubstring("connection reset")))
 	})
 
+	It("takes cache events, and refuses bad ones", func() {
+		code, _ := post(upstreamapi.CacheEventsPath,
+			`{"name":"engine-1","incarnation":7,"first":1,"events":[{"kind":"stored","model":"m","prefix":"p","tokens":128}]}`)
+		Expect(code).To(Equal(http.StatusNoContent))
+		Expect(*held.cached).To(HaveLen(1))
+		code, findings := post(upstreamapi.CacheEventsPath, `{"name":"engine-1","incarnation":7,"events":[{"kind":"lost"}]}`)
+		Expect(code).To(Equal(http.StatusBadRequest))
+		Expect(len(findings)).To(BeNumerically(">=", 2))
+		Expect(*held.cached).To(HaveLen(1))
+	})
+
 	It("refuses bad load reports and leaves", func() {
 		code, findings := post(upstreamapi.LoadPath, `{"name":"engine-1","load":{"waiting":-1}}`)
 		Expect(code).To(Equal(http.StatusBadRequest))
--- a/internal/arrivals/slope_test.go
+++ b/internal/arrivals/slope_test.go
@@ -22,7 +22,7 @@
 	for _, adapters := range []int{2, 10, 50} {
 		b.Run(fmt.Sprintf("adapters=%d", adapters), func(b *testing.B) {
 			handlers := arrivals.New(arrivals.Options{
-				Instance: members{roster.New(roster.Options{Self: "one", Incarnation: 1, Lease: time.Minute})},
+				Instance: members{Roster: roster.New(roster.Options{Self: "one", Incarnation: 1, Lease: time.Minute})},
 				Holder:   func(string) (string, bool) { return "engine", true },
 				Now:      time.Now,
 				Log:      zerolog.Nop(),
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -15,6 +15,7 @@
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // task is a caller's request that is ready to be routed.
@@ -56,6 +57,11 @@
 // that a later one did not run is no comfort.
 func (d *Desk) deliver(ctx context.Context, task task) (delivery, error) {
 	arrival := d.arrival(task)
+	task.request.Header = task.request.Header.Clone()
+	task.request.Header.Del(upstreamapi.PrefixHeader)
+	if len(arrival.Blocks) > 0 {
+		task.request.Header.Set(upstreamapi.PrefixHeader, prefixNames(arrival))
+	}
 	d.router.count(arrival.Service)
 	var failed error
 	for attempt := 1; ; attempt++ {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -19,6 +19,7 @@
 	"github.com/lovagelift/lovagelift/internal/registry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // Instance is what the desk asks of the instance that it answers for. Its
@@ -162,6 +163,11 @@
 	d.router.update(upstreams)
 }
 
+// Cached takes in what happened in an engine's prefix cache.
+func (d *Desk) Cached(now time.Time, events upstreamapi.CacheEvents) {
+	d.router.cached(now, events)
+}
+
 // Wait returns when everything that was begun is recorded. No request may be in
 // progress.
 func (d *Desk) Wait() {
--- a/internal/desk/overload_test.go
+++ b/internal/desk/overload_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/desk"
 	"github.com/lovagelift/lovagelift/internal/retry"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 var _ = Describe("routing", func() {
@@ -86,6 +89,37 @@
 		Expect(engine.counted()).To(Equal(2))
 	})
 
+	// Three engines are idle, and one has told that it holds the beginning of the
+	// prompt: it gets the request, which names the prefixes for its next events.
+	It("sends a prompt to the engine that holds its beginning", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		var names atomic.Value
+		keep := func(w http.ResponseWriter, r *http.Request) { names.Store(r.Header.Get(upstreamapi.PrefixHeader)) }
+		engines := []*bookings{newBookings(keep), newBookings(keep), newBookings(keep)}
+		at.serveAt(engines[0].address(), engines[1].address(), engines[2].address())
+		prompt := `{"model":"m","prompt":"` + strings.Repeat("x", 900) + `"}`
+		at.call(ctx, http.MethodPost, "/v1/completions", "", prompt)
+		first := 0
+		for n, engine := range engines {
+			if engine.counted() > 0 {
+				first = n
+			}
+		}
+		other := (first + 1) % len(engines)
+		events := upstreamapi.CacheEvents{Name: "engine-" + strconv.Itoa(other), First: 1}
+		evicted := upstreamapi.CacheEvents{Name: "engine-" + strconv.Itoa(first), First: 1}
+		for name := range strings.SplitSeq(names.Load().(string), ",") {
+			events.Events = append(events.Events, upstreamapi.CacheEvent{Kind: upstreamapi.CacheStored, Prefix: name})
+			evicted.Events = append(evicted.Events, upstreamapi.CacheEvent{Kind: upstreamapi.CacheEvicted, Prefix: name})
+		}
+		Expect(events.Events).To(HaveLen(1))
+		at.desk.Cached(time.Now(), events)
+		at.desk.Cached(time.Now(), evicted)
+		for range 5 {
+			at.call(ctx, http.MethodPost, "/v1/completions", "", prompt)
+		}
+		Expect(engines[other].counted()).To(Equal(5))
+	})
+
 	// One engine takes the request and dies, the other can't be reached. That the
 	// last attempt did not run is no comfort: the first may have.
 	It("tells what may have run, whichever attempt came last", SpecTimeout(specTimeout), func(ctx SpecContext) {
--- a/internal/desk/router.go
+++ b/internal/desk/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // bytesPerToken is about how many bytes of a prompt make a token.
@@ -95,6 +97,12 @@
 	}
 }
 
+func (r *router) cached(now time.Time, events upstreamapi.CacheEvents) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dispatcher.Cached(now, events)
+}
+
 // arrival returns a task as the decisions see it.
 func (d *Desk) arrival(task task) dispatch.Arrival {
 	goal := task.admitted.goal
@@ -121,6 +129,15 @@
 	return a
 }
 
+// prefixNames returns the value of upstreamapi.PrefixHeader for a.
+func prefixNames(a dispatch.Arrival) string {
+	names := make([]string, 0, len(a.Blocks))
+	for _, block := range a.Blocks {
+		names = append(names, dispatch.BlockName(block))
+	}
+	return strings.Join(names, ",")
+}
+
 // targetOf returns the target that callers call name: a model, or an adapter.
 func (r *router) targetOf(name string) dispatch.Target {
 	r.mu.Lock()
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -135,6 +135,12 @@
 	i.tellDeskLocked()
 }
 
+// Cached takes what happened in an engine's prefix cache. It stays with this
+// instance: it moves choices only, and the others learn from what they send.
+func (i *Instance) Cached(now time.Time, events upstreamapi.CacheEvents) {
+	i.desk.Cached(now, events)
+}
+
 // tellDeskLocked passes on what has changed of the upstreams.
 func (i *Instance) tellDeskLocked() {
 	var changed []roster.Upstream
