dispatch, admission: nothing waits for what can't come

Cause: a spec of desk failed in one of twenty runs. A request that must start before others goes before them in the queue, and the last of those learnt only when its time had passed, ten seconds later, that it could not make it. Beside it: a retry whose only candidates had failed it was queued behind others for nothing, and one that could not use a free place held up all behind it.

Change: Offer refuses at once the first ticket of the service that is pushed back too far; Expire counts the higher priorities and the other services; Gate asks first whether anything could run a request, and passes over up to eight that can't use a free place. The specs of desk log to ginkgo's writer.

The new specs fail without their mechanism.

--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -97,6 +97,19 @@
 	return refusal
 }
 
+// pushedOut returns the place of the first ticket of f after t that t, just
+// entered, keeps from being reached in time. Without this look, it would learn so
+// only when its time has passed.
+func (p *pool) pushedOut(now time.Time, f *flow, t Ticket, rate float64) (int, bool) {
+	for i := f.place(t.StartBy); i < len(f.waiting); i++ {
+		startBy := f.waiting[i].StartBy
+		if now.Add(waitFor(p.ahead(f, startBy), rate)).After(startBy) {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
 func (p *pool) expire(now time.Time, dst []Refusal) []Refusal {
 	rate := p.drain.rate(now)
 	trusted := now.Sub(p.drain.backlogSince) >= drainTrust && rate > 0
@@ -107,7 +120,7 @@
 		}
 		for i := len(f.waiting) - 1; trusted && i >= 0; i-- {
 			t := f.waiting[i]
-			wait := waitFor(i+1, rate)
+			wait := waitFor(p.ahead(f, t.StartBy), rate)
 			if float64(wait) <= doubt*float64(t.StartBy.Sub(now)) {
 				continue
 			}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -87,7 +87,8 @@
 
 // Offer queues t, or refuses it at once if it could not start by its StartBy.
 // capacity is how many requests a second the upstreams of the pool can start, 0
-// if not known. If the queue is full, the ticket that would go last gives way.
+// if not known. If the queue is full, the ticket that would go last gives way; if
+// t goes before others of its service, the first of them that can't make it now.
 func (q *Queue) Offer(now time.Time, t Ticket, capacity float64) Verdict {
 	p := q.pool(t.Pool)
 	f := q.flow(p, t)
@@ -109,6 +110,10 @@
 		q.leave(p)
 	}
 	q.enter(now, p, f, t)
+	if i, ok := p.pushedOut(now, f, t, rate); ok && displaced.Cause == 0 {
+		displaced = p.refuse(now, f.removeAt(i), CauseTooLate, rate, 0)
+		q.leave(p)
+	}
 	return Verdict{Queued: true, Displaced: displaced}
 }
 
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -82,6 +82,19 @@
 		Expect(verdict.Refused.RetryAfter).To(Equal(time.Second))
 	})
 
+	It("refuses at once what a more urgent one of its service pushes back", func() {
+		// Two callers wait, and both can be served in time. A third that must start
+		// before them comes: the last of them can't make it now, and is told now
+		// instead of when its time has passed.
+		q.Offer(start, ticket(1, "drafts", 2, 900*time.Millisecond), 2)
+		q.Offer(start, ticket(2, "drafts", 2, 1100*time.Millisecond), 2)
+		verdict := q.Offer(start, ticket(3, "drafts", 2, 600*time.Millisecond), 2)
+		Expect(verdict.Queued).To(BeTrue())
+		Expect(verdict.Displaced.Ticket.ID).To(Equal(uint64(1)))
+		Expect(verdict.Displaced.Cause).To(Equal(admission.CauseTooLate))
+		Expect(takeAll(q, start)).To(Equal([]uint64{3, 2}))
+	})
+
 	It("tells refused callers to come back one after the other", func() {
 		// A hundred callers are refused at the same moment. Told the same time, they
 		// would come back as one burst, most of them to be refused again.
--- a/internal/desk/fakes_test.go
+++ b/internal/desk/fakes_test.go
@@ -186,7 +186,7 @@
 	instance := &fakeInstance{voters: v, gazette: gazette.New()}
 	carrier := shuttle.New(shuttle.Options{})
 	d := desk.New(desk.Options{
-		Instance: instance, Name: name, Incarnation: 1, Shuttle: carrier, Now: time.Now, Log: zerolog.Nop(),
+		Instance: instance, Name: name, Incarnation: 1, Shuttle: carrier, Now: time.Now, Log: zerolog.New(GinkgoWriter).With().Timestamp().Logger(),
 		UpstreamLease: time.Hour,
 		Limits:        limits,
 	})
--- a/internal/desk/overload_test.go
+++ b/internal/desk/overload_test.go
@@ -57,7 +57,8 @@
 
 		close(release)
 		for range callers - 1 {
-			Expect((<-answers).status).To(Equal(http.StatusOK))
+			answer := <-answers
+			Expect(answer.status).To(Equal(http.StatusOK), answer.body)
 		}
 		Expect(engine.counted()).To(Equal(3))
 		Expect(most.Load()).To(Equal(int32(1)))
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -205,6 +205,16 @@
 	}
 }
 
+// reach returns ReasonNoRoom if an upstream could run r, whether it has room or
+// not, and otherwise why none can.
+func (d *Dispatcher) reach(now time.Time, r *Request) Reason {
+	p := d.pools[r.Target]
+	if p == nil {
+		return ReasonNoCandidate
+	}
+	return d.whyNone(now, p, r)
+}
+
 // whyNone returns why no member of p was chosen.
 func (d *Dispatcher) whyNone(now time.Time, p *pool, r *Request) Reason {
 	for _, u := range p.members {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -383,6 +383,31 @@
 		Expect(arrive(5, 2, 0).Reason).To(Equal(dispatch.ReasonNoRoom))
 	})
 
+	It("neither queues nor waits behind what no free upstream can run", func() {
+		// The only engine is busy, others wait for it, and a request comes that it
+		// has failed before: it is told so, instead of waiting for nothing. With a
+		// second engine it waits for that one, and lets the others pass.
+		d := dispatch.New(dispatch.Options{})
+		g := dispatch.NewGate(d, admission.New(admission.Options{}))
+		d.Update(viewOf("a", 1, 1))
+		arrive := func(id uint64, tried ...string) dispatch.Answer {
+			return g.Arrive(start, &dispatch.Arrival{ID: id, At: start, Request: dispatch.Request{
+				Target: dispatch.Target{Model: "m"}, Goal: dispatch.Goal{FirstToken: time.Minute}, Priority: 1, Tried: tried,
+			}})
+		}
+		first := arrive(1)
+		Expect(arrive(2).Queued).To(BeTrue())
+		Expect(arrive(3, "a").Reason).To(Equal(dispatch.ReasonNoneFit))
+		d.Update(viewOf("b", 1, 1))
+		Expect(g.Freed(start, "b", nil)).To(HaveLen(1))
+		Expect(arrive(4, "a").Queued).To(BeTrue())
+		Expect(arrive(5).Queued).To(BeTrue())
+		d.Finished(start, &first.Start.Flight)
+		started := g.Freed(start, "a", nil)
+		Expect(started).To(HaveLen(1))
+		Expect(started[0].Arrival.ID).To(Equal(uint64(5)))
+	})
+
 	It("says at once when nothing can run the request", func() {
 		g := dispatch.NewGate(dispatch.New(dispatch.Options{}), admission.New(admission.Options{}))
 		answer := g.Arrive(start, &dispatch.Arrival{Request: dispatch.Request{Target: dispatch.Target{Model: "m"}}})
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -10,6 +10,10 @@
 // free besides, when a request waits: predictions miss by about as much.
 const startMargin = 0.25
 
+// maxPassed is how many waiting requests that can't use a free place are passed
+// over at once.
+const maxPassed = 8
+
 // longestWait is how long a request without goal and deadline waits.
 const longestWait = 10 * time.Second
 
@@ -74,14 +78,15 @@
 func (g *Gate) Arrive(now time.Time, a *Arrival) Answer {
 	a.Waited = now.Sub(a.At)
 	pool := g.dispatcher.poolName(a.Target)
+	if reason := g.dispatcher.reach(now, &a.Request); reason != ReasonNoRoom {
+		// Nothing can run it, room or not: it must not wait for that.
+		return Answer{Reason: reason}
+	}
 	if g.queue.Waiting(pool, a.Priority) == 0 {
 		decision := g.dispatcher.Choose(now, &a.Request)
 		if decision.OK() {
 			return Answer{Start: g.start(now, a, decision), Reason: decision.Reason}
 		}
-		if decision.Reason != ReasonNoRoom {
-			return Answer{Reason: decision.Reason}
-		}
 	}
 	ticket := g.ticket(now, a, pool)
 	verdict := g.queue.Offer(now, ticket, g.dispatcher.Capacity(now, a.Target))
@@ -105,30 +110,36 @@
 // of the upstream.
 func (g *Gate) Freed(now time.Time, name string, dst []Start) []Start {
 	u := g.dispatcher.upstreams[name]
-	for u != nil && g.queue.Size() > 0 && u.alive(now) {
-		lowest := uint8(admission.Priorities - 1)
-		if !g.dispatcher.room(now, u, lowest) {
-			lowest = 0
-		}
-		if !g.dispatcher.room(now, u, lowest) {
-			return dst
+	if u == nil || g.queue.Size() == 0 || !u.alive(now) {
+		return dst
+	}
+	var passed [maxPassed]admission.Ticket
+	count := 0
+	for count < maxPassed {
+		lowest, ok := g.dispatcher.lowestWithRoom(now, u)
+		if !ok {
+			break
 		}
 		t, ok := g.queue.Take(now, lowest, u.poolNames)
 		if !ok {
-			return dst
+			break
 		}
 		a := g.waiting[t.ID]
 		a.Waited = now.Sub(a.At)
 		decision := g.dispatcher.Choose(now, &a.Request)
 		if !decision.OK() {
 			// The room is at an upstream that has failed this request before or is
-			// ejected: the request goes on waiting for another one.
-			g.queue.Return(now, t)
-			return dst
+			// ejected. It waits for another one, and must not hold up those behind it.
+			passed[count] = t
+			count++
+			continue
 		}
 		delete(g.waiting, t.ID)
 		dst = append(dst, g.start(now, a, decision))
 	}
+	for _, t := range passed[:count] {
+		g.queue.Return(now, t)
+	}
 	return dst
 }
 
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -40,6 +40,16 @@
 	return fresh && float64(u.outstanding(now)) < float64(u.places())*freeShare
 }
 
+// lowestWithRoom returns the lowest priority for which u has room. If it has none
+// for any, lowestWithRoom returns false.
+func (d *Dispatcher) lowestWithRoom(now time.Time, u *upstream) (uint8, bool) {
+	const lowest = admission.Priorities - 1
+	if d.room(now, u, lowest) {
+		return lowest, true
+	}
+	return 0, d.room(now, u, 0)
+}
+
 // setLimit changes the limit of u, and the sum of all with it.
 func (d *Dispatcher) setLimit(u *upstream, limit admission.Limit) {
 	if d.byID[u.id] == u {
