--- a/internal/placement/decisions_test.go
+++ b/internal/placement/decisions_test.go
@@ -233,6 +233,23 @@
 		Expect(w.planned()).To(BeEmpty())
 	})
 
+	// A burst lasts for ten seconds, less than a load. Where moves weigh something, it
+	// must have lasted first; where they weigh nothing, it need not.
+	DescribeTable("must have lasted the longer the more moves weigh", func(weight float64, seconds int) {
+		w := bench(small(frugal, sizes), append(engines(), of("e4", "d4", 10))...)
+		w.in.Preset.WeightOfMoves = weight
+		w.steps(60)
+		w.in.Demand = []demand.Estimate{load("b", 21)}
+		w.steps(seconds)
+		Expect(w.all).To(BeZero())
+		w.step()
+		Expect(w.all).To(Equal(1))
+	},
+		Entry("at 0", 0.0, 0),
+		Entry("at 0.5", 0.5, 10),
+		Entry("at 1", 1.0, 20),
+		Entry("at 8", 8.0, 60))
+
 	It("states gain, cost and weight of each move", func() {
 		w := bench(small(frugal, sizes), append(engines(), of("e4", "d4", 10))...)
 		w.in.Demand = []demand.Estimate{load("b", 24)}
