--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -208,9 +208,9 @@
 	i.beatLocked(i.options.Now())
 	i.mu.Unlock()
 	i.options.Log.Info().Msg("draining")
-	// An answer with this instance in it may have been given up to one pull
-	// after the others could know.
-	keep := time.NewTimer(i.options.Settings.Timing.EntryTime + 2*pullEvery)
+	// The news are everywhere after three pulls and one call. An answer with this
+	// instance in it may have been given until then.
+	keep := time.NewTimer(i.options.Settings.Timing.EntryTime + 3*pullEvery + callTimeout)
 	defer keep.Stop()
 	select {
 	case <-keep.C:
