--- a/internal/foreman/fakes_test.go
+++ b/internal/foreman/fakes_test.go
@@ -298,6 +298,8 @@
 	comesLate
 	// unsent means that no connection came about.
 	unsent
+	// fails means that the engine fails to carry the order out.
+	fails
 )
 
 // RoundTrip carries one call.
@@ -319,6 +321,8 @@
 		return nil, errors.New("the connection was lost")
 	case unsent:
 		return nil, dialError()
+	case fails:
+		return failed(order, n.stage.engines[host].Announcement()), nil
 	default:
 	}
 	response, err := n.deliver(host, post(body.Bytes()))
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -81,6 +81,10 @@
 	orderLife = 10 * time.Second
 	// forgetAfter is when an engine that is gone, with no order open, is dropped.
 	forgetAfter = time.Hour
+	// avoidRefused is how long a load is not tried again at an engine that refused
+	// it or failed, and avoidUnsent at one that could not be reached.
+	avoidRefused = 30 * time.Second
+	avoidUnsent  = 2 * time.Second
 	// maxMoves is how many orders of one plan are given. The rest follow with the
 	// next.
 	maxMoves = 32
--- a/internal/foreman/place.go
+++ b/internal/foreman/place.go
@@ -37,6 +37,7 @@
 		Demand:        asked,
 		WeightStore:   f.options.WeightStore,
 		WeightOfMoves: f.options.WeightOfMoves,
+		Avoid:         avoided(now, f.options.Register.Manifest()),
 		Previous:      previous,
 	})
 	f.mu.Lock()
@@ -54,6 +55,24 @@
 	}
 }
 
+// avoided returns the loads that failed or could not be sent a short time ago.
+// They come from the replicated state, so a new leader avoids them as well.
+func avoided(now time.Time, state manifest.View) []placement.Avoided {
+	var list []placement.Avoided
+	for _, e := range state.Engines {
+		for _, entry := range e.Orders {
+			age := now.Sub(entry.At)
+			refused := entry.State == manifest.StateRefused && age < avoidRefused
+			unsent := entry.State == manifest.StateWithdrawn && age < avoidUnsent
+			loads := entry.Kind == upstreamapi.OrderLoadModel || entry.Kind == upstreamapi.OrderLoadAdapter
+			if loads && (refused || unsent) {
+				list = append(list, placement.Avoided{Engine: e.Announced.Name, Model: entry.Model, Adapter: entry.Adapter})
+			}
+		}
+	}
+	return list
+}
+
 // engines returns what the plan knows of engines, sorted by name: those that are
 // recorded, and those that take no orders and serve what they announce.
 func (f *Foreman) engines(now time.Time, present map[string]roster.Upstream) []placement.Engine {
--- a/internal/foreman/wire_test.go
+++ b/internal/foreman/wire_test.go
@@ -30,3 +30,15 @@
 func dialError() error {
 	return &net.OpError{Op: "dial", Err: errors.New("connection refused")}
 }
+
+// failed is the answer to an order that failed.
+func failed(order upstreamapi.Order, a upstreamapi.Announcement) *http.Response {
+	recorder := httptest.NewRecorder()
+	recorder.WriteHeader(http.StatusInternalServerError)
+	_ = json.NewEncoder(recorder).Encode(upstreamapi.OrderAnswer{
+		ID: order.ID, State: upstreamapi.OrderFailed, Reason: "weights are damaged", Clock: a.Load.Clock,
+		Incarnation: a.Incarnation, Revision: a.Revision, Accelerators: a.Accelerators, Resident: a.Resident,
+		HighestFencing: a.HighestFencing, UnderWay: a.UnderWay,
+	})
+	return recorder.Result()
+}
