--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -55,10 +55,38 @@
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", u.Name, u.Kind, u.Address, u.FailureDomain, state,
 			u.Running, u.Waiting, orNone(strings.Join(u.Holds, ", ")))
 	}
+	printPlacement(table, s.Engines)
 	// A reader that went away is no failure of the command.
 	_ = table.Flush()
 }
 
+// printPlacement prints the accounts of engines, their orders, and alarms.
+func printPlacement(table io.Writer, engines []registrar.EngineStatus) {
+	if len(engines) == 0 {
+		return
+	}
+	const mebibyte = 1 << 20
+	fmt.Fprintln(table, "\nENGINE\tACCELERATOR\tMEMORY MiB\tRESIDENT\tRESERVED\tPOSSIBLE")
+	for _, e := range engines {
+		for _, a := range e.Accelerators {
+			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\n", e.Name, a.Name, a.Memory/mebibyte, a.Resident/mebibyte,
+				a.Reserved/mebibyte, a.Possible/mebibyte)
+		}
+	}
+	fmt.Fprintln(table, "\nENGINE\tORDER\tKIND\tMODEL\tADAPTER\tWHY\tAT\tSTATE\tREASON")
+	for _, e := range engines {
+		for _, o := range e.Orders {
+			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", e.Name, o.ID, o.Kind, o.Model+"@"+o.Version,
+				orNone(o.Adapter), o.Why, o.At.UTC().Format(time.RFC3339), o.State, orNone(o.Reason))
+		}
+	}
+	for _, e := range engines {
+		for _, alarm := range e.Alarms {
+			fmt.Fprintf(table, "\nALARM: %s gets no orders: %s\n", e.Name, alarm)
+		}
+	}
+}
+
 // stateWords says what keeps an instance from taking new work.
 func stateWords(draining, stale bool) []string {
 	var words []string
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -192,6 +192,31 @@
 		Expect(name).To(Equal("a"))
 	})
 
+	It("keeps the limit of an upstream that is slow by itself", func() {
+		// A plain service always takes 200 ms, of a goal of 540 ms. That is its own
+		// time and no sign of too many requests: held to a fifth of the goal, its
+		// limit would shrink to one and its callers would be refused.
+		d.Update(dispatch.View{
+			Name: "seats", Incarnation: 1, Services: []string{"seat-check"}, Kind: upstreamapi.KindService,
+			LeaseUntil: start.Add(time.Hour),
+		})
+		request.Target = dispatch.Target{Service: "seat-check"}
+		now := start
+		for range 20 {
+			var flights []dispatch.Flight
+			for range 10 {
+				flights = append(flights, fly(now))
+			}
+			now = now.Add(200 * time.Millisecond)
+			for i := range flights {
+				d.FirstByte(now, &flights[i])
+				d.Finished(now, &flights[i])
+			}
+		}
+		_, limit := d.InFlight("seats")
+		Expect(limit).To(BeNumerically(">", 25))
+	})
+
 	It("goes over no more limits than are idle", func() {
 		d = dispatch.New(dispatch.Options{Instances: 7, Seed: 1})
 		d.Update(viewOf("a", 1, 16))
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -9,6 +9,8 @@
 	// that one factor does not mend, and the limit and the ejection act.
 	leastBias = 0.5
 	mostBias  = 4.0
+	// baseRate is the weight of a slower answer in the base.
+	baseRate = 0.002
 	// leastForecast is the shortest prediction in seconds that says anything of
 	// the bias.
 	leastForecast = 0.002
@@ -65,6 +67,7 @@
 	u.trail.add(step{at: now, promptTokens: -flight.promptTokens})
 	u.unanswered -= int(flight.promptTokens)
 	u.answer = moved(u.answer, took.Seconds())
+	u.learnBase(took.Seconds() - u.prefillTime(int(flight.promptTokens)))
 	if flight.predicted >= leastForecast {
 		ratio := took.Seconds() / flight.predicted
 		u.bias = min(max(u.bias+learnRate*(ratio-u.bias), leastBias), mostBias)
@@ -95,9 +98,22 @@
 	if r.Goal.FirstToken <= 0 {
 		return 0
 	}
-	idle := time.Duration(u.idle(max(r.PromptTokens-cached, 0)) * float64(time.Second))
-	left := max(r.Goal.FirstToken-idle, 0)
-	return idle + time.Duration(float64(left)*budgetShare)
+	idle := u.idle(max(r.PromptTokens-cached, 0))
+	// An upstream that can't meet the goal even when idle is held to its own time.
+	left := max(r.Goal.FirstToken.Seconds()-idle, idle)
+	return time.Duration((idle + left*budgetShare) * float64(time.Second))
+}
+
+// learnBase takes in the time of a first token without its prefill. The base
+// follows a faster answer at once and slower ones slowly, so that the time that
+// requests wait at a busy upstream is not taken for its own.
+func (u *upstream) learnBase(seconds float64) {
+	seconds = max(seconds, 0)
+	if !u.answered || seconds < u.base {
+		u.base, u.answered = seconds, true
+		return
+	}
+	u.base += baseRate * (seconds - u.base)
 }
 
 // Failure says what kept an answer from coming whole.
--- a/internal/dispatch/predict.go
+++ b/internal/dispatch/predict.go
@@ -46,8 +46,14 @@
 	}
 }
 
-// idle returns the seconds to the first token at u if nothing else ran there.
+// idle returns the seconds to the first token at u if nothing else ran there: the
+// prefill, and what the fastest answers took beside it.
 func (u *upstream) idle(prompt int) float64 {
+	return u.prefillTime(prompt) + u.base
+}
+
+// prefillTime returns the seconds that a prompt takes, 0 at a plain service.
+func (u *upstream) prefillTime(prompt int) float64 {
 	if u.view.Kind == upstreamapi.KindService {
 		return 0
 	}
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -35,6 +35,10 @@
 	// hold is the moving mean of a request's time from its first token to its end,
 	// in seconds, 0 before the first end.
 	hold float64
+	// base is about the least time to a first token beside the prefill, in seconds.
+	// It is 0 and answered is false before the first.
+	base     float64
+	answered bool
 	// answer is the moving mean of the time to first token, in seconds, 0 before
 	// the first answer. It predicts plain services, which report no speeds.
 	answer float64
--- /dev/null
+++ b/internal/foreman/duty_test.go
@@ -0,0 +1,51 @@
+package foreman_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/foreman"
+	"github.com/lovagelift/lovagelift/internal/manifest"
+	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+var _ = Describe("Unloads whose answer was lost", func() {
+	now := time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+	holder := func(name string) upstreamapi.Announcement {
+		return upstreamapi.Announcement{
+			Name: name, Incarnation: 1, Revision: 1, Kind: upstreamapi.KindEngine,
+			Accelerators: []upstreamapi.Accelerator{{Name: "a0", MemoryBytes: 100}},
+			Resident:     []upstreamapi.Resident{{Model: "letters", Version: "1", Accelerators: []string{"a0"}, MemoryBytes: 10}},
+		}
+	}
+
+	// Two engines hold a model, one is told to unload it, and the order is lost.
+	// Then the other engine is lost too. Sent again now, the order would take out
+	// the last copy. It waits until there is another.
+	It("are not sent again while they would take out the last copy", func() {
+		m := manifest.New()
+		m.Apply(manifest.Lead{Term: 1})
+		m.Apply(manifest.Reports{Announcements: []upstreamapi.Announcement{holder("e1"), holder("e2")}})
+		Expect(m.Apply(manifest.Record{Engine: "e1", Order: upstreamapi.Order{
+			ID: "out", Number: 1, Fencing: 1, Incarnation: 1, Kind: upstreamapi.OrderUnloadModel, Model: "letters", Version: "1",
+		}}).Accepted).To(BeTrue())
+		m.Apply(manifest.Lost{Engine: "e1", ID: "out"})
+		s := &stage{}
+		s.declare(map[string]int{"letters": 6})
+		both := map[string]roster.Upstream{"e1": {Announcement: holder("e1")}, "e2": {Announcement: holder("e2")}}
+		alone := map[string]roster.Upstream{"e1": {Announcement: holder("e1")}}
+		Expect(foreman.Resent(now, m.View(), both, s.declared)).To(Equal([]string{"out"}))
+		Expect(foreman.Resent(now, m.View(), alone, s.declared)).To(BeEmpty())
+		s.declare(map[string]int{"fares": 6})
+		Expect(foreman.Resent(now, m.View(), alone, s.declared)).To(Equal([]string{"out"}), "nobody asks for it any more")
+
+		stray := holder("e1")
+		stray.Revision = 2
+		stray.Resident = append(stray.Resident, upstreamapi.Resident{Model: "stray", Accelerators: []string{"a0"}, MemoryBytes: 1})
+		m.Apply(manifest.Reports{Announcements: []upstreamapi.Announcement{stray}})
+		Expect(foreman.Resent(now, m.View(), both, s.declared)).To(BeEmpty(), "its report contradicts the account")
+	})
+})
--- /dev/null
+++ b/internal/host/placement_test.go
@@ -0,0 +1,123 @@
+package host_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing/fstest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/declaration"
+	"github.com/lovagelift/lovagelift/internal/registrar"
+	"github.com/lovagelift/lovagelift/internal/standin"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// twoModels declares two models of 4 GiB.
+const twoModels = `
+[[preset]]
+name = "ordinary"
+first = true
+[[service]]
+name = "s"
+kind = "model-backed"
+models = ["letters", "fares"]
+[[model]]
+name = "letters"
+kv-space = "1 GiB"
+layouts = [{ accelerators = 1, memory = "3 GiB" }]
+versions = [{ name = "1", weights = "letters" }]
+version = "1"
+[[model]]
+name = "fares"
+kv-space = "1 GiB"
+layouts = [{ accelerators = 1, memory = "3 GiB" }]
+versions = [{ name = "1", weights = "fares" }]
+version = "1"
+`
+
+var _ = Describe("a voter that gives orders", func() {
+	It("has an empty engine load what is declared, and goes on with the account after a restart", func(ctx SpecContext) {
+		// An engine announces itself, empty. The models are declared, and loaded by
+		// orders. The instance restarts: it has the account and the orders again from
+		// its data folder.
+		m := newMember("a")
+		path := filepath.Join(GinkgoT().TempDir(), "a.toml")
+		text := strings.NewReplacer("CALLER", m.caller, "UPSTREAM", m.upstream, "OPERATOR", m.operator, "INNER", m.inner).
+			Replace(alone + "placement.enabled = true\n")
+		Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+		client, err := registrar.NewClient(registrar.ClientOptions{
+			Addresses: []netip.AddrPort{netip.MustParseAddrPort(m.operator)}, Timeout: 10 * time.Second,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		set, err := declaration.Read(fstest.MapFS{"all.toml": {Data: []byte(twoModels)}}, "test")
+		Expect(err).NotTo(HaveOccurred())
+		engine := startEngine(m.upstream)
+
+		stop := run(ctx, path)
+		Eventually(ctx, func() error {
+			_, err := client.Bootstrap(ctx)
+			return err
+		}).WithTimeout(20 * time.Second).Should(Succeed())
+		change := registrar.Change{ID: "first", Declarations: set.Canonical(), Preset: "ordinary"}
+		Eventually(ctx, client.Change).WithArguments(ctx, change).WithTimeout(20 * time.Second).
+			Should(Equal(registrar.Answer{Revision: 1}))
+		Eventually(ctx, held).WithArguments(engine).WithTimeout(60 * time.Second).Should(ConsistOf("letters", "fares"))
+		done := func() ([]registrar.OrderStatus, error) { return ordersOf(ctx, client) }
+		finished := And(HaveLen(2), HaveEach(HaveField("State", "done")), HaveEach(HaveField("Why", "unreachable")))
+		Eventually(ctx, done).WithTimeout(20 * time.Second).Should(finished)
+		stop()
+
+		stop = run(ctx, path)
+		defer stop()
+		Eventually(ctx, done).WithTimeout(20 * time.Second).Should(finished)
+		Expect(held(engine)).To(ConsistOf("letters", "fares"))
+		Expect(engine.Overcommits()).To(BeZero())
+	})
+})
+
+// startEngine starts an empty engine of 16 GiB that announces itself.
+func startEngine(to string) *standin.Engine {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	engine := standin.NewEngine(standin.EngineOptions{
+		Name: "engine-1", Address: listener.Addr().String(), FailureDomain: "kgn-a",
+		Fencing:      upstreamapi.FencingChecked,
+		Accelerators: []upstreamapi.Accelerator{{Name: "a0", MemoryBytes: 16 << 30}},
+		LoadDelay:    100 * time.Millisecond,
+		Announce:     standin.AnnounceOptions{To: []string{to}},
+	})
+	server := &http.Server{Handler: engine, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(func() {
+		ended, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = engine.Close(ended)
+		server.Close()
+	})
+	return engine
+}
+
+func held(engine *standin.Engine) []string {
+	var names []string
+	for _, r := range engine.Announcement().Resident {
+		names = append(names, r.Model)
+	}
+	return names
+}
+
+// ordersOf returns the orders to the only engine.
+func ordersOf(ctx context.Context, client *registrar.Client) ([]registrar.OrderStatus, error) {
+	status, err := client.Status(ctx)
+	if err != nil || len(status.Engines) != 1 {
+		return nil, err
+	}
+	return status.Engines[0].Orders, nil
+}
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -197,6 +197,7 @@
 		Streams:       i.desk.Streams(),
 		Leader:        leader.Instance(),
 		Term:          uint64(term),
+		Engines:       i.placementStatus(),
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -17,6 +17,7 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/desk"
+	"github.com/lovagelift/lovagelift/internal/foreman"
 	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
@@ -31,6 +32,8 @@
 	chamber     chamber.Chamber
 	shuttle     *shuttle.Shuttle
 	desk        *desk.Desk
+	// foreman is nil unless this instance is a voter that may give orders.
+	foreman *foreman.Foreman
 	// callers, upstreams and operators serve the listeners of those names.
 	callers   *http.Server
 	upstreams *http.Server
@@ -125,6 +128,7 @@
 	i.done.Go(func() { i.pull(ctx) })
 	i.done.Go(func() { i.beat(ctx) })
 	i.done.Go(func() { i.abandonEarlier(ctx) })
+	i.foreman = i.newForeman()
 	return i, nil
 }
 
@@ -227,6 +231,7 @@
 	}
 	// What was run must be recorded before the voters are left.
 	i.desk.Wait()
+	i.stopOrders()
 	i.chamber.Close(ctx)
 	i.Close()
 	return err
@@ -250,6 +255,7 @@
 			server.Close()
 		}
 	}
+	i.stopOrders()
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	i.chamber.Close(ended)
--- a/internal/registrar/register.go
+++ b/internal/registrar/register.go
@@ -144,6 +144,9 @@
 	Term      uint64           `json:"term"`
 	Instances []InstanceStatus `json:"instances"`
 	Upstreams []UpstreamStatus `json:"upstreams"`
+	// Engines is what is recorded of engines that get orders. It is empty unless
+	// the instance is a voter.
+	Engines []EngineStatus `json:"engines,omitempty"`
 }
 
 // InstanceStatus is an instance as this one knows it.
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -70,6 +70,7 @@
 	p.limits(root.Table("limits"), &s.Limits)
 	s.TLS = p.tls(root.Table("tls"))
 	s.Tokens = p.tokens(root.Table("tokens"))
+	p.placement(root.Table("placement"), &s.Placement)
 	p.weightStore(root.Table("weight-store"), &s.WeightStore)
 	p.policy(root.Table("policy"), &s.Policy)
 	p.goals(root.Table("goals"), &s.Goals)
@@ -200,6 +201,11 @@
 	return t
 }
 
+func (p *parser) placement(r *form.Reader, set *Placement) {
+	set.Enabled = r.Flag("enabled", set.Enabled)
+	r.Done()
+}
+
 func (p *parser) weightStore(r *form.Reader, w *WeightStore) {
 	w.LoadsPerSecond = r.Number("loads-per-second", w.LoadsPerSecond, 0.001, 10_000)
 	w.Concurrent = r.Count("concurrent", w.Concurrent, 1, 10_000)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,7 @@
 	Limits      Limits
 	TLS         TLS
 	Tokens      Tokens
+	Placement   Placement
 	WeightStore WeightStore
 	Policy      Policy
 	Goals       Goals
@@ -164,6 +165,13 @@
 	UpstreamsFile string
 }
 
+// Placement says whether the system gives orders to engines.
+type Placement struct {
+	// Enabled has the voter that leads give orders. All voters must run a program
+	// that knows them, and all have the same setting.
+	Enabled bool
+}
+
 // WeightStore is what the weight store allows.
 type WeightStore struct {
 	// LoadsPerSecond is the rate at which loads may start.
