placement: the trace of the measure begins when all is up

Cause: at a weight store that runs two loads at once, loads of 30 s took longer than the 300 s before the trace; in a trial, models were counted as out of reach that had never been loaded.

Change: the trace begins when every model can be reached and no order is open.

--- a/internal/placement/world_test.go
+++ b/internal/placement/world_test.go
@@ -205,6 +205,16 @@
 	return missing
 }
 
+// busy tells whether an order is open.
+func (w *world) busy() bool {
+	for _, l := range w.ledgers {
+		if len(l.Open()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // copies returns how many serving engines hold the model.
 func (w *world) copies(model string) int {
 	copies := 0
