instance: upstreams of the own failure domain go first among equals

Cause: the time to another domain was left at zero, so that half of all requests crossed domains without a gain.

Change: the desk is told of a millisecond one way.

Conclusion: not measured; the predicted difference is two milliseconds.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -102,6 +102,7 @@
 		Shuttle:     i.shuttle,
 
 		FailureDomain: options.Settings.FailureDomain,
+		RemoteDelay:   remoteDelay,
 		Instances:     len(options.Settings.Instances) + 1,
 		UpstreamLease: options.Settings.Timing.UpstreamLease,
 
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -52,6 +52,10 @@
 	// pullEvery is the time between two pulls of another's roster. An upstream
 	// that leaves is known everywhere after two pulls.
 	pullEvery = 250 * time.Millisecond
+	// remoteDelay is about the time one way to another failure domain, as the
+	// users give it. It makes the upstreams of one's own domain go first among
+	// equals.
+	remoteDelay = time.Millisecond
 	// callTimeout bounds one call between instances.
 	callTimeout = time.Second
 )
