gauge: metrics of an instance, answered on the operators' listener

Cause: what the parts counted reached nobody. Conclusion: read from the example by hand; a spec keeps two instances in one process apart.

--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -18,6 +18,7 @@
 	goal     declaration.Goal
 	// weight is the share of the service among those of its priority.
 	weight   float64
+	arrived  time.Time
 	deadline time.Time
 }
 
@@ -30,7 +31,7 @@
 		return admitted{}, refusal
 	}
 	issue := d.options.Instance.Issue()
-	a := admitted{name: service}
+	a := admitted{name: service, arrived: now}
 	if service != "" {
 		a.declared, _ = issue.Declarations.Service(service)
 	} else {
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -27,6 +27,7 @@
 	request shuttle.Request
 	// admitted is what the configuration says of the request.
 	admitted admitted
+	arrived  time.Time
 	deadline time.Time
 	// events is true if a stream of events is whole only with its last event.
 	events bool
@@ -131,8 +132,10 @@
 	err := shuttle.Stream(c.Response(), answer, task.events && isEventStream(answer))
 	delivery.trip.end(failureOfAnswer(answer.Status, err))
 	if err == nil {
+		d.counts.answered(task.service, d.options.Now().Sub(task.arrived))
 		return nil
 	}
+	d.counts.cutOff(task.service)
 	d.options.Log.Warn().Err(err).Str("request", task.id).Msg("answer not whole")
 	if isEventStream(answer) {
 		writeCutOffEvent(c.Response())
--- a/internal/desk/completions.go
+++ b/internal/desk/completions.go
@@ -42,6 +42,7 @@
 			Priority:   admitted.goal.Priority,
 		},
 		admitted: admitted,
+		arrived:  admitted.arrived,
 		deadline: admitted.deadline,
 		events:   true,
 	})
@@ -72,6 +73,7 @@
 			Priority:   admitted.goal.Priority,
 		},
 		admitted: admitted,
+		arrived:  admitted.arrived,
 		deadline: admitted.deadline,
 	})
 }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -12,6 +12,7 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/docket"
@@ -116,6 +117,8 @@
 	Now    func() time.Time
 	Log    zerolog.Logger
 	Limits Limits
+	// Metrics is where the desk counts. Nil stands for nowhere.
+	Metrics tally.Scope
 }
 
 // Desk is the handler of all callers' requests. It is safe for concurrent use.
@@ -123,6 +126,7 @@
 	options Options
 	echo    *echo.Echo
 	streams atomic.Int64
+	counts  counts
 	// claims numbers the claims of this incarnation.
 	claims atomic.Uint64
 	// background is the recordings that callers don't wait for.
@@ -136,6 +140,7 @@
 	d := &Desk{
 		options: options,
 		echo:    echo.New(),
+		counts:  newCounts(options.Metrics),
 		router:  newRouter(options),
 	}
 	d.echo.HTTPErrorHandler = d.handleError
@@ -153,8 +158,8 @@
 
 // ServeHTTP answers one request of a caller.
 func (d *Desk) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	d.streams.Add(1)
-	defer d.streams.Add(-1)
+	d.counts.open(d.streams.Add(1))
+	defer func() { d.counts.open(d.streams.Add(-1)) }()
 	d.echo.ServeHTTP(w, r)
 }
 
--- a/internal/desk/refusal.go
+++ b/internal/desk/refusal.go
@@ -105,6 +105,7 @@
 		return
 	}
 	refusal := refusalOf(err)
+	d.counts.refused(refusal.Code, refusal.Outcome)
 	if refusal.Code == CodeInternal {
 		d.options.Log.Error().Err(err).Str("path", c.Request().URL.Path).Msg("request failed")
 	}
--- /dev/null
+++ b/internal/gauge/gauge_test.go
@@ -0,0 +1,30 @@
+package gauge_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/gauge"
+)
+
+var _ = Describe("Gauges", func() {
+	It("answer what was counted, each instance its own", func() {
+		a := gauge.New("a")
+		b := gauge.New("b")
+		a.Scope().Tagged(map[string]string{"code": "no-upstream"}).Counter("refusals").Inc(2)
+		// Close reports what was counted.
+		Expect(a.Close()).To(Succeed())
+		Expect(b.Close()).To(Succeed())
+		Expect(read(a)).To(ContainSubstring(`lovagelift_refusals{code="no-upstream",instance="a"} 2`))
+		Expect(read(b)).NotTo(ContainSubstring("refusals"))
+	})
+})
+
+func read(g *gauge.Gauges) string {
+	recorder := httptest.NewRecorder()
+	g.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return recorder.Body.String()
+}
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -27,6 +27,7 @@
 		Lease:      s.Timing.ConfigurationLease,
 		Now:        i.options.Now,
 		Log:        i.options.Log,
+		Metrics:    i.gauges.Scope(),
 	}
 	for _, peer := range s.Instances {
 		if peer.Voter {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -18,6 +18,7 @@
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/desk"
 	"github.com/lovagelift/lovagelift/internal/foreman"
+	"github.com/lovagelift/lovagelift/internal/gauge"
 	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
@@ -34,6 +35,7 @@
 	desk        *desk.Desk
 	// foreman is nil unless this instance is a voter that may give orders.
 	foreman *foreman.Foreman
+	gauges  *gauge.Gauges
 	// callers, upstreams and operators serve the listeners of those names.
 	callers   *http.Server
 	upstreams *http.Server
@@ -88,6 +90,7 @@
 		shuttle:    shuttle.New(shuttle.Options{SilenceTime: options.Settings.Timing.SilenceTime}),
 		peers:      map[string]*pulled{},
 		drainAsked: make(chan struct{}),
+		gauges:     gauge.New(options.Settings.Name),
 		stop:       cancel,
 	}
 	if err := i.join(); err != nil {
@@ -106,8 +109,9 @@
 		Instances:     len(options.Settings.Instances) + 1,
 		UpstreamLease: options.Settings.Timing.UpstreamLease,
 
-		Now: options.Now,
-		Log: options.Log,
+		Now:     options.Now,
+		Log:     options.Log,
+		Metrics: i.gauges.Scope(),
 		Limits: desk.Limits{
 			BodyBytes: options.Settings.Limits.BodyBytes,
 			Deadline:  options.Settings.Goals.Deadline,
@@ -175,6 +179,7 @@
 	i.operators = i.serve("operators", i.options.Listeners.Operator, registrar.New(registrar.Options{
 		Register:   i.register(),
 		House:      house{i},
+		Metrics:    i.gauges,
 		Electorate: i,
 		Holder:     holder(i.options.Operators, "operator"),
 		Now:        i.options.Now,
@@ -268,6 +273,9 @@
 	}
 	i.done.Wait()
 	i.shuttle.Close()
+	if err := i.gauges.Close(); err != nil {
+		i.options.Log.Debug().Err(err).Msg("metrics not closed")
+	}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -35,6 +35,8 @@
 type Options struct {
 	Register Register
 	House    House
+	// Metrics answers GET /metrics. Nil stands for none.
+	Metrics http.Handler
 	// Electorate may be nil where operators do not change voters.
 	Electorate Electorate
 	// Holder returns the name of the operator who holds a token.
@@ -71,6 +73,9 @@
 	r.echo.POST(changesPath, r.change)
 	r.echo.GET(statusPath, r.status)
 	r.echo.POST(drainPath, r.drain)
+	if options.Metrics != nil {
+		r.echo.GET(metricsPath, echo.WrapHandler(options.Metrics))
+	}
 	if options.Electorate != nil {
 		r.echo.GET(votersPath, r.voters)
 		r.echo.POST(votersPath, r.changeVoters)
--- a/internal/registrar/wire.go
+++ b/internal/registrar/wire.go
@@ -9,8 +9,9 @@
 
 // Paths that ask for no token.
 const (
-	healthPath = "/healthz"
-	readyPath  = "/readyz"
+	healthPath  = "/healthz"
+	metricsPath = "/metrics"
+	readyPath   = "/readyz"
 )
 
 const (
