--- a/internal/foreman/fakes_test.go
+++ b/internal/foreman/fakes_test.go
@@ -62,8 +62,12 @@
 	net     *network
 	engines map[string]*standin.Engine
 	// gone are engines that are not heard of.
-	gone     map[string]bool
+	gone map[string]bool
+	// lags are inventories of engines that are reported with later clocks.
+	lags     map[string]upstreamapi.Announcement
 	declared declaration.Set
+	// preset is the name of the one in force.
+	preset   string
 	revision registry.Revision
 
 	mu    sync.Mutex
@@ -87,9 +91,9 @@
 				RegisterTestingT(t)
 				s := &stage{
 					kind: k, engines: map[string]*standin.Engine{}, gone: map[string]bool{},
-					state: registry.New(), holder: 1, revision: 1,
+					state: registry.New(), holder: 1, revision: 1, preset: "ordinary",
 				}
-				s.net = &network{stage: s}
+				s.net = &network{stage: s, late: map[string][]upstreamapi.Order{}}
 				s.lines = zerolog.SyncWriter(&s.log)
 				defer func() {
 					for _, e := range s.engines {
@@ -133,6 +137,7 @@
 		fmt.Fprintf(&names, "%q, ", name)
 	}
 	fmt.Fprintf(&text, "[[preset]]\nname = \"ordinary\"\nfirst = true\ntolerate-engines = 0\n"+
+		"[[preset]]\nname = \"peak\"\ncopies = 2\ntolerate-engines = 0\n"+
 		"[[service]]\nname = \"s\"\nkind = \"model-backed\"\nmodels = [%s]\n", names.String())
 	set, err := declaration.Read(fstest.MapFS{"all.toml": {Data: []byte(text.String())}}, "test")
 	Expect(err).NotTo(HaveOccurred())
@@ -142,7 +147,8 @@
 
 // Issue returns the configuration in force.
 func (s *stage) Issue() *gazette.Issue {
-	return &gazette.Issue{Revision: s.revision, Preset: s.declared.FirstPreset(), Declarations: s.declared}
+	preset, _ := s.declared.Preset(s.preset)
+	return &gazette.Issue{Revision: s.revision, Preset: preset, Declarations: s.declared}
 }
 
 // Upstreams returns the engines that are heard of.
@@ -150,7 +156,12 @@
 	var list []roster.Upstream
 	for name, e := range s.engines {
 		if !s.gone[name] {
-			list = append(list, roster.Upstream{Announcement: e.Announcement(), Heard: now})
+			announced := e.Announcement()
+			if old, lags := s.lags[name]; lags {
+				old.Load.Clock = announced.Load.Clock
+				announced = old
+			}
+			list = append(list, roster.Upstream{Announcement: announced, Heard: now})
 		}
 	}
 	return list
@@ -280,8 +291,8 @@
 	to []string
 	// fate says what happens to an order. Nil means that it arrives.
 	fate func(upstreamapi.Order) fate
-	// late are orders that are still under way.
-	late []upstreamapi.Order
+	// late are orders that are still under way, by engine.
+	late map[string][]upstreamapi.Order
 	// asked counts the questions after orders.
 	asked int
 }
@@ -341,7 +352,7 @@
 	}
 	f := n.fate(order)
 	if f == comesLate {
-		n.late = append(n.late, order)
+		n.late[to] = append(n.late[to], order)
 	}
 	return f
 }
@@ -359,8 +370,8 @@
 // deliverLate has all orders arrive at the engine that are still under way.
 func (n *network) deliverLate(name string) {
 	n.mu.Lock()
-	late := n.late
-	n.late = nil
+	late := n.late[name]
+	delete(n.late, name)
 	n.mu.Unlock()
 	for _, order := range late {
 		response, err := n.deliver(name, post(encode(order)))
--- a/internal/foreman/faults_test.go
+++ b/internal/foreman/faults_test.go
@@ -153,7 +153,7 @@
 		}
 		leader := s.leader(1)
 		s.run(3250*time.Millisecond, leader)
-		Expect(s.net.late).To(HaveLen(1))
+		Expect(s.net.late["e1"]).To(HaveLen(1))
 		Expect(s.states("e1")).To(HaveExactElements(manifest.StateRecorded))
 		s.run(500*time.Millisecond, leader)
 		s.change(1)
@@ -264,6 +264,32 @@
 	})
 }
 
+// The preset changes in the middle: a load is under way and its answer is lost
+// when two copies of each model are asked for instead of one. The order goes on;
+// the second copy is loaded beside it and nothing is loaded twice. Back at the
+// first preset, no copy is unloaded: memory is not short.
+func TestPresetChangesInTheMiddle(t *testing.T) {
+	onStage(t, func(s *stage) {
+		s.start("e1", 1)
+		s.start("e2", 1)
+		s.declare(map[string]int{"letters": 4, "fares": 4})
+		s.net.fate = onlyFirst(losesAnswer)
+		leader := s.leader(1)
+		s.run(3500*time.Millisecond, leader)
+		Expect(s.net.ids()).NotTo(BeEmpty())
+		s.preset = "peak"
+		s.run(40*time.Second, leader)
+		for _, name := range []string{"e1", "e2"} {
+			Expect(s.holds(name, "letters") && s.holds(name, "fares")).To(BeTrue(), name)
+			Expect(s.open(name)).To(BeEmpty())
+		}
+		Expect(s.net.ids()).To(HaveLen(4))
+		s.preset = "ordinary"
+		s.run(40*time.Second, leader)
+		Expect(s.net.ids()).To(HaveLen(4))
+	})
+}
+
 // Leader changed: an order of the old leader is still under way when the new one
 // gives orders, and arrives after them. An engine that checks refuses it. At one
 // that ignores fencing numbers it takes effect, and was counted all along. The
@@ -275,7 +301,7 @@
 		s.net.fate = onlyFirst(comesLate)
 		old := s.leader(1)
 		s.run(3500*time.Millisecond, old)
-		Expect(s.net.late).To(HaveLen(1))
+		Expect(s.net.late["e1"]).To(HaveLen(1))
 		s.change(2)
 		leader := s.leader(2)
 		s.run(2*time.Second, old, leader)
@@ -299,7 +325,7 @@
 		s.run(4*time.Second, leader)
 		Expect(s.net.orders).To(HaveLen(1))
 		s.start("e1", 2)
-		s.net.late = []upstreamapi.Order{s.net.orders[0]}
+		s.net.late["e1"] = []upstreamapi.Order{s.net.orders[0]}
 		s.net.deliverLate("e1")
 		s.run(15*time.Second, leader)
 		Expect(s.holds("e1", "letters")).To(BeTrue())
@@ -341,7 +367,7 @@
 		s.declare(map[string]int{"letters": 4})
 		leader := s.leader(1)
 		s.run(8*time.Second, leader)
-		s.net.late = []upstreamapi.Order{{
+		s.net.late["e1"] = []upstreamapi.Order{{
 			ID: "foreign", Number: 99, Fencing: 1, Incarnation: 1, Kind: upstreamapi.OrderLoadModel, Model: "stray",
 			Version: "1", Accelerators: []string{"a0"}, MemoryBytes: gib,
 		}}
