--- /dev/null
+++ b/internal/foreman/bench_test.go
@@ -0,0 +1,96 @@
+package foreman_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lovagelift/lovagelift/internal/declaration"
+	"github.com/lovagelift/lovagelift/internal/foreman"
+	"github.com/lovagelift/lovagelift/internal/gazette"
+	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/manifest"
+	"github.com/lovagelift/lovagelift/internal/placement"
+	"github.com/lovagelift/lovagelift/internal/registry"
+	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// crowd is so many engines with two accelerators and four models each, at rest.
+type crowd struct {
+	state     *registry.Registry
+	index     jury.Index
+	upstreams []roster.Upstream
+}
+
+func newCrowd(engines int) *crowd {
+	c := &crowd{state: registry.New()}
+	for i := range engines {
+		a := upstreamapi.Announcement{
+			Name: fmt.Sprintf("e%04d", i), Incarnation: 1, Revision: 9, Kind: upstreamapi.KindEngine, FailureDomain: "d",
+			Address: "127.0.0.1:9", Fencing: upstreamapi.FencingChecked,
+			Capabilities: []upstreamapi.Capability{upstreamapi.CapabilityOrders, upstreamapi.CapabilityOrderStatus},
+			Accelerators: []upstreamapi.Accelerator{{Name: "a0", MemoryBytes: 80 * gib}, {Name: "a1", MemoryBytes: 80 * gib}},
+		}
+		for m := range 4 {
+			a.Resident = append(a.Resident, upstreamapi.Resident{
+				Model: fmt.Sprintf("m%04d", (4*i+m)%1700), Version: "1", Adapters: []string{"x", "y"},
+				Accelerators: []string{fmt.Sprint("a", m%2)}, MemoryBytes: 30 * gib,
+			})
+		}
+		c.upstreams = append(c.upstreams, roster.Upstream{Announcement: a})
+	}
+	return c
+}
+
+func (c *crowd) Issue() *gazette.Issue { return &gazette.Issue{Declarations: declaration.Set{}} }
+
+func (c *crowd) Upstreams(time.Time) []roster.Upstream { return c.upstreams }
+
+func (c *crowd) Manifest() manifest.View { return c.state.Manifest() }
+
+func (c *crowd) OrderRight(now time.Time) (jury.Term, time.Time, bool) {
+	return 1, now.Add(time.Second), true
+}
+
+func (c *crowd) Propose(_ context.Context, command registry.Command) (registry.Result, error) {
+	data, err := registry.Encode(command)
+	if err != nil {
+		return registry.Result{}, err
+	}
+	c.index++
+	return c.state.Apply(c.index, data)
+}
+
+// BenchmarkRound is one round without a plan: all engines are known, and nothing
+// is new. There are four a second. snapshot-B/engine is what an engine takes of a
+// snapshot.
+func BenchmarkRound(b *testing.B) {
+	for _, engines := range []int{12, 110, 367, 1100} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			c := newCrowd(engines)
+			f := foreman.NewStill(foreman.Options{
+				Register: c, World: c, Planner: placement.New(placement.Options{}), Client: &http.Client{},
+				Now: time.Now, Log: zerolog.Nop(),
+			})
+			now := time.Now()
+			f.Round(now)
+			if known := len(c.Manifest().Engines); known != engines {
+				b.Fatal(known)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				f.Round(now)
+			}
+			snapshot, err := c.state.Snapshot()
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(snapshot))/float64(engines), "snapshot-B/engine")
+		})
+	}
+}
--- a/internal/foreman/duty_test.go
+++ b/internal/foreman/duty_test.go
@@ -49,3 +49,11 @@
 		Expect(foreman.Resent(now, m.View(), both, s.declared)).To(BeEmpty(), "its report contradicts the account")
 	})
 })
+
+var _ = DescribeTable("The pause after a plan", func(cost, pause time.Duration) {
+	Expect(foreman.PauseAfter(cost)).To(Equal(pause))
+},
+	Entry("that took no time", time.Duration(0), time.Second),
+	Entry("that took long enough to be felt", 100*time.Millisecond, 3*time.Second),
+	Entry("that took a second", time.Second, 5*time.Second),
+)
--- a/internal/foreman/export_test.go
+++ b/internal/foreman/export_test.go
@@ -31,3 +31,8 @@
 	}
 	return ids
 }
+
+// PauseAfter returns the time until the next plan after one that took so long.
+func PauseAfter(cost time.Duration) time.Duration {
+	return pauseAfter(cost)
+}
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -71,8 +71,12 @@
 const (
 	// DefaultEvery is how soon a report or a lost answer is acted upon.
 	DefaultEvery = 250 * time.Millisecond
-	// planEvery is the time between two plans.
+	// planEvery is the time between two plans, unless they are costly.
 	planEvery = time.Second
+	// planShare bounds what plans take of one core to one part in so many, and
+	// maxPlanPause what that delays a need.
+	planShare    = 30
+	maxPlanPause = 5 * time.Second
 	// retryAfter is the time between two calls about one order.
 	retryAfter = time.Second
 	// proposeTimeout bounds one proposal.
@@ -114,7 +118,9 @@
 	alarmed  map[string]uint64
 	previous placement.State
 	planned  time.Time
-	plan     placement.Plan
+	// pause is the time from planned to the next plan.
+	pause time.Duration
+	plan  placement.Plan
 }
 
 // New starts a Foreman.
--- a/internal/foreman/place.go
+++ b/internal/foreman/place.go
@@ -20,7 +20,7 @@
 func (f *Foreman) place(now time.Time, term uint64, present map[string]roster.Upstream) {
 	issue := f.options.World.Issue()
 	f.mu.Lock()
-	early := now.Sub(f.since) < f.options.UpstreamLease || !f.planned.IsZero() && now.Sub(f.planned) < planEvery
+	early := now.Sub(f.since) < f.options.UpstreamLease || !f.planned.IsZero() && now.Sub(f.planned) < f.pause
 	previous := f.previous
 	f.mu.Unlock()
 	if early || issue.Revision == 0 {
@@ -30,6 +30,7 @@
 	if f.options.Demand != nil {
 		asked = f.options.Demand(now)
 	}
+	began := f.options.Now()
 	plan := f.options.Planner.Plan(now, placement.Input{
 		Declarations:  issue.Declarations,
 		Preset:        issue.Preset,
@@ -43,6 +44,7 @@
 	f.mu.Lock()
 	changed := !slices.Equal(plan.Problems, f.plan.Problems)
 	f.previous, f.planned, f.plan = plan.Next, now, plan
+	f.pause = pauseAfter(f.options.Now().Sub(began))
 	f.mu.Unlock()
 	if changed {
 		for _, p := range plan.Problems {
@@ -55,6 +57,13 @@
 	}
 }
 
+// pauseAfter returns the time until the next plan after one that took so long.
+// Plans of a large deployment must not take the processor from those who wait for
+// an answer.
+func pauseAfter(cost time.Duration) time.Duration {
+	return min(max(planEvery, planShare*cost), maxPlanPause)
+}
+
 // avoided returns the loads that failed or could not be sent a short time ago.
 // They come from the replicated state, so a new leader avoids them as well.
 func avoided(now time.Time, state manifest.View) []placement.Avoided {
--- a/internal/ledger/holdings.go
+++ b/internal/ledger/holdings.go
@@ -73,6 +73,11 @@
 	}, loads
 }
 
+// Revision returns that of the inventory that was last adopted.
+func (l Ledger) Revision() uint64 {
+	return l.revision
+}
+
 // Clock returns the latest time on the engine's clock in what the account has
 // taken in.
 func (l Ledger) Clock() time.Time {
--- a/internal/manifest/engine.go
+++ b/internal/manifest/engine.go
@@ -67,7 +67,14 @@
 
 // Learns tells whether the announcement changes what is recorded of the engine,
 // so that it is worth a Reports.
+//
+// Most announcements say nothing new, which their revision tells without a look at
+// the rest: a revision that was recorded closes no order that was recorded after.
 func (e Engine) Learns(a upstreamapi.Announcement) bool {
+	seen := a.Incarnation == e.Ledger.Incarnation() && a.Revision <= e.Ledger.Revision()
+	if seen && ledger.TraitsOf(a) == ledger.TraitsOf(e.Announced) {
+		return false
+	}
 	return a.Incarnation > e.Announced.Incarnation || e.Ledger.Learns(e.dated(a))
 }
 
