--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -87,7 +87,10 @@
 			heartbeats: courier.NewPool(options.Dial, callTimeout),
 			entries:    courier.NewPool(options.Dial, callTimeout),
 		},
-		shuttle:    shuttle.New(shuttle.Options{SilenceTime: options.Settings.Timing.SilenceTime}),
+		shuttle: shuttle.New(shuttle.Options{
+			SilenceTime: options.Settings.Timing.SilenceTime,
+			BodySilence: options.AnswerPause,
+		}),
 		peers:      map[string]*pulled{},
 		drainAsked: make(chan struct{}),
 		gauges:     gauge.New(options.Settings.Name),
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -17,7 +17,7 @@
 var _ = Describe("three instances", func() {
 	var trio map[string]*placed
 
-	BeforeEach(func(ctx SpecContext) { trio = newTrio(ctx) })
+	BeforeEach(func(ctx SpecContext) { trio = newTrio(ctx, 0) })
 
 	others := func(p *placed) []*placed {
 		var rest []*placed
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -23,6 +23,9 @@
 	// none is asked for.
 	Operators *badge.Book
 	Upstreams *badge.Book
+	// AnswerPause is how long an upstream's answer may pause before it counts as
+	// cut off. 0 stands for the default of package shuttle.
+	AnswerPause time.Duration
 	// Version is the version of the program.
 	Version string
 	Log     zerolog.Logger
--- a/internal/instance/trio_test.go
+++ b/internal/instance/trio_test.go
@@ -37,8 +37,9 @@
 	ended bool
 }
 
-// newTrio starts three voters and founds their cluster.
-func newTrio(ctx context.Context) map[string]*placed {
+// newTrio starts three voters and founds their cluster. An upstream's answer may
+// pause for as long as answerPause says, 0 for the default.
+func newTrio(ctx context.Context, answerPause time.Duration) map[string]*placed {
 	trio := map[string]*placed{}
 	listeners := map[string]instance.Listeners{}
 	for _, name := range []string{"a", "b", "c"} {
@@ -66,7 +67,7 @@
 				})
 			}
 		}
-		p.start(listeners[p.name])
+		p.start(listeners[p.name], answerPause)
 	}
 	Expect(trio["a"].Bootstrap(ctx)).To(Succeed())
 	for _, p := range trio {
@@ -75,9 +76,9 @@
 	return trio
 }
 
-func (p *placed) start(listeners instance.Listeners) {
+func (p *placed) start(listeners instance.Listeners, answerPause time.Duration) {
 	started, err := instance.New(instance.Options{
-		Settings: p.set, Listeners: listeners, Log: zerolog.Nop(),
+		Settings: p.set, Listeners: listeners, AnswerPause: answerPause, Log: zerolog.Nop(),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			if p.cut.Load() {
 				return nil, errors.New("cut off")
