roster: an instance whose clock stepped back is known again within a lease

Cause: an instance's incarnation is the time of its start. With a clock that stepped back across a restart it is below the former one, and the others took the records of the living process for late ones of an earlier: the instance was named to no caller, for thirty leases, or until its clock caught up as seen by those that still held the former record. After a drain they also held it for draining.

Ruled out: an incarnation kept on disk, as only a few instances have one; and raising the own incarnation when others are heard to hold a higher one, as claims carry it and must not change in the middle.

Change: of two incarnations of an instance that were heard of a lease apart, the later heard is the later one; within a lease the number decides as before. A record's age travels with it, so what others still hand on of the former one does not come back. Upstreams stay with the number alone: the ledger's proofs rest on it.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -76,7 +76,8 @@
 type Options struct {
 	// Self is the name of this instance.
 	Self string
-	// Incarnation grows with every start of this instance.
+	// Incarnation differs at every start of this instance, and grows as far as its
+	// clock does.
 	Incarnation uint64
 	// Static describes this instance.
 	Static InstanceStatic
@@ -97,8 +98,8 @@
 func New(options Options) *Roster {
 	return &Roster{
 		options:   options,
-		upstreams: NewTable[upstreamStatic, upstreamapi.Load](),
-		instances: NewTable[InstanceStatic, InstanceBeat](),
+		upstreams: NewTable[upstreamStatic, upstreamapi.Load](0),
+		instances: NewTable[InstanceStatic, InstanceBeat](options.Lease),
 	}
 }
 
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -33,6 +33,10 @@
 	change uint64
 	// handles is the number of rows that there have ever been.
 	handles uint32
+	// lapse is how far apart two incarnations of a member must have been heard
+	// of for the time to say which one is the later. It is 0 if their numbers
+	// alone do.
+	lapse time.Duration
 }
 
 type row[S, B any] struct {
@@ -51,9 +55,10 @@
 	wholeChanged uint64
 }
 
-// NewTable returns an empty table.
-func NewTable[S, B any]() *Table[S, B] {
-	return &Table[S, B]{rows: map[string]*row[S, B]{}}
+// NewTable returns an empty table. If lapse is above 0, an incarnation that was
+// heard of that much later than another is the later one, whatever its number.
+func NewTable[S, B any](lapse time.Duration) *Table[S, B] {
+	return &Table[S, B]{rows: map[string]*row[S, B]{}, lapse: lapse}
 }
 
 // Hearing is how a record was heard of.
@@ -76,7 +81,7 @@
 		held = &row[S, B]{handle: t.handles}
 		t.handles++
 		t.rows[record.Name] = held
-	} else if !newer(record.Incarnation, record.Sequence, held.incarnation, held.sequence) {
+	} else if !t.newer(record, hearing.At, held) {
 		return false
 	}
 	if record.Static == nil && record.Incarnation != held.incarnation {
@@ -162,9 +167,20 @@
 	return names
 }
 
-func newer(incarnation, sequence, heldIncarnation, heldSequence uint64) bool {
-	if incarnation != heldIncarnation {
-		return incarnation > heldIncarnation
+// newer tells whether a record that was heard of at a time replaces a row.
+//
+// A member draws its incarnation from its clock, which may have stepped back
+// across a restart: the process that lives would be taken for a former one, and
+// nobody would be sent to it until that one is forgotten. A member sends no two
+// renewals further apart than its lease, so of two incarnations that were heard
+// of a lease apart, the first had ended.
+func (t *Table[S, B]) newer(record Record[S, B], heard time.Time, held *row[S, B]) bool {
+	if record.Incarnation == held.incarnation {
+		return record.Sequence > held.sequence
 	}
-	return sequence > heldSequence
+	apart := heard.Sub(held.heard)
+	if t.lapse > 0 && apart.Abs() >= t.lapse {
+		return apart > 0
+	}
+	return record.Incarnation > held.incarnation
 }
