--- a/internal/command/plan.go
+++ b/internal/command/plan.go
@@ -12,18 +12,20 @@
 func newPlan() command {
 	var operator operatorFlags
 	var folder, preset string
+	var placed bool
 	flags := newSubcommand("plan", "shows what apply would change, and the revision to give it; changes nothing",
 		"lovagelift plan --token-file kim.token examples/declarations/kingston")
 	flags.AddPositionalValue(&folder, "folder", 1, true, "the folder of declarations")
 	flags.String(&preset, "p", "preset", "the preset to bring into force with them; else the one in force stays")
+	flags.Bool(&placed, "", "placement", "show the moves too that it would cause; a voter knows them")
 	operator.addTo(flags)
 	run := func(ctx context.Context, streams Streams) int {
-		return plan(ctx, &operator, folder, preset, streams)
+		return plan(ctx, &operator, folder, preset, placed, streams)
 	}
 	return command{flags: flags, run: run}
 }
 
-func plan(ctx context.Context, operator *operatorFlags, folder, preset string, streams Streams) int {
+func plan(ctx context.Context, operator *operatorFlags, folder, preset string, placed bool, streams Streams) int {
 	set, err := readFolder(folder)
 	if err != nil {
 		return fail(streams, err)
@@ -41,14 +43,60 @@
 		return fail(streams, err)
 	}
 	output := planOutputOf(inForce, preset, declaration.Diff(inForce.Declarations, set))
+	if placed {
+		if output.Placement, err = movesOf(ctx, client, set, preset, inForce); err != nil {
+			return fail(streams, err)
+		}
+	}
 	if operator.asJSON {
 		writeJSON(streams.Out, output)
 		return ExitOK
 	}
 	output.print(streams.Out, folder)
+	if output.Placement != nil {
+		printMoves(streams.Out, *output.Placement)
+	}
 	return ExitOK
 }
 
+// movesOf asks for the moves under the preset that would be in force: the one
+// that was named, else the one in force, else the first.
+func movesOf(
+	ctx context.Context, client *registrar.Client, set declaration.Set, preset string, inForce registrar.InForce,
+) (*registrar.Moves, error) {
+	if preset == "" {
+		preset = inForce.Preset
+	}
+	if preset == "" {
+		preset = set.FirstPreset().Name
+	}
+	moves, err := client.Moves(ctx, set, preset)
+	return &moves, err
+}
+
+func printMoves(to io.Writer, moves registrar.Moves) {
+	if len(moves.Moves) == 0 {
+		fmt.Fprintln(to, "no move would be made")
+	}
+	for _, m := range moves.Moves {
+		fmt.Fprintf(to, "%s: %s %s", m.Engine, m.Kind, m.Model)
+		if m.Adapter != "" {
+			fmt.Fprintf(to, "/%s", m.Adapter)
+		}
+		fmt.Fprintf(to, ", %s", m.Reason)
+		if m.For != "" {
+			fmt.Fprintf(to, " of %s", m.For)
+		}
+		if m.Waits != "" {
+			fmt.Fprintf(to, ", waits for %s", m.Waits)
+		}
+		fmt.Fprintln(to)
+	}
+	for _, unmet := range moves.Unmet {
+		fmt.Fprintln(to, "not met:", unmet)
+	}
+}
+
 // planOutput is what plan writes with --json.
 type planOutput struct {
 	// Revision is in force, and to be given to apply.
@@ -60,6 +108,8 @@
 	// NewPreset is absent if the preset stays.
 	NewPreset string          `json:"new-preset,omitempty"`
 	Changes   []plannedChange `json:"changes"`
+	// Placement is absent unless it was asked for.
+	Placement *registrar.Moves `json:"placement,omitempty"`
 }
 
 // The words of plannedChange.Change.
--- a/internal/foreman/duty_test.go
+++ b/internal/foreman/duty_test.go
@@ -57,3 +57,26 @@
 	Entry("that took long enough to be felt", 100*time.Millisecond, 3*time.Second),
 	Entry("that took a second", time.Second, 5*time.Second),
 )
+
+var _ = Describe("Preview", func() {
+	It("lists the moves of declarations that are not in force, and what can't be met", func() {
+		engine := upstreamapi.Announcement{
+			Name: "e1", Incarnation: 1, Revision: 1, Kind: upstreamapi.KindEngine, FailureDomain: "kgn-a",
+			Capabilities: []upstreamapi.Capability{upstreamapi.CapabilityOrders},
+			Accelerators: []upstreamapi.Accelerator{{Name: "a0", MemoryBytes: 10 * gib}},
+		}
+		m := manifest.New()
+		m.Apply(manifest.Lead{Term: 1})
+		m.Apply(manifest.Reports{Announcements: []upstreamapi.Announcement{engine}})
+		s := &stage{}
+		s.declare(map[string]int{"letters": 6, "fares": 6})
+		for name, state := range map[string]manifest.View{"recorded": m.View(), "not recorded": {}} {
+			moves, problems := foreman.Preview(start, state, []roster.Upstream{{Announcement: engine}}, s.declared, s.declared.FirstPreset(), 1)
+			Expect(moves).To(HaveLen(1), name)
+			Expect(moves[0].Engine).To(Equal("e1"))
+			Expect(problems).To(ContainElement(HaveField("Text", ContainSubstring("6.00GiB needed"))), name)
+		}
+	})
+})
+
+var start = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
--- a/internal/foreman/place.go
+++ b/internal/foreman/place.go
@@ -34,7 +34,7 @@
 	plan := f.options.Planner.Plan(now, placement.Input{
 		Declarations:  issue.Declarations,
 		Preset:        issue.Preset,
-		Engines:       f.engines(now, present),
+		Engines:       enginesOf(f.options.Register.Manifest(), f.options.World.Upstreams(now)),
 		Demand:        asked,
 		WeightStore:   f.options.WeightStore,
 		WeightOfMoves: f.options.WeightOfMoves,
@@ -82,29 +82,37 @@
 	return list
 }
 
-// engines returns what the plan knows of engines, sorted by name: those that are
-// recorded, and those that take no orders and serve what they announce.
-func (f *Foreman) engines(now time.Time, present map[string]roster.Upstream) []placement.Engine {
+// enginesOf returns what a plan knows of engines, sorted by name: those that are
+// recorded, and the others that are heard of, which serve what they announce.
+func enginesOf(state manifest.View, upstreams []roster.Upstream) []placement.Engine {
 	var list []placement.Engine
-	for _, e := range f.options.Register.Manifest().Engines {
-		u, here := present[e.Announced.Name]
-		if here {
-			list = append(list, placement.NewEngine(u.Announcement, e.Ledger, placement.Serving))
+	heard := map[string]upstreamapi.Announcement{}
+	for _, u := range upstreams {
+		a := u.Announcement
+		if a.Kind != upstreamapi.KindEngine {
 			continue
 		}
-		list = append(list, placement.NewEngine(e.Announced, e.Ledger, placement.Lost))
-	}
-	for _, u := range f.options.World.Upstreams(now) {
-		a := u.Announcement
-		if a.Kind != upstreamapi.KindEngine || takesOrders(a) {
+		if takesOrders(a) {
+			heard[a.Name] = a
+		}
+		if _, recorded := state.Engine(a.Name); recorded && takesOrders(a) {
 			continue
 		}
-		a.Capabilities = slices.DeleteFunc(slices.Clone(a.Capabilities), func(c upstreamapi.Capability) bool {
-			return c == upstreamapi.CapabilityOrders
-		})
+		if !takesOrders(a) {
+			a.Capabilities = slices.DeleteFunc(slices.Clone(a.Capabilities), func(c upstreamapi.Capability) bool {
+				return c == upstreamapi.CapabilityOrders
+			})
+		}
 		list = append(list, placement.NewEngine(a, ledger.Ledger{}.WithReport(a), placement.Serving))
 	}
-	slices.SortFunc(list, func(a, b placement.Engine) int { return strings.Compare(a.Name(), b.Name()) })
+	for _, e := range state.Engines {
+		if a, here := heard[e.Announced.Name]; here {
+			list = append(list, placement.NewEngine(a, e.Ledger, placement.Serving))
+			continue
+		}
+		list = append(list, placement.NewEngine(e.Announced, e.Ledger, placement.Lost))
+	}
+	slices.SortStableFunc(list, func(a, b placement.Engine) int { return strings.Compare(a.Name(), b.Name()) })
 	return slices.CompactFunc(list, func(a, b placement.Engine) bool { return a.Name() == b.Name() })
 }
 
--- a/internal/host/placement_test.go
+++ b/internal/host/placement_test.go
@@ -66,6 +66,13 @@
 			_, err := client.Bootstrap(ctx)
 			return err
 		}).WithTimeout(20 * time.Second).Should(Succeed())
+		Eventually(ctx, func() ([]registrar.Move, error) {
+			moves, err := client.Moves(ctx, set, "ordinary")
+			return moves.Moves, err
+		}).WithTimeout(20 * time.Second).Should(ConsistOf(
+			And(HaveField("Engine", "engine-1"), HaveField("Kind", "load-model"), HaveField("Model", "letters")),
+			And(HaveField("Engine", "engine-1"), HaveField("Kind", "load-model"), HaveField("Model", "fares"))))
+		Expect(held(engine)).To(BeEmpty())
 		change := registrar.Change{ID: "first", Declarations: set.Canonical(), Preset: "ordinary"}
 		Eventually(ctx, client.Change).WithArguments(ctx, change).WithTimeout(20 * time.Second).
 			Should(Equal(registrar.Answer{Revision: 1}))
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -184,6 +184,7 @@
 		House:      house{i},
 		Metrics:    i.gauges,
 		Electorate: i,
+		Preview:    i.preview,
 		Holder:     holder(i.options.Operators, "operator"),
 		Now:        i.options.Now,
 		Log:        i.options.Log,
--- a/internal/instance/orders.go
+++ b/internal/instance/orders.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/lovagelift/lovagelift/internal/chamber"
+	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/foreman"
 	"github.com/lovagelift/lovagelift/internal/placement"
 	"github.com/lovagelift/lovagelift/internal/registrar"
@@ -89,3 +91,35 @@
 	}
 	return list
 }
+
+// preview returns the moves that declarations and a preset would cause, as far
+// as this instance knows.
+func (i *Instance) preview(
+	now time.Time, declared declaration.Set, preset declaration.Preset,
+) (registrar.Moves, error) {
+	voter, ok := i.chamber.(*chamber.Voter)
+	if !ok {
+		return registrar.Moves{}, registrar.ErrNoPlacement
+	}
+	weight := i.options.Settings.Policy.WeightOfMoves
+	moves, problems := foreman.Preview(now, voter.Manifest(), i.Upstreams(now), declared, preset, weight)
+	answer := registrar.Moves{Moves: []registrar.Move{}, Unmet: []string{}}
+	for _, m := range moves {
+		answer.Moves = append(answer.Moves, registrar.Move{
+			Engine:  m.Engine,
+			Kind:    string(m.Order.Kind),
+			Model:   m.Order.Model,
+			Version: m.Order.Version,
+			Adapter: m.Order.Adapter,
+			Reason:  string(m.Reason),
+			For:     m.For,
+			Waits:   string(m.Waits),
+			Gain:    m.Gain,
+			Cost:    m.Cost,
+		})
+	}
+	for _, p := range problems {
+		answer.Unmet = append(answer.Unmet, p.Text)
+	}
+	return answer, nil
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -37,6 +37,8 @@
 	House    House
 	// Metrics answers GET /metrics. Nil stands for none.
 	Metrics http.Handler
+	// Preview answers plan --placement. Nil stands for none.
+	Preview Preview
 	// Electorate may be nil where operators do not change voters.
 	Electorate Electorate
 	// Holder returns the name of the operator who holds a token.
@@ -73,6 +75,9 @@
 	r.echo.POST(changesPath, r.change)
 	r.echo.GET(statusPath, r.status)
 	r.echo.POST(drainPath, r.drain)
+	if options.Preview != nil {
+		r.echo.POST(movesPath, r.moves)
+	}
 	if options.Metrics != nil {
 		r.echo.GET(metricsPath, echo.WrapHandler(options.Metrics))
 	}
