--- a/internal/chamber/bootstrap.go
+++ b/internal/chamber/bootstrap.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"slices"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagelift/lovagelift/internal/clerk"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/finding"
 	"github.com/lovagelift/lovagelift/internal/jury"
@@ -21,18 +23,37 @@
 func (c control) Founding() courier.Founding {
 	status := c.voter.clerk.Status()
 	founding := courier.Founding{Identity: c.voter.identity, Cluster: status.Cluster}
-	if status.Cluster != "" && status.Last == bootstrapIndex {
-		founding.Charter = courier.Charter{Cluster: status.Cluster, Voters: status.Voters}
+	// A voter at work may stand like this for a moment too. To be given the
+	// charter of its own cluster again changes nothing there.
+	if status.Cluster != "" && status.Last == status.SnapshotIndex {
+		founding.Charter = courier.Charter{
+			Cluster: status.Cluster,
+			Voters:  status.Voters,
+			Index:   status.SnapshotIndex,
+		}
 	}
 	return founding
 }
 
-// bootstrapIndex is the index of the state that a cluster begins with.
-const bootstrapIndex = 1
+// firstIndex is the index of the state that a new cluster begins with.
+const firstIndex = 1
+
+// Origin is the state of a cluster that lost its majority, to begin another
+// with. The zero value stands for a new beginning.
+type Origin struct {
+	Index jury.Index
+	Term  jury.Term
+	// Data is a snapshot of the registry.
+	Data []byte
+}
 
 // Bootstrap makes this blank voter one of a new cluster.
 func (c control) Bootstrap(ctx context.Context, charter courier.Charter) error {
-	return c.voter.clerk.Bootstrap(ctx, charter.Cluster, charter.Voters, charter.Data)
+	return c.voter.clerk.BootstrapFrom(ctx, charter.Cluster, charter.Voters, clerk.Origin{
+		Index: charter.Index,
+		Term:  charter.Term,
+		Data:  charter.Data,
+	})
 }
 
 // Bootstrap founds the cluster of all voters that the settings name. Every one
@@ -45,11 +66,18 @@
 // are lost does it found a new cluster, and whoever knew the old one refuses to
 // follow it until it is restarted.
 func (v *Voter) Bootstrap(ctx context.Context) error {
+	return v.BootstrapFrom(ctx, Origin{})
+}
+
+// BootstrapFrom is Bootstrap with the state of a cluster that lost its majority.
+// The new cluster has a name of its own: a voter of the old one that comes back
+// is not listened to, and instances that followed the old one must be restarted.
+func (v *Voter) BootstrapFrom(ctx context.Context, origin Origin) error {
 	foundings, err := v.foundings(ctx)
 	if err != nil {
 		return err
 	}
-	charter, err := charterOf(foundings)
+	charter, err := charterOf(foundings, origin)
 	if err != nil {
 		return err
 	}
@@ -77,7 +105,7 @@
 }
 
 // charterOf returns the charter for voters that told what they hold.
-func charterOf(foundings []courier.Founding) (courier.Charter, error) {
+func charterOf(foundings []courier.Founding, origin Origin) (courier.Charter, error) {
 	var findings finding.List
 	charter := courier.Charter{}
 	identities := make([]jury.Identity, 0, len(foundings))
@@ -91,6 +119,9 @@
 		case founding.Charter.Cluster == "":
 			findings.Add(place, "this voter is at work in cluster "+founding.Cluster,
 				"to bring back a voter that lost its disk, replace it; do not bootstrap")
+		case founding.Charter.Index != max(origin.Index, firstIndex):
+			findings.Add(place, fmt.Sprintf("this voter was founded from the state at index %d", founding.Charter.Index),
+				"run the bootstrap with the state that was given first")
 		case charter.Cluster != "" && charter.Cluster != founding.Cluster:
 			findings.Add(place, "this voter was founded in another cluster, "+founding.Cluster,
 				"stop it and remove its data folder, unless the others are the wrong ones")
@@ -106,18 +137,22 @@
 	if err := findings.Err(); err != nil {
 		return courier.Charter{}, err
 	}
-	return complete(charter, identities)
+	return complete(charter, identities, origin)
 }
 
 // complete fills in what a charter lacks. Two bootstraps that run at once draw
 // two names, so that no voter of one joins the other.
-func complete(charter courier.Charter, identities []jury.Identity) (courier.Charter, error) {
+func complete(charter courier.Charter, identities []jury.Identity, origin Origin) (courier.Charter, error) {
 	if charter.Cluster == "" {
 		var id [clusterIDBytes]byte
 		rand.Read(id[:])
 		charter.Cluster = hex.EncodeToString(id[:])
 	}
 	charter.Voters = identities
+	charter.Index, charter.Term, charter.Data = origin.Index, origin.Term, origin.Data
+	if origin.Index > 0 {
+		return charter, nil
+	}
 	data, err := registry.New().Snapshot()
 	charter.Data = data
 	return charter, err
--- a/internal/chamber/chamber_test.go
+++ b/internal/chamber/chamber_test.go
@@ -16,6 +16,7 @@
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/registry"
+	"github.com/lovagelift/lovagelift/internal/salvage"
 )
 
 var _ = Describe("an accepted configuration", func() {
@@ -171,6 +172,44 @@
 		Expect(lost.Gazette().Latest().Revision).To(BeNumerically(">=", 1))
 	})
 
+	// Two of three voters lose their disks: no majority can decide any more. The
+	// third one's state is exported, and a new cluster founded from it on blank
+	// disks. What was accepted is in force again, fencing numbers go on, and an
+	// instance that followed the old cluster follows the new one only after a
+	// restart, since what it knew might be newer.
+	It("is brought over when a majority is lost", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		for n := range 3 {
+			Expect(apply(ctx, h.members["f"], change(fmt.Sprintf("change-%d", n), registry.Revision(n))).Verdict).To(Equal(registry.VerdictApplied))
+		}
+		Eventually(ctx, revisionEverywhere(3)).Should(BeTrue())
+		_, lostTerm := h.members["a"].Leader()
+		for _, name := range []string{"a", "b", "c"} {
+			h.members[name].stop()
+		}
+		state, err := salvage.Read(h.members["a"].folder)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(state.Revision).To(Equal(registry.Revision(3)))
+		for _, name := range []string{"a", "b", "c"} {
+			Expect(os.RemoveAll(h.members[name].folder)).To(Succeed())
+			h.members[name].restart()
+		}
+		origin := chamber.Origin{Index: state.Index, Term: state.Term, Data: state.Data}
+		Expect(h.voter("b").BootstrapFrom(ctx, origin)).To(Succeed())
+		for _, name := range []string{"a", "b", "c"} {
+			voter := h.members[name]
+			Eventually(ctx, func() bool { return voter.Fresh(time.Now()) }).Should(BeTrue())
+			Expect(voter.Gazette().Latest().Revision).To(Equal(registry.Revision(3)))
+		}
+		_, term := h.members["a"].Leader()
+		Expect(term).To(BeNumerically(">", lostTerm))
+		follower := h.members["f"]
+		Eventually(ctx, func() bool { return follower.Fresh(time.Now()) }).Should(BeFalse())
+		follower.stop()
+		follower.restart()
+		Eventually(ctx, func() bool { return follower.Fresh(time.Now()) }).Should(BeTrue())
+		Expect(apply(ctx, follower, change("change-3", 3)).Verdict).To(Equal(registry.VerdictApplied))
+	})
+
 	It("is founded once", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		Eventually(ctx, func() jury.Identity { leader, _ := h.members["a"].Leader(); return leader }).ShouldNot(BeEmpty())
 		err := h.voter("c").Bootstrap(ctx)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -57,6 +57,7 @@
 		newStatus(),
 		newDrain(),
 		newVoters(),
+		newExport(),
 		newVersion(),
 	}
 	for _, command := range commands {
--- a/internal/courier/control.go
+++ b/internal/courier/control.go
@@ -105,6 +105,9 @@
 	Cluster string
 	Voters  []jury.Identity
 	Data    []byte
+	// Index and Term are those that Data was taken at, see jury.Bootstrap.
+	Index jury.Index
+	Term  jury.Term
 }
 
 // serviceTimeout bounds the work for one call on the side that answers it. The
--- a/internal/host/example.go
+++ b/internal/host/example.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/instance"
+	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/settings"
 	"github.com/lovagelift/lovagelift/internal/standin"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
@@ -107,7 +108,7 @@
 
 // open founds the cluster and starts the stand-ins.
 func (e *example) open(ctx context.Context, log zerolog.Logger) error {
-	if err := e.instance.Bootstrap(ctx); err != nil {
+	if err := e.instance.Bootstrap(ctx, registrar.Origin{}); err != nil {
 		return err
 	}
 	announce := standin.AnnounceOptions{To: []string{e.instance.UpstreamAddress()}}
--- a/internal/host/placement_test.go
+++ b/internal/host/placement_test.go
@@ -63,7 +63,7 @@
 
 		stop := run(ctx, path)
 		Eventually(ctx, func() error {
-			_, err := client.Bootstrap(ctx)
+			_, err := client.Bootstrap(ctx, registrar.Origin{})
 			return err
 		}).WithTimeout(20 * time.Second).Should(Succeed())
 		Eventually(ctx, func() ([]registrar.Move, error) {
--- a/internal/host/restart_test.go
+++ b/internal/host/restart_test.go
@@ -50,7 +50,7 @@
 
 		stop := run(ctx, path)
 		Eventually(ctx, func() error {
-			_, err := client.Bootstrap(ctx)
+			_, err := client.Bootstrap(ctx, registrar.Origin{})
 			return err
 		}).WithTimeout(20 * time.Second).Should(Succeed())
 		Eventually(ctx, client.Change).WithArguments(ctx, first).WithTimeout(20 * time.Second).Should(Equal(registrar.Answer{Revision: 1}))
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -142,12 +142,16 @@
 }
 
 // Bootstrap founds the cluster of all voters, see chamber.Voter.
-func (i *Instance) Bootstrap(ctx context.Context) error {
+func (i *Instance) Bootstrap(ctx context.Context, origin registrar.Origin) error {
 	voter, ok := i.chamber.(*chamber.Voter)
 	if !ok {
 		return errors.New("instance: only a voter can bootstrap")
 	}
-	return voter.Bootstrap(ctx)
+	return voter.BootstrapFrom(ctx, chamber.Origin{
+		Index: jury.Index(origin.Index),
+		Term:  jury.Term(origin.Term),
+		Data:  origin.Data,
+	})
 }
 
 // Voters returns the set of voters as this instance knows it.
--- a/internal/instance/trio_test.go
+++ b/internal/instance/trio_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/instance"
+	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/settings"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -69,7 +70,7 @@
 		}
 		p.start(listeners[p.name], answerPause)
 	}
-	Expect(trio["a"].Bootstrap(ctx)).To(Succeed())
+	Expect(trio["a"].Bootstrap(ctx, registrar.Origin{})).To(Succeed())
 	for _, p := range trio {
 		Eventually(ctx, p.entries).WithTimeout(20 * time.Second).Should(HaveLen(3))
 	}
--- a/internal/registrar/voters.go
+++ b/internal/registrar/voters.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/lovagelift/lovagelift/internal/finding"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 )
 
@@ -19,7 +21,7 @@
 	// Bootstrap founds the cluster of all voters that the settings name. If not
 	// every one of them answers and is blank, it changes nothing and returns a
 	// *finding.Error, or goes on where an earlier bootstrap was cut off.
-	Bootstrap(ctx context.Context) error
+	Bootstrap(ctx context.Context, origin Origin) error
 	// ChangeVoters makes a caught-up voter count, or removes one. If it
 	// certainly did not happen, it returns an *UnavailableError.
 	ChangeVoters(ctx context.Context, change VotersChange) error
@@ -38,6 +40,18 @@
 	Waiting []string `json:"waiting"`
 }
 
+// Origin is the state of a cluster that lost its majority. The zero value stands
+// for a new beginning.
+type Origin struct {
+	Index uint64 `json:"index"`
+	Term  uint64 `json:"term"`
+	Data  []byte `json:"data"`
+}
+
+// maxOriginBytes bounds an Origin on its way. The idempotency records of a full
+// docket with their answers take 54 MB, in base64.
+const maxOriginBytes = 128 << 20
+
 // VotersChange adds one identity or removes one.
 type VotersChange struct {
 	Add    string `json:"add,omitempty"`
@@ -55,8 +69,17 @@
 
 func (r *Registrar) bootstrap(c echo.Context) error {
 	by, _ := c.Get(operatorKey).(string)
-	err := r.options.Electorate.Bootstrap(c.Request().Context())
-	r.options.Log.Info().Err(err).Str("by", by).Msg("bootstrap")
+	var origin Origin
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxOriginBytes)
+	if err := json.NewDecoder(body).Decode(&origin); err != nil && !errors.Is(err, io.EOF) {
+		return fail(c, http.StatusBadRequest, outcome.NotRun, failure{Code: codeBadRequest, Message: err.Error()})
+	}
+	err := r.options.Electorate.Bootstrap(c.Request().Context(), origin)
+	r.options.Log.Info().Err(err).Str("by", by).Uint64("from-index", origin.Index).Msg("bootstrap")
+	var findings *finding.Error
+	if errors.As(err, &findings) {
+		return fail(c, http.StatusConflict, outcome.NotRun, failure{Code: codeRefused, Message: err.Error()})
+	}
 	if err != nil {
 		return fail(c, http.StatusConflict, outcome.Unknown, failure{Code: codeRefused, Message: err.Error()})
 	}
@@ -93,8 +116,12 @@
 }
 
 // Bootstrap founds the cluster through the first instance, and no other.
-func (c *Client) Bootstrap(ctx context.Context) (Voters, error) {
-	return c.postVoters(ctx, bootstrapPath, nil)
+func (c *Client) Bootstrap(ctx context.Context, origin Origin) (Voters, error) {
+	body, err := json.Marshal(origin)
+	if err != nil {
+		return Voters{}, errors.Wrap(err, "registrar: bootstrap")
+	}
+	return c.postVoters(ctx, bootstrapPath, body)
 }
 
 // ChangeVoters changes the set of voters through the first instance. Asking for
@@ -113,7 +140,9 @@
 	if err == nil {
 		err = response.decode(http.StatusOK, &reply)
 	}
-	if err == nil || errors.HasType(err, (*UnavailableError)(nil)) || errors.Is(err, ErrUnauthorized) {
+	certain := errors.HasType(err, (*UnavailableError)(nil)) || errors.HasType(err, (*RefusedError)(nil)) ||
+		errors.Is(err, ErrUnauthorized)
+	if err == nil || certain {
 		return reply, err
 	}
 	return reply, &UnknownError{Cause: err}
