--- a/internal/caller/complete.go
+++ b/internal/caller/complete.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/pause"
 )
 
 // Question is a request for a chat completion.
@@ -65,7 +66,7 @@
 			break
 		}
 		c.forget()
-		if attempt%len(entries) == 0 && !wait(ctx, retryAfterOf(err)) {
+		if attempt%len(entries) == 0 && !pause.For(ctx, retryAfterOf(err)) {
 			break
 		}
 	}
@@ -86,18 +87,6 @@
 	return max(minWait, min(failure.RetryAfter, maxWait))
 }
 
-// wait waits for d and reports false if ctx ended before.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // isFinal reports whether another instance would answer the same.
 func isFinal(err error) bool {
 	var failure *Error
--- a/internal/chamber/follower.go
+++ b/internal/chamber/follower.go
@@ -11,6 +11,7 @@
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
@@ -185,7 +186,7 @@
 		case !proposed.Passing && !open:
 			return registry.Result{}, errorOf(proposed)
 		}
-		if !wait(ctx, retryEvery) {
+		if !pause.For(ctx, retryEvery) {
 			if open {
 				proposed.Fate = courier.FateUnknown
 			}
@@ -212,7 +213,7 @@
 		if err == nil && recorded.Known {
 			return recorded.Answer, nil
 		}
-		if !wait(ctx, retryEvery) {
+		if !pause.For(ctx, retryEvery) {
 			return docket.Answer{}, errors.CombineErrors(err, errors.New("chamber: no voter could confirm the answer"))
 		}
 	}
@@ -240,15 +241,3 @@
 	}
 	return errorOf(proposed)
 }
-
-// wait waits for d and reports false if ctx ended before.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -18,6 +18,7 @@
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/manifest"
+	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
@@ -286,7 +287,7 @@
 		if !open && !proposed.Passing {
 			return registry.Result{}, errorOf(proposed)
 		}
-		if !wait(ctx, retryEvery) {
+		if !pause.For(ctx, retryEvery) {
 			if open {
 				proposed.Fate = courier.FateUnknown
 			}
@@ -332,7 +333,7 @@
 		if ok && !asOf.Before(from) {
 			return true
 		}
-		if !wait(ctx, freshPoll) {
+		if !pause.For(ctx, freshPoll) {
 			return false
 		}
 	}
--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -13,6 +13,7 @@
 	"github.com/lovagelift/lovagelift/internal/dispatch"
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
@@ -193,23 +194,12 @@
 		if err == nil && answer.Verdict != docket.VerdictInProgress {
 			return nil
 		}
-		if !pause(ctx, progressPoll) {
+		if !pause.For(ctx, progressPoll) {
 			return inProgressRefusal(answer.Wait)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // replay answers with what is recorded of a request.
 func replay(c echo.Context, answer docket.Answer) error {
 	if answer.Verdict != docket.VerdictCompleted || answer.Response == nil {
