--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -87,6 +87,19 @@
 		Expect(told.body).To(ContainSubstring(string(desk.CodeCutOff)))
 	})
 
+	// A preset is brought into force while a request is tried at one engine after
+	// the other. The request must not get its goal from one preset and its limits
+	// from the next: it takes the configuration once, when it is admitted.
+	It("takes one configuration, however often it is tried", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		first, second, third := newBookings(die), newBookings(die), newBookings(nil)
+		at.serveAt(first.address(), second.address(), third.address())
+		Expect(ask(ctx, `{"model":"m"}`).status).To(Equal(http.StatusOK))
+		Expect(at.issues.Load()).To(BeEquivalentTo(1))
+		told := at.book(ctx, "k", "two seats")
+		Expect(told.outcome).NotTo(BeEmpty())
+		Expect(at.issues.Load()).To(BeEquivalentTo(2))
+	})
+
 	It("is refused at once by an instance that admits nothing", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		upstream := newBookings(nil)
 		at.serveAt(upstream.address())
--- a/internal/desk/fakes_test.go
+++ b/internal/desk/fakes_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -89,6 +90,9 @@
 	voters  *voters
 	gazette *gazette.Gazette
 
+	// issues counts how often the configuration was taken.
+	issues atomic.Int32
+
 	mu        sync.Mutex
 	refusal   *desk.RefusalError
 	upstreams []roster.Upstream
@@ -114,6 +118,7 @@
 }
 
 func (f *fakeInstance) Issue() *gazette.Issue {
+	f.issues.Add(1)
 	return f.gazette.Latest()
 }
 
