desk: three more steps at which an upstream dies under a claim

Cause: the matrix of a request that must not run twice lacked the head read, half the body read, and the last byte sent. Change: three entries. Conclusion: unknown, unknown and ran, as they must be; no mechanism changed.

--- a/internal/desk/claims_test.go
+++ b/internal/desk/claims_test.go
@@ -75,6 +75,17 @@
 			// The fake counts the refused one too.
 			fault: then(refuse), status: 503, outcome: "not-run", again: "ran", runs: 2,
 		}),
+		Entry("the upstream dies with the request's head read", SpecTimeout(specTimeout), step{
+			fault:  func() { first.serveAt(dyingAfter("\r\n\r\n")) },
+			status: 502, outcome: "unknown", again: "unknown", runs: 0,
+		}),
+		Entry("the upstream dies with half the body read", SpecTimeout(specTimeout), step{
+			fault:  func() { first.serveAt(dyingAfter("two ")) },
+			status: 502, outcome: "unknown", again: "unknown", runs: 0,
+		}),
+		Entry("the upstream dies right after its last byte", SpecTimeout(specTimeout), step{
+			fault: then(answerAndDie), status: 200, outcome: "ran", again: "ran", runs: 1,
+		}),
 		Entry("the upstream dies before it answers", SpecTimeout(specTimeout), step{
 			fault: then(die), status: 502, outcome: "unknown", again: "unknown", runs: 1,
 		}),
--- a/internal/desk/fakes_test.go
+++ b/internal/desk/fakes_test.go
@@ -316,3 +316,42 @@
 	defer listener.Close()
 	return listener.Addr().String()
 }
+
+// answerAndDie ends the connection after the whole answer.
+func answerAndDie(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nbooked")
+}
+
+// dyingAfter returns the address of an upstream that ends each connection once
+// it has read what ends in text.
+func dyingAfter(text string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			readUntil(conn, text)
+			conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func readUntil(conn net.Conn, text string) {
+	var read []byte
+	for next := make([]byte, 1); !strings.HasSuffix(string(read), text); {
+		if _, err := io.ReadFull(conn, next); err != nil {
+			return
+		}
+		read = append(read, next[0])
+	}
+}
