--- /dev/null
+++ b/internal/instance/silence_test.go
@@ -0,0 +1,35 @@
+package instance_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+var _ = Describe("an announcement whose connection goes silent", func() {
+	// An upstream sends the header and half of the body of its announcement, and
+	// no more. It is cut off after the time for both, and nothing is known of it.
+	It("is cut off and changes nothing", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		at := newTrio(ctx, 0)["a"]
+		conn, err := net.Dial("tcp", at.set.Advertise.Upstream.String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		half := `{"name":"engine-1","incarnation":1,"sequence":1,"address":"127.0.0.1:1001",`
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", upstreamapi.AnnouncePath, 2*len(half), half)
+		Expect(err).NotTo(HaveOccurred())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_, _ = io.Copy(io.Discard, conn)
+		}()
+		bound := at.set.Limits.HeaderTime + at.set.Limits.BodyTime
+		Eventually(ctx, ended).WithTimeout(2*bound + 5*time.Second).Should(BeClosed())
+		Expect(at.Upstreams(time.Now())).To(BeEmpty())
+	})
+})
--- a/internal/instance/trio_test.go
+++ b/internal/instance/trio_test.go
@@ -54,6 +54,7 @@
 		}
 		p.set.Listen = p.set.Advertise
 		p.set.Limits.HeaderTime = 500 * time.Millisecond
+		p.set.Limits.BodyTime = 500 * time.Millisecond
 		p.set.Timing.EntryTime = 200 * time.Millisecond
 		p.set.Timing.ConfigurationLease = 1500 * time.Millisecond
 		p.set.Timing.ConfigurationRenewal = 200 * time.Millisecond
