host: three voters go on with loads under way when the leader stops

Cause: a change of leader in the middle of an order was tested with a fake of the replicated state alone.

Change: a spec of three instances over loopback and an engine that loads for 4 s; the leader is stopped in between. The next one closes the orders that were open, and gives none for the same models.

--- a/internal/host/placement_test.go
+++ b/internal/host/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -59,7 +60,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		set, err := declaration.Read(fstest.MapFS{"all.toml": {Data: []byte(twoModels)}}, "test")
 		Expect(err).NotTo(HaveOccurred())
-		engine := startEngine(m.upstream)
+		engine := startEngine(m.upstream, 100*time.Millisecond)
 
 		stop := run(ctx, path)
 		Eventually(ctx, func() error {
@@ -90,15 +91,73 @@
 	})
 })
 
+var _ = Describe("three voters that give orders", func() {
+	It("go on with the loads under way when the one that leads stops", func(ctx SpecContext) {
+		// An engine is loading two models by orders of the leader, which is stopped.
+		// Another voter leads, finds the orders and asks after them. Each model is
+		// loaded by the order that was given first.
+		members := []member{newMember("a"), newMember("b"), newMember("c")}
+		clients, stops := map[string]*registrar.Client{}, map[string]func(){}
+		folder := GinkgoT().TempDir()
+		for _, m := range members {
+			path := filepath.Join(folder, m.name+".toml")
+			Expect(os.WriteFile(path, []byte(m.settingsAmong(members)), 0o600)).To(Succeed())
+			c, err := registrar.NewClient(registrar.ClientOptions{
+				Addresses: []netip.AddrPort{netip.MustParseAddrPort(m.operator)}, Timeout: 10 * time.Second,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			clients[m.name], stops[m.name] = c, run(ctx, path)
+		}
+		Eventually(ctx, func() error {
+			_, err := clients["a"].Bootstrap(ctx, registrar.Origin{})
+			return err
+		}).WithTimeout(30 * time.Second).Should(Succeed())
+		engine := startEngine(members[0].upstream, 4*time.Second)
+		set, err := declaration.Read(fstest.MapFS{"all.toml": {Data: []byte(twoModels)}}, "test")
+		Expect(err).NotTo(HaveOccurred())
+		change := registrar.Change{ID: "first", Declarations: set.Canonical(), Preset: "ordinary"}
+		Eventually(ctx, clients["a"].Change).WithArguments(ctx, change).WithTimeout(30 * time.Second).
+			Should(Equal(registrar.Answer{Revision: 1}))
+
+		Eventually(ctx, func() int { return len(engine.Announcement().UnderWay) }).WithTimeout(60 * time.Second).Should(Equal(2))
+		status, err := clients["a"].Status(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		stops[status.Leader]()
+		delete(stops, status.Leader)
+		for name := range stops {
+			defer stops[name]()
+			Eventually(ctx, func() ([]registrar.OrderStatus, error) { return ordersOf(ctx, clients[name]) }).
+				WithTimeout(60 * time.Second).Should(And(HaveLen(2), HaveEach(HaveField("State", "done"))))
+		}
+		Expect(held(engine)).To(ConsistOf("letters", "fares"))
+		Expect(engine.Overcommits()).To(BeZero())
+	})
+})
+
+// settingsAmong returns the settings of m, which gives orders, beside the others.
+func (m member) settingsAmong(all []member) string {
+	text := fmt.Sprintf("name = %q\nfailure-domain = \"kgn-a\"\nvoter = true\ndata-folder = \"data-%s\"\n"+
+		"timing.entry-time = \"10ms\"\nplacement.enabled = true\n"+
+		"caller-address = %q\nupstream-address = %q\noperator-address = %q\ninner-address = %q\n",
+		m.name, m.name, m.caller, m.upstream, m.operator, m.inner)
+	for _, other := range all {
+		if other != m {
+			text += fmt.Sprintf("[[instances]]\nname = %q\nfailure-domain = \"kgn-a\"\nvoter = true\n"+
+				"inner-address = %q\ncaller-address = %q\n", other.name, other.inner, other.caller)
+		}
+	}
+	return text
+}
+
 // startEngine starts an empty engine of 16 GiB that announces itself.
-func startEngine(to string) *standin.Engine {
+func startEngine(to string, loadTime time.Duration) *standin.Engine {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	engine := standin.NewEngine(standin.EngineOptions{
 		Name: "engine-1", Address: listener.Addr().String(), FailureDomain: "kgn-a",
 		Fencing:      upstreamapi.FencingChecked,
 		Accelerators: []upstreamapi.Accelerator{{Name: "a0", MemoryBytes: 16 << 30}},
-		LoadDelay:    100 * time.Millisecond,
+		LoadDelay:    loadTime,
 		Announce:     standin.AnnounceOptions{To: []string{to}},
 	})
 	server := &http.Server{Handler: engine, ReadHeaderTimeout: 5 * time.Second}
