shuttle: only who answers questions is asked; two attempts promise no more than one

Cause: a slow plain service was asked after its request on a path that it may take for a call of its own. And where a request went out a second time because its connection was lost, the refusal of the second was told as not-run, though the first may have run. Change: the question goes to upstreams that announced request-status; the outcome of a second attempt is unknown at best. Seen to fail: without the second change its spec fails; the first spec counts no question.

--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -101,6 +101,7 @@
 	request := task.request
 	request.ID = fmt.Sprintf("%s-%d", task.id, attempt)
 	request.Remaining = task.deadline.Sub(d.options.Now())
+	request.AskAfter = d.router.answersQuestions(trip.decision.Chosen.Name)
 	request.Header = request.Header.Clone()
 	request.Header.Set(retry.AttemptHeader, strconv.Itoa(attempt))
 	answer, err := d.options.Shuttle.Send(ctx, trip.decision.Chosen.Address, request)
--- a/internal/desk/router.go
+++ b/internal/desk/router.go
@@ -52,8 +52,10 @@
 	// waiting holds the requests in the gate. Each channel has room for the one
 	// turn that it gets.
 	waiting map[uint64]chan turn
-	lastID  uint64
-	swept   time.Time
+	// asks says which upstreams answer questions after a request.
+	asks   map[string]bool
+	lastID uint64
+	swept  time.Time
 }
 
 // turn ends the wait of a request: either its start or its refusal is set.
@@ -76,6 +78,7 @@
 		gate:       dispatch.NewGate(dispatcher, admission.New(admission.Options{MaxWaiting: options.Limits.QueueLength})),
 		budgets:    retry.NewBudgets(retry.Options{Attempts: options.Limits.Attempts}),
 		waiting:    map[uint64]chan turn{},
+		asks:       map[string]bool{},
 	}
 }
 
@@ -88,6 +91,7 @@
 	for _, upstream := range upstreams {
 		view := dispatch.FromAnnouncement(upstream.Heard, upstream.Announcement, r.lease)
 		view.Leaving = upstream.Leaving
+		r.asks[view.Name] = upstream.Announcement.Has(upstreamapi.CapabilityRequestStatus)
 		r.dispatcher.Update(view)
 		r.freed(now, view.Name)
 	}
@@ -97,6 +101,13 @@
 	}
 }
 
+// answersQuestions tells whether an upstream says what became of a request.
+func (r *router) answersQuestions(upstream string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asks[upstream]
+}
+
 func (r *router) cached(now time.Time, events upstreamapi.CacheEvents) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -38,6 +38,9 @@
 	// Streamed is true if the answer is a stream of events, whose head comes
 	// with the first.
 	Streamed bool
+	// AskAfter is true if the upstream answers questions after a request. A plain
+	// service may take such a question for a call of its own.
+	AskAfter bool
 	Priority int
 	// Remaining is the time that is left to the deadline.
 	Remaining time.Duration
--- a/internal/shuttle/silence.go
+++ b/internal/shuttle/silence.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -42,7 +44,7 @@
 			// Others that were kept with it are likely lost as well.
 			s.kept.CloseIdleConnections()
 			first.drop()
-			return s.begin(ctx, s.fresh, address, request).wait()
+			return s.begin(ctx, s.fresh, address, request).waitAfter()
 		case upstreamMute:
 			if !first.reused.Load() || !s.hedges.take() {
 				return first.wait()
@@ -68,19 +70,40 @@
 }
 
 // race returns the answer of the attempt that has one first, and drops the other.
+// If the second could not even connect, the upstream is gone, and nobody waits
+// for the first.
 func race(first, second *attempt) (*Answer, error) {
-	winner, loser := first, second
 	select {
 	case <-first.done:
+		if first.err == nil {
+			go second.drop()
+			return first.answer, nil
+		}
+		return second.waitAfter()
 	case <-second.done:
-		winner, loser = second, first
 	}
-	if winner.err != nil {
-		winner, loser = loser, winner
-		<-winner.done
+	switch {
+	case second.err == nil:
+		go first.drop()
+		return second.answer, nil
+	case !second.reached.Load():
+		first.drop()
+		return nil, &Error{Outcome: outcome.Unknown, cause: errSilent}
+	default:
+		return first.wait()
+	}
+}
+
+// waitAfter returns the head of the answer to a request that went out before, on
+// a connection that was lost. That this attempt did not run is no comfort then:
+// the one before may have.
+func (a *attempt) waitAfter() (*Answer, error) {
+	answer, err := a.wait()
+	var failure *Error
+	if errors.As(err, &failure) && failure.Outcome == outcome.NotRun {
+		return nil, &Error{Outcome: outcome.Unknown, RetryAfter: failure.RetryAfter, cause: failure}
 	}
-	go loser.drop()
-	return winner.wait()
+	return answer, err
 }
 
 // finding is what an upstream says of a request that has no answer yet.
@@ -103,6 +126,9 @@
 
 // askAfter asks the upstream on a new connection what became of a request.
 func (s *Shuttle) askAfter(ctx context.Context, address string, request Request) finding {
+	if !request.AskAfter {
+		return upstreamMute
+	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	target := "http://" + address + upstreamapi.RequestsPath + "/" + url.PathEscape(request.ID)
@@ -126,7 +152,6 @@
 		}
 		return connectionLost
 	case "":
-		// A plain service may answer any path with something.
 		return upstreamMute
 	default:
 		return connectionLost
--- a/internal/shuttle/silence_test.go
+++ b/internal/shuttle/silence_test.go
@@ -22,7 +22,7 @@
 func question(id string) shuttle.Request {
 	return shuttle.Request{
 		ID: id, Method: http.MethodPost, Target: "/v1/completions", Header: http.Header{},
-		Body: []byte(`{"model":"m"}`), Idempotent: true, Remaining: time.Minute,
+		Body: []byte(`{"model":"m"}`), Idempotent: true, AskAfter: true, Remaining: time.Minute,
 	}
 }
 
@@ -153,6 +153,34 @@
 		}
 	})
 
+	// The request went out on a connection that was lost, and again on a new one,
+	// where the upstream refuses it. The first may have run: that the second did
+	// not must not be told as if none had.
+	It("leaves open what became of the first when the second is refused", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		u := newScriptedUpstream(answerOnce(upstreamapi.RequestFinished), answerOnce(upstreamapi.RequestFinished),
+			func(u *scriptedUpstream, conn net.Conn, in *bufio.Reader) {
+				u.whole(in)
+				reply(conn, "HTTP/1.1 503 Busy\r\nLovagelift-Refused: not-run\r\nContent-Length: 0\r\n\r\n")
+			})
+		warm(ctx, u)
+		_, err := s.Send(ctx, u.address(), question("r"))
+		Expect(outcomeOf(err)).To(Equal(outcome.Unknown))
+	})
+
+	// A plain service does not know such questions and may take one for a call. It
+	// is asked none; a request that goes unanswered goes out again.
+	It("asks no plain service after a request", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		u := newScriptedUpstream(answerOnce(upstreamapi.RequestNeverSeen))
+		warm(ctx, u)
+		request := question("r")
+		request.AskAfter = false
+		answer, err := s.Send(ctx, u.address(), request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Body.Close()).To(Succeed())
+		_, arrivals := u.counted()
+		Expect(arrivals).To(Equal(u.sent()), "no question among them")
+	})
+
 	// The upstream is gone behind its connection: it can't be asked either. The
 	// attempt ends at once, so that another upstream can be tried.
 	It("ends the attempt when the upstream can't be asked", SpecTimeout(specTimeout), func(ctx SpecContext) {
