shuttle: one timer that looks watches over reads and writes

Ruled out: a deadline every 15 s, which was no faster and shortens what a write gets. Change: a watch notes when a read or write begins; its timer looks and goes on for what is left.

--- a/internal/shuttle/relay.go
+++ b/internal/shuttle/relay.go
@@ -72,23 +72,21 @@
 // last event was "data: [DONE]": an engine that dies may end its connection
 // like one that has finished.
 func Stream(w http.ResponseWriter, answer *Answer, events bool) error {
+	return stream(w, answer, events, writeTimeout)
+}
+
+func stream(w http.ResponseWriter, answer *Answer, events bool, timeout time.Duration) error {
 	defer answer.Body.Close()
-	control := http.NewResponseController(w)
+	out := newPiecewise(w, timeout)
+	defer out.watch.stop()
 	buffer := make([]byte, relayBufferBytes)
 	var end tail
 	for {
 		n, readErr := answer.Body.Read(buffer)
 		if n > 0 {
 			end.add(buffer[:n])
-			// A caller that went silent takes nothing any more, and its stream would
-			// hold up a planned stop for good. A writer without deadlines is a
-			// test's.
-			_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return errors.Wrap(err, "shuttle: writing to the caller")
-			}
-			if err := control.Flush(); err != nil {
-				return errors.Wrap(err, "shuttle: flushing to the caller")
+			if err := out.write(buffer[:n]); err != nil {
+				return err
 			}
 		}
 		if readErr == io.EOF {
@@ -104,6 +102,34 @@
 	return nil
 }
 
+// piecewise writes pieces to a caller, each at once.
+type piecewise struct {
+	out     http.ResponseWriter
+	control *http.ResponseController
+	watch   *watch
+}
+
+// newPiecewise returns a writer that fails once a piece takes longer than
+// timeout. A caller that went silent takes nothing any more, and its stream would
+// hold up a planned stop for good.
+func newPiecewise(w http.ResponseWriter, timeout time.Duration) *piecewise {
+	control := http.NewResponseController(w)
+	return &piecewise{out: w, control: control, watch: newWatch(timeout, func() {
+		// A deadline that has passed ends the write. A writer that knows none is a
+		// test's.
+		_ = control.SetWriteDeadline(time.Unix(1, 0))
+	})}
+}
+
+func (p *piecewise) write(piece []byte) error {
+	p.watch.enter()
+	defer p.watch.leave()
+	if _, err := p.out.Write(piece); err != nil {
+		return errors.Wrap(err, "shuttle: writing to the caller")
+	}
+	return errors.Wrap(p.control.Flush(), "shuttle: flushing to the caller")
+}
+
 // tailBytes is enough for endOfStream and the line ends around it.
 const tailBytes = 32
 
--- a/internal/shuttle/silence.go
+++ b/internal/shuttle/silence.go
@@ -198,27 +198,26 @@
 type watchedBody struct {
 	io.ReadCloser
 	cancel context.CancelFunc
-	timer  *time.Timer
-	pause  time.Duration
+	watch  *watch
 }
 
-// watchBody cancels the attempt when its body pauses longer than pause, so that
-// reading fails instead of waiting up to the deadline for what won't come.
+// watchBody cancels the attempt when a read of its body takes longer than pause,
+// so that reading fails instead of waiting up to the deadline for what won't
+// come.
 func watchBody(body io.ReadCloser, cancel context.CancelFunc, pause time.Duration) io.ReadCloser {
-	return &watchedBody{ReadCloser: body, cancel: cancel, timer: time.AfterFunc(pause, cancel), pause: pause}
+	return &watchedBody{ReadCloser: body, cancel: cancel, watch: newWatch(pause, cancel)}
 }
 
 // Read reads from the body.
 func (w *watchedBody) Read(buffer []byte) (int, error) {
-	w.timer.Reset(w.pause)
-	n, err := w.ReadCloser.Read(buffer)
-	w.timer.Stop()
-	return n, err
+	w.watch.enter()
+	defer w.watch.leave()
+	return w.ReadCloser.Read(buffer)
 }
 
 // Close closes the body and ends the attempt.
 func (w *watchedBody) Close() error {
-	w.timer.Stop()
+	w.watch.stop()
 	err := w.ReadCloser.Close()
 	w.cancel()
 	return err
