--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -31,11 +31,7 @@
 	if err != nil {
 		return fail(streams, err)
 	}
-	client, err := operator.client()
-	if err != nil {
-		return fail(streams, err)
-	}
-	inForce, err := client.InForce(ctx)
+	client, inForce, err := operator.inForce(ctx)
 	if err != nil {
 		return fail(streams, err)
 	}
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
@@ -67,6 +68,17 @@
 	return registrar.NewClient(options)
 }
 
+// inForce returns the client that the flags describe and what is in force, as far
+// as the first instance that answers knows.
+func (f *operatorFlags) inForce(ctx context.Context) (*registrar.Client, registrar.InForce, error) {
+	client, err := f.client()
+	if err != nil {
+		return nil, registrar.InForce{}, err
+	}
+	inForce, err := client.InForce(ctx)
+	return client, inForce, err
+}
+
 // flagPlace is the place of findings about a flag.
 func flagPlace(name string) finding.Place {
 	return finding.Place{File: "--" + name}
--- a/internal/command/plan.go
+++ b/internal/command/plan.go
@@ -30,11 +30,7 @@
 	if err != nil {
 		return fail(streams, err)
 	}
-	client, err := operator.client()
-	if err != nil {
-		return fail(streams, err)
-	}
-	inForce, err := client.InForce(ctx)
+	client, inForce, err := operator.inForce(ctx)
 	if err != nil {
 		return fail(streams, err)
 	}
--- a/internal/command/preset.go
+++ b/internal/command/preset.go
@@ -38,11 +38,7 @@
 }
 
 func showPresets(ctx context.Context, operator *operatorFlags, streams Streams) int {
-	client, err := operator.client()
-	if err != nil {
-		return fail(streams, err)
-	}
-	inForce, err := client.InForce(ctx)
+	_, inForce, err := operator.inForce(ctx)
 	if err != nil {
 		return fail(streams, err)
 	}
@@ -66,11 +62,7 @@
 }
 
 func changePreset(ctx context.Context, operator *operatorFlags, change registrar.Change, streams Streams) int {
-	client, err := operator.client()
-	if err != nil {
-		return fail(streams, err)
-	}
-	inForce, err := client.InForce(ctx)
+	client, inForce, err := operator.inForce(ctx)
 	if err != nil {
 		return fail(streams, err)
 	}
