standin: ports for tests that no outgoing connection can take

Cause: a spec of host (TLS on every listener) timed out once on a busy machine and in no rerun. Tests drew a port of the range for outgoing connections, closed it and had an instance listen on it later; any connection of another test could have it by then. Change: such tests take ports below that range. No check was changed.

--- a/internal/chamber/house_test.go
+++ b/internal/chamber/house_test.go
@@ -22,6 +22,7 @@
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/registry"
+	"github.com/lovagelift/lovagelift/internal/standin"
 )
 
 // The times of the specs: short, and with room for a machine that is busy.
@@ -78,7 +79,7 @@
 func newHouseOf(ctx context.Context, options houseOptions, followers ...string) *house {
 	h := &house{options: options, members: map[string]*member{}, known: map[string]jury.Identity{}}
 	for _, name := range append([]string{"a", "b", "c"}, followers...) {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := standin.Listen()
 		Expect(err).NotTo(HaveOccurred())
 		h.members[name] = &member{
 			house: h, name: name, voter: !slices.Contains(followers, name), listener: listener,
--- a/internal/desk/fakes_test.go
+++ b/internal/desk/fakes_test.go
@@ -24,6 +24,7 @@
 	"github.com/lovagelift/lovagelift/internal/registry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
+	"github.com/lovagelift/lovagelift/internal/standin"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -311,7 +312,7 @@
 
 // nobody returns an address that refuses connections.
 func nobody() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := standin.Listen()
 	Expect(err).NotTo(HaveOccurred())
 	defer listener.Close()
 	return listener.Addr().String()
@@ -330,7 +331,7 @@
 // dyingAfter returns the address of an upstream that ends each connection once
 // it has read what ends in text.
 func dyingAfter(text string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := standin.Listen()
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = listener.Close() })
 	go func() {
--- a/internal/host/example_test.go
+++ b/internal/host/example_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,6 +10,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/caller"
 	"github.com/lovagelift/lovagelift/internal/host"
+	"github.com/lovagelift/lovagelift/internal/standin"
 )
 
 var _ = Describe("the example", func() {
@@ -36,7 +36,7 @@
 })
 
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := standin.Listen()
 	Expect(err).NotTo(HaveOccurred())
 	defer listener.Close()
 	return listener.Addr().String()
--- a/internal/host/placement_test.go
+++ b/internal/host/placement_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -151,7 +150,7 @@
 
 // startEngine starts an empty engine of 16 GiB that announces itself.
 func startEngine(to string, loadTime time.Duration) *standin.Engine {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := standin.Listen()
 	Expect(err).NotTo(HaveOccurred())
 	engine := standin.NewEngine(standin.EngineOptions{
 		Name: "engine-1", Address: listener.Addr().String(), FailureDomain: "kgn-a",
--- a/internal/instance/trio_test.go
+++ b/internal/instance/trio_test.go
@@ -20,6 +20,7 @@
 	"github.com/lovagelift/lovagelift/internal/instance"
 	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/settings"
+	"github.com/lovagelift/lovagelift/internal/standin"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -114,7 +115,7 @@
 }
 
 func listen() net.Listener {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := standin.Listen()
 	Expect(err).NotTo(HaveOccurred())
 	return listener
 }
--- a/internal/shuttle/shuttle_test.go
+++ b/internal/shuttle/shuttle_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
+	"github.com/lovagelift/lovagelift/internal/standin"
 )
 
 // specTimeout ends a spec whose request hangs. None waits for it otherwise.
@@ -55,7 +56,7 @@
 	})
 
 	It("reports not-run when nobody listens", SpecTimeout(specTimeout), func(ctx SpecContext) {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := standin.Listen()
 		Expect(err).NotTo(HaveOccurred())
 		address := listener.Addr().String()
 		Expect(listener.Close()).To(Succeed())
--- a/lovagelift_test.go
+++ b/lovagelift_test.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/lovagelift/lovagelift"
+	"github.com/lovagelift/lovagelift/internal/standin"
 )
 
 // TestAsk starts the example and asks it as a newcomer's program would.
@@ -45,7 +45,7 @@
 }
 
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := standin.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
