jury: the storms check revisions and their winners too

Change: commands expect the revision that their leader has seen; a member's revision may not fall, also when it is restored, and each is made by one change everywhere. Not seen to fail: where entries fork, the checks of entries and states speak first.

--- a/internal/jury/faults_test.go
+++ b/internal/jury/faults_test.go
@@ -1,7 +1,6 @@
 package jury_test
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -117,7 +116,7 @@
 		var proposals []jury.Proposal
 		for range 1 + w.random.IntN(3) {
 			w.proposed++
-			proposals = append(proposals, jury.Proposal{ID: w.proposed, Data: fmt.Appendf(nil, "change-%d", w.proposed)})
+			proposals = append(proposals, jury.Proposal{ID: w.proposed, Data: change(w.proposed, n.state&revisionBits)})
 		}
 		w.handle(n, jury.Propose{Proposals: proposals})
 	}
--- a/internal/jury/history_test.go
+++ b/internal/jury/history_test.go
@@ -1,9 +1,11 @@
 package jury_test
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
+	"strconv"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/jury"
@@ -35,6 +37,8 @@
 	// written are the entries that reached any disk, each with the term before
 	// it.
 	written map[place]string
+	// winners are the changes that made each revision.
+	winners map[uint64]string
 }
 
 func newHistory() history {
@@ -42,6 +46,7 @@
 		leaders: map[jury.Term]jury.Identity{},
 		entries: map[jury.Index]committed{},
 		written: map[place]string{},
+		winners: map[uint64]string{},
 	}
 }
 
@@ -66,12 +71,26 @@
 	return binary.BigEndian.Uint64(data)
 }
 
-// next is the state machine: it chains all commands.
+// revisionBits are the low bits of a state, which hold its revision.
+const revisionBits = 1<<16 - 1
+
+// change returns a command that changes what is in force, if the revision that
+// its operator has seen is still in force.
+func change(name uint64, expected uint64) []byte {
+	return fmt.Appendf(nil, "change-%d expects %d", name, expected)
+}
+
+// next is the state machine: it chains all commands, and counts the changes that
+// came first for the revision that they expect.
 func next(state uint64, e jury.Entry) uint64 {
 	sum := fnv.New64a()
 	sum.Write(encodeState(state))
 	sum.Write([]byte(text(e)))
-	return sum.Sum64()
+	revision := state & revisionBits
+	if _, expects, found := bytes.Cut(e.Data, []byte(" expects ")); found && string(expects) == strconv.FormatUint(revision, 10) {
+		revision++
+	}
+	return sum.Sum64()&^revisionBits | revision
 }
 
 // checkCommit: committed entries never change, come in order, and are synced by
@@ -83,6 +102,7 @@
 			return
 		}
 		n.applied = e.Index
+		h.checkRevision(n, next(n.state, e), text(e))
 		n.state = next(n.state, e)
 		known, found := h.entries[e.Index]
 		if found && (known.term != e.Term || known.text != text(e) || known.state != n.state) {
@@ -98,6 +118,21 @@
 	}
 }
 
+// checkRevision: a member's revision never falls, and each is made by one change.
+func (h *history) checkRevision(n *node, state uint64, by string) {
+	before, after := n.state&revisionBits, state&revisionBits
+	if after < before {
+		h.failf("%s goes back from revision %d to %d", n.self, before, after)
+	}
+	if after != before+1 {
+		return
+	}
+	if winner, found := h.winners[after]; found && winner != by {
+		h.failf("%s has revision %d by %q, another has it by %q", n.self, after, by, winner)
+	}
+	h.winners[after] = by
+}
+
 func (h *history) checkMajority(w *world, n *node, e jury.Entry) {
 	status := n.member.Status()
 	if status.Role != jury.Leader {
@@ -122,6 +157,9 @@
 
 func (h *history) checkRestore(n *node, snapshot jury.Snapshot) {
 	n.applied = snapshot.Index
+	if before, after := n.state&revisionBits, decodeState(snapshot.Data)&revisionBits; after < before {
+		h.failf("%s is restored from revision %d to %d", n.self, before, after)
+	}
 	n.state = decodeState(snapshot.Data)
 	if known, found := h.entries[snapshot.Index]; found && known.state != n.state {
 		h.failf("%s restored another state at %d", n.self, snapshot.Index)
