--- a/internal/roster/source.go
+++ b/internal/roster/source.go
@@ -103,7 +103,10 @@
 		r.upstreams.Put(record, Hearing{At: asked.Add(-record.Age), Whole: true})
 	}
 	for n, handle := range changes.UpstreamBeats.Handles {
-		complete = r.renewUpstream(asked, source.upstreams[handle], n, &changes.UpstreamBeats) && complete
+		beats := &changes.UpstreamBeats
+		renewed := r.upstreams.renew(source.upstreams[handle], beats.Sequences[n], asked.Add(-beats.age(n)),
+			func(held upstreamapi.Load) upstreamapi.Load { return beats.load(n, held) })
+		complete = complete && renewed
 	}
 	for _, record := range changes.Instances {
 		source.instances[record.Handle] = member{record.Name, record.Incarnation}
@@ -112,7 +115,13 @@
 		}
 	}
 	for n, handle := range changes.InstanceBeats.Handles {
-		complete = r.renewInstance(asked, source.instances[handle], n, &changes.InstanceBeats) && complete
+		if source.instances[handle].name == r.options.Self {
+			continue
+		}
+		beats := &changes.InstanceBeats
+		renewed := r.instances.renew(source.instances[handle], beats.Sequences[n], asked.Add(-beats.age(n)),
+			func(InstanceBeat) InstanceBeat { return beats.state(n) })
+		complete = complete && renewed
 	}
 	if !complete {
 		// A renewal of a member that was forgotten here says nothing without its
@@ -122,46 +131,6 @@
 	}
 }
 
-// renewUpstream takes a renewal and reports whether its member is known. The
-// renewal is of the incarnation that the source sent whole. If this instance has
-// heard of another meanwhile, it is not for that one.
-func (r *Roster) renewUpstream(asked time.Time, of member, n int, beats *UpstreamBeats) bool {
-	held, known := r.upstreams.rows[of.name]
-	if !known {
-		return false
-	}
-	if held.incarnation == of.incarnation {
-		r.upstreams.Put(UpstreamRecord{
-			Name:        of.name,
-			Incarnation: of.incarnation,
-			Sequence:    beats.Sequences[n],
-			Left:        held.left,
-			Beat:        beats.load(n, held.beat),
-		}, Hearing{At: asked.Add(-beats.age(n))})
-	}
-	return true
-}
-
-func (r *Roster) renewInstance(asked time.Time, of member, n int, beats *InstanceBeats) bool {
-	if of.name == r.options.Self {
-		return true
-	}
-	held, known := r.instances.rows[of.name]
-	if !known {
-		return false
-	}
-	if held.incarnation == of.incarnation {
-		r.instances.Put(InstanceRecord{
-			Name:        of.name,
-			Incarnation: of.incarnation,
-			Sequence:    beats.Sequences[n],
-			Left:        held.left,
-			Beat:        beats.state(n),
-		}, Hearing{At: asked.Add(-beats.age(n))})
-	}
-	return true
-}
-
 // upstreamRow and instanceRow are the rows of the two tables.
 type (
 	upstreamRow = row[upstreamStatic, upstreamapi.Load]
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -107,6 +107,27 @@
 	return true
 }
 
+// renew takes a renewal from another instance and reports whether its member is
+// known. The renewal is of the incarnation that the source sent whole. If this
+// instance has heard of another meanwhile, it is not for that one. beat returns
+// the state after the renewal, given the one before.
+func (t *Table[S, B]) renew(of member, sequence uint64, heard time.Time, beat func(held B) B) bool {
+	held, known := t.rows[of.name]
+	if !known {
+		return false
+	}
+	if held.incarnation == of.incarnation {
+		t.Put(Record[S, B]{
+			Name:        of.name,
+			Incarnation: of.incarnation,
+			Sequence:    sequence,
+			Left:        held.left,
+			Beat:        beat(held.beat),
+		}, Hearing{At: heard})
+	}
+	return true
+}
+
 // since calls whole for each row of which more than a renewal has changed after
 // cursor, and renewed for each other row that was renewed, in the order of
 // their handles. If direct is true, rows that another instance told of are left
