--- /dev/null
+++ b/internal/backoffice/engine.go
@@ -0,0 +1,123 @@
+package backoffice
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/routes"
+)
+
+// engine is what the instance that gives orders knows of one engine.
+type engine struct {
+	EngineAddress
+	service string
+	spec    *routes.Engine
+	leaving bool
+	// report is the newest one, corrected by the orders that were accepted since.
+	// It is only good for orders if known is true.
+	report   Report
+	known    bool
+	reported time.Time
+	// asking is true while a report is under way, and ordering while an order is.
+	asking   bool
+	ordering bool
+	// stale says that an order was refused or not answered: no other is given
+	// before a report tells what the engine holds.
+	stale bool
+	// wanted is when each adapter was last asked for.
+	wanted map[string]time.Time
+}
+
+// take takes in a report. One from before an accepted order says nothing new of
+// what the engine holds.
+func (e *engine) take(now time.Time, report Report) {
+	e.reported = now
+	if e.known && report.Sequence < e.report.Sequence {
+		e.report.Running, e.report.Queued, e.report.KVUsed = report.Running, report.Queued, report.KVUsed
+		return
+	}
+	if e.known && report.Sequence == e.report.Sequence && !e.report.Busy && report.Busy {
+		report.Models = e.report.Models
+	}
+	e.report, e.known, e.stale = report, true, false
+}
+
+// holds reports whether the engine can run model, with adapter unless it is
+// empty.
+func (e *engine) holds(model, adapter string) bool {
+	held := e.model(model)
+	return held != nil && (adapter == "" || slices.Contains(held.Adapters, adapter))
+}
+
+func (e *engine) model(name string) *courier.HeldModel {
+	for i := range e.report.Models {
+		if e.report.Models[i].Name == name {
+			return &e.report.Models[i]
+		}
+	}
+	return nil
+}
+
+// adapters returns how many adapters the engine holds.
+func (e *engine) adapters() int {
+	count := 0
+	for _, model := range e.report.Models {
+		count += len(model.Adapters)
+	}
+	return count
+}
+
+// megabytes returns the memory that weights and adapters take.
+func (e *engine) megabytes() float64 {
+	total := 0.0
+	for _, held := range e.report.Models {
+		model, _ := e.spec.Model(held.Name)
+		total += model.Megabytes + float64(len(held.Adapters))*model.AdapterMegabytes
+	}
+	return total
+}
+
+// fitsAdapter reports whether an adapter of model can be loaded now.
+func (e *engine) fitsAdapter(model string) bool {
+	spec, known := e.spec.Model(model)
+	return known && e.adapters() < e.spec.AdapterSlots && e.megabytes()+spec.AdapterMegabytes <= e.spec.Megabytes
+}
+
+// apply corrects the report by an order that was accepted.
+func (e *engine) apply(order Order) {
+	e.report.Sequence = max(e.report.Sequence, order.Expected+1)
+	held := e.model(order.Model)
+	switch {
+	case order.Adapter != "" && held != nil && order.Kind == Load:
+		if !slices.Contains(held.Adapters, order.Adapter) {
+			held.Adapters = append(slices.Clone(held.Adapters), order.Adapter)
+		}
+	case order.Adapter != "" && held != nil:
+		delete(e.wanted, order.Model+"/"+order.Adapter)
+		held.Adapters = slices.DeleteFunc(slices.Clone(held.Adapters), func(a string) bool { return a == order.Adapter })
+	case order.Adapter == "" && order.Kind == Unload:
+		e.report.Models = slices.DeleteFunc(slices.Clone(e.report.Models), func(m courier.HeldModel) bool {
+			return m.Name == order.Model
+		})
+	}
+	if order.Adapter == "" {
+		e.report.Busy = true
+	}
+}
+
+// coldest returns the adapter that was not wanted for the longest time, but not
+// within the last keep.
+func (e *engine) coldest(now time.Time, keep time.Duration) (model, adapter string) {
+	var oldest time.Time
+	for _, held := range e.report.Models {
+		for _, a := range held.Adapters {
+			at := e.wanted[held.Name+"/"+a]
+			if now.Sub(at) < keep || adapter != "" && !at.Before(oldest) {
+				continue
+			}
+			model, adapter, oldest = held.Name, a, at
+		}
+	}
+	return model, adapter
+}
--- /dev/null
+++ b/internal/backoffice/orders.go
@@ -0,0 +1,361 @@
+package backoffice
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/routes"
+)
+
+const (
+	// orderRound is the time between two rounds of reports and orders.
+	orderRound = 250 * time.Millisecond
+	// reportEvery is how often an engine is asked for its report. Engines report
+	// with a lag of some 100 ms, so that more often would tell little more.
+	reportEvery = 500 * time.Millisecond
+	// reportTimeout bounds one question to an engine.
+	reportTimeout = time.Second
+	// orderTimeout bounds an order. It is within orderFlight.
+	orderTimeout = time.Second
+	// adapterTime is how long an adapter takes to load. The users give 5 to 14 ms.
+	adapterTime = 20 * time.Millisecond
+	// keepAdapter is how long an adapter that was asked for stays, so that two
+	// that are asked for in turn do not drive each other out for ever.
+	keepAdapter = 300 * time.Millisecond
+)
+
+// orders asks engines what they hold and orders them to load and unload, while
+// this instance has the right to.
+type orders struct {
+	office *Backoffice
+
+	mu      sync.Mutex
+	engines map[string]*engine
+	// version is that of the table, which was read from the edition in force.
+	table *routes.Table
+	// term is that under which engines are known, 0 while this instance gives no
+	// orders. revision grows with each change of what is told to others.
+	term     uint64
+	revision uint64
+	changed  chan struct{}
+}
+
+func newOrders(office *Backoffice) *orders {
+	return &orders{office: office, engines: map[string]*engine{}, changed: make(chan struct{})}
+}
+
+func (o *orders) run(ctx context.Context) {
+	for pause.For(ctx, orderRound) {
+		o.round(ctx)
+	}
+}
+
+// right returns the fencing number under which this instance may give orders.
+func (o *orders) right() (fence uint64, ok bool) {
+	term, _, ok := o.office.voter.OrderRight(o.office.options.Now())
+	return uint64(term), ok
+}
+
+// round forgets what an earlier leadership knew, takes in the engines that are
+// there and asks those whose report is old.
+func (o *orders) round(ctx context.Context) {
+	now := o.office.options.Now()
+	leader, _ := o.office.voter.Leader()
+	if leader != o.office.voter.Identity() {
+		o.forget()
+		return
+	}
+	status := o.office.voter.Status()
+	o.mu.Lock()
+	if o.term != uint64(status.Term) {
+		o.term = uint64(status.Term)
+		o.revision = o.term << 32
+		o.engines = map[string]*engine{}
+	}
+	o.readTable()
+	due := o.meet(now)
+	o.mu.Unlock()
+	for _, e := range due {
+		o.office.done.Go(func() { o.ask(ctx, e) })
+	}
+}
+
+func (o *orders) forget() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.term = 0
+	clear(o.engines)
+}
+
+// readTable reads the routes in force, if they are others than before.
+func (o *orders) readTable() {
+	held := o.office.voter.Edition()
+	if held.Content == nil || o.table != nil && o.table.Version == held.Version {
+		return
+	}
+	table, err := o.office.options.Table(held.Content)
+	if err != nil {
+		o.office.options.Log.Error().Err(err).Uint64("version", held.Version).Msg("routes in force can't be read here")
+		return
+	}
+	o.table = table
+	for _, e := range o.engines {
+		if service := table.Service(e.service); service != nil {
+			e.spec = service.Engine
+		}
+	}
+}
+
+// meet brings the engines in step with the upstreams that are there, and returns
+// those whose report is due, each marked as being asked.
+func (o *orders) meet(now time.Time) []*engine {
+	if o.table == nil {
+		return nil
+	}
+	o.office.mu.Lock()
+	upstreams, _ := o.office.roster.UpstreamsSince(0)
+	o.office.mu.Unlock()
+	present := map[string]bool{}
+	for _, upstream := range upstreams {
+		if now.Sub(upstream.Heard) >= o.office.options.UpstreamLease || len(upstream.Announcement.Services) == 0 {
+			continue
+		}
+		service := o.table.Service(upstream.Announcement.Services[0])
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		name := upstream.Announcement.Name
+		present[name] = true
+		e := o.engines[name]
+		if e == nil {
+			e = &engine{
+				EngineAddress: EngineAddress{Name: name, Address: upstream.Announcement.Address},
+				service:       service.Name, spec: service.Engine, wanted: map[string]time.Time{},
+			}
+			o.engines[name] = e
+		}
+		e.leaving = upstream.Leaving
+	}
+	var due []*engine
+	for name, e := range o.engines {
+		if !present[name] {
+			delete(o.engines, name)
+			o.touch()
+			continue
+		}
+		if !e.asking && now.Sub(e.reported) >= reportEvery {
+			e.asking = true
+			due = append(due, e)
+		}
+	}
+	return due
+}
+
+// touch says that what is told to others has changed.
+func (o *orders) touch() {
+	o.revision++
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+func (o *orders) ask(ctx context.Context, e *engine) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := o.office.options.Engines.Report(ctx, e.EngineAddress)
+	now := o.office.options.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e.asking = false
+	if err != nil {
+		// The next try waits like any other: an engine that is gone would else be
+		// asked without end.
+		e.reported = now
+		o.office.options.Log.Debug().Err(err).Str("engine", e.Name).Msg("no report")
+		return
+	}
+	e.take(now, report)
+	o.touch()
+}
+
+// holdings returns what the engines hold, unless the asker has this already.
+func (o *orders) holdings(now time.Time, have uint64) *courier.Holdings {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.term == 0 || o.revision == have {
+		return nil
+	}
+	told := &courier.Holdings{Revision: o.revision}
+	for _, e := range o.engines {
+		if !e.known {
+			continue
+		}
+		told.Engines = append(told.Engines, courier.Holding{
+			Name: e.Name, Age: now.Sub(e.reported),
+			Running: e.report.Running, Queued: e.report.Queued, KVUsed: e.report.KVUsed,
+			Models: e.report.Models,
+		})
+	}
+	return told
+}
+
+// note takes in what callers asked for at an entry instance.
+func (o *orders) note(now time.Time, demand []courier.Demand) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, d := range demand {
+		if d.Adapter == "" {
+			continue
+		}
+		for _, e := range o.engines {
+			if e.service == d.Service && e.holds(d.Model, d.Adapter) {
+				e.wanted[d.Model+"/"+d.Adapter] = now
+			}
+		}
+	}
+}
+
+// want has an engine load an adapter and returns its name.
+func (o *orders) want(ctx context.Context, args courier.WantArgs) courier.WantReply {
+	for {
+		reply, wait := o.tryWant(ctx, args)
+		if wait == nil {
+			return reply
+		}
+		select {
+		case <-ctx.Done():
+			return courier.WantReply{Reason: "not in time"}
+		case <-wait:
+		}
+	}
+}
+
+// tryWant makes one step towards an adapter. If it can't tell the end yet, it
+// returns what to wait for.
+func (o *orders) tryWant(ctx context.Context, args courier.WantArgs) (courier.WantReply, <-chan struct{}) {
+	now := o.office.options.Now()
+	o.mu.Lock()
+	if o.term == 0 {
+		o.mu.Unlock()
+		return courier.WantReply{Reason: "this instance gives no orders"}, nil
+	}
+	e := o.adapterEngine(args)
+	if e == nil {
+		o.mu.Unlock()
+		return courier.WantReply{Reason: "no engine holds the model"}, nil
+	}
+	key := args.Model + "/" + args.Adapter
+	if e.holds(args.Model, args.Adapter) {
+		e.wanted[key] = now
+		o.mu.Unlock()
+		return courier.WantReply{Engine: e.Name}, nil
+	}
+	if e.ordering || e.stale {
+		changed := o.changed
+		o.mu.Unlock()
+		return courier.WantReply{}, changed
+	}
+	order := Order{Kind: Load, Model: args.Model, Adapter: args.Adapter}
+	if !e.fitsAdapter(args.Model) {
+		order.Kind = Unload
+		order.Model, order.Adapter = e.coldest(now, keepAdapter)
+		if order.Adapter == "" {
+			o.mu.Unlock()
+			return courier.WantReply{Reason: "all places for adapters are in use"}, nil
+		}
+	}
+	e.ordering = true
+	e.wanted[key] = now
+	o.mu.Unlock()
+	if !o.give(ctx, e, order) {
+		return courier.WantReply{Reason: "the order was not carried out"}, nil
+	}
+	if order.Kind == Load && !pause.For(ctx, adapterTime) {
+		return courier.WantReply{Reason: "not in time"}, nil
+	}
+	return o.tryWant(ctx, args)
+}
+
+// adapterEngine returns the engine for an adapter: one that holds it, else the
+// one with the highest hash among those that hold the model, so that several
+// askers agree.
+func (o *orders) adapterEngine(args courier.WantArgs) *engine {
+	var chosen *engine
+	var highest uint32
+	names := make([]string, 0, len(o.engines))
+	for name := range o.engines {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		e := o.engines[name]
+		if e.service != args.Service || e.leaving || !e.known || !e.holds(args.Model, "") {
+			continue
+		}
+		if e.holds(args.Model, args.Adapter) {
+			return e
+		}
+		if score := rank(name, args.Adapter); chosen == nil || score > highest {
+			chosen, highest = e, score
+		}
+	}
+	return chosen
+}
+
+// rank is a hash of two names.
+func rank(a, b string) uint32 {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(strings.Join([]string{a, b}, "\x00")))
+	return sum.Sum32()
+}
+
+// give gives an order that e was marked for, and reports whether the engine
+// carries it out.
+func (o *orders) give(ctx context.Context, e *engine, order Order) bool {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	fence, ok := o.right()
+	answer := Refused
+	var err error
+	if ok {
+		o.mu.Lock()
+		order.Expected = e.report.Sequence
+		o.mu.Unlock()
+		order.Holder, order.Fence = o.office.options.Address, fence
+		answer, err = o.office.options.Engines.Order(ctx, e.EngineAddress, order)
+	}
+	o.logOrder(e, order, answer, ok, err)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e.ordering = false
+	switch {
+	case err != nil:
+		// It may be carried out later. The number of orders that the engine has
+		// accepted, which each order carries, keeps it and a later order from both
+		// taking the same memory.
+		e.stale = true
+		e.reported = time.Time{}
+	case !ok || answer == Refused:
+		e.stale = true
+		e.reported = time.Time{}
+	default:
+		e.apply(order)
+	}
+	o.touch()
+	return err == nil && ok && answer != Refused
+}
+
+func (o *orders) logOrder(e *engine, order Order, answer OrderAnswer, right bool, err error) {
+	kind := "load"
+	if order.Kind == Unload {
+		kind = "unload"
+	}
+	o.office.options.Log.Info().Err(err).Str("engine", e.Name).Str("order", kind).Str("model", order.Model).
+		Str("adapter", order.Adapter).Uint64("expected", order.Expected).Uint64("fence", order.Fence).
+		Bool("right", right).Uint8("answer", uint8(answer)).Msg("order to an engine")
+}
--- /dev/null
+++ b/internal/backoffice/voters.go
@@ -0,0 +1,79 @@
+package backoffice
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/electorate"
+	"github.com/lovagelift/lovagelift/internal/pause"
+)
+
+// foundEvery is the time between two tries to found the cluster. All instances
+// start within a second of each other.
+const foundEvery = 200 * time.Millisecond
+
+// found founds the cluster at the very first start. Every founder tries: the
+// cluster that follows from the same identities is the same.
+func (b *Backoffice) found(ctx context.Context) {
+	if !b.options.Founder {
+		return
+	}
+	for b.voter.Status().Cluster == "" {
+		if err := b.voter.Bootstrap(ctx); err != nil {
+			b.options.Log.Debug().Err(err).Msg("cluster not founded yet")
+		}
+		if !pause.For(ctx, foundEvery) {
+			return
+		}
+	}
+	b.options.Log.Info().Str("cluster", b.voter.Status().Cluster).Msg("cluster founded")
+}
+
+// elect keeps the set of voters whole while this instance leads.
+func (b *Backoffice) elect(ctx context.Context) {
+	for pause.For(ctx, electEvery) {
+		status := b.voter.Status()
+		if status.Failure != nil {
+			close(b.failed)
+			return
+		}
+		if b.leads(b.options.Now()) {
+			b.changeVoters(ctx)
+		}
+	}
+}
+
+// leads reports whether this instance leads, and notes since when.
+func (b *Backoffice) leads(now time.Time) bool {
+	leader, _ := b.voter.Leader()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case leader != b.voter.Identity():
+		b.leadsSince = time.Time{}
+		return false
+	case b.leadsSince.IsZero():
+		b.leadsSince = now
+	}
+	return true
+}
+
+// changeVoters asks for the next change of voters, if one is due.
+func (b *Backoffice) changeVoters(ctx context.Context) {
+	b.mu.Lock()
+	since := b.leadsSince
+	b.mu.Unlock()
+	change := electorate.Decide(
+		b.options.Now(), b.voter.Identity(), b.voter.Status().Voters, b.voter.Peers(), since,
+		electorate.Options{Size: b.options.Voters, Patience: silentVoter},
+	)
+	if change == (electorate.Change{}) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := b.voter.ChangeVoters(ctx, courier.VotersChange{Add: change.Add, Remove: change.Remove})
+	b.options.Log.Info().Err(err).Str("add", string(change.Add)).Str("remove", string(change.Remove)).
+		Str("reason", string(change.Reason)).Msg("change of voters")
+}
--- a/internal/chamber/answers.go
+++ b/internal/chamber/answers.go
@@ -112,6 +112,11 @@
 			return voter.InnerAddress, nil
 		}
 	}
+	if v.options.Address != nil {
+		if address, known := v.options.Address(identity.Instance()); known {
+			return address, nil
+		}
+	}
 	return "", errors.Newf("chamber: the settings name no voter %q", identity.Instance())
 }
 
--- a/internal/chamber/bootstrap.go
+++ b/internal/chamber/bootstrap.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"crypto/rand"
+	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"slices"
@@ -140,20 +140,34 @@
 	return complete(charter, identities, origin)
 }
 
-// complete fills in what a charter lacks. Two bootstraps that run at once draw
-// two names, so that no voter of one joins the other.
+// complete fills in what a charter lacks. The cluster's name follows from its
+// voters and its first state: bootstraps of the same voters that run at once
+// found one cluster, and those of other voters never the same.
 func complete(charter courier.Charter, identities []jury.Identity, origin Origin) (courier.Charter, error) {
-	if charter.Cluster == "" {
-		var id [clusterIDBytes]byte
-		rand.Read(id[:])
-		charter.Cluster = hex.EncodeToString(id[:])
-	}
 	charter.Voters = identities
 	charter.Index, charter.Term, charter.Data = origin.Index, origin.Term, origin.Data
-	if origin.Index > 0 {
-		return charter, nil
+	if origin.Index == 0 {
+		data, err := registry.New().Snapshot()
+		if err != nil {
+			return courier.Charter{}, err
+		}
+		charter.Data = data
+	}
+	if charter.Cluster == "" {
+		charter.Cluster = clusterID(charter)
+	}
+	return charter, nil
+}
+
+// clusterID returns the name of the cluster that a charter founds. Identities
+// hold a number that was drawn with the data folder, so that no two sets of
+// voters have one name.
+func clusterID(charter courier.Charter) string {
+	sum := sha256.New()
+	for _, identity := range charter.Voters {
+		fmt.Fprintf(sum, "%s\n", identity)
 	}
-	data, err := registry.New().Snapshot()
-	charter.Data = data
-	return charter, err
+	fmt.Fprintf(sum, "%d %d\n", charter.Index, charter.Term)
+	sum.Write(charter.Data)
+	return hex.EncodeToString(sum.Sum(nil)[:clusterIDBytes])
 }
--- a/internal/chamber/chamber.go
+++ b/internal/chamber/chamber.go
@@ -62,6 +62,9 @@
 	Self string
 	// Voters are the other instances that are voters.
 	Voters []VoterAddress
+	// Address returns the inner address of an instance that Voters does not name,
+	// because it joined later. Nil stands for none.
+	Address func(instance string) (string, bool)
 	// Calls carries proposals, look-ups and configurations.
 	Calls *courier.Pool
 	// RenewEvery is how often the configuration is confirmed.
--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -15,6 +15,7 @@
 	"github.com/lovagelift/lovagelift/internal/clerk"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/docket"
+	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/manifest"
@@ -203,6 +204,21 @@
 	return ok && published && now.Sub(asOf) < v.options.Lease
 }
 
+// Edition returns the document that operators number, as this replica has it.
+func (v *Voter) Edition() edition.Edition {
+	return v.registry.Edition()
+}
+
+// FreshEdition returns the document that operators number, as of now or later.
+// If the voter can't confirm that it is up to date before ctx ends, FreshEdition
+// returns false.
+func (v *Voter) FreshEdition(ctx context.Context) (edition.Edition, bool) {
+	if !v.awaitFresh(ctx, v.options.Now()) {
+		return edition.Edition{}, false
+	}
+	return v.registry.Edition(), true
+}
+
 // Close hands over a leadership and closes the data folder.
 func (v *Voter) Close(ctx context.Context) {
 	v.stop()
@@ -314,6 +330,11 @@
 	return v.clerk.Status()
 }
 
+// Peers returns what a leader knows of the replicas that it replicates to.
+func (v *Voter) Peers() []jury.PeerStatus {
+	return v.clerk.Peers()
+}
+
 // Lookup waits until the voter is known to be up to date as of now.
 func (v *Voter) Lookup(ctx context.Context, key docket.Key) (docket.Answer, error) {
 	if !v.awaitFresh(ctx, v.options.Now()) {
--- a/internal/clerk/loop.go
+++ b/internal/clerk/loop.go
@@ -143,7 +143,7 @@
 // publish shows the member to other goroutines.
 func (l *loop) publish(now time.Time) {
 	c := l.clerk
-	next := &view{at: now, status: l.member.Status(), changed: make(chan struct{})}
+	next := &view{at: now, status: l.member.Status(), peers: l.member.Peers(now), changed: make(chan struct{})}
 	next.right.term, next.right.until, next.right.held = l.member.OrderRight(now)
 	if last := c.view.Swap(next); last != nil {
 		close(last.changed)
--- a/internal/clerk/view.go
+++ b/internal/clerk/view.go
@@ -11,6 +11,7 @@
 type view struct {
 	at     time.Time
 	status jury.Status
+	peers  []jury.PeerStatus
 	right  right
 	// changed is closed when a later view replaces this one.
 	changed chan struct{}
@@ -28,6 +29,12 @@
 	return c.view.Load().status
 }
 
+// Peers returns what the replica knows of the members that it replicates to, if
+// it leads.
+func (c *Clerk) Peers() []jury.PeerStatus {
+	return c.view.Load().peers
+}
+
 // Leader returns the leader that the replica follows, or its own identity if it
 // leads. It is empty if the replica knows of none.
 func (c *Clerk) Leader() jury.Identity {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -49,6 +49,7 @@
 	parser.DisableShowVersionWithVersion()
 	commands := []command{
 		newServe(),
+		newProvider(),
 		newAsk(),
 		newCheck(),
 		newPlan(),
--- /dev/null
+++ b/internal/command/provider.go
@@ -0,0 +1,32 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/platform"
+)
+
+// newProvider returns the command that runs one instance on the users' provider.
+// Its settings say which role it has.
+func newProvider() command {
+	flags := newSubcommand("provider", "runs one instance on the users' provider, by the settings in "+
+		platform.SettingsVariable, platform.SettingsVariable+"=boot.yaml lovagelift provider")
+	run := func(ctx context.Context, streams Streams) int {
+		err := platform.Run(ctx, streams.Out, Version)
+		var findings *finding.Error
+		switch {
+		case errors.As(err, &findings):
+			fmt.Fprintln(streams.Err, err)
+			return ExitBadInput
+		case err != nil:
+			fmt.Fprintln(streams.Err, err)
+			return ExitFailed
+		}
+		return ExitOK
+	}
+	return command{flags: flags, run: run}
+}
--- /dev/null
+++ b/internal/counter/answer.go
@@ -0,0 +1,120 @@
+package counter
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
+)
+
+// wholeBytes is the size up to which an answer is read whole before any of it
+// goes to the caller, so that one that breaks off can be told as what it is.
+const wholeBytes = 1 << 20
+
+// relayBytes is the size of the buffer of a stream. An event has some 50 bytes.
+const relayBytes = 4 << 10
+
+// answer relays an upstream's answer. It reports false if nothing went to the
+// caller and the request may be sent again.
+func (t *trip) answer(ctx context.Context, w http.ResponseWriter, a *sending, response *http.Response) bool {
+	t.runs++
+	if t.route.Kind == routes.Stream && response.StatusCode < http.StatusMultipleChoices {
+		t.stream(ctx, w, a, response)
+		return true
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBytes+1))
+	if err != nil {
+		t.runs--
+		return t.failed(ctx, w, a, err)
+	}
+	t.counter.worked(a)
+	copyHead(w, response)
+	w.WriteHeader(response.StatusCode)
+	if _, err := w.Write(body); err != nil {
+		t.counter.logAttempt(t, a, "caller gone", response.StatusCode, "")
+		return true
+	}
+	if len(body) > wholeBytes {
+		if _, err := io.Copy(w, response.Body); err != nil {
+			t.counter.logAttempt(t, a, "broken off", response.StatusCode, err.Error())
+			panic(http.ErrAbortHandler)
+		}
+	}
+	t.counter.logAttempt(t, a, "answered", response.StatusCode, "")
+	return true
+}
+
+// stream relays events as they come. If the upstream breaks off, the caller's
+// connection breaks as well: a stream that ends early must not look whole.
+func (t *trip) stream(ctx context.Context, w http.ResponseWriter, a *sending, response *http.Response) {
+	copyHead(w, response)
+	w.WriteHeader(response.StatusCode)
+	control := http.NewResponseController(w)
+	buffer := make([]byte, relayBytes)
+	for {
+		n, readErr := response.Body.Read(buffer)
+		if n > 0 {
+			if _, err := w.Write(buffer[:n]); err != nil || control.Flush() != nil {
+				t.counter.logAttempt(t, a, "caller gone", response.StatusCode, "")
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if readErr == io.EOF {
+			t.counter.worked(a)
+			t.counter.logAttempt(t, a, "answered", response.StatusCode, "")
+			return
+		}
+		if readErr != nil {
+			if ctx.Err() == nil {
+				t.counter.brokeOff(a)
+			}
+			t.counter.logAttempt(t, a, "broken off", response.StatusCode, readErr.Error())
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func copyHead(w http.ResponseWriter, response *http.Response) {
+	header := w.Header()
+	for name, values := range shuttle.Forwardable(response.Header) {
+		header[name] = values
+	}
+	if header.Get("Content-Type") == "" {
+		// Else net/http would guess one.
+		header["Content-Type"] = nil
+	}
+}
+
+func (c *Counter) worked(a *sending) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.upstream.worked()
+}
+
+func (c *Counter) brokeOff(a *sending) {
+	now := c.options.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.upstream.failed(now)
+}
+
+// logAttempt tells what became of a request at an upstream. Good answers are told
+// at debug level: they say nothing that the counts do not.
+func (c *Counter) logAttempt(t *trip, a *sending, what string, status int, verdict string) {
+	level := zerolog.InfoLevel
+	if what == "answered" {
+		level = zerolog.DebugLevel
+	}
+	c.options.Log.WithLevel(level).Str("request", t.call.ID).Str("route", t.route.Name).Uint64("version", t.version).
+		Str("upstream", a.upstream.Announcement.Name).Int("send", t.sends).Int("status", status).
+		Dur("took", c.options.Now().Sub(t.began)).Str("verdict", verdict).Msg(what)
+}
+
+func (c *Counter) log(t *trip, what, why string) {
+	c.options.Log.Info().Str("request", t.call.ID).Str("route", t.route.Name).
+		Dur("took", c.options.Now().Sub(t.began)).Str("reason", why).Msg(what)
+}
--- /dev/null
+++ b/internal/counter/counter.go
@@ -0,0 +1,161 @@
+package counter
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/retry"
+	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/routes"
+)
+
+// Counter is one entry instance. It is safe for concurrent use.
+type Counter struct {
+	options Options
+	// kept carries what may be repeated on connections that are used again, and
+	// fresh the rest, on a connection for each request.
+	kept  *http.Transport
+	fresh *http.Transport
+	table atomic.Pointer[routes.Table]
+
+	mu      sync.Mutex
+	roster  *roster.Roster
+	fleet   *fleet
+	links   links
+	seeds   []string
+	demand  *demand
+	budgets *retry.Budgets
+	wants   map[courier.WantArgs]*sharedWant
+	// told says how far the fleet follows the roster.
+	told uint64
+	// entries is how many entry instances there are, this one included.
+	entries int
+	// open is how many requests are under way.
+	open     int
+	draining bool
+	// changed is closed when a request that found no upstream may find one now.
+	changed chan struct{}
+
+	// syncNow has the next sync come at once.
+	syncNow chan struct{}
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// idleTime is how long a connection to an upstream is kept. Upstreams close idle
+// ones after some seconds, and a request that crosses the close is lost.
+const idleTime = 2 * time.Second
+
+// keptConnections is how many idle connections are kept to each upstream.
+const keptConnections = 8
+
+// New returns a Counter that has started to learn from control instances.
+func New(options Options) *Counter {
+	ctx, cancel := context.WithCancel(context.Background())
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		var dialer net.Dialer
+		return dialer.DialContext(ctx, network, address)
+	}
+	c := &Counter{
+		options: options,
+		kept: &http.Transport{
+			DialContext: dial, DisableCompression: true,
+			MaxIdleConnsPerHost: keptConnections, IdleConnTimeout: idleTime,
+		},
+		fresh: &http.Transport{DialContext: dial, DisableCompression: true, DisableKeepAlives: true},
+		roster: roster.New(roster.Options{
+			Self:        options.Name,
+			Incarnation: uint64(options.Now().UnixNano()),
+			Static:      roster.InstanceStatic{CallerAddress: options.CallerAddress, FailureDomain: options.FailureDomain},
+			Lease:       options.UpstreamLease,
+		}),
+		fleet:  newFleet(options.FailureDomain, options.UpstreamLease),
+		demand: newDemand(),
+		budgets: retry.NewBudgets(retry.Options{
+			Attempts: maxAttempts, Share: options.Retries.Share, Reserve: options.Retries.Reserve,
+		}),
+		seeds:   options.Seeds,
+		wants:   map[courier.WantArgs]*sharedWant{},
+		entries: 1,
+		changed: make(chan struct{}),
+		syncNow: make(chan struct{}, 1),
+		stop:    cancel,
+	}
+	c.links = links{
+		calls:    courier.NewPool(options.Dial, syncTimeout),
+		controls: options.Seeds,
+		next:     rand.IntN(len(options.Seeds)),
+	}
+	c.links.asked = options.Seeds[c.links.next]
+	c.done.Go(func() { c.follow(ctx) })
+	return c
+}
+
+// maxAttempts bounds the sendings of one request, refusals by upstreams
+// included.
+const maxAttempts = 4
+
+// Serves reports whether the instance takes requests: it knows routes and is not
+// stopping.
+func (c *Counter) Serves() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.draining && c.table.Load() != nil
+}
+
+// Open returns how many requests are under way.
+func (c *Counter) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
+}
+
+// Drain begins a planned stop: callers are told to use other instances. Requests
+// that come all the same are served.
+func (c *Counter) Drain() {
+	c.mu.Lock()
+	c.draining = true
+	c.mu.Unlock()
+	select {
+	case c.syncNow <- struct{}{}:
+	default:
+	}
+}
+
+// Draining reports whether a planned stop has begun.
+func (c *Counter) Draining() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.draining
+}
+
+// Seed replaces the control instances to fall back on.
+func (c *Counter) Seed(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = seeds
+	c.links.controls = merge(c.links.controls, seeds)
+}
+
+// Close stops learning and closes the connections.
+func (c *Counter) Close() {
+	c.stop()
+	c.links.calls.Close()
+	c.done.Wait()
+	c.kept.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// wakeLocked wakes the requests that found no upstream.
+func (c *Counter) wakeLocked() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/counter/fleet.go
@@ -0,0 +1,142 @@
+package counter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// fleet is the upstreams that an entry instance knows, and what it has sent
+// them. It is not safe for concurrent use.
+type fleet struct {
+	lease     time.Duration
+	domain    string
+	upstreams map[string]*upstream
+	// services are the names of upstreams by service.
+	services map[string][]*upstream
+	// newest is when the last upstream was heard of.
+	newest time.Time
+	// graceUntil is until when no upstream is taken for lost: after control
+	// instances were away, their upstreams are heard of one after the other.
+	graceUntil time.Time
+}
+
+// upstream is one process of a service.
+type upstream struct {
+	roster.Upstream
+	service string
+	slots   int
+	remote  bool
+	// models is what it holds, by model.
+	models map[string][]string
+	// open is how many requests of this instance are under way, and unread how
+	// many prompt tokens of them have had no answer yet.
+	open   int
+	unread int
+	// running is how many requests the newest report gives, and sentSince how many
+	// this instance has sent after it.
+	running   int
+	sentSince int
+	// avoidUntil is until when it gets work only if nobody else can, after
+	// failures in a row.
+	avoidUntil time.Time
+	failures   int
+	// slow is the moving mean of its time to the first byte, in seconds.
+	slow float64
+}
+
+func newFleet(domain string, lease time.Duration) *fleet {
+	return &fleet{
+		lease: lease, domain: domain,
+		upstreams: map[string]*upstream{}, services: map[string][]*upstream{},
+	}
+}
+
+// update takes in what is known of upstreams now.
+func (f *fleet) update(now time.Time, changed []roster.Upstream) {
+	before := f.newest
+	for _, known := range changed {
+		f.put(known)
+	}
+	if !before.IsZero() && f.newest.Sub(before) > f.lease/2 {
+		f.graceUntil = now.Add(f.lease)
+	}
+	for name, u := range f.upstreams {
+		if f.newest.Sub(u.Heard) > forgetLeases*f.lease && u.open == 0 {
+			f.remove(name)
+		}
+	}
+}
+
+// forgetLeases is after how many leases an upstream that is lost is forgotten.
+const forgetLeases = 10
+
+func (f *fleet) put(known roster.Upstream) {
+	name := known.Announcement.Name
+	u := f.upstreams[name]
+	if u == nil {
+		if len(known.Announcement.Services) == 0 {
+			return
+		}
+		u = &upstream{service: known.Announcement.Services[0]}
+		f.upstreams[name] = u
+		f.services[u.service] = append(f.services[u.service], u)
+	}
+	restated := !slices.EqualFunc(u.Announcement.Resident, known.Announcement.Resident, sameResident)
+	u.Upstream = known
+	u.slots = known.Announcement.Load.MaxRunning
+	u.remote = known.Announcement.FailureDomain != f.domain
+	if restated || u.models == nil {
+		u.models = make(map[string][]string, len(known.Announcement.Resident))
+		for _, held := range known.Announcement.Resident {
+			u.models[held.Model] = held.Adapters
+		}
+	}
+	if known.Heard.After(f.newest) {
+		f.newest = known.Heard
+	}
+}
+
+func (f *fleet) remove(name string) {
+	u := f.upstreams[name]
+	delete(f.upstreams, name)
+	f.services[u.service] = slices.DeleteFunc(f.services[u.service], func(other *upstream) bool { return other == u })
+}
+
+// hold takes in what engines hold by whoever gives them orders, which is newer
+// than what they announce themselves.
+func (f *fleet) hold(holdings *courier.Holdings) {
+	for _, held := range holdings.Engines {
+		u := f.upstreams[held.Name]
+		if u == nil {
+			continue
+		}
+		u.models = make(map[string][]string, len(held.Models))
+		for _, model := range held.Models {
+			u.models[model.Name] = model.Adapters
+		}
+		u.running = held.Running + held.Queued
+		u.sentSince = 0
+	}
+}
+
+// alive reports whether u may get new work.
+func (f *fleet) alive(now time.Time, u *upstream) bool {
+	return !u.Leaving && (f.newest.Sub(u.Heard) < f.lease || now.Before(f.graceUntil))
+}
+
+// holds reports whether u can run a model, with an adapter unless it is empty.
+func (u *upstream) holds(model, adapter string) bool {
+	if model == "" {
+		return true
+	}
+	adapters, held := u.models[model]
+	return held && (adapter == "" || slices.Contains(adapters, adapter))
+}
+
+func sameResident(a, b upstreamapi.Resident) bool {
+	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+}
--- /dev/null
+++ b/internal/counter/options.go
@@ -0,0 +1,120 @@
+// Package counter is an entry instance: it takes callers' requests, finds their
+// route, chooses an upstream and relays its answer (reverse proxy).
+//
+// What it knows of routes, upstreams and models it learns from control
+// instances, several times a second. While these are lost it goes on with what
+// it knew last: a caller that is served by a route a minute old is better off
+// than one that is refused.
+package counter
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/routes"
+)
+
+// Options configures a Counter.
+type Options struct {
+	// Name differs from that of any other instance. CallerAddress is where callers
+	// reach this one.
+	Name          string
+	CallerAddress string
+	FailureDomain string
+	// Seeds are the inner addresses of control instances to begin with.
+	Seeds []string
+	Dial  courier.Dial
+	// UpstreamLease is how long an upstream gets work after it was heard of.
+	UpstreamLease time.Duration
+	// Retries bounds the requests that are sent once more, for each service.
+	Retries RetryLimits
+	// Table reads the routes that an operator sent.
+	Table func(content []byte) (*routes.Table, error)
+	// Dialect is how upstreams are spoken to.
+	Dialect Dialect
+	Now     func() time.Time
+	Log     zerolog.Logger
+}
+
+// RetryLimits bound the requests that are sent to an upstream once more.
+type RetryLimits struct {
+	// Share is how many there may be for each fresh request.
+	Share float64
+	// Reserve is how many there may be beyond that at once.
+	Reserve float64
+}
+
+// Dialect is what differs between the protocols that upstreams speak.
+type Dialect interface {
+	// Prepare completes the header of a request to an upstream.
+	Prepare(header http.Header, attempt Attempt)
+	// Judge tells what an answer's head says of the request.
+	Judge(response *http.Response, requestID string) Judgement
+}
+
+// Attempt is one sending of a request to an upstream.
+type Attempt struct {
+	RequestID string
+	// Upstream is the name of the process that is meant. Whoever else answers at
+	// the address must not run the request.
+	Upstream string
+	// Remaining is the time that is left.
+	Remaining time.Duration
+	// Priority is that of the route, 0 being the most urgent.
+	Priority uint8
+}
+
+// Judgement is what an answer's head says of a request.
+type Judgement uint8
+
+// The judgements.
+const (
+	// Answered means that the upstream ran the request and this is its answer.
+	Answered Judgement = iota + 1
+	// NotRun means that the upstream did not run the request and never will.
+	NotRun
+	// Misdirected is NotRun by a process that is not the one that was meant, or
+	// that does not hold the model.
+	Misdirected
+	// Foreign means that this is the answer to another request.
+	Foreign
+)
+
+// Call is what a caller's headers say of its request.
+type Call struct {
+	ID string
+	// Patience is how long the caller waits, 0 if it does not say.
+	Patience time.Duration
+	Model    string
+	// Adapter is empty for the model itself.
+	Adapter      string
+	PromptTokens int
+	AnswerTokens int
+	// Parts are those of the prompt that requests share, in order. The last
+	// belongs to the request or its session.
+	Parts []Part
+}
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// The intervals and limits of an entry instance.
+const (
+	// syncEvery is the time between two questions to a control instance: routes
+	// and departures are in force here well within 1 s.
+	syncEvery = 250 * time.Millisecond
+	// syncTimeout is how long a control instance has to answer before another is
+	// asked.
+	syncTimeout = 600 * time.Millisecond
+	// wantTimeout bounds the wait for an adapter.
+	wantTimeout = time.Second
+	// connectTimeout bounds connecting to an upstream: a round trip between
+	// failure domains takes 3 ms.
+	connectTimeout = 250 * time.Millisecond
+)
--- /dev/null
+++ b/internal/counter/send.go
@@ -0,0 +1,76 @@
+package counter
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+
+	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
+)
+
+// sending is a request at one upstream.
+type sending struct {
+	upstream *upstream
+	tokens   int
+	// reached is true once bytes of the request may have gone out.
+	reached atomic.Bool
+}
+
+// begin notes that the answer has begun, or never will.
+func (c *Counter) begin(a *sending) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.upstream.begun(a.tokens)
+}
+
+// finish notes that the upstream has no more work of the request.
+func (c *Counter) finish(a *sending) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.upstream.ended()
+}
+
+// send sends the request once and waits for the head of the answer.
+func (t *trip) send(ctx context.Context, a *sending) (*http.Response, error) {
+	c := t.counter
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		// From here on bytes may go out. Everything before is connecting.
+		GotConn: func(httptrace.GotConnInfo) { a.reached.Store(true) },
+	})
+	incoming := t.request
+	outgoing := (&http.Request{
+		Method: incoming.Method,
+		URL: &url.URL{
+			Scheme: "http", Host: a.upstream.Announcement.Address,
+			Path: incoming.URL.Path, RawPath: incoming.URL.RawPath, RawQuery: incoming.URL.RawQuery,
+		},
+		Host:          incoming.Host,
+		Header:        shuttle.Forwardable(incoming.Header),
+		ContentLength: int64(len(t.body)),
+		// A body that net/http can't rewind, even an empty one, keeps it from ever
+		// sending the request again by itself.
+		Body: io.NopCloser(bytes.NewReader(t.body)),
+	}).WithContext(traced)
+	c.options.Dialect.Prepare(outgoing.Header, Attempt{
+		RequestID: t.call.ID,
+		Upstream:  a.upstream.Announcement.Name,
+		Remaining: t.deadline.Sub(c.options.Now()),
+		Priority:  t.route.Priority,
+	})
+	return t.transport().RoundTrip(outgoing)
+}
+
+// transport returns the connections that the request may use. On a kept one that
+// the other end has lost track of, or is just closing, a request would be written
+// and never answered; what must not run twice could then not be sent again.
+func (t *trip) transport() *http.Transport {
+	if t.route.Kind == routes.Idempotent {
+		return t.counter.kept
+	}
+	return t.counter.fresh
+}
--- /dev/null
+++ b/internal/counter/sync.go
@@ -0,0 +1,196 @@
+package counter
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/edition"
+	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/roster"
+)
+
+// links is whom an entry instance asks for news, and how far it has got.
+type links struct {
+	calls *courier.Pool
+	// leader is the control instance that gives orders, and asked the one that is
+	// asked for news: the leader, while it answers.
+	leader string
+	asked  string
+	// controls are all that are known of; seeds are never forgotten.
+	controls []string
+	next     int
+	source   roster.Source
+	// holdings is the revision that this instance has.
+	holdings uint64
+	// lost is true while nobody answers.
+	lost bool
+}
+
+// follow keeps asking for news until ctx ends.
+func (c *Counter) follow(ctx context.Context) {
+	for {
+		c.sync(ctx)
+		select {
+		case <-c.syncNow:
+		case <-time.After(syncEvery):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sync asks one control instance for news. If it does not answer, the next call
+// asks another.
+func (c *Counter) sync(ctx context.Context) {
+	now := c.options.Now()
+	c.mu.Lock()
+	address := c.links.asked
+	c.roster.Beat(now, roster.InstanceBeat{Draining: c.draining, Stale: c.table.Load() == nil, Streams: c.open})
+	args := courier.SyncArgs{
+		Cursor:   c.links.source.Cursor(false),
+		Holdings: c.links.holdings,
+		Demand:   c.demand.take(),
+	}
+	if own := c.roster.Introduction(now); own != nil {
+		args.From = *own
+	}
+	c.mu.Unlock()
+	if table := c.table.Load(); table != nil {
+		args.Edition = table.Version
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	reply, err := c.links.calls.Sync(ctx, address, args)
+	cancel()
+	if err != nil {
+		c.askAnother(address, err)
+		return
+	}
+	if reply.Edition != nil {
+		c.publish(*reply.Edition)
+	}
+	c.take(now, address, reply)
+}
+
+// askAnother makes another control instance the one to ask.
+func (c *Counter) askAnother(address string, cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.links.controls
+	c.links.next++
+	c.links.asked = known[c.links.next%len(known)]
+	c.links.source = roster.Source{}
+	if !c.links.lost {
+		c.links.lost = true
+		c.options.Log.Warn().Err(cause).Str("control", address).Str("next", c.links.asked).
+			Msg("control instance does not answer; going on with what is known")
+	}
+}
+
+// take takes in the news.
+func (c *Counter) take(asked time.Time, address string, reply courier.SyncReply) {
+	now := c.options.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links.lost {
+		c.links.lost = false
+		c.options.Log.Info().Str("control", address).Msg("control instance regained")
+	}
+	c.roster.Merge(asked, &c.links.source, reply.Changes)
+	c.entries = reply.Entries
+	var changed []roster.Upstream
+	changed, c.told = c.roster.UpstreamsSince(c.told)
+	c.fleet.update(now, changed)
+	if reply.Holdings != nil {
+		c.fleet.hold(reply.Holdings)
+		c.links.holdings = reply.Holdings.Revision
+	}
+	c.links.controls = merge(reply.Controls, c.seeds)
+	c.links.leader = reply.Leader
+	if reply.Leader != "" && reply.Leader != c.links.asked {
+		c.links.asked = reply.Leader
+		c.links.source = roster.Source{}
+	}
+	c.wakeLocked()
+}
+
+// merge returns the names of both lists, each once.
+func merge(a, b []string) []string {
+	seen := map[string]bool{}
+	var all []string
+	for _, list := range [][]string{a, b} {
+		for _, name := range list {
+			if !seen[name] {
+				seen[name] = true
+				all = append(all, name)
+			}
+		}
+	}
+	return all
+}
+
+// publish puts the routes of an edition into force here. Versions never go back.
+func (c *Counter) publish(held edition.Edition) {
+	if table := c.table.Load(); table != nil && table.Version >= held.Version {
+		return
+	}
+	table, err := c.options.Table(held.Content)
+	if err != nil {
+		c.options.Log.Error().Err(err).Uint64("version", held.Version).Msg("routes in force can't be read here")
+		return
+	}
+	c.table.Store(table)
+	c.options.Log.Info().Uint64("version", table.Version).Int("routes", table.Routes()).Msg("routes in force")
+}
+
+// want has an adapter loaded, and returns the name of the engine that holds it.
+// Requests that want the same adapter at once share one call.
+func (c *Counter) want(ctx context.Context, args courier.WantArgs) string {
+	c.mu.Lock()
+	shared := c.wants[args]
+	if shared == nil {
+		shared = &sharedWant{done: make(chan struct{})}
+		c.wants[args] = shared
+		go c.callWant(args, c.links.leader, shared)
+	}
+	c.mu.Unlock()
+	select {
+	case <-shared.done:
+		return shared.engine
+	case <-ctx.Done():
+		return ""
+	}
+}
+
+// sharedWant is a call for an adapter that is under way.
+type sharedWant struct {
+	done   chan struct{}
+	engine string
+}
+
+// wantPause is the least time between two calls for the same adapter, after one
+// that brought nothing.
+const wantPause = 50 * time.Millisecond
+
+func (c *Counter) callWant(args courier.WantArgs, leader string, shared *sharedWant) {
+	ctx, cancel := context.WithTimeout(context.Background(), wantTimeout)
+	defer cancel()
+	var reply courier.WantReply
+	var err error
+	if leader != "" {
+		reply, err = c.links.calls.Want(ctx, leader, args)
+	}
+	shared.engine = reply.Engine
+	if reply.Engine == "" {
+		c.options.Log.Info().Err(err).Str("model", args.Model).Str("adapter", args.Adapter).Str("reason", reply.Reason).
+			Str("leader", leader).Msg("adapter not loaded")
+		pause.For(ctx, wantPause)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.wants, args)
+	if u := c.fleet.upstreams[reply.Engine]; u != nil && u.holds(args.Model, "") && !u.holds(args.Model, args.Adapter) {
+		u.models[args.Model] = append(append([]string(nil), u.models[args.Model]...), args.Adapter)
+	}
+	close(shared.done)
+}
--- /dev/null
+++ b/internal/courier/feed.go
@@ -0,0 +1,145 @@
+package courier
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/edition"
+	"github.com/lovagelift/lovagelift/internal/roster"
+)
+
+// SyncArgs is what an entry instance tells a control instance, and asks of it,
+// several times a second. One call carries all, since each call costs both sides
+// the same processor time whatever is in it.
+type SyncArgs struct {
+	// From is the asker's own record as of now.
+	From roster.InstanceRecord
+	// Cursor says how far the asker has pulled the roster.
+	Cursor roster.Cursor
+	// Edition is the version of the routes that the asker holds.
+	Edition uint64
+	// Holdings is the revision of the holdings that the asker has, under Leader.
+	Holdings uint64
+	// Demand is what callers asked for since the last call that was answered.
+	Demand []Demand
+}
+
+// Demand is how much was asked for of one model, or of an adapter of it.
+type Demand struct {
+	Service string
+	Model   string
+	// Adapter is empty for the model itself.
+	Adapter string
+	// Requests were taken in, of which Waiting wait for an engine now.
+	Requests int
+	Waiting  int
+	// PromptTokens and AnswerTokens are the sums over Requests.
+	PromptTokens int
+	AnswerTokens int
+}
+
+// SyncReply answers SyncArgs.
+type SyncReply struct {
+	// Leader is the inner address of the instance that gives orders to engines,
+	// empty if none is known.
+	Leader string
+	// Entries is how many entry instances take requests.
+	Entries int
+	// Controls are the inner addresses of the control instances that are alive.
+	Controls []string
+	// Edition is nil if the asker holds the newest that the answerer knows.
+	Edition *edition.Edition
+	Changes roster.Changes
+	// Holdings is nil unless it differs from what the asker has.
+	Holdings *Holdings
+}
+
+// Holdings is what the engines hold and how loaded they are, as the instance
+// that gives them orders knows it.
+type Holdings struct {
+	// Revision grows with each change. It starts anew with each leadership, from
+	// a number above all before.
+	Revision uint64
+	Engines  []Holding
+}
+
+// Holding is one engine of Holdings.
+type Holding struct {
+	Name string
+	// Age is how old the report was when Holdings was sent.
+	Age time.Duration
+	// Running and Queued are requests at the engine, KVUsed the tokens that they
+	// take of its memory.
+	Running int
+	Queued  int
+	KVUsed  int
+	Models  []HeldModel
+}
+
+// HeldModel is a model that an engine can run now.
+type HeldModel struct {
+	Name     string
+	Adapters []string
+}
+
+// WantArgs asks for an adapter beside a model.
+type WantArgs struct {
+	Service string
+	Model   string
+	Adapter string
+}
+
+// WantReply answers WantArgs.
+type WantReply struct {
+	// Engine holds the adapter now. It is empty if none does and none can now.
+	Engine string
+	// Reason says why, if Engine is empty.
+	Reason string
+}
+
+// Feed is what a control instance answers to entry instances. Its methods are
+// called from many goroutines at once.
+type Feed interface {
+	Sync(ctx context.Context, args SyncArgs) SyncReply
+	Want(ctx context.Context, args WantArgs) WantReply
+}
+
+// FeedService answers the calls of entry instances.
+type FeedService struct {
+	feed Feed
+}
+
+// NewFeedService returns the net/rpc receiver "Feed".
+func NewFeedService(feed Feed) *FeedService {
+	return &FeedService{feed: feed}
+}
+
+// Sync is the net/rpc method "Feed.Sync".
+func (s *FeedService) Sync(args SyncArgs, reply *SyncReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), serviceTimeout)
+	defer cancel()
+	*reply = s.feed.Sync(ctx, args)
+	return nil
+}
+
+// Want is the net/rpc method "Feed.Want".
+func (s *FeedService) Want(args WantArgs, reply *WantReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), serviceTimeout)
+	defer cancel()
+	*reply = s.feed.Want(ctx, args)
+	return nil
+}
+
+// Sync tells the control instance at address of this one and asks for news.
+func (p *Pool) Sync(ctx context.Context, address string, args SyncArgs) (SyncReply, error) {
+	var reply SyncReply
+	err := p.Call(ctx, address, "Feed.Sync", args, &reply)
+	return reply, err
+}
+
+// Want asks the control instance at address for an adapter beside a model.
+func (p *Pool) Want(ctx context.Context, address string, args WantArgs) (WantReply, error) {
+	var reply WantReply
+	err := p.Call(ctx, address, "Feed.Want", args, &reply)
+	return reply, err
+}
--- a/internal/jury/status.go
+++ b/internal/jury/status.go
@@ -1,6 +1,10 @@
 package jury
 
-import "slices"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Status is what a Member knows of itself.
 type Status struct {
@@ -22,6 +26,17 @@
 	Failure error
 }
 
+// PeerStatus is what a leader knows of another member.
+type PeerStatus struct {
+	Name Identity
+	// Answers says that the peer has answered within the election timeout, and
+	// Heard when it answered last, zero if it never did.
+	Answers bool
+	Heard   time.Time
+	// CaughtUp says that the peer holds all that is committed.
+	CaughtUp bool
+}
+
 // Status returns what the member knows of itself.
 func (m *Member) Status() Status {
 	return Status{
@@ -38,6 +53,22 @@
 	}
 }
 
+// Peers returns what a leader knows at now of the members that it replicates to,
+// sorted by name. It returns nothing on others.
+func (m *Member) Peers(now time.Time) []PeerStatus {
+	if m.role != Leader {
+		return nil
+	}
+	peers := make([]PeerStatus, 0, len(m.office.peers))
+	for name, p := range m.office.peers {
+		peers = append(peers, PeerStatus{
+			Name: name, Answers: m.answers(now, p), Heard: p.heard, CaughtUp: p.match >= m.commit,
+		})
+	}
+	slices.SortFunc(peers, func(a, b PeerStatus) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return peers
+}
+
 // Snapshot returns the latest snapshot. Its Index is 0 in a blank member.
 func (m *Member) Snapshot() Snapshot {
 	return m.snapshot
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -8,21 +8,28 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/docket"
+	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/manifest"
 )
 
 // commandFormat is the newest format of commands that this program knows. It
 // grows with every new kind of command and every new field. An instance
 // proposes a newer command only when all voters run a program that knows it.
-const commandFormat = 2
+const commandFormat = 3
 
 // baseFormat is the format of commands that every program knows. A command is
 // encoded in the oldest format that has its kind, so that voters that are not
 // upgraded yet can carry it out.
 const baseFormat = 1
 
-// Command is what the replicated log carries: a Change, or one of the commands
-// of packages docket and manifest.
+// The formats that the kinds of command came with which not every program knows.
+const (
+	manifestFormat = 2
+	editionFormat  = 3
+)
+
+// Command is what the replicated log carries: a Change, an edition.Put, or one of
+// the commands of packages docket and manifest.
 type Command any
 
 // envelope is the encoding of a command. One field is set beside Format.
@@ -35,6 +42,8 @@
 	Abandon *docket.Abandon `json:"abandon,omitempty"`
 	// Manifest is the encoding of a manifest.Command. It came with format 2.
 	Manifest json.RawMessage `json:"manifest,omitempty"`
+	// Edition came with format 3. Its content is packed.
+	Edition *edition.Put `json:"edition,omitempty"`
 }
 
 // Encode returns a command's bytes for the log.
@@ -64,7 +73,14 @@
 		if err != nil {
 			return nil, err
 		}
-		e.Format, e.Manifest = commandFormat, encoded
+		e.Format, e.Manifest = manifestFormat, encoded
+	case edition.Put:
+		packed, err := pack(c.Content)
+		if err != nil {
+			return nil, err
+		}
+		c.Content = packed
+		e.Format, e.Edition = editionFormat, &c
 	default:
 		return nil, errors.AssertionFailedf("registry: command %T", command)
 	}
@@ -112,6 +128,11 @@
 			return nil, err
 		}
 	}
+	if e.Edition != nil {
+		if e.Edition.Content, err = unpack(e.Edition.Content); err != nil {
+			return nil, err
+		}
+	}
 	return e.command()
 }
 
@@ -139,6 +160,9 @@
 		}
 		commands = append(commands, command)
 	}
+	if e.Edition != nil {
+		commands = append(commands, *e.Edition)
+	}
 	if len(commands) != 1 {
 		return nil, errors.Newf("registry: decode command: %d commands in one", len(commands))
 	}
@@ -150,6 +174,7 @@
 	Change   *Answer          `json:"change,omitempty"`
 	Docket   *docket.Answer   `json:"docket,omitempty"`
 	Manifest *manifest.Result `json:"manifest,omitempty"`
+	Edition  *edition.Result  `json:"edition,omitempty"`
 }
 
 // Encode returns the result's bytes, to be sent to the instance that proposed
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,5 +1,6 @@
 // Package registry is the replicated state machine: the configuration in force,
-// the docket of non-idempotent requests, and the manifest of engines and orders.
+// the edition that operators number themselves, the docket of non-idempotent
+// requests, and the manifest of engines and orders.
 //
 // It is deterministic. Replicas that apply the same commands in the same order
 // hold the same state, and their snapshots have equal bytes.
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/docket"
+	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/manifest"
 	"github.com/lovagelift/lovagelift/internal/parcel"
@@ -31,15 +33,24 @@
 	manifest      *manifest.Manifest
 	// view is the one of configuration, for readers that take no lock.
 	view atomic.Pointer[View]
+	// edition is the document that operators number, for readers that take no
+	// lock.
+	edition atomic.Pointer[edition.Edition]
 }
 
 // New returns the empty state.
 func New() *Registry {
 	r := &Registry{configuration: newConfiguration(), docket: docket.New(), manifest: manifest.New()}
 	r.view.Store(r.configuration.view())
+	r.edition.Store(&edition.Edition{})
 	return r
 }
 
+// Edition returns the document that operators number. It takes no lock.
+func (r *Registry) Edition() edition.Edition {
+	return *r.edition.Load()
+}
+
 // View returns the configuration in force. It takes no lock and makes no copy.
 func (r *Registry) View() *View {
 	return r.view.Load()
@@ -101,6 +112,10 @@
 	case manifest.Command:
 		result := r.manifest.Apply(c)
 		return Result{Manifest: &result}, nil
+	case edition.Put:
+		next, result := r.edition.Load().With(c)
+		r.edition.Store(&next)
+		return Result{Edition: &result}, nil
 	default:
 		return Result{}, errors.AssertionFailedf("registry: command %T", decoded)
 	}
@@ -113,6 +128,7 @@
 	configurationSection = "configuration"
 	docketSection        = "docket"
 	manifestSection      = "manifest"
+	editionSection       = "edition"
 )
 
 // Snapshot returns the whole state. Equal states give equal bytes. A snapshot is
@@ -127,17 +143,27 @@
 	buffer := parcel.AppendBytes(nil, snapshotName)
 	buffer = parcel.AppendUint(buffer, snapshotFormat)
 	buffer = parcel.AppendUint(buffer, uint64(r.applied))
-	// A program from before there were orders can read a snapshot without any.
+	// A program from before there were orders can read a snapshot without any,
+	// and likewise one from before there were editions.
 	withManifest := !r.manifest.Empty()
+	held := r.edition.Load()
+	withEdition := held.Content != nil
 	sections := uint64(2)
 	if withManifest {
 		sections++
 	}
+	if withEdition {
+		sections++
+	}
 	buffer = parcel.AppendUint(buffer, sections)
 	buffer = parcel.AppendBytes(buffer, configurationSection)
 	buffer = parcel.AppendBytes(buffer, configuration)
 	buffer = parcel.AppendBytes(buffer, docketSection)
 	buffer = parcel.AppendBytes(buffer, r.docket.Snapshot(nil))
+	if withEdition {
+		buffer = parcel.AppendBytes(buffer, editionSection)
+		buffer = parcel.AppendBytes(buffer, held.Snapshot())
+	}
 	if !withManifest {
 		return buffer, nil
 	}
@@ -163,6 +189,7 @@
 	var configuration *configuration
 	var records *docket.Docket
 	orders := manifest.New()
+	var held edition.Edition
 	for range reader.Count() {
 		name, section := reader.String(), reader.Bytes()
 		var err error
@@ -175,6 +202,8 @@
 			records, err = docket.Restore(section)
 		case manifestSection:
 			orders, err = manifest.Restore(section)
+		case editionSection:
+			held, err = edition.Restore(section)
 		case "":
 			err = parcel.ErrShort
 		default:
@@ -196,6 +225,7 @@
 	r.configuration = configuration
 	r.docket = records
 	r.manifest = orders
+	r.edition.Store(&held)
 	r.view.Store(configuration.view())
 	return nil
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -140,6 +140,15 @@
 	r.instances.Put(record, Hearing{At: now, Direct: true, Whole: true})
 }
 
+// Hear takes another instance's own record, which it sent just now. Unlike
+// Introduce it renews what is known: the caller vouches that the record was not
+// held up for long on its way.
+func (r *Roster) Hear(now time.Time, record InstanceRecord) {
+	if record.Name != r.options.Self {
+		r.instances.Put(record, Hearing{At: now, Direct: true, Whole: true})
+	}
+}
+
 // Announce takes an announcement that an upstream made to this instance.
 //
 // If another live upstream holds the name, that is one with the same
--- /dev/null
+++ b/internal/routes/check.go
@@ -0,0 +1,85 @@
+package routes
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/lovagelift/lovagelift/internal/finding"
+)
+
+// New returns the table of draft. If draft is wrong, New returns a
+// *finding.Error with everything that is wrong and where.
+func New(draft Draft) (*Table, error) {
+	c := checker{table: &Table{
+		Version:  draft.Version,
+		Limits:   draft.Limits,
+		services: make(map[string]*Service, len(draft.Services)),
+		hosts:    map[string][]*Route{},
+		routes:   len(draft.Routes),
+	}}
+	for i := range draft.Services {
+		c.service(&draft.Services[i])
+	}
+	places := make(map[string]string, len(draft.Routes))
+	for i := range draft.Routes {
+		c.route(&draft.Routes[i], places)
+	}
+	return c.table, c.findings.Err()
+}
+
+// checker gathers what is wrong with a draft.
+type checker struct {
+	table    *Table
+	findings finding.List
+}
+
+func (c *checker) service(service *Service) {
+	place := finding.Place{File: "service " + service.Name}
+	if service.Name == "" {
+		c.findings.Add(place, "a service has no name", "")
+	}
+	if _, double := c.table.services[service.Name]; double {
+		c.findings.Add(place, "two services have this name", "")
+	}
+	c.table.services[service.Name] = service
+}
+
+// route checks a route. places holds the routes before it by host and prefix.
+func (c *checker) route(route *Route, places map[string]string) {
+	place := finding.Place{File: "route " + route.Name}
+	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
+		c.findings.Add(place, fmt.Sprintf("the prefix %q does not begin and end with a slash", route.Prefix), "")
+	}
+	host := strings.ToLower(route.Host)
+	key := host + " " + route.Prefix
+	if other, double := places[key]; double {
+		c.findings.Add(place, "it has the host and prefix of route "+other, "")
+	}
+	places[key] = route.Name
+	if route.Timeout <= 0 {
+		c.findings.Add(place, "its timeout is not above 0", "")
+	}
+	if route.Kind == 0 {
+		c.findings.Add(place, "its kind is not known", "")
+	}
+	route.Attempts = max(route.Attempts, 1)
+	c.shares(place, route)
+	c.table.hosts[host] = append(c.table.hosts[host], route)
+}
+
+func (c *checker) shares(place finding.Place, route *Route) {
+	total := 0.0
+	for _, share := range route.Shares {
+		if c.table.services[share.Service] == nil {
+			c.findings.Add(place, fmt.Sprintf("it goes to %q, which is no service", share.Service), "")
+		}
+		if !validWeight(share.Weight) {
+			c.findings.Add(place, fmt.Sprintf("the weight %g is no share", share.Weight), "")
+			continue
+		}
+		total += share.Weight
+	}
+	if total <= 0 {
+		c.findings.Add(place, "its weights add up to 0", "")
+	}
+}
--- a/internal/shuttle/header.go
+++ b/internal/shuttle/header.go
@@ -19,9 +19,9 @@
 	"Upgrade",
 }
 
-// forwardable returns a copy of header without what concerns one connection
+// Forwardable returns a copy of header without what concerns one connection
 // alone.
-func forwardable(header http.Header) http.Header {
+func Forwardable(header http.Header) http.Header {
 	copied := header.Clone()
 	if copied == nil {
 		copied = http.Header{}
--- a/internal/shuttle/relay.go
+++ b/internal/shuttle/relay.go
@@ -57,7 +57,7 @@
 // Head writes the status and the headers of answer to w.
 func Head(w http.ResponseWriter, answer *Answer) {
 	header := w.Header()
-	for name, values := range forwardable(answer.Header) {
+	for name, values := range Forwardable(answer.Header) {
 		header[name] = values
 	}
 	w.WriteHeader(answer.Status)
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -263,7 +263,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "building the request")
 	}
-	outgoing.Header = forwardable(request.Header)
+	outgoing.Header = Forwardable(request.Header)
 	outgoing.Header.Set(upstreamapi.RequestIDHeader, request.ID)
 	outgoing.Header.Set(upstreamapi.PriorityHeader, strconv.Itoa(request.Priority))
 	outgoing.Header.Set(upstreamapi.DeadlineHeader, strconv.FormatInt(request.Remaining.Milliseconds(), 10))
