--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/pause"
@@ -21,6 +23,9 @@
 	controls []string
 	next     int
 	source   roster.Source
+	// failed is the one that did not answer last, at failedAt.
+	failed   string
+	failedAt time.Time
 	// holdings is the revision that this instance has.
 	holdings uint64
 	// lost is true while nobody answers.
@@ -62,8 +67,13 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	reply, err := c.links.calls.Sync(ctx, address, args)
 	cancel()
+	if err == nil && reply.Leader == "" {
+		// It may be cut off from the others, and would go on telling what was in
+		// force before: whoever knows a leader knows what is new.
+		err = errNoLeader
+	}
 	if err != nil {
-		c.askAnother(address, err)
+		c.askAnother(now, address, err)
 		return
 	}
 	if reply.Edition != nil {
@@ -72,10 +82,18 @@
 	c.take(now, address, reply)
 }
 
+// errNoLeader is why a control instance is not listened to.
+var errNoLeader = errors.New("counter: the control instance knows no leader")
+
+// avoidLeader is how long a leader that did not answer is not asked, while others
+// still name it: it may be out of reach from here alone.
+const avoidLeader = 2 * time.Second
+
 // askAnother makes another control instance the one to ask.
-func (c *Counter) askAnother(address string, cause error) {
+func (c *Counter) askAnother(now time.Time, address string, cause error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.links.failed, c.links.failedAt = address, now
 	known := c.links.controls
 	c.links.next++
 	c.links.asked = known[c.links.next%len(known)]
@@ -107,7 +125,8 @@
 	}
 	c.links.controls = merge(reply.Controls, c.seeds)
 	c.links.leader = reply.Leader
-	if reply.Leader != "" && reply.Leader != c.links.asked {
+	unreachable := reply.Leader == c.links.failed && now.Sub(c.links.failedAt) < avoidLeader
+	if reply.Leader != c.links.asked && !unreachable {
 		c.links.asked = reply.Leader
 		c.links.source = roster.Source{}
 	}
