stocking, backoffice: models are loaded where they are asked for

Cause: the engines held what they began with; after the demand had moved on, one engine had to serve most of it and first tokens came after the callers had left. Adapters on their way count as held, so that no engine is ordered to load beyond its places.

--- /dev/null
+++ b/internal/backoffice/demand.go
@@ -0,0 +1,75 @@
+package backoffice
+
+import (
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+)
+
+const (
+	// promptTokensPerSecond and answerTokensPerSecond are what an engine does with
+	// a batch of some thirty requests, by the users' sheets: 25.8 prompt tokens are
+	// read in a ms, and a step of 10 ms makes a token for each request.
+	promptTokensPerSecond = 25_800
+	answerTokensPerSecond = 3_200
+	// demandSlot is the step in which demand is counted, and the windows are what
+	// it is averaged over: the short one shows within a second that a model rises,
+	// the long one keeps a pause of a few requests from looking like an end.
+	demandSlot  = 250 * time.Millisecond
+	shortWindow = 4
+	longWindow  = 16
+	// shortTrust is the part of the short window's rate that counts, since few
+	// requests come in it.
+	shortTrust = 0.8
+)
+
+// demandKey names a model of a service.
+type demandKey struct {
+	service, model string
+}
+
+// demandOf is the work that was asked for of one model, slot by slot.
+type demandOf struct {
+	// slots are a ring of work in seconds of an engine.
+	slots [longWindow]float64
+	// at is the slot that is being filled, counted from 1970.
+	at int64
+	// waiting is how many requests waited at the entry instance that told last.
+	waiting int
+}
+
+// work returns the seconds of an engine that requests take.
+func work(d courier.Demand) float64 {
+	return float64(d.PromptTokens)/promptTokensPerSecond + float64(d.AnswerTokens)/answerTokensPerSecond
+}
+
+// add counts work at now.
+func (d *demandOf) add(now time.Time, seconds float64) {
+	d.advance(now)
+	d.slots[d.at%longWindow] += seconds
+}
+
+// advance empties the slots that have begun anew.
+func (d *demandOf) advance(now time.Time) {
+	slot := now.UnixNano() / int64(demandSlot)
+	for steps := 0; d.at < slot && steps < longWindow; steps++ {
+		d.at++
+		d.slots[d.at%longWindow] = 0
+	}
+	d.at = slot
+}
+
+// rate returns the work that is asked for at now, in engines.
+func (d *demandOf) rate(now time.Time) float64 {
+	d.advance(now)
+	long, short := 0.0, 0.0
+	for i := range int64(longWindow) {
+		seconds := d.slots[(d.at-i+longWindow)%longWindow]
+		long += seconds
+		if i < shortWindow {
+			short += seconds
+		}
+	}
+	slot := demandSlot.Seconds()
+	return max(long/(longWindow*slot), shortTrust*short/(shortWindow*slot))
+}
--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -22,9 +22,14 @@
 	// asking is true while a report is under way, and ordering while an order is.
 	asking   bool
 	ordering bool
+	// coming is a model that is being loaded, or empty.
+	coming string
 	// stale says that an order was refused or not answered: no other is given
 	// before a report tells what the engine holds.
 	stale bool
+	// crowdedUntil is until when no adapter is loaded, since one that is being
+	// unloaded still takes its place.
+	crowdedUntil time.Time
 	// wanted is when each adapter was last asked for.
 	wanted map[string]time.Time
 }
@@ -37,12 +42,26 @@
 		e.report.Running, e.report.Queued, e.report.KVUsed = report.Running, report.Queued, report.KVUsed
 		return
 	}
-	if e.known && report.Sequence == e.report.Sequence && !e.report.Busy && report.Busy {
-		report.Models = e.report.Models
+	for _, coming := range report.Coming {
+		report.Models = withAdapter(report.Models, coming)
+	}
+	if !report.Busy {
+		e.coming = ""
 	}
 	e.report, e.known, e.stale = report, true, false
 }
 
+// withAdapter returns models with an adapter added to its model, if that is held.
+func withAdapter(models []courier.HeldModel, adapter Adapter) []courier.HeldModel {
+	models = slices.Clone(models)
+	for i, held := range models {
+		if held.Name == adapter.Model && !slices.Contains(held.Adapters, adapter.Name) {
+			models[i].Adapters = append(slices.Clone(held.Adapters), adapter.Name)
+		}
+	}
+	return models
+}
+
 // holds reports whether the engine can run model, with adapter unless it is
 // empty.
 func (e *engine) holds(model, adapter string) bool {
@@ -70,7 +89,8 @@
 
 // megabytes returns the memory that weights and adapters take.
 func (e *engine) megabytes() float64 {
-	total := 0.0
+	coming, _ := e.spec.Model(e.coming)
+	total := coming.Megabytes
 	for _, held := range e.report.Models {
 		model, _ := e.spec.Model(held.Name)
 		total += model.Megabytes + float64(len(held.Adapters))*model.AdapterMegabytes
@@ -79,9 +99,21 @@
 }
 
 // fitsAdapter reports whether an adapter of model can be loaded now.
-func (e *engine) fitsAdapter(model string) bool {
+//
+// An engine carries out one order at a time.
+func (e *engine) fitsAdapter(now time.Time, model string) bool {
 	spec, known := e.spec.Model(model)
-	return known && e.adapters() < e.spec.AdapterSlots && e.megabytes()+spec.AdapterMegabytes <= e.spec.Megabytes
+	return known && !e.report.Busy && !now.Before(e.crowdedUntil) && e.adapters() < e.spec.AdapterSlots && e.megabytes()+spec.AdapterMegabytes <= e.spec.Megabytes
+}
+
+// hasPlace reports whether an adapter of model can be loaded, perhaps after one
+// that is not in use was unloaded.
+func (e *engine) hasPlace(now time.Time, model string) bool {
+	if e.fitsAdapter(now, model) {
+		return true
+	}
+	_, adapter := e.coldest(now, keepAdapter)
+	return adapter != "" && !e.report.Busy && !now.Before(e.crowdedUntil)
 }
 
 // apply corrects the report by an order that was accepted.
@@ -90,9 +122,7 @@
 	held := e.model(order.Model)
 	switch {
 	case order.Adapter != "" && held != nil && order.Kind == Load:
-		if !slices.Contains(held.Adapters, order.Adapter) {
-			held.Adapters = append(slices.Clone(held.Adapters), order.Adapter)
-		}
+		e.report.Models = withAdapter(e.report.Models, Adapter{Model: order.Model, Name: order.Adapter})
 	case order.Adapter != "" && held != nil:
 		delete(e.wanted, order.Model+"/"+order.Adapter)
 		held.Adapters = slices.DeleteFunc(slices.Clone(held.Adapters), func(a string) bool { return a == order.Adapter })
@@ -104,6 +134,9 @@
 	if order.Adapter == "" {
 		e.report.Busy = true
 	}
+	if order.Adapter == "" && order.Kind == Load {
+		e.coming = order.Model
+	}
 }
 
 // coldest returns the adapter that was not wanted for the longest time, but not
--- /dev/null
+++ b/internal/backoffice/models.go
@@ -0,0 +1,107 @@
+package backoffice
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/stocking"
+)
+
+// stockingOptions are those of every plan. An engine's first tokens come late
+// from about two thirds of its load on; a load takes seconds, so that a copy is
+// ordered before.
+var stockingOptions = stocking.Options{Busy: 0.45, Gain: 0.3, Orders: 4}
+
+// fetchBurst is how many loads from the weight store may begin at once, beyond
+// the rate that the store allows.
+const fetchBurst = 2
+
+// stock orders models to where they are asked for.
+func (o *orders) stock(ctx context.Context, now time.Time) {
+	if _, ok := o.right(); !ok {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.table == nil {
+		return
+	}
+	for name, service := range o.table.Services() {
+		if service.Engine != nil {
+			o.stockService(ctx, now, name, service.Engine)
+		}
+	}
+}
+
+// stockService makes the plan for the engines of one service, and begins its
+// moves.
+func (o *orders) stockService(ctx context.Context, now time.Time, service string, spec *routes.Engine) {
+	elapsed := now.Sub(o.fetchesAt)
+	o.fetchesAt = now
+	o.fetches = min(o.fetches+elapsed.Seconds()*spec.LoadsPerSecond, fetchBurst)
+	options := stockingOptions
+	options.Fetches = int(o.fetches)
+	for _, move := range stocking.Plan(o.stockModels(now, service, spec), o.stockEngines(service), options) {
+		e := o.engines[move.Engine]
+		order := Order{Kind: Load, Model: move.Model}
+		if move.Unload {
+			order.Kind = Unload
+		}
+		if move.Fetch {
+			o.fetches--
+		}
+		e.ordering = true
+		o.office.options.Log.Info().Str("engine", e.Name).Str("model", move.Model).Bool("unload", move.Unload).
+			Bool("fetch", move.Fetch).Str("reason", string(move.Reason)).Float64("load", move.Load).Msg("placement move")
+		o.office.done.Go(func() { o.give(ctx, e, order) })
+	}
+}
+
+func (o *orders) stockModels(now time.Time, service string, spec *routes.Engine) []stocking.Model {
+	models := make([]stocking.Model, 0, len(spec.Models))
+	for _, model := range spec.Models {
+		m := stocking.Model{
+			Name: model.Name, Megabytes: model.Megabytes,
+			Load: model.Load, WarmLoad: model.WarmLoad, DiskLoad: model.DiskLoad,
+		}
+		if asked := o.demand[demandKey{service, model.Name}]; asked != nil {
+			m.Demand = asked.rate(now)
+			m.Waiting = asked.waiting
+		}
+		models = append(models, m)
+	}
+	return models
+}
+
+func (o *orders) stockEngines(service string) []stocking.Engine {
+	var engines []stocking.Engine
+	for _, e := range o.engines {
+		if e.service != service {
+			continue
+		}
+		engine := stocking.Engine{
+			Name: e.Name, Megabytes: e.spec.Megabytes, Used: e.megabytes(), Coming: e.coming,
+			Closed:  !e.known || e.ordering || e.stale || e.report.Busy,
+			Leaving: e.leaving, InMemory: e.report.InMemory, OnDisk: e.report.OnDisk,
+		}
+		for _, held := range e.report.Models {
+			engine.Holds = append(engine.Holds, held.Name)
+		}
+		engines = append(engines, engine)
+	}
+	return engines
+}
+
+// noteModel takes in what callers asked for of one model at an entry instance.
+func (o *orders) noteModel(now time.Time, d courier.Demand) {
+	key := demandKey{d.Service, d.Model}
+	asked := o.demand[key]
+	if asked == nil {
+		asked = &demandOf{}
+		o.demand[key] = asked
+	}
+	asked.add(now, work(d))
+	asked.waiting = d.Waiting
+}
--- a/internal/backoffice/options.go
+++ b/internal/backoffice/options.go
@@ -72,6 +72,18 @@
 	Running int
 	Queued  int
 	KVUsed  int
+	// Coming are adapters that are being loaded. They take places already.
+	Coming []Adapter
+	// InMemory and OnDisk are models whose weights the engine need not fetch from
+	// the store.
+	InMemory []string
+	OnDisk   []string
+}
+
+// Adapter is an adapter of a model.
+type Adapter struct {
+	Model string
+	Name  string
 }
 
 // OrderKind is what an Order does.
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -25,9 +25,12 @@
 	orderTimeout = time.Second
 	// adapterTime is how long an adapter takes to load. The users give 5 to 14 ms.
 	adapterTime = 20 * time.Millisecond
-	// keepAdapter is how long an adapter that was asked for stays, so that two
-	// that are asked for in turn do not drive each other out for ever.
-	keepAdapter = 300 * time.Millisecond
+	// keepAdapter is how long an adapter that was asked for stays: a stream with it
+	// runs for 2 to 4 s, and its place is free only after that.
+	keepAdapter = 4 * time.Second
+	// crowdedFor is how long an adapter that is in use is taken to keep its place
+	// after it was ordered away.
+	crowdedFor = 4 * time.Second
 )
 
 // orders asks engines what they hold and orders them to load and unload, while
@@ -44,10 +47,16 @@
 	term     uint64
 	revision uint64
 	changed  chan struct{}
+	// demand is what is asked for of each model. It is kept when the leadership
+	// is lost: a leader that comes again begins with it.
+	demand map[demandKey]*demandOf
+	// fetches is how many loads from the weight store may begin, as of fetchesAt.
+	fetches   float64
+	fetchesAt time.Time
 }
 
 func newOrders(office *Backoffice) *orders {
-	return &orders{office: office, engines: map[string]*engine{}, changed: make(chan struct{})}
+	return &orders{office: office, engines: map[string]*engine{}, changed: make(chan struct{}), demand: map[demandKey]*demandOf{}}
 }
 
 func (o *orders) run(ctx context.Context) {
@@ -77,6 +86,8 @@
 		o.term = uint64(status.Term)
 		o.revision = o.term << 32
 		o.engines = map[string]*engine{}
+		// What the leader before has begun is not known.
+		o.fetches, o.fetchesAt = 0, now
 	}
 	o.readTable()
 	due := o.meet(now)
@@ -84,6 +95,7 @@
 	for _, e := range due {
 		o.office.done.Go(func() { o.ask(ctx, e) })
 	}
+	o.stock(ctx, now)
 }
 
 func (o *orders) forget() {
@@ -209,6 +221,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, d := range demand {
+		o.noteModel(now, d)
 		if d.Adapter == "" {
 			continue
 		}
@@ -244,7 +257,7 @@
 		o.mu.Unlock()
 		return courier.WantReply{Reason: "this instance gives no orders"}, nil
 	}
-	e := o.adapterEngine(args)
+	e := o.adapterEngine(now, args)
 	if e == nil {
 		o.mu.Unlock()
 		return courier.WantReply{Reason: "no engine holds the model"}, nil
@@ -261,10 +274,10 @@
 		return courier.WantReply{}, changed
 	}
 	order := Order{Kind: Load, Model: args.Model, Adapter: args.Adapter}
-	if !e.fitsAdapter(args.Model) {
+	if !e.fitsAdapter(now, args.Model) {
 		order.Kind = Unload
 		order.Model, order.Adapter = e.coldest(now, keepAdapter)
-		if order.Adapter == "" {
+		if order.Adapter == "" || e.report.Busy || now.Before(e.crowdedUntil) {
 			o.mu.Unlock()
 			return courier.WantReply{Reason: "all places for adapters are in use"}, nil
 		}
@@ -282,11 +295,11 @@
 }
 
 // adapterEngine returns the engine for an adapter: one that holds it, else the
-// one with the highest hash among those that hold the model, so that several
-// askers agree.
-func (o *orders) adapterEngine(args courier.WantArgs) *engine {
+// one with the highest hash among those that hold the model and have a place, so
+// that several askers agree.
+func (o *orders) adapterEngine(now time.Time, args courier.WantArgs) *engine {
 	var chosen *engine
-	var highest uint32
+	var highest uint64
 	names := make([]string, 0, len(o.engines))
 	for name := range o.engines {
 		names = append(names, name)
@@ -300,7 +313,11 @@
 		if e.holds(args.Model, args.Adapter) {
 			return e
 		}
-		if score := rank(name, args.Adapter); chosen == nil || score > highest {
+		score := uint64(rank(name, args.Adapter))
+		if e.hasPlace(now, args.Model) {
+			score |= 1 << 32
+		}
+		if chosen == nil || score > highest {
 			chosen, highest = e, score
 		}
 	}
@@ -345,6 +362,9 @@
 		e.reported = time.Time{}
 	default:
 		e.apply(order)
+		if order.Kind == Unload && order.Adapter != "" && answer == Accepted {
+			e.crowdedUntil = o.office.options.Now().Add(crowdedFor)
+		}
 	}
 	o.touch()
 	return err == nil && ok && answer != Refused
--- /dev/null
+++ b/internal/stocking/stocking.go
@@ -0,0 +1,331 @@
+// Package stocking decides which engines hold which models while demand moves
+// within seconds (replica placement).
+//
+// It is pure: what engines hold and what is asked for go in, and the moves that
+// should be ordered now come out. Every plan begins with what is, so that a lost
+// order or a new leader changes nothing but the input.
+//
+// Package placement plans for declared floors and patient moves, over minutes.
+// Here the models that are asked for change faster than a load takes, and a move
+// is cheap against the requests that it serves.
+package stocking
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Model is what a plan knows of a model.
+type Model struct {
+	Name      string
+	Megabytes float64
+	// Demand is the work that is asked for, in engines: 1 keeps one engine busy.
+	Demand float64
+	// Waiting is how many requests find no engine that holds the model.
+	Waiting int
+	// Load is the time of a load from the weight store, WarmLoad of one from the
+	// engine's memory and DiskLoad of one from its disk.
+	Load, WarmLoad, DiskLoad time.Duration
+}
+
+// Engine is what a plan knows of an engine.
+type Engine struct {
+	Name      string
+	Megabytes float64
+	// Used is the memory that weights and adapters take.
+	Used float64
+	// Holds are the models that it can run. Coming is one that is being loaded, or
+	// empty.
+	Holds  []string
+	Coming string
+	// Closed says that no order can be given now.
+	Closed bool
+	// Leaving says that it takes no more requests.
+	Leaving bool
+	// InMemory and OnDisk are models that need not be fetched from the store.
+	InMemory []string
+	OnDisk   []string
+}
+
+// Move is an order that should be given now.
+type Move struct {
+	Engine string
+	Model  string
+	// Unload says that the model makes way, else it is loaded.
+	Unload bool
+	// Fetch says that the load takes from the weight store.
+	Fetch  bool
+	Reason Reason
+	// Load is that of the busiest engine for the model, in engines, before the
+	// move.
+	Load float64
+}
+
+// Reason says what a move is for.
+type Reason string
+
+const (
+	// Unreachable means that no engine holds the model.
+	Unreachable Reason = "unreachable"
+	// Demand means that the engines that hold the model have too much to do.
+	Demand Reason = "demand"
+	// Spare means that one engine alone holds the model, and memory is free.
+	Spare Reason = "spare"
+)
+
+// Options configures a plan.
+type Options struct {
+	// Busy is the load of an engine, as a part of what it can do, from which on
+	// its models get another copy.
+	Busy float64
+	// Gain is by how much a copy must relieve the busiest engine of a model, as a
+	// part of its load.
+	Gain float64
+	// Orders is how many moves are begun at once.
+	Orders int
+	// Fetches is how many loads from the weight store may begin now.
+	Fetches int
+}
+
+// Plan returns the moves to order now, the most urgent first.
+func Plan(models []Model, engines []Engine, options Options) []Move {
+	p := newPlanner(models, engines, options)
+	p.reach()
+	p.relieve()
+	p.spare()
+	return p.moves
+}
+
+// planner makes one plan.
+type planner struct {
+	options Options
+	models  map[string]*Model
+	// names are those of models, the one most asked for first.
+	names   []string
+	engines []*Engine
+	// copies are the engines that hold a model or are loading it.
+	copies map[string][]*Engine
+	// loads are the loads of engines, in engines.
+	loads   map[string]float64
+	moves   []Move
+	fetches int
+}
+
+func newPlanner(models []Model, engines []Engine, options Options) *planner {
+	p := &planner{
+		options: options, models: map[string]*Model{}, copies: map[string][]*Engine{}, fetches: options.Fetches,
+	}
+	for i := range models {
+		p.models[models[i].Name] = &models[i]
+	}
+	p.names = slices.SortedFunc(maps.Keys(p.models), func(a, b string) int {
+		return cmp.Or(-cmp.Compare(p.models[a].Demand, p.models[b].Demand), cmp.Compare(a, b))
+	})
+	for i := range engines {
+		e := &engines[i]
+		if e.Leaving {
+			continue
+		}
+		p.engines = append(p.engines, e)
+		for _, name := range e.Holds {
+			p.copies[name] = append(p.copies[name], e)
+		}
+		if e.Coming != "" && !slices.Contains(e.Holds, e.Coming) {
+			p.copies[e.Coming] = append(p.copies[e.Coming], e)
+		}
+	}
+	slices.SortFunc(p.engines, func(a, b *Engine) int { return cmp.Compare(a.Name, b.Name) })
+	p.share()
+	return p
+}
+
+// shareRounds is how often the demand is shared out anew. Each round moves a part
+// of it to the engines that the last left with less; a few are enough for the
+// small differences that a plan looks at.
+const shareRounds = 6
+
+// leastLoad keeps an engine without work from drawing all of it.
+const leastLoad = 0.05
+
+// share works out the loads of engines, with the demand for each model going to
+// the engines that hold it and have least to do, as entry instances choose.
+func (p *planner) share() {
+	p.loads = map[string]float64{}
+	for range shareRounds {
+		next := map[string]float64{}
+		for _, name := range p.names {
+			total := 0.0
+			for _, e := range p.copies[name] {
+				total += 1 / (p.loads[e.Name] + leastLoad)
+			}
+			for _, e := range p.copies[name] {
+				next[e.Name] += p.models[name].Demand / (p.loads[e.Name] + leastLoad) / total
+			}
+		}
+		for name, load := range next {
+			p.loads[name] = (p.loads[name] + load) / 2
+		}
+	}
+}
+
+// reach brings back models that no engine holds, those that requests wait for
+// first.
+func (p *planner) reach() {
+	missing := slices.DeleteFunc(slices.Clone(p.names), func(name string) bool { return len(p.copies[name]) > 0 })
+	slices.SortStableFunc(missing, func(a, b string) int {
+		return -cmp.Compare(p.models[a].Waiting, p.models[b].Waiting)
+	})
+	for _, name := range missing {
+		p.place(p.models[name], Unreachable, 0)
+	}
+}
+
+// relieve gives another copy to the models of engines that have too much to do,
+// the busiest first.
+func (p *planner) relieve() {
+	for _, name := range p.names {
+		model := p.models[name]
+		copies := p.copies[name]
+		if len(copies) == 0 || model.Demand == 0 {
+			continue
+		}
+		idlest := p.loads[copies[0].Name]
+		for _, e := range copies {
+			idlest = min(idlest, p.loads[e.Name])
+		}
+		// Requests go to the copy with least to do: only if that one is busy, they
+		// wait.
+		if idlest > p.options.Busy {
+			p.place(model, Demand, idlest)
+		}
+	}
+}
+
+// spare uses free memory for second copies, so that the loss of an engine leaves
+// no model out of reach and demand that moves on finds two.
+func (p *planner) spare() {
+	for _, name := range p.names {
+		if len(p.copies[name]) == 1 {
+			p.placeFree(p.models[name])
+		}
+	}
+}
+
+// candidate is an engine that could hold another copy.
+type candidate struct {
+	engine *Engine
+	// victim makes way, unless it is empty.
+	victim string
+	// cost is the time until the copy is there, and what its place takes from
+	// others, in seconds.
+	cost  float64
+	fetch bool
+}
+
+// place orders a copy of model where it costs least. load is that of the engines
+// which hold it already.
+func (p *planner) place(model *Model, reason Reason, load float64) {
+	var best *candidate
+	for _, e := range p.engines {
+		c, ok := p.weigh(model, e, load)
+		if ok && (best == nil || c.cost < best.cost) {
+			best = &c
+		}
+	}
+	if best != nil {
+		p.order(*best, model, reason, load)
+	}
+}
+
+func (p *planner) placeFree(model *Model) {
+	var best *candidate
+	for _, e := range p.engines {
+		c, ok := p.weigh(model, e, 0)
+		if ok && c.victim == "" && (best == nil || c.cost < best.cost) {
+			best = &c
+		}
+	}
+	if best != nil {
+		p.order(*best, model, Spare, 0)
+	}
+}
+
+// loadCost is what the load of an engine counts against the time to load, in
+// seconds for one engine's worth.
+const loadCost = 10
+
+// weigh returns what a copy of model on e would cost. It returns false if there
+// can't be one.
+func (p *planner) weigh(model *Model, e *Engine, load float64) (candidate, bool) {
+	c := candidate{engine: e}
+	if e.Closed || e.Coming != "" || slices.Contains(e.Holds, model.Name) {
+		return c, false
+	}
+	if load > 0 && p.loads[e.Name] > load*(1-p.options.Gain) {
+		return c, false
+	}
+	if e.Used+model.Megabytes > e.Megabytes {
+		c.victim = p.victim(model, e)
+		if c.victim == "" {
+			return c, false
+		}
+	}
+	took := model.Load
+	switch {
+	case slices.Contains(e.InMemory, model.Name):
+		took = model.WarmLoad
+	case slices.Contains(e.OnDisk, model.Name):
+		took = model.DiskLoad
+	default:
+		c.fetch = true
+	}
+	if c.fetch && p.fetches <= 0 {
+		return c, false
+	}
+	c.cost = took.Seconds() + loadCost*p.loads[e.Name]
+	if c.victim != "" {
+		c.cost += loadCost * p.models[c.victim].Demand / float64(len(p.copies[c.victim]))
+	}
+	return c, true
+}
+
+// victim returns the model that makes way on e: the one whose demand can best do
+// without this copy, and not the last copy of any.
+func (p *planner) victim(model *Model, e *Engine) string {
+	chosen, lowest := "", 0.0
+	for _, name := range e.Holds {
+		held := p.models[name]
+		if held == nil || len(p.copies[name]) < 2 || e.Used-held.Megabytes+model.Megabytes > e.Megabytes {
+			continue
+		}
+		without := held.Demand / float64(len(p.copies[name])-1)
+		if without > p.options.Busy/2 && without >= model.Demand/float64(len(p.copies[model.Name])+1) {
+			continue
+		}
+		if chosen == "" || without < lowest {
+			chosen, lowest = name, without
+		}
+	}
+	return chosen
+}
+
+// order takes a candidate into the plan. A copy that needs room waits for a later
+// plan: the room is only free when the engine says so.
+func (p *planner) order(c candidate, model *Model, reason Reason, load float64) {
+	if len(p.moves) >= p.options.Orders {
+		return
+	}
+	c.engine.Closed = true
+	if c.victim != "" {
+		p.copies[c.victim] = slices.DeleteFunc(p.copies[c.victim], func(e *Engine) bool { return e == c.engine })
+		p.moves = append(p.moves, Move{Engine: c.engine.Name, Model: c.victim, Unload: true, Reason: reason, Load: load})
+		return
+	}
+	if c.fetch {
+		p.fetches--
+	}
+	p.copies[model.Name] = append(p.copies[model.Name], c.engine)
+	p.moves = append(p.moves, Move{Engine: c.engine.Name, Model: model.Name, Fetch: c.fetch, Reason: reason, Load: load})
+}
