counter: prompts are paced over all entry instances

Cause: streams paused for more than the 250 ms that callers bear when the prompts of a quarter of a second fell on one engine by chance; each instance saw only its own.

--- a/internal/backoffice/demand.go
+++ b/internal/backoffice/demand.go
@@ -7,11 +7,9 @@
 )
 
 const (
-	// promptTokensPerSecond and answerTokensPerSecond are what an engine does with
-	// a batch of some thirty requests, by the users' sheets: 25.8 prompt tokens are
-	// read in a ms, and a step of 10 ms makes a token for each request.
+	// promptTokensPerSecond is what an engine reads, by the users' sheets. Answers
+	// cost little beside it: a step makes a token for every request of the batch.
 	promptTokensPerSecond = 25_800
-	answerTokensPerSecond = 3_200
 	// demandSlot is the step in which demand is counted, and the windows are what
 	// it is averaged over: the short one shows within a second that a model rises,
 	// the long one keeps a pause of a few requests from looking like an end.
@@ -40,7 +38,7 @@
 
 // work returns the seconds of an engine that requests take.
 func work(d courier.Demand) float64 {
-	return float64(d.PromptTokens)/promptTokensPerSecond + float64(d.AnswerTokens)/answerTokensPerSecond
+	return float64(d.PromptTokens) / promptTokensPerSecond
 }
 
 // add counts work at now.
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -23,7 +23,7 @@
 	reply.Changes = b.roster.Since(now, args.Cursor)
 	for _, instance := range b.roster.Instances(now) {
 		if instance.CallerAddress != "" {
-			reply.Entries++
+			reply.Entries = append(reply.Entries, instance.InnerAddress)
 		}
 		if instance.Identity != "" {
 			reply.Controls = append(reply.Controls, instance.InnerAddress)
--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"slices"
 	"time"
 )
 
@@ -10,10 +11,10 @@
 	model   string
 	adapter string
 	tokens  int
+	// pace bounds what an engine gets.
+	pace pace
 	// tried are the names of upstreams that have failed this request.
 	tried []string
-	// entries is how many entry instances send to the same upstreams.
-	entries int
 }
 
 // lack says why there is no upstream for a wish.
@@ -28,31 +29,23 @@
 	lackModel
 	// lackAdapter means that the model is held, but not with the adapter.
 	lackAdapter
+	// lackRoom means that those that could run it have enough to do for now.
+	lackRoom
 	// lackUntried means that all that could run it have failed it before.
 	lackUntried
 )
 
 // String returns the word for the log.
 func (l lack) String() string {
-	return [...]string{"none", "service", "model", "adapter", "untried"}[l]
+	return [...]string{"none", "service", "model", "adapter", "room", "untried"}[l]
 }
 
-const (
-	// tokensPerRequest is the prompt that costs an engine as much as one running
-	// request does: 500 tokens are read in about 20 ms, and one more request in
-	// the batch adds about as much to another's first token.
-	tokensPerRequest = 500
-	// remoteCost is what an upstream in another failure domain costs, in requests:
-	// the way there takes a few ms, and bytes between domains are paid for.
-	remoteCost = 0.5
-)
+// remoteCost is what an upstream in another failure domain costs, as a part of
+// its pace: the way there takes a few ms, and bytes between domains are paid for.
+const remoteCost = 0.1
 
 // choose returns the upstream with the least load, and says what is lacking if
 // there is none. drawn in [0, 1) chooses among equals.
-//
-// All entry instances see the same reports and send at the same rate: what one
-// has sent since a report stands for all. Else every one of them would fill the
-// engine that was emptiest in the report, until the next.
 func (f *fleet) choose(now time.Time, w wish, drawn float64) (*upstream, lack) {
 	var best *upstream
 	bestCost := 0.0
@@ -62,11 +55,11 @@
 		if !f.alive(now, u) {
 			continue
 		}
-		if reason := u.misfit(w); reason != lackNone {
+		if reason := u.misfit(now, w); reason != lackNone {
 			missing = max(missing, reason)
 			continue
 		}
-		cost := u.cost(now, w.entries)
+		cost := u.cost(now, w)
 		switch {
 		case best == nil || cost < bestCost:
 			best, bestCost, equals = u, cost, 1
@@ -84,33 +77,35 @@
 }
 
 // misfit returns what u lacks for w.
-func (u *upstream) misfit(w wish) lack {
+func (u *upstream) misfit(now time.Time, w wish) lack {
 	switch {
 	case !u.holds(w.model, ""):
 		return lackModel
 	case !u.holds(w.model, w.adapter):
 		return lackAdapter
+	case slices.Contains(w.tried, u.Announcement.Name):
+		return lackUntried
+	case w.model != "" && !w.pace.room(now, &u.window, w.tokens):
+		return lackRoom
+	default:
+		return lackNone
 	}
-	for _, name := range w.tried {
-		if name == u.Announcement.Name {
-			return lackUntried
-		}
-	}
-	return lackNone
 }
 
 // avoidedCost is above that of any upstream that is not avoided.
 const avoidedCost = 1e6
 
-// cost returns the load of u, in requests for each of its slots.
-func (u *upstream) cost(now time.Time, entries int) float64 {
-	others := float64(max(entries, 1))
-	load := max(float64(u.running)+others*float64(u.sentSince), float64(u.open))
-	load += others * float64(u.unread) / tokensPerRequest
+// cost returns the load of u: of an engine the part of its pace that is used, else
+// the part of its slots.
+func (u *upstream) cost(now time.Time, w wish) float64 {
+	slots := float64(max(u.slots, 1))
+	cost := float64(u.open) / slots
+	if w.model != "" {
+		cost = float64(u.window.sum(now, w.pace.span))/float64(w.pace.tokens) + float64(u.running)/slots
+	}
 	if u.remote {
-		load += remoteCost
+		cost += remoteCost
 	}
-	cost := load / float64(max(u.slots, 1))
 	if now.Before(u.avoidUntil) {
 		cost += avoidedCost
 	}
@@ -118,21 +113,16 @@
 }
 
 // sent notes that a request goes to u.
-func (u *upstream) sent(tokens int) {
+func (u *upstream) sent(now time.Time, tokens int) {
 	u.open++
-	u.sentSince++
-	u.unread += tokens
-}
-
-// begun notes that an upstream's answer has begun, or never will.
-func (u *upstream) begun(tokens int) {
-	u.unread -= tokens
+	u.running++
+	u.window.add(now, tokens)
 }
 
 // ended notes that a request at u is over.
 func (u *upstream) ended() {
 	u.open--
-	u.sentSince = max(u.sentSince-1, 0)
+	u.running = max(u.running-1, 0)
 }
 
 const (
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -31,16 +31,14 @@
 	seeds   []string
 	demand  *demand
 	budgets *retry.Budgets
-	wants   map[courier.WantArgs]*sharedWant
+	wants   map[courier.WantArgs]chan struct{}
 	// told says how far the fleet follows the roster.
-	told uint64
-	// entries is how many entry instances there are, this one included.
-	entries int
+	told  uint64
+	line  line
+	hints *hints
 	// open is how many requests are under way.
 	open     int
 	draining bool
-	// changed is closed when a request that found no upstream may find one now.
-	changed chan struct{}
 
 	// syncNow has the next sync come at once.
 	syncNow chan struct{}
@@ -74,8 +72,10 @@
 		roster: roster.New(roster.Options{
 			Self:        options.Name,
 			Incarnation: uint64(options.Now().UnixNano()),
-			Static:      roster.InstanceStatic{CallerAddress: options.CallerAddress, FailureDomain: options.FailureDomain},
-			Lease:       options.UpstreamLease,
+			Static: roster.InstanceStatic{
+				CallerAddress: options.CallerAddress, InnerAddress: options.Name, FailureDomain: options.FailureDomain,
+			},
+			Lease: options.UpstreamLease,
 		}),
 		fleet:  newFleet(options.FailureDomain, options.UpstreamLease),
 		demand: newDemand(),
@@ -83,9 +83,7 @@
 			Attempts: maxAttempts, Share: options.Retries.Share, Reserve: options.Retries.Reserve,
 		}),
 		seeds:   options.Seeds,
-		wants:   map[courier.WantArgs]*sharedWant{},
-		entries: 1,
-		changed: make(chan struct{}),
+		wants:   map[courier.WantArgs]chan struct{}{},
 		syncNow: make(chan struct{}, 1),
 		stop:    cancel,
 	}
@@ -95,10 +93,21 @@
 		next:     rand.IntN(len(options.Seeds)),
 	}
 	c.links.asked = options.Seeds[c.links.next]
+	c.hints = newHints(options.Hints, options.Now, c.heard, options.Log)
 	c.done.Go(func() { c.follow(ctx) })
 	return c
 }
 
+// heard takes in that another instance sends tokens to an engine.
+func (c *Counter) heard(now time.Time, engine string, tokens int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if u := c.fleet.upstreams[engine]; u != nil {
+		u.window.add(now, tokens)
+		u.running++
+	}
+}
+
 // maxAttempts bounds the sendings of one request, refusals by upstreams
 // included.
 const maxAttempts = 4
@@ -149,13 +158,8 @@
 func (c *Counter) Close() {
 	c.stop()
 	c.links.calls.Close()
+	c.hints.close()
 	c.done.Wait()
 	c.kept.CloseIdleConnections()
 	c.fresh.CloseIdleConnections()
 }
-
-// wakeLocked wakes the requests that found no upstream.
-func (c *Counter) wakeLocked() {
-	close(c.changed)
-	c.changed = make(chan struct{})
-}
--- a/internal/counter/fleet.go
+++ b/internal/counter/fleet.go
@@ -32,20 +32,17 @@
 	remote  bool
 	// models is what it holds, by model.
 	models map[string][]string
-	// open is how many requests of this instance are under way, and unread how
-	// many prompt tokens of them have had no answer yet.
-	open   int
-	unread int
-	// running is how many requests the newest report gives, and sentSince how many
-	// this instance has sent after it.
-	running   int
-	sentSince int
+	// open is how many requests of this instance are under way.
+	open int
+	// running is how many requests the newest report gives, corrected by what this
+	// instance has sent and seen end since.
+	running int
+	// window is what was sent to it of late.
+	window window
 	// avoidUntil is until when it gets work only if nobody else can, after
 	// failures in a row.
 	avoidUntil time.Time
 	failures   int
-	// slow is the moving mean of its time to the first byte, in seconds.
-	slow float64
 }
 
 func newFleet(domain string, lease time.Duration) *fleet {
@@ -119,7 +116,6 @@
 			u.models[model.Name] = model.Adapters
 		}
 		u.running = held.Running + held.Queued
-		u.sentSince = 0
 	}
 }
 
--- /dev/null
+++ b/internal/counter/line.go
@@ -0,0 +1,159 @@
+package counter
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// waiter is a request that waits for an upstream.
+type waiter struct {
+	trip *trip
+	// granted gets the upstream.
+	granted chan *upstream
+	// missing is why there was none at the last look.
+	missing lack
+	// counted says that it is told as waiting.
+	counted bool
+}
+
+// line is the requests that wait, in no order. It is not safe for concurrent use.
+type line struct {
+	waiters []*waiter
+	// timer wakes the line while somebody waits.
+	timer *time.Timer
+	armed bool
+}
+
+// lookEvery is the time between two looks at those that wait: engines have room
+// again step by step.
+const lookEvery = 10 * time.Millisecond
+
+// join adds a request, and looks at once.
+func (c *Counter) join(now time.Time, t *trip) *waiter {
+	w := &waiter{trip: t, granted: make(chan *upstream, 1)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.line.waiters = append(c.line.waiters, w)
+	c.look(now)
+	if len(w.granted) == 0 {
+		c.countWaiting(w, true)
+	}
+	return w
+}
+
+// leave takes a request out of the line. If it was granted an upstream meanwhile,
+// leave returns that.
+func (c *Counter) leave(w *waiter) *upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case u := <-w.granted:
+		return u
+	default:
+	}
+	c.line.waiters = slices.DeleteFunc(c.line.waiters, func(other *waiter) bool { return other == w })
+	c.countWaiting(w, false)
+	return nil
+}
+
+// countWaiting notes whether a request waits for an engine.
+func (c *Counter) countWaiting(w *waiter, waits bool) {
+	if w.counted == waits || w.trip.call.Model == "" {
+		return
+	}
+	w.counted = waits
+	change := -1
+	if waits {
+		change = 1
+	}
+	c.demand.wait(w.trip.key(), change)
+}
+
+// look grants upstreams to those that wait, in their order. c.mu is held.
+//
+// First come those whose answer can still be on time, the more urgent before the
+// others. One that can't be on time any more is served with what they leave: it
+// is still worth something to its caller, but must not make the next one late.
+func (c *Counter) look(now time.Time) {
+	waiters := c.line.waiters
+	if len(waiters) > 1 {
+		slices.SortStableFunc(waiters, func(a, b *waiter) int { return a.trip.compare(now, b.trip) })
+	}
+	kept := waiters[:0]
+	for _, w := range waiters {
+		u, missing := c.fleet.choose(now, w.trip.wish(), rand.Float64())
+		w.missing = missing
+		if u == nil {
+			kept = append(kept, w)
+			continue
+		}
+		c.sentLocked(now, w.trip, u)
+		c.countWaiting(w, false)
+		w.granted <- u
+	}
+	clear(waiters[len(kept):])
+	c.line.waiters = kept
+	c.arm()
+}
+
+// sentLocked notes that a request goes to u, and tells the other instances.
+func (c *Counter) sentLocked(now time.Time, t *trip, u *upstream) {
+	u.sent(now, t.call.PromptTokens)
+	if t.call.Model != "" {
+		c.hints.tell(u.Announcement.Name, t.call.PromptTokens)
+	}
+}
+
+// arm has the line looked at again, if somebody waits.
+func (c *Counter) arm() {
+	if len(c.line.waiters) == 0 || c.line.armed {
+		return
+	}
+	c.line.armed = true
+	wake := func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.line.armed = false
+		c.look(c.options.Now())
+	}
+	if c.line.timer == nil {
+		c.line.timer = time.AfterFunc(lookEvery, wake)
+		return
+	}
+	c.line.timer.Reset(lookEvery)
+}
+
+// compare returns a number below 0 if t goes before other.
+func (t *trip) compare(now time.Time, other *trip) int {
+	return cmp.Or(
+		boolCompare(t.late(now), other.late(now)),
+		cmp.Compare(t.route.Priority, other.route.Priority),
+		t.onTimeUntil().Compare(other.onTimeUntil()),
+	)
+}
+
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// onTimeUntil is when the request must be sent for its answer to be on time.
+func (t *trip) onTimeUntil() time.Time {
+	if t.route.Objective <= 0 {
+		return t.deadline
+	}
+	reading := time.Duration(float64(t.call.PromptTokens) / readRate * float64(time.Second))
+	return t.began.Add(t.route.Objective - reading - paceMargin)
+}
+
+func (t *trip) late(now time.Time) bool {
+	return now.After(t.onTimeUntil())
+}
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -8,6 +8,7 @@
 package counter
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -19,7 +20,7 @@
 
 // Options configures a Counter.
 type Options struct {
-	// Name differs from that of any other instance. CallerAddress is where callers
+	// Name is the address at which others reach this instance, Hints included. CallerAddress is where callers
 	// reach this one.
 	Name          string
 	CallerAddress string
@@ -27,6 +28,9 @@
 	// Seeds are the inner addresses of control instances to begin with.
 	Seeds []string
 	Dial  courier.Dial
+	// Hints is where other entry instances tell what they send to engines. The
+	// Counter closes it. It may be nil.
+	Hints net.PacketConn
 	// UpstreamLease is how long an upstream gets work after it was heard of.
 	UpstreamLease time.Duration
 	// Retries bounds the requests that are sent once more, for each service.
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -16,18 +16,10 @@
 // sending is a request at one upstream.
 type sending struct {
 	upstream *upstream
-	tokens   int
 	// reached is true once bytes of the request may have gone out.
 	reached atomic.Bool
 }
 
-// begin notes that the answer has begun, or never will.
-func (c *Counter) begin(a *sending) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	a.upstream.begun(a.tokens)
-}
-
 // finish notes that the upstream has no more work of the request.
 func (c *Counter) finish(a *sending) {
 	c.mu.Lock()
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -115,7 +116,7 @@
 		c.options.Log.Info().Str("control", address).Msg("control instance regained")
 	}
 	c.roster.Merge(asked, &c.links.source, reply.Changes)
-	c.entries = reply.Entries
+	c.hints.follow(slices.DeleteFunc(reply.Entries, func(address string) bool { return address == c.options.Name }))
 	var changed []roster.Upstream
 	changed, c.told = c.roster.UpstreamsSince(c.told)
 	c.fleet.update(now, changed)
@@ -130,7 +131,7 @@
 		c.links.asked = reply.Leader
 		c.links.source = roster.Source{}
 	}
-	c.wakeLocked()
+	c.look(now)
 }
 
 // merge returns the names of both lists, each once.
@@ -162,36 +163,25 @@
 	c.options.Log.Info().Uint64("version", table.Version).Int("routes", table.Routes()).Msg("routes in force")
 }
 
-// want has an adapter loaded, and returns the name of the engine that holds it.
-// Requests that want the same adapter at once share one call.
-func (c *Counter) want(ctx context.Context, args courier.WantArgs) string {
+// want has an adapter loaded, and returns a channel that is closed when that was
+// tried. Requests that want the same adapter at once share one call.
+func (c *Counter) want(args courier.WantArgs) <-chan struct{} {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	shared := c.wants[args]
 	if shared == nil {
-		shared = &sharedWant{done: make(chan struct{})}
+		shared = make(chan struct{})
 		c.wants[args] = shared
 		go c.callWant(args, c.links.leader, shared)
 	}
-	c.mu.Unlock()
-	select {
-	case <-shared.done:
-		return shared.engine
-	case <-ctx.Done():
-		return ""
-	}
-}
-
-// sharedWant is a call for an adapter that is under way.
-type sharedWant struct {
-	done   chan struct{}
-	engine string
+	return shared
 }
 
 // wantPause is the least time between two calls for the same adapter, after one
 // that brought nothing.
 const wantPause = 50 * time.Millisecond
 
-func (c *Counter) callWant(args courier.WantArgs, leader string, shared *sharedWant) {
+func (c *Counter) callWant(args courier.WantArgs, leader string, tried chan<- struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), wantTimeout)
 	defer cancel()
 	var reply courier.WantReply
@@ -199,7 +189,6 @@
 	if leader != "" {
 		reply, err = c.links.calls.Want(ctx, leader, args)
 	}
-	shared.engine = reply.Engine
 	if reply.Engine == "" {
 		c.options.Log.Info().Err(err).Str("model", args.Model).Str("adapter", args.Adapter).Str("reason", reply.Reason).
 			Str("leader", leader).Msg("adapter not loaded")
@@ -211,5 +200,6 @@
 	if u := c.fleet.upstreams[reply.Engine]; u != nil && u.holds(args.Model, "") && !u.holds(args.Model, args.Adapter) {
 		u.models[args.Model] = append(append([]string(nil), u.models[args.Model]...), args.Adapter)
 	}
-	close(shared.done)
+	close(tried)
+	c.look(c.options.Now())
 }
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -36,6 +36,7 @@
 	tried []string
 	runs  int
 	sends int
+	pace  pace
 }
 
 // Serve answers one request of a caller.
@@ -61,6 +62,9 @@
 		service: route.Service(rand.Float64()),
 		began:   began, deadline: began.Add(patience(call, route)),
 	}
+	if service := table.Service(t.service); service != nil {
+		t.pace = paceOf(route.Gap, service.Engine)
+	}
 	c.enter(t, 1)
 	defer c.enter(t, -1)
 	ctx, cancel := context.WithTimeout(r.Context(), t.deadline.Sub(c.options.Now()))
@@ -142,66 +146,66 @@
 // answers the caller and returns nil.
 func (t *trip) await(ctx context.Context, w http.ResponseWriter) *upstream {
 	c := t.counter
-	until := t.began.Add(t.longestWait())
-	waiting := false
-	defer func() {
-		if waiting {
-			c.mu.Lock()
-			c.demand.wait(t.key(), -1)
-			c.mu.Unlock()
-		}
-	}()
+	now := c.options.Now()
+	waiting := c.join(now, t)
+	select {
+	case u := <-waiting.granted:
+		return u
+	default:
+	}
+	patience, cancel := context.WithTimeout(ctx, t.began.Add(t.longestWait()).Sub(now))
+	defer cancel()
 	for {
-		now := c.options.Now()
 		c.mu.Lock()
-		u, missing := c.fleet.choose(now, t.wish(), rand.Float64())
-		if u != nil {
-			u.sent(t.call.PromptTokens)
-		} else if !waiting && t.call.Model != "" {
-			waiting = true
-			c.demand.wait(t.key(), 1)
-		}
-		changed := c.changed
+		missing := waiting.missing
 		c.mu.Unlock()
-		if u != nil {
-			return u
-		}
-		if missing == lackUntried || !now.Before(until) || ctx.Err() != nil {
+		if missing == lackUntried || patience.Err() != nil {
+			if u := c.leave(waiting); u != nil {
+				return u
+			}
 			t.giveUp(ctx, w, missing)
 			return nil
 		}
-		t.pause(ctx, missing, changed, until.Sub(now))
+		if u := t.wait(patience, waiting, missing); u != nil {
+			return u
+		}
 	}
 }
 
-// pause waits until an upstream may be there.
-func (t *trip) pause(ctx context.Context, missing lack, changed <-chan struct{}, longest time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, longest)
-	defer cancel()
+// wait waits until the request is granted an upstream, or has to be looked at
+// again.
+func (t *trip) wait(ctx context.Context, waiting *waiter, missing lack) *upstream {
+	c := t.counter
+	var wanted <-chan struct{}
 	if missing == lackAdapter {
-		t.counter.want(ctx, courier.WantArgs{Service: t.service, Model: t.call.Model, Adapter: t.call.Adapter})
-		return
+		wanted = c.want(courier.WantArgs{Service: t.service, Model: t.call.Model, Adapter: t.call.Adapter})
 	}
 	select {
-	case <-changed:
+	case u := <-waiting.granted:
+		return u
+	case <-wanted:
 	case <-ctx.Done():
 	}
+	return nil
 }
 
-// longestWait is how long a request waits for an upstream that can run it: as
-// long as its answer can be on time, or a third of what it has.
+// lateWait is how long a request waits for an upstream, in objectives: its answer
+// will be late then, but callers stay for about four.
+const lateWait = 2.5
+
+// longestWait is how long a request waits for an upstream that can run it.
 func (t *trip) longestWait() time.Duration {
 	total := t.deadline.Sub(t.began)
 	if t.route.Objective > 0 {
-		return min(t.route.Objective, total/3)
+		return min(time.Duration(lateWait*float64(t.route.Objective)), total/2)
 	}
-	return total / 3
+	return total / 2
 }
 
 func (t *trip) wish() wish {
 	return wish{
 		service: t.service, model: t.call.Model, adapter: t.call.Adapter,
-		tokens: t.call.PromptTokens, tried: t.tried, entries: t.counter.entries,
+		tokens: t.call.PromptTokens, pace: t.pace, tried: t.tried,
 	}
 }
 
@@ -232,10 +236,9 @@
 func (t *trip) attempt(ctx context.Context, w http.ResponseWriter, u *upstream) bool {
 	c := t.counter
 	t.sends++
-	a := &sending{upstream: u, tokens: t.call.PromptTokens}
+	a := &sending{upstream: u}
 	defer c.finish(a)
 	response, err := t.send(ctx, a)
-	c.begin(a)
 	if err != nil {
 		return t.failed(ctx, w, a, err)
 	}
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -43,8 +43,8 @@
 	// Leader is the inner address of the instance that gives orders to engines,
 	// empty if none is known.
 	Leader string
-	// Entries is how many entry instances take requests.
-	Entries int
+	// Entries are the inner addresses of the entry instances that are alive.
+	Entries []string
 	// Controls are the inner addresses of the control instances that are alive.
 	Controls []string
 	// Edition is nil if the asker holds the newest that the answerer knows.
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -109,6 +109,8 @@
 type Engine struct {
 	// Slots is how many requests an engine runs at once.
 	Slots int
+	// Stride is how many tokens an event of a stream holds.
+	Stride int
 	// KVTokens is the memory of an engine for prompts and answers.
 	KVTokens int
 	// Megabytes is the memory for weights and adapters.
