stocking: spare copies wait for pressing ones and follow what may rise

Cause: memory freed for a pressed model was filled with a spare copy of another, and the model that demand moved to had one copy.

--- a/internal/stocking/stocking.go
+++ b/internal/stocking/stocking.go
@@ -92,9 +92,12 @@
 // Plan returns the moves to order now, the most urgent first.
 func Plan(models []Model, engines []Engine, options Options) []Move {
 	p := newPlanner(models, engines, options)
-	p.reach()
+	p.reach(func(m *Model) bool { return m.Waiting > 0 || m.Demand > 0 })
 	p.relieve()
-	p.spare()
+	p.reach(func(*Model) bool { return true })
+	if !p.pressed {
+		p.spare()
+	}
 	return p.moves
 }
 
@@ -111,6 +114,9 @@
 	loads   map[string]float64
 	moves   []Move
 	fetches int
+	// pressed says that a model needs a copy now, whether it gets one or not: what
+	// is free is kept for it.
+	pressed bool
 }
 
 func newPlanner(models []Model, engines []Engine, options Options) *planner {
@@ -170,14 +176,17 @@
 	}
 }
 
-// reach brings back models that no engine holds, those that requests wait for
-// first.
-func (p *planner) reach() {
-	missing := slices.DeleteFunc(slices.Clone(p.names), func(name string) bool { return len(p.copies[name]) > 0 })
+// reach brings back models that no engine holds, of those that match, the ones
+// that requests wait for first.
+func (p *planner) reach(match func(*Model) bool) {
+	missing := slices.DeleteFunc(slices.Clone(p.names), func(name string) bool {
+		return len(p.copies[name]) > 0 || !match(p.models[name])
+	})
 	slices.SortStableFunc(missing, func(a, b string) int {
 		return -cmp.Compare(p.models[a].Waiting, p.models[b].Waiting)
 	})
 	for _, name := range missing {
+		p.pressed = true
 		p.place(p.models[name], Unreachable, 0)
 	}
 }
@@ -198,19 +207,73 @@
 		// Requests go to the copy with least to do: only if that one is busy, they
 		// wait.
 		if idlest > p.options.Busy {
+			p.pressed = true
 			p.place(model, Demand, idlest)
 		}
 	}
 }
 
-// spare uses free memory for second copies, so that the loss of an engine leaves
-// no model out of reach and demand that moves on finds two.
+// riseShare is the part of the busiest model's demand that another model in
+// demand must be able to take over, and risingShare the part from which on a model
+// counts as one of these. Demand moves from the busiest model to the next within
+// seconds, sooner than copies can be loaded.
+const (
+	riseShare   = 0.5
+	risingShare = 0.1
+)
+
+// expected returns the demand that the copies of a model are prepared for.
+func (p *planner) expected(model *Model) float64 {
+	busiest := p.models[p.names[0]].Demand
+	if model.Demand >= risingShare*busiest {
+		return model.Demand + riseShare*busiest
+	}
+	return model.Demand
+}
+
+// spareShare is how much less a copy must be needed than the one that takes its
+// place, so that two do not take turns.
+const spareShare = 0.5
+
+// spare prepares for demand that moves on and for engines that are lost, while
+// nothing is pressing: the model whose copies would have most to do gets another.
 func (p *planner) spare() {
-	for _, name := range p.names {
-		if len(p.copies[name]) == 1 {
-			p.placeFree(p.models[name])
+	byNeed := slices.Clone(p.names)
+	need := func(name string) float64 {
+		return (p.expected(p.models[name]) + leastLoad) / float64(len(p.copies[name])+1)
+	}
+	slices.SortStableFunc(byNeed, func(a, b string) int { return -cmp.Compare(need(a), need(b)) })
+	for _, name := range byNeed {
+		if p.placeSpare(p.models[name], need(name)) {
+			return
+		}
+	}
+}
+
+// placeSpare orders a spare copy of model, and reports whether it did. needed is
+// how much each of its copies would have to do.
+func (p *planner) placeSpare(model *Model, needed float64) bool {
+	var best *candidate
+	for _, e := range p.engines {
+		c, ok := p.weigh(model, e, 0)
+		if !ok || c.fetch && p.fetches < p.options.Fetches {
+			continue
 		}
+		if c.victim != "" {
+			others := float64(len(p.copies[c.victim]) - 1)
+			if (p.expected(p.models[c.victim])+leastLoad)/others > spareShare*needed {
+				continue
+			}
+		}
+		if best == nil || c.cost < best.cost {
+			best = &c
+		}
+	}
+	if best == nil {
+		return false
 	}
+	p.order(*best, model, Spare, 0)
+	return true
 }
 
 // candidate is an engine that could hold another copy.
@@ -239,19 +302,6 @@
 	}
 }
 
-func (p *planner) placeFree(model *Model) {
-	var best *candidate
-	for _, e := range p.engines {
-		c, ok := p.weigh(model, e, 0)
-		if ok && c.victim == "" && (best == nil || c.cost < best.cost) {
-			best = &c
-		}
-	}
-	if best != nil {
-		p.order(*best, model, Spare, 0)
-	}
-}
-
 // loadCost is what the load of an engine counts against the time to load, in
 // seconds for one engine's worth.
 const loadCost = 10
