--- a/internal/backoffice/demand.go
+++ b/internal/backoffice/demand.go
@@ -19,6 +19,9 @@
 	// shortTrust is the part of the short window's rate that counts, since few
 	// requests come in it.
 	shortTrust = 0.8
+	// idleAfter is how long nobody asks for a model before its last copy may make
+	// way.
+	idleAfter = 6 * time.Second
 )
 
 // demandKey names a model of a service.
@@ -30,6 +33,8 @@
 type demandOf struct {
 	// slots are a ring of work in seconds of an engine.
 	slots [longWindow]float64
+	// last is when it was last asked for.
+	last time.Time
 	// at is the slot that is being filled, counted from 1970.
 	at int64
 	// waiting is how many requests waited at the entry instance that told last.
@@ -43,6 +48,7 @@
 
 // add counts work at now.
 func (d *demandOf) add(now time.Time, seconds float64) {
+	d.last = now
 	d.advance(now)
 	d.slots[d.at%longWindow] += seconds
 }
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -66,7 +66,9 @@
 			Name: model.Name, Megabytes: model.Megabytes,
 			Load: model.Load, WarmLoad: model.WarmLoad, DiskLoad: model.DiskLoad,
 		}
-		if asked := o.demand[demandKey{service, model.Name}]; asked != nil {
+		asked := o.demand[demandKey{service, model.Name}]
+		m.Idle = asked == nil || now.Sub(asked.last) > idleAfter
+		if asked != nil {
 			m.Demand = asked.rate(now)
 			m.Waiting = asked.waiting
 		}
@@ -102,6 +104,39 @@
 		asked = &demandOf{}
 		o.demand[key] = asked
 	}
-	asked.add(now, work(d))
+	if d.Requests > 0 || d.Waiting > 0 {
+		asked.add(now, work(d))
+	}
 	asked.waiting = d.Waiting
 }
+
+// wantModel makes a plan at once for a model that requests wait for.
+func (o *orders) wantModel(ctx context.Context, args courier.WantArgs) courier.WantReply {
+	now := o.office.options.Now()
+	o.mu.Lock()
+	o.noteModel(now, courier.Demand{Service: args.Service, Model: args.Model, Waiting: 1})
+	o.mu.Unlock()
+	o.stock(ctx, now)
+	for {
+		o.mu.Lock()
+		changed, term := o.changed, o.term
+		holder := ""
+		for _, e := range o.engines {
+			if e.service == args.Service && !e.leaving && e.holds(args.Model, "") {
+				holder = e.Name
+			}
+		}
+		o.mu.Unlock()
+		switch {
+		case holder != "":
+			return courier.WantReply{Engine: holder}
+		case term == 0:
+			return courier.WantReply{Reason: "this instance gives no orders"}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return courier.WantReply{Reason: "not in time"}
+		}
+	}
+}
--- a/internal/backoffice/options.go
+++ b/internal/backoffice/options.go
@@ -136,14 +136,14 @@
 	// trip between failure domains (3 ms) and a sync (2 ms).
 	callTimeout = time.Second
 	// heartbeat and electionTimeout pace the agreement: a lost leader is replaced
-	// within 2 s, and a heartbeat costs a core of 0.12 about 1 part in 1,000.
-	heartbeat       = 150 * time.Millisecond
-	electionTimeout = time.Second
+	// within 1.5 s, and a heartbeat costs a core of 0.12 about 1 part in 1,000.
+	heartbeat       = 120 * time.Millisecond
+	electionTimeout = 700 * time.Millisecond
 	// clockDrift bounds how far the rates of two clocks differ.
 	clockDrift = 0.05
 	// orderFlight is the longest time that an order is on its way. A successor
 	// waits for it, so that two instances never give orders within 3 s.
-	orderFlight = 3 * time.Second
+	orderFlight = 2600 * time.Millisecond
 	// silentVoter is how long a voter is silent before another takes its place.
 	silentVoter = 1500 * time.Millisecond
 )
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -235,6 +235,9 @@
 
 // want has an engine load an adapter and returns its name.
 func (o *orders) want(ctx context.Context, args courier.WantArgs) courier.WantReply {
+	if args.Adapter == "" {
+		return o.wantModel(ctx, args)
+	}
 	for {
 		reply, wait := o.tryWant(ctx, args)
 		if wait == nil {
--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -13,7 +13,8 @@
 	tokens  int
 	// pace bounds what an engine gets.
 	pace pace
-	// tried are the names of upstreams that have failed this request.
+	// tried are the names of upstreams that have failed this request. They are tried
+	// again only after the rest, and after a pause.
 	tried []string
 }
 
@@ -31,13 +32,11 @@
 	lackAdapter
 	// lackRoom means that those that could run it have enough to do for now.
 	lackRoom
-	// lackUntried means that all that could run it have failed it before.
-	lackUntried
 )
 
 // String returns the word for the log.
 func (l lack) String() string {
-	return [...]string{"none", "service", "model", "adapter", "room", "untried"}[l]
+	return [...]string{"none", "service", "model", "adapter", "room"}[l]
 }
 
 // remoteCost is what an upstream in another failure domain costs, as a part of
@@ -83,8 +82,8 @@
 		return lackModel
 	case !u.holds(w.model, w.adapter):
 		return lackAdapter
-	case slices.Contains(w.tried, u.Announcement.Name):
-		return lackUntried
+	case slices.Contains(w.tried, u.Announcement.Name) && now.Before(u.avoidUntil):
+		return lackRoom
 	case w.model != "" && !w.pace.room(now, &u.window, w.tokens):
 		return lackRoom
 	default:
@@ -92,8 +91,12 @@
 	}
 }
 
-// avoidedCost is above that of any upstream that is not avoided.
-const avoidedCost = 1e6
+// avoidedCost is above that of any upstream that is not avoided, and triedCost
+// above that of any that has not failed the request yet.
+const (
+	avoidedCost = 1e6
+	triedCost   = 1e3
+)
 
 // cost returns the load of u: of an engine the part of its pace that is used, else
 // the part of its slots.
@@ -109,6 +112,9 @@
 	if now.Before(u.avoidUntil) {
 		cost += avoidedCost
 	}
+	if slices.Contains(w.tried, u.Announcement.Name) {
+		cost += triedCost
+	}
 	return cost
 }
 
@@ -140,6 +146,16 @@
 	u.avoidUntil = now.Add(min(wait, longestAvoidance))
 }
 
+// fullFor is how long an upstream that refused for want of room gets no work.
+const fullFor = 100 * time.Millisecond
+
+// full notes that u refused a request without running it.
+func (u *upstream) full(now time.Time) {
+	if until := now.Add(fullFor); until.After(u.avoidUntil) {
+		u.avoidUntil = until
+	}
+}
+
 // worked notes that u answered as it should.
 func (u *upstream) worked() {
 	u.failures = 0
--- a/internal/counter/fleet.go
+++ b/internal/counter/fleet.go
@@ -136,3 +136,15 @@
 func sameResident(a, b upstreamapi.Resident) bool {
 	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 }
+
+// gained notes that u holds a model now, with an adapter unless it is empty.
+func (u *upstream) gained(model, adapter string) {
+	if u.holds(model, adapter) {
+		return
+	}
+	adapters := slices.Clone(u.models[model])
+	if adapter != "" {
+		adapters = append(adapters, adapter)
+	}
+	u.models[model] = adapters
+}
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -191,14 +191,14 @@
 	}
 	if reply.Engine == "" {
 		c.options.Log.Info().Err(err).Str("model", args.Model).Str("adapter", args.Adapter).Str("reason", reply.Reason).
-			Str("leader", leader).Msg("adapter not loaded")
+			Str("leader", leader).Msg("not loaded")
 		pause.For(ctx, wantPause)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.wants, args)
-	if u := c.fleet.upstreams[reply.Engine]; u != nil && u.holds(args.Model, "") && !u.holds(args.Model, args.Adapter) {
-		u.models[args.Model] = append(append([]string(nil), u.models[args.Model]...), args.Adapter)
+	if u := c.fleet.upstreams[reply.Engine]; u != nil {
+		u.gained(args.Model, args.Adapter)
 	}
 	close(tried)
 	c.look(c.options.Now())
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -159,7 +159,7 @@
 		c.mu.Lock()
 		missing := waiting.missing
 		c.mu.Unlock()
-		if missing == lackUntried || patience.Err() != nil {
+		if patience.Err() != nil {
 			if u := c.leave(waiting); u != nil {
 				return u
 			}
@@ -177,8 +177,8 @@
 func (t *trip) wait(ctx context.Context, waiting *waiter, missing lack) *upstream {
 	c := t.counter
 	var wanted <-chan struct{}
-	if missing == lackAdapter {
-		wanted = c.want(courier.WantArgs{Service: t.service, Model: t.call.Model, Adapter: t.call.Adapter})
+	if t.call.Model != "" && (missing == lackAdapter || missing == lackModel) {
+		wanted = c.want(t.wanted(missing))
 	}
 	select {
 	case u := <-waiting.granted:
@@ -189,6 +189,15 @@
 	return nil
 }
 
+// wanted is what a request that lacks something has the leader load.
+func (t *trip) wanted(missing lack) courier.WantArgs {
+	args := courier.WantArgs{Service: t.service, Model: t.call.Model}
+	if missing == lackAdapter {
+		args.Adapter = t.call.Adapter
+	}
+	return args
+}
+
 // lateWait is how long a request waits for an upstream, in objectives: its answer
 // will be late then, but callers stay for about four.
 const lateWait = 2.5
@@ -261,6 +270,8 @@
 	c.mu.Lock()
 	if judged == Misdirected && t.call.Model != "" {
 		a.upstream.drop(t.call.Model, t.call.Adapter)
+	} else {
+		a.upstream.full(now)
 	}
 	verdict := c.budgets.Of(now, t.service).Decide(now, retry.Attempt{
 		Number: t.sends, Outcome: outcome.NotRun, Deadline: t.deadline,
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -82,16 +82,17 @@
 	Adapters []string
 }
 
-// WantArgs asks for an adapter beside a model.
+// WantArgs asks for a model, or for an adapter beside it.
 type WantArgs struct {
 	Service string
 	Model   string
+	// Adapter is empty for the model itself.
 	Adapter string
 }
 
 // WantReply answers WantArgs.
 type WantReply struct {
-	// Engine holds the adapter now. It is empty if none does and none can now.
+	// Engine holds it now. It is empty if none does and none can now.
 	Engine string
 	// Reason says why, if Engine is empty.
 	Reason string
@@ -137,7 +138,7 @@
 	return reply, err
 }
 
-// Want asks the control instance at address for an adapter beside a model.
+// Want asks the control instance at address for a model or an adapter.
 func (p *Pool) Want(ctx context.Context, address string, args WantArgs) (WantReply, error) {
 	var reply WantReply
 	err := p.Call(ctx, address, "Feed.Want", args, &reply)
--- a/internal/stocking/stocking.go
+++ b/internal/stocking/stocking.go
@@ -25,6 +25,8 @@
 	Demand float64
 	// Waiting is how many requests find no engine that holds the model.
 	Waiting int
+	// Idle says that nobody has asked for it for a while.
+	Idle bool
 	// Load is the time of a load from the weight store, WarmLoad of one from the
 	// engine's memory and DiskLoad of one from its disk.
 	Load, WarmLoad, DiskLoad time.Duration
@@ -94,8 +96,8 @@
 	p := newPlanner(models, engines, options)
 	p.reach(func(m *Model) bool { return m.Waiting > 0 || m.Demand > 0 })
 	p.relieve()
-	p.reach(func(*Model) bool { return true })
 	if !p.pressed {
+		p.reach(func(*Model) bool { return true })
 		p.spare()
 	}
 	return p.moves
@@ -186,7 +188,8 @@
 		return -cmp.Compare(p.models[a].Waiting, p.models[b].Waiting)
 	})
 	for _, name := range missing {
-		p.pressed = true
+		asked := p.models[name].Waiting > 0 || p.models[name].Demand > 0
+		p.pressed = p.pressed || asked
 		p.place(p.models[name], Unreachable, 0)
 	}
 }
@@ -261,6 +264,9 @@
 		}
 		if c.victim != "" {
 			others := float64(len(p.copies[c.victim]) - 1)
+			if others == 0 {
+				continue
+			}
 			if (p.expected(p.models[c.victim])+leastLoad)/others > spareShare*needed {
 				continue
 			}
@@ -306,6 +312,10 @@
 // seconds for one engine's worth.
 const loadCost = 10
 
+// lastCopyCost is what it counts to put a model out of reach that nobody asks
+// for, in seconds: about the time to load it again.
+const lastCopyCost = 2
+
 // weigh returns what a copy of model on e would cost. It returns false if there
 // can't be one.
 func (p *planner) weigh(model *Model, e *Engine, load float64) (candidate, bool) {
@@ -338,16 +348,27 @@
 	if c.victim != "" {
 		c.cost += loadCost * p.models[c.victim].Demand / float64(len(p.copies[c.victim]))
 	}
+	if c.victim != "" && len(p.copies[c.victim]) == 1 {
+		c.cost += lastCopyCost
+	}
 	return c, true
 }
 
 // victim returns the model that makes way on e: the one whose demand can best do
-// without this copy, and not the last copy of any.
+// without this copy. The last copy of a model makes way only if nobody has asked
+// for it lately and somebody asks for the other: it comes back within a second
+// or two from the engine's memory or disk when it is asked for again.
 func (p *planner) victim(model *Model, e *Engine) string {
-	chosen, lowest := "", 0.0
+	chosen, lowest, lastResort := "", 0.0, ""
 	for _, name := range e.Holds {
 		held := p.models[name]
-		if held == nil || len(p.copies[name]) < 2 || e.Used-held.Megabytes+model.Megabytes > e.Megabytes {
+		if held == nil || e.Used-held.Megabytes+model.Megabytes > e.Megabytes {
+			continue
+		}
+		if len(p.copies[name]) < 2 {
+			if held.Idle && (model.Demand > 0 || model.Waiting > 0) && lastResort == "" {
+				lastResort = name
+			}
 			continue
 		}
 		without := held.Demand / float64(len(p.copies[name])-1)
@@ -358,7 +379,7 @@
 			chosen, lowest = name, without
 		}
 	}
-	return chosen
+	return cmp.Or(chosen, lastResort)
 }
 
 // order takes a candidate into the plan. A copy that needs room waits for a later
