--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -24,6 +24,10 @@
 	ordering bool
 	// coming is a model that is being loaded, or empty.
 	coming string
+	// going is a model that is to be unloaded, or empty. Since goingSince nobody is
+	// told that the engine holds it.
+	going      string
+	goingSince time.Time
 	// stale says that an order was refused or not answered: no other is given
 	// before a report tells what the engine holds.
 	stale bool
@@ -63,10 +67,10 @@
 }
 
 // holds reports whether the engine can run model, with adapter unless it is
-// empty.
+// empty, and is to do so for longer.
 func (e *engine) holds(model, adapter string) bool {
 	held := e.model(model)
-	return held != nil && (adapter == "" || slices.Contains(held.Adapters, adapter))
+	return held != nil && model != e.going && (adapter == "" || slices.Contains(held.Adapters, adapter))
 }
 
 func (e *engine) model(name string) *courier.HeldModel {
@@ -78,6 +82,14 @@
 	return nil
 }
 
+// told returns the models that others may send requests for.
+func (e *engine) told() []courier.HeldModel {
+	if e.going == "" {
+		return e.report.Models
+	}
+	return slices.DeleteFunc(slices.Clone(e.report.Models), func(m courier.HeldModel) bool { return m.Name == e.going })
+}
+
 // adapters returns how many adapters the engine holds.
 func (e *engine) adapters() int {
 	count := 0
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -18,6 +18,45 @@
 // the rate that the store allows.
 const fetchBurst = 2
 
+// goodbye is the time from when nobody is told any more that an engine holds a
+// model until it is ordered away. An engine refuses requests for a model as soon
+// as it is to be unloaded; entry instances ask for news every 250 ms, and stop
+// sending before.
+const goodbye = 400 * time.Millisecond
+
+// sendOff orders models away that were to go for long enough, unless they are
+// asked for again.
+func (o *orders) sendOff(ctx context.Context, now time.Time) {
+	for _, e := range o.engines {
+		if e.going == "" || e.ordering || now.Sub(e.goingSince) < goodbye {
+			continue
+		}
+		if _, ok := o.right(); !ok || e.stale || e.report.Busy || o.wantedAgain(e) {
+			e.going = ""
+			o.touch()
+			continue
+		}
+		e.ordering = true
+		order := Order{Kind: Unload, Model: e.going}
+		o.office.done.Go(func() { o.give(ctx, e, order) })
+	}
+}
+
+// wantedAgain reports whether requests wait for the model that is to go from e,
+// and no other engine holds it.
+func (o *orders) wantedAgain(e *engine) bool {
+	asked := o.demand[demandKey{e.service, e.going}]
+	if asked == nil || asked.waiting == 0 {
+		return false
+	}
+	for _, other := range o.engines {
+		if other != e && other.service == e.service && other.holds(e.going, "") {
+			return false
+		}
+	}
+	return true
+}
+
 // stock orders models to where they are asked for.
 func (o *orders) stock(ctx context.Context, now time.Time) {
 	if _, ok := o.right(); !ok {
@@ -28,6 +67,7 @@
 	if o.table == nil {
 		return
 	}
+	o.sendOff(ctx, now)
 	for name, service := range o.table.Services() {
 		if service.Engine != nil {
 			o.stockService(ctx, now, name, service.Engine)
@@ -45,16 +85,18 @@
 	options.Fetches = int(o.fetches)
 	for _, move := range stocking.Plan(o.stockModels(now, service, spec), o.stockEngines(service), options) {
 		e := o.engines[move.Engine]
-		order := Order{Kind: Load, Model: move.Model}
+		o.office.options.Log.Info().Str("engine", e.Name).Str("model", move.Model).Bool("unload", move.Unload).
+			Bool("fetch", move.Fetch).Str("reason", string(move.Reason)).Float64("load", move.Load).Msg("placement move")
 		if move.Unload {
-			order.Kind = Unload
+			e.going, e.goingSince = move.Model, now
+			o.touch()
+			continue
 		}
 		if move.Fetch {
 			o.fetches--
 		}
 		e.ordering = true
-		o.office.options.Log.Info().Str("engine", e.Name).Str("model", move.Model).Bool("unload", move.Unload).
-			Bool("fetch", move.Fetch).Str("reason", string(move.Reason)).Float64("load", move.Load).Msg("placement move")
+		order := Order{Kind: Load, Model: move.Model}
 		o.office.done.Go(func() { o.give(ctx, e, order) })
 	}
 }
@@ -85,10 +127,10 @@
 		}
 		engine := stocking.Engine{
 			Name: e.Name, Megabytes: e.spec.Megabytes, Used: e.megabytes(), Coming: e.coming,
-			Closed:  !e.known || e.ordering || e.stale || e.report.Busy,
+			Closed:  !e.known || e.ordering || e.stale || e.report.Busy || e.going != "",
 			Leaving: e.leaving, InMemory: e.report.InMemory, OnDisk: e.report.OnDisk,
 		}
-		for _, held := range e.report.Models {
+		for _, held := range e.told() {
 			engine.Holds = append(engine.Holds, held.Name)
 		}
 		engines = append(engines, engine)
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -210,7 +210,7 @@
 		told.Engines = append(told.Engines, courier.Holding{
 			Name: e.Name, Age: now.Sub(e.reported),
 			Running: e.report.Running, Queued: e.report.Queued, KVUsed: e.report.KVUsed,
-			Models: e.report.Models,
+			Models: e.told(),
 		})
 	}
 	return told
@@ -353,6 +353,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e.ordering = false
+	if order.Adapter == "" && order.Kind == Unload {
+		e.going = ""
+	}
 	switch {
 	case err != nil:
 		// It may be carried out later. The number of orders that the engine has
--- a/internal/counter/answer.go
+++ b/internal/counter/answer.go
@@ -7,6 +7,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
@@ -31,6 +33,9 @@
 		t.runs--
 		return t.failed(ctx, w, a, err)
 	}
+	if response.StatusCode >= http.StatusInternalServerError && t.again(a, response.StatusCode) {
+		return false
+	}
 	t.counter.worked(a)
 	copyHead(w, response)
 	w.WriteHeader(response.StatusCode)
@@ -48,6 +53,25 @@
 	return true
 }
 
+// again decides whether a request that an upstream has answered with a failure
+// goes to another one, and notes it. Only what may run twice does.
+func (t *trip) again(a *sending, status int) bool {
+	if !t.route.Repeatable() {
+		return false
+	}
+	c := t.counter
+	now := c.options.Now()
+	c.mu.Lock()
+	verdict := t.verdict(now, outcome.Ran)
+	c.mu.Unlock()
+	if verdict != retry.Again {
+		return false
+	}
+	t.tried = append(t.tried, a.upstream.Announcement.Name)
+	c.logAttempt(t, a, "failed", status, verdict.String())
+	return true
+}
+
 // stream relays events as they come. If the upstream breaks off, the caller's
 // connection breaks as well: a stream that ends early must not look whole.
 func (t *trip) stream(ctx context.Context, w http.ResponseWriter, a *sending, response *http.Response) {
--- a/internal/counter/hints.go
+++ b/internal/counter/hints.go
@@ -24,9 +24,7 @@
 
 	mu    sync.Mutex
 	peers []netip.AddrPort
-	// addresses are those of peers as they were told.
-	addresses []string
-	done      sync.WaitGroup
+	done  sync.WaitGroup
 }
 
 // maxHintBytes bounds a hint: the name of an engine and a number.
@@ -54,6 +52,13 @@
 	}
 }
 
+// instances returns how many instances there are, this one included.
+func (h *hints) instances() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.peers) + 1
+}
+
 // tell tells the others that tokens go to engine. It does not wait.
 func (h *hints) tell(engine string, tokens int) {
 	if h.conn == nil {
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -153,6 +153,15 @@
 		return u
 	default:
 	}
+	if forecast := c.forecast(now, waiting); forecast > t.longestWait() {
+		if u := c.leave(waiting); u != nil {
+			return u
+		}
+		// It could not be served in time: the caller learns that now, and when it
+		// may.
+		c.refuse(w, t.call, t.route, http.StatusServiceUnavailable, "too many requests wait", t.comeBackAfter(forecast))
+		return nil
+	}
 	patience, cancel := context.WithTimeout(ctx, t.began.Add(t.longestWait()).Sub(now))
 	defer cancel()
 	for {
@@ -239,6 +248,14 @@
 	return min(time.Second, max(left/4, minComeBack))
 }
 
+// comeBackAfter is when a caller may come back to a line that takes wait to
+// empty. Callers that were refused together come back apart.
+func (t *trip) comeBackAfter(wait time.Duration) time.Duration {
+	left := t.deadline.Sub(t.counter.options.Now())
+	spread := 0.5 + rand.Float64()/2
+	return max(time.Duration(spread*float64(min(wait, left/3))), minComeBack)
+}
+
 const minComeBack = 50 * time.Millisecond
 
 // attempt sends the request to u, and reports whether the caller was answered.
