--- a/internal/backoffice/demand.go
+++ b/internal/backoffice/demand.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// promptTokensPerSecond is what an engine reads, by the users' sheets. Answers
-	// cost little beside it: a step makes a token for every request of the batch.
+	// promptTokensPerSecond is what an engine reads and answerTokensPerSecond what
+	// it makes with a full batch, by the users' sheets: 25.8 prompt tokens in a ms,
+	// and 64 tokens in a step of 11.5 ms.
 	promptTokensPerSecond = 25_800
+	answerTokensPerSecond = 5_500
 	// demandSlot is the step in which demand is counted, and the windows are what
 	// it is averaged over: the short one shows within a second that a model rises,
 	// the long one keeps a pause of a few requests from looking like an end.
--- a/internal/backoffice/options.go
+++ b/internal/backoffice/options.go
@@ -143,7 +143,7 @@
 	clockDrift = 0.05
 	// orderFlight is the longest time that an order is on its way. A successor
 	// waits for it, so that two instances never give orders within 3 s.
-	orderFlight = 2600 * time.Millisecond
+	orderFlight = 2200 * time.Millisecond
 	// silentVoter is how long a voter is silent before another takes its place.
 	silentVoter = 1500 * time.Millisecond
 )
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -22,7 +22,7 @@
 	// reportTimeout bounds one question to an engine.
 	reportTimeout = time.Second
 	// orderTimeout bounds an order. It is within orderFlight.
-	orderTimeout = time.Second
+	orderTimeout = 800 * time.Millisecond
 	// adapterTime is how long an adapter takes to load. The users give 5 to 14 ms.
 	adapterTime = 20 * time.Millisecond
 	// keepAdapter is how long an adapter that was asked for stays: a stream with it
--- a/internal/counter/answer.go
+++ b/internal/counter/answer.go
@@ -82,6 +82,7 @@
 	for {
 		n, readErr := response.Body.Read(buffer)
 		if n > 0 {
+			t.timing.piece(t.counter.options.Now())
 			if _, err := w.Write(buffer[:n]); err != nil || control.Flush() != nil {
 				t.counter.logAttempt(t, a, "caller gone", response.StatusCode, "")
 				panic(http.ErrAbortHandler)
@@ -133,9 +134,20 @@
 	if what == "answered" {
 		level = zerolog.DebugLevel
 	}
-	c.options.Log.WithLevel(level).Str("request", t.call.ID).Str("route", t.route.Name).Uint64("version", t.version).
-		Str("upstream", a.upstream.Announcement.Name).Int("send", t.sends).Int("status", status).
-		Dur("took", c.options.Now().Sub(t.began)).Str("verdict", verdict).Msg(what)
+	event := c.options.Log.WithLevel(level).Str("request", t.call.ID).Str("route", t.route.Name).
+		Uint64("version", t.version).Str("upstream", a.upstream.Announcement.Name).Int("send", t.sends).
+		Int("status", status).Dur("took", c.options.Now().Sub(t.began)).Str("verdict", verdict)
+	if t.call.Model != "" {
+		event = event.Str("model", t.call.Model).Str("adapter", t.call.Adapter).Int("prompt-tokens", t.call.PromptTokens).
+			Int("answer-tokens", t.call.AnswerTokens)
+	}
+	if !t.timing.sent.IsZero() {
+		event = event.Dur("waited", t.timing.sent.Sub(t.began))
+	}
+	if !t.timing.first.IsZero() {
+		event = event.Dur("first", t.timing.first.Sub(t.began)).Dur("longest-pause", t.timing.pause)
+	}
+	event.Msg(what)
 }
 
 func (c *Counter) log(t *trip, what, why string) {
--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -84,13 +84,32 @@
 		return lackAdapter
 	case slices.Contains(w.tried, u.Announcement.Name) && now.Before(u.avoidUntil):
 		return lackRoom
-	case w.model != "" && !w.pace.room(now, &u.window, w.tokens):
+	case w.model != "" && !u.hasRoom(now, w):
 		return lackRoom
 	default:
 		return lackNone
 	}
 }
 
+// fullShare is the part of an engine's slots that are filled. What others have
+// sent at the same moment takes the rest; an engine with more requests than slots
+// lets the newest wait, however urgent.
+const fullShare = 0.9
+
+// hasRoom reports whether an engine may get a request now.
+func (u *upstream) hasRoom(now time.Time, w wish) bool {
+	full := u.slots > 0 && float64(u.load(now)) >= fullShare*float64(u.slots)
+	return !full && w.pace.room(now, &u.window, w.tokens)
+}
+
+// load returns how many requests an engine has: those of its newest report, and
+// what all instances have sent since. What has ended since is not known of others,
+// so that the load is rather too high than too low.
+func (u *upstream) load(now time.Time) int {
+	since := u.window.sum(now, now.Sub(u.reportedAt)).requests
+	return max(u.reported+since, u.open)
+}
+
 // avoidedCost is above that of any upstream that is not avoided, and triedCost
 // above that of any that has not failed the request yet.
 const (
@@ -104,7 +123,7 @@
 	slots := float64(max(u.slots, 1))
 	cost := float64(u.open) / slots
 	if w.model != "" {
-		cost = float64(u.window.sum(now, w.pace.span))/float64(w.pace.tokens) + float64(u.running)/slots
+		cost = float64(u.window.sum(now, w.pace.span).tokens)/float64(w.pace.tokens) + float64(u.load(now))/slots
 	}
 	if u.remote {
 		cost += remoteCost
@@ -121,14 +140,12 @@
 // sent notes that a request goes to u.
 func (u *upstream) sent(now time.Time, tokens int) {
 	u.open++
-	u.running++
 	u.window.add(now, tokens)
 }
 
 // ended notes that a request at u is over.
 func (u *upstream) ended() {
 	u.open--
-	u.running = max(u.running-1, 0)
 }
 
 const (
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -104,7 +104,6 @@
 	defer c.mu.Unlock()
 	if u := c.fleet.upstreams[engine]; u != nil {
 		u.window.add(now, tokens)
-		u.running++
 	}
 }
 
--- a/internal/counter/fleet.go
+++ b/internal/counter/fleet.go
@@ -34,9 +34,9 @@
 	models map[string][]string
 	// open is how many requests of this instance are under way.
 	open int
-	// running is how many requests the newest report gives, corrected by what this
-	// instance has sent and seen end since.
-	running int
+	// reported is how many requests the newest report gives, as of reportedAt.
+	reported   int
+	reportedAt time.Time
 	// window is what was sent to it of late.
 	window window
 	// avoidUntil is until when it gets work only if nobody else can, after
@@ -103,9 +103,12 @@
 	f.services[u.service] = slices.DeleteFunc(f.services[u.service], func(other *upstream) bool { return other == u })
 }
 
+// reportLag is about how old an engine's report is when it gives it.
+const reportLag = 100 * time.Millisecond
+
 // hold takes in what engines hold by whoever gives them orders, which is newer
 // than what they announce themselves.
-func (f *fleet) hold(holdings *courier.Holdings) {
+func (f *fleet) hold(now time.Time, holdings *courier.Holdings) {
 	for _, held := range holdings.Engines {
 		u := f.upstreams[held.Name]
 		if u == nil {
@@ -115,7 +118,8 @@
 		for _, model := range held.Models {
 			u.models[model.Name] = model.Adapters
 		}
-		u.running = held.Running + held.Queued
+		u.reported = held.Running + held.Queued
+		u.reportedAt = now.Add(-held.Age - reportLag)
 	}
 }
 
--- a/internal/counter/pace.go
+++ b/internal/counter/pace.go
@@ -33,35 +33,44 @@
 	paceSlots = 20
 )
 
-// window counts the prompt tokens that were sent to an engine of late, by any
-// instance.
+// window counts what was sent to an engine of late, by any instance.
 type window struct {
-	slots [paceSlots]int
+	slots [paceSlots]sent
 	at    int64
 }
 
+// sent is requests and the prompt tokens in them.
+type sent struct {
+	requests int
+	tokens   int
+}
+
 // advance empties the slots that have begun anew.
 func (w *window) advance(now time.Time) {
 	slot := now.UnixNano() / int64(paceSlot)
 	for steps := 0; w.at < slot && steps < paceSlots; steps++ {
 		w.at++
-		w.slots[w.at%paceSlots] = 0
+		w.slots[w.at%paceSlots] = sent{}
 	}
 	w.at = max(w.at, slot)
 }
 
-// add counts tokens that are sent at now.
+// add counts a request that is sent at now.
 func (w *window) add(now time.Time, tokens int) {
 	w.advance(now)
-	w.slots[w.at%paceSlots] += tokens
+	slot := &w.slots[w.at%paceSlots]
+	slot.requests++
+	slot.tokens += tokens
 }
 
-// sum returns the tokens that were sent within the last span.
-func (w *window) sum(now time.Time, span time.Duration) int {
+// sum returns what was sent within the last span.
+func (w *window) sum(now time.Time, span time.Duration) sent {
 	w.advance(now)
-	total := 0
+	var total sent
 	for i := range min(int64(span/paceSlot)+1, paceSlots) {
-		total += w.slots[(w.at-i+paceSlots)%paceSlots]
+		slot := w.slots[(w.at-i+paceSlots)%paceSlots]
+		total.requests += slot.requests
+		total.tokens += slot.tokens
 	}
 	return total
 }
@@ -89,6 +98,6 @@
 // room reports whether the engine may get tokens now. One that got none lately
 // may get any number: a prompt that is larger than the pace must go somewhere.
 func (p pace) room(now time.Time, w *window, tokens int) bool {
-	sent := w.sum(now, p.span)
-	return sent == 0 || sent+tokens <= p.tokens
+	before := w.sum(now, p.span).tokens
+	return before == 0 || before+tokens <= p.tokens
 }
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -121,7 +121,7 @@
 	changed, c.told = c.roster.UpstreamsSince(c.told)
 	c.fleet.update(now, changed)
 	if reply.Holdings != nil {
-		c.fleet.hold(reply.Holdings)
+		c.fleet.hold(now, reply.Holdings)
 		c.links.holdings = reply.Holdings.Revision
 	}
 	c.links.controls = merge(reply.Controls, c.seeds)
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -15,6 +15,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/routes"
 )
@@ -37,14 +38,16 @@
 	runs  int
 	sends int
 	pace  pace
+	// timing is for the log.
+	timing timing
 }
 
 // Serve answers one request of a caller.
 func (c *Counter) Serve(w http.ResponseWriter, r *http.Request, call Call) {
 	began := c.options.Now()
-	table := c.table.Load()
+	table := c.awaitTable(r.Context(), call)
 	if table == nil {
-		c.refuse(w, call, nil, http.StatusServiceUnavailable, "no routes are known yet", time.Second)
+		c.refuse(w, call, nil, http.StatusServiceUnavailable, "no routes are known yet", tableComeBack)
 		return
 	}
 	route := table.Match(host(r), r.URL.EscapedPath())
@@ -72,6 +75,34 @@
 	t.run(ctx, w)
 }
 
+const (
+	// tableWait is the longest time that a request waits for an instance that has
+	// just started to learn the routes: after the loss of all control instances a
+	// leader is there again within about 2 s. It waits no longer than tableShare of
+	// what its caller has.
+	tableWait  = 2 * time.Second
+	tableShare = 4
+	// tableComeBack is when a caller may come back to an instance without routes.
+	tableComeBack = 500 * time.Millisecond
+	// tableEvery is how often a request looks whether the routes are known.
+	tableEvery = 20 * time.Millisecond
+)
+
+// awaitTable returns the routes in force, or nil if they are not known in time.
+func (c *Counter) awaitTable(ctx context.Context, call Call) *routes.Table {
+	if table := c.table.Load(); table != nil {
+		return table
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(call.Patience/tableShare, tableWait))
+	defer cancel()
+	for pause.For(ctx, tableEvery) {
+		if table := c.table.Load(); table != nil {
+			return table
+		}
+	}
+	return nil
+}
+
 // host returns the host of a request without its port.
 func host(r *http.Request) string {
 	if name, _, err := net.SplitHostPort(r.Host); err == nil {
@@ -262,6 +293,7 @@
 func (t *trip) attempt(ctx context.Context, w http.ResponseWriter, u *upstream) bool {
 	c := t.counter
 	t.sends++
+	t.timing.sent = c.options.Now()
 	a := &sending{upstream: u}
 	defer c.finish(a)
 	response, err := t.send(ctx, a)
