--- a/internal/routes/check.go
+++ b/internal/routes/check.go
@@ -59,7 +59,7 @@
 	if route.Timeout <= 0 {
 		c.findings.Add(place, "its timeout is not above 0", "")
 	}
-	if route.Kind == 0 {
+	if route.Kind < Idempotent || route.Kind > Stream {
 		c.findings.Add(place, "its kind is not known", "")
 	}
 	route.Attempts = max(route.Attempts, 1)
--- /dev/null
+++ b/internal/routes/routes_test.go
@@ -0,0 +1,90 @@
+package routes_test
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/routes"
+)
+
+func draft(list ...routes.Route) routes.Draft {
+	for i := range list {
+		list[i].Host = "example.test"
+		if list[i].Timeout == 0 {
+			list[i].Timeout = time.Second
+		}
+		if list[i].Kind == 0 {
+			list[i].Kind = routes.Idempotent
+		}
+		if list[i].Shares == nil {
+			list[i].Shares = []routes.Share{{Service: "desk", Weight: 1}}
+		}
+	}
+	return routes.Draft{Version: 1, Routes: list, Services: []routes.Service{{Name: "desk"}, {Name: "pool"}}}
+}
+
+var _ = Describe("Table", func() {
+	DescribeTable("takes the longest prefix of the host's routes",
+		func(host, path, name string) {
+			table, err := routes.New(draft(
+				routes.Route{Name: "all", Prefix: "/"},
+				routes.Route{Name: "drafts", Prefix: "/drafts/"},
+				routes.Route{Name: "bulk", Prefix: "/drafts/bulk/"},
+			))
+			Expect(err).NotTo(HaveOccurred())
+			route := table.Match(host, path)
+			if name == "" {
+				Expect(route).To(BeNil())
+				return
+			}
+			Expect(route.Name).To(Equal(name))
+		},
+		Entry("the longest", "example.test", "/drafts/bulk/7", "bulk"),
+		Entry("a shorter one", "example.test", "/drafts/7", "drafts"),
+		Entry("whole parts only", "example.test", "/draftsman", "all"),
+		Entry("any case of the host", "Example.Test", "/drafts/", "drafts"),
+		Entry("another host", "other.test", "/drafts/", ""),
+	)
+
+	It("shares requests out by weight", func() {
+		route := routes.Route{Shares: []routes.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+		Expect(route.Service(0)).To(Equal("a"))
+		Expect(route.Service(0.89)).To(Equal("a"))
+		Expect(route.Service(0.91)).To(Equal("b"))
+		Expect(route.Service(0.9999)).To(Equal("b"))
+	})
+
+	DescribeTable("says what may run twice",
+		func(route routes.Route, repeatable bool) {
+			Expect(route.Repeatable()).To(Equal(repeatable))
+		},
+		Entry("idempotent", routes.Route{Kind: routes.Idempotent}, true),
+		Entry("not idempotent", routes.Route{Kind: routes.NonIdempotent, Resumable: true}, false),
+		Entry("stream", routes.Route{Kind: routes.Stream}, false),
+		Entry("resumable stream", routes.Route{Kind: routes.Stream, Resumable: true}, true),
+	)
+
+	It("says everything that is wrong at once", func() {
+		_, err := routes.New(draft(
+			routes.Route{Name: "one", Prefix: "/a/"},
+			routes.Route{Name: "two", Prefix: "/a/"},
+			routes.Route{Name: "three", Prefix: "/c/", Timeout: -1},
+			routes.Route{Name: "four", Prefix: "/d/", Shares: []routes.Share{{Service: "nobody", Weight: 1}}},
+			routes.Route{Name: "five", Prefix: "/e/", Shares: []routes.Share{{Service: "desk"}, {Service: "pool"}}},
+			routes.Route{Name: "six", Prefix: "f"},
+			routes.Route{Name: "seven", Prefix: "/g/", Kind: 99},
+		))
+		var found *finding.Error
+		Expect(errors.As(err, &found)).To(BeTrue())
+		for _, problem := range []string{
+			"it has the host and prefix of route one", "its timeout is not above 0", `"nobody", which is no service`,
+			"its weights add up to 0", "does not begin and end with a slash", "its kind is not known",
+		} {
+			Expect(err.Error()).To(ContainSubstring(problem))
+		}
+	})
+})
