backoffice: specs of control instances; a leave is told on by whoever hears it

Cause, found by a spec: an instance that had not heard of an upstream yet took its leave, acknowledged it and forgot it; others went on sending it work.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -158,10 +158,16 @@
 	return b.roster.Announce(now, announcement)
 }
 
-// Leave takes an upstream's word that it goes.
+// Leave takes an upstream's word that it goes. It is told on also if this instance
+// has not heard of the upstream yet: another one may have a moment ago, and would
+// go on sending it work after the upstream was told that it gets none.
 func (b *Backoffice) Leave(now time.Time, leave upstreamapi.Leave) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	unheard := upstreamapi.Announcement{Name: leave.Name, Incarnation: leave.Incarnation}
+	if err := b.roster.Announce(now, unheard); err != nil && !errors.Is(err, roster.ErrNameTaken) {
+		b.options.Log.Warn().Err(err).Str("upstream", leave.Name).Msg("upstream that leaves is not known")
+	}
 	b.roster.Leave(now, leave)
 }
 
--- a/internal/backoffice/voters.go
+++ b/internal/backoffice/voters.go
@@ -77,3 +77,8 @@
 	b.options.Log.Info().Err(err).Str("add", string(change.Add)).Str("remove", string(change.Remove)).
 		Str("reason", string(change.Reason)).Msg("change of voters")
 }
+
+// Votes reports whether this instance is one of the voters.
+func (b *Backoffice) Votes() bool {
+	return b.voter.Status().Voter
+}
