--- a/internal/command/provider.go
+++ b/internal/command/provider.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,7 +17,7 @@
 	flags := newSubcommand("provider", "runs one instance on the users' provider, by the settings in "+
 		platform.SettingsVariable, platform.SettingsVariable+"=boot.yaml lovagelift provider")
 	run := func(ctx context.Context, streams Streams) int {
-		err := platform.Run(ctx, streams.Out, Version)
+		err := platform.Run(ctx, os.Getenv(platform.SettingsVariable), streams.Out, Version)
 		var findings *finding.Error
 		switch {
 		case errors.As(err, &findings):
