--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -365,7 +365,9 @@
 		Expect(lines.Scan()).To(BeTrue())
 		Expect(lines.Text()).To(Equal("data: a"), "the second event is not made yet")
 		close(next)
-		Expect(lines.Scan() && lines.Scan()).To(BeTrue())
+		Expect(lines.Scan()).To(BeTrue())
+		Expect(lines.Text()).To(BeEmpty(), "the end of the first event")
+		Expect(lines.Scan()).To(BeTrue())
 		Expect(lines.Text()).To(Equal("data: b"))
 	}, SpecTimeout(specTimeout))
 
