--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/chamber"
 	"github.com/lovagelift/lovagelift/internal/courier"
@@ -41,6 +42,9 @@
 // New starts a control instance. If its data folder can't be used, New returns
 // an error and has closed the listener.
 func New(options Options) (*Backoffice, error) {
+	if options.Metrics == nil {
+		options.Metrics = tally.NoopScope
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Backoffice{
 		options: options,
@@ -109,6 +113,7 @@
 		Lease:      electionTimeout,
 		Now:        b.options.Now,
 		Log:        b.options.Log,
+		Metrics:    b.options.Metrics,
 	}
 	for _, seed := range b.options.Seeds {
 		if seed != b.options.Address {
--- a/internal/backoffice/options.go
+++ b/internal/backoffice/options.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -42,6 +43,8 @@
 	Engines Engines
 	Now     func() time.Time
 	Log     zerolog.Logger
+	// Metrics is where the instance counts.
+	Metrics tally.Scope
 }
 
 // Engines speaks with engines. Its methods are called from many goroutines.
@@ -123,6 +126,20 @@
 	Refused
 )
 
+// String returns the word for the log. An order without an answer is unknown.
+func (a OrderAnswer) String() string {
+	switch a {
+	case Accepted:
+		return "accepted"
+	case AlreadyDone:
+		return "already-done"
+	case Refused:
+		return "refused"
+	default:
+		return "unknown"
+	}
+}
+
 // The intervals of a control instance.
 const (
 	// pullEvery is the time between two pulls of another's roster: with the entry
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -350,6 +350,7 @@
 		answer, err = o.office.options.Engines.Order(ctx, e.EngineAddress, order)
 	}
 	o.logOrder(e, order, answer, ok, err)
+	o.office.options.Metrics.SubScope("backoffice").Tagged(map[string]string{"answer": answer.String()}).Counter("orders").Inc(1)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e.ordering = false
@@ -383,5 +384,5 @@
 	}
 	o.office.options.Log.Info().Err(err).Str("engine", e.Name).Str("order", kind).Str("model", order.Model).
 		Str("adapter", order.Adapter).Uint64("expected", order.Expected).Uint64("fence", order.Fence).
-		Bool("right", right).Uint8("answer", uint8(answer)).Msg("order to an engine")
+		Bool("right", right).Stringer("answer", answer).Msg("order to an engine")
 }
--- a/internal/backoffice/voters.go
+++ b/internal/backoffice/voters.go
@@ -6,6 +6,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/electorate"
+	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/pause"
 )
 
@@ -34,6 +35,7 @@
 func (b *Backoffice) elect(ctx context.Context) {
 	for pause.For(ctx, electEvery) {
 		status := b.voter.Status()
+		b.reportState(status)
 		if status.Failure != nil {
 			close(b.failed)
 			return
@@ -44,6 +46,23 @@
 	}
 }
 
+// reportState sets what this instance is and knows.
+func (b *Backoffice) reportState(status jury.Status) {
+	scope := b.options.Metrics.SubScope("backoffice")
+	leads := 0.0
+	if status.Role == jury.Leader {
+		leads = 1
+	}
+	scope.Gauge("leads").Update(leads)
+	scope.Gauge("term").Update(float64(status.Term))
+	scope.Gauge("voters").Update(float64(len(status.Voters)))
+	scope.Gauge("learners").Update(float64(len(b.voter.Peers()) + 1 - len(status.Voters)))
+	scope.Gauge("routes_version").Update(float64(b.voter.Edition().Version))
+	if asOf, ok := b.voter.Freshness(); ok {
+		scope.Gauge("routes_age_seconds").Update(b.options.Now().Sub(asOf).Seconds())
+	}
+}
+
 // leads reports whether this instance leads, and notes since when.
 func (b *Backoffice) leads(now time.Time) bool {
 	leader, _ := b.voter.Leader()
--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -330,6 +330,12 @@
 	return v.clerk.Status()
 }
 
+// Freshness returns the time as of which the voter has all that was committed. If
+// it knows none, Freshness returns false.
+func (v *Voter) Freshness() (asOf time.Time, ok bool) {
+	return v.clerk.Freshness()
+}
+
 // Peers returns what a leader knows of the replicas that it replicates to.
 func (v *Voter) Peers() []jury.PeerStatus {
 	return v.clerk.Peers()
--- a/internal/counter/answer.go
+++ b/internal/counter/answer.go
@@ -127,16 +127,23 @@
 	a.upstream.failed(now)
 }
 
-// logAttempt tells what became of a request at an upstream. Good answers are told
-// at debug level: they say nothing that the counts do not.
+// logAttempt tells what became of a request at an upstream, and counts it.
 func (c *Counter) logAttempt(t *trip, a *sending, what string, status int, verdict string) {
-	level := zerolog.InfoLevel
-	if what == "answered" {
-		level = zerolog.DebugLevel
+	now := c.options.Now()
+	c.mu.Lock()
+	if status != 0 {
+		c.metrics.answered(now, t, status)
+	} else {
+		c.metrics.sent(verdict)
 	}
-	event := c.options.Log.WithLevel(level).Str("request", t.call.ID).Str("route", t.route.Name).
+	c.mu.Unlock()
+	event := c.logLine(now, what, zerolog.InfoLevel)
+	if event == nil {
+		return
+	}
+	event = event.Str("request", t.call.ID).Str("route", t.route.Name).
 		Uint64("version", t.version).Str("upstream", a.upstream.Announcement.Name).Int("send", t.sends).
-		Int("status", status).Dur("took", c.options.Now().Sub(t.began)).Str("verdict", verdict)
+		Int("status", status).Dur("took", now.Sub(t.began)).Str("verdict", verdict)
 	if t.call.Model != "" {
 		event = event.Str("model", t.call.Model).Str("adapter", t.call.Adapter).Int("prompt-tokens", t.call.PromptTokens).
 			Int("answer-tokens", t.call.AnswerTokens)
@@ -150,7 +157,9 @@
 	event.Msg(what)
 }
 
+// log tells what became of a request that went to no upstream.
 func (c *Counter) log(t *trip, what, why string) {
-	c.options.Log.Info().Str("request", t.call.ID).Str("route", t.route.Name).
-		Dur("took", c.options.Now().Sub(t.began)).Str("reason", why).Msg(what)
+	now := c.options.Now()
+	c.logLine(now, what, zerolog.InfoLevel).Str("request", t.call.ID).Str("route", t.route.Name).
+		Dur("took", now.Sub(t.began)).Str("reason", why).Msg(what)
 }
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -31,7 +31,10 @@
 	seeds   []string
 	demand  *demand
 	budgets *retry.Budgets
-	wants   map[courier.WantArgs]chan struct{}
+	metrics *metrics
+	// quotas bound the log lines of each kind.
+	quotas map[string]*quota
+	wants  map[courier.WantArgs]chan struct{}
 	// told says how far the fleet follows the roster.
 	told  uint64
 	line  line
@@ -83,6 +86,8 @@
 			Attempts: maxAttempts, Share: options.Retries.Share, Reserve: options.Retries.Reserve,
 		}),
 		seeds:   options.Seeds,
+		metrics: newMetrics(options.Metrics),
+		quotas:  map[string]*quota{},
 		wants:   map[courier.WantArgs]chan struct{}{},
 		syncNow: make(chan struct{}, 1),
 		stop:    cancel,
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -41,6 +42,8 @@
 	Dialect Dialect
 	Now     func() time.Time
 	Log     zerolog.Logger
+	// Metrics is where the instance counts; nowhere if nil.
+	Metrics tally.Scope
 }
 
 // RetryLimits bound the requests that are sent to an upstream once more.
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -27,6 +27,8 @@
 	// failed is the one that did not answer last, at failedAt.
 	failed   string
 	failedAt time.Time
+	// heardAt is when the news that came last were asked for.
+	heardAt time.Time
 	// holdings is the revision that this instance has.
 	holdings uint64
 	// lost is true while nobody answers.
@@ -111,6 +113,8 @@
 	now := c.options.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.links.heardAt = asked
+	c.reportState(now)
 	if c.links.lost {
 		c.links.lost = false
 		c.options.Log.Info().Str("control", address).Msg("control instance regained")
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/outcome"
@@ -407,11 +407,15 @@
 		header.Set("Retry-After", strconv.FormatFloat(comeBack.Seconds(), 'f', 3, 64))
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
-	event := c.options.Log.Info().Str("request", call.ID).Int("status", status).Str("reason", why)
+	c.mu.Lock()
+	c.metrics.refused(why)
+	c.mu.Unlock()
+	event := c.logLine(c.options.Now(), "not served", zerolog.InfoLevel)
 	if route != nil {
-		event = event.Str("route", route.Name)
+		event = event.Str("route", route.Name).Uint8("priority", route.Priority)
 	}
-	event.Dur("retry-after", comeBack).Str("model", call.Model).Str("adapter", call.Adapter).Msg("request not served")
+	event.Str("request", call.ID).Int("status", status).Str("reason", why).Dur("retry-after", comeBack).
+		Str("model", call.Model).Str("adapter", call.Adapter).Msg("request not served")
 	w.WriteHeader(status)
-	_, _ = io.WriteString(w, strings.TrimSpace(why)+"\n")
+	_, _ = io.WriteString(w, why+"\n")
 }
