--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -59,6 +59,7 @@
 		newDrain(),
 		newVoters(),
 		newExport(),
+		newExplain(),
 		newVersion(),
 	}
 	for _, command := range commands {
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,60 @@
+package explain_test
+
+import (
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/explain"
+)
+
+const log = `
+{"level":"info","instance":"entry-2","time":"2026-12-02T08:00:03.000Z","request":"r7","upstream":"e1","send":1,"status":0,"took":40,"verdict":"may-have-run","message":"EOF"}
+   2.0910 core-1 {"level":"info","instance":"core-1","time":"2026-12-02T08:00:02.500Z","engine":"e1","order":"unload","message":"order to an engine"}
+{"level":"info","instance":"entry-2","time":"2026-12-02T08:00:03.001Z","request":"r7","status":502,"reason":"the upstream's answer was lost","message":"request not served"}
+{"level":"info","instance":"entry-1","time":"2026-12-02T08:00:02.900Z","request":"r8","message":"answered"}
+{"level":"warn","instance":"entry-2","time":"2026-12-02T08:00:01.000Z","control":"core-1","message":"control instance does not answer; going on with what is known"}
+{"level":"info","instance":"entry-1","time":"2026-12-02T08:00:02.000Z","message":"draining"}
+{"level":"info","instance":"entry-2","time":"2026-12-02T07:00:00.000Z","message":"started"}
+{"level":"info","instance":"entry-2","time":"2026-12-02T08:0
+no line of ours
+`
+
+var _ = Describe("Log", func() {
+	story := func(id string) explain.Story {
+		GinkgoHelper()
+		var l explain.Log
+		Expect(l.Read(strings.NewReader(log))).To(Succeed())
+		return l.Story(id)
+	}
+
+	It("tells a request's life in order", func() {
+		lines := story("r7").Lines
+		Expect(lines).To(HaveLen(2))
+		Expect(lines[0].String()).To(Equal(
+			"08:00:03.000 entry-2            EOF send=1 status=0 took=40 upstream=e1 verdict=may-have-run"))
+		Expect(lines[1].Fields["reason"]).To(Equal("the upstream's answer was lost"))
+	})
+
+	It("tells what changed around it, of those concerned", func() {
+		var messages []string
+		for _, line := range story("r7").Around {
+			messages = append(messages, line.Message)
+		}
+		Expect(messages).To(Equal([]string{
+			"control instance does not answer; going on with what is known", "order to an engine",
+		}))
+	})
+
+	It("counts what can't be read", func() {
+		s := story("r7")
+		Expect(s.Read).To(Equal(9))
+		Expect(s.Bad).To(Equal(2))
+	})
+
+	It("finds nothing of a request that no line names", func() {
+		Expect(story("r9").Lines).To(BeEmpty())
+		Expect(story("r9").Around).To(BeEmpty())
+	})
+})
