--- a/internal/backoffice/options.go
+++ b/internal/backoffice/options.go
@@ -27,7 +27,7 @@
 	// Founder is true at the very first start of the whole system, on the
 	// instances that Seeds names. They become the first voters.
 	Founder bool
-	// Voters is how many instances should vote.
+	// Voters is how many instances should vote at the least.
 	Voters int
 	// Folder is the data folder.
 	Folder string
--- a/internal/backoffice/voters.go
+++ b/internal/backoffice/voters.go
@@ -85,7 +85,7 @@
 	b.mu.Unlock()
 	change := electorate.Decide(
 		b.options.Now(), b.voter.Identity(), b.voter.Status().Voters, b.voter.Peers(), since,
-		electorate.Options{Size: b.options.Voters, Patience: silentVoter},
+		electorate.Options{Least: b.options.Voters, Patience: silentVoter},
 	)
 	if change == (electorate.Change{}) {
 		return
--- a/internal/electorate/electorate.go
+++ b/internal/electorate/electorate.go
@@ -14,8 +14,11 @@
 
 // Options configures Decide.
 type Options struct {
-	// Size is how many voters there should be.
-	Size int
+	// Least is how many voters there should be at the least. There are more if there
+	// are more replicas: the largest odd number of them. Any majority of the replicas
+	// then holds a majority of the voters, so that it can go on when the rest is cut
+	// off.
+	Least int
 	// Patience is how long a voter is silent before another replica takes its
 	// place. It is above the election timeout, or every lost packet would cost a
 	// change.
@@ -51,20 +54,26 @@
 	now time.Time, self jury.Identity, voters []jury.Identity, peers []jury.PeerStatus, since time.Time, options Options,
 ) Change {
 	g := newGroup(now, self, voters, peers, since, options)
+	size := max(options.Least, largestOdd(len(voters)+g.learners))
 	switch {
 	case g.lost != "":
 		return Change{Remove: g.lost, Reason: DiskLost}
-	case g.learner != "" && len(voters) < options.Size:
+	case g.learner != "" && len(voters) < size:
 		return Change{Add: g.learner, Reason: TooFew}
-	case g.silent != "" && len(voters) > options.Size:
+	case g.silent != "" && len(voters) > options.Least && len(voters)%2 == 0:
 		return Change{Remove: g.silent, Reason: Replaced}
-	case g.silent != "" && g.learner != "" && len(voters) == options.Size:
+	case g.silent != "" && g.learner != "" && len(voters)%2 == 1:
 		return Change{Add: g.learner, Reason: Replacement}
 	default:
 		return Change{}
 	}
 }
 
+// largestOdd returns the largest odd number that is not above n.
+func largestOdd(n int) int {
+	return n - 1 + n%2
+}
+
 // group is the replicas by what may be done with them. Each field is the first
 // of its kind, or empty.
 type group struct {
@@ -74,6 +83,8 @@
 	silent jury.Identity
 	// learner is no voter, answers and has caught up.
 	learner jury.Identity
+	// learners is how many answer.
+	learners int
 }
 
 func newGroup(
@@ -107,6 +118,7 @@
 			}
 			continue
 		}
+		g.learners++
 		if peer.CaughtUp && g.learner == "" {
 			g.learner = peer.Name
 		}
--- a/internal/electorate/electorate_test.go
+++ b/internal/electorate/electorate_test.go
@@ -19,6 +19,7 @@
 	b2 = jury.Identity("b/2")
 	c1 = jury.Identity("c/1")
 	d1 = jury.Identity("d/1")
+	e1 = jury.Identity("e/1")
 )
 
 func answering(name jury.Identity) jury.PeerStatus {
@@ -39,7 +40,7 @@
 	three := []jury.Identity{a1, b1, c1}
 	decide := func(voters []jury.Identity, since time.Duration, peers ...jury.PeerStatus) electorate.Change {
 		return electorate.Decide(now, a1, voters, peers, now.Add(-since),
-			electorate.Options{Size: 3, Patience: 1500 * time.Millisecond})
+			electorate.Options{Least: 3, Patience: 1500 * time.Millisecond})
 	}
 	const long = time.Minute
 
@@ -67,6 +68,17 @@
 			To(Equal(electorate.Change{Remove: b1, Reason: electorate.Replaced}))
 	})
 
+	// Five instances are there. If three voted, a cut could leave two of them with a
+	// minority of the instances, and the majority could decide nothing.
+	It("has as many vote as are there, but for an even number", func() {
+		Expect(decide(three, long, answering(b1), answering(c1), answering(d1), answering(e1))).
+			To(Equal(electorate.Change{Add: d1, Reason: electorate.TooFew}))
+		four := []jury.Identity{a1, b1, c1, d1}
+		Expect(decide(four, long, answering(b1), answering(c1), answering(d1), answering(e1))).
+			To(Equal(electorate.Change{Add: e1, Reason: electorate.TooFew}))
+		Expect(decide(four, long, answering(b1), answering(c1), answering(d1))).To(Equal(electorate.Change{}))
+	})
+
 	It("waits before it gives a silent voter up", func() {
 		Expect(decide(three, long, silent(b1, time.Second), answering(c1), answering(d1))).To(Equal(electorate.Change{}))
 	})
