stocking: copies of the beginning stay until somebody asks

Cause: before the first request, copies of the busiest model made way for second copies of all others.

--- a/internal/stocking/stocking.go
+++ b/internal/stocking/stocking.go
@@ -264,7 +264,9 @@
 		}
 		if c.victim != "" {
 			others := float64(len(p.copies[c.victim]) - 1)
-			if others == 0 {
+			// While nobody asks for anything, the many copies that a model began with
+			// are all that is known of the demand to come.
+			if others == 0 || p.models[p.names[0]].Demand == 0 {
 				continue
 			}
 			if (p.expected(p.models[c.victim])+leastLoad)/others > spareShare*needed {
--- a/internal/stocking/stocking_test.go
+++ b/internal/stocking/stocking_test.go
@@ -88,6 +88,14 @@
 		Expect(only).To(BeEmpty())
 	})
 
+	// Before the first request, the operator has put the busiest model on most
+	// engines. Its copies must not make way for second ones of the others.
+	It("keeps what the engines began with until somebody asks", func() {
+		models := []stocking.Model{model("busy", 0), model("a", 0), model("b", 0)}
+		engines := []stocking.Engine{engine("1", "busy", "a"), engine("2", "busy", "b"), engine("3", "busy", "busy")}
+		Expect(stocking.Plan(models, engines, options)).To(BeEmpty())
+	})
+
 	It("gives no order to an engine that is busy, leaving or full of what is loading", func() {
 		busy, leaving, loading := engine("2"), engine("3"), engine("4", "b")
 		busy.Closed, leaving.Leaving, loading.Coming = true, true, "b"
