--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -25,12 +25,12 @@
 	orderTimeout = 800 * time.Millisecond
 	// adapterTime is how long an adapter takes to load. The users give 5 to 14 ms.
 	adapterTime = 20 * time.Millisecond
-	// keepAdapter is how long an adapter that was asked for stays: a stream with it
-	// runs for 2 to 4 s, and its place is free only after that.
-	keepAdapter = 4 * time.Second
-	// crowdedFor is how long an adapter that is in use is taken to keep its place
-	// after it was ordered away.
-	crowdedFor = 4 * time.Second
+	// keepAdapter is how long an adapter that was asked for stays: half of the
+	// streams with it have ended by then, and the engine tells of the others.
+	keepAdapter = 2 * time.Second
+	// crowdedFor is how long an adapter that was in use when it was ordered away is
+	// taken to keep its place. The longest streams run for about 10 s.
+	crowdedFor = 8 * time.Second
 )
 
 // orders asks engines what they hold and orders them to load and unload, while
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
@@ -183,7 +184,7 @@
 
 // wantPause is the least time between two calls for the same adapter, after one
 // that brought nothing.
-const wantPause = 50 * time.Millisecond
+const wantPause = 100 * time.Millisecond
 
 func (c *Counter) callWant(args courier.WantArgs, leader string, tried chan<- struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), wantTimeout)
@@ -194,7 +195,7 @@
 		reply, err = c.links.calls.Want(ctx, leader, args)
 	}
 	if reply.Engine == "" {
-		c.options.Log.Info().Err(err).Str("model", args.Model).Str("adapter", args.Adapter).Str("reason", reply.Reason).
+		c.logLine(c.options.Now(), "not loaded", zerolog.InfoLevel).Err(err).Str("model", args.Model).Str("adapter", args.Adapter).Str("reason", reply.Reason).
 			Str("leader", leader).Msg("not loaded")
 		pause.For(ctx, wantPause)
 	}
