--- a/internal/counter/answer.go
+++ b/internal/counter/answer.go
@@ -5,8 +5,6 @@
 	"io"
 	"net/http"
 
-	"github.com/rs/zerolog"
-
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -137,13 +135,16 @@
 		c.metrics.sent(verdict)
 	}
 	c.mu.Unlock()
-	event := c.logLine(now, what, zerolog.InfoLevel)
+	event := c.logLine(now, what)
 	if event == nil {
 		return
 	}
 	event = event.Str("request", t.call.ID).Str("route", t.route.Name).
 		Uint64("version", t.version).Str("upstream", a.upstream.Announcement.Name).Int("send", t.sends).
 		Int("status", status).Dur("took", now.Sub(t.began)).Str("verdict", verdict)
+	if status == 0 && t.cause != nil {
+		event = event.Str("error", t.cause.Error())
+	}
 	if t.call.Model != "" {
 		event = event.Str("model", t.call.Model).Str("adapter", t.call.Adapter).Int("prompt-tokens", t.call.PromptTokens).
 			Int("answer-tokens", t.call.AnswerTokens)
@@ -160,6 +161,6 @@
 // log tells what became of a request that went to no upstream.
 func (c *Counter) log(t *trip, what, why string) {
 	now := c.options.Now()
-	c.logLine(now, what, zerolog.InfoLevel).Str("request", t.call.ID).Str("route", t.route.Name).
+	c.logLine(now, what).Str("request", t.call.ID).Str("route", t.route.Name).
 		Dur("took", now.Sub(t.began)).Str("reason", why).Msg(what)
 }
--- a/internal/counter/fleet.go
+++ b/internal/counter/fleet.go
@@ -166,3 +166,12 @@
 	}
 	u.models[model] = adapters
 }
+
+// drop notes that u does not hold what it was thought to hold.
+func (u *upstream) drop(model, adapter string) {
+	if adapter == "" {
+		delete(u.models, model)
+		return
+	}
+	u.models[model] = slices.DeleteFunc(slices.Clone(u.models[model]), func(a string) bool { return a == adapter })
+}
--- /dev/null
+++ b/internal/counter/refusal.go
@@ -0,0 +1,52 @@
+package counter
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/routes"
+)
+
+// refusal is an answer of the system's own.
+type refusal struct {
+	status int
+	// why is one of a few texts, since refusals are counted by it.
+	why string
+	// comeBack is when the caller may come back, 0 if it does not help.
+	comeBack time.Duration
+	// forecast is how long the request would have waited, if that is why.
+	forecast time.Duration
+}
+
+// refuse gives a caller an answer of the system's own. route may be nil.
+func (c *Counter) refuse(w http.ResponseWriter, call Call, route *routes.Route, r refusal) {
+	header := w.Header()
+	if r.comeBack > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(r.comeBack.Seconds(), 'f', 3, 64))
+	}
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	c.mu.Lock()
+	c.metrics.refused(r.why)
+	c.mu.Unlock()
+	c.logRefusal(call, route, r)
+	w.WriteHeader(r.status)
+	// A caller that has gone does not read it.
+	_, _ = io.WriteString(w, r.why+"\n")
+}
+
+func (c *Counter) logRefusal(call Call, route *routes.Route, r refusal) {
+	event := c.logLine(c.options.Now(), r.why)
+	if event == nil {
+		return
+	}
+	if route != nil {
+		event = event.Str("route", route.Name).Uint8("priority", route.Priority)
+	}
+	if r.forecast > 0 {
+		event = event.Dur("forecast", r.forecast)
+	}
+	event.Str("request", call.ID).Int("status", r.status).Str("reason", r.why).Dur("retry-after", r.comeBack).
+		Str("model", call.Model).Str("adapter", call.Adapter).Msg("request not served")
+}
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
@@ -195,7 +194,7 @@
 		reply, err = c.links.calls.Want(ctx, leader, args)
 	}
 	if reply.Engine == "" {
-		c.logLine(c.options.Now(), "not loaded", zerolog.InfoLevel).Err(err).Str("model", args.Model).Str("adapter", args.Adapter).Str("reason", reply.Reason).
+		c.logLine(c.options.Now(), "not loaded").Err(err).Str("model", args.Model).Str("adapter", args.Adapter).Str("reason", reply.Reason).
 			Str("leader", leader).Msg("not loaded")
 		pause.For(ctx, wantPause)
 	}
--- a/internal/counter/tell.go
+++ b/internal/counter/tell.go
@@ -33,9 +33,9 @@
 	return leftOut, true
 }
 
-// line returns a log line of a kind, or nil if there are too many of it. zerolog
+// logLine returns a log line of a kind, or nil if there are too many of it. zerolog
 // takes nil for a line that is not logged.
-func (c *Counter) logLine(now time.Time, kind string, level zerolog.Level) *zerolog.Event {
+func (c *Counter) logLine(now time.Time, kind string) *zerolog.Event {
 	c.mu.Lock()
 	kept := c.quotas[kind]
 	if kept == nil {
@@ -47,7 +47,7 @@
 	if !ok {
 		return nil
 	}
-	event := c.options.Log.WithLevel(level)
+	event := c.options.Log.Info()
 	if leftOut > 0 {
 		event = event.Int("left-out", leftOut)
 	}
