--- a/internal/backoffice/backoffice_test.go
+++ b/internal/backoffice/backoffice_test.go
@@ -317,7 +317,7 @@
 				}
 				bounded, cancel := context.WithTimeout(ctx, 2*time.Second)
 				defer cancel()
-				got, err := s.calls.Want(bounded, reply.Leader, courier.WantArgs{Service: "pool", Model: model, Adapter: adapter})
+				got, err := s.calls.Want(bounded, reply.Leader, courier.WantArgs{Service: "pool", Model: model, Adapter: adapter, Timeout: time.Second})
 				if err != nil {
 					return err.Error()
 				}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -94,6 +94,7 @@
 	}
 	c.links = links{
 		calls:    courier.NewPool(options.Dial, syncTimeout),
+		wants:    courier.NewPool(options.Dial, syncTimeout),
 		controls: options.Seeds,
 		next:     rand.IntN(len(options.Seeds)),
 	}
@@ -162,6 +163,7 @@
 func (c *Counter) Close() {
 	c.stop()
 	c.links.calls.Close()
+	c.links.wants.Close()
 	c.hints.close()
 	c.done.Wait()
 	c.kept.CloseIdleConnections()
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -119,8 +119,10 @@
 	// syncTimeout is how long a control instance has to answer before another is
 	// asked.
 	syncTimeout = 600 * time.Millisecond
-	// wantTimeout bounds the wait for an adapter.
-	wantTimeout = time.Second
+	// loadTimeout bounds how long a control instance waits for a load that a request
+	// asks for, and wantTimeout the call.
+	loadTimeout = 800 * time.Millisecond
+	wantTimeout = 1200 * time.Millisecond
 	// connectTimeout bounds connecting to an upstream: a round trip between
 	// failure domains takes 3 ms.
 	connectTimeout = 250 * time.Millisecond
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -16,6 +16,9 @@
 // links is whom an entry instance asks for news, and how far it has got.
 type links struct {
 	calls *courier.Pool
+	// wants carries calls that take as long as a load: news must not wait for them,
+	// nor end with them.
+	wants *courier.Pool
 	// leader is the control instance that gives orders, and asked the one that is
 	// asked for news: the leader, while it answers.
 	leader string
@@ -191,7 +194,7 @@
 	var reply courier.WantReply
 	var err error
 	if leader != "" {
-		reply, err = c.links.calls.Want(ctx, leader, args)
+		reply, err = c.links.wants.Want(ctx, leader, args)
 	}
 	if reply.Engine == "" {
 		c.logLine(c.options.Now(), "not loaded").Err(err).Str("model", args.Model).Str("adapter", args.Adapter).Str("reason", reply.Reason).
--- a/internal/counter/wait.go
+++ b/internal/counter/wait.go
@@ -70,7 +70,7 @@
 
 // wanted is what a request that lacks something has the leader load.
 func (t *trip) wanted(missing lack) courier.WantArgs {
-	args := courier.WantArgs{Service: t.service, Model: t.call.Model}
+	args := courier.WantArgs{Service: t.service, Model: t.call.Model, Timeout: loadTimeout}
 	if missing == lackAdapter {
 		args.Adapter = t.call.Adapter
 	}
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -88,6 +88,9 @@
 	Model   string
 	// Adapter is empty for the model itself.
 	Adapter string
+	// Timeout is how long the callee may take. The asker waits for longer, since it
+	// closes the connection of a call that it gives up.
+	Timeout time.Duration
 }
 
 // WantReply answers WantArgs.
@@ -125,7 +128,7 @@
 
 // Want is the net/rpc method "Feed.Want".
 func (s *FeedService) Want(args WantArgs, reply *WantReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), serviceTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), min(args.Timeout, serviceTimeout))
 	defer cancel()
 	*reply = s.feed.Want(ctx, args)
 	return nil
