--- a/internal/counter/wait.go
+++ b/internal/counter/wait.go
@@ -79,7 +79,7 @@
 
 // lateWait is how long a request waits for an upstream, in objectives: its answer
 // will be late then, but callers stay for about four.
-const lateWait = 2.5
+const lateWait = 1.5
 
 // longestWait is how long a request waits for an upstream that can run it.
 func (t *trip) longestWait() time.Duration {
