counter: the load of an engine over the whole age of its report

Cause: what was sent was remembered for half a second, while reports are up to a second old; engines of 12 slots were sent more than they hold and refused it.

--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -98,18 +99,23 @@
 
 // hasRoom reports whether an engine may get a request now.
 func (u *upstream) hasRoom(now time.Time, w wish) bool {
-	full := u.slots > 0 && float64(u.load(now)) >= fullShare*float64(u.slots)
+	full := u.slots > 0 && u.load(now) >= fullShare*float64(u.slots)
 	return !full && w.pace.room(now, &u.window, w.tokens)
 }
 
-// load returns how many requests an engine has: those of its newest report, and
-// what all instances have sent since. What has ended since is not known of others,
-// so that the load is rather too high than too low.
-func (u *upstream) load(now time.Time) int {
-	since := u.window.sum(now, now.Sub(u.reportedAt)).requests
-	return max(u.reported+since, u.open)
+// load returns about how many requests an engine has: those of its newest report,
+// less what has ended since, and what all instances have sent since. Streams end
+// one after the other, so that what is left of a report shrinks with their time.
+func (u *upstream) load(now time.Time) float64 {
+	age := now.Sub(u.reportedAt)
+	left := float64(u.reported) * math.Exp(-age.Seconds()/streamTime.Seconds())
+	return max(left+float64(u.window.sum(now, age).requests), float64(u.open))
 }
 
+// streamTime is about how long a stream takes, by the users' sheets: some 170
+// tokens at 10 to 15 ms.
+const streamTime = 2 * time.Second
+
 // avoidedCost is above that of any upstream that is not avoided, and triedCost
 // above that of any that has not failed the request yet.
 const (
@@ -123,7 +129,7 @@
 	slots := float64(max(u.slots, 1))
 	cost := float64(u.open) / slots
 	if w.model != "" {
-		cost = float64(u.window.sum(now, w.pace.span).tokens)/float64(w.pace.tokens) + float64(u.load(now))/slots
+		cost = float64(u.window.sum(now, w.pace.span).tokens)/float64(w.pace.tokens) + u.load(now)/slots
 	}
 	if u.remote {
 		cost += remoteCost
--- a/internal/counter/pace.go
+++ b/internal/counter/pace.go
@@ -29,8 +29,9 @@
 	assumedStride = 3
 	// paceSlot is the step in which sendings are counted.
 	paceSlot = 25 * time.Millisecond
-	// paceSlots is the longest window, in slots.
-	paceSlots = 20
+	// paceSlots is the longest window, in slots: longer than the longest pause, and
+	// than the 1 s for which a report of an engine is the newest.
+	paceSlots = 60
 )
 
 // window counts what was sent to an engine of late, by any instance.
