--- a/internal/counter/fleet.go
+++ b/internal/counter/fleet.go
@@ -144,17 +144,6 @@
 	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 }
 
-// copies returns how many upstreams of a service can run a model.
-func (f *fleet) copies(now time.Time, service, model string) int {
-	count := 0
-	for _, u := range f.services[service] {
-		if f.alive(now, u) && u.holds(model, "") {
-			count++
-		}
-	}
-	return count
-}
-
 // gained notes that u holds a model now, with an adapter unless it is empty.
 func (u *upstream) gained(model, adapter string) {
 	if u.holds(model, adapter) {
--- a/internal/counter/hints.go
+++ b/internal/counter/hints.go
@@ -52,13 +52,6 @@
 	}
 }
 
-// instances returns how many instances there are, this one included.
-func (h *hints) instances() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.peers) + 1
-}
-
 // tell tells the others that tokens go to engine. It does not wait.
 func (h *hints) tell(engine string, tokens int) {
 	if h.conn == nil {
--- a/internal/counter/line.go
+++ b/internal/counter/line.go
@@ -99,27 +99,22 @@
 }
 
 // forecast returns about how long a request waits that no upstream has room for
-// now: as long as the engines that hold its model need for the prompts before it.
-// Instances share the engines evenly.
+// now: as long as the one that goes next of its model has waited already. That
+// holds however many instances share the engines, which none of them sees.
 func (c *Counter) forecast(now time.Time, w *waiter) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := w.trip
+	longest := time.Duration(0)
 	if t.call.Model == "" || w.missing != lackRoom {
-		return 0
+		return longest
 	}
-	ahead := 0
 	for _, other := range c.line.waiters {
-		if other != w && other.trip.key().model == t.call.Model && other.trip.compare(now, t) <= 0 {
-			ahead += other.trip.call.PromptTokens
+		if other != w && other.trip.call.Model == t.call.Model && other.trip.compare(now, t) <= 0 {
+			longest = max(longest, now.Sub(other.trip.began))
 		}
 	}
-	copies := c.fleet.copies(now, t.service, t.call.Model)
-	rate := float64(copies*t.pace.tokens) / t.pace.span.Seconds() / float64(c.hints.instances())
-	if rate == 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
+	return longest
 }
 
 // sentLocked notes that a request goes to u, and tells the other instances.
--- a/internal/counter/wait.go
+++ b/internal/counter/wait.go
@@ -20,7 +20,7 @@
 		return u
 	default:
 	}
-	if forecast := c.forecast(now, waiting); forecast > t.longestWait() {
+	if forecast := c.forecast(now, waiting); float64(forecast) > forecastShare*float64(t.longestWait()) {
 		if u := c.leave(waiting); u != nil {
 			return u
 		}
@@ -77,6 +77,10 @@
 	return args
 }
 
+// forecastShare is the part of the longest wait from which on a forecast refuses:
+// the one that goes next has not been served yet.
+const forecastShare = 0.8
+
 // lateWait is how long a request waits for an upstream, in objectives: its answer
 // will be late then, but callers stay for about four.
 const lateWait = 1.5
