--- a/internal/backoffice/backoffice_test.go
+++ b/internal/backoffice/backoffice_test.go
@@ -136,7 +136,7 @@
 func newSite() *site {
 	s := &site{
 		engines: newFakeEngines(), offices: map[string]*backoffice.Backoffice{}, folders: map[string]string{},
-		calls: courier.NewPool(dial, time.Second),
+		calls: courier.NewPool(courier.DialTCP, time.Second),
 	}
 	listeners := make([]net.Listener, 3)
 	for i := range listeners {
@@ -158,15 +158,10 @@
 	return s
 }
 
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
 func (s *site) start(address string, listener net.Listener, founder bool) {
 	office, err := backoffice.New(backoffice.Options{
 		Address: address, FailureDomain: "here", Seeds: s.seeds, Founder: founder, Voters: 3,
-		Folder: s.folders[address], Inner: listener, Dial: dial, UpstreamLease: 3 * time.Second,
+		Folder: s.folders[address], Inner: listener, Dial: courier.DialTCP, UpstreamLease: 3 * time.Second,
 		Table: table, Engines: s.engines, Now: time.Now, Log: zerolog.Nop(),
 	})
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/command/provider.go
+++ b/internal/command/provider.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/lovagelift/lovagelift/internal/finding"
 	"github.com/lovagelift/lovagelift/platform"
 )
 
@@ -18,16 +14,7 @@
 		platform.SettingsVariable, platform.SettingsVariable+"=boot.yaml lovagelift provider")
 	run := func(ctx context.Context, streams Streams) int {
 		err := platform.Run(ctx, os.Getenv(platform.SettingsVariable), streams.Out, Version)
-		var findings *finding.Error
-		switch {
-		case errors.As(err, &findings):
-			fmt.Fprintln(streams.Err, err)
-			return ExitBadInput
-		case err != nil:
-			fmt.Fprintln(streams.Err, err)
-			return ExitFailed
-		}
-		return ExitOK
+		return exitOf(streams, err)
 	}
 	return command{flags: flags, run: run}
 }
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -24,16 +24,21 @@
 		options.Log = streams.Err
 		options.Version = Version
 		err := host.Run(ctx, options)
-		var findings *finding.Error
-		switch {
-		case errors.As(err, &findings):
-			fmt.Fprintln(streams.Err, err)
-			return ExitBadInput
-		case err != nil:
-			fmt.Fprintln(streams.Err, err)
-			return ExitFailed
-		}
-		return ExitOK
+		return exitOf(streams, err)
 	}
 	return command{flags: flags, run: run}
 }
+
+// exitOf tells why an instance ended, and returns the exit code.
+func exitOf(streams Streams, err error) int {
+	var findings *finding.Error
+	switch {
+	case errors.As(err, &findings):
+		fmt.Fprintln(streams.Err, err)
+		return ExitBadInput
+	case err != nil:
+		fmt.Fprintln(streams.Err, err)
+		return ExitFailed
+	}
+	return ExitOK
+}
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -206,12 +206,9 @@
 	}
 	e.counter = counter.New(counter.Options{
 		Name: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", FailureDomain: "here", Seeds: []string{e.control.address},
-		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			var dialer net.Dialer
-			return dialer.DialContext(ctx, "tcp", address)
-		},
-		UpstreamLease: time.Minute, Retries: counter.RetryLimits{Share: 0.1, Reserve: 10},
-		Table: table, Dialect: dialect{}, Now: time.Now, Log: zerolog.Nop(),
+		Dial: courier.DialTCP, UpstreamLease: time.Minute,
+		Retries: counter.RetryLimits{Share: 0.1, Reserve: 10},
+		Table:   table, Dialect: dialect{}, Now: time.Now, Log: zerolog.Nop(),
 	})
 	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.counter.Serve(w, r, counter.Call{ID: r.Header.Get(idHeader), Patience: 5 * time.Second})
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -55,3 +55,13 @@
 func (f Fleet) Failed(now time.Time, name string) {
 	f.fleet.upstreams[name].failed(now)
 }
+
+// Quota bounds the log lines of one kind.
+type Quota struct {
+	quota quota
+}
+
+// Allow reports whether a line may be logged, and how many were left out before.
+func (q *Quota) Allow(now time.Time) (leftOut int, ok bool) {
+	return q.quota.allow(now)
+}
--- /dev/null
+++ b/internal/counter/tell_test.go
@@ -0,0 +1,30 @@
+package counter_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/counter"
+)
+
+var _ = Describe("The quota of log lines", func() {
+	// All upstreams refuse for seconds. A line for each of thousands of requests
+	// would take the processor from the rest; what is left out must be told.
+	It("bounds the lines of a second, and tells how many were left out", func() {
+		var quota counter.Quota
+		logged := 0
+		for range 1000 {
+			if _, ok := quota.Allow(start); ok {
+				logged++
+			}
+		}
+		Expect(logged).To(Equal(100))
+		leftOut, ok := quota.Allow(start.Add(time.Second))
+		Expect(ok).To(BeTrue())
+		Expect(leftOut).To(Equal(900))
+		leftOut, _ = quota.Allow(start.Add(time.Second))
+		Expect(leftOut).To(BeZero())
+	})
+})
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -26,6 +26,12 @@
 	closed  bool
 }
 
+// DialTCP connects without TLS.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // errNotSent marks the error of a call of which nothing was sent.
 var errNotSent = errors.New("courier: the call was not sent")
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -75,7 +75,7 @@
 		options.Now = time.Now
 	}
 	if options.Dial == nil {
-		options.Dial = dialTCP
+		options.Dial = courier.DialTCP
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
@@ -281,8 +281,3 @@
 		i.options.Log.Debug().Err(err).Msg("metrics not closed")
 	}
 }
-
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", address)
-}
