--- /dev/null
+++ b/internal/backoffice/adapters.go
@@ -0,0 +1,30 @@
+package backoffice
+
+import "time"
+
+// hasPlace reports whether an adapter of model can be loaded at e, perhaps after
+// one that is not in use was unloaded.
+func (o *orders) hasPlace(now time.Time, e *engine, model string) bool {
+	if e.fitsAdapter(now, model) {
+		return true
+	}
+	_, adapter := o.coldest(now, e)
+	return adapter != "" && !e.report.Busy && !now.Before(e.crowdedUntil)
+}
+
+// coldest returns the adapter of e that was not asked for for the longest time and
+// that no request under way uses, or nothing.
+func (o *orders) coldest(now time.Time, e *engine) (model, adapter string) {
+	var oldest time.Time
+	for _, held := range e.report.Models {
+		for _, name := range held.Adapters {
+			at := e.wanted[held.Name+"/"+name]
+			fresh := now.Sub(at) < keepAdapter || o.inUse(now, Adapter{Model: held.Name, Name: name})
+			if fresh || adapter != "" && !at.Before(oldest) {
+				continue
+			}
+			model, adapter, oldest = held.Name, name, at
+		}
+	}
+	return model, adapter
+}
--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -118,16 +118,6 @@
 	return known && !e.report.Busy && !now.Before(e.crowdedUntil) && e.adapters() < e.spec.AdapterSlots && e.megabytes()+spec.AdapterMegabytes <= e.spec.Megabytes
 }
 
-// hasPlace reports whether an adapter of model can be loaded, perhaps after one
-// that is not in use was unloaded.
-func (e *engine) hasPlace(now time.Time, model string) bool {
-	if e.fitsAdapter(now, model) {
-		return true
-	}
-	_, adapter := e.coldest(now, keepAdapter)
-	return adapter != "" && !e.report.Busy && !now.Before(e.crowdedUntil)
-}
-
 // apply corrects the report by an order that was accepted.
 func (e *engine) apply(order Order) {
 	e.report.Sequence = max(e.report.Sequence, order.Expected+1)
@@ -150,19 +140,3 @@
 		e.coming = order.Model
 	}
 }
-
-// coldest returns the adapter that was not wanted for the longest time, but not
-// within the last keep.
-func (e *engine) coldest(now time.Time, keep time.Duration) (model, adapter string) {
-	var oldest time.Time
-	for _, held := range e.report.Models {
-		for _, a := range held.Adapters {
-			at := e.wanted[held.Name+"/"+a]
-			if now.Sub(at) < keep || adapter != "" && !at.Before(oldest) {
-				continue
-			}
-			model, adapter, oldest = held.Name, a, at
-		}
-	}
-	return model, adapter
-}
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -36,7 +36,7 @@
 	if held := b.voter.Edition(); held.Version > args.Edition {
 		reply.Edition = &held
 	}
-	b.orders.note(now, args.Demand)
+	b.orders.note(now, args.From.Name, args.Demand)
 	reply.Holdings = b.orders.holdings(now, args.Holdings)
 	return reply
 }
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -25,9 +25,12 @@
 	orderTimeout = 800 * time.Millisecond
 	// adapterTime is how long an adapter takes to load. The users give 5 to 14 ms.
 	adapterTime = 20 * time.Millisecond
-	// keepAdapter is how long an adapter that was asked for stays: half of the
-	// streams with it have ended by then, and the engine tells of the others.
-	keepAdapter = 2 * time.Second
+	// keepAdapter is how long an adapter that was asked for stays at the least: the
+	// requests for it are on their way, and entry instances tell of them every 250 ms.
+	keepAdapter = 600 * time.Millisecond
+	// usesKept is how long an entry instance that is not heard of is taken to have
+	// the requests under way that it told of last.
+	usesKept = 5 * time.Second
 	// crowdedFor is how long an adapter that was in use when it was ordered away is
 	// taken to keep its place. The longest streams run for about 10 s.
 	crowdedFor = 8 * time.Second
@@ -50,13 +53,32 @@
 	// demand is what is asked for of each model. It is kept when the leadership
 	// is lost: a leader that comes again begins with it.
 	demand map[demandKey]*demandOf
+	// uses are the adapters of requests under way, by entry instance.
+	uses map[string]adapterUses
 	// fetches is how many loads from the weight store may begin, as of fetchesAt.
 	fetches   float64
 	fetchesAt time.Time
 }
 
 func newOrders(office *Backoffice) *orders {
-	return &orders{office: office, engines: map[string]*engine{}, changed: make(chan struct{}), demand: map[demandKey]*demandOf{}}
+	return &orders{office: office, engines: map[string]*engine{}, changed: make(chan struct{}), demand: map[demandKey]*demandOf{}, uses: map[string]adapterUses{}}
+}
+
+// adapterUses is the adapters of the requests that are under way at one entry
+// instance, as of at.
+type adapterUses struct {
+	at   time.Time
+	open map[Adapter]bool
+}
+
+// inUse reports whether requests with an adapter are under way.
+func (o *orders) inUse(now time.Time, adapter Adapter) bool {
+	for _, uses := range o.uses {
+		if uses.open[adapter] && now.Sub(uses.at) < usesKept {
+			return true
+		}
+	}
+	return false
 }
 
 func (o *orders) run(ctx context.Context) {
@@ -217,12 +239,17 @@
 }
 
 // note takes in what callers asked for at an entry instance.
-func (o *orders) note(now time.Time, demand []courier.Demand) {
+func (o *orders) note(now time.Time, entry string, demand []courier.Demand) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	uses := adapterUses{at: now, open: map[Adapter]bool{}}
+	defer func() { o.uses[entry] = uses }()
 	for _, d := range demand {
 		o.noteModel(now, d)
-		if d.Adapter == "" {
+		if d.Open > 0 {
+			uses.open[Adapter{Model: d.Model, Name: d.Adapter}] = true
+		}
+		if d.Adapter == "" || d.Requests == 0 {
 			continue
 		}
 		for _, e := range o.engines {
@@ -279,7 +306,7 @@
 	order := Order{Kind: Load, Model: args.Model, Adapter: args.Adapter}
 	if !e.fitsAdapter(now, args.Model) {
 		order.Kind = Unload
-		order.Model, order.Adapter = e.coldest(now, keepAdapter)
+		order.Model, order.Adapter = o.coldest(now, e)
 		if order.Adapter == "" || e.report.Busy || now.Before(e.crowdedUntil) {
 			o.mu.Unlock()
 			return courier.WantReply{Reason: "all places for adapters are in use"}, nil
@@ -317,7 +344,7 @@
 			return e
 		}
 		score := uint64(rank(name, args.Adapter))
-		if e.hasPlace(now, args.Model) {
+		if o.hasPlace(now, e, args.Model) {
 			score |= 1 << 32
 		}
 		if chosen == nil || score > highest {
--- a/internal/counter/answer.go
+++ b/internal/counter/answer.go
@@ -91,6 +91,10 @@
 			t.counter.logAttempt(t, a, "answered", response.StatusCode, "")
 			return
 		}
+		if readErr != nil && t.request.Context().Err() != nil {
+			t.counter.logAttempt(t, a, "left", response.StatusCode, "the caller left")
+			panic(http.ErrAbortHandler)
+		}
 		if readErr != nil {
 			if ctx.Err() == nil {
 				t.counter.brokeOff(a)
--- a/internal/counter/demand.go
+++ b/internal/counter/demand.go
@@ -14,10 +14,12 @@
 type demand struct {
 	counts  map[demandKey]*courier.Demand
 	waiting map[demandKey]int
+	// open is how many requests with an adapter are under way.
+	open map[demandKey]int
 }
 
 func newDemand() *demand {
-	return &demand{counts: map[demandKey]*courier.Demand{}, waiting: map[demandKey]int{}}
+	return &demand{counts: map[demandKey]*courier.Demand{}, waiting: map[demandKey]int{}, open: map[demandKey]int{}}
 }
 
 // add counts one request.
@@ -32,6 +34,17 @@
 	count.AnswerTokens += answerTokens
 }
 
+// run notes that change more requests are under way.
+func (d *demand) run(key demandKey, change int) {
+	if key.adapter == "" {
+		return
+	}
+	d.open[key] += change
+	if d.open[key] == 0 {
+		delete(d.open, key)
+	}
+}
+
 // wait notes that change more requests wait for an engine.
 func (d *demand) wait(key demandKey, change int) {
 	d.waiting[key] += change
@@ -42,14 +55,17 @@
 
 // take returns what was counted, and begins anew.
 func (d *demand) take() []courier.Demand {
-	for key := range d.waiting {
-		if d.counts[key] == nil {
-			d.counts[key] = &courier.Demand{Service: key.service, Model: key.model, Adapter: key.adapter}
+	for _, kept := range []map[demandKey]int{d.waiting, d.open} {
+		for key := range kept {
+			if d.counts[key] == nil {
+				d.counts[key] = &courier.Demand{Service: key.service, Model: key.model, Adapter: key.adapter}
+			}
 		}
 	}
 	taken := make([]courier.Demand, 0, len(d.counts))
 	for key, count := range d.counts {
 		count.Waiting = d.waiting[key]
+		count.Open = d.open[key]
 		taken = append(taken, *count)
 	}
 	clear(d.counts)
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -119,6 +119,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open += change
+	c.demand.run(t.key(), change)
 	if change < 0 {
 		return
 	}
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -33,6 +33,8 @@
 	// Requests were taken in, of which Waiting wait for an engine now.
 	Requests int
 	Waiting  int
+	// Open is how many requests with the adapter are under way now.
+	Open int
 	// PromptTokens and AnswerTokens are the sums over Requests.
 	PromptTokens int
 	AnswerTokens int
