backoffice: an order waits 300 ms for its answer

An order that is given again carries the same number of accepted orders, so that one is carried out.

--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -21,8 +21,9 @@
 	reportEvery = 500 * time.Millisecond
 	// reportTimeout bounds one question to an engine.
 	reportTimeout = time.Second
-	// orderTimeout bounds an order. It is within orderFlight.
-	orderTimeout = 800 * time.Millisecond
+	// orderTimeout bounds an order. An engine answers within some ms; one whose
+	// answer was lost gets no other order meanwhile. It is within orderFlight.
+	orderTimeout = 300 * time.Millisecond
 	// adapterTime is how long an adapter takes to load. The users give 5 to 14 ms.
 	adapterTime = 20 * time.Millisecond
 	// keepAdapter is how long an adapter that was asked for stays at the least: the
