--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -25,9 +25,11 @@
 	// coming is a model that is being loaded, or empty.
 	coming string
 	// going is a model that is to be unloaded, or empty. Since goingSince nobody is
-	// told that the engine holds it.
+	// told that the engine holds it. unloading says that the engine has accepted the
+	// order: until it is done, it refuses requests for the model, but lists it still.
 	going      string
 	goingSince time.Time
+	unloading  bool
 	// stale says that an order was refused or not answered: no other is given
 	// before a report tells what the engine holds.
 	stale bool
@@ -52,6 +54,9 @@
 	if !report.Busy {
 		e.coming = ""
 	}
+	if !report.Busy && e.unloading {
+		e.going, e.unloading = "", false
+	}
 	e.report, e.known, e.stale = report, true, false
 }
 
--- /dev/null
+++ b/internal/backoffice/engine_test.go
@@ -0,0 +1,50 @@
+package backoffice_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/backoffice"
+	"github.com/lovagelift/lovagelift/internal/courier"
+)
+
+var _ = Describe("What is told of an engine", func() {
+	report := func(sequence uint64, busy bool, models ...string) backoffice.Report {
+		r := backoffice.Report{Sequence: sequence, Busy: busy}
+		for _, model := range models {
+			r.Models = append(r.Models, courier.HeldModel{Name: model})
+		}
+		return r
+	}
+
+	// An engine that was ordered to unload a model waits for its streams, for
+	// seconds. It lists the model meanwhile and refuses every request for it. Entry
+	// instances that were told of it would send there, and spend the budget of
+	// retries on refusals.
+	It("leaves out a model until the engine has unloaded it", func() {
+		now := time.Now()
+		e := backoffice.NewEngine()
+		e.Take(now, report(1, false, "a", "b"))
+		Expect(e.Told()).To(ConsistOf("a", "b"))
+		e.Go("a")
+		Expect(e.Told()).To(ConsistOf("b"))
+		e.Unload("a", 1)
+		e.Take(now, report(2, true, "a", "b"))
+		Expect(e.Told()).To(ConsistOf("b"))
+		e.Take(now, report(2, false, "b"))
+		Expect(e.Told()).To(ConsistOf("b"))
+		e.Take(now, report(3, false, "a", "b"))
+		Expect(e.Told()).To(ConsistOf("a", "b"), "it was loaded again")
+	})
+
+	It("takes no report from before an order for what the engine holds after it", func() {
+		now := time.Now()
+		e := backoffice.NewEngine()
+		e.Take(now, report(4, false, "a", "b"))
+		e.Unload("a", 4)
+		e.Take(now, report(4, false, "a", "b"))
+		Expect(e.Told()).To(ConsistOf("b"))
+	})
+})
--- /dev/null
+++ b/internal/backoffice/export_test.go
@@ -0,0 +1,38 @@
+package backoffice
+
+import "time"
+
+// Engine is what is known of one engine.
+type Engine struct {
+	engine *engine
+}
+
+// NewEngine returns an engine of which nothing is known.
+func NewEngine() Engine {
+	return Engine{engine: &engine{wanted: map[string]time.Time{}}}
+}
+
+// Take takes in a report.
+func (e Engine) Take(now time.Time, report Report) {
+	e.engine.take(now, report)
+}
+
+// Go says that a model is to be unloaded.
+func (e Engine) Go(model string) {
+	e.engine.going = model
+}
+
+// Unload corrects what is known by an order to unload that was accepted.
+func (e Engine) Unload(model string, expected uint64) {
+	e.engine.going, e.engine.unloading = model, true
+	e.engine.apply(Order{Kind: Unload, Model: model, Expected: expected})
+}
+
+// Told returns the models that others are told of.
+func (e Engine) Told() []string {
+	var names []string
+	for _, model := range e.engine.told() {
+		names = append(names, model.Name)
+	}
+	return names
+}
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -28,7 +28,7 @@
 // asked for again.
 func (o *orders) sendOff(ctx context.Context, now time.Time) {
 	for _, e := range o.engines {
-		if e.going == "" || e.ordering || now.Sub(e.goingSince) < goodbye {
+		if e.going == "" || e.unloading || e.ordering || now.Sub(e.goingSince) < goodbye {
 			continue
 		}
 		if _, ok := o.right(); !ok || e.stale || e.report.Busy || o.wantedAgain(e) {
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -383,7 +383,10 @@
 	defer o.mu.Unlock()
 	e.ordering = false
 	if order.Adapter == "" && order.Kind == Unload {
-		e.going = ""
+		e.unloading = err == nil && ok && answer == Accepted
+		if !e.unloading {
+			e.going = ""
+		}
 	}
 	switch {
 	case err != nil:
