--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -112,6 +109,11 @@
 		// What the leader before has begun is not known.
 		o.fetches, o.fetchesAt = 0, now
 	}
+	for entry, uses := range o.uses {
+		if now.Sub(uses.at) >= usesKept {
+			delete(o.uses, entry)
+		}
+	}
 	o.readTable()
 	due := o.meet(now)
 	o.mu.Unlock()
@@ -261,107 +263,6 @@
 	}
 }
 
-// want has an engine load an adapter and returns its name.
-func (o *orders) want(ctx context.Context, args courier.WantArgs) courier.WantReply {
-	if args.Adapter == "" {
-		return o.wantModel(ctx, args)
-	}
-	for {
-		reply, wait := o.tryWant(ctx, args)
-		if wait == nil {
-			return reply
-		}
-		select {
-		case <-ctx.Done():
-			return courier.WantReply{Reason: "not in time"}
-		case <-wait:
-		}
-	}
-}
-
-// tryWant makes one step towards an adapter. If it can't tell the end yet, it
-// returns what to wait for.
-func (o *orders) tryWant(ctx context.Context, args courier.WantArgs) (courier.WantReply, <-chan struct{}) {
-	now := o.office.options.Now()
-	o.mu.Lock()
-	if o.term == 0 {
-		o.mu.Unlock()
-		return courier.WantReply{Reason: "this instance gives no orders"}, nil
-	}
-	e := o.adapterEngine(now, args)
-	if e == nil {
-		o.mu.Unlock()
-		return courier.WantReply{Reason: "no engine holds the model"}, nil
-	}
-	key := args.Model + "/" + args.Adapter
-	if e.holds(args.Model, args.Adapter) {
-		e.wanted[key] = now
-		o.mu.Unlock()
-		return courier.WantReply{Engine: e.Name}, nil
-	}
-	if e.ordering || e.stale {
-		changed := o.changed
-		o.mu.Unlock()
-		return courier.WantReply{}, changed
-	}
-	order := Order{Kind: Load, Model: args.Model, Adapter: args.Adapter}
-	if !e.fitsAdapter(now, args.Model) {
-		order.Kind = Unload
-		order.Model, order.Adapter = o.coldest(now, e)
-		if order.Adapter == "" || e.report.Busy || now.Before(e.crowdedUntil) {
-			o.mu.Unlock()
-			return courier.WantReply{Reason: "all places for adapters are in use"}, nil
-		}
-	}
-	e.ordering = true
-	e.wanted[key] = now
-	o.mu.Unlock()
-	if !o.give(ctx, e, order) {
-		return courier.WantReply{Reason: "the order was not carried out"}, nil
-	}
-	if order.Kind == Load && !pause.For(ctx, adapterTime) {
-		return courier.WantReply{Reason: "not in time"}, nil
-	}
-	return o.tryWant(ctx, args)
-}
-
-// adapterEngine returns the engine for an adapter: one that holds it, else the
-// one with the highest hash among those that hold the model and have a place, so
-// that several askers agree.
-func (o *orders) adapterEngine(now time.Time, args courier.WantArgs) *engine {
-	var chosen *engine
-	var highest uint64
-	names := make([]string, 0, len(o.engines))
-	for name := range o.engines {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		e := o.engines[name]
-		if e.service != args.Service || e.leaving || !e.known || !e.holds(args.Model, "") {
-			continue
-		}
-		if e.holds(args.Model, args.Adapter) {
-			return e
-		}
-		score := uint64(rank(name, args.Adapter))
-		if o.hasPlace(now, e, args.Model) {
-			score |= 1 << 32
-		}
-		if chosen == nil || score > highest {
-			chosen, highest = e, score
-		}
-	}
-	return chosen
-}
-
-// rank is a hash of two names.
-func rank(a, b string) uint32 {
-	sum := fnv.New32a()
-	_, _ = sum.Write([]byte(strings.Join([]string{a, b}, "\x00")))
-	return sum.Sum32()
-}
-
 // give gives an order that e was marked for, and reports whether the engine
 // carries it out.
 func (o *orders) give(ctx context.Context, e *engine, order Order) bool {
