host: an instance says that it serves when it does

Cause: the line came when the listeners were open; the first request was refused for some 2 s, until the configuration was confirmed and callers were told of the instance.

--- a/internal/host/example.go
+++ b/internal/host/example.go
@@ -61,7 +61,9 @@
 	if err != nil {
 		return err
 	}
-	log.Info().Stringer("caller-address", set.Advertise.Caller).Str("model", exampleModel).Msg("example serves")
+	if awaitServing(ctx, running.instance, exampleUpstreams) {
+		log.Info().Stringer("caller-address", set.Advertise.Caller).Str("model", exampleModel).Msg("example serves")
+	}
 	select {
 	case <-ctx.Done():
 	case <-running.instance.DrainAsked():
@@ -70,6 +72,9 @@
 	return nil
 }
 
+// exampleUpstreams are the engine and the service of the example.
+const exampleUpstreams = 2
+
 // exampleSettings are those of one instance that is the only voter.
 func exampleSettings(callerAddress, folder string) (settings.Settings, error) {
 	set := settings.Default()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/instance"
+	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/seal"
 	"github.com/lovagelift/lovagelift/internal/settings"
 )
@@ -47,10 +49,35 @@
 	if err != nil {
 		return err
 	}
-	log.Info().Str("caller-address", set.Advertise.Caller.String()).Msg("instance serves")
+	log.Info().Str("caller-address", set.Advertise.Caller.String()).Msg("instance started")
+	go func() {
+		if awaitServing(ctx, running, 0) {
+			log.Info().Str("caller-address", set.Advertise.Caller.String()).Msg("instance serves")
+		}
+	}()
 	return serve(ctx, running, set)
 }
 
+// servingEvery is how often a starting instance looks whether it serves.
+const servingEvery = 20 * time.Millisecond
+
+// awaitServing waits until an instance admits requests, callers are told of one to
+// use, and it knows so many upstreams.
+// It returns false if ctx ends before. An instance that says that it serves while it
+// refuses everybody misleads whoever waits for the line.
+func awaitServing(ctx context.Context, running *instance.Instance, upstreams int) bool {
+	for {
+		now := time.Now()
+		listed := len(running.Entries(now, "").List) > 0
+		if running.Admits(now) == nil && listed && len(running.Upstreams(now)) >= upstreams {
+			return true
+		}
+		if !pause.For(ctx, servingEvery) {
+			return false
+		}
+	}
+}
+
 // serve waits until it is time to stop, and drains.
 func serve(ctx context.Context, running *instance.Instance, set settings.Settings) error {
 	select {
