--- a/internal/backoffice/adapters.go
+++ b/internal/backoffice/adapters.go
@@ -28,3 +28,20 @@
 	}
 	return model, adapter
 }
+
+// adapterUses is the adapters of the requests that are under way at one entry
+// instance, as of at.
+type adapterUses struct {
+	at   time.Time
+	open map[Adapter]bool
+}
+
+// inUse reports whether requests with an adapter are under way.
+func (o *orders) inUse(now time.Time, adapter Adapter) bool {
+	for _, uses := range o.uses {
+		if uses.open[adapter] && now.Sub(uses.at) < usesKept {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -59,24 +59,10 @@
 }
 
 func newOrders(office *Backoffice) *orders {
-	return &orders{office: office, engines: map[string]*engine{}, changed: make(chan struct{}), demand: map[demandKey]*demandOf{}, uses: map[string]adapterUses{}}
-}
-
-// adapterUses is the adapters of the requests that are under way at one entry
-// instance, as of at.
-type adapterUses struct {
-	at   time.Time
-	open map[Adapter]bool
-}
-
-// inUse reports whether requests with an adapter are under way.
-func (o *orders) inUse(now time.Time, adapter Adapter) bool {
-	for _, uses := range o.uses {
-		if uses.open[adapter] && now.Sub(uses.at) < usesKept {
-			return true
-		}
+	return &orders{
+		office: office, engines: map[string]*engine{}, changed: make(chan struct{}),
+		demand: map[demandKey]*demandOf{}, uses: map[string]adapterUses{},
 	}
-	return false
 }
 
 func (o *orders) run(ctx context.Context) {
@@ -143,7 +129,8 @@
 	}
 	o.table = table
 	for _, e := range o.engines {
-		if service := table.Service(e.service); service != nil {
+		// The service may be gone from the routes; its engines are then as they were.
+		if service := table.Service(e.service); service != nil && service.Engine != nil {
 			e.spec = service.Engine
 		}
 	}
