--- a/internal/backoffice/adapters.go
+++ b/internal/backoffice/adapters.go
@@ -8,13 +8,13 @@
 	if e.fitsAdapter(now, model) {
 		return true
 	}
-	_, adapter := o.coldest(now, e)
-	return adapter != "" && !e.report.Busy && !now.Before(e.crowdedUntil)
+	_, adapter := o.leastRecent(now, e)
+	return adapter != "" && !e.report.Busy && !now.Before(e.adaptersFullUntil)
 }
 
-// coldest returns the adapter of e that was not asked for for the longest time and
+// leastRecent returns the adapter of e that was not asked for for the longest time and
 // that no request under way uses, or nothing.
-func (o *orders) coldest(now time.Time, e *engine) (model, adapter string) {
+func (o *orders) leastRecent(now time.Time, e *engine) (model, adapter string) {
 	var oldest time.Time
 	for _, held := range e.report.Models {
 		for _, name := range held.Adapters {
--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -33,9 +33,9 @@
 	// stale says that an order was refused or not answered: no other is given
 	// before a report tells what the engine holds.
 	stale bool
-	// crowdedUntil is until when no adapter is loaded, since one that is being
+	// adaptersFullUntil is until when no adapter is loaded, since one that is being
 	// unloaded still takes its place.
-	crowdedUntil time.Time
+	adaptersFullUntil time.Time
 	// wanted is when each adapter was last asked for.
 	wanted map[string]time.Time
 }
@@ -120,7 +120,7 @@
 // An engine carries out one order at a time.
 func (e *engine) fitsAdapter(now time.Time, model string) bool {
 	spec, known := e.spec.Model(model)
-	return known && !e.report.Busy && !now.Before(e.crowdedUntil) && e.adapters() < e.spec.AdapterSlots && e.megabytes()+spec.AdapterMegabytes <= e.spec.Megabytes
+	return known && !e.report.Busy && !now.Before(e.adaptersFullUntil) && e.adapters() < e.spec.AdapterSlots && e.megabytes()+spec.AdapterMegabytes <= e.spec.Megabytes
 }
 
 // apply corrects the report by an order that was accepted.
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -18,17 +18,17 @@
 // the rate that the store allows.
 const fetchBurst = 2
 
-// goodbye is the time from when nobody is told any more that an engine holds a
+// unloadNotice is the time from when nobody is told any more that an engine holds a
 // model until it is ordered away. An engine refuses requests for a model as soon
 // as it is to be unloaded; entry instances ask for news every 250 ms, and stop
 // sending before.
-const goodbye = 400 * time.Millisecond
+const unloadNotice = 400 * time.Millisecond
 
-// sendOff orders models away that were to go for long enough, unless they are
+// unloadWithdrawn orders models away that were to go for long enough, unless they are
 // asked for again.
-func (o *orders) sendOff(ctx context.Context, now time.Time) {
+func (o *orders) unloadWithdrawn(ctx context.Context, now time.Time) {
 	for _, e := range o.engines {
-		if e.going == "" || e.unloading || e.ordering || now.Sub(e.goingSince) < goodbye {
+		if e.going == "" || e.unloading || e.ordering || now.Sub(e.goingSince) < unloadNotice {
 			continue
 		}
 		if _, ok := o.right(); !ok || e.stale || e.report.Busy || o.wantedAgain(e) {
@@ -67,7 +67,7 @@
 	if o.table == nil {
 		return
 	}
-	o.sendOff(ctx, now)
+	o.unloadWithdrawn(ctx, now)
 	for name, service := range o.table.Services() {
 		if service.Engine != nil {
 			o.stockService(ctx, now, name, service.Engine)
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -29,9 +29,9 @@
 	// usesKept is how long an entry instance that is not heard of is taken to have
 	// the requests under way that it told of last.
 	usesKept = 5 * time.Second
-	// crowdedFor is how long an adapter that was in use when it was ordered away is
+	// adapterUnload is how long an adapter that was in use when it was ordered away is
 	// taken to keep its place. The longest streams run for about 10 s.
-	crowdedFor = 8 * time.Second
+	adapterUnload = 8 * time.Second
 )
 
 // orders asks engines what they hold and orders them to load and unload, while
@@ -289,7 +289,7 @@
 	default:
 		e.apply(order)
 		if order.Kind == Unload && order.Adapter != "" && answer == Accepted {
-			e.crowdedUntil = o.office.options.Now().Add(crowdedFor)
+			e.adaptersFullUntil = o.office.options.Now().Add(adapterUnload)
 		}
 	}
 	o.touch()
--- a/internal/backoffice/want.go
+++ b/internal/backoffice/want.go
@@ -57,8 +57,8 @@
 	order := Order{Kind: Load, Model: args.Model, Adapter: args.Adapter}
 	if !e.fitsAdapter(now, args.Model) {
 		order.Kind = Unload
-		order.Model, order.Adapter = o.coldest(now, e)
-		if order.Adapter == "" || e.report.Busy || now.Before(e.crowdedUntil) {
+		order.Model, order.Adapter = o.leastRecent(now, e)
+		if order.Adapter == "" || e.report.Busy || now.Before(e.adaptersFullUntil) {
 			o.mu.Unlock()
 			return courier.WantReply{Reason: "all places for adapters are in use"}, nil
 		}
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -26,7 +26,7 @@
 	switch judged := c.options.Dialect.Judge(response, t.call.ID); judged {
 	case NotRun, Misdirected:
 		return t.refused(w, a, response, judged)
-	case Foreign:
+	case Mismatched:
 		t.runs++
 		return t.failed(ctx, w, a, errors.New("counter: the answer is another request's"))
 	default:
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -37,7 +37,7 @@
 	wants  map[courier.WantArgs]chan struct{}
 	// told says how far the fleet follows the roster.
 	told  uint64
-	line  line
+	queue queue
 	hints *hints
 	// open is how many requests are under way.
 	open     int
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -46,7 +46,7 @@
 	case response.Header.Get(notRunHeader) != "":
 		return counter.NotRun
 	case response.Header.Get(idHeader) != requestID:
-		return counter.Foreign
+		return counter.Mismatched
 	default:
 		return counter.Answered
 	}
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -105,7 +105,7 @@
 func (c *Counter) reportState(now time.Time) {
 	scope := c.metrics.scope
 	scope.Gauge("open").Update(float64(c.open))
-	scope.Gauge("waiting").Update(float64(len(c.line.waiters)))
+	scope.Gauge("waiting").Update(float64(len(c.queue.waiters)))
 	scope.Gauge("upstreams").Update(float64(len(c.fleet.upstreams)))
 	scope.Gauge("news_age_seconds").Update(now.Sub(c.links.heardAt).Seconds())
 	if table := c.table.Load(); table != nil {
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -86,8 +86,8 @@
 	// Misdirected is NotRun by a process that is not the one that was meant, or
 	// that does not hold the model.
 	Misdirected
-	// Foreign means that this is the answer to another request.
-	Foreign
+	// Mismatched means that this is the answer to another request.
+	Mismatched
 )
 
 // Call is what a caller's headers say of its request.
--- a/internal/counter/line.go
+++ b/internal/counter/queue.go
@@ -18,34 +18,34 @@
 	counted bool
 }
 
-// line is the requests that wait, in no order. It is not safe for concurrent use.
-type line struct {
+// queue is the requests that wait, in no order. It is not safe for concurrent use.
+type queue struct {
 	waiters []*waiter
-	// timer wakes the line while somebody waits.
+	// timer has the queue looked at while somebody waits.
 	timer *time.Timer
 	armed bool
 }
 
-// lookEvery is the time between two looks at those that wait: engines have room
+// dispatchEvery is the time between two looks at those that wait: engines have room
 // again step by step.
-const lookEvery = 10 * time.Millisecond
+const dispatchEvery = 10 * time.Millisecond
 
-// join adds a request, and looks at once.
-func (c *Counter) join(now time.Time, t *trip) *waiter {
+// enqueue adds a request, and looks at once.
+func (c *Counter) enqueue(now time.Time, t *trip) *waiter {
 	w := &waiter{trip: t, granted: make(chan *upstream, 1)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.line.waiters = append(c.line.waiters, w)
-	c.look(now)
+	c.queue.waiters = append(c.queue.waiters, w)
+	c.dispatch(now)
 	if len(w.granted) == 0 {
 		c.countWaiting(w, true)
 	}
 	return w
 }
 
-// leave takes a request out of the line. If it was granted an upstream meanwhile,
-// leave returns that.
-func (c *Counter) leave(w *waiter) *upstream {
+// dequeue takes a request out of the queue. If it was granted an upstream meanwhile,
+// dequeue returns that.
+func (c *Counter) dequeue(w *waiter) *upstream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	select {
@@ -53,7 +53,7 @@
 		return u
 	default:
 	}
-	c.line.waiters = slices.DeleteFunc(c.line.waiters, func(other *waiter) bool { return other == w })
+	c.queue.waiters = slices.DeleteFunc(c.queue.waiters, func(other *waiter) bool { return other == w })
 	c.countWaiting(w, false)
 	return nil
 }
@@ -71,13 +71,13 @@
 	c.demand.wait(w.trip.key(), change)
 }
 
-// look grants upstreams to those that wait, in their order. c.mu is held.
+// dispatch grants upstreams to those that wait, in their order. c.mu is held.
 //
 // First come those whose answer can still be on time, the more urgent before the
 // others. One that can't be on time any more is served with what they leave: it
 // is still worth something to its caller, but must not make the next one late.
-func (c *Counter) look(now time.Time) {
-	waiters := c.line.waiters
+func (c *Counter) dispatch(now time.Time) {
+	waiters := c.queue.waiters
 	if len(waiters) > 1 {
 		slices.SortStableFunc(waiters, func(a, b *waiter) int { return a.trip.compare(now, b.trip) })
 	}
@@ -94,7 +94,7 @@
 		w.granted <- u
 	}
 	clear(waiters[len(kept):])
-	c.line.waiters = kept
+	c.queue.waiters = kept
 	c.arm()
 }
 
@@ -109,7 +109,7 @@
 	if t.call.Model == "" || w.missing != lackRoom {
 		return longest
 	}
-	for _, other := range c.line.waiters {
+	for _, other := range c.queue.waiters {
 		if other != w && other.trip.call.Model == t.call.Model && other.trip.compare(now, t) <= 0 {
 			longest = max(longest, now.Sub(other.trip.began))
 		}
@@ -125,23 +125,23 @@
 	}
 }
 
-// arm has the line looked at again, if somebody waits.
+// arm has the queue looked at again, if somebody waits.
 func (c *Counter) arm() {
-	if len(c.line.waiters) == 0 || c.line.armed {
+	if len(c.queue.waiters) == 0 || c.queue.armed {
 		return
 	}
-	c.line.armed = true
+	c.queue.armed = true
 	wake := func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.line.armed = false
-		c.look(c.options.Now())
+		c.queue.armed = false
+		c.dispatch(c.options.Now())
 	}
-	if c.line.timer == nil {
-		c.line.timer = time.AfterFunc(lookEvery, wake)
+	if c.queue.timer == nil {
+		c.queue.timer = time.AfterFunc(dispatchEvery, wake)
 		return
 	}
-	c.line.timer.Reset(lookEvery)
+	c.queue.timer.Reset(dispatchEvery)
 }
 
 // compare returns a number below 0 if t goes before other.
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -138,7 +138,7 @@
 		c.links.asked = reply.Leader
 		c.links.source = roster.Source{}
 	}
-	c.look(now)
+	c.dispatch(now)
 }
 
 // merge returns the names of both lists, each once.
@@ -208,5 +208,5 @@
 		u.gained(args.Model, args.Adapter)
 	}
 	close(tried)
-	c.look(c.options.Now())
+	c.dispatch(c.options.Now())
 }
--- a/internal/counter/wait.go
+++ b/internal/counter/wait.go
@@ -14,14 +14,14 @@
 func (t *trip) await(ctx context.Context, w http.ResponseWriter) *upstream {
 	c := t.counter
 	now := c.options.Now()
-	waiting := c.join(now, t)
+	waiting := c.enqueue(now, t)
 	select {
 	case u := <-waiting.granted:
 		return u
 	default:
 	}
 	if forecast := c.forecast(now, waiting); float64(forecast) > forecastShare*float64(t.longestWait()) {
-		if u := c.leave(waiting); u != nil {
+		if u := c.dequeue(waiting); u != nil {
 			return u
 		}
 		// It could not be served in time: the caller learns that now, and when it
@@ -39,7 +39,7 @@
 		missing := waiting.missing
 		c.mu.Unlock()
 		if patience.Err() != nil {
-			if u := c.leave(waiting); u != nil {
+			if u := c.dequeue(waiting); u != nil {
 				return u
 			}
 			t.giveUp(ctx, w, missing)
@@ -125,7 +125,7 @@
 	return min(time.Second, max(left/4, minComeBack))
 }
 
-// comeBackAfter is when a caller may come back to a line that takes wait to
+// comeBackAfter is when a caller may come back to a queue that takes wait to
 // empty. Callers that were refused together come back apart.
 func (t *trip) comeBackAfter(wait time.Duration) time.Duration {
 	left := t.deadline.Sub(t.counter.options.Now())
