retry, counter: the slack of retries is shared by the instances that there are

Cause: each instance took an eighth of it, however many there were; 86 of them could have sent six times what the users allow.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -83,7 +83,7 @@
 		fleet:  newFleet(options.FailureDomain, options.UpstreamLease),
 		demand: newDemand(),
 		budgets: retry.NewBudgets(retry.Options{
-			Attempts: maxAttempts, Share: options.Retries.Share, Reserve: options.Retries.Reserve,
+			Attempts: maxAttempts, Share: options.Retries.Share, Reserve: leastReserve,
 		}),
 		seeds:   options.Seeds,
 		metrics: newMetrics(options.Metrics),
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -207,7 +207,7 @@
 	e.counter = counter.New(counter.Options{
 		Name: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", FailureDomain: "here", Seeds: []string{e.control.address},
 		Dial: courier.DialTCP, UpstreamLease: time.Minute,
-		Retries: counter.RetryLimits{Share: 0.1, Reserve: 10},
+		Retries: counter.RetryLimits{Share: 0.1, Slack: 20, Window: 10 * time.Second},
 		Table:   table, Dialect: dialect{}, Now: time.Now, Log: zerolog.Nop(),
 	})
 	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -65,3 +65,8 @@
 func (q *Quota) Allow(now time.Time) (leftOut int, ok bool) {
 	return q.quota.allow(now)
 }
+
+// RetriesOf returns the reserve and the refill of one among so many instances.
+func RetriesOf(limits RetryLimits, instances int) (reserve, refill float64) {
+	return limits.of(instances)
+}
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -46,12 +46,14 @@
 	Metrics tally.Scope
 }
 
-// RetryLimits bound the requests that are sent to an upstream once more.
+// RetryLimits bound the requests that all entry instances together send to the
+// upstreams of a service once more.
 type RetryLimits struct {
 	// Share is how many there may be for each fresh request.
 	Share float64
-	// Reserve is how many there may be beyond that at once.
-	Reserve float64
+	// Slack is how many there may be beyond that within Window.
+	Slack  float64
+	Window time.Duration
 }
 
 // Dialect is what differs between the protocols that upstreams speak.
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -124,6 +124,7 @@
 	}
 	c.roster.Merge(asked, &c.links.source, reply.Changes)
 	c.hints.follow(slices.DeleteFunc(reply.Entries, func(address string) bool { return address == c.options.Name }))
+	c.budgets.Resize(c.options.Retries.of(len(reply.Entries)))
 	var changed []roster.Upstream
 	changed, c.told = c.roster.UpstreamsSince(c.told)
 	c.fleet.update(now, changed)
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -34,3 +34,14 @@
 		}
 	}
 }
+
+// Resize changes the reserve and the refill of every Budget, as more or fewer
+// instances share what a service may get. What a Budget has beyond the new reserve
+// is lost.
+func (b *Budgets) Resize(reserve, refill float64) {
+	b.options.Reserve, b.options.Refill = reserve, refill
+	for _, budget := range b.services {
+		budget.options.Reserve, budget.options.Refill = reserve, refill
+		budget.tokens = min(budget.tokens, reserve)
+	}
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -87,15 +87,18 @@
 	// Reserve is the number of retries that a service may make at once whatever
 	// its requests, 10 if 0. It carries services of few requests.
 	Reserve float64
+	// Refill is the number of retries that a service gains each second whatever its
+	// requests, 0.2 if 0.
+	Refill float64
 }
 
 const (
 	defaultAttempts = 3
 	defaultShare    = 0.1
 	defaultReserve  = 10
-	// refillPerSecond keeps a service of few requests from being left without a
+	// defaultRefill keeps a service of few requests from being left without a
 	// retry for long after its reserve was spent.
-	refillPerSecond = 0.2
+	defaultRefill = 0.2
 )
 
 // Budget bounds the retries of one service to a share of its fresh requests (a
@@ -124,6 +127,9 @@
 	if options.Reserve <= 0 {
 		options.Reserve = defaultReserve
 	}
+	if options.Refill <= 0 {
+		options.Refill = defaultRefill
+	}
 	return &Budget{options: options, tokens: options.Reserve, at: now}
 }
 
@@ -136,7 +142,7 @@
 // if it is.
 func (b *Budget) Decide(now time.Time, a Attempt) Verdict {
 	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.tokens = min(b.tokens+elapsed.Seconds()*refillPerSecond, b.options.Reserve)
+		b.tokens = min(b.tokens+elapsed.Seconds()*b.options.Refill, b.options.Reserve)
 		b.at = now
 	}
 	if verdict := a.barred(now, b.options.Attempts); verdict != 0 {
