counter: what a request reads of its upstream never changes

Read halfway, a request could go to half of an address; after news of a leave from an instance that knew none, to none. Name and address are set once now. The spec shows the second; the first shows only when the two meet without any other traffic between them.

--- a/internal/counter/answer.go
+++ b/internal/counter/answer.go
@@ -65,7 +65,7 @@
 	if verdict != retry.Again {
 		return false
 	}
-	t.tried = append(t.tried, a.upstream.Announcement.Name)
+	t.tried = append(t.tried, a.upstream.name)
 	c.logAttempt(t, a, "failed", status, verdict.String())
 	return true
 }
@@ -144,7 +144,7 @@
 		return
 	}
 	event = event.Str("request", t.call.ID).Str("route", t.route.Name).
-		Uint64("version", t.version).Str("upstream", a.upstream.Announcement.Name).Int("send", t.sends).
+		Uint64("version", t.version).Str("upstream", a.upstream.name).Int("send", t.sends).
 		Int("status", status).Dur("took", now.Sub(t.began)).Str("verdict", verdict)
 	if status == 0 && t.cause != nil {
 		event = event.Str("error", t.cause.Error())
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -50,7 +50,7 @@
 	c.mu.Unlock()
 	c.logAttempt(t, a, "refused", response.StatusCode, verdict.String())
 	if judged != Misdirected || t.call.Model == "" {
-		t.tried = append(t.tried, a.upstream.Announcement.Name)
+		t.tried = append(t.tried, a.upstream.name)
 	}
 	if verdict == retry.Again {
 		return false
@@ -87,7 +87,7 @@
 	c.mu.Unlock()
 	t.cause = cause
 	c.logAttempt(t, a, "attempt failed", 0, verdict.String())
-	t.tried = append(t.tried, a.upstream.Announcement.Name)
+	t.tried = append(t.tried, a.upstream.name)
 	if verdict == retry.Again {
 		return false
 	}
--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -83,7 +83,7 @@
 		return lackModel
 	case !u.holds(w.model, w.adapter):
 		return lackAdapter
-	case slices.Contains(w.tried, u.Announcement.Name) && now.Before(u.avoidUntil):
+	case slices.Contains(w.tried, u.name) && now.Before(u.avoidUntil):
 		return lackRoom
 	case w.model != "" && !u.hasRoom(now, w):
 		return lackRoom
@@ -137,7 +137,7 @@
 	if now.Before(u.avoidUntil) {
 		cost += avoidedCost
 	}
-	if slices.Contains(w.tried, u.Announcement.Name) {
+	if slices.Contains(w.tried, u.name) {
 		cost += triedCost
 	}
 	return cost
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -43,7 +43,7 @@
 		return "", missed.String()
 	}
 	u.sent(now, tokens)
-	return u.Announcement.Name, ""
+	return u.name, ""
 }
 
 // Heard counts what another instance sends.
@@ -70,3 +70,8 @@
 func RetriesOf(limits RetryLimits, instances int) (reserve, refill float64) {
 	return limits.of(instances)
 }
+
+// Address returns where requests to an upstream go.
+func (f Fleet) Address(name string) string {
+	return f.fleet.upstreams[name].address
+}
--- a/internal/counter/fleet.go
+++ b/internal/counter/fleet.go
@@ -27,6 +27,11 @@
 // upstream is one process of a service.
 type upstream struct {
 	roster.Upstream
+	// name and address never change, so that a request on its way may read them
+	// while news of the upstream come in. A record that tells of its leaving alone
+	// has no address.
+	name    string
+	address string
 	service string
 	slots   int
 	remote  bool
@@ -81,7 +86,7 @@
 		if len(known.Announcement.Services) == 0 {
 			return
 		}
-		u = &upstream{service: known.Announcement.Services[0]}
+		u = &upstream{name: name, address: known.Announcement.Address, service: known.Announcement.Services[0]}
 		f.upstreams[name] = u
 		f.services[u.service] = append(f.services[u.service], u)
 	}
--- a/internal/counter/fleet_test.go
+++ b/internal/counter/fleet_test.go
@@ -93,6 +93,19 @@
 		Expect(lack).To(Equal("service"))
 	})
 
+	// A request is on its way to an upstream when news come that it leaves, from an
+	// instance that had never heard of it and knows no address. What the request
+	// reads of the upstream must not change under it.
+	It("never changes where an upstream is", func() {
+		fleet.Update(start, engineOf("a", "here", start, "m"))
+		fleet.Update(start, roster.Upstream{
+			Heard: start, Leaving: true, Announcement: upstreamapi.Announcement{Name: "a"},
+		})
+		Expect(fleet.Address("a")).To(Equal("127.0.0.1:1"))
+		_, lack := fleet.Send(start, "pool", "m", "", 100)
+		Expect(lack).To(Equal("service"))
+	})
+
 	It("avoids an upstream that failed, unless nobody else is there", func() {
 		fleet.Update(start, engineOf("a", "here", start, "m"), engineOf("b", "there", start, "m"))
 		fleet.Failed(start, "a")
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -121,7 +121,7 @@
 func (c *Counter) sentLocked(now time.Time, t *trip, u *upstream) {
 	u.sent(now, t.call.PromptTokens)
 	if t.call.Model != "" {
-		c.hints.tell(u.Announcement.Name, t.call.PromptTokens)
+		c.hints.tell(u.name, t.call.PromptTokens)
 	}
 }
 
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -38,7 +38,7 @@
 	outgoing := (&http.Request{
 		Method: incoming.Method,
 		URL: &url.URL{
-			Scheme: "http", Host: a.upstream.Announcement.Address,
+			Scheme: "http", Host: a.upstream.address,
 			Path: incoming.URL.Path, RawPath: incoming.URL.RawPath, RawQuery: incoming.URL.RawQuery,
 		},
 		Host:          incoming.Host,
@@ -50,7 +50,7 @@
 	}).WithContext(traced)
 	c.options.Dialect.Prepare(outgoing.Header, Attempt{
 		RequestID: t.call.ID,
-		Upstream:  a.upstream.Announcement.Name,
+		Upstream:  a.upstream.name,
 		Remaining: t.deadline.Sub(c.options.Now()),
 		Priority:  t.route.Priority,
 	})
