platform, counter: prompt parts are not parsed while nothing uses them

They were read from the header of each request and never looked at; the header goes on to engines as it came.

--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -102,15 +102,6 @@
 	Adapter      string
 	PromptTokens int
 	AnswerTokens int
-	// Parts are those of the prompt that requests share, in order. The last
-	// belongs to the request or its session.
-	Parts []Part
-}
-
-// Part is one part of a prompt.
-type Part struct {
-	ID     uint64
-	Tokens int
 }
 
 // The intervals and limits of an entry instance.
