counter: engines get prompts one after the other, instances that wait take turns

Of the engines in question, 7 instances had each sent a prompt within 3 ms, 8,000 to 14,000 tokens where 4,900 can be read in a pause: the window of 250 ms emptied for all at the same moment, and hints take 2 ms. Ruled out: larger models (the same engine and model does without), the engines' preemption (none reported).

The unread prompts of an engine are a leaky bucket now instead of a window, and an instance that found an engine without room lets a random time pass once it has room, 8 ms for each rival that sends there.

--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -55,7 +55,7 @@
 		if !f.alive(now, u) {
 			continue
 		}
-		if reason := u.misfit(now, w); reason != lackNone {
+		if reason := u.misfit(now, w, drawn); reason != lackNone {
 			missing = max(missing, reason)
 			continue
 		}
@@ -77,7 +77,7 @@
 }
 
 // misfit returns what u lacks for w.
-func (u *upstream) misfit(now time.Time, w wish) lack {
+func (u *upstream) misfit(now time.Time, w wish, drawn float64) lack {
 	switch {
 	case !u.holds(w.model, ""):
 		return lackModel
@@ -85,7 +85,7 @@
 		return lackAdapter
 	case slices.Contains(w.tried, u.name) && now.Before(u.avoidUntil):
 		return lackRoom
-	case w.model != "" && !u.hasRoom(now, w):
+	case w.model != "" && !u.hasRoom(now, w, drawn):
 		return lackRoom
 	default:
 		return lackNone
@@ -97,10 +97,13 @@
 // lets the newest wait, however urgent.
 const fullShare = 0.9
 
-// hasRoom reports whether an engine may get a request now.
-func (u *upstream) hasRoom(now time.Time, w wish) bool {
-	full := u.slots > 0 && u.load(now) >= fullShare*float64(u.slots)
-	return !full && w.pace.room(now, &u.window, w.tokens)
+// hasRoom reports whether an engine may get a request now. drawn in [0, 1) is how
+// long this instance lets others go first.
+func (u *upstream) hasRoom(now time.Time, w wish, drawn float64) bool {
+	if u.slots > 0 && u.load(now) >= fullShare*float64(u.slots) {
+		return false
+	}
+	return u.turn.open(now, u.unread.below(w.pace.slack), drawn, u.rivals.count(now))
 }
 
 // load returns about how many requests an engine has: those of its newest report,
@@ -109,7 +112,7 @@
 func (u *upstream) load(now time.Time) float64 {
 	age := now.Sub(u.reportedAt)
 	left := float64(u.reported) * math.Exp(-age.Seconds()/streamTime.Seconds())
-	return max(left+float64(u.window.sum(now, age).requests), float64(u.open))
+	return max(left+float64(u.window.sum(now, age)), float64(u.open))
 }
 
 // streamTime is about how long a stream takes, by the users' sheets: some 170
@@ -129,7 +132,7 @@
 	slots := float64(max(u.slots, 1))
 	cost := float64(u.open) / slots
 	if w.model != "" {
-		cost = float64(u.window.sum(now, w.pace.span).tokens)/float64(w.pace.tokens) + u.load(now)/slots
+		cost = u.unread.left(now)/(w.pace.rate*defaultGap.Seconds()) + u.load(now)/slots
 	}
 	if u.remote {
 		cost += remoteCost
@@ -143,10 +146,23 @@
 	return cost
 }
 
-// sent notes that a request goes to u.
-func (u *upstream) sent(now time.Time, tokens int) {
+// sent notes that a request goes to u from here, and heard from another instance,
+// which is named by a hash.
+func (u *upstream) sent(now time.Time, tokens int, p pace) {
 	u.open++
-	u.window.add(now, tokens)
+	u.pace = p
+	u.took(now, tokens)
+}
+
+func (u *upstream) heard(now time.Time, tokens int, sender uint32) {
+	u.rivals.heard(now, sender)
+	u.took(now, tokens)
+}
+
+func (u *upstream) took(now time.Time, tokens int) {
+	u.window.add(now)
+	u.unread.add(now, tokens, u.pace)
+	u.turn.next()
 }
 
 // ended notes that a request at u is over.
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -105,11 +105,11 @@
 }
 
 // heard takes in that another instance sends tokens to an engine.
-func (c *Counter) heard(now time.Time, engine string, tokens int) {
+func (c *Counter) heard(now time.Time, engine string, tokens int, sender uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if u := c.fleet.upstreams[engine]; u != nil {
-		u.window.add(now, tokens)
+		u.heard(now, tokens, sender)
 	}
 }
 
--- a/internal/counter/fleet.go
+++ b/internal/counter/fleet.go
@@ -42,8 +42,14 @@
 	// reported is how many requests the newest report gives, as of reportedAt.
 	reported   int
 	reportedAt time.Time
-	// window is what was sent to it of late.
+	// window is what was sent to it of late, unread what it has not read of that,
+	// by the pace of the last request from here.
 	window window
+	unread backlog
+	pace   pace
+	// turn and rivals keep instances from sending at the same moment.
+	turn   turn
+	rivals rivals
 	// avoidUntil is until when it gets work only if nobody else can, after
 	// failures in a row.
 	avoidUntil time.Time
@@ -86,7 +92,10 @@
 		if len(known.Announcement.Services) == 0 {
 			return
 		}
-		u = &upstream{name: name, address: known.Announcement.Address, service: known.Announcement.Services[0]}
+		u = &upstream{
+			name: name, address: known.Announcement.Address, service: known.Announcement.Services[0],
+			pace: paceOf(defaultGap, nil),
+		}
 		f.upstreams[name] = u
 		f.services[u.service] = append(f.services[u.service], u)
 	}
--- a/internal/counter/hints.go
+++ b/internal/counter/hints.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"hash/fnv"
 	"net"
 	"net/netip"
 	"sync"
@@ -19,7 +20,7 @@
 // than it is, for a quarter of a second.
 type hints struct {
 	conn  net.PacketConn
-	heard func(now time.Time, engine string, tokens int)
+	heard func(now time.Time, engine string, tokens int, sender uint32)
 	now   func() time.Time
 
 	mu    sync.Mutex
@@ -32,7 +33,7 @@
 
 // newHints starts to hear on conn, which may be nil: then nothing is told or
 // heard.
-func newHints(conn net.PacketConn, now func() time.Time, heard func(time.Time, string, int), log zerolog.Logger) *hints {
+func newHints(conn net.PacketConn, now func() time.Time, heard func(time.Time, string, int, uint32), log zerolog.Logger) *hints {
 	h := &hints{conn: conn, heard: heard, now: now}
 	if conn != nil {
 		h.done.Go(func() { h.listen(log) })
@@ -69,7 +70,7 @@
 func (h *hints) listen(log zerolog.Logger) {
 	buffer := make([]byte, maxHintBytes)
 	for {
-		n, _, err := h.conn.ReadFrom(buffer)
+		n, from, err := h.conn.ReadFrom(buffer)
 		if err != nil {
 			log.Debug().Err(err).Msg("hints of other instances end")
 			return
@@ -79,10 +80,17 @@
 		if reader.End() != nil || tokens > maxHintTokens {
 			continue
 		}
-		h.heard(h.now(), engine, int(tokens))
+		h.heard(h.now(), engine, int(tokens), hashOf(from))
 	}
 }
 
+// hashOf tells other instances apart.
+func hashOf(from net.Addr) uint32 {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(from.String()))
+	return sum.Sum32()
+}
+
 // maxHintTokens is above any prompt.
 const maxHintTokens = 1 << 24
 
--- a/internal/counter/pace.go
+++ b/internal/counter/pace.go
@@ -11,7 +11,7 @@
 // all streams of the engine pause. Under a load that the engines can carry easily,
 // 40 in 100 streams had a pause above the 250 ms that callers bear, since the
 // arrivals of a quarter of a second fell on one engine by chance. So each engine
-// gets no more prompt tokens within the longest pause than it can read in it.
+// gets prompts one after the other, as fast as it reads them.
 
 const (
 	// readRate is the prompt tokens that an engine reads in a second, by the users'
@@ -27,61 +27,21 @@
 	defaultGap = 250 * time.Millisecond
 	// assumedStride is how many tokens an event holds if nothing is known.
 	assumedStride = 3
-	// paceSlot is the step in which sendings are counted.
-	paceSlot = 25 * time.Millisecond
-	// paceSlots is the longest window, in slots: longer than the longest pause, and
-	// than the 1 s for which a report of an engine is the newest.
-	paceSlots = 60
 )
 
-// window counts what was sent to an engine of late, by any instance.
-type window struct {
-	slots [paceSlots]sent
-	at    int64
-}
-
-// sent is requests and the prompt tokens in them.
-type sent struct {
-	requests int
-	tokens   int
-}
-
-// advance empties the slots that have begun anew.
-func (w *window) advance(now time.Time) {
-	slot := now.UnixNano() / int64(paceSlot)
-	for steps := 0; w.at < slot && steps < paceSlots; steps++ {
-		w.at++
-		w.slots[w.at%paceSlots] = sent{}
-	}
-	w.at = max(w.at, slot)
-}
-
-// add counts a request that is sent at now.
-func (w *window) add(now time.Time, tokens int) {
-	w.advance(now)
-	slot := &w.slots[w.at%paceSlots]
-	slot.requests++
-	slot.tokens += tokens
-}
-
-// sum returns what was sent within the last span.
-func (w *window) sum(now time.Time, span time.Duration) sent {
-	w.advance(now)
-	var total sent
-	for i := range min(int64(span/paceSlot)+1, paceSlots) {
-		slot := w.slots[(w.at-i+paceSlots)%paceSlots]
-		total.requests += slot.requests
-		total.tokens += slot.tokens
-	}
-	return total
-}
-
-// pace is how many prompt tokens an engine may get within a span.
+// pace is how fast an engine gets prompts.
 type pace struct {
-	span   time.Duration
-	tokens int
+	// rate is in prompt tokens a second.
+	rate float64
+	// slack is how many tokens may be unread when the next prompt comes.
+	slack float64
 }
 
+// slackTime is how long an engine reads what it has when the next prompt comes. It
+// covers the way there and the time that instances wait for each other; if it were
+// longer, two large prompts would meet in one pause.
+const slackTime = 20 * time.Millisecond
+
 // paceOf returns the pace for the engines of a service whose streams may pause
 // for gap.
 func paceOf(gap time.Duration, spec *routes.Engine) pace {
@@ -93,12 +53,32 @@
 		stride = spec.Stride
 	}
 	reading := gap - time.Duration(stride)*stepTime - paceMargin
-	return pace{span: gap, tokens: int(reading.Seconds() * readRate)}
+	rate := readRate * reading.Seconds() / gap.Seconds()
+	return pace{rate: rate, slack: rate * slackTime.Seconds()}
+}
+
+// backlog is the prompt tokens that an engine has not read yet, by what instances
+// have sent it.
+type backlog struct {
+	tokens float64
+	at     time.Time
+	rate   float64
 }
 
-// room reports whether the engine may get tokens now. One that got none lately
-// may get any number: a prompt that is larger than the pace must go somewhere.
-func (p pace) room(now time.Time, w *window, tokens int) bool {
-	before := w.sum(now, p.span).tokens
-	return before == 0 || before+tokens <= p.tokens
+// add counts a prompt that is sent at now.
+func (b *backlog) add(now time.Time, tokens int, p pace) {
+	b.tokens, b.at, b.rate = b.left(now)+float64(tokens), now, p.rate
+}
+
+// left returns what is unread at now.
+func (b *backlog) left(now time.Time) float64 {
+	return max(b.tokens-b.rate*now.Sub(b.at).Seconds(), 0)
+}
+
+// below returns since when no more than tokens are unread.
+func (b *backlog) below(tokens float64) time.Time {
+	if b.tokens <= tokens {
+		return b.at
+	}
+	return b.at.Add(time.Duration((b.tokens - tokens) / b.rate * float64(time.Second)))
 }
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -28,7 +28,7 @@
 
 // dispatchEvery is the time between two looks at those that wait: engines have room
 // again step by step.
-const dispatchEvery = 10 * time.Millisecond
+const dispatchEvery = 4 * time.Millisecond
 
 // enqueue adds a request, and looks at once.
 func (c *Counter) enqueue(now time.Time, t *trip) *waiter {
@@ -119,7 +119,7 @@
 
 // sentLocked notes that a request goes to u, and tells the other instances.
 func (c *Counter) sentLocked(now time.Time, t *trip, u *upstream) {
-	u.sent(now, t.call.PromptTokens)
+	u.sent(now, t.call.PromptTokens, t.pace)
 	if t.call.Model != "" {
 		c.hints.tell(u.name, t.call.PromptTokens)
 	}
