lease, registry, backoffice: a new leader waits only with engines that were ordered of late

Now an instance takes the lease of an engine in the replicated log before each order and sends it within 300 ms or not at all; the successor finds there which engines were ordered, and waits 4 s from when it saw the lease taken, with these alone.

The new spec fails before: the successor orders nobody for as long as the gap.

Shown by running the specs 36 times beside each other: a data race (the replica asks for identities while the roster is made), mended by the lock; and a spec that failed twice, whose put was answered "held": its first answer was lost and the put tried again, which the interface allows. The spec takes either verdict that means in force, and no other.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -81,6 +81,22 @@
 		return err
 	}
 	b.voter = voter
+	b.startRoster()
+	b.inner, err = courier.NewServer(b.options.Inner, courier.Services{
+		Roster: courier.NewRosterService(b.answerPull),
+		Others: map[string]any{
+			"Control": courier.NewControlService(voter.Control()),
+			"Feed":    courier.NewFeedService(feed{b}),
+		},
+	})
+	return errors.Wrap(err, "backoffice: inner listener")
+}
+
+// startRoster makes the roster, which needs the replica's identity. The replica runs
+// already, and asks for the identities of the others.
+func (b *Backoffice) startRoster() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.roster = roster.New(roster.Options{
 		Self:        b.options.Address,
 		Incarnation: uint64(b.options.Now().UnixNano()),
@@ -88,19 +104,11 @@
 			InnerAddress:  b.options.Address,
 			FailureDomain: b.options.FailureDomain,
 			Voter:         true,
-			Identity:      string(voter.Identity()),
+			Identity:      string(b.voter.Identity()),
 		},
 		Lease: b.options.UpstreamLease,
 	})
 	b.roster.Beat(b.options.Now(), roster.InstanceBeat{})
-	b.inner, err = courier.NewServer(b.options.Inner, courier.Services{
-		Roster: courier.NewRosterService(b.answerPull),
-		Others: map[string]any{
-			"Control": courier.NewControlService(voter.Control()),
-			"Feed":    courier.NewFeedService(feed{b}),
-		},
-	})
-	return errors.Wrap(err, "backoffice: inner listener")
 }
 
 func (b *Backoffice) voterOptions() chamber.VoterOptions {
@@ -131,7 +139,6 @@
 		Heartbeat:       heartbeat,
 		ElectionTimeout: electionTimeout,
 		ClockDrift:      clockDrift,
-		OrderFlight:     orderFlight,
 		Identities:      b.identities,
 		Docket:          limits,
 	}
--- a/internal/backoffice/backoffice_test.go
+++ b/internal/backoffice/backoffice_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/backoffice"
@@ -31,12 +32,17 @@
 type fakeEngines struct {
 	mu      sync.Mutex
 	engines map[string]*fakeEngine
-	// holders are who gave orders, in order.
-	holders []string
+	// orders are those that came, in order.
+	orders []givenOrder
 	// lose has an order be carried out without an answer.
 	lose bool
 }
 
+// givenOrder is who ordered which engine.
+type givenOrder struct {
+	engine, holder string
+}
+
 type fakeEngine struct {
 	sequence uint64
 	models   map[string][]string
@@ -74,7 +80,7 @@
 ) (backoffice.OrderAnswer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.holders = append(f.holders, order.Holder)
+	f.orders = append(f.orders, givenOrder{engine.Name, order.Holder})
 	e := f.engines[engine.Name]
 	if order.Expected != e.sequence {
 		return backoffice.Refused, nil
@@ -95,6 +101,19 @@
 	return backoffice.Accepted, nil
 }
 
+// holdersOf returns who gave orders to an engine.
+func (f *fakeEngines) holdersOf(engine string) map[string]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	holders := map[string]bool{}
+	for _, order := range f.orders {
+		if order.engine == engine {
+			holders[order.holder] = true
+		}
+	}
+	return holders
+}
+
 func (f *fakeEngines) holds(engine, model string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -131,12 +150,21 @@
 	offices map[string]*backoffice.Backoffice
 	folders map[string]string
 	calls   *courier.Pool
+	// lost are instances that were stopped for good.
+	lost map[string]bool
+	// gap is the least time between orders of two instances to one engine.
+	gap time.Duration
 }
 
 func newSite() *site {
+	GinkgoHelper()
+	return newSiteWithGap(3 * time.Second)
+}
+
+func newSiteWithGap(gap time.Duration) *site {
 	s := &site{
 		engines: newFakeEngines(), offices: map[string]*backoffice.Backoffice{}, folders: map[string]string{},
-		calls: courier.NewPool(courier.DialTCP, time.Second),
+		calls: courier.NewPool(courier.DialTCP, time.Second), gap: gap, lost: map[string]bool{},
 	}
 	listeners := make([]net.Listener, 3)
 	for i := range listeners {
@@ -150,8 +178,10 @@
 		s.start(address, listeners[i], true)
 	}
 	DeferCleanup(func() {
-		for _, office := range s.offices {
-			s.stop(office)
+		for address, office := range s.offices {
+			if !s.lost[address] {
+				s.stop(office)
+			}
 		}
 		s.calls.Close()
 	})
@@ -161,7 +191,7 @@
 func (s *site) start(address string, listener net.Listener, founder bool) {
 	office, err := backoffice.New(backoffice.Options{
 		Address: address, FailureDomain: "here", Seeds: s.seeds, Founder: founder, Voters: 3,
-		Folder: s.folders[address], Inner: listener, Dial: courier.DialTCP, UpstreamLease: 3 * time.Second,
+		Folder: s.folders[address], Inner: listener, Dial: courier.DialTCP, UpstreamLease: 3 * time.Second, OrderGap: s.gap,
 		Table: table, Engines: s.engines, Now: time.Now, Log: zerolog.Nop(),
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -201,6 +231,12 @@
 	return result
 }
 
+// beAccepted matches the verdict on a version that is in force now. A put whose first
+// answer is lost is tried again, and finds its own document in force.
+func beAccepted() types.GomegaMatcher {
+	return BeElementOf(edition.Stored, edition.Held)
+}
+
 // read returns the version that an instance says is in force.
 func (s *site) read(ctx context.Context, address string) uint64 {
 	GinkgoHelper()
@@ -245,11 +281,29 @@
 	}()
 }
 
+// want returns a function that asks the leader for a model or an adapter, as an entry
+// instance does, and returns the engine or why there is none.
+func (s *site) want(ctx context.Context, model, adapter string) func() string {
+	return func() string {
+		reply, ok := s.sync(ctx, courier.Demand{Service: "pool", Model: "a", Requests: 1})
+		if !ok {
+			return ""
+		}
+		bounded, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		got, err := s.calls.Want(bounded, reply.Leader, courier.WantArgs{Service: "pool", Model: model, Adapter: adapter, Timeout: time.Second})
+		if err != nil {
+			return err.Error()
+		}
+		return got.Engine
+	}
+}
+
 var _ = Describe("Backoffice", func() {
 	It("founds one cluster of the seeds, and every instance tells the same routes", func(ctx SpecContext) {
 		s := newSite()
-		Expect(s.put(ctx, s.seeds[0], 2).Verdict).To(Equal(edition.Stored))
-		Expect(s.put(ctx, s.seeds[1], 5).Verdict).To(Equal(edition.Stored))
+		Expect(s.put(ctx, s.seeds[0], 2).Verdict).To(beAccepted())
+		Expect(s.put(ctx, s.seeds[1], 5).Verdict).To(beAccepted())
 		Expect(s.put(ctx, s.seeds[2], 3).Verdict).To(Equal(edition.Superseded))
 		for _, address := range s.seeds {
 			Expect(s.read(ctx, address)).To(Equal(uint64(5)))
@@ -268,7 +322,7 @@
 			Eventually(ctx, func() uint64 { return s.read(ctx, address) }).Should(Equal(version))
 			Eventually(ctx, s.offices[address].Votes).Should(BeTrue())
 		}
-		Expect(s.put(ctx, s.seeds[0], 9).Verdict).To(Equal(edition.Stored))
+		Expect(s.put(ctx, s.seeds[0], 9).Verdict).To(beAccepted())
 	}, SpecTimeout(specTimeout))
 
 	It("tells an entry instance of engines that any instance has heard of, and of their leaving", func(ctx SpecContext) {
@@ -304,28 +358,13 @@
 		s.engines.mu.Lock()
 		s.engines.lose = true
 		s.engines.mu.Unlock()
-		want := func(model, adapter string) func() string {
-			return func() string {
-				reply, ok := s.sync(ctx, courier.Demand{Service: "pool", Model: "a", Requests: 1})
-				if !ok {
-					return ""
-				}
-				bounded, cancel := context.WithTimeout(ctx, 2*time.Second)
-				defer cancel()
-				got, err := s.calls.Want(bounded, reply.Leader, courier.WantArgs{Service: "pool", Model: model, Adapter: adapter, Timeout: time.Second})
-				if err != nil {
-					return err.Error()
-				}
-				return got.Engine
-			}
-		}
-		Eventually(ctx, want("a", "a1")).Should(Equal("e1"))
-		Eventually(ctx, want("c", "")).Should(Equal("e1"))
+		Eventually(ctx, s.want(ctx, "a", "a1")).Should(Equal("e1"))
+		Eventually(ctx, s.want(ctx, "c", "")).Should(Equal("e1"))
 		Expect(s.engines.holds("e1", "a")).To(BeTrue())
 		s.engines.mu.Lock()
 		defer s.engines.mu.Unlock()
-		for _, holder := range s.engines.holders {
-			Expect(holder).To(Equal(s.engines.holders[0]))
+		for _, order := range s.engines.orders {
+			Expect(order.holder).To(Equal(s.engines.orders[0].holder))
 		}
 		total := 0
 		for _, adapters := range s.engines.engines["e1"].models {
@@ -334,4 +373,26 @@
 		Expect(total).To(BeNumerically("<=", 2))
 		Expect(len(s.engines.engines["e1"].models)).To(BeNumerically("<=", 2), "of 70 GB each in 200 GB")
 	}, SpecTimeout(specTimeout))
+
+	// The leader is lost right after it has ordered an engine. Its successor must not
+	// order the same engine for a while: an engine that two instances order in turns
+	// may carry out the older order last. All others it orders at once, or every model
+	// that demand moves to would wait for as long.
+	It("waits after a lost leader only with the engines that it has ordered", func(ctx SpecContext) {
+		s := newSiteWithGap(30 * time.Second)
+		s.engines.add("e1", "a")
+		s.engines.add("e2", "b")
+		s.put(ctx, s.seeds[0], 1)
+		s.announce(ctx, "e1")
+		s.announce(ctx, "e2")
+		Eventually(ctx, s.want(ctx, "a", "a1")).Should(Equal("e1"))
+		first, ok := s.sync(ctx)
+		Expect(ok).To(BeTrue())
+		s.lost[first.Leader] = true
+		s.stop(s.offices[first.Leader])
+		Eventually(ctx, s.want(ctx, "b", "b1")).Should(Equal("e2"))
+		Expect(s.want(ctx, "a", "a2")()).To(BeEmpty())
+		Expect(s.engines.holdersOf("e1")).To(HaveLen(1))
+		Expect(s.engines.holdersOf("e2")).NotTo(HaveKey(first.Leader))
+	}, SpecTimeout(specTimeout))
 })
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -31,7 +31,7 @@
 		if e.going == "" || e.unloading || e.ordering || now.Sub(e.goingSince) < unloadNotice {
 			continue
 		}
-		if _, ok := o.right(); !ok || e.stale || e.report.Busy || o.wantedAgain(e) {
+		if _, ok := o.right(); !ok || !o.free(now, e) || e.stale || e.report.Busy || o.wantedAgain(e) {
 			e.going = ""
 			o.touch()
 			continue
@@ -83,7 +83,7 @@
 	o.fetches = min(o.fetches+elapsed.Seconds()*spec.LoadsPerSecond, fetchBurst)
 	options := stockingOptions
 	options.Fetches = int(o.fetches)
-	for _, move := range stocking.Plan(o.stockModels(now, service, spec), o.stockEngines(service), options) {
+	for _, move := range stocking.Plan(o.stockModels(now, service, spec), o.stockEngines(now, service), options) {
 		e := o.engines[move.Engine]
 		o.office.options.Log.Info().Str("engine", e.Name).Str("model", move.Model).Bool("unload", move.Unload).
 			Bool("fetch", move.Fetch).Str("reason", string(move.Reason)).Float64("load", move.Load).Msg("placement move")
@@ -119,7 +119,7 @@
 	return models
 }
 
-func (o *orders) stockEngines(service string) []stocking.Engine {
+func (o *orders) stockEngines(now time.Time, service string) []stocking.Engine {
 	var engines []stocking.Engine
 	for _, e := range o.engines {
 		if e.service != service {
@@ -127,7 +127,7 @@
 		}
 		engine := stocking.Engine{
 			Name: e.Name, Megabytes: e.spec.Megabytes, Used: e.megabytes(), Coming: e.coming,
-			Closed:  !e.known || e.ordering || e.stale || e.report.Busy || e.going != "",
+			Closed:  !e.known || e.ordering || e.stale || e.report.Busy || e.going != "" || !o.free(now, e),
 			Leaving: e.leaving, InMemory: e.report.InMemory, OnDisk: e.report.OnDisk,
 		}
 		for _, held := range e.told() {
--- a/internal/backoffice/options.go
+++ b/internal/backoffice/options.go
@@ -37,6 +37,8 @@
 	Dial courier.Dial
 	// UpstreamLease is how long an upstream gets work after it was heard of.
 	UpstreamLease time.Duration
+	// OrderGap is the least time between orders of two instances to one engine.
+	OrderGap time.Duration
 	// Table reads the routes that an operator sent.
 	Table func(content []byte) (*routes.Table, error)
 	// Engines reaches engines to ask and to order.
@@ -158,9 +160,6 @@
 	electionTimeout = 700 * time.Millisecond
 	// clockDrift bounds how far the rates of two clocks differ.
 	clockDrift = 0.05
-	// orderFlight is the longest time that an order is on its way. A successor
-	// waits for it, so that two instances never give orders within 3 s.
-	orderFlight = 2200 * time.Millisecond
 	// silentVoter is how long a voter is silent before another takes its place.
 	silentVoter = 1500 * time.Millisecond
 )
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -19,13 +22,22 @@
 	// reportTimeout bounds one question to an engine.
 	reportTimeout = time.Second
 	// orderTimeout bounds an order. An engine answers within some ms; one whose
-	// answer was lost gets no other order meanwhile. It is within orderFlight.
+	// answer was lost gets no other order meanwhile.
 	orderTimeout = 300 * time.Millisecond
 	// adapterTime is how long an adapter takes to load. The users give 5 to 14 ms.
 	adapterTime = 20 * time.Millisecond
 	// keepAdapter is how long an adapter that was asked for stays at the least: the
 	// requests for it are on their way, and entry instances tell of them every 250 ms.
 	keepAdapter = 600 * time.Millisecond
+	// leaseTime is how long an order may be sent after its lease was asked for. The
+	// voters answer within some ms.
+	leaseTime = 300 * time.Millisecond
+	// orderLate is how late an order may arrive whose sender has given up waiting:
+	// what was lost on the way is sent again for a while.
+	orderLate = 400 * time.Millisecond
+	// forgetLeases is for how long a leader has to know the engines until it takes
+	// those that it has not heard of for gone.
+	forgetLeases = 10 * time.Second
 	// usesKept is how long an entry instance that is not heard of is taken to have
 	// the requests under way that it told of last.
 	usesKept = 5 * time.Second
@@ -48,6 +60,8 @@
 	term     uint64
 	revision uint64
 	changed  chan struct{}
+	// metSince is when the term began here.
+	metSince time.Time
 	// demand is what is asked for of each model. It is kept when the leadership
 	// is lost: a leader that comes again begins with it.
 	demand map[demandKey]*demandOf
@@ -71,12 +85,52 @@
 	}
 }
 
-// right returns the fencing number under which this instance may give orders.
+// right returns the fencing number under which this instance gives orders, to those
+// engines whose lease it takes.
 func (o *orders) right() (fence uint64, ok bool) {
-	term, _, ok := o.office.voter.OrderRight(o.office.options.Now())
+	term, ok := o.office.voter.Leads(o.office.options.Now())
 	return uint64(term), ok
 }
 
+// free reports whether no other instance may have ordered an engine within the time
+// that two must leave between them.
+func (o *orders) free(now time.Time, e *engine) bool {
+	return o.office.voter.LeaseFree(now, e.Name, o.wait())
+}
+
+// wait is how long an instance that has seen another take the lease of an engine
+// gives it no orders: the other may have sent one as late as leaseTime after, which
+// arrived as late as orderLate after that.
+func (o *orders) wait() time.Duration {
+	return leaseTime + orderTimeout + orderLate + o.office.options.OrderGap
+}
+
+// take takes the lease of an engine for one order, which must be sent within
+// leaseTime of now.
+func (o *orders) take(ctx context.Context, e *engine) error {
+	ctx, cancel := context.WithTimeout(ctx, leaseTime)
+	defer cancel()
+	taken := o.office.options.Now()
+	if err := o.office.voter.TakeLease(ctx, e.Name, o.wait(), o.gone()); err != nil {
+		return err
+	}
+	if late := o.office.options.Now().Sub(taken); late >= leaseTime {
+		return errors.Newf("backoffice: the lease of %s was taken too late, after %v", e.Name, late)
+	}
+	return nil
+}
+
+// gone returns the engines whose leases are not needed any more: no instance has
+// heard of them while this one leads, for longer than anybody waits.
+func (o *orders) gone() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.office.options.Now().Sub(o.metSince) < forgetLeases {
+		return nil
+	}
+	return slices.DeleteFunc(o.office.voter.Leases().Upstreams(), func(name string) bool { return o.engines[name] != nil })
+}
+
 // round forgets what an earlier leadership knew, takes in the engines that are
 // there and asks those whose report is old.
 func (o *orders) round(ctx context.Context) {
@@ -94,6 +148,7 @@
 		o.engines = map[string]*engine{}
 		// What the leader before has begun is not known.
 		o.fetches, o.fetchesAt = 0, now
+		o.metSince = now
 	}
 	for entry, uses := range o.uses {
 		if now.Sub(uses.at) >= usesKept {
@@ -253,17 +308,21 @@
 // give gives an order that e was marked for, and reports whether the engine
 // carries it out.
 func (o *orders) give(ctx context.Context, e *engine, order Order) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
 	fence, ok := o.right()
 	answer := Refused
 	var err error
+	if ok {
+		err = o.take(ctx, e)
+		ok = err == nil
+	}
 	if ok {
 		o.mu.Lock()
 		order.Expected = e.report.Sequence
 		o.mu.Unlock()
 		order.Holder, order.Fence = o.office.options.Address, fence
-		answer, err = o.office.options.Engines.Order(ctx, e.EngineAddress, order)
+		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+		answer, err = o.office.options.Engines.Order(bounded, e.EngineAddress, order)
+		cancel()
 	}
 	o.logOrder(e, order, answer, ok, err)
 	o.office.options.Metrics.SubScope("backoffice").Tagged(map[string]string{"answer": answer.String()}).Counter("orders").Inc(1)
@@ -277,7 +336,7 @@
 		}
 	}
 	switch {
-	case err != nil:
+	case err != nil && ok:
 		// It may be carried out later. The number of orders that the engine has
 		// accepted, which each order carries, keeps it and a later order from both
 		// taking the same memory.
--- a/internal/backoffice/want.go
+++ b/internal/backoffice/want.go
@@ -49,6 +49,10 @@
 		o.mu.Unlock()
 		return courier.WantReply{Engine: e.Name}, nil
 	}
+	if !o.free(now, e) {
+		o.mu.Unlock()
+		return courier.WantReply{Reason: "another instance has ordered the engine a moment ago"}, nil
+	}
 	if e.ordering || e.stale {
 		changed := o.changed
 		o.mu.Unlock()
@@ -76,8 +80,8 @@
 }
 
 // adapterEngine returns the engine for an adapter: one that holds it, else the
-// one with the highest hash among those that hold the model and have a place, so
-// that several askers agree.
+// one with the highest hash among those that hold the model, may be ordered and
+// have a place, so that several askers agree.
 func (o *orders) adapterEngine(now time.Time, args courier.WantArgs) *engine {
 	var chosen *engine
 	var highest uint64
@@ -98,6 +102,9 @@
 		if o.hasPlace(now, e, args.Model) {
 			score |= 1 << 32
 		}
+		if o.free(now, e) {
+			score |= 1 << 33
+		}
 		if chosen == nil || score > highest {
 			chosen, highest = e, score
 		}
--- /dev/null
+++ b/internal/chamber/leases.go
@@ -0,0 +1,79 @@
+package chamber
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/lease"
+	"github.com/lovagelift/lovagelift/internal/registry"
+)
+
+// sawLease notes that a lease was taken.
+func (v *Voter) sawLease(take lease.Take) {
+	v.leasing.Lock()
+	defer v.leasing.Unlock()
+	v.sightings.Saw(v.options.Now(), take)
+}
+
+// sawLeases notes that leases came as a whole, with a snapshot.
+func (v *Voter) sawLeases() {
+	v.leasing.Lock()
+	defer v.leasing.Unlock()
+	v.sightings.SawAll(v.options.Now(), v.registry.Leases())
+}
+
+// LeaseFree reports whether this replica has seen no other instance take the lease
+// of upstream within the last wait.
+func (v *Voter) LeaseFree(now time.Time, upstream string, wait time.Duration) bool {
+	v.leasing.Lock()
+	defer v.leasing.Unlock()
+	return v.sightings.Free(now, upstream, wait)
+}
+
+// ErrLeaseTaken is why TakeLease fails while another instance may give orders.
+var ErrLeaseTaken = errors.New("chamber: another instance took the lease of the upstream")
+
+// TakeLease takes the lease of an upstream for this instance. If it returns nil, no
+// other instance took it within the last wait: all that was taken before has been
+// seen here when the command has been carried out here. The caller may give an
+// order for a time after it called TakeLease, which has to be part of the wait of
+// others.
+//
+// Upstreams that are gone are forgotten on the way.
+func (v *Voter) TakeLease(ctx context.Context, upstream string, wait time.Duration, gone []string) error {
+	if !v.LeaseFree(v.options.Now(), upstream, wait) {
+		return ErrLeaseTaken
+	}
+	command, err := registry.Encode(lease.Take{Holder: v.options.Self, Upstreams: []string{upstream}, Forget: gone})
+	if err != nil {
+		return err
+	}
+	// Not by way of another leader: only what this replica has carried out itself
+	// shows it who took the lease before.
+	if _, err := v.clerk.ProposeHere(ctx, command); err != nil {
+		return err
+	}
+	if !v.LeaseFree(v.options.Now(), upstream, wait) {
+		return ErrLeaseTaken
+	}
+	return nil
+}
+
+// Leases returns who took the lease of each upstream last.
+func (v *Voter) Leases() lease.Leases {
+	return v.registry.Leases()
+}
+
+// Leads reports whether this voter leads and has carried out all that earlier
+// leaders committed. term is its fencing number.
+func (v *Voter) Leads(now time.Time) (term jury.Term, ok bool) {
+	status := v.clerk.Status()
+	if status.Role != jury.Leader {
+		return 0, false
+	}
+	asOf, fresh := v.clerk.Freshness()
+	return status.Term, fresh && now.Sub(asOf) < v.options.Lease
+}
--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -18,6 +18,7 @@
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/lease"
 	"github.com/lovagelift/lovagelift/internal/manifest"
 	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/registry"
@@ -54,6 +55,9 @@
 	clerk    *clerk.Clerk
 	ticker   *time.Ticker
 
+	leasing   sync.Mutex
+	sightings *lease.Sightings
+
 	stop context.CancelFunc
 	done sync.WaitGroup
 }
@@ -75,12 +79,13 @@
 		options.Metrics = tally.NoopScope
 	}
 	v := &Voter{
-		options:  options,
-		identity: jury.Identity(fmt.Sprintf("%s/%016x", options.Self, loaded.Number)),
-		gazette:  gazette.New(),
-		registry: registry.New(),
-		archive:  store,
-		ticker:   time.NewTicker(options.Heartbeat / heartbeatTicks),
+		options:   options,
+		identity:  jury.Identity(fmt.Sprintf("%s/%016x", options.Self, loaded.Number)),
+		gazette:   gazette.New(),
+		registry:  registry.New(),
+		sightings: lease.NewSightings(options.Self),
+		archive:   store,
+		ticker:    time.NewTicker(options.Heartbeat / heartbeatTicks),
 	}
 	v.clerk, err = clerk.New(clerk.Options{
 		Member: jury.Options{
@@ -137,6 +142,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if result.Lease != nil {
+		m.voter.sawLease(*result.Lease)
+	}
 	m.voter.publish()
 	return result.Encode(), nil
 }
@@ -151,6 +159,7 @@
 	if err := m.voter.registry.Restore(data); err != nil {
 		return err
 	}
+	m.voter.sawLeases()
 	m.voter.publish()
 	return nil
 }
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,61 @@
+package lease_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/lease"
+)
+
+var start = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+
+var _ = Describe("Leases", func() {
+	It("name who took each last, also after a snapshot", func() {
+		leases := lease.Leases{}.
+			With(lease.Take{Holder: "a", Upstreams: []string{"e1", "e2", "e3"}}).
+			With(lease.Take{Holder: "b", Upstreams: []string{"e2"}, Forget: []string{"e3"}})
+		again, err := lease.Restore(leases.Snapshot())
+		Expect(err).NotTo(HaveOccurred())
+		for _, l := range []lease.Leases{leases, again} {
+			Expect(l.Upstreams()).To(Equal([]string{"e1", "e2"}))
+			Expect(l.Holder("e1")).To(Equal("a"))
+			Expect(l.Holder("e2")).To(Equal("b"))
+			Expect(l.Holder("e3")).To(BeEmpty())
+		}
+	})
+
+	It("refuse a snapshot that is cut short", func() {
+		snapshot := lease.Leases{}.With(lease.Take{Holder: "a", Upstreams: []string{"e1"}}).Snapshot()
+		_, err := lease.Restore(snapshot[:len(snapshot)-1])
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+var _ = Describe("Sightings", func() {
+	const wait = 4 * time.Second
+
+	It("make an instance wait for what another took, and for that alone", func() {
+		s := lease.NewSightings("b")
+		s.Saw(start, lease.Take{Holder: "a", Upstreams: []string{"e1"}})
+		s.Saw(start, lease.Take{Holder: "b", Upstreams: []string{"e2"}})
+		later := start.Add(time.Second)
+		Expect(s.Free(later, "e1", wait)).To(BeFalse())
+		Expect(s.Free(later, "e2", wait)).To(BeTrue())
+		Expect(s.Free(later, "e3", wait)).To(BeTrue())
+		Expect(s.Free(start.Add(wait), "e1", wait)).To(BeTrue())
+	})
+
+	// An instance takes a lease that another has just taken, restarts and reads from
+	// its snapshot that it holds the lease. The other may have sent its order a moment
+	// ago: two holders would order one upstream in turns.
+	It("make an instance that restarts wait for everything", func() {
+		leases := lease.Leases{}.
+			With(lease.Take{Holder: "a", Upstreams: []string{"e1"}}).
+			With(lease.Take{Holder: "b", Upstreams: []string{"e1"}})
+		s := lease.NewSightings("b")
+		s.SawAll(start, leases)
+		Expect(s.Free(start.Add(time.Second), "e1", wait)).To(BeFalse())
+	})
+})
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -9,13 +9,14 @@
 
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/edition"
+	"github.com/lovagelift/lovagelift/internal/lease"
 	"github.com/lovagelift/lovagelift/internal/manifest"
 )
 
 // commandFormat is the newest format of commands that this program knows. It
 // grows with every new kind of command and every new field. An instance
 // proposes a newer command only when all voters run a program that knows it.
-const commandFormat = 3
+const commandFormat = 4
 
 // baseFormat is the format of commands that every program knows. A command is
 // encoded in the oldest format that has its kind, so that voters that are not
@@ -26,9 +27,10 @@
 const (
 	manifestFormat = 2
 	editionFormat  = 3
+	leaseFormat    = 4
 )
 
-// Command is what the replicated log carries: a Change, an edition.Put, or one of
+// Command is what the replicated log carries: a Change, an edition.Put, a lease.Take, or one of
 // the commands of packages docket and manifest.
 type Command any
 
@@ -44,6 +46,8 @@
 	Manifest json.RawMessage `json:"manifest,omitempty"`
 	// Edition came with format 3. Its content is packed.
 	Edition *edition.Put `json:"edition,omitempty"`
+	// Lease came with format 4.
+	Lease *lease.Take `json:"lease,omitempty"`
 }
 
 // Encode returns a command's bytes for the log.
@@ -81,6 +85,8 @@
 		}
 		c.Content = packed
 		e.Format, e.Edition = editionFormat, &c
+	case lease.Take:
+		e.Format, e.Lease = leaseFormat, &c
 	default:
 		return nil, errors.AssertionFailedf("registry: command %T", command)
 	}
@@ -163,6 +169,9 @@
 	if e.Edition != nil {
 		commands = append(commands, *e.Edition)
 	}
+	if e.Lease != nil {
+		commands = append(commands, *e.Lease)
+	}
 	if len(commands) != 1 {
 		return nil, errors.Newf("registry: decode command: %d commands in one", len(commands))
 	}
@@ -175,6 +184,8 @@
 	Docket   *docket.Answer   `json:"docket,omitempty"`
 	Manifest *manifest.Result `json:"manifest,omitempty"`
 	Edition  *edition.Result  `json:"edition,omitempty"`
+	// Lease is the command itself, which is always carried out.
+	Lease *lease.Take `json:"lease,omitempty"`
 }
 
 // Encode returns the result's bytes, to be sent to the instance that proposed
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,6 +1,6 @@
 // Package registry is the replicated state machine: the configuration in force,
 // the edition that operators number themselves, the docket of non-idempotent
-// requests, and the manifest of engines and orders.
+// requests, the manifest of engines and orders, and the leases of upstreams.
 //
 // It is deterministic. Replicas that apply the same commands in the same order
 // hold the same state, and their snapshots have equal bytes.
@@ -17,6 +17,7 @@
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/lease"
 	"github.com/lovagelift/lovagelift/internal/manifest"
 	"github.com/lovagelift/lovagelift/internal/parcel"
 )
@@ -36,6 +37,7 @@
 	// edition is the document that operators number, for readers that take no
 	// lock.
 	edition atomic.Pointer[edition.Edition]
+	leases  lease.Leases
 }
 
 // New returns the empty state.
@@ -71,6 +73,13 @@
 	return r.docket.Counters(), r.docket.Len(), r.docket.ResponseBytes()
 }
 
+// Leases returns who took the lease of each upstream last.
+func (r *Registry) Leases() lease.Leases {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	return r.leases
+}
+
 // Manifest returns what is recorded of engines and orders.
 func (r *Registry) Manifest() manifest.View {
 	r.mutex.RLock()
@@ -116,6 +125,9 @@
 		next, result := r.edition.Load().With(c)
 		r.edition.Store(&next)
 		return Result{Edition: &result}, nil
+	case lease.Take:
+		r.leases = r.leases.With(c)
+		return Result{Lease: &c}, nil
 	default:
 		return Result{}, errors.AssertionFailedf("registry: command %T", decoded)
 	}
@@ -129,6 +141,7 @@
 	docketSection        = "docket"
 	manifestSection      = "manifest"
 	editionSection       = "edition"
+	leaseSection         = "leases"
 )
 
 // Snapshot returns the whole state. Equal states give equal bytes. A snapshot is
@@ -144,10 +157,11 @@
 	buffer = parcel.AppendUint(buffer, snapshotFormat)
 	buffer = parcel.AppendUint(buffer, uint64(r.applied))
 	// A program from before there were orders can read a snapshot without any,
-	// and likewise one from before there were editions.
+	// and likewise one from before there were editions or leases.
 	withManifest := !r.manifest.Empty()
 	held := r.edition.Load()
 	withEdition := held.Content != nil
+	withLeases := len(r.leases.Upstreams()) > 0
 	sections := uint64(2)
 	if withManifest {
 		sections++
@@ -155,6 +169,9 @@
 	if withEdition {
 		sections++
 	}
+	if withLeases {
+		sections++
+	}
 	buffer = parcel.AppendUint(buffer, sections)
 	buffer = parcel.AppendBytes(buffer, configurationSection)
 	buffer = parcel.AppendBytes(buffer, configuration)
@@ -164,6 +181,10 @@
 		buffer = parcel.AppendBytes(buffer, editionSection)
 		buffer = parcel.AppendBytes(buffer, held.Snapshot())
 	}
+	if withLeases {
+		buffer = parcel.AppendBytes(buffer, leaseSection)
+		buffer = parcel.AppendBytes(buffer, r.leases.Snapshot())
+	}
 	if !withManifest {
 		return buffer, nil
 	}
@@ -190,6 +211,7 @@
 	var records *docket.Docket
 	orders := manifest.New()
 	var held edition.Edition
+	var leases lease.Leases
 	for range reader.Count() {
 		name, section := reader.String(), reader.Bytes()
 		var err error
@@ -204,6 +226,8 @@
 			orders, err = manifest.Restore(section)
 		case editionSection:
 			held, err = edition.Restore(section)
+		case leaseSection:
+			leases, err = lease.Restore(section)
 		case "":
 			err = parcel.ErrShort
 		default:
@@ -226,6 +250,7 @@
 	r.docket = records
 	r.manifest = orders
 	r.edition.Store(&held)
+	r.leases = leases
 	r.view.Store(configuration.view())
 	return nil
 }
