--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -60,6 +60,14 @@
 	e.report, e.known, e.stale = report, true, false
 }
 
+// reportEvery returns how often the engine is asked for its report.
+func (e *engine) reportEvery() time.Duration {
+	if e.report.Busy || e.coming != "" || e.unloading || e.stale {
+		return busyReportEvery
+	}
+	return reportEvery
+}
+
 // withAdapter returns models with an adapter added to its model, if that is held.
 func withAdapter(models []courier.HeldModel, adapter Adapter) []courier.HeldModel {
 	models = slices.Clone(models)
--- a/internal/backoffice/engine_test.go
+++ b/internal/backoffice/engine_test.go
@@ -47,4 +47,19 @@
 		e.Take(now, report(4, false, "a", "b"))
 		Expect(e.Told()).To(ConsistOf("b"))
 	})
+
+	// Demand has moved on. The model that rises waits for the engine to unload the one
+	// that fell silent, and callers wait for the load: each end that is seen half a
+	// second late is half a second of refusals.
+	It("is asked for more often while the engine loads", func() {
+		now := time.Now()
+		e := backoffice.NewEngine()
+		e.Take(now, report(1, false, "a"))
+		soon := now.Add(200 * time.Millisecond)
+		Expect(e.ReportDue(soon)).To(BeFalse())
+		e.Load("b", 1)
+		Expect(e.ReportDue(soon)).To(BeTrue())
+		e.Take(soon, report(2, false, "a", "b"))
+		Expect(e.ReportDue(soon.Add(200 * time.Millisecond))).To(BeFalse())
+	})
 })
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -36,3 +36,13 @@
 	}
 	return names
 }
+
+// Load corrects what is known by an order to load that was accepted.
+func (e Engine) Load(model string, expected uint64) {
+	e.engine.apply(Order{Kind: Load, Model: model, Expected: expected})
+}
+
+// ReportDue reports whether the engine is asked again at now.
+func (e Engine) ReportDue(now time.Time) bool {
+	return now.Sub(e.engine.reported) >= e.engine.reportEvery()
+}
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -15,10 +15,13 @@
 
 const (
 	// orderRound is the time between two rounds of reports and orders.
-	orderRound = 250 * time.Millisecond
+	orderRound = 125 * time.Millisecond
 	// reportEvery is how often an engine is asked for its report. Engines report
 	// with a lag of some 100 ms, so that more often would tell little more.
 	reportEvery = 500 * time.Millisecond
+	// busyReportEvery is how often an engine is asked that loads or unloads: what comes
+	// next waits for the end of it.
+	busyReportEvery = 125 * time.Millisecond
 	// reportTimeout bounds one question to an engine.
 	reportTimeout = time.Second
 	// orderTimeout bounds an order. An engine answers within some ms; one whose
@@ -228,7 +231,7 @@
 			o.touch()
 			continue
 		}
-		if !e.asking && now.Sub(e.reported) >= reportEvery {
+		if !e.asking && now.Sub(e.reported) >= e.reportEvery() {
 			e.asking = true
 			due = append(due, e)
 		}
