counter, backoffice: an upstream whose address another has now gets nothing

Of several upstreams at an address the one heard of last counts now, and one whose orders another process answers is told on as gone. A report that was delayed and comes after the new one's first beat misleads until the new one's next beat; an order refused then ends it for good.

--- a/internal/backoffice/backoffice_test.go
+++ b/internal/backoffice/backoffice_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +47,8 @@
 type fakeEngine struct {
 	sequence uint64
 	models   map[string][]string
+	// gone says that another process has its address.
+	gone bool
 }
 
 func newFakeEngines() *fakeEngines {
@@ -82,6 +85,9 @@
 	defer f.mu.Unlock()
 	f.orders = append(f.orders, givenOrder{engine.Name, order.Holder})
 	e := f.engines[engine.Name]
+	if e.gone {
+		return backoffice.Gone, nil
+	}
 	if order.Expected != e.sequence {
 		return backoffice.Refused, nil
 	}
@@ -395,4 +401,39 @@
 		Expect(s.engines.holdersOf("e1")).To(HaveLen(1))
 		Expect(s.engines.holdersOf("e2")).NotTo(HaveKey(first.Leader))
 	}, SpecTimeout(specTimeout))
+
+	// An engine has crashed and was started anew at its address, under another name.
+	// The new one answers for it, empty: orders to the one that is gone are refused,
+	// and the copies that they should bring never come. Callers wait for them.
+	It("takes an engine for gone whose address answers under another name", func(ctx SpecContext) {
+		s := newSite()
+		s.engines.add("e1", "a")
+		s.engines.engines["e1"].gone = true
+		s.put(ctx, s.seeds[0], 1)
+		s.announce(ctx, "e1")
+		Eventually(ctx, func() bool {
+			s.want(ctx, "a", "a1")()
+			reply, ok := s.sync(ctx)
+			if !ok {
+				return false
+			}
+			return slices.ContainsFunc(reply.Changes.Upstreams, func(record roster.UpstreamRecord) bool {
+				return record.Name == "e1" && record.Left
+			})
+		}).Should(BeTrue())
+	}, SpecTimeout(specTimeout))
+
+	It("orders the engine that was heard of last at an address alone", func(ctx SpecContext) {
+		s := newSite()
+		s.engines.add("old", "a")
+		s.engines.add("new", "a")
+		s.put(ctx, s.seeds[0], 1)
+		Expect(s.offices[s.seeds[1]].Announce(time.Now(), upstreamapi.Announcement{
+			Name: "old", Incarnation: 1, Sequence: 1, Address: "127.0.0.1:9", Services: []string{"pool"},
+		})).To(Succeed())
+		s.announce(ctx, "new")
+		Eventually(ctx, s.want(ctx, "a", "a1")).Should(Equal("new"))
+		Eventually(ctx, s.want(ctx, "c", "")).Should(Equal("new"))
+		Expect(s.engines.holdersOf("old")).To(BeEmpty())
+	}, SpecTimeout(specTimeout))
 })
--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -11,9 +11,11 @@
 // engine is what the instance that gives orders knows of one engine.
 type engine struct {
 	EngineAddress
-	service string
-	spec    *routes.Engine
-	leaving bool
+	// incarnation is that of its announcements.
+	incarnation uint64
+	service     string
+	spec        *routes.Engine
+	leaving     bool
 	// report is the newest one, corrected by the orders that were accepted since.
 	// It is only good for orders if known is true.
 	report   Report
--- a/internal/backoffice/options.go
+++ b/internal/backoffice/options.go
@@ -126,6 +126,8 @@
 	AlreadyDone
 	// Refused means that the engine does not carry the order out and never will.
 	Refused
+	// Gone is Refused by another process, which has the engine's address now.
+	Gone
 )
 
 // String returns the word for the log. An order without an answer is unknown.
@@ -137,6 +139,8 @@
 		return "already-done"
 	case Refused:
 		return "refused"
+	case Gone:
+		return "gone"
 	default:
 		return "unknown"
 	}
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -10,7 +10,9 @@
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 const (
@@ -203,8 +205,12 @@
 	o.office.mu.Lock()
 	upstreams, _ := o.office.roster.UpstreamsSince(0)
 	o.office.mu.Unlock()
+	last := lastHeard(upstreams)
 	present := map[string]bool{}
 	for _, upstream := range upstreams {
+		if last[upstream.Announcement.Address] != upstream.Announcement.Name {
+			continue
+		}
 		if now.Sub(upstream.Heard) >= o.office.options.UpstreamLease || len(upstream.Announcement.Services) == 0 {
 			continue
 		}
@@ -218,6 +224,7 @@
 		if e == nil {
 			e = &engine{
 				EngineAddress: EngineAddress{Name: name, Address: upstream.Announcement.Address},
+				incarnation:   upstream.Announcement.Incarnation,
 				service:       service.Name, spec: service.Engine, wanted: map[string]time.Time{},
 			}
 			o.engines[name] = e
@@ -239,6 +246,22 @@
 	return due
 }
 
+// lastHeard returns the name of the upstream that was heard of last at each address.
+// An engine that crashes is started anew under another name. Until its lease ends, the
+// one that is gone looks like an empty engine, as the new one answers for it: copies
+// would be ordered there that never come.
+func lastHeard(upstreams []roster.Upstream) map[string]string {
+	names := map[string]string{}
+	heard := map[string]time.Time{}
+	for _, upstream := range upstreams {
+		address := upstream.Announcement.Address
+		if at, known := heard[address]; !known || !upstream.Leaving && upstream.Heard.After(at) {
+			names[address], heard[address] = upstream.Announcement.Name, upstream.Heard
+		}
+	}
+	return names
+}
+
 // touch says that what is told to others has changed.
 func (o *orders) touch() {
 	o.revision++
@@ -328,6 +351,10 @@
 		cancel()
 	}
 	o.logOrder(e, order, answer, ok, err)
+	if answer == Gone {
+		// Whatever is announced late of it, nobody runs its requests any more.
+		o.office.Leave(o.office.options.Now(), upstreamapi.Leave{Name: e.Name, Incarnation: e.incarnation})
+	}
 	o.office.options.Metrics.SubScope("backoffice").Tagged(map[string]string{"answer": answer.String()}).Counter("orders").Inc(1)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -345,7 +372,7 @@
 		// taking the same memory.
 		e.stale = true
 		e.reported = time.Time{}
-	case !ok || answer == Refused:
+	case !ok || answer == Refused || answer == Gone:
 		e.stale = true
 		e.reported = time.Time{}
 	default:
@@ -355,7 +382,7 @@
 		}
 	}
 	o.touch()
-	return err == nil && ok && answer != Refused
+	return err == nil && ok && answer != Refused && answer != Gone
 }
 
 func (o *orders) logOrder(e *engine, order Order, answer OrderAnswer, right bool, err error) {
--- a/internal/counter/fleet.go
+++ b/internal/counter/fleet.go
@@ -17,6 +17,10 @@
 	upstreams map[string]*upstream
 	// services are the names of upstreams by service.
 	services map[string][]*upstream
+	// addresses are the upstreams that were heard of last at each address. An upstream
+	// that crashes is started anew under another name: until its lease ends, requests
+	// for the one that is gone would reach the new one, which refuses them.
+	addresses map[string]*upstream
 	// newest is when the last upstream was heard of.
 	newest time.Time
 	// graceUntil is until when no upstream is taken for lost: after control
@@ -59,7 +63,7 @@
 func newFleet(domain string, lease time.Duration) *fleet {
 	return &fleet{
 		lease: lease, domain: domain,
-		upstreams: map[string]*upstream{}, services: map[string][]*upstream{},
+		upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, addresses: map[string]*upstream{},
 	}
 }
 
@@ -99,6 +103,9 @@
 		f.upstreams[name] = u
 		f.services[u.service] = append(f.services[u.service], u)
 	}
+	if last := f.addresses[u.address]; last == nil || !known.Leaving && known.Heard.After(last.Heard) {
+		f.addresses[u.address] = u
+	}
 	restated := !slices.EqualFunc(u.Announcement.Resident, known.Announcement.Resident, sameResident)
 	u.Upstream = known
 	u.slots = known.Announcement.Load.MaxRunning
@@ -117,6 +124,9 @@
 func (f *fleet) remove(name string) {
 	u := f.upstreams[name]
 	delete(f.upstreams, name)
+	if f.addresses[u.address] == u {
+		delete(f.addresses, u.address)
+	}
 	f.services[u.service] = slices.DeleteFunc(f.services[u.service], func(other *upstream) bool { return other == u })
 }
 
@@ -142,7 +152,7 @@
 
 // alive reports whether u may get new work.
 func (f *fleet) alive(now time.Time, u *upstream) bool {
-	return !u.Leaving && (f.newest.Sub(u.Heard) < f.lease || now.Before(f.graceUntil))
+	return !u.Leaving && f.addresses[u.address] == u && (f.newest.Sub(u.Heard) < f.lease || now.Before(f.graceUntil))
 }
 
 // holds reports whether u can run a model, with an adapter unless it is empty.
