stocking: a plan for 140 engines takes a seventh of the time

Models and engines refer to each other now.

BenchmarkPlan: 11.6 ms, 47,359 allocations -> 1.64 ms, 877. The plans are the same.

--- a/internal/stocking/place.go
+++ b/internal/stocking/place.go
@@ -7,27 +7,27 @@
 
 // candidate is an engine that could hold another copy.
 type candidate struct {
-	engine *Engine
-	// victim makes way, unless it is empty.
-	victim string
+	engine *station
+	// victim makes way, unless it is nil.
+	victim *stocked
 	// cost is the time until the copy is there, and what its place takes from
 	// others, in seconds.
 	cost  float64
 	fetch bool
 }
 
-// place orders a copy of model where it costs least. load is that of the engines
+// place orders a copy of a model where it costs least. load is that of the engines
 // which hold it already.
-func (p *planner) place(model *Model, reason Reason, load float64) {
-	var best *candidate
+func (p *planner) place(m *stocked, reason Reason, load float64) {
+	var best candidate
 	for _, e := range p.engines {
-		c, ok := p.weigh(model, e, load)
-		if ok && (best == nil || c.cost < best.cost) {
-			best = &c
+		c, ok := p.weigh(m, e, load)
+		if ok && (best.engine == nil || c.cost < best.cost) {
+			best = c
 		}
 	}
-	if best != nil {
-		p.order(*best, model, reason, load)
+	if best.engine != nil {
+		p.order(best, m, reason, load)
 	}
 }
 
@@ -39,39 +39,38 @@
 // for, in seconds: about the time to load it again.
 const lastCopyCost = 2
 
-// weigh returns what a copy of model on e would cost. It returns false if there
+// weigh returns what a copy of a model on e would cost. It returns false if there
 // can't be one.
-func (p *planner) weigh(model *Model, e *Engine, load float64) (candidate, bool) {
-	c := candidate{engine: e}
-	if e.Closed || e.Coming != "" || slices.Contains(e.Holds, model.Name) {
+func (p *planner) weigh(m *stocked, e *station, load float64) (c candidate, ok bool) {
+	if e.Closed || e.Coming != "" || slices.Contains(e.holds, m) {
 		return c, false
 	}
-	if load > 0 && p.loads[e.Name] > load*(1-p.options.Gain) {
+	if load > 0 && e.load > load*(1-p.options.Gain) {
 		return c, false
 	}
-	if e.Used+model.Megabytes > e.Megabytes {
-		c.victim = p.victim(model, e)
-		if c.victim == "" {
-			return c, false
-		}
-	}
-	took := model.Load
+	c.engine = e
+	took := m.Load
 	switch {
-	case slices.Contains(e.InMemory, model.Name):
-		took = model.WarmLoad
-	case slices.Contains(e.OnDisk, model.Name):
-		took = model.DiskLoad
+	case slices.Contains(e.InMemory, m.Name):
+		took = m.WarmLoad
+	case slices.Contains(e.OnDisk, m.Name):
+		took = m.DiskLoad
 	default:
 		c.fetch = true
 	}
 	if c.fetch && p.fetches <= 0 {
 		return c, false
 	}
-	c.cost = took.Seconds() + loadCost*p.loads[e.Name]
-	if c.victim != "" {
-		c.cost += loadCost * p.models[c.victim].Demand / float64(len(p.copies[c.victim]))
+	c.cost = took.Seconds() + loadCost*e.load
+	if e.Used+m.Megabytes <= e.Megabytes {
+		return c, true
+	}
+	c.victim = p.victim(m, e)
+	if c.victim == nil {
+		return c, false
 	}
-	if c.victim != "" && len(p.copies[c.victim]) == 1 {
+	c.cost += loadCost * c.victim.Demand / float64(len(c.victim.copies))
+	if len(c.victim.copies) == 1 {
 		c.cost += lastCopyCost
 	}
 	return c, true
@@ -81,25 +80,25 @@
 // without this copy. The last copy of a model makes way only if nobody has asked
 // for it lately and somebody asks for the other: it comes back within a second
 // or two from the engine's memory or disk when it is asked for again.
-func (p *planner) victim(model *Model, e *Engine) string {
-	chosen, lowest, lastResort := "", 0.0, ""
-	for _, name := range e.Holds {
-		held := p.models[name]
-		if held == nil || e.Used-held.Megabytes+model.Megabytes > e.Megabytes {
+func (p *planner) victim(m *stocked, e *station) *stocked {
+	var chosen, lastResort *stocked
+	lowest := 0.0
+	for _, held := range e.holds {
+		if e.Used-held.Megabytes+m.Megabytes > e.Megabytes {
 			continue
 		}
-		if len(p.copies[name]) < 2 {
-			if held.Idle && (model.Demand > 0 || model.Waiting > 0) && lastResort == "" {
-				lastResort = name
+		if len(held.copies) < 2 {
+			if held.Idle && (m.Demand > 0 || m.Waiting > 0) && lastResort == nil {
+				lastResort = held
 			}
 			continue
 		}
-		without := held.Demand / float64(len(p.copies[name])-1)
-		if without > p.options.Busy/2 && without >= model.Demand/float64(len(p.copies[model.Name])+1) {
+		without := held.Demand / float64(len(held.copies)-1)
+		if without > p.options.Busy/2 && without >= m.Demand/float64(len(m.copies)+1) {
 			continue
 		}
-		if chosen == "" || without < lowest {
-			chosen, lowest = name, without
+		if chosen == nil || without < lowest {
+			chosen, lowest = held, without
 		}
 	}
 	return cmp.Or(chosen, lastResort)
@@ -107,19 +106,19 @@
 
 // order takes a candidate into the plan. A copy that needs room waits for a later
 // plan: the room is only free when the engine says so.
-func (p *planner) order(c candidate, model *Model, reason Reason, load float64) {
+func (p *planner) order(c candidate, m *stocked, reason Reason, load float64) {
 	if len(p.moves) >= p.options.Orders {
 		return
 	}
 	c.engine.Closed = true
-	if c.victim != "" {
-		p.copies[c.victim] = slices.DeleteFunc(p.copies[c.victim], func(e *Engine) bool { return e == c.engine })
-		p.moves = append(p.moves, Move{Engine: c.engine.Name, Model: c.victim, Unload: true, Reason: reason, Load: load})
+	if c.victim != nil {
+		c.victim.copies = slices.DeleteFunc(c.victim.copies, func(e *station) bool { return e == c.engine })
+		p.moves = append(p.moves, Move{Engine: c.engine.Name, Model: c.victim.Name, Unload: true, Reason: reason, Load: load})
 		return
 	}
 	if c.fetch {
 		p.fetches--
 	}
-	p.copies[model.Name] = append(p.copies[model.Name], c.engine)
-	p.moves = append(p.moves, Move{Engine: c.engine.Name, Model: model.Name, Fetch: c.fetch, Reason: reason, Load: load})
+	m.copies = append(m.copies, c.engine)
+	p.moves = append(p.moves, Move{Engine: c.engine.Name, Model: m.Name, Fetch: c.fetch, Reason: reason, Load: load})
 }
--- a/internal/stocking/planner.go
+++ b/internal/stocking/planner.go
@@ -2,21 +2,15 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 )
 
 // planner makes one plan.
 type planner struct {
 	options Options
-	models  map[string]*Model
-	// names are those of models, the one most asked for first.
-	names   []string
-	engines []*Engine
-	// copies are the engines that hold a model or are loading it.
-	copies map[string][]*Engine
-	// loads are the loads of engines, in engines.
-	loads   map[string]float64
+	// models are those that are known, the one most asked for first.
+	models  []*stocked
+	engines []*station
 	moves   []Move
 	fetches int
 	// pressed says that a model needs a copy now, whether it gets one or not: what
@@ -24,34 +18,61 @@
 	pressed bool
 }
 
+// stocked is a model and the engines that hold it or are loading it.
+type stocked struct {
+	*Model
+	copies []*station
+}
+
+// station is an engine that takes requests.
+type station struct {
+	*Engine
+	// holds are the models of Holds that are known, and load the work that is asked
+	// of the engine, in engines.
+	holds []*stocked
+	load  float64
+}
+
 func newPlanner(models []Model, engines []Engine, options Options) *planner {
-	p := &planner{
-		options: options, models: map[string]*Model{}, copies: map[string][]*Engine{}, fetches: options.Fetches,
-	}
+	p := &planner{options: options, fetches: options.Fetches}
+	known := make(map[string]*stocked, len(models))
 	for i := range models {
-		p.models[models[i].Name] = &models[i]
+		m := &stocked{Model: &models[i]}
+		known[m.Name] = m
+		p.models = append(p.models, m)
 	}
-	p.names = slices.SortedFunc(maps.Keys(p.models), func(a, b string) int {
-		return cmp.Or(-cmp.Compare(p.models[a].Demand, p.models[b].Demand), cmp.Compare(a, b))
+	slices.SortFunc(p.models, func(a, b *stocked) int {
+		return cmp.Or(-cmp.Compare(a.Demand, b.Demand), cmp.Compare(a.Name, b.Name))
 	})
 	for i := range engines {
-		e := &engines[i]
-		if e.Leaving {
-			continue
+		if !engines[i].Leaving {
+			p.engines = append(p.engines, &station{Engine: &engines[i]})
 		}
-		p.engines = append(p.engines, e)
+	}
+	slices.SortFunc(p.engines, func(a, b *station) int { return cmp.Compare(a.Name, b.Name) })
+	for _, e := range p.engines {
 		for _, name := range e.Holds {
-			p.copies[name] = append(p.copies[name], e)
+			if m := known[name]; m != nil {
+				e.holds = append(e.holds, m)
+				m.copies = append(m.copies, e)
+			}
 		}
-		if e.Coming != "" && !slices.Contains(e.Holds, e.Coming) {
-			p.copies[e.Coming] = append(p.copies[e.Coming], e)
+		if m := known[e.Coming]; m != nil && !slices.Contains(e.Holds, e.Coming) {
+			m.copies = append(m.copies, e)
 		}
 	}
-	slices.SortFunc(p.engines, func(a, b *Engine) int { return cmp.Compare(a.Name, b.Name) })
 	p.share()
 	return p
 }
 
+// busiest returns the highest demand for a model.
+func (p *planner) busiest() float64 {
+	if len(p.models) == 0 {
+		return 0
+	}
+	return p.models[0].Demand
+}
+
 // shareRounds is how often the demand is shared out anew. Each round moves a part
 // of it to the engines that the last left with less; a few are enough for the
 // small differences that a plan looks at.
@@ -63,20 +84,23 @@
 // share works out the loads of engines, with the demand for each model going to
 // the engines that hold it and have least to do, as entry instances choose.
 func (p *planner) share() {
-	p.loads = map[string]float64{}
+	next := make(map[*station]float64, len(p.engines))
 	for range shareRounds {
-		next := map[string]float64{}
-		for _, name := range p.names {
+		clear(next)
+		for _, m := range p.models {
+			if m.Demand == 0 {
+				break
+			}
 			total := 0.0
-			for _, e := range p.copies[name] {
-				total += 1 / (p.loads[e.Name] + leastLoad)
+			for _, e := range m.copies {
+				total += 1 / (e.load + leastLoad)
 			}
-			for _, e := range p.copies[name] {
-				next[e.Name] += p.models[name].Demand / (p.loads[e.Name] + leastLoad) / total
+			for _, e := range m.copies {
+				next[e] += m.Demand / (e.load + leastLoad) / total
 			}
 		}
-		for name, load := range next {
-			p.loads[name] = (p.loads[name] + load) / 2
+		for _, e := range p.engines {
+			e.load = (e.load + next[e]) / 2
 		}
 	}
 }
@@ -84,37 +108,32 @@
 // reach brings back models that no engine holds, of those that match, the ones
 // that requests wait for first.
 func (p *planner) reach(match func(*Model) bool) {
-	missing := slices.DeleteFunc(slices.Clone(p.names), func(name string) bool {
-		return len(p.copies[name]) > 0 || !match(p.models[name])
+	missing := slices.DeleteFunc(slices.Clone(p.models), func(m *stocked) bool {
+		return len(m.copies) > 0 || !match(m.Model)
 	})
-	slices.SortStableFunc(missing, func(a, b string) int {
-		return -cmp.Compare(p.models[a].Waiting, p.models[b].Waiting)
-	})
-	for _, name := range missing {
-		asked := p.models[name].Waiting > 0 || p.models[name].Demand > 0
-		p.pressed = p.pressed || asked
-		p.place(p.models[name], Unreachable, 0)
+	slices.SortStableFunc(missing, func(a, b *stocked) int { return -cmp.Compare(a.Waiting, b.Waiting) })
+	for _, m := range missing {
+		p.pressed = p.pressed || m.Waiting > 0 || m.Demand > 0
+		p.place(m, Unreachable, 0)
 	}
 }
 
 // relieve gives another copy to the models of engines that have too much to do,
 // the busiest first.
 func (p *planner) relieve() {
-	for _, name := range p.names {
-		model := p.models[name]
-		copies := p.copies[name]
-		if len(copies) == 0 || model.Demand == 0 {
+	for _, m := range p.models {
+		if len(m.copies) == 0 || m.Demand == 0 {
 			continue
 		}
-		idlest := p.loads[copies[0].Name]
-		for _, e := range copies {
-			idlest = min(idlest, p.loads[e.Name])
+		idlest := m.copies[0].load
+		for _, e := range m.copies {
+			idlest = min(idlest, e.load)
 		}
 		// Requests go to the copy with least to do: only if that one is busy, they
 		// wait.
 		if idlest > p.options.Busy {
 			p.pressed = true
-			p.place(model, Demand, idlest)
+			p.place(m, Demand, idlest)
 		}
 	}
 }
@@ -129,12 +148,17 @@
 )
 
 // expected returns the demand that the copies of a model are prepared for.
-func (p *planner) expected(model *Model) float64 {
-	busiest := p.models[p.names[0]].Demand
-	if model.Demand >= risingShare*busiest {
-		return model.Demand + riseShare*busiest
+func (p *planner) expected(m *stocked) float64 {
+	if busiest := p.busiest(); m.Demand >= risingShare*busiest {
+		return m.Demand + riseShare*busiest
 	}
-	return model.Demand
+	return m.Demand
+}
+
+// need returns how much each copy of a model would have to do if there were others
+// beside it.
+func (p *planner) need(m *stocked, others int) float64 {
+	return (p.expected(m) + leastLoad) / float64(others+1)
 }
 
 // spareShare is how much less a copy must be needed than the one that takes its
@@ -144,45 +168,48 @@
 // spare prepares for demand that moves on and for engines that are lost, while
 // nothing is pressing: the model whose copies would have most to do gets another.
 func (p *planner) spare() {
-	byNeed := slices.Clone(p.names)
-	need := func(name string) float64 {
-		return (p.expected(p.models[name]) + leastLoad) / float64(len(p.copies[name])+1)
-	}
-	slices.SortStableFunc(byNeed, func(a, b string) int { return -cmp.Compare(need(a), need(b)) })
-	for _, name := range byNeed {
-		if p.placeSpare(p.models[name], need(name)) {
+	byNeed := slices.Clone(p.models)
+	slices.SortStableFunc(byNeed, func(a, b *stocked) int {
+		return -cmp.Compare(p.need(a, len(a.copies)), p.need(b, len(b.copies)))
+	})
+	for _, m := range byNeed {
+		if p.placeSpare(m, p.need(m, len(m.copies))) {
 			return
 		}
 	}
 }
 
-// placeSpare orders a spare copy of model, and reports whether it did. needed is
+// placeSpare orders a spare copy of a model, and reports whether it did. needed is
 // how much each of its copies would have to do.
-func (p *planner) placeSpare(model *Model, needed float64) bool {
-	var best *candidate
+func (p *planner) placeSpare(m *stocked, needed float64) bool {
+	var best candidate
 	for _, e := range p.engines {
-		c, ok := p.weigh(model, e, 0)
-		if !ok || c.fetch && p.fetches < p.options.Fetches {
+		c, ok := p.weigh(m, e, 0)
+		if !ok || c.fetch && p.fetches < p.options.Fetches || !p.spares(c.victim, needed) {
 			continue
 		}
-		if c.victim != "" {
-			others := float64(len(p.copies[c.victim]) - 1)
-			// While nobody asks for anything, the many copies that a model began with
-			// are all that is known of the demand to come.
-			if others == 0 || p.models[p.names[0]].Demand == 0 {
-				continue
-			}
-			if (p.expected(p.models[c.victim])+leastLoad)/others > spareShare*needed {
-				continue
-			}
-		}
-		if best == nil || c.cost < best.cost {
-			best = &c
+		if best.engine == nil || c.cost < best.cost {
+			best = c
 		}
 	}
-	if best == nil {
+	if best.engine == nil {
 		return false
 	}
-	p.order(*best, model, Spare, 0)
+	p.order(best, m, Spare, 0)
 	return true
 }
+
+// spares reports whether a model can do without a copy for one that is needed so
+// much. victim may be nil.
+func (p *planner) spares(victim *stocked, needed float64) bool {
+	if victim == nil {
+		return true
+	}
+	others := len(victim.copies) - 1
+	// While nobody asks for anything, the many copies that a model began with are all
+	// that is known of the demand to come.
+	if others == 0 || p.busiest() == 0 {
+		return false
+	}
+	return p.need(victim, others-1) <= spareShare*needed
+}
