backoffice: requests that wait are counted over all entry instances

Cause, from reading: each entry instance's count of requests that wait for a model replaced that of the one before, and adapters of one model replaced each other's, so that a model that callers of one instance waited for could come after one that nobody waited for. Each call for a model also made a plan of its own, whose orders ended with the call: "context canceled" on the grown sites.

The specs of the count fail before.

--- a/internal/backoffice/demand.go
+++ b/internal/backoffice/demand.go
@@ -39,8 +39,8 @@
 	last time.Time
 	// at is the slot that is being filled, counted from 1970.
 	at int64
-	// waiting is how many requests waited at the entry instance that told last.
-	waiting int
+	// waiting is how many requests wait at each entry instance, as it told last.
+	waiting map[string]waits
 }
 
 // work returns the seconds of an engine that requests take.
@@ -79,3 +79,39 @@
 	slot := demandSlot.Seconds()
 	return max(long/(longWindow*slot), shortTrust*short/(shortWindow*slot))
 }
+
+// waits is how many requests waited at an entry instance.
+type waits struct {
+	at    time.Time
+	count int
+}
+
+// waitsKept is how long what an entry instance told of waiting requests counts: it
+// tells nothing of a model any more that nobody there asks for.
+const waitsKept = 1500 * time.Millisecond
+
+// wait notes that count more requests wait at an entry instance.
+func (d *demandOf) wait(now time.Time, entry string, count int) {
+	told := d.waiting[entry]
+	if told.at.Equal(now) {
+		// Requests with other adapters of the model came in the same call.
+		count += told.count
+	}
+	if d.waiting == nil {
+		d.waiting = map[string]waits{}
+	}
+	d.waiting[entry] = waits{at: now, count: count}
+}
+
+// waitingAt returns how many requests wait at all entry instances.
+func (d *demandOf) waitingAt(now time.Time) int {
+	total := 0
+	for entry, told := range d.waiting {
+		if now.Sub(told.at) >= waitsKept {
+			delete(d.waiting, entry)
+			continue
+		}
+		total += told.count
+	}
+	return total
+}
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -46,3 +46,18 @@
 func (e Engine) ReportDue(now time.Time, engines, changing int) bool {
 	return now.Sub(e.engine.reported) >= e.engine.reportEvery(engines, changing)
 }
+
+// Waiting gives specs what is known of requests that wait for a model.
+type Waiting struct {
+	demand demandOf
+}
+
+// Tell notes that requests wait at an entry instance.
+func (w *Waiting) Tell(now time.Time, entry string, count int) {
+	w.demand.wait(now, entry, count)
+}
+
+// At returns how many requests wait.
+func (w *Waiting) At(now time.Time) int {
+	return w.demand.waitingAt(now)
+}
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -31,7 +31,7 @@
 		if e.going == "" || e.unloading || e.ordering || now.Sub(e.goingSince) < unloadNotice {
 			continue
 		}
-		if _, ok := o.right(); !ok || !o.leases.free(now, e.Name) || e.stale || e.report.Busy || o.wantedAgain(e) {
+		if _, ok := o.right(); !ok || !o.leases.free(now, e.Name) || e.stale || e.report.Busy || o.wantedAgain(now, e) {
 			e.going = ""
 			o.touch()
 			continue
@@ -44,9 +44,9 @@
 
 // wantedAgain reports whether requests wait for the model that is to go from e,
 // and no other engine holds it.
-func (o *orders) wantedAgain(e *engine) bool {
+func (o *orders) wantedAgain(now time.Time, e *engine) bool {
 	asked := o.demand[demandKey{e.service, e.going}]
-	if asked == nil || asked.waiting == 0 {
+	if asked == nil || asked.waitingAt(now) == 0 {
 		return false
 	}
 	for _, other := range o.engines {
@@ -112,7 +112,7 @@
 		m.Idle = asked == nil || now.Sub(asked.last) > idleAfter
 		if asked != nil {
 			m.Demand = asked.rate(now)
-			m.Waiting = asked.waiting
+			m.Waiting = asked.waitingAt(now)
 		}
 		models = append(models, m)
 	}
@@ -139,7 +139,7 @@
 }
 
 // noteModel takes in what callers asked for of one model at an entry instance.
-func (o *orders) noteModel(now time.Time, d courier.Demand) {
+func (o *orders) noteModel(now time.Time, entry string, d courier.Demand) {
 	key := demandKey{d.Service, d.Model}
 	asked := o.demand[key]
 	if asked == nil {
@@ -149,16 +149,20 @@
 	if d.Requests > 0 || d.Waiting > 0 {
 		asked.add(now, work(d))
 	}
-	asked.waiting = d.Waiting
+	asked.wait(now, entry, d.Waiting)
 }
 
-// wantModel makes a plan at once for a model that requests wait for.
+// wantingCall stands for the entry instance of calls for a model.
+const wantingCall = ""
+
+// wantModel waits for an engine that holds a model, which the next plan sees that
+// requests wait for. A plan of its own for each call would take the leader's time, and
+// its orders would end with the call.
 func (o *orders) wantModel(ctx context.Context, args courier.WantArgs) courier.WantReply {
 	now := o.office.options.Now()
 	o.mu.Lock()
-	o.noteModel(now, courier.Demand{Service: args.Service, Model: args.Model, Waiting: 1})
+	o.noteModel(now, wantingCall, courier.Demand{Service: args.Service, Model: args.Model, Waiting: 1})
 	o.mu.Unlock()
-	o.stock(ctx, now)
 	for {
 		o.mu.Lock()
 		changed, term := o.changed, o.term
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -269,7 +269,7 @@
 	uses := adapterUses{at: now, open: map[Adapter]bool{}}
 	defer func() { o.uses[entry] = uses }()
 	for _, d := range demand {
-		o.noteModel(now, d)
+		o.noteModel(now, entry, d)
 		if d.Open > 0 {
 			uses.open[Adapter{Model: d.Model, Name: d.Adapter}] = true
 		}
