backoffice, counter: calls that wait for an engine leave the leader its time

Each of 200 reports a second woke every call for an adapter, and each looked at 140 engines, sorted by name. A call looks every 20 ms at most now, in one pass without sorting. An entry instance whose question was not answered asks the next after 250 ms, whatever its pause.

--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/stocking"
 )
@@ -182,6 +183,8 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
+		}
+		if !pause.For(ctx, wantEvery) {
 			return courier.WantReply{Reason: "not in time"}
 		}
 	}
--- a/internal/backoffice/want.go
+++ b/internal/backoffice/want.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"hash/fnv"
-	"slices"
 	"strings"
 	"time"
 
@@ -26,9 +25,17 @@
 			return courier.WantReply{Reason: "not in time"}
 		case <-wait:
 		}
+		if !pause.For(ctx, wantEvery) {
+			return courier.WantReply{Reason: "not in time"}
+		}
 	}
 }
 
+// wantEvery is the least time between two looks of one call at the engines. Reports
+// come 200 times a second, and each had every call that waits look at 140 engines: the
+// leader had no time left and was replaced every other second.
+const wantEvery = 20 * time.Millisecond
+
 // tryWant makes one step towards an adapter. If it can't tell the end yet, it
 // returns what to wait for.
 func (o *orders) tryWant(ctx context.Context, args courier.WantArgs) (courier.WantReply, <-chan struct{}) {
@@ -85,13 +92,7 @@
 func (o *orders) adapterEngine(now time.Time, args courier.WantArgs) *engine {
 	var chosen *engine
 	var highest uint64
-	names := make([]string, 0, len(o.engines))
-	for name := range o.engines {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		e := o.engines[name]
+	for name, e := range o.engines {
 		if e.service != args.Service || e.leaving || !e.known || !e.holds(args.Model, "") {
 			continue
 		}
@@ -105,7 +106,7 @@
 		if o.leases.free(now, e.Name) {
 			score |= 1 << 33
 		}
-		if chosen == nil || score > highest {
+		if chosen == nil || score > highest || score == highest && name < chosen.Name {
 			chosen, highest = e, score
 		}
 	}
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -36,6 +36,8 @@
 	holdings uint64
 	// every is the time between two questions.
 	every time.Duration
+	// missed is true if the last question was not answered.
+	missed bool
 	// lost is true while nobody answers.
 	lost bool
 }
@@ -102,6 +104,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.links.failed, c.links.failedAt = address, now
+	c.links.missed = true
 	known := c.links.controls
 	c.links.next++
 	c.links.asked = known[c.links.next%len(known)]
@@ -119,6 +122,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.links.heardAt = asked
+	c.links.missed = false
 	c.reportState(now)
 	if c.links.lost {
 		c.links.lost = false
@@ -160,6 +164,10 @@
 func (c *Counter) syncPause() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.links.missed {
+		// The news are late already.
+		return syncEvery
+	}
 	return max(c.links.every, syncEvery)
 }
 
