backoffice, counter: routes go packed to entry instances; a control instance answers only when it can

The edition is packed once for all who ask. The spec fails before: the routes are told at their full size.

Found by running the specs: once, a control instance ended with a panic (nil) when an entry instance asked in the moment between its listener and its orders were made. Traced: the listener came first since the beginning. The orders are made first now; no spec shows the moment, which lasts microseconds.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -32,6 +32,8 @@
 	// entries and controls are the members as of membersAt.
 	entries, controls []string
 	membersAt         time.Time
+	// packedEdition is the edition that was told last, nil before.
+	packedEdition *edition.Edition
 	// peers are the other control instances by address.
 	peers map[string]*peer
 	// leadsSince is when this instance began to lead, zero while it does not.
@@ -63,13 +65,15 @@
 			b.peers[seed] = &peer{address: seed, seed: true}
 		}
 	}
+	// Entry instances may ask as soon as the listener is served, and are answered from
+	// the orders.
+	b.orders = newOrders(ctx, b)
 	if err := b.start(); err != nil {
 		cancel()
 		options.Inner.Close()
 		b.closePools()
 		return nil, err
 	}
-	b.orders = newOrders(ctx, b)
 	b.done.Go(func() { b.found(ctx) })
 	b.done.Go(func() { b.pull(ctx) })
 	b.done.Go(func() { b.elect(ctx) })
--- a/internal/backoffice/backoffice_test.go
+++ b/internal/backoffice/backoffice_test.go
@@ -1,6 +1,7 @@
 package backoffice_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -20,6 +21,7 @@
 	"github.com/lovagelift/lovagelift/internal/backoffice"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
+	"github.com/lovagelift/lovagelift/internal/registry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
@@ -316,6 +318,25 @@
 		}
 	}, SpecTimeout(specTimeout))
 
+	// Routes have grown to hundreds of kilobytes, and every entry instance asks for them
+	// at the same moment: they have to get through the leader's link at once.
+	It("tells large routes in a fraction of their size", func(ctx SpecContext) {
+		s := newSite()
+		large := edition.Put{Version: 1, Content: append(content(1), bytes.Repeat([]byte(" "), 400_000)...)}
+		Eventually(ctx, func() error {
+			_, err := s.offices[s.seeds[0]].Put(ctx, large)
+			return err
+		}).Should(Succeed())
+		var told *edition.Edition
+		Eventually(ctx, func() bool {
+			reply, ok := s.sync(ctx)
+			told = reply.Edition
+			return ok && told != nil
+		}).Should(BeTrue())
+		Expect(len(told.Content)).To(BeNumerically("<", len(large.Content)/10))
+		Expect(registry.Unpack(told.Content)).To(Equal(large.Content))
+	}, SpecTimeout(specTimeout))
+
 	// One instance after the other loses its disk, right after a change was
 	// acknowledged. Each comes back empty and must become a voter again before the
 	// next is lost; what was acknowledged must stay.
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/edition"
+	"github.com/lovagelift/lovagelift/internal/registry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 )
 
@@ -28,13 +30,31 @@
 	reply.Changes.Instances = nil
 	reply.Changes.InstanceBeats = roster.InstanceBeats{}
 	if held := b.voter.Edition(); held.Version > args.Edition {
-		reply.Edition = &held
+		reply.Edition = b.packed(held)
 	}
 	b.orders.note(now, args.From.Name, args.Demand)
 	reply.Holdings, reply.HoldingsAge = b.orders.holdings(now, args.Holdings)
 	return reply
 }
 
+// packed returns an edition with its content packed, once for all who ask for it. One
+// of 1,400 routes takes 0.4 MB: as it is, 86 entry instances did not get it through the
+// leader's link within the time that they wait for an answer, again and again.
+func (b *Backoffice) packed(held edition.Edition) *edition.Edition {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.packedEdition != nil && b.packedEdition.Version == held.Version {
+		return b.packedEdition
+	}
+	content, err := registry.Pack(held.Content)
+	if err != nil {
+		b.options.Log.Error().Err(err).Uint64("version", held.Version).Msg("routes not packed")
+		return &held
+	}
+	b.packedEdition = &edition.Edition{Version: held.Version, Content: content}
+	return b.packedEdition
+}
+
 // membersEvery is how often the lists of members are made anew: all who ask several
 // times a second get the same.
 const membersEvery = 100 * time.Millisecond
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -10,7 +10,9 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/registry"
 	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/routes"
 )
 
 // links is whom an entry instance asks for news, and how far it has got.
@@ -197,7 +199,11 @@
 	if table := c.table.Load(); table != nil && table.Version >= held.Version {
 		return
 	}
-	table, err := c.options.Table(held.Content)
+	content, err := registry.Unpack(held.Content)
+	var table *routes.Table
+	if err == nil {
+		table, err = c.options.Table(content)
+	}
 	if err != nil {
 		c.options.Log.Error().Err(err).Uint64("version", held.Version).Msg("routes in force can't be read here")
 		return
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -49,7 +49,8 @@
 	Entries []string
 	// Controls are the inner addresses of the control instances that are alive.
 	Controls []string
-	// Edition is nil if the asker holds the newest that the answerer knows.
+	// Edition is nil if the asker holds the newest that the answerer knows. Its content
+	// is packed (registry.Pack).
 	Edition *edition.Edition
 	Changes roster.Changes
 	// Holdings is the encoding of Holdings, empty unless it differs from what the asker
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -58,7 +58,7 @@
 		if c.ID == "" || len(c.Declarations) > 0 && len(c.Presets) == 0 {
 			return nil, errors.AssertionFailedf("registry: change %q was not prepared", c.ID)
 		}
-		packed, err := pack(c.Declarations)
+		packed, err := Pack(c.Declarations)
 		if err != nil {
 			return nil, err
 		}
@@ -79,7 +79,7 @@
 		}
 		e.Format, e.Manifest = manifestFormat, encoded
 	case edition.Put:
-		packed, err := pack(c.Content)
+		packed, err := Pack(c.Content)
 		if err != nil {
 			return nil, err
 		}
@@ -130,12 +130,12 @@
 		return nil, errors.Wrap(err, "registry: decode command")
 	}
 	if e.Change != nil {
-		if e.Change.Declarations, err = unpack(e.Change.Declarations); err != nil {
+		if e.Change.Declarations, err = Unpack(e.Change.Declarations); err != nil {
 			return nil, err
 		}
 	}
 	if e.Edition != nil {
-		if e.Edition.Content, err = unpack(e.Edition.Content); err != nil {
+		if e.Edition.Content, err = Unpack(e.Edition.Content); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/registry/export_test.go
+++ b/internal/registry/export_test.go
@@ -13,13 +13,3 @@
 
 // MaxUnpacked is maxUnpacked.
 const MaxUnpacked = maxUnpacked
-
-// Pack is pack.
-func Pack(data []byte) ([]byte, error) {
-	return pack(data)
-}
-
-// Unpack is unpack.
-func Unpack(data []byte) ([]byte, error) {
-	return unpack(data)
-}
--- a/internal/registry/pack.go
+++ b/internal/registry/pack.go
@@ -19,14 +19,14 @@
 	maxUnpacked = 32 << 20
 )
 
-// pack returns declarations compressed, or as they are if they are small.
+// Pack returns declarations compressed, or as they are if they are small.
 //
 // Declarations name the same keys over and over. At 1,000 changes a day of 1,700
 // models they alone would take what control may cost a node in network traffic;
 // packed they take a fraction. Packing stands in the encoding of commands and
 // views alone: what replicas hold and compare is the plain bytes, so that two
 // programs may pack differently.
-func pack(data []byte) ([]byte, error) {
+func Pack(data []byte) ([]byte, error) {
 	if len(data) < packAbove {
 		return data, nil
 	}
@@ -45,9 +45,9 @@
 	return packed.Bytes(), nil
 }
 
-// unpack returns the declarations that pack was given. If data is cut off, damaged or
-// would grow beyond all bounds, unpack returns an error.
-func unpack(data []byte) ([]byte, error) {
+// Unpack returns the declarations that Pack was given. If data is cut off, damaged or
+// would grow beyond all bounds, Unpack returns an error.
+func Unpack(data []byte) ([]byte, error) {
 	if len(data) == 0 || data[0] != packedMark {
 		return data, nil
 	}
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -39,7 +39,7 @@
 	if packed := v.packed.Load(); packed != nil {
 		return *packed, nil
 	}
-	declarations, err := pack(v.Declarations)
+	declarations, err := Pack(v.Declarations)
 	if err != nil {
 		return nil, err
 	}
@@ -61,7 +61,7 @@
 	if err := json.Unmarshal(data, &record); err != nil {
 		return errors.Wrap(err, "registry: decode view")
 	}
-	declarations, err := unpack(record.Declarations)
+	declarations, err := Unpack(record.Declarations)
 	if err != nil {
 		return err
 	}
