--- a/examples/smoke/callers.go
+++ b/examples/smoke/callers.go
@@ -14,6 +14,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/caller"
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/pause"
 )
 
 const (
@@ -160,7 +161,7 @@
 				last = got
 			}
 		}
-		if last.whole || last.wrong || !sleep(ctx, 10*again) {
+		if last.whole || last.wrong || !pause.For(ctx, 10*again) {
 			break
 		}
 	}
--- a/examples/smoke/main.go
+++ b/examples/smoke/main.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/integrii/flaggy"
+
+	"github.com/lovagelift/lovagelift/internal/pause"
 )
 
 // longest bounds the whole run.
@@ -81,8 +83,8 @@
 	return t.broken(), err
 }
 
-// pause is how long callers go on undisturbed between two steps.
-const pause = 3 * time.Second
+// settle is how long callers go on undisturbed between two steps.
+const settle = 3 * time.Second
 
 // script is what happens while callers keep sending.
 func script(ctx context.Context, d *deployment, t *tally) error {
@@ -91,15 +93,15 @@
 		after time.Duration
 		do    func() error
 	}{
-		{"change the preset to peak", pause, func() error { return d.change(ctx, t, "peak") }},
-		{"drain b", pause, func() error { return d.drain(ctx, "b") }},
-		{"start b again", pause, func() error { return d.restart(ctx, "b") }},
-		{"kill the leader", pause, func() error { return d.killLeader(ctx) }},
+		{"change the preset to peak", settle, func() error { return d.change(ctx, t, "peak") }},
+		{"drain b", settle, func() error { return d.drain(ctx, "b") }},
+		{"start b again", settle, func() error { return d.restart(ctx, "b") }},
+		{"kill the leader", settle, func() error { return d.killLeader(ctx) }},
 		{"change the preset to ordinary", 0, func() error { return d.change(ctx, t, "ordinary") }},
-		{"start the killed one again", pause, func() error { return d.restart(ctx, d.killed) }},
+		{"start the killed one again", settle, func() error { return d.restart(ctx, d.killed) }},
 	}
 	for _, step := range steps {
-		if !sleep(ctx, step.after) {
+		if !pause.For(ctx, step.after) {
 			return ctx.Err()
 		}
 		began := time.Now()
@@ -108,18 +110,6 @@
 		}
 		fmt.Printf("%-32s %v\n", step.name, time.Since(began).Round(time.Millisecond))
 	}
-	sleep(ctx, pause)
+	pause.For(ctx, settle)
 	return ctx.Err()
 }
-
-// sleep waits for d and reports false if ctx ended before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/examples/smoke/steps.go
+++ b/examples/smoke/steps.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/caller"
+	"github.com/lovagelift/lovagelift/internal/pause"
 )
 
 // again is the pause between two tries of an operator, or two looks at a state.
@@ -149,7 +150,7 @@
 	defer cancel()
 	for {
 		err := do()
-		if err == nil || !sleep(ctx, again) {
+		if err == nil || !pause.For(ctx, again) {
 			return err
 		}
 	}
@@ -164,7 +165,7 @@
 	go func() {
 		defer close(ended)
 		highest := map[string]uint64{}
-		for sleep(ctx, again) {
+		for pause.For(ctx, again) {
 			for _, name := range names {
 				status, err := d.clients[name].Status(ctx)
 				if err != nil || !status.Fresh {
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -131,7 +131,7 @@
 		c.options.Log.Info().Str("control", address).Msg("control instance regained")
 	}
 	c.roster.Merge(asked, &c.links.source, reply.Changes)
-	c.links.every = syncPause(len(reply.Entries))
+	c.links.every = pauseAmong(len(reply.Entries))
 	c.hints.follow(slices.DeleteFunc(reply.Entries, func(address string) bool { return address == c.options.Name }))
 	c.budgets.Resize(c.options.Retries.of(len(reply.Entries)))
 	var changed []roster.Upstream
@@ -173,9 +173,9 @@
 	return max(c.links.every, syncEvery)
 }
 
-// syncPause returns how long so many entry instances pause between questions, so that
+// pauseAmong returns how long so many entry instances pause between questions, so that
 // they leave the one that all of them ask its time.
-func syncPause(entries int) time.Duration {
+func pauseAmong(entries int) time.Duration {
 	return min(max(syncEvery, time.Duration(entries)*syncShare), syncMost)
 }
 
