chamber: a bootstrap waits for a voter on a busy disk

Cause: the call that has a voter write its first state, which is synced several times, was given up after the time of any call between instances, although the voter carried it out. The spec with a disk that takes twice that failed with 'deadline exceeded'. Change: 3 s for this call.

--- a/internal/chamber/bootstrap.go
+++ b/internal/chamber/bootstrap.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -82,13 +83,24 @@
 		return err
 	}
 	for _, voter := range v.options.Voters {
-		if err := v.options.Calls.Bootstrap(ctx, voter.InnerAddress, charter); err != nil {
+		if err := v.bootstrapAt(ctx, voter, charter); err != nil {
 			return errors.Wrapf(err, "chamber: voter %s; run the bootstrap again", voter.Name)
 		}
 	}
 	return v.Control().Bootstrap(ctx, charter)
 }
 
+// bootstrapTimeout bounds the writing of a voter's first state. It is synced several times:
+// with the time of a usual call, a voter on a busy disk carried the bootstrap out and was
+// reported as one that did not answer.
+const bootstrapTimeout = 3 * time.Second
+
+func (v *Voter) bootstrapAt(ctx context.Context, voter VoterAddress, charter courier.Charter) error {
+	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	defer cancel()
+	return v.options.Calls.Bootstrap(ctx, voter.InnerAddress, charter)
+}
+
 // foundings asks all voters, this one included.
 func (v *Voter) foundings(ctx context.Context) ([]courier.Founding, error) {
 	var findings finding.List
--- a/internal/chamber/house_test.go
+++ b/internal/chamber/house_test.go
@@ -31,6 +31,8 @@
 	electionTimeout = 400 * time.Millisecond
 	lease           = time.Second
 	specTimeout     = 60 * time.Second
+	// callTimeout bounds a call between members.
+	callTimeout = 300 * time.Millisecond
 )
 
 // member is one instance's part, which can be cut off, stopped and started.
@@ -214,7 +216,7 @@
 			return nil, errors.New("cut off")
 		}
 		return conn, err
-	}, 300*time.Millisecond)
+	}, callTimeout)
 }
 
 // pass notes a connection, or closes it while the member is cut off.
