--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -132,7 +132,7 @@
 	}
 	status := o.office.voter.Status()
 	o.mu.Lock()
-	o.strain = o.strain.with(late)
+	o.noteStrain(late)
 	if o.term != uint64(status.Term) {
 		o.term = uint64(status.Term)
 		o.revision = o.term << 32
@@ -151,6 +151,21 @@
 	o.stock(ctx, now)
 }
 
+// noteStrain takes in how late a round began, and says when a lack of processor time
+// begins and ends: with it a leader is replaced, and its log alone can't tell why.
+func (o *orders) noteStrain(late time.Duration) {
+	before := o.strain.factor()
+	o.strain = o.strain.with(late)
+	after := o.strain.factor()
+	o.office.options.Metrics.SubScope("backoffice").Gauge("strain").Update(after)
+	switch {
+	case before == 1 && after > 1:
+		o.office.options.Log.Warn().Dur("late", late).Float64("strain", after).Msg("short of processor time")
+	case before > 1 && after == 1:
+		o.office.options.Log.Info().Msg("processor time regained")
+	}
+}
+
 func (o *orders) forget() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
