--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -106,13 +106,14 @@
 	return w.demand.waitingAt(now)
 }
 
-// StrainAfter returns by how much work is put off after rounds that began late.
-func StrainAfter(late ...time.Duration) float64 {
-	var s strain
+// ShortAfter reports whether an instance is short of processor time after rounds that
+// began late.
+func ShortAfter(late ...time.Duration) bool {
+	var l lateness
 	for _, by := range late {
-		s = s.with(by)
+		l = l.with(by)
 	}
-	return s.factor()
+	return l.short()
 }
 
 // Merged returns what an entry instance told in two calls as one.
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -40,7 +40,6 @@
 		return reply
 	}
 	reply.Holdings, _, reply.HoldingsAge = b.orders.holdings(now, args.Holdings)
-	reply.Strain = b.orders.strained()
 	return reply
 }
 
@@ -52,7 +51,7 @@
 	for entry, demand := range args.Told {
 		o.note(now, entry, demand)
 	}
-	reply := courier.GatherReply{Strain: o.strained()}
+	var reply courier.GatherReply
 	reply.Holdings, reply.Revision, reply.Age = o.holdings(now, args.Holdings)
 	return reply
 }
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -65,7 +65,7 @@
 	term     uint64
 	revision uint64
 	changed  chan struct{}
-	strain   strain
+	lateness lateness
 	// metSince is when the term began here.
 	metSince time.Time
 	leases   *leases
@@ -103,17 +103,10 @@
 		began := o.office.options.Now()
 		o.round(ctx, began.Sub(ended)-rest)
 		ended = o.office.options.Now()
-		rest = max(o.rest(), restShare*ended.Sub(began))
+		rest = max(orderRound, restShare*ended.Sub(began))
 	}
 }
 
-// rest returns the time between two rounds at the least.
-func (o *orders) rest() time.Duration {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.strain.stretch(orderRound)
-}
-
 // right returns the fencing number under which this instance gives orders, to those
 // engines whose lease it takes.
 func (o *orders) right() (fence uint64, ok bool) {
@@ -132,7 +125,7 @@
 	}
 	status := o.office.voter.Status()
 	o.mu.Lock()
-	o.noteStrain(late)
+	o.noteLate(late)
 	if o.term != uint64(status.Term) {
 		o.term = uint64(status.Term)
 		o.revision = o.term << 32
@@ -151,17 +144,16 @@
 	o.stock(ctx, now)
 }
 
-// noteStrain takes in how late a round began, and says when a lack of processor time
-// begins and ends: with it a leader is replaced, and its log alone can't tell why.
-func (o *orders) noteStrain(late time.Duration) {
-	before := o.strain.factor()
-	o.strain = o.strain.with(late)
-	after := o.strain.factor()
-	o.office.options.Metrics.SubScope("backoffice").Gauge("strain").Update(after)
-	switch {
-	case before == 1 && after > 1:
-		o.office.options.Log.Warn().Dur("late", late).Float64("strain", after).Msg("short of processor time")
-	case before > 1 && after == 1:
+// noteLate takes in how late a round began, and says when a lack of processor time begins
+// and ends: with it a leader is replaced, and its log alone can't tell why.
+func (o *orders) noteLate(late time.Duration) {
+	before := o.lateness.short()
+	o.lateness = o.lateness.with(late)
+	o.office.options.Metrics.SubScope("backoffice").Gauge("late_seconds").Update(time.Duration(o.lateness).Seconds())
+	switch after := o.lateness.short(); {
+	case after && !before:
+		o.office.options.Log.Warn().Dur("late", time.Duration(o.lateness)).Msg("short of processor time")
+	case before && !after:
 		o.office.options.Log.Info().Msg("processor time regained")
 	}
 }
@@ -170,7 +162,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.term = 0
-	o.strain = strain{}
+	o.lateness = 0
 	clear(o.engines)
 }
 
@@ -239,7 +231,7 @@
 			o.touch()
 			continue
 		}
-		if !e.asking && now.Sub(e.reported) >= o.strain.stretch(e.reportEvery(len(o.engines), changing)) {
+		if !e.asking && now.Sub(e.reported) >= e.reportEvery(len(o.engines), changing) {
 			e.asking = true
 			due = append(due, e)
 		}
--- a/internal/backoffice/relay.go
+++ b/internal/backoffice/relay.go
@@ -29,7 +29,6 @@
 	holdings []byte
 	revision uint64
 	made     time.Time
-	strain   float64
 }
 
 // run calls the leader until ctx ends.
@@ -95,7 +94,6 @@
 func (r *relay) take(now time.Time, reply courier.GatherReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.strain = reply.Strain
 	if reply.Revision <= r.revision {
 		return
 	}
@@ -106,7 +104,6 @@
 func (r *relay) tell(now time.Time, have uint64, reply *courier.SyncReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reply.Strain = r.strain
 	if r.revision > have {
 		reply.Holdings, reply.HoldingsAge = r.holdings, now.Sub(r.made)
 	}
--- a/internal/backoffice/told.go
+++ b/internal/backoffice/told.go
@@ -10,13 +10,6 @@
 // is made anew. They ask every 250 ms.
 const tellEvery = 50 * time.Millisecond
 
-// strained returns by how much all that can wait is put off at this instance.
-func (o *orders) strained() float64 {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.strain.factor()
-}
-
 // holdings returns the encoding of what the engines hold, its revision and how old it is,
 // unless the asker has this already.
 func (o *orders) holdings(now time.Time, have uint64) (encoded []byte, revision uint64, age time.Duration) {
@@ -25,7 +18,7 @@
 	if o.term == 0 {
 		return nil, 0, 0
 	}
-	if o.toldRevision != o.revision && now.Sub(o.toldAt) >= o.strain.stretch(tellEvery) {
+	if o.toldRevision != o.revision && now.Sub(o.toldAt) >= tellEvery {
 		o.told, o.toldRevision, o.toldAt = o.tell(now).Encode(), o.revision, now
 	}
 	// What an earlier leadership told has a revision below this one's.
--- a/internal/counter/ask.go
+++ b/internal/counter/ask.go
@@ -8,10 +8,9 @@
 )
 
 // pauseAmong returns how long so many entry instances pause between questions, so that
-// they leave the one that all of them ask its time, which is strained.
-func pauseAmong(entries int, strain float64) time.Duration {
-	usual := max(syncEvery, time.Duration(entries)*syncShare)
-	return min(time.Duration(strain*float64(usual)), syncMost)
+// they leave the one that all of them ask its time.
+func pauseAmong(entries int) time.Duration {
+	return min(max(syncEvery, time.Duration(entries)*syncShare), syncMost)
 }
 
 // crowded reports whether so many entry instances are too many for one control instance to
@@ -65,7 +64,7 @@
 func (l *links) pause() time.Duration {
 	others := len(l.alive) - 1
 	if crowded(l.entries) && l.asked != l.leader && others > 0 {
-		return pauseAmong((l.entries+others-1)/others, 1)
+		return pauseAmong((l.entries + others - 1) / others)
 	}
-	return pauseAmong(l.entries, l.strain)
+	return pauseAmong(l.entries)
 }
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -179,6 +179,6 @@
 
 // AskPause returns the time between two questions to one control instance.
 func AskPause(entries int, alive []string, asked, leader string) time.Duration {
-	l := links{entries: entries, alive: alive, asked: asked, leader: leader, strain: 1}
+	l := links{entries: entries, alive: alive, asked: asked, leader: leader}
 	return l.pause()
 }
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -38,8 +38,6 @@
 	heardAt time.Time
 	// entries is how many entry instances there are.
 	entries int
-	// strain is how short of processor time the instance that is asked for news is, from 1.
-	strain float64
 	// holdings is the revision that this instance has.
 	holdings uint64
 	// every is the time between two questions.
@@ -139,7 +137,6 @@
 	}
 	c.roster.Merge(asked, &c.links.source, reply.Changes)
 	c.links.entries = len(reply.Entries)
-	c.links.strain = max(reply.Strain, 1)
 	c.hints.follow(slices.DeleteFunc(reply.Entries, func(address string) bool { return address == c.options.Name }))
 	c.budgets.Resize(c.options.Retries.of(len(reply.Entries)))
 	var changed []roster.Upstream
--- a/internal/counter/wants.go
+++ b/internal/counter/wants.go
@@ -45,7 +45,7 @@
 
 // wantRate returns how many calls a second this instance may make.
 func (l *links) wantRate() float64 {
-	return leaderWants / float64(max(l.entries, 1)) / max(l.strain, 1)
+	return leaderWants / float64(max(l.entries, 1))
 }
 
 func newWantPace() *wantPace {
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -64,10 +64,6 @@
 	// which is a seventh of what the users give a leader.
 	Holdings    []byte
 	HoldingsAge time.Duration
-	// Strain is how many times longer than usual askers pause between calls, since the
-	// answerer is short of processor time. It is 1 if it is not; an instance that does not
-	// know of it tells 0.
-	Strain float64
 }
 
 // GatherArgs is what a control instance tells the one that gives orders, and asks of it.
@@ -80,12 +76,11 @@
 
 // GatherReply answers GatherArgs.
 type GatherReply struct {
-	// Holdings, Age and Strain are those of SyncReply. Revision is that of Holdings, 0 if
-	// there are none.
+	// Holdings and Age are those of SyncReply. Revision is that of Holdings, 0 if there are
+	// none.
 	Holdings []byte
 	Revision uint64
 	Age      time.Duration
-	Strain   float64
 }
 
 // WantArgs asks for a model, or for an adapter beside it.
