backoffice, counter: the leader is called for news only where somebody asks; bursts by share

Cause: instances that no entry instance asks called the leader eight times a second for nothing, and one of seven entry instances, whose share is 43 calls a second, had a burst of two. A request that lacked room kept a call for its model waiting. Change: no call after 2 s without a question; a burst of a quarter second's share, two at the least; a call waits only for requests that lack what it asks for.

--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -35,7 +35,7 @@
 	}
 	b.orders.note(now, args.From.Name, args.Demand)
 	if leader != b.voter.Identity() {
-		b.relay.note(args.From.Name, args.Demand)
+		b.relay.note(now, args.From.Name, args.Demand)
 		b.relay.tell(now, args.Holdings, &reply)
 		return reply
 	}
--- a/internal/backoffice/relay.go
+++ b/internal/backoffice/relay.go
@@ -9,8 +9,14 @@
 	"github.com/lovagelift/lovagelift/internal/pause"
 )
 
-// relayEvery is the time between two calls to the leader for what engines hold.
-const relayEvery = 125 * time.Millisecond
+const (
+	// relayEvery is the time between two calls to the leader for what engines hold.
+	relayEvery = 125 * time.Millisecond
+	// relayIdle is after how long without a question of an entry instance the leader is not
+	// called any more: bytes between failure domains are paid for. Entry instances pause for
+	// a second at the most.
+	relayIdle = 2 * time.Second
+)
 
 // relay hands on, at an instance that does not lead, what the entry instances that ask
 // it told, to the leader, and what the leader tells of engines, to them.
@@ -23,8 +29,10 @@
 	office *Backoffice
 
 	mu sync.Mutex
-	// told is what entry instances told since the last call, by entry instance.
-	told map[string][]courier.Demand
+	// told is what entry instances told since the last call, by entry instance, and asked
+	// when the last of them asked.
+	told  map[string][]courier.Demand
+	asked time.Time
 	// holdings is what the leader told last, with its revision, made at made.
 	holdings []byte
 	revision uint64
@@ -38,11 +46,11 @@
 	}
 }
 
-// note takes in what an entry instance told. What was told before of the same moment is
-// kept: requests are counted, and what is under way is told anew.
-func (r *relay) note(entry string, demand []courier.Demand) {
+// note takes in what an entry instance told.
+func (r *relay) note(now time.Time, entry string, demand []courier.Demand) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.asked = now
 	r.told[entry] = merged(r.told[entry], demand)
 }
 
@@ -70,14 +78,18 @@
 	return all
 }
 
-// call makes one call to the leader, if that is another instance.
+// call makes one call to the leader, if that is another instance and somebody asks here.
+// What was told goes with it, whatever becomes of the call: demand is told again as long
+// as it lasts, and must not come in a heap after a leader was missed.
 func (r *relay) call(ctx context.Context) {
+	now := r.office.options.Now()
 	leader, _ := r.office.voter.Leader()
 	r.mu.Lock()
 	args := courier.GatherArgs{Told: r.told, Holdings: r.revision}
 	r.told = map[string][]courier.Demand{}
+	idle := now.Sub(r.asked) >= relayIdle
 	r.mu.Unlock()
-	if leader == "" || leader == r.office.voter.Identity() {
+	if idle || leader == "" || leader == r.office.voter.Identity() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/counter/wants.go
+++ b/internal/counter/wants.go
@@ -14,8 +14,10 @@
 	// all entry instances. One costs it about 100 us of a core: a quarter of 0.12 of one,
 	// and ten times what it can load.
 	leaderWants = 300.0
-	// wantBurst is how many calls one instance may make at once after a rest.
-	wantBurst = 2.0
+	// wantBurstTime is the time whose share of calls one instance may make at once after a
+	// rest, and leastWantBurst how many it may at the least.
+	wantBurstTime  = 250 * time.Millisecond
+	leastWantBurst = 2.0
 	// firstWantPause is the least time between two calls for the same thing after one that
 	// brought nothing. It doubles with each further one up to longestWantPause.
 	firstWantPause   = 100 * time.Millisecond
@@ -49,13 +51,14 @@
 }
 
 func newWantPace() *wantPace {
-	return &wantPace{tokens: wantBurst, failed: map[courier.WantArgs]failedWant{}}
+	return &wantPace{tokens: leastWantBurst, failed: map[courier.WantArgs]failedWant{}}
 }
 
 // next returns how long a call has to wait, one of pending at this instance, whose share
 // is rate calls a second. If it may be made now, next counts it and returns 0.
 func (p *wantPace) next(now time.Time, args courier.WantArgs, pending int, rate float64) time.Duration {
-	p.tokens = min(p.tokens+rate*now.Sub(p.filled).Seconds(), wantBurst)
+	burst := max(rate*wantBurstTime.Seconds(), leastWantBurst)
+	p.tokens = min(p.tokens+rate*now.Sub(p.filled).Seconds(), burst)
 	p.filled = now
 	if rest := p.failed[args].until.Sub(now); rest > 0 {
 		return rest
@@ -142,7 +145,8 @@
 // stillWants reports whether a request waits for what args asks for. c.mu is held.
 func (c *Counter) stillWants(args courier.WantArgs) bool {
 	for _, w := range c.queue.waiters {
-		if w.trip.wanted(w.missing) == args {
+		lacks := w.missing == lackModel || w.missing == lackAdapter
+		if lacks && w.trip.wanted(w.missing) == args {
 			return true
 		}
 	}
