desk: no model is listed by an instance that would refuse a request for it

Cause: an instance that has just started hears of engines before it can confirm its configuration; it listed their models and answered the next request 503. Change: the list is refused as a request would be.

--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -113,4 +113,21 @@
 		Expect(told.header.Get(desk.EntriesHeader)).To(Equal("127.0.0.1:7610,127.0.0.1:7620"))
 		Expect(upstream.counted()).To(BeZero())
 	})
+
+	// An instance has just started. It has heard of an engine already, but can't confirm its
+	// configuration yet: a caller that found the model listed was refused at its next request.
+	It("finds no model listed that would be refused", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		at.serveAt(newBookings(nil).address())
+		list := func() int {
+			request, err := http.NewRequestWithContext(ctx, http.MethodGet, at.url+"/v1/models", nil)
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.DefaultClient.Do(request)
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			return response.StatusCode
+		}
+		Expect(list()).To(Equal(http.StatusOK))
+		at.refusal = &desk.RefusalError{Status: 503, Code: desk.CodeStale, Outcome: outcome.NotRun}
+		Expect(list()).To(Equal(http.StatusServiceUnavailable))
+	})
 })
--- a/internal/desk/lists.go
+++ b/internal/desk/lists.go
@@ -65,8 +65,12 @@
 }
 
 // models answers GET /v1/models with the models and adapters that can be
-// reached now, each once.
+// reached now, each once. An instance that admits no requests refuses this too: what
+// it lists, callers ask it for next.
 func (d *Desk) models(c echo.Context) error {
+	if refusal := d.options.Instance.Admits(d.options.Now()); refusal != nil {
+		return refusal
+	}
 	reply := modelsReply{Object: "list", Data: []modelReply{}}
 	seen := map[string]bool{}
 	add := func(name string) {
