instance: the spec of a silent connection silences the one that it reads

'cuts off the silent connection alone, and ends' waited 10 s for a connection that went on. The stand-in sent its first event before it took its number, so that the second request, which the spec sends after that event, could be the first by number: the stream that the spec took for silent was the living one. Change: the number is taken first; what is expected stays.

--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -40,8 +40,11 @@
 				fmt.Fprint(w, "data: "+text+"\n\n")
 				_ = http.NewResponseController(w).Flush()
 			}
+			// The number is taken before the first event: the second request is sent once that
+			// has come.
+			number := asked.Add(1)
 			event("{}")
-			if asked.Add(1) == 1 {
+			if number == 1 {
 				<-gone
 				return
 			}
