courier: a call that is given up returns nothing of its answer

Callers look at an answer on success alone, but for what is asked of the leader for adapters, which looked at it after a failure too. Change: one way to make a call, which returns the zero value on failure.

--- a/internal/courier/control.go
+++ b/internal/courier/control.go
@@ -245,23 +245,17 @@
 
 // Configuration asks the voter at address for what is in force.
 func (p *Pool) Configuration(ctx context.Context, address string, have registry.Revision) (Configuration, error) {
-	var reply Configuration
-	err := p.Call(ctx, address, "Control.Configuration", ConfigurationArgs{Have: have}, &reply)
-	return reply, err
+	return answerOf[Configuration](ctx, p, address, "Control.Configuration", ConfigurationArgs{Have: have})
 }
 
 // Lookup asks the voter at address what is recorded of a request.
 func (p *Pool) Lookup(ctx context.Context, address string, key docket.Key) (Recorded, error) {
-	var reply Recorded
-	err := p.Call(ctx, address, "Control.Lookup", LookupArgs{Key: key, Timeout: p.remaining(ctx)}, &reply)
-	return reply, err
+	return answerOf[Recorded](ctx, p, address, "Control.Lookup", LookupArgs{Key: key, Timeout: p.remaining(ctx)})
 }
 
 // Founding asks the voter at address what a bootstrap must know of it.
 func (p *Pool) Founding(ctx context.Context, address string) (Founding, error) {
-	var reply Founding
-	err := p.Call(ctx, address, "Control.Founding", Empty{}, &reply)
-	return reply, err
+	return answerOf[Founding](ctx, p, address, "Control.Founding", Empty{})
 }
 
 // Bootstrap makes the blank voter at address one of a new cluster.
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -149,22 +149,16 @@
 
 // Sync tells the control instance at address of this one and asks for news.
 func (p *Pool) Sync(ctx context.Context, address string, args SyncArgs) (SyncReply, error) {
-	var reply SyncReply
-	err := p.Call(ctx, address, "Feed.Sync", args, &reply)
-	return reply, err
+	return answerOf[SyncReply](ctx, p, address, "Feed.Sync", args)
 }
 
 // Want asks the control instance at address for a model or an adapter.
 func (p *Pool) Want(ctx context.Context, address string, args WantArgs) (WantReply, error) {
-	var reply WantReply
-	err := p.Call(ctx, address, "Feed.Want", args, &reply)
-	return reply, err
+	return answerOf[WantReply](ctx, p, address, "Feed.Want", args)
 }
 
 // Gather tells the control instance at address, which gives orders, what entry instances
 // told this one, and asks what engines hold.
 func (p *Pool) Gather(ctx context.Context, address string, args GatherArgs) (GatherReply, error) {
-	var reply GatherReply
-	err := p.Call(ctx, address, "Feed.Gather", args, &reply)
-	return reply, err
+	return answerOf[GatherReply](ctx, p, address, "Feed.Gather", args)
 }
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -82,6 +82,16 @@
 	}
 }
 
+// answerOf makes a call and returns its answer. If the call fails, it returns the zero value:
+// an answer that comes as the call is given up is still being written.
+func answerOf[Reply any](ctx context.Context, p *Pool, address, method string, args any) (Reply, error) {
+	reply := new(Reply)
+	if err := p.Call(ctx, address, method, args, reply); err != nil {
+		return *new(Reply), err
+	}
+	return *reply, nil
+}
+
 // Close closes all connections. Calls in progress return an error.
 func (p *Pool) Close() {
 	p.mu.Lock()
