counter, permit: each model has one entry instance that places its requests

Cause: each entry instance chose the engine by itself and told every other one of each request in a datagram.

Ruled out: reports of engines alone (half a second old); hints to those who use the same engine (a model that is asked for by all is used by all).

Change: one owner for each model, chosen by rendezvous hashing, queues and places its requests; others ask it in a datagram, and give the place back. Owners of other models of an engine are told of its use. Requests are what they need (need), apart from their way (trip); engines are looked up by model, and once for all that ask for the same.

--- a/internal/counter/answer.go
+++ b/internal/counter/answer.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
@@ -34,7 +35,7 @@
 	if response.StatusCode >= http.StatusInternalServerError && t.again(a, response.StatusCode) {
 		return false
 	}
-	t.counter.worked(a)
+	a.outcome = permit.Worked
 	copyHead(w, response)
 	w.WriteHeader(response.StatusCode)
 	if _, err := w.Write(body); err != nil {
@@ -87,8 +88,7 @@
 			}
 		}
 		if readErr == io.EOF {
-			t.counter.worked(a)
-			t.counter.learn(t)
+			a.outcome, a.sample = permit.Worked, t.sample()
 			t.counter.logAttempt(t, a, "answered", response.StatusCode, "")
 			return
 		}
@@ -98,7 +98,7 @@
 		}
 		if readErr != nil {
 			if ctx.Err() == nil {
-				t.counter.brokeOff(a)
+				a.outcome = permit.Failed
 			}
 			t.counter.logAttempt(t, a, "broken off", response.StatusCode, readErr.Error())
 			panic(http.ErrAbortHandler)
@@ -117,19 +117,6 @@
 	}
 }
 
-func (c *Counter) worked(a *sending) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	a.upstream.worked()
-}
-
-func (c *Counter) brokeOff(a *sending) {
-	now := c.options.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	a.upstream.failed(now)
-}
-
 // logAttempt tells what became of a request at an upstream, and counts it.
 func (c *Counter) logAttempt(t *trip, a *sending, what string, status int, verdict string) {
 	now := c.options.Now()
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -8,16 +8,18 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/retry"
 )
 
-// attempt sends the request to u, and reports whether the caller was answered.
-func (t *trip) attempt(ctx context.Context, w http.ResponseWriter, u *upstream) bool {
+// attempt sends the request to where it was granted a place, and reports whether the
+// caller was answered.
+func (t *trip) attempt(ctx context.Context, w http.ResponseWriter, granted place) bool {
 	c := t.counter
 	t.sends++
 	t.timing.sent = c.options.Now()
-	a := &sending{upstream: u}
-	defer c.finish(a)
+	a := &sending{place: granted}
+	defer c.finish(t, a)
 	response, err := t.send(ctx, a)
 	if err != nil {
 		return t.failed(ctx, w, a, err)
@@ -38,12 +40,11 @@
 func (t *trip) refused(w http.ResponseWriter, a *sending, response *http.Response, judged Judgement) bool {
 	c := t.counter
 	now := c.options.Now()
-	c.mu.Lock()
-	if judged == Misdirected && t.call.Model != "" {
-		a.upstream.drop(t.call.Model, t.call.Adapter)
-	} else {
-		a.upstream.refused(now)
+	a.outcome = permit.Full
+	if judged == Misdirected && t.model != "" {
+		a.outcome = permit.Absent
 	}
+	c.mu.Lock()
 	verdict := c.budgets.Of(now, t.service).Decide(now, retry.Attempt{
 		Number: t.sends, Outcome: outcome.NotRun, Deadline: t.deadline,
 	})
@@ -60,7 +61,7 @@
 		return true
 	}
 	c.refuse(w, t.call, t.route, refusal{
-		status: http.StatusServiceUnavailable, why: "the upstream refused", comeBack: t.comeBack(),
+		status: http.StatusServiceUnavailable, why: "the upstream refused", comeBack: t.comeBackNow(),
 	})
 	return true
 }
@@ -81,7 +82,7 @@
 	c.mu.Lock()
 	verdict := retry.TooLate
 	if ctx.Err() == nil {
-		a.upstream.failed(now)
+		a.outcome = permit.Failed
 		verdict = t.verdict(now, run)
 	}
 	c.mu.Unlock()
@@ -94,7 +95,7 @@
 	switch {
 	case t.runs == 0:
 		c.refuse(w, t.call, t.route, refusal{
-			status: http.StatusServiceUnavailable, why: "no upstream was reached", comeBack: t.comeBack(),
+			status: http.StatusServiceUnavailable, why: "no upstream was reached", comeBack: t.comeBackNow(),
 		})
 	case ctx.Err() != nil:
 		c.refuse(w, t.call, t.route, refusal{status: http.StatusGatewayTimeout, why: "no answer in time"})
--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lovagelift/lovagelift/internal/permit"
 )
 
 // wish is what a request asks of an upstream.
@@ -49,7 +51,7 @@
 	bestCost := 0.0
 	missing := lackService
 	equals := 1.0
-	for _, u := range f.services[w.service] {
+	for _, u := range f.holders(w.service, w.model) {
 		if !f.alive(now, u) {
 			continue
 		}
@@ -68,10 +70,14 @@
 			}
 		}
 	}
-	if best == nil {
+	switch {
+	case best != nil:
+		return best, lackNone
+	case missing == lackService && w.model != "" && f.anyAlive(now, w.service):
+		return nil, lackModel
+	default:
 		return nil, missing
 	}
-	return best, lackNone
 }
 
 // misfit returns what u lacks for w.
@@ -141,10 +147,18 @@
 	u.took(now, reading)
 }
 
-func (u *upstream) heard(now time.Time, h hint) {
-	u.rivals.heard(now, h.sender)
-	u.others.told(now, u.pace.run, h.sender, h.open)
-	u.took(now, h.reading)
+// use is what another instance tells of an upstream when it sends a request there.
+type use struct {
+	reading time.Duration
+	// open is how many requests it has there.
+	open   int
+	sender uint32
+}
+
+func (u *upstream) heard(now time.Time, told use) {
+	u.rivals.heard(now, told.sender)
+	u.others.told(now, u.pace.run, told.sender, told.open)
+	u.took(now, told.reading)
 }
 
 func (u *upstream) took(now time.Time, reading time.Duration) {
@@ -183,6 +197,21 @@
 	}
 }
 
+// note takes in what became of a request for a model at u.
+func (u *upstream) note(now time.Time, key demandKey, outcome permit.Outcome) {
+	switch outcome {
+	case permit.Worked:
+		u.worked()
+	case permit.Full:
+		u.refused(now)
+	case permit.Absent:
+		u.drop(key.model, key.adapter)
+	case permit.Failed:
+		u.failed(now)
+	case permit.Unused:
+	}
+}
+
 // worked notes that u answered as it should.
 func (u *upstream) worked() {
 	u.failures = 0
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -5,11 +5,13 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -38,12 +40,20 @@
 	// quotas bound the log lines of each kind.
 	quotas map[string]*quota
 	// wants are the calls for models and adapters that wait or are under way.
-	wants    map[courier.WantArgs]chan struct{}
+	wants    map[courier.WantArgs]bool
 	wantPace *wantPace
 	// told says how far the fleet follows the roster.
 	told  uint64
 	queue queue
-	hints *hints
+	// exchange reaches the other entry instances, and owners says which of them decides
+	// for which model.
+	exchange *exchange
+	owners   owners
+	// questions are the requests of this instance that others decide on, and permits those
+	// of others that this one does.
+	questions    map[permit.ID]*question
+	lastQuestion permit.ID
+	permits      map[otherInstance]*issued
 	// open is how many requests are under way.
 	open     int
 	draining bool
@@ -94,9 +104,14 @@
 		seeds:   options.Seeds,
 		metrics: newMetrics(options.Metrics),
 		quotas:  map[string]*quota{},
-		wants:   map[courier.WantArgs]chan struct{}{}, wantPace: newWantPace(),
-		syncNow: make(chan struct{}, 1),
-		stop:    cancel,
+		wants:   map[courier.WantArgs]bool{}, wantPace: newWantPace(),
+		owners:    owners{avoided: map[netip.AddrPort]time.Time{}},
+		questions: map[permit.ID]*question{},
+		// The questions of the process that had this address before have lower numbers.
+		lastQuestion: permit.ID(options.Now().UnixNano()),
+		permits:      map[otherInstance]*issued{},
+		syncNow:      make(chan struct{}, 1),
+		stop:         cancel,
 	}
 	c.queue.granted = map[modelKey]*window{}
 	c.links = links{
@@ -106,20 +121,14 @@
 		next:     rand.IntN(len(options.Seeds)),
 	}
 	c.links.asked = options.Seeds[c.links.next]
-	c.hints = newHints(options.Hints, options.Now, c.heard, options.Log)
+	if self, err := netip.ParseAddrPort(options.Name); err == nil {
+		c.owners.self = self
+	}
+	c.exchange = newExchange(options.Peers, options.Now, c.hear, options.Log)
 	c.done.Go(func() { c.follow(ctx) })
 	return c
 }
 
-// heard takes in what another instance sends to an engine.
-func (c *Counter) heard(now time.Time, h hint) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if u := c.fleet.upstreams[h.engine]; u != nil {
-		u.heard(now, h)
-	}
-}
-
 // maxAttempts bounds the sendings of one request, refusals by upstreams
 // included.
 const maxAttempts = 4
@@ -176,7 +185,7 @@
 	c.stop()
 	c.links.calls.Close()
 	c.links.wants.Close()
-	c.hints.close()
+	c.exchange.close()
 	c.done.Wait()
 	c.kept.CloseIdleConnections()
 	c.fresh.CloseIdleConnections()
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -89,6 +90,8 @@
 	// model or an adapter came.
 	entries []string
 	wants   int
+	// exactly are all entry instances, if they are set.
+	exactly []string
 }
 
 func newControl() *control {
@@ -112,6 +115,9 @@
 		Leader: c.address, Controls: []string{c.address}, Entries: append([]string{args.From.Name}, c.entries...),
 		Changes: c.roster.Since(time.Now(), args.Cursor),
 	}
+	if c.exactly != nil {
+		reply.Entries = c.exactly
+	}
 	if c.leaderless {
 		reply.Leader = ""
 	}
@@ -155,6 +161,15 @@
 	}
 }
 
+// instances has control tell of the entry instances at some addresses alone.
+func (c *control) instances(addresses ...netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, address := range addresses {
+		c.exactly = append(c.exactly, address.String())
+	}
+}
+
 func (c *control) announce(name, address string, models ...string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"net"
+	"net/netip"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/speed"
@@ -59,12 +62,12 @@
 
 // Heard counts what another instance sends.
 func (f Fleet) Heard(now time.Time, name string, tokens, sender int) {
-	f.fleet.upstreams[name].heard(now, hint{reading: reading(tokens), open: 1, sender: uint32(sender)})
+	f.fleet.upstreams[name].heard(now, use{reading: reading(tokens), open: 1, sender: uint32(sender)})
 }
 
 // HeardOpen takes in that another instance sends a request and has so many there.
 func (f Fleet) HeardOpen(now time.Time, name string, open, sender int) {
-	f.fleet.upstreams[name].heard(now, hint{open: open, sender: uint32(sender)})
+	f.fleet.upstreams[name].heard(now, use{open: open, sender: uint32(sender)})
 }
 
 // Ended notes that a request at an upstream is over.
@@ -81,7 +84,7 @@
 // have too much to read, and are avoided.
 func (f Fleet) Survey(now time.Time, service, model string, tried ...string) (holders, slots, pace, avoided int) {
 	s := f.fleet.survey(now, wish{service: service, model: model, pace: paceOf(f.gap, speed.New(3)), tried: tried})
-	return s.holders, s.slots, s.pace, s.avoided
+	return s.Holders, s.Full, s.Paced, s.Avoided
 }
 
 // Failed notes that an upstream did not answer.
@@ -117,7 +120,10 @@
 
 // NewLine returns the queue of one instance among so many.
 func NewLine(fleet Fleet, instances int) Line {
-	c := &Counter{fleet: fleet.fleet, hints: &hints{}, demand: newDemand(), wants: map[courier.WantArgs]chan struct{}{}, wantPace: newWantPace()}
+	c := &Counter{
+		fleet: fleet.fleet, exchange: &exchange{}, demand: newDemand(), wants: map[courier.WantArgs]bool{}, wantPace: newWantPace(),
+		options: Options{Now: func() time.Time { return time.Time{} }},
+	}
 	c.queue.granted = map[modelKey]*window{}
 	c.queue.armed = true
 	c.links.entries = instances
@@ -126,11 +132,17 @@
 
 // Join has a request for a model wait since began, and returns what it waits for.
 func (l Line) Join(began time.Time, model string, objective time.Duration) *waiter {
-	t := &trip{
-		counter: l.counter, service: "pool", began: began, deadline: began.Add(10 * time.Second), call: Call{Model: model},
-		route: &routes.Route{Objective: objective}, pace: paceOf(l.fleet.gap, speed.New(3)), reading: reading(1000),
+	w := &waiter{
+		need: need{
+			demandKey: demandKey{service: "pool", model: model}, began: began, deadline: began.Add(10 * time.Second),
+			objective: objective, pace: paceOf(l.fleet.gap, speed.New(3)), reading: reading(1000),
+		},
+		asker: ownRequest{granted: make(chan place, 1)}, sharers: l.counter.links.entries,
 	}
-	return l.counter.enqueue(began, t)
+	l.counter.mu.Lock()
+	defer l.counter.mu.Unlock()
+	l.counter.enqueue(began, w)
+	return w
 }
 
 // Look has the queue looked at.
@@ -142,20 +154,99 @@
 
 // Refuses reports whether a request is refused at once.
 func (l Line) Refuses(now time.Time, w *waiter) bool {
-	if len(w.granted) > 0 {
+	if Granted(w) {
 		return false
 	}
-	return l.counter.forecast(now, w) > w.trip.bearable(now) || l.counter.hopeless(now, w)
+	l.counter.mu.Lock()
+	defer l.counter.mu.Unlock()
+	return l.counter.reject(now, w) != nil
 }
 
 // Leave takes a request out of the queue.
 func (l Line) Leave(w *waiter) {
+	l.counter.mu.Lock()
+	defer l.counter.mu.Unlock()
 	l.counter.dequeue(w)
 }
 
 // Granted reports whether a request got an upstream.
 func Granted(w *waiter) bool {
-	return len(w.granted) > 0
+	return len(w.asker.(ownRequest).granted) > 0
+}
+
+// Owner gives specs an instance that decides for models, without a network.
+type Owner struct {
+	counter *Counter
+	told    *toldConn
+}
+
+// Told is a message that an instance has sent.
+type Told struct {
+	To      netip.AddrPort
+	Message permit.Message
+}
+
+// toldConn keeps what is sent.
+type toldConn struct {
+	net.PacketConn
+	told []Told
+}
+
+func (c *toldConn) WriteTo(encoded []byte, to net.Addr) (int, error) {
+	message, err := permit.Decode(encoded)
+	if err != nil {
+		return 0, err
+	}
+	c.told = append(c.told, Told{to.(*net.UDPAddr).AddrPort(), message})
+	return len(encoded), nil
+}
+
+// NewOwner returns the instance at self among others.
+func NewOwner(fleet Fleet, self netip.AddrPort, all []netip.AddrPort) Owner {
+	told := &toldConn{}
+	c := NewLine(fleet, len(all)).counter
+	c.exchange = &exchange{conn: told}
+	c.owners = owners{self: self, known: permit.NewOwners(all), avoided: map[netip.AddrPort]time.Time{}}
+	c.permits = map[otherInstance]*issued{}
+	c.questions = map[permit.ID]*question{}
+	return Owner{counter: c, told: told}
+}
+
+// Hear takes in a message and returns what the instance tells then.
+func (o Owner) Hear(now time.Time, from netip.AddrPort, message permit.Message) []Told {
+	o.counter.hear(now, from, message)
+	return o.taken()
+}
+
+// Look has the queue looked at, and returns what the instance tells then.
+func (o Owner) Look(now time.Time) []Told {
+	o.counter.mu.Lock()
+	o.counter.dispatch(now)
+	o.counter.mu.Unlock()
+	return o.taken()
+}
+
+// Sweep has the instance forget permits that have not ended in time.
+func (o Owner) Sweep(now time.Time) {
+	o.counter.sweepPermits(now)
+}
+
+// Drain begins a planned stop.
+func (o Owner) Drain() {
+	o.counter.draining = true
+}
+
+// Permits returns how many questions and permits of others the instance keeps.
+func (c *Counter) Permits() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.permits)
+}
+
+func (o Owner) taken() []Told {
+	told := o.told.told
+	o.told.told = nil
+	return told
 }
 
 // Instances returns how many entry instances there are by the last news.
@@ -165,6 +256,13 @@
 	return c.links.entries
 }
 
+// Upstreams returns how many upstreams the instance knows.
+func (c *Counter) Upstreams() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.fleet.upstreams)
+}
+
 // Asked returns the control instance that one of so many entry instances asks.
 func Asked(self string, entries int, alive []string, leader string) string {
 	l := links{entries: entries, alive: alive, leader: leader}
--- a/internal/counter/fleet.go
+++ b/internal/counter/fleet.go
@@ -19,6 +19,10 @@
 	upstreams map[string]*upstream
 	// services are the names of upstreams by service.
 	services map[string][]*upstream
+	// byModel are the upstreams that hold each model, made anew when changed is true: a
+	// model is held by a few of hundreds, and each request looks at them.
+	byModel map[modelKey][]*upstream
+	changed bool
 	// addresses are the upstreams that were heard of last at each address. An upstream
 	// that crashes is started anew under another name: until its lease ends, requests
 	// for the one that is gone would reach the new one, which refuses them. Upstreams of
@@ -134,6 +138,7 @@
 		for _, held := range known.Announcement.Resident {
 			u.models[held.Model] = held.Adapters
 		}
+		f.changed = true
 	}
 	if known.Heard.After(f.newest) {
 		f.newest = known.Heard
@@ -164,6 +169,33 @@
 		delete(f.addresses, u.address)
 	}
 	f.services[u.service] = slices.DeleteFunc(f.services[u.service], func(other *upstream) bool { return other == u })
+	f.changed = true
+}
+
+// holders returns the upstreams of a service that hold a model, or all of them if model is
+// empty. They may be lost or leave.
+func (f *fleet) holders(service, model string) []*upstream {
+	if model == "" {
+		return f.services[service]
+	}
+	if f.changed {
+		f.changed = false
+		f.byModel = make(map[modelKey][]*upstream, len(f.byModel))
+		for name, upstreams := range f.services {
+			for _, u := range upstreams {
+				for held := range u.models {
+					key := modelKey{name, held}
+					f.byModel[key] = append(f.byModel[key], u)
+				}
+			}
+		}
+	}
+	return f.byModel[modelKey{service, model}]
+}
+
+// anyAlive reports whether an upstream of a service may get new work.
+func (f *fleet) anyAlive(now time.Time, service string) bool {
+	return slices.ContainsFunc(f.services[service], func(u *upstream) bool { return f.alive(now, u) })
 }
 
 // reportLag is about how old an engine's report is when it gives it.
@@ -181,6 +213,7 @@
 		for _, model := range held.Models {
 			u.models[model.Name] = model.Adapters
 		}
+		f.changed = true
 		u.coming, u.comingAt = held.Coming, now.Add(held.ComingIn)
 		u.report(now, now.Add(-held.Age-reportLag), held.Running+held.Queued)
 	}
@@ -237,10 +270,11 @@
 }
 
 // gained notes that u holds a model now, with an adapter unless it is empty.
-func (u *upstream) gained(model, adapter string) {
+func (f *fleet) gained(u *upstream, model, adapter string) {
 	if u.holds(model, adapter) {
 		return
 	}
+	f.changed = true
 	adapters := slices.Clone(u.models[model])
 	if adapter != "" {
 		adapters = append(adapters, adapter)
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -1,6 +1,10 @@
 package counter
 
-import "time"
+import (
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/permit"
+)
 
 // Under a load that lasts, a queue that everybody may join makes all answers late, and
 // refuses as many callers in the end, each after it has waited for nothing. So a request
@@ -16,11 +20,11 @@
 )
 
 // grant counts a request that got an upstream.
-func (q *queue) grant(now time.Time, t *trip) {
-	if t.call.Model == "" {
+func (q *queue) grant(now time.Time, n *need) {
+	if n.model == "" {
 		return
 	}
-	key := modelKey{t.service, t.call.Model}
+	key := n.modelKey()
 	if q.granted[key] == nil {
 		q.granted[key] = &window{}
 	}
@@ -36,26 +40,77 @@
 	return float64(granted.sum(now, grantSpan)) / grantSpan.Seconds()
 }
 
+// rejection is why a request is refused at once.
+type rejection struct {
+	reason permit.Reason
+	// comeBack is when the caller may come back, and forecast how long it would have waited.
+	comeBack time.Duration
+	forecast time.Duration
+	// survey is what the upstreams that hold the model lack.
+	survey survey
+}
+
+// Error returns the reason. Refusals are counted by it.
+func (r *rejection) Error() string {
+	if r.reason == permit.Missing {
+		return "no upstream: " + lackModel.String()
+	}
+	return "too many requests wait"
+}
+
+// reject decides whether a request that has just joined the queue is refused at once. It
+// returns nil if it may wait. c.mu is held.
+func (c *Counter) reject(now time.Time, w *waiter) *rejection {
+	n := &w.need
+	if forecast := c.forecast(now, w); forecast > n.bearable(now) {
+		// It could not be served in time: the caller learns that now, and when it may.
+		return &rejection{reason: permit.Crowded, comeBack: n.comeBackAfter(now, forecast), forecast: forecast}
+	}
+	if n.model == "" || w.missing != lackModel {
+		return nil
+	}
+	in, comes := c.fleet.arrival(now, n.service, n.model)
+	if comes && in <= n.bearable(now) {
+		return nil
+	}
+	return &rejection{reason: permit.Missing, comeBack: n.comeBack(now, in, comes)}
+}
+
+// turnAway takes a request that has just joined the queue out of it if it is refused at
+// once, and says why. It returns nil if the request may wait. c.mu is held.
+func (c *Counter) turnAway(now time.Time, w *waiter) *rejection {
+	rejected := c.reject(now, w)
+	if rejected == nil {
+		c.wantFor(w)
+		return nil
+	}
+	if rejected.reason == permit.Missing {
+		// The caller comes back to the model: the leader must hear that it is wanted.
+		c.wantFor(w)
+	}
+	rejected.survey = c.fleet.survey(now, w.need.wish())
+	c.dequeue(w)
+	return rejected
+}
+
 // forecast returns about how long a request waits that no upstream has room for
 // now: as long as the one that goes next of its model has waited already, and as long as
 // those before it take at the rate of late. That holds however many instances share the
-// engines, which none of them sees.
+// engines.
 func (c *Counter) forecast(now time.Time, w *waiter) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := w.trip
+	n := &w.need
 	longest := time.Duration(0)
-	if t.call.Model == "" || w.missing != lackRoom {
+	if n.model == "" || w.missing != lackRoom {
 		return longest
 	}
 	ahead := 0
 	for _, other := range c.queue.waiters {
-		if other != w && other.trip.call.Model == t.call.Model && other.trip.compare(now, t) <= 0 {
-			longest = max(longest, now.Sub(other.trip.began))
+		if other != w && other.need.model == n.model && other.need.compare(now, n) <= 0 {
+			longest = max(longest, now.Sub(other.need.began))
 			ahead++
 		}
 	}
-	rate := max(c.queue.rate(now, modelKey{t.service, t.call.Model}), capacityShare*c.capacity(now, t))
+	rate := max(c.queue.rate(now, n.modelKey()), capacityShare*c.capacity(now, w))
 	if rate > 0 {
 		longest = max(longest, time.Duration(float64(ahead)/rate*float64(time.Second)))
 	}
@@ -64,32 +119,13 @@
 
 // capacity returns how many requests a second the engines that hold what a request asks
 // for could run for this instance, one among its equals. c.mu is held.
-func (c *Counter) capacity(now time.Time, t *trip) float64 {
+func (c *Counter) capacity(now time.Time, w *waiter) float64 {
+	n := &w.need
 	places := 0
-	for _, u := range c.fleet.services[t.service] {
-		if c.fleet.alive(now, u) && u.holds(t.call.Model, t.call.Adapter) {
+	for _, u := range c.fleet.holders(n.service, n.model) {
+		if c.fleet.alive(now, u) && u.holds(n.model, n.adapter) {
 			places += u.slots
 		}
 	}
-	return float64(places) / max(t.pace.run.Seconds(), dispatchEvery.Seconds()) / float64(max(c.links.entries, 1))
-}
-
-// hopeless reports whether a request waits for a model that no upstream holds, and that
-// none will hold in time.
-func (c *Counter) hopeless(now time.Time, w *waiter) bool {
-	t := w.trip
-	c.mu.Lock()
-	missing := w.missing
-	in, comes := c.fleet.arrival(now, t.service, t.call.Model)
-	c.mu.Unlock()
-	return t.call.Model != "" && missing == lackModel && (!comes || in > t.bearable(now))
-}
-
-// bearable is the longest forecast with which a request waits: its answer can still be
-// on time, or it is late already.
-func (t *trip) bearable(now time.Time) time.Duration {
-	if t.late(now) || t.route.Objective <= 0 {
-		return t.began.Add(t.longestWait()).Sub(now)
-	}
-	return t.onTimeUntil().Sub(now)
+	return float64(places) / max(n.pace.run.Seconds(), dispatchEvery.Seconds()) / float64(max(w.sharers, 1))
 }
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -21,7 +21,7 @@
 
 // Options configures a Counter.
 type Options struct {
-	// Name is the address at which others reach this instance, Hints included. CallerAddress is where callers
+	// Name is the address at which others reach this instance, Peers included. CallerAddress is where callers
 	// reach this one.
 	Name          string
 	CallerAddress string
@@ -29,9 +29,9 @@
 	// Seeds are the inner addresses of control instances to begin with.
 	Seeds []string
 	Dial  courier.Dial
-	// Hints is where other entry instances tell what they send to engines. The
-	// Counter closes it. It may be nil.
-	Hints net.PacketConn
+	// Peers is where other entry instances ask this one to place requests, and answer. The
+	// Counter closes it. If it is nil, this one decides by itself.
+	Peers net.PacketConn
 	// UpstreamLease is how long an upstream gets work after it was heard of.
 	UpstreamLease time.Duration
 	// Retries bounds the requests that are sent once more, for each service.
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -1,23 +1,55 @@
 package counter
 
 import (
-	"cmp"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/lovagelift/lovagelift/internal/permit"
 )
 
 // waiter is a request that waits for an upstream.
 type waiter struct {
-	trip *trip
-	// granted gets the upstream.
-	granted chan *upstream
-	// missing is why there was none at the last look.
+	need  need
+	asker asker
+	// sharers is how many instances place requests for the model.
+	sharers int
+	// missing is why there was no upstream at the last look.
 	missing lack
 	// counted says that it is told as waiting.
 	counted bool
 }
 
+// asker is who is told of the upstream: ownRequest or otherInstance.
+type asker interface {
+	asker()
+}
+
+// ownRequest is a request that a caller has sent to this instance.
+type ownRequest struct {
+	granted chan place
+}
+
+// otherInstance is a request at another instance, which has asked this one.
+type otherInstance struct {
+	address netip.AddrPort
+	id      permit.ID
+}
+
+func (ownRequest) asker()    {}
+func (otherInstance) asker() {}
+
+// place is an upstream that a request may be sent to.
+type place struct {
+	upstream *upstream
+	// unread is how long the engine reads what it has before.
+	unread time.Duration
+	// owner is who has granted it under id. It is not valid if this instance has.
+	owner netip.AddrPort
+	id    permit.ID
+}
+
 // queue is the requests that wait, in no order. It is not safe for concurrent use.
 type queue struct {
 	waiters []*waiter
@@ -37,37 +69,22 @@
 // again step by step.
 const dispatchEvery = 4 * time.Millisecond
 
-// enqueue adds a request, and looks at once.
-func (c *Counter) enqueue(now time.Time, t *trip) *waiter {
-	w := &waiter{trip: t, granted: make(chan *upstream, 1)}
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// enqueue adds a request, and looks at once. c.mu is held.
+func (c *Counter) enqueue(now time.Time, w *waiter) {
 	c.queue.waiters = append(c.queue.waiters, w)
+	c.countWaiting(w, true)
 	c.dispatch(now)
-	if len(w.granted) == 0 {
-		c.countWaiting(w, true)
-	}
-	return w
-}
-
-// dequeue takes a request out of the queue. If it was granted an upstream meanwhile,
-// dequeue returns that.
-func (c *Counter) dequeue(w *waiter) *upstream {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	select {
-	case u := <-w.granted:
-		return u
-	default:
-	}
+}
+
+// dequeue takes a request out of the queue. c.mu is held.
+func (c *Counter) dequeue(w *waiter) {
 	c.queue.waiters = slices.DeleteFunc(c.queue.waiters, func(other *waiter) bool { return other == w })
 	c.countWaiting(w, false)
-	return nil
 }
 
-// countWaiting notes whether a request waits for an engine.
+// countWaiting notes whether a request of this instance waits for an engine.
 func (c *Counter) countWaiting(w *waiter, waits bool) {
-	if w.counted == waits || w.trip.call.Model == "" {
+	if _, own := w.asker.(ownRequest); !own || w.counted == waits {
 		return
 	}
 	w.counted = waits
@@ -75,7 +92,20 @@
 	if waits {
 		change = 1
 	}
-	c.demand.wait(w.trip.key(), change)
+	c.countNeed(&w.need, change)
+}
+
+// countNeed notes that change more requests wait for an engine. c.mu is held.
+func (c *Counter) countNeed(n *need, change int) {
+	if n.model != "" {
+		c.demand.wait(n.demandKey, change)
+	}
+}
+
+// lookKey is what requests have in common that get the same answer at one look.
+type lookKey struct {
+	demandKey
+	pace pace
 }
 
 // dispatch grants upstreams to those that wait, in their order. c.mu is held.
@@ -83,35 +113,50 @@
 // First come those whose answer can still be on time, the more urgent before the
 // others. One that can't be on time any more is served with what they leave: it
 // is still worth something to its caller, but must not make the next one late.
+//
+// A request for which there is no room leaves none for those after it that ask for the
+// same: a model that rises has hundreds waiting, and engines are looked at once for all.
 func (c *Counter) dispatch(now time.Time) {
 	waiters := c.queue.waiters
 	if len(waiters) > 1 {
-		slices.SortStableFunc(waiters, func(a, b *waiter) int { return a.trip.compare(now, b.trip) })
+		slices.SortStableFunc(waiters, func(a, b *waiter) int { return a.need.compare(now, &b.need) })
 	}
+	found := map[lookKey]lack{}
 	kept := waiters[:0]
 	for _, w := range waiters {
-		u, missing := c.fleet.choose(now, w.trip.wish(), rand.Float64())
+		key := lookKey{w.need.demandKey, w.need.pace}
+		missing, looked := found[key]
+		var u *upstream
+		if !looked || len(w.need.tried) > 0 {
+			u, missing = c.fleet.choose(now, w.need.wish(), rand.Float64())
+		}
 		w.missing = missing
 		if u == nil {
+			if len(w.need.tried) == 0 {
+				found[key] = missing
+			}
 			kept = append(kept, w)
 			continue
 		}
-		c.sentLocked(now, w.trip, u)
-		c.queue.grant(now, w.trip)
-		c.countWaiting(w, false)
-		w.granted <- u
+		c.grant(now, w, u)
 	}
 	clear(waiters[len(kept):])
 	c.queue.waiters = kept
 	c.arm()
 }
 
-// sentLocked notes that a request goes to u, and tells the other instances.
-func (c *Counter) sentLocked(now time.Time, t *trip, u *upstream) {
-	t.unread = u.unread.left(now)
-	u.sent(now, t.reading, t.pace)
-	if t.call.Model != "" {
-		c.hints.tell(hint{engine: u.name, reading: t.reading, open: u.open})
+// grant gives u to a request that waits. c.mu is held.
+func (c *Counter) grant(now time.Time, w *waiter, u *upstream) {
+	granted := place{upstream: u, unread: u.unread.left(now)}
+	u.sent(now, w.need.reading, w.need.pace)
+	c.tellUse(now, u, &w.need)
+	c.queue.grant(now, &w.need)
+	c.countWaiting(w, false)
+	switch to := w.asker.(type) {
+	case ownRequest:
+		to.granted <- granted
+	case otherInstance:
+		c.issue(now, to, granted)
 	}
 }
 
@@ -126,6 +171,7 @@
 		defer c.mu.Unlock()
 		c.queue.armed = false
 		c.dispatch(c.options.Now())
+		c.wantMissing()
 	}
 	if c.queue.timer == nil {
 		c.queue.timer = time.AfterFunc(dispatchEvery, wake)
@@ -134,34 +180,9 @@
 	c.queue.timer.Reset(dispatchEvery)
 }
 
-// compare returns a number below 0 if t goes before other.
-func (t *trip) compare(now time.Time, other *trip) int {
-	return cmp.Or(
-		boolCompare(t.late(now), other.late(now)),
-		cmp.Compare(t.route.Priority, other.route.Priority),
-		t.onTimeUntil().Compare(other.onTimeUntil()),
-	)
-}
-
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
+// wantMissing has the leader load what requests that wait lack. c.mu is held.
+func (c *Counter) wantMissing() {
+	for _, w := range c.queue.waiters {
+		c.wantFor(w)
 	}
 }
-
-// onTimeUntil is when the request must be sent for its answer to be on time.
-func (t *trip) onTimeUntil() time.Time {
-	if t.route.Objective <= 0 {
-		return t.deadline
-	}
-	return t.began.Add(t.route.Objective - t.reading - paceMargin)
-}
-
-func (t *trip) late(now time.Time) bool {
-	return now.After(t.onTimeUntil())
-}
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -9,22 +9,37 @@
 	"net/url"
 	"sync/atomic"
 
+	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
 // sending is a request at one upstream.
 type sending struct {
-	upstream *upstream
+	place
+	// outcome is what became of it, and sample what it says of the engine's speed.
+	outcome permit.Outcome
+	sample  sample
 	// reached is true once bytes of the request may have gone out.
 	reached atomic.Bool
 }
 
-// finish notes that the upstream has no more work of the request.
-func (c *Counter) finish(a *sending) {
+// finish notes that the upstream has no more work of the request, and tells whoever has
+// granted the place.
+func (c *Counter) finish(t *trip, a *sending) {
+	now := c.options.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a.upstream.ended()
+	a.upstream.note(now, t.demandKey, a.outcome)
+	c.learn(&t.need, a.sample)
+	if !a.owner.IsValid() {
+		a.upstream.ended()
+		return
+	}
+	c.exchange.tell(a.owner, permit.Ended{
+		ID: a.id, Outcome: a.outcome, First: a.sample.first, Run: a.sample.run, Events: a.sample.events,
+		Writing: a.sample.writing,
+	})
 }
 
 // send sends the request once and waits for the head of the answer.
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +51,7 @@
 func (c *Counter) follow(ctx context.Context) {
 	for {
 		c.sync(ctx)
+		c.sweepPermits(c.options.Now())
 		select {
 		case <-c.syncNow:
 		case <-time.After(c.syncPause()):
@@ -137,7 +137,7 @@
 	}
 	c.roster.Merge(asked, &c.links.source, reply.Changes)
 	c.links.entries = len(reply.Entries)
-	c.hints.follow(slices.DeleteFunc(reply.Entries, func(address string) bool { return address == c.options.Name }))
+	c.owners.follow(now, reply.Entries)
 	c.budgets.Resize(c.options.Retries.of(len(reply.Entries)))
 	var changed []roster.Upstream
 	changed, c.told = c.roster.UpstreamsSince(c.told)
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -20,24 +20,16 @@
 	call    Call
 	route   *routes.Route
 	version uint64
-	service string
 	request *http.Request
 	body    []byte
-	began   time.Time
-	// deadline is when an answer must have been given.
-	deadline time.Time
-	// tried are the upstreams that have failed it, and runs how many of them may
-	// have run it.
-	tried []string
+	need
+	// runs is how many upstreams may have run it, and sends how many it was sent to.
 	runs  int
 	sends int
-	pace  pace
-	// reading is how long an engine reads its prompt, answering how long its answer takes
-	// a place in the batch, and unread how long the engine had to read before it when it was
-	// sent.
-	reading   time.Duration
-	answering time.Duration
-	unread    time.Duration
+	// unread is how long the engine had to read before it when it was sent.
+	unread time.Duration
+	// missing is why it has found no upstream, if it has not.
+	missing lack
 	// timing and cause, which is why the last attempt failed, are for the log.
 	timing timing
 	cause  error
@@ -64,10 +56,13 @@
 	}
 	t := &trip{
 		counter: c, call: call, route: route, version: table.Version, request: r, body: body,
-		service: route.Service(rand.Float64()),
-		began:   began, deadline: began.Add(patience(call, route)),
+		need: need{
+			demandKey: demandKey{service: route.Service(rand.Float64()), model: call.Model, adapter: call.Adapter},
+			requestID: call.ID, promptTokens: call.PromptTokens, answerTokens: call.AnswerTokens,
+			priority: route.Priority, objective: route.Objective, gap: route.Gap,
+			began: began, deadline: began.Add(patience(call, route)),
+		},
 	}
-	c.measure(t, table.Service(t.service))
 	c.enter(t, 1)
 	defer c.enter(t, -1)
 	ctx, cancel := context.WithTimeout(r.Context(), t.deadline.Sub(c.options.Now()))
@@ -171,20 +166,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open += change
-	c.demand.run(t.key(), change)
+	c.demand.run(t.demandKey, change)
 	if change < 0 {
 		return
 	}
 	c.budgets.Of(t.began, t.service).Fresh()
-	if t.call.Model != "" {
-		c.demand.add(t.key(), t.reading, t.answering)
+	if t.model != "" {
+		c.measure(&t.need)
+		c.demand.add(t.demandKey, t.reading, t.answering)
 	}
 }
 
-func (t *trip) key() demandKey {
-	return demandKey{service: t.service, model: t.call.Model, adapter: t.call.Adapter}
-}
-
 // defaultBodyBytes bounds a body where the routes do not.
 const defaultBodyBytes = 4 << 20
 
@@ -211,11 +203,11 @@
 // run sends the request until it is answered or given up.
 func (t *trip) run(ctx context.Context, w http.ResponseWriter) {
 	for {
-		u := t.await(ctx, w)
-		if u == nil {
+		granted, ok := t.await(ctx, w)
+		if !ok {
 			return
 		}
-		if t.attempt(ctx, w, u) {
+		if t.attempt(ctx, w, granted) {
 			return
 		}
 	}
--- a/internal/counter/turn.go
+++ b/internal/counter/turn.go
@@ -6,7 +6,7 @@
 )
 
 // rivalTime is how long an instance waits at most for each other that sends to the
-// same engine. A hint takes about 2 ms to arrive.
+// same engine. What it tells takes about 2 ms to arrive.
 const rivalTime = 8 * time.Millisecond
 
 // turn spreads the instances that wait for an engine. All of them see at the same
--- a/internal/counter/wait.go
+++ b/internal/counter/wait.go
@@ -2,126 +2,92 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
-	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/cockroachdb/errors"
 )
 
-// await returns the upstream to send to next. If there is none in time, await
-// answers the caller and returns nil.
-func (t *trip) await(ctx context.Context, w http.ResponseWriter) *upstream {
-	c := t.counter
-	now := c.options.Now()
-	waiting := c.enqueue(now, t)
-	select {
-	case u := <-waiting.granted:
-		return u
-	default:
-	}
-	if forecast := c.forecast(now, waiting); forecast > t.bearable(now) {
-		if u := c.dequeue(waiting); u != nil {
-			return u
-		}
-		// It could not be served in time: the caller learns that now, and when it
-		// may.
-		c.refuse(w, t.call, t.route, refusal{
-			status: http.StatusServiceUnavailable, why: "too many requests wait",
-			comeBack: t.comeBackAfter(forecast), forecast: forecast, held: now.Sub(t.began), survey: c.survey(now, t),
-		})
-		return nil
-	}
-	if c.hopeless(now, waiting) {
-		// The caller comes back to the model: the leader must hear that it is wanted.
-		c.want(t.wanted(lackModel))
-		if u := c.dequeue(waiting); u != nil {
-			return u
-		}
-		t.giveUp(ctx, w, waiting.missing)
-		return nil
-	}
+// await returns where to send the request next. If there is no place in time, await
+// answers the caller and returns false.
+func (t *trip) await(ctx context.Context, w http.ResponseWriter) (place, bool) {
+	now := t.counter.options.Now()
 	patience, cancel := context.WithTimeout(ctx, t.began.Add(t.longestWait()).Sub(now))
 	defer cancel()
-	for {
-		c.mu.Lock()
-		missing := waiting.missing
-		c.mu.Unlock()
-		if patience.Err() != nil {
-			if u := c.dequeue(waiting); u != nil {
-				return u
-			}
-			t.giveUp(ctx, w, missing)
-			return nil
-		}
-		if u := t.wait(patience, waiting, missing); u != nil {
-			return u
-		}
+	granted, err := t.awaitOwner(patience)
+	if errors.Is(err, errNoOwner) {
+		granted, err = t.awaitHere(patience)
 	}
+	var rejected *rejection
+	switch {
+	case err == nil:
+		t.unread = granted.unread
+		return granted, true
+	case errors.As(err, &rejected) && t.runs == 0:
+		t.counter.refuse(w, t.call, t.route, refusal{
+			status: http.StatusServiceUnavailable, why: rejected.Error(), comeBack: rejected.comeBack,
+			forecast: rejected.forecast, held: t.counter.options.Now().Sub(t.began), survey: &rejected.survey,
+		})
+	default:
+		t.giveUp(w)
+	}
+	return place{}, false
 }
 
-// wait waits until the request is granted an upstream, or has to be looked at
-// again.
-func (t *trip) wait(ctx context.Context, waiting *waiter, missing lack) *upstream {
+// awaitHere waits for a place that this instance decides on.
+func (t *trip) awaitHere(ctx context.Context) (place, error) {
 	c := t.counter
-	var wanted <-chan struct{}
-	if t.call.Model != "" && (missing == lackAdapter || missing == lackModel) {
-		wanted = c.want(t.wanted(missing))
+	own := ownRequest{granted: make(chan place, 1)}
+	w := &waiter{need: t.need, asker: own}
+	if rejected := c.join(w, own); rejected != nil {
+		return place{}, rejected
 	}
 	select {
-	case u := <-waiting.granted:
-		return u
-	case <-wanted:
+	case granted := <-own.granted:
+		return granted, nil
 	case <-ctx.Done():
 	}
-	return nil
-}
-
-// wanted is what a request that lacks something has the leader load.
-func (t *trip) wanted(missing lack) courier.WantArgs {
-	args := courier.WantArgs{Service: t.service, Model: t.call.Model, Timeout: loadTimeout}
-	if missing == lackAdapter {
-		args.Adapter = t.call.Adapter
-	}
-	return args
-}
-
-// lateWait is how long a request waits for an upstream, in objectives: its answer
-// will be late then, but callers stay for about four.
-const lateWait = 1.5
-
-// longestWait is how long a request waits for an upstream that can run it.
-func (t *trip) longestWait() time.Duration {
-	total := t.deadline.Sub(t.began)
-	if t.route.Objective > 0 {
-		return min(time.Duration(lateWait*float64(t.route.Objective)), total/2)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case granted := <-own.granted:
+		return granted, nil
+	default:
 	}
-	return total / 2
+	c.dequeue(w)
+	t.missing = w.missing
+	return place{}, ctx.Err()
 }
 
-// wish returns what the request asks of an upstream.
-func (t *trip) wish() wish {
-	return wish{
-		service: t.service, model: t.call.Model, adapter: t.call.Adapter,
-		pace: t.pace, tried: t.tried,
+// join has a request of this instance wait, and says why if it is refused at once.
+func (c *Counter) join(w *waiter, own ownRequest) *rejection {
+	now := c.options.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.sharers = c.sharers(now, &w.need)
+	c.enqueue(now, w)
+	if len(own.granted) > 0 {
+		return nil
 	}
+	return c.turnAway(now, w)
 }
 
 // giveUp answers a request that found no upstream.
-func (t *trip) giveUp(ctx context.Context, w http.ResponseWriter, missing lack) {
+func (t *trip) giveUp(w http.ResponseWriter) {
+	c := t.counter
 	if t.runs > 0 {
-		t.counter.refuse(w, t.call, t.route, refusal{status: http.StatusBadGateway, why: "no upstream is left to try"})
+		c.refuse(w, t.call, t.route, refusal{status: http.StatusBadGateway, why: "no upstream is left to try"})
 		return
 	}
-	if ctx.Err() != nil && t.request.Context().Err() != nil {
+	if t.request.Context().Err() != nil {
 		// The caller has left.
-		t.counter.log(t, "left", "the caller left while the request waited")
+		c.log(t, "left", "the caller left while the request waited")
 		panic(http.ErrAbortHandler)
 	}
-	now := t.counter.options.Now()
-	t.counter.refuse(w, t.call, t.route, refusal{
-		status: http.StatusServiceUnavailable, why: "no upstream: " + missing.String(), comeBack: t.comeBack(),
-		held: now.Sub(t.began), survey: t.counter.survey(now, t),
+	now := c.options.Now()
+	c.refuse(w, t.call, t.route, refusal{
+		status: http.StatusServiceUnavailable, why: "no upstream: " + t.missing.String(), comeBack: t.comeBackNow(),
+		held: now.Sub(t.began), survey: c.survey(now, t),
 	})
 }
 
@@ -133,32 +99,12 @@
 	return &s
 }
 
-// comeBack is when a caller that was refused may come back: after a third of the
-// time that it has left at most, or it would not come at all.
-func (t *trip) comeBack() time.Duration {
-	now := t.counter.options.Now()
-	left := t.deadline.Sub(now)
-	wait := min(time.Second, left/4)
-	t.counter.mu.Lock()
-	arrival, ok := t.counter.fleet.arrival(now, t.service, t.call.Model)
-	t.counter.mu.Unlock()
-	if ok {
-		wait = max(wait, arrival+time.Duration(rand.Float64()*float64(arrivalSpread)))
-	}
-	return max(min(wait, left/3), minComeBack)
-}
-
-// arrivalSpread is the time over which callers come back to a model that has just been
-// loaded: all at once would find no room.
-const arrivalSpread = 500 * time.Millisecond
-
-// comeBackAfter is when a caller may come back to a queue that takes wait to
-// empty. Callers that were refused together come back apart.
-func (t *trip) comeBackAfter(wait time.Duration) time.Duration {
-	left := t.deadline.Sub(t.counter.options.Now())
-	spread := 0.5 + rand.Float64()/2
-	return max(time.Duration(spread*float64(min(wait, left/3))), minComeBack)
+// comeBackNow is when the caller may come back if it is refused now.
+func (t *trip) comeBackNow() time.Duration {
+	c := t.counter
+	now := c.options.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	arrival, comes := c.fleet.arrival(now, t.service, t.model)
+	return t.comeBack(now, arrival, comes)
 }
-
-// minComeBack is the shortest time after which a caller may come back.
-const minComeBack = 50 * time.Millisecond
--- a/internal/counter/wants.go
+++ b/internal/counter/wants.go
@@ -88,21 +88,21 @@
 	p.failed[args] = failedWant{times: times + 1, until: now.Add(wait)}
 }
 
-// want has a model or an adapter loaded, and returns a channel that is closed when that
-// was tried. Requests that want the same at once share one call.
-func (c *Counter) want(args courier.WantArgs) <-chan struct{} {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	shared := c.wants[args]
-	if shared == nil {
-		shared = make(chan struct{})
-		c.wants[args] = shared
-		go c.callWant(args, shared)
+// wantFor has the leader load what a request that waits lacks, if that would help it.
+// Requests that want the same at once share one call. c.mu is held.
+func (c *Counter) wantFor(w *waiter) {
+	if w.need.model == "" || w.missing != lackAdapter && w.missing != lackModel {
+		return
+	}
+	args := w.need.wanted(w.missing)
+	if c.wants[args] {
+		return
 	}
-	return shared
+	c.wants[args] = true
+	go c.callWant(args)
 }
 
-func (c *Counter) callWant(args courier.WantArgs, tried chan<- struct{}) {
+func (c *Counter) callWant(args courier.WantArgs) {
 	ctx, cancel := context.WithTimeout(context.Background(), wantTimeout)
 	defer cancel()
 	var reply courier.WantReply
@@ -113,9 +113,8 @@
 	defer c.mu.Unlock()
 	delete(c.wants, args)
 	if u := c.fleet.upstreams[reply.Engine]; u != nil {
-		u.gained(args.Model, args.Adapter)
+		c.fleet.gained(u, args.Model, args.Adapter)
 	}
-	close(tried)
 	c.dispatch(c.options.Now())
 }
 
@@ -146,7 +145,7 @@
 func (c *Counter) stillWants(args courier.WantArgs) bool {
 	for _, w := range c.queue.waiters {
 		lacks := w.missing == lackModel || w.missing == lackAdapter
-		if lacks && w.trip.wanted(w.missing) == args {
+		if lacks && w.need.wanted(w.missing) == args {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/permit/encode_test.go
@@ -0,0 +1,76 @@
+package permit_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/permit"
+)
+
+// messages is one of each kind.
+func messages() []permit.Message {
+	return []permit.Message{
+		permit.Ask{
+			ID: 1 << 60, Request: "9c41d07be2a35f68", Service: "pool", Model: "m", Adapter: "a1", PromptTokens: 1460,
+			AnswerTokens: 80, Priority: 2, Objective: 800 * time.Millisecond, Gap: 300 * time.Millisecond,
+			Age: 3 * time.Millisecond, Left: 12 * time.Second, Tried: []string{"e1", "e2"},
+		},
+		permit.Granted{ID: 2, Upstream: "e1", Address: "10.0.0.9:8080", Unread: 40 * time.Millisecond},
+		permit.Queued{ID: 3},
+		permit.Refused{
+			ID: 4, Reason: permit.Crowded, ComeBack: time.Second, Forecast: 2 * time.Second,
+			Survey: permit.Survey{Holders: 5, Full: 2, Paced: 1, Yielding: 1, Avoided: 1, ReportAge: time.Second},
+		},
+		permit.Moved{ID: 5},
+		permit.Ended{
+			ID: 6, Outcome: permit.Worked, First: time.Millisecond, Run: time.Second, Events: 22, Writing: 900 * time.Millisecond,
+		},
+		permit.Use{Upstream: "e1", Reading: 50 * time.Millisecond, Open: 7},
+	}
+}
+
+var _ = Describe("A message", func() {
+	It("comes as it was sent", func() {
+		for _, message := range messages() {
+			Expect(permit.Decode(permit.Append(nil, message))).To(Equal(message))
+		}
+	})
+
+	It("that is cut short or too long is none", func() {
+		for _, message := range messages() {
+			encoded := permit.Append(nil, message)
+			for size := range encoded {
+				_, err := permit.Decode(encoded[:size])
+				Expect(err).To(MatchError(permit.ErrDamaged))
+			}
+			_, err := permit.Decode(append(encoded, 0))
+			Expect(err).To(MatchError(permit.ErrDamaged))
+		}
+		_, err := permit.Decode(make([]byte, permit.MaxBytes+1))
+		Expect(err).To(MatchError(permit.ErrDamaged))
+	})
+})
+
+// FuzzDecode looks for bytes that stop an instance, or that are read as a message which
+// is told on as another.
+func FuzzDecode(f *testing.F) {
+	for _, message := range messages() {
+		f.Add(permit.Append(nil, message))
+	}
+	f.Add([]byte{1, 255, 255, 255, 255, 15})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		message, err := permit.Decode(data)
+		if err != nil {
+			return
+		}
+		encoded := permit.Append(nil, message)
+		again, err := permit.Decode(encoded)
+		if err != nil || !bytes.Equal(permit.Append(nil, again), encoded) {
+			t.Fatalf("%v is told on as %v: %v", message, again, err)
+		}
+	})
+}
