counter, backoffice: owners call for what is missing as the leader loads it; members are told once

Cause: calls for what no engine holds were shared evenly, 300 a second over all entry instances: 1 a second for each of 291. They come from the owner of a model now, and most owners have none to make. The list of all instances (5 KB at 291) was sent with each news, 20 KB/s of the 24 that a node may take.

Change: the rate of an instance doubles with each call that is carried out and halves with each other one, between its share and an eighth of what a leader takes. Who is alive is told to those who do not have its revision.

--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"io"
+	"slices"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
@@ -24,8 +27,9 @@
 	b.mu.Lock()
 	b.roster.Hear(now, args.From)
 	reply.Changes = b.roster.Since(now, args.Cursor)
-	members := b.members(now)
-	reply.Entries, reply.Controls, reply.Near = members.entries, members.controls, members.near[args.FailureDomain]
+	if members := b.members(now).of(args.FailureDomain); members.Revision != args.Members {
+		reply.Members = &members
+	}
 	b.mu.Unlock()
 	// Entry instances route to upstreams alone.
 	reply.Changes.Instances = nil
@@ -79,14 +83,34 @@
 const membersEvery = 100 * time.Millisecond
 
 // members is the inner addresses of the entry and of the control instances that were
-// alive at a time, and of the control instances by failure domain.
+// alive at a time, and of the control instances by failure domain. revision is a hash of
+// them.
 type members struct {
 	at       time.Time
+	revision uint64
 	entries  []string
 	controls []string
 	near     map[string][]string
 }
 
+// of returns what an asker in a failure domain is told.
+func (m members) of(domain string) courier.Members {
+	return courier.Members{Revision: m.revision, Entries: m.entries, Controls: m.controls, Near: m.near[domain]}
+}
+
+// hash returns a hash of the members. It is never 0, which says that an asker knows none.
+func (m members) hash() uint64 {
+	sum := fnv.New64a()
+	for _, list := range [][]string{m.entries, m.controls} {
+		for _, address := range list {
+			_, _ = io.WriteString(sum, address)
+			_, _ = sum.Write([]byte{0})
+		}
+		_, _ = sum.Write([]byte{1})
+	}
+	return max(sum.Sum64(), 1)
+}
+
 // members returns who is alive. b.mu is held.
 func (b *Backoffice) members(now time.Time) members {
 	if now.Sub(b.known.at) < membersEvery {
@@ -103,6 +127,9 @@
 			b.known.near[domain] = append(b.known.near[domain], instance.InnerAddress)
 		}
 	}
+	slices.Sort(b.known.entries)
+	slices.Sort(b.known.controls)
+	b.known.revision = b.known.hash()
 	return b.known
 }
 
--- a/internal/backoffice/relay_test.go
+++ b/internal/backoffice/relay_test.go
@@ -20,6 +20,18 @@
 	}, Demand: demand})
 }
 
+// membersAt returns who is alive by what an instance tells one that has a revision of it.
+func (s *site) membersAt(ctx context.Context, address string, have uint64) *courier.Members {
+	reply, err := s.calls.Sync(ctx, address, courier.SyncArgs{From: roster.InstanceRecord{
+		Name: "entry", Incarnation: 1, Sequence: uint64(time.Now().UnixNano()),
+		Static: &roster.InstanceStatic{CallerAddress: "127.0.0.1:1", FailureDomain: "here", InnerAddress: "entry"},
+	}, Members: have})
+	if err != nil {
+		return &courier.Members{}
+	}
+	return reply.Members
+}
+
 // holders returns the engines that hold a model by what an instance tells.
 func (s *site) holders(ctx context.Context, address, model string, demand ...courier.Demand) []string {
 	reply, err := s.syncAt(ctx, address, demand...)
@@ -65,6 +77,23 @@
 		Eventually(ctx, func() []string { return s.holders(ctx, follower, "b", wanted) }).Should(ConsistOf("e1"))
 	}, SpecTimeout(specTimeout))
 
+	// Each of 291 entry instances asks several times a second, and is told of 300 others:
+	// 20 KB a second for a list that hardly ever changes.
+	It("tells who is alive only to an asker that does not know it", func(ctx SpecContext) {
+		s := newSite()
+		s.put(ctx, s.seeds[0], 1)
+		var members *courier.Members
+		Eventually(ctx, func() int {
+			members = s.membersAt(ctx, s.seeds[0], 0)
+			return len(members.Controls)
+		}).Should(Equal(len(s.seeds)))
+		Expect(members.Entries).To(ConsistOf("entry"))
+		Expect(members.Revision).NotTo(BeZero())
+		Expect(s.membersAt(ctx, s.seeds[0], members.Revision)).To(BeNil())
+		Eventually(ctx, func() *courier.Members { return s.membersAt(ctx, s.seeds[1], members.Revision) }).
+			Should(BeNil(), "another control instance knows the same")
+	}, SpecTimeout(specTimeout))
+
 	It("counts requests that were told twice before the leader asked, and the last that wait", func() {
 		told := backoffice.Merged(
 			[]courier.Demand{{Model: "a", Requests: 2, Waiting: 2, Open: 1}, {Model: "b", Requests: 1, Waiting: 1}},
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -105,7 +105,7 @@
 		metrics: newMetrics(options.Metrics),
 		quotas:  map[string]*quota{},
 		wants:   map[courier.WantArgs]bool{}, wantPace: newWantPace(),
-		owners:    owners{avoided: map[netip.AddrPort]time.Time{}},
+		owners:    newOwners(addressOf(options.Name)),
 		questions: map[permit.ID]*question{},
 		// The questions of the process that had this address before have lower numbers.
 		lastQuestion: permit.ID(options.Now().UnixNano()),
@@ -121,14 +121,17 @@
 		next:     rand.IntN(len(options.Seeds)),
 	}
 	c.links.asked = options.Seeds[c.links.next]
-	if self, err := netip.ParseAddrPort(options.Name); err == nil {
-		c.owners.self = self
-	}
 	c.exchange = newExchange(options.Peers, options.Now, c.hear, options.Log)
 	c.done.Go(func() { c.follow(ctx) })
 	return c
 }
 
+// addressOf returns an address, which is not valid if name is none.
+func addressOf(name string) netip.AddrPort {
+	address, _ := netip.ParseAddrPort(name) //nolint:errcheck // The zero address owns nothing.
+	return address
+}
+
 // maxAttempts bounds the sendings of one request, refusals by upstreams
 // included.
 const maxAttempts = 4
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -112,11 +112,11 @@
 	defer c.mu.Unlock()
 	c.told = append(c.told, args)
 	reply := courier.SyncReply{
-		Leader: c.address, Controls: []string{c.address}, Entries: append([]string{args.From.Name}, c.entries...),
-		Changes: c.roster.Since(time.Now(), args.Cursor),
+		Leader: c.address, Changes: c.roster.Since(time.Now(), args.Cursor),
+		Members: &courier.Members{Controls: []string{c.address}, Entries: append([]string{args.From.Name}, c.entries...)},
 	}
 	if c.exactly != nil {
-		reply.Entries = c.exactly
+		reply.Members.Entries = c.exactly
 	}
 	if c.leaderless {
 		reply.Leader = ""
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -206,7 +206,8 @@
 	told := &toldConn{}
 	c := NewLine(fleet, len(all)).counter
 	c.exchange = &exchange{conn: told}
-	c.owners = owners{self: self, known: permit.NewOwners(all), avoided: map[netip.AddrPort]time.Time{}}
+	c.owners = newOwners(self)
+	c.owners.known = permit.NewOwners(all)
 	c.permits = map[otherInstance]*issued{}
 	c.questions = map[permit.ID]*question{}
 	return Owner{counter: c, told: told}
@@ -256,6 +257,26 @@
 	return c.links.entries
 }
 
+// WantPace gives specs the pace of calls to the leader.
+type WantPace struct {
+	pace *wantPace
+}
+
+// NewWantPace returns that of an instance that has made no call.
+func NewWantPace() WantPace {
+	return WantPace{newWantPace()}
+}
+
+// Call reports whether a call for an adapter may be made now by an instance with a share.
+func (p WantPace) Call(now time.Time, adapter string, share float64) bool {
+	return p.pace.next(now, courier.WantArgs{Adapter: adapter}, 1, share) == 0
+}
+
+// Ended notes what became of it.
+func (p WantPace) Ended(now time.Time, adapter string, loaded bool) {
+	p.pace.ended(now, courier.WantArgs{Adapter: adapter}, loaded)
+}
+
 // Upstreams returns how many upstreams the instance knows.
 func (c *Counter) Upstreams() int {
 	c.mu.Lock()
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -35,8 +35,10 @@
 	failedAt time.Time
 	// heardAt is when the news that came last were asked for.
 	heardAt time.Time
-	// entries is how many entry instances there are.
+	// entries is how many entry instances there are, and members the revision of who is
+	// alive.
 	entries int
+	members uint64
 	// holdings is the revision that this instance has.
 	holdings uint64
 	// every is the time between two questions.
@@ -71,6 +73,7 @@
 	args := courier.SyncArgs{
 		FailureDomain: c.options.FailureDomain,
 		Cursor:        c.links.source.Cursor(false),
+		Members:       c.links.members,
 		Holdings:      c.links.holdings,
 		Demand:        c.demand.take(),
 	}
@@ -136,9 +139,9 @@
 		c.options.Log.Info().Str("control", address).Msg("control instance regained")
 	}
 	c.roster.Merge(asked, &c.links.source, reply.Changes)
-	c.links.entries = len(reply.Entries)
-	c.owners.follow(now, reply.Entries)
-	c.budgets.Resize(c.options.Retries.of(len(reply.Entries)))
+	if reply.Members != nil {
+		c.follows(now, *reply.Members)
+	}
 	var changed []roster.Upstream
 	changed, c.told = c.roster.UpstreamsSince(c.told)
 	if table := c.table.Load(); table != nil {
@@ -146,8 +149,6 @@
 	}
 	c.fleet.update(now, changed)
 	c.hold(now, reply)
-	c.links.alive, c.links.near = reply.Controls, reply.Near
-	c.links.controls = merge(reply.Controls, c.seeds)
 	c.links.leader = reply.Leader
 	if next := c.links.ask(now, c.options.Name); next != c.links.asked {
 		c.links.asked = next
@@ -157,6 +158,16 @@
 	c.dispatch(now)
 }
 
+// follows takes in who is alive. c.mu is held.
+func (c *Counter) follows(now time.Time, members courier.Members) {
+	c.links.members = members.Revision
+	c.links.entries = len(members.Entries)
+	c.owners.follow(now, members.Entries)
+	c.budgets.Resize(c.options.Retries.of(len(members.Entries)))
+	c.links.alive, c.links.near = members.Controls, members.Near
+	c.links.controls = merge(members.Controls, c.seeds)
+}
+
 // hold takes in what engines hold, if that is news.
 func (c *Counter) hold(now time.Time, reply courier.SyncReply) {
 	if len(reply.Holdings) == 0 {
--- a/internal/counter/wants.go
+++ b/internal/counter/wants.go
@@ -22,6 +22,8 @@
 	// brought nothing. It doubles with each further one up to longestWantPause.
 	firstWantPause   = 100 * time.Millisecond
 	longestWantPause = 400 * time.Millisecond
+	// mostWants is how many calls a second one instance makes at the most.
+	mostWants = leaderWants / 8
 )
 
 // wantPace decides when the leader may be called for what no upstream holds. It is not
@@ -31,7 +33,13 @@
 // each entry instance. Without a bound they take the processor time that it needs to
 // stay leader; the next one has to wait before it orders, and gets still more. With a
 // share of what a leader bears for each instance, the calls end there.
+//
+// Most instances have nothing to call for, and the owner of a model that has just been
+// loaded has dozens of adapters. So an instance whose calls are carried out makes more than
+// its share: the rate doubles with each such call, and halves with each other one.
 type wantPace struct {
+	// rate is the calls a second that this instance has come to, if that is above its share.
+	rate float64
 	// tokens are the calls that may be made at once, as of filled.
 	tokens float64
 	filled time.Time
@@ -45,8 +53,8 @@
 	until time.Time
 }
 
-// wantRate returns how many calls a second this instance may make.
-func (l *links) wantRate() float64 {
+// wantShare returns how many calls a second this instance may make at the least.
+func (l *links) wantShare() float64 {
 	return leaderWants / float64(max(l.entries, 1))
 }
 
@@ -55,10 +63,11 @@
 }
 
 // next returns how long a call has to wait, one of pending at this instance, whose share
-// is rate calls a second. If it may be made now, next counts it and returns 0.
-func (p *wantPace) next(now time.Time, args courier.WantArgs, pending int, rate float64) time.Duration {
-	burst := max(rate*wantBurstTime.Seconds(), leastWantBurst)
-	p.tokens = min(p.tokens+rate*now.Sub(p.filled).Seconds(), burst)
+// is share calls a second. If it may be made now, next counts it and returns 0.
+func (p *wantPace) next(now time.Time, args courier.WantArgs, pending int, share float64) time.Duration {
+	p.rate = max(p.rate, share)
+	burst := max(p.rate*wantBurstTime.Seconds(), leastWantBurst)
+	p.tokens = min(p.tokens+p.rate*now.Sub(p.filled).Seconds(), burst)
 	p.filled = now
 	if rest := p.failed[args].until.Sub(now); rest > 0 {
 		return rest
@@ -68,7 +77,7 @@
 		return 0
 	}
 	// Those that wait look again at different times, each about when its turn may come.
-	turn := (1 - p.tokens + float64(pending)*rand.Float64()) / rate
+	turn := (1 - p.tokens + float64(pending)*rand.Float64()) / p.rate
 	return time.Duration(turn * float64(time.Second))
 }
 
@@ -80,9 +89,11 @@
 		}
 	}
 	if loaded {
+		p.rate = min(2*p.rate, mostWants)
 		delete(p.failed, args)
 		return
 	}
+	p.rate /= 2
 	times := p.failed[args].times
 	wait := min(firstWantPause<<min(times, 10), longestWantPause)
 	p.failed[args] = failedWant{times: times + 1, until: now.Add(wait)}
@@ -127,7 +138,7 @@
 		wait := firstWantPause
 		asked := first || c.stillWants(args)
 		if asked && leader != "" {
-			wait = c.wantPace.next(c.options.Now(), args, len(c.wants), c.links.wantRate())
+			wait = c.wantPace.next(c.options.Now(), args, len(c.wants), c.links.wantShare())
 		}
 		c.mu.Unlock()
 		switch {
--- a/internal/counter/wants_test.go
+++ b/internal/counter/wants_test.go
@@ -43,4 +43,41 @@
 		Expect(e.control.wanted()).To(BeNumerically(">", 0))
 		Expect(e.control.wanted()).To(BeNumerically("<=", burst+share))
 	})
+
+	// A model has just been loaded, and its owner is asked for 30 adapters at once. By its
+	// share, one call a second among 291 instances of which most call for nothing, the last
+	// caller waits for half a minute.
+	It("are as many as the leader carries out, where one instance has much to call for", func() {
+		const share, adapters = 300.0 / 291, 30
+		pace := counter.NewWantPace()
+		made := 0
+		for millis := 0; millis < 3000 && made < adapters; millis += 10 {
+			now := start.Add(time.Duration(millis) * time.Millisecond)
+			adapter := fmt.Sprint("a", made)
+			if pace.Call(now, adapter, share) {
+				made++
+				pace.Ended(now, adapter, true)
+			}
+		}
+		Expect(made).To(Equal(adapters))
+	})
+
+	It("are no more than the share again once they are not carried out", func() {
+		const share = 1.0
+		pace := counter.NewWantPace()
+		call := func(from, millis int, loaded bool) (made int) {
+			for at := from; at < from+millis; at += 10 {
+				now := start.Add(time.Duration(at) * time.Millisecond)
+				adapter := fmt.Sprint("a", at)
+				if pace.Call(now, adapter, share) {
+					made++
+					pace.Ended(now, adapter, loaded)
+				}
+			}
+			return made
+		}
+		Expect(call(0, 3000, true)).To(BeNumerically(">", 30))
+		call(3000, 2000, false)
+		Expect(call(5000, 10_000, false)).To(BeNumerically("<=", 11))
+	})
 })
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -20,6 +20,8 @@
 	Cursor roster.Cursor
 	// Edition is the version of the routes that the asker holds.
 	Edition uint64
+	// Members is the revision of the members that the asker has.
+	Members uint64
 	// Holdings is the revision of the holdings that the asker has, under Leader.
 	Holdings uint64
 	// Demand is what callers asked for since the last call that was answered.
@@ -48,12 +50,9 @@
 	// Leader is the inner address of the instance that gives orders to engines,
 	// empty if none is known.
 	Leader string
-	// Entries are the inner addresses of the entry instances that are alive.
-	Entries []string
-	// Controls are the inner addresses of the control instances that are alive, and Near
-	// of those in the asker's failure domain.
-	Controls []string
-	Near     []string
+	// Members is nil if the asker has them. The list of 291 entry instances takes 5 KB, and
+	// each of them asks several times a second.
+	Members *Members
 	// Edition is nil if the asker holds the newest that the answerer knows. Its content
 	// is packed (registry.Pack).
 	Edition *edition.Edition
@@ -66,6 +65,17 @@
 	HoldingsAge time.Duration
 }
 
+// Members is who is alive, by inner addresses.
+type Members struct {
+	// Revision is a hash of the rest: what two control instances know is the same if it is.
+	Revision uint64
+	// Entries are the entry instances.
+	Entries []string
+	// Controls are the control instances, and Near those in the asker's failure domain.
+	Controls []string
+	Near     []string
+}
+
 // GatherArgs is what a control instance tells the one that gives orders, and asks of it.
 type GatherArgs struct {
 	// Told is what entry instances told since the last call, by entry instance.
--- a/internal/courier/late_test.go
+++ b/internal/courier/late_test.go
@@ -20,7 +20,7 @@
 
 func (f lateFeed) Sync(ctx context.Context, _ courier.SyncArgs) courier.SyncReply {
 	pause.For(ctx, time.Millisecond)
-	return courier.SyncReply{Leader: "late", Entries: f.entries}
+	return courier.SyncReply{Leader: "late", Members: &courier.Members{Entries: f.entries}}
 }
 
 var _ = Describe("Sync", func() {
