--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -128,7 +128,7 @@
 
 // addressOf returns an address, which is not valid if name is none.
 func addressOf(name string) netip.AddrPort {
-	address, _ := netip.ParseAddrPort(name) //nolint:errcheck // The zero address owns nothing.
+	address, _ := netip.ParseAddrPort(name)
 	return address
 }
 
