--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -161,8 +161,9 @@
 //
 // If another live upstream holds the name, that is one with the same
 // incarnation or an unexpired lease at another address, Announce returns an
-// error that wraps ErrNameTaken and changes nothing. An announcement that is
-// older than the one held is ignored.
+// error that wraps ErrNameTaken and changes nothing. A name of which only the leave
+// is known has no address, and is nobody else's. An announcement that is older than
+// the one held is ignored.
 //
 // If the same incarnation is announced for other services, it is not the upstream's
 // own word, and Announce returns an error that wraps ErrForeign.
@@ -173,7 +174,7 @@
 		return errors.Wrapf(ErrForeign, "%q answers for %v, this announcement gives %v",
 			announcement.Name, held.static.Services, announcement.Services)
 	}
-	if known && held.static.Address != announcement.Address {
+	if known && held.static.Address != "" && held.static.Address != announcement.Address {
 		restarted := r.options.Restarts && held.incarnation < announcement.Incarnation
 		alive := !held.left && now.Sub(held.heard) < r.options.Lease && !restarted
 		if alive || held.incarnation >= announcement.Incarnation {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -108,6 +108,17 @@
 		Expect(r.Upstreams(at(1.2))).To(HaveLen(1))
 	})
 
+	// An upstream says to one instance that it leaves, and goes on announcing itself to others
+	// until it is gone. An instance that has heard of the leave alone knows no address of it:
+	// refused there, the upstream waits at instance after instance for a word that it may go.
+	It("takes what an upstream says of which only its leave is known", func() {
+		r := newRoster("a")
+		Expect(r.Announce(at(0), upstreamapi.Announcement{Name: "engine-1", Incarnation: 1})).To(Succeed())
+		r.Leave(at(0), upstreamapi.Leave{Name: "engine-1", Incarnation: 1})
+		Expect(r.Announce(at(0.5), announcement(2))).To(Succeed())
+		Expect(r.Upstreams(at(0.5))).To(BeEmpty(), "it has left all the same")
+	})
+
 	It("tells another instance what changed, and sends an unchanged upstream's load alone", func() {
 		a, b := newRoster("a"), newRoster("b")
 		Expect(a.Announce(at(0), announcement(1))).To(Succeed())
