--- a/internal/counter/answer.go
+++ b/internal/counter/answer.go
@@ -141,6 +141,9 @@
 		event = event.Str("model", t.call.Model).Str("adapter", t.call.Adapter).Int("prompt-tokens", t.call.PromptTokens).
 			Int("answer-tokens", t.call.AnswerTokens)
 	}
+	if a.owner.IsValid() {
+		event = event.Stringer("placed-by", a.owner)
+	}
 	if !t.timing.sent.IsZero() {
 		event = event.Dur("waited", t.timing.sent.Sub(t.began))
 	}
--- a/internal/counter/asking.go
+++ b/internal/counter/asking.go
@@ -52,7 +52,9 @@
 		if !ok {
 			return place{}, errNoOwner
 		}
+		t.owner = owner
 		id, answer, err := t.ask(ctx, owner)
+		c.countAnswer(ctx, answer)
 		switch m := answer.(type) {
 		case permit.Granted:
 			return c.placeOf(t, owner, m), nil
@@ -108,6 +110,26 @@
 	}
 }
 
+// countAnswer counts what an owner answered, if it did.
+func (c *Counter) countAnswer(ctx context.Context, answer permit.Message) {
+	name := "none"
+	switch answer.(type) {
+	case permit.Granted:
+		name = "granted"
+	case permit.Refused:
+		name = "refused"
+	case permit.Moved:
+		name = "moved"
+	default:
+		if ctx.Err() != nil {
+			name = "waited in vain"
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.metrics.answeredBy(name)
+}
+
 // askFor returns the question that an owner is asked now.
 func (t *trip) askFor(id permit.ID) permit.Ask {
 	now := t.counter.options.Now()
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -122,7 +122,7 @@
 func NewLine(fleet Fleet, instances int) Line {
 	c := &Counter{
 		fleet: fleet.fleet, exchange: &exchange{}, demand: newDemand(), wants: map[courier.WantArgs]bool{}, wantPace: newWantPace(),
-		options: Options{Now: func() time.Time { return time.Time{} }},
+		metrics: newMetrics(nil), options: Options{Now: func() time.Time { return time.Time{} }},
 	}
 	c.queue.granted = map[modelKey]*window{}
 	c.queue.armed = true
--- a/internal/counter/issuing.go
+++ b/internal/counter/issuing.go
@@ -59,6 +59,7 @@
 		return
 	}
 	if c.draining {
+		c.metrics.decided("moved")
 		c.exchange.tell(from, permit.Moved{ID: m.ID})
 		return
 	}
@@ -71,12 +72,14 @@
 	}
 	if rejected := c.turnAway(now, w); rejected != nil {
 		delete(c.permits, asker)
+		c.metrics.decided("refused")
 		c.exchange.tell(from, permit.Refused{
 			ID: m.ID, Reason: rejected.reason, ComeBack: rejected.comeBack, Forecast: rejected.forecast,
 			Survey: permit.Survey(rejected.survey),
 		})
 		return
 	}
+	c.metrics.decided("queued")
 	c.tellDecision(asker, known)
 }
 
@@ -95,6 +98,7 @@
 func (c *Counter) issue(now time.Time, asker otherInstance, granted place) {
 	known := c.permits[asker]
 	known.place = granted
+	c.metrics.decided("granted")
 	n := &known.waiter.need
 	known.until = now.Add(min(n.deadline.Sub(now), max(permitRuns*n.pace.run, leastPermit)))
 	c.tellDecision(asker, known)
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -29,6 +29,10 @@
 	routes   map[string]routeMetrics
 	refusals map[string]tally.Counter
 	sends    map[string]tally.Counter
+	// decisions are those on requests of other instances, and owners what owners answered
+	// to this one.
+	decisions map[string]tally.Counter
+	owners    map[string]tally.Counter
 }
 
 // routeMetrics is what is counted of one route with one status.
@@ -46,6 +50,7 @@
 	return &metrics{
 		scope: scope.SubScope("counter"), routes: map[string]routeMetrics{},
 		refusals: map[string]tally.Counter{}, sends: map[string]tally.Counter{},
+		decisions: map[string]tally.Counter{}, owners: map[string]tally.Counter{},
 	}
 }
 
@@ -91,6 +96,16 @@
 	counted(m.scope, m.sends, "failed_sends", "verdict", verdict).Inc(1)
 }
 
+// decided counts a decision on a request of another instance.
+func (m *metrics) decided(decision string) {
+	counted(m.scope, m.decisions, "decisions", "decision", decision).Inc(1)
+}
+
+// answeredBy counts what the owner of a model answered.
+func (m *metrics) answeredBy(answer string) {
+	counted(m.scope, m.owners, "owner_answers", "answer", answer).Inc(1)
+}
+
 // counted returns the counter with one tag, and makes it at the first time.
 func counted(scope tally.Scope, made map[string]tally.Counter, name, tag, value string) tally.Counter {
 	if known, found := made[value]; found {
@@ -106,6 +121,7 @@
 	scope := c.metrics.scope
 	scope.Gauge("open").Update(float64(c.open))
 	scope.Gauge("waiting").Update(float64(len(c.queue.waiters)))
+	scope.Gauge("permits").Update(float64(len(c.permits)))
 	scope.Gauge("upstreams").Update(float64(len(c.fleet.upstreams)))
 	scope.Gauge("news_age_seconds").Update(now.Sub(c.links.heardAt).Seconds())
 	if table := c.table.Load(); table != nil {
--- a/internal/counter/refusal.go
+++ b/internal/counter/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -22,6 +23,8 @@
 	// model lacked, if it found none.
 	held   time.Duration
 	survey *survey
+	// owner is the instance that was asked for a place last, not valid if none was.
+	owner netip.AddrPort
 }
 
 // refuse gives a caller an answer of the system's own. route may be nil.
@@ -51,6 +54,9 @@
 	if r.survey != nil {
 		event = event.Dur("held", r.held).Object("upstreams", *r.survey)
 	}
+	if r.owner.IsValid() {
+		event = event.Stringer("placed-by", r.owner)
+	}
 	if r.forecast > 0 {
 		event = event.Dur("forecast", r.forecast)
 	}
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,8 @@
 	sends int
 	// unread is how long the engine had to read before it when it was sent.
 	unread time.Duration
+	// owner is the instance that was asked for a place last, not valid if none was.
+	owner netip.AddrPort
 	// missing is why it has found no upstream, if it has not.
 	missing lack
 	// timing and cause, which is why the last attempt failed, are for the log.
--- a/internal/counter/wait.go
+++ b/internal/counter/wait.go
@@ -27,6 +27,7 @@
 		t.counter.refuse(w, t.call, t.route, refusal{
 			status: http.StatusServiceUnavailable, why: rejected.Error(), comeBack: rejected.comeBack,
 			forecast: rejected.forecast, held: t.counter.options.Now().Sub(t.began), survey: &rejected.survey,
+			owner: t.owner,
 		})
 	default:
 		t.giveUp(w)
@@ -87,7 +88,7 @@
 	now := c.options.Now()
 	c.refuse(w, t.call, t.route, refusal{
 		status: http.StatusServiceUnavailable, why: "no upstream: " + t.missing.String(), comeBack: t.comeBackNow(),
-		held: now.Sub(t.began), survey: c.survey(now, t),
+		held: now.Sub(t.began), survey: c.survey(now, t), owner: t.owner,
 	})
 }
 
