--- a/internal/counter/asking.go
+++ b/internal/counter/asking.go
@@ -25,8 +25,8 @@
 )
 
 var (
-	// errNoOwner says that a request is decided on here: this instance owns the model, or
-	// no owner answers.
+	// errNoOwner says that a request is decided on here: this instance owns the model, no
+	// owner answers, or what one answered can't be used.
 	errNoOwner = errors.New("counter: no other instance decides")
 	// errSilent says that an owner does not answer.
 	errSilent = errors.New("counter: the owner does not answer")
@@ -57,7 +57,7 @@
 		c.countAnswer(ctx, answer)
 		switch m := answer.(type) {
 		case permit.Granted:
-			return c.placeOf(t, owner, m), nil
+			return c.placeOf(t, owner, m)
 		case permit.Refused:
 			return place{}, &rejection{
 				reason: m.Reason, comeBack: m.ComeBack, forecast: m.Forecast, survey: survey(m.Survey),
@@ -66,6 +66,9 @@
 			c.avoid(owner, avoidStopping)
 			continue
 		}
+		if errors.Is(err, errNoOwner) {
+			return place{}, err
+		}
 		// A grant may be on its way.
 		c.exchange.tell(owner, permit.Ended{ID: id})
 		if ctx.Err() != nil {
@@ -85,7 +88,8 @@
 	id, q := c.question(t, owner)
 	defer c.endQuestion(t, id)
 	if !c.exchange.tell(owner, t.askFor(id)) {
-		return id, nil, errSilent
+		// What the caller named is too long for a question. That is no fault of the owner.
+		return id, nil, errNoOwner
 	}
 	timer := time.NewTimer(answerTime)
 	defer timer.Stop()
@@ -165,15 +169,23 @@
 }
 
 // placeOf returns the place that an owner has granted.
-func (c *Counter) placeOf(t *trip, owner netip.AddrPort, m permit.Granted) place {
+//
+// An owner that is cut off from the control instances does not hear that an upstream
+// leaves, and would have requests sent to it until it is gone. So an upstream that leaves
+// by what is known here is given back, and placeOf returns errNoOwner.
+func (c *Counter) placeOf(t *trip, owner netip.AddrPort, m permit.Granted) (place, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := c.fleet.upstreams[m.Upstream]
+	if u != nil && u.Leaving {
+		c.exchange.tell(owner, permit.Ended{ID: m.ID, Outcome: permit.Absent})
+		return place{}, errNoOwner
+	}
 	if u == nil || u.address != m.Address {
 		// The owner has heard of it first.
 		u = &upstream{name: m.Upstream, address: m.Address, service: t.service}
 	}
-	return place{upstream: u, unread: m.Unread, owner: owner, id: m.ID}
+	return place{upstream: u, unread: m.Unread, owner: owner, id: m.ID}, nil
 }
 
 // deliver hands an owner's answer to the request that waits for it. c.mu is held.
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -170,6 +170,13 @@
 	}
 }
 
+// leave has control tell that an upstream leaves.
+func (c *control) leave(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.roster.Leave(time.Now(), upstreamapi.Leave{Name: name, Incarnation: 1})
+}
+
 func (c *control) announce(name, address string, models ...string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/counter/permits_test.go
+++ b/internal/counter/permits_test.go
@@ -249,6 +249,49 @@
 		Eventually(second.counter.Permits, specTimeout).Should(BeZero())
 	})
 
+	// The owner is cut off from the control instances, and does not hear that an engine
+	// leaves. Requests that it places there would reach the engine until it is gone, though
+	// the engine was told that it gets none.
+	It("is not sent to an engine that leaves by what its own instance knows", func() {
+		c := newControl()
+		first := startPeer(c)
+		cut := listenPeer()
+		DeferCleanup(cut.Close)
+		owner := cut.LocalAddr().(*net.UDPAddr).AddrPort()
+		model := ownedBy(owner, first.address, owner)
+		leaving, staying := newUpstream(good), newUpstream(good)
+		c.announce("leaving", leaving.address(), model)
+		c.announce("staying", staying.address(), model)
+		c.leave("leaving")
+		c.instances(first.address, owner)
+		Eventually(first.counter.Instances, specTimeout).Should(Equal(2))
+		Eventually(first.counter.Upstreams, specTimeout).Should(Equal(2))
+		ended := make(chan permit.Ended, 1)
+		go func() {
+			defer GinkgoRecover()
+			buffer := make([]byte, permit.MaxBytes)
+			for {
+				n, from, err := cut.ReadFrom(buffer)
+				if err != nil {
+					return
+				}
+				message, err := permit.Decode(buffer[:n])
+				Expect(err).NotTo(HaveOccurred())
+				switch m := message.(type) {
+				case permit.Ask:
+					granted := permit.Granted{ID: m.ID, Upstream: "leaving", Address: leaving.address()}
+					_, _ = cut.WriteTo(permit.Append(nil, granted), from)
+				case permit.Ended:
+					ended <- m
+				}
+			}
+		}()
+		Expect(first.serve(model)).To(Equal(http.StatusOK))
+		Expect(leaving.count()).To(BeZero())
+		Expect(staying.count()).To(Equal(1))
+		Eventually(ended, specTimeout).Should(Receive(HaveField("Outcome", permit.Absent)))
+	})
+
 	// The owner of a model is frozen or gone, and its address is in the lists still. The
 	// caller must be served as fast as if there were no owner, but for two short waits.
 	It("is served without the owner if that does not answer, and the next at once", func() {
