--- a/internal/counter/asking.go
+++ b/internal/counter/asking.go
@@ -138,7 +138,7 @@
 func (t *trip) askFor(id permit.ID) permit.Ask {
 	now := t.counter.options.Now()
 	return permit.Ask{
-		ID: id, Request: t.call.ID, Service: t.service, Model: t.model, Adapter: t.adapter,
+		ID: id, Service: t.service, Model: t.model, Adapter: t.adapter,
 		PromptTokens: t.promptTokens, AnswerTokens: t.answerTokens, Priority: t.priority,
 		Objective: t.objective, Gap: t.gap, Age: now.Sub(t.began), Left: t.deadline.Sub(now), Tried: t.tried,
 	}
--- a/internal/counter/issuing.go
+++ b/internal/counter/issuing.go
@@ -86,7 +86,7 @@
 // needOf returns what a request of another instance asks for.
 func (c *Counter) needOf(now time.Time, m permit.Ask) need {
 	n := need{
-		demandKey: demandKey{service: m.Service, model: m.Model, adapter: m.Adapter}, requestID: m.Request,
+		demandKey:    demandKey{service: m.Service, model: m.Model, adapter: m.Adapter},
 		promptTokens: m.PromptTokens, answerTokens: m.AnswerTokens, priority: m.Priority, objective: m.Objective,
 		gap: m.Gap, began: now.Add(-m.Age), deadline: now.Add(m.Left), tried: m.Tried,
 	}
--- a/internal/counter/need.go
+++ b/internal/counter/need.go
@@ -11,8 +11,6 @@
 // need is what a request asks of an upstream, and by when.
 type need struct {
 	demandKey
-	// requestID is the caller's, for logs.
-	requestID    string
 	promptTokens int
 	answerTokens int
 	// priority is that of the route, 0 being the most urgent.
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -140,7 +140,7 @@
 	}
 	c.roster.Merge(asked, &c.links.source, reply.Changes)
 	if reply.Members != nil {
-		c.follows(now, *reply.Members)
+		c.takeMembers(now, *reply.Members)
 	}
 	var changed []roster.Upstream
 	changed, c.told = c.roster.UpstreamsSince(c.told)
@@ -158,8 +158,8 @@
 	c.dispatch(now)
 }
 
-// follows takes in who is alive. c.mu is held.
-func (c *Counter) follows(now time.Time, members courier.Members) {
+// takeMembers takes in who is alive. c.mu is held.
+func (c *Counter) takeMembers(now time.Time, members courier.Members) {
 	c.links.members = members.Revision
 	c.links.entries = len(members.Entries)
 	c.owners.follow(now, members.Entries)
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -60,8 +60,8 @@
 	t := &trip{
 		counter: c, call: call, route: route, version: table.Version, request: r, body: body,
 		need: need{
-			demandKey: demandKey{service: route.Service(rand.Float64()), model: call.Model, adapter: call.Adapter},
-			requestID: call.ID, promptTokens: call.PromptTokens, answerTokens: call.AnswerTokens,
+			demandKey:    demandKey{service: route.Service(rand.Float64()), model: call.Model, adapter: call.Adapter},
+			promptTokens: call.PromptTokens, answerTokens: call.AnswerTokens,
 			priority: route.Priority, objective: route.Objective, gap: route.Gap,
 			began: began, deadline: began.Add(patience(call, route)),
 		},
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -74,7 +74,7 @@
 
 func appendAsk(buffer []byte, m Ask) []byte {
 	buffer = appendHead(buffer, kindAsk, m.ID)
-	for _, text := range []string{m.Request, m.Service, m.Model, m.Adapter} {
+	for _, text := range []string{m.Service, m.Model, m.Adapter} {
 		buffer = parcel.AppendBytes(buffer, text)
 	}
 	buffer = parcel.AppendUint(buffer, uint64(m.PromptTokens))
@@ -157,7 +157,7 @@
 
 func (r reader) ask() Ask {
 	m := Ask{
-		ID: r.id(), Request: r.String(), Service: r.String(), Model: r.String(), Adapter: r.String(),
+		ID: r.id(), Service: r.String(), Model: r.String(), Adapter: r.String(),
 		PromptTokens: r.count(), AnswerTokens: r.count(), Priority: r.Byte(),
 		Objective: r.duration(), Gap: r.duration(), Age: r.duration(), Left: r.duration(),
 	}
--- a/internal/permit/encode_test.go
+++ b/internal/permit/encode_test.go
@@ -15,7 +15,7 @@
 func messages() []permit.Message {
 	return []permit.Message{
 		permit.Ask{
-			ID: 1 << 60, Request: "9c41d07be2a35f68", Service: "pool", Model: "m", Adapter: "a1", PromptTokens: 1460,
+			ID: 1 << 60, Service: "pool", Model: "m", Adapter: "a1", PromptTokens: 1460,
 			AnswerTokens: 80, Priority: 2, Objective: 800 * time.Millisecond, Gap: 300 * time.Millisecond,
 			Age: 3 * time.Millisecond, Left: 12 * time.Second, Tried: []string{"e1", "e2"},
 		},
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -29,9 +29,7 @@
 // Ask asks the owner of a model for a permit. It may be sent again: the owner answers
 // with what it has decided.
 type Ask struct {
-	ID ID
-	// Request is the caller's id of the request, for logs.
-	Request string
+	ID      ID
 	Service string
 	Model   string
 	// Adapter is empty for the model itself.
