counter, quarantine: attempts bear a digest of the request, and upstreams that end are told of

Lines of attempts now have a digest of caller, method, host, target and body; where answers break off, the entry instance connects once to the upstream, and if nobody listens there, or news name another process in its place, one line for each request that it had says so. An upstream that had said that it goes is left out. No decision changes.

--- a/internal/counter/answer.go
+++ b/internal/counter/answer.go
@@ -30,12 +30,14 @@
 	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBytes+1))
 	if err != nil {
 		t.runs--
+		a.answering = len(body) > 0
 		return t.failed(ctx, w, a, err)
 	}
 	if response.StatusCode >= http.StatusInternalServerError && t.again(a, response.StatusCode) {
 		return false
 	}
 	a.outcome = permit.Worked
+	t.noteWhole(response.StatusCode)
 	copyHead(w, response)
 	w.WriteHeader(response.StatusCode)
 	if _, err := w.Write(body); err != nil {
@@ -81,22 +83,27 @@
 	for {
 		n, readErr := response.Body.Read(buffer)
 		if n > 0 {
+			a.answering = true
 			t.timing.piece(t.counter.options.Now())
 			if _, err := w.Write(buffer[:n]); err != nil || control.Flush() != nil {
+				t.noteLeft(a)
 				t.counter.logAttempt(t, a, "caller gone", response.StatusCode, "")
 				panic(http.ErrAbortHandler)
 			}
 		}
 		if readErr == io.EOF {
 			a.outcome, a.sample = permit.Worked, t.sample()
+			t.noteWhole(response.StatusCode)
 			t.counter.logAttempt(t, a, "answered", response.StatusCode, "")
 			return
 		}
 		if readErr != nil && t.request.Context().Err() != nil {
+			t.noteLeft(a)
 			t.counter.logAttempt(t, a, "left", response.StatusCode, "the caller left")
 			panic(http.ErrAbortHandler)
 		}
 		if readErr != nil {
+			t.noteBroken(a, readErr)
 			if ctx.Err() == nil {
 				a.outcome = permit.Failed
 			}
@@ -131,7 +138,7 @@
 	if event == nil {
 		return
 	}
-	event = event.Str("request", t.call.ID).Str("route", t.route.Name).
+	event = event.Str("request", t.call.ID).Str("digest", t.digest.Short()).Str("route", t.route.Name).
 		Uint64("version", t.version).Str("upstream", a.upstream.name).Int("send", t.sends).
 		Int("status", status).Dur("took", now.Sub(t.began)).Str("verdict", verdict)
 	if status == 0 && t.cause != nil {
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -71,6 +71,7 @@
 	c := t.counter
 	now := c.options.Now()
 	if t.request.Context().Err() != nil {
+		t.noteLeft(a)
 		c.logAttempt(t, a, "left", 0, "the caller left")
 		panic(http.ErrAbortHandler)
 	}
@@ -87,6 +88,7 @@
 	}
 	c.mu.Unlock()
 	t.cause = cause
+	t.noteBroken(a, cause)
 	c.logAttempt(t, a, "attempt failed", 0, verdict.String())
 	t.tried = append(t.tried, a.upstream.name)
 	if verdict == retry.Again {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -12,6 +12,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -54,10 +55,17 @@
 	questions    map[permit.ID]*question
 	lastQuestion permit.ID
 	permits      map[otherInstance]*issued
+	// watch is what is seen of requests that crash upstreams.
+	watch *quarantine.Watch
 	// open is how many requests are under way.
 	open     int
 	draining bool
 
+	// looks are upstreams to look at, since answers broke off there, and reportNow holds a
+	// token if the watch may have something to report.
+	looks     chan quarantine.Place
+	reportNow chan struct{}
+
 	// syncNow has the next sync come at once.
 	syncNow chan struct{}
 	stop    context.CancelFunc
@@ -110,6 +118,9 @@
 		// The questions of the process that had this address before have lower numbers.
 		lastQuestion: permit.ID(options.Now().UnixNano()),
 		permits:      map[otherInstance]*issued{},
+		watch:        quarantine.NewWatch(),
+		looks:        make(chan quarantine.Place, maxLooks),
+		reportNow:    make(chan struct{}, 1),
 		syncNow:      make(chan struct{}, 1),
 		stop:         cancel,
 	}
@@ -123,6 +134,8 @@
 	c.links.asked = options.Seeds[c.links.next]
 	c.exchange = newExchange(options.Peers, options.Now, c.hear, options.Log)
 	c.done.Go(func() { c.follow(ctx) })
+	c.done.Go(func() { c.lookAtUpstreams(ctx) })
+	c.done.Go(func() { c.reportCrashes(ctx) })
 	return c
 }
 
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -95,6 +95,8 @@
 // Call is what a caller's headers say of its request.
 type Call struct {
 	ID string
+	// Caller is who sends it, empty if it does not say.
+	Caller string
 	// Patience is how long the caller waits, 0 if it does not say.
 	Patience time.Duration
 	Model    string
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -20,6 +20,8 @@
 	// outcome is what became of it, and sample what it says of the engine's speed.
 	outcome permit.Outcome
 	sample  sample
+	// answering is true once some of the answer's body has come.
+	answering bool
 	// reached is true once bytes of the request may have gone out.
 	reached atomic.Bool
 }
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -148,6 +148,7 @@
 		c.fleet.served = table.Services()
 	}
 	c.fleet.update(now, changed)
+	c.reviewUpstreams(now)
 	c.hold(now, reply)
 	c.links.leader = reply.Leader
 	if next := c.links.ask(now, c.options.Name); next != c.links.asked {
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/routes"
 )
 
@@ -23,6 +24,7 @@
 	version uint64
 	request *http.Request
 	body    []byte
+	digest  quarantine.Digest
 	need
 	// runs is how many upstreams may have run it, and sends how many it was sent to.
 	runs  int
@@ -58,7 +60,7 @@
 		return
 	}
 	t := &trip{
-		counter: c, call: call, route: route, version: table.Version, request: r, body: body,
+		counter: c, call: call, route: route, version: table.Version, request: r, body: body, digest: digestOf(r, call, body),
 		need: need{
 			demandKey:    demandKey{service: route.Service(rand.Float64()), model: call.Model, adapter: call.Adapter},
 			promptTokens: call.PromptTokens, answerTokens: call.AnswerTokens,
--- /dev/null
+++ b/internal/quarantine/update.go
@@ -0,0 +1,36 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Update is what instances report, as one command of the replicated log. It may be
+// carried out more than once.
+type Update struct {
+	// Now is the time at the instance that proposes it.
+	Now     time.Time `json:"now"`
+	Reports []Report  `json:"reports,omitempty"`
+	// Whole are requests that ended with a whole answer.
+	Whole []Digest `json:"whole,omitempty"`
+	// Alive are upstreams that had not ended after all.
+	Alive []Lifetime `json:"alive,omitempty"`
+	// Lifted are requests that an operator clears.
+	Lifted []Digest `json:"lifted,omitempty"`
+}
+
+// Empty reports whether the update changes nothing.
+func (u Update) Empty() bool {
+	return len(u.Reports)+len(u.Whole)+len(u.Alive)+len(u.Lifted) == 0
+}
+
+// With returns the update that says what both say.
+func (u Update) With(other Update) Update {
+	return Update{
+		Now:     u.Now,
+		Reports: slices.Concat(u.Reports, other.Reports),
+		Whole:   slices.Concat(u.Whole, other.Whole),
+		Alive:   slices.Concat(u.Alive, other.Alive),
+		Lifted:  slices.Concat(u.Lifted, other.Lifted),
+	}
+}
