quarantine: a request under which three upstreams have ended is not sent on, at any instance

Cause: each attempt was the first one to whoever took it; retries are bounded within one attempt, and nothing counted across attempts and instances.

Now a request is known by its digest (caller, method, host, target, body). Entry instances report which requests an upstream had as it ended; control instances gather the reports for 40 ms and record them in the replicated log, so that the count is one for all, and outlives restarts and changes of the leader. A crash counts against a request only if no other one there has more of them, half as much in the middle of an answer, and a whole answer anywhere clears it. Entry instances learn of suspected requests with the news that they ask for anyway, have 1.5 s to object, and answer 400 from then on, with reason and outcome.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -28,6 +28,7 @@
 	bulk    *courier.Pool
 	orders  *orders
 	relay   *relay
+	crashes *crashes
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -70,6 +71,7 @@
 	// the orders.
 	b.orders = newOrders(ctx, b)
 	b.relay = &relay{office: b, told: map[string][]courier.Demand{}}
+	b.crashes = newCrashes(b)
 	if err := b.start(); err != nil {
 		cancel()
 		options.Inner.Close()
@@ -81,6 +83,8 @@
 	b.done.Go(func() { b.elect(ctx) })
 	b.done.Go(func() { b.orders.run(ctx) })
 	b.done.Go(func() { b.relay.run(ctx) })
+	b.done.Go(func() { b.crashes.run(ctx) })
+	b.done.Go(func() { b.crashes.listen(ctx) })
 	return b, nil
 }
 
@@ -152,6 +156,7 @@
 		ClockDrift:      clockDrift,
 		Identities:      b.identities,
 		Docket:          limits,
+		Quarantine:      b.options.Quarantine,
 	}
 }
 
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -37,6 +37,9 @@
 	if held := b.voter.Edition(); held.Version > args.Edition {
 		reply.Edition = b.packed(held)
 	}
+	if news := b.voter.Quarantine(now); news.Mark != args.Quarantine {
+		reply.Quarantine = &news
+	}
 	b.orders.note(now, args.From.Name, args.Demand)
 	if leader != b.voter.Identity() {
 		b.relay.note(now, args.From.Name, args.Demand)
--- a/internal/backoffice/options.go
+++ b/internal/backoffice/options.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/routes"
 )
 
@@ -39,6 +40,8 @@
 	UpstreamLease time.Duration
 	// OrderGap is the least time between orders of two instances to one engine.
 	OrderGap time.Duration
+	// Quarantine says when requests that crash upstreams are quarantined.
+	Quarantine quarantine.Limits
 	// Table reads the routes that an operator sent.
 	Table func(content []byte) (*routes.Table, error)
 	// Engines reaches engines to ask and to order.
--- a/internal/chamber/answers.go
+++ b/internal/chamber/answers.go
@@ -66,8 +66,9 @@
 	return proposedOf(nil, c.voter.clerk.RemoveVoter(ctx, change.Remove))
 }
 
-// Configuration returns what is in force, if it is newer than have.
-func (c control) Configuration(have registry.Revision) courier.Configuration {
+// Configuration returns what is in force, if it is newer than have, and the news of
+// requests in quarantine unless they have the mark.
+func (c control) Configuration(have registry.Revision, mark uint64) courier.Configuration {
 	// Freshness is read first: what it covers is in the view that is read after.
 	asOf, confirmed := c.voter.clerk.Freshness()
 	answer := courier.Configuration{
@@ -80,6 +81,9 @@
 	if view := c.voter.registry.View(); view.Revision > have {
 		answer.View = view
 	}
+	if news := c.voter.Quarantine(c.voter.options.Now()); news.Mark != mark {
+		answer.Quarantine = &news
+	}
 	return answer
 }
 
--- a/internal/chamber/chamber.go
+++ b/internal/chamber/chamber.go
@@ -16,6 +16,7 @@
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
@@ -34,6 +35,8 @@
 	// Lookup returns what is recorded of a request. If no voter can confirm that
 	// it is up to date, Lookup returns an error.
 	Lookup(ctx context.Context, key docket.Key) (docket.Answer, error)
+	// Quarantine returns what is known of requests in quarantine. It must not be changed.
+	Quarantine(now time.Time) quarantine.News
 	// Leader returns the leader that is known of, and its fencing number. Both
 	// are zero if none is.
 	Leader() (jury.Identity, jury.Term)
--- a/internal/chamber/follower.go
+++ b/internal/chamber/follower.go
@@ -12,6 +12,7 @@
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
@@ -29,6 +30,9 @@
 	cluster string
 	// next is the voter to ask first.
 	next int
+	// news are of requests in quarantine, as of newsAt.
+	news   quarantine.News
+	newsAt time.Time
 
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -88,7 +92,7 @@
 	for range f.options.Voters {
 		voter := f.voter()
 		asked := f.options.Now()
-		answer, err := f.options.Calls.Configuration(ctx, voter.InnerAddress, f.gazette.Latest().Revision)
+		answer, err := f.options.Calls.Configuration(ctx, voter.InnerAddress, f.gazette.Latest().Revision, f.newsMark())
 		if err == nil {
 			err = f.take(asked, answer)
 		}
@@ -122,12 +126,29 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if answer.Quarantine != nil {
+		f.news, f.newsAt = *answer.Quarantine, asked
+	}
 	if asOf := asked.Add(-answer.Age); asOf.After(f.asOf) {
 		f.asOf = asOf
 	}
 	return nil
 }
 
+// newsMark returns the mark of the news of requests in quarantine.
+func (f *Follower) newsMark() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.news.Mark
+}
+
+// Quarantine returns what a voter told last of requests in quarantine.
+func (f *Follower) Quarantine(now time.Time) quarantine.News {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.news.Aged(now.Sub(f.newsAt))
+}
+
 // join holds the follower to the first cluster it heard of. After all voters
 // lost their disks and a new cluster was founded, the follower's configuration
 // would go back to the beginning, which is what must never happen unnoticed: it
--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -21,6 +21,7 @@
 	"github.com/lovagelift/lovagelift/internal/lease"
 	"github.com/lovagelift/lovagelift/internal/manifest"
 	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
@@ -43,6 +44,8 @@
 	Identities func() []jury.Identity
 	// Docket bounds the idempotency records.
 	Docket docket.Limits
+	// Quarantine says when requests that crash upstreams are quarantined.
+	Quarantine quarantine.Limits
 }
 
 // Voter is the part of an instance that is a voter: a replica of the log.
@@ -58,6 +61,9 @@
 	leasing   sync.Mutex
 	sightings *lease.Sightings
 
+	telling  sync.Mutex
+	bulletin *quarantine.Bulletin
+
 	stop context.CancelFunc
 	done sync.WaitGroup
 }
@@ -84,6 +90,7 @@
 		gazette:   gazette.New(),
 		registry:  registry.New(),
 		sightings: lease.NewSightings(options.Self),
+		bulletin:  quarantine.NewBulletin(options.Quarantine),
 		archive:   store,
 		ticker:    time.NewTicker(options.Heartbeat / heartbeatTicks),
 	}
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -16,10 +16,14 @@
 // caller was answered.
 func (t *trip) attempt(ctx context.Context, w http.ResponseWriter, granted place) bool {
 	c := t.counter
-	t.sends++
-	t.timing.sent = c.options.Now()
 	a := &sending{place: granted}
 	defer c.finish(t, a)
+	if c.isQuarantined(t.digest) {
+		t.refuseQuarantined(w)
+		return true
+	}
+	t.sends++
+	t.timing.sent = c.options.Now()
 	response, err := t.send(ctx, a)
 	if err != nil {
 		return t.failed(ctx, w, a, err)
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -128,6 +128,7 @@
 	c.links = links{
 		calls:    courier.NewPool(options.Dial, syncTimeout),
 		wants:    courier.NewPool(options.Dial, syncTimeout),
+		reports:  courier.NewPool(options.Dial, reportTimeout),
 		controls: options.Seeds,
 		next:     rand.IntN(len(options.Seeds)),
 	}
@@ -201,6 +202,7 @@
 	c.stop()
 	c.links.calls.Close()
 	c.links.wants.Close()
+	c.links.reports.Close()
 	c.exchange.close()
 	c.done.Wait()
 	c.kept.CloseIdleConnections()
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -134,6 +134,10 @@
 	c.leaderless = !leads
 }
 
+func (c *control) Note(context.Context, courier.NoteArgs) courier.NoteReply {
+	return courier.NoteReply{Recorded: true}
+}
+
 func (c *control) Gather(context.Context, courier.GatherArgs) courier.GatherReply {
 	return courier.GatherReply{}
 }
--- a/internal/counter/crashes.go
+++ b/internal/counter/crashes.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
@@ -154,9 +156,48 @@
 	}
 }
 
+// followQuarantine takes in news of requests in quarantine, nil if there are none.
+func (c *Counter) followQuarantine(news *quarantine.News) {
+	if news == nil {
+		return
+	}
+	now := c.options.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watch.Follow(now, *news)
+	c.wakeReporter()
+}
+
+// isQuarantined reports whether a request must not be sent.
+func (c *Counter) isQuarantined(digest quarantine.Digest) bool {
+	now := c.options.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.watch.Holds(now, digest)
+}
+
+// whyQuarantined is what a caller is told of a request in quarantine. It may not come
+// back: the status is one that callers do not try again after.
+const whyQuarantined = "upstreams end that run this request"
+
+// refuseQuarantined answers a request that is in quarantine.
+func (t *trip) refuseQuarantined(w http.ResponseWriter) {
+	r := refusal{
+		status: http.StatusBadRequest, why: whyQuarantined,
+		reason: quarantine.Reason, outcome: outcome.NotRun, digest: t.digest,
+	}
+	if t.runs > 0 {
+		r.status, r.outcome = http.StatusBadGateway, outcome.Unknown
+	}
+	t.counter.refuse(w, t.call, t.route, r)
+}
+
 // reportEvery is the time between two tries of a report.
 const reportEvery = 100 * time.Millisecond
 
+// reportTimeout bounds one try. The voters need some ms, or an election.
+const reportTimeout = 1500 * time.Millisecond
+
 // reportCrashes reports upstreams that ended under requests, until ctx ends.
 func (c *Counter) reportCrashes(ctx context.Context) {
 	for {
@@ -165,20 +206,41 @@
 		case <-ctx.Done():
 			return
 		}
+		var unsent quarantine.Update
 		for pause.For(ctx, reportEvery) {
 			now := c.options.Now()
 			c.mu.Lock()
 			update := c.watch.Due(now)
 			pending := c.watch.IsPending()
+			control := c.links.asked
 			c.mu.Unlock()
 			c.logCrashes(now, update)
-			if !pending {
+			unsent = unsent.With(update).Newest(maxUnsent)
+			if unsent.Empty() || c.report(ctx, control, unsent) {
+				unsent = quarantine.Update{}
+			}
+			if !pending && unsent.Empty() {
 				break
 			}
 		}
 	}
 }
 
+// maxUnsent bounds the upstreams and requests of which reports wait for a control
+// instance.
+const maxUnsent = 256
+
+// report tells a control instance, and returns whether it is recorded.
+func (c *Counter) report(ctx context.Context, control string, update quarantine.Update) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	reply, err := c.links.reports.Note(ctx, control, courier.NoteArgs{Update: update})
+	if err != nil {
+		c.options.Log.Debug().Err(err).Str("control", control).Msg("crashes not reported")
+	}
+	return err == nil && reply.Recorded
+}
+
 // logCrashes tells of each request that an upstream had as it ended.
 func (c *Counter) logCrashes(now time.Time, update quarantine.Update) {
 	for _, report := range update.Reports {
--- a/internal/counter/refusal.go
+++ b/internal/counter/refusal.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/routes"
 )
 
@@ -15,6 +17,11 @@
 	status int
 	// why is one of a few texts, since refusals are counted by it.
 	why string
+	// reason is told to the caller's program, with outcome, empty if there is none.
+	reason  string
+	outcome outcome.Outcome
+	// digest is that of a request in quarantine.
+	digest quarantine.Digest
 	// comeBack is when the caller may come back, 0 if it does not help.
 	comeBack time.Duration
 	// forecast is how long the request would have waited, if that is why.
@@ -33,6 +40,10 @@
 	if r.comeBack > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.comeBack.Seconds(), 'f', 3, 64))
 	}
+	if r.reason != "" {
+		header.Set(quarantine.ReasonHeader, r.reason)
+		header.Set(outcome.Header, r.outcome.String())
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	c.mu.Lock()
 	c.metrics.refused(r.why)
@@ -57,6 +68,9 @@
 	if r.owner.IsValid() {
 		event = event.Stringer("placed-by", r.owner)
 	}
+	if r.reason != "" {
+		event = event.Stringer("digest", r.digest)
+	}
 	if r.forecast > 0 {
 		event = event.Dur("forecast", r.forecast)
 	}
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -19,6 +19,8 @@
 	// wants carries calls that take as long as a load: news must not wait for them,
 	// nor end with them.
 	wants *courier.Pool
+	// reports carries reports of upstreams that ended under requests.
+	reports *courier.Pool
 	// leader is the control instance that gives orders, empty while none is known that
 	// does, and asked the one that is asked for news.
 	leader string
@@ -75,6 +77,7 @@
 		Cursor:        c.links.source.Cursor(false),
 		Members:       c.links.members,
 		Holdings:      c.links.holdings,
+		Quarantine:    c.watch.Mark(),
 		Demand:        c.demand.take(),
 	}
 	if own := c.roster.Introduction(now); own != nil {
@@ -96,6 +99,8 @@
 		c.askAnother(now, address, err)
 		return
 	}
+	// What must not be sent is known before the routes by which it would be.
+	c.followQuarantine(reply.Quarantine)
 	if reply.Edition != nil {
 		c.publish(*reply.Edition)
 	}
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -68,6 +68,10 @@
 			began: began, deadline: began.Add(patience(call, route)),
 		},
 	}
+	if c.isQuarantined(t.digest) {
+		t.refuseQuarantined(w)
+		return
+	}
 	c.enter(t, 1)
 	defer c.enter(t, -1)
 	ctx, cancel := context.WithTimeout(r.Context(), t.deadline.Sub(c.options.Now()))
--- a/internal/courier/call_test.go
+++ b/internal/courier/call_test.go
@@ -28,7 +28,7 @@
 	return c.ProposeHere(ctx, command)
 }
 
-func (idleControl) Configuration(registry.Revision) courier.Configuration {
+func (idleControl) Configuration(registry.Revision, uint64) courier.Configuration {
 	return courier.Configuration{Cluster: "0123456789abcdef", Confirmed: true, Age: 20 * time.Millisecond}
 }
 
@@ -78,7 +78,7 @@
 	for _, callers := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("call=configuration/callers=%d", callers), func(b *testing.B) {
 			benchmarkCalls(b, callers, func(pool *courier.Pool) error {
-				_, err := pool.Configuration(context.Background(), server.Address(), 7)
+				_, err := pool.Configuration(context.Background(), server.Address(), 7, 0)
 				return err
 			})
 		})
--- a/internal/courier/control.go
+++ b/internal/courier/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/registry"
 )
 
@@ -32,8 +33,9 @@
 	ProposeHere(ctx context.Context, command []byte) Proposed
 	// Propose has command carried out by whichever voter leads.
 	Propose(ctx context.Context, command []byte) Proposed
-	// Configuration returns what is in force, if it is newer than have.
-	Configuration(have registry.Revision) Configuration
+	// Configuration returns what is in force, if it is newer than have, and the news of
+	// requests in quarantine unless they have the mark.
+	Configuration(have registry.Revision, mark uint64) Configuration
 	// Lookup returns what is recorded of a request, as of now or later.
 	Lookup(ctx context.Context, key docket.Key) Recorded
 	// ChangeVoters adds the identity or removes it, if this voter leads.
@@ -76,6 +78,8 @@
 	// Age is how long before the answer the voter had all that was committed
 	// anywhere.
 	Age time.Duration
+	// Quarantine is nil if the asker has these news.
+	Quarantine *quarantine.News
 }
 
 // Recorded answers a lookup.
@@ -162,11 +166,13 @@
 // ConfigurationArgs asks for what is in force.
 type ConfigurationArgs struct {
 	Have registry.Revision
+	// Quarantine is the mark of the news of requests in quarantine that the asker has.
+	Quarantine uint64
 }
 
 // Configuration is the net/rpc method "Control.Configuration".
 func (s *ControlService) Configuration(args ConfigurationArgs, reply *Configuration) error {
-	*reply = s.control.Configuration(args.Have)
+	*reply = s.control.Configuration(args.Have, args.Quarantine)
 	return nil
 }
 
@@ -244,8 +250,10 @@
 }
 
 // Configuration asks the voter at address for what is in force.
-func (p *Pool) Configuration(ctx context.Context, address string, have registry.Revision) (Configuration, error) {
-	return answerOf[Configuration](ctx, p, address, "Control.Configuration", ConfigurationArgs{Have: have})
+func (p *Pool) Configuration(
+	ctx context.Context, address string, have registry.Revision, mark uint64,
+) (Configuration, error) {
+	return answerOf[Configuration](ctx, p, address, "Control.Configuration", ConfigurationArgs{Have: have, Quarantine: mark})
 }
 
 // Lookup asks the voter at address what is recorded of a request.
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/edition"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/roster"
 )
 
@@ -24,6 +25,8 @@
 	Members uint64
 	// Holdings is the revision of the holdings that the asker has, under Leader.
 	Holdings uint64
+	// Quarantine is the mark of the news of requests in quarantine that the asker has.
+	Quarantine uint64
 	// Demand is what callers asked for since the last call that was answered.
 	Demand []Demand
 }
@@ -57,6 +60,8 @@
 	// is packed (registry.Pack).
 	Edition *edition.Edition
 	Changes roster.Changes
+	// Quarantine is nil if the asker has these news.
+	Quarantine *quarantine.News
 	// Holdings is the encoding of Holdings, empty unless it differs from what the asker
 	// has. It was made HoldingsAge ago, once for all askers: what 140 engines hold takes
 	// 50 us to encode (BenchmarkHoldings), and 86 askers are answered 344 times a second,
@@ -114,6 +119,17 @@
 	NotLeader bool
 }
 
+// NoteArgs tells of upstreams that ended under requests.
+type NoteArgs struct {
+	Update quarantine.Update
+}
+
+// NoteReply answers NoteArgs.
+type NoteReply struct {
+	// Recorded says that the voters have it. If it is false, they may or may not.
+	Recorded bool
+}
+
 // Feed is what a control instance answers to entry instances, and the one that gives
 // orders to the other control instances. Its methods are called from many goroutines at
 // once.
@@ -121,6 +137,7 @@
 	Gather(ctx context.Context, args GatherArgs) GatherReply
 	Sync(ctx context.Context, args SyncArgs) SyncReply
 	Want(ctx context.Context, args WantArgs) WantReply
+	Note(ctx context.Context, args NoteArgs) NoteReply
 }
 
 // FeedService answers the calls of entry instances.
@@ -157,6 +174,19 @@
 	return nil
 }
 
+// Note is the net/rpc method "Feed.Note".
+func (s *FeedService) Note(args NoteArgs, reply *NoteReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), serviceTimeout)
+	defer cancel()
+	*reply = s.feed.Note(ctx, args)
+	return nil
+}
+
+// Note tells the control instance at address of upstreams that ended under requests.
+func (p *Pool) Note(ctx context.Context, address string, args NoteArgs) (NoteReply, error) {
+	return answerOf[NoteReply](ctx, p, address, "Feed.Note", args)
+}
+
 // Sync tells the control instance at address of this one and asks for news.
 func (p *Pool) Sync(ctx context.Context, address string, args SyncArgs) (SyncReply, error) {
 	return answerOf[SyncReply](ctx, p, address, "Feed.Sync", args)
--- a/internal/courier/feed_test.go
+++ b/internal/courier/feed_test.go
@@ -18,6 +18,10 @@
 	return courier.SyncReply{Leader: "here"}
 }
 
+func (waitingFeed) Note(context.Context, courier.NoteArgs) courier.NoteReply {
+	return courier.NoteReply{}
+}
+
 func (waitingFeed) Gather(context.Context, courier.GatherArgs) courier.GatherReply {
 	return courier.GatherReply{}
 }
--- /dev/null
+++ b/internal/quarantine/follow.go
@@ -0,0 +1,45 @@
+package quarantine
+
+import "time"
+
+// Holds reports whether a request is in quarantine: it must not be sent.
+func (w *Watch) Holds(now time.Time, digest Digest) bool {
+	from, held := w.from[digest]
+	return held && !now.Before(from)
+}
+
+// Mark returns that of the news that the instance has, 0 if it has none.
+func (w *Watch) Mark() uint64 {
+	return w.mark
+}
+
+// Follow takes in news. Older ones than those before, of a control instance that lags,
+// are left out.
+func (w *Watch) Follow(now time.Time, news News) {
+	if news.Revision < w.revision {
+		return
+	}
+	w.revision, w.mark = news.Revision, news.Mark
+	before := w.from
+	w.from = make(map[Digest]time.Time, len(news.Quarantined))
+	for _, sentence := range news.Quarantined {
+		from := now.Add(sentence.In)
+		if known, held := before[sentence.Digest]; held && known.Before(from) {
+			from = known
+		}
+		w.from[sentence.Digest] = from
+		w.object(now, sentence.Digest)
+	}
+	clear(w.suspected)
+	for _, digest := range news.Suspected {
+		w.suspected[digest] = true
+		w.object(now, digest)
+	}
+}
+
+// object has a request be cleared that is known here to have ended with a whole answer.
+func (w *Watch) object(now time.Time, digest Digest) {
+	if w.wholes.has(now, digest) {
+		w.cleared[digest] = true
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -50,6 +50,13 @@
 	Incarnation uint64 `json:"incarnation,omitempty"`
 }
 
+// ReasonHeader is the response header by which a caller's program knows why it was
+// refused, and Reason the word for a request in quarantine.
+const (
+	ReasonHeader = "Lovagelift-Reason"
+	Reason       = "quarantined"
+)
+
 func compareLifetimes(a, b Lifetime) int {
 	return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Incarnation, b.Incarnation))
 }
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -24,6 +24,13 @@
 	return len(u.Reports)+len(u.Whole)+len(u.Alive)+len(u.Lifted) == 0
 }
 
+// Newest returns the update with no more than limit of each kind, the newest.
+func (u Update) Newest(limit int) Update {
+	u.Reports = u.Reports[max(0, len(u.Reports)-limit):]
+	u.Whole = u.Whole[max(0, len(u.Whole)-limit):]
+	return u
+}
+
 // With returns the update that says what both say.
 func (u Update) With(other Update) Update {
 	return Update{
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -11,12 +11,13 @@
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/lease"
 	"github.com/lovagelift/lovagelift/internal/manifest"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
 
 // commandFormat is the newest format of commands that this program knows. It
 // grows with every new kind of command and every new field. An instance
 // proposes a newer command only when all voters run a program that knows it.
-const commandFormat = 4
+const commandFormat = 5
 
 // baseFormat is the format of commands that every program knows. A command is
 // encoded in the oldest format that has its kind, so that voters that are not
@@ -28,10 +29,12 @@
 	manifestFormat = 2
 	editionFormat  = 3
 	leaseFormat    = 4
+	// quarantineFormat is that of a quarantine.Update.
+	quarantineFormat = 5
 )
 
-// Command is what the replicated log carries: a Change, an edition.Put, a lease.Take, or one of
-// the commands of packages docket and manifest.
+// Command is what the replicated log carries: a Change, an edition.Put, a lease.Take, a
+// quarantine.Update, or one of the commands of packages docket and manifest.
 type Command any
 
 // envelope is the encoding of a command. One field is set beside Format.
@@ -48,6 +51,8 @@
 	Edition *edition.Put `json:"edition,omitempty"`
 	// Lease came with format 4.
 	Lease *lease.Take `json:"lease,omitempty"`
+	// Quarantine came with format 5.
+	Quarantine *quarantine.Update `json:"quarantine,omitempty"`
 }
 
 // Encode returns a command's bytes for the log.
@@ -87,6 +92,8 @@
 		e.Format, e.Edition = editionFormat, &c
 	case lease.Take:
 		e.Format, e.Lease = leaseFormat, &c
+	case quarantine.Update:
+		e.Format, e.Quarantine = quarantineFormat, &c
 	default:
 		return nil, errors.AssertionFailedf("registry: command %T", command)
 	}
@@ -172,6 +179,9 @@
 	if e.Lease != nil {
 		commands = append(commands, *e.Lease)
 	}
+	if e.Quarantine != nil {
+		commands = append(commands, *e.Quarantine)
+	}
 	if len(commands) != 1 {
 		return nil, errors.Newf("registry: decode command: %d commands in one", len(commands))
 	}
@@ -186,6 +196,8 @@
 	Edition  *edition.Result  `json:"edition,omitempty"`
 	// Lease is the command itself, which is always carried out.
 	Lease *lease.Take `json:"lease,omitempty"`
+	// Quarantine is the revision after a quarantine.Update.
+	Quarantine uint64 `json:"quarantine,omitempty"`
 }
 
 // Encode returns the result's bytes, to be sent to the instance that proposed
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,6 +1,7 @@
 // Package registry is the replicated state machine: the configuration in force,
 // the edition that operators number themselves, the docket of non-idempotent
-// requests, the manifest of engines and orders, and the leases of upstreams.
+// requests, the manifest of engines and orders, the leases of upstreams, and the records
+// of requests that were at upstreams as those ended.
 //
 // It is deterministic. Replicas that apply the same commands in the same order
 // hold the same state, and their snapshots have equal bytes.
@@ -20,6 +21,7 @@
 	"github.com/lovagelift/lovagelift/internal/lease"
 	"github.com/lovagelift/lovagelift/internal/manifest"
 	"github.com/lovagelift/lovagelift/internal/parcel"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
 
 // Registry is one replica of the state. Its methods are safe for concurrent
@@ -38,6 +40,8 @@
 	// lock.
 	edition atomic.Pointer[edition.Edition]
 	leases  lease.Leases
+	// crashes are for readers that take no lock.
+	crashes atomic.Pointer[quarantine.Records]
 }
 
 // New returns the empty state.
@@ -45,6 +49,7 @@
 	r := &Registry{configuration: newConfiguration(), docket: docket.New(), manifest: manifest.New()}
 	r.view.Store(r.configuration.view())
 	r.edition.Store(&edition.Edition{})
+	r.crashes.Store(&quarantine.Records{})
 	return r
 }
 
@@ -73,6 +78,12 @@
 	return r.docket.Counters(), r.docket.Len(), r.docket.ResponseBytes()
 }
 
+// Crashes returns the records of requests that were at upstreams as those ended. It takes
+// no lock.
+func (r *Registry) Crashes() quarantine.Records {
+	return *r.crashes.Load()
+}
+
 // Leases returns who took the lease of each upstream last.
 func (r *Registry) Leases() lease.Leases {
 	r.mutex.RLock()
@@ -128,6 +139,10 @@
 	case lease.Take:
 		r.leases = r.leases.With(c)
 		return Result{Lease: &c}, nil
+	case quarantine.Update:
+		next := r.crashes.Load().With(c)
+		r.crashes.Store(&next)
+		return Result{Quarantine: next.Revision()}, nil
 	default:
 		return Result{}, errors.AssertionFailedf("registry: command %T", decoded)
 	}
@@ -142,6 +157,7 @@
 	manifestSection      = "manifest"
 	editionSection       = "edition"
 	leaseSection         = "leases"
+	quarantineSection    = "quarantine"
 )
 
 // Snapshot returns the whole state. Equal states give equal bytes. A snapshot is
@@ -157,12 +173,16 @@
 	buffer = parcel.AppendUint(buffer, snapshotFormat)
 	buffer = parcel.AppendUint(buffer, uint64(r.applied))
 	// A program from before there were orders can read a snapshot without any,
-	// and likewise one from before there were editions or leases.
+	// and likewise one from before there were editions, leases or records of crashes.
 	withManifest := !r.manifest.Empty()
 	held := r.edition.Load()
 	withEdition := held.Content != nil
 	withLeases := len(r.leases.Upstreams()) > 0
+	crashes := r.crashes.Load()
 	sections := uint64(2)
+	if !crashes.Empty() {
+		sections++
+	}
 	if withManifest {
 		sections++
 	}
@@ -185,6 +205,10 @@
 		buffer = parcel.AppendBytes(buffer, leaseSection)
 		buffer = parcel.AppendBytes(buffer, r.leases.Snapshot())
 	}
+	if !crashes.Empty() {
+		buffer = parcel.AppendBytes(buffer, quarantineSection)
+		buffer = parcel.AppendBytes(buffer, crashes.Snapshot())
+	}
 	if !withManifest {
 		return buffer, nil
 	}
@@ -212,6 +236,7 @@
 	orders := manifest.New()
 	var held edition.Edition
 	var leases lease.Leases
+	var crashes quarantine.Records
 	for range reader.Count() {
 		name, section := reader.String(), reader.Bytes()
 		var err error
@@ -228,6 +253,8 @@
 			held, err = edition.Restore(section)
 		case leaseSection:
 			leases, err = lease.Restore(section)
+		case quarantineSection:
+			crashes, err = quarantine.Restore(section)
 		case "":
 			err = parcel.ErrShort
 		default:
@@ -251,6 +278,7 @@
 	r.manifest = orders
 	r.edition.Store(&held)
 	r.leases = leases
+	r.crashes.Store(&crashes)
 	r.view.Store(configuration.view())
 	return nil
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -258,6 +258,16 @@
 	return alive
 }
 
+// Upstream returns what was heard last of an upstream, which may have left or lapsed. If
+// it is not known, Upstream returns false.
+func (r *Roster) Upstream(name string) (Upstream, bool) {
+	held := r.upstreams.rows[name]
+	if held == nil {
+		return Upstream{}, false
+	}
+	return upstreamOf(held), true
+}
+
 // UpstreamsSince returns the upstreams that changed after cursor, those that left
 // or whose lease has run out included, and the cursor to ask with next. A cursor
 // of 0 asks for all.
