coroner, desk, instance: requests that crash upstreams are quarantined at the product's own interface too

What an entry instance does when answers break off (look, report, follow the news) is one package, coroner, for both interfaces; quarantine decides. Voters and followers of the own interface take the news with the configuration, and propose reports to the voters. A completion in quarantine is answered 422 with the code 'quarantined' and the outcome not-run, also within an attempt. The spec of desk fails without the check (503, and more engines that end).

--- a/internal/backoffice/crashes.go
+++ b/internal/backoffice/crashes.go
@@ -30,8 +30,7 @@
 	// waiting are who reported what is gathered.
 	waiting []chan bool
 	// wake holds a token if something is gathered.
-	wake   chan struct{}
-	recall quarantine.Recall
+	wake chan struct{}
 }
 
 func newCrashes(b *Backoffice) *crashes {
@@ -93,18 +92,10 @@
 	return err == nil
 }
 
-// listen takes back crashes of upstreams that are heard of later, while this instance
-// leads.
+// listen takes back crashes of upstreams that are heard of later.
 func (c *crashes) listen(ctx context.Context) {
 	for pause.For(ctx, recallEvery) {
-		now := c.office.options.Now()
-		alive := c.recall.Alive(now, c.office.voter.Crashes(), c.office.heard)
-		if _, leads := c.office.voter.Leads(now); !leads || len(alive) == 0 {
-			continue
-		}
-		c.office.options.Log.Info().Int("upstreams", len(alive)).Str("first", alive[0].Upstream).
-			Msg("upstreams were reported as ended, and live")
-		c.propose(ctx, quarantine.Update{Alive: alive})
+		c.office.voter.RecallCrashes(ctx, c.office.heard)
 	}
 }
 
--- a/internal/chamber/quarantine.go
+++ b/internal/chamber/quarantine.go
@@ -1,6 +1,7 @@
 package chamber
 
 import (
+	"context"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/quarantine"
@@ -33,6 +34,22 @@
 		Msg("request in quarantine: upstreams end that run it")
 }
 
+// RecallCrashes takes back the crashes of upstreams that are heard of later all the same,
+// if this voter leads. heard returns when a lifetime was heard of last, and false if it
+// was not. RecallCrashes is called by one goroutine, twice a second or so.
+func (v *Voter) RecallCrashes(ctx context.Context, heard func(quarantine.Lifetime) (time.Time, bool)) {
+	now := v.options.Now()
+	alive := v.recall.Alive(now, v.registry.Crashes(), heard)
+	if _, leads := v.Leads(now); !leads || len(alive) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	_, err := v.Propose(ctx, quarantine.Update{Now: now, Alive: alive})
+	v.options.Log.Info().Err(err).Int("upstreams", len(alive)).Str("first", alive[0].Upstream).
+		Msg("upstreams were reported as ended, and live")
+}
+
 // Crashes returns what this replica has recorded of requests that were at upstreams as
 // those ended.
 func (v *Voter) Crashes() quarantine.Records {
--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -63,6 +63,8 @@
 
 	telling  sync.Mutex
 	bulletin *quarantine.Bulletin
+	// recall is used by RecallCrashes alone.
+	recall quarantine.Recall
 
 	stop context.CancelFunc
 	done sync.WaitGroup
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -18,7 +18,7 @@
 	c := t.counter
 	a := &sending{place: granted}
 	defer c.finish(t, a)
-	if c.isQuarantined(t.digest) {
+	if c.coroner.Holds(t.digest) {
 		t.refuseQuarantined(w)
 		return true
 	}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -10,9 +10,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
-	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -55,17 +55,13 @@
 	questions    map[permit.ID]*question
 	lastQuestion permit.ID
 	permits      map[otherInstance]*issued
-	// watch is what is seen of requests that crash upstreams.
-	watch *quarantine.Watch
+	// coroner looks for upstreams that end under requests. Its lock may be taken while mu
+	// is held.
+	coroner *coroner.Coroner
 	// open is how many requests are under way.
 	open     int
 	draining bool
 
-	// looks are upstreams to look at, since answers broke off there, and reportNow holds a
-	// token if the watch may have something to report.
-	looks     chan quarantine.Place
-	reportNow chan struct{}
-
 	// syncNow has the next sync come at once.
 	syncNow chan struct{}
 	stop    context.CancelFunc
@@ -118,9 +114,6 @@
 		// The questions of the process that had this address before have lower numbers.
 		lastQuestion: permit.ID(options.Now().UnixNano()),
 		permits:      map[otherInstance]*issued{},
-		watch:        quarantine.NewWatch(),
-		looks:        make(chan quarantine.Place, maxLooks),
-		reportNow:    make(chan struct{}, 1),
 		syncNow:      make(chan struct{}, 1),
 		stop:         cancel,
 	}
@@ -128,15 +121,14 @@
 	c.links = links{
 		calls:    courier.NewPool(options.Dial, syncTimeout),
 		wants:    courier.NewPool(options.Dial, syncTimeout),
-		reports:  courier.NewPool(options.Dial, reportTimeout),
+		reports:  courier.NewPool(options.Dial, syncTimeout),
 		controls: options.Seeds,
 		next:     rand.IntN(len(options.Seeds)),
 	}
 	c.links.asked = options.Seeds[c.links.next]
 	c.exchange = newExchange(options.Peers, options.Now, c.hear, options.Log)
+	c.coroner = c.newCoroner()
 	c.done.Go(func() { c.follow(ctx) })
-	c.done.Go(func() { c.lookAtUpstreams(ctx) })
-	c.done.Go(func() { c.reportCrashes(ctx) })
 	return c
 }
 
@@ -202,6 +194,7 @@
 	c.stop()
 	c.links.calls.Close()
 	c.links.wants.Close()
+	c.coroner.Close()
 	c.links.reports.Close()
 	c.exchange.close()
 	c.done.Wait()
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -122,7 +122,7 @@
 	scope.Gauge("open").Update(float64(c.open))
 	scope.Gauge("waiting").Update(float64(len(c.queue.waiters)))
 	scope.Gauge("permits").Update(float64(len(c.permits)))
-	quarantined, suspected := c.watch.Held()
+	quarantined, suspected := c.coroner.Held()
 	scope.Gauge("quarantined").Update(float64(quarantined))
 	scope.Gauge("suspected").Update(float64(suspected))
 	scope.Gauge("upstreams").Update(float64(len(c.fleet.upstreams)))
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -77,7 +77,7 @@
 		Cursor:        c.links.source.Cursor(false),
 		Members:       c.links.members,
 		Holdings:      c.links.holdings,
-		Quarantine:    c.watch.Mark(),
+		Quarantine:    c.coroner.Mark(),
 		Demand:        c.demand.take(),
 	}
 	if own := c.roster.Introduction(now); own != nil {
@@ -100,7 +100,9 @@
 		return
 	}
 	// What must not be sent is known before the routes by which it would be.
-	c.followQuarantine(reply.Quarantine)
+	if reply.Quarantine != nil {
+		c.coroner.Follow(*reply.Quarantine)
+	}
 	if reply.Edition != nil {
 		c.publish(*reply.Edition)
 	}
@@ -153,7 +155,7 @@
 		c.fleet.served = table.Services()
 	}
 	c.fleet.update(now, changed)
-	c.reviewUpstreams(now)
+	c.coroner.Review(c.fleet.contact)
 	c.hold(now, reply)
 	c.links.leader = reply.Leader
 	if next := c.links.ask(now, c.options.Name); next != c.links.asked {
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -68,7 +68,7 @@
 			began: began, deadline: began.Add(patience(call, route)),
 		},
 	}
-	if c.isQuarantined(t.digest) {
+	if c.coroner.Holds(t.digest) {
 		t.refuseQuarantined(w)
 		return
 	}
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -13,6 +13,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/dispatch"
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
@@ -20,7 +21,8 @@
 
 // task is a caller's request that is ready to be routed.
 type task struct {
-	id string
+	id     string
+	digest quarantine.Digest
 	// service is the service that the task belongs to. It may be empty.
 	service string
 	need    need
@@ -51,6 +53,7 @@
 type delivery struct {
 	answer *shuttle.Answer
 	trip   *trip
+	visit  visit
 }
 
 // deliver sends a task to one upstream after the other, as far as it may, until
@@ -71,12 +74,18 @@
 			d.logNoRoute(task, attempt, err)
 			return delivery{}, graver(failed, err)
 		}
+		if d.options.Coroner.Holds(task.digest) {
+			trip.end(dispatch.FailureCanceled)
+			return delivery{}, graver(failed, d.refuseQuarantined(task))
+		}
 		d.logRoute(task, attempt, trip)
+		visit := d.visit(task, trip)
 		answer, err := d.attempt(ctx, attempt, task, trip)
 		if err == nil {
-			return delivery{answer: answer, trip: trip}, nil
+			return delivery{answer: answer, trip: trip, visit: visit}, nil
 		}
 		trip.end(failureOf(ctx, err))
+		d.noteAttempt(ctx, visit, err)
 		failed = graver(failed, err)
 		verdict := d.router.again(arrival, task, attempt, err)
 		d.logFailure(task, attempt, trip, verdict, err)
@@ -132,6 +141,7 @@
 	shuttle.Head(c.Response(), answer)
 	err := shuttle.Stream(c.Response(), answer, task.events && isEventStream(answer))
 	delivery.trip.end(failureOfAnswer(answer.Status, err))
+	d.noteRelay(delivery.visit, answer.Status, err)
 	if err == nil {
 		d.counts.answered(task.service, d.options.Now().Sub(task.arrived))
 		return nil
--- a/internal/desk/completions.go
+++ b/internal/desk/completions.go
@@ -28,6 +28,7 @@
 	}
 	return d.dispatch(c, task{
 		id:      newRequestID(),
+		digest:  digestOf(r, body),
 		service: admitted.name,
 		need:    need{model: request.Model},
 		request: shuttle.Request{
@@ -62,6 +63,7 @@
 	target := serviceTarget(r)
 	return d.dispatch(c, task{
 		id:      newRequestID(),
+		digest:  digestOf(r, body),
 		service: admitted.name,
 		need:    need{service: admitted.name},
 		request: shuttle.Request{
@@ -80,6 +82,9 @@
 
 // dispatch serves a task once if it has a key and must not run twice.
 func (d *Desk) dispatch(c echo.Context, task task) error {
+	if d.options.Coroner.Holds(task.digest) {
+		return d.refuseQuarantined(task)
+	}
 	key := c.Request().Header.Get(KeyHeader)
 	if key == "" || task.request.Idempotent {
 		return d.serve(c, task)
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/gazette"
@@ -41,6 +42,8 @@
 	// Upstreams returns the upstreams that may receive new work, by name. Requests
 	// go by what Update was told.
 	Upstreams(now time.Time) []roster.Upstream
+	// Upstream returns what was heard last of an upstream, and false if it is not known.
+	Upstream(name string) (roster.Upstream, bool)
 }
 
 // Entries is where callers may connect.
@@ -103,6 +106,8 @@
 	Name        string
 	Incarnation uint64
 	Shuttle     *shuttle.Shuttle
+	// Coroner looks for upstreams that end under requests.
+	Coroner *coroner.Coroner
 	// FailureDomain is that of the instance, RemoteDelay the time one way to
 	// another one.
 	FailureDomain string
--- a/internal/desk/fakes_test.go
+++ b/internal/desk/fakes_test.go
@@ -17,10 +17,12 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/chamber"
+	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/desk"
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/registry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
@@ -118,6 +120,17 @@
 	return f.upstreams
 }
 
+func (f *fakeInstance) Upstream(name string) (roster.Upstream, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, upstream := range f.upstreams {
+		if upstream.Announcement.Name == name {
+			return upstream, true
+		}
+	}
+	return roster.Upstream{}, false
+}
+
 func (f *fakeInstance) Issue() *gazette.Issue {
 	f.issues.Add(1)
 	return f.gazette.Latest()
@@ -177,8 +190,9 @@
 // entrance is a desk behind a listener.
 type entrance struct {
 	*fakeInstance
-	desk *desk.Desk
-	url  string
+	desk    *desk.Desk
+	coroner *coroner.Coroner
+	url     string
 	// sequence is that of the last announcement.
 	sequence uint64
 }
@@ -191,8 +205,18 @@
 	}
 	instance := &fakeInstance{voters: v, gazette: gazette.New()}
 	carrier := shuttle.New(shuttle.Options{})
+	seeker := coroner.New(coroner.Options{
+		Contact: func(quarantine.Place) quarantine.Contact { return quarantine.ContactNone },
+		Report: func(_ context.Context, update quarantine.Update) bool {
+			update.Now = time.Now()
+			_, err := v.propose(update)
+			return err == nil
+		},
+		Line: func(string) *zerolog.Event { return nil },
+		Now:  time.Now,
+	})
 	d := desk.New(desk.Options{
-		Instance: instance, Name: name, Incarnation: 1, Shuttle: carrier, Now: time.Now, Log: zerolog.New(GinkgoWriter).With().Timestamp().Logger(),
+		Coroner: seeker, Instance: instance, Name: name, Incarnation: 1, Shuttle: carrier, Now: time.Now, Log: zerolog.New(GinkgoWriter).With().Timestamp().Logger(),
 		UpstreamLease: time.Hour,
 		Limits:        limits,
 	})
@@ -200,9 +224,10 @@
 	DeferCleanup(func() {
 		server.Close()
 		d.Wait()
+		seeker.Close()
 		carrier.Close()
 	})
-	return &entrance{fakeInstance: instance, desk: d, url: server.URL}
+	return &entrance{fakeInstance: instance, desk: d, coroner: seeker, url: server.URL}
 }
 
 // told is what a caller is told.
@@ -356,3 +381,18 @@
 		read = append(read, next[0])
 	}
 }
+
+// crash asks for a completion that ends the upstreams of newCrashing.
+func (e *entrance) crash(ctx context.Context, body string) told {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url+"/v1/completions", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Spec-Body", "crash")
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return told{
+		status: response.StatusCode, outcome: response.Header.Get("Lovagelift-Outcome"), body: string(data), header: response.Header,
+	}
+}
--- a/internal/desk/refusal.go
+++ b/internal/desk/refusal.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
 
 // EntriesHeader lists other instances that a refused caller may use, as
@@ -41,6 +42,7 @@
 	CodeAnswerNotKept  Code = "answer-not-kept"
 	CodeOutcomeUnknown Code = "outcome-unknown"
 	CodeInProgress     Code = "in-progress"
+	CodeQuarantined    Code = quarantine.Reason
 )
 
 // RefusalError is the final answer to a request that has no answer of an upstream.
--- a/internal/desk/slope_test.go
+++ b/internal/desk/slope_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/desk"
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
@@ -36,7 +37,9 @@
 					Name: fmt.Sprintf("instance-%d", n), Address: "10.0.0.1:7600", FailureDomain: "domain",
 				})
 			}
-			d := desk.New(desk.Options{Instance: instance, Shuttle: shuttle.New(shuttle.Options{}), Now: time.Now, Log: zerolog.Nop()})
+			seeker := coroner.New(coroner.Options{Now: time.Now})
+			b.Cleanup(seeker.Close)
+			d := desk.New(desk.Options{Coroner: seeker, Instance: instance, Shuttle: shuttle.New(shuttle.Options{}), Now: time.Now, Log: zerolog.Nop()})
 			request := httptest.NewRequest(http.MethodGet, "/v1/entries", nil)
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -14,6 +14,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/arrivals"
 	"github.com/lovagelift/lovagelift/internal/chamber"
+	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/desk"
@@ -32,6 +33,7 @@
 	inner       *courier.Server
 	chamber     chamber.Chamber
 	shuttle     *shuttle.Shuttle
+	coroner     *coroner.Coroner
 	desk        *desk.Desk
 	// foreman is nil unless this instance is a voter that may give orders.
 	foreman *foreman.Foreman
@@ -101,11 +103,13 @@
 		options.Listeners.Close()
 		return nil, err
 	}
+	i.coroner = i.newCoroner()
 	i.desk = desk.New(desk.Options{
 		Instance:    i,
 		Name:        options.Settings.Name,
 		Incarnation: i.incarnation,
 		Shuttle:     i.shuttle,
+		Coroner:     i.coroner,
 
 		FailureDomain: options.Settings.FailureDomain,
 		RemoteDelay:   remoteDelay,
@@ -135,6 +139,7 @@
 	}
 	i.done.Go(func() { i.pull(ctx) })
 	i.done.Go(func() { i.beat(ctx) })
+	i.done.Go(func() { i.followCrashes(ctx) })
 	i.done.Go(func() { i.abandonEarlier(ctx) })
 	i.foreman = i.newForeman()
 	return i, nil
@@ -266,6 +271,7 @@
 		}
 	}
 	i.stopOrders()
+	i.coroner.Close()
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	i.chamber.Close(ended)
