--- /dev/null
+++ b/internal/quarantine/bench_test.go
@@ -0,0 +1,50 @@
+package quarantine_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/quarantine"
+)
+
+// BenchmarkRequest measures what the watch costs a request that nobody suspects, by the
+// size of its body: the digest, the question whether it is in quarantine, and the note
+// that it ended well.
+func BenchmarkRequest(b *testing.B) {
+	for _, size := range []int{0, 4 << 10, 64 << 10} {
+		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) {
+			watch := quarantine.NewWatch()
+			now := time.Unix(1_000_000, 0)
+			identity := quarantine.Identity{Method: "POST", Host: "spec.test", Target: "/write/x", Body: bytes.Repeat([]byte("x"), size)}
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				now = now.Add(time.Millisecond)
+				digest := identity.Digest()
+				if !watch.Holds(now, digest) {
+					digest[0], digest[1] = byte(n), byte(n>>8)
+					watch.Whole(now, digest)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkJudge measures what a control instance spends on new reports, with as many
+// cases as are kept at the most.
+func BenchmarkJudge(b *testing.B) {
+	var records quarantine.Records
+	now := time.Unix(1_000_000, 0)
+	for n := range 200 {
+		report := quarantine.Report{Lifetime: lifetime(fmt.Sprint("e", n)), Suspects: []quarantine.Suspect{suspect("bad")}}
+		for m := range 12 {
+			report.Suspects = append(report.Suspects, suspect(fmt.Sprint(n, "-", m)))
+		}
+		records = records.With(quarantine.Update{Now: now.Add(time.Duration(n) * time.Second), Reports: []quarantine.Report{report}})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		quarantine.NewBulletin(quarantine.Limits{}).News(now, records)
+	}
+}
--- a/internal/quarantine/bulletin.go
+++ b/internal/quarantine/bulletin.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -12,7 +13,7 @@
 type News struct {
 	// Revision counts the updates that the news rest on.
 	Revision uint64
-	// Mark tells news apart: equal ones have the same, which is never 0.
+	// Mark tells news apart: those that name the same requests have the same, which is never 0.
 	Mark        uint64
 	Quarantined []Sentence
 	// Suspected are the requests that one more crash brings into quarantine. Whoever knows
@@ -87,7 +88,7 @@
 }
 
 func (b *Bulletin) make(now time.Time, records Records) {
-	verdicts := records.judge(now, b.limits)
+	verdicts := records.told(now, b.limits)
 	maps.DeleteFunc(b.since, func(d Digest, _ time.Time) bool { return verdicts[d] == verdictNone })
 	before := b.made.Quarantined
 	b.made, b.madeAt = News{Revision: records.Revision()}, now
@@ -126,11 +127,6 @@
 // mark returns a hash of what the news say.
 func (n News) mark() uint64 {
 	sum := fnv.New64a()
-	var revision [8]byte
-	for i := range revision {
-		revision[i] = byte(n.Revision >> (8 * i))
-	}
-	_, _ = sum.Write(revision[:])
 	for _, sentence := range n.Quarantined {
 		_, _ = sum.Write(sentence.Digest[:])
 	}
@@ -141,6 +137,31 @@
 	return max(sum.Sum64(), 1)
 }
 
+// maxTold bounds the requests of each verdict that instances are told of: each of hundreds
+// of them gets the whole list.
+const maxTold = 256
+
+// told returns the verdicts that instances are told of. Of too many, those on requests
+// with the most crashes are kept.
+func (r Records) told(now time.Time, limits Limits) map[Digest]verdict {
+	verdicts := r.judge(now, limits)
+	for _, v := range []verdict{verdictSuspected, verdictQuarantined} {
+		var among []Digest
+		for digest, given := range verdicts {
+			if given == v {
+				among = append(among, digest)
+			}
+		}
+		slices.SortFunc(among, func(a, b Digest) int {
+			return cmp.Or(-cmp.Compare(r.cases[a].weight(), r.cases[b].weight()), compareDigests(a, b))
+		})
+		for _, digest := range among[min(len(among), maxTold):] {
+			delete(verdicts, digest)
+		}
+	}
+	return verdicts
+}
+
 func compareDigests(a, b Digest) int {
 	return bytes.Compare(a[:], b[:])
 }
--- a/internal/quarantine/follow.go
+++ b/internal/quarantine/follow.go
@@ -16,7 +16,7 @@
 // Follow takes in news. Older ones than those before, of a control instance that lags,
 // are left out.
 func (w *Watch) Follow(now time.Time, news News) {
-	if news.Revision < w.revision {
+	if w.isBehind(now, news) {
 		return
 	}
 	w.revision, w.mark = news.Revision, news.Mark
@@ -37,6 +37,26 @@
 	}
 }
 
+// behindTime is how long news may be behind those before. A cluster that was founded anew
+// counts from the beginning, and what it says holds.
+const behindTime = 10 * time.Second
+
+// isBehind reports whether news are those of a control instance that lags.
+func (w *Watch) isBehind(now time.Time, news News) bool {
+	if news.Revision >= w.revision {
+		w.behindSince = time.Time{}
+		return false
+	}
+	if w.behindSince.IsZero() {
+		w.behindSince = now
+	}
+	if now.Sub(w.behindSince) < behindTime {
+		return true
+	}
+	w.behindSince = time.Time{}
+	return false
+}
+
 // object has a request be cleared that is known here to have ended with a whole answer.
 func (w *Watch) object(now time.Time, digest Digest) {
 	if w.wholes.has(now, digest) {
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -12,6 +12,8 @@
 	// revision is that of the newest news, and mark theirs.
 	revision uint64
 	mark     uint64
+	// behindSince is since when news are behind the newest, zero while they are not.
+	behindSince time.Time
 	// from is from when each request in quarantine is not sent.
 	from map[Digest]time.Time
 	// suspected are the requests that one more crash brings into quarantine.
