quarantine: a command that lists and lifts, settings, and no delay after a new start

lovagelift quarantine shows requests in quarantine with the upstreams that ended under them, and lifts what an operator names, at the operators' listener of the own interface and at the metrics address of control instances on the provider. Settings crashes and retention, checked. What was known for 3 s gets no time now.

--- a/internal/backoffice/crashes.go
+++ b/internal/backoffice/crashes.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// Quarantined returns the requests in quarantine, and those that are suspected.
+func (b *Backoffice) Quarantined(now time.Time) ([]quarantine.Listing, error) {
+	return b.voter.Quarantined(now)
+}
+
+// Lift has requests in quarantine be sent again. If it may not have, it returns an error.
+func (b *Backoffice) Lift(ctx context.Context, digests []quarantine.Digest) error {
+	return b.voter.Lift(ctx, digests)
+}
+
 // heard returns when a lifetime of an upstream was heard of last.
 func (b *Backoffice) heard(lifetime quarantine.Lifetime) (time.Time, bool) {
 	b.mu.Lock()
--- a/internal/chamber/quarantine.go
+++ b/internal/chamber/quarantine.go
@@ -34,6 +34,17 @@
 		Msg("request in quarantine: upstreams end that run it")
 }
 
+// Quarantined returns the requests in quarantine, and those that are suspected.
+func (v *Voter) Quarantined(now time.Time) ([]quarantine.Listing, error) {
+	return v.registry.Crashes().List(now, v.options.Quarantine), nil
+}
+
+// Lift clears requests. If it may not have, it returns an error.
+func (v *Voter) Lift(ctx context.Context, digests []quarantine.Digest) error {
+	_, err := v.Propose(ctx, quarantine.Update{Now: v.options.Now(), Lifted: digests})
+	return err
+}
+
 // RecallCrashes takes back the crashes of upstreams that are heard of later all the same,
 // if this voter leads. heard returns when a lifetime was heard of last, and false if it
 // was not. RecallCrashes is called by one goroutine, twice a second or so.
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -58,6 +58,7 @@
 		newStatus(),
 		newDrain(),
 		newVoters(),
+		newQuarantine(),
 		newExport(),
 		newExplain(),
 		newVersion(),
--- a/internal/command/fakes_test.go
+++ b/internal/command/fakes_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/registry"
 )
@@ -42,7 +43,7 @@
 			NotAccepted: func(error) bool { return false },
 			Fresh:       func(time.Time) bool { return !f.isStale() },
 		}),
-		House: f, Now: time.Now, Log: zerolog.Nop(),
+		House: f, Ward: f, Now: time.Now, Log: zerolog.Nop(),
 		Holder: func(shown string) (string, bool) { return "kim", shown == token },
 	})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -98,6 +99,24 @@
 	}
 }
 
+func (f *fakeInstance) Quarantined(now time.Time) ([]quarantine.Listing, error) {
+	return f.registry.Crashes().List(now, quarantine.Limits{}), nil
+}
+
+func (f *fakeInstance) Lift(ctx context.Context, digests []quarantine.Digest) error {
+	return f.note(ctx, quarantine.Update{Now: time.Now(), Lifted: digests})
+}
+
+// note records what is known of upstreams that ended.
+func (f *fakeInstance) note(ctx context.Context, update quarantine.Update) error {
+	command, err := registry.Encode(update)
+	if err != nil {
+		return err
+	}
+	_, err = f.propose(ctx, command)
+	return err
+}
+
 func (f *fakeInstance) Drain(string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/command/quarantine.go
@@ -0,0 +1,74 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
+)
+
+func newQuarantine() command {
+	var operator operatorFlags
+	var lift []string
+	flags := newSubcommand("quarantine", "shows the requests that are not sent on since upstreams crash on them, or lifts some",
+		"lovagelift quarantine --lift 5f0c…")
+	operator.addTo(flags)
+	flags.StringSlice(&lift, "", "lift", "digest of a request that shall be sent again; repeatable")
+	run := func(ctx context.Context, streams Streams) int {
+		return showQuarantine(ctx, &operator, lift, streams)
+	}
+	return command{flags: flags, run: run}
+}
+
+func showQuarantine(ctx context.Context, operator *operatorFlags, lift []string, streams Streams) int {
+	digests, err := parseDigests(lift)
+	if err != nil {
+		return fail(streams, err)
+	}
+	client, err := operator.client()
+	if err != nil {
+		return fail(streams, err)
+	}
+	var listed []quarantine.Listing
+	if len(digests) > 0 {
+		listed, err = client.Lift(ctx, digests)
+	} else {
+		listed, err = client.Quarantined(ctx)
+	}
+	if err != nil {
+		return fail(streams, err)
+	}
+	if operator.asJSON {
+		writeJSON(streams.Out, listed)
+		return ExitOK
+	}
+	printQuarantine(listed, streams)
+	return ExitOK
+}
+
+func parseDigests(texts []string) ([]quarantine.Digest, error) {
+	var list finding.List
+	digests := make([]quarantine.Digest, len(texts))
+	for n, text := range texts {
+		if err := digests[n].UnmarshalText([]byte(text)); err != nil {
+			list.Add(flagPlace("lift"), err.Error(), "copy it from the output of quarantine")
+		}
+	}
+	return digests, list.Err()
+}
+
+func printQuarantine(listed []quarantine.Listing, streams Streams) {
+	if len(listed) == 0 {
+		fmt.Fprintln(streams.Out, "no request is in quarantine or suspected")
+		return
+	}
+	for _, request := range listed {
+		fmt.Fprintf(streams.Out, "%s %s\n", request.State, request.Digest)
+		for _, crash := range request.Crashes {
+			fmt.Fprintf(streams.Out, "  %s upstream %s ended under request %s\n",
+				crash.At.UTC().Format(time.RFC3339), crash.Upstream, crash.Request)
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/quarantine_test.go
@@ -0,0 +1,64 @@
+package command_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/command"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
+)
+
+var _ = Describe("quarantine", func() {
+	var instance *fakeInstance
+	digest := quarantine.Identity{Method: "POST", Target: "/v1/completions", Body: []byte("crash")}.Digest()
+
+	BeforeEach(func(ctx SpecContext) {
+		instance = newFakeInstance()
+		for n := range 3 {
+			Expect(instance.note(ctx, quarantine.Update{Now: time.Now(), Reports: []quarantine.Report{{
+				Lifetime: quarantine.Lifetime{Upstream: fmt.Sprint("engine-", n)},
+				Suspects: []quarantine.Suspect{{Digest: digest, Request: fmt.Sprint("r-", n)}},
+			}}})).To(Succeed())
+		}
+	})
+
+	operate := func(args ...string) (code int, out, errors string) {
+		tokenFile := write("kim.token", token+"\n")
+		return run(append(args, "--operator-address", instance.address, "--token-file", tokenFile)...)
+	}
+
+	It("lists requests with the upstreams that ended under them", func() {
+		code, out, _ := operate("quarantine")
+		Expect(code).To(Equal(command.ExitOK))
+		Expect(out).To(HavePrefix("quarantined " + digest.String() + "\n"))
+		Expect(out).To(ContainSubstring("upstream engine-2 ended under request r-2\n"))
+		code, out, _ = operate("quarantine", "--json")
+		Expect(code).To(Equal(command.ExitOK))
+		Expect(out).To(ContainSubstring(`"state": "quarantined"`))
+	})
+
+	It("lifts what is named, and may be run again", func() {
+		for range 2 {
+			code, out, _ := operate("quarantine", "--lift", digest.String())
+			Expect(code).To(Equal(command.ExitOK))
+			Expect(out).To(Equal("no request is in quarantine or suspected\n"))
+		}
+	})
+
+	It("lifts nothing if a digest is wrong", func() {
+		code, _, errors := operate("quarantine", "--lift", digest.String(), "--lift", "5f")
+		Expect(code).To(Equal(command.ExitBadInput))
+		Expect(errors).To(ContainSubstring(`--lift: quarantine: "5f" is no digest`))
+		_, out, _ := operate("quarantine")
+		Expect(out).To(HavePrefix("quarantined"))
+	})
+
+	It("says that it is not known whether it is lifted if the answer is lost", func() {
+		instance.lose(true)
+		code, _, _ := operate("quarantine", "--lift", digest.String())
+		Expect(code).To(Equal(command.ExitUnknown))
+	})
+})
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -12,6 +12,7 @@
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/registry"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
@@ -51,6 +52,7 @@
 		OrderFlight:     s.Timing.OrderFlightTime,
 		Identities:      i.identities,
 		Docket:          i.docketLimits(),
+		Quarantine:      quarantine.Limits{Crashes: s.Quarantine.Crashes, Retention: s.Quarantine.Retention},
 	})
 }
 
--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -9,6 +9,7 @@
 	"github.com/lovagelift/lovagelift/internal/chamber"
 	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
+	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/roster"
 )
 
@@ -54,6 +55,21 @@
 	return err == nil
 }
 
+// Quarantined returns the requests in quarantine, and those that are suspected.
+func (i *Instance) Quarantined(now time.Time) ([]quarantine.Listing, error) {
+	voter, ok := i.chamber.(*chamber.Voter)
+	if !ok {
+		return nil, &registrar.UnavailableError{Reason: "this instance is no voter and keeps no records; ask a voter"}
+	}
+	return voter.Quarantined(now)
+}
+
+// Lift has requests in quarantine be sent again.
+func (i *Instance) Lift(ctx context.Context, digests []quarantine.Digest) error {
+	_, err := i.chamber.Propose(ctx, quarantine.Update{Now: i.options.Now(), Lifted: digests})
+	return err
+}
+
 // followCrashes keeps the news of requests in quarantine until ctx ends.
 func (i *Instance) followCrashes(ctx context.Context) {
 	ticker := time.NewTicker(pullEvery)
--- a/internal/quarantine/bulletin.go
+++ b/internal/quarantine/bulletin.go
@@ -53,6 +53,9 @@
 	// requests of which each is well known elsewhere. Entry instances ask for news once a
 	// second at the least.
 	objectionTime = 1500 * time.Millisecond
+	// settledTime is how long after its last crash all know of a request. It leaves room
+	// for clocks that differ.
+	settledTime = 2 * objectionTime
 	// newsEvery is how often the news are made anew without an update, as retention ends.
 	newsEvery = time.Second
 )
@@ -94,7 +97,7 @@
 	b.made, b.madeAt = News{Revision: records.Revision()}, now
 	for _, digest := range slices.SortedFunc(maps.Keys(verdicts), compareDigests) {
 		if _, known := b.since[digest]; !known {
-			b.since[digest] = now
+			b.since[digest] = b.firstTold(now, records.cases[digest])
 		}
 		if verdicts[digest] == verdictQuarantined {
 			in := max(0, b.since[digest].Add(objectionTime).Sub(now))
@@ -107,6 +110,15 @@
 	b.note(records, before)
 }
 
+// firstTold returns when a request was told of first that is new here. An instance that
+// has started anew finds requests that others have long had the time to object to.
+func (b *Bulletin) firstTold(now time.Time, c Case) time.Time {
+	if now.Sub(c.last()) > settledTime {
+		return now.Add(-objectionTime)
+	}
+	return now
+}
+
 // note notes what has changed since the news before.
 func (b *Bulletin) note(records Records, before []Sentence) {
 	held := func(list []Sentence, digest Digest) bool {
--- a/internal/quarantine/records_test.go
+++ b/internal/quarantine/records_test.go
@@ -238,6 +238,18 @@
 		Expect(w.news().Quarantined[0].In).To(BeZero())
 	})
 
+	// A control instance that starts anew would let a request be sent that all others
+	// refuse.
+	It("gives no time for what is known from before", func() {
+		w := newWard(quarantine.Limits{})
+		for n := range 3 {
+			w.crash(fmt.Sprint("e", n), suspect("bad"))
+		}
+		w.now = w.now.Add(10 * time.Second)
+		w.bulletin = quarantine.NewBulletin(quarantine.Limits{})
+		Expect(w.news().Quarantined[0].In).To(BeZero())
+	})
+
 	It("tells once what has changed", func() {
 		w := newWard(quarantine.Limits{})
 		for n := range 3 {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -39,6 +39,8 @@
 	Metrics http.Handler
 	// Preview answers plan --placement. Nil stands for none.
 	Preview Preview
+	// Ward may be nil where requests are not quarantined.
+	Ward Ward
 	// Electorate may be nil where operators do not change voters.
 	Electorate Electorate
 	// Holder returns the name of the operator who holds a token.
@@ -81,6 +83,9 @@
 	if options.Metrics != nil {
 		r.echo.GET(metricsPath, echo.WrapHandler(options.Metrics))
 	}
+	if options.Ward != nil {
+		wardHandlers{ward: options.Ward, now: options.Now, log: options.Log}.addTo(r.echo)
+	}
 	if options.Electorate != nil {
 		r.echo.GET(votersPath, r.voters)
 		r.echo.POST(votersPath, r.changeVoters)
--- a/internal/registrar/voters.go
+++ b/internal/registrar/voters.go
@@ -136,14 +136,21 @@
 
 func (c *Client) postVoters(ctx context.Context, path string, body []byte) (Voters, error) {
 	var reply Voters
+	err := c.postFirst(ctx, path, body, &reply)
+	return reply, err
+}
+
+// postFirst makes a call that changes something at the first instance. If it may or may
+// not have been carried out, postFirst returns an *UnknownError.
+func (c *Client) postFirst(ctx context.Context, path string, body []byte, into any) error {
 	response, err := c.send(ctx, c.options.Addresses[0], http.MethodPost, path, body)
 	if err == nil {
-		err = response.decode(http.StatusOK, &reply)
+		err = response.decode(http.StatusOK, into)
 	}
 	certain := errors.HasType(err, (*UnavailableError)(nil)) || errors.HasType(err, (*RefusedError)(nil)) ||
 		errors.Is(err, ErrUnauthorized)
 	if err == nil || certain {
-		return reply, err
+		return err
 	}
-	return reply, &UnknownError{Cause: err}
+	return &UnknownError{Cause: err}
 }
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -74,6 +74,7 @@
 	p.weightStore(root.Table("weight-store"), &s.WeightStore)
 	p.policy(root.Table("policy"), &s.Policy)
 	p.goals(root.Table("goals"), &s.Goals)
+	p.quarantine(root.Table("quarantine"), &s.Quarantine)
 	root.Done()
 	p.checkInstances(root, s, others)
 	p.checkOpenListeners(root, s)
@@ -217,6 +218,13 @@
 	r.Done()
 }
 
+func (p *parser) quarantine(r *form.Reader, q *Quarantine) {
+	// One crash says nothing of which request of an upstream brought it about.
+	q.Crashes = r.Count("crashes", q.Crashes, 2, 6)
+	q.Retention = r.Duration("retention", q.Retention, time.Minute, maxTime)
+	r.Done()
+}
+
 func (p *parser) goals(r *form.Reader, g *Goals) {
 	const least = time.Millisecond
 	g.FirstToken = r.Duration("first-token", g.FirstToken, least, maxTime)
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -78,6 +78,14 @@
 		Expect(s.Policy.WeightOfMoves).To(Equal(4.0))
 	})
 
+	It("reads when requests that crash upstreams are refused, and bounds it", func() {
+		set, err := settings.Parse("a.toml", []byte(least+"[quarantine]\ncrashes = 2\nretention = \"2h\"\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(set.Quarantine).To(Equal(settings.Quarantine{Crashes: 2, Retention: 2 * time.Hour}))
+		_, err = settings.Parse("a.toml", []byte(least+"[quarantine]\ncrashes = 1\nretention = \"1s\"\n"))
+		Expect(err).To(MatchError(And(ContainSubstring("crashes"), ContainSubstring("retention"))))
+	})
+
 	It("reports every finding of a file in one error", func() {
 		Expect(findings(`naem = "a"
 failure-domain = 3
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,7 @@
 	WeightStore WeightStore
 	Policy      Policy
 	Goals       Goals
+	Quarantine  Quarantine
 }
 
 // Addresses is one address for each kind of peer.
@@ -194,6 +195,15 @@
 	Deadline      time.Duration
 }
 
+// Quarantine says when a request that crashes upstreams is not sent on, and for how long.
+// It must be equal on all voters.
+type Quarantine struct {
+	// Crashes is how many upstreams must have ended under a request, at least 2.
+	Crashes int
+	// Retention is how long the request is refused after the last of them.
+	Retention time.Duration
+}
+
 // Default returns the settings of an instance whose file names nothing but what
 // is required. Its Name and FailureDomain are empty.
 func Default() Settings {
@@ -234,6 +244,7 @@
 		},
 		WeightStore: WeightStore{LoadsPerSecond: 1.6, Concurrent: 2},
 		Policy:      Policy{WeightOfMoves: 1},
+		Quarantine:  Quarantine{Crashes: 3, Retention: 30 * time.Minute},
 		Goals: Goals{
 			FirstToken:    540 * time.Millisecond,
 			BetweenTokens: 75 * time.Millisecond,
