quarantine: only requests that broke off as the upstream ended are reported with it

Requests count within 1 s of the last one that broke off, and the upstream is looked at again each 500 ms.

--- a/internal/quarantine/losses.go
+++ b/internal/quarantine/losses.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -32,9 +33,11 @@
 	reviewTime = 10 * time.Second
 	// settleTime is how long requests that break off together are gathered.
 	settleTime = 50 * time.Millisecond
-	// leftTime is how long a request that its caller has left may still have been what
-	// the upstream ended under.
-	leftTime = time.Second
+	// togetherTime is how far apart requests break off that an upstream had as it ended,
+	// those included that their callers left.
+	togetherTime = time.Second
+	// lookEvery is the least time between two looks at an upstream.
+	lookEvery = 500 * time.Millisecond
 	// maxLosses bounds the upstreams under review, and maxSuspects the requests of one.
 	maxLosses   = 256
 	maxSuspects = 256
@@ -43,21 +46,21 @@
 // loss is an upstream whose answers broke off.
 type loss struct {
 	place Place
-	// suspects are the requests that were there. Those from reported on are not
-	// reported yet.
-	suspects []Suspect
+	// broken are the requests that broke off together last, or that callers left then. Once
+	// ended is true, those from reported on are not reported yet.
+	broken   []brokenRequest
 	reported int
-	// left are requests that callers had left, with the time.
-	left []leftRequest
-	// began is when the first request broke off, and last when the last did.
-	began, last time.Time
-	broken      bool
-	ended       bool
+	// last is when the last of them broke off, zero while callers left all of them.
+	last time.Time
+	// begun is when the review began, and lookedAt when the upstream was to be looked at.
+	begun, lookedAt time.Time
+	ended           bool
 }
 
-type leftRequest struct {
-	suspect Suspect
-	at      time.Time
+// brokenRequest is a request that an upstream had until a time.
+type brokenRequest struct {
+	Suspect
+	at time.Time
 }
 
 // losses are the upstreams under review, by lifetime. The zero value is none.
@@ -77,59 +80,52 @@
 	if l.open == nil {
 		l.open = map[Lifetime]*loss{}
 	}
-	begun := &loss{place: place, began: now, last: now}
+	begun := &loss{place: place, begun: now}
 	l.open[place.Lifetime] = begun
 	return begun
 }
 
-// broke notes a request whose answer broke off, and reports whether it is the first one
-// of the upstream.
+// broke notes a request whose answer broke off, and reports whether the upstream is to be
+// looked at.
 func (l *losses) broke(now time.Time, place Place, suspect Suspect) bool {
 	known := l.of(now, place)
 	if known == nil {
 		return false
 	}
-	known.add(suspect)
-	first := !known.broken
-	if first {
-		known.began, known.broken = now, true
-	}
+	known.add(now, suspect)
 	known.last = now
-	return first
+	if known.ended || !known.lookedAt.IsZero() && now.Sub(known.lookedAt) < lookEvery {
+		return false
+	}
+	known.lookedAt = now
+	return true
 }
 
 // leave notes a request that its caller has left.
 func (l *losses) leave(now time.Time, place Place, suspect Suspect) {
-	known := l.of(now, place)
-	if known == nil {
-		return
-	}
-	if !known.broken {
-		known.last = now
-	}
-	known.left = slices.DeleteFunc(known.left, func(r leftRequest) bool { return now.Sub(r.at) > leftTime })
-	if len(known.left) < maxSuspects {
-		known.left = append(known.left, leftRequest{suspect, now})
+	if known := l.of(now, place); known != nil && !known.ended {
+		known.add(now, suspect)
 	}
 }
 
-func (l *loss) add(suspect Suspect) {
-	if len(l.suspects) < maxSuspects {
-		l.suspects = append(l.suspects, suspect)
+// add notes a request. While the upstream may live, those of longer before are forgotten:
+// they broke off for another reason.
+func (l *loss) add(now time.Time, suspect Suspect) {
+	if !l.ended {
+		l.broken = slices.DeleteFunc(l.broken, func(b brokenRequest) bool { return now.Sub(b.at) > togetherTime })
+	}
+	if len(l.broken) < maxSuspects {
+		l.broken = append(l.broken, brokenRequest{suspect, now})
 	}
 }
 
-// end notes that the upstream has ended.
-func (l *loss) end() {
-	if l.ended {
-		return
-	}
-	l.ended = true
-	for _, left := range l.left {
-		if l.began.Sub(left.at) <= leftTime {
-			l.add(left.suspect)
-		}
+// unreported returns the requests that are not reported yet.
+func (l *loss) unreported() []Suspect {
+	suspects := make([]Suspect, 0, len(l.broken)-l.reported)
+	for _, b := range l.broken[l.reported:] {
+		suspects = append(suspects, b.Suspect)
 	}
+	return suspects
 }
 
 // learn takes in what is known of an upstream.
@@ -142,27 +138,28 @@
 	case ContactLeaving:
 		delete(l.open, lifetime)
 	case ContactRefused, ContactReplaced:
-		if known.broken {
-			known.end()
-		}
+		known.ended = known.ended || !known.last.IsZero()
 	case ContactNone:
 	}
 }
 
 // sweep forgets the upstreams that did not turn out to have ended.
 func (l *losses) sweep(now time.Time) {
-	for lifetime, known := range l.open {
-		quiet := now.Sub(known.last)
-		if !known.broken && quiet > leftTime || quiet > reviewTime {
-			delete(l.open, lifetime)
-		}
+	maps.DeleteFunc(l.open, func(_ Lifetime, known *loss) bool { return known.isOver(now) })
+}
+
+// isOver reports whether the upstream is not expected to turn out to have ended any more.
+func (l *loss) isOver(now time.Time) bool {
+	if l.last.IsZero() {
+		return now.Sub(l.begun) > togetherTime
 	}
+	return now.Sub(l.last) > reviewTime
 }
 
 // isPending reports whether an upstream has ended under requests that are not reported.
 func (l *losses) isPending() bool {
 	for _, known := range l.open {
-		if known.ended && known.reported < len(known.suspects) {
+		if known.ended && known.reported < len(known.broken) {
 			return true
 		}
 	}
@@ -174,13 +171,11 @@
 func (l *losses) due(now time.Time) []Report {
 	var reports []Report
 	for _, known := range l.open {
-		if !known.ended || known.reported == len(known.suspects) || now.Sub(known.last) < settleTime {
+		if !known.ended || known.reported == len(known.broken) || now.Sub(known.last) < settleTime {
 			continue
 		}
-		reports = append(reports, Report{
-			Lifetime: known.place.Lifetime, Suspects: slices.Clone(known.suspects[known.reported:]),
-		})
-		known.reported = len(known.suspects)
+		reports = append(reports, Report{Lifetime: known.place.Lifetime, Suspects: known.unreported()})
+		known.reported = len(known.broken)
 	}
 	slices.SortFunc(reports, func(a, b Report) int { return compareLifetimes(a.Lifetime, b.Lifetime) })
 	return reports
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -8,8 +8,6 @@
 package registry
 
 import (
-	"encoding/json"
-	"fmt"
 	"sync"
 	"sync/atomic"
 
@@ -20,7 +18,6 @@
 	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/lease"
 	"github.com/lovagelift/lovagelift/internal/manifest"
-	"github.com/lovagelift/lovagelift/internal/parcel"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
 
@@ -147,138 +144,3 @@
 		return Result{}, errors.AssertionFailedf("registry: command %T", decoded)
 	}
 }
-
-// The names in a snapshot.
-const (
-	snapshotName         = "lovagelift-registry"
-	snapshotFormat       = 1
-	configurationSection = "configuration"
-	docketSection        = "docket"
-	manifestSection      = "manifest"
-	editionSection       = "edition"
-	leaseSection         = "leases"
-	quarantineSection    = "quarantine"
-)
-
-// Snapshot returns the whole state. Equal states give equal bytes. A snapshot is
-// a list of named sections, so that later versions add their own.
-func (r *Registry) Snapshot() ([]byte, error) {
-	r.mutex.RLock()
-	defer r.mutex.RUnlock()
-	configuration, err := json.Marshal(r.configuration.state())
-	if err != nil {
-		return nil, errors.Wrap(err, "registry: snapshot")
-	}
-	buffer := parcel.AppendBytes(nil, snapshotName)
-	buffer = parcel.AppendUint(buffer, snapshotFormat)
-	buffer = parcel.AppendUint(buffer, uint64(r.applied))
-	// A program from before there were orders can read a snapshot without any,
-	// and likewise one from before there were editions, leases or records of crashes.
-	withManifest := !r.manifest.Empty()
-	held := r.edition.Load()
-	withEdition := held.Content != nil
-	withLeases := len(r.leases.Upstreams()) > 0
-	crashes := r.crashes.Load()
-	sections := uint64(2)
-	if !crashes.Empty() {
-		sections++
-	}
-	if withManifest {
-		sections++
-	}
-	if withEdition {
-		sections++
-	}
-	if withLeases {
-		sections++
-	}
-	buffer = parcel.AppendUint(buffer, sections)
-	buffer = parcel.AppendBytes(buffer, configurationSection)
-	buffer = parcel.AppendBytes(buffer, configuration)
-	buffer = parcel.AppendBytes(buffer, docketSection)
-	buffer = parcel.AppendBytes(buffer, r.docket.Snapshot(nil))
-	if withEdition {
-		buffer = parcel.AppendBytes(buffer, editionSection)
-		buffer = parcel.AppendBytes(buffer, held.Snapshot())
-	}
-	if withLeases {
-		buffer = parcel.AppendBytes(buffer, leaseSection)
-		buffer = parcel.AppendBytes(buffer, r.leases.Snapshot())
-	}
-	if !crashes.Empty() {
-		buffer = parcel.AppendBytes(buffer, quarantineSection)
-		buffer = parcel.AppendBytes(buffer, crashes.Snapshot())
-	}
-	if !withManifest {
-		return buffer, nil
-	}
-	orders, err := r.manifest.Snapshot()
-	if err != nil {
-		return nil, errors.Wrap(err, "registry: snapshot")
-	}
-	buffer = parcel.AppendBytes(buffer, manifestSection)
-	return parcel.AppendBytes(buffer, orders), nil
-}
-
-// Restore takes over the state of a Snapshot. If data is damaged or comes from
-// a newer program, Restore returns an error and leaves the state as it is.
-func (r *Registry) Restore(data []byte) error {
-	reader := parcel.NewReader(data)
-	if name := reader.String(); name != snapshotName {
-		return errors.New("registry: this is no snapshot of a registry")
-	}
-	if format := reader.Uint(); format > snapshotFormat {
-		return &NewerError{What: fmt.Sprintf("snapshot format %d", format)}
-	}
-	applied := jury.Index(reader.Uint())
-	var configuration *configuration
-	var records *docket.Docket
-	orders := manifest.New()
-	var held edition.Edition
-	var leases lease.Leases
-	var crashes quarantine.Records
-	for range reader.Count() {
-		name, section := reader.String(), reader.Bytes()
-		var err error
-		switch name {
-		case configurationSection:
-			var state configurationState
-			err = json.Unmarshal(section, &state)
-			configuration = state.restore()
-		case docketSection:
-			records, err = docket.Restore(section)
-		case manifestSection:
-			orders, err = manifest.Restore(section)
-		case editionSection:
-			held, err = edition.Restore(section)
-		case leaseSection:
-			leases, err = lease.Restore(section)
-		case quarantineSection:
-			crashes, err = quarantine.Restore(section)
-		case "":
-			err = parcel.ErrShort
-		default:
-			err = &NewerError{What: fmt.Sprintf("snapshot section %q", name)}
-		}
-		if err != nil {
-			return errors.Wrapf(err, "registry: snapshot section %q", name)
-		}
-	}
-	if err := reader.End(); err != nil {
-		return errors.Wrap(err, "registry: snapshot")
-	}
-	if configuration == nil || records == nil {
-		return errors.New("registry: snapshot without configuration or docket")
-	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.applied = applied
-	r.configuration = configuration
-	r.docket = records
-	r.manifest = orders
-	r.edition.Store(&held)
-	r.leases = leases
-	r.crashes.Store(&crashes)
-	r.view.Store(configuration.view())
-	return nil
-}
