--- a/internal/chamber/quarantine.go
+++ b/internal/chamber/quarantine.go
@@ -21,7 +21,7 @@
 // logQuarantine tells why a request is not sent any more, or that it may be again.
 func (v *Voter) logQuarantine(change quarantine.Change) {
 	if len(change.Crashes) == 0 {
-		v.options.Log.Info().Stringer("digest", change.Digest).Msg("request out of quarantine")
+		v.options.Log.Info().Stringer(quarantine.FieldDigest, change.Digest).Msg(quarantine.LineLeft)
 		return
 	}
 	upstreams := make([]string, 0, len(change.Crashes))
@@ -30,8 +30,8 @@
 		upstreams = append(upstreams, crash.Upstream)
 		requests = append(requests, crash.Request)
 	}
-	v.options.Log.Warn().Stringer("digest", change.Digest).Strs("upstreams", upstreams).Strs("requests", requests).
-		Msg("request in quarantine: upstreams end that run it")
+	v.options.Log.Warn().Stringer(quarantine.FieldDigest, change.Digest).Strs("upstreams", upstreams).Strs("requests", requests).
+		Msg(quarantine.LineEntered)
 }
 
 // Quarantined returns the requests in quarantine, and those that are suspected.
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -50,6 +50,12 @@
 	for _, line := range story.Lines {
 		fmt.Fprintln(streams.Out, "  "+line.String())
 	}
+	if len(story.Quarantine) > 0 {
+		fmt.Fprintln(streams.Out, "other attempts at the same request, under which upstreams ended:")
+	}
+	for _, line := range story.Quarantine {
+		fmt.Fprintf(streams.Out, "  %s request=%v\n", line, line.Fields["request"])
+	}
 	fmt.Fprintln(streams.Out, "what changed around it:")
 	for _, line := range story.Around {
 		fmt.Fprintln(streams.Out, "  "+line.String())
--- a/internal/coroner/coroner.go
+++ b/internal/coroner/coroner.go
@@ -271,9 +271,9 @@
 			if event == nil {
 				continue
 			}
-			event.Str("request", suspect.Request).Str("digest", suspect.Digest.Short()).
+			event.Str("request", suspect.Request).Str(quarantine.FieldDigest, suspect.Digest.Short()).
 				Str("upstream", report.Upstream).Bool("answering", suspect.Answering).
-				Int("requests", len(report.Suspects)).Msg("the upstream ended while it had the request")
+				Int("requests", len(report.Suspects)).Msg(quarantine.LineEnded)
 		}
 	}
 }
--- a/internal/counter/answer.go
+++ b/internal/counter/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
@@ -138,7 +139,7 @@
 	if event == nil {
 		return
 	}
-	event = event.Str("request", t.call.ID).Str("digest", t.digest.Short()).Str("route", t.route.Name).
+	event = event.Str("request", t.call.ID).Str(quarantine.FieldDigest, t.digest.Short()).Str("route", t.route.Name).
 		Uint64("version", t.version).Str("upstream", a.upstream.name).Int("send", t.sends).
 		Int("status", status).Dur("took", now.Sub(t.began)).Str("verdict", verdict)
 	if status == 0 && t.cause != nil {
--- a/internal/counter/refusal.go
+++ b/internal/counter/refusal.go
@@ -69,7 +69,7 @@
 		event = event.Stringer("placed-by", r.owner)
 	}
 	if r.reason != "" {
-		event = event.Stringer("digest", r.digest)
+		event = event.Stringer(quarantine.FieldDigest, r.digest)
 	}
 	if r.forecast > 0 {
 		event = event.Dur("forecast", r.forecast)
--- a/internal/desk/crashes.go
+++ b/internal/desk/crashes.go
@@ -71,7 +71,7 @@
 // refuseQuarantined returns the answer to a request that is in quarantine, of which
 // nothing was sent.
 func (d *Desk) refuseQuarantined(task task) *RefusalError {
-	d.options.Log.Info().Str("request", task.id).Str("digest", task.digest.Short()).Msg("request in quarantine refused")
+	d.options.Log.Info().Str("request", task.id).Stringer(quarantine.FieldDigest, task.digest).Msg("request in quarantine refused")
 	return &RefusalError{
 		Status:  http.StatusUnprocessableEntity,
 		Code:    CodeQuarantined,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
 
 // Line is one log line.
@@ -35,6 +37,9 @@
 	// instances concerned believed meanwhile, both by time.
 	Lines  []Line
 	Around []Line
+	// Quarantine is why the request was quarantined, if its attempts have a digest: what
+	// became of other attempts at it, by time.
+	Quarantine []Line
 	// Read is how many lines there were, and Bad how many of them could not be read.
 	Read int
 	Bad  int
@@ -136,9 +141,47 @@
 		}
 	}
 	byTime(story.Around)
+	story.Quarantine = l.quarantine(id, story.Lines)
 	return story
 }
 
+// maxQuarantine bounds the lines that tell why a request was quarantined.
+const maxQuarantine = 40
+
+// quarantine returns the lines on other attempts at a request that tell of upstreams that
+// ended under it, and of its quarantine. Of too many, the newest are kept.
+func (l *Log) quarantine(id string, own []Line) []Line {
+	digest := ""
+	for _, line := range own {
+		if value, ok := line.Fields[quarantine.FieldDigest].(string); ok {
+			digest = value
+		}
+	}
+	if digest == "" {
+		return nil
+	}
+	var told []Line
+	for _, line := range l.lines {
+		if line.Fields[fieldRequest] != id && line.tellsOfQuarantine(digest) {
+			told = append(told, line)
+		}
+	}
+	byTime(told)
+	return told[max(0, len(told)-maxQuarantine):]
+}
+
+// tellsOfQuarantine reports whether the line is of the quarantine of a request, or of an
+// upstream that ended under it. Some lines have the beginning of the digest alone.
+func (l Line) tellsOfQuarantine(digest string) bool {
+	switch l.Message {
+	case quarantine.LineEnded, quarantine.LineEntered, quarantine.LineLeft, quarantine.LineLifted:
+	default:
+		return false
+	}
+	told, _ := l.Fields[quarantine.FieldDigest].(string)
+	return told != "" && (strings.HasPrefix(told, digest) || strings.HasPrefix(digest, told))
+}
+
 // before is how long before a request a change may explain what became of it: a
 // model that is loaded, a leader that is elected.
 const before = 10 * time.Second
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -62,6 +62,23 @@
 		Expect(around[0].Fields["engine"]).To(Equal("e1"))
 	})
 
+	// A caller is refused at an instance that has never seen the request: the cause is in
+	// the lines on attempts under other ids, at other instances.
+	It("tells which other attempts brought a request into quarantine", func() {
+		var l explain.Log
+		Expect(l.Read(strings.NewReader(`
+{"instance":"entry-1","time":"2026-12-02T08:00:01.000Z","request":"r1","digest":"aa11","upstream":"e1","message":"the upstream ended while it had the request"}
+{"instance":"entry-1","time":"2026-12-02T08:00:01.001Z","request":"r9","digest":"bb22","upstream":"e1","message":"the upstream ended while it had the request"}
+{"instance":"entry-2","time":"2026-12-02T08:00:02.000Z","request":"r2","digest":"aa11","upstream":"e2","message":"answered"}
+{"instance":"core-1","time":"2026-12-02T08:00:03.000Z","digest":"aa11cc","upstreams":["e1"],"message":"request in quarantine: upstreams end that run it"}
+{"instance":"entry-3","time":"2026-12-02T08:00:04.000Z","request":"r3","digest":"aa11cc","message":"request not served"}
+`))).To(Succeed())
+		why := l.Story("r3").Quarantine
+		Expect(why).To(HaveLen(2))
+		Expect(why[0].Fields["request"]).To(Equal("r1"))
+		Expect(why[1].Instance).To(Equal("core-1"))
+	})
+
 	It("counts what can't be read", func() {
 		s := story("r7")
 		Expect(s.Read).To(Equal(9))
--- /dev/null
+++ b/internal/quarantine/fuzz_test.go
@@ -0,0 +1,34 @@
+package quarantine_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/quarantine"
+)
+
+// FuzzRestore reads damaged snapshots: they are refused, or give records whose snapshot
+// can be read again.
+func FuzzRestore(f *testing.F) {
+	records := quarantine.Records{}.With(quarantine.Update{
+		Now: time.Unix(1_000_000, 0),
+		Reports: []quarantine.Report{{
+			Lifetime: quarantine.Lifetime{Upstream: "e1", Incarnation: 7},
+			Suspects: []quarantine.Suspect{{Digest: quarantine.Identity{Target: "/x"}.Digest(), Request: "r1", Answering: true}},
+		}},
+	})
+	f.Add(records.Snapshot())
+	f.Add(quarantine.Records{}.Snapshot())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		restored, err := quarantine.Restore(data)
+		if err != nil {
+			return
+		}
+		again, err := quarantine.Restore(restored.Snapshot())
+		if err != nil || !bytes.Equal(again.Snapshot(), restored.Snapshot()) {
+			t.Fatalf("snapshot of what was restored can't be read again: %v", err)
+		}
+		quarantine.NewBulletin(quarantine.Limits{}).News(time.Unix(1_000_000, 0), restored)
+	})
+}
--- a/internal/registrar/quarantine.go
+++ b/internal/registrar/quarantine.go
@@ -80,7 +80,7 @@
 	defer cancel()
 	err := h.ward.Lift(ctx, request.Lift)
 	for _, digest := range request.Lift {
-		h.log.Info().Err(err).Str("by", by).Stringer("digest", digest).Msg("quarantine lifted")
+		h.log.Info().Err(err).Str("by", by).Stringer(quarantine.FieldDigest, digest).Msg(quarantine.LineLifted)
 	}
 	if err != nil {
 		return fail(c, http.StatusBadGateway, outcome.Unknown, failure{Code: codeUnknown, Message: err.Error()})
