--- /dev/null
+++ b/internal/quarantine/size_test.go
@@ -0,0 +1,55 @@
+package quarantine_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/quarantine"
+)
+
+// BenchmarkSize reports the bytes of what is told of crashes: of a report, of a case in a
+// snapshot, and of the news of a request in quarantine.
+func BenchmarkSize(b *testing.B) {
+	for _, requests := range []int{12, 64} {
+		b.Run(fmt.Sprintf("requests=%d", requests), func(b *testing.B) {
+			report := quarantine.Report{Lifetime: lifetime("i-5a140a121c")}
+			for n := range requests {
+				report.Suspects = append(report.Suspects, quarantine.Suspect{
+					Digest: digest(fmt.Sprint(n)), Request: fmt.Sprintf("%016x", n),
+				})
+			}
+			update := quarantine.Update{Now: time.Unix(1_000_000, 0), Reports: []quarantine.Report{report}}
+			records := quarantine.Records{}
+			for b.Loop() {
+				records = quarantine.Records{}.With(update)
+			}
+			encoded, err := json.Marshal(update)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(encoded)), "bytes/report")
+			b.ReportMetric(float64(len(records.Snapshot()))/float64(requests), "bytes/case")
+		})
+	}
+	b.Run("news", func(b *testing.B) {
+		size := func(requests int) float64 {
+			news := quarantine.News{Revision: 1, Mark: 1}
+			for n := range requests {
+				news.Quarantined = append(news.Quarantined, quarantine.Sentence{Digest: digest(fmt.Sprint(n)), In: time.Second})
+			}
+			var buffer bytes.Buffer
+			if err := gob.NewEncoder(&buffer).Encode(news); err != nil {
+				b.Fatal(err)
+			}
+			return float64(buffer.Len())
+		}
+		for b.Loop() {
+			size(1)
+		}
+		b.ReportMetric((size(101)-size(1))/100, "bytes/request")
+	})
+}
