backoffice, instance: an upstream that said it goes has not crashed, whichever process it named

A leave that names no incarnation has the highest one, so that a report of the upstream's end was taken for one of another process, and counted. The spec of reports at control instances failed by it (4 crashes in place of 3). A control instance tells of each upstream that is new to it in one line.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -183,7 +183,15 @@
 func (b *Backoffice) Announce(now time.Time, announcement upstreamapi.Announcement) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.roster.Announce(now, announcement)
+	known, found := b.roster.Upstream(announcement.Name)
+	if err := b.roster.Announce(now, announcement); err != nil {
+		return err
+	}
+	if !found || known.Announcement.Incarnation != announcement.Incarnation {
+		b.options.Log.Info().Str("upstream", announcement.Name).Strs("services", announcement.Services).
+			Str("address", announcement.Address).Int("models", len(announcement.Resident)).Msg("upstream announced")
+	}
+	return nil
 }
 
 // Leave takes an upstream's word that it goes. It is told on also if this instance
--- a/internal/backoffice/crashes.go
+++ b/internal/backoffice/crashes.go
@@ -123,7 +123,8 @@
 	defer b.mu.Unlock()
 	update.Reports = slices.DeleteFunc(slices.Clone(update.Reports), func(report quarantine.Report) bool {
 		known, found := b.roster.Upstream(report.Upstream)
-		return found && known.Leaving && known.Announcement.Incarnation == report.Incarnation
+		// A leave that names no incarnation has the highest one.
+		return found && known.Leaving && known.Announcement.Incarnation >= report.Incarnation
 	})
 	return update
 }
--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -37,10 +37,10 @@
 	switch {
 	case !found:
 		return quarantine.ContactNone
-	case known.Announcement.Incarnation > place.Incarnation:
-		return quarantine.ContactReplaced
 	case known.Leaving:
 		return quarantine.ContactLeaving
+	case known.Announcement.Incarnation > place.Incarnation:
+		return quarantine.ContactReplaced
 	default:
 		return quarantine.ContactNone
 	}
