--- a/internal/counter/ask.go
+++ b/internal/counter/ask.go
@@ -2,9 +2,9 @@
 
 import (
 	"cmp"
-	"crypto/sha256"
-	"encoding/binary"
 	"time"
+
+	"github.com/lovagelift/lovagelift/internal/rendezvous"
 )
 
 // pauseAmong returns how long so many entry instances pause between questions, so that
@@ -38,7 +38,8 @@
 	return address == l.failed && now.Sub(l.failedAt) < avoidLeader
 }
 
-// share returns which of some control instances this entry instance asks, or nothing.
+// share returns which of some control instances this entry instance asks, or nothing. Each is
+// asked by about as many.
 func (l *links) share(now time.Time, self string, among []string) string {
 	chosen := ""
 	var highest uint64
@@ -46,20 +47,13 @@
 		if address == l.leader || l.unreachable(now, address) {
 			continue
 		}
-		if score := askScore(self, address); score >= highest {
+		if score := rendezvous.Score(rendezvous.Hash(self), rendezvous.Hash(address)); score >= highest {
 			chosen, highest = address, score
 		}
 	}
 	return chosen
 }
 
-// askScore ranks control instances for an entry instance, so that each is asked by about
-// as many, and only those of one that is lost change (rendezvous hashing).
-func askScore(self, address string) uint64 {
-	sum := sha256.Sum256([]byte(self + "\x00" + address))
-	return binary.BigEndian.Uint64(sum[:])
-}
-
 // pause returns the time between two questions to the one that is asked.
 func (l *links) pause() time.Duration {
 	others := len(l.alive) - 1
--- a/internal/permit/owners.go
+++ b/internal/permit/owners.go
@@ -1,9 +1,10 @@
 package permit
 
 import (
-	"hash/fnv"
 	"net/netip"
 	"slices"
+
+	"github.com/lovagelift/lovagelift/internal/rendezvous"
 )
 
 // Owners is the instances that may own models. It is immutable; the zero Owners has
@@ -25,7 +26,7 @@
 	sorted = slices.Compact(sorted)
 	o := Owners{instances: make([]instance, 0, len(sorted))}
 	for _, address := range sorted {
-		o.instances = append(o.instances, instance{address: address, hash: hashOf(address.String())})
+		o.instances = append(o.instances, instance{address: address, hash: rendezvous.Hash(address.String())})
 	}
 	return o
 }
@@ -40,11 +41,11 @@
 // when one comes or goes, only the models that it owns change their owner (rendezvous
 // hashing).
 func (o Owners) Of(service, model string, usable func(netip.AddrPort) bool) (netip.AddrPort, bool) {
-	key := hashOf(service + "\x00" + model)
+	key := rendezvous.Hash(service + "\x00" + model)
 	var owner netip.AddrPort
 	var highest uint64
 	for _, candidate := range o.instances {
-		score := mix(candidate.hash ^ key)
+		score := rendezvous.Score(key, candidate.hash)
 		if owner.IsValid() && score <= highest {
 			continue
 		}
@@ -54,19 +55,3 @@
 	}
 	return owner, owner.IsValid()
 }
-
-func hashOf(text string) uint64 {
-	sum := fnv.New64a()
-	_, _ = sum.Write([]byte(text))
-	return mix(sum.Sum64())
-}
-
-// mix spreads the bits of a hash, so that the hashes of similar names are as good as
-// independent (the finalizer of SplitMix64).
-func mix(h uint64) uint64 {
-	h ^= h >> 30
-	h *= 0xbf58476d1ce4e5b9
-	h ^= h >> 27
-	h *= 0x94d049bb133111eb
-	return h ^ h>>31
-}
