--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -15,6 +15,10 @@
 // ordered before.
 var stockingOptions = stocking.Options{Busy: 0.65, Gain: 0.3, Orders: 4}
 
+// fetchBurst is how many loads from the weight store may begin at once, beyond
+// the rate that the store allows.
+const fetchBurst = 2
+
 // unloadNotice is the time from when nobody is told any more that an engine holds a
 // model until it is ordered away. An engine refuses requests for a model as soon
 // as it is to be unloaded; entry instances ask for news every 250 ms, and stop
@@ -75,11 +79,11 @@
 // stockService makes the plan for the engines of one service, and begins its
 // moves.
 func (o *orders) stockService(ctx context.Context, now time.Time, service string, spec *routes.Engine) {
-	o.fetches = o.fetches.Refilled(now, spec.LoadsPerSecond)
+	elapsed := now.Sub(o.fetchesAt)
+	o.fetchesAt = now
+	o.fetches = min(o.fetches+elapsed.Seconds()*spec.LoadsPerSecond, fetchBurst)
 	options := stockingOptions
-	options.Fetches = o.fetches.Loads()
-	// A store that allows many loads has many engines that wait for theirs.
-	options.Orders = max(options.Orders, options.Fetches)
+	options.Fetches = int(o.fetches)
 	for _, move := range stocking.Plan(o.stockModels(now, service, spec), o.stockEngines(now, service), options) {
 		e := o.engines[move.Engine]
 		o.office.options.Log.Info().Str("engine", e.Name).Str("model", move.Model).Bool("unload", move.Unload).
@@ -90,7 +94,7 @@
 			continue
 		}
 		if move.Fetch {
-			o.fetches = o.fetches.Without(1)
+			o.fetches--
 		}
 		e.ordering = true
 		order := Order{Kind: Load, Model: move.Model}
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -9,7 +9,6 @@
 	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
-	"github.com/lovagelift/lovagelift/internal/stocking"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -82,8 +81,9 @@
 	uses  map[string]adapterUses
 	users map[Adapter]int
 	asked map[Adapter]time.Time
-	// fetches is how many loads from the weight store may begin.
-	fetches stocking.Allowance
+	// fetches is how many loads from the weight store may begin, as of fetchesAt.
+	fetches   float64
+	fetchesAt time.Time
 }
 
 func newOrders(ctx context.Context, office *Backoffice) *orders {
@@ -131,7 +131,7 @@
 		o.revision = o.term << 32
 		o.engines = map[string]*engine{}
 		// What the leader before has begun is not known.
-		o.fetches = stocking.Started(now)
+		o.fetches, o.fetchesAt = 0, now
 		o.metSince = now
 	}
 	o.expire(now)
