--- a/internal/command/fakes_test.go
+++ b/internal/command/fakes_test.go
@@ -43,7 +43,7 @@
 			NotAccepted: func(error) bool { return false },
 			Fresh:       func(time.Time) bool { return !f.isStale() },
 		}),
-		House: f, Ward: f, Now: time.Now, Log: zerolog.Nop(),
+		House: f, Quarantine: f, Now: time.Now, Log: zerolog.Nop(),
 		Holder: func(shown string) (string, bool) { return "kim", shown == token },
 	})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/coroner/coroner.go
+++ b/internal/coroner/coroner.go
@@ -61,7 +61,7 @@
 	reportEvery = 100 * time.Millisecond
 	// reportTimeout bounds one try. The voters need some ms, or an election.
 	reportTimeout = 1500 * time.Millisecond
-	// maxUnsent bounds the reports of upstreams, and of requests that ended well, that
+	// maxUnsent bounds the reports of upstreams, and of requests that succeeded, that
 	// wait to be recorded.
 	maxUnsent = 256
 )
@@ -135,15 +135,15 @@
 	c.wakeReporter()
 }
 
-// Whole notes that an upstream answered a request whole, with a status.
-func (c *Coroner) Whole(digest quarantine.Digest, status int) {
+// Succeeded notes that an upstream answered a request whole. A status of failure is left out.
+func (c *Coroner) Succeeded(digest quarantine.Digest, status int) {
 	if status >= http.StatusBadRequest {
 		return
 	}
 	now := c.options.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.watch.Whole(now, digest)
+	c.watch.Succeeded(now, digest)
 	c.wakeReporter()
 }
 
--- a/internal/coroner/coroner_test.go
+++ b/internal/coroner/coroner_test.go
@@ -125,19 +125,19 @@
 	It("clears a request that is suspected and ends well here", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		digest := suspect("a").Digest
 		c.Follow(quarantine.News{Revision: 1, Mark: 7, Suspected: []quarantine.Digest{digest}})
-		c.Whole(digest, http.StatusInternalServerError)
-		c.Whole(digest, http.StatusOK)
+		c.Succeeded(digest, http.StatusInternalServerError)
+		c.Succeeded(digest, http.StatusOK)
 		Eventually(ctx, func() []quarantine.Digest {
 			o.mu.Lock()
 			defer o.mu.Unlock()
-			return o.recorded.Whole
+			return o.recorded.Succeeded
 		}).Should(Equal([]quarantine.Digest{digest}))
 		Expect(c.Mark()).To(Equal(uint64(7)))
 	})
 
 	It("holds what is in quarantine", func() {
 		digest := suspect("a").Digest
-		c.Follow(quarantine.News{Revision: 1, Mark: 7, Quarantined: []quarantine.Sentence{{Digest: digest}}})
+		c.Follow(quarantine.News{Revision: 1, Mark: 7, Quarantined: []quarantine.Entry{{Digest: digest}}})
 		Expect(c.Holds(digest)).To(BeTrue())
 		quarantined, suspected := c.Held()
 		Expect([]int{quarantined, suspected}).To(Equal([]int{1, 0}))
--- a/internal/counter/answer.go
+++ b/internal/counter/answer.go
@@ -38,7 +38,7 @@
 		return false
 	}
 	a.outcome = permit.Worked
-	t.counter.coroner.Whole(t.digest, response.StatusCode)
+	t.counter.coroner.Succeeded(t.digest, response.StatusCode)
 	copyHead(w, response)
 	w.WriteHeader(response.StatusCode)
 	if _, err := w.Write(body); err != nil {
@@ -94,7 +94,7 @@
 		}
 		if readErr == io.EOF {
 			a.outcome, a.sample = permit.Worked, t.sample()
-			t.counter.coroner.Whole(t.digest, response.StatusCode)
+			t.counter.coroner.Succeeded(t.digest, response.StatusCode)
 			t.counter.logAttempt(t, a, "answered", response.StatusCode, "")
 			return
 		}
--- a/internal/desk/crashes.go
+++ b/internal/desk/crashes.go
@@ -59,7 +59,7 @@
 	var cutOff *shuttle.Error
 	switch {
 	case err == nil:
-		d.options.Coroner.Whole(v.suspect.Digest, status)
+		d.options.Coroner.Succeeded(v.suspect.Digest, status)
 	case errors.As(err, &cutOff):
 		v.suspect.Answering = true
 		d.options.Coroner.Broke(v.place, v.suspect)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -188,7 +188,7 @@
 		Register:   i.register(),
 		House:      house{i},
 		Metrics:    i.gauges,
-		Ward:       i,
+		Quarantine: i,
 		Electorate: i,
 		Preview:    i.preview,
 		Holder:     holder(i.options.Operators, "operator"),
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -24,7 +24,7 @@
 				digest := identity.Digest()
 				if !watch.Holds(now, digest) {
 					digest[0], digest[1] = byte(n), byte(n>>8)
-					watch.Whole(now, digest)
+					watch.Succeeded(now, digest)
 				}
 			}
 		})
--- a/internal/quarantine/bulletin.go
+++ b/internal/quarantine/bulletin.go
@@ -15,14 +15,14 @@
 	Revision uint64
 	// Mark tells news apart: those that name the same requests have the same, which is never 0.
 	Mark        uint64
-	Quarantined []Sentence
+	Quarantined []Entry
 	// Suspected are the requests that one more crash brings into quarantine. Whoever knows
 	// of a whole answer to one says so.
 	Suspected []Digest
 }
 
-// Sentence is a request that is not to be sent from a time on.
-type Sentence struct {
+// Entry is a request that is not to be sent from a time on.
+type Entry struct {
 	Digest Digest
 	// In is how long it may still be sent.
 	In time.Duration
@@ -101,7 +101,7 @@
 		}
 		if verdicts[digest] == verdictQuarantined {
 			in := max(0, b.since[digest].Add(objectionTime).Sub(now))
-			b.made.Quarantined = append(b.made.Quarantined, Sentence{Digest: digest, In: in})
+			b.made.Quarantined = append(b.made.Quarantined, Entry{Digest: digest, In: in})
 		} else {
 			b.made.Suspected = append(b.made.Suspected, digest)
 		}
@@ -120,18 +120,18 @@
 }
 
 // note notes what has changed since the news before.
-func (b *Bulletin) note(records Records, before []Sentence) {
-	held := func(list []Sentence, digest Digest) bool {
-		return slices.ContainsFunc(list, func(s Sentence) bool { return s.Digest == digest })
+func (b *Bulletin) note(records Records, before []Entry) {
+	held := func(list []Entry, digest Digest) bool {
+		return slices.ContainsFunc(list, func(s Entry) bool { return s.Digest == digest })
 	}
-	for _, sentence := range b.made.Quarantined {
-		if !held(before, sentence.Digest) {
-			b.changes = append(b.changes, Change{Digest: sentence.Digest, Crashes: records.cases[sentence.Digest].Crashes})
+	for _, entry := range b.made.Quarantined {
+		if !held(before, entry.Digest) {
+			b.changes = append(b.changes, Change{Digest: entry.Digest, Crashes: records.cases[entry.Digest].Crashes})
 		}
 	}
-	for _, sentence := range before {
-		if !held(b.made.Quarantined, sentence.Digest) {
-			b.changes = append(b.changes, Change{Digest: sentence.Digest})
+	for _, entry := range before {
+		if !held(b.made.Quarantined, entry.Digest) {
+			b.changes = append(b.changes, Change{Digest: entry.Digest})
 		}
 	}
 }
@@ -139,8 +139,8 @@
 // mark returns a hash of what the news say.
 func (n News) mark() uint64 {
 	sum := fnv.New64a()
-	for _, sentence := range n.Quarantined {
-		_, _ = sum.Write(sentence.Digest[:])
+	for _, entry := range n.Quarantined {
+		_, _ = sum.Write(entry.Digest[:])
 	}
 	_, _ = sum.Write([]byte{0})
 	for _, digest := range n.Suspected {
--- a/internal/quarantine/follow.go
+++ b/internal/quarantine/follow.go
@@ -22,13 +22,13 @@
 	w.revision, w.mark = news.Revision, news.Mark
 	before := w.from
 	w.from = make(map[Digest]time.Time, len(news.Quarantined))
-	for _, sentence := range news.Quarantined {
-		from := now.Add(sentence.In)
-		if known, held := before[sentence.Digest]; held && known.Before(from) {
+	for _, entry := range news.Quarantined {
+		from := now.Add(entry.In)
+		if known, held := before[entry.Digest]; held && known.Before(from) {
 			from = known
 		}
-		w.from[sentence.Digest] = from
-		w.object(now, sentence.Digest)
+		w.from[entry.Digest] = from
+		w.object(now, entry.Digest)
 	}
 	clear(w.suspected)
 	for _, digest := range news.Suspected {
@@ -59,7 +59,7 @@
 
 // object has a request be cleared that is known here to have ended with a whole answer.
 func (w *Watch) object(now time.Time, digest Digest) {
-	if w.wholes.has(now, digest) {
+	if w.successes.has(now, digest) {
 		w.cleared[digest] = true
 	}
 }
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -67,7 +67,7 @@
 	for _, lifetime := range update.Alive {
 		next.retract(lifetime)
 	}
-	for _, digest := range slices.Concat(update.Whole, update.Lifted) {
+	for _, digest := range slices.Concat(update.Succeeded, update.Lifted) {
 		delete(next.cases, digest)
 	}
 	next.trim(update.Now)
--- a/internal/quarantine/records_test.go
+++ b/internal/quarantine/records_test.go
@@ -10,38 +10,38 @@
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
 
-// ward is the records of a cluster with the news of one control instance.
-type ward struct {
+// cluster is the records of a cluster with the news of one control instance.
+type cluster struct {
 	now      time.Time
 	records  quarantine.Records
 	bulletin *quarantine.Bulletin
 }
 
-func newWard(limits quarantine.Limits) *ward {
-	return &ward{now: time.Unix(1_000_000, 0).UTC(), bulletin: quarantine.NewBulletin(limits)}
+func newCluster(limits quarantine.Limits) *cluster {
+	return &cluster{now: time.Unix(1_000_000, 0).UTC(), bulletin: quarantine.NewBulletin(limits)}
 }
 
 // crash has an upstream end under requests.
-func (w *ward) crash(upstream string, suspects ...quarantine.Suspect) {
+func (w *cluster) crash(upstream string, suspects ...quarantine.Suspect) {
 	w.apply(quarantine.Update{Reports: []quarantine.Report{{Lifetime: lifetime(upstream), Suspects: suspects}}})
 }
 
-func (w *ward) apply(update quarantine.Update) {
+func (w *cluster) apply(update quarantine.Update) {
 	update.Now = w.now
 	w.records = w.records.With(update)
 	w.news()
 }
 
-func (w *ward) news() quarantine.News {
+func (w *cluster) news() quarantine.News {
 	return w.bulletin.News(w.now, w.records)
 }
 
 // held are the bodies among some that are in quarantine.
-func (w *ward) held(bodies ...string) []string {
+func (w *cluster) held(bodies ...string) []string {
 	var held []string
 	for _, body := range bodies {
-		for _, sentence := range w.news().Quarantined {
-			if sentence.Digest == digest(body) {
+		for _, entry := range w.news().Quarantined {
+			if entry.Digest == digest(body) {
 				held = append(held, body)
 			}
 		}
@@ -56,10 +56,10 @@
 }
 
 var _ = Describe("Records", func() {
-	var w *ward
+	var w *cluster
 
 	BeforeEach(func() {
-		w = newWard(quarantine.Limits{})
+		w = newCluster(quarantine.Limits{})
 	})
 
 	It("quarantine a request under which three upstreams have ended", func() {
@@ -130,7 +130,7 @@
 	It("clear a request that has ended well", func() {
 		for n := range 20 {
 			w.crash(fmt.Sprint("e", n), suspect("status check"))
-			w.apply(quarantine.Update{Whole: []quarantine.Digest{digest("status check")}})
+			w.apply(quarantine.Update{Succeeded: []quarantine.Digest{digest("status check")}})
 		}
 		Expect(w.held("status check")).To(BeEmpty())
 		Expect(w.news().Suspected).To(BeEmpty())
@@ -184,7 +184,7 @@
 	})
 
 	It("keep by the limits of the operator", func() {
-		w = newWard(quarantine.Limits{Crashes: 2, Retention: time.Minute})
+		w = newCluster(quarantine.Limits{Crashes: 2, Retention: time.Minute})
 		w.crash("e1", suspect("bad"))
 		w.crash("e2", suspect("bad"))
 		Expect(w.held("bad")).To(Equal([]string{"bad"}))
@@ -227,7 +227,7 @@
 
 var _ = Describe("Bulletin", func() {
 	It("gives others the time to object before a request is held up", func() {
-		w := newWard(quarantine.Limits{})
+		w := newCluster(quarantine.Limits{})
 		w.crash("e1", suspect("a"))
 		w.crash("e2", suspect("a"))
 		Expect(w.news().Suspected).To(Equal([]quarantine.Digest{digest("a")}))
@@ -241,7 +241,7 @@
 	// A control instance that starts anew would let a request be sent that all others
 	// refuse.
 	It("gives no time for what is known from before", func() {
-		w := newWard(quarantine.Limits{})
+		w := newCluster(quarantine.Limits{})
 		for n := range 3 {
 			w.crash(fmt.Sprint("e", n), suspect("bad"))
 		}
@@ -251,7 +251,7 @@
 	})
 
 	It("tells once what has changed", func() {
-		w := newWard(quarantine.Limits{})
+		w := newCluster(quarantine.Limits{})
 		for n := range 3 {
 			w.crash(fmt.Sprint("e", n), suspect("bad"))
 		}
@@ -264,7 +264,7 @@
 	})
 
 	It("marks equal news alike at every control instance", func() {
-		w, other := newWard(quarantine.Limits{}), newWard(quarantine.Limits{})
+		w, other := newCluster(quarantine.Limits{}), newCluster(quarantine.Limits{})
 		for n := range 3 {
 			w.crash(fmt.Sprint("e", n), suspect("bad"))
 		}
@@ -280,11 +280,11 @@
 })
 
 var _ = Describe("a Watch that follows the news", func() {
-	var w *ward
+	var w *cluster
 	var watch *quarantine.Watch
 
 	BeforeEach(func() {
-		w = newWard(quarantine.Limits{})
+		w = newCluster(quarantine.Limits{})
 		watch = quarantine.NewWatch()
 	})
 
@@ -299,7 +299,7 @@
 	})
 
 	It("objects if the request has ended well here", func() {
-		watch.Whole(w.now, digest("status check"))
+		watch.Succeeded(w.now, digest("status check"))
 		for n := range 3 {
 			w.crash(fmt.Sprint("e", n), suspect("status check"))
 		}
@@ -315,8 +315,8 @@
 		w.crash("e2", suspect("a"))
 		watch.Follow(w.now, w.news())
 		Expect(watch.IsPending()).To(BeFalse())
-		watch.Whole(w.now, digest("a"))
-		Expect(watch.Due(w.now).Whole).To(Equal([]quarantine.Digest{digest("a")}))
+		watch.Succeeded(w.now, digest("a"))
+		Expect(watch.Due(w.now).Succeeded).To(Equal([]quarantine.Digest{digest("a")}))
 	})
 
 	It("does not go back to older news of a control instance that lags, but to those of a new cluster", func() {
@@ -332,9 +332,9 @@
 	})
 
 	It("forgets a whole answer after some minutes, and when there are very many", func() {
-		watch.Whole(w.now, digest("a"))
+		watch.Succeeded(w.now, digest("a"))
 		for n := range 20000 {
-			watch.Whole(w.now, digest(fmt.Sprint(n)))
+			watch.Succeeded(w.now, digest(fmt.Sprint(n)))
 		}
 		for n := range 3 {
 			w.crash(fmt.Sprint("e", n), suspect("a"))
@@ -346,7 +346,7 @@
 
 // entries are entry instances among which callers repeat a request.
 type entries struct {
-	ward    *ward
+	cluster *cluster
 	watches []*quarantine.Watch
 	// syncEvery is the time between two questions of an instance for news, and confirmTime
 	// the time from a crash until the voters have it.
@@ -357,23 +357,23 @@
 	func(instances int, syncEvery, contactTime time.Duration) {
 		const confirmTime = 300 * time.Millisecond
 		const step = 10 * time.Millisecond
-		e := entries{ward: newWard(quarantine.Limits{}), syncEvery: syncEvery, confirmTime: confirmTime}
+		e := entries{cluster: newCluster(quarantine.Limits{}), syncEvery: syncEvery, confirmTime: confirmTime}
 		for range instances {
 			e.watches = append(e.watches, quarantine.NewWatch())
 		}
-		begin := e.ward.now
+		begin := e.cluster.now
 		var crashed []time.Time
 		later := 0
 		for tick := range 1500 {
-			e.ward.now = begin.Add(time.Duration(tick) * step)
-			now := e.ward.now
+			e.cluster.now = begin.Add(time.Duration(tick) * step)
+			now := e.cluster.now
 			for n, watch := range e.watches {
 				if tick%int(syncEvery/step) == n%int(syncEvery/step) {
-					watch.Follow(now, e.ward.news())
+					watch.Follow(now, e.cluster.news())
 				}
 			}
 			for len(crashed) > 0 && e.reported(crashed) && now.Sub(crashed[e.count()]) >= confirmTime {
-				e.ward.crash(fmt.Sprint("e", e.count()), suspect("bad"), answering(fmt.Sprint("a", tick)))
+				e.cluster.crash(fmt.Sprint("e", e.count()), suspect("bad"), answering(fmt.Sprint("a", tick)))
 			}
 			if tick%20 != 0 {
 				continue
@@ -400,9 +400,9 @@
 
 // count is how many crashes the voters have.
 func (e *entries) count() int {
-	for _, c := range e.ward.records.Cases() {
+	for _, c := range e.cluster.records.Cases() {
 		if c.Digest == digest("bad") {
-			return int(e.ward.records.Revision())
+			return int(e.cluster.records.Revision())
 		}
 	}
 	return 0
@@ -416,7 +416,7 @@
 var _ = Describe("Recall", func() {
 	// A link that refuses looks like a process that has ended; its liveness reports go on.
 	It("finds upstreams that were reported as ended and are heard of later", func() {
-		w := newWard(quarantine.Limits{})
+		w := newCluster(quarantine.Limits{})
 		w.crash("e1", suspect("a"))
 		w.crash("e2", suspect("a"))
 		var recall quarantine.Recall
--- a/internal/quarantine/size_test.go
+++ b/internal/quarantine/size_test.go
@@ -39,7 +39,7 @@
 		size := func(requests int) float64 {
 			news := quarantine.News{Revision: 1, Mark: 1}
 			for n := range requests {
-				news.Quarantined = append(news.Quarantined, quarantine.Sentence{Digest: digest(fmt.Sprint(n)), In: time.Second})
+				news.Quarantined = append(news.Quarantined, quarantine.Entry{Digest: digest(fmt.Sprint(n)), In: time.Second})
 			}
 			var buffer bytes.Buffer
 			if err := gob.NewEncoder(&buffer).Encode(news); err != nil {
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -11,8 +11,8 @@
 	// Now is the time at the instance that proposes it.
 	Now     time.Time `json:"now"`
 	Reports []Report  `json:"reports,omitempty"`
-	// Whole are requests that ended with a whole answer.
-	Whole []Digest `json:"whole,omitempty"`
+	// Succeeded are requests that ended with a whole answer.
+	Succeeded []Digest `json:"succeeded,omitempty"`
 	// Alive are upstreams that had not ended after all.
 	Alive []Lifetime `json:"alive,omitempty"`
 	// Lifted are requests that an operator clears.
@@ -21,23 +21,23 @@
 
 // Empty reports whether the update changes nothing.
 func (u Update) Empty() bool {
-	return len(u.Reports)+len(u.Whole)+len(u.Alive)+len(u.Lifted) == 0
+	return len(u.Reports)+len(u.Succeeded)+len(u.Alive)+len(u.Lifted) == 0
 }
 
 // Newest returns the update with no more than limit of each kind, the newest.
 func (u Update) Newest(limit int) Update {
 	u.Reports = u.Reports[max(0, len(u.Reports)-limit):]
-	u.Whole = u.Whole[max(0, len(u.Whole)-limit):]
+	u.Succeeded = u.Succeeded[max(0, len(u.Succeeded)-limit):]
 	return u
 }
 
 // With returns the update that says what both say.
 func (u Update) With(other Update) Update {
 	return Update{
-		Now:     u.Now,
-		Reports: slices.Concat(u.Reports, other.Reports),
-		Whole:   slices.Concat(u.Whole, other.Whole),
-		Alive:   slices.Concat(u.Alive, other.Alive),
-		Lifted:  slices.Concat(u.Lifted, other.Lifted),
+		Now:       u.Now,
+		Reports:   slices.Concat(u.Reports, other.Reports),
+		Succeeded: slices.Concat(u.Succeeded, other.Succeeded),
+		Alive:     slices.Concat(u.Alive, other.Alive),
+		Lifted:    slices.Concat(u.Lifted, other.Lifted),
 	}
 }
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -7,8 +7,8 @@
 // Watch is what one instance sees of requests and upstreams, and what it was told of
 // requests in quarantine. It is not safe for concurrent use.
 type Watch struct {
-	losses losses
-	wholes wholes
+	losses    losses
+	successes successes
 	// revision is that of the newest news, and mark theirs.
 	revision uint64
 	mark     uint64
@@ -32,10 +32,10 @@
 	return len(w.from), len(w.suspected)
 }
 
-// Whole notes that a request ended with a whole answer of success. A failure may have been
+// Succeeded notes that a request ended with a whole answer of success. A failure may have been
 // answered without running it.
-func (w *Watch) Whole(now time.Time, digest Digest) {
-	w.wholes.add(now, digest)
+func (w *Watch) Succeeded(now time.Time, digest Digest) {
+	w.successes.add(now, digest)
 	if _, held := w.from[digest]; held || w.suspected[digest] {
 		w.cleared[digest] = true
 	}
@@ -77,7 +77,7 @@
 func (w *Watch) Due(now time.Time) Update {
 	update := Update{Now: now, Reports: w.losses.due(now)}
 	for digest := range w.cleared {
-		update.Whole = append(update.Whole, digest)
+		update.Succeeded = append(update.Succeeded, digest)
 	}
 	clear(w.cleared)
 	return update
--- a/internal/registrar/quarantine.go
+++ b/internal/registrar/quarantine.go
@@ -14,9 +14,9 @@
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
 
-// Ward is what operators ask of requests in quarantine. Its methods are called from many
+// Quarantine is what operators ask of requests in quarantine. Its methods are called from many
 // goroutines at once.
-type Ward interface {
+type Quarantine interface {
 	// Quarantined returns the requests in quarantine, and those that are suspected. If the
 	// instance keeps no records, it returns an *UnavailableError.
 	Quarantined(now time.Time) ([]quarantine.Listing, error)
@@ -36,28 +36,28 @@
 	Requests []quarantine.Listing `json:"requests"`
 }
 
-// wardHandlers answer operators' calls about requests in quarantine.
-type wardHandlers struct {
-	ward Ward
-	now  func() time.Time
-	log  zerolog.Logger
+// quarantineHandlers answer operators' calls about requests in quarantine.
+type quarantineHandlers struct {
+	keeper Quarantine
+	now    func() time.Time
+	log    zerolog.Logger
 }
 
-// NewWardHandler returns the calls about requests in quarantine by themselves, for
+// NewQuarantineHandler returns the calls about requests in quarantine by themselves, for
 // control instances whose other operators' calls are another program's.
-func NewWardHandler(ward Ward, now func() time.Time, log zerolog.Logger) http.Handler {
+func NewQuarantineHandler(keeper Quarantine, now func() time.Time, log zerolog.Logger) http.Handler {
 	e := echo.New()
-	wardHandlers{ward: ward, now: now, log: log}.addTo(e)
+	quarantineHandlers{keeper: keeper, now: now, log: log}.addTo(e)
 	return e
 }
 
-func (h wardHandlers) addTo(e *echo.Echo) {
+func (h quarantineHandlers) addTo(e *echo.Echo) {
 	e.GET(quarantinePath, h.list)
 	e.POST(quarantinePath, h.lift)
 }
 
-func (h wardHandlers) list(c echo.Context) error {
-	listed, err := h.ward.Quarantined(h.now())
+func (h quarantineHandlers) list(c echo.Context) error {
+	listed, err := h.keeper.Quarantined(h.now())
 	var unavailable *UnavailableError
 	if errors.As(err, &unavailable) {
 		return fail(c, http.StatusServiceUnavailable, outcome.NotRun, failure{Code: codeUnavailable, Message: unavailable.Reason})
@@ -68,7 +68,7 @@
 	return c.JSON(http.StatusOK, quarantineReply{Requests: listed})
 }
 
-func (h wardHandlers) lift(c echo.Context) error {
+func (h quarantineHandlers) lift(c echo.Context) error {
 	by, _ := c.Get(operatorKey).(string)
 	var request liftRequest
 	if err := json.NewDecoder(c.Request().Body).Decode(&request); err != nil || len(request.Lift) == 0 {
@@ -78,7 +78,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), DefaultChangeTimeout)
 	defer cancel()
-	err := h.ward.Lift(ctx, request.Lift)
+	err := h.keeper.Lift(ctx, request.Lift)
 	for _, digest := range request.Lift {
 		h.log.Info().Err(err).Str("by", by).Stringer(quarantine.FieldDigest, digest).Msg(quarantine.LineLifted)
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -39,8 +39,8 @@
 	Metrics http.Handler
 	// Preview answers plan --placement. Nil stands for none.
 	Preview Preview
-	// Ward may be nil where requests are not quarantined.
-	Ward Ward
+	// Quarantine may be nil where requests are not quarantined.
+	Quarantine Quarantine
 	// Electorate may be nil where operators do not change voters.
 	Electorate Electorate
 	// Holder returns the name of the operator who holds a token.
@@ -83,8 +83,8 @@
 	if options.Metrics != nil {
 		r.echo.GET(metricsPath, echo.WrapHandler(options.Metrics))
 	}
-	if options.Ward != nil {
-		wardHandlers{ward: options.Ward, now: options.Now, log: options.Log}.addTo(r.echo)
+	if options.Quarantine != nil {
+		quarantineHandlers{keeper: options.Quarantine, now: options.Now, log: options.Log}.addTo(r.echo)
 	}
 	if options.Electorate != nil {
 		r.echo.GET(votersPath, r.voters)
