--- a/internal/counter/permits_test.go
+++ b/internal/counter/permits_test.go
@@ -26,12 +26,12 @@
 	return all
 }
 
-// modelOf returns a model that an instance owns among others.
-func modelOf(owner netip.AddrPort, among []netip.AddrPort) string {
+// modelOf returns a model of a service that an instance owns among others.
+func modelOf(service string, owner netip.AddrPort, among ...netip.AddrPort) string {
 	owners := permit.NewOwners(among)
 	for i := 0; ; i++ {
 		model := fmt.Sprint("model-", i)
-		if found, _ := owners.Of("pool", model, func(netip.AddrPort) bool { return true }); found == owner {
+		if found, _ := owners.Of(service, model, func(netip.AddrPort) bool { return true }); found == owner {
 			return model
 		}
 	}
@@ -54,7 +54,7 @@
 	const instances = 291
 	among := addresses(instances)
 	owner := among[7]
-	model := modelOf(owner, among)
+	model := modelOf("pool", owner, among...)
 	var fleet counter.Fleet
 	var own counter.Owner
 
@@ -94,7 +94,7 @@
 	})
 
 	It("tells those alone who own other models of the engine what goes there", func() {
-		shared := modelOf(among[9], among)
+		shared := modelOf("pool", among[9], among...)
 		smallEngine(fleet, "e", model, shared)
 		told := own.Hear(start, among[1], asking(1, model))
 		Expect(told).To(HaveLen(2))
@@ -221,22 +221,11 @@
 	return recorder.Code
 }
 
-// ownedBy returns a model of the service "desk" that an instance owns among others.
-func ownedBy(owner netip.AddrPort, among ...netip.AddrPort) string {
-	owners := permit.NewOwners(among)
-	for i := 0; ; i++ {
-		model := fmt.Sprint("model-", i)
-		if found, _ := owners.Of("desk", model, func(netip.AddrPort) bool { return true }); found == owner {
-			return model
-		}
-	}
-}
-
 var _ = Describe("A request at an instance that does not own its model", func() {
 	It("is served at the place that the owner grants, which is given back", func() {
 		c := newControl()
 		first, second := startPeer(c), startPeer(c)
-		model := ownedBy(second.address, first.address, second.address)
+		model := modelOf("desk", second.address, first.address, second.address)
 		u := newUpstream(func(w http.ResponseWriter, r *http.Request) {
 			Expect(second.counter.Permits()).To(Equal(1))
 			good(w, r)
@@ -258,7 +247,7 @@
 		cut := listenPeer()
 		DeferCleanup(cut.Close)
 		owner := cut.LocalAddr().(*net.UDPAddr).AddrPort()
-		model := ownedBy(owner, first.address, owner)
+		model := modelOf("desk", owner, first.address, owner)
 		leaving, staying := newUpstream(good), newUpstream(good)
 		c.announce("leaving", leaving.address(), model)
 		c.announce("staying", staying.address(), model)
@@ -300,7 +289,7 @@
 		silent := listenPeer()
 		DeferCleanup(silent.Close)
 		gone := silent.LocalAddr().(*net.UDPAddr).AddrPort()
-		model := ownedBy(gone, first.address, gone)
+		model := modelOf("desk", gone, first.address, gone)
 		u := newUpstream(good)
 		c.announce("u", u.address(), model)
 		c.instances(first.address, gone)
