--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -39,6 +39,15 @@
 	return log.Read(file)
 }
 
+// ofRequest returns the id of the request that a line is of, which String leaves out.
+func ofRequest(line explain.Line) string {
+	id, ok := line.Fields["request"].(string)
+	if !ok {
+		return ""
+	}
+	return " request=" + id
+}
+
 // tell writes a story. It fails if the logs do not name the request.
 func tell(streams Streams, id string, story explain.Story) int {
 	fmt.Fprintf(streams.Out, "%d lines read, %d of them unreadable\n", story.Read, story.Bad)
@@ -54,7 +63,7 @@
 		fmt.Fprintln(streams.Out, "other attempts at the same request, under which upstreams ended:")
 	}
 	for _, line := range story.Quarantine {
-		fmt.Fprintf(streams.Out, "  %s request=%v\n", line, line.Fields["request"])
+		fmt.Fprintln(streams.Out, "  "+line.String()+ofRequest(line))
 	}
 	fmt.Fprintln(streams.Out, "what changed around it:")
 	for _, line := range story.Around {
