--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -20,6 +20,7 @@
 	"github.com/lovagelift/lovagelift/internal/counter"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
@@ -92,6 +93,10 @@
 	wants   int
 	// exactly are all entry instances, if they are set.
 	exactly []string
+	// quarantine is told of requests in quarantine, if it is set, and noted what was
+	// reported of crashes.
+	quarantine *quarantine.News
+	noted      quarantine.Update
 }
 
 func newControl() *control {
@@ -118,6 +123,9 @@
 	if c.exactly != nil {
 		reply.Members.Entries = c.exactly
 	}
+	if c.quarantine != nil && c.quarantine.Mark != args.Quarantine {
+		reply.Quarantine = c.quarantine
+	}
 	if c.leaderless {
 		reply.Leader = ""
 	}
@@ -134,7 +142,10 @@
 	c.leaderless = !leads
 }
 
-func (c *control) Note(context.Context, courier.NoteArgs) courier.NoteReply {
+func (c *control) Note(_ context.Context, args courier.NoteArgs) courier.NoteReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noted = c.noted.With(args.Update)
 	return courier.NoteReply{Recorded: true}
 }
 
