--- a/internal/counter/crashes_test.go
+++ b/internal/counter/crashes_test.go
@@ -98,8 +98,10 @@
 		e := newEntry(newUpstream(good))
 		e.hold(ctx, identity(http.MethodPost, "/write/x", "crash"))
 		for _, other := range [][3]string{
-			{http.MethodPost, "/write/y", "crash"}, {http.MethodPut, "/write/x", "crash"},
-			{http.MethodPost, "/write/x", "crash "}, {http.MethodPost, "/write/x", ""},
+			{http.MethodPost, "/write/y", "crash"},
+			{http.MethodPut, "/write/x", "crash"},
+			{http.MethodPost, "/write/x", "crash "},
+			{http.MethodPost, "/write/x", ""},
 		} {
 			response, _, err := e.ask(ctx, other[0], other[1], other[2])
 			Expect(err).NotTo(HaveOccurred())
