quarantine: reports keep the time of what they bring together

At the own interface no request would ever have been quarantined: the coroner gathers reports into an update that begins empty, and With kept the time of that, which is none. Crashes without a time are older than any retention. Control instances on the provider set the time when they propose, so that nothing showed there; the fake of desk's spec set it as well.

--- a/internal/coroner/coroner_test.go
+++ b/internal/coroner/coroner_test.go
@@ -29,6 +29,8 @@
 	// refusals is how many reports are not recorded before one is.
 	refusals int
 	recorded quarantine.Update
+	// reportedAt is the time of the last report.
+	reportedAt time.Time
 }
 
 func (o *office) options() coroner.Options {
@@ -45,6 +47,7 @@
 				o.refusals--
 				return false
 			}
+			o.reportedAt = update.Now
 			o.recorded = o.recorded.With(update)
 			return true
 		},
@@ -102,6 +105,10 @@
 		Eventually(ctx, recorded).Should(Equal(1))
 		_, suspects := o.reports()
 		Expect(suspects).To(Equal(2))
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		// Crashes without a time are older than any retention.
+		Expect(o.reportedAt).To(BeTemporally("~", time.Now(), specTimeout))
 	})
 
 	It("reports nothing of an upstream that answers, or had said that it goes", SpecTimeout(specTimeout), func(_ SpecContext) {
--- a/internal/desk/fakes_test.go
+++ b/internal/desk/fakes_test.go
@@ -208,7 +208,6 @@
 	seeker := coroner.New(coroner.Options{
 		Contact: func(quarantine.Place) quarantine.Contact { return quarantine.ContactNone },
 		Report: func(_ context.Context, update quarantine.Update) bool {
-			update.Now = time.Now()
 			_, err := v.propose(update)
 			return err == nil
 		},
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -31,10 +31,14 @@
 	return u
 }
 
-// With returns the update that says what both say.
+// With returns the update that says what both say, as of the later of their times.
 func (u Update) With(other Update) Update {
+	now := u.Now
+	if other.Now.After(now) {
+		now = other.Now
+	}
 	return Update{
-		Now:       u.Now,
+		Now:       now,
 		Reports:   slices.Concat(u.Reports, other.Reports),
 		Succeeded: slices.Concat(u.Succeeded, other.Succeeded),
 		Alive:     slices.Concat(u.Alive, other.Alive),
