--- a/internal/counter/ask.go
+++ b/internal/counter/ask.go
@@ -43,11 +43,12 @@
 func (l *links) share(now time.Time, self string, among []string) string {
 	chosen := ""
 	var highest uint64
+	key := rendezvous.Hash(self)
 	for _, address := range among {
 		if address == l.leader || l.unreachable(now, address) {
 			continue
 		}
-		if score := rendezvous.Score(rendezvous.Hash(self), rendezvous.Hash(address)); score >= highest {
+		if score := rendezvous.Score(key, rendezvous.Hash(address)); score >= highest {
 			chosen, highest = address, score
 		}
 	}
--- a/internal/quarantine/recall.go
+++ b/internal/quarantine/recall.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -55,5 +54,4 @@
 			r.seen[crash.Lifetime] = at
 		}
 	}
-	maps.DeleteFunc(r.seen, func(_ Lifetime, at time.Time) bool { return now.Sub(at) > 2*keepTime })
 }
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -113,7 +112,7 @@
 	all := r.Cases()
 	slices.SortFunc(all, func(a, b Case) int {
 		return cmp.Or(
-			cmp.Compare(len(a.Crashes), len(b.Crashes)), a.last().Compare(b.last()), bytes.Compare(a.Digest[:], b.Digest[:]),
+			cmp.Compare(len(a.Crashes), len(b.Crashes)), a.last().Compare(b.last()), compareDigests(a.Digest, b.Digest),
 		)
 	})
 	for _, c := range all[:len(all)-maxCases] {
@@ -128,5 +127,5 @@
 
 // Cases returns all cases, by digest. They must not be changed.
 func (r Records) Cases() []Case {
-	return slices.SortedFunc(maps.Values(r.cases), func(a, b Case) int { return bytes.Compare(a.Digest[:], b.Digest[:]) })
+	return slices.SortedFunc(maps.Values(r.cases), func(a, b Case) int { return compareDigests(a.Digest, b.Digest) })
 }
