--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -40,6 +40,8 @@
 	peers map[string]*peer
 	// leadsSince is when this instance began to lead, zero while it does not.
 	leadsSince time.Time
+	// caughtUp is true once the replica was known to hold all that is committed.
+	caughtUp bool
 
 	failed chan struct{}
 	stop   context.CancelFunc
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -34,7 +34,9 @@
 	// Entry instances route to upstreams alone.
 	reply.Changes.Instances = nil
 	reply.Changes.InstanceBeats = roster.InstanceBeats{}
-	if held := b.voter.Edition(); held.Version > args.Edition {
+	held, reading := b.voter.Reading()
+	reply.Reading = reading
+	if held.Version > args.Edition {
 		reply.Edition = b.packed(held)
 	}
 	if news := b.voter.Quarantine(now); news.Mark != args.Quarantine {
--- a/internal/backoffice/voters.go
+++ b/internal/backoffice/voters.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/electorate"
 	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/pause"
@@ -58,8 +59,21 @@
 	scope.Gauge("voters").Update(float64(len(status.Voters)))
 	scope.Gauge("learners").Update(float64(len(b.voter.Peers()) + 1 - len(status.Voters)))
 	scope.Gauge("routes_version").Update(float64(b.voter.Edition().Version))
-	if asOf, ok := b.voter.Freshness(); ok {
-		scope.Gauge("routes_age_seconds").Update(b.options.Now().Sub(asOf).Seconds())
+	_, reading := b.voter.Reading()
+	if reading.Confirmed {
+		scope.Gauge("routes_age_seconds").Update(reading.Age.Seconds())
+	}
+	b.logCaughtUp(reading)
+}
+
+// logCaughtUp logs that a replica that has started holds all that is committed.
+func (b *Backoffice) logCaughtUp(reading edition.Reading) {
+	b.mu.Lock()
+	first := reading.Confirmed && !b.caughtUp
+	b.caughtUp = b.caughtUp || reading.Confirmed
+	b.mu.Unlock()
+	if first {
+		b.options.Log.Info().Uint64("version", reading.Version).Dur("age", reading.Age).Msg("caught up with the other voters")
 	}
 }
 
--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -227,6 +227,19 @@
 	return v.registry.Edition()
 }
 
+// Reading returns the document that operators number, as this replica has it, and how new
+// it is known to be.
+func (v *Voter) Reading() (edition.Edition, edition.Reading) {
+	// What the freshness covers is in the document that is read after it.
+	asOf, confirmed := v.clerk.Freshness()
+	held := v.registry.Edition()
+	reading := edition.Reading{Version: held.Version, Confirmed: confirmed}
+	if confirmed {
+		reading.Age = max(0, v.options.Now().Sub(asOf))
+	}
+	return held, reading
+}
+
 // FreshEdition returns the document that operators number, as of now or later.
 // If the voter can't confirm that it is up to date before ctx ends, FreshEdition
 // returns false.
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -33,6 +33,8 @@
 	// to this one.
 	decisions map[string]tally.Counter
 	owners    map[string]tally.Counter
+	// proofAge is how old the proof of the routes was when news came.
+	proofAge tally.Histogram
 }
 
 // routeMetrics is what is counted of one route with one status.
@@ -47,8 +49,9 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
+	scope = scope.SubScope("counter")
 	return &metrics{
-		scope: scope.SubScope("counter"), routes: map[string]routeMetrics{},
+		scope: scope, proofAge: scope.Histogram("routes_proof_age_seconds", times), routes: map[string]routeMetrics{},
 		refusals: map[string]tally.Counter{}, sends: map[string]tally.Counter{},
 		decisions: map[string]tally.Counter{}, owners: map[string]tally.Counter{},
 	}
--- a/internal/counter/refusal.go
+++ b/internal/counter/refusal.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -61,6 +63,8 @@
 	}
 	if route != nil {
 		event = event.Str("route", route.Name).Uint8("priority", route.Priority)
+	} else {
+		event = c.withRoutes(event)
 	}
 	if r.survey != nil {
 		event = event.Dur("held", r.held).Object("upstreams", *r.survey)
@@ -77,3 +81,18 @@
 	event.Str("request", call.ID).Int("status", r.status).Str("reason", r.why).Dur("retry-after", r.comeBack).
 		Str("model", call.Model).Str("adapter", call.Adapter).Msg("request not served")
 }
+
+// withRoutes adds what is known of the routes by which a request found none.
+func (c *Counter) withRoutes(event *zerolog.Event) *zerolog.Event {
+	if table := c.table.Load(); table != nil {
+		event = event.Uint64("routes-version", table.Version)
+	}
+	c.mu.Lock()
+	proof := c.links.proof
+	c.mu.Unlock()
+	age, ok := proof.Age(c.options.Now())
+	if !ok {
+		return event.Bool("routes-proven", false)
+	}
+	return event.Bool("routes-proven", true).Dur("routes-proof-age", age).Str("routes-proven-by", proof.Voucher())
+}
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -37,6 +37,8 @@
 	failedAt time.Time
 	// heardAt is when the news that came last were asked for.
 	heardAt time.Time
+	// proof is how new the routes in force here are known to be.
+	proof edition.Proof
 	// entries is how many entry instances there are, and members the revision of who is
 	// alive.
 	entries int
@@ -153,6 +155,7 @@
 	changed, c.told = c.roster.UpstreamsSince(c.told)
 	if table := c.table.Load(); table != nil {
 		c.fleet.served = table.Services()
+		c.prove(now, asked, address, table.Version, reply.Reading)
 	}
 	c.fleet.update(now, changed)
 	c.coroner.Review(c.fleet.contact)
@@ -166,6 +169,14 @@
 	c.dispatch(now)
 }
 
+// prove takes in how new the routes in force here are known to be. c.mu is held.
+func (c *Counter) prove(now, asked time.Time, address string, version uint64, reading edition.Reading) {
+	if age, ok := c.links.proof.Age(now); ok {
+		c.metrics.proofAge.RecordDuration(age)
+	}
+	c.links.proof = c.links.proof.With(asked, address, version, reading)
+}
+
 // takeMembers takes in who is alive. c.mu is held.
 func (c *Counter) takeMembers(now time.Time, members courier.Members) {
 	c.links.members = members.Revision
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -59,6 +59,8 @@
 	// Edition is nil if the asker holds the newest that the answerer knows. Its content
 	// is packed (registry.Pack).
 	Edition *edition.Edition
+	// Reading says how new the answerer's routes are known to be. It is made before Edition.
+	Reading edition.Reading
 	Changes roster.Changes
 	// Quarantine is nil if the asker has these news.
 	Quarantine *quarantine.News
