--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -86,6 +86,8 @@
 	told   []courier.SyncArgs
 	// silent is true while it knows no leader.
 	leaderless bool
+	// behind is true while it has not caught up with what is committed.
+	behind bool
 	address    string
 	// entries are the entry instances beside the asker, and wants how many calls for a
 	// model or an adapter came.
@@ -117,7 +119,8 @@
 	defer c.mu.Unlock()
 	c.told = append(c.told, args)
 	reply := courier.SyncReply{
-		Leader: c.address, Changes: c.roster.Since(time.Now(), args.Cursor),
+		Leader: c.address, Reading: edition.Reading{Version: 1, Confirmed: !c.behind},
+		Changes: c.roster.Since(time.Now(), args.Cursor),
 		Members: &courier.Members{Controls: []string{c.address}, Entries: append([]string{args.From.Name}, c.entries...)},
 	}
 	if c.exactly != nil {
@@ -142,6 +145,13 @@
 	c.leaderless = !leads
 }
 
+// fallBehind says whether the control instance has still to catch up.
+func (c *control) fallBehind(behind bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.behind = behind
+}
+
 func (c *control) Note(_ context.Context, args courier.NoteArgs) courier.NoteReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/counter/fresh_test.go
+++ b/internal/counter/fresh_test.go
@@ -38,6 +38,19 @@
 		Eventually(status(ctx, e)).WithTimeout(specTimeout).Should(Equal(http.StatusNotFound))
 	}, NodeTimeout(2*specTimeout))
 
+	// All control instances were killed right after a change was acknowledged: one that has
+	// started again names the leader before it has applied its log.
+	It("is not refused for good on the word of a control instance that has not caught up", func(ctx SpecContext) {
+		e := newEntry(newUpstream(good))
+		Expect(status(ctx, e)()).To(Equal(http.StatusNotFound))
+		e.control.fallBehind(true)
+		Eventually(status(ctx, e)).WithTimeout(specTimeout).Should(Equal(http.StatusServiceUnavailable))
+
+		By("being answered once it has caught up")
+		e.control.fallBehind(false)
+		Eventually(status(ctx, e)).WithTimeout(specTimeout).Should(Equal(http.StatusNotFound))
+	}, NodeTimeout(3*specTimeout))
+
 	It("is served by a route that comes while it waits", func(ctx SpecContext) {
 		e := newEntry(newUpstream(good))
 		e.control.lead(false)
