--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -93,8 +93,8 @@
 	reply, err := c.links.calls.Sync(ctx, address, args)
 	cancel()
 	if err == nil && reply.Leader == "" {
-		// It may be cut off from the others, and would go on telling what was in
-		// force before: whoever knows a leader knows what is new.
+		// It may be cut off from the others, and would go on telling what was in force
+		// before.
 		err = errNoLeader
 	}
 	if err != nil {
@@ -169,14 +169,6 @@
 	c.dispatch(now)
 }
 
-// prove takes in how new the routes in force here are known to be. c.mu is held.
-func (c *Counter) prove(now, asked time.Time, address string, version uint64, reading edition.Reading) {
-	if age, ok := c.links.proof.Age(now); ok {
-		c.metrics.proofAge.RecordDuration(age)
-	}
-	c.links.proof = c.links.proof.With(asked, address, version, reading)
-}
-
 // takeMembers takes in who is alive. c.mu is held.
 func (c *Counter) takeMembers(now time.Time, members courier.Members) {
 	c.links.members = members.Revision
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -107,53 +107,6 @@
 	return nil
 }
 
-const (
-	// freshFor is how old the routes may be by which a request is told that there is none
-	// for it: changes are in force within 2 s, of which the news need a part.
-	freshFor = time.Second
-	// freshWait bounds how long such a request waits for newer routes, and freshEvery is
-	// how often it looks.
-	freshWait  = time.Second
-	freshEvery = 10 * time.Millisecond
-)
-
-// matchFresh looks for a route that is not among the routes that are known. If they are
-// old, as news are late from a control instance without processor time or behind a link
-// that is full, the route may have been added since: a caller that is told that there is
-// none goes away for good. So the request waits for news. If none come in time,
-// matchFresh tells the caller to come back, and if there is no route still, that.
-func (c *Counter) matchFresh(w http.ResponseWriter, r *http.Request, call Call) (*routes.Table, *routes.Route) {
-	fresh := c.newsSince(c.options.Now().Add(-freshFor))
-	if !fresh {
-		began := c.options.Now()
-		ctx, cancel := context.WithTimeout(r.Context(), min(call.Patience/tableShare, freshWait))
-		defer cancel()
-		c.hurry()
-		for !fresh && pause.For(ctx, freshEvery) {
-			fresh = c.newsSince(began)
-		}
-	}
-	table := c.table.Load()
-	route := table.Match(host(r), r.URL.EscapedPath())
-	switch {
-	case route != nil:
-	case fresh:
-		c.refuse(w, call, nil, refusal{status: http.StatusNotFound, why: "no route"})
-	default:
-		c.refuse(w, call, nil, refusal{
-			status: http.StatusServiceUnavailable, why: "the routes may be old", comeBack: tableComeBack,
-		})
-	}
-	return table, route
-}
-
-// newsSince reports whether news came that were asked for at a time or later.
-func (c *Counter) newsSince(at time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.links.heardAt.Before(at)
-}
-
 // host returns the host of a request without its port.
 func host(r *http.Request) string {
 	if name, _, err := net.SplitHostPort(r.Host); err == nil {
