--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -77,6 +78,7 @@
 
 // New returns a Counter that has started to learn from control instances.
 func New(options Options) *Counter {
+	options.RoutesWithin = cmp.Or(options.RoutesWithin, defaultRoutesWithin)
 	ctx, cancel := context.WithCancel(context.Background())
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -54,8 +55,11 @@
 	}
 }
 
+// withoutLook is the content of the second version of the routes, of which one is dropped.
+const withoutLook = "without-look"
+
 // table is the routes of all specs.
-func table([]byte) (*routes.Table, error) {
+func table(content []byte) (*routes.Table, error) {
 	route := func(name string, kind routes.Kind, change func(*routes.Route)) routes.Route {
 		r := routes.Route{
 			Name: name, Host: "spec.test", Prefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second,
@@ -66,7 +70,7 @@
 		}
 		return r
 	}
-	return routes.New(routes.Draft{
+	draft := routes.Draft{
 		Version: 1,
 		Routes: []routes.Route{
 			route("look", routes.Idempotent, nil),
@@ -76,7 +80,12 @@
 			route("empty", routes.Idempotent, func(r *routes.Route) { r.Shares[0].Service = "nobody" }),
 		},
 		Services: []routes.Service{{Name: "desk"}, {Name: "nobody"}},
-	})
+	}
+	if string(content) == withoutLook {
+		draft.Version = 2
+		draft.Routes = draft.Routes[1:]
+	}
+	return routes.New(draft)
 }
 
 // control is a control instance that tells of upstreams.
@@ -86,9 +95,11 @@
 	told   []courier.SyncArgs
 	// silent is true while it knows no leader.
 	leaderless bool
-	// behind is true while it has not caught up with what is committed.
-	behind bool
-	address    string
+	// behind is true while it has not caught up with what is committed, and dropped once
+	// the second version of the routes is.
+	behind  bool
+	dropped bool
+	address string
 	// entries are the entry instances beside the asker, and wants how many calls for a
 	// model or an adapter came.
 	entries []string
@@ -132,8 +143,13 @@
 	if c.leaderless {
 		reply.Leader = ""
 	}
-	if args.Edition == 0 {
-		reply.Edition = &edition.Edition{Version: 1, Content: []byte("{}")}
+	held := edition.Edition{Version: 1, Content: []byte("{}")}
+	if c.dropped && !c.behind {
+		held = edition.Edition{Version: 2, Content: []byte(withoutLook)}
+	}
+	reply.Reading.Version = held.Version
+	if args.Edition < held.Version {
+		reply.Edition = &held
 	}
 	return reply
 }
@@ -145,6 +161,13 @@
 	c.leaderless = !leads
 }
 
+// drop has the second version of the routes be committed.
+func (c *control) drop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropped = true
+}
+
 // fallBehind says whether the control instance has still to catch up.
 func (c *control) fallBehind(behind bool) {
 	c.mu.Lock()
@@ -282,6 +305,13 @@
 	control   *control
 	counter   *counter.Counter
 	server    *httptest.Server
+	// skipped is how far the instance's clock is ahead, in nanoseconds.
+	skipped atomic.Int64
+}
+
+// now is the instance's clock.
+func (e *entry) now() time.Time {
+	return time.Now().Add(time.Duration(e.skipped.Load()))
 }
 
 func newEntry(upstreams ...*upstream) *entry {
@@ -293,7 +323,7 @@
 		Name: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", FailureDomain: "here", Seeds: []string{e.control.address},
 		Dial: courier.DialTCP, UpstreamLease: time.Minute,
 		Retries: counter.RetryLimits{Share: 0.1, Slack: 20, Window: 10 * time.Second},
-		Table:   table, Dialect: dialect{}, Now: time.Now, Log: zerolog.Nop(),
+		Table:   table, Dialect: dialect{}, Now: e.now, Log: zerolog.Nop(),
 	})
 	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.counter.Serve(w, r, counter.Call{ID: r.Header.Get(idHeader), Patience: 5 * time.Second})
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -301,3 +302,13 @@
 	l := links{entries: entries, alive: alive, asked: asked, leader: leader}
 	return l.pause()
 }
+
+// AwaitsProof reports whether requests wait at now for a proof of routes that were proven
+// and first found unproven at some times, zero for never.
+func AwaitsProof(now, proven, unproven time.Time, within time.Duration, lost bool) bool {
+	l := links{unprovenSince: unproven, lost: lost}
+	if !proven.IsZero() {
+		l.proof = l.proof.With(proven, "control", 1, edition.Reading{Version: 1, Confirmed: true})
+	}
+	return l.awaitsProof(now, within)
+}
--- a/internal/counter/fresh_test.go
+++ b/internal/counter/fresh_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/counter"
 )
 
 // An operator adds a route and is told that it is in force. A caller uses it at an
@@ -73,3 +75,38 @@
 		Expect(time.Since(began)).To(BeNumerically("<", specTimeout/4))
 	}, NodeTimeout(2*specTimeout))
 })
+
+var _ = Describe("A request with a known route", func() {
+	// An operator drops a route and is told that it is gone, while an entry instance is
+	// frozen: thawed, it would send requests by the route until its next news.
+	It("is not served by a route that was dropped while the instance was frozen", func(ctx SpecContext) {
+		e := newEntry(newUpstream(good))
+		response, _, err := e.ask(ctx, http.MethodGet, "/look/1", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		served := e.arrivals()
+
+		e.control.drop()
+		e.skipped.Store(int64(10 * time.Second))
+		response, _, err = e.ask(ctx, http.MethodGet, "/look/1", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusNotFound))
+		Expect(e.arrivals()).To(Equal(served))
+	}, NodeTimeout(specTimeout))
+
+	now := time.Unix(1000, 0)
+	ago := func(seconds float64) time.Time { return now.Add(-time.Duration(seconds * float64(time.Second))) }
+	DescribeTable("waits for a proof of routes that must be in force within 2 s",
+		func(proven, unproven time.Time, lost, waits bool) {
+			Expect(counter.AwaitsProof(now, proven, unproven, 2*time.Second, lost)).To(Equal(waits))
+		},
+		Entry("not by routes that were proven a moment ago", ago(1), time.Time{}, false, false),
+		Entry("not while a leader is elected", ago(3.9), ago(1), false, false),
+		Entry("by routes that nobody has spoken of since", ago(5), time.Time{}, false, true),
+		Entry("while a control instance catches up", ago(5), ago(1), false, true),
+		// All callers would wait for as long as control instances lack processor time.
+		Entry("not for long", ago(60), ago(3), false, false),
+		Entry("not while no control instance answers", ago(60), time.Time{}, true, false),
+		Entry("at an instance that was never told of proven routes", time.Time{}, ago(1), false, true),
+	)
+})
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -35,6 +35,8 @@
 	owners    map[string]tally.Counter
 	// proofAge is how old the proof of the routes was when news came.
 	proofAge tally.Histogram
+	// proofWaits are requests that waited for a proof of the routes.
+	proofWaits tally.Counter
 }
 
 // routeMetrics is what is counted of one route with one status.
@@ -51,7 +53,8 @@
 	}
 	scope = scope.SubScope("counter")
 	return &metrics{
-		scope: scope, proofAge: scope.Histogram("routes_proof_age_seconds", times), routes: map[string]routeMetrics{},
+		scope: scope, proofAge: scope.Histogram("routes_proof_age_seconds", times),
+		proofWaits: scope.Counter("routes_proof_waits"), routes: map[string]routeMetrics{},
 		refusals: map[string]tally.Counter{}, sends: map[string]tally.Counter{},
 		decisions: map[string]tally.Counter{}, owners: map[string]tally.Counter{},
 	}
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -38,6 +38,9 @@
 	Retries RetryLimits
 	// Table reads the routes that an operator sent.
 	Table func(content []byte) (*routes.Table, error)
+	// RoutesWithin is how soon after an operator was told so a change of the routes is in
+	// force at an instance that control instances reach. Default 2 s.
+	RoutesWithin time.Duration
 	// Dialect is how upstreams are spoken to.
 	Dialect Dialect
 	Now     func() time.Time
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -39,6 +39,9 @@
 	heardAt time.Time
 	// proof is how new the routes in force here are known to be.
 	proof edition.Proof
+	// unprovenSince is when a control instance first answered that did not prove them well
+	// enough, zero while they are or nobody has answered.
+	unprovenSince time.Time
 	// entries is how many entry instances there are, and members the revision of who is
 	// alive.
 	entries int
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -43,16 +43,13 @@
 // Serve answers one request of a caller.
 func (c *Counter) Serve(w http.ResponseWriter, r *http.Request, call Call) {
 	began := c.options.Now()
-	table := c.awaitTable(r.Context(), call)
-	if table == nil {
+	if c.awaitTable(r.Context(), call) == nil {
 		c.refuse(w, call, nil, refusal{status: http.StatusServiceUnavailable, why: "no routes are known yet", comeBack: tableComeBack})
 		return
 	}
-	route := table.Match(host(r), r.URL.EscapedPath())
+	table, route := c.match(w, r, call)
 	if route == nil {
-		if table, route = c.matchFresh(w, r, call); route == nil {
-			return
-		}
+		return
 	}
 	body, status := readBody(w, r, table.Limits.BodyBytes)
 	if status != 0 {
