--- a/internal/counter/ask.go
+++ b/internal/counter/ask.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/rendezvous"
 )
 
@@ -38,6 +39,35 @@
 	return address == l.failed && now.Sub(l.failedAt) < avoidLeader
 }
 
+// laggardTime is how long a control instance is asked that does not prove the routes: after
+// the loss of all of them, each needs its time to catch up.
+const laggardTime = time.Second
+
+// answered takes in what the asked instance proved of the routes, and chooses whom to ask
+// next. One that lags behind the others for long is passed over.
+func (l *links) answered(now time.Time, self string, reading edition.Reading, within time.Duration) string {
+	next := l.ask(now, self)
+	if next != l.asked || reading.Confirmed && reading.Age < within {
+		l.laggingSince = time.Time{}
+		return next
+	}
+	if l.laggingSince.IsZero() {
+		l.laggingSince = now
+	}
+	if now.Sub(l.laggingSince) < laggardTime {
+		return l.asked
+	}
+	l.laggingSince = time.Time{}
+	l.failed, l.failedAt = l.asked, now
+	return l.another()
+}
+
+// another returns the control instance after the one that was asked last.
+func (l *links) another() string {
+	l.next++
+	return l.controls[l.next%len(l.controls)]
+}
+
 // share returns which of some control instances this entry instance asks, or nothing. Each is
 // asked by about as many.
 func (l *links) share(now time.Time, self string, among []string) string {
--- a/internal/counter/ask_test.go
+++ b/internal/counter/ask_test.go
@@ -62,4 +62,31 @@
 		Expect(counter.AskPause(86, controls, "c1", "c1")).To(Equal(516 * time.Millisecond))
 		Expect(counter.AskPause(86, controls, "c2", "c1")).To(Equal(250 * time.Millisecond))
 	})
+
+	// One control instance has a disk that stalls, and answers on from what it had before:
+	// entry instances that ask it would know no change until the disk is well.
+	Describe("is another one", func() {
+		start := time.Unix(1000, 0)
+		at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+		DescribeTable("once the first has lagged for a second",
+			func(confirmed bool, age time.Duration) {
+				asker := counter.NewAsker("c1", "c2", "c3")
+				Expect(asker.Answered(at(0), confirmed, age)).To(Equal("c1"))
+				Expect(asker.Answered(at(0.9), confirmed, age)).To(Equal("c1"))
+				Expect(asker.Answered(at(1), confirmed, age)).To(Equal("c2"))
+				Expect(asker.Answered(at(1.2), true, 0)).To(Equal("c2"), "the first is left alone for a while")
+				Expect(asker.Answered(at(3.2), true, 0)).To(Equal("c1"))
+			},
+			Entry("and confirms nothing", false, time.Duration(0)),
+			Entry("and confirms what is old", true, 2*time.Second),
+		)
+
+		It("not while each needs a moment to catch up", func() {
+			asker := counter.NewAsker("c1", "c2", "c3")
+			Expect(asker.Answered(at(0), false, 0)).To(Equal("c1"))
+			Expect(asker.Answered(at(0.5), true, 0)).To(Equal("c1"))
+			Expect(asker.Answered(at(1.2), false, 0)).To(Equal("c1"))
+		})
+	})
 })
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -312,3 +312,19 @@
 	}
 	return l.awaitsProof(now, within)
 }
+
+// Asker gives specs whom an entry instance asks, without a network.
+type Asker struct {
+	links links
+}
+
+// NewAsker returns an Asker that asks the first of some control instances, which leads.
+func NewAsker(controls ...string) *Asker {
+	return &Asker{links: links{controls: controls, alive: controls, leader: controls[0], asked: controls[0]}}
+}
+
+// Answered returns whom it asks after an answer.
+func (a *Asker) Answered(now time.Time, confirmed bool, age time.Duration) string {
+	a.links.asked = a.links.answered(now, "entry", edition.Reading{Confirmed: confirmed, Age: age}, time.Second)
+	return a.links.asked
+}
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -42,6 +42,9 @@
 	// unprovenSince is when a control instance first answered that did not prove them well
 	// enough, zero while they are or nobody has answered.
 	unprovenSince time.Time
+	// laggingSince is when the one that is asked first answered without proving them, zero
+	// while it proves them.
+	laggingSince time.Time
 	// entries is how many entry instances there are, and members the revision of who is
 	// alive.
 	entries int
@@ -127,9 +130,7 @@
 	defer c.mu.Unlock()
 	c.links.failed, c.links.failedAt = address, now
 	c.links.missed = true
-	known := c.links.controls
-	c.links.next++
-	c.links.asked = known[c.links.next%len(known)]
+	c.links.asked = c.links.another()
 	c.links.source = roster.Source{}
 	if !c.links.lost {
 		c.links.lost = true
@@ -164,7 +165,7 @@
 	c.coroner.Review(c.fleet.contact)
 	c.hold(now, reply)
 	c.links.leader = reply.Leader
-	if next := c.links.ask(now, c.options.Name); next != c.links.asked {
+	if next := c.links.answered(now, c.options.Name, reply.Reading, c.options.RoutesWithin/2); next != c.links.asked {
 		c.links.asked = next
 		c.links.source = roster.Source{}
 	}
--- a/internal/registry/bench_test.go
+++ b/internal/registry/bench_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/archive"
 	"github.com/lovagelift/lovagelift/internal/docket"
+	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/registry"
 )
@@ -159,3 +160,25 @@
 	}
 	b.ReportMetric(float64(size), "B")
 }
+
+// BenchmarkApplyPut applies a document of 300 routes, as a voter that starts does for each
+// change behind its snapshot.
+func BenchmarkApplyPut(b *testing.B) {
+	r := registry.New()
+	var content []byte
+	for i := range 300 {
+		content = fmt.Appendf(content, `{"Name":"r-%08x","Host":"h%04x.example","PathPrefix":"/p%06x/","TimeoutMs":15000,"TargetLatencyMs":800,"Service":"s1"},`,
+			i*2654435761, i%7, i*40503)
+	}
+	index := jury.Index(0)
+	b.SetBytes(int64(len(content)))
+	for b.Loop() {
+		b.StopTimer()
+		index++
+		command := encoded(b, edition.Put{Version: uint64(index), Content: content})
+		b.StartTimer()
+		if _, err := r.Apply(index, command); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
