--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -133,16 +133,23 @@
 
 // Join has a request for a model wait since began, and returns what it waits for.
 func (l Line) Join(began time.Time, model string, objective time.Duration) *waiter {
-	w := &waiter{
+	return l.enqueue(began, l.waiter(began, model, objective))
+}
+
+func (l Line) waiter(began time.Time, model string, objective time.Duration) *waiter {
+	return &waiter{
 		need: need{
 			demandKey: demandKey{service: "pool", model: model}, began: began, deadline: began.Add(10 * time.Second),
 			objective: objective, pace: paceOf(l.fleet.gap, speed.New(3)), reading: reading(1000),
 		},
 		asker: ownRequest{granted: make(chan place, 1)}, sharers: l.counter.links.entries,
 	}
+}
+
+func (l Line) enqueue(now time.Time, w *waiter) *waiter {
 	l.counter.mu.Lock()
 	defer l.counter.mu.Unlock()
-	l.counter.enqueue(began, w)
+	l.counter.enqueue(now, w)
 	return w
 }
 
@@ -328,3 +335,10 @@
 	a.links.asked = a.links.answered(now, "entry", edition.Reading{Confirmed: confirmed, Age: age}, time.Second)
 	return a.links.asked
 }
+
+// JoinAs is Join for an adapter, with the priority of a route.
+func (l Line) JoinAs(began time.Time, model, adapter string, priority uint8, objective time.Duration) *waiter {
+	w := l.waiter(began, model, objective)
+	w.need.adapter, w.need.priority = adapter, priority
+	return l.enqueue(began, w)
+}
