--- /dev/null
+++ b/internal/aging/aging_test.go
@@ -0,0 +1,59 @@
+package aging_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/aging"
+)
+
+func TestAging(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "aging")
+}
+
+var _ = Describe("Ages", func() {
+	start := time.Unix(1000, 0)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	var ages *aging.Ages[string]
+	starved := func(seconds int, key string) bool {
+		_, starves := ages.Starved(at(seconds), key)
+		return starves
+	}
+
+	BeforeEach(func() {
+		ages = aging.New[string](aging.Options{After: 3 * time.Second, Forget: 10 * time.Second, Keys: 2})
+	})
+
+	It("counts from the first time that a key was asked for since it was served", func() {
+		ages.Asked(at(0), "a")
+		ages.Asked(at(2), "a")
+		Expect(starved(2, "a")).To(BeFalse())
+		Expect(starved(3, "a")).To(BeTrue())
+		ages.Served("a")
+		Expect(starved(3, "a")).To(BeFalse())
+		ages.Asked(at(9), "a")
+		Expect(starved(9, "a")).To(BeFalse(), "it was served whenever it was asked for")
+	})
+
+	It("forgets a key that nobody asks for any more", func() {
+		ages.Asked(at(0), "a")
+		Expect(starved(11, "a")).To(BeFalse())
+		ages.Asked(at(11), "a")
+		Expect(starved(13, "a")).To(BeFalse())
+	})
+
+	// Callers may name any model: memory must not grow with it.
+	It("keeps a bounded number of keys, those that were asked for first", func() {
+		ages.Asked(at(0), "a")
+		ages.Asked(at(0), "b")
+		ages.Asked(at(0), "c")
+		Expect(starved(5, "b")).To(BeTrue())
+		Expect(starved(5, "c")).To(BeFalse())
+		ages.Asked(at(11), "c")
+		Expect(starved(14, "c")).To(BeTrue(), "the others were not asked for any more")
+	})
+})
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -119,7 +119,7 @@
 		syncNow:      make(chan struct{}, 1),
 		stop:         cancel,
 	}
-	c.queue.granted = map[modelKey]*window{}
+	c.queue = newQueue()
 	c.links = links{
 		calls:    courier.NewPool(options.Dial, syncTimeout),
 		wants:    courier.NewPool(options.Dial, syncTimeout),
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -125,7 +125,7 @@
 		fleet: fleet.fleet, exchange: &exchange{}, demand: newDemand(), wants: map[courier.WantArgs]bool{}, wantPace: newWantPace(),
 		metrics: newMetrics(nil), options: Options{Now: func() time.Time { return time.Time{} }},
 	}
-	c.queue.granted = map[modelKey]*window{}
+	c.queue = newQueue()
 	c.queue.armed = true
 	c.links.entries = instances
 	return Line{counter: c, fleet: fleet}
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -62,7 +62,7 @@
 // returns nil if it may wait. c.mu is held.
 func (c *Counter) reject(now time.Time, w *waiter) *rejection {
 	n := &w.need
-	if forecast := c.forecast(now, w); forecast > n.bearable(now) {
+	if forecast := c.forecast(now, w); forecast > n.bearable(now) && !c.queue.isFirstStarved(now, w) {
 		// It could not be served in time: the caller learns that now, and when it may.
 		return &rejection{reason: permit.Crowded, comeBack: n.comeBackAfter(now, forecast), forecast: forecast}
 	}
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -1,11 +1,13 @@
 package counter
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/aging"
 	"github.com/lovagelift/lovagelift/internal/permit"
 )
 
@@ -19,6 +21,8 @@
 	missing lack
 	// counted says that it is told as waiting.
 	counted bool
+	// favoured says that it goes before all others.
+	favoured bool
 }
 
 // asker is who is told of the upstream: ownRequest or otherInstance.
@@ -58,6 +62,17 @@
 	armed bool
 	// granted is how many requests of each model got an upstream of late.
 	granted map[modelKey]*window
+	// ages says which models and adapters starve, and unfavoured how many requests of each
+	// model got an upstream since one that was favoured.
+	ages       *aging.Ages[demandKey]
+	unfavoured map[modelKey]int
+	favouredAt time.Time
+}
+
+func newQueue() queue {
+	return queue{
+		granted: map[modelKey]*window{}, ages: aging.New[demandKey](agingOptions), unfavoured: map[modelKey]int{},
+	}
 }
 
 // modelKey names a model of a service.
@@ -72,6 +87,9 @@
 // enqueue adds a request, and looks at once. c.mu is held.
 func (c *Counter) enqueue(now time.Time, w *waiter) {
 	c.queue.waiters = append(c.queue.waiters, w)
+	if w.need.model != "" {
+		c.queue.ages.Asked(now, w.need.demandKey)
+	}
 	c.countWaiting(w, true)
 	c.dispatch(now)
 }
@@ -110,7 +128,7 @@
 
 // dispatch grants upstreams to those that wait, in their order. c.mu is held.
 //
-// First come those whose answer can still be on time, the more urgent before the
+// Before all others comes a request now and then of what starves. Then come those whose answer can still be on time, the more urgent before the
 // others. One that can't be on time any more is served with what they leave: it
 // is still worth something to its caller, but must not make the next one late.
 //
@@ -119,7 +137,10 @@
 func (c *Counter) dispatch(now time.Time) {
 	waiters := c.queue.waiters
 	if len(waiters) > 1 {
-		slices.SortStableFunc(waiters, func(a, b *waiter) int { return a.need.compare(now, &b.need) })
+		c.queue.favour(now)
+		slices.SortStableFunc(waiters, func(a, b *waiter) int {
+			return cmp.Or(boolCompare(!a.favoured, !b.favoured), a.need.compare(now, &b.need))
+		})
 	}
 	found := map[lookKey]lack{}
 	kept := waiters[:0]
@@ -151,6 +172,7 @@
 	u.sent(now, w.need.reading, w.need.pace)
 	c.tellUse(now, u, &w.need)
 	c.queue.grant(now, &w.need)
+	c.queue.countFavour(w)
 	c.countWaiting(w, false)
 	switch to := w.asker.(type) {
 	case ownRequest:
