--- a/internal/counter/aging.go
+++ b/internal/counter/aging.go
@@ -16,12 +16,16 @@
 	// favourAfter is how many requests of a model get an upstream in their order between
 	// two that are favoured, so that the urgent ones keep three of four.
 	favourAfter = 3
+	// favourQueue is the part of an engine's slots by which it may be overfilled with
+	// requests that are favoured: engines queue a few.
+	favourQueue = 8
 )
 
 // favour marks, of the requests for each model, the one whose model or adapter has starved
 // for longest, if it is the model's turn to serve one. It goes before all others: in an
 // overload that lasts, requests that are less urgent, or that seldom come, would lose every
-// time.
+// time. It goes also to an engine without room, which others would fill again and again:
+// whoever places the requests that end there hears of it first.
 func (q *queue) favour(now time.Time) {
 	if now.Sub(q.favouredAt) < favourEvery {
 		return
--- a/internal/counter/aging_test.go
+++ b/internal/counter/aging_test.go
@@ -107,4 +107,33 @@
 		Entry("as urgent as the rest", uint8(0)),
 		Entry("less urgent than the rest", uint8(1)),
 	)
+
+	// The instance that places the requests of another model hears at once when one of them
+	// ends, and sends the next: to all others the engine looks full at every moment.
+	It("is served within 5 s at an engine that the requests of another model keep full", func() {
+		served := time.Duration(0)
+		for millis := 0; millis < 8000 && served == 0; millis += 100 {
+			now := start.Add(time.Duration(millis) * time.Millisecond)
+			fleet.HeardOpen(now, "e", 64, 1)
+			w := line.JoinAs(now, "m", "a1", 0, 800*time.Millisecond)
+			line.Look(now)
+			if counter.Granted(w) {
+				served = now.Sub(start)
+			} else {
+				line.Leave(w)
+			}
+		}
+		Expect(served).To(BeNumerically("~", 4*time.Second, time.Second))
+	})
+
+	It("is not sent to an engine that has more than it can run by far", func() {
+		for millis := 0; millis < 8000; millis += 100 {
+			now := start.Add(time.Duration(millis) * time.Millisecond)
+			fleet.HeardOpen(now, "e", 80, 1)
+			w := line.JoinAs(now, "m", "a1", 0, 800*time.Millisecond)
+			line.Look(now)
+			Expect(counter.Granted(w)).To(BeFalse())
+			line.Leave(w)
+		}
+	})
 })
--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -17,6 +17,8 @@
 	// tried are the names of upstreams that have failed this request. They are tried
 	// again only after the rest, and after a pause.
 	tried []string
+	// favoured says that an engine may get it that has no room for others.
+	favoured bool
 }
 
 // lack says why there is no upstream for a wish.
@@ -99,6 +101,9 @@
 // hasRoom reports whether an engine may get a request now. drawn in [0, 1) is how
 // long this instance lets others go first.
 func (u *upstream) hasRoom(now time.Time, w wish, drawn float64) bool {
+	if w.favoured {
+		return u.load(now) < float64(u.slots+max(u.slots/favourQueue, 1))
+	}
 	return !u.full(now) && u.turn.open(now, u.unread.low(w.pace), drawn, u.rivals.count(now))
 }
 
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -136,8 +136,8 @@
 // same: a model that rises has hundreds waiting, and engines are looked at once for all.
 func (c *Counter) dispatch(now time.Time) {
 	waiters := c.queue.waiters
+	c.queue.favour(now)
 	if len(waiters) > 1 {
-		c.queue.favour(now)
 		slices.SortStableFunc(waiters, func(a, b *waiter) int {
 			return cmp.Or(boolCompare(!a.favoured, !b.favoured), a.need.compare(now, &b.need))
 		})
@@ -148,12 +148,15 @@
 		key := lookKey{w.need.demandKey, w.need.pace}
 		missing, looked := found[key]
 		var u *upstream
-		if !looked || len(w.need.tried) > 0 {
-			u, missing = c.fleet.choose(now, w.need.wish(), rand.Float64())
+		wish := w.need.wish()
+		wish.favoured = w.favoured
+		shared := len(w.need.tried) == 0 && !w.favoured
+		if !looked || !shared {
+			u, missing = c.fleet.choose(now, wish, rand.Float64())
 		}
 		w.missing = missing
 		if u == nil {
-			if len(w.need.tried) == 0 {
+			if shared {
 				found[key] = missing
 			}
 			kept = append(kept, w)
