--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -22,6 +22,8 @@
 	report   Report
 	known    bool
 	reported time.Time
+	// asked is when a report was last asked for, zero if one is due at once.
+	asked time.Time
 	// asking is true while a report is under way, and ordering while an order is.
 	asking   bool
 	ordering bool
@@ -85,7 +87,7 @@
 // take takes in a report. One from before an accepted order says nothing new of
 // what the engine holds.
 func (e *engine) take(now time.Time, report Report) {
-	e.reported = now
+	e.reported, e.asked = now, now
 	e.late.expire(now)
 	if report.Incarnation != 0 && e.incarnation != 0 && report.Incarnation != e.incarnation {
 		e.foreign(report)
@@ -107,6 +109,13 @@
 	e.report, e.known, e.stale = report, true, false
 }
 
+// doubt notes that what the engine holds is not known until its next report, which is due
+// at once.
+func (e *engine) doubt() {
+	e.stale = true
+	e.asked = time.Time{}
+}
+
 // foreign takes in a report of another process under the engine's name. An earlier one
 // says nothing of the engine. A later one says that the engine is gone, with all that it
 // held: nobody must send or order anything until the later one has announced itself.
--- a/internal/backoffice/engine_test.go
+++ b/internal/backoffice/engine_test.go
@@ -49,6 +49,17 @@
 		Expect(e.Told()).To(ConsistOf("b"))
 	})
 
+	// An order got no answer, so that a report is due at once. Told as one that never came,
+	// the report before made the load of the engine no number at entry instances.
+	It("is as old as its last report when the next one is due at once", func() {
+		now := time.Now()
+		e := backoffice.NewEngine()
+		e.Take(now, report(1, false, "a"))
+		e.Doubt()
+		Expect(e.ReportDue(now, 12, 1)).To(BeTrue())
+		Expect(e.ReportedAt()).To(Equal(now))
+	})
+
 	// Demand has moved on. The model that rises waits for the engine to unload the one
 	// that fell silent, and callers wait for the load: each end that is seen half a
 	// second late is half a second of refusals.
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -88,7 +88,7 @@
 
 // ReportDue reports whether the engine is asked again at now, one of so many.
 func (e Engine) ReportDue(now time.Time, engines, changing int) bool {
-	return now.Sub(e.engine.reported) >= e.engine.reportEvery(engines, changing)
+	return now.Sub(e.engine.asked) >= e.engine.reportEvery(engines, changing)
 }
 
 // Waiting gives specs what is known of requests that wait for a model.
@@ -148,3 +148,13 @@
 func Merged(older, newer []courier.Demand) []courier.Demand {
 	return merged(older, newer)
 }
+
+// Doubt notes that an order was not answered.
+func (e Engine) Doubt() {
+	e.engine.doubt()
+}
+
+// ReportedAt returns when the newest report came.
+func (e Engine) ReportedAt() time.Time {
+	return e.engine.reported
+}
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -233,7 +233,7 @@
 			o.touch()
 			continue
 		}
-		if !e.asking && now.Sub(e.reported) >= e.reportEvery(len(o.engines), changing) {
+		if !e.asking && now.Sub(e.asked) >= e.reportEvery(len(o.engines), changing) {
 			e.asking = true
 			due = append(due, e)
 		}
@@ -280,7 +280,7 @@
 	if err != nil {
 		// The next try waits like any other: an engine that is gone would else be
 		// asked without end.
-		e.reported = now
+		e.asked = now
 		o.office.options.Log.Debug().Err(err).Str("engine", e.Name).Msg("no report")
 		return
 	}
@@ -348,12 +348,10 @@
 		// It may be carried out later. The number of orders that the engine has
 		// accepted, which each order carries, keeps it and a later order from both
 		// taking the same memory.
-		e.stale = true
-		e.reported = time.Time{}
+		e.doubt()
 	case !ok || answer == Refused || answer == Gone:
 		e.answered()
-		e.stale = true
-		e.reported = time.Time{}
+		e.doubt()
 	default:
 		e.answered()
 		e.apply(o.office.options.Now(), order)
--- a/internal/counter/fleet.go
+++ b/internal/counter/fleet.go
@@ -215,7 +215,9 @@
 		}
 		f.changed = true
 		u.coming, u.comingAt = held.Coming, now.Add(held.ComingIn)
-		u.report(now, now.Add(-held.Age-reportLag), held.Running+held.Queued)
+		if age := held.Age + reportLag; age >= 0 {
+			u.report(now, now.Add(-age), held.Running+held.Queued)
+		}
 	}
 }
 
--- a/internal/counter/others.go
+++ b/internal/counter/others.go
@@ -46,7 +46,10 @@
 	return o.sum * fade(now.Sub(o.at), run)
 }
 
-// fade returns the part of requests that is left after some time.
+// fade returns the part of requests that is left after some time, between 0 and 1.
 func fade(age, run time.Duration) float64 {
+	if age <= 0 || run <= 0 {
+		return 1
+	}
 	return math.Exp(-age.Seconds() / run.Seconds())
 }
--- a/internal/counter/others_test.go
+++ b/internal/counter/others_test.go
@@ -60,6 +60,24 @@
 		Expect(off/float64(looks)).To(BeNumerically("<", 2.5), "requests, of about 16")
 	})
 
+	// An order to an engine got no answer, and what was told of the engine was as old as can
+	// be told. Its load was no number from then on: nothing found it full, and nothing that
+	// starved was sent there.
+	It("stays a number whatever age a report is told to have", func() {
+		fleet := counter.NewFleet("here", lease)
+		fleet.Update(start, engineOf("e", "here", start, "m"))
+		fleet.HeardOpen(start, "e", 4, 1)
+		for _, age := range []time.Duration{math.MaxInt64, math.MinInt64, 0} {
+			fleet.Hold(start, courier.Holdings{Engines: []courier.Holding{{
+				Name: "e", Age: age, Running: 20, Models: []courier.HeldModel{{Name: "m"}},
+			}}})
+			Expect(fleet.Load(start, "e")).To(And(BeNumerically(">=", 4), BeNumerically("<=", 4+20)), age.String())
+		}
+		fleet.HeardOpen(start.Add(time.Second), "e", 64, 1)
+		_, missing := fleet.Send(start.Add(time.Second), "pool", "m", "", 10)
+		Expect(missing).To(Equal("room"))
+	})
+
 	It("is that of the newest report for an instance that has heard nothing yet", func() {
 		fleet := counter.NewFleet("here", lease)
 		fleet.Update(start, engineOf("e", "here", start, "m"))
