--- a/internal/registry/bench_test.go
+++ b/internal/registry/bench_test.go
@@ -167,7 +167,7 @@
 	r := registry.New()
 	var content []byte
 	for i := range 300 {
-		content = fmt.Appendf(content, `{"Name":"r-%08x","Host":"h%04x.example","PathPrefix":"/p%06x/","TimeoutMs":15000,"TargetLatencyMs":800,"Service":"s1"},`,
+		content = fmt.Appendf(content, `{"name":"r-%08x","host":"h%04x.example","prefix":"/p%06x/","timeout":15000,"objective":800,"service":"s1"},`,
 			i*2654435761, i%7, i*40503)
 	}
 	index := jury.Index(0)
