--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -29,7 +29,11 @@
 		return t.failed(ctx, w, a, err)
 	}
 	defer response.Body.Close()
-	switch judged := c.options.Dialect.Judge(response, t.call.ID); judged {
+	judged := c.options.Dialect.Judge(response, t.call.ID)
+	if judged == Answered || judged == NotRun {
+		c.noteLimit(t, a, response.Header)
+	}
+	switch judged {
 	case NotRun, Misdirected:
 		return t.refused(w, a, response, judged)
 	case Mismatched:
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
+	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
@@ -34,6 +36,7 @@
 const (
 	idHeader     = "Spec-Request"
 	notRunHeader = "Spec-Not-Run"
+	limitHeader  = "Spec-Limit"
 )
 
 // dialect is that protocol.
@@ -55,6 +58,18 @@
 	}
 }
 
+func (dialect) Limit(header http.Header) ratelimit.Said {
+	text := header.Get(limitHeader)
+	if text == "" {
+		return ratelimit.Unnamed{}
+	}
+	limit, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return ratelimit.Unclear{Text: text}
+	}
+	return ratelimit.Named{Limit: ratelimit.Limit(limit)}
+}
+
 // withoutLook is the content of the second version of the routes, of which one is dropped.
 const withoutLook = "without-look"
 
--- a/internal/counter/fleet.go
+++ b/internal/counter/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/speed"
@@ -72,6 +73,8 @@
 	// failures in a row.
 	avoidUntil time.Time
 	failures   int
+	// limit is what it names in its answers.
+	limit ratelimit.Known
 }
 
 func newFleet(domain string, lease time.Duration) *fleet {
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -132,6 +132,7 @@
 	scope.Gauge("quarantined").Update(float64(quarantined))
 	scope.Gauge("suspected").Update(float64(suspected))
 	scope.Gauge("upstreams").Update(float64(len(c.fleet.upstreams)))
+	c.reportLimits()
 	scope.Gauge("news_age_seconds").Update(now.Sub(c.links.heardAt).Seconds())
 	if table := c.table.Load(); table != nil {
 		scope.Gauge("routes_version").Update(float64(table.Version))
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/routes"
 )
 
@@ -65,6 +66,9 @@
 	Prepare(header http.Header, attempt Attempt)
 	// Judge tells what an answer's head says of the request.
 	Judge(response *http.Response, requestID string) Judgement
+	// Limit tells what an answer's head says of the requests a second that its upstream takes
+	// from all senders together.
+	Limit(header http.Header) ratelimit.Said
 }
 
 // Attempt is one sending of a request to an upstream.
