--- /dev/null
+++ b/internal/counter/limits_test.go
@@ -0,0 +1,149 @@
+package counter_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/counter"
+	"github.com/lovagelift/lovagelift/internal/ratelimit"
+)
+
+// clock is a clock that specs move.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) move(by time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(by)
+}
+
+// limitedUpstream names a limit in its answers while it has one.
+type limitedUpstream struct {
+	*upstream
+	clock *clock
+
+	mu       sync.Mutex
+	limit    string
+	arrivals []time.Time
+}
+
+func newLimitedUpstream(c *clock) *limitedUpstream {
+	u := &limitedUpstream{clock: c}
+	u.upstream = newUpstream(func(w http.ResponseWriter, r *http.Request) {
+		u.mu.Lock()
+		u.arrivals = append(u.arrivals, u.clock.Now())
+		if u.limit != "" {
+			w.Header().Set(limitHeader, u.limit)
+		}
+		u.mu.Unlock()
+		good(w, r)
+	})
+	return u
+}
+
+func (u *limitedUpstream) names(limit string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = limit
+}
+
+// since returns when requests have come since a time.
+func (u *limitedUpstream) since(at time.Time) []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(u.arrivals), func(came time.Time) bool { return came.Before(at) })
+}
+
+// mostInWindow returns the most of some times, in order, within one window of the limit.
+func mostInWindow(times []time.Time) int {
+	most := 0
+	for i, first := range times {
+		end := i
+		for end < len(times) && times[end].Sub(first) < ratelimit.Window {
+			end++
+		}
+		most = max(most, end-i)
+	}
+	return most
+}
+
+var _ = Describe("An upstream that names a limit", func() {
+	var (
+		now   *clock
+		peers []peer
+		c     *control
+	)
+
+	startPeers := func(count int) {
+		now, c, peers = &clock{now: time.Now()}, newControl(), nil
+		var addresses []netip.AddrPort
+		for range count {
+			p := startPeerAt(c, now.Now)
+			peers = append(peers, p)
+			addresses = append(addresses, p.address)
+		}
+		c.instances(addresses...)
+	}
+	known := func(upstreams int) {
+		for _, p := range peers {
+			Eventually(p.counter.Instances, specTimeout).Should(Equal(len(peers)))
+			Eventually(p.counter.Upstreams, specTimeout).Should(Equal(upstreams))
+		}
+	}
+	// send has the instances serve a request each 50 ms in turn, and returns the statuses.
+	send := func(count int, path, model string) map[int]int {
+		statuses := map[int]int{}
+		for i := range count {
+			now.move(50 * time.Millisecond)
+			request := httptest.NewRequest(http.MethodPost, "http://spec.test"+path, nil)
+			request.Header.Set(idHeader, "r1")
+			recorder := httptest.NewRecorder()
+			call := counter.Call{ID: "r1", Patience: 400 * time.Millisecond, Model: model}
+			peers[i%len(peers)].counter.Serve(recorder, request, call)
+			statuses[recorder.Code]++
+			if recorder.Code == http.StatusServiceUnavailable {
+				Expect(recorder.Header().Get("Retry-After")).NotTo(BeEmpty())
+			}
+		}
+		return statuses
+	}
+
+	// An engine in need got three times what it takes, as each instance sent on as before.
+	DescribeTable("gets no more than it takes from all instances together",
+		func(instances int, limit ratelimit.Limit, path, model string) {
+			startPeers(instances)
+			u := newLimitedUpstream(now)
+			c.announce("u", u.address(), "m")
+			known(1)
+			u.names(fmt.Sprint(float64(limit)))
+			send(20, path, model)
+			from := now.Now()
+			statuses := send(200, path, model)
+			came := u.since(from)
+			Expect(mostInWindow(came)).To(BeNumerically("<=", ratelimit.Allowed(limit)))
+			Expect(len(came)).To(BeNumerically(">=", 4), "it is asked on")
+			Expect(statuses[http.StatusServiceUnavailable]).To(BeNumerically(">=", 100), "the rest is told when to come back")
+		},
+		Entry("a plain service", 3, ratelimit.Limit(1.1), "/short/", ""),
+		Entry("an engine", 3, ratelimit.Limit(1.1), "/short/", "m"),
+		Entry("seven instances", 7, ratelimit.Limit(1.1), "/short/", ""),
+		Entry("a limit of 0", 3, ratelimit.Limit(0), "/short/", ""),
+	)
+})
--- a/internal/counter/permits_test.go
+++ b/internal/counter/permits_test.go
@@ -199,6 +199,12 @@
 
 // startPeer starts one that learns from c.
 func startPeer(c *control) peer {
+	GinkgoHelper()
+	return startPeerAt(c, time.Now)
+}
+
+// startPeerAt is startPeer with a clock.
+func startPeerAt(c *control, now func() time.Time) peer {
 	GinkgoHelper()
 	conn := listenPeer()
 	p := peer{address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
@@ -206,7 +212,7 @@
 		Name: p.address.String(), CallerAddress: "127.0.0.1:2", FailureDomain: "here", Seeds: []string{c.address},
 		Dial: courier.DialTCP, UpstreamLease: time.Minute, Peers: conn,
 		Retries: counter.RetryLimits{Share: 0.1, Slack: 20, Window: 10 * time.Second},
-		Table:   table, Dialect: dialect{}, Now: time.Now, Log: zerolog.Nop(),
+		Table:   table, Dialect: dialect{}, Now: now, Log: zerolog.Nop(),
 	})
 	DeferCleanup(p.counter.Close)
 	return p
