--- a/internal/counter/asking.go
+++ b/internal/counter/asking.go
@@ -148,13 +148,24 @@
 func (c *Counter) question(t *trip, owner netip.AddrPort) (permit.ID, *question) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.countNeed(&t.need, 1)
+	return c.openQuestion(owner)
+}
+
+// openQuestion begins a question to another instance. c.mu is held.
+func (c *Counter) openQuestion(owner netip.AddrPort) (permit.ID, *question) {
 	c.lastQuestion++
 	q := &question{owner: owner, answers: make(chan permit.Message, askTimes+1)}
 	c.questions[c.lastQuestion] = q
-	c.countNeed(&t.need, 1)
 	return c.lastQuestion, q
 }
 
+func (c *Counter) closeQuestion(id permit.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.questions, id)
+}
+
 func (c *Counter) endQuestion(t *trip, id permit.ID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -22,6 +22,9 @@
 		t.refuseQuarantined(w)
 		return true
 	}
+	if wait, ok := c.allow(ctx, a.upstream); !ok {
+		return t.held(w, a, wait)
+	}
 	t.sends++
 	t.timing.sent = c.options.Now()
 	response, err := t.send(ctx, a)
--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -89,7 +89,7 @@
 		return lackModel
 	case !u.holds(w.model, w.adapter):
 		return lackAdapter
-	case slices.Contains(w.tried, u.name) && now.Before(u.avoidUntil):
+	case slices.Contains(w.tried, u.name) && now.Before(u.avoidUntil), now.Before(u.limit.heldUntil):
 		return lackRoom
 	case w.model != "" && !u.hasRoom(now, w, drawn):
 		return lackRoom
@@ -213,6 +213,10 @@
 		u.drop(key.model, key.adapter)
 	case permit.Failed:
 		u.failed(now)
+	case permit.Over:
+		if limit, limits := u.limit.Limit(); limits && !now.Before(u.limit.heldUntil) {
+			u.limit.hold(now, limit.Period())
+		}
 	case permit.Unused:
 	}
 }
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -56,6 +56,9 @@
 	questions    map[permit.ID]*question
 	lastQuestion permit.ID
 	permits      map[otherInstance]*issued
+	// claims are the answers of late to instances that asked to send to upstreams with a
+	// limit.
+	claims map[otherInstance]claimed
 	// coroner looks for upstreams that end under requests. Its lock may be taken while mu
 	// is held.
 	coroner *coroner.Coroner
@@ -116,6 +119,7 @@
 		// The questions of the process that had this address before have lower numbers.
 		lastQuestion: permit.ID(options.Now().UnixNano()),
 		permits:      map[otherInstance]*issued{},
+		claims:       map[otherInstance]claimed{},
 		syncNow:      make(chan struct{}, 1),
 		stop:         cancel,
 	}
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -253,6 +253,16 @@
 	})).To(Succeed())
 }
 
+// reborn has control tell that a process has started again under the name of an upstream.
+func (c *control) reborn(name, address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	Expect(c.roster.Announce(time.Now(), upstreamapi.Announcement{
+		Name: name, Incarnation: 2, Sequence: 1, Address: address, Services: []string{"desk"},
+		Load: upstreamapi.Load{MaxRunning: 8},
+	})).To(Succeed())
+}
+
 // upstream answers with a script and counts what reached it.
 type upstream struct {
 	mu       sync.Mutex
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -342,3 +343,27 @@
 	w.need.adapter, w.need.priority = adapter, priority
 	return l.enqueue(began, w)
 }
+
+// LimitOf returns a function that returns the limit that an upstream names, as far as the
+// instance knows.
+func (c *Counter) LimitOf(name string) func() string {
+	return func() string {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		u := c.fleet.upstreams[name]
+		if u == nil {
+			return "unknown"
+		}
+		limit, limits := u.limit.Limit()
+		if !limits {
+			return "none"
+		}
+		return fmt.Sprint(float64(limit))
+	}
+}
+
+// LimitOwner returns which of some instances owns the limit of an upstream.
+func LimitOwner(among []netip.AddrPort, name string) netip.AddrPort {
+	owner, _ := permit.NewOwners(among).Of(limitService, name, func(netip.AddrPort) bool { return true })
+	return owner
+}
--- a/internal/counter/fleet.go
+++ b/internal/counter/fleet.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
-	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/speed"
@@ -74,7 +73,7 @@
 	avoidUntil time.Time
 	failures   int
 	// limit is what it names in its answers.
-	limit ratelimit.Known
+	limit limited
 }
 
 func newFleet(domain string, lease time.Duration) *fleet {
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -52,16 +52,23 @@
 
 // Error returns the reason. Refusals are counted by it.
 func (r *rejection) Error() string {
-	if r.reason == permit.Missing {
+	switch r.reason {
+	case permit.Missing:
 		return "no upstream: " + lackModel.String()
+	case permit.Limits:
+		return limitsReached
+	default:
+		return "too many requests wait"
 	}
-	return "too many requests wait"
 }
 
 // reject decides whether a request that has just joined the queue is refused at once. It
 // returns nil if it may wait. c.mu is held.
 func (c *Counter) reject(now time.Time, w *waiter) *rejection {
 	n := &w.need
+	if rejected := c.rejectHeld(now, w); rejected != nil {
+		return rejected
+	}
 	if forecast := c.forecast(now, w); forecast > n.bearable(now) && !c.queue.isFirstStarved(now, w) {
 		// It could not be served in time: the caller learns that now, and when it may.
 		return &rejection{reason: permit.Crowded, comeBack: n.comeBackAfter(now, forecast), forecast: forecast}
--- a/internal/counter/issuing.go
+++ b/internal/counter/issuing.go
@@ -40,6 +40,14 @@
 		if u := c.fleet.upstreams[m.Upstream]; u != nil {
 			u.heard(now, use{reading: m.Reading, open: m.Open, sender: hashOf(from)})
 		}
+	case permit.Limited:
+		c.hearLimited(now, m)
+	case permit.Claim:
+		c.answerClaim(now, from, m)
+	case permit.Allowed:
+		c.deliver(from, m.ID, m)
+	case permit.Held:
+		c.deliver(from, m.ID, m)
 	case permit.Granted:
 		c.deliver(from, m.ID, m)
 	case permit.Queued:
@@ -142,6 +150,7 @@
 func (c *Counter) sweepPermits(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sweepClaims(now)
 	for asker, known := range c.permits {
 		if now.After(known.until) {
 			c.dropPermit(asker, known)
--- a/internal/counter/limits.go
+++ b/internal/counter/limits.go
@@ -1,13 +1,52 @@
 package counter
 
 import (
+	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 )
 
-// noteLimit takes in what an answer of an upstream says of the requests that it takes.
+// limited is the requests that an upstream takes, as far as an instance knows.
+type limited struct {
+	ratelimit.Known
+	// pace is that of all instances, used while this one owns the limit, and share that of
+	// this one without an owner. They are nil before the first request.
+	pace  *ratelimit.Pace
+	share *ratelimit.Pace
+	// heldUntil is until when nothing is sent there.
+	heldUntil time.Time
+}
+
+// paceOfAll returns the pace of all instances.
+func (l *limited) paceOfAll(now time.Time) *ratelimit.Pace {
+	if l.pace == nil {
+		l.pace = ratelimit.NewPace(now)
+	}
+	return l.pace
+}
+
+// takeShare takes a request of this instance, one of so many that have no owner.
+func (l *limited) takeShare(now time.Time, limit ratelimit.Limit, instances int) (wait time.Duration, ok bool) {
+	if l.share == nil {
+		l.share = ratelimit.NewPace(now)
+	}
+	return l.share.Take(now, ratelimit.Share(limit, instances))
+}
+
+// hold has nothing be sent for a while.
+func (l *limited) hold(now time.Time, wait time.Duration) {
+	l.heldUntil = now.Add(min(wait, longestHold))
+}
+
+// longestHold bounds for how long an upstream is held: its limit may end.
+const longestHold = 2 * time.Second
+
+// noteLimit takes in what an answer of an upstream says of the requests that it takes, and
+// passes on what is new.
 func (c *Counter) noteLimit(t *trip, a *sending, header http.Header) {
 	said := c.options.Dialect.Limit(header)
 	now := c.options.Now()
@@ -18,44 +57,269 @@
 	}
 	c.mu.Lock()
 	u := a.upstream
-	if known := c.fleet.upstreams[u.name]; known != nil && known.incarnation == u.incarnation {
+	if known := c.fleet.upstreams[u.name]; known != nil && known.address == u.address {
 		u = known
 	}
-	before := u.limit
-	u.limit = before.With(now, t.timing.sent, said)
-	after := u.limit
+	changed := u.hearLimit(now, t.timing.sent, said)
+	if changed != "" {
+		c.tellLimit(now, u, t.timing.sent, said)
+	}
 	c.mu.Unlock()
-	c.logLimit(now, u, before, after)
+	c.logLimit(now, u.name, u.service, changed, said)
 }
 
-// logLimit tells of a change of the limit of an upstream.
-func (c *Counter) logLimit(now time.Time, u *upstream, before, after ratelimit.Known) {
-	was, limited := before.Limit()
-	is, limits := after.Limit()
-	what := ""
+// hearLimit takes in what an answer to a request that was sent at a time said of the limit,
+// and returns what has changed, empty if nothing has.
+func (u *upstream) hearLimit(now, sent time.Time, said ratelimit.Said) (changed string) {
+	was, limited := u.limit.Limit()
+	u.limit.Known = u.limit.With(now, sent, said)
+	is, limits := u.limit.Limit()
 	switch {
 	case limits && !limited:
-		what = "an upstream names its limit"
+		return "an upstream names its limit"
 	case limited && !limits:
-		what = "the limit of an upstream ends"
+		u.limit.heldUntil = time.Time{}
+		return "the limit of an upstream ends"
 	case was != is:
-		what = "the limit of an upstream changes"
+		return "the limit of an upstream changes"
 	default:
+		return ""
+	}
+}
+
+// tellLimit tells the other instances at once what an answer said. c.mu is held.
+func (c *Counter) tellLimit(now time.Time, u *upstream, sent time.Time, said ratelimit.Said) {
+	told := permit.Limited{Upstream: u.name, Incarnation: u.incarnation, Age: now.Sub(sent)}
+	if named, ok := said.(ratelimit.Named); ok {
+		told.Named, told.Limit = true, named.Limit
+	}
+	for _, instance := range c.owners.known.All() {
+		if instance != c.owners.self {
+			c.exchange.tell(instance, told)
+		}
+	}
+}
+
+// hearLimited takes in what an answer said to another instance. c.mu is held.
+func (c *Counter) hearLimited(now time.Time, m permit.Limited) {
+	u := c.fleet.upstreams[m.Upstream]
+	if u == nil || u.incarnation != m.Incarnation {
 		return
 	}
-	c.logLine(now, what).Str("upstream", u.name).Str("service", u.service).Float64("limit", float64(is)).
-		Float64("before", float64(was)).Msg(what)
+	var said ratelimit.Said = ratelimit.Unnamed{}
+	if m.Named {
+		said = ratelimit.Named{Limit: m.Limit}
+	}
+	u.hearLimit(now, now.Add(-m.Age), said)
+}
+
+// logLimit tells of a change of the limit of an upstream, if there is one.
+func (c *Counter) logLimit(now time.Time, upstream, service, changed string, said ratelimit.Said) {
+	if changed == "" {
+		return
+	}
+	named, _ := said.(ratelimit.Named)
+	c.logLine(now, changed).Str("upstream", upstream).Str("service", service).Float64("limit", float64(named.Limit)).Msg(changed)
+}
+
+// limitService stands for the service in the key by which limits have owners.
+const limitService = "\x00limit"
+
+// limitOwner returns the other instance that paces the requests to an upstream. It returns
+// false if this one does. Nobody takes the place of one that does not answer: two paces
+// would be twice the limit. c.mu is held.
+func (c *Counter) limitOwner(u *upstream) (netip.AddrPort, bool) {
+	if c.exchange.conn == nil {
+		return netip.AddrPort{}, false
+	}
+	anyone := func(netip.AddrPort) bool { return true }
+	owner, known := c.owners.known.Of(limitService, u.name, anyone)
+	return owner, known && owner != c.owners.self
+}
+
+// allow reports whether a request may be sent to an upstream now, by the limit that it
+// names. If it may not, allow returns after what time the next may.
+func (c *Counter) allow(ctx context.Context, u *upstream) (wait time.Duration, ok bool) {
+	now := c.options.Now()
+	c.mu.Lock()
+	limit, limits := u.limit.Limit()
+	if !limits {
+		c.mu.Unlock()
+		return 0, true
+	}
+	owner, other := c.limitOwner(u)
+	switch {
+	case !other:
+		wait, ok = u.limit.paceOfAll(now).TakeOwned(now, limit)
+		c.mu.Unlock()
+		return wait, ok
+	case now.Before(c.owners.avoided[owner]):
+		wait, ok = u.limit.takeShare(now, limit, c.links.entries)
+		c.mu.Unlock()
+		return wait, ok
+	}
+	id, q := c.openQuestion(owner)
+	c.mu.Unlock()
+	defer c.closeQuestion(id)
+	answer := c.claim(ctx, owner, permit.Claim{ID: id, Upstream: u.name, Limit: limit}, q)
+	switch m := answer.(type) {
+	case permit.Allowed:
+		return 0, true
+	case permit.Held:
+		return m.Wait, false
+	}
+	c.avoid(owner, avoidSilent)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return u.limit.takeShare(now, limit, c.links.entries)
+}
+
+// claim asks the owner of a limit. The answer is nil if none comes in time.
+func (c *Counter) claim(ctx context.Context, owner netip.AddrPort, ask permit.Claim, q *question) permit.Message {
+	for range askTimes {
+		c.exchange.tell(owner, ask)
+		timer := time.NewTimer(answerTime)
+		select {
+		case answer := <-q.answers:
+			timer.Stop()
+			return answer
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		}
+	}
+	return nil
+}
+
+// claimKept is how long the owner of a limit keeps what it has answered, for claims that come
+// again as the answer was lost.
+const claimKept = time.Second
+
+// claimed is an answer to a claim.
+type claimed struct {
+	answer permit.Message
+	until  time.Time
+}
+
+// answerClaim decides on a claim of another instance, or tells again what was decided. c.mu
+// is held.
+func (c *Counter) answerClaim(now time.Time, from netip.AddrPort, m permit.Claim) {
+	asker := otherInstance{from, m.ID}
+	known, found := c.claims[asker]
+	if !found {
+		known = claimed{answer: c.decideClaim(now, m), until: now.Add(claimKept)}
+		c.claims[asker] = known
+	}
+	c.exchange.tell(from, known.answer)
+}
+
+func (c *Counter) decideClaim(now time.Time, m permit.Claim) permit.Message {
+	u := c.fleet.upstreams[m.Upstream]
+	if u == nil {
+		return permit.Held{ID: m.ID, Wait: m.Limit.Period()}
+	}
+	limit, limits := u.limit.Limit()
+	if !limits {
+		limit = m.Limit
+	}
+	wait, ok := u.limit.paceOfAll(now).TakeOwned(now, limit)
+	if !ok {
+		return permit.Held{ID: m.ID, Wait: wait}
+	}
+	return permit.Allowed{ID: m.ID}
+}
+
+// sweepClaims forgets answers that nobody waits for any more. c.mu is held.
+func (c *Counter) sweepClaims(now time.Time) {
+	for asker, known := range c.claims {
+		if now.After(known.until) {
+			delete(c.claims, asker)
+		}
+	}
+}
+
+// held notes that an upstream takes no request for a while, and reports whether the request
+// was answered for it.
+func (t *trip) held(w http.ResponseWriter, a *sending, wait time.Duration) bool {
+	c := t.counter
+	now := c.options.Now()
+	a.outcome = permit.Over
+	c.mu.Lock()
+	c.metrics.held(t.service)
+	if u := c.fleet.upstreams[a.upstream.name]; u != nil {
+		u.limit.hold(now, wait)
+	}
+	c.mu.Unlock()
+	t.holds++
+	if t.holds < maxHolds {
+		return false
+	}
+	c.logAttempt(t, a, "held back", 0, "limit")
+	if t.runs > 0 {
+		c.refuse(w, t.call, t.route, refusal{status: http.StatusBadGateway, why: "held back after an earlier attempt"})
+		return true
+	}
+	c.refuse(w, t.call, t.route, refusal{
+		status: http.StatusServiceUnavailable, why: limitsReached, comeBack: t.comeBackAfter(now, wait), held: now.Sub(t.began),
+	})
+	return true
+}
+
+const (
+	// maxHolds is how many upstreams may hold a request back until it is rejected.
+	maxHolds = 8
+	// limitsReached is why requests are rejected that no upstream takes.
+	limitsReached = "upstreams take no more by their limits"
+)
+
+// heldFor returns how long no upstream that could run a request takes one by its limit, and
+// how many they take in a second from then on. It returns false if one takes it now.
+func (f *fleet) heldFor(now time.Time, w wish) (wait time.Duration, perSecond float64, held bool) {
+	for _, u := range f.holders(w.service, w.model) {
+		if !f.alive(now, u) || !u.holds(w.model, w.adapter) {
+			continue
+		}
+		limit, limits := u.limit.Limit()
+		if !limits || !now.Before(u.limit.heldUntil) {
+			return 0, 0, false
+		}
+		if in := u.limit.heldUntil.Sub(now); !held || in < wait {
+			wait, held = in, true
+		}
+		perSecond += 1 / limit.Period().Seconds()
+	}
+	return wait, perSecond, held
+}
+
+// rejectHeld rejects a request that no upstream takes in time by its limit. It returns nil if
+// it may wait. c.mu is held.
+func (c *Counter) rejectHeld(now time.Time, w *waiter) *rejection {
+	n := &w.need
+	wait, perSecond, held := c.fleet.heldFor(now, n.wish())
+	if !held {
+		return nil
+	}
+	for _, other := range c.queue.waiters {
+		if other != w && other.need.demandKey == n.demandKey {
+			wait += time.Duration(float64(time.Second) / perSecond)
+		}
+	}
+	if wait <= n.bearable(now) {
+		return nil
+	}
+	return &rejection{reason: permit.Limits, comeBack: n.comeBackAfter(now, wait), forecast: wait}
 }
 
 // reportLimits sets how many upstreams of each service name a limit. c.mu is held.
 func (c *Counter) reportLimits() {
-	limited := map[string]int{}
+	counts := map[string]int{}
 	for _, u := range c.fleet.upstreams {
 		if _, limits := u.limit.Limit(); limits {
-			limited[u.service]++
+			counts[u.service]++
 		}
 	}
 	for service := range c.fleet.services {
-		c.metrics.scope.Tagged(map[string]string{"service": service}).Gauge("limited_upstreams").Update(float64(limited[service]))
+		c.metrics.scope.Tagged(map[string]string{"service": service}).Gauge("limited_upstreams").Update(float64(counts[service]))
 	}
 }
--- a/internal/counter/limits_test.go
+++ b/internal/counter/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -146,4 +147,89 @@
 		Entry("seven instances", 7, ratelimit.Limit(1.1), "/short/", ""),
 		Entry("a limit of 0", 3, ratelimit.Limit(0), "/short/", ""),
 	)
+
+	// One instance has seen the answer. The others would send on until they have seen one
+	// themselves, and after the need is over hold back until then.
+	It("is known at all instances at once, and so is the end of it", func() {
+		startPeers(3)
+		u := newLimitedUpstream(now)
+		c.announce("u", u.address(), "m")
+		known(1)
+		u.names("1.1")
+		Expect(send(1, "/short/", "")).To(HaveKey(http.StatusOK))
+		for _, p := range peers {
+			Eventually(p.counter.LimitOf("u"), specTimeout).Should(Equal("1.1"))
+		}
+		u.names("")
+		now.move(5 * time.Second)
+		send(40, "/short/", "")
+		for _, p := range peers {
+			Eventually(p.counter.LimitOf("u"), specTimeout).Should(Equal("none"))
+		}
+		Expect(send(30, "/short/", "")).To(Equal(map[int]int{http.StatusOK: 30}))
+	})
+
+	It("leaves the rest to upstreams that take more", func() {
+		startPeers(3)
+		u, free := newLimitedUpstream(now), newLimitedUpstream(now)
+		c.announce("u", u.address(), "m")
+		c.announce("v", free.address(), "m")
+		known(2)
+		u.names("1.1")
+		send(40, "/short/", "")
+		Expect(send(100, "/short/", "")).To(Equal(map[int]int{http.StatusOK: 100}))
+	})
+
+	// An engine crashes in its need and starts again: what it named before says nothing of it.
+	It("is not limited by what the process before it named", func() {
+		startPeers(1)
+		u := newLimitedUpstream(now)
+		c.announce("u", u.address(), "m")
+		known(1)
+		u.names("0.3")
+		send(1, "/short/", "")
+		Expect(peers[0].counter.LimitOf("u")()).To(Equal("0.3"))
+		c.reborn("u", u.address())
+		Eventually(peers[0].counter.LimitOf("u"), specTimeout).Should(Equal("none"))
+	})
+
+	// The owner of the limit is frozen or gone, and its address is in the lists still.
+	It("gets no more than it takes while nobody answers for the owner of its limit", func() {
+		startPeers(2)
+		silent := listenPeer()
+		DeferCleanup(silent.Close)
+		gone := silent.LocalAddr().(*net.UDPAddr).AddrPort()
+		c.instances(gone)
+		name := limitOf(gone, append(addressesOf(peers), gone))
+		u := newLimitedUpstream(now)
+		c.announce(name, u.address(), "m")
+		for _, p := range peers {
+			Eventually(p.counter.Instances, specTimeout).Should(Equal(3))
+			Eventually(p.counter.Upstreams, specTimeout).Should(Equal(1))
+		}
+		u.names("1.1")
+		send(20, "/short/", "")
+		from := now.Now()
+		send(160, "/short/", "")
+		came := u.since(from)
+		Expect(mostInWindow(came)).To(BeNumerically("<=", ratelimit.Allowed(1.1)))
+		Expect(came).NotTo(BeEmpty())
+	})
 })
+
+func addressesOf(peers []peer) []netip.AddrPort {
+	var all []netip.AddrPort
+	for _, p := range peers {
+		all = append(all, p.address)
+	}
+	return all
+}
+
+// limitOf returns the name of an upstream whose limit an instance owns.
+func limitOf(owner netip.AddrPort, among []netip.AddrPort) string {
+	for i := 0; ; i++ {
+		if name := fmt.Sprint("u", i); counter.LimitOwner(among, name) == owner {
+			return name
+		}
+	}
+}
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -29,6 +29,7 @@
 	routes   map[string]routeMetrics
 	refusals map[string]tally.Counter
 	sends    map[string]tally.Counter
+	holds    map[string]tally.Counter
 	// decisions are those on requests of other instances, and owners what owners answered
 	// to this one.
 	decisions map[string]tally.Counter
@@ -55,7 +56,7 @@
 	return &metrics{
 		scope: scope, proofAge: scope.Histogram("routes_proof_age_seconds", times),
 		proofWaits: scope.Counter("routes_proof_waits"), routes: map[string]routeMetrics{},
-		refusals: map[string]tally.Counter{}, sends: map[string]tally.Counter{},
+		refusals: map[string]tally.Counter{}, sends: map[string]tally.Counter{}, holds: map[string]tally.Counter{},
 		decisions: map[string]tally.Counter{}, owners: map[string]tally.Counter{},
 	}
 }
@@ -102,6 +103,11 @@
 	counted(m.scope, m.sends, "failed_sends", "verdict", verdict).Inc(1)
 }
 
+// held counts a request that was held back by the limit of an upstream of a service.
+func (m *metrics) held(service string) {
+	counted(m.scope, m.holds, "limited_sends", "service", service).Inc(1)
+}
+
 // decided counts a decision on a request of another instance.
 func (m *metrics) decided(decision string) {
 	counted(m.scope, m.decisions, "decisions", "decision", decision).Inc(1)
--- a/internal/counter/trip.go
+++ b/internal/counter/trip.go
@@ -29,6 +29,8 @@
 	// runs is how many upstreams may have run it, and sends how many it was sent to.
 	runs  int
 	sends int
+	// holds is how many times an upstream took no more.
+	holds int
 	// unread is how long the engine had to read before it when it was sent.
 	unread time.Duration
 	// owner is the instance that was asked for a place last, not valid if none was.
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -1,11 +1,13 @@
 package permit
 
 import (
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/parcel"
+	"github.com/lovagelift/lovagelift/internal/ratelimit"
 )
 
 // MaxBytes bounds an encoded message, so that it fits into one datagram of a network
@@ -21,6 +23,10 @@
 	kindMoved
 	kindEnded
 	kindUse
+	kindLimited
+	kindClaim
+	kindAllowed
+	kindHeld
 )
 
 const (
@@ -63,11 +69,37 @@
 		buffer = parcel.AppendBytes(buffer, m.Upstream)
 		buffer = appendDuration(buffer, m.Reading)
 		return parcel.AppendUint(buffer, uint64(m.Open))
+	case Limited:
+		buffer = parcel.AppendBytes(append(buffer, kindLimited), m.Upstream)
+		buffer = parcel.AppendUint(buffer, m.Incarnation)
+		named := byte(0)
+		if m.Named {
+			named = 1
+		}
+		buffer = append(buffer, named)
+		buffer = appendLimit(buffer, m.Limit)
+		return appendDuration(buffer, m.Age)
+	case Claim:
+		buffer = appendHead(buffer, kindClaim, m.ID)
+		buffer = parcel.AppendBytes(buffer, m.Upstream)
+		return appendLimit(buffer, m.Limit)
+	case Allowed:
+		return appendHead(buffer, kindAllowed, m.ID)
+	case Held:
+		return appendDuration(appendHead(buffer, kindHeld, m.ID), m.Wait)
 	default:
 		return buffer
 	}
 }
 
+// limitUnits is how many units of an encoded limit are one request a second.
+const limitUnits = 1000
+
+// appendLimit appends a limit, which is valid.
+func appendLimit(buffer []byte, limit ratelimit.Limit) []byte {
+	return parcel.AppendUint(buffer, uint64(math.Round(float64(limit)*limitUnits)))
+}
+
 func appendHead(buffer []byte, kind byte, id ID) []byte {
 	return parcel.AppendUint(append(buffer, kind), uint64(id))
 }
@@ -149,12 +181,31 @@
 		}
 	case kindUse:
 		return Use{Upstream: r.String(), Reading: r.duration(), Open: r.count()}
+	case kindLimited:
+		return Limited{
+			Upstream: r.String(), Incarnation: r.Uint(), Named: r.Byte() != 0, Limit: r.limit(), Age: r.duration(),
+		}
+	case kindClaim:
+		return Claim{ID: r.id(), Upstream: r.String(), Limit: r.limit()}
+	case kindAllowed:
+		return Allowed{ID: r.id()}
+	case kindHeld:
+		return Held{ID: r.id(), Wait: r.duration()}
 	default:
 		r.Fail()
 		return nil
 	}
 }
 
+func (r reader) limit() ratelimit.Limit {
+	limit := ratelimit.Limit(float64(r.Uint()) / limitUnits)
+	if !limit.Valid() {
+		r.Fail()
+		return 0
+	}
+	return limit
+}
+
 func (r reader) ask() Ask {
 	m := Ask{
 		ID: r.id(), Service: r.String(), Model: r.String(), Adapter: r.String(),
--- a/internal/permit/encode_test.go
+++ b/internal/permit/encode_test.go
@@ -30,6 +30,11 @@
 			ID: 6, Outcome: permit.Worked, First: time.Millisecond, Run: time.Second, Events: 22, Writing: 900 * time.Millisecond,
 		},
 		permit.Use{Upstream: "e1", Reading: 50 * time.Millisecond, Open: 7},
+		permit.Limited{Upstream: "e1", Incarnation: 1 << 60, Named: true, Limit: 1.1, Age: time.Second},
+		permit.Limited{Upstream: "e1"},
+		permit.Claim{ID: 7, Upstream: "e1", Limit: 0.3},
+		permit.Allowed{ID: 8},
+		permit.Held{ID: 9, Wait: 900 * time.Millisecond},
 	}
 }
 
--- a/internal/permit/owners.go
+++ b/internal/permit/owners.go
@@ -55,3 +55,12 @@
 	}
 	return owner, owner.IsValid()
 }
+
+// All returns the addresses of all instances.
+func (o Owners) All() []netip.AddrPort {
+	all := make([]netip.AddrPort, 0, len(o.instances))
+	for _, instance := range o.instances {
+		all = append(all, instance.address)
+	}
+	return all
+}
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -15,13 +15,17 @@
 // It does no I/O.
 package permit
 
-import "time"
+import (
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/ratelimit"
+)
 
 // ID tells the questions of one instance apart.
 type ID uint64
 
 // Message is what instances tell each other: Ask, Granted, Queued, Refused, Moved,
-// Ended or Use.
+// Ended, Use, Limited, Claim, Allowed or Held.
 type Message interface {
 	message()
 }
@@ -113,6 +117,38 @@
 	Open    int
 }
 
+// Limited tells all instances what an answer of an upstream said of its limit.
+type Limited struct {
+	Upstream string
+	// Incarnation is that of the upstream: another process under its name has said nothing.
+	Incarnation uint64
+	// Named says that the answer named Limit, else it named none.
+	Named bool
+	Limit ratelimit.Limit
+	// Age is how long ago the request was sent that was answered.
+	Age time.Duration
+}
+
+// Claim asks the owner of an upstream's limit whether a request may be sent there. It may be
+// sent again: the owner answers with what it has decided.
+type Claim struct {
+	ID       ID
+	Upstream string
+	// Limit is what the asker knows: the owner may not have heard of it.
+	Limit ratelimit.Limit
+}
+
+// Allowed answers Claim: one request may be sent.
+type Allowed struct {
+	ID ID
+}
+
+// Held answers Claim: none may be sent for Wait.
+type Held struct {
+	ID   ID
+	Wait time.Duration
+}
+
 func (Ask) message()     {}
 func (Granted) message() {}
 func (Queued) message()  {}
@@ -120,6 +156,10 @@
 func (Moved) message()   {}
 func (Ended) message()   {}
 func (Use) message()     {}
+func (Limited) message() {}
+func (Claim) message()   {}
+func (Allowed) message() {}
+func (Held) message()    {}
 
 // Reason is why a request is refused.
 type Reason uint8
@@ -130,6 +170,8 @@
 	Crowded Reason = iota + 1
 	// Missing means that no upstream holds the model, nor will in time.
 	Missing
+	// Limits means that the upstreams take no more than they get.
+	Limits
 )
 
 // Outcome is what became of a permit.
@@ -147,4 +189,6 @@
 	Absent
 	// Failed means that it could not be reached, or did not answer as it should.
 	Failed
+	// Over means that it takes no more than it gets: nothing was sent.
+	Over
 )
