--- a/internal/backoffice/adapters.go
+++ b/internal/backoffice/adapters.go
@@ -69,6 +69,7 @@
 // expire forgets what instances told that are not heard of any more, and models and
 // adapters that nobody has asked for in a while: callers may name any.
 func (o *orders) expire(now time.Time) {
+	o.expireLimits(now)
 	for entry, uses := range o.uses {
 		if now.Sub(uses.at) >= usesKept {
 			o.dropUses(entry)
--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -72,7 +72,7 @@
 	// Entry instances may ask as soon as the listener is served, and are answered from
 	// the orders.
 	b.orders = newOrders(ctx, b)
-	b.relay = &relay{office: b, told: map[string][]courier.Demand{}}
+	b.relay = &relay{office: b, told: map[string][]courier.Demand{}, limited: map[string]courier.LimitedUpstream{}}
 	b.crashes = newCrashes(b)
 	if err := b.start(); err != nil {
 		cancel()
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -115,6 +116,7 @@
 func NewTold() Told {
 	return Told{orders: &orders{
 		demand: map[demandKey]*demandOf{}, uses: map[string]adapterUses{}, users: map[Adapter]int{}, asked: map[Adapter]time.Time{},
+		limits: map[string]toldLimit{},
 	}}
 }
 
@@ -158,3 +160,14 @@
 func (e Engine) ReportedAt() time.Time {
 	return e.engine.reported
 }
+
+// NoteLimit takes in that an upstream names a limit.
+func (t Told) NoteLimit(now time.Time, upstream string, limit float64) {
+	t.orders.noteLimits(now, []courier.LimitedUpstream{{Name: upstream, Limit: ratelimit.Limit(limit)}})
+}
+
+// IsNarrow reports whether an engine with so many slots takes few requests.
+func (t Told) IsNarrow(now time.Time, name string, slots int) bool {
+	t.orders.expireLimits(now)
+	return t.orders.isNarrow(&engine{EngineAddress: EngineAddress{Name: name}, spec: &routes.Engine{Slots: slots}})
+}
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -43,8 +43,9 @@
 		reply.Quarantine = &news
 	}
 	b.orders.note(now, args.From.Name, args.Demand)
+	b.orders.noteLimits(now, args.Limited)
 	if leader != b.voter.Identity() {
-		b.relay.note(now, args.From.Name, args.Demand)
+		b.relay.note(now, args.From.Name, args.Demand, args.Limited)
 		b.relay.tell(now, args.Holdings, &reply)
 		return reply
 	}
@@ -60,6 +61,7 @@
 	for entry, demand := range args.Told {
 		o.note(now, entry, demand)
 	}
+	o.noteLimits(now, args.Limited)
 	var reply courier.GatherReply
 	reply.Holdings, reply.Revision, reply.Age = o.holdings(now, args.Holdings)
 	return reply
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -148,7 +148,7 @@
 		engine := stocking.Engine{
 			Name: e.Name, Megabytes: e.spec.Megabytes, Used: e.megabytes(), Coming: e.coming,
 			Closed:  !e.known || e.ordering || e.stale || e.report.Busy || e.going != "" || !o.leases.free(now, e.Name),
-			Leaving: e.leaving, InMemory: e.report.InMemory, OnDisk: e.report.OnDisk,
+			Leaving: e.leaving, Narrow: o.isNarrow(e), InMemory: e.report.InMemory, OnDisk: e.report.OnDisk,
 		}
 		for _, held := range e.told() {
 			engine.Holds = append(engine.Holds, held.Name)
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -81,6 +81,8 @@
 	uses  map[string]adapterUses
 	users map[Adapter]int
 	asked map[Adapter]time.Time
+	// limits are those that upstreams name, by name.
+	limits map[string]toldLimit
 	// fetches is how many loads from the weight store may begin, as of fetchesAt.
 	fetches   float64
 	fetchesAt time.Time
@@ -90,7 +92,7 @@
 	o := &orders{
 		office: office, engines: map[string]*engine{}, changed: make(chan struct{}),
 		demand: map[demandKey]*demandOf{}, uses: map[string]adapterUses{},
-		users: map[Adapter]int{}, asked: map[Adapter]time.Time{},
+		users: map[Adapter]int{}, asked: map[Adapter]time.Time{}, limits: map[string]toldLimit{},
 	}
 	o.leases = newLeases(ctx, o)
 	return o
--- a/internal/backoffice/relay.go
+++ b/internal/backoffice/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +35,8 @@
 	// when the last of them asked.
 	told  map[string][]courier.Demand
 	asked time.Time
+	// limited are the upstreams that name a limit, by what was told since the last call.
+	limited map[string]courier.LimitedUpstream
 	// holdings is what the leader told last, with its revision, made at made.
 	holdings []byte
 	revision uint64
@@ -47,10 +51,13 @@
 }
 
 // note takes in what an entry instance told.
-func (r *relay) note(now time.Time, entry string, demand []courier.Demand) {
+func (r *relay) note(now time.Time, entry string, demand []courier.Demand, limited []courier.LimitedUpstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.asked = now
+	for _, upstream := range limited {
+		r.limited[upstream.Name] = upstream
+	}
 	r.told[entry] = merged(r.told[entry], demand)
 }
 
@@ -85,8 +92,11 @@
 	now := r.office.options.Now()
 	leader, _ := r.office.voter.Leader()
 	r.mu.Lock()
-	args := courier.GatherArgs{Told: r.told, Holdings: r.revision}
+	args := courier.GatherArgs{
+		Told: r.told, Limited: slices.Collect(maps.Values(r.limited)), Holdings: r.revision,
+	}
 	r.told = map[string][]courier.Demand{}
+	clear(r.limited)
 	idle := now.Sub(r.asked) >= relayIdle
 	r.mu.Unlock()
 	if idle || leader == "" || leader == r.office.voter.Identity() {
--- a/internal/backoffice/told_test.go
+++ b/internal/backoffice/told_test.go
@@ -28,6 +28,16 @@
 		Expect(told.InUse(adapter)).To(BeFalse())
 	})
 
+	It("says which engines take few requests, for as long as it is told", func() {
+		told := backoffice.NewTold()
+		told.NoteLimit(began, "e1", 1.1)
+		told.NoteLimit(began, "e2", 40)
+		Expect(told.IsNarrow(began, "e1", 64)).To(BeTrue())
+		Expect(told.IsNarrow(began, "e2", 64)).To(BeFalse(), "about what it can run")
+		Expect(told.IsNarrow(began, "e3", 64)).To(BeFalse())
+		Expect(told.IsNarrow(began.Add(3*time.Second), "e1", 64)).To(BeFalse())
+	})
+
 	// Callers may name any model and adapter. Whatever they name, and whoever leads, the
 	// memory of an instance must not grow with it for good.
 	It("is forgotten once nobody asks any more", func() {
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -208,6 +208,13 @@
 	return courier.WantReply{Reason: "none"}
 }
 
+// limited returns the limits that it was told of last.
+func (c *control) limited() []courier.LimitedUpstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.told[len(c.told)-1].Limited
+}
+
 // wanted returns how many calls for a model or an adapter came.
 func (c *control) wanted() int {
 	c.mu.Lock()
--- a/internal/counter/limits.go
+++ b/internal/counter/limits.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 )
@@ -311,13 +312,22 @@
 	return &rejection{reason: permit.Limits, comeBack: n.comeBackAfter(now, wait), forecast: wait}
 }
 
+// limited returns the upstreams that name a limit.
+func (f *fleet) limited() []courier.LimitedUpstream {
+	var limited []courier.LimitedUpstream
+	for _, u := range f.upstreams {
+		if limit, limits := u.limit.Limit(); limits {
+			limited = append(limited, courier.LimitedUpstream{Name: u.name, Limit: limit})
+		}
+	}
+	return limited
+}
+
 // reportLimits sets how many upstreams of each service name a limit. c.mu is held.
 func (c *Counter) reportLimits() {
 	counts := map[string]int{}
-	for _, u := range c.fleet.upstreams {
-		if _, limits := u.limit.Limit(); limits {
-			counts[u.service]++
-		}
+	for _, upstream := range c.fleet.limited() {
+		counts[c.fleet.upstreams[upstream.Name].service]++
 	}
 	for service := range c.fleet.services {
 		c.metrics.scope.Tagged(map[string]string{"service": service}).Gauge("limited_upstreams").Update(float64(counts[service]))
--- a/internal/counter/limits_test.go
+++ b/internal/counter/limits_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/counter"
+	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 )
 
@@ -169,6 +170,16 @@
 		Expect(send(30, "/short/", "")).To(Equal(map[int]int{http.StatusOK: 30}))
 	})
 
+	It("is told to the control instances", func() {
+		startPeers(1)
+		u := newLimitedUpstream(now)
+		c.announce("u", u.address(), "m")
+		known(1)
+		u.names("0.3")
+		send(1, "/short/", "")
+		Eventually(c.limited, specTimeout).Should(Equal([]courier.LimitedUpstream{{Name: "u", Limit: 0.3}}))
+	})
+
 	It("leaves the rest to upstreams that take more", func() {
 		startPeers(3)
 		u, free := newLimitedUpstream(now), newLimitedUpstream(now)
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -87,6 +87,7 @@
 		Holdings:      c.links.holdings,
 		Quarantine:    c.coroner.Mark(),
 		Demand:        c.demand.take(),
+		Limited:       c.fleet.limited(),
 	}
 	if own := c.roster.Introduction(now); own != nil {
 		args.From = *own
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -6,6 +6,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
+	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/roster"
 )
 
@@ -29,6 +30,14 @@
 	Quarantine uint64
 	// Demand is what callers asked for since the last call that was answered.
 	Demand []Demand
+	// Limited are the upstreams that name a limit.
+	Limited []LimitedUpstream
+}
+
+// LimitedUpstream is an upstream that names a limit in its answers.
+type LimitedUpstream struct {
+	Name  string
+	Limit ratelimit.Limit
 }
 
 // Demand is how much was asked for of one model, or of an adapter of it.
@@ -87,6 +96,8 @@
 type GatherArgs struct {
 	// Told is what entry instances told since the last call, by entry instance.
 	Told map[string][]Demand
+	// Limited are the upstreams that name a limit.
+	Limited []LimitedUpstream
 	// Holdings is the revision of the holdings that the asker has.
 	Holdings uint64
 }
--- a/internal/stocking/place.go
+++ b/internal/stocking/place.go
@@ -42,7 +42,7 @@
 // weigh returns what a copy of a model on e would cost. It returns false if there
 // can't be one.
 func (p *planner) weigh(m *stocked, e *station, load float64) (c candidate, ok bool) {
-	if e.Closed || e.Coming != "" || slices.Contains(e.holds, m) {
+	if e.Closed || e.Narrow || e.Coming != "" || slices.Contains(e.holds, m) {
 		return c, false
 	}
 	if load > 0 && e.load > load*(1-p.options.Gain) {
--- a/internal/stocking/planner.go
+++ b/internal/stocking/planner.go
@@ -56,7 +56,7 @@
 	slices.SortFunc(p.engines, func(a, b *station) int { return cmp.Compare(a.Name, b.Name) })
 	for _, e := range p.engines {
 		for _, name := range e.Holds {
-			if m := known[name]; m != nil {
+			if m := known[name]; m != nil && !(e.Narrow && m.Demand > 0) {
 				e.holds = append(e.holds, m)
 				m.copies = append(m.copies, e)
 				m.present++
--- a/internal/stocking/stocking.go
+++ b/internal/stocking/stocking.go
@@ -45,6 +45,9 @@
 	Closed bool
 	// Leaving says that it takes no more requests.
 	Leaving bool
+	// Narrow says that it takes few requests by a limit of its own: its copies count for
+	// models that nobody asks for alone, and it gets no others.
+	Narrow bool
 	// InMemory and OnDisk are models that need not be fetched from the store.
 	InMemory []string
 	OnDisk   []string
--- a/internal/stocking/stocking_test.go
+++ b/internal/stocking/stocking_test.go
@@ -62,6 +62,22 @@
 		Entry("before that too after some seconds", 2.0, 8*time.Second, "w"),
 	)
 
+	// An engine in need takes a request a second. Its model has no other copy, and callers
+	// are turned away for as long as the need lasts.
+	It("gives a model another copy whose only one is at an engine that takes few requests", func() {
+		narrow := engine("1", "a", "idle")
+		narrow.Narrow = true
+		moves := stocking.Plan([]stocking.Model{model("a", 0.2), model("idle", 0)}, []stocking.Engine{narrow, engine("2")}, options)
+		Expect(moves).NotTo(BeEmpty())
+		Expect(moves[0].Engine).To(Equal("2"))
+		Expect(moves[0].Model).To(Equal("a"))
+		Expect(moves[0].Reason).To(Equal(stocking.Unreachable), "as good as held by none")
+		for _, move := range moves {
+			Expect(move.Model).NotTo(Equal("idle"), "nobody asks for it")
+			Expect(move.Engine).NotTo(Equal("1"))
+		}
+	})
+
 	// One model is asked for most and has six copies; three others have one each, with
 	// twice as much to do as it can carry. In the order of demand, the first takes every
 	// load there is, and the callers of the others are refused for as long as that lasts.
