--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -69,7 +69,7 @@
 	d.router.count(arrival.Service)
 	var failed error
 	for attempt := 1; ; attempt++ {
-		trip, err := d.router.route(ctx, arrival)
+		trip, err := d.router.routeWithinLimits(ctx, &arrival)
 		if err != nil {
 			d.logNoRoute(task, attempt, err)
 			return delivery{}, graver(failed, err)
@@ -113,7 +113,9 @@
 	request.AskAfter = d.router.answersQuestions(trip.decision.Chosen.Name)
 	request.Header = request.Header.Clone()
 	request.Header.Set(retry.AttemptHeader, strconv.Itoa(attempt))
+	sent := d.options.Now()
 	answer, err := d.options.Shuttle.Send(ctx, trip.decision.Chosen.Address, request)
+	d.router.hearLimit(sent, trip.decision.Chosen.Name, answer, err)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/desk/router.go
+++ b/internal/desk/router.go
@@ -54,6 +54,7 @@
 	waiting map[uint64]chan turn
 	// asks says which upstreams answer questions after a request.
 	asks   map[string]bool
+	limits limits
 	lastID uint64
 	swept  time.Time
 }
@@ -79,6 +80,7 @@
 		budgets:    retry.NewBudgets(retry.Options{Attempts: options.Limits.Attempts}),
 		waiting:    map[uint64]chan turn{},
 		asks:       map[string]bool{},
+		limits:     newLimits(options.Instances, options.Log),
 	}
 }
 
@@ -91,6 +93,10 @@
 	for _, upstream := range upstreams {
 		view := dispatch.FromAnnouncement(upstream.Heard, upstream.Announcement, r.lease)
 		view.Leaving = upstream.Leaving
+		if known := r.dispatcher.Incarnation(view.Name); known != view.Incarnation {
+			// What the process before it named says nothing of this one.
+			delete(r.limits.byUpstream, view.Name)
+		}
 		r.asks[view.Name] = upstream.Announcement.Has(upstreamapi.CapabilityRequestStatus)
 		r.dispatcher.Update(view)
 		r.freed(now, view.Name)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -123,6 +123,15 @@
 	return true
 }
 
+// Incarnation returns that of an upstream, 0 if it is not known.
+func (d *Dispatcher) Incarnation(name string) uint64 {
+	u := d.upstreams[name]
+	if u == nil {
+		return 0
+	}
+	return u.view.Incarnation
+}
+
 // Leave takes in that the incarnation of an upstream will stop. It receives no
 // new work from then on, though an announcement sent before may still come.
 func (d *Dispatcher) Leave(name string, incarnation uint64) {
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -113,6 +113,12 @@
 	return time.Duration(math.Ceil(float64(time.Second) / l.rate()))
 }
 
+// Probes returns the requests a second that each of some senders may send, whatever the limit,
+// so that the end of the need is noticed. At about the same time none of them sends.
+func Probes(senders int) float64 {
+	return leastRate / float64(max(senders, 1))
+}
+
 // Share returns the requests a second that each of some senders may send without an owner.
 // It is 0 if one request of each is more than the upstream bears.
 func Share(l Limit, senders int) float64 {
--- a/internal/ratelimit/pace.go
+++ b/internal/ratelimit/pace.go
@@ -28,6 +28,12 @@
 	return &Pace{filled: now.Add(takeover)}
 }
 
+// NewPhasedPace returns a Pace that begins a moment after now with a part of its first request,
+// 0 to 1: those of many senders that begin together come apart.
+func NewPhasedPace(now time.Time, phase float64) *Pace {
+	return &Pace{tokens: phase, filled: now.Add(takeover)}
+}
+
 // Take takes a request at rate, in requests a second. If it may not be sent now, Take
 // returns after what time the next one may.
 func (p *Pace) Take(now time.Time, rate float64) (wait time.Duration, ok bool) {
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -21,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -50,6 +51,8 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Limit is what the answer says of the requests that the upstream takes.
+	Limit ratelimit.Said
 	// Length is the number of bytes of Body, negative if it is not known.
 	Length int64
 	Body   io.ReadCloser
@@ -70,7 +73,10 @@
 	Refused bool
 	// RetryAfter is the time that the upstream asked for, 0 if it did not.
 	RetryAfter time.Duration
-	cause      error
+	// Limit is what the refusal says of the requests that the upstream takes, nil if Refused
+	// is false.
+	Limit ratelimit.Said
+	cause error
 }
 
 // Error returns the cause and the outcome.
@@ -253,6 +259,7 @@
 	return &Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
+		Limit:  limitOf(response.Header),
 		Length: response.ContentLength,
 		Body:   watchBody(response.Body, a.cancel, s.bodySilence),
 	}, nil
@@ -287,10 +294,15 @@
 		Outcome:    outcome.NotRun,
 		Refused:    true,
 		RetryAfter: retryAfter(response.Header),
+		Limit:      limitOf(response.Header),
 		cause:      errors.Newf("upstream refused with status %d", response.StatusCode),
 	}
 }
 
+func limitOf(header http.Header) ratelimit.Said {
+	return ratelimit.Read(header.Values(upstreamapi.LimitHeader))
+}
+
 // retryAfter reads a Retry-After header given in seconds; the form with a date
 // is not used between upstreams and the system.
 func retryAfter(header http.Header) time.Duration {
--- a/internal/upstreamapi/paths.go
+++ b/internal/upstreamapi/paths.go
@@ -55,6 +55,9 @@
 	// CachedTokensHeader carries the number of prompt tokens that were found in
 	// the prefix cache.
 	CachedTokensHeader = "Lovagelift-Cached-Tokens"
+	// LimitHeader is set by an upstream in need to the requests a second that it takes from
+	// all instances together, a decimal number. It holds for as long as answers carry it.
+	LimitHeader = "Lovagelift-Limit"
 )
 
 // RefusedNotRun is the value of RefusedHeader.
