--- a/internal/counter/asking.go
+++ b/internal/counter/asking.go
@@ -167,9 +167,9 @@
 }
 
 func (c *Counter) endQuestion(t *trip, id permit.ID) {
+	c.closeQuestion(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.questions, id)
 	c.countNeed(&t.need, -1)
 }
 
--- a/internal/counter/bench_test.go
+++ b/internal/counter/bench_test.go
@@ -88,3 +88,22 @@
 		})
 	}
 }
+
+// BenchmarkAllow asks whether a request may be sent to an upstream that names no limit, and to
+// one whose limit the instance owns.
+func BenchmarkAllow(b *testing.B) {
+	for _, limit := range []float64{-1, 200} {
+		b.Run(fmt.Sprint(limit), func(b *testing.B) {
+			among := addresses(330)
+			fleet := fleetOf(1)
+			own := counter.NewOwner(fleet, among[0], among[:1])
+			if limit >= 0 {
+				fleet.Named(start, "e0", limit)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				own.Allow("e0")
+			}
+		})
+	}
+}
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -10,6 +11,7 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/speed"
@@ -367,3 +369,14 @@
 	owner, _ := permit.NewOwners(among).Of(limitService, name, func(netip.AddrPort) bool { return true })
 	return owner
 }
+
+// Named notes that an upstream has named a limit.
+func (f Fleet) Named(now time.Time, name string, limit float64) {
+	f.fleet.upstreams[name].hearLimit(now, now, ratelimit.Named{Limit: ratelimit.Limit(limit)})
+}
+
+// Allow reports whether a request may be sent to an upstream by its limit.
+func (o Owner) Allow(name string) bool {
+	_, ok := o.counter.allow(context.Background(), o.counter.fleet.upstreams[name])
+	return ok
+}
--- a/internal/counter/limits.go
+++ b/internal/counter/limits.go
@@ -62,29 +62,53 @@
 		u = known
 	}
 	changed := u.hearLimit(now, t.timing.sent, said)
-	if changed != "" {
+	if changed != limitSame {
 		c.tellLimit(now, u, t.timing.sent, said)
 	}
 	c.mu.Unlock()
 	c.logLimit(now, u.name, u.service, changed, said)
 }
 
+// limitChange is what has changed of the limit of an upstream.
+type limitChange uint8
+
+const (
+	limitSame limitChange = iota
+	limitBegins
+	limitMoves
+	limitEnds
+)
+
+// String returns the text for the log.
+func (l limitChange) String() string {
+	switch l {
+	case limitBegins:
+		return "an upstream names its limit"
+	case limitMoves:
+		return "the limit of an upstream changes"
+	case limitEnds:
+		return "the limit of an upstream ends"
+	default:
+		return "the limit of an upstream stays"
+	}
+}
+
 // hearLimit takes in what an answer to a request that was sent at a time said of the limit,
-// and returns what has changed, empty if nothing has.
-func (u *upstream) hearLimit(now, sent time.Time, said ratelimit.Said) (changed string) {
+// and returns what has changed.
+func (u *upstream) hearLimit(now, sent time.Time, said ratelimit.Said) limitChange {
 	was, limited := u.limit.Limit()
 	u.limit.Known = u.limit.With(now, sent, said)
 	is, limits := u.limit.Limit()
 	switch {
 	case limits && !limited:
-		return "an upstream names its limit"
+		return limitBegins
 	case limited && !limits:
 		u.limit.heldUntil = time.Time{}
-		return "the limit of an upstream ends"
+		return limitEnds
 	case was != is:
-		return "the limit of an upstream changes"
+		return limitMoves
 	default:
-		return ""
+		return limitSame
 	}
 }
 
@@ -115,12 +139,13 @@
 }
 
 // logLimit tells of a change of the limit of an upstream, if there is one.
-func (c *Counter) logLimit(now time.Time, upstream, service, changed string, said ratelimit.Said) {
-	if changed == "" {
+func (c *Counter) logLimit(now time.Time, upstream, service string, changed limitChange, said ratelimit.Said) {
+	if changed == limitSame {
 		return
 	}
 	named, _ := said.(ratelimit.Named)
-	c.logLine(now, changed).Str("upstream", upstream).Str("service", service).Float64("limit", float64(named.Limit)).Msg(changed)
+	text := changed.String()
+	c.logLine(now, text).Str("upstream", upstream).Str("service", service).Float64("limit", float64(named.Limit)).Msg(text)
 }
 
 // limitService stands for the service in the key by which limits have owners.
--- a/internal/counter/limits_test.go
+++ b/internal/counter/limits_test.go
@@ -109,6 +109,15 @@
 			Eventually(p.counter.Upstreams, specTimeout).Should(Equal(upstreams))
 		}
 	}
+	// startWith starts instances before an upstream that names a limit.
+	startWith := func(count int, limit string) *limitedUpstream {
+		startPeers(count)
+		u := newLimitedUpstream(now)
+		c.announce("u", u.address(), "m")
+		known(1)
+		u.names(limit)
+		return u
+	}
 	// send has the instances serve a request each 50 ms in turn, and returns the statuses.
 	send := func(count int, path, model string) map[int]int {
 		statuses := map[int]int{}
@@ -130,11 +139,7 @@
 	// An engine in need got three times what it takes, as each instance sent on as before.
 	DescribeTable("gets no more than it takes from all instances together",
 		func(instances int, limit ratelimit.Limit, path, model string) {
-			startPeers(instances)
-			u := newLimitedUpstream(now)
-			c.announce("u", u.address(), "m")
-			known(1)
-			u.names(fmt.Sprint(float64(limit)))
+			u := startWith(instances, fmt.Sprint(float64(limit)))
 			send(20, path, model)
 			from := now.Now()
 			statuses := send(200, path, model)
@@ -152,11 +157,7 @@
 	// One instance has seen the answer. The others would send on until they have seen one
 	// themselves, and after the need is over hold back until then.
 	It("is known at all instances at once, and so is the end of it", func() {
-		startPeers(3)
-		u := newLimitedUpstream(now)
-		c.announce("u", u.address(), "m")
-		known(1)
-		u.names("1.1")
+		u := startWith(3, "1.1")
 		Expect(send(1, "/short/", "")).To(HaveKey(http.StatusOK))
 		for _, p := range peers {
 			Eventually(p.counter.LimitOf("u"), specTimeout).Should(Equal("1.1"))
@@ -171,11 +172,7 @@
 	})
 
 	It("is told to the control instances", func() {
-		startPeers(1)
-		u := newLimitedUpstream(now)
-		c.announce("u", u.address(), "m")
-		known(1)
-		u.names("0.3")
+		startWith(1, "0.3")
 		send(1, "/short/", "")
 		Eventually(c.limited, specTimeout).Should(Equal([]courier.LimitedUpstream{{Name: "u", Limit: 0.3}}))
 	})
@@ -193,11 +190,7 @@
 
 	// An engine crashes in its need and starts again: what it named before says nothing of it.
 	It("is not limited by what the process before it named", func() {
-		startPeers(1)
-		u := newLimitedUpstream(now)
-		c.announce("u", u.address(), "m")
-		known(1)
-		u.names("0.3")
+		u := startWith(1, "0.3")
 		send(1, "/short/", "")
 		Expect(peers[0].counter.LimitOf("u")()).To(Equal("0.3"))
 		c.reborn("u", u.address())
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -1,7 +1,6 @@
 package counter
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -139,7 +138,10 @@
 	c.queue.favour(now)
 	if len(waiters) > 1 {
 		slices.SortStableFunc(waiters, func(a, b *waiter) int {
-			return cmp.Or(boolCompare(!a.favoured, !b.favoured), a.need.compare(now, &b.need))
+			if a.favoured != b.favoured {
+				return boolCompare(!a.favoured, !b.favoured)
+			}
+			return a.need.compare(now, &b.need)
 		})
 	}
 	found := map[lookKey]lack{}
@@ -148,10 +150,10 @@
 		key := lookKey{w.need.demandKey, w.need.pace}
 		missing, looked := found[key]
 		var u *upstream
-		wish := w.need.wish()
-		wish.favoured = w.favoured
 		shared := len(w.need.tried) == 0 && !w.favoured
 		if !looked || !shared {
+			wish := w.need.wish()
+			wish.favoured = w.favoured
 			u, missing = c.fleet.choose(now, wish, rand.Float64())
 		}
 		w.missing = missing
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -113,8 +113,8 @@
 	return time.Duration(math.Ceil(float64(time.Second) / l.rate()))
 }
 
-// Probes returns the requests a second that each of some senders may send, whatever the limit,
-// so that the end of the need is noticed. At about the same time none of them sends.
+// Probes returns the requests a second that each of some senders may send whatever the limit,
+// so that the end of the need is noticed. Their paces should be phased (NewPhasedPace).
 func Probes(senders int) float64 {
 	return leastRate / float64(max(senders, 1))
 }
