--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -364,11 +364,9 @@
 	}
 }
 
-// LimitOwner returns which of some instances owns the limit of an upstream.
-func LimitOwner(among []netip.AddrPort, name string) netip.AddrPort {
-	owner, _ := permit.NewOwners(among).Of(limitService, name, func(netip.AddrPort) bool { return true })
-	return owner
-}
+// LimitService stands for the service in the key by which limits have owners, and the name of
+// the upstream for the model.
+const LimitService = limitService
 
 // Named notes that an upstream has named a limit.
 func (f Fleet) Named(now time.Time, name string, limit float64) {
--- a/internal/counter/limits_test.go
+++ b/internal/counter/limits_test.go
@@ -204,7 +204,7 @@
 		DeferCleanup(silent.Close)
 		gone := silent.LocalAddr().(*net.UDPAddr).AddrPort()
 		c.instances(gone)
-		name := limitOf(gone, append(addressesOf(peers), gone))
+		name := modelOf(counter.LimitService, gone, append(addressesOf(peers), gone)...)
 		u := newLimitedUpstream(now)
 		c.announce(name, u.address(), "m")
 		for _, p := range peers {
@@ -228,12 +228,3 @@
 	}
 	return all
 }
-
-// limitOf returns the name of an upstream whose limit an instance owns.
-func limitOf(owner netip.AddrPort, among []netip.AddrPort) string {
-	for i := 0; ; i++ {
-		if name := fmt.Sprint("u", i); counter.LimitOwner(among, name) == owner {
-			return name
-		}
-	}
-}
