--- a/internal/counter/aging.go
+++ b/internal/counter/aging.go
@@ -22,10 +22,9 @@
 )
 
 // favour marks, of the requests for each model, the one whose model or adapter has starved
-// for longest, if it is the model's turn to serve one. It goes before all others: in an
-// overload that lasts, requests that are less urgent, or that seldom come, would lose every
-// time. It goes also to an engine without room, which others would fill again and again:
-// whoever places the requests that end there hears of it first.
+// for longest, if it is the model's turn to serve one. It goes before all others, and also to
+// an engine without room: whoever places the requests that end there hears of it first, and
+// would fill the engine again and again.
 func (q *queue) favour(now time.Time) {
 	if now.Sub(q.favouredAt) < favourEvery {
 		return
