--- a/internal/backoffice/voters.go
+++ b/internal/backoffice/voters.go
@@ -58,8 +58,8 @@
 	scope.Gauge("term").Update(float64(status.Term))
 	scope.Gauge("voters").Update(float64(len(status.Voters)))
 	scope.Gauge("learners").Update(float64(len(b.voter.Peers()) + 1 - len(status.Voters)))
-	scope.Gauge("routes_version").Update(float64(b.voter.Edition().Version))
 	_, reading := b.voter.Reading()
+	scope.Gauge("routes_version").Update(float64(reading.Version))
 	if reading.Confirmed {
 		scope.Gauge("routes_age_seconds").Update(reading.Age.Seconds())
 	}
--- a/internal/chamber/answers.go
+++ b/internal/chamber/answers.go
@@ -70,13 +70,11 @@
 // requests in quarantine unless they have the mark.
 func (c control) Configuration(have registry.Revision, mark uint64) courier.Configuration {
 	// Freshness is read first: what it covers is in the view that is read after.
-	asOf, confirmed := c.voter.clerk.Freshness()
+	age, confirmed := c.voter.age()
 	answer := courier.Configuration{
 		Cluster:   c.voter.clerk.Status().Cluster,
 		Confirmed: confirmed,
-	}
-	if confirmed {
-		answer.Age = max(0, c.voter.options.Now().Sub(asOf))
+		Age:       age,
 	}
 	if view := c.voter.registry.View(); view.Revision > have {
 		answer.View = view
--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -231,13 +231,19 @@
 // it is known to be.
 func (v *Voter) Reading() (edition.Edition, edition.Reading) {
 	// What the freshness covers is in the document that is read after it.
-	asOf, confirmed := v.clerk.Freshness()
+	age, confirmed := v.age()
 	held := v.registry.Edition()
-	reading := edition.Reading{Version: held.Version, Confirmed: confirmed}
-	if confirmed {
-		reading.Age = max(0, v.options.Now().Sub(asOf))
+	return held, edition.Reading{Version: held.Version, Confirmed: confirmed, Age: age}
+}
+
+// age returns how long ago all that was committed is known to have been applied here. If that
+// was never known, age returns false.
+func (v *Voter) age() (age time.Duration, confirmed bool) {
+	asOf, confirmed := v.clerk.Freshness()
+	if !confirmed {
+		return 0, false
 	}
-	return held, reading
+	return max(0, v.options.Now().Sub(asOf)), true
 }
 
 // FreshEdition returns the document that operators number, as of now or later.
@@ -361,12 +367,6 @@
 	return v.clerk.Status()
 }
 
-// Freshness returns the time as of which the voter has all that was committed. If
-// it knows none, Freshness returns false.
-func (v *Voter) Freshness() (asOf time.Time, ok bool) {
-	return v.clerk.Freshness()
-}
-
 // Peers returns what a leader knows of the replicas that it replicates to.
 func (v *Voter) Peers() []jury.PeerStatus {
 	return v.clerk.Peers()
--- a/internal/counter/proof.go
+++ b/internal/counter/proof.go
@@ -25,6 +25,12 @@
 	proofEvery = 10 * time.Millisecond
 )
 
+// denyWithin returns how old the proof of the routes may be by which a request is told that
+// there is none for it.
+func (o Options) denyWithin() time.Duration {
+	return time.Duration(denyShare * float64(o.RoutesWithin))
+}
+
 // prove takes in how new the routes in force here are known to be. c.mu is held.
 func (c *Counter) prove(now, asked time.Time, address string, version uint64, reading edition.Reading) {
 	l := &c.links
@@ -111,7 +117,7 @@
 // away for good. So the request waits for a proof. If none comes in time, matchProven tells
 // the caller to come back, and if there is no route still, that.
 func (c *Counter) matchProven(w http.ResponseWriter, r *http.Request, call Call) (*routes.Table, *routes.Route) {
-	asOf := c.options.Now().Add(-time.Duration(denyShare * float64(c.options.RoutesWithin)))
+	asOf := c.options.Now().Add(-c.options.denyWithin())
 	proven := c.awaitProof(r.Context(), call, func() bool { return c.proves(asOf) })
 	table, route := c.lookUp(r)
 	switch {
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -166,7 +166,7 @@
 	c.coroner.Review(c.fleet.contact)
 	c.hold(now, reply)
 	c.links.leader = reply.Leader
-	if next := c.links.answered(now, c.options.Name, reply.Reading, c.options.RoutesWithin/2); next != c.links.asked {
+	if next := c.links.answered(now, c.options.Name, reply.Reading, c.options.denyWithin()); next != c.links.asked {
 		c.links.asked = next
 		c.links.source = roster.Source{}
 	}
