backoffice: an order is valid only in the state for which it was decided

Cause, from reading every way to an order: the expected sequence number was read after the wait for the lease, up to 300 ms after the decision. If it lands while the next one waits for its lease and a report shows it, the next one was sent with the new number, and the engine accepted both.

Ruled out: orders of two leaders (the leases' exclusion exceeds the order's delay, and both carry the number that they were decided with), an engine reborn (inherited orders count as memory), a refused order counted as done (it marks the engine stale).

Now the number is taken with the decision. The spec holds an order across a later report; before, the order would have been sent with 5 instead of 4.

--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -74,6 +74,17 @@
 	e.updated = make(chan struct{})
 }
 
+// beginOrder returns order as it is to be sent, and marks it as pending.
+//
+// The order is valid only in the state for which it was decided. While it waits for the
+// lease, a report may show that an unanswered order was carried out after all and took the
+// memory that this one needs; the engine must then refuse it.
+func (e *engine) beginOrder(order Order) Order {
+	e.orderPending = true
+	order.ExpectedSequence = e.report.Sequence
+	return order
+}
+
 // orderSent, orderAnswered and orderUnanswered track the pending order.
 func (e *engine) orderSent(now time.Time, order Order) {
 	e.unconfirmed.begin(now, order)
--- a/internal/backoffice/engine_test.go
+++ b/internal/backoffice/engine_test.go
@@ -48,6 +48,18 @@
 		Expect(e.AdvertisedModels()).To(ConsistOf("b"))
 	})
 
+	// Guards against exceeding an engine's memory: an unanswered load is carried out while
+	// the next load, decided without it, waits for the lease.
+	It("gets no order by a later state than the one for which it was decided", func() {
+		now := time.Now()
+		e := backoffice.NewEngine()
+		e.ApplyReport(now, report(4, false, "a"))
+		e.SendUnanswered(now, backoffice.Order{Kind: backoffice.Load, Model: "b", ExpectedSequence: 4})
+		order := e.Begin(backoffice.Order{Kind: backoffice.Load, Model: "c"})
+		e.ApplyReport(now, report(5, false, "a", "b"))
+		Expect(order.ExpectedSequence).To(BeEquivalentTo(4))
+	})
+
 	// After an order without an answer, a report is due at once. If that makes the last
 	// report look as if it had never arrived, the load of the engine is NaN at the entry
 	// instances.
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -37,6 +37,11 @@
 	e.engine.orderSent(now, order)
 }
 
+// Begin returns order as it is to be sent.
+func (e Engine) Begin(order Order) Order {
+	return e.engine.beginOrder(order)
+}
+
 // SendUnanswered records an order that got no answer.
 func (e Engine) SendUnanswered(now time.Time, order Order) {
 	e.engine.orderSent(now, order)
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -37,8 +37,7 @@
 			o.markChanged()
 			continue
 		}
-		e.orderPending = true
-		order := Order{Kind: Unload, Model: e.withdrawn}
+		order := e.beginOrder(Order{Kind: Unload, Model: e.withdrawn})
 		o.instance.done.Go(func() { o.sendOrder(ctx, e, order) })
 	}
 }
@@ -96,8 +95,7 @@
 		if move.FromStore {
 			o.fetchTokens--
 		}
-		e.orderPending = true
-		order := Order{Kind: Load, Model: move.Model}
+		order := e.beginOrder(Order{Kind: Load, Model: move.Model})
 		o.instance.done.Go(func() { o.sendOrder(ctx, e, order) })
 	}
 }
--- a/internal/backoffice/orchestrator.go
+++ b/internal/backoffice/orchestrator.go
@@ -318,8 +318,8 @@
 	o.setAdapterUses(entry, uses)
 }
 
-// sendOrder sends an order to e, whose orderPending was set by the caller. It reports
-// whether the engine carries out the order.
+// sendOrder sends an order that e.beginOrder returned. It reports whether the engine
+// carries out the order.
 func (o *orchestrator) sendOrder(ctx context.Context, e *engine, order Order) bool {
 	fence, allowed := o.fencingNumber()
 	answer := Refused
@@ -331,7 +331,6 @@
 	if allowed {
 		order.Holder, order.FencingNumber = o.instance.options.Address, fence
 		o.mu.Lock()
-		order.ExpectedSequence = e.report.Sequence
 		e.orderSent(o.instance.options.Now(), order)
 		o.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/backoffice/want.go
+++ b/internal/backoffice/want.go
@@ -89,7 +89,7 @@
 			return courier.WantReply{Reason: "all places for adapters are in use"}, nil
 		}
 	}
-	e.orderPending = true
+	order = e.beginOrder(order)
 	o.mu.Unlock()
 	if !o.sendOrder(ctx, e, order) {
 		return courier.WantReply{Reason: "the order was not carried out"}, nil
