workspaces: keys, quotas over all entry instances, priorities

A key that isn't known is denied for good only by proven routes, like a route that isn't there. The priority of the workspace goes before the route's.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -24,6 +24,9 @@
 	if wait, ok := p.allowByLimit(ctx, a.upstream); !ok {
 		return t.handleRateLimit(w, a, wait)
 	}
+	if !t.renewCharge(ctx, w) {
+		return true
+	}
 	t.sends++
 	t.timing.sent = p.options.Now()
 	response, err := t.roundTrip(ctx, a)
--- a/internal/counter/claims.go
+++ b/internal/counter/claims.go
@@ -50,7 +50,7 @@
 	id, pending := p.expectReply(owner)
 	p.mu.Unlock()
 	defer p.dropReply(id)
-	answer := p.claimFromOwner(ctx, owner, permit.SendRequest{ID: id, Upstream: u.name, Limit: limit}, pending)
+	answer := p.exchange(ctx, owner, permit.SendRequest{ID: id, Upstream: u.name, Limit: limit}, pending)
 	switch m := answer.(type) {
 	case permit.SendAllowed:
 		return 0, true
@@ -63,10 +63,11 @@
 	return u.limit.takeOwnShare(now, limit, p.control.entryInstances)
 }
 
-// claimFromOwner sends a claim to the owner of a limit. The answer is nil if none arrives in time.
-func (p *Proxy) claimFromOwner(ctx context.Context, owner netip.AddrPort, claim permit.SendRequest, pending *pendingReply) permit.Message {
+// exchange sends a message to an owner, again if necessary, and returns the answer. The answer is nil
+// if none arrives in time.
+func (p *Proxy) exchange(ctx context.Context, owner netip.AddrPort, message permit.Message, pending *pendingReply) permit.Message {
 	for range ownerAttempts {
-		p.peers.send(owner, claim)
+		p.peers.send(owner, message)
 		timer := time.NewTimer(ownerTimeout)
 		select {
 		case answer := <-pending.answers:
@@ -81,25 +82,29 @@
 	return nil
 }
 
-// claimAnswerTTL is how long the owner of a limit keeps its answers, to repeat them for claims
+// answerTTL is how long the owner of a limit or quota keeps its answers, to repeat them for requests
 // whose answer was lost.
-const claimAnswerTTL = time.Second
+const answerTTL = time.Second
 
-// claimAnswer is the stored answer to a claim.
-type claimAnswer struct {
+// storedAnswer is an answer to a peer.
+type storedAnswer struct {
 	answer  permit.Message
 	expires time.Time
 }
 
-// handleClaim decides a peer's claim, or repeats the earlier answer. p.mu is held.
-func (p *Proxy) handleClaim(now time.Time, from netip.AddrPort, m permit.SendRequest) {
-	requester := peerRequest{from, m.ID}
-	stored, found := p.claimAnswers[requester]
+// answerOnce answers a peer's request by decide, or repeats the earlier answer. p.mu is held.
+func (p *Proxy) answerOnce(now time.Time, requester peerRequest, decide func() permit.Message) {
+	stored, found := p.storedAnswers[requester]
 	if !found {
-		stored = claimAnswer{answer: p.decideClaim(now, m), expires: now.Add(claimAnswerTTL)}
-		p.claimAnswers[requester] = stored
+		stored = storedAnswer{answer: decide(), expires: now.Add(answerTTL)}
+		p.storedAnswers[requester] = stored
 	}
-	p.peers.send(from, stored.answer)
+	p.peers.send(requester.address, stored.answer)
+}
+
+// handleClaim decides a peer's claim, or repeats the earlier answer. p.mu is held.
+func (p *Proxy) handleClaim(now time.Time, from netip.AddrPort, m permit.SendRequest) {
+	p.answerOnce(now, peerRequest{from, m.ID}, func() permit.Message { return p.decideClaim(now, m) })
 }
 
 func (p *Proxy) decideClaim(now time.Time, m permit.SendRequest) permit.Message {
@@ -118,11 +123,11 @@
 	return permit.SendAllowed{ID: m.ID}
 }
 
-// expireClaims removes the stored answers that have expired. p.mu is held.
-func (p *Proxy) expireClaims(now time.Time) {
-	for requester, stored := range p.claimAnswers {
+// expireAnswers removes the stored answers that have expired. p.mu is held.
+func (p *Proxy) expireAnswers(now time.Time) {
+	for requester, stored := range p.storedAnswers {
 		if now.After(stored.expires) {
-			delete(p.claimAnswers, requester)
+			delete(p.storedAnswers, requester)
 		}
 	}
 }
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -56,9 +56,10 @@
 	pendingReplies map[permit.ID]*pendingReply
 	lastMessageID  permit.ID
 	permits        map[peerRequest]*permitRecord
-	// claimAnswers are the recent answers to peers that requested permission to send to a
-	// rate-limited upstream.
-	claimAnswers map[peerRequest]claimAnswer
+	// storedAnswers are the recent answers to peers that requested units of a quota, or permission to
+	// send to a rate-limited upstream.
+	storedAnswers map[peerRequest]storedAnswer
+	quotas        quotaAccounts
 	// crashes detects upstreams that crash while running requests. Lock order: mu before the lock
 	// of the detector.
 	crashes *coroner.CrashDetector
@@ -121,7 +122,8 @@
 		// address.
 		lastMessageID: permit.ID(options.Now().UnixNano()),
 		permits:       map[peerRequest]*permitRecord{},
-		claimAnswers:  map[peerRequest]claimAnswer{},
+		storedAnswers: map[peerRequest]storedAnswer{},
+		quotas:        quotaAccounts{},
 		syncNow:       make(chan struct{}, 1),
 		cancel:        cancel,
 	}
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -23,10 +23,12 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
+	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+	"github.com/lovagelift/lovagelift/internal/workspace"
 )
 
 // specTimeout bounds each wait of a spec. No spec needs a tenth of it.
@@ -37,6 +39,7 @@
 	idHeader     = "Spec-Request"
 	notRunHeader = "Spec-Not-Run"
 	limitHeader  = "Spec-Limit"
+	keyHeader    = "Spec-Key"
 )
 
 // dialect implements that protocol.
@@ -45,6 +48,7 @@
 func (dialect) Prepare(header http.Header, attempt counter.Attempt) {
 	header.Set("Spec-Upstream", attempt.Upstream)
 	header.Set("Spec-Remaining", attempt.Remaining.String())
+	header.Set("Spec-Workspace", attempt.Workspace)
 }
 
 func (dialect) Classify(response *http.Response, requestID string) counter.ResponseClass {
@@ -70,9 +74,23 @@
 	return ratelimit.NamedLimit{Limit: ratelimit.Limit(limit)}
 }
 
-// withoutLookRoute is the content of the second version of the routes, which lacks the route
-// "look".
-const withoutLookRoute = "without-look"
+// Contents of the routes.
+const (
+	allRoutes = "{}"
+	// withoutLookRoute lacks the route "look".
+	withoutLookRoute = "without-look"
+	// withKeys needs the key "clerk-key" for all routes but "look", and withNewKeys the key
+	// "new-key". The workspace has a quota of 1 request, and another one a minute later.
+	withKeys    = "with-keys"
+	withNewKeys = "with-new-keys"
+)
+
+// clerks is the workspace of withKeys and withNewKeys.
+func clerks(key string) []workspace.Workspace {
+	return []workspace.Workspace{{
+		Name: "clerks", Keys: []workspace.KeyDigest{workspace.Digest(key)}, Quota: quota.Limit{PerSecond: 1.0 / 60, Burst: 1},
+	}}
+}
 
 // parseRoutes returns the routes of all specs.
 func parseRoutes(content []byte) (*routes.Table, error) {
@@ -97,9 +115,18 @@
 		},
 		Services: []routes.Service{{Name: "desk"}, {Name: "nobody"}},
 	}
-	if string(content) == withoutLookRoute {
+	switch string(content) {
+	case withoutLookRoute:
 		draft.Version = 2
 		draft.Routes = draft.Routes[1:]
+	case withKeys:
+		draft.Version = 2
+		draft.Routes[0].Public = true
+		draft.Workspaces = clerks("clerk-key")
+	case withNewKeys:
+		draft.Version = 3
+		draft.Routes[0].Public = true
+		draft.Workspaces = clerks("new-key")
 	}
 	return routes.New(draft)
 }
@@ -112,10 +139,10 @@
 	// leaderless is true while the control instance knows no leader.
 	leaderless bool
 	// catchingUp is true while the control instance has not applied all committed changes.
-	// routeDropped is true once the second version of the routes is committed.
-	catchingUp   bool
-	routeDropped bool
-	address      string
+	// editions are the contents of the committed versions of the routes, the first one being 1.
+	catchingUp bool
+	editions   []string
+	address    string
 	// otherEntries are the entry instances other than the caller. loadCalls is the number of load
 	// calls received.
 	otherEntries []string
@@ -131,8 +158,8 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	c := &fakeControl{
-		address: listener.Addr().String(),
-		roster:  roster.New(roster.Options{Self: "control", Incarnation: 1, Lease: time.Minute}),
+		address: listener.Addr().String(), editions: []string{allRoutes},
+		roster: roster.New(roster.Options{Self: "control", Incarnation: 1, Lease: time.Minute}),
 	}
 	server, err := courier.NewServer(listener, courier.Services{Others: map[string]any{"Feed": courier.NewFeedService(c)}})
 	Expect(err).NotTo(HaveOccurred())
@@ -158,10 +185,11 @@
 	if c.leaderless {
 		reply.Leader = ""
 	}
-	current := edition.Edition{Version: 1, Content: []byte("{}")}
-	if c.routeDropped && !c.catchingUp {
-		current = edition.Edition{Version: 2, Content: []byte(withoutLookRoute)}
+	last := len(c.editions) - 1
+	if c.catchingUp {
+		last = 0
 	}
+	current := edition.Edition{Version: uint64(last + 1), Content: []byte(c.editions[last])}
 	reply.Reading.Version = current.Version
 	if args.Edition < current.Version {
 		reply.Edition = &current
@@ -176,11 +204,11 @@
 	c.leaderless = !hasLeader
 }
 
-// dropRoute commits the second version of the routes.
-func (c *fakeControl) dropRoute() {
+// commit commits the next version of the routes.
+func (c *fakeControl) commit(content string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.routeDropped = true
+	c.editions = append(c.editions, content)
 }
 
 // setCatchingUp sets whether the control instance lags behind.
@@ -353,11 +381,12 @@
 	p.proxy = counter.New(counter.Options{
 		Name: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", FailureDomain: "here", Seeds: []string{p.control.address},
 		Dial: courier.DialTCP, UpstreamLease: time.Minute,
-		Retries:     counter.RetryLimits{Ratio: 0.1, Burst: 20, Window: 10 * time.Second},
-		ParseRoutes: parseRoutes, Dialect: dialect{}, Now: p.now, Log: zerolog.Nop(),
+		Retries:        counter.RetryLimits{Ratio: 0.1, Burst: 20, Window: 10 * time.Second},
+		QuotaTolerance: quota.Tolerance{Window: time.Second, Slack: 2},
+		ParseRoutes:    parseRoutes, Dialect: dialect{}, Now: p.now, Log: zerolog.Nop(),
 	})
 	p.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		p.proxy.ServeRequest(w, r, counter.Call{ID: r.Header.Get(idHeader), Timeout: 5 * time.Second})
+		p.proxy.ServeRequest(w, r, counter.Call{ID: r.Header.Get(idHeader), Key: r.Header.Get(keyHeader), Timeout: 5 * time.Second})
 	}))
 	DeferCleanup(func() {
 		p.server.CloseClientConnections()
@@ -384,11 +413,18 @@
 
 // send sends a request and returns the response, its body and any error.
 func (p *testProxy) send(ctx context.Context, method, path, body string) (*http.Response, string, error) {
+	GinkgoHelper()
+	return p.sendWithKey(ctx, "", method, path, body)
+}
+
+// sendWithKey is send with the key of a workspace.
+func (p *testProxy) sendWithKey(ctx context.Context, key, method, path, body string) (*http.Response, string, error) {
 	GinkgoHelper()
 	request, err := http.NewRequestWithContext(ctx, method, p.server.URL+path, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	request.Host = "spec.test"
 	request.Header.Set(idHeader, "r1")
+	request.Header.Set(keyHeader, key)
 	response, err := http.DefaultTransport.RoundTrip(request)
 	if err != nil {
 		return nil, "", err
--- a/internal/counter/crashes.go
+++ b/internal/counter/crashes.go
@@ -40,9 +40,9 @@
 	return err == nil && reply.Recorded
 }
 
-func digestOf(r *http.Request, call Call, body []byte) quarantine.Digest {
+func digestOf(r *http.Request, workspace string, body []byte) quarantine.Digest {
 	return quarantine.Identity{
-		Caller: call.Caller, Method: r.Method, Host: hostOf(r), Target: r.URL.RequestURI(), Body: body,
+		Caller: workspace, Method: r.Method, Host: hostOf(r), Target: r.URL.RequestURI(), Body: body,
 	}.Digest()
 }
 
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -11,6 +11,7 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -221,9 +222,22 @@
 	p.owners.assignment = permit.NewOwners(all)
 	p.permits = map[peerRequest]*permitRecord{}
 	p.pendingReplies = map[permit.ID]*pendingReply{}
+	p.storedAnswers = map[peerRequest]storedAnswer{}
+	p.quotas = quotaAccounts{}
+	p.options.QuotaTolerance = quotaTolerance
 	return Instance{proxy: p, conn: conn}
 }
 
+// quotaTolerance is that of an Instance.
+var quotaTolerance = quota.Tolerance{Window: 8 * time.Second, Overage: 0.1}
+
+// SetInstances replaces the entry instances.
+func (i Instance) SetInstances(now time.Time, all []netip.AddrPort) {
+	i.proxy.owners.assignment = permit.NewOwners(all)
+	i.proxy.owners.resetCache(now)
+	i.proxy.dropForeignQuotas(now)
+}
+
 // Receive handles a message and returns the messages sent in response.
 func (i Instance) Receive(now time.Time, from netip.AddrPort, message permit.Message) []SentMessage {
 	i.proxy.receive(now, from, message)
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -38,6 +38,33 @@
 	proofAge tally.Histogram
 	// proofWaits counts requests that waited for a proof of the routes.
 	proofWaits tally.Counter
+	// quotaDecisions counts the quota decisions on this instance's requests, by workspace.
+	quotaDecisions map[quotaDecisionKey]tally.Counter
+}
+
+// quotaDecisionKey distinguishes the counters of quota decisions.
+type quotaDecisionKey struct {
+	workspace string
+	granted   bool
+}
+
+// countQuotaDecision counts a quota decision. Workspaces beyond maxRoutes are counted together.
+func (m *metrics) countQuotaDecision(workspace string, granted bool) {
+	key := quotaDecisionKey{workspace, granted}
+	counter, found := m.quotaDecisions[key]
+	if !found && len(m.quotaDecisions) >= maxRoutes && workspace != otherRoute {
+		m.countQuotaDecision(otherRoute, granted)
+		return
+	}
+	if !found {
+		decision := "denied"
+		if granted {
+			decision = "granted"
+		}
+		counter = m.scope.Tagged(map[string]string{"workspace": workspace, "decision": decision}).Counter("quota_decisions")
+		m.quotaDecisions[key] = counter
+	}
+	counter.Inc(1)
 }
 
 // routeMetrics holds the metrics of one route and status.
@@ -57,7 +84,8 @@
 		scope: scope, proofAge: scope.Histogram("routes_proof_age_seconds", latencyBuckets),
 		proofWaits: scope.Counter("routes_proof_waits"), routes: map[string]routeMetrics{},
 		refusals: map[string]tally.Counter{}, failedSends: map[string]tally.Counter{}, limitedSends: map[string]tally.Counter{},
-		decisions: map[string]tally.Counter{}, ownerAnswers: map[string]tally.Counter{},
+		quotaDecisions: map[quotaDecisionKey]tally.Counter{},
+		decisions:      map[string]tally.Counter{}, ownerAnswers: map[string]tally.Counter{},
 	}
 }
 
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/routes"
 )
@@ -37,6 +38,8 @@
 	UpstreamLease time.Duration
 	// Retries limits the retries of each service.
 	Retries RetryLimits
+	// QuotaTolerance is the tolerated excess over the quota of a workspace.
+	QuotaTolerance quota.Tolerance
 	// ParseRoutes parses the routes that an operator submitted.
 	ParseRoutes func(content []byte) (*routes.Table, error)
 	// MaxRouteUpdateDelay is the longest time between the acknowledgement of a route change to the
@@ -81,6 +84,8 @@
 	Remaining time.Duration
 	// Priority is the priority of the route; 0 is the most urgent.
 	Priority uint8
+	// Workspace is the name of the caller's workspace, empty if the request has none.
+	Workspace string
 }
 
 // ResponseClass classifies an upstream's response.
@@ -101,8 +106,8 @@
 // Call holds the values of a caller's request headers.
 type Call struct {
 	ID string
-	// Caller identifies the sender. It is empty if the headers do not name one.
-	Caller string
+	// Key is the API key of the caller's workspace, empty if the headers have none.
+	Key string
 	// Timeout is how long the caller waits, 0 if the headers do not state it.
 	Timeout time.Duration
 	Model   string
@@ -110,6 +115,8 @@
 	Adapter      string
 	PromptTokens int
 	OutputTokens int
+	// Size is what a quota counts. Unlike OutputTokens, it includes the maximum of the answer.
+	Size quota.Size
 }
 
 // Intervals and timeouts of the calls to control instances and upstreams.
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -47,6 +47,16 @@
 		p.receiveLimit(now, m)
 	case permit.SendRequest:
 		p.handleClaim(now, from, m)
+	case permit.QuotaRequest:
+		p.handleQuotaRequest(now, from, m)
+	case permit.QuotaReturn:
+		p.handleQuotaAdjustment(now, m.Workspace, m.Units)
+	case permit.QuotaDebit:
+		p.handleQuotaAdjustment(now, m.Workspace, -m.Units)
+	case permit.QuotaGranted:
+		p.deliverAnswer(from, m.ID, m)
+	case permit.QuotaDenied:
+		p.deliverAnswer(from, m.ID, m)
 	case permit.SendAllowed:
 		p.deliverAnswer(from, m.ID, m)
 	case permit.SendDelayed:
@@ -149,11 +159,11 @@
 	p.dequeue(record.waiter)
 }
 
-// expirePermits removes permits and claim answers whose time has run out.
+// expirePermits removes permits and stored answers whose time has run out.
 func (p *Proxy) expirePermits(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.expireClaims(now)
+	p.expireAnswers(now)
 	for requester, record := range p.permits {
 		if now.After(record.expires) {
 			p.removePermit(requester, record)
--- a/internal/counter/proof.go
+++ b/internal/counter/proof.go
@@ -7,7 +7,6 @@
 
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/pause"
-	"github.com/lovagelift/lovagelift/internal/routes"
 )
 
 const (
@@ -93,43 +92,39 @@
 	return false
 }
 
-// matchRoute returns the route of a request and the routing table that contains it. If there is
-// none, it answers the caller and returns a nil route.
-func (p *Proxy) matchRoute(w http.ResponseWriter, r *http.Request, call Call) (*routes.Table, *routes.Route) {
-	table, route := p.lookUpRoute(r)
-	if route != nil && !p.hasUsableRoutes() {
-		// The route may have been removed or changed.
+// authorize returns what the routes in force say of a request. If they don't allow it, it answers
+// the caller and returns false.
+func (p *Proxy) authorize(w http.ResponseWriter, r *http.Request, call Call) (match, bool) {
+	m := p.lookUp(r, call)
+	if m.allowed() && !p.hasUsableRoutes() {
+		// The route or the key may have been removed or changed.
 		p.waitForProof(r.Context(), call, p.hasUsableRoutes)
-		table, route = p.lookUpRoute(r)
+		m = p.lookUp(r, call)
 	}
-	if route != nil {
-		return table, route
+	if m.allowed() {
+		return m, true
 	}
-	return p.matchProvenRoute(w, r, call)
+	return p.authorizeProven(w, r, call)
 }
 
-// lookUpRoute returns the routes in force and the route of a request, which may be nil.
-func (p *Proxy) lookUpRoute(r *http.Request) (*routes.Table, *routes.Route) {
-	table := p.routes.Load()
-	return table, table.Match(hostOf(r), r.URL.EscapedPath())
-}
-
-// matchProvenRoute handles a request that matches none of the known routes. Without a recent proof,
-// the route may have been added since, and a caller that receives 404 does not retry. So the
-// request waits for a proof. If none arrives in time, the caller is asked to retry; if the routes
-// are proven and there is still no match, it receives 404.
-func (p *Proxy) matchProvenRoute(w http.ResponseWriter, r *http.Request, call Call) (*routes.Table, *routes.Route) {
+// authorizeProven handles a request that the known routes do not allow. Without a recent proof, its
+// route or key may have been added since, and a caller that receives 404 or 401 does not retry. So
+// the request waits for a proof. If none arrives in time, the caller is asked to retry; if the
+// routes are proven and still do not allow it, the denial is final.
+func (p *Proxy) authorizeProven(w http.ResponseWriter, r *http.Request, call Call) (match, bool) {
 	asOf := p.options.Now().Add(-p.options.denyProofMaxAge())
 	proven := p.waitForProof(r.Context(), call, func() bool { return p.routesProvenAt(asOf) })
-	table, route := p.lookUpRoute(r)
+	m := p.lookUp(r, call)
+	denial, denied := m.denial()
 	switch {
-	case route != nil:
+	case !denied:
+		return m, true
 	case proven:
-		p.refuse(w, call, nil, refusal{status: http.StatusNotFound, text: "no route"})
+		p.refuse(w, call, nil, denial)
 	default:
 		p.refuse(w, call, nil, refusal{
 			status: http.StatusServiceUnavailable, text: "the routes may be old", retryAfter: noRoutesRetryAfter,
 		})
 	}
-	return table, route
+	return m, false
 }
--- a/internal/counter/proof_test.go
+++ b/internal/counter/proof_test.go
@@ -86,7 +86,7 @@
 		Expect(response.StatusCode).To(Equal(http.StatusOK))
 		served := p.arrivals()
 
-		p.control.dropRoute()
+		p.control.commit(withoutLookRoute)
 		p.clockOffset.Store(int64(10 * time.Second))
 		response, _, err = p.send(ctx, http.MethodGet, "/look/1", "")
 		Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/internal/counter/quota.go
@@ -0,0 +1,305 @@
+package counter
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/quota"
+	"github.com/lovagelift/lovagelift/internal/workspace"
+)
+
+const (
+	// quotaOwnerService takes the place of the service name in the key that assigns the quotas of
+	// workspaces to owners.
+	quotaOwnerService = "\x00quota"
+	// chargeTTL is how long a charge is valid until the request is sent. Requests that were charged
+	// over several seconds and are sent at once would exceed the quota.
+	chargeTTL = time.Second
+	// quotaWaitShare is the share of a request's objective for which it may wait for its quota.
+	quotaWaitShare = 0.25
+	// standInTTL is how long an instance that does not own a quota keeps its bucket after a request
+	// of a peer that does not reach the owner.
+	standInTTL = time.Second
+	// overQuota is the text sent to callers whose workspace has used up its quota.
+	overQuota = "the workspace is over its quota"
+)
+
+// quotaAccount is the state of one workspace's quota at this instance.
+type quotaAccount struct {
+	lease quota.Lease
+	// bucket holds the units of all instances while this one owns the quota, and ownShare those of
+	// this instance while it reaches no owner. They are nil before the first request.
+	bucket   *quota.Bucket
+	ownShare *quota.Bucket
+	usedAt   time.Time
+}
+
+// quotaAccounts maps the names of workspaces to their accounts.
+type quotaAccounts map[string]*quotaAccount
+
+func (q quotaAccounts) get(name string) *quotaAccount {
+	account := q[name]
+	if account == nil {
+		account = &quotaAccount{}
+		q[name] = account
+	}
+	return account
+}
+
+// quotaOwner returns the other instance that owns the quota of a workspace. It returns false if
+// this instance does. p.mu is held.
+func (p *Proxy) quotaOwner(now time.Time, name string) (netip.AddrPort, bool) {
+	if p.peers.conn == nil {
+		return netip.AddrPort{}, false
+	}
+	owner, known := p.owners.ownerOf(now, quotaOwnerService, name)
+	return owner, known && owner != p.owners.self
+}
+
+// ownerBucket returns the bucket of all instances. p.mu is held.
+func (p *Proxy) ownerBucket(now time.Time, name string, limit quota.Limit) *quota.Bucket {
+	account := p.quotas.get(name)
+	_, elsewhere := p.quotaOwner(now, name)
+	if account.bucket == nil || elsewhere && now.Sub(account.usedAt) >= standInTTL {
+		bucket := quota.NewBucket(now, p.options.QuotaTolerance.InitialUnits(limit))
+		account.bucket = &bucket
+	}
+	account.usedAt = now
+	return account.bucket
+}
+
+// takeAsOwner takes units from the bucket of all instances. p.mu is held.
+func (p *Proxy) takeAsOwner(now time.Time, name string, limit quota.Limit, need, ahead float64) quota.Decision {
+	bucket := p.ownerBucket(now, name, limit)
+	var decision quota.Decision
+	*bucket, decision = bucket.Take(now, limit, need, ahead)
+	return decision
+}
+
+// takeOwnShare takes units from this instance's share of a quota.
+func (p *Proxy) takeOwnShare(now time.Time, w *workspace.Workspace, need float64) quota.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	share := w.Quota.Share(p.control.entryInstances)
+	account := p.quotas.get(w.Name)
+	if account.ownShare == nil {
+		bucket := quota.NewBucket(now, p.options.QuotaTolerance.InitialUnits(share))
+		account.ownShare = &bucket
+	}
+	var decision quota.Decision
+	*account.ownShare, decision = account.ownShare.Take(now, share, need, 0)
+	return decision
+}
+
+// takeQuota takes units for one request of a workspace: from the lease of this instance, from the
+// owner of the quota or, if none answers, from this instance's share.
+func (p *Proxy) takeQuota(ctx context.Context, w *workspace.Workspace, need float64) quota.Decision {
+	for range maxOwnersAsked {
+		now := p.options.Now()
+		p.mu.Lock()
+		decision, owner, ahead := p.takeQuotaHere(now, w, need)
+		if decision != nil {
+			p.mu.Unlock()
+			return decision
+		}
+		id, pending := p.expectReply(owner)
+		p.mu.Unlock()
+		answer := p.exchange(ctx, owner, permit.QuotaRequest{
+			ID: id, Workspace: w.Name, PerSecond: w.Quota.PerSecond, Burst: w.Quota.Burst, Need: need, Ahead: ahead,
+		}, pending)
+		p.dropReply(id)
+		switch m := answer.(type) {
+		case permit.QuotaGranted:
+			p.extendLease(w.Name, m.Units-need)
+			return quota.Granted{Units: need}
+		case permit.QuotaDenied:
+			return quota.Denied{Wait: m.Wait}
+		case permit.ShuttingDown:
+			p.avoidOwner(owner, drainingAvoidance)
+			continue
+		}
+		if ctx.Err() != nil {
+			return quota.Denied{}
+		}
+		p.avoidOwner(owner, unresponsiveAvoidance)
+	}
+	return p.takeOwnShare(p.options.Now(), w, need)
+}
+
+// takeQuotaHere decides by the lease of this instance, or as the owner. If neither is possible, the
+// decision is nil, and it returns the owner and the units to ask for ahead. p.mu is held.
+func (p *Proxy) takeQuotaHere(now time.Time, w *workspace.Workspace, need float64) (quota.Decision, netip.AddrPort, float64) {
+	owner, elsewhere := p.quotaOwner(now, w.Name)
+	if !elsewhere {
+		return p.takeAsOwner(now, w.Name, w.Quota, need, 0), owner, 0
+	}
+	account := p.quotas.get(w.Name)
+	account.lease = account.lease.WithUse(now, need)
+	var spent bool
+	if account.lease, spent = account.lease.Spend(now, need); spent {
+		return quota.Granted{Units: need}, owner, 0
+	}
+	var unspent float64
+	if account.lease, unspent = account.lease.Expired(now); unspent >= 1 {
+		p.peers.send(owner, permit.QuotaReturn{Workspace: w.Name, Units: unspent})
+	}
+	return nil, owner, account.lease.Ahead(now, need)
+}
+
+func (p *Proxy) extendLease(name string, units float64) {
+	if units <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	account := p.quotas.get(name)
+	account.lease = account.lease.WithGrant(p.options.Now(), units)
+}
+
+// adjustQuota returns units to the owner of a quota, or debits them if units is negative.
+func (p *Proxy) adjustQuota(w *workspace.Workspace, units float64) {
+	now := p.options.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var message permit.Message = permit.QuotaReturn{Workspace: w.Name, Units: units}
+	if units < 0 {
+		message = permit.QuotaDebit{Workspace: w.Name, Units: -units}
+	}
+	if owner, elsewhere := p.quotaOwner(now, w.Name); elsewhere {
+		p.peers.send(owner, message)
+		return
+	}
+	p.applyQuotaAdjustment(now, w, units)
+}
+
+// applyQuotaAdjustment returns units to the bucket of all instances, or debits them if units is
+// negative. p.mu is held.
+func (p *Proxy) applyQuotaAdjustment(now time.Time, w *workspace.Workspace, units float64) {
+	bucket := p.ownerBucket(now, w.Name, w.Quota)
+	if units < 0 {
+		*bucket = bucket.Debit(now, w.Quota, -units)
+		return
+	}
+	*bucket = bucket.Return(now, w.Quota, units)
+}
+
+// handleQuotaRequest decides a peer's quota request, or repeats the earlier decision. p.mu is held.
+func (p *Proxy) handleQuotaRequest(now time.Time, from netip.AddrPort, m permit.QuotaRequest) {
+	if p.draining {
+		p.peers.send(from, permit.ShuttingDown{ID: m.ID})
+		return
+	}
+	p.answerOnce(now, peerRequest{from, m.ID}, func() permit.Message {
+		limit := quota.Limit{PerSecond: m.PerSecond, Burst: m.Burst}
+		if known := p.workspaceNamed(m.Workspace); known != nil && known.Quota.Limited() {
+			limit = known.Quota
+		}
+		switch decision := p.takeAsOwner(now, m.Workspace, limit, m.Need, m.Ahead).(type) {
+		case quota.Granted:
+			return permit.QuotaGranted{ID: m.ID, Units: decision.Units}
+		case quota.Denied:
+			return permit.QuotaDenied{ID: m.ID, Wait: decision.Wait}
+		default:
+			return nil
+		}
+	})
+}
+
+// handleQuotaAdjustment returns or debits units that a peer reports. p.mu is held.
+func (p *Proxy) handleQuotaAdjustment(now time.Time, name string, units float64) {
+	if w := p.workspaceNamed(name); w != nil && w.Quota.Limited() {
+		p.applyQuotaAdjustment(now, w, units)
+	}
+}
+
+// workspaceNamed returns a workspace of the routes in force, or nil.
+func (p *Proxy) workspaceNamed(name string) *workspace.Workspace {
+	table := p.routes.Load()
+	if table == nil {
+		return nil
+	}
+	return table.Workspaces.Named(name)
+}
+
+// dropForeignQuotas removes the buckets of quotas that other instances own. A bucket that fills
+// while another instance grants would double the quota if the ownership came back. p.mu is held.
+func (p *Proxy) dropForeignQuotas(now time.Time) {
+	for name, account := range p.quotas {
+		if _, elsewhere := p.quotaOwner(now, name); elsewhere {
+			account.bucket = nil
+		}
+	}
+}
+
+// chargeQuota charges the request to the quota of its workspace, and waits for up to maxWait if the
+// quota is used up. If it can't charge the request, it answers the caller and returns false.
+func (t *transaction) chargeQuota(ctx context.Context, w http.ResponseWriter, maxWait time.Duration) bool {
+	if t.workspace == nil || !t.workspace.Quota.Limited() {
+		return true
+	}
+	p := t.proxy
+	t.quotaCost = t.workspace.Quota.Cost(t.call.Size)
+	giveUp := p.options.Now().Add(maxWait)
+	for {
+		decision := p.takeQuota(ctx, t.workspace, t.quotaCost)
+		denied, isDenied := decision.(quota.Denied)
+		p.countQuotaDecision(t.workspace.Name, !isDenied)
+		if !isDenied {
+			t.chargedAt = p.options.Now()
+			return true
+		}
+		if p.options.Now().Add(denied.Wait).After(giveUp) || !pause.For(ctx, denied.Wait) {
+			t.refuseOverQuota(w, denied.Wait)
+			return false
+		}
+	}
+}
+
+// renewCharge charges a request again that has waited for long since it was charged. It returns
+// false if it has answered the caller instead.
+func (t *transaction) renewCharge(ctx context.Context, w http.ResponseWriter) bool {
+	p := t.proxy
+	switch {
+	case t.chargedAt.IsZero():
+		return true
+	case t.possibleRuns > 0:
+		p.adjustQuota(t.workspace, -t.quotaCost)
+		return true
+	case p.options.Now().Sub(t.chargedAt) < chargeTTL:
+		return true
+	}
+	t.returnCharge()
+	// The engine holds a place for the request, which must not stay empty.
+	return t.chargeQuota(ctx, w, 0)
+}
+
+// returnCharge returns the charge of a request that no upstream has run.
+func (t *transaction) returnCharge() {
+	if t.chargedAt.IsZero() || t.possibleRuns > 0 {
+		return
+	}
+	t.chargedAt = time.Time{}
+	t.proxy.adjustQuota(t.workspace, t.quotaCost)
+}
+
+func (t *transaction) refuseOverQuota(w http.ResponseWriter, wait time.Duration) {
+	p := t.proxy
+	if t.request.Context().Err() != nil {
+		p.logOutcome(t, "caller disconnected", "the caller left while the request waited for its quota")
+		panic(http.ErrAbortHandler)
+	}
+	p.refuse(w, t.call, t.route, refusal{
+		status: http.StatusTooManyRequests, text: overQuota, retryAfter: max(wait, minRetryAfter),
+		workspace: t.workspace, quotaCost: t.quotaCost, waited: p.options.Now().Sub(t.arrived),
+	})
+}
+
+func (p *Proxy) countQuotaDecision(name string, granted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.metrics.countQuotaDecision(name, granted)
+}
--- /dev/null
+++ b/internal/counter/quota_test.go
@@ -0,0 +1,154 @@
+package counter_test
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/counter"
+	"github.com/lovagelift/lovagelift/internal/permit"
+)
+
+// quotaService is the service name under which quotas have owners.
+const quotaService = "\x00quota"
+
+var _ = Describe("The instance that owns a quota", func() {
+	instances := instanceAddresses(71)
+	owner, peer := instances[7], instances[9]
+	name := modelOwnedBy(quotaService, owner, instances...)
+	var instance counter.Instance
+
+	BeforeEach(func() {
+		instance = counter.NewInstance(counter.NewUpstreamPool("here", lease), owner, instances)
+	})
+
+	// ask requests units of a quota of 1,000 a second and a burst of 1,000.
+	ask := func(now time.Time, from netip.AddrPort, id permit.ID, need float64) permit.Message {
+		GinkgoHelper()
+		sent := instance.Receive(now, from, permit.QuotaRequest{
+			ID: id, Workspace: name, PerSecond: 1000, Burst: 1000, Need: need,
+		})
+		Expect(sent).To(HaveLen(1))
+		Expect(sent[0].To).To(Equal(from))
+		return sent[0].Message
+	}
+
+	It("grants to all instances together no more than the quota", func() {
+		now := start
+		total := 0.0
+		for i := range 8000 {
+			now = now.Add(time.Millisecond)
+			if m, ok := ask(now, instances[10+i%60], permit.ID(i), 100).(permit.QuotaGranted); ok {
+				total += m.Units
+			}
+		}
+		// A new owner starts with 450 units: half of a tenth of 9,000.
+		Expect(total).To(BeNumerically("~", 8450, 100))
+	})
+
+	// Guards against charging a request twice whose answer was lost.
+	It("repeats its decision", func() {
+		Expect(ask(start, peer, 1, 300)).To(Equal(permit.QuotaGranted{ID: 1, Units: 300}))
+		Expect(ask(start.Add(40*time.Millisecond), peer, 1, 300)).To(Equal(permit.QuotaGranted{ID: 1, Units: 300}))
+		Expect(ask(start.Add(40*time.Millisecond), peer, 2, 190)).To(Equal(permit.QuotaGranted{ID: 2, Units: 190}))
+	})
+
+	It("tells when to come back", func() {
+		ask(start, peer, 1, 450)
+		Expect(ask(start, peer, 2, 200)).To(Equal(permit.QuotaDenied{ID: 2, Wait: 200 * time.Millisecond}))
+		Expect(ask(start.Add(200*time.Millisecond), peer, 3, 200)).To(Equal(permit.QuotaGranted{ID: 3, Units: 200}))
+	})
+
+	It("sends others to its successor while it drains", func() {
+		instance.Drain()
+		Expect(ask(start, peer, 1, 100)).To(Equal(permit.ShuttingDown{ID: 1}))
+	})
+
+	// Guards against twice the quota: a former owner's bucket fills while its successor grants.
+	It("starts anew if it becomes the owner again", func() {
+		ask(start, peer, 1, 450)
+		others := append([]netip.AddrPort{}, instances[:7]...)
+		others = append(others, instances[8:]...)
+		instance.SetInstances(start, others)
+		later := start.Add(10 * time.Second)
+		instance.SetInstances(later, instances)
+		Expect(ask(later, peer, 2, 451)).To(BeAssignableToTypeOf(permit.QuotaDenied{}))
+		Expect(ask(later, peer, 3, 450)).To(Equal(permit.QuotaGranted{ID: 3, Units: 450}))
+	})
+
+	// Guards against twice the quota: a peer that doesn't reach the owner asks the next one.
+	It("starts anew each time that it stands in for the owner", func() {
+		stranger := modelOwnedBy(quotaService, instances[3], instances...)
+		request := permit.QuotaRequest{ID: 1, Workspace: stranger, PerSecond: 1000, Burst: 1000, Need: 450}
+		granted := instance.Receive(start, peer, request)[0].Message
+		Expect(granted).To(Equal(permit.QuotaGranted{ID: 1, Units: 450}))
+		request.ID, request.Need = 2, 1000
+		denied := instance.Receive(start.Add(10*time.Second), peer, request)[0].Message
+		Expect(denied).To(BeAssignableToTypeOf(permit.QuotaDenied{}))
+	})
+})
+
+var _ = Describe("A request of a workspace", func() {
+	status := func(ctx SpecContext, p *testProxy, key, path string) int {
+		response, _, err := p.sendWithKey(ctx, key, http.MethodPost, path, "")
+		Expect(err).NotTo(HaveOccurred())
+		return response.StatusCode
+	}
+	var workspaces chan string
+	var p *testProxy
+
+	BeforeEach(func(ctx SpecContext) {
+		workspaces = make(chan string, 8)
+		p = newTestProxy(newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
+			workspaces <- r.Header.Get("Spec-Workspace")
+			succeed(w, r)
+		}))
+		p.control.commit(withKeys)
+		Eventually(func() int { return status(ctx, p, "nobody's", "/book/7") }).WithTimeout(specTimeout).Should(Equal(http.StatusUnauthorized))
+		for len(workspaces) > 0 {
+			<-workspaces
+		}
+	}, NodeTimeout(2*specTimeout))
+
+	It("runs under its name, and not beyond its quota", func(ctx SpecContext) {
+		Expect(status(ctx, p, "clerk-key", "/book/7")).To(Equal(http.StatusOK))
+		Expect(workspaces).To(Receive(Equal("clerks")))
+		response, _, err := p.sendWithKey(ctx, "clerk-key", http.MethodPost, "/book/7", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusTooManyRequests))
+		Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(workspaces).To(BeEmpty())
+	}, NodeTimeout(specTimeout))
+
+	// Guards against worth lost below the quota: a refused request comes back and is charged again.
+	It("costs nothing if no upstream runs it", func(ctx SpecContext) {
+		Expect(status(ctx, p, "clerk-key", "/empty/7")).To(Equal(http.StatusServiceUnavailable))
+		Expect(status(ctx, p, "clerk-key", "/book/7")).To(Equal(http.StatusOK))
+	}, NodeTimeout(specTimeout))
+
+	It("needs no key for a public route", func(ctx SpecContext) {
+		Expect(status(ctx, p, "", "/look/7")).To(Equal(http.StatusOK))
+		Expect(workspaces).To(Receive(BeEmpty()))
+	}, NodeTimeout(specTimeout))
+
+	// Guards against a final denial by an instance that lags: the key may have been added since.
+	It("is not denied for good by routes that may be old", func(ctx SpecContext) {
+		p.control.setHasLeader(false)
+		Eventually(func() int { return status(ctx, p, "new-key", "/book/7") }).WithTimeout(specTimeout).Should(Equal(http.StatusServiceUnavailable))
+		p.control.commit(withNewKeys)
+		p.control.setHasLeader(true)
+		Eventually(func() int { return status(ctx, p, "new-key", "/book/7") }).WithTimeout(specTimeout).Should(Equal(http.StatusOK))
+		Expect(status(ctx, p, "clerk-key", "/book/7")).To(Equal(http.StatusUnauthorized), "the key was removed")
+	}, NodeTimeout(3*specTimeout))
+
+	// Guards against a removed key that an instance accepts after it was frozen.
+	It("is not run with a key that was removed while the instance was frozen", func(ctx SpecContext) {
+		p.control.commit(withNewKeys)
+		p.clockOffset.Store(int64(10 * time.Second))
+		Expect(status(ctx, p, "clerk-key", "/book/7")).To(Equal(http.StatusUnauthorized))
+		Expect(workspaces).To(BeEmpty())
+	}, NodeTimeout(specTimeout))
+})
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -13,7 +13,7 @@
 	target
 	promptTokens int
 	outputTokens int
-	// priority is the priority of the route; 0 is the most urgent.
+	// priority is that of the workspace and the route; 0 is the most urgent.
 	priority uint8
 	// objective is the time to the first event within which a response is on time, 0 if there is
 	// none.
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -70,6 +70,7 @@
 		Upstream:  a.upstream.name,
 		Remaining: t.deadline.Sub(p.options.Now()),
 		Priority:  t.route.Priority,
+		Workspace: t.workspaceName(),
 	})
 	return t.transport().RoundTrip(outgoing)
 }
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -14,18 +14,24 @@
 	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/workspace"
 )
 
 // transaction is the state of one proxied request.
 type transaction struct {
-	proxy   *Proxy
-	call    Call
-	route   *routes.Route
-	version uint64
-	request *http.Request
-	body    []byte
-	digest  quarantine.Digest
+	proxy *Proxy
+	call  Call
+	route *routes.Route
+	// workspace is the caller's, or nil.
+	workspace *workspace.Workspace
+	version   uint64
+	request   *http.Request
+	body      []byte
+	digest    quarantine.Digest
 	requirements
+	// quotaCost is charged to the quota of the workspace. chargedAt is zero if nothing is.
+	quotaCost float64
+	chargedAt time.Time
 	// possibleRuns is the number of upstreams that may have run the request, and sends the number
 	// of times it was sent.
 	possibleRuns int
@@ -50,32 +56,38 @@
 		p.refuse(w, call, nil, refusal{status: http.StatusServiceUnavailable, text: "no routes are known yet", retryAfter: noRoutesRetryAfter})
 		return
 	}
-	table, route := p.matchRoute(w, r, call)
-	if route == nil {
+	matched, ok := p.authorize(w, r, call)
+	if !ok {
 		return
 	}
-	body, status := readBody(w, r, table.Limits.BodyBytes)
+	route := matched.route
+	body, status := readBody(w, r, matched.table.Limits.BodyBytes)
 	if status != 0 {
 		p.refuse(w, call, route, refusal{status: status, text: "body not read"})
 		return
 	}
 	t := &transaction{
-		proxy: p, call: call, route: route, version: table.Version, request: r, body: body, digest: digestOf(r, call, body),
+		proxy: p, call: call, route: route, workspace: matched.workspace, version: matched.table.Version, request: r, body: body,
 		requirements: requirements{
 			target:       target{service: route.Service(rand.Float64()), model: call.Model, adapter: call.Adapter},
 			promptTokens: call.PromptTokens, outputTokens: call.OutputTokens,
-			priority: route.Priority, objective: route.Objective, maxGap: route.MaxEventGap,
+			priority: matched.priority(), objective: route.Objective, maxGap: route.MaxEventGap,
 			arrived: arrived, deadline: arrived.Add(timeoutOf(call, route)),
 		},
 	}
+	t.digest = digestOf(r, t.workspaceName(), body)
 	if p.crashes.IsQuarantined(t.digest) {
 		t.refuseQuarantined(w)
 		return
 	}
-	p.trackActive(t, 1)
-	defer p.trackActive(t, -1)
 	ctx, cancel := context.WithTimeout(r.Context(), t.deadline.Sub(p.options.Now()))
 	defer cancel()
+	if !t.chargeQuota(ctx, w, scale(t.objective, quotaWaitShare)) {
+		return
+	}
+	defer t.returnCharge()
+	p.trackActive(t, 1)
+	defer p.trackActive(t, -1)
 	t.serve(ctx, w)
 }
 
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -27,6 +27,11 @@
 	kindSendRequest
 	kindSendAllowed
 	kindSendDelayed
+	kindQuotaRequest
+	kindQuotaGranted
+	kindQuotaDenied
+	kindQuotaReturn
+	kindQuotaDebit
 )
 
 const (
@@ -88,6 +93,28 @@
 		return appendHead(buffer, kindSendAllowed, m.ID)
 	case SendDelayed:
 		return appendDuration(appendHead(buffer, kindSendDelayed, m.ID), m.Wait)
+	default:
+		return appendQuota(buffer, message)
+	}
+}
+
+// appendQuota appends the encoding of a message about a quota.
+func appendQuota(buffer []byte, message Message) []byte {
+	switch m := message.(type) {
+	case QuotaRequest:
+		buffer = parcel.AppendBytes(appendHead(buffer, kindQuotaRequest, m.ID), m.Workspace)
+		for _, units := range []float64{m.PerSecond, m.Burst, m.Need, m.Ahead} {
+			buffer = appendUnits(buffer, units)
+		}
+		return buffer
+	case QuotaGranted:
+		return appendUnits(appendHead(buffer, kindQuotaGranted, m.ID), m.Units)
+	case QuotaDenied:
+		return appendDuration(appendHead(buffer, kindQuotaDenied, m.ID), m.Wait)
+	case QuotaReturn:
+		return appendUnits(parcel.AppendBytes(append(buffer, kindQuotaReturn), m.Workspace), m.Units)
+	case QuotaDebit:
+		return appendUnits(parcel.AppendBytes(append(buffer, kindQuotaDebit), m.Workspace), m.Units)
 	default:
 		return buffer
 	}
@@ -102,6 +129,14 @@
 	return parcel.AppendUint(buffer, uint64(math.Round(float64(limit)*limitUnits)))
 }
 
+// maxUnits is above every number of quota units that instances send.
+const maxUnits = 1 << 40
+
+// appendUnits appends units of a quota, rounded up to a whole number.
+func appendUnits(buffer []byte, units float64) []byte {
+	return parcel.AppendUint(buffer, uint64(math.Ceil(min(max(units, 0), maxUnits))))
+}
+
 func appendHead(buffer []byte, kind byte, id ID) []byte {
 	return parcel.AppendUint(append(buffer, kind), uint64(id))
 }
@@ -193,6 +228,18 @@
 		return SendAllowed{ID: r.id()}
 	case kindSendDelayed:
 		return SendDelayed{ID: r.id(), Wait: r.duration()}
+	case kindQuotaRequest:
+		return QuotaRequest{
+			ID: r.id(), Workspace: r.String(), PerSecond: r.units(), Burst: r.units(), Need: r.units(), Ahead: r.units(),
+		}
+	case kindQuotaGranted:
+		return QuotaGranted{ID: r.id(), Units: r.units()}
+	case kindQuotaDenied:
+		return QuotaDenied{ID: r.id(), Wait: r.duration()}
+	case kindQuotaReturn:
+		return QuotaReturn{Workspace: r.String(), Units: r.units()}
+	case kindQuotaDebit:
+		return QuotaDebit{Workspace: r.String(), Units: r.units()}
 	default:
 		r.Fail()
 		return nil
@@ -208,6 +255,15 @@
 	return limit
 }
 
+func (r reader) units() float64 {
+	units := r.Uint()
+	if units > maxUnits {
+		r.Fail()
+		return 0
+	}
+	return float64(units)
+}
+
 func (r reader) request() Request {
 	m := Request{
 		ID: r.id(), Service: r.String(), Model: r.String(), Adapter: r.String(),
--- a/internal/permit/encode_test.go
+++ b/internal/permit/encode_test.go
@@ -35,6 +35,11 @@
 		permit.SendRequest{ID: 7, Upstream: "e1", Limit: 0.3},
 		permit.SendAllowed{ID: 8},
 		permit.SendDelayed{ID: 9, Wait: 900 * time.Millisecond},
+		permit.QuotaRequest{ID: 10, Workspace: "clerks", PerSecond: 235_663, Burst: 2700, Need: 1540, Ahead: 800},
+		permit.QuotaGranted{ID: 11, Units: 2340},
+		permit.QuotaDenied{ID: 12, Wait: 300 * time.Millisecond},
+		permit.QuotaReturn{Workspace: "clerks", Units: 800},
+		permit.QuotaDebit{Workspace: "clerks", Units: 1540},
 	}
 }
 
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -40,7 +40,7 @@
 	Adapter      string
 	PromptTokens int
 	AnswerTokens int
-	// Priority is that of the route; 0 is the most urgent.
+	// Priority is that of the workspace and the route; 0 is the most urgent.
 	Priority uint8
 	// Objective is the longest time to the first event, and MaxEventGap the longest pause
 	// between events, for a response that is on time. 0 means that there is no such
@@ -159,6 +159,44 @@
 	Wait time.Duration
 }
 
+// QuotaRequest asks the owner of a workspace's quota for units. It may be sent again: the
+// owner repeats its decision.
+type QuotaRequest struct {
+	ID        ID
+	Workspace string
+	// PerSecond and Burst are the limit known to the requesting instance. The owner may not
+	// know it yet.
+	PerSecond, Burst float64
+	// Need are the units of one request, and Ahead those for further requests, which may be
+	// granted in part.
+	Need, Ahead float64
+}
+
+// QuotaGranted replies to a quota request: the units may be spent.
+type QuotaGranted struct {
+	ID    ID
+	Units float64
+}
+
+// QuotaDenied replies to a quota request: nothing may be spent before Wait has passed.
+type QuotaDenied struct {
+	ID   ID
+	Wait time.Duration
+}
+
+// QuotaReturn returns units that were granted and not spent.
+type QuotaReturn struct {
+	Workspace string
+	Units     float64
+}
+
+// QuotaDebit reports units that were spent without being granted, because a request was sent
+// a second time.
+type QuotaDebit struct {
+	Workspace string
+	Units     float64
+}
+
 func (Request) message()      {}
 func (Granted) message()      {}
 func (Queued) message()       {}
@@ -170,6 +208,11 @@
 func (SendRequest) message()  {}
 func (SendAllowed) message()  {}
 func (SendDelayed) message()  {}
+func (QuotaRequest) message() {}
+func (QuotaGranted) message() {}
+func (QuotaDenied) message()  {}
+func (QuotaReturn) message()  {}
+func (QuotaDebit) message()   {}
 
 // Reason is the reason for which a permit request is rejected.
 type Reason uint8
--- a/internal/routes/checker.go
+++ b/internal/routes/checker.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/workspace"
 )
 
 // New returns the Table of draft. If draft is invalid, New returns a *finding.Error with
@@ -24,6 +25,7 @@
 	for i := range draft.Routes {
 		c.route(&draft.Routes[i], seen)
 	}
+	c.table.Workspaces = workspace.New(draft.Workspaces, &c.findings)
 	return c.table, c.findings.Err()
 }
 
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -8,6 +8,8 @@
 	"math"
 	"strings"
 	"time"
+
+	"github.com/lovagelift/lovagelift/internal/workspace"
 )
 
 // Kind says whether requests of a route may run more than once.
@@ -66,6 +68,8 @@
 	MaxAttempts int
 	// Resumable reports that a stream may continue at another upstream.
 	Resumable bool
+	// Public reports that callers need no key.
+	Public bool
 	// Shares is not empty.
 	Shares []Share
 }
@@ -152,10 +156,13 @@
 	IdleTime    time.Duration
 }
 
-// Table holds the routes and services of one version of the configuration.
+// Table holds the routes, services and workspaces of one version of the configuration.
 type Table struct {
-	Version  uint64
-	Limits   Limits
+	Version uint64
+	Limits  Limits
+	// Workspaces are the workspaces whose keys callers present, none if callers need no key.
+	Workspaces *workspace.Directory
+
 	services map[string]*Service
 	hosts    map[string][]*Route
 	routes   int
@@ -167,6 +174,13 @@
 	Limits   Limits
 	Routes   []Route
 	Services []Service
+	// Workspaces may be empty.
+	Workspaces []workspace.Workspace
+}
+
+// NeedsKey reports whether a request of route needs the key of a workspace.
+func (t *Table) NeedsKey(route *Route) bool {
+	return !route.Public && !t.Workspaces.Empty()
 }
 
 // Service returns the service with the given name, or nil.
