jury: an election at once after a restart of all voters

Power was back after 0.8 s, but voters withheld their votes for an election timeout after their start, and with it all callers waited 1.1 to 1.4 s (first leader 0.98 s after the first start, 1.27 s for one that stayed: two candidates at the same moment).

Change: voters ask each other for the process that runs, and whether it has led or followed since its start. If every voter's current process says no, in a second round that begins after all of them had started, no lease can run, and the one with the latest log campaigns at once. A voter that has lost its disk counts as gone if its instance answers under another identity.

An answer now also stands for those before it.

--- a/internal/courier/control.go
+++ b/internal/courier/control.go
@@ -22,6 +22,8 @@
 	gob.Register(jury.HeartbeatAnswer{})
 	gob.Register(jury.TakeOver{})
 	gob.Register(jury.Join{})
+	gob.Register(jury.RestartProbe{})
+	gob.Register(jury.RestartAnswer{})
 }
 
 // Control is the interface of a voter to other instances. Its methods are called concurrently.
--- a/internal/jury/election.go
+++ b/internal/jury/election.go
@@ -10,6 +10,8 @@
 	// transfer marks a campaign that the leader requested after it gave up its
 	// lease.
 	transfer bool
+	// restart marks the campaign of a restart election.
+	restart bool
 }
 
 // voteTally counts the votes of a campaign.
@@ -40,12 +42,16 @@
 		m.writes.pending.dirty = true
 	}
 	for _, id := range m.voters().ids {
-		message := m.message(id, VoteRequest{
+		request := VoteRequest{
 			Pre:       options.preVote,
 			Transfer:  options.transfer,
 			LastIndex: m.log.last(),
 			LastTerm:  m.log.lastTerm(),
-		})
+		}
+		if options.restart {
+			request.Restarted = m.restart.processes[id]
+		}
+		message := m.message(id, request)
 		message.Term = term
 		if id == m.options.Self {
 			message = m.message(id, VoteAnswer{Pre: options.preVote, For: term, Granted: true})
@@ -63,7 +69,7 @@
 		return
 	}
 	answer := VoteAnswer{Pre: body.Pre, For: message.Term}
-	leased := m.leaderMayHoldLease(now) && !body.Transfer && !m.mutated(voteDuringLease)
+	leased := m.leaderMayHoldLease(now) && !body.Transfer && !m.restartedWith(body) && !m.mutated(voteDuringLease)
 	upToDate := m.candidateUpToDate(body)
 	if body.Pre {
 		answer.Granted = !leased && upToDate && message.Term > m.hardState.Term
--- a/internal/jury/leader.go
+++ b/internal/jury/leader.go
@@ -29,8 +29,10 @@
 	// decreases in a term.
 	match Index
 	// next is the first entry to send. It is greater than match.
-	next            Index
-	inflightAppends int
+	next Index
+	// inflight holds the last entry of each append that the peer has not answered, in
+	// order. An answer also stands for the appends before it, whose answers may be lost.
+	inflight []Index
 	// answeredSendAt is when the latest message that the peer has answered was
 	// sent.
 	answeredSendAt time.Time
@@ -88,6 +90,7 @@
 	m.leader = m.options.Self
 	m.tally = voteTally{}
 	m.hadLeader = true
+	m.restart.affiliate()
 	m.leading = &leaderState{
 		electedAt:  now,
 		ordersFrom: now.Add(m.options.TakeoverWait()),
--- a/internal/jury/member.go
+++ b/internal/jury/member.go
@@ -58,6 +58,7 @@
 	// hadLeader is set once the member knows that the cluster has had a leader.
 	hadLeader bool
 	reads     readTracker
+	restart   restartElection
 
 	// actions are the actions that Handle returns.
 	actions []Action
@@ -105,6 +106,7 @@
 		m.writes.pending = batch{dirty: true, truncateFrom: state.Snapshot.Index}
 	}
 	m.reads.lastToken = m.random.Uint64() | 1
+	m.restart = newRestartElection(m.random.Uint64() | 1)
 	m.cluster = state.Cluster
 	if m.snapshot.Index > 0 {
 		m.snapshot.Cluster = state.Cluster
@@ -195,6 +197,7 @@
 		m.tickLeader(now)
 		return
 	}
+	m.probeRestart(now)
 	if now.Before(m.nextCampaignAt) {
 		return
 	}
--- a/internal/jury/message.go
+++ b/internal/jury/message.go
@@ -19,7 +19,8 @@
 }
 
 // Body is the content of a Message: VoteRequest, VoteAnswer, Append,
-// AppendAnswer, InstallRequest, Heartbeat, HeartbeatAnswer, TakeOver or Join.
+// AppendAnswer, InstallRequest, Heartbeat, HeartbeatAnswer, TakeOver, Join,
+// RestartProbe or RestartAnswer.
 type Body interface {
 	body()
 }
@@ -31,7 +32,9 @@
 	Pre bool
 	// Transfer marks a campaign that the leader requested with TakeOver. That
 	// leader has given up its lease.
-	Transfer  bool
+	Transfer bool
+	// Restarted is the receiver's process in a restart election, else 0.
+	Restarted uint64
 	LastIndex Index
 	LastTerm  Term
 }
--- a/internal/jury/receive.go
+++ b/internal/jury/receive.go
@@ -3,9 +3,20 @@
 import "time"
 
 // receive processes a message. It ignores messages to other identities and from
-// other clusters.
+// other clusters, but for probes to the former identity of its instance.
 func (m *Member) receive(now time.Time, message Message) {
-	if m.failure != nil || message.To != m.options.Self || !m.acceptsCluster(message) {
+	if m.failure != nil || !m.acceptsCluster(message) {
+		return
+	}
+	if body, ok := message.Body.(RestartProbe); ok && message.To.Instance() == m.options.Self.Instance() {
+		m.receiveRestartProbe(now, message, body)
+		return
+	}
+	if message.To != m.options.Self {
+		return
+	}
+	if body, ok := message.Body.(RestartAnswer); ok {
+		m.receiveRestartAnswer(now, message, body)
 		return
 	}
 	if body, ok := message.Body.(VoteRequest); ok {
@@ -34,7 +45,7 @@
 		m.receiveHeartbeatAnswer(now, message.From, body)
 	case TakeOver:
 		m.receiveTakeOver(now)
-	case VoteRequest, Join:
+	case VoteRequest, Join, RestartProbe, RestartAnswer:
 	}
 }
 
@@ -49,8 +60,10 @@
 	switch message.Body.(type) {
 	case Append, InstallRequest, Heartbeat:
 		return m.blank() && (m.cluster == "" || m.cluster == message.Cluster)
-	case AppendAnswer, HeartbeatAnswer, Join:
+	case AppendAnswer, HeartbeatAnswer, Join, RestartAnswer:
 		return message.Cluster == ""
+	case RestartProbe:
+		return m.blank()
 	case VoteRequest, VoteAnswer:
 		return m.mutated(blankMemberVotes)
 	default:
@@ -94,6 +107,7 @@
 	m.leader = leader
 	m.tally = voteTally{}
 	m.hadLeader = true
+	m.restart.affiliate()
 	m.leaderContactAt = now
 	m.scheduleCampaign(now)
 }
--- a/internal/jury/replicate.go
+++ b/internal/jury/replicate.go
@@ -1,12 +1,15 @@
 package jury
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // startProbing makes the leader search for the last entry in common again.
 func (p *progress) startProbing() {
 	p.mode = probing
 	p.next = p.match + 1
-	p.inflightAppends = 0
+	p.inflight = nil
 }
 
 func (m *Member) replicateAll(now time.Time) {
@@ -31,13 +34,13 @@
 			m.sendSnapshot(now, id, p)
 		}
 	case probing:
-		waiting := p.inflightAppends > 0 && now.Sub(p.lastAppendAt) < 2*m.options.Heartbeat
+		waiting := len(p.inflight) > 0 && now.Sub(p.lastAppendAt) < 2*m.options.Heartbeat
 		if !waiting {
-			p.inflightAppends = 0
+			p.inflight = nil
 			m.sendAppend(now, id, p)
 		}
 	case streaming:
-		for p.inflightAppends < m.options.MaxInflightAppends && p.next <= m.log.last() {
+		for len(p.inflight) < m.options.MaxInflightAppends && p.next <= m.log.last() {
 			count := m.sendAppend(now, id, p)
 			if p.mode != streaming {
 				return
@@ -57,7 +60,7 @@
 		return 0
 	}
 	entries := m.log.entriesFrom(p.next, m.options.MaxAppendBytes)
-	p.inflightAppends++
+	p.inflight = append(p.inflight, prev+Index(len(entries)))
 	p.lastAppendAt = now
 	m.send(m.message(id, Append{
 		Prev:     prev,
@@ -81,7 +84,6 @@
 	if p == nil {
 		return
 	}
-	p.inflightAppends = max(0, p.inflightAppends-1)
 	if body.Rejected {
 		m.handleRejection(p, body)
 	} else {
@@ -107,7 +109,7 @@
 		hint = body.Hint
 	}
 	p.mode = probing
-	p.inflightAppends = 0
+	p.inflight = nil
 	p.next = max(p.match, min(body.Match-1, hint)) + 1
 }
 
@@ -119,6 +121,7 @@
 		p.match = match
 		p.matchAdvancedAt = now
 	}
+	p.inflight = slices.DeleteFunc(p.inflight, func(last Index) bool { return last <= p.match })
 	p.next = max(p.next, p.match+1)
 	if p.mode == probing || p.mode == installing && p.match+1 >= p.next {
 		p.mode = streaming
