--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -21,8 +21,11 @@
 
 // Sync records an entry instance's roster record and demand, and returns what has
 // changed since its last call.
-func (f feedServer) Sync(_ context.Context, args courier.SyncArgs) courier.SyncReply {
+func (f feedServer) Sync(ctx context.Context, args courier.SyncArgs) courier.SyncReply {
 	i := f.instance
+	if args.Edition == 0 {
+		i.awaitRoutes(ctx)
+	}
 	now := i.options.Now()
 	leader, _ := i.voter.Leader()
 	reply := courier.SyncReply{Leader: leader.Instance()}
@@ -55,6 +58,18 @@
 	return reply
 }
 
+// routesWait bounds how long the first sync of an entry instance waits for routes. It is shorter
+// than the timeout of the call.
+const routesWait = 400 * time.Millisecond
+
+// awaitRoutes waits until the routes in force are confirmed. An entry instance that starts while a
+// leader is being elected then receives them at once, and not with one of its next syncs.
+func (i *Instance) awaitRoutes(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, routesWait)
+	defer cancel()
+	i.voter.AwaitConfirmed(ctx)
+}
+
 // Gather records the demand that entry instances reported to another control plane
 // instance, and returns the models that engines hold.
 func (f feedServer) Gather(_ context.Context, args courier.GatherArgs) courier.GatherReply {
--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -255,6 +255,12 @@
 	return v.registry.Edition(), true
 }
 
+// AwaitConfirmed waits until the state of this replica has once been known to include everything
+// committed. It returns false if that isn't known before ctx ends.
+func (v *Voter) AwaitConfirmed(ctx context.Context) bool {
+	return v.awaitFresh(ctx, time.Time{})
+}
+
 // Close stops the replica, after a transfer of leadership if it is the leader, and closes the data
 // folder.
 func (v *Voter) Close(ctx context.Context) {
--- a/internal/courier/pool.go
+++ b/internal/courier/pool.go
@@ -115,13 +115,53 @@
 	// long call.
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
-	conn, err := p.dial(ctx, address)
+	conn, err := p.connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	return p.store(address, rpc.NewClient(conn))
 }
 
+// connectInterval is the time between two attempts to connect to an instance that does not respond.
+const connectInterval = 100 * time.Millisecond
+
+// connectResult is the outcome of one attempt to connect.
+type connectResult struct {
+	conn net.Conn
+	err  error
+}
+
+// connect connects to address. While an attempt gets no response, it starts further ones. TCP repeats
+// a lost SYN only after a second, so a single attempt to an instance that is just starting would
+// take that long.
+func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan connectResult)
+	attempt := func() {
+		conn, err := p.dial(ctx, address)
+		select {
+		case results <- connectResult{conn, err}:
+		case <-ctx.Done():
+			if err == nil {
+				conn.Close()
+			}
+		}
+	}
+	ticker := time.NewTicker(connectInterval)
+	defer ticker.Stop()
+	for {
+		go attempt()
+		select {
+		case result := <-results:
+			return result.conn, result.err
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // store adds a new client to the pool, unless another call has added one in the meantime. It
 // returns the client to use.
 func (p *Pool) store(address string, fresh *rpc.Client) (*rpc.Client, error) {
