Entry instances serve the directory

Change: entry instances serve it, from the list of instances that they have anyway; control instances can still, if the settings give them the address. An instance that has just started names nobody for 1.5 s: the first lists after a restart hold a few instances, and all callers would go there.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -265,23 +265,12 @@
 	}
 }
 
-// EntryInstance is an entry instance that is open to callers.
-type EntryInstance struct {
-	Address       string
-	FailureDomain string
-}
-
-// EntryInstances returns the entry instances that accept requests at now.
-func (i *Instance) EntryInstances(now time.Time) []EntryInstance {
+// OpenEntries returns the caller addresses of the entry instances that accept requests at now, by
+// failure domain.
+func (i *Instance) OpenEntries(now time.Time) map[string][]string {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	var entries []EntryInstance
-	for _, instance := range i.roster.Instances(now) {
-		if instance.CallerAddress != "" && !instance.Draining && !instance.Stale {
-			entries = append(entries, EntryInstance{Address: instance.CallerAddress, FailureDomain: instance.FailureDomain})
-		}
-	}
-	return entries
+	return i.membership(now).openByDomain
 }
 
 // Failed returns a channel that is closed when the replica has stopped for good after a
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"io"
+	"maps"
 	"slices"
 	"time"
 
@@ -112,20 +113,27 @@
 	computedAt       time.Time
 	revision         uint64
 	entries          []string
+	openByDomain     map[string][]string
 	controls         []string
 	controlsByDomain map[string][]string
 }
 
 // forDomain returns the membership as sent to an instance in a failure domain.
 func (m membership) forDomain(domain string) courier.Members {
-	return courier.Members{Revision: m.revision, Entries: m.entries, Controls: m.controls, Near: m.controlsByDomain[domain]}
+	return courier.Members{
+		Revision: m.revision, Entries: m.entries, Open: m.openByDomain, Controls: m.controls, Near: m.controlsByDomain[domain],
+	}
 }
 
 // hash returns a hash of the addresses. It is never 0, the revision that callers
 // without a membership send.
 func (m membership) hash() uint64 {
 	sum := fnv.New64a()
-	for _, list := range [][]string{m.entries, m.controls} {
+	lists := [][]string{m.entries, m.controls}
+	for _, domain := range slices.Sorted(maps.Keys(m.openByDomain)) {
+		lists = append(lists, []string{domain}, m.openByDomain[domain])
+	}
+	for _, list := range lists {
 		for _, address := range list {
 			_, _ = io.WriteString(sum, address)
 			_, _ = sum.Write([]byte{0})
@@ -140,11 +148,15 @@
 	if now.Sub(i.cachedMembership.computedAt) < membershipTTL {
 		return i.cachedMembership
 	}
-	i.cachedMembership = membership{computedAt: now, controlsByDomain: map[string][]string{}}
+	i.cachedMembership = membership{computedAt: now, openByDomain: map[string][]string{}, controlsByDomain: map[string][]string{}}
 	for _, instance := range i.roster.Instances(now) {
 		if instance.CallerAddress != "" {
 			i.cachedMembership.entries = append(i.cachedMembership.entries, instance.InnerAddress)
 		}
+		if instance.CallerAddress != "" && !instance.Draining && !instance.Stale {
+			open := i.cachedMembership.openByDomain
+			open[instance.FailureDomain] = append(open[instance.FailureDomain], instance.CallerAddress)
+		}
 		if instance.Identity != "" {
 			i.cachedMembership.controls = append(i.cachedMembership.controls, instance.InnerAddress)
 			domain := instance.FailureDomain
@@ -152,6 +164,9 @@
 		}
 	}
 	slices.Sort(i.cachedMembership.entries)
+	for _, open := range i.cachedMembership.openByDomain {
+		slices.Sort(open)
+	}
 	slices.Sort(i.cachedMembership.controls)
 	i.cachedMembership.revision = i.cachedMembership.hash()
 	return i.cachedMembership
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -27,11 +27,15 @@
 	current string
 	// known are all known control instances, which always include the seeds. alive are those that
 	// the latest reply lists as alive, and nearby those of them in this failure domain.
-	known     []string
-	alive     []string
-	nearby    []string
-	nextIndex int
-	source    roster.PullState
+	known  []string
+	alive  []string
+	nearby []string
+	// open are the caller addresses of the entry instances that accept requests, by failure
+	// domain. membersSince is when the first list of live instances arrived.
+	open         map[string][]string
+	membersSince time.Time
+	nextIndex    int
+	source       roster.PullState
 	// lastFailed is the control instance that most recently failed to answer, at failedAt.
 	lastFailed string
 	failedAt   time.Time
@@ -177,6 +181,10 @@
 func (p *Proxy) applyMembers(now time.Time, members courier.Members) {
 	p.control.membersRevision = members.Revision
 	p.control.entryInstances = len(members.Entries)
+	p.control.open = members.Open
+	if p.control.membersSince.IsZero() {
+		p.control.membersSince = now
+	}
 	p.owners.setInstances(now, members.Entries)
 	p.dropForeignQuotas(now)
 	p.budgets.Resize(p.options.Retries.perInstance(len(members.Entries)))
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -90,6 +90,9 @@
 	Revision uint64
 	// Entries are the entry instances.
 	Entries []string
+	// Open are the caller addresses of the entry instances that accept requests, by failure
+	// domain.
+	Open map[string][]string
 	// Controls are the control instances, and Near those in the caller's failure domain.
 	Controls []string
 	Near     []string
