desk, declaration: workspaces with keys and quotas at the own interface

The own interface knew operators' and upstreams' tokens, and no callers'. Declarations now have workspaces: hashes of keys, the services that they may use, and a quota. A request gets 401, 403 or 429 with a code; its key is not sent on, the name of its workspace is; the same idempotency key of two workspaces is two requests. Declarations without workspaces encode as before. Each instance spends an equal part of the quota. lovagelift key draws a key and prints its hash.

Not done: the priority of a workspace at the own interface, whose queue has four levels; an owner of the quota as on the provider.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -62,6 +62,7 @@
 		newQuarantine(),
 		newExport(),
 		newExplain(),
+		newKey(),
 		newVersion(),
 	}
 	for _, command := range commands {
--- a/internal/declaration/diff.go
+++ b/internal/declaration/diff.go
@@ -17,7 +17,7 @@
 }
 
 // Item is one declaration: a FailureDomain, an AcceleratorClass, a Service, a
-// Model, an Adapter or a Preset.
+// Model, an Adapter, a Preset or a Workspace.
 type Item interface {
 	// Title returns the kind and the name of the item.
 	Title() string
@@ -88,7 +88,7 @@
 }
 
 // Diff returns the changes that turn before into after: those of failure domains,
-// accelerator classes, services, models, adapters and presets, in this order. The
+// accelerator classes, services, models, adapters, presets and workspaces, in this order. The
 // changes of one kind are sorted by title. Equal Sets have no changes.
 func Diff(before, after Set) []Change {
 	changes := make([]Change, 0)
@@ -99,6 +99,7 @@
 	changes = append(changes, diffItems(itemsByTitle(beforeContent.Models), itemsByTitle(afterContent.Models))...)
 	changes = append(changes, diffItems(itemsByTitle(beforeContent.Adapters), itemsByTitle(afterContent.Adapters))...)
 	changes = append(changes, diffItems(itemsByTitle(beforeContent.Presets), itemsByTitle(afterContent.Presets))...)
+	changes = append(changes, diffItems(itemsByTitle(beforeContent.Workspaces), itemsByTitle(afterContent.Workspaces))...)
 	return changes
 }
 
--- a/internal/declaration/read.go
+++ b/internal/declaration/read.go
@@ -93,6 +93,9 @@
 	for _, table := range root.Tables("preset") {
 		c.Presets = append(c.Presets, r.readPreset(table, nextElementPath("presets", c.Presets)))
 	}
+	for _, table := range root.Tables("workspace") {
+		c.Workspaces = append(c.Workspaces, r.readWorkspace(table, nextElementPath("workspaces", c.Workspaces)))
+	}
 	root.ReportUnknownKeys()
 	return nil
 }
--- a/internal/declaration/set.go
+++ b/internal/declaration/set.go
@@ -27,6 +27,9 @@
 	Models             []Model            `json:"models"`
 	Adapters           []Adapter          `json:"adapters"`
 	Presets            []Preset           `json:"presets"`
+	// Workspaces is left out if it is empty, so that instances that don't know workspaces accept
+	// declarations without them.
+	Workspaces []Workspace `json:"workspaces,omitempty"`
 }
 
 // Set is a valid set of declarations. It is immutable and safe for concurrent
@@ -94,6 +97,9 @@
 // Adapters returns the adapters, sorted by name.
 func (s Set) Adapters() []Adapter { return slices.Clone(s.content.Adapters) }
 
+// Workspaces returns the workspaces, sorted by name. If there are none, callers need no key.
+func (s Set) Workspaces() []Workspace { return slices.Clone(s.content.Workspaces) }
+
 // Presets returns the presets, sorted by name.
 func (s Set) Presets() []Preset { return slices.Clone(s.content.Presets) }
 
@@ -253,6 +259,17 @@
 		p.Floors = sortedCopy(p.Floors, func(f Floor) string { return f.Model })
 		p.Shares = sortedCopy(p.Shares, func(s Share) string { return s.Service })
 	}
+	c.normalizeWorkspaces()
+}
+
+// normalizeWorkspaces sorts the workspaces and their lists.
+func (c *content) normalizeWorkspaces() {
+	c.Workspaces = sortedCopy(c.Workspaces, func(w Workspace) string { return w.Name })
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		w.Keys = sortedCopy(w.Keys, identity)
+		w.Services = sortedCopy(w.Services, identity)
+	}
 }
 
 // sortedCopy returns a sorted copy of items. It copies because Sets can share
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -45,8 +45,9 @@
 	services           namespace
 	// targets holds models and adapters. They share a namespace because callers
 	// refer to both in the same way.
-	targets namespace
-	presets namespace
+	targets    namespace
+	presets    namespace
+	workspaces namespace
 	// modelsOfService holds the models that each service uses, by the name of the
 	// service.
 	modelsOfService map[string][]string
@@ -58,6 +59,7 @@
 	v := &validator{
 		content: c, sources: sources, findings: findings,
 		failureDomains: newNamespace(), acceleratorClasses: newNamespace(), services: newNamespace(), targets: newNamespace(), presets: newNamespace(),
+		workspaces:      newNamespace(),
 		modelsOfService: map[string][]string{},
 	}
 	v.collectNames()
@@ -74,6 +76,7 @@
 		v.checkAdapter(elementPath("adapters", i), adapter)
 	}
 	v.checkPresets()
+	v.checkWorkspaces()
 	if findings.Len() == 0 {
 		v.checkCapacity()
 	}
@@ -133,6 +136,9 @@
 	for i, p := range c.Presets {
 		v.declareName(v.presets, elementPath("presets", i), "preset", p.Name, namePattern)
 	}
+	for i, w := range c.Workspaces {
+		v.declareName(v.workspaces, elementPath("workspaces", i), "workspace", w.Name, namePattern)
+	}
 }
 
 // declareName adds name to space, or adds a finding if name is invalid or already
--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -1,9 +1,11 @@
 package desk
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
+	"github.com/lovagelift/lovagelift/internal/workspace"
 )
 
 // serviceHeader names the service that a completion belongs to. Without it, the first declared
@@ -20,12 +22,14 @@
 	weight    float64
 	arrivedAt time.Time
 	deadline  time.Time
+	// workspace is the caller's, or nil if none is declared.
+	workspace *workspace.Workspace
 }
 
 // admit admits or refuses a request before any of it is sent to an upstream. It reads all
 // parameters of the request from one configuration snapshot, so that a change of the preset
 // cannot mix old and new values.
-func (s *Server) admit(service, model string) (admittedRequest, *RefusalError) {
+func (s *Server) admit(header http.Header, service, model string) (admittedRequest, *RefusalError) {
 	now := s.options.Now()
 	if refusal := s.options.Instance.CheckAdmission(now); refusal != nil {
 		return admittedRequest{}, refusal
@@ -46,6 +50,11 @@
 		// Priority 0 is the highest. Only declared services may have it.
 		a.goal.Priority = declaration.DefaultPriority
 	}
+	var refusal *RefusalError
+	a.workspace, refusal = s.workspaces.authorize(header, configuration.Revision, configuration.Declarations, a.service)
+	if refusal != nil {
+		return admittedRequest{}, refusal
+	}
 	a.weight = configuration.Preset.Share(a.declared.Name)
 	deadline := a.goal.Deadline
 	if deadline == 0 {
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -14,6 +14,7 @@
 	"github.com/lovagelift/lovagelift/internal/dispatch"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
+	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
@@ -28,7 +29,9 @@
 	requirement requirement
 	request     shuttle.Request
 	// admitted holds the parameters from the configuration.
-	admitted  admittedRequest
+	admitted admittedRequest
+	// size is what the quota of the workspace counts.
+	size      quota.Size
 	arrivedAt time.Time
 	deadline  time.Time
 	// needsDoneEvent is set if an event stream is complete only with its final event.
--- a/internal/desk/body.go
+++ b/internal/desk/body.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +40,21 @@
 type completionRequest struct {
 	Model  string `json:"model"`
 	Stream bool   `json:"stream"`
+	// MaxTokens and MaxCompletionTokens bound the tokens of the answer. The first one is the older
+	// name. They are raw, because it is the upstream that rejects invalid ones.
+	MaxTokens           json.RawMessage `json:"max_tokens"`
+	MaxCompletionTokens json.RawMessage `json:"max_completion_tokens"`
+}
+
+// maxTokens returns the bound of the answer's tokens, or 0 if the caller names none.
+func (r completionRequest) maxTokens() int {
+	bound := 0
+	for _, raw := range []json.RawMessage{r.MaxTokens, r.MaxCompletionTokens} {
+		if number, err := strconv.Atoi(string(raw)); err == nil {
+			bound = max(bound, number)
+		}
+	}
+	return bound
 }
 
 func parseCompletion(body []byte) (completionRequest, error) {
--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -15,6 +15,7 @@
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
+	"github.com/lovagelift/lovagelift/internal/workspace"
 )
 
 // KeyHeader carries the idempotency key of a request that must not run twice. A caller that
@@ -52,7 +53,7 @@
 	request := task.request
 	return claim{
 		task:        task,
-		key:         docket.KeyOf(task.keyScope(), key),
+		key:         docket.KeyOf(keyScope(strings.TrimSpace(task.service), task.admitted.workspace), key),
 		fingerprint: docket.FingerprintOf([]byte(request.Method), []byte(request.Target), request.Body),
 		claimant: docket.Claimant{
 			Instance:    s.options.Name,
@@ -286,7 +287,13 @@
 func (s *Server) handleRequestStatus(c echo.Context) error {
 	ctx, cancel := context.WithTimeout(c.Request().Context(), claimTimeout)
 	defer cancel()
-	key := docket.KeyOf(c.QueryParam("service"), c.Param("key"))
+	service := c.QueryParam("service")
+	configuration := s.options.Instance.Configuration()
+	caller, refusal := s.workspaces.authorize(c.Request().Header, configuration.Revision, configuration.Declarations, service)
+	if refusal != nil {
+		return refusal
+	}
+	key := docket.KeyOf(keyScope(service, caller), c.Param("key"))
 	answer, err := s.options.Instance.Lookup(ctx, key)
 	if err != nil {
 		return &RefusalError{
@@ -326,8 +333,11 @@
 	return reply
 }
 
-// keyScope returns the namespace of the task's idempotency key: the same key of two services
-// identifies two requests.
-func (t task) keyScope() string {
-	return strings.TrimSpace(t.service)
+// keyScope returns the namespace of an idempotency key: the same key of two services or two
+// workspaces identifies two requests.
+func keyScope(service string, caller *workspace.Workspace) string {
+	if caller == nil {
+		return service
+	}
+	return caller.Name + "\x00" + service
 }
--- a/internal/desk/completions.go
+++ b/internal/desk/completions.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
@@ -22,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	admitted, refusal := s.admit(r.Header.Get(serviceHeader), completion.Model)
+	admitted, refusal := s.admit(r.Header, r.Header.Get(serviceHeader), completion.Model)
 	if refusal != nil {
 		return refusal
 	}
@@ -34,7 +37,7 @@
 		request: shuttle.Request{
 			Method: r.Method,
 			Target: r.URL.RequestURI(),
-			Header: r.Header,
+			Header: upstreamHeader(r.Header, admitted.workspace),
 			Body:   body,
 			// A completion has no side effects unless its service declares them: running it
 			// twice costs only tokens.
@@ -43,6 +46,7 @@
 			Priority:   admitted.goal.Priority,
 		},
 		admitted:       admitted,
+		size:           quota.Size{Tokens: len(body)/bytesPerToken + completion.maxTokens(), Stated: true},
 		arrivedAt:      admitted.arrivedAt,
 		deadline:       admitted.deadline,
 		needsDoneEvent: true,
@@ -56,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	admitted, refusal := s.admit(c.Param("name"), "")
+	admitted, refusal := s.admit(r.Header, c.Param("name"), "")
 	if refusal != nil {
 		return refusal
 	}
@@ -69,7 +73,7 @@
 		request: shuttle.Request{
 			Method:     r.Method,
 			Target:     target,
-			Header:     r.Header,
+			Header:     upstreamHeader(r.Header, admitted.workspace),
 			Body:       body,
 			Idempotent: admitted.declared.MayRepeat(r.Method, calledPath(r)),
 			Priority:   admitted.goal.Priority,
@@ -86,6 +90,19 @@
 	if s.options.CrashDetector.IsQuarantined(task.digest) {
 		return s.quarantineRefusal(task)
 	}
+	if refusal := s.workspaces.charge(s.options.Now(), task.admitted.workspace, task.size); refusal != nil {
+		return refusal
+	}
+	err := s.serveCharged(c, task)
+	var refusal *RefusalError
+	if errors.As(err, &refusal) && refusal.Outcome == outcome.NotRun {
+		s.workspaces.refund(s.options.Now(), task.admitted.workspace, task.size)
+	}
+	return err
+}
+
+// serveCharged serves a task that is charged to the quota of its workspace.
+func (s *Server) serveCharged(c echo.Context, task task) error {
 	key := c.Request().Header.Get(KeyHeader)
 	if key == "" || task.request.Idempotent {
 		return s.serveUnclaimed(c, task)
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -135,6 +135,7 @@
 	// pendingRecords tracks idempotency records that are written in the background.
 	pendingRecords sync.WaitGroup
 	router         *router
+	workspaces     *workspaces
 }
 
 // New returns a Server.
@@ -145,6 +146,8 @@
 		echo:    echo.New(),
 		metrics: newMetrics(options.Metrics),
 		router:  newRouter(options),
+
+		workspaces: newWorkspaces(options.Instances),
 	}
 	s.echo.HTTPErrorHandler = s.handleError
 	s.echo.Use(s.recoverPanic)
--- a/internal/desk/refusal.go
+++ b/internal/desk/refusal.go
@@ -42,6 +42,9 @@
 	CodeAnswerNotKept             Code = "answer-not-kept"
 	CodeOutcomeUnknown            Code = "outcome-unknown"
 	CodeInProgress                Code = "in-progress"
+	CodeUnknownKey                Code = "unknown-key"
+	CodeForbidden                 Code = "forbidden"
+	CodeOverQuota                 Code = "over-quota"
 	CodeQuarantined               Code = quarantine.Reason
 )
 
@@ -91,6 +94,9 @@
 func (r *RefusalError) write(c echo.Context) error {
 	header := c.Response().Header()
 	header.Set(outcome.Header, r.Outcome.String())
+	if r.Status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	if r.RetryAfter > 0 {
 		seconds := int(math.Ceil(r.RetryAfter.Seconds()))
 		header.Set("Retry-After", strconv.Itoa(seconds))
