counter: a workspace above its rate yields to others with the same priority

The owner of a quota says with each grant whether the workspace has used up three quarters of its burst. Its requests then wait behind others with the same priority, until it is within its rate again. Kept for the others: a spec replays a busy workspace whose request came first.

Not tried: fair queueing by model at its owner; a workspace that uses one model only would yield there while it is within its quota.

--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -140,7 +140,7 @@
 	now := t.proxy.options.Now()
 	return permit.Request{
 		ID: id, Service: t.service, Model: t.model, Adapter: t.adapter,
-		PromptTokens: t.promptTokens, AnswerTokens: t.outputTokens, Priority: t.priority,
+		PromptTokens: t.promptTokens, AnswerTokens: t.outputTokens, Priority: t.priority, Yields: t.yields,
 		Objective: t.objective, MaxEventGap: t.maxGap, Age: now.Sub(t.arrived), Remaining: t.deadline.Sub(now), Tried: t.tried,
 	}
 }
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -108,7 +108,7 @@
 func (p *Proxy) requirementsOf(now time.Time, m permit.Request) requirements {
 	req := requirements{
 		target:       target{service: m.Service, model: m.Model, adapter: m.Adapter},
-		promptTokens: m.PromptTokens, outputTokens: m.AnswerTokens, priority: m.Priority, objective: m.Objective,
+		promptTokens: m.PromptTokens, outputTokens: m.AnswerTokens, priority: m.Priority, yields: m.Yields, objective: m.Objective,
 		maxGap: m.MaxEventGap, arrived: now.Add(-m.Age), deadline: now.Add(m.Remaining), tried: m.Tried,
 	}
 	p.estimateCost(&req)
--- a/internal/counter/permits_test.go
+++ b/internal/counter/permits_test.go
@@ -126,6 +126,25 @@
 		Expect(sent[0].Message).To(BeAssignableToTypeOf(permit.Granted{}))
 	})
 
+	// Guards against a workspace that sends many times its usual and takes the engines from others:
+	// its requests came first, but those of a workspace within its rate go before them.
+	It("grants a returned slot to a workspace within its rate first", func() {
+		addSmallEngine(pool, "e", model)
+		for i := range 12 {
+			instance.Receive(start, instances[1], askMessage(permit.ID(i), model))
+		}
+		busy := askMessage(20, model)
+		busy.Yields = true
+		instance.Receive(start, instances[2], busy)
+		instance.Receive(start.Add(time.Millisecond), instances[3], askMessage(21, model))
+		for i, first := range []netip.AddrPort{instances[3], instances[2]} {
+			instance.Receive(start, instances[1], permit.Release{ID: permit.ID(i), Outcome: permit.Succeeded})
+			sent := instance.Dispatch(start.Add(10 * time.Millisecond))
+			Expect(sent).To(HaveLen(1))
+			Expect(sent[0].To).To(Equal(first))
+		}
+	})
+
 	It("removes a waiting request that its instance withdraws", func() {
 		addSmallEngine(pool, "e", model)
 		for i := range 13 {
--- a/internal/counter/quota.go
+++ b/internal/counter/quota.go
@@ -115,7 +115,7 @@
 		switch m := answer.(type) {
 		case permit.QuotaGranted:
 			p.extendLease(w.Name, m.Units-need)
-			return quota.Granted{Units: need}
+			return quota.Granted{Units: need, Scarce: m.Scarce}
 		case permit.QuotaDenied:
 			return quota.Denied{Wait: m.Wait}
 		case permit.ShuttingDown:
@@ -200,7 +200,7 @@
 		}
 		switch decision := p.takeAsOwner(now, m.Workspace, limit, m.Need, m.Ahead).(type) {
 		case quota.Granted:
-			return permit.QuotaGranted{ID: m.ID, Units: decision.Units}
+			return permit.QuotaGranted{ID: m.ID, Units: decision.Units, Scarce: decision.Scarce}
 		case quota.Denied:
 			return permit.QuotaDenied{ID: m.ID, Wait: decision.Wait}
 		default:
@@ -246,12 +246,14 @@
 	giveUp := p.options.Now().Add(maxWait)
 	for {
 		decision := p.takeQuota(ctx, t.workspace, t.quotaCost)
-		denied, isDenied := decision.(quota.Denied)
-		p.countQuotaDecision(t.workspace.Name, !isDenied)
-		if !isDenied {
+		granted, ok := decision.(quota.Granted)
+		p.countQuotaDecision(t.workspace.Name, ok)
+		if ok {
 			t.chargedAt = p.options.Now()
+			t.yields = granted.Scarce
 			return true
 		}
+		denied, _ := decision.(quota.Denied)
 		if p.options.Now().Add(denied.Wait).After(giveUp) || !pause.For(ctx, denied.Wait) {
 			t.refuseOverQuota(w, denied.Wait)
 			return false
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -15,6 +15,9 @@
 	outputTokens int
 	// priority is that of the workspace and the route; 0 is the most urgent.
 	priority uint8
+	// yields puts the request behind others with the same priority, because its workspace uses more
+	// than the rate of its quota.
+	yields bool
 	// objective is the time to the first event within which a response is on time, 0 if there is
 	// none.
 	objective time.Duration
@@ -55,6 +58,7 @@
 	return cmp.Or(
 		compareBools(req.isLate(now), other.isLate(now)),
 		cmp.Compare(req.priority, other.priority),
+		compareBools(req.yields, other.yields),
 		req.latestSend().Compare(other.latestSend()),
 	)
 }
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -78,11 +78,7 @@
 	case LimitReport:
 		buffer = parcel.AppendBytes(append(buffer, kindLimitReport), m.Upstream)
 		buffer = parcel.AppendUint(buffer, m.Incarnation)
-		named := byte(0)
-		if m.Named {
-			named = 1
-		}
-		buffer = append(buffer, named)
+		buffer = appendBool(buffer, m.Named)
 		buffer = appendLimit(buffer, m.Limit)
 		return appendDuration(buffer, m.Age)
 	case SendRequest:
@@ -108,7 +104,7 @@
 		}
 		return buffer
 	case QuotaGranted:
-		return appendUnits(appendHead(buffer, kindQuotaGranted, m.ID), m.Units)
+		return appendBool(appendUnits(appendHead(buffer, kindQuotaGranted, m.ID), m.Units), m.Scarce)
 	case QuotaDenied:
 		return appendDuration(appendHead(buffer, kindQuotaDenied, m.ID), m.Wait)
 	case QuotaReturn:
@@ -129,6 +125,13 @@
 	return parcel.AppendUint(buffer, uint64(math.Round(float64(limit)*limitUnits)))
 }
 
+func appendBool(buffer []byte, set bool) []byte {
+	if set {
+		return append(buffer, 1)
+	}
+	return append(buffer, 0)
+}
+
 // maxUnits is above every number of quota units that instances send.
 const maxUnits = 1 << 40
 
@@ -148,7 +151,7 @@
 	}
 	buffer = parcel.AppendUint(buffer, uint64(m.PromptTokens))
 	buffer = parcel.AppendUint(buffer, uint64(m.AnswerTokens))
-	buffer = append(buffer, m.Priority)
+	buffer = appendBool(append(buffer, m.Priority), m.Yields)
 	for _, d := range []time.Duration{m.Objective, m.MaxEventGap, m.Age, m.Remaining} {
 		buffer = appendDuration(buffer, d)
 	}
@@ -233,7 +236,7 @@
 			ID: r.id(), Workspace: r.String(), PerSecond: r.units(), Burst: r.units(), Need: r.units(), Ahead: r.units(),
 		}
 	case kindQuotaGranted:
-		return QuotaGranted{ID: r.id(), Units: r.units()}
+		return QuotaGranted{ID: r.id(), Units: r.units(), Scarce: r.Byte() != 0}
 	case kindQuotaDenied:
 		return QuotaDenied{ID: r.id(), Wait: r.duration()}
 	case kindQuotaReturn:
@@ -267,7 +270,7 @@
 func (r reader) request() Request {
 	m := Request{
 		ID: r.id(), Service: r.String(), Model: r.String(), Adapter: r.String(),
-		PromptTokens: r.count(), AnswerTokens: r.count(), Priority: r.Byte(),
+		PromptTokens: r.count(), AnswerTokens: r.count(), Priority: r.Byte(), Yields: r.Byte() != 0,
 		Objective: r.duration(), MaxEventGap: r.duration(), Age: r.duration(), Remaining: r.duration(),
 	}
 	tried := r.Count()
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -42,6 +42,9 @@
 	AnswerTokens int
 	// Priority is that of the workspace and the route; 0 is the most urgent.
 	Priority uint8
+	// Yields is set if the workspace uses more than the rate of its quota: others with the
+	// same priority go first.
+	Yields bool
 	// Objective is the longest time to the first event, and MaxEventGap the longest pause
 	// between events, for a response that is on time. 0 means that there is no such
 	// objective.
@@ -176,6 +179,8 @@
 type QuotaGranted struct {
 	ID    ID
 	Units float64
+	// Scarce is set if the workspace uses more than its rate.
+	Scarce bool
 }
 
 // QuotaDenied replies to a quota request: nothing may be spent before Wait has passed.
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -28,6 +28,9 @@
 // Granted means that Units may be spent, at least as many as needed.
 type Granted struct {
 	Units float64
+	// Scarce is set if the workspace has used up most of its burst, because it uses more than
+	// its rate. Its requests then yield to those of other workspaces.
+	Scarce bool
 }
 
 // Denied means that nothing may be spent before Wait has passed.
@@ -38,6 +41,9 @@
 func (Granted) isDecision() {}
 func (Denied) isDecision()  {}
 
+// scarceShare is the share of the burst below which a bucket is scarce.
+const scarceShare = 0.25
+
 // maxDenial bounds the wait of a Denied, because the limit may rise in the meantime.
 const maxDenial = 30 * time.Second
 
@@ -52,7 +58,7 @@
 	if b.units >= required {
 		granted := need + min(ahead, max(b.units-need-l.Burst/2, 0))
 		b.units -= granted
-		return b, Granted{Units: granted}
+		return b, Granted{Units: granted, Scarce: b.units < scarceShare*l.Burst}
 	}
 	missing := required - b.units + b.promised
 	b.promised += need
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -60,6 +60,14 @@
 		Expect(take(&b, start.Add(3010*time.Millisecond), limit, 1, 0)).To(Equal(1.0))
 	})
 
+	It("says so once a workspace has used up most of its burst", func() {
+		b := quota.NewBucket(start, limit.Burst)
+		b, decision := b.Take(start, limit, 1500, 0)
+		Expect(decision).To(Equal(quota.Granted{Units: 1500}))
+		_, decision = b.Take(start, limit, 1, 0)
+		Expect(decision).To(Equal(quota.Granted{Units: 1, Scarce: true}))
+	})
+
 	It("grants nothing ahead from the lower half of the burst", func() {
 		b := quota.NewBucket(start, limit.Burst)
 		Expect(take(&b, start, limit, 100, 5000)).To(Equal(1000.0))
