The whole roster goes to entry instances packed, once for all

Cause: at 300 machines and 3,000 engines control instances ended at 281 of 280 MB. After a start all entry instances ask for the whole roster: 0.5 MB, encoded for each, over links of 10 Mbit/s. It does not arrive before the call times out after 0.6 s, and is asked for again, elsewhere.

Change: it is packed once for all callers within 0.25 s, like the routes.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -39,6 +39,8 @@
 	// packedEdition is the edition that was last sent to an entry instance, with its
 	// content packed. It is nil before the first.
 	packedEdition *edition.Edition
+	// packedRoster is the whole roster as it was last sent to an entry instance that had none of it.
+	packedRoster packedRoster
 	// peers are the other control instances by address.
 	peers map[string]*peer
 	// leaderSince is the time since which this instance leads, zero while it does not.
--- a/internal/backoffice/backoffice_test.go
+++ b/internal/backoffice/backoffice_test.go
@@ -270,12 +270,24 @@
 			Static: &roster.InstanceStatic{CallerAddress: "127.0.0.1:1", FailureDomain: "here", InnerAddress: "entry"},
 		}, Demand: demand})
 		if err == nil && reply.Leader == address {
-			return reply, true
+			return withRoster(reply), true
 		}
 	}
 	return courier.SyncReply{}, false
 }
 
+// withRoster returns a reply whose changes include those of its packed roster.
+func withRoster(reply courier.SyncReply) courier.SyncReply {
+	GinkgoHelper()
+	if len(reply.Roster) == 0 {
+		return reply
+	}
+	changes, err := courier.UnpackChanges(reply.Roster)
+	Expect(err).NotTo(HaveOccurred())
+	reply.Changes = changes
+	return reply
+}
+
 // announce announces an engine to every instance once a second until ctx ends.
 func (c *testCluster) announce(ctx context.Context, name string) {
 	go func() {
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -32,14 +32,11 @@
 	reply := courier.SyncReply{Leader: leader.Instance()}
 	i.mu.Lock()
 	i.roster.Renew(now, args.From)
-	reply.Changes = i.roster.Since(now, args.Cursor)
+	i.fillRoster(now, args.Cursor, &reply)
 	if members := i.membership(now).forDomain(args.FailureDomain); members.Revision != args.Members {
 		reply.Members = &members
 	}
 	i.mu.Unlock()
-	// Entry instances need only the upstreams for routing.
-	reply.Changes.Instances = nil
-	reply.Changes.InstanceBeats = roster.InstanceBeats{}
 	held, reading := i.voter.EditionWithAge()
 	reply.Reading = reading
 	if held.Version > args.Edition {
@@ -59,6 +56,42 @@
 	return reply
 }
 
+// packedRoster is the whole roster, packed at packedAt.
+type packedRoster struct {
+	content  []byte
+	packedAt time.Time
+}
+
+// packedRosterTTL is how long a packed roster is sent to further callers. After a restart, all entry
+// instances ask for it within a second.
+const packedRosterTTL = 250 * time.Millisecond
+
+// fillRoster adds to reply what has changed in the roster after cursor, or the whole roster. i.mu is
+// held.
+func (i *Instance) fillRoster(now time.Time, cursor roster.Cursor, reply *courier.SyncReply) {
+	if i.roster.Continues(cursor) {
+		reply.Changes = upstreamChanges(i.roster.Since(now, cursor))
+		return
+	}
+	if now.Sub(i.packedRoster.packedAt) >= packedRosterTTL {
+		content, err := courier.PackChanges(upstreamChanges(i.roster.Since(now, cursor)))
+		if err != nil {
+			i.options.Log.Error().Err(err).Msg("packing the roster failed; sending it unpacked")
+			reply.Changes = upstreamChanges(i.roster.Since(now, cursor))
+			return
+		}
+		i.packedRoster = packedRoster{content: content, packedAt: now}
+	}
+	reply.Roster, reply.RosterAge = i.packedRoster.content, now.Sub(i.packedRoster.packedAt)
+}
+
+// upstreamChanges returns the changes without those of instances, which entry instances don't need
+// for routing.
+func upstreamChanges(changes roster.Changes) roster.Changes {
+	changes.Instances, changes.InstanceBeats = nil, roster.InstanceBeats{}
+	return changes
+}
+
 // routesWait bounds how long the first sync of an entry instance waits for routes. It is shorter
 // than the timeout of the call.
 const routesWait = 400 * time.Millisecond
--- a/internal/backoffice/relay_test.go
+++ b/internal/backoffice/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,6 +11,7 @@
 	"github.com/lovagelift/lovagelift/internal/backoffice"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // syncWith syncs with one instance as an entry instance does.
@@ -95,6 +97,36 @@
 			Should(BeNil(), "other control instances have the same membership")
 	}, SpecTimeout(specTimeout))
 
+	// Guards against entry instances that never get the roster: unpacked, that of thousands of
+	// upstreams does not reach them over a slow link before the call times out, and they ask again.
+	It("sends the whole roster packed, and then what has changed", func(ctx SpecContext) {
+		c := newTestCluster()
+		c.putRoutes(ctx, c.seeds[0], 1)
+		announce := func(name string) {
+			Expect(c.instances[c.seeds[0]].Announce(time.Now(), upstreamapi.Announcement{
+				Name: name, Incarnation: 1, Sequence: 1, Address: name + ":9", Services: []string{"pool"}, FailureDomain: "here",
+			})).To(Succeed())
+		}
+		for i := range 1000 {
+			announce(fmt.Sprint("engine-", i))
+		}
+		sync := func(cursor roster.Cursor) courier.SyncReply {
+			reply, err := c.calls.Sync(ctx, c.seeds[0], courier.SyncArgs{Cursor: cursor})
+			Expect(err).NotTo(HaveOccurred())
+			return reply
+		}
+		var whole courier.SyncReply
+		Eventually(ctx, func() int {
+			whole = sync(roster.Cursor{})
+			return len(withRoster(whole).Changes.Upstreams)
+		}).Should(Equal(1000))
+		Expect(len(whole.Roster)).To(BeNumerically("<", 40_000))
+		announce("another")
+		later := sync(withRoster(whole).Changes.Next)
+		Expect(later.Roster).To(BeEmpty())
+		Expect(later.Changes.Upstreams).To(HaveLen(1))
+	}, SpecTimeout(specTimeout))
+
 	It("adds up requests of two reports, and takes the waiting ones from the newer", func() {
 		merged := backoffice.MergeDemand(
 			[]courier.Demand{{Model: "a", Requests: 2, Waiting: 2, Open: 1}, {Model: "b", Requests: 1, Waiting: 1}},
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -155,7 +155,7 @@
 		p.control.disconnected = false
 		p.options.Log.Info().Str("control", address).Msg("control instance answers again")
 	}
-	p.roster.Merge(askedAt, &p.control.source, reply.Changes)
+	p.mergeRoster(askedAt, reply)
 	if reply.Members != nil {
 		p.applyMembers(now, *reply.Members)
 	}
@@ -177,6 +177,20 @@
 	p.dispatch(now)
 }
 
+// mergeRoster applies what has changed in the roster, or the whole roster. p.mu is held.
+func (p *Proxy) mergeRoster(askedAt time.Time, reply courier.SyncReply) {
+	if len(reply.Roster) == 0 {
+		p.roster.Merge(askedAt, &p.control.source, reply.Changes)
+		return
+	}
+	changes, err := courier.UnpackChanges(reply.Roster)
+	if err != nil {
+		p.options.Log.Warn().Err(err).Msg("cannot decode the roster")
+		return
+	}
+	p.roster.Merge(askedAt.Add(-reply.RosterAge), &p.control.source, changes)
+}
+
 // applyMembers applies the list of live instances. p.mu is held.
 func (p *Proxy) applyMembers(now time.Time, members courier.Members) {
 	p.control.membersRevision = members.Revision
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -72,7 +72,12 @@
 	// Reading states how recent the callee's routes are known to be. It is determined before
 	// Edition.
 	Reading edition.Reading
+	// Changes are empty if Roster is set.
 	Changes roster.Changes
+	// Roster is the packed whole roster (PackChanges), for a caller that has none of it. It was packed
+	// RosterAge ago, once for all callers.
+	Roster    []byte
+	RosterAge time.Duration
 	// Quarantine is nil if the caller already has this state.
 	Quarantine *quarantine.News
 	// Holdings is an encoded EngineStates. It is empty if the caller already has this revision. It
--- a/internal/roster/pull.go
+++ b/internal/roster/pull.go
@@ -60,9 +60,15 @@
 	p.cursor = next
 }
 
+// Continues reports whether cursor continues an earlier pull from this instance. If not, Since returns
+// everything.
+func (r *Roster) Continues(cursor Cursor) bool {
+	return cursor.Incarnation == r.options.Incarnation
+}
+
 // Since returns the changes after cursor.
 func (r *Roster) Since(now time.Time, cursor Cursor) Changes {
-	if cursor.Incarnation != r.options.Incarnation {
+	if !r.Continues(cursor) {
 		cursor = Cursor{Incarnation: r.options.Incarnation, Direct: cursor.Direct}
 	}
 	changes := Changes{Next: Cursor{Incarnation: r.options.Incarnation, Direct: cursor.Direct}}
