counter: syncs are spaced by the number of upstreams too

A reply renews all upstreams, and sends what engines hold when any of them has reported. With 3,000 upstreams it costs a control instance ten times what it costs with 300.

Nothing changes below 250 upstreams.

--- a/internal/counter/controlchoice.go
+++ b/internal/counter/controlchoice.go
@@ -9,9 +9,10 @@
 )
 
 // syncIntervalFor returns the sync interval at which the given number of entry instances do not
-// overload the control instance they share.
-func syncIntervalFor(entries int) time.Duration {
-	return min(max(minSyncInterval, time.Duration(entries)*minSyncSpacing), maxSyncInterval)
+// overload the control instance they share. The reply to a sync grows with the upstreams.
+func syncIntervalFor(entries, upstreams int) time.Duration {
+	spacing := max(minSyncSpacing, time.Duration(upstreams)*syncSpacingPerUpstream)
+	return min(max(minSyncInterval, time.Duration(entries)*spacing), maxSyncInterval)
 }
 
 // tooManyForOne reports whether one control instance cannot serve this many entry instances at
@@ -90,7 +91,7 @@
 func (l *controlLinks) syncDelay() time.Duration {
 	others := len(l.alive) - 1
 	if tooManyForOne(l.entryInstances) && l.current != l.leader && others > 0 {
-		return syncIntervalFor((l.entryInstances + others - 1) / others)
+		return syncIntervalFor((l.entryInstances+others-1)/others, l.upstreams)
 	}
-	return syncIntervalFor(l.entryInstances)
+	return syncIntervalFor(l.entryInstances, l.upstreams)
 }
--- a/internal/counter/controlchoice_test.go
+++ b/internal/counter/controlchoice_test.go
@@ -59,8 +59,14 @@
 	})
 
 	It("is asked at shorter intervals if it is not the leader", func() {
-		Expect(counter.SyncDelay(86, controls, "c1", "c1")).To(Equal(516 * time.Millisecond))
-		Expect(counter.SyncDelay(86, controls, "c2", "c1")).To(Equal(250 * time.Millisecond))
+		Expect(counter.SyncDelay(86, 140, controls, "c1", "c1")).To(Equal(516 * time.Millisecond))
+		Expect(counter.SyncDelay(86, 140, controls, "c2", "c1")).To(Equal(250 * time.Millisecond))
+	})
+
+	// Guards against control instances that spend all their processor time on renewals.
+	It("is asked at longer intervals among thousands of upstreams", func() {
+		Expect(counter.SyncDelay(100, 1000, controls, "c2", "c1")).To(BeNumerically("~", 500*time.Millisecond, 150*time.Millisecond))
+		Expect(counter.SyncDelay(300, 3000, controls, "c2", "c1")).To(Equal(time.Second))
 	})
 
 	// A control instance whose disk stalls keeps answering from its old state. Entry instances that
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -323,8 +323,8 @@
 }
 
 // SyncDelay returns the time between two syncs with a control instance.
-func SyncDelay(entries int, alive []string, asked, leader string) time.Duration {
-	l := controlLinks{entryInstances: entries, alive: alive, current: asked, leader: leader}
+func SyncDelay(entries, upstreams int, alive []string, asked, leader string) time.Duration {
+	l := controlLinks{entryInstances: entries, upstreams: upstreams, alive: alive, current: asked, leader: leader}
 	return l.syncDelay()
 }
 
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -129,6 +129,9 @@
 	// bounds the resulting interval, because a leaving upstream must be known within 2 s.
 	minSyncSpacing  = 6 * time.Millisecond
 	maxSyncInterval = time.Second
+	// syncSpacingPerUpstream is the minimum average time between these syncs for each upstream: a
+	// reply renews all of them.
+	syncSpacingPerUpstream = 24 * time.Microsecond
 	// syncTimeout is how long a control instance has to reply before another one is tried.
 	syncTimeout = 600 * time.Millisecond
 	// loadTimeout bounds how long a control instance waits for a requested load, and
