--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -131,6 +131,9 @@
 	return routes.New(draft)
 }
 
+// openEntries are the entry instances that accept requests.
+var openEntries = map[string][]string{"here": {"127.0.0.1:2", "127.0.0.1:3"}, "there": {"127.0.0.1:4"}}
+
 // fakeControl is a control instance that serves syncs.
 type fakeControl struct {
 	mu     sync.Mutex
@@ -174,7 +177,7 @@
 	reply := courier.SyncReply{
 		Leader: c.address, Reading: edition.Reading{Version: 1, Confirmed: !c.catchingUp},
 		Changes: c.roster.Since(time.Now(), args.Cursor),
-		Members: &courier.Members{Controls: []string{c.address}, Entries: append([]string{args.From.Name}, c.otherEntries...)},
+		Members: &courier.Members{Controls: []string{c.address}, Entries: append([]string{args.From.Name}, c.otherEntries...), Open: openEntries},
 	}
 	if c.exactEntries != nil {
 		reply.Members.Entries = c.exactEntries
@@ -397,6 +400,11 @@
 	return p
 }
 
+// firstSynced reports whether the proxy has the list of entry instances.
+func (p *testProxy) firstSynced() bool {
+	return p.proxy.OpenEntries(time.Now().Add(time.Hour)) != nil
+}
+
 // arrivals returns the number of requests that have reached any upstream.
 func (p *testProxy) arrivals() int {
 	total := 0
