jury: rounds of the restart election start at a random number

Found while reading: an answer to a probe of an earlier process of the candidate, delayed until its successor reached the same round, would have counted there, though its sender may lead by now. Rounds now start at the process's random number. The spec fails with rounds that start at 0.

--- a/internal/jury/restart.go
+++ b/internal/jury/restart.go
@@ -52,7 +52,8 @@
 	unaffiliated bool
 	nextProbeAt  time.Time
 	// processes are the processes of the other voters, 0 for one that is gone. confirmed are
-	// the answers of the current round.
+	// the answers of the current round. Rounds start at a random number, so that a delayed
+	// answer to an earlier process of this member belongs to none.
 	processes map[Identity]uint64
 	round     uint64
 	confirmed map[Identity]RestartAnswer
@@ -60,7 +61,7 @@
 
 func newRestartElection(process uint64) restartElection {
 	return restartElection{
-		process: process, unaffiliated: true,
+		process: process, unaffiliated: true, round: process,
 		processes: map[Identity]uint64{}, confirmed: map[Identity]RestartAnswer{},
 	}
 }
--- a/internal/jury/restart_test.go
+++ b/internal/jury/restart_test.go
@@ -98,3 +98,38 @@
 		}
 	})
 })
+
+var _ = Describe("An answer about a restart", func() {
+	// Guards against two leaders: the answer to a probe of an earlier process arrives late, and the
+	// voter that gave it leads by now.
+	It("proves nothing to a later process", func() {
+		sim, leader := startCluster(1, 3, 0)
+		asker := sim.others(leader)[0]
+		var late []jury.Message
+		sim.drop = func(message jury.Message) bool {
+			body, isAnswer := message.Body.(jury.RestartAnswer)
+			held := isAnswer && message.To == asker.identity && body.Round != 0
+			if held {
+				late = append(late, message)
+			}
+			return held
+		}
+		sim.restartAll(5 * time.Millisecond)
+		sim.stepUntil("an answer to hold back", func() bool { return len(late) > 0 })
+		sim.crash(asker)
+		sim.start(asker)
+		for _, message := range late {
+			sim.handle(asker, jury.Receive{Message: message})
+		}
+		Expect(asker.member.Status().Role).NotTo(Equal(jury.Leader))
+		rounds := map[uint64]bool{}
+		for _, message := range late {
+			rounds[message.Body.(jury.RestartAnswer).Round] = true
+		}
+		late = nil
+		sim.stepUntil("an answer to the later process", func() bool { return len(late) > 0 || sim.leader() != nil })
+		for _, message := range late {
+			Expect(rounds).NotTo(HaveKey(message.Body.(jury.RestartAnswer).Round), "rounds of two processes differ")
+		}
+	})
+})
