--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -249,6 +249,14 @@
 	return leader != ""
 }
 
+// KnowsUpstream reports whether an upstream with the given name has announced itself.
+func (i *Instance) KnowsUpstream(name string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	_, known := i.roster.Upstream(name)
+	return known
+}
+
 // SetSeeds replaces the addresses of the seed control instances.
 func (i *Instance) SetSeeds(seeds []string) {
 	i.mu.Lock()
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -60,11 +60,18 @@
 type packedRoster struct {
 	content  []byte
 	packedAt time.Time
+	// expires is until when it is sent to further callers.
+	expires time.Time
 }
 
-// packedRosterTTL is how long a packed roster is sent to further callers. After a restart, all entry
-// instances ask for it within a second.
-const packedRosterTTL = 250 * time.Millisecond
+const (
+	// minPackedRosterTTL is how long a packed roster is sent to further callers at least. After a
+	// restart, all entry instances ask for it within a second.
+	minPackedRosterTTL = 250 * time.Millisecond
+	// packedRosterTTLFactor is that time as a multiple of the time that packing took, so that an
+	// instance that is short of processor time spends a tenth of it on packing.
+	packedRosterTTLFactor = 10
+)
 
 // fillRoster adds to reply what has changed in the roster after cursor, or the whole roster. i.mu is
 // held.
@@ -73,14 +80,17 @@
 		reply.Changes = upstreamChanges(i.roster.Since(now, cursor))
 		return
 	}
-	if now.Sub(i.packedRoster.packedAt) >= packedRosterTTL {
+	if !now.Before(i.packedRoster.expires) {
 		content, err := courier.PackChanges(upstreamChanges(i.roster.Since(now, cursor)))
 		if err != nil {
 			i.options.Log.Error().Err(err).Msg("packing the roster failed; sending it unpacked")
 			reply.Changes = upstreamChanges(i.roster.Since(now, cursor))
 			return
 		}
-		i.packedRoster = packedRoster{content: content, packedAt: now}
+		took := i.options.Now().Sub(now)
+		i.packedRoster = packedRoster{
+			content: content, packedAt: now, expires: now.Add(max(minPackedRosterTTL, packedRosterTTLFactor*took)),
+		}
 	}
 	reply.Roster, reply.RosterAge = i.packedRoster.content, now.Sub(i.packedRoster.packedAt)
 }
