backoffice: engine states less often among many engines, and one wait for confirmed routes

Change: the interval between two encodings grows with the engines (0.3 ms each, 50 ms at least: nothing changes below 170 engines); one goroutine waits for the first confirmation, and all calls wait for it.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -49,6 +49,9 @@
 	// start.
 	caughtUp bool
 
+	// confirmed is closed once the replica has been known to be up to date since its start.
+	confirmed chan struct{}
+
 	failed chan struct{}
 	stop   context.CancelFunc
 	done   sync.WaitGroup
@@ -67,6 +70,7 @@
 		heartbeatPool: courier.NewPool(options.Dial, callTimeout),
 		logEntryPool:  courier.NewPool(options.Dial, callTimeout),
 		peers:         map[string]*peer{},
+		confirmed:     make(chan struct{}),
 		failed:        make(chan struct{}),
 		stop:          cancel,
 	}
@@ -87,6 +91,7 @@
 		return nil, err
 	}
 	i.done.Go(func() { i.bootstrap(ctx) })
+	i.done.Go(func() { i.watchConfirmed(ctx) })
 	i.done.Go(func() { i.runPulls(ctx) })
 	i.done.Go(func() { i.maintainVoters(ctx) })
 	i.done.Go(func() { i.orchestrator.run(ctx) })
--- a/internal/backoffice/enginestates.go
+++ b/internal/backoffice/enginestates.go
@@ -6,9 +6,21 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 )
 
-// engineStatesEncodeInterval is the minimum interval between two encodings of the engine
-// states. Entry instances sync every 250 ms.
-const engineStatesEncodeInterval = 50 * time.Millisecond
+const (
+	// minEngineStatesInterval is the minimum interval between two encodings of the engine
+	// states. Entry instances sync every 250 ms.
+	minEngineStatesInterval = 50 * time.Millisecond
+	// engineStatesIntervalPerEngine makes the interval grow with the engines. Each encoding has
+	// the states of all engines, goes to all instances and costs money between failure domains,
+	// and the reports of many engines are fetched less often anyway.
+	engineStatesIntervalPerEngine = 300 * time.Microsecond
+)
+
+// engineStatesInterval returns the minimum interval between two encodings of the states of a
+// number of engines.
+func engineStatesInterval(engines int) time.Duration {
+	return max(minEngineStatesInterval, time.Duration(engines)*engineStatesIntervalPerEngine)
+}
 
 // engineStates returns the encoded states of all engines (their models and load), with
 // their revision and age. It returns nothing if this instance does not lead, or if have,
@@ -19,7 +31,7 @@
 	if o.term == 0 {
 		return nil, 0, 0
 	}
-	if o.encodedRevision != o.revision && now.Sub(o.encodedAt) >= engineStatesEncodeInterval {
+	if o.encodedRevision != o.revision && now.Sub(o.encodedAt) >= engineStatesInterval(len(o.engines)) {
 		o.encodedStates, o.encodedRevision, o.encodedAt = o.collectEngineStates(now).Encode(), o.revision, now
 	}
 	// The upper half of a revision is its term. States of an earlier term are not returned.
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -178,3 +178,8 @@
 	r.orchestrator.expireLimits(now)
 	return r.orchestrator.hasLowLimit(&engine{EngineAddress: EngineAddress{Name: name}, spec: &routes.Engine{Slots: slots}})
 }
+
+// EngineStatesInterval returns the minimum interval between two encodings of the engine states.
+func EngineStatesInterval(engines int) time.Duration {
+	return engineStatesInterval(engines)
+}
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -25,7 +25,7 @@
 func (f feedServer) Sync(ctx context.Context, args courier.SyncArgs) courier.SyncReply {
 	i := f.instance
 	if args.Edition == 0 {
-		i.awaitRoutes(ctx)
+		i.awaitConfirmed(ctx)
 	}
 	now := i.options.Now()
 	leader, _ := i.voter.Leader()
@@ -106,12 +106,24 @@
 // than the timeout of the call.
 const routesWait = 400 * time.Millisecond
 
-// awaitRoutes waits until the routes in force are confirmed. An entry instance that starts while a
-// leader is being elected then receives them at once, and not with one of its next syncs.
-func (i *Instance) awaitRoutes(ctx context.Context) {
+// awaitConfirmed waits until the replica has once been known to be up to date since its start. An
+// entry instance that starts while a leader is being elected then receives the routes at once, and
+// not with one of its next syncs.
+func (i *Instance) awaitConfirmed(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, routesWait)
 	defer cancel()
-	i.voter.AwaitConfirmed(ctx)
+	select {
+	case <-i.confirmed:
+	case <-ctx.Done():
+	}
+}
+
+// watchConfirmed closes confirmed. All calls wait for this one goroutine: if each of them polled the
+// replica, an instance with hundreds of callers would have no time left to be elected.
+func (i *Instance) watchConfirmed(ctx context.Context) {
+	if i.voter.AwaitConfirmed(ctx) {
+		close(i.confirmed)
+	}
 }
 
 // Gather records the demand that entry instances reported to another control plane
--- a/internal/backoffice/relay_test.go
+++ b/internal/backoffice/relay_test.go
@@ -127,6 +127,14 @@
 		Expect(later.Changes.Upstreams).To(HaveLen(1))
 	}, SpecTimeout(specTimeout))
 
+	// Guards against links and processor time that are taken up by the states of thousands of engines,
+	// all of which are sent again for each report of one.
+	It("sends the states of many engines less often", func() {
+		Expect(backoffice.EngineStatesInterval(112)).To(Equal(50 * time.Millisecond))
+		Expect(backoffice.EngineStatesInterval(1000)).To(Equal(300 * time.Millisecond))
+		Expect(backoffice.EngineStatesInterval(3000)).To(BeNumerically("<=", time.Second))
+	})
+
 	It("adds up requests of two reports, and takes the waiting ones from the newer", func() {
 		merged := backoffice.MergeDemand(
 			[]courier.Demand{{Model: "a", Requests: 2, Waiting: 2, Open: 1}, {Model: "b", Requests: 1, Waiting: 1}},
