--- a/internal/backoffice/relay_test.go
+++ b/internal/backoffice/relay_test.go
@@ -104,7 +104,7 @@
 		c.putRoutes(ctx, c.seeds[0], 1)
 		announce := func(name string) {
 			Expect(c.instances[c.seeds[0]].Announce(time.Now(), upstreamapi.Announcement{
-				Name: name, Incarnation: 1, Sequence: 1, Address: name + ":9", Services: []string{"pool"}, FailureDomain: "here",
+				Name: name, Incarnation: 1, Sequence: 1, Address: name + ":9", Services: []string{"desk"}, FailureDomain: "here",
 			})).To(Succeed())
 		}
 		for i := range 1000 {
