jury: one state says whether the process has led or followed

Cause: unaffiliated was set and cleared at the same two places as hadLeader, always as its opposite, and these two places set the same four fields. Change: the restart election reads hadLeader; recordLeader sets the fields. No behaviour changes.

--- a/internal/jury/leader.go
+++ b/internal/jury/leader.go
@@ -87,10 +87,7 @@
 // becomeLeader makes the candidate the leader of its term.
 func (m *Member) becomeLeader(now time.Time) {
 	m.role = Leader
-	m.leader = m.options.Self
-	m.tally = voteTally{}
-	m.hadLeader = true
-	m.restart.affiliate()
+	m.recordLeader(m.options.Self)
 	m.leading = &leaderState{
 		electedAt:  now,
 		ordersFrom: now.Add(m.options.TakeoverWait()),
--- a/internal/jury/member.go
+++ b/internal/jury/member.go
@@ -55,7 +55,7 @@
 	tally           voteTally
 	// leading is nil unless role is Leader.
 	leading *leaderState
-	// hadLeader is set once the member knows that the cluster has had a leader.
+	// hadLeader is set once this process has led or heard from a leader.
 	hadLeader bool
 	reads     readTracker
 	restart   restartElection
--- a/internal/jury/receive.go
+++ b/internal/jury/receive.go
@@ -104,12 +104,17 @@
 // recordLeaderContact records a message from the leader of the current term.
 func (m *Member) recordLeaderContact(now time.Time, leader Identity) {
 	m.role = Follower
+	m.recordLeader(leader)
+	m.leaderContactAt = now
+	m.scheduleCampaign(now)
+}
+
+// recordLeader records that the current term has a leader, which ends all elections.
+func (m *Member) recordLeader(leader Identity) {
 	m.leader = leader
 	m.tally = voteTally{}
 	m.hadLeader = true
-	m.restart.affiliate()
-	m.leaderContactAt = now
-	m.scheduleCampaign(now)
+	m.restart.end()
 }
 
 // becomeFollower makes the member a follower in term, which must not be lower
--- a/internal/jury/restart.go
+++ b/internal/jury/restart.go
@@ -47,10 +47,8 @@
 // restartElection is the state of a voter that has restarted and seeks the proof.
 type restartElection struct {
 	// process is the random number of this process. It is not 0.
-	process uint64
-	// unaffiliated is set until the member leads or hears from a leader.
-	unaffiliated bool
-	nextProbeAt  time.Time
+	process     uint64
+	nextProbeAt time.Time
 	// processes are the processes of the other voters, 0 for one that is gone. confirmed are
 	// the answers of the current round. Rounds start at a random number, so that a delayed
 	// answer to an earlier process of this member belongs to none.
@@ -61,14 +59,13 @@
 
 func newRestartElection(process uint64) restartElection {
 	return restartElection{
-		process: process, unaffiliated: true, round: process,
+		process: process, round: process,
 		processes: map[Identity]uint64{}, confirmed: map[Identity]RestartAnswer{},
 	}
 }
 
-// affiliate ends the restart election: the member leads or has heard from a leader.
-func (r *restartElection) affiliate() {
-	r.unaffiliated = false
+// end ends the restart election: the member leads or has heard from a leader.
+func (r *restartElection) end() {
 	clear(r.processes)
 	clear(r.confirmed)
 }
@@ -89,7 +86,7 @@
 
 // probeRestart sends the probes that are due.
 func (m *Member) probeRestart(now time.Time) {
-	if !m.restart.unaffiliated || !m.isVoter() || now.Before(m.restart.nextProbeAt) {
+	if m.hadLeader || !m.isVoter() || now.Before(m.restart.nextProbeAt) {
 		return
 	}
 	if m.restartProven() {
@@ -149,9 +146,9 @@
 		For: message.To, Process: m.restart.process, Round: body.Round,
 		LastIndex: m.log.last(), LastTerm: m.log.lastTerm(),
 	}
-	answer.Unaffiliated = m.restart.unaffiliated && body.Asked == m.restart.process
+	answer.Unaffiliated = !m.hadLeader && body.Asked == m.restart.process
 	m.send(m.message(message.From, answer))
-	if message.To == m.options.Self && m.restart.unaffiliated && m.isVoter() {
+	if message.To == m.options.Self && !m.hadLeader && m.isVoter() {
 		m.learnProcess(now, message.From, body.Process)
 	}
 }
@@ -170,7 +167,7 @@
 }
 
 func (m *Member) receiveRestartAnswer(now time.Time, message Message, body RestartAnswer) {
-	if !m.restart.unaffiliated || !m.isVoter() || message.From.Instance() != body.For.Instance() {
+	if m.hadLeader || !m.isVoter() || message.From.Instance() != body.For.Instance() {
 		return
 	}
 	if message.From != body.For {
@@ -207,5 +204,5 @@
 // restartedWith reports whether the member may grant a vote to the candidate of a restart
 // election although a lease that it supported before its start may run.
 func (m *Member) restartedWith(body VoteRequest) bool {
-	return m.restart.unaffiliated && body.Restarted == m.restart.process
+	return !m.hadLeader && body.Restarted == m.restart.process
 }
