--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -259,12 +259,7 @@
 }
 
 func (r reader) units() float64 {
-	units := r.Uint()
-	if units > maxUnits {
-		r.Fail()
-		return 0
-	}
-	return float64(units)
+	return float64(r.uintUpTo(maxUnits))
 }
 
 func (r reader) request() Request {
@@ -289,19 +284,19 @@
 }
 
 func (r reader) count() int {
-	count := r.Uint()
-	if count > maxCount {
-		r.Fail()
-		return 0
-	}
-	return int(count)
+	return int(r.uintUpTo(maxCount))
 }
 
 func (r reader) duration() time.Duration {
-	micros := r.Uint()
-	if micros > uint64(maxDuration.Microseconds()) {
+	return time.Duration(r.uintUpTo(uint64(maxDuration.Microseconds()))) * time.Microsecond
+}
+
+// uintUpTo reads a number. If it exceeds maximum, the message is invalid.
+func (r reader) uintUpTo(maximum uint64) uint64 {
+	number := r.Uint()
+	if number > maximum {
 		r.Fail()
 		return 0
 	}
-	return time.Duration(micros) * time.Microsecond
+	return number
 }
