--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -81,10 +81,11 @@
 		return
 	}
 	if !now.Before(i.packedRoster.expires) {
-		content, err := courier.PackChanges(upstreamChanges(i.roster.Since(now, cursor)))
+		whole := upstreamChanges(i.roster.Since(now, cursor))
+		content, err := courier.PackChanges(whole)
 		if err != nil {
 			i.options.Log.Error().Err(err).Msg("packing the roster failed; sending it unpacked")
-			reply.Changes = upstreamChanges(i.roster.Since(now, cursor))
+			reply.Changes = whole
 			return
 		}
 		took := i.options.Now().Sub(now)
