--- a/internal/workspace/directory.go
+++ b/internal/workspace/directory.go
@@ -77,7 +77,7 @@
 // Find returns the workspace that holds key, or nil. Its running time tells nothing of the
 // keys, since only hashes are compared and callers can't choose a hash.
 func (d *Directory) Find(key string) *Workspace {
-	if d == nil {
+	if d.Empty() {
 		return nil
 	}
 	return d.byKey[Digest(key)]
