--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -51,7 +51,7 @@
 		a.goal.Priority = declaration.DefaultPriority
 	}
 	var refusal *RefusalError
-	a.workspace, refusal = s.workspaces.authorize(header, configuration.Revision, configuration.Declarations, a.service)
+	a.workspace, refusal = s.workspaces.authorize(header, configuration, a.service)
 	if refusal != nil {
 		return admittedRequest{}, refusal
 	}
--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -288,8 +288,7 @@
 	ctx, cancel := context.WithTimeout(c.Request().Context(), claimTimeout)
 	defer cancel()
 	service := c.QueryParam("service")
-	configuration := s.options.Instance.Configuration()
-	caller, refusal := s.workspaces.authorize(c.Request().Header, configuration.Revision, configuration.Declarations, service)
+	caller, refusal := s.workspaces.authorize(c.Request().Header, s.options.Instance.Configuration(), service)
 	if refusal != nil {
 		return refusal
 	}
--- a/internal/desk/workspaces.go
+++ b/internal/desk/workspaces.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/finding"
+	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/registry"
@@ -42,10 +43,10 @@
 }
 
 // authorize returns the workspace whose key a request carries, and nil if no workspace is declared.
-func (w *workspaces) authorize(header http.Header, revision registry.Revision, set declaration.Set, service string) (*workspace.Workspace, *RefusalError) {
+func (w *workspaces) authorize(header http.Header, configuration *gazette.Configuration, service string) (*workspace.Workspace, *RefusalError) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.update(revision, set)
+	w.update(configuration.Revision, configuration.Declarations)
 	if w.directory.Empty() {
 		return nil, nil
 	}
