counter: no copy of the number of upstreams, one end for callers that left

Cause: the control links stored a number that the pool knows, and the quota repeated what a request without an upstream does when its caller has left. Change: syncDelay takes the number; both call abortIfCallerLeft. No behaviour changes.

--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -81,10 +81,7 @@
 		p.refuse(w, t.call, t.route, refusal{status: http.StatusBadGateway, text: "no upstream is left to try"})
 		return
 	}
-	if t.request.Context().Err() != nil {
-		p.logOutcome(t, "caller disconnected", "the caller left while the request waited")
-		panic(http.ErrAbortHandler)
-	}
+	t.abortIfCallerLeft("the caller left while the request waited")
 	now := p.options.Now()
 	p.refuse(w, t.call, t.route, refusal{
 		status: http.StatusServiceUnavailable, text: "no upstream: " + t.lastMissing.String(), retryAfter: t.retryAfterNow(),
@@ -92,6 +89,14 @@
 	})
 }
 
+// abortIfCallerLeft ends the request without a response if its caller has disconnected.
+func (t *transaction) abortIfCallerLeft(message string) {
+	if t.request.Context().Err() != nil {
+		t.proxy.logOutcome(t, "caller disconnected", message)
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // surveyUpstreams counts the states of the upstreams that could have run the request.
 func (p *Proxy) surveyUpstreams(now time.Time, t *transaction) *survey {
 	p.mu.Lock()
--- a/internal/counter/controlchoice.go
+++ b/internal/counter/controlchoice.go
@@ -87,11 +87,12 @@
 	return chosen
 }
 
-// syncDelay returns the time between two syncs with the current control instance.
-func (l *controlLinks) syncDelay() time.Duration {
+// syncDelay returns the time between two syncs with the current control instance, if the given
+// number of upstreams is known.
+func (l *controlLinks) syncDelay(upstreams int) time.Duration {
 	others := len(l.alive) - 1
 	if tooManyForOne(l.entryInstances) && l.current != l.leader && others > 0 {
-		return syncIntervalFor((l.entryInstances+others-1)/others, l.upstreams)
+		return syncIntervalFor((l.entryInstances+others-1)/others, upstreams)
 	}
-	return syncIntervalFor(l.entryInstances, l.upstreams)
+	return syncIntervalFor(l.entryInstances, upstreams)
 }
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -324,8 +324,8 @@
 
 // SyncDelay returns the time between two syncs with a control instance.
 func SyncDelay(entries, upstreams int, alive []string, asked, leader string) time.Duration {
-	l := controlLinks{entryInstances: entries, upstreams: upstreams, alive: alive, current: asked, leader: leader}
-	return l.syncDelay()
+	l := controlLinks{entryInstances: entries, alive: alive, current: asked, leader: leader}
+	return l.syncDelay(upstreams)
 }
 
 // NeedsProof reports whether requests wait at now for a proof of the routes, which were last proven
--- a/internal/counter/quota.go
+++ b/internal/counter/quota.go
@@ -290,10 +290,7 @@
 
 func (t *transaction) refuseOverQuota(w http.ResponseWriter, wait time.Duration) {
 	p := t.proxy
-	if t.request.Context().Err() != nil {
-		p.logOutcome(t, "caller disconnected", "the caller left while the request waited for its quota")
-		panic(http.ErrAbortHandler)
-	}
+	t.abortIfCallerLeft("the caller left while the request waited for its quota")
 	p.refuse(w, t.call, t.route, refusal{
 		status: http.StatusTooManyRequests, text: overQuota, retryAfter: max(wait, minRetryAfter),
 		workspace: t.workspace, quotaCost: t.quotaCost, waited: p.options.Now().Sub(t.arrived),
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -53,8 +53,6 @@
 	// of live instances.
 	entryInstances  int
 	membersRevision uint64
-	// upstreams is the number of known upstreams.
-	upstreams int
 	// engineStatesRevision is the revision of the latest engine states received.
 	engineStatesRevision uint64
 	// interval is the time between two syncs.
@@ -175,8 +173,7 @@
 		p.control.current = next
 		p.control.source = roster.PullState{}
 	}
-	p.control.upstreams = len(p.pool.byName)
-	p.control.interval = p.control.syncDelay()
+	p.control.interval = p.control.syncDelay(len(p.pool.byName))
 	p.dispatch(now)
 }
 
