quota: one adjustment of a bucket in both directions

Cause: Debit was Return of negative units (a filled bucket holds no more than the burst), so its caller branched on the sign; two places made the same new bucket. Change: Adjust takes both signs; newQuotaBucket. The specs keep their assertions. No behaviour changes.

--- a/internal/counter/quota.go
+++ b/internal/counter/quota.go
@@ -65,13 +65,18 @@
 	account := p.quotas.get(name)
 	_, elsewhere := p.quotaOwner(now, name)
 	if account.bucket == nil || elsewhere && now.Sub(account.usedAt) >= standInTTL {
-		bucket := quota.NewBucket(now, p.options.QuotaTolerance.InitialUnits(limit))
-		account.bucket = &bucket
+		account.bucket = p.newQuotaBucket(now, limit)
 	}
 	account.usedAt = now
 	return account.bucket
 }
 
+// newQuotaBucket returns a bucket with what may be spent while it is unknown what was granted before.
+func (p *Proxy) newQuotaBucket(now time.Time, limit quota.Limit) *quota.Bucket {
+	bucket := quota.NewBucket(now, p.options.QuotaTolerance.InitialUnits(limit))
+	return &bucket
+}
+
 // takeAsOwner takes units from the bucket of all instances. p.mu is held.
 func (p *Proxy) takeAsOwner(now time.Time, name string, limit quota.Limit, need, ahead float64) quota.Decision {
 	bucket := p.ownerBucket(now, name, limit)
@@ -87,8 +92,7 @@
 	share := w.Quota.Share(p.control.entryInstances)
 	account := p.quotas.get(w.Name)
 	if account.ownShare == nil {
-		bucket := quota.NewBucket(now, p.options.QuotaTolerance.InitialUnits(share))
-		account.ownShare = &bucket
+		account.ownShare = p.newQuotaBucket(now, share)
 	}
 	var decision quota.Decision
 	*account.ownShare, decision = account.ownShare.Take(now, share, need, 0)
@@ -180,11 +184,7 @@
 // negative. p.mu is held.
 func (p *Proxy) applyQuotaAdjustment(now time.Time, w *workspace.Workspace, units float64) {
 	bucket := p.ownerBucket(now, w.Name, w.Quota)
-	if units < 0 {
-		*bucket = bucket.Debit(now, w.Quota, -units)
-		return
-	}
-	*bucket = bucket.Return(now, w.Quota, units)
+	*bucket = bucket.Adjust(now, w.Quota, units)
 }
 
 // handleQuotaRequest decides a peer's quota request, or repeats the earlier decision. p.mu is held.
--- a/internal/desk/workspaces.go
+++ b/internal/desk/workspaces.go
@@ -134,7 +134,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	bucket, share := w.bucket(now, of)
-	w.buckets[of.Name] = bucket.Return(now, share, of.Quota.Cost(size))
+	w.buckets[of.Name] = bucket.Adjust(now, share, of.Quota.Cost(size))
 }
 
 // bucket returns the bucket and the limit of this instance's share. w.mu is held.
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -8,7 +8,7 @@
 // Bucket is the token bucket of a workspace at the owner of its quota. It is immutable.
 type Bucket struct {
 	// units may be spent as of filledAt. It is negative after a request that costs more than
-	// the burst, and after a Debit.
+	// the burst, and after an Adjust by negative units.
 	units    float64
 	filledAt time.Time
 	// promised are the units for requests that were denied and told when to come back.
@@ -66,15 +66,9 @@
 	return b, Denied{Wait: min(wait, maxDenial)}
 }
 
-// Debit spends units that the bucket may not hold, for a request that was sent again.
-func (b Bucket) Debit(now time.Time, l Limit, units float64) Bucket {
-	b = b.filled(now, l)
-	b.units -= units
-	return b
-}
-
-// Return puts back units that were granted and not spent.
-func (b Bucket) Return(now time.Time, l Limit, units float64) Bucket {
+// Adjust puts back units that were granted and not spent. If units is negative, it spends units
+// that the bucket may not hold, for a request that was sent again.
+func (b Bucket) Adjust(now time.Time, l Limit, units float64) Bucket {
 	b = b.filled(now, l)
 	b.units = min(b.units+units, l.Burst)
 	return b
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -95,13 +95,13 @@
 	})
 
 	It("takes back what was not spent, up to the burst", func() {
-		b := quota.NewBucket(start, 0).Return(start, limit, 5000)
+		b := quota.NewBucket(start, 0).Adjust(start, limit, 5000)
 		Expect(take(&b, start, limit, 2000, 0)).To(Equal(2000.0))
 		Expect(take(&b, start, limit, 1, 0)).To(BeZero())
 	})
 
 	It("owes what was spent without being granted", func() {
-		b := quota.NewBucket(start, 100).Debit(start, limit, 600)
+		b := quota.NewBucket(start, 100).Adjust(start, limit, -600)
 		Expect(take(&b, start.Add(400*time.Millisecond), limit, 1, 0)).To(BeZero())
 		Expect(take(&b, start.Add(510*time.Millisecond), limit, 10, 0)).To(Equal(10.0))
 	})
@@ -167,7 +167,7 @@
 				continue
 			}
 			if rapid.IntRange(0, 3).Draw(t, "unused") == 0 {
-				b = b.Return(now, l, granted)
+				b = b.Adjust(now, l, granted)
 				continue
 			}
 			spent = append(spent, spending{now, granted})
--- a/internal/quota/ways_test.go
+++ b/internal/quota/ways_test.go
@@ -47,7 +47,7 @@
 	messages := 2
 	var unspent float64
 	if *lease, unspent = lease.Expired(now); unspent > 0 {
-		w.bucket = w.bucket.Return(now, workload, unspent)
+		w.bucket = w.bucket.Adjust(now, workload, unspent)
 		messages++
 	}
 	granted := take(&w.bucket, now, workload, cost, lease.Ahead(now, cost))
