backoffice: what an order's result changes is one pure step

completeOrder takes the time and the result (not sent, unanswered, answered) and does no I/O, so that a spec can drive the view of an engine through orders without voters or a network. No behaviour changes, but that the log names the fencing number of an order that was not sent.

--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -85,17 +85,10 @@
 	return order
 }
 
-// orderSent, orderAnswered and orderUnanswered track the pending order.
-func (e *engine) orderSent(now time.Time, order Order) {
-	e.unconfirmed.begin(now, order)
-}
-
-func (e *engine) orderAnswered() {
-	e.unconfirmed.confirm()
-}
-
-func (e *engine) orderUnanswered() {
-	e.unconfirmed.markUnanswered()
+// isOrderable reports whether the engine may be ordered to load or unload a model: its state
+// is known, and it carries out no other order.
+func (e *engine) isOrderable() bool {
+	return e.hasReport && !e.orderPending && !e.stale && !e.report.Busy && e.withdrawn == ""
 }
 
 // applyReport stores a report. Of a report that is older than an accepted order, only
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -34,7 +34,7 @@
 
 // Send records an order that is under way.
 func (e Engine) Send(now time.Time, order Order) {
-	e.engine.orderSent(now, order)
+	e.engine.unconfirmed.begin(now, order)
 }
 
 // Begin returns order as it is to be sent.
@@ -44,8 +44,38 @@
 
 // SendUnanswered records an order that got no answer.
 func (e Engine) SendUnanswered(now time.Time, order Order) {
-	e.engine.orderSent(now, order)
-	e.engine.orderUnanswered()
+	e.engine.unconfirmed.begin(now, order)
+	e.engine.unconfirmed.markUnanswered()
+}
+
+// Complete applies the engine's answer to the pending order.
+func (e Engine) Complete(now time.Time, order Order, answer OrderAnswer) {
+	e.engine.completeOrder(now, order, orderAnswered{answer})
+}
+
+// CompleteUnanswered records that the pending order got no answer.
+func (e Engine) CompleteUnanswered(now time.Time, order Order) {
+	e.engine.completeOrder(now, order, orderUnanswered{})
+}
+
+// IsOrderable reports whether the engine may be ordered to load or unload a model.
+func (e Engine) IsOrderable() bool {
+	return e.engine.isOrderable()
+}
+
+// FitsAdapter reports whether an adapter of a model can be loaded now.
+func (e Engine) FitsAdapter(now time.Time, model string) bool {
+	return !e.engine.orderPending && !e.engine.stale && e.engine.holds(model, "") && e.engine.fitsAdapter(now, model)
+}
+
+// LoadedModels returns the models in the latest report, updated by the accepted orders.
+func (e Engine) LoadedModels() []courier.LoadedModel {
+	return e.engine.report.Models
+}
+
+// Loading returns the model that is being loaded, empty if there is none.
+func (e Engine) Loading() string {
+	return e.engine.loading
 }
 
 // HasReport reports whether the engine has a valid report.
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -146,7 +146,7 @@
 		}
 		engine := stocking.Engine{
 			Name: e.Name, Megabytes: e.spec.Megabytes, UsedMegabytes: e.usedMegabytes(), Loading: e.loading,
-			Unavailable: !e.hasReport || e.orderPending || e.stale || e.report.Busy || e.withdrawn != "" || !o.leases.isFree(now, e.Name),
+			Unavailable: !e.isOrderable() || !o.leases.isFree(now, e.Name),
 			Leaving:     e.leaving, Throttled: o.hasLowLimit(e), InMemory: e.report.InMemory, OnDisk: e.report.OnDisk,
 		}
 		for _, held := range e.advertisedModels() {
--- a/internal/backoffice/orchestrator.go
+++ b/internal/backoffice/orchestrator.go
@@ -322,63 +322,50 @@
 // carries out the order.
 func (o *orchestrator) sendOrder(ctx context.Context, e *engine, order Order) bool {
 	fence, allowed := o.fencingNumber()
-	answer := Refused
+	order.Holder, order.FencingNumber = o.instance.options.Address, fence
+	var result orderResult = orderNotSent{}
 	var err error
 	if allowed {
-		err = o.leases.take(ctx, e.Name)
-		allowed = err == nil
+		result, err = o.deliverOrder(ctx, e, order)
 	}
-	if allowed {
-		order.Holder, order.FencingNumber = o.instance.options.Address, fence
-		o.mu.Lock()
-		e.orderSent(o.instance.options.Now(), order)
-		o.mu.Unlock()
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		answer, err = o.instance.options.Engines.Order(callCtx, e.EngineAddress, order)
-		cancel()
-	}
-	o.logOrder(e, order, answer, allowed, err)
-	if answer == RefusedByOtherProcess {
+	o.logOrder(e, order, result, err)
+	if result == (orderAnswered{RefusedByOtherProcess}) {
 		// Announcements of the engine may still arrive, but its process no longer exists.
 		o.instance.Leave(o.instance.options.Now(), upstreamapi.Leave{Name: e.Name, Incarnation: e.incarnation})
 	}
-	o.instance.options.Metrics.SubScope("backoffice").Tagged(map[string]string{"answer": answer.String()}).Counter("orders").Inc(1)
+	o.instance.options.Metrics.SubScope("backoffice").Tagged(map[string]string{"answer": answerOf(result).String()}).Counter("orders").Inc(1)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	defer e.notifyWaiters()
-	e.orderPending = false
-	if order.Adapter == "" && order.Kind == Unload {
-		e.unloading = err == nil && allowed && answer == Accepted
-		if !e.unloading {
-			e.withdrawn = ""
-		}
+	e.completeOrder(o.instance.options.Now(), order, result)
+	o.markChanged()
+	return answerOf(result).carriesOut()
+}
+
+// deliverOrder takes the lease of the engine and sends the order. It returns the reason
+// unless the engine answers.
+func (o *orchestrator) deliverOrder(ctx context.Context, e *engine, order Order) (orderResult, error) {
+	if err := o.leases.take(ctx, e.Name); err != nil {
+		return orderNotSent{}, err
 	}
-	switch {
-	case err != nil && allowed:
-		e.orderUnanswered()
-		// The engine may still carry out the order. ExpectedSequence, the number of accepted
-		// orders, prevents this order and a later one from both taking the same memory.
-		e.markStale()
-	case !allowed || answer == Refused || answer == RefusedByOtherProcess:
-		e.orderAnswered()
-		e.markStale()
-	default:
-		e.orderAnswered()
-		e.applyOrder(o.instance.options.Now(), order)
-		if order.Kind == Unload && order.Adapter != "" && answer == Accepted {
-			e.adapterLoadsBlockedUntil = o.instance.options.Now().Add(adapterUnloadTime)
-		}
+	o.mu.Lock()
+	e.unconfirmed.begin(o.instance.options.Now(), order)
+	o.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	answer, err := o.instance.options.Engines.Order(ctx, e.EngineAddress, order)
+	if err != nil {
+		return orderUnanswered{}, err
 	}
-	o.markChanged()
-	return err == nil && allowed && answer != Refused && answer != RefusedByOtherProcess
+	return orderAnswered{answer}, nil
 }
 
-func (o *orchestrator) logOrder(e *engine, order Order, answer OrderAnswer, allowed bool, err error) {
+func (o *orchestrator) logOrder(e *engine, order Order, result orderResult, err error) {
 	kind := "load"
 	if order.Kind == Unload {
 		kind = "unload"
 	}
 	o.instance.options.Log.Info().Err(err).Str("engine", e.Name).Str("order", kind).Str("model", order.Model).
 		Str("adapter", order.Adapter).Uint64("expected", order.ExpectedSequence).Uint64("fence", order.FencingNumber).
-		Bool("right", allowed).Stringer("answer", answer).Msg("order to an engine")
+		Bool("right", result != orderNotSent{}).Stringer("answer", answerOf(result)).Msg("order to an engine")
 }
