counter, platform: the log says when an upstream pushes back or leaves

The header of a refusal in which an upstream says how long it wants no more requests, and the one in which it says that it leaves, are read and logged. Nothing acts on them yet.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -37,6 +37,8 @@
 	class := p.options.Dialect.Classify(response, t.call.ID)
 	if class == Answered || class == NotRun {
 		p.observeLimit(t, a, response.Header)
+		a.pushback = p.options.Dialect.ParsePushback(response)
+		a.statesLeave = p.options.Dialect.StatesLeave(response.Header)
 	}
 	switch class {
 	case NotRun, Misdirected:
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -40,6 +40,9 @@
 	notRunHeader = "Spec-Not-Run"
 	limitHeader  = "Spec-Limit"
 	keyHeader    = "Spec-Key"
+
+	pushbackHeader = "Spec-Pushback"
+	leavingHeader  = "Spec-Leaving"
 )
 
 // dialect implements that protocol.
@@ -74,6 +77,14 @@
 	return ratelimit.NamedLimit{Limit: ratelimit.Limit(limit)}
 }
 
+func (dialect) ParsePushback(response *http.Response) time.Duration {
+	return ratelimit.ParsePushback(response.Header.Get(pushbackHeader))
+}
+
+func (dialect) StatesLeave(header http.Header) bool {
+	return header.Get(leavingHeader) != ""
+}
+
 // Contents of the routes.
 const (
 	allRoutes = "{}"
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -72,6 +72,11 @@
 	// ParseLimit parses the rate limit that a response header states: the requests per second that
 	// the upstream accepts from all senders together.
 	ParseLimit(header http.Header) ratelimit.Observation
+	// ParsePushback returns for how long an upstream that refuses a request wants no others from
+	// this instance, 0 if the response states no time.
+	ParsePushback(response *http.Response) time.Duration
+	// StatesLeave reports whether a response header states that the upstream is leaving.
+	StatesLeave(header http.Header) bool
 }
 
 // Attempt describes one attempt to send a request to an upstream.
--- a/internal/counter/relay.go
+++ b/internal/counter/relay.go
@@ -152,6 +152,12 @@
 	if a.owner.IsValid() {
 		line = line.Stringer("placed-by", a.owner)
 	}
+	if a.pushback > 0 {
+		line = line.Dur("pushback", a.pushback)
+	}
+	if a.statesLeave {
+		line = line.Bool("upstream-leaving", true)
+	}
 	if !t.timing.sent.IsZero() {
 		line = line.Dur("waited", t.timing.sent.Sub(t.arrived))
 	}
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
+	"time"
 
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -20,6 +21,10 @@
 	// outcome is the result of the attempt, and speed the engine's speed measured by it.
 	outcome permit.Outcome
 	speed   speedSample
+	// pushback is for how long the upstream wants no more requests from this instance, and
+	// statesLeave is true if it is leaving, both according to its response.
+	pushback    time.Duration
+	statesLeave bool
 	// bodyStarted is true once part of the response body has arrived.
 	bodyStarted bool
 	// mayHaveSent is true once bytes of the request may have been sent.
