--- a/internal/backoffice/overcommit_test.go
+++ b/internal/backoffice/overcommit_test.go
@@ -17,11 +17,10 @@
 // simulatedEngine carries out orders as engines do, some of them seconds late and without an
 // answer.
 type simulatedEngine struct {
-	random   *rand.Rand
-	spec     *routes.Engine
-	report   backoffice.Report
-	loading  string
-	adapters []backoffice.Adapter
+	random  *rand.Rand
+	spec    *routes.Engine
+	report  backoffice.Report
+	loading string
 	// done ends the order that is being carried out at doneAt.
 	done   func()
 	doneAt time.Time
@@ -220,8 +219,10 @@
 
 var _ = Describe("An engine that leaves orders unanswered and carries them out late", func() {
 	spec := &routes.Engine{Megabytes: 200, AdapterSlots: 3, Models: []routes.Model{
-		{Name: "a", Megabytes: 65, AdapterMegabytes: 1}, {Name: "b", Megabytes: 65, AdapterMegabytes: 1},
-		{Name: "c", Megabytes: 65, AdapterMegabytes: 1}, {Name: "d", Megabytes: 100, AdapterMegabytes: 1},
+		{Name: "a", Megabytes: 65, AdapterMegabytes: 1},
+		{Name: "b", Megabytes: 65, AdapterMegabytes: 1},
+		{Name: "c", Megabytes: 65, AdapterMegabytes: 1},
+		{Name: "d", Megabytes: 100, AdapterMegabytes: 1},
 	}}
 
 	// Guards against an order that was decided before another one took the memory or the adapter
