counter: an upstream that pushes back gets nothing until its time is over

Engines that refused requests with a Retry-After of 3 s got 3 to 5 requests more from the same entry instance in that time; 2 are borne. Callers of their models were refused one by one, each after a send in vain. Cause: nobody read the header, and an instance avoided the engine for 0.1 s. Class: what an upstream says of itself in its responses, which the protocol has gained and the product has not.

Now a pushback holds for the instance that was asked and is kept by it (before each send and at each choice) and by the owners of the engine's models, which choose for it. A grant of an owner that does not know is given back and the owner is told again. If all upstreams of a request push back for longer than it can wait, it is rejected at once with the time of the first that ends. A new process under the name starts without one.

The spec of grants of an owner that does not know is new.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -21,6 +21,9 @@
 		t.refuseQuarantined(w)
 		return true
 	}
+	if !p.mayStillSend(a.upstream) {
+		return false
+	}
 	if wait, ok := p.allowByLimit(ctx, a.upstream); !ok {
 		return t.handleRateLimit(w, a, wait)
 	}
@@ -39,6 +42,7 @@
 		p.observeLimit(t, a, response.Header)
 		a.pushback = p.options.Dialect.ParsePushback(response)
 		a.statesLeave = p.options.Dialect.StatesLeave(response.Header)
+		p.observePushback(a)
 	}
 	switch class {
 	case NotRun, Misdirected:
--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -16,6 +17,8 @@
 	// tried are the names of upstreams that have failed this request. They are selected only if no
 	// other upstream is eligible, and not before their avoidance has expired.
 	tried []string
+	// sender is the instance that sends the request.
+	sender netip.AddrPort
 	// boosted allows an engine without free capacity.
 	boosted bool
 }
@@ -33,8 +36,8 @@
 	missingModel
 	// missingAdapter means that the model is loaded, but not the adapter.
 	missingAdapter
-	// missingCapacity means that all upstreams that could run the request are busy, avoided or
-	// paused by their rate limit.
+	// missingCapacity means that all upstreams that could run the request are busy, avoided,
+	// paused by their rate limit or push back.
 	missingCapacity
 )
 
@@ -91,7 +94,7 @@
 		return missingModel
 	case !u.canRun(q.model, q.adapter):
 		return missingAdapter
-	case slices.Contains(q.tried, u.name) && now.Before(u.avoidUntil), now.Before(u.limit.pausedUntil):
+	case slices.Contains(q.tried, u.name) && now.Before(u.avoidUntil), now.Before(u.limit.pausedUntil), u.pushesBack(now, q.sender):
 		return missingCapacity
 	case q.model != "" && !u.hasCapacity(now, q, random):
 		return missingCapacity
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -58,6 +58,8 @@
 		return "no upstream: " + missingModel.String()
 	case permit.LimitsExhausted:
 		return limitsReached
+	case permit.UpstreamsPushBack:
+		return "upstreams push back"
 	default:
 		return "too many requests wait"
 	}
@@ -67,7 +69,7 @@
 // request may wait. p.mu is held.
 func (p *Proxy) rejectionFor(now time.Time, w *waiter) *rejection {
 	req := &w.requirements
-	if rejected := p.rejectRateLimited(now, w); rejected != nil {
+	if rejected := p.rejectHeldBack(now, w); rejected != nil {
 		return rejected
 	}
 	if forecast := p.forecastWait(now, w); forecast > req.maxForecast(now) && !p.queue.isOnlyStarved(now, w) {
@@ -131,7 +133,7 @@
 	req := &w.requirements
 	slots := 0
 	for _, u := range p.pool.upstreamsWith(req.service, req.model) {
-		if p.pool.isAvailable(now, u) && u.canRun(req.model, req.adapter) {
+		if p.pool.isAvailable(now, u) && u.canRun(req.model, req.adapter) && !u.pushesBack(now, req.sender) {
 			slots += u.slots
 		}
 	}
--- a/internal/counter/owners.go
+++ b/internal/counter/owners.go
@@ -120,13 +120,19 @@
 	if req.model == "" {
 		return
 	}
-	var notified []netip.AddrPort
+	for _, owner := range p.modelOwners(now, u) {
+		p.peers.send(owner, permit.LoadReport{Upstream: u.name, PrefillTime: req.prefillTime, ActiveRequests: u.active})
+	}
+}
+
+// modelOwners returns the other instances that own models of an engine. p.mu is held.
+func (p *Proxy) modelOwners(now time.Time, u *upstream) []netip.AddrPort {
+	var owners []netip.AddrPort
 	for model := range u.models {
 		owner, known := p.owners.ownerOf(now, u.service, model)
-		if !known || owner == p.owners.self || slices.Contains(notified, owner) {
-			continue
+		if known && owner != p.owners.self && !slices.Contains(owners, owner) {
+			owners = append(owners, owner)
 		}
-		notified = append(notified, owner)
-		p.peers.send(owner, permit.LoadReport{Upstream: u.name, PrefillTime: req.prefillTime, ActiveRequests: u.active})
 	}
+	return owners
 }
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -45,6 +45,8 @@
 		}
 	case permit.LimitReport:
 		p.receiveLimit(now, m)
+	case permit.PushbackReport:
+		p.receivePushback(now, from, m)
 	case permit.SendRequest:
 		p.handleClaim(now, from, m)
 	case permit.QuotaRequest:
@@ -84,7 +86,7 @@
 		p.peers.send(from, permit.ShuttingDown{ID: m.ID})
 		return
 	}
-	w := &waiter{requirements: p.requirementsOf(now, m), requester: requester, placingInstances: 1}
+	w := &waiter{requirements: p.requirementsOf(now, from, m), requester: requester, placingInstances: 1}
 	record := &permitRecord{waiter: w, expires: w.requirements.arrived.Add(w.requirements.maxWait() + requesterGrace)}
 	p.permits[requester] = record
 	p.enqueue(now, w)
@@ -105,11 +107,11 @@
 }
 
 // requirementsOf returns the requirements of a peer's request.
-func (p *Proxy) requirementsOf(now time.Time, m permit.Request) requirements {
+func (p *Proxy) requirementsOf(now time.Time, from netip.AddrPort, m permit.Request) requirements {
 	req := requirements{
 		target:       target{service: m.Service, model: m.Model, adapter: m.Adapter},
 		promptTokens: m.PromptTokens, outputTokens: m.AnswerTokens, priority: m.Priority, yields: m.Yields, objective: m.Objective,
-		maxGap: m.MaxEventGap, arrived: now.Add(-m.Age), deadline: now.Add(m.Remaining), tried: m.Tried,
+		maxGap: m.MaxEventGap, arrived: now.Add(-m.Age), deadline: now.Add(m.Remaining), sender: from, tried: m.Tried,
 	}
 	p.estimateCost(&req)
 	return req
--- a/internal/counter/permits_test.go
+++ b/internal/counter/permits_test.go
@@ -246,6 +246,49 @@
 	return recorder.Code
 }
 
+// grantingOwner is an entry instance that grants the same upstream to each request.
+type grantingOwner struct {
+	conn    net.PacketConn
+	address netip.AddrPort
+	// releases receives the releases of the grants, and pushbacks the reported pushbacks.
+	releases  chan permit.Release
+	pushbacks chan permit.PushbackReport
+}
+
+func listenGrantingOwner() *grantingOwner {
+	GinkgoHelper()
+	conn := listenPeer()
+	DeferCleanup(conn.Close)
+	return &grantingOwner{
+		conn: conn, address: conn.LocalAddr().(*net.UDPAddr).AddrPort(),
+		releases: make(chan permit.Release, 100), pushbacks: make(chan permit.PushbackReport, 100),
+	}
+}
+
+func (o *grantingOwner) grantAlways(upstream, address string) {
+	go func() {
+		defer GinkgoRecover()
+		buffer := make([]byte, permit.MaxBytes)
+		for {
+			n, from, err := o.conn.ReadFrom(buffer)
+			if err != nil {
+				return
+			}
+			message, err := permit.Decode(buffer[:n])
+			Expect(err).NotTo(HaveOccurred())
+			switch m := message.(type) {
+			case permit.Request:
+				granted := permit.Granted{ID: m.ID, Upstream: upstream, Address: address}
+				_, _ = o.conn.WriteTo(permit.Append(nil, granted), from)
+			case permit.Release:
+				o.releases <- m
+			case permit.PushbackReport:
+				o.pushbacks <- m
+			}
+		}
+	}()
+}
+
 var _ = Describe("A request at an instance that does not own its model", func() {
 	It("is served by a grant of the owner, which is returned", func() {
 		c := newFakeControl()
@@ -268,41 +311,20 @@
 	It("is not sent to an engine that leaves by what its own instance knows", func() {
 		c := newFakeControl()
 		first := startPeer(c)
-		ownerConn := listenPeer()
-		DeferCleanup(ownerConn.Close)
-		owner := ownerConn.LocalAddr().(*net.UDPAddr).AddrPort()
-		model := modelOwnedBy("desk", owner, first.address, owner)
+		owner := listenGrantingOwner()
+		model := modelOwnedBy("desk", owner.address, first.address, owner.address)
 		leaving, staying := newFakeUpstream(succeed), newFakeUpstream(succeed)
 		c.announce("leaving", leaving.address(), model)
 		c.announce("staying", staying.address(), model)
 		c.announceLeave("leaving")
-		c.addExactEntries(first.address, owner)
+		c.addExactEntries(first.address, owner.address)
 		Eventually(first.proxy.Instances, specTimeout).Should(Equal(2))
 		Eventually(first.proxy.Upstreams, specTimeout).Should(Equal(2))
-		ended := make(chan permit.Release, 1)
-		go func() {
-			defer GinkgoRecover()
-			buffer := make([]byte, permit.MaxBytes)
-			for {
-				n, from, err := ownerConn.ReadFrom(buffer)
-				if err != nil {
-					return
-				}
-				message, err := permit.Decode(buffer[:n])
-				Expect(err).NotTo(HaveOccurred())
-				switch m := message.(type) {
-				case permit.Request:
-					granted := permit.Granted{ID: m.ID, Upstream: "leaving", Address: leaving.address()}
-					_, _ = ownerConn.WriteTo(permit.Append(nil, granted), from)
-				case permit.Release:
-					ended <- m
-				}
-			}
-		}()
+		owner.grantAlways("leaving", leaving.address())
 		Expect(first.serve(model)).To(Equal(http.StatusOK))
 		Expect(leaving.count()).To(BeZero())
 		Expect(staying.count()).To(Equal(1))
-		Eventually(ended, specTimeout).Should(Receive(HaveField("Outcome", permit.ModelAbsent)))
+		Eventually(owner.releases, specTimeout).Should(Receive(HaveField("Outcome", permit.ModelAbsent)))
 	})
 
 	// The owner of a model is frozen or gone, but still listed. The caller must be served as fast
--- a/internal/counter/pushback_test.go
+++ b/internal/counter/pushback_test.go
@@ -157,6 +157,26 @@
 		Expect(upstreams[0].arrivalsOf("i0", asked) + upstreams[0].arrivalsOf("i2", asked)).To(BeNumerically("<=", 2*toleratedRequests))
 	})
 
+	// The owner of the model has not received the report, or has become the owner since.
+	It("gets nothing by grants of an owner that does not know", func() {
+		group = newPeerGroup(1)
+		owner := listenGrantingOwner()
+		model := modelOwnedBy("desk", owner.address, group.peers[0].address, owner.address)
+		reluctant, willing := newReluctantUpstream(group.clock), newReluctantUpstream(group.clock)
+		group.control.announce("u", reluctant.address(), model)
+		group.control.announce("v", willing.address(), model)
+		group.control.addExactEntries(owner.address)
+		Eventually(group.peers[0].proxy.Instances, specTimeout).Should(Equal(2))
+		Eventually(group.peers[0].proxy.Upstreams, specTimeout).Should(Equal(2))
+		owner.grantAlways("u", reluctant.address())
+		reluctant.pushBack("3", "i0")
+		asked := group.clock.Now()
+		Expect(group.sendFor(time.Second, "/short/", model, 0)).To(Equal(map[int]int{http.StatusOK: 20}))
+		Expect(reluctant.arrivalsOf("i0", asked)).To(Equal(1))
+		Eventually(owner.pushbacks, specTimeout).Should(Receive(HaveField("Upstream", "u")))
+		Eventually(owner.pushbacks, specTimeout).Should(Receive(), "the owner is told again when it grants the upstream")
+	})
+
 	// A crashed engine restarts under its name.
 	It("gets requests at once as a new process", func() {
 		_, upstreams := startWith("u")
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -125,6 +125,8 @@
 type selectionKey struct {
 	target
 	pacing pacing
+	// sender is set if any upstream pushes back to it.
+	sender netip.AddrPort
 }
 
 // dispatch grants upstreams to waiting requests in order of priority. p.mu is held.
@@ -149,7 +151,7 @@
 	failed := map[selectionKey]missingResource{}
 	remaining := waiters[:0]
 	for _, w := range waiters {
-		key := selectionKey{w.requirements.target, w.requirements.pacing}
+		key := p.selectionKey(now, &w.requirements)
 		missing, known := failed[key]
 		var chosen *upstream
 		cacheable := len(w.requirements.tried) == 0 && !w.boosted
@@ -173,6 +175,14 @@
 	p.setTimer()
 }
 
+func (p *Proxy) selectionKey(now time.Time, req *requirements) selectionKey {
+	key := selectionKey{target: req.target, pacing: req.pacing}
+	if p.pool.anyPushesBack(now, req.sender) {
+		key.sender = req.sender
+	}
+	return key
+}
+
 // issueGrant grants chosen to a waiting request. p.mu is held.
 func (p *Proxy) issueGrant(now time.Time, w *waiter, chosen *upstream) {
 	granted := grant{upstream: chosen, prefillAhead: chosen.backlog.remaining(now)}
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
@@ -26,6 +27,8 @@
 	arrived time.Time
 	// deadline is when the response must be complete.
 	deadline time.Time
+	// sender is the instance that sends the request.
+	sender netip.AddrPort
 	// tried are the names of the upstreams that have failed the request.
 	tried []string
 	// pacing limits the prompts sent to one engine.
@@ -37,7 +40,7 @@
 }
 
 func (req *requirements) query() upstreamQuery {
-	return upstreamQuery{service: req.service, model: req.model, adapter: req.adapter, pacing: req.pacing, tried: req.tried}
+	return upstreamQuery{service: req.service, model: req.model, adapter: req.adapter, pacing: req.pacing, sender: req.sender, tried: req.tried}
 }
 
 func (req *requirements) modelKey() modelKey {
@@ -116,6 +119,13 @@
 	return max(time.Duration(jitter*float64(min(wait, left/3))), minRetryAfter)
 }
 
+// retryAfterPushback returns the Retry-After time if all upstreams push back for wait. It is at
+// most a third of the time left, so that the caller can still retry.
+func (req *requirements) retryAfterPushback(now time.Time, wait time.Duration) time.Duration {
+	left := req.deadline.Sub(now)
+	return max(min(wait+scale(retrySpread, rand.Float64()), left/3), minRetryAfter)
+}
+
 // retryAfterLoad returns the Retry-After time of a request whose model is not available in time. It
 // is at most a third of the time left, so that the caller can still retry. loadTime is the time
 // until the model is loaded, if loading is true.
--- a/internal/counter/survey.go
+++ b/internal/counter/survey.go
@@ -24,7 +24,7 @@
 			s.ReportAge = max(s.ReportAge, now.Sub(u.reportedAt))
 		}
 		switch {
-		case slices.Contains(q.tried, u.name) && now.Before(u.avoidUntil):
+		case slices.Contains(q.tried, u.name) && now.Before(u.avoidUntil), u.pushesBack(now, q.sender):
 			s.Avoided++
 		case u.isFull(now):
 			s.Full++
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -72,7 +72,7 @@
 			target:       target{service: route.Service(rand.Float64()), model: call.Model, adapter: call.Adapter},
 			promptTokens: call.PromptTokens, outputTokens: call.OutputTokens,
 			priority: matched.priority(), objective: route.Objective, maxGap: route.MaxEventGap,
-			arrived: arrived, deadline: arrived.Add(timeoutOf(call, route)),
+			arrived: arrived, deadline: arrived.Add(timeoutOf(call, route)), sender: p.owners.self,
 		},
 	}
 	t.digest = digestOf(r, t.workspaceName(), body)
--- a/internal/counter/upstreampool.go
+++ b/internal/counter/upstreampool.go
@@ -1,10 +1,12 @@
 package counter
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/speed"
@@ -30,6 +32,8 @@
 	byAddress map[string]*upstream
 	// routedServices are the services of the routes in force, nil before the first routes.
 	routedServices map[string]*routes.Service
+	// pushedBack are the latest of the upstreams' pushbacks, by entry instance.
+	pushedBack ratelimit.Pushbacks[netip.AddrPort]
 	// lastHeard is the latest time at which any upstream was heard from.
 	lastHeard time.Time
 	// graceUntil is the time until which no lease expires. After an outage of the control
@@ -74,6 +78,8 @@
 	failures   int
 	// limit is the rate limit that the upstream states in its responses.
 	limit upstreamLimit
+	// pushbacks are the times until which the upstream wants no requests, by entry instance.
+	pushbacks ratelimit.Pushbacks[netip.AddrPort]
 }
 
 func newUpstreamPool(failureDomain string, lease time.Duration) *upstreamPool {
@@ -261,6 +267,16 @@
 	return !u.Leaving && p.byAddress[u.address] == u && (p.lastHeard.Sub(u.LastContact) < p.lease || now.Before(p.graceUntil))
 }
 
+// current returns the upstream in the pool that is the same process as u. If there is none, it
+// returns u: its process is gone, or this instance has not heard of it yet.
+func (p *upstreamPool) current(u *upstream) *upstream {
+	known := p.byName[u.name]
+	if known == nil || known.address != u.address || u.incarnation != 0 && u.incarnation != known.incarnation {
+		return u
+	}
+	return known
+}
+
 // canRun reports whether u can run a model, with an adapter unless it is empty.
 func (u *upstream) canRun(model, adapter string) bool {
 	if model == "" {
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -32,6 +32,7 @@
 	kindQuotaDenied
 	kindQuotaReturn
 	kindQuotaDebit
+	kindPushbackReport
 )
 
 const (
@@ -81,6 +82,10 @@
 		buffer = appendBool(buffer, m.Named)
 		buffer = appendLimit(buffer, m.Limit)
 		return appendDuration(buffer, m.Age)
+	case PushbackReport:
+		buffer = parcel.AppendBytes(append(buffer, kindPushbackReport), m.Upstream)
+		buffer = parcel.AppendUint(buffer, m.Incarnation)
+		return appendDuration(buffer, m.Remaining)
 	case SendRequest:
 		buffer = appendHead(buffer, kindSendRequest, m.ID)
 		buffer = parcel.AppendBytes(buffer, m.Upstream)
@@ -225,6 +230,8 @@
 		return LimitReport{
 			Upstream: r.String(), Incarnation: r.Uint(), Named: r.Byte() != 0, Limit: r.limit(), Age: r.duration(),
 		}
+	case kindPushbackReport:
+		return PushbackReport{Upstream: r.String(), Incarnation: r.Uint(), Remaining: r.duration()}
 	case kindSendRequest:
 		return SendRequest{ID: r.id(), Upstream: r.String(), Limit: r.limit()}
 	case kindSendAllowed:
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -142,6 +142,16 @@
 	Age time.Duration
 }
 
+// PushbackReport reports to the owners of an upstream's models that the upstream wants no
+// requests from the sender for a while.
+type PushbackReport struct {
+	Upstream string
+	// Incarnation is that of the upstream, 0 if the sender doesn't know it.
+	Incarnation uint64
+	// Remaining is the rest of that time.
+	Remaining time.Duration
+}
+
 // SendRequest asks the owner of an upstream's rate limit for permission to send one request. It
 // may be sent again: the owner repeats its decision.
 type SendRequest struct {
@@ -202,22 +212,23 @@
 	Units     float64
 }
 
-func (Request) message()      {}
-func (Granted) message()      {}
-func (Queued) message()       {}
-func (Rejected) message()     {}
-func (ShuttingDown) message() {}
-func (Release) message()      {}
-func (LoadReport) message()   {}
-func (LimitReport) message()  {}
-func (SendRequest) message()  {}
-func (SendAllowed) message()  {}
-func (SendDelayed) message()  {}
-func (QuotaRequest) message() {}
-func (QuotaGranted) message() {}
-func (QuotaDenied) message()  {}
-func (QuotaReturn) message()  {}
-func (QuotaDebit) message()   {}
+func (Request) message()        {}
+func (Granted) message()        {}
+func (Queued) message()         {}
+func (Rejected) message()       {}
+func (ShuttingDown) message()   {}
+func (Release) message()        {}
+func (LoadReport) message()     {}
+func (LimitReport) message()    {}
+func (PushbackReport) message() {}
+func (SendRequest) message()    {}
+func (SendAllowed) message()    {}
+func (SendDelayed) message()    {}
+func (QuotaRequest) message()   {}
+func (QuotaGranted) message()   {}
+func (QuotaDenied) message()    {}
+func (QuotaReturn) message()    {}
+func (QuotaDebit) message()     {}
 
 // Reason is the reason for which a permit request is rejected.
 type Reason uint8
@@ -230,6 +241,8 @@
 	ModelUnavailable
 	// LimitsExhausted means that the rate limits of the upstreams are exhausted.
 	LimitsExhausted
+	// UpstreamsPushBack means that the upstreams want no requests from the sender now.
+	UpstreamsPushBack
 )
 
 // Outcome is the result of a request for which a permit was granted.
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -148,3 +148,34 @@
 		Expect(ok).To(BeFalse())
 	})
 })
+
+var _ = Describe("Pushbacks", func() {
+	pushbacks := ratelimit.Pushbacks[string]{}.With(at(1), "a", 3*time.Second)
+
+	It("hold for the sender that was asked, until the time is over", func() {
+		Expect(pushbacks.Until("a")).To(Equal(at(4)))
+		Expect(pushbacks.Until("b")).To(BeZero())
+		Expect(ratelimit.Pushbacks[string]{}.Until("a")).To(BeZero())
+	})
+
+	// Responses arrive out of order, and each asks for a time of its own.
+	It("are not shortened by a later response", func() {
+		Expect(pushbacks.With(at(2), "a", time.Second).Until("a")).To(Equal(at(4)))
+		Expect(pushbacks.With(at(2), "a", 5*time.Second).Until("a")).To(Equal(at(7)))
+		Expect(pushbacks.Until("a")).To(Equal(at(4)), "values are immutable")
+	})
+
+	It("are dropped when they have ended", func() {
+		later := pushbacks.With(at(4), "b", time.Second)
+		Expect(later.Until("a")).To(BeZero())
+		Expect(later.Until("b")).To(Equal(at(5)))
+	})
+
+	DescribeTable("are parsed from a number of seconds",
+		func(value string, length time.Duration) { Expect(ratelimit.ParsePushback(value)).To(Equal(length)) },
+		Entry("a whole number", "3", 3*time.Second), Entry("a fraction", " 0.25 ", 250*time.Millisecond),
+		Entry("none", "", time.Duration(0)), Entry("0", "0", time.Duration(0)), Entry("a negative number", "-3", time.Duration(0)),
+		Entry("a date", "Thu, 03 Dec 2026 18:00:00 GMT", time.Duration(0)), Entry("not a number", "NaN", time.Duration(0)),
+		Entry("infinite", "Inf", ratelimit.MaxPushback), Entry("a year", "31536000", ratelimit.MaxPushback),
+	)
+})
