counter: what an upstream states of its leave is heard in any response

Now an instance that receives such a response selects the upstream no more, gives back grants for it, and tells all other instances, once for each process. A statement is final for its process; a new one under the name is another upstream.

It counted the two requests before the statement as well, since its clock stood still; now the clock moves before it counts.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -43,6 +43,7 @@
 		a.pushback = p.options.Dialect.ParsePushback(response)
 		a.statesLeave = p.options.Dialect.StatesLeave(response.Header)
 		p.observePushback(a)
+		p.observeLeave(a)
 	}
 	switch class {
 	case NotRun, Misdirected:
--- /dev/null
+++ b/internal/counter/leaving.go
@@ -0,0 +1,51 @@
+package counter
+
+import "github.com/lovagelift/lovagelift/internal/permit"
+
+// An upstream that leaves says so in its responses as well as in its announcements. An instance
+// that can't reach the control instances, or a leaving upstream that can't, is thus known here in
+// time.
+
+// isLeaving reports whether the upstream is known to be leaving.
+func (u *upstream) isLeaving() bool {
+	return u.Leaving || u.statedLeave
+}
+
+// observeLeave processes the leave that an upstream's response states, and tells all other
+// instances.
+func (p *Proxy) observeLeave(a *upstreamAttempt) {
+	if !a.statesLeave {
+		return
+	}
+	if u, first := p.recordLeave(a.upstream); first {
+		p.logLine(p.options.Now(), "upstream states leave").Str("upstream", u.name).Str("service", u.service).
+			Msg("an upstream states that it is leaving")
+	}
+}
+
+// recordLeave records that an upstream is leaving. If that was not known, it tells all other
+// instances and returns true.
+func (p *Proxy) recordLeave(granted *upstream) (u *upstream, first bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u = p.pool.current(granted)
+	if u.isLeaving() {
+		return u, false
+	}
+	u.statedLeave = true
+	for _, instance := range p.owners.assignment.All() {
+		if instance != p.owners.self {
+			p.peers.send(instance, permit.LeaveReport{Upstream: u.name, Incarnation: u.incarnation})
+		}
+	}
+	return u, true
+}
+
+// receiveLeave records the leave that an upstream's response to another instance states. p.mu is
+// held.
+func (p *Proxy) receiveLeave(m permit.LeaveReport) {
+	u := p.pool.byName[m.Upstream]
+	if u != nil && (m.Incarnation == 0 || m.Incarnation == u.incarnation) {
+		u.statedLeave = true
+	}
+}
--- a/internal/counter/leaving_test.go
+++ b/internal/counter/leaving_test.go
@@ -26,6 +26,7 @@
 			Expect(group.sendTo(0, "/short/", model)).To(Equal(http.StatusOK), "the response is passed on")
 			group.control.announce("v", stays.address(), group.ownedBy(1))
 			group.waitUntilKnown(2)
+			group.clock.advance(time.Millisecond)
 			stated := group.clock.Now()
 			Eventually(func() int {
 				group.sendFor(300*time.Millisecond, "/short/", model, 0, 1, 2)
--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -192,7 +192,7 @@
 	u := p.pool.byName[m.Upstream]
 	now := p.options.Now()
 	switch {
-	case u != nil && u.Leaving:
+	case u != nil && u.isLeaving():
 		p.peers.send(owner, permit.Release{ID: m.ID, Outcome: permit.ModelAbsent})
 		return grant{}, errDecideLocally
 	case u != nil && u.pushesBack(now, p.owners.self):
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -47,6 +47,8 @@
 		p.receiveLimit(now, m)
 	case permit.PushbackReport:
 		p.receivePushback(now, from, m)
+	case permit.LeaveReport:
+		p.receiveLeave(m)
 	case permit.SendRequest:
 		p.handleClaim(now, from, m)
 	case permit.QuotaRequest:
--- a/internal/counter/pushback.go
+++ b/internal/counter/pushback.go
@@ -63,10 +63,12 @@
 	}
 }
 
-// mayStillSend reports whether a granted upstream still wants requests of this instance.
+// mayStillSend reports whether a granted upstream still wants requests of this instance: it is
+// neither leaving nor pushing back.
 func (p *Proxy) mayStillSend(u *upstream) bool {
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.pool.current(u).pushesBack(now, p.owners.self)
+	u = p.pool.current(u)
+	return !u.isLeaving() && !u.pushesBack(now, p.owners.self)
 }
--- a/internal/counter/upstreampool.go
+++ b/internal/counter/upstreampool.go
@@ -78,6 +78,8 @@
 	failures   int
 	// limit is the rate limit that the upstream states in its responses.
 	limit upstreamLimit
+	// statedLeave is true once a response has stated that the upstream is leaving.
+	statedLeave bool
 	// pushbacks are the times until which the upstream wants no requests, by entry instance.
 	pushbacks ratelimit.Pushbacks[netip.AddrPort]
 }
@@ -264,7 +266,7 @@
 
 // isAvailable reports whether u may receive new requests.
 func (p *upstreamPool) isAvailable(now time.Time, u *upstream) bool {
-	return !u.Leaving && p.byAddress[u.address] == u && (p.lastHeard.Sub(u.LastContact) < p.lease || now.Before(p.graceUntil))
+	return !u.isLeaving() && p.byAddress[u.address] == u && (p.lastHeard.Sub(u.LastContact) < p.lease || now.Before(p.graceUntil))
 }
 
 // current returns the upstream in the pool that is the same process as u. If there is none, it
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -33,6 +33,7 @@
 	kindQuotaReturn
 	kindQuotaDebit
 	kindPushbackReport
+	kindLeaveReport
 )
 
 const (
@@ -86,6 +87,8 @@
 		buffer = parcel.AppendBytes(append(buffer, kindPushbackReport), m.Upstream)
 		buffer = parcel.AppendUint(buffer, m.Incarnation)
 		return appendDuration(buffer, m.Remaining)
+	case LeaveReport:
+		return parcel.AppendUint(parcel.AppendBytes(append(buffer, kindLeaveReport), m.Upstream), m.Incarnation)
 	case SendRequest:
 		buffer = appendHead(buffer, kindSendRequest, m.ID)
 		buffer = parcel.AppendBytes(buffer, m.Upstream)
@@ -232,6 +235,8 @@
 		}
 	case kindPushbackReport:
 		return PushbackReport{Upstream: r.String(), Incarnation: r.Uint(), Remaining: r.duration()}
+	case kindLeaveReport:
+		return LeaveReport{Upstream: r.String(), Incarnation: r.Uint()}
 	case kindSendRequest:
 		return SendRequest{ID: r.id(), Upstream: r.String(), Limit: r.limit()}
 	case kindSendAllowed:
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -152,6 +152,13 @@
 	Remaining time.Duration
 }
 
+// LeaveReport reports to all instances that a response of an upstream states its leave.
+type LeaveReport struct {
+	Upstream string
+	// Incarnation is that of the upstream, 0 if the sender doesn't know it.
+	Incarnation uint64
+}
+
 // SendRequest asks the owner of an upstream's rate limit for permission to send one request. It
 // may be sent again: the owner repeats its decision.
 type SendRequest struct {
@@ -221,6 +228,7 @@
 func (LoadReport) message()     {}
 func (LimitReport) message()    {}
 func (PushbackReport) message() {}
+func (LeaveReport) message()    {}
 func (SendRequest) message()    {}
 func (SendAllowed) message()    {}
 func (SendDelayed) message()    {}
