--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -16,7 +16,10 @@
 	incarnation uint64
 	service     string
 	spec        *routes.Engine
+	// leaving is set if the engine is leaving by the roster, and statedLeave once a report has
+	// said so, which may be earlier.
 	leaving     bool
+	statedLeave bool
 	// report is the newest one, updated by the orders that the engine accepted after it.
 	// It is valid only if hasReport is set.
 	report     Report
@@ -68,6 +71,11 @@
 	return e
 }
 
+// isLeaving reports whether the engine is known to be leaving.
+func (e *engine) isLeaving() bool {
+	return e.leaving || e.statedLeave
+}
+
 // notifyWaiters wakes the goroutines that wait for an order or a report to complete.
 func (e *engine) notifyWaiters() {
 	close(e.updated)
@@ -100,6 +108,7 @@
 		e.applyForeignReport(report)
 		return
 	}
+	e.statedLeave = e.statedLeave || report.Leaving
 	if e.hasReport && report.Sequence < e.report.Sequence {
 		e.report.Running, e.report.Queued, e.report.KVUsed = report.Running, report.Queued, report.KVUsed
 		return
--- a/internal/backoffice/engine_test.go
+++ b/internal/backoffice/engine_test.go
@@ -60,6 +60,16 @@
 		Expect(order.ExpectedSequence).To(BeEquivalentTo(4))
 	})
 
+	// Guards against copies at an engine whose announcement of its leave has not arrived.
+	It("says that it leaves once a report of its process says so", func() {
+		now := time.Now()
+		e := backoffice.NewEngineOf(&routes.Engine{}, 2)
+		e.ApplyReport(now, backoffice.Report{Incarnation: 1, Leaving: true})
+		Expect(e.IsLeaving()).To(BeFalse(), "the report is of the process before")
+		e.ApplyReport(now, backoffice.Report{Incarnation: 2, Leaving: true})
+		Expect(e.IsLeaving()).To(BeTrue())
+	})
+
 	// After an order without an answer, a report is due at once. If that makes the last
 	// report look as if it had never arrived, the load of the engine is NaN at the entry
 	// instances.
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -78,6 +78,11 @@
 	return e.engine.loading
 }
 
+// IsLeaving reports whether the engine is known to be leaving.
+func (e Engine) IsLeaving() bool {
+	return e.engine.isLeaving()
+}
+
 // HasReport reports whether the engine has a valid report.
 func (e Engine) HasReport() bool {
 	return e.engine.hasReport
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -126,7 +126,7 @@
 func (o *orchestrator) heldModels(service string) map[string]bool {
 	held := map[string]bool{}
 	for _, e := range o.engines {
-		if e.service != service || e.leaving {
+		if e.service != service || e.isLeaving() {
 			continue
 		}
 		for _, model := range e.report.Models {
@@ -147,7 +147,7 @@
 		engine := stocking.Engine{
 			Name: e.Name, Megabytes: e.spec.Megabytes, UsedMegabytes: e.usedMegabytes(), Loading: e.loading,
 			Unavailable: !e.isOrderable() || !o.leases.isFree(now, e.Name),
-			Leaving:     e.leaving, Throttled: o.hasLowLimit(e), InMemory: e.report.InMemory, OnDisk: e.report.OnDisk,
+			Leaving:     e.isLeaving(), Throttled: o.hasLowLimit(e), InMemory: e.report.InMemory, OnDisk: e.report.OnDisk,
 		}
 		for _, held := range e.advertisedModels() {
 			engine.Loaded = append(engine.Loaded, held.Name)
@@ -202,7 +202,7 @@
 		changed, term := o.changed, o.term
 		holder := ""
 		for _, e := range o.engines {
-			if e.service == args.Service && !e.leaving && e.holds(args.Model, "") {
+			if e.service == args.Service && !e.isLeaving() && e.holds(args.Model, "") {
 				holder = e.Name
 			}
 		}
--- a/internal/backoffice/options.go
+++ b/internal/backoffice/options.go
@@ -78,6 +78,8 @@
 	// Busy is set while a model is being loaded or unloaded.
 	Busy   bool
 	Models []courier.LoadedModel
+	// Leaving is set if the engine states that it is leaving.
+	Leaving bool
 	// Running and Queued are numbers of requests. KVUsed is the number of KV cache tokens
 	// that can't be evicted.
 	Running int
--- a/internal/backoffice/want.go
+++ b/internal/backoffice/want.go
@@ -108,7 +108,7 @@
 	var chosen *engine
 	var highest uint64
 	for name, e := range o.engines {
-		if e.service != args.Service || e.leaving || !e.hasReport || !e.holds(args.Model, "") {
+		if e.service != args.Service || e.isLeaving() || !e.hasReport || !e.holds(args.Model, "") {
 			continue
 		}
 		if e.holds(args.Model, args.Adapter) {
