desk: an upstream that pushes back gets nothing until its time is over

Before, the spec failed at its first check: callers were told to come back after 2 s of the 59.5 s that the upstream had asked for. Now the time is kept by upstream, beside the limits that upstreams state; others take the requests, or they are rejected with when to come back. Fractions of a second are read as well. docs/UPSTREAMS.md has the header.

--- a/internal/desk/ratelimits.go
+++ b/internal/desk/ratelimits.go
@@ -15,11 +15,13 @@
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
-// rateLimits keeps this instance within its share of the rate limits that upstreams state. It
-// is guarded by the router's mutex.
+// rateLimits keeps this instance within its share of the rate limits that upstreams state, and
+// observes their pushbacks. It is guarded by the router's mutex.
 type rateLimits struct {
 	instances int
 	log       zerolog.Logger
+	// pushbacks are the times until which upstreams want no requests of this instance, by name.
+	pushbacks ratelimit.Pushbacks[string]
 	// byUpstream holds the upstreams that currently state a limit.
 	byUpstream map[string]*upstreamLimit
 }
@@ -65,6 +67,9 @@
 // allow reports whether this instance may send a request to an upstream now. If not, wait is
 // the time until the next request may be sent.
 func (l *rateLimits) allow(now time.Time, upstream string) (wait time.Duration, ok bool) {
+	if wait := l.pushbacks.Until(upstream).Sub(now); wait > 0 {
+		return wait, false
+	}
 	limited := l.byUpstream[upstream]
 	if limited == nil {
 		return 0, true
@@ -74,7 +79,23 @@
 	return limited.tokenBucket.Take(now, rate)
 }
 
-// observeLimit applies the limit stated by the response or the refusal of an attempt.
+// observePushback records for how long an upstream that refused a request wants no others.
+func (l *rateLimits) observePushback(now time.Time, upstream string, length time.Duration) {
+	if length <= 0 {
+		return
+	}
+	l.pushbacks = l.pushbacks.With(now, upstream, length)
+	l.log.Info().Str("upstream", upstream).Dur("pushback", length).Msg("an upstream pushes back")
+}
+
+// forget drops what the previous process of an upstream stated.
+func (l *rateLimits) forget(upstream string) {
+	delete(l.byUpstream, upstream)
+	l.pushbacks = l.pushbacks.Without(upstream)
+}
+
+// observeLimit applies the limit and the pushback stated by the response or the refusal of an
+// attempt.
 func (r *router) observeLimit(sentAt time.Time, upstream string, response *shuttle.Response, err error) {
 	var statement ratelimit.Observation
 	var failure *shuttle.Error
@@ -86,17 +107,25 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.rateLimits.observe(r.now(), sentAt, upstream, statement)
+	now := r.now()
+	r.rateLimits.observe(now, sentAt, upstream, statement)
+	if failure != nil && failure.Refused {
+		r.rateLimits.observePushback(now, upstream, failure.RetryAfter)
+	}
 }
 
-// routeWithinRateLimits calls route until it chooses an upstream whose rate limit allows the
-// request. It adds rate-limited upstreams to arrival.Tried. If no upstream is left, its refusal
+// routeWithinRateLimits calls route until it chooses an upstream whose rate limit and pushback
+// allow the request. It adds the others to arrival.Tried. If no upstream is left, its refusal
 // carries the shortest wait.
 func (r *router) routeWithinRateLimits(ctx context.Context, arrival *dispatch.Arrival) (*slot, error) {
 	limited, minWait := false, time.Duration(0)
 	for {
 		slot, err := r.route(ctx, *arrival)
 		if err != nil {
+			var refusal *RefusalError
+			if !limited && errors.As(err, &refusal) && refusal.Code == CodeNoUpstream {
+				minWait, limited = r.shortestPushback(arrival.Tried)
+			}
 			if limited {
 				return nil, rateLimitRefusal(minWait)
 			}
@@ -117,6 +146,21 @@
 	}
 }
 
+// shortestPushback returns the shortest time until one of the named upstreams no longer pushes
+// back. It returns false if none of them pushes back.
+func (r *router) shortestPushback(upstreams []string) (shortest time.Duration, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	for _, name := range upstreams {
+		wait := r.rateLimits.pushbacks.Until(name).Sub(now)
+		if wait > 0 && (!ok || wait < shortest) {
+			shortest, ok = wait, true
+		}
+	}
+	return shortest, ok
+}
+
 // rateLimitRefusal returns the refusal of a request that the rate limits of all upstreams
 // forbid.
 func rateLimitRefusal(wait time.Duration) *RefusalError {
--- a/internal/desk/ratelimits_test.go
+++ b/internal/desk/ratelimits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -67,3 +68,44 @@
 		}
 	})
 })
+
+var _ = Describe("an upstream that pushes back", func() {
+	const callers = 40
+
+	newReluctantUpstream := func() *fakeUpstream {
+		return newFakeUpstream(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(upstreamapi.RefusedHeader, upstreamapi.RefusedNotRun)
+			w.Header().Set("Retry-After", "59.5")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	complete := func(ctx SpecContext, server *testServer) callerReply {
+		return server.call(ctx, http.MethodPost, "/v1/chat/completions", "", `{"model":"m"}`)
+	}
+
+	// Guards against requests that are sent although the upstream has just asked for a time without
+	// any.
+	It("gets nothing until the time is over, and callers are told when to come back", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		server, reluctant := newTestServer(newFakeVoters(), "a"), newReluctantUpstream()
+		server.setUpstreams(reluctant.address())
+		for range callers {
+			reply := complete(ctx, server)
+			Expect(reply.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(reply.outcome).To(Equal("not-run"))
+			Expect(strconv.Atoi(reply.header.Get("Retry-After"))).To(BeNumerically(">", 30))
+		}
+		Expect(reluctant.runCount()).To(Equal(1))
+	})
+
+	It("leaves the requests to an upstream that does not", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		server, reluctant := newTestServer(newFakeVoters(), "a"), newReluctantUpstream()
+		server.setUpstreams(reluctant.address(), newLimitedUpstream("").address())
+		// The retry budget may not allow a retry of the first refused request.
+		complete(ctx, server)
+		complete(ctx, server)
+		for range callers {
+			Expect(complete(ctx, server).status).To(Equal(http.StatusOK))
+		}
+		Expect(reluctant.runCount()).To(BeNumerically("<=", 1))
+	})
+})
--- a/internal/desk/router.go
+++ b/internal/desk/router.go
@@ -91,8 +91,7 @@
 		view := dispatch.ViewFromAnnouncement(upstream.LastContact, upstream.Announcement, r.upstreamLease)
 		view.Leaving = upstream.Leaving
 		if known := r.dispatcher.Incarnation(view.Name); known != view.Incarnation {
-			// A limit stated by the previous process does not apply to the new one.
-			delete(r.rateLimits.byUpstream, view.Name)
+			r.rateLimits.forget(view.Name)
 		}
 		r.reportsRequestStatus[view.Name] = upstream.Announcement.Has(upstreamapi.CapabilityRequestStatus)
 		r.dispatcher.Update(view)
--- a/internal/ratelimit/pushback.go
+++ b/internal/ratelimit/pushback.go
@@ -22,29 +22,39 @@
 	return time.Duration(min(seconds, MaxPushback.Seconds()) * float64(time.Second))
 }
 
-// Pushbacks are the times until which an upstream wants no requests, by sender. It is
-// immutable; the zero value has none.
-type Pushbacks[Sender comparable] struct {
-	until map[Sender]time.Time
+// Pushbacks are the times until which upstreams want no requests. The key is the sender, the
+// upstream, or whatever else distinguishes them. It is immutable; the zero value has none.
+type Pushbacks[Key comparable] struct {
+	until map[Key]time.Time
 }
 
-// With returns the pushbacks after the upstream asked sender for a pushback of the given
-// length. It never shortens an earlier one: responses may arrive out of order.
-func (p Pushbacks[Sender]) With(now time.Time, sender Sender, length time.Duration) Pushbacks[Sender] {
+// With returns the pushbacks after one of the given length for key. It never shortens an
+// earlier one: responses may arrive out of order.
+func (p Pushbacks[Key]) With(now time.Time, key Key, length time.Duration) Pushbacks[Key] {
 	until := now.Add(length)
-	if length <= 0 || !until.After(p.until[sender]) {
+	if length <= 0 || !until.After(p.until[key]) {
 		return p
 	}
 	next := maps.Clone(p.until)
 	if next == nil {
-		next = map[Sender]time.Time{}
+		next = map[Key]time.Time{}
 	}
-	maps.DeleteFunc(next, func(_ Sender, end time.Time) bool { return !now.Before(end) })
-	next[sender] = until
-	return Pushbacks[Sender]{until: next}
+	maps.DeleteFunc(next, func(_ Key, end time.Time) bool { return !now.Before(end) })
+	next[key] = until
+	return Pushbacks[Key]{until: next}
 }
 
-// Until returns the end of a sender's pushback. It is zero if there is none.
-func (p Pushbacks[Sender]) Until(sender Sender) time.Time {
-	return p.until[sender]
+// Without returns the pushbacks without the one for key.
+func (p Pushbacks[Key]) Without(key Key) Pushbacks[Key] {
+	if p.until[key].IsZero() {
+		return p
+	}
+	next := maps.Clone(p.until)
+	delete(next, key)
+	return Pushbacks[Key]{until: next}
+}
+
+// Until returns the end of the pushback for key. It is zero if there is none.
+func (p Pushbacks[Key]) Until(key Key) time.Time {
+	return p.until[key]
 }
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -165,6 +165,13 @@
 		Expect(pushbacks.Until("a")).To(Equal(at(4)), "values are immutable")
 	})
 
+	It("are forgotten for one key alone", func() {
+		both := pushbacks.With(at(2), "b", time.Second)
+		Expect(both.Without("a").Until("a")).To(BeZero())
+		Expect(both.Without("a").Until("b")).To(Equal(at(3)))
+		Expect(both.Until("a")).To(Equal(at(4)), "values are immutable")
+	})
+
 	It("are dropped when they have ended", func() {
 		later := pushbacks.With(at(4), "b", time.Second)
 		Expect(later.Until("a")).To(BeZero())
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -287,7 +287,7 @@
 	return &Error{
 		Outcome:    outcome.NotRun,
 		Refused:    true,
-		RetryAfter: parseRetryAfter(response.Header),
+		RetryAfter: ratelimit.ParsePushback(response.Header.Get("Retry-After")),
 		Limit:      rateLimitOf(response.Header),
 		cause:      errors.Newf("upstream refused with status %d", response.StatusCode),
 	}
@@ -297,16 +297,6 @@
 	return ratelimit.ParseHeader(header.Values(upstreamapi.LimitHeader))
 }
 
-// parseRetryAfter parses a Retry-After header in seconds. Upstreams do not use the form with a
-// date.
-func parseRetryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
-}
-
 // errUnresponsive is the cause of the Error for an upstream that neither responds nor can be
 // queried.
 var errUnresponsive = errors.New("upstream neither responds nor can be queried")
