counter: a late response of an upstream's earlier process sets no limit

The spec failed with a limit of 0.3. The process of a response is now found by its incarnation, as for pushbacks and leaves.

--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -362,6 +362,18 @@
 	return q.enqueue(arrived, w)
 }
 
+// IncarnationOf returns a function that returns the incarnation of an upstream, 0 if it is not known.
+func (p *Proxy) IncarnationOf(name string) func() uint64 {
+	return func() uint64 {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if u := p.pool.byName[name]; u != nil {
+			return u.incarnation
+		}
+		return 0
+	}
+}
+
 // LimitOf returns a function that returns the known rate limit of an upstream.
 func (p *Proxy) LimitOf(name string) func() string {
 	return func() string {
--- a/internal/counter/limits.go
+++ b/internal/counter/limits.go
@@ -57,10 +57,7 @@
 		return
 	}
 	p.mu.Lock()
-	u := a.upstream
-	if known := p.pool.byName[u.name]; known != nil && known.address == u.address {
-		u = known
-	}
+	u := p.pool.current(a.upstream)
 	changed := u.applyLimit(now, t.timing.sent, stated)
 	if changed != limitUnchanged {
 		p.broadcastLimit(now, u, t.timing.sent, stated)
--- a/internal/counter/limits_test.go
+++ b/internal/counter/limits_test.go
@@ -141,6 +141,32 @@
 		Eventually(group.peers[0].proxy.LimitOf("u"), specTimeout).Should(Equal("none"))
 	})
 
+	// A request is answered after its upstream has been announced anew. What the old process states
+	// does not apply to the new one.
+	It("is not limited by a late response of the process before it", func() {
+		group = newPeerGroup(1)
+		arrived, answer := make(chan struct{}), make(chan struct{})
+		u := newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
+			close(arrived)
+			<-answer
+			w.Header().Set(limitHeader, "0.3")
+			succeed(w, r)
+		})
+		group.control.announce("u", u.address(), "m")
+		group.waitUntilKnown(1)
+		served := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			served <- group.sendTo(0, "/look/", "")
+		}()
+		Eventually(arrived, specTimeout).Should(BeClosed())
+		group.control.announceRestart("u", u.address())
+		Eventually(group.peers[0].proxy.IncarnationOf("u"), specTimeout).Should(BeEquivalentTo(2))
+		close(answer)
+		Eventually(served, specTimeout).Should(Receive(Equal(http.StatusOK)))
+		Expect(group.peers[0].proxy.LimitOf("u")()).To(Equal("none"))
+	})
+
 	// The owner of the limit is frozen or gone, but still listed.
 	It("gets no more than it takes while nobody answers for the owner of its limit", func() {
 		group = newPeerGroup(2)
