--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -8,6 +8,8 @@
 // arrive out of order, so the limit in force depends on when their requests were sent and
 // when the responses arrived (State).
 //
+// An upstream may also ask one sender for a time without requests (Pushbacks).
+//
 // The package is pure: it takes the present time as an argument and does no I/O.
 package ratelimit
 
