counter: an upstream that has stated its leave has not crashed

The crash detector knew only announced leaves. An upstream that stated its leave in a response, and ended before its announcement arrived, would have counted as crashed under the requests that it had, which brings innocent ones nearer to quarantine. Found by reading; the spec failed first.

--- a/internal/counter/crashes.go
+++ b/internal/counter/crashes.go
@@ -77,7 +77,7 @@
 	known := p.byName[endpoint.Upstream]
 	current := p.byAddress[endpoint.Address]
 	switch {
-	case known != nil && known.incarnation == endpoint.Incarnation && known.Leaving:
+	case known != nil && known.incarnation == endpoint.Incarnation && known.isLeaving():
 		return quarantine.StatusLeaving
 	case known != nil && known.incarnation > endpoint.Incarnation:
 		return quarantine.StatusReplaced
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -11,6 +11,7 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/roster"
@@ -112,6 +113,16 @@
 	return limits.perInstance(instances)
 }
 
+// StateLeave records that an upstream's response states its leave.
+func (p UpstreamPool) StateLeave(name string) {
+	p.pool.byName[name].statedLeave = true
+}
+
+// Status returns the state of an upstream for the crash detector.
+func (p UpstreamPool) Status(endpoint quarantine.Endpoint) quarantine.Status {
+	return p.pool.upstreamStatus(endpoint)
+}
+
 // Address returns the address of an upstream.
 func (p UpstreamPool) Address(name string) string {
 	return p.pool.byName[name].address
--- a/internal/counter/upstreampool_test.go
+++ b/internal/counter/upstreampool_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/counter"
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -94,6 +95,16 @@
 	// An upstream has crashed and was restarted at its address under another name. The lease of the
 	// old one has not expired yet. The new one would refuse requests sent to the old one, and each
 	// refusal uses up retry budget.
+	// Guards against requests in quarantine that were only present when an upstream ended as it had
+	// stated.
+	It("takes no upstream that has stated its leave for a crashed one", func() {
+		pool.Apply(start, engineRecord("e", "here", start, "m"))
+		endpoint := quarantine.Endpoint{Lifetime: quarantine.Lifetime{Upstream: "e"}, Address: "e.test:1"}
+		Expect(pool.Status(endpoint)).To(Equal(quarantine.StatusUnknown))
+		pool.StateLeave("e")
+		Expect(pool.Status(endpoint)).To(Equal(quarantine.StatusLeaving))
+	})
+
 	It("gives nothing to an upstream whose address another has now", func() {
 		later := start.Add(time.Second)
 		pool.Apply(start, engineRecord("old", "here", start, "m"))
