--- a/internal/counter/leaving.go
+++ b/internal/counter/leaving.go
@@ -33,19 +33,14 @@
 		return u, false
 	}
 	u.statedLeave = true
-	for _, instance := range p.owners.assignment.All() {
-		if instance != p.owners.self {
-			p.peers.send(instance, permit.LeaveReport{Upstream: u.name, Incarnation: u.incarnation})
-		}
-	}
+	p.broadcast(permit.LeaveReport{Upstream: u.name, Incarnation: u.incarnation})
 	return u, true
 }
 
 // receiveLeave records the leave that an upstream's response to another instance states. p.mu is
 // held.
 func (p *Proxy) receiveLeave(m permit.LeaveReport) {
-	u := p.pool.byName[m.Upstream]
-	if u != nil && (m.Incarnation == 0 || m.Incarnation == u.incarnation) {
+	if u := p.pool.process(m.Upstream, m.Incarnation); u != nil {
 		u.statedLeave = true
 	}
 }
--- a/internal/counter/limits.go
+++ b/internal/counter/limits.go
@@ -114,11 +114,7 @@
 	if named, ok := stated.(ratelimit.NamedLimit); ok {
 		message.Named, message.Limit = true, named.Limit
 	}
-	for _, instance := range p.owners.assignment.All() {
-		if instance != p.owners.self {
-			p.peers.send(instance, message)
-		}
-	}
+	p.broadcast(message)
 }
 
 // receiveLimit applies a limit stated in a response to another instance. p.mu is held.
--- a/internal/counter/owners.go
+++ b/internal/counter/owners.go
@@ -125,6 +125,15 @@
 	}
 }
 
+// broadcast sends a message to all other instances. p.mu is held.
+func (p *Proxy) broadcast(message permit.Message) {
+	for _, instance := range p.owners.assignment.All() {
+		if instance != p.owners.self {
+			p.peers.send(instance, message)
+		}
+	}
+}
+
 // modelOwners returns the other instances that own models of an engine. p.mu is held.
 func (p *Proxy) modelOwners(now time.Time, u *upstream) []netip.AddrPort {
 	var owners []netip.AddrPort
--- a/internal/counter/pushback.go
+++ b/internal/counter/pushback.go
@@ -57,8 +57,7 @@
 
 // receivePushback records an upstream's pushback to another instance. p.mu is held.
 func (p *Proxy) receivePushback(now time.Time, from netip.AddrPort, m permit.PushbackReport) {
-	u := p.pool.byName[m.Upstream]
-	if u != nil && (m.Incarnation == 0 || m.Incarnation == u.incarnation) {
+	if u := p.pool.process(m.Upstream, m.Incarnation); u != nil {
 		p.pool.recordPushback(now, u, from, m.Remaining)
 	}
 }
--- a/internal/counter/upstreampool.go
+++ b/internal/counter/upstreampool.go
@@ -269,14 +269,23 @@
 	return !u.isLeaving() && p.byAddress[u.address] == u && (p.lastHeard.Sub(u.LastContact) < p.lease || now.Before(p.graceUntil))
 }
 
+// process returns the upstream with a name and incarnation, or the name alone if incarnation is 0.
+// It returns nil if there is none.
+func (p *upstreamPool) process(name string, incarnation uint64) *upstream {
+	u := p.byName[name]
+	if u == nil || incarnation != 0 && incarnation != u.incarnation {
+		return nil
+	}
+	return u
+}
+
 // current returns the upstream in the pool that is the same process as u. If there is none, it
 // returns u: its process is gone, or this instance has not heard of it yet.
 func (p *upstreamPool) current(u *upstream) *upstream {
-	known := p.byName[u.name]
-	if known == nil || known.address != u.address || u.incarnation != 0 && u.incarnation != known.incarnation {
-		return u
+	if known := p.process(u.name, u.incarnation); known != nil && known.address == u.address {
+		return known
 	}
-	return known
+	return u
 }
 
 // canRun reports whether u can run a model, with an adapter unless it is empty.
