counter: failed attempts are counted by step, and upstreams dialed through an option

The counter of failed sends could not tell a connection that failed from a response that did not come. The option lets specs cut an instance off from its upstreams.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -101,6 +101,7 @@
 		t.possibleRuns++
 	}
 	p.mu.Lock()
+	p.metrics.countFailedStep(a.failedStep())
 	verdict := retry.TooLate
 	if ctx.Err() == nil {
 		a.outcome = permit.Failed
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -84,12 +84,14 @@
 // New returns a Proxy that has started to sync with control instances.
 func New(options Options) *Proxy {
 	options.MaxRouteUpdateDelay = cmp.Or(options.MaxRouteUpdateDelay, defaultRoutesMaxDelay)
+	if options.DialUpstream == nil {
+		options.DialUpstream = (&net.Dialer{}).DialContext
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 		defer cancel()
-		var dialer net.Dialer
-		return dialer.DialContext(ctx, network, address)
+		return options.DialUpstream(ctx, network, address)
 	}
 	p := &Proxy{
 		options: options,
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -29,6 +29,7 @@
 	routes       map[string]routeMetrics
 	refusals     map[string]tally.Counter
 	failedSends  map[string]tally.Counter
+	failedSteps  map[string]tally.Counter
 	limitedSends map[string]tally.Counter
 	// decisions counts decisions on peers' requests, and ownerAnswers the owners' answers to this
 	// instance.
@@ -83,7 +84,8 @@
 	return &metrics{
 		scope: scope, proofAge: scope.Histogram("routes_proof_age_seconds", latencyBuckets),
 		proofWaits: scope.Counter("routes_proof_waits"), routes: map[string]routeMetrics{},
-		refusals: map[string]tally.Counter{}, failedSends: map[string]tally.Counter{}, limitedSends: map[string]tally.Counter{},
+		refusals: map[string]tally.Counter{}, failedSends: map[string]tally.Counter{},
+		failedSteps: map[string]tally.Counter{}, limitedSends: map[string]tally.Counter{},
 		quotaDecisions: map[quotaDecisionKey]tally.Counter{},
 		decisions:      map[string]tally.Counter{}, ownerAnswers: map[string]tally.Counter{},
 	}
@@ -130,6 +132,11 @@
 	taggedCounter(m.scope, m.failedSends, "failed_sends", "verdict", verdict).Inc(1)
 }
 
+// countFailedStep counts a failed attempt by the step at which it failed.
+func (m *metrics) countFailedStep(step string) {
+	taggedCounter(m.scope, m.failedSteps, "failed_steps", "step", step).Inc(1)
+}
+
 // countLimitedSend counts a request held back by an upstream's rate limit.
 func (m *metrics) countLimitedSend(service string) {
 	taggedCounter(m.scope, m.limitedSends, "limited_sends", "service", service).Inc(1)
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -7,6 +7,7 @@
 package counter
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -30,6 +31,8 @@
 	// Seeds are the inner addresses of the first control instances to contact, at least one.
 	Seeds []string
 	Dial  courier.Dial
+	// DialUpstream connects to an upstream, within the time that ctx allows. Default TCP.
+	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 	// PeerConn carries the messages that entry instances exchange to share engines. The Proxy closes
 	// it. If it is nil, this instance places all its requests itself.
 	PeerConn net.PacketConn
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -31,6 +31,14 @@
 	mayHaveSent atomic.Bool
 }
 
+// failedStep returns the step at which a failed attempt failed.
+func (a *upstreamAttempt) failedStep() string {
+	if a.mayHaveSent.Load() {
+		return "response"
+	}
+	return "connect"
+}
+
 // finishAttempt records that the upstream no longer has the request, and returns the permit to the
 // instance that issued it.
 func (p *Proxy) finishAttempt(t *transaction, a *upstreamAttempt) {
