counter: failing specs of instances that have lost their path to upstreams

With connections that are reset and refused, the instance also reports sound upstreams as crashed, each with the requests that it had: two such reports quarantine a sound request (seen by reading, shown by the spec).

--- a/internal/counter/crashes.go
+++ b/internal/counter/crashes.go
@@ -22,6 +22,7 @@
 		},
 		Report:      p.reportCrashes,
 		NewLogEvent: func(kind string) *zerolog.Event { return p.logLine(p.options.Now(), kind) },
+		Dial:        p.options.DialUpstream,
 		Now:         p.options.Now,
 		Metrics:     p.metrics.scope,
 	})
--- a/internal/counter/permits_test.go
+++ b/internal/counter/permits_test.go
@@ -206,6 +206,7 @@
 type peer struct {
 	address netip.AddrPort
 	proxy   *counter.Proxy
+	path    *upstreamPath
 }
 
 func listenPeer() net.PacketConn {
@@ -226,10 +227,10 @@
 func startPeerWithClock(c *fakeControl, now func() time.Time) peer {
 	GinkgoHelper()
 	conn := listenPeer()
-	p := peer{address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
+	p := peer{address: conn.LocalAddr().(*net.UDPAddr).AddrPort(), path: &upstreamPath{}}
 	p.proxy = counter.New(counter.Options{
 		Name: p.address.String(), CallerAddress: "127.0.0.1:2", FailureDomain: "here", Seeds: []string{c.address},
-		Dial: courier.DialTCP, UpstreamLease: time.Minute, PeerConn: conn,
+		Dial: courier.DialTCP, DialUpstream: p.path.dial, UpstreamLease: time.Minute, PeerConn: conn,
 		Retries:     counter.RetryLimits{Ratio: 0.1, Burst: 20, Window: 10 * time.Second},
 		ParseRoutes: parseRoutes, Dialect: dialect{}, Now: now, Log: zerolog.Nop(),
 	})
