counter: upstreams behind a lost path are not reported as crashed

An instance whose connections to all upstreams were reset and refused reported each of them as crashed, with the requests that it had there. Two such reports quarantine a sound request: its callers would get 400. While the paths to a service are lost, a crash is now reported only once the upstream has left the roster. An upstream that still announces itself has not crashed.

--- a/internal/counter/crashes.go
+++ b/internal/counter/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -22,7 +23,7 @@
 		},
 		Report:      p.reportCrashes,
 		NewLogEvent: func(kind string) *zerolog.Event { return p.logLine(p.options.Now(), kind) },
-		Dial:        p.options.DialUpstream,
+		Dial:        p.dialUpstream,
 		Now:         p.options.Now,
 		Metrics:     p.metrics.scope,
 	})
@@ -31,14 +32,36 @@
 // reportCrashes sends a quarantine update to a control instance and reports whether it was
 // recorded.
 func (p *Proxy) reportCrashes(ctx context.Context, update quarantine.Update) bool {
+	now := p.options.Now()
 	p.mu.Lock()
 	address := p.control.current
+	var undecided bool
+	update.Reports, undecided = p.pool.confirmCrashes(now, update.Reports)
 	p.mu.Unlock()
+	if update.Empty() {
+		return !undecided
+	}
 	reply, err := p.control.reportCalls.UpdateQuarantine(ctx, address, courier.NoteArgs{Update: update})
 	if err != nil {
 		p.options.Log.Debug().Err(err).Str("control", address).Msg("cannot send crash reports to the control instance")
 	}
-	return err == nil && reply.Recorded
+	return err == nil && reply.Recorded && !undecided
+}
+
+// confirmCrashes returns the reports of upstreams that have crashed, and whether others are
+// undecided yet. If this instance loses its path to a service, all upstreams of the service seem to
+// crash together. Those from which an announcement still arrives have not.
+func (p *upstreamPool) confirmCrashes(now time.Time, reports []quarantine.Report) (crashed []quarantine.Report, undecided bool) {
+	for _, report := range reports {
+		u := p.process(report.Upstream, report.Incarnation)
+		switch {
+		case u == nil || !p.isAvailable(now, u) || !p.isServiceLost(now, u.service):
+			crashed = append(crashed, report)
+		case !u.path.IsRefuted(u.LastContact):
+			undecided = true
+		}
+	}
+	return crashed, undecided
 }
 
 func digestOf(r *http.Request, workspace string, body []byte) quarantine.Digest {
--- a/internal/reachability/path.go
+++ b/internal/reachability/path.go
@@ -39,6 +39,15 @@
 	return !p.lostAt.IsZero()
 }
 
+// IsRefuted reports whether the upstream was heard from at a time that shows that it runs although
+// the path is lost.
+func (p Path) IsRefuted(heardAt time.Time) bool {
+	return !p.IsLost() || heardAt.Sub(p.lostAt) > maxReportDelay
+}
+
+// maxReportDelay is how long an announcement may be under way when its sender ends.
+const maxReportDelay = 500 * time.Millisecond
+
 // ProbedBefore reports whether the path was last probed before the other one.
 func (p Path) ProbedBefore(other Path) bool {
 	return p.probedAt.Before(other.probedAt)
