counter: all instances together keep below the refusals that an upstream tolerates

Engines may state that they fail if they have to refuse more than N requests in a second (Server-Brittle). Nobody read the header, and each instance saw only the refusals of its own requests. Each refusal is now reported to all instances; from half of N on, all pause the upstream, and a short pause after each refusal spreads them. What can't wait is rejected at once.

The spec failed without the report: 20 refusals in a second where 6 are tolerated, at a plain service and at an engine.

The replies of owners have an interface of their own now, which keeps the switch over messages short.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -42,6 +42,8 @@
 		p.observeLimit(t, a, response.Header)
 		a.pushback = p.options.Dialect.ParsePushback(response)
 		a.statesLeave = p.options.Dialect.StatesLeave(response.Header)
+		a.tolerance = p.options.Dialect.ParseRefusalTolerance(response.Header)
+		p.observeRefusals(a, class)
 		p.observePushback(a)
 		p.observeLeave(a)
 	}
--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -37,7 +37,7 @@
 	// missingAdapter means that the model is loaded, but not the adapter.
 	missingAdapter
 	// missingCapacity means that all upstreams that could run the request are busy, avoided,
-	// paused by their rate limit or push back.
+	// paused by their rate limit or their refusals, or push back.
 	missingCapacity
 )
 
@@ -94,7 +94,7 @@
 		return missingModel
 	case !u.canRun(q.model, q.adapter):
 		return missingAdapter
-	case slices.Contains(q.tried, u.name) && now.Before(u.avoidUntil), now.Before(u.limit.pausedUntil), u.pushesBack(now, q.sender):
+	case slices.Contains(q.tried, u.name) && now.Before(u.avoidUntil), now.Before(u.pausedUntil()), u.pushesBack(now, q.sender):
 		return missingCapacity
 	case q.model != "" && !u.hasCapacity(now, q, random):
 		return missingCapacity
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -43,6 +43,8 @@
 
 	pushbackHeader = "Spec-Pushback"
 	leavingHeader  = "Spec-Leaving"
+
+	toleranceHeader = "Spec-Tolerance"
 )
 
 // dialect implements that protocol.
@@ -81,6 +83,10 @@
 	return ratelimit.ParsePushback(response.Header.Get(pushbackHeader))
 }
 
+func (dialect) ParseRefusalTolerance(header http.Header) int {
+	return ratelimit.ParseTolerance(header.Get(toleranceHeader))
+}
+
 func (dialect) StatesLeave(header http.Header) bool {
 	return header.Get(leavingHeader) != ""
 }
--- a/internal/counter/holdback.go
+++ b/internal/counter/holdback.go
@@ -7,7 +7,7 @@
 	"github.com/lovagelift/lovagelift/internal/permit"
 )
 
-// holdBack describes upstreams that accept no request now because of their rate limits or
+// holdBack describes upstreams that accept no request now because of their rate limits, refusals or
 // pushbacks.
 type holdBack struct {
 	// wait is the time until the first of them accepts a request. byPushback is true if that one
@@ -26,7 +26,7 @@
 			continue
 		}
 		pushback := u.pushbacks.Until(q.sender).Sub(now)
-		left := max(u.limit.pausedUntil.Sub(now), pushback)
+		left := max(u.pausedUntil().Sub(now), pushback)
 		if left <= 0 {
 			return holdBack{}, false
 		}
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -78,6 +78,9 @@
 	// ParsePushback returns for how long an upstream that refuses a request wants no others from
 	// this instance, 0 if the response states no time.
 	ParsePushback(response *http.Response) time.Duration
+	// ParseRefusalTolerance returns how many requests per second the upstream can refuse for lack of
+	// capacity without failing, 0 if the response header does not state it.
+	ParseRefusalTolerance(header http.Header) int
 	// StatesLeave reports whether a response header states that the upstream is leaving.
 	StatesLeave(header http.Header) bool
 }
--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -183,9 +183,9 @@
 // grantFrom returns the grant that an owner has issued.
 //
 // An owner that is cut off from the control instances does not learn that an upstream is leaving,
-// and keeps granting it until it is gone. Nor does it know that an upstream pushes back if the
-// report was lost, or another instance owned the model then. A grant for such an upstream is
-// returned, and grantFrom returns errDecideLocally.
+// and keeps granting it until it is gone. Nor does it know that an upstream pushes back, or accepts
+// no request because of its refusals, if the report was lost, or another instance owned the model
+// then. A grant for such an upstream is returned, and grantFrom returns errDecideLocally.
 func (p *Proxy) grantFrom(t *transaction, owner netip.AddrPort, m permit.Granted) (grant, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -199,6 +199,9 @@
 		p.reportPushback(now, u, owner)
 		p.peers.send(owner, permit.Release{ID: m.ID})
 		return grant{}, errDecideLocally
+	case u != nil && now.Before(u.refusals.PausedUntil()):
+		p.peers.send(owner, permit.Release{ID: m.ID})
+		return grant{}, errDecideLocally
 	}
 	if u == nil || u.address != m.Address {
 		// The owner knows the upstream before this instance does.
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -49,6 +49,8 @@
 		p.receivePushback(now, from, m)
 	case permit.LeaveReport:
 		p.receiveLeave(m)
+	case permit.RefusalReport:
+		p.receiveRefusal(now, m)
 	case permit.SendRequest:
 		p.handleClaim(now, from, m)
 	case permit.QuotaRequest:
@@ -57,22 +59,8 @@
 		p.handleQuotaAdjustment(now, m.Workspace, m.Units)
 	case permit.QuotaDebit:
 		p.handleQuotaAdjustment(now, m.Workspace, -m.Units)
-	case permit.QuotaGranted:
-		p.deliverAnswer(from, m.ID, m)
-	case permit.QuotaDenied:
-		p.deliverAnswer(from, m.ID, m)
-	case permit.SendAllowed:
-		p.deliverAnswer(from, m.ID, m)
-	case permit.SendDelayed:
-		p.deliverAnswer(from, m.ID, m)
-	case permit.Granted:
-		p.deliverAnswer(from, m.ID, m)
-	case permit.Queued:
-		p.deliverAnswer(from, m.ID, m)
-	case permit.Rejected:
-		p.deliverAnswer(from, m.ID, m)
-	case permit.ShuttingDown:
-		p.deliverAnswer(from, m.ID, m)
+	case permit.Reply:
+		p.deliverAnswer(from, m.RequestID(), m)
 	}
 }
 
--- a/internal/counter/pushback.go
+++ b/internal/counter/pushback.go
@@ -63,11 +63,11 @@
 }
 
 // mayStillSend reports whether a granted upstream still wants requests of this instance: it is
-// neither leaving nor pushing back.
+// neither leaving nor pushing back, nor close to as many refusals as it tolerates.
 func (p *Proxy) mayStillSend(u *upstream) bool {
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u = p.pool.current(u)
-	return !u.isLeaving() && !u.pushesBack(now, p.owners.self)
+	return !u.isLeaving() && !u.pushesBack(now, p.owners.self) && !now.Before(u.refusals.PausedUntil())
 }
--- a/internal/counter/pushback_test.go
+++ b/internal/counter/pushback_test.go
@@ -36,6 +36,10 @@
 	refused  []string
 	pushback string
 	leaving  bool
+	// tolerance is stated in all responses, unless it is empty. refusals are the times at which
+	// requests were refused.
+	tolerance string
+	refusals  []time.Time
 }
 
 func newReluctantUpstream(clock *manualClock) *reluctantUpstream {
@@ -45,6 +49,12 @@
 		u.mu.Lock()
 		u.arrivals = append(u.arrivals, arrival{u.clock.Now(), instance})
 		refused, pushback, leaving := slices.Contains(u.refused, instance), u.pushback, u.leaving
+		if u.tolerance != "" {
+			w.Header().Set(toleranceHeader, u.tolerance)
+		}
+		if refused {
+			u.refusals = append(u.refusals, u.clock.Now())
+		}
 		u.mu.Unlock()
 		if leaving {
 			w.Header().Set(leavingHeader, "1")
--- a/internal/counter/relay.go
+++ b/internal/counter/relay.go
@@ -150,6 +150,9 @@
 	if a.pushback > 0 {
 		line = line.Dur("pushback", a.pushback)
 	}
+	if a.tolerance > 0 {
+		line = line.Int("tolerance", a.tolerance)
+	}
 	if a.statesLeave {
 		line = line.Bool("upstream-leaving", true)
 	}
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -25,6 +25,9 @@
 	// statesLeave is true if it is leaving, both according to its response.
 	pushback    time.Duration
 	statesLeave bool
+	// tolerance is how many refusals per second the upstream tolerates according to its response, 0
+	// if it states nothing.
+	tolerance int
 	// bodyStarted is true once part of the response body has arrived.
 	bodyStarted bool
 	// relay is the instance through which the request was sent, invalid if it was sent directly.
--- a/internal/counter/upstreampool.go
+++ b/internal/counter/upstreampool.go
@@ -83,6 +83,8 @@
 	path reachability.Path
 	// limit is the rate limit that the upstream states in its responses.
 	limit upstreamLimit
+	// refusals are the upstream's recent refusals, if it states how many it tolerates.
+	refusals ratelimit.Refusals
 	// statedLeave is true once a response has stated that the upstream is leaving.
 	statedLeave bool
 	// pushbacks are the times until which the upstream wants no requests, by entry instance.
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -34,6 +34,7 @@
 	kindQuotaDebit
 	kindPushbackReport
 	kindLeaveReport
+	kindRefusalReport
 )
 
 const (
@@ -78,17 +79,16 @@
 		buffer = appendDuration(buffer, m.PrefillTime)
 		return parcel.AppendUint(buffer, uint64(m.ActiveRequests))
 	case LimitReport:
-		buffer = parcel.AppendBytes(append(buffer, kindLimitReport), m.Upstream)
-		buffer = parcel.AppendUint(buffer, m.Incarnation)
+		buffer = appendProcess(buffer, kindLimitReport, m.Upstream, m.Incarnation)
 		buffer = appendBool(buffer, m.Named)
 		buffer = appendLimit(buffer, m.Limit)
 		return appendDuration(buffer, m.Age)
 	case PushbackReport:
-		buffer = parcel.AppendBytes(append(buffer, kindPushbackReport), m.Upstream)
-		buffer = parcel.AppendUint(buffer, m.Incarnation)
-		return appendDuration(buffer, m.Remaining)
+		return appendDuration(appendProcess(buffer, kindPushbackReport, m.Upstream, m.Incarnation), m.Remaining)
 	case LeaveReport:
-		return parcel.AppendUint(parcel.AppendBytes(append(buffer, kindLeaveReport), m.Upstream), m.Incarnation)
+		return appendProcess(buffer, kindLeaveReport, m.Upstream, m.Incarnation)
+	case RefusalReport:
+		return parcel.AppendUint(appendProcess(buffer, kindRefusalReport, m.Upstream, m.Incarnation), uint64(m.Tolerance))
 	case SendRequest:
 		buffer = appendHead(buffer, kindSendRequest, m.ID)
 		buffer = parcel.AppendBytes(buffer, m.Upstream)
@@ -102,6 +102,11 @@
 	}
 }
 
+// appendProcess appends the kind of a message and the upstream that it is about.
+func appendProcess(buffer []byte, kind byte, upstream string, incarnation uint64) []byte {
+	return parcel.AppendUint(parcel.AppendBytes(append(buffer, kind), upstream), incarnation)
+}
+
 // appendQuota appends the encoding of a message about a quota.
 func appendQuota(buffer []byte, message Message) []byte {
 	switch m := message.(type) {
@@ -237,6 +242,8 @@
 		return PushbackReport{Upstream: r.String(), Incarnation: r.Uint(), Remaining: r.duration()}
 	case kindLeaveReport:
 		return LeaveReport{Upstream: r.String(), Incarnation: r.Uint()}
+	case kindRefusalReport:
+		return RefusalReport{Upstream: r.String(), Incarnation: r.Uint(), Tolerance: r.count()}
 	case kindSendRequest:
 		return SendRequest{ID: r.id(), Upstream: r.String(), Limit: r.limit()}
 	case kindSendAllowed:
--- a/internal/permit/encode_test.go
+++ b/internal/permit/encode_test.go
@@ -33,6 +33,7 @@
 		permit.LimitReport{Upstream: "e1", Incarnation: 1 << 60, Named: true, Limit: 1.1, Age: time.Second},
 		permit.LimitReport{Upstream: "e1"},
 		permit.LeaveReport{Upstream: "e1", Incarnation: 1 << 60},
+		permit.RefusalReport{Upstream: "e1", Incarnation: 1 << 60, Tolerance: 12},
 		permit.PushbackReport{Upstream: "e1", Incarnation: 1 << 60, Remaining: 3 * time.Second},
 		permit.SendRequest{ID: 7, Upstream: "e1", Limit: 0.3},
 		permit.SendAllowed{ID: 8},
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -159,6 +159,16 @@
 	Incarnation uint64
 }
 
+// RefusalReport reports to all instances that an upstream that states how many refusals it tolerates
+// has refused a request.
+type RefusalReport struct {
+	Upstream string
+	// Incarnation is that of the upstream, 0 if the sender doesn't know it.
+	Incarnation uint64
+	// Tolerance is the stated number of refusals per second.
+	Tolerance int
+}
+
 // SendRequest asks the owner of an upstream's rate limit for permission to send one request. It
 // may be sent again: the owner repeats its decision.
 type SendRequest struct {
@@ -229,6 +239,7 @@
 func (LimitReport) message()    {}
 func (PushbackReport) message() {}
 func (LeaveReport) message()    {}
+func (RefusalReport) message()  {}
 func (SendRequest) message()    {}
 func (SendAllowed) message()    {}
 func (SendDelayed) message()    {}
@@ -238,6 +249,37 @@
 func (QuotaReturn) message()    {}
 func (QuotaDebit) message()     {}
 
+// Reply is a message that replies to a request of its recipient.
+type Reply interface {
+	Message
+	// RequestID returns the ID of the request.
+	RequestID() ID
+}
+
+// RequestID returns the ID of the request.
+func (m Granted) RequestID() ID { return m.ID }
+
+// RequestID returns the ID of the request.
+func (m Queued) RequestID() ID { return m.ID }
+
+// RequestID returns the ID of the request.
+func (m Rejected) RequestID() ID { return m.ID }
+
+// RequestID returns the ID of the request.
+func (m ShuttingDown) RequestID() ID { return m.ID }
+
+// RequestID returns the ID of the request.
+func (m SendAllowed) RequestID() ID { return m.ID }
+
+// RequestID returns the ID of the request.
+func (m SendDelayed) RequestID() ID { return m.ID }
+
+// RequestID returns the ID of the request.
+func (m QuotaGranted) RequestID() ID { return m.ID }
+
+// RequestID returns the ID of the request.
+func (m QuotaDenied) RequestID() ID { return m.ID }
+
 // Reason is the reason for which a permit request is rejected.
 type Reason uint8
 
