--- a/internal/counter/transports.go
+++ b/internal/counter/transports.go
@@ -26,9 +26,16 @@
 }
 
 func newTransports(dial func(ctx context.Context, network, address string) (net.Conn, error)) transports {
+	dialKept := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err == nil {
+			limitSilence(conn)
+		}
+		return conn, err
+	}
 	return transports{
 		keepAlive: &http.Transport{
-			DialContext: dial, DisableCompression: true,
+			DialContext: dialKept, DisableCompression: true,
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream, IdleConnTimeout: idleConnTimeout,
 		},
 		singleUse: &http.Transport{DialContext: dial, DisableCompression: true, DisableKeepAlives: true},
