--- a/internal/counter/lostpath_test.go
+++ b/internal/counter/lostpath_test.go
@@ -12,6 +12,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/permit"
 )
 
 // upstreamPath is the network between an instance and all upstreams.
@@ -131,4 +133,26 @@
 		group.clock.advance(time.Second)
 		Consistently(group.control.crashReports).WithTimeout(500 * time.Millisecond).Should(BeEmpty())
 	})
+
+	// The owner of a model avoids an upstream after a reported failure, and would then avoid all sound
+	// upstreams for the other instances too.
+	It("does not report failures of upstreams to the owner of their model", func() {
+		owner := listenGrantingOwner()
+		control := newFakeControl()
+		alone := startPeer(control)
+		owned := modelOwnedBy("desk", owner.address, alone.address, owner.address)
+		for _, u := range upstreams[:2] {
+			control.announce(u.address(), u.address(), owned)
+		}
+		control.addExactEntries(alone.address, owner.address)
+		Eventually(alone.proxy.Instances, specTimeout).Should(Equal(2))
+		Eventually(alone.proxy.Upstreams, specTimeout).Should(Equal(2))
+		alone.path.fail(os.ErrDeadlineExceeded)
+		Expect(alone.serve("")).To(Equal(http.StatusServiceUnavailable), "the loss is noticed")
+
+		owner.grantAlways(upstreams[0].address(), upstreams[0].address())
+		Expect(alone.serve(owned)).To(Equal(http.StatusServiceUnavailable))
+		Eventually(owner.releases, specTimeout).Should(Receive(HaveField("Outcome", permit.Unused)))
+		Consistently(owner.releases).WithTimeout(50 * time.Millisecond).ShouldNot(Receive(HaveField("Outcome", permit.Failed)))
+	})
 })
