counter: relayed requests are logged where they pass, and a failed relay names no upstream as refused

An instance that relays now writes a line for each request, with its ID and result, and the number of lost paths is a metric. If the time ran out while another instance refused the connection, the error of that connection could have been taken as one of the upstream (by reading; no failing run). The upstream's URL is built from its parts again: a copy of the caller's would carry the user of an absolute URL. response.go passes responses on to callers; relay is now the word for requests through other instances.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -54,7 +54,7 @@
 		t.possibleRuns++
 		return t.handleFailure(ctx, w, a, errors.New("counter: response belongs to another request"))
 	default:
-		return t.relay(ctx, w, a, response)
+		return t.passResponse(ctx, w, a, response)
 	}
 }
 
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -146,13 +146,12 @@
 
 // countRelay counts a request that was sent through another instance.
 func (p *Proxy) countRelay(result relayResult, err error) {
-	name := string(result)
-	if err != nil || name == "" {
-		name = "failed"
+	if err != nil || result == "" {
+		result = relayFailed
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	taggedCounter(p.metrics.scope, p.metrics.relays, "relays", "result", name).Inc(1)
+	taggedCounter(p.metrics.scope, p.metrics.relays, "relays", "result", string(result)).Inc(1)
 }
 
 // countDecision counts a decision on a peer's request.
@@ -180,6 +179,7 @@
 	scope := p.metrics.scope
 	scope.Gauge("open").Update(float64(p.active))
 	scope.Gauge("waiting").Update(float64(len(p.queue.waiters)))
+	scope.Gauge("lost_paths").Update(float64(p.pool.lostPathCount()))
 	scope.Gauge("relaying").Update(float64(p.relaying))
 	scope.Gauge("permits").Update(float64(len(p.permits)))
 	quarantined, suspected := p.crashes.Counts()
--- a/internal/counter/paths.go
+++ b/internal/counter/paths.go
@@ -113,6 +113,15 @@
 	}
 }
 
+// lostPathCount returns the number of upstreams to which a connection failed last.
+func (p *upstreamPool) lostPathCount() int {
+	count := 0
+	for _, lost := range p.lost {
+		count += len(lost)
+	}
+	return count
+}
+
 // pathsToProbe returns the upstreams to probe now: some of those behind lost paths, the least
 // recently probed first.
 func (p *upstreamPool) pathsToProbe(now time.Time) []*upstream {
--- a/internal/counter/relayclient.go
+++ b/internal/counter/relayclient.go
@@ -95,27 +95,32 @@
 		response, result, err := t.sendTo(ctx, a, peer)
 		p.countRelay(result, err)
 		switch {
-		case err != nil && (ctx.Err() != nil || a.mayHaveSent.Load()):
+		case err != nil && a.mayHaveSent.Load():
 			return nil, err
+		case ctx.Err() != nil:
+			return nil, ctx.Err()
 		case err != nil:
 			p.avoidRelay(peer, a.upstream.service)
 			continue
 		}
-		if result == relayAnswered {
-			a.relay = peer
-			return response, nil
-		}
-		response.Body.Close()
+		a.relayedBy = peer
 		switch result {
+		case relayAnswered:
+			return response, nil
 		case relayUnavailable:
-			a.mayHaveSent.Store(false)
 			p.avoidRelay(peer, a.upstream.service)
 		case relayUnreachable, relayUnwanted, relayInvalid:
-			a.mayHaveSent.Store(false)
-			return nil, errRelayRejected
+			err = errRelayRejected
 		default:
+			// The other instance may have sent the request.
+			response.Body.Close()
 			return nil, errRelayUnclear
 		}
+		response.Body.Close()
+		a.mayHaveSent.Store(false)
+		if err != nil {
+			return nil, err
+		}
 	}
 	return nil, errNoRelay
 }
@@ -125,6 +130,7 @@
 	outgoing := t.outgoing(ctx, a, peer.String())
 	header := outgoing.Header
 	header.Set(relayUpstreamHeader, a.upstream.name)
+	header.Set(relayRequestHeader, t.call.ID)
 	header.Set(relayTimeoutHeader, strconv.FormatInt(t.remaining().Milliseconds(), 10))
 	header.Set(relayIdempotentHeader, strconv.FormatBool(t.isIdempotent()))
 	response, err := t.proxy.relays.transports.of(t.isIdempotent()).RoundTrip(outgoing)
--- a/internal/counter/relaymessages.go
+++ b/internal/counter/relaymessages.go
@@ -11,6 +11,8 @@
 	relayHeaderPrefix = "Lovagelift-Relay-"
 	// relayUpstreamHeader names the upstream.
 	relayUpstreamHeader = relayHeaderPrefix + "Upstream"
+	// relayRequestHeader is the request's ID, for the log.
+	relayRequestHeader = relayHeaderPrefix + "Request"
 	// relayTimeoutHeader is the remaining time of the request in milliseconds.
 	relayTimeoutHeader = relayHeaderPrefix + "Timeout-Ms"
 	// relayIdempotentHeader tells whether the request is idempotent: true or false.
@@ -35,6 +37,8 @@
 	relayUnavailable relayResult = "unavailable"
 	// relayInvalid means that the request could not be read.
 	relayInvalid relayResult = "invalid"
+	// relayFailed stands in logs and metrics for a request without a result.
+	relayFailed relayResult = "failed"
 )
 
 var (
--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -1,9 +1,7 @@
 package counter
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -22,14 +20,14 @@
 func (p *Proxy) ServeRelay(w http.ResponseWriter, r *http.Request) {
 	u, rejected := p.startRelaying(r.Header.Get(relayUpstreamHeader))
 	if rejected != "" {
-		rejectRelay(w, rejected)
+		p.rejectRelay(w, r, rejected)
 		return
 	}
 	defer p.finishRelaying()
 	timeoutMillis, err := strconv.ParseInt(r.Header.Get(relayTimeoutHeader), 10, 64)
 	body, status := readBody(w, r, p.maxBodyBytes())
 	if err != nil || status != 0 {
-		rejectRelay(w, relayInvalid)
+		p.rejectRelay(w, r, relayInvalid)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(timeoutMillis)*time.Millisecond)
@@ -38,10 +36,11 @@
 	idempotent := r.Header.Get(relayIdempotentHeader) == strconv.FormatBool(true)
 	response, err := p.upstreams.of(idempotent).RoundTrip(relayedRequest(ctx, r, u, body, &mayHaveSent))
 	if err != nil {
-		p.rejectUnsent(w, u, &mayHaveSent)
+		p.rejectUnsent(w, r, u, &mayHaveSent)
 		return
 	}
 	defer response.Body.Close()
+	p.logRelay(r, relayAnswered)
 	p.observeRelayed(u, response)
 	copyHeader(w, response)
 	w.Header().Set(relayResultHeader, string(relayAnswered))
@@ -88,22 +87,27 @@
 
 // rejectUnsent rejects a request if nothing of it can have reached the upstream. Otherwise it breaks
 // the connection off.
-func (p *Proxy) rejectUnsent(w http.ResponseWriter, u *upstream, mayHaveSent *atomic.Bool) {
-	if mayHaveSent.Load() {
+func (p *Proxy) rejectUnsent(w http.ResponseWriter, r *http.Request, u *upstream, mayHaveSent *atomic.Bool) {
+	switch {
+	case mayHaveSent.Load():
+		p.logRelay(r, relayFailed)
 		panic(http.ErrAbortHandler)
+	case p.isServiceLost(u.service):
+		p.rejectRelay(w, r, relayUnavailable)
+	default:
+		p.rejectRelay(w, r, relayUnreachable)
 	}
-	now := p.options.Now()
-	p.mu.Lock()
-	serviceLost := p.pool.isServiceLost(now, u.service)
-	p.mu.Unlock()
-	if serviceLost {
-		rejectRelay(w, relayUnavailable)
-		return
-	}
-	rejectRelay(w, relayUnreachable)
 }
 
-func rejectRelay(w http.ResponseWriter, result relayResult) {
+// logRelay logs what became of a relayed request.
+func (p *Proxy) logRelay(r *http.Request, result relayResult) {
+	p.logLine(p.options.Now(), "relay").Str("request", r.Header.Get(relayRequestHeader)).
+		Str("upstream", r.Header.Get(relayUpstreamHeader)).Str("from", r.RemoteAddr).Str("result", string(result)).
+		Msg("request relayed for another instance")
+}
+
+func (p *Proxy) rejectRelay(w http.ResponseWriter, r *http.Request, result relayResult) {
+	p.logRelay(r, result)
 	w.Header().Set(relayResultHeader, string(result))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
@@ -127,42 +131,3 @@
 	}
 	p.observePushback(&upstreamAttempt{grant: grant{upstream: u}, pushback: p.options.Dialect.ParsePushback(response)})
 }
-
-// copyChunks copies body to w and flushes after each chunk, for which it calls observe. It returns
-// the error of the side that failed.
-func copyChunks(w http.ResponseWriter, body io.Reader, observe func()) (readErr, writeErr error) {
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, streamBufferBytes)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			observe()
-			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-				return nil, writeErr
-			}
-			if flushErr := controller.Flush(); flushErr != nil {
-				return nil, flushErr
-			}
-		}
-		switch err {
-		case nil:
-		case io.EOF:
-			return nil, nil
-		default:
-			return err, nil
-		}
-	}
-}
-
-// newUpstreamRequest returns a request to an upstream's address, or to that of an instance that
-// relays it, with the method, host and URL of incoming.
-func newUpstreamRequest(incoming *http.Request, address string, header http.Header, body []byte) *http.Request {
-	url := *incoming.URL
-	url.Scheme, url.Host = "http", address
-	return &http.Request{
-		Method: incoming.Method, URL: &url, Host: incoming.Host, Header: header, ContentLength: int64(len(body)),
-		// A body that net/http can't rewind, even an empty one, keeps the transport from retrying
-		// the request on its own.
-		Body: io.NopCloser(bytes.NewReader(body)),
-	}
-}
--- a/internal/counter/relay.go
+++ b/internal/counter/response.go
@@ -20,9 +20,9 @@
 // streamBufferBytes is the buffer size of a stream. An event has about 50 bytes.
 const streamBufferBytes = 4 << 10
 
-// relay passes an upstream's response to the caller. It returns false if nothing was sent to the
+// passResponse passes an upstream's response to the caller. It returns false if nothing was sent to the
 // caller and the request may be retried.
-func (t *transaction) relay(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, response *http.Response) bool {
+func (t *transaction) passResponse(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, response *http.Response) bool {
 	t.possibleRuns++
 	if t.route.Kind == routes.Stream && response.StatusCode < http.StatusMultipleChoices {
 		t.stream(ctx, w, a, response)
@@ -106,6 +106,32 @@
 	}
 }
 
+// copyChunks copies body to w and flushes after each chunk, for which it calls observe. It returns
+// the error of the side that failed.
+func copyChunks(w http.ResponseWriter, body io.Reader, observe func()) (readErr, writeErr error) {
+	controller := http.NewResponseController(w)
+	buffer := make([]byte, streamBufferBytes)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			observe()
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+				return nil, writeErr
+			}
+			if flushErr := controller.Flush(); flushErr != nil {
+				return nil, flushErr
+			}
+		}
+		switch err {
+		case nil:
+		case io.EOF:
+			return nil, nil
+		default:
+			return err, nil
+		}
+	}
+}
+
 func copyHeader(w http.ResponseWriter, response *http.Response) {
 	header := w.Header()
 	for name, values := range shuttle.EndToEndHeader(response.Header) {
@@ -144,8 +170,8 @@
 	if a.owner.IsValid() {
 		line = line.Stringer("placed-by", a.owner)
 	}
-	if a.relay.IsValid() {
-		line = line.Stringer("relayed-by", a.relay)
+	if a.relayedBy.IsValid() {
+		line = line.Stringer("relayed-by", a.relayedBy)
 	}
 	if a.pushback > 0 {
 		line = line.Dur("pushback", a.pushback)
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -1,10 +1,13 @@
 package counter
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -30,8 +33,9 @@
 	tolerance int
 	// bodyStarted is true once part of the response body has arrived.
 	bodyStarted bool
-	// relay is the instance through which the request was sent, invalid if it was sent directly.
-	relay netip.AddrPort
+	// relayedBy is the instance through which the request was last sent, invalid if it was sent
+	// directly.
+	relayedBy netip.AddrPort
 	// mayHaveSent is true once bytes of the request may have been sent.
 	mayHaveSent atomic.Bool
 }
@@ -114,3 +118,19 @@
 		GotConn: func(httptrace.GotConnInfo) { mayHaveSent.Store(true) },
 	})
 }
+
+// newUpstreamRequest returns a request to an upstream's address, or to that of an instance that
+// relays it, with the method, host and URL of incoming.
+func newUpstreamRequest(incoming *http.Request, address string, header http.Header, body []byte) *http.Request {
+	return &http.Request{
+		Method: incoming.Method,
+		URL: &url.URL{
+			Scheme: "http", Host: address,
+			Path: incoming.URL.Path, RawPath: incoming.URL.RawPath, RawQuery: incoming.URL.RawQuery,
+		},
+		Host: incoming.Host, Header: header, ContentLength: int64(len(body)),
+		// A body that net/http can't rewind, even an empty one, keeps the transport from retrying
+		// the request on its own.
+		Body: io.NopCloser(bytes.NewReader(body)),
+	}
+}
