counter: log lines and a metric tell how responses were framed and whether a stream ended inside an event

No logic changes. Lines of responses with neither a length nor chunks carry framing=until-close, those of streams that did not end with an event inside-event.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/retry"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
 // attempt sends the request to the granted upstream, and reports whether the caller was answered.
@@ -37,6 +38,7 @@
 		return t.handleFailure(ctx, w, a, err)
 	}
 	defer response.Body.Close()
+	a.framing = shuttle.FramingOf(response)
 	class := p.options.Dialect.Classify(response, t.call.ID)
 	if class == Answered || class == NotRun {
 		p.observeLimit(t, a, response.Header)
--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -45,7 +45,7 @@
 	copyHeader(w, response)
 	w.Header().Set(relayResultHeader, string(relayAnswered))
 	w.WriteHeader(response.StatusCode)
-	if readErr, writeErr := copyChunks(w, response.Body, func() {}); readErr != nil || writeErr != nil {
+	if readErr, writeErr := copyChunks(w, response.Body, func([]byte) {}); readErr != nil || writeErr != nil {
 		// The response must not look complete.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -79,8 +79,9 @@
 func (t *transaction) stream(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, response *http.Response) {
 	copyHeader(w, response)
 	w.WriteHeader(response.StatusCode)
-	readErr, writeErr := copyChunks(w, response.Body, func() {
+	readErr, writeErr := copyChunks(w, response.Body, func(chunk []byte) {
 		a.bodyStarted = true
+		a.events.Scan(chunk)
 		t.timing.recordChunk(t.proxy.options.Now())
 	})
 	switch {
@@ -108,13 +109,13 @@
 
 // copyChunks copies body to w and flushes after each chunk, for which it calls observe. It returns
 // the error of the side that failed.
-func copyChunks(w http.ResponseWriter, body io.Reader, observe func()) (readErr, writeErr error) {
+func copyChunks(w http.ResponseWriter, body io.Reader, observe func(chunk []byte)) (readErr, writeErr error) {
 	controller := http.NewResponseController(w)
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			observe()
+			observe(buffer[:n])
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 				return nil, writeErr
 			}
@@ -149,6 +150,9 @@
 	p.mu.Lock()
 	if status != 0 {
 		p.metrics.countAnswer(now, t, status)
+		if a.framing == shuttle.UntilClose {
+			p.metrics.countUntilClose(event, a.events.InsideEvent())
+		}
 	} else {
 		p.metrics.countFailedSend(verdict)
 	}
@@ -182,6 +186,12 @@
 	if a.statesLeave {
 		line = line.Bool("upstream-leaving", true)
 	}
+	if a.framing == shuttle.UntilClose {
+		line = line.Stringer("framing", a.framing)
+	}
+	if a.events.InsideEvent() {
+		line = line.Bool("inside-event", true)
+	}
 	if !t.timing.sent.IsZero() {
 		line = line.Dur("waited", t.timing.sent.Sub(t.arrived))
 	}
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -33,6 +33,9 @@
 	tolerance int
 	// bodyStarted is true once part of the response body has arrived.
 	bodyStarted bool
+	// framing is that of the response, and events where its event stream ends.
+	framing shuttle.Framing
+	events  shuttle.EventScanner
 	// relayedBy is the instance through which the request was last sent, invalid if it was sent
 	// directly.
 	relayedBy netip.AddrPort
--- /dev/null
+++ b/internal/shuttle/eventscanner.go
@@ -0,0 +1,34 @@
+package shuttle
+
+// EventScanner follows an event stream to find out where it ends. The zero value is at the beginning
+// of a stream.
+type EventScanner struct {
+	// insideLine is true after a byte of a line other than its end, and insideEvent until the blank
+	// line that ends the event. Comments belong to no event.
+	insideLine  bool
+	insideEvent bool
+	// afterCarriageReturn is true if the last byte was a carriage return, which ends a line alone or
+	// together with a line feed.
+	afterCarriageReturn bool
+}
+
+// Scan advances the scanner by a piece of the stream.
+func (s *EventScanner) Scan(piece []byte) {
+	for _, character := range piece {
+		switch {
+		case character == '\n' && s.afterCarriageReturn:
+		case character == '\n' || character == '\r':
+			s.insideEvent = s.insideEvent && s.insideLine
+			s.insideLine = false
+		case !s.insideLine:
+			s.insideLine = true
+			s.insideEvent = s.insideEvent || character != ':'
+		}
+		s.afterCarriageReturn = character == '\r'
+	}
+}
+
+// InsideEvent reports whether the stream has ended inside an event if it ends here.
+func (s *EventScanner) InsideEvent() bool {
+	return s.insideEvent
+}
