counter, shuttle: the end of a response that ends with its connection is passed on as what it is

What callers saw: a stream or a plain response whose upstream had crashed arrived framed as complete.

Cause: such a response has neither a length nor chunks. The instance took the end of the connection as the end of the response and framed it anew: in chunks with a last one, or with a length. A crash that closes the connection without a reset looks the same as a regular end, so the instance claimed more than it knew.

Now the response goes on in the same framing, at callers and between instances, and the caller's connection is set to be reset until the last byte is written, so that a response that is broken off, by the upstream, by this instance or by the end of its process, cannot be taken for a whole one.

--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -27,6 +27,7 @@
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 	"github.com/lovagelift/lovagelift/internal/workspace"
 )
@@ -405,9 +406,9 @@
 		QuotaTolerance: quota.Tolerance{Window: time.Second, Slack: 2},
 		ParseRoutes:    parseRoutes, Dialect: dialect{}, Now: p.now, Log: zerolog.Nop(),
 	})
-	p.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	p.server = startCallerServer(func(w http.ResponseWriter, r *http.Request) {
 		p.proxy.ServeRequest(w, r, counter.Call{ID: r.Header.Get(idHeader), Key: r.Header.Get(keyHeader), Timeout: 5 * time.Second})
-	}))
+	})
 	DeferCleanup(func() {
 		p.server.CloseClientConnections()
 		p.server.Close()
@@ -417,6 +418,14 @@
 	return p
 }
 
+// startCallerServer starts the server of an instance for callers.
+func startCallerServer(serve http.HandlerFunc) *httptest.Server {
+	server := httptest.NewUnstartedServer(serve)
+	server.Config.ConnContext = shuttle.WithConn
+	server.Start()
+	return server
+}
+
 // firstSynced reports whether the proxy has the list of entry instances.
 func (p *testProxy) firstSynced() bool {
 	return p.proxy.OpenEntries(time.Now().Add(time.Hour)) != nil
--- a/internal/counter/permits_test.go
+++ b/internal/counter/permits_test.go
@@ -15,6 +15,7 @@
 	"github.com/lovagelift/lovagelift/internal/counter"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
 // instanceAddresses returns the addresses of a number of entry instances.
@@ -260,6 +261,7 @@
 	server := httptest.NewUnstartedServer(http.HandlerFunc(p.proxy.ServeRelay))
 	server.Listener.Close()
 	server.Listener = listener
+	server.Config.ConnContext = shuttle.WithConn
 	server.Start()
 	DeferCleanup(func() {
 		server.CloseClientConnections()
--- a/internal/counter/relay_test.go
+++ b/internal/counter/relay_test.go
@@ -32,10 +32,10 @@
 	}
 	g.waitUntilKnown(2)
 	g.peers[0].path.fail(os.ErrDeadlineExceeded)
-	g.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	g.server = startCallerServer(func(w http.ResponseWriter, r *http.Request) {
 		call := counter.Call{ID: r.Header.Get(idHeader), Key: r.Header.Get(keyHeader), Timeout: 5 * time.Second}
 		g.peers[0].proxy.ServeRequest(w, r, call)
-	}))
+	})
 	DeferCleanup(func() {
 		g.server.CloseClientConnections()
 		g.server.Close()
--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -42,13 +42,13 @@
 	defer response.Body.Close()
 	p.logRelay(r, relayAnswered)
 	p.observeRelayed(u, response)
-	copyHeader(w, response)
-	w.Header().Set(relayResultHeader, string(relayAnswered))
-	w.WriteHeader(response.StatusCode)
+	// An upstream must not set the result.
+	response.Header.Set(relayResultHeader, string(relayAnswered))
+	end := beginResponse(w, r, response)
 	if readErr, writeErr := copyChunks(w, response.Body, func([]byte) {}); readErr != nil || writeErr != nil {
-		// The response must not look complete.
-		panic(http.ErrAbortHandler)
+		end.Abort()
 	}
+	end.Complete()
 }
 
 // startRelaying returns the upstream of a request to relay, or why it is rejected.
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -39,8 +39,7 @@
 	}
 	a.outcome = permit.Succeeded
 	t.proxy.crashes.Succeeded(t.digest, response.StatusCode)
-	copyHeader(w, response)
-	w.WriteHeader(response.StatusCode)
+	end := beginResponse(w, t.request, response)
 	if _, err := w.Write(body); err != nil {
 		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
 		return true
@@ -48,9 +47,10 @@
 	if len(body) > maxBufferedBytes {
 		if _, err := io.Copy(w, response.Body); err != nil {
 			t.proxy.logAttempt(t, a, "broken off", response.StatusCode, err.Error())
-			panic(http.ErrAbortHandler)
+			end.Abort()
 		}
 	}
+	end.Complete()
 	t.proxy.logAttempt(t, a, "answered", response.StatusCode, "")
 	return true
 }
@@ -77,8 +77,7 @@
 // stream relays events as they arrive. If the upstream breaks off, the caller's connection is
 // aborted as well, so that a truncated stream does not look complete.
 func (t *transaction) stream(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, response *http.Response) {
-	copyHeader(w, response)
-	w.WriteHeader(response.StatusCode)
+	end := beginResponse(w, t.request, response)
 	readErr, writeErr := copyChunks(w, response.Body, func(chunk []byte) {
 		a.bodyStarted = true
 		a.events.Scan(chunk)
@@ -88,22 +87,23 @@
 	case writeErr != nil:
 		t.reportCallerLeft(a)
 		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
-		panic(http.ErrAbortHandler)
+		end.Abort()
 	case readErr == nil:
+		end.Complete()
 		a.outcome, a.speed = permit.Succeeded, t.measuredSpeed()
 		t.proxy.crashes.Succeeded(t.digest, response.StatusCode)
 		t.proxy.logAttempt(t, a, "answered", response.StatusCode, "")
 	case t.request.Context().Err() != nil:
 		t.reportCallerLeft(a)
 		t.proxy.logAttempt(t, a, "caller disconnected", response.StatusCode, "the caller left")
-		panic(http.ErrAbortHandler)
+		end.Abort()
 	default:
 		t.reportBroken(a, readErr)
 		if ctx.Err() == nil {
 			a.outcome = permit.Failed
 		}
 		t.proxy.logAttempt(t, a, "broken off", response.StatusCode, readErr.Error())
-		panic(http.ErrAbortHandler)
+		end.Abort()
 	}
 }
 
@@ -133,6 +133,14 @@
 	}
 }
 
+// beginResponse sends the header of an upstream's response to the caller.
+func beginResponse(w http.ResponseWriter, r *http.Request, response *http.Response) shuttle.ResponseEnd {
+	copyHeader(w, response)
+	end := shuttle.BeginResponse(w, r, shuttle.FramingOf(response))
+	w.WriteHeader(response.StatusCode)
+	return end
+}
+
 func copyHeader(w http.ResponseWriter, response *http.Response) {
 	header := w.Header()
 	for name, values := range shuttle.EndToEndHeader(response.Header) {
--- a/internal/counter/untilclose_test.go
+++ b/internal/counter/untilclose_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
@@ -24,13 +26,7 @@
 // fetch sends a request on a new connection.
 func fetch(ctx context.Context, url, path string) callerView {
 	GinkgoHelper()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+path, strings.NewReader("a letter"))
-	Expect(err).NotTo(HaveOccurred())
-	request.Host = "spec.test"
-	request.Header.Set(idHeader, "r1")
-	transport := &http.Transport{DisableCompression: true}
-	defer transport.CloseIdleConnections()
-	response, err := transport.RoundTrip(request)
+	response, err := post(ctx, url, path)
 	if err != nil {
 		return callerView{err: err}
 	}
@@ -39,6 +35,17 @@
 	return callerView{status: response.StatusCode, framing: shuttle.FramingOf(response), body: string(body), err: err}
 }
 
+// post sends a request on a new connection and returns the response, whose body must be closed.
+func post(ctx context.Context, url, path string) (*http.Response, error) {
+	GinkgoHelper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+path, strings.NewReader("a letter"))
+	Expect(err).NotTo(HaveOccurred())
+	request.Host = "spec.test"
+	request.Header.Set(idHeader, "r1")
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	return transport.RoundTrip(request)
+}
+
 // respondUntilClose sends a response of a content type that ends with its connection.
 func respondUntilClose(contentType, body string) http.HandlerFunc {
 	return respondAfterReading("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nContent-Type: " + contentType + "\r\n\r\n" + body)
@@ -54,6 +61,18 @@
 	}
 }
 
+// respondUntilReset is respondUntilClose with a connection that is reset instead of closed.
+func respondUntilReset(contentType, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		Expect(err).NotTo(HaveOccurred())
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: %s\r\n\r\n%s", idHeader, r.Header.Get(idHeader), contentType, body)
+		Expect(conn.(*net.TCPConn).SetLinger(0)).To(Succeed())
+		conn.Close()
+	}
+}
+
 // way is a way of a request to its upstream.
 type way struct {
 	name string
@@ -94,7 +113,39 @@
 			Entry("after a line", SpecTimeout(specTimeout), "id: 1\ndata: a\n\nid: 2\ndata: b\n"),
 			Entry("before the first event", SpecTimeout(specTimeout), ""),
 		)
+
+		DescribeTable("and was sent "+way.name+" is visibly incomplete if that is reset",
+			func(ctx SpecContext, path, body string) {
+				view := fetch(ctx, way.start(respondUntilReset(eventStream, body)), path)
+				Expect(view.err != nil || view.status == http.StatusBadGateway).To(BeTrue(), "got %+v", view)
+			},
+			Entry("a stream between two events", SpecTimeout(specTimeout), "/write/", "id: 1\ndata: a\n\n"),
+			Entry("an idempotent request", SpecTimeout(specTimeout), "/look/", "data: seats\n\n"),
+			Entry("a request that must not run twice", SpecTimeout(specTimeout), "/book/", "data: booked\n\n"),
+			Entry("a large response", SpecTimeout(specTimeout), "/look/", strings.Repeat("data: seat 7\n\n", 300_000)),
+		)
 	}
+
+	// A killed process closes its connections as this server does.
+	It("is visibly incomplete if the instance ends before it", func(ctx SpecContext) {
+		p := newTestProxy(newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			w.Header().Set(idHeader, r.Header.Get(idHeader))
+			w.Header().Set("Transfer-Encoding", "identity")
+			_, _ = io.WriteString(w, "data: a\n\n")
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}))
+		response, err := post(ctx, p.server.URL, "/write/")
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(shuttle.FramingOf(response)).To(Equal(shuttle.UntilClose))
+		_, err = io.ReadFull(response.Body, make([]byte, len("data: a\n\n")))
+		Expect(err).NotTo(HaveOccurred())
+		p.server.CloseClientConnections()
+		_, err = io.ReadAll(response.Body)
+		Expect(err).To(HaveOccurred())
+	}, SpecTimeout(specTimeout))
 })
 
 // An upstream may also mark the end of a stream that it has broken off.
--- /dev/null
+++ b/internal/shuttle/responseend.go
@@ -0,0 +1,86 @@
+package shuttle
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// ResponseEnd controls how the connection to a caller ends with a response, so that a response that
+// is broken off does not look complete.
+type ResponseEnd struct {
+	writer http.ResponseWriter
+	// conn is reset instead of closed, for whatever reason it ends, until Complete is called. It is
+	// nil if a length or chunks mark the end of the response, or if the server lacks WithConn.
+	conn tcpConn
+}
+
+// tcpConn is the part of a net.TCPConn that a ResponseEnd uses.
+type tcpConn interface {
+	SetLinger(seconds int) error
+	Close() error
+}
+
+// Values of SetLinger.
+const (
+	lingerReset   = 0
+	lingerDefault = -1
+)
+
+// connKey is the key of the caller's connection in the context of its requests.
+type connKey struct{}
+
+// WithConn is the ConnContext of a server whose handlers use BeginResponse.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// tcpConnOf returns the TCP connection that carries a request, or nil if it is not known.
+func tcpConnOf(r *http.Request) tcpConn {
+	carrier := r.Context().Value(connKey{})
+	if wrapper, ok := carrier.(interface{ NetConn() net.Conn }); ok {
+		carrier = wrapper.NetConn()
+	}
+	conn, _ := carrier.(tcpConn)
+	return conn
+}
+
+// BeginResponse prepares w for a response to r with a framing. It must be called before the header is
+// written, and followed by Complete or Abort.
+//
+// The end of a response that ends with its connection is passed on as what it is: the caller cannot
+// know more about it than this instance does.
+func BeginResponse(w http.ResponseWriter, r *http.Request, framing Framing) ResponseEnd {
+	end := ResponseEnd{writer: w}
+	if framing == UntilClose {
+		// net/http closes the connection after such a response, and does not send this header.
+		w.Header().Set("Transfer-Encoding", "identity")
+		end.conn = tcpConnOf(r)
+	}
+	if end.conn != nil {
+		// A reset tells the caller that the response is incomplete. Set in advance, it covers the end
+		// of this process, too. An error means that the connection has ended.
+		_ = end.conn.SetLinger(lingerReset)
+	}
+	return end
+}
+
+// Complete marks the response as written in full.
+func (e ResponseEnd) Complete() {
+	if e.conn == nil {
+		return
+	}
+	// A flush that fails means that the connection has ended.
+	_ = http.NewResponseController(e.writer).Flush()
+	_ = e.conn.SetLinger(lingerDefault)
+}
+
+// Abort ends the connection so that the response does not look complete. It panics with
+// http.ErrAbortHandler.
+func (e ResponseEnd) Abort() {
+	if e.conn != nil {
+		// TLS would announce a regular end before the reset.
+		_ = e.conn.Close()
+	}
+	panic(http.ErrAbortHandler)
+}
