shuttle: a response to an HTTP/1.0 caller that is broken off resets the connection

HTTP/1.0 knows no chunks, so net/http ends each response without a length with its connection, whatever the framing of the upstream, and an aborted one looked complete. The spec fails without the change.

--- a/internal/counter/untilclose_test.go
+++ b/internal/counter/untilclose_test.go
@@ -1,6 +1,7 @@
 package counter_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -158,3 +159,19 @@
 	Entry("directly", SpecTimeout(specTimeout), direct),
 	Entry("through a peer", SpecTimeout(specTimeout), throughPeer),
 )
+
+// A caller that speaks HTTP/1.0 knows no chunks, so that each response ends with its connection.
+var _ = It("A response in HTTP/1.0 that is broken off is visibly incomplete", func(ctx SpecContext) {
+	p := newTestProxy(newFakeUpstream(respondAfterReading(
+		"HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n")))
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.server.Listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /write/ HTTP/1.0\r\nHost: spec.test\r\n"+idHeader+": r1\r\n\r\n")
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	Expect(err).To(HaveOccurred())
+}, SpecTimeout(specTimeout))
--- a/internal/shuttle/responseend.go
+++ b/internal/shuttle/responseend.go
@@ -55,6 +55,8 @@
 	if framing == UntilClose {
 		// net/http closes the connection after such a response, and does not send this header.
 		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	if framing == UntilClose || !r.ProtoAtLeast(1, 1) {
 		end.conn = tcpConnOf(r)
 	}
 	if end.conn != nil {
