counter, shuttle: an event stream that ends inside an event was broken off

What callers saw: a stream cut in the middle of an event arrived with a regular end (ORDER), also where the upstream marked that end with a last chunk.

Cause: the end of a stream was judged by its framing alone. A stream that ends inside an event, or with its connection before the first event, cannot be whole whatever its framing.

An EventReader now takes the place of the body of each event stream and returns an error instead of its end. All ways that read it treat that as a response that was broken off: the caller's connection is aborted, the engine's crash is looked for, and a request whose response was not passed on yet is retried or reported as failed.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -10,7 +10,6 @@
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/retry"
-	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
 // attempt sends the request to the granted upstream, and reports whether the caller was answered.
@@ -38,7 +37,7 @@
 		return t.handleFailure(ctx, w, a, err)
 	}
 	defer response.Body.Close()
-	a.framing = shuttle.FramingOf(response)
+	a.observeFraming(response)
 	class := p.options.Dialect.Classify(response, t.call.ID)
 	if class == Answered || class == NotRun {
 		p.observeLimit(t, a, response.Header)
--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -44,8 +44,8 @@
 	p.observeRelayed(u, response)
 	// An upstream must not set the result.
 	response.Header.Set(relayResultHeader, string(relayAnswered))
-	end := beginResponse(w, r, response)
-	if readErr, writeErr := copyChunks(w, response.Body, func([]byte) {}); readErr != nil || writeErr != nil {
+	end := beginResponse(w, r, response, shuttle.FramingOf(response))
+	if readErr, writeErr := copyChunks(w, response.Body, func() {}); readErr != nil || writeErr != nil {
 		end.Abort()
 	}
 	end.Complete()
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -39,7 +39,7 @@
 	}
 	a.outcome = permit.Succeeded
 	t.proxy.crashes.Succeeded(t.digest, response.StatusCode)
-	end := beginResponse(w, t.request, response)
+	end := beginResponse(w, t.request, response, a.framing)
 	if _, err := w.Write(body); err != nil {
 		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
 		return true
@@ -77,10 +77,9 @@
 // stream relays events as they arrive. If the upstream breaks off, the caller's connection is
 // aborted as well, so that a truncated stream does not look complete.
 func (t *transaction) stream(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, response *http.Response) {
-	end := beginResponse(w, t.request, response)
-	readErr, writeErr := copyChunks(w, response.Body, func(chunk []byte) {
+	end := beginResponse(w, t.request, response, a.framing)
+	readErr, writeErr := copyChunks(w, response.Body, func() {
 		a.bodyStarted = true
-		a.events.Scan(chunk)
 		t.timing.recordChunk(t.proxy.options.Now())
 	})
 	switch {
@@ -109,13 +108,13 @@
 
 // copyChunks copies body to w and flushes after each chunk, for which it calls observe. It returns
 // the error of the side that failed.
-func copyChunks(w http.ResponseWriter, body io.Reader, observe func(chunk []byte)) (readErr, writeErr error) {
+func copyChunks(w http.ResponseWriter, body io.Reader, observe func()) (readErr, writeErr error) {
 	controller := http.NewResponseController(w)
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			observe(buffer[:n])
+			observe()
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 				return nil, writeErr
 			}
@@ -133,10 +132,10 @@
 	}
 }
 
-// beginResponse sends the header of an upstream's response to the caller.
-func beginResponse(w http.ResponseWriter, r *http.Request, response *http.Response) shuttle.ResponseEnd {
+// beginResponse sends the header of an upstream's response, in its framing.
+func beginResponse(w http.ResponseWriter, r *http.Request, response *http.Response, framing shuttle.Framing) shuttle.ResponseEnd {
 	copyHeader(w, response)
-	end := shuttle.BeginResponse(w, r, shuttle.FramingOf(response))
+	end := shuttle.BeginResponse(w, r, framing)
 	w.WriteHeader(response.StatusCode)
 	return end
 }
@@ -159,7 +158,7 @@
 	if status != 0 {
 		p.metrics.countAnswer(now, t, status)
 		if a.framing == shuttle.UntilClose {
-			p.metrics.countUntilClose(event, a.events.InsideEvent())
+			p.metrics.countUntilClose(event, a.endsInsideEvent())
 		}
 	} else {
 		p.metrics.countFailedSend(verdict)
@@ -197,7 +196,7 @@
 	if a.framing == shuttle.UntilClose {
 		line = line.Stringer("framing", a.framing)
 	}
-	if a.events.InsideEvent() {
+	if a.endsInsideEvent() {
 		line = line.Bool("inside-event", true)
 	}
 	if !t.timing.sent.IsZero() {
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -33,9 +33,10 @@
 	tolerance int
 	// bodyStarted is true once part of the response body has arrived.
 	bodyStarted bool
-	// framing is that of the response, and events where its event stream ends.
+	// framing is that of the response, and events reads its body if that is an event stream, else
+	// nil.
 	framing shuttle.Framing
-	events  shuttle.EventScanner
+	events  *shuttle.EventReader
 	// relayedBy is the instance through which the request was last sent, invalid if it was sent
 	// directly.
 	relayedBy netip.AddrPort
@@ -51,6 +52,20 @@
 	return "connect"
 }
 
+// observeFraming notes how the body of a response ends, and checks the end of an event stream.
+func (a *upstreamAttempt) observeFraming(response *http.Response) {
+	a.framing = shuttle.FramingOf(response)
+	if shuttle.IsEventStream(response.Header) {
+		a.events = shuttle.NewEventReader(response.Body, a.framing)
+		response.Body = a.events
+	}
+}
+
+// endsInsideEvent reports whether the response is an event stream that has ended inside an event.
+func (a *upstreamAttempt) endsInsideEvent() bool {
+	return a.events != nil && a.events.InsideEvent()
+}
+
 // finishAttempt records that the upstream no longer has the request, and returns the permit to the
 // instance that issued it.
 func (p *Proxy) finishAttempt(t *transaction, a *upstreamAttempt) {
--- a/internal/counter/untilclose_test.go
+++ b/internal/counter/untilclose_test.go
@@ -160,6 +160,31 @@
 	Entry("through a peer", SpecTimeout(specTimeout), throughPeer),
 )
 
+var _ = DescribeTable("An event stream that ends inside an event is reported as failed if nothing of it was passed on",
+	func(ctx SpecContext, path string) {
+		view := fetch(ctx, direct.start(respondUntilClose(eventStream, "id: 1\ndata: se")), path)
+		Expect(view.err).NotTo(HaveOccurred())
+		Expect(view.status).To(Equal(http.StatusBadGateway))
+	},
+	Entry("an idempotent request", SpecTimeout(specTimeout), "/look/"),
+	Entry("a request that must not run twice", SpecTimeout(specTimeout), "/book/"),
+)
+
+var _ = It("The response to a HEAD request that announces an event stream is complete", func(ctx SpecContext) {
+	url := direct.start(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(idHeader, r.Header.Get(idHeader))
+		w.Header().Set("Content-Type", eventStream)
+	})
+	request, err := http.NewRequestWithContext(ctx, http.MethodHead, url+"/write/", nil)
+	Expect(err).NotTo(HaveOccurred())
+	request.Host = "spec.test"
+	request.Header.Set(idHeader, "r1")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	Expect(response.StatusCode).To(Equal(http.StatusOK))
+}, SpecTimeout(specTimeout))
+
 // A caller that speaks HTTP/1.0 knows no chunks, so that each response ends with its connection.
 var _ = It("A response in HTTP/1.0 that is broken off is visibly incomplete", func(ctx SpecContext) {
 	p := newTestProxy(newFakeUpstream(respondAfterReading(
--- a/internal/shuttle/eventscanner.go
+++ b/internal/shuttle/eventscanner.go
@@ -4,9 +4,10 @@
 // of a stream.
 type EventScanner struct {
 	// insideLine is true after a byte of a line other than its end, and insideEvent until the blank
-	// line that ends the event. Comments belong to no event.
+	// line that ends the event. Comments belong to no event. hasEvent is true once an event has begun.
 	insideLine  bool
 	insideEvent bool
+	hasEvent    bool
 	// afterCarriageReturn is true if the last byte was a carriage return, which ends a line alone or
 	// together with a line feed.
 	afterCarriageReturn bool
@@ -23,6 +24,7 @@
 		case !s.insideLine:
 			s.insideLine = true
 			s.insideEvent = s.insideEvent || character != ':'
+			s.hasEvent = s.hasEvent || s.insideEvent
 		}
 		s.afterCarriageReturn = character == '\r'
 	}
@@ -32,3 +34,8 @@
 func (s *EventScanner) InsideEvent() bool {
 	return s.insideEvent
 }
+
+// HasEvent reports whether an event has begun.
+func (s *EventScanner) HasEvent() bool {
+	return s.hasEvent
+}
--- a/internal/shuttle/framing.go
+++ b/internal/shuttle/framing.go
@@ -16,7 +16,7 @@
 
 // FramingOf returns the framing of a response that an http.Transport has returned.
 func FramingOf(response *http.Response) Framing {
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
 		return UntilClose
 	}
 	return Delimited
