desk: the end of a response that ends with its connection is passed on as what it is

A completion that is streamed keeps its chunks, as its final event proves that it is complete. The servers for callers reset a connection whose response is broken off.

--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -124,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if isEventStream(response) {
+	if shuttle.IsEventStream(response.Header) {
 		response.Body = &firstByteReader{ReadCloser: response.Body, slot: slot}
 		return response, nil
 	}
@@ -142,27 +141,40 @@
 func (s *Server) relayResponse(c echo.Context, task task, proxied proxiedResponse) error {
 	response := proxied.response
 	c.Response().Header().Set(outcome.Header, outcome.Ran.String())
-	if isEventStream(response) {
+	if shuttle.IsEventStream(response.Header) {
 		// An event stream may turn out to be incomplete only at its end. With a Content-Length,
 		// no event could then be added to report that.
 		response.Header.Del("Content-Length")
 	}
+	needsDone := task.needsDoneEvent && shuttle.IsEventStream(response.Header)
+	end := shuttle.BeginResponse(c.Response(), c.Request(), callerFraming(response, needsDone))
 	shuttle.WriteHeader(c.Response(), response)
-	err := shuttle.StreamBody(c.Response(), response, task.needsDoneEvent && isEventStream(response))
+	err := shuttle.StreamBody(c.Response(), response, needsDone)
 	proxied.slot.release(relayFailure(response.Status, err))
 	s.reportRelay(proxied.evidence, response.Status, err)
 	if err == nil {
+		end.Complete()
 		s.metrics.countResponse(task.service, s.options.Now().Sub(task.arrivedAt))
 		return nil
 	}
 	s.metrics.countCutOff(task.service)
 	s.options.Log.Warn().Err(err).Str("request", task.id).Msg("failed to relay the whole response")
-	if isEventStream(response) {
+	if shuttle.IsEventStream(response.Header) {
 		writeCutOffEvent(c.Response())
 	}
 	// The headers are already sent, so only an aborted connection can signal that the response
 	// is incomplete. A regular end would look like a complete, shorter response.
-	panic(http.ErrAbortHandler)
+	end.Abort()
+	return nil
+}
+
+// callerFraming returns the framing of an upstream's response to the caller. The final event of a
+// completion proves that it is complete, even if the upstream's framing does not.
+func callerFraming(response *shuttle.Response, needsDone bool) shuttle.Framing {
+	if needsDone {
+		return shuttle.Delimited
+	}
+	return response.Framing
 }
 
 // writeCutOffEvent sends an event with the reason why the stream ends early. A write error
@@ -178,11 +190,6 @@
 	}
 }
 
-func isEventStream(response *shuttle.Response) bool {
-	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	return err == nil && mediaType == "text/event-stream"
-}
-
 // defaultRetryAfter is the Retry-After value if no better estimate exists. An upstream that
 // fails is replaced in the roster within its lease.
 const defaultRetryAfter = 2 * time.Second
--- a/internal/desk/fakes_test.go
+++ b/internal/desk/fakes_test.go
@@ -220,7 +220,9 @@
 		UpstreamLease: time.Hour,
 		Limits:        limits,
 	})
-	listener := httptest.NewServer(server)
+	listener := httptest.NewUnstartedServer(server)
+	listener.Config.ConnContext = shuttle.WithConn
+	listener.Start()
 	DeferCleanup(func() {
 		listener.Close()
 		server.Wait()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -208,6 +208,7 @@
 		ReadHeaderTimeout: limits.HeaderTime,
 		ReadTimeout:       limits.HeaderTime + limits.BodyTime,
 		MaxHeaderBytes:    int(limits.HeaderBytes),
+		ConnContext:       shuttle.WithConn,
 	}
 	i.goroutines.Go(func() {
 		err := server.Serve(listener)
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -54,8 +54,9 @@
 	// Limit is the rate limit that the response states.
 	Limit ratelimit.Observation
 	// Length is the number of bytes of Body, negative if unknown.
-	Length int64
-	Body   io.ReadCloser
+	Length  int64
+	Framing Framing
+	Body    io.ReadCloser
 	// prefetched is the whole body if Prefetch has read it, else nil.
 	prefetched []byte
 }
@@ -252,11 +253,12 @@
 		return nil, refusalError(response)
 	}
 	return &Response{
-		Status: response.StatusCode,
-		Header: response.Header,
-		Limit:  rateLimitOf(response.Header),
-		Length: response.ContentLength,
-		Body:   newIdleTimeoutBody(response.Body, a.cancel, p.bodyIdleTimeout),
+		Status:  response.StatusCode,
+		Header:  response.Header,
+		Limit:   rateLimitOf(response.Header),
+		Length:  response.ContentLength,
+		Framing: FramingOf(response),
+		Body:    newIdleTimeoutBody(response.Body, a.cancel, p.bodyIdleTimeout),
 	}, nil
 }
 
