shuttle: an event stream of a service that ends inside an event was broken off

The same fault at the own interface, where completions had their final event and streams of services nothing to tell.

--- a/internal/shuttle/relay.go
+++ b/internal/shuttle/relay.go
@@ -65,20 +65,25 @@
 // ends before it is complete, StreamBody returns a *Error marked as ErrTruncated. If a write to the
 // caller fails, StreamBody returns its error.
 //
-// If events is true, the body is an event stream. It is complete only if "data: [DONE]" is its last
-// event: a crashing engine may close its connection in the same way as one that has finished.
-func StreamBody(w http.ResponseWriter, response *Response, events bool) error {
-	return streamWithTimeout(w, response, events, writeTimeout)
+// If needsDone is true, the body is an event stream that is complete only if "data: [DONE]" is its last
+// event: a crashing engine may close its connection in the same way as one that has finished. Other
+// event streams are incomplete if they end inside an event.
+func StreamBody(w http.ResponseWriter, response *Response, needsDone bool) error {
+	return streamWithTimeout(w, response, needsDone, writeTimeout)
 }
 
-func streamWithTimeout(w http.ResponseWriter, response *Response, events bool, timeout time.Duration) error {
+func streamWithTimeout(w http.ResponseWriter, response *Response, needsDone bool, timeout time.Duration) error {
 	defer response.Body.Close()
+	body := response.Body
+	if !needsDone && IsEventStream(response.Header) {
+		body = NewEventReader(body, response.Framing)
+	}
 	writer := newFlushingWriter(w, timeout)
 	defer writer.watchdog.stop()
 	buffer := make([]byte, relayBufferBytes)
 	var streamTail tail
 	for {
-		n, readErr := response.Body.Read(buffer)
+		n, readErr := body.Read(buffer)
 		if n > 0 {
 			streamTail.add(buffer[:n])
 			if err := writer.write(buffer[:n]); err != nil {
@@ -92,7 +97,7 @@
 			return &Error{Outcome: outcome.Ran, cause: errors.Mark(readErr, ErrTruncated)}
 		}
 	}
-	if events && !streamTail.endsWithFinalEvent() {
+	if needsDone && !streamTail.endsWithFinalEvent() {
 		return &Error{Outcome: outcome.Ran, cause: errors.Wrap(ErrTruncated, "final event is missing")}
 	}
 	return nil
