desk: the replay of a response that ended with its connection is not framed as complete

A response of a service that may have been broken off was kept under its idempotency key and replayed with a length. The record now says how the response ended, in a header that older instances replay to the same effect; its format stays.

--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -183,9 +184,24 @@
 			recorded.Headers = append(recorded.Headers, docket.Header{Name: name, Value: value})
 		}
 	}
+	if response.Framing == shuttle.UntilClose {
+		recorded.Headers = append(recorded.Headers, untilCloseMark)
+	}
 	return recorded
 }
 
+// untilCloseMark marks the record of a response that ended with its connection. Instances that do not
+// know the mark replay it as a header, which has the same effect in net/http.
+var untilCloseMark = docket.Header{Name: "Transfer-Encoding", Value: "identity"}
+
+// framingOfRecord returns the framing with which a recorded response is replayed.
+func framingOfRecord(recorded *docket.Response) shuttle.Framing {
+	if slices.Contains(recorded.Headers, untilCloseMark) {
+		return shuttle.UntilClose
+	}
+	return shuttle.Delimited
+}
+
 // awaitInProgress waits while another claimant holds the key. It returns nil when the state of
 // the record has changed, and a refusal at the deadline.
 func (s *Server) awaitInProgress(ctx context.Context, claim claim, deadline time.Time) *RefusalError {
@@ -213,9 +229,13 @@
 	}
 	header.Set(outcome.Header, outcome.Ran.String())
 	header.Set(replayedHeader, "true")
+	end := shuttle.BeginResponse(c.Response(), c.Request(), framingOfRecord(answer.Response))
 	c.Response().WriteHeader(answer.Response.Status)
-	_, err := c.Response().Write(answer.Response.Body)
-	return errors.Wrap(err, "desk: writing to the caller")
+	if _, err := c.Response().Write(answer.Response.Body); err != nil {
+		return errors.Wrap(err, "desk: writing to the caller")
+	}
+	end.Complete()
+	return nil
 }
 
 // refusalOfRecord returns the refusal for a request whose claim was not granted and whose
