chamber: a failing spec of a claim that expires before its outcome is recorded again

The spec keeps records for 200 ms of the voters' clock, but a proposal whose answer takes longer than the 1 s of an attempt is repeated: the first one was applied, the record expired, and the repeated one finds none (verdict 9, none, instead of 7).

--- a/internal/chamber/chamber_test.go
+++ b/internal/chamber/chamber_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -252,26 +253,55 @@
 		limits := docket.DefaultLimits()
 		limits.Retention, limits.MaxStep = 200*time.Millisecond, 100*time.Millisecond
 		c := newClusterWith(ctx, clusterOptions{renewInterval: 50 * time.Millisecond, docket: limits})
-		key, by := docket.KeyOf("booking", "k"), docket.Claimant{Instance: "a", Incarnation: 1, Request: 1}
-		propose := func(command registry.Command) docket.Verdict {
-			result, err := c.nodes["a"].Propose(ctx, command)
-			Expect(err).NotTo(HaveOccurred())
-			return result.Docket.Verdict
-		}
-		Expect(propose(docket.Claim{Key: key, Claimant: by, Timeout: time.Minute})).To(Equal(docket.VerdictGranted))
-		Expect(propose(docket.Record{Key: key, Claimant: by, Attempt: 1, State: docket.StateUnknown})).To(Equal(docket.VerdictRecorded))
-		for _, name := range []string{"a", "b", "c"} {
-			Eventually(ctx, func() float64 {
-				if gauge, ok := c.nodes[name].metrics.Snapshot().Gauges()["docket.expired+"]; ok {
-					return gauge.Value()
+		expectCountedExpiry(ctx, c, c.nodes["a"])
+	})
+
+	// An outcome whose answer was lost is recorded again. Its record must still be there then.
+	It("is counted when it expires, although the answer to its outcome was late", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		limits := docket.DefaultLimits()
+		limits.Retention, limits.MaxStep = 200*time.Millisecond, 100*time.Millisecond
+		var lateAnswers atomic.Int32
+		c := newClusterWith(ctx, clusterOptions{
+			renewInterval: 50 * time.Millisecond, docket: limits,
+			answerDelay: func(command []byte) time.Duration {
+				decoded, err := registry.Decode(command)
+				if _, ok := decoded.(docket.Record); err != nil || !ok || lateAnswers.Add(1) > 1 {
+					return 0
 				}
-				return 0
-			}).Should(Equal(1.0))
-		}
-		Expect(c.nodes["b"].Lookup(ctx, key)).To(HaveField("Verdict", docket.VerdictNotFound))
+				return proposalAttempt + 50*time.Millisecond
+			},
+		})
+		expectCountedExpiry(ctx, c, c.votersWithoutLeader(ctx)[0])
+		Expect(lateAnswers.Load()).To(BeNumerically(">", 1))
 	})
 })
 
+// proposalAttempt is how long a voter waits for the answer to a proposal before it repeats it.
+const proposalAttempt = time.Second
+
+// expectCountedExpiry claims a key and records its outcome through a node, and expects each voter to
+// count the expired record.
+func expectCountedExpiry(ctx context.Context, c *cluster, proposer *node) {
+	GinkgoHelper()
+	key, by := docket.KeyOf("booking", "k"), docket.Claimant{Instance: "a", Incarnation: 1, Request: 1}
+	propose := func(command registry.Command) docket.Verdict {
+		result, err := proposer.Propose(ctx, command)
+		Expect(err).NotTo(HaveOccurred())
+		return result.Docket.Verdict
+	}
+	Expect(propose(docket.Claim{Key: key, Claimant: by, Timeout: time.Minute})).To(Equal(docket.VerdictGranted))
+	Expect(propose(docket.Record{Key: key, Claimant: by, Attempt: 1, State: docket.StateUnknown})).To(Equal(docket.VerdictRecorded))
+	for _, name := range []string{"a", "b", "c"} {
+		Eventually(ctx, func() float64 {
+			if gauge, ok := c.nodes[name].metrics.Snapshot().Gauges()["docket.expired+"]; ok {
+				return gauge.Value()
+			}
+			return 0
+		}).Should(Equal(1.0))
+	}
+	Expect(c.nodes["b"].Lookup(ctx, key)).To(HaveField("Verdict", docket.VerdictNotFound))
+}
+
 func changeVoters(ctx context.Context, c *cluster, change courier.VotersChange) {
 	EventuallyWithOffset(1, ctx, func() error {
 		callCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
--- a/internal/chamber/cluster_test.go
+++ b/internal/chamber/cluster_test.go
@@ -73,6 +73,21 @@
 	// renewInterval is the interval at which followers confirm their configuration.
 	renewInterval time.Duration
 	docket        docket.Limits
+	// answerDelay, if set, returns how long the answer to a proposal from another node is late.
+	answerDelay func(command []byte) time.Duration
+}
+
+// lateControl is the Control of a voter whose answers to proposals may be late.
+type lateControl struct {
+	courier.Control
+	delay func(command []byte) time.Duration
+}
+
+// ProposeLocally answers late, after the command was executed.
+func (c lateControl) ProposeLocally(ctx context.Context, command []byte) courier.Proposed {
+	proposed := c.Control.ProposeLocally(ctx, command)
+	<-time.After(c.delay(command))
+	return proposed
 }
 
 // newClusterWith starts voters a, b and c and the followers, and bootstraps the cluster.
@@ -112,6 +127,23 @@
 	return running
 }
 
+// votersWithoutLeader returns the voters other than the leader, once there is one.
+func (c *cluster) votersWithoutLeader(ctx context.Context) []*node {
+	GinkgoHelper()
+	var leader jury.Identity
+	Eventually(ctx, func() jury.Identity {
+		leader, _ = c.nodes["a"].Leader()
+		return leader
+	}).ShouldNot(BeEmpty())
+	var others []*node
+	for _, n := range c.nodes {
+		if n.voter && n.Identity() != leader {
+			others = append(others, n)
+		}
+	}
+	return others
+}
+
 func (n *node) address() string {
 	return n.listener.Addr().String()
 }
@@ -140,7 +172,11 @@
 		Expect(err).NotTo(HaveOccurred())
 		n.ControlPlane = voter
 		n.cluster.recordIdentity(n.name, voter.Identity())
-		services.Others["Control"] = courier.NewControlService(voter.Control())
+		control := voter.Control()
+		if delay := n.cluster.options.answerDelay; delay != nil {
+			control = lateControl{control, delay}
+		}
+		services.Others["Control"] = courier.NewControlService(control)
 	} else {
 		n.ControlPlane = chamber.NewFollower(options)
 	}
