--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -89,7 +89,8 @@
 		scope: scope, proofAge: scope.Histogram("routes_proof_age_seconds", latencyBuckets),
 		proofWaits: scope.Counter("routes_proof_waits"), routes: map[string]routeMetrics{},
 		refusals: map[string]tally.Counter{}, failedSends: map[string]tally.Counter{},
-		untilClose: map[string]tally.Counter{}, failedSteps: map[string]tally.Counter{}, relays: map[string]tally.Counter{}, limitedSends: map[string]tally.Counter{},
+		failedSteps: map[string]tally.Counter{}, relays: map[string]tally.Counter{}, limitedSends: map[string]tally.Counter{},
+		untilClose:     map[string]tally.Counter{},
 		quotaDecisions: map[quotaDecisionKey]tally.Counter{},
 		decisions:      map[string]tally.Counter{}, ownerAnswers: map[string]tally.Counter{},
 	}
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -33,8 +33,8 @@
 	tolerance int
 	// bodyStarted is true once part of the response body has arrived.
 	bodyStarted bool
-	// framing is that of the response, and events reads its body if that is an event stream, else
-	// nil.
+	// framing is the framing of the response. events reads its body, and is nil unless that is an
+	// event stream.
 	framing shuttle.Framing
 	events  *shuttle.EventReader
 	// relayedBy is the instance through which the request was last sent, invalid if it was sent
@@ -52,7 +52,8 @@
 	return "connect"
 }
 
-// observeFraming notes how the body of a response ends, and checks the end of an event stream.
+// observeFraming records the framing of a response, and replaces the body of an event stream by one
+// that fails if it ends inside an event.
 func (a *upstreamAttempt) observeFraming(response *http.Response) {
 	a.framing = shuttle.FramingOf(response)
 	if shuttle.IsEventStream(response.Header) {
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -141,12 +141,13 @@
 func (s *Server) relayResponse(c echo.Context, task task, proxied proxiedResponse) error {
 	response := proxied.response
 	c.Response().Header().Set(outcome.Header, outcome.Ran.String())
-	if shuttle.IsEventStream(response.Header) {
+	isEventStream := shuttle.IsEventStream(response.Header)
+	if isEventStream {
 		// An event stream may turn out to be incomplete only at its end. With a Content-Length,
 		// no event could then be added to report that.
 		response.Header.Del("Content-Length")
 	}
-	needsDone := task.needsDoneEvent && shuttle.IsEventStream(response.Header)
+	needsDone := task.needsDoneEvent && isEventStream
 	end := shuttle.BeginResponse(c.Response(), c.Request(), callerFraming(response, needsDone))
 	shuttle.WriteHeader(c.Response(), response)
 	err := shuttle.StreamBody(c.Response(), response, needsDone)
@@ -159,7 +160,7 @@
 	}
 	s.metrics.countCutOff(task.service)
 	s.options.Log.Warn().Err(err).Str("request", task.id).Msg("failed to relay the whole response")
-	if shuttle.IsEventStream(response.Header) {
+	if isEventStream {
 		writeCutOffEvent(c.Response())
 	}
 	// The headers are already sent, so only an aborted connection can signal that the response
--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -31,7 +31,7 @@
 func (r *EventReader) Read(buffer []byte) (int, error) {
 	n, err := r.ReadCloser.Read(buffer)
 	r.scanner.Scan(buffer[:n])
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		err = r.endError()
 	}
 	return n, err
--- a/internal/shuttle/responseend.go
+++ b/internal/shuttle/responseend.go
@@ -60,8 +60,8 @@
 		end.conn = tcpConnOf(r)
 	}
 	if end.conn != nil {
-		// A reset tells the caller that the response is incomplete. Set in advance, it covers the end
-		// of this process, too. An error means that the connection has ended.
+		// Set in advance, the reset also covers the end of this process. An error means that the
+		// connection has ended.
 		_ = end.conn.SetLinger(lingerReset)
 	}
 	return end
