--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -178,6 +178,9 @@
 		line = line.Str("model", t.call.Model).Str("adapter", t.call.Adapter).Int("prompt-tokens", t.call.PromptTokens).
 			Int("answer-tokens", t.call.OutputTokens)
 	}
+	if t.quotaCost > 0 {
+		line = line.Str("workspace", t.workspaceName()).Float64("cost", t.quotaCost)
+	}
 	if a.owner.IsValid() {
 		line = line.Stringer("placed-by", a.owner)
 	}
