counter: a request whose caller leaves while an upstream has it costs its quota

Cause: the run was counted after the check whether the caller has left, so the charge of a request that an upstream had, and may have run, was returned to the workspace.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -93,16 +93,16 @@
 func (t *transaction) handleFailure(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, cause error) bool {
 	p := t.proxy
 	now := p.options.Now()
-	if t.request.Context().Err() != nil {
-		t.reportCallerLeft(a)
-		p.logAttempt(t, a, "caller disconnected", 0, "the caller left")
-		panic(http.ErrAbortHandler)
-	}
 	run := outcome.NotRun
 	if a.mayHaveSent.Load() {
 		run = outcome.Unknown
 		t.possibleRuns++
 	}
+	if t.request.Context().Err() != nil {
+		t.reportCallerLeft(a)
+		p.logAttempt(t, a, "caller disconnected", 0, "the caller left")
+		panic(http.ErrAbortHandler)
+	}
 	p.mu.Lock()
 	p.metrics.countFailedStep(a.failedStep())
 	verdict := retry.TooLate
--- a/internal/counter/quota_test.go
+++ b/internal/counter/quota_test.go
@@ -1,6 +1,8 @@
 package counter_test
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -129,6 +131,29 @@
 		Expect(status(ctx, p, "clerk-key", "/book/7")).To(Equal(http.StatusOK))
 	}, NodeTimeout(specTimeout))
 
+	// Guards against more than the quota: the upstream goes on with a request whose caller has left.
+	It("costs its quota if its caller leaves while an upstream has it", func(ctx SpecContext) {
+		reached := make(chan struct{})
+		p.upstreams[0].server.Config.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			close(reached)
+			<-r.Context().Done()
+		})
+		calling, leave := context.WithCancel(ctx)
+		left := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(left)
+			_, _, err := p.sendWithKey(calling, "clerk-key", http.MethodPost, "/book/7", "")
+			Expect(err).To(HaveOccurred())
+		}()
+		Eventually(ctx, reached).Should(BeClosed())
+		leave()
+		Eventually(ctx, left).Should(BeClosed())
+		Eventually(ctx, p.proxy.ActiveRequests).Should(BeZero())
+		Expect(status(ctx, p, "clerk-key", "/book/7")).To(Equal(http.StatusTooManyRequests))
+	}, NodeTimeout(specTimeout))
+
 	It("needs no key for a public route", func(ctx SpecContext) {
 		Expect(status(ctx, p, "", "/look/7")).To(Equal(http.StatusOK))
 		Expect(workspaces).To(Receive(BeEmpty()))
