--- a/internal/shuttle/responseend.go
+++ b/internal/shuttle/responseend.go
@@ -45,11 +45,9 @@
 	return conn
 }
 
-// BeginResponse prepares w for a response to r with a framing. It must be called before the header is
-// written, and followed by Complete or Abort.
-//
-// The end of a response that ends with its connection is passed on as what it is: the caller cannot
-// know more about it than this instance does.
+// BeginResponse prepares w for a response to r, before its header is written. Complete or Abort must
+// follow. A response that ends with its connection is passed on likewise, as this instance does not
+// know whether it is complete.
 func BeginResponse(w http.ResponseWriter, r *http.Request, framing Framing) ResponseEnd {
 	end := ResponseEnd{writer: w}
 	if framing == UntilClose {
