counter, platform: attempts tell the software version of the upstream and the request that is resumed

No log line told the version of an upstream, nor which request takes up which, so the hypotheses of the incident could not be told apart. The heartbeat's version is now decoded into the announcement, and logged. Nothing decides by it yet.

--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -117,6 +117,9 @@
 // Call holds the values of a caller's request headers.
 type Call struct {
 	ID string
+	// Resumes is the ID of the caller's earlier request that brought the first event of the stream
+	// that this request resumes, empty if it resumes none.
+	Resumes string
 	// Key is the API key of the caller's workspace, empty if the headers have none.
 	Key string
 	// Timeout is how long the caller waits, 0 if the headers do not state it.
--- a/internal/counter/refusal.go
+++ b/internal/counter/refusal.go
@@ -80,6 +80,9 @@
 	if answer.owner.IsValid() {
 		event = event.Stringer("placed-by", answer.owner)
 	}
+	if call.Resumes != "" {
+		event = event.Str("resumes", call.Resumes)
+	}
 	if answer.reason != "" {
 		event = event.Stringer(quarantine.FieldDigest, answer.digest)
 	}
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -174,6 +174,12 @@
 	if status == 0 && t.lastError != nil {
 		line = line.Str("error", t.lastError.Error())
 	}
+	if t.call.Resumes != "" {
+		line = line.Str("resumes", t.call.Resumes)
+	}
+	if version := a.upstream.Announcement.SoftwareVersion; version != "" {
+		line = line.Str("software-version", version)
+	}
 	if t.call.Model != "" {
 		line = line.Str("model", t.call.Model).Str("adapter", t.call.Adapter).Int("prompt-tokens", t.call.PromptTokens).
 			Int("answer-tokens", t.call.OutputTokens)
--- a/internal/upstreamapi/announcement.go
+++ b/internal/upstreamapi/announcement.go
@@ -45,6 +45,9 @@
 	// Address is the IP address and port on which the upstream serves requests.
 	Address string `json:"address"`
 	Kind    Kind   `json:"kind"`
+	// SoftwareVersion names the version of the upstream's software. What two
+	// versions write does not fit together in one stream.
+	SoftwareVersion string `json:"software-version,omitempty"`
 	// FailureDomain is one of the declared failure domains.
 	FailureDomain string  `json:"failure-domain"`
 	Fencing       Fencing `json:"fencing,omitempty"`
--- a/internal/upstreamapi/check.go
+++ b/internal/upstreamapi/check.go
@@ -121,6 +121,9 @@
 	checkName(&findings, "$.failure-domain", a.FailureDomain)
 	checkAddress(&findings, "$.address", a.Address)
 	checkIncarnation(&findings, a.Incarnation)
+	if length := len(a.SoftwareVersion); length > maxNameBytes {
+		findings.Add(pathPlace("$.software-version"), fmt.Sprintf("%d bytes", length), fmt.Sprintf("write %d at most", maxNameBytes))
+	}
 	if a.Sequence == 0 {
 		findings.Add(pathPlace("$.sequence"), "a sequence is missing", "count the announcements from 1")
 	}
