--- a/internal/counter/dialect_test.go
+++ b/internal/counter/dialect_test.go
@@ -105,6 +105,7 @@
 			route("look", routes.Idempotent, nil),
 			route("book", routes.NonIdempotent, nil),
 			route("write", routes.Stream, nil),
+			route("draft", routes.Stream, func(r *routes.Route) { r.Resumable = true }),
 			route("short", routes.Idempotent, func(r *routes.Route) { r.Timeout = 200 * time.Millisecond }),
 			route("empty", routes.Idempotent, func(r *routes.Route) { r.Shares[0].Service = "nobody" }),
 		},
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -166,6 +166,11 @@
 }
 
 func (c *fakeControl) announce(name, address string, models ...string) {
+	c.announceVersion("", name, address, models...)
+}
+
+// announceVersion announces an upstream of a software version.
+func (c *fakeControl) announceVersion(version, name, address string, models ...string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var resident []upstreamapi.Resident
@@ -173,7 +178,7 @@
 		resident = append(resident, upstreamapi.Resident{Model: model})
 	}
 	Expect(c.roster.Announce(time.Now(), upstreamapi.Announcement{
-		Name: name, Incarnation: 1, Sequence: 1, Address: address, Services: []string{"desk"},
+		Name: name, Incarnation: 1, Sequence: 1, Address: address, Services: []string{"desk"}, SoftwareVersion: version,
 		Load: upstreamapi.Load{MaxRunning: 8}, Resident: resident,
 	})).To(Succeed())
 }
--- /dev/null
+++ b/internal/counter/resumption_test.go
@@ -0,0 +1,233 @@
+package counter_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/counter"
+)
+
+const (
+	resumesHeader     = "Spec-Resumes"
+	lastEventIDHeader = "Last-Event-ID"
+	// resumedModel is the model that all upstreams of these specs have loaded.
+	resumedModel = "m"
+	// streamsPerSpec makes it improbable that a choice without regard to versions mixes none.
+	streamsPerSpec = 16
+)
+
+// versionedUpstream responds with streams whose events name its software version. It breaks a new
+// stream off after the first event, and completes one that is resumed.
+type versionedUpstream struct {
+	*upstream
+	version string
+}
+
+func newVersionedUpstream(version string) *versionedUpstream {
+	u := &versionedUpstream{version: version}
+	u.upstream = newFakeUpstream(u.respond)
+	return u
+}
+
+func (u *versionedUpstream) respond(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(idHeader, r.Header.Get(idHeader))
+	w.Header().Set("Content-Type", "text/event-stream")
+	if r.Header.Get(lastEventIDHeader) != "" {
+		fmt.Fprintf(w, "id: 2\ndata: %s\n\n", u.version)
+		return
+	}
+	fmt.Fprintf(w, "id: 1\ndata: %s\n\n", u.version)
+	Expect(http.NewResponseController(w).Flush()).To(Succeed())
+	panic(http.ErrAbortHandler)
+}
+
+// resumptionGroup is a group of instances with callers whose streams break off and are resumed.
+type resumptionGroup struct {
+	*peerGroup
+	servers   []*httptest.Server
+	upstreams int
+}
+
+func newResumptionGroup(instances int) *resumptionGroup {
+	GinkgoHelper()
+	g := &resumptionGroup{peerGroup: newPeerGroup(instances)}
+	for _, p := range g.peers {
+		server := startCallerServer(func(w http.ResponseWriter, r *http.Request) {
+			p.proxy.ServeRequest(w, r, counter.Call{
+				ID: r.Header.Get(idHeader), Resumes: r.Header.Get(resumesHeader), Timeout: 5 * time.Second, Model: resumedModel,
+			})
+		})
+		DeferCleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+		})
+		g.servers = append(g.servers, server)
+	}
+	return g
+}
+
+// announceUpstreams starts upstreams of the given versions and waits until all instances know them.
+func (g *resumptionGroup) announceUpstreams(versions ...string) []*versionedUpstream {
+	GinkgoHelper()
+	var started []*versionedUpstream
+	for _, version := range versions {
+		u := newVersionedUpstream(version)
+		g.upstreams++
+		g.control.announceVersion(version, fmt.Sprint("e", g.upstreams), u.address(), resumedModel)
+		started = append(started, u)
+	}
+	g.waitUntilKnown(g.upstreams)
+	return started
+}
+
+// begin begins a stream at an instance and returns the version of its first event. The stream then
+// breaks off.
+func (g *resumptionGroup) begin(ctx context.Context, instance int, id string) string {
+	GinkgoHelper()
+	g.clock.advance(100 * time.Millisecond)
+	status, text, err := g.post(ctx, instance, http.Header{idHeader: {id}})
+	Expect(err).To(HaveOccurred(), "status %d: %s", status, text)
+	Expect(status).To(Equal(http.StatusOK))
+	return versionIn(text)
+}
+
+// resume resumes a stream at an instance, and returns the status and the version of its next event.
+func (g *resumptionGroup) resume(ctx context.Context, instance int, id string) (status int, version string) {
+	GinkgoHelper()
+	g.clock.advance(100 * time.Millisecond)
+	status, text, err := g.post(ctx, instance, http.Header{idHeader: {id + "-2"}, resumesHeader: {id}, http.CanonicalHeaderKey(lastEventIDHeader): {"1"}})
+	Expect(err).NotTo(HaveOccurred())
+	return status, versionIn(text)
+}
+
+// versionIn returns the version in the data of an event, empty if text is none.
+func versionIn(text string) string {
+	_, version, _ := strings.Cut(text, "data: ")
+	return strings.TrimSpace(version)
+}
+
+func (g *resumptionGroup) post(ctx context.Context, instance int, header http.Header) (status int, text string, err error) {
+	GinkgoHelper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.servers[instance].URL+"/draft/", nil)
+	Expect(err).NotTo(HaveOccurred())
+	request.Host, request.Header = "spec.test", header
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(content), err
+}
+
+// expectSameVersion begins streams at one instance and resumes each at another one. before is called
+// in between.
+func (g *resumptionGroup) expectSameVersion(ctx context.Context, begunAt, resumedAt int, before func()) {
+	GinkgoHelper()
+	began := map[string]string{}
+	for n := range streamsPerSpec {
+		id := fmt.Sprint("s", n)
+		began[id] = g.begin(ctx, begunAt, id)
+	}
+	before()
+	for id, version := range began {
+		status, resumed := g.resume(ctx, resumedAt, id)
+		Expect(status).To(Equal(http.StatusOK), "stream %s, which began at %s", id, version)
+		Expect(resumed).To(Equal(version), "stream %s", id)
+	}
+}
+
+// Events of two software versions do not fit together in one stream.
+var _ = Describe("A stream that is resumed", func() {
+	DescribeTable("goes on at the version that began it",
+		func(ctx SpecContext, resumedAt int) {
+			g := newResumptionGroup(4)
+			g.announceUpstreams("v1", "v2")
+			g.expectSameVersion(ctx, 0, resumedAt, func() {})
+		},
+		Entry("at the same instance", SpecTimeout(specTimeout), 0),
+		Entry("at another instance", SpecTimeout(specTimeout), 1),
+	)
+
+	It("goes on at that version after the instance that began it is gone", func(ctx SpecContext) {
+		g := newResumptionGroup(4)
+		g.announceUpstreams("v1", "v2")
+		g.expectSameVersion(ctx, 0, 1, g.peers[0].proxy.Close)
+	}, SpecTimeout(specTimeout))
+
+	It("goes on at that version if its first event came from a retry", func(ctx SpecContext) {
+		g := newResumptionGroup(3)
+		g.announceUpstreams("v1")[0].server.Close()
+		g.announceUpstreams("v2")
+		g.expectSameVersion(ctx, 0, 1, func() { g.announceUpstreams("v1") })
+	}, SpecTimeout(specTimeout))
+
+	It("goes on at that version if it began before there was another one", func(ctx SpecContext) {
+		g := newResumptionGroup(4)
+		g.announceUpstreams("v1")
+		g.expectSameVersion(ctx, 0, 1, func() {
+			g.announceUpstreams("v2", "v2")
+			g.peers[0].proxy.Close()
+		})
+	}, SpecTimeout(specTimeout))
+
+	It("goes on at that version through a peer", func(ctx SpecContext) {
+		g := newResumptionGroup(3)
+		g.announceUpstreams("v1", "v2")
+		g.expectSameVersion(ctx, 0, 1, func() { g.peers[1].path.fail(os.ErrDeadlineExceeded) })
+	}, SpecTimeout(specTimeout))
+
+	It("does not go on if a process of another version has taken over the address", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		old := g.announceUpstreams("v1")[0]
+		Expect(g.begin(ctx, 0, "s1")).To(Equal("v1"))
+		g.clock.advance(time.Second)
+		g.control.announceVersion("v2", "e9", old.address(), resumedModel)
+		g.upstreams++
+		g.waitUntilKnown(g.upstreams)
+		count := old.count()
+		status, _ := g.resume(ctx, 1, "s1")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(old.count()).To(Equal(count))
+	}, SpecTimeout(specTimeout))
+
+	It("is refused at once if no upstream of that version is left", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		g.announceUpstreams("v1")
+		Expect(g.begin(ctx, 0, "s1")).To(Equal("v1"))
+		other := g.announceUpstreams("v2")[0]
+		g.control.announceLeave("e1")
+		Eventually(func() string { return g.begin(ctx, 1, fmt.Sprint("new-", other.count())) }, specTimeout).Should(Equal("v2"))
+		count := other.count()
+		began := time.Now()
+		status, _ := g.resume(ctx, 1, "s1")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+		Expect(other.count()).To(Equal(count))
+	}, SpecTimeout(specTimeout))
+
+	It("does not go on if its version is unknown and there are several", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		upstreams := g.announceUpstreams("v1", "v2")
+		status, _ := g.resume(ctx, 1, "never-begun")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(upstreams[0].count() + upstreams[1].count()).To(BeZero())
+	}, SpecTimeout(specTimeout))
+
+	It("goes on if its version is unknown and there is only one", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		g.announceUpstreams("v1", "v1")
+		status, version := g.resume(ctx, 1, "begun-before-all-instances-restarted")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(version).To(Equal("v1"))
+	}, SpecTimeout(specTimeout))
+})
