--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -32,6 +32,8 @@
 	relay         *relay
 	crashRecorder *crashRecorder
 
+	startedAt time.Time
+
 	mu     sync.Mutex
 	roster *roster.Roster
 	// cachedMembership is the result of the last call of membership that computed one.
@@ -66,6 +68,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
 		options:       options,
+		startedAt:     options.Now(),
 		callPool:      courier.NewPool(options.Dial, callTimeout),
 		heartbeatPool: courier.NewPool(options.Dial, callTimeout),
 		logEntryPool:  courier.NewPool(options.Dial, callTimeout),
--- a/internal/backoffice/backoffice_test.go
+++ b/internal/backoffice/backoffice_test.go
@@ -290,11 +290,16 @@
 
 // announce announces an engine to every instance once a second until ctx ends.
 func (c *testCluster) announce(ctx context.Context, name string) {
+	c.announceVersion(ctx, name, "")
+}
+
+// announceVersion is announce for an engine of a software version.
+func (c *testCluster) announceVersion(ctx context.Context, name, version string) {
 	go func() {
 		for sequence := uint64(1); ctx.Err() == nil; sequence++ {
 			for _, address := range c.seeds {
 				_ = c.instances[address].Announce(time.Now(), upstreamapi.Announcement{
-					Name: name, Incarnation: 1, Sequence: sequence, Address: "127.0.0.1:9", Services: []string{"pool"},
+					Name: name, Incarnation: 1, Sequence: sequence, Address: "127.0.0.1:9", Services: []string{"pool"}, SoftwareVersion: version,
 				})
 			}
 			select {
@@ -309,6 +314,10 @@
 // as an entry instance does. The function returns the engine, the error text of a
 // failed call, or an empty string.
 func (c *testCluster) wantFromLeader(ctx context.Context, model, adapter string) func() string {
+	return c.want(ctx, courier.WantArgs{Service: "pool", Model: model, Adapter: adapter, Timeout: time.Second})
+}
+
+func (c *testCluster) want(ctx context.Context, args courier.WantArgs) func() string {
 	return func() string {
 		reply, ok := c.syncWithLeader(ctx, courier.Demand{Service: "pool", Model: "a", Requests: 1})
 		if !ok {
@@ -316,7 +325,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
 		defer cancel()
-		got, err := c.calls.RequestModel(callCtx, reply.Leader, courier.WantArgs{Service: "pool", Model: model, Adapter: adapter, Timeout: time.Second})
+		got, err := c.calls.RequestModel(callCtx, reply.Leader, args)
 		if err != nil {
 			return err.Error()
 		}
--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -14,8 +14,10 @@
 	EngineAddress
 	// incarnation is the one in the engine's announcement.
 	incarnation uint64
-	service     string
-	spec        *routes.Engine
+	// softwareVersion is the one in the announcement.
+	softwareVersion string
+	service         string
+	spec            *routes.Engine
 	// leaving is set if the engine is leaving by the roster, and statedLeave once a report has
 	// said so, which may be earlier.
 	leaving     bool
@@ -62,8 +64,8 @@
 func newEngine(now time.Time, a upstreamapi.Announcement, service *routes.Service, before *engine) *engine {
 	e := &engine{
 		EngineAddress: EngineAddress{Name: a.Name, Address: a.Address},
-		incarnation:   a.Incarnation,
-		service:       service.Name, spec: service.Engine, updated: make(chan struct{}),
+		incarnation:   a.Incarnation, softwareVersion: a.SoftwareVersion,
+		service: service.Name, spec: service.Engine, updated: make(chan struct{}),
 	}
 	if before != nil {
 		e.unconfirmed = before.unconfirmed.forSuccessor(now)
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -29,7 +29,7 @@
 	}
 	now := i.options.Now()
 	leader, _ := i.voter.Leader()
-	reply := courier.SyncReply{Leader: leader.Instance()}
+	reply := courier.SyncReply{Leader: leader.Instance(), RosterIncomplete: now.Sub(i.startedAt) < i.options.UpstreamLease}
 	i.mu.Lock()
 	i.roster.Renew(now, args.From)
 	i.fillRoster(now, args.Cursor, &reply)
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -202,7 +202,7 @@
 		changed, term := o.changed, o.term
 		holder := ""
 		for _, e := range o.engines {
-			if e.service == args.Service && !e.isLeaving() && e.holds(args.Model, "") {
+			if e.mayServe(args) && e.holds(args.Model, "") {
 				holder = e.Name
 			}
 		}
--- a/internal/backoffice/want.go
+++ b/internal/backoffice/want.go
@@ -100,6 +100,11 @@
 	return o.ensureAdapter(ctx, args)
 }
 
+// mayServe reports whether the engine may serve the requests for which a load is requested.
+func (e *engine) mayServe(args courier.WantArgs) bool {
+	return e.service == args.Service && !e.isLeaving() && args.Software.Allows(e.softwareVersion)
+}
+
 // chooseAdapterEngine returns the engine for an adapter. It prefers one that holds the
 // adapter already. Among the others that hold the model, it prefers engines whose lease
 // is free, then those that can load an adapter, then the highest hash, so that several
@@ -108,7 +113,7 @@
 	var chosen *engine
 	var highest uint64
 	for name, e := range o.engines {
-		if e.service != args.Service || e.isLeaving() || !e.hasReport || !e.holds(args.Model, "") {
+		if !e.mayServe(args) || !e.hasReport || !e.holds(args.Model, "") {
 			continue
 		}
 		if e.holds(args.Model, args.Adapter) {
--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -111,6 +111,6 @@
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	loadTime, loading := p.pool.loadTime(now, t.service, t.model)
+	loadTime, loading := p.pool.loadTime(now, t.query())
 	return t.retryAfterLoad(now, loadTime, loading)
 }
--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -1,11 +1,13 @@
 package counter
 
 import (
+	"iter"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 // upstreamQuery describes the upstream that a request needs.
@@ -19,6 +21,8 @@
 	tried []string
 	// sender is the instance that sends the request.
 	sender netip.AddrPort
+	// software limits the upstreams of a stream that is resumed.
+	software resumption.Constraint
 	// boosted allows an engine without free capacity.
 	boosted bool
 }
@@ -32,6 +36,9 @@
 	missingNone missingResource = iota
 	// missingService means that the service has no available upstream.
 	missingService
+	// missingVersion means that no available upstream has the software version of a stream that is
+	// resumed.
+	missingVersion
 	// missingModel means that no available upstream has loaded the model.
 	missingModel
 	// missingAdapter means that the model is loaded, but not the adapter.
@@ -43,7 +50,7 @@
 
 // String returns the word used in response texts and in the log.
 func (m missingResource) String() string {
-	return [...]string{"none", "service", "model", "adapter", "room"}[m]
+	return [...]string{"none", "service", "software version", "model", "adapter", "room"}[m]
 }
 
 // crossDomainCost is added to the cost of an upstream in another failure domain. It is a tenth of
@@ -58,10 +65,7 @@
 	bestCost := 0.0
 	missing := missingService
 	ties := 1.0
-	for _, u := range p.upstreamsWith(q.service, q.model) {
-		if !p.isAvailable(now, u) {
-			continue
-		}
+	for u := range p.eligible(now, q) {
 		if reason := u.missing(now, q, random); reason != missingNone {
 			missing = max(missing, reason)
 			continue
@@ -77,14 +81,40 @@
 			}
 		}
 	}
-	switch {
-	case best != nil:
+	if best != nil {
 		return best, missingNone
-	case missing == missingService && q.model != "" && p.anyAvailable(now, q.service):
-		return nil, missingModel
-	default:
-		return nil, missing
 	}
+	if missing == missingService {
+		missing = p.missingInService(now, q)
+	}
+	return nil, missing
+}
+
+// eligible returns the available upstreams that have loaded the model of q and have its software
+// version.
+func (p *upstreamPool) eligible(now time.Time, q upstreamQuery) iter.Seq[*upstream] {
+	return func(yield func(*upstream) bool) {
+		for _, u := range p.upstreamsWith(q.service, q.model) {
+			if p.isAvailable(now, u) && q.software.Allows(u.softwareVersion()) && !yield(u) {
+				return
+			}
+		}
+	}
+}
+
+// missingInService returns what a service lacks that has no eligible upstream for q.
+func (p *upstreamPool) missingInService(now time.Time, q upstreamQuery) missingResource {
+	missing := missingService
+	for _, u := range p.byService[q.service] {
+		switch {
+		case !p.isAvailable(now, u):
+		case !q.software.Allows(u.softwareVersion()):
+			missing = max(missing, missingVersion)
+		case q.model != "":
+			return missingModel
+		}
+	}
+	return missing
 }
 
 // missing returns the resource that u lacks for q.
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -12,6 +12,7 @@
 	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -58,6 +59,8 @@
 	// send to a rate-limited upstream.
 	storedAnswers map[peerRequest]storedAnswer
 	quotas        quotaAccounts
+	// origins are the origins of streams that began here, and of those reported by other instances.
+	origins resumption.Origins
 	// crashes detects upstreams that crash while running requests. Lock order: mu before the lock
 	// of the detector.
 	crashes *coroner.CrashDetector
@@ -120,6 +123,8 @@
 		reportCalls: courier.NewPool(options.Dial, syncTimeout),
 		known:       options.Seeds,
 		nextIndex:   rand.IntN(len(options.Seeds)),
+
+		rosterIncomplete: true,
 	}
 	p.control.current = options.Seeds[p.control.nextIndex]
 	p.peers = newPeerLink(options.PeerConn, options.Now, p.receive, options.Log)
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -385,6 +385,16 @@
 	}
 }
 
+// KnowsLeave returns a function that reports whether an upstream is known to be leaving.
+func (p *Proxy) KnowsLeave(name string) func() bool {
+	return func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		u := p.pool.byName[name]
+		return u != nil && u.isLeaving()
+	}
+}
+
 // LimitOf returns a function that returns the known rate limit of an upstream.
 func (p *Proxy) LimitOf(name string) func() string {
 	return func() string {
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -28,6 +28,10 @@
 	syncs  []courier.SyncArgs
 	// leaderless is true while the control instance knows no leader.
 	leaderless bool
+	// rosterIncomplete is true while the control instance may not know all upstreams. ignored are the
+	// instances that get no usable reply.
+	rosterIncomplete bool
+	ignored          map[string]bool
 	// catchingUp is true while the control instance has not applied all committed changes.
 	// editions are the contents of the committed versions of the routes, the first one being 1.
 	catchingUp bool
@@ -62,7 +66,7 @@
 	defer c.mu.Unlock()
 	c.syncs = append(c.syncs, args)
 	reply := courier.SyncReply{
-		Leader: c.address, Reading: edition.Reading{Version: 1, Confirmed: !c.catchingUp},
+		Leader: c.address, RosterIncomplete: c.rosterIncomplete, Reading: edition.Reading{Version: 1, Confirmed: !c.catchingUp},
 		Changes: c.roster.Since(time.Now(), args.Cursor),
 		Members: &courier.Members{Controls: []string{c.address}, Entries: append([]string{args.From.Name}, c.otherEntries...), Open: openEntries},
 	}
@@ -72,7 +76,7 @@
 	if c.quarantine != nil && c.quarantine.Mark != args.Quarantine {
 		reply.Quarantine = c.quarantine
 	}
-	if c.leaderless {
+	if c.leaderless || c.ignored[args.From.Name] {
 		reply.Leader = ""
 	}
 	last := len(c.editions) - 1
@@ -94,6 +98,20 @@
 	c.leaderless = !hasLeader
 }
 
+// setRosterIncomplete sets whether the control instance may not know all upstreams.
+func (c *fakeControl) setRosterIncomplete(incomplete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rosterIncomplete = incomplete
+}
+
+// ignore makes the control instance give an instance no usable replies.
+func (c *fakeControl) ignore(instance netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ignored = map[string]bool{instance.String(): true}
+}
+
 // commit commits the next version of the routes.
 func (c *fakeControl) commit(content string) {
 	c.mu.Lock()
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -60,6 +60,8 @@
 		return limitsReached
 	case permit.UpstreamsPushBack:
 		return "upstreams push back"
+	case permit.VersionUnavailable:
+		return "no upstream: " + missingVersion.String()
 	default:
 		return "too many requests wait"
 	}
@@ -69,6 +71,9 @@
 // request may wait. p.mu is held.
 func (p *Proxy) rejectionFor(now time.Time, w *waiter) *rejection {
 	req := &w.requirements
+	if w.missing == missingVersion {
+		return &rejection{reason: permit.VersionUnavailable, retryAfter: req.retryAfterLoad(now, 0, false)}
+	}
 	if rejected := p.rejectHeldBack(now, w); rejected != nil {
 		return rejected
 	}
@@ -78,7 +83,7 @@
 	if req.model == "" || w.missing != missingModel {
 		return nil
 	}
-	loadTime, loading := p.pool.loadTime(now, req.service, req.model)
+	loadTime, loading := p.pool.loadTime(now, req.query())
 	if loading && loadTime <= req.maxForecast(now) {
 		return nil
 	}
@@ -132,8 +137,8 @@
 func (p *Proxy) capacity(now time.Time, w *waiter) float64 {
 	req := &w.requirements
 	slots := 0
-	for _, u := range p.pool.upstreamsWith(req.service, req.model) {
-		if p.pool.isAvailable(now, u) && u.canRun(req.model, req.adapter) && !u.pushesBack(now, req.sender) {
+	for u := range p.pool.eligible(now, req.query()) {
+		if u.canRun(req.model, req.adapter) && !u.pushesBack(now, req.sender) {
 			slots += u.slots
 		}
 	}
--- a/internal/counter/holdback.go
+++ b/internal/counter/holdback.go
@@ -21,8 +21,8 @@
 // heldBack returns why no upstream that could run a request accepts it now. It returns false if one
 // does, or if there is none.
 func (p *upstreamPool) heldBack(now time.Time, q upstreamQuery) (held holdBack, ok bool) {
-	for _, u := range p.upstreamsWith(q.service, q.model) {
-		if !p.isAvailable(now, u) || !u.canRun(q.model, q.adapter) {
+	for u := range p.eligible(now, q) {
+		if !u.canRun(q.model, q.adapter) {
 			continue
 		}
 		pushback := u.pushbacks.Until(q.sender).Sub(now)
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -43,6 +43,10 @@
 	proofAge tally.Histogram
 	// proofWaits counts requests that waited for a proof of the routes.
 	proofWaits tally.Counter
+	// resumptions counts streams that callers resume, by the source of their origin, and
+	// originReports the origins reported to other instances.
+	resumptions   map[string]tally.Counter
+	originReports tally.Counter
 	// quotaDecisions counts the quota decisions on this instance's requests, by workspace.
 	quotaDecisions map[quotaDecisionKey]tally.Counter
 }
@@ -91,6 +95,8 @@
 		refusals: map[string]tally.Counter{}, failedSends: map[string]tally.Counter{},
 		failedSteps: map[string]tally.Counter{}, relays: map[string]tally.Counter{}, limitedSends: map[string]tally.Counter{},
 		untilClose:     map[string]tally.Counter{},
+		resumptions:    map[string]tally.Counter{},
+		originReports:  scope.Counter("stream_origin_reports"),
 		quotaDecisions: map[quotaDecisionKey]tally.Counter{},
 		decisions:      map[string]tally.Counter{}, ownerAnswers: map[string]tally.Counter{},
 	}
@@ -166,6 +172,18 @@
 	taggedCounter(p.metrics.scope, p.metrics.relays, "relays", "result", string(result)).Inc(1)
 }
 
+// countResumption counts a request that resumes a stream.
+func (p *Proxy) countResumption(source originSource) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	taggedCounter(p.metrics.scope, p.metrics.resumptions, "resumed_streams", "origin", string(source)).Inc(1)
+}
+
+// countOriginReport counts the origin of a stream that is reported to another instance.
+func (m *metrics) countOriginReport() {
+	m.originReports.Inc(1)
+}
+
 // countDecision counts a decision on a peer's request.
 func (m *metrics) countDecision(decision string) {
 	taggedCounter(m.scope, m.decisions, "decisions", "decision", decision).Inc(1)
@@ -198,6 +216,7 @@
 	scope.Gauge("quarantined").Update(float64(quarantined))
 	scope.Gauge("suspected").Update(float64(suspected))
 	scope.Gauge("upstreams").Update(float64(len(p.pool.byName)))
+	scope.Gauge("stream_origins").Update(float64(p.origins.Len()))
 	p.updateLimitMetrics()
 	scope.Gauge("news_age_seconds").Update(now.Sub(p.control.lastSyncSent).Seconds())
 	if table := p.routes.Load(); table != nil {
--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -142,6 +142,7 @@
 		ID: id, Service: t.service, Model: t.model, Adapter: t.adapter,
 		PromptTokens: t.promptTokens, AnswerTokens: t.outputTokens, Priority: t.priority, Yields: t.yields,
 		Objective: t.objective, MaxEventGap: t.maxGap, Age: now.Sub(t.arrived), Remaining: t.deadline.Sub(now), Tried: t.tried,
+		Software: t.software,
 	}
 }
 
@@ -185,7 +186,8 @@
 // An owner that is cut off from the control instances does not learn that an upstream is leaving,
 // and keeps granting it until it is gone. Nor does it know that an upstream pushes back, or accepts
 // no request because of its refusals, if the report was lost, or another instance owned the model
-// then. A grant for such an upstream is returned, and grantFrom returns errDecideLocally.
+// then. It may not know yet that a process of another software version has taken over the name of
+// an upstream. A grant for such an upstream is returned, and grantFrom returns errDecideLocally.
 func (p *Proxy) grantFrom(t *transaction, owner netip.AddrPort, m permit.Granted) (grant, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -199,7 +201,7 @@
 		p.reportPushback(now, u, owner)
 		p.peers.send(owner, permit.Release{ID: m.ID})
 		return grant{}, errDecideLocally
-	case u != nil && now.Before(u.refusals.PausedUntil()):
+	case u != nil && (now.Before(u.refusals.PausedUntil()) || !t.software.Allows(u.softwareVersion())):
 		p.peers.send(owner, permit.Release{ID: m.ID})
 		return grant{}, errDecideLocally
 	}
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -59,6 +59,10 @@
 		p.handleQuotaAdjustment(now, m.Workspace, m.Units)
 	case permit.QuotaDebit:
 		p.handleQuotaAdjustment(now, m.Workspace, -m.Units)
+	case permit.StreamReport:
+		p.receiveOrigin(now, m)
+	case permit.StreamQuery:
+		p.answerOrigin(now, from, m)
 	case permit.Reply:
 		p.deliverAnswer(from, m.RequestID(), m)
 	}
@@ -101,7 +105,7 @@
 	req := requirements{
 		target:       target{service: m.Service, model: m.Model, adapter: m.Adapter},
 		promptTokens: m.PromptTokens, outputTokens: m.AnswerTokens, priority: m.Priority, yields: m.Yields, objective: m.Objective,
-		maxGap: m.MaxEventGap, arrived: now.Add(-m.Age), deadline: now.Add(m.Remaining), sender: from, tried: m.Tried,
+		maxGap: m.MaxEventGap, arrived: now.Add(-m.Age), deadline: now.Add(m.Remaining), sender: from, tried: m.Tried, software: m.Software,
 	}
 	p.estimateCost(&req)
 	return req
--- a/internal/counter/pushback.go
+++ b/internal/counter/pushback.go
@@ -63,11 +63,15 @@
 }
 
 // mayStillSend reports whether a granted upstream still wants requests of this instance: it is
-// neither leaving nor pushing back, nor close to as many refusals as it tolerates.
+// neither leaving nor pushing back, nor close to as many refusals as it tolerates. An upstream under
+// whose name another process has started must be granted again.
 func (p *Proxy) mayStillSend(u *upstream) bool {
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if known := p.pool.byName[u.name]; known != nil && known.softwareVersion() != u.softwareVersion() && u.incarnation != 0 {
+		return false
+	}
 	u = p.pool.current(u)
 	return !u.isLeaving() && !u.pushesBack(now, p.owners.self) && !now.Before(u.refusals.PausedUntil())
 }
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -8,6 +8,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/aging"
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 // waiter is a request that waits for an upstream.
@@ -124,7 +125,8 @@
 // selectionKey identifies queries that have the same result within one dispatch.
 type selectionKey struct {
 	target
-	pacing pacing
+	pacing   pacing
+	software resumption.Constraint
 	// sender is set if any upstream pushes back to it.
 	sender netip.AddrPort
 }
@@ -176,7 +178,7 @@
 }
 
 func (p *Proxy) selectionKey(now time.Time, req *requirements) selectionKey {
-	key := selectionKey{target: req.target, pacing: req.pacing}
+	key := selectionKey{target: req.target, pacing: req.pacing, software: req.software}
 	if p.pool.anyPushesBack(now, req.sender) {
 		key.sender = req.sender
 	}
--- a/internal/counter/relaymessages.go
+++ b/internal/counter/relaymessages.go
@@ -17,6 +17,9 @@
 	relayTimeoutHeader = relayHeaderPrefix + "Timeout-Ms"
 	// relayIdempotentHeader tells whether the request is idempotent: true or false.
 	relayIdempotentHeader = relayHeaderPrefix + "Idempotent"
+	// relaySoftwareHeader is the software version of the upstream as the first instance knows it. It is
+	// absent if the upstream is unknown there.
+	relaySoftwareHeader = relayHeaderPrefix + "Software-Version"
 	// relayResultHeader is the relayResult of a response.
 	relayResultHeader = relayHeaderPrefix + "Result"
 )
@@ -29,7 +32,7 @@
 	// relayAnswered means that the response is the upstream's.
 	relayAnswered relayResult = "answered"
 	// relayUnreachable means that the upstream cannot be reached from there, although others of its
-	// service can, and relayUnwanted that it wants no requests.
+	// service can, and relayUnwanted that it wants no requests or has another software version.
 	relayUnreachable relayResult = "unreachable"
 	relayUnwanted    relayResult = "unwanted"
 	// relayUnavailable means that the instance cannot relay to the service now: it has no path
--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -18,7 +18,7 @@
 // ServeRelay handles a request that another entry instance sends because it cannot reach the
 // upstream.
 func (p *Proxy) ServeRelay(w http.ResponseWriter, r *http.Request) {
-	u, rejected := p.startRelaying(r.Header.Get(relayUpstreamHeader))
+	u, rejected := p.startRelaying(r.Header)
 	if rejected != "" {
 		p.rejectRelay(w, r, rejected)
 		return
@@ -52,7 +52,8 @@
 }
 
 // startRelaying returns the upstream of a request to relay, or why it is rejected.
-func (p *Proxy) startRelaying(name string) (*upstream, relayResult) {
+func (p *Proxy) startRelaying(header http.Header) (*upstream, relayResult) {
+	name, software := header.Get(relayUpstreamHeader), header[relaySoftwareHeader]
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -60,7 +61,7 @@
 	switch {
 	case u == nil, p.draining, p.relaying >= maxRelaying, p.pool.isServiceLost(now, u.service):
 		return nil, relayUnavailable
-	case u.isLeaving(), u.pushesBack(now, p.owners.self):
+	case u.isLeaving(), u.pushesBack(now, p.owners.self), len(software) > 0 && software[0] != u.softwareVersion():
 		return nil, relayUnwanted
 	case u.path.IsLost():
 		return nil, relayUnreachable
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 // requirements describes the upstream that a request needs and its time limits.
@@ -31,6 +32,8 @@
 	sender netip.AddrPort
 	// tried are the names of the upstreams that have failed the request.
 	tried []string
+	// software limits the upstreams if the request resumes a stream.
+	software resumption.Constraint
 	// pacing limits the prompts sent to one engine.
 	pacing pacing
 	// prefillTime is the engine's time for the prompt, and decodeTime the time for which the
@@ -40,7 +43,7 @@
 }
 
 func (req *requirements) query() upstreamQuery {
-	return upstreamQuery{service: req.service, model: req.model, adapter: req.adapter, pacing: req.pacing, sender: req.sender, tried: req.tried}
+	return upstreamQuery{service: req.service, model: req.model, adapter: req.adapter, pacing: req.pacing, sender: req.sender, tried: req.tried, software: req.software}
 }
 
 func (req *requirements) modelKey() modelKey {
@@ -49,7 +52,7 @@
 
 // loadArgs returns the arguments of the load call for a missing model or adapter.
 func (req *requirements) loadArgs(missing missingResource) courier.WantArgs {
-	args := courier.WantArgs{Service: req.service, Model: req.model, Timeout: loadTimeout}
+	args := courier.WantArgs{Service: req.service, Model: req.model, Software: req.software, Timeout: loadTimeout}
 	if missing == missingAdapter {
 		args.Adapter = req.adapter
 	}
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -77,6 +77,7 @@
 // stream relays events as they arrive. If the upstream breaks off, the caller's connection is
 // aborted as well, so that a truncated stream does not look complete.
 func (t *transaction) stream(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, response *http.Response) {
+	t.recordOrigin(a)
 	end := beginResponse(w, t.request, response, a.framing)
 	readErr, writeErr := copyChunks(w, response.Body, func() {
 		a.bodyStarted = true
@@ -89,6 +90,7 @@
 		end.Abort()
 	case readErr == nil:
 		end.Complete()
+		t.completeOrigin()
 		a.outcome, a.speed = permit.Succeeded, t.measuredSpeed()
 		t.proxy.crashes.Succeeded(t.digest, response.StatusCode)
 		t.proxy.logAttempt(t, a, "answered", response.StatusCode, "")
@@ -177,7 +179,7 @@
 	if t.call.Resumes != "" {
 		line = line.Str("resumes", t.call.Resumes)
 	}
-	if version := a.upstream.Announcement.SoftwareVersion; version != "" {
+	if version := a.upstream.softwareVersion(); version != "" {
 		line = line.Str("software-version", version)
 	}
 	if t.call.Model != "" {
--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -14,6 +14,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/counter"
+	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 const (
@@ -61,20 +63,25 @@
 	GinkgoHelper()
 	g := &resumptionGroup{peerGroup: newPeerGroup(instances)}
 	for _, p := range g.peers {
-		server := startCallerServer(func(w http.ResponseWriter, r *http.Request) {
-			p.proxy.ServeRequest(w, r, counter.Call{
-				ID: r.Header.Get(idHeader), Resumes: r.Header.Get(resumesHeader), Timeout: 5 * time.Second, Model: resumedModel,
-			})
-		})
-		DeferCleanup(func() {
-			server.CloseClientConnections()
-			server.Close()
-		})
-		g.servers = append(g.servers, server)
+		g.serveCallers(p)
 	}
 	return g
 }
 
+// serveCallers starts the server of an instance for callers.
+func (g *resumptionGroup) serveCallers(p peer) {
+	server := startCallerServer(func(w http.ResponseWriter, r *http.Request) {
+		p.proxy.ServeRequest(w, r, counter.Call{
+			ID: r.Header.Get(idHeader), Resumes: r.Header.Get(resumesHeader), Timeout: 5 * time.Second, Model: resumedModel,
+		})
+	})
+	DeferCleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	g.servers = append(g.servers, server)
+}
+
 // announceUpstreams starts upstreams of the given versions and waits until all instances know them.
 func (g *resumptionGroup) announceUpstreams(versions ...string) []*versionedUpstream {
 	GinkgoHelper()
@@ -182,7 +189,7 @@
 
 	It("goes on at that version through a peer", func(ctx SpecContext) {
 		g := newResumptionGroup(3)
-		g.announceUpstreams("v1", "v2")
+		g.announceUpstreams("v1", "v1", "v2", "v2")
 		g.expectSameVersion(ctx, 0, 1, func() { g.peers[1].path.fail(os.ErrDeadlineExceeded) })
 	}, SpecTimeout(specTimeout))
 
@@ -206,7 +213,7 @@
 		Expect(g.begin(ctx, 0, "s1")).To(Equal("v1"))
 		other := g.announceUpstreams("v2")[0]
 		g.control.announceLeave("e1")
-		Eventually(func() string { return g.begin(ctx, 1, fmt.Sprint("new-", other.count())) }, specTimeout).Should(Equal("v2"))
+		Eventually(g.peers[1].proxy.KnowsLeave("e1"), specTimeout).Should(BeTrue())
 		count := other.count()
 		began := time.Now()
 		status, _ := g.resume(ctx, 1, "s1")
@@ -230,4 +237,84 @@
 		Expect(status).To(Equal(http.StatusOK))
 		Expect(version).To(Equal("v1"))
 	}, SpecTimeout(specTimeout))
+
+	It("does not go on while some upstreams may be unknown, and its caller may return later", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		g.control.setRosterIncomplete(true)
+		restarted := startPeerWithClock(g.control, g.clock.Now)
+		g.control.addExactEntries(restarted.address)
+		g.peers = append(g.peers, restarted)
+		g.serveCallers(restarted)
+		upstreams := g.announceUpstreams("v1")
+		status, _ := g.resume(ctx, 2, "begun-before-all-instances-restarted")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(upstreams[0].count()).To(BeZero())
+	}, SpecTimeout(specTimeout))
+
+	// An instance that cannot reach the control instances does not learn of other versions.
+	It("never goes on at another version at an instance that knows only that one", func(ctx SpecContext) {
+		g := newResumptionGroup(3)
+		g.announceUpstreams("v1")
+		g.control.ignore(g.peers[1].address)
+		v2 := newVersionedUpstream("v2")
+		g.control.announceVersion("v2", "e2", v2.address(), resumedModel)
+		Eventually(g.peers[0].proxy.Upstreams, specTimeout).Should(Equal(2))
+		began := map[string]string{}
+		for n := range streamsPerSpec {
+			id := fmt.Sprint("s", n)
+			began[id] = g.begin(ctx, 0, id)
+		}
+		Expect(g.peers[1].proxy.Upstreams()).To(Equal(1))
+		for id, version := range began {
+			if status, resumed := g.resume(ctx, 1, id); status == http.StatusOK {
+				Expect(resumed).To(Equal(version), "stream %s", id)
+			}
+		}
+	}, SpecTimeout(specTimeout))
+})
+
+var _ = Describe("The instance that owns a model", func() {
+	It("grants a stream that is resumed only an upstream of its version", func() {
+		instances := instanceAddresses(3)
+		pool := counter.NewUpstreamPool("here", lease)
+		instance := counter.NewInstance(pool, instances[0], instances)
+		model := modelOwnedBy("pool", instances[0], instances...)
+		for name, version := range map[string]string{"e1": "v1", "e2": "v2", "e3": "v1"} {
+			engine := engineRecord(name, "here", start, model)
+			engine.Announcement.SoftwareVersion = version
+			pool.Apply(start, engine)
+		}
+		for id := range permit.ID(8) {
+			ask := askMessage(id+1, model)
+			ask.Software = resumption.BoundTo("v2")
+			sent := instance.Receive(start.Add(time.Duration(id)*time.Second), instances[1], ask)
+			Expect(sent[0].Message.(permit.Granted).Upstream).To(Equal("e2"))
+		}
+		ask := askMessage(100, model)
+		ask.Software = resumption.BoundTo("v3")
+		sent := instance.Receive(start, instances[1], ask)
+		Expect(sent[0].Message.(permit.Rejected).Reason).To(Equal(permit.VersionUnavailable))
+	})
+})
+
+var _ = Describe("An instance that relays", func() {
+	// The process that the first instance has chosen may have been replaced by one of another version.
+	It("does not send to an upstream of another software version than the one meant", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		u := g.announceUpstreams("v2")[0]
+		for version, result := range map[string]string{"v1": "unwanted", "v2": "answered"} {
+			header := http.Header{
+				idHeader: {"r1"}, "Lovagelift-Relay-Upstream": {"e1"}, "Lovagelift-Relay-Request": {"r1"},
+				"Lovagelift-Relay-Timeout-Ms": {"1000"}, "Lovagelift-Relay-Software-Version": {version},
+			}
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.peers[1].address.String()+"/draft/", nil)
+			Expect(err).NotTo(HaveOccurred())
+			request.Header = header
+			response, err := http.DefaultTransport.RoundTrip(request)
+			Expect(err).NotTo(HaveOccurred())
+			response.Body.Close()
+			Expect(response.Header.Get("Lovagelift-Relay-Result")).To(Equal(result))
+		}
+		Expect(u.count()).To(Equal(1))
+	}, SpecTimeout(specTimeout))
 })
--- a/internal/counter/survey.go
+++ b/internal/counter/survey.go
@@ -15,8 +15,8 @@
 // survey counts the states of the upstreams that match q except for capacity.
 func (p *upstreamPool) survey(now time.Time, q upstreamQuery) survey {
 	var s survey
-	for _, u := range p.upstreamsWith(q.service, q.model) {
-		if !p.isAvailable(now, u) || !u.canRun(q.model, q.adapter) {
+	for u := range p.eligible(now, q) {
+		if !u.canRun(q.model, q.adapter) {
 			continue
 		}
 		s.Holders++
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -36,6 +36,8 @@
 	membersSince time.Time
 	nextIndex    int
 	source       roster.PullState
+	// rosterIncomplete is true until a control instance has stated that it knows all upstreams.
+	rosterIncomplete bool
 	// lastFailed is the control instance that most recently failed to answer, at failedAt.
 	lastFailed string
 	failedAt   time.Time
@@ -166,6 +168,8 @@
 		p.recordProof(now, askedAt, address, table.Version, reply.Reading)
 	}
 	p.pool.apply(now, changed)
+	p.reportOrigins(now, p.pool.takeNewVersions())
+	p.control.rosterIncomplete = p.control.rosterIncomplete && reply.RosterIncomplete
 	p.crashes.Review(p.pool.upstreamStatus)
 	p.applyEngineStates(now, reply)
 	p.control.leader = reply.Leader
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -82,7 +82,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), t.deadline.Sub(p.options.Now()))
 	defer cancel()
-	if !t.chargeQuota(ctx, w, scale(t.objective, quotaWaitShare)) {
+	if !t.bindToOrigin(ctx, w) || !t.chargeQuota(ctx, w, scale(t.objective, quotaWaitShare)) {
 		return
 	}
 	defer t.returnCharge()
--- a/internal/counter/upstreampool.go
+++ b/internal/counter/upstreampool.go
@@ -8,6 +8,7 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/reachability"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/speed"
@@ -37,6 +38,11 @@
 	// to which it has lost its path.
 	paths map[string]reachability.Service
 	lost  map[string][]*upstream
+	// versions are the software versions of each service.
+	versions resumption.Versions
+	// newVersions are the services that have got another software version since the last call of
+	// takeNewVersions.
+	newVersions map[string]bool
 	// pushedBack are the latest of the upstreams' pushbacks, by entry instance.
 	pushedBack ratelimit.Pushbacks[netip.AddrPort]
 	// lastHeard is the latest time at which any upstream was heard from.
@@ -96,7 +102,7 @@
 func newUpstreamPool(failureDomain string, lease time.Duration) *upstreamPool {
 	return &upstreamPool{
 		lease: lease, failureDomain: failureDomain, paths: map[string]reachability.Service{}, lost: map[string][]*upstream{},
-		byName: map[string]*upstream{}, byService: map[string][]*upstream{}, byAddress: map[string]*upstream{},
+		newVersions: map[string]bool{}, byName: map[string]*upstream{}, byService: map[string][]*upstream{}, byAddress: map[string]*upstream{},
 	}
 }
 
@@ -150,6 +156,9 @@
 	}
 	residentChanged := !slices.EqualFunc(u.Announcement.Resident, known.Announcement.Resident, equalResidents)
 	u.Upstream = known
+	if p.versions.Observe(u.service, u.softwareVersion(), known.LastContact) {
+		p.newVersions[u.service] = true
+	}
 	u.slots = known.Announcement.Load.MaxRunning
 	u.remote = known.Announcement.FailureDomain != p.failureDomain
 	if residentChanged || u.models == nil {
@@ -164,6 +173,15 @@
 	}
 }
 
+// takeNewVersions returns the services that have got another software version since the last call.
+func (p *upstreamPool) takeNewVersions() map[string]bool {
+	services := p.newVersions
+	if len(services) > 0 {
+		p.newVersions = map[string]bool{}
+	}
+	return services
+}
+
 // ownsAddress reports whether u is the upstream that currently uses its address.
 func (p *upstreamPool) ownsAddress(u *upstream, known roster.Upstream) bool {
 	current := p.byAddress[u.address]
@@ -214,11 +232,6 @@
 	return p.byModel[modelKey{service, model}]
 }
 
-// anyAvailable reports whether a service has an available upstream.
-func (p *upstreamPool) anyAvailable(now time.Time, service string) bool {
-	return slices.ContainsFunc(p.byService[service], func(u *upstream) bool { return p.isAvailable(now, u) })
-}
-
 // reportLag is the approximate age of an engine's report when the engine sends it.
 const reportLag = 100 * time.Millisecond
 
@@ -260,11 +273,11 @@
 	u.history.record(now, u.load(now))
 }
 
-// loadTime returns the time until an upstream of a service has loaded a model that it is loading or
-// making room for. It returns false if there is none.
-func (p *upstreamPool) loadTime(now time.Time, service, model string) (shortest time.Duration, ok bool) {
-	for _, u := range p.byService[service] {
-		if u.loading != model || model == "" || !p.isAvailable(now, u) {
+// loadTime returns the time until an upstream that q allows has loaded the model, which it is loading
+// or making room for. It returns false if there is none.
+func (p *upstreamPool) loadTime(now time.Time, q upstreamQuery) (shortest time.Duration, ok bool) {
+	for _, u := range p.byService[q.service] {
+		if u.loading != q.model || q.model == "" || !q.software.Allows(u.softwareVersion()) || !p.isAvailable(now, u) {
 			continue
 		}
 		if left := max(u.loadDoneAt.Sub(now), 0); !ok || left < shortest {
@@ -279,6 +292,16 @@
 	return !u.isLeaving() && p.byAddress[u.address] == u && (p.lastHeard.Sub(u.LastContact) < p.lease || now.Before(p.graceUntil))
 }
 
+// softwareVersion returns the version of the upstream's software, empty if it has announced none.
+func (u *upstream) softwareVersion() string {
+	return u.Announcement.SoftwareVersion
+}
+
+// isAnnounced reports whether the upstream's announcement is known here, and not only its address.
+func (u *upstream) isAnnounced() bool {
+	return u.Announcement.Name != ""
+}
+
 // process returns the upstream with a name and incarnation, or the name alone if incarnation is 0.
 // It returns nil if there is none.
 func (p *upstreamPool) process(name string, incarnation uint64) *upstream {
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -7,6 +7,7 @@
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/roster"
 )
 
@@ -78,6 +79,9 @@
 	// RosterAge ago, once for all callers.
 	Roster    []byte
 	RosterAge time.Duration
+	// RosterIncomplete is true while the callee has run for less than a lease, so that it may not
+	// have heard from all upstreams.
+	RosterIncomplete bool
 	// Quarantine is nil if the caller already has this state.
 	Quarantine *quarantine.News
 	// Holdings is an encoded EngineStates. It is empty if the caller already has this revision. It
@@ -128,6 +132,8 @@
 	Model   string
 	// Adapter is empty for the model itself.
 	Adapter string
+	// Software limits the engines, if the request resumes a stream.
+	Software resumption.Constraint
 	// Timeout limits the time until the callee replies. The caller waits longer, because it closes
 	// the connection of a call that times out.
 	Timeout time.Duration
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -4,10 +4,9 @@
 	"math"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/lovagelift/lovagelift/internal/parcel"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 // MaxBytes is the largest size of an encoded message. It fits into one datagram on a
@@ -35,21 +34,15 @@
 	kindPushbackReport
 	kindLeaveReport
 	kindRefusalReport
+	kindStreamReport
+	kindStreamQuery
+	kindStreamFound
+	kindStreamUnknown
+	// kindBoundRequest is a Request with a constraint. Instances that do not know constraints ignore
+	// it.
+	kindBoundRequest
 )
 
-const (
-	// maxDuration is above every duration that instances send. A message with a longer
-	// one is damaged.
-	maxDuration = time.Hour
-	// maxCount is above every count that instances send.
-	maxCount = 1 << 24
-	// maxTried is the largest number of upstreams that a request may have tried.
-	maxTried = 8
-)
-
-// ErrDamaged is the error of Decode for bytes that are not a valid message.
-var ErrDamaged = errors.New("permit: message is damaged")
-
 // Append appends the encoding of a message to buffer.
 func Append(buffer []byte, message Message) []byte {
 	switch m := message.(type) {
@@ -97,11 +90,34 @@
 		return appendHead(buffer, kindSendAllowed, m.ID)
 	case SendDelayed:
 		return appendDuration(appendHead(buffer, kindSendDelayed, m.ID), m.Wait)
+	case StreamReport, StreamQuery, StreamFound, StreamUnknown:
+		return appendStream(buffer, message)
 	default:
 		return appendQuota(buffer, message)
 	}
 }
 
+// appendStream appends the encoding of a message about where a stream began.
+func appendStream(buffer []byte, message Message) []byte {
+	switch m := message.(type) {
+	case StreamReport:
+		buffer = parcel.AppendUint(append(buffer, kindStreamReport), uint64(m.Stream))
+		return appendDuration(appendOrigin(buffer, m.Origin), m.Remaining)
+	case StreamQuery:
+		return parcel.AppendUint(appendHead(buffer, kindStreamQuery, m.ID), uint64(m.Stream))
+	case StreamFound:
+		return appendOrigin(appendHead(buffer, kindStreamFound, m.ID), m.Origin)
+	case StreamUnknown:
+		return appendHead(buffer, kindStreamUnknown, m.ID)
+	default:
+		return buffer
+	}
+}
+
+func appendOrigin(buffer []byte, origin resumption.Origin) []byte {
+	return parcel.AppendBytes(parcel.AppendBytes(buffer, origin.Service), origin.SoftwareVersion)
+}
+
 // appendProcess appends the kind of a message and the upstream that it is about.
 func appendProcess(buffer []byte, kind byte, upstream string, incarnation uint64) []byte {
 	return parcel.AppendUint(parcel.AppendBytes(append(buffer, kind), upstream), incarnation)
@@ -158,7 +174,11 @@
 }
 
 func appendRequest(buffer []byte, m Request) []byte {
-	buffer = appendHead(buffer, kindRequest, m.ID)
+	kind := kindRequest
+	if m.Software.Bound {
+		kind = kindBoundRequest
+	}
+	buffer = appendHead(buffer, kind, m.ID)
 	for _, text := range []string{m.Service, m.Model, m.Adapter} {
 		buffer = parcel.AppendBytes(buffer, text)
 	}
@@ -172,6 +192,9 @@
 	for _, name := range m.Tried {
 		buffer = parcel.AppendBytes(buffer, name)
 	}
+	if m.Software.Bound {
+		buffer = parcel.AppendBytes(buffer, m.Software.SoftwareVersion)
+	}
 	return buffer
 }
 
@@ -190,132 +213,3 @@
 func appendDuration(buffer []byte, d time.Duration) []byte {
 	return parcel.AppendUint(buffer, uint64(max(d, 0).Microseconds()))
 }
-
-// Decode decodes a message. If encoded is not a valid encoding, it returns ErrDamaged.
-func Decode(encoded []byte) (Message, error) {
-	if len(encoded) > MaxBytes {
-		return nil, ErrDamaged
-	}
-	r := reader{parcel.NewReader(encoded)}
-	message := r.message(r.Byte())
-	if r.End() != nil {
-		return nil, ErrDamaged
-	}
-	return message, nil
-}
-
-// reader decodes the fields of a message.
-type reader struct {
-	*parcel.Reader
-}
-
-func (r reader) message(kind byte) Message {
-	switch kind {
-	case kindRequest:
-		return r.request()
-	case kindGranted:
-		return Granted{ID: r.id(), Upstream: r.String(), Address: r.String(), PrefillBacklog: r.duration()}
-	case kindQueued:
-		return Queued{ID: r.id()}
-	case kindRejected:
-		return Rejected{
-			ID: r.id(), Reason: Reason(r.Byte()), RetryAfter: r.duration(), EstimatedWait: r.duration(),
-			Survey: Survey{
-				Holders: r.count(), Full: r.count(), PrefillBusy: r.count(), Yielding: r.count(), Avoided: r.count(),
-				ReportAge: r.duration(),
-			},
-		}
-	case kindShuttingDown:
-		return ShuttingDown{ID: r.id()}
-	case kindRelease:
-		return Release{
-			ID: r.id(), Outcome: Outcome(r.Byte()), FirstEventTime: r.duration(), RunTime: r.duration(), Events: r.count(),
-			StreamTime: r.duration(),
-		}
-	case kindLoadReport:
-		return LoadReport{Upstream: r.String(), PrefillTime: r.duration(), ActiveRequests: r.count()}
-	case kindLimitReport:
-		return LimitReport{
-			Upstream: r.String(), Incarnation: r.Uint(), Named: r.Byte() != 0, Limit: r.limit(), Age: r.duration(),
-		}
-	case kindPushbackReport:
-		return PushbackReport{Upstream: r.String(), Incarnation: r.Uint(), Remaining: r.duration()}
-	case kindLeaveReport:
-		return LeaveReport{Upstream: r.String(), Incarnation: r.Uint()}
-	case kindRefusalReport:
-		return RefusalReport{Upstream: r.String(), Incarnation: r.Uint(), Tolerance: r.count()}
-	case kindSendRequest:
-		return SendRequest{ID: r.id(), Upstream: r.String(), Limit: r.limit()}
-	case kindSendAllowed:
-		return SendAllowed{ID: r.id()}
-	case kindSendDelayed:
-		return SendDelayed{ID: r.id(), Wait: r.duration()}
-	case kindQuotaRequest:
-		return QuotaRequest{
-			ID: r.id(), Workspace: r.String(), PerSecond: r.units(), Burst: r.units(), Need: r.units(), Ahead: r.units(),
-		}
-	case kindQuotaGranted:
-		return QuotaGranted{ID: r.id(), Units: r.units(), Scarce: r.Byte() != 0}
-	case kindQuotaDenied:
-		return QuotaDenied{ID: r.id(), Wait: r.duration()}
-	case kindQuotaReturn:
-		return QuotaReturn{Workspace: r.String(), Units: r.units()}
-	case kindQuotaDebit:
-		return QuotaDebit{Workspace: r.String(), Units: r.units()}
-	default:
-		r.Fail()
-		return nil
-	}
-}
-
-func (r reader) limit() ratelimit.Limit {
-	limit := ratelimit.Limit(float64(r.Uint()) / limitUnits)
-	if !limit.Valid() {
-		r.Fail()
-		return 0
-	}
-	return limit
-}
-
-func (r reader) units() float64 {
-	return float64(r.uintUpTo(maxUnits))
-}
-
-func (r reader) request() Request {
-	m := Request{
-		ID: r.id(), Service: r.String(), Model: r.String(), Adapter: r.String(),
-		PromptTokens: r.count(), AnswerTokens: r.count(), Priority: r.Byte(), Yields: r.Byte() != 0,
-		Objective: r.duration(), MaxEventGap: r.duration(), Age: r.duration(), Remaining: r.duration(),
-	}
-	tried := r.Count()
-	if tried > maxTried {
-		r.Fail()
-		return m
-	}
-	for range tried {
-		m.Tried = append(m.Tried, r.String())
-	}
-	return m
-}
-
-func (r reader) id() ID {
-	return ID(r.Uint())
-}
-
-func (r reader) count() int {
-	return int(r.uintUpTo(maxCount))
-}
-
-func (r reader) duration() time.Duration {
-	return time.Duration(r.uintUpTo(uint64(maxDuration.Microseconds()))) * time.Microsecond
-}
-
-// uintUpTo reads a number. If it exceeds maximum, the message is invalid.
-func (r reader) uintUpTo(maximum uint64) uint64 {
-	number := r.Uint()
-	if number > maximum {
-		r.Fail()
-		return 0
-	}
-	return number
-}
--- a/internal/permit/encode_test.go
+++ b/internal/permit/encode_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 // messages returns at least one message of each kind.
@@ -43,6 +44,12 @@
 		permit.QuotaDenied{ID: 12, Wait: 300 * time.Millisecond},
 		permit.QuotaReturn{Workspace: "clerks", Units: 800},
 		permit.QuotaDebit{Workspace: "clerks", Units: 1540},
+		permit.Request{ID: 13, Service: "pool", Model: "m", Software: resumption.BoundTo("v1.2")},
+		permit.Request{ID: 14, Service: "pool", Model: "m", Tried: []string{"e1"}, Software: resumption.BoundTo("")},
+		permit.StreamReport{Stream: 1 << 63, Origin: resumption.Origin{Service: "pool", SoftwareVersion: "v1.2"}, Remaining: 9 * time.Second},
+		permit.StreamQuery{ID: 15, Stream: 1 << 63},
+		permit.StreamFound{ID: 16, Origin: resumption.Origin{Service: "pool", SoftwareVersion: "v1"}},
+		permit.StreamUnknown{ID: 17},
 	}
 }
 
--- a/internal/permit/owners.go
+++ b/internal/permit/owners.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 
@@ -56,6 +57,30 @@
 	return owner, owner.IsValid()
 }
 
+// Ranked returns up to count of the instances that usable accepts, in the order in which they rank
+// for a key. Callers that know the same instances get the same order (rendezvous hashing).
+func (o Owners) Ranked(key uint64, count int, usable func(netip.AddrPort) bool) []netip.AddrPort {
+	type scored struct {
+		address netip.AddrPort
+		score   uint64
+	}
+	first := make([]scored, 0, count+1)
+	for _, candidate := range o.instances {
+		score := rendezvous.Score(key, candidate.hash)
+		if len(first) == count && (count == 0 || score <= first[count-1].score) || !usable(candidate.address) {
+			continue
+		}
+		position, _ := slices.BinarySearchFunc(first, score, func(ranked scored, score uint64) int { return cmp.Compare(score, ranked.score) })
+		first = slices.Insert(first, position, scored{candidate.address, score})
+		first = first[:min(len(first), count)]
+	}
+	ranked := make([]netip.AddrPort, 0, len(first))
+	for _, candidate := range first {
+		ranked = append(ranked, candidate.address)
+	}
+	return ranked
+}
+
 // All returns the addresses of all instances, sorted.
 func (o Owners) All() []netip.AddrPort {
 	all := make([]netip.AddrPort, 0, len(o.instances))
--- a/internal/permit/owners_test.go
+++ b/internal/permit/owners_test.go
@@ -72,3 +72,37 @@
 		Expect(found).To(BeFalse())
 	})
 })
+
+var _ = Describe("The instances that rank first for a stream", func() {
+	It("are the same for the same instances, and others step in for those that are gone", func() {
+		addresses := instances(40)
+		owners := permit.NewOwners(addresses)
+		for key := range uint64(200) {
+			ranked := owners.Ranked(key, 3, anyUsable)
+			Expect(ranked).To(HaveLen(3))
+			Expect(owners.Ranked(key, 40, anyUsable)[:3]).To(Equal(ranked))
+			withoutFirst := owners.Ranked(key, 3, func(a netip.AddrPort) bool { return a != ranked[0] })
+			Expect(withoutFirst[:2]).To(Equal(ranked[1:]))
+		}
+	})
+
+	It("are all if there are fewer, and none if none is wanted", func() {
+		owners := permit.NewOwners(instances(2))
+		Expect(owners.Ranked(7, 3, anyUsable)).To(ConsistOf(instances(2)))
+		Expect(owners.Ranked(7, 0, anyUsable)).To(BeEmpty())
+		Expect(permit.Owners{}.Ranked(7, 3, anyUsable)).To(BeEmpty())
+	})
+
+	It("are spread evenly over the instances", func() {
+		owners := permit.NewOwners(instances(20))
+		counts := map[netip.AddrPort]int{}
+		for key := range uint64(2000) {
+			for _, address := range owners.Ranked(key<<20, 2, anyUsable) {
+				counts[address]++
+			}
+		}
+		for _, count := range counts {
+			Expect(count).To(BeNumerically("~", 200, 60))
+		}
+	})
+})
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 // ID distinguishes the permit and rate limit requests of one instance.
@@ -56,6 +57,8 @@
 	Remaining time.Duration
 	// Tried are the names of the upstreams at which earlier attempts failed.
 	Tried []string
+	// Software limits the upstreams, if the request resumes a stream.
+	Software resumption.Constraint
 }
 
 // Granted replies to a permit request with the upstream to send to.
@@ -229,6 +232,32 @@
 	Units     float64
 }
 
+// StreamReport reports where a stream began that may be resumed, to the instances that rank first
+// for it.
+type StreamReport struct {
+	Stream resumption.StreamID
+	Origin resumption.Origin
+	// Remaining is the time for which the stream may be resumed.
+	Remaining time.Duration
+}
+
+// StreamQuery asks another instance where a stream began. It may be sent again.
+type StreamQuery struct {
+	ID     ID
+	Stream resumption.StreamID
+}
+
+// StreamFound replies to a StreamQuery with the origin of the stream.
+type StreamFound struct {
+	ID     ID
+	Origin resumption.Origin
+}
+
+// StreamUnknown replies to a StreamQuery: the instance does not know the stream.
+type StreamUnknown struct {
+	ID ID
+}
+
 func (Request) message()        {}
 func (Granted) message()        {}
 func (Queued) message()         {}
@@ -248,6 +277,10 @@
 func (QuotaDenied) message()    {}
 func (QuotaReturn) message()    {}
 func (QuotaDebit) message()     {}
+func (StreamReport) message()   {}
+func (StreamQuery) message()    {}
+func (StreamFound) message()    {}
+func (StreamUnknown) message()  {}
 
 // Reply is a message that replies to a request of its recipient.
 type Reply interface {
@@ -280,6 +313,12 @@
 // RequestID returns the ID of the request.
 func (m QuotaDenied) RequestID() ID { return m.ID }
 
+// RequestID returns the ID of the request.
+func (m StreamFound) RequestID() ID { return m.ID }
+
+// RequestID returns the ID of the request.
+func (m StreamUnknown) RequestID() ID { return m.ID }
+
 // Reason is the reason for which a permit request is rejected.
 type Reason uint8
 
@@ -293,6 +332,8 @@
 	LimitsExhausted
 	// UpstreamsPushBack means that the upstreams want no requests from the sender now.
 	UpstreamsPushBack
+	// VersionUnavailable means that no upstream has the software version that began the stream.
+	VersionUnavailable
 )
 
 // Outcome is the result of a request for which a permit was granted.
--- /dev/null
+++ b/internal/resumption/origins.go
@@ -0,0 +1,88 @@
+package resumption
+
+import (
+	"iter"
+	"time"
+)
+
+// MaxRetention is the longest time for which an origin is kept.
+const MaxRetention = 10 * time.Minute
+
+// sweepInterval is the time between two removals of expired origins.
+const sweepInterval = time.Second
+
+// Origins holds the origins of streams that may be resumed. The zero value is empty and ready to
+// use. It is not safe for concurrent use.
+type Origins struct {
+	byStream map[StreamID]expiringOrigin
+	sweptAt  time.Time
+}
+
+type expiringOrigin struct {
+	Origin
+	expires time.Time
+}
+
+// Record records that a stream began at origin and may be resumed until expires, which is at most
+// MaxRetention from now.
+func (o *Origins) Record(now time.Time, stream StreamID, origin Origin, expires time.Time) {
+	if o.byStream == nil {
+		o.byStream = map[StreamID]expiringOrigin{}
+	}
+	o.sweep(now)
+	if latest := now.Add(MaxRetention); expires.After(latest) {
+		expires = latest
+	}
+	o.byStream[stream] = expiringOrigin{origin, expires}
+}
+
+// Shorten makes the origin of a stream expire at the given time, unless it expires earlier.
+func (o *Origins) Shorten(stream StreamID, expires time.Time) {
+	if known, found := o.byStream[stream]; found && expires.Before(known.expires) {
+		o.byStream[stream] = expiringOrigin{known.Origin, expires}
+	}
+}
+
+// Find returns the origin of a stream. It returns false if the origin is unknown or has expired.
+func (o *Origins) Find(now time.Time, stream StreamID) (Origin, bool) {
+	known, found := o.byStream[stream]
+	if !found || !now.Before(known.expires) {
+		return Origin{}, false
+	}
+	return known.Origin, true
+}
+
+// Len returns the number of origins, including expired ones that have not been removed.
+func (o *Origins) Len() int {
+	return len(o.byStream)
+}
+
+// Record is the origin of a stream that may be resumed for the Remaining time.
+type Record struct {
+	Stream StreamID
+	Origin
+	Remaining time.Duration
+}
+
+// All returns the origins that have not expired.
+func (o *Origins) All(now time.Time) iter.Seq[Record] {
+	return func(yield func(Record) bool) {
+		for stream, known := range o.byStream {
+			if remaining := known.expires.Sub(now); remaining > 0 && !yield(Record{stream, known.Origin, remaining}) {
+				return
+			}
+		}
+	}
+}
+
+func (o *Origins) sweep(now time.Time) {
+	if now.Sub(o.sweptAt) < sweepInterval {
+		return
+	}
+	o.sweptAt = now
+	for stream, known := range o.byStream {
+		if !now.Before(known.expires) {
+			delete(o.byStream, stream)
+		}
+	}
+}
--- /dev/null
+++ b/internal/resumption/versions.go
@@ -0,0 +1,64 @@
+package resumption
+
+import "time"
+
+// Versions holds the software versions that the upstreams of each service have had, and when each
+// was last in use. The zero value is empty and ready to use. It is not safe for concurrent use.
+type Versions struct {
+	lastUse map[string]map[string]time.Time
+}
+
+// Observe records that an upstream of a service had a software version at the given time. It reports
+// whether the service had others and not this one before. Versions that have not been in use for
+// MaxRetention are forgotten.
+func (v *Versions) Observe(service, version string, at time.Time) (added bool) {
+	if v.lastUse == nil {
+		v.lastUse = map[string]map[string]time.Time{}
+	}
+	versions := v.lastUse[service]
+	if versions == nil {
+		versions = map[string]time.Time{}
+		v.lastUse[service] = versions
+	}
+	last, known := versions[version]
+	if known && !at.After(last) {
+		return false
+	}
+	versions[version] = at
+	if known {
+		return false
+	}
+	for other, lastUse := range versions {
+		if at.Sub(lastUse) > MaxRetention {
+			delete(versions, other)
+		}
+	}
+	return len(versions) > 1
+}
+
+// Only returns the software version of all upstreams that a service has had since a given time. It
+// returns false if there were none, or several versions.
+func (v *Versions) Only(service string, since time.Time) (version string, ok bool) {
+	for candidate, last := range v.lastUse[service] {
+		if last.Before(since) {
+			continue
+		}
+		if ok {
+			return "", false
+		}
+		version, ok = candidate, true
+	}
+	return version, ok
+}
+
+// Several reports whether the upstreams of a service have had several software versions since a given
+// time.
+func (v *Versions) Several(service string, since time.Time) bool {
+	count := 0
+	for _, last := range v.lastUse[service] {
+		if !last.Before(since) {
+			count++
+		}
+	}
+	return count > 1
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -28,6 +28,10 @@
 // the same name and incarnation, so that it can't come from that upstream.
 var ErrServicesMismatch = errors.New("roster: announcement of another writer")
 
+// ErrVersionMismatch is returned when an announcement states another software version than the
+// upstream of the same name and incarnation, or none, so that it can't come from that upstream.
+var ErrVersionMismatch = errors.New("roster: announcement of another software version")
+
 // Upstream is the state of an upstream as this instance knows it.
 type Upstream struct {
 	// Announcement is the most recent one. Its slices must not be changed.
@@ -166,13 +170,14 @@
 // the leave of an upstream is known, its address is unknown and its name is free.
 //
 // If the incarnation was announced before with other services, the announcement does not come from
-// the upstream itself, and Announce returns an error that wraps ErrServicesMismatch.
+// the upstream itself, and Announce returns an error that wraps ErrServicesMismatch. If it was
+// announced with another software version, the error wraps ErrVersionMismatch.
 func (r *Roster) Announce(now time.Time, announcement upstreamapi.Announcement) error {
 	row, known := r.upstreams.rows[announcement.Name]
-	if known && row.incarnation == announcement.Incarnation && len(row.static.Services) > 0 &&
-		!slices.Equal(row.static.Services, announcement.Services) && len(announcement.Services) > 0 {
-		return errors.Wrapf(ErrServicesMismatch, "%q answers for %v, this announcement gives %v",
-			announcement.Name, row.static.Services, announcement.Services)
+	if known && row.incarnation == announcement.Incarnation {
+		if err := checkWriter(row.static, announcement); err != nil {
+			return err
+		}
 	}
 	if known && row.static.Address != "" && row.static.Address != announcement.Address {
 		restarted := r.options.AllowRestartElsewhere && row.incarnation < announcement.Incarnation
@@ -197,6 +202,20 @@
 	return nil
 }
 
+// checkWriter returns an error if an announcement differs from an earlier one of the same process in
+// what never changes.
+func checkWriter(earlier upstreamStatic, announcement upstreamapi.Announcement) error {
+	if len(earlier.Services) > 0 && len(announcement.Services) > 0 && !slices.Equal(earlier.Services, announcement.Services) {
+		return errors.Wrapf(ErrServicesMismatch, "%q answers for %v, this announcement gives %v",
+			announcement.Name, earlier.Services, announcement.Services)
+	}
+	if earlier.SoftwareVersion != "" && earlier.SoftwareVersion != announcement.SoftwareVersion {
+		return errors.Wrapf(ErrVersionMismatch, "%q is of version %q, this announcement gives %q",
+			announcement.Name, earlier.SoftwareVersion, announcement.SoftwareVersion)
+	}
+	return nil
+}
+
 // ReportLoad stores a load report that an upstream sent between two announcements. If the upstream is
 // unknown, has another incarnation or has already reported a later load, ReportLoad does nothing.
 func (r *Roster) ReportLoad(now time.Time, report upstreamapi.LoadReport) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -81,6 +81,24 @@
 		Expect(r.Upstreams(at(1))[0].Announcement.Services).To(Equal([]string{"pool"}))
 	})
 
+	// An announcement of another writer must not change the version by which streams are resumed.
+	It("refuses another software version for the same incarnation", func() {
+		r := newRoster("a")
+		own := announcement(1)
+		Expect(r.Announce(at(0), own)).To(Succeed())
+		own.Sequence, own.SoftwareVersion = 2, "v1"
+		Expect(r.Announce(at(0), own)).To(Succeed(), "it stated none before")
+		for sequence, version := range map[uint64]string{3: "v2", 4: ""} {
+			foreign := announcement(sequence)
+			foreign.SoftwareVersion = version
+			Expect(r.Announce(at(1), foreign)).To(MatchError(roster.ErrVersionMismatch))
+		}
+		Expect(r.Upstreams(at(1))[0].Announcement.SoftwareVersion).To(Equal("v1"))
+		restarted := announcement(1)
+		restarted.Incarnation, restarted.SoftwareVersion = 2, "v2"
+		Expect(r.Announce(at(2), restarted)).To(Succeed())
+	})
+
 	It("refuses a reused name with a different address and changes nothing", func() {
 		r := newRoster("a")
 		Expect(r.Announce(at(0), announcement(1))).To(Succeed())
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -79,6 +80,11 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// LeadsTo reports whether requests may go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(share Share) bool { return share.Service == service && share.Weight > 0 })
+}
+
 // Service returns the service for a request, given a random number from [0, 1).
 func (r *Route) Service(random float64) string {
 	total := 0.0
