--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -203,13 +203,14 @@
 }
 
 // checkWriter returns an error if an announcement differs from an earlier one of the same process in
-// what never changes.
+// what never changes. An announcement without an address stands for a process of which only the leave
+// is known.
 func checkWriter(earlier upstreamStatic, announcement upstreamapi.Announcement) error {
 	if len(earlier.Services) > 0 && len(announcement.Services) > 0 && !slices.Equal(earlier.Services, announcement.Services) {
 		return errors.Wrapf(ErrServicesMismatch, "%q answers for %v, this announcement gives %v",
 			announcement.Name, earlier.Services, announcement.Services)
 	}
-	if earlier.SoftwareVersion != "" && earlier.SoftwareVersion != announcement.SoftwareVersion {
+	if announcement.Address != "" && earlier.SoftwareVersion != "" && earlier.SoftwareVersion != announcement.SoftwareVersion {
 		return errors.Wrapf(ErrVersionMismatch, "%q is of version %q, this announcement gives %q",
 			announcement.Name, earlier.SoftwareVersion, announcement.SoftwareVersion)
 	}
