desk: a stream that is resumed goes on at the software version that its caller repeats

Here the callers' protocol is ours, so the caller keeps the state: a response states the software version, and a request that resumes repeats it. No instance remembers a stream, and nothing is lost when all restart. Without the header only a single version counts, and 409 tells that there are several. The request states the version to the upstream as well, which refuses it if another process has taken over its name.

--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -14,6 +14,7 @@
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/quota"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
@@ -33,6 +34,8 @@
 	size      quota.Size
 	arrivedAt time.Time
 	deadline  time.Time
+	// software limits the upstreams if the request resumes a stream.
+	software resumption.Constraint
 	// needsDoneEvent is set if an event stream is complete only with its final event.
 	needsDoneEvent bool
 }
@@ -123,6 +126,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkSoftwareVersion(task, slot, response); err != nil {
+		response.Body.Close()
+		return nil, err
+	}
 	if shuttle.IsEventStream(response.Header) {
 		response.Body = &firstByteReader{ReadCloser: response.Body, slot: slot}
 		return response, nil
@@ -199,6 +206,8 @@
 func (s *Server) finalRefusal(task task, err error) *RefusalError {
 	var existing *RefusalError
 	switch {
+	case errors.Is(err, errNoCandidate) && task.software.Bound:
+		return versionUnavailableRefusal(task.software)
 	case errors.Is(err, errNoCandidate):
 		return s.unknownTargetRefusal(task)
 	case errors.As(err, &existing):
--- a/internal/desk/completions.go
+++ b/internal/desk/completions.go
@@ -90,6 +90,9 @@
 	if s.options.CrashDetector.IsQuarantined(task.digest) {
 		return s.quarantineRefusal(task)
 	}
+	if refusal := s.bindToVersion(&task); refusal != nil {
+		return refusal
+	}
 	if refusal := s.workspaces.charge(s.options.Now(), task.admitted.workspace, task.size); refusal != nil {
 		return refusal
 	}
--- a/internal/desk/fakes_test.go
+++ b/internal/desk/fakes_test.go
@@ -181,7 +181,7 @@
 	var changed []roster.Upstream
 	for _, upstream := range upstreams {
 		upstream.Announcement.Sequence = s.sequence
-		upstream.LastContact = time.Now()
+		upstream.LastContact = s.now()
 		upstream.Leaving = leaving
 		changed = append(changed, upstream)
 	}
@@ -194,12 +194,21 @@
 	api           *desk.Server
 	crashDetector *coroner.CrashDetector
 	url           string
+	now           func() time.Time
 	// sequence is the sequence number of the last announcement.
 	sequence uint64
 }
 
+// upstreamLease is long enough that no upstream expires during a spec.
+const upstreamLease = time.Hour
+
 // newTestServer returns a server with the default limits of these tests, modified by changes.
 func newTestServer(cluster *fakeVoters, name string, changes ...func(*desk.Limits)) *testServer {
+	return newTestServerWithClock(cluster, name, time.Now, changes...)
+}
+
+// newTestServerWithClock is newTestServer with a given clock.
+func newTestServerWithClock(cluster *fakeVoters, name string, now func() time.Time, changes ...func(*desk.Limits)) *testServer {
 	limits := desk.Limits{MaxBodyBytes: 1 << 10, DefaultDeadline: 10 * time.Second, InProgressWait: 500 * time.Millisecond}
 	for _, change := range changes {
 		change(&limits)
@@ -213,11 +222,11 @@
 			return err == nil
 		},
 		NewLogEvent: func(string) *zerolog.Event { return nil },
-		Now:         time.Now,
+		Now:         now,
 	})
 	server := desk.New(desk.Options{
-		CrashDetector: detector, Instance: instance, Name: name, Incarnation: 1, Proxy: proxy, Now: time.Now, Log: zerolog.New(GinkgoWriter).With().Timestamp().Logger(),
-		UpstreamLease: time.Hour,
+		CrashDetector: detector, Instance: instance, Name: name, Incarnation: 1, Proxy: proxy, Now: now, Log: zerolog.New(GinkgoWriter).With().Timestamp().Logger(),
+		UpstreamLease: upstreamLease,
 		Limits:        limits,
 	})
 	listener := httptest.NewUnstartedServer(server)
@@ -229,7 +238,7 @@
 		detector.Close()
 		proxy.Close()
 	})
-	return &testServer{fakeInstance: instance, api: server, crashDetector: detector, url: listener.URL}
+	return &testServer{fakeInstance: instance, api: server, crashDetector: detector, url: listener.URL, now: now}
 }
 
 // callerReply is what a caller receives.
--- a/internal/desk/refusal.go
+++ b/internal/desk/refusal.go
@@ -30,6 +30,8 @@
 	CodeUnknownModel              Code = "unknown-model"
 	CodeUnknownService            Code = "unknown-service"
 	CodeNoUpstream                Code = "no-upstream"
+	CodeVersionUnavailable        Code = "version-unavailable"
+	CodeVersionUnknown            Code = "version-unknown"
 	CodeOverloaded                Code = "overloaded"
 	CodeDraining                  Code = "draining"
 	CodeConfigurationNotConfirmed Code = "configuration-not-confirmed"
--- a/internal/desk/router.go
+++ b/internal/desk/router.go
@@ -12,6 +12,7 @@
 	"github.com/lovagelift/lovagelift/internal/admission"
 	"github.com/lovagelift/lovagelift/internal/dispatch"
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
@@ -53,8 +54,11 @@
 	// reportsRequestStatus is the set of upstreams that support request status queries.
 	reportsRequestStatus map[string]bool
 	rateLimits           rateLimits
-	lastArrivalID        uint64
-	sweptAt              time.Time
+	// versions are the software versions of each target.
+	versions      resumption.Versions
+	startedAt     time.Time
+	lastArrivalID uint64
+	sweptAt       time.Time
 }
 
 // queueResult ends the wait of a queued request. Either start or refusal is set.
@@ -79,6 +83,7 @@
 		waiting:              map[uint64]chan queueResult{},
 		reportsRequestStatus: map[string]bool{},
 		rateLimits:           newRateLimits(options.Instances, options.Log),
+		startedAt:            options.Now(),
 	}
 }
 
@@ -95,6 +100,7 @@
 		}
 		r.reportsRequestStatus[view.Name] = upstream.Announcement.Has(upstreamapi.CapabilityRequestStatus)
 		r.dispatcher.Update(view)
+		r.observeVersion(upstream)
 		r.startWaiting(now, view.Name)
 	}
 	if now.Sub(r.sweptAt) >= r.upstreamLease {
@@ -139,6 +145,7 @@
 		prompt := task.request.Body[:min(len(task.request.Body), maxPrefixBlocks*block)]
 		a.Blocks = dispatch.BlockHashes(nil, a.Target, prompt, block)
 	}
+	a.Target = a.Target.WithSoftwareVersion(task.software.SoftwareVersion)
 	return a
 }
 
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -180,13 +180,14 @@
 		predicted.firstTokenSeconds += 2 * d.options.RemoteDelay.Seconds()
 	}
 	candidate := Candidate{
-		Name:          u.view.Name,
-		Address:       u.view.Address,
-		FirstToken:    time.Duration(predicted.firstTokenSeconds * float64(time.Second)),
-		TokenInterval: predicted.tokenInterval,
-		CachedTokens:  cached,
-		Cost:          r.Goal.cost(predicted),
-		upstream:      u,
+		Name:            u.view.Name,
+		Address:         u.view.Address,
+		SoftwareVersion: u.view.SoftwareVersion,
+		FirstToken:      time.Duration(predicted.firstTokenSeconds * float64(time.Second)),
+		TokenInterval:   predicted.tokenInterval,
+		CachedTokens:    cached,
+		Cost:            r.Goal.cost(predicted),
+		upstream:        u,
 	}
 	decision.add(&candidate)
 }
--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -52,6 +52,8 @@
 type Candidate struct {
 	Name    string
 	Address string
+	// SoftwareVersion is empty if the upstream announces none.
+	SoftwareVersion string
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
 	// TokenInterval is the predicted time between tokens.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -263,7 +263,7 @@
 // sameTargets reports whether a and b serve the same targets, in which case the pools
 // don't change.
 func sameTargets(a, b *View) bool {
-	return slices.Equal(a.Services, b.Services) &&
+	return a.SoftwareVersion == b.SoftwareVersion && slices.Equal(a.Services, b.Services) &&
 		slices.EqualFunc(a.Resident, b.Resident, func(x, y upstreamapi.Resident) bool {
 			return x.Model == y.Model && x.Version == y.Version && slices.Equal(x.Adapters, y.Adapters)
 		})
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -21,7 +21,9 @@
 	Resident []upstreamapi.Resident
 	// Services lists the plain services that the upstream provides.
 	Services []string
-	Load     upstreamapi.Load
+	// SoftwareVersion is empty if the upstream announces none.
+	SoftwareVersion string
+	Load            upstreamapi.Load
 	// LoadAt is the time at which Load was measured, on this instance's clock.
 	LoadAt time.Time
 	// LeaseUntil is the time from which the upstream receives no new requests, unless
@@ -36,17 +38,18 @@
 // starts then.
 func ViewFromAnnouncement(now time.Time, a upstreamapi.Announcement, lease time.Duration) View {
 	return View{
-		Name:          a.Name,
-		Address:       a.Address,
-		FailureDomain: a.FailureDomain,
-		Incarnation:   a.Incarnation,
-		Sequence:      a.Sequence,
-		Kind:          a.Kind,
-		Resident:      a.Resident,
-		Services:      a.Services,
-		Load:          a.Load,
-		LoadAt:        now.Add(-a.Load.Age),
-		LeaseUntil:    now.Add(lease),
+		Name:            a.Name,
+		Address:         a.Address,
+		FailureDomain:   a.FailureDomain,
+		Incarnation:     a.Incarnation,
+		Sequence:        a.Sequence,
+		Kind:            a.Kind,
+		Resident:        a.Resident,
+		Services:        a.Services,
+		SoftwareVersion: a.SoftwareVersion,
+		Load:            a.Load,
+		LoadAt:          now.Add(-a.Load.Age),
+		LeaseUntil:      now.Add(lease),
 	}
 }
 
@@ -67,12 +70,23 @@
 	Adapter string
 	// Version is the version of Model. Empty means any.
 	Version string
-	// Service is the name of a plain service. The other fields are empty then.
+	// Service is the name of a plain service. Model, Adapter and Version are empty then.
 	Service string
+	// SoftwareVersion is the version of the upstream's software. Empty means any.
+	SoftwareVersion string
 }
 
-// String returns the target as a single word, for logs and as the name of its pool.
+// WithSoftwareVersion returns the target at the upstreams of a software version.
+func (t Target) WithSoftwareVersion(version string) Target {
+	t.SoftwareVersion = version
+	return t
+}
+
+// String returns the target as a short text, for logs and as the name of its pool.
 func (t Target) String() string {
+	if t.SoftwareVersion != "" {
+		return t.WithSoftwareVersion("").String() + " of " + t.SoftwareVersion
+	}
 	if t.Service != "" {
 		return "service:" + t.Service
 	}
@@ -98,6 +112,12 @@
 			dst = appendVersions(dst, r, adapter)
 		}
 	}
+	if v.SoftwareVersion == "" {
+		return dst
+	}
+	for _, target := range dst {
+		dst = append(dst, target.WithSoftwareVersion(v.SoftwareVersion))
+	}
 	return dst
 }
 
--- a/internal/upstreamapi/paths.go
+++ b/internal/upstreamapi/paths.go
@@ -45,6 +45,11 @@
 	// LastEventIDHeader is the id of the last stream event that the client
 	// received. The server-sent events standard defines the name.
 	LastEventIDHeader = "Last-Event-ID"
+	// SoftwareVersionHeader is the only software version that may run a request
+	// that resumes a stream. An upstream of another one refuses the request
+	// with RefusedHeader. In a response, it is the version that ran the
+	// request.
+	SoftwareVersionHeader = "Lovagelift-Software-Version"
 )
 
 // Headers of responses from an upstream to an instance.
