counter, backoffice: control instances know where streams began after all entry instances are gone

What callers saw: a stream whose beginner and the instances that were told of it are gone was refused while its service has several versions (the new spec, in which all instances are replaced, fails without the query to the control instances). An instance to which no other can tell the origin asks all control instances.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -14,6 +14,7 @@
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/jury"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -36,6 +37,8 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
+	// origins are the origins of streams that entry instances reported.
+	origins resumption.Origins
 	// cachedMembership is the result of the last call of membership that computed one.
 	cachedMembership membership
 	// packedEdition is the edition that was last sent to an entry instance, with its
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -32,6 +32,7 @@
 	reply := courier.SyncReply{Leader: leader.Instance(), RosterIncomplete: now.Sub(i.startedAt) < i.options.UpstreamLease}
 	i.mu.Lock()
 	i.roster.Renew(now, args.From)
+	i.recordOrigins(now, args.Streams)
 	i.fillRoster(now, args.Cursor, &reply)
 	if members := i.membership(now).forDomain(args.FailureDomain); members.Revision != args.Members {
 		reply.Members = &members
--- /dev/null
+++ b/internal/backoffice/origins.go
@@ -0,0 +1,28 @@
+package backoffice
+
+import (
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+)
+
+// A control instance keeps the origins of the streams of the entry instances that sync with it, for
+// the case that all entry instances which know a stream are gone.
+
+// recordOrigins records where streams began. i.mu is held.
+func (i *Instance) recordOrigins(now time.Time, groups []courier.StreamGroup) {
+	for _, group := range groups {
+		for _, stream := range group.Streams {
+			i.origins.Record(now, stream, group.Origin, now.Add(group.Remaining))
+		}
+	}
+}
+
+// Origin returns the origin of a stream.
+func (f feedServer) Origin(args courier.OriginArgs) courier.OriginReply {
+	i := f.instance
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	origin, known := i.origins.Find(i.options.Now(), args.Stream)
+	return courier.OriginReply{Known: known, Origin: origin}
+}
--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -28,6 +28,21 @@
 		Expect(c.want(ctx, args)()).To(BeEmpty())
 	}, SpecTimeout(specTimeout))
 
+	// All entry instances that know a stream may be gone when it is resumed.
+	It("are found for the streams that entry instances have reported", func(ctx SpecContext) {
+		c := newTestCluster()
+		origin := resumption.Origin{Service: "pool", SoftwareVersion: "v2"}
+		group := courier.StreamGroup{Origin: origin, Remaining: time.Minute, Streams: []resumption.StreamID{7, 8}}
+		_, err := c.calls.Sync(ctx, c.seeds[1], courier.SyncArgs{Streams: []courier.StreamGroup{group}})
+		Expect(err).NotTo(HaveOccurred())
+		reply, err := c.calls.StreamOrigin(ctx, c.seeds[1], courier.OriginArgs{Stream: 8})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply).To(Equal(courier.OriginReply{Known: true, Origin: origin}))
+		reply, err = c.calls.StreamOrigin(ctx, c.seeds[1], courier.OriginArgs{Stream: 9})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Known).To(BeFalse())
+	}, SpecTimeout(specTimeout))
+
 	It("may be unknown to a control instance that has just started", func(ctx SpecContext) {
 		c := newTestCluster()
 		reply, err := c.calls.Sync(ctx, c.seeds[0], courier.SyncArgs{})
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -61,6 +61,8 @@
 	quotas        quotaAccounts
 	// origins are the origins of streams that began here, and of those reported by other instances.
 	origins resumption.Origins
+	// unsyncedStreams are the streams to report to a control instance.
+	unsyncedStreams []resumption.Record
 	// crashes detects upstreams that crash while running requests. Lock order: mu before the lock
 	// of the detector.
 	crashes *coroner.CrashDetector
@@ -121,6 +123,7 @@
 		syncCalls:   courier.NewPool(options.Dial, syncTimeout),
 		loadCalls:   courier.NewPool(options.Dial, syncTimeout),
 		reportCalls: courier.NewPool(options.Dial, syncTimeout),
+		originCalls: courier.NewPool(options.Dial, controlOriginTimeout),
 		known:       options.Seeds,
 		nextIndex:   rand.IntN(len(options.Seeds)),
 
@@ -196,6 +199,7 @@
 	p.control.loadCalls.Close()
 	p.crashes.Close()
 	p.control.reportCalls.Close()
+	p.control.originCalls.Close()
 	p.peers.close()
 	p.background.Wait()
 	p.upstreams.closeIdle()
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -14,6 +14,7 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -46,13 +47,15 @@
 	// quarantine, if set, is served to the callers. reported holds the reported crashes.
 	quarantine *quarantine.News
 	reported   quarantine.Update
+	// origins are the reported origins of streams.
+	origins map[resumption.StreamID]resumption.Origin
 }
 
 func newFakeControl() *fakeControl {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	c := &fakeControl{
-		address: listener.Addr().String(), editions: []string{allRoutes},
+		address: listener.Addr().String(), origins: map[resumption.StreamID]resumption.Origin{}, editions: []string{allRoutes},
 		roster: roster.New(roster.Options{Self: "control", Incarnation: 1, Lease: time.Minute}),
 	}
 	server, err := courier.NewServer(listener, courier.Services{Others: map[string]any{"Feed": courier.NewFeedService(c)}})
@@ -65,6 +68,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.syncs = append(c.syncs, args)
+	for _, group := range args.Streams {
+		for _, stream := range group.Streams {
+			c.origins[stream] = group.Origin
+		}
+	}
 	reply := courier.SyncReply{
 		Leader: c.address, RosterIncomplete: c.rosterIncomplete, Reading: edition.Reading{Version: 1, Confirmed: !c.catchingUp},
 		Changes: c.roster.Since(time.Now(), args.Cursor),
@@ -126,6 +134,20 @@
 	c.catchingUp = catchingUp
 }
 
+func (c *fakeControl) Origin(args courier.OriginArgs) courier.OriginReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	origin, known := c.origins[args.Stream]
+	return courier.OriginReply{Known: known, Origin: origin}
+}
+
+// knownStreams returns the number of streams whose origin was reported.
+func (c *fakeControl) knownStreams() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.origins)
+}
+
 func (c *fakeControl) Note(_ context.Context, args courier.NoteArgs) courier.NoteReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -176,6 +198,14 @@
 	}
 }
 
+// setExactEntries replaces the list of all entry instances.
+func (c *fakeControl) setExactEntries(addresses ...netip.AddrPort) {
+	c.mu.Lock()
+	c.exactEntries = nil
+	c.mu.Unlock()
+	c.addExactEntries(addresses...)
+}
+
 // announceLeave announces that an upstream is leaving.
 func (c *fakeControl) announceLeave(name string) {
 	c.mu.Lock()
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -5,8 +5,10 @@
 	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -14,8 +16,8 @@
 
 // A stream that a caller resumes goes on only at the software version that began it. While the
 // upstreams of a service have several versions, an instance that begins a stream reports its origin
-// to the instances that rank first for the stream. The instance at which it is resumed asks those,
-// and all others only if none of them knows the stream.
+// to the instances that rank first for the stream, and to a control instance with the next sync. The
+// instance at which it is resumed asks the former, then all others, then the control instances.
 
 const (
 	// originCopies is the number of other instances to which the origin of a stream is reported.
@@ -26,6 +28,10 @@
 	// originMargin is added to the time for which a stream may be resumed, for callers that state
 	// their remaining time late.
 	originMargin = time.Second
+	// maxUnsyncedStreams bounds the streams that wait for a sync. The oldest ones are dropped first.
+	maxUnsyncedStreams = 4096
+	// controlOriginTimeout is how long the control instances have to answer where a stream began.
+	controlOriginTimeout = 200 * time.Millisecond
 	// completedRetention is how long the origin of a complete stream is kept. Its last events may not
 	// have reached the caller.
 	completedRetention = 5 * time.Second
@@ -84,6 +90,7 @@
 	originRanked      originSource = "ranked-instance"
 	originOnlyVersion originSource = "only-version"
 	originOther       originSource = "other-instance"
+	originControl     originSource = "control-instance"
 	originUnknown     originSource = "unknown"
 )
 
@@ -113,6 +120,9 @@
 	if origin, known := p.askOrigin(ctx, stream, others); known {
 		return origin, originOther
 	}
+	if origin, known := p.askControl(ctx, stream); known {
+		return origin, originControl
+	}
 	return resumption.Origin{}, originUnknown
 }
 
@@ -177,6 +187,30 @@
 	return resumption.Origin{}, false
 }
 
+// askControl asks all control instances for the origin of a stream. It returns false if none knows
+// it.
+func (p *Proxy) askControl(ctx context.Context, stream resumption.StreamID) (resumption.Origin, bool) {
+	ctx, cancel := context.WithTimeout(ctx, controlOriginTimeout)
+	defer cancel()
+	p.mu.Lock()
+	addresses := p.control.known
+	p.mu.Unlock()
+	replies := make(chan courier.OriginReply, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			// A failed call counts as the reply of an instance that does not know the stream.
+			reply, _ := p.control.originCalls.StreamOrigin(ctx, address, courier.OriginArgs{Stream: stream})
+			replies <- reply
+		}()
+	}
+	for range addresses {
+		if reply := <-replies; reply.Known {
+			return reply.Origin, true
+		}
+	}
+	return resumption.Origin{}, false
+}
+
 func (p *Proxy) sendQueries(stream resumption.StreamID, queries map[permit.ID]netip.AddrPort) {
 	for id, peer := range queries {
 		p.peers.send(peer, permit.StreamQuery{ID: id, Stream: stream})
@@ -251,8 +285,13 @@
 	p.origins.Shorten(t.streamID(), p.options.Now().Add(completedRetention))
 }
 
-// reportOrigin reports the origin of a stream to the instances that rank first for it. p.mu is held.
+// reportOrigin reports the origin of a stream to the instances that rank first for it, and with the
+// next sync to a control instance. p.mu is held.
 func (p *Proxy) reportOrigin(record resumption.Record) {
+	if len(p.unsyncedStreams) >= maxUnsyncedStreams {
+		p.unsyncedStreams = slices.Delete(p.unsyncedStreams, 0, maxUnsyncedStreams/2)
+	}
+	p.unsyncedStreams = append(p.unsyncedStreams, record)
 	for _, peer := range p.owners.assignment.Ranked(uint64(record.Stream), originCopies, p.isPeer) {
 		p.peers.send(peer, permit.StreamReport{Stream: record.Stream, Origin: record.Origin, Remaining: record.Remaining})
 		p.metrics.countOriginReport()
@@ -276,3 +315,20 @@
 		}
 	}
 }
+
+// groupStreams groups streams by their origin.
+func groupStreams(records []resumption.Record) []courier.StreamGroup {
+	var groups []courier.StreamGroup
+	index := map[resumption.Origin]int{}
+	for _, record := range records {
+		n, found := index[record.Origin]
+		if !found {
+			n = len(groups)
+			index[record.Origin] = n
+			groups = append(groups, courier.StreamGroup{Origin: record.Origin})
+		}
+		groups[n].Streams = append(groups[n].Streams, record.Stream)
+		groups[n].Remaining = max(groups[n].Remaining, record.Remaining)
+	}
+	return groups
+}
--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -171,6 +171,21 @@
 		g.expectSameVersion(ctx, 0, 1, g.peers[0].proxy.Close)
 	}, SpecTimeout(specTimeout))
 
+	It("goes on at that version after all instances have been replaced", func(ctx SpecContext) {
+		g := newResumptionGroup(3)
+		g.announceUpstreams("v1", "v2")
+		g.expectSameVersion(ctx, 0, 3, func() {
+			Eventually(g.control.knownStreams, specTimeout).Should(Equal(streamsPerSpec))
+			for _, p := range g.peers {
+				p.proxy.Close()
+			}
+			replacement := startPeerWithClock(g.control, g.clock.Now)
+			g.control.setExactEntries(replacement.address)
+			g.serveCallers(replacement)
+			Eventually(replacement.proxy.Upstreams, specTimeout).Should(Equal(2))
+		})
+	}, SpecTimeout(specTimeout))
+
 	It("goes on at that version if its first event came from a retry", func(ctx SpecContext) {
 		g := newResumptionGroup(3)
 		g.announceUpstreams("v1")[0].server.Close()
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,8 +20,10 @@
 	// loadCalls carries calls that take as long as a load. They neither delay syncs nor fail with
 	// them.
 	loadCalls *courier.Pool
-	// reportCalls carries reports of crashed upstreams.
+	// reportCalls carries reports of crashed upstreams, and originCalls queries of where streams
+	// began.
 	reportCalls *courier.Pool
+	originCalls *courier.Pool
 	// leader is the control instance that gives orders to engines, empty while none is known.
 	// current is the one called for the next sync.
 	leader  string
@@ -93,7 +96,9 @@
 		Quarantine:    p.crashes.Mark(),
 		Demand:        p.demand.flush(),
 		Limited:       p.pool.limitedUpstreams(),
+		Streams:       groupStreams(p.unsyncedStreams),
 	}
+	synced := len(p.unsyncedStreams)
 	if own := p.roster.SelfRecord(now); own != nil {
 		args.From = *own
 	}
@@ -121,6 +126,14 @@
 		p.applyRoutes(*reply.Edition)
 	}
 	p.applyReply(now, address, reply)
+	p.dropSynced(synced)
+}
+
+// dropSynced removes the first streams from those to report to a control instance.
+func (p *Proxy) dropSynced(count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unsyncedStreams = slices.Delete(p.unsyncedStreams, 0, min(count, len(p.unsyncedStreams)))
 }
 
 // errNoLeader is why a control instance's reply is ignored.
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -33,6 +33,28 @@
 	Demand []Demand
 	// Limited are the upstreams that state a rate limit.
 	Limited []LimitedUpstream
+	// Streams are the streams that began since the last call that received a reply, of services whose
+	// upstreams have several software versions.
+	Streams []StreamGroup
+}
+
+// StreamGroup is a group of streams with the same origin, which may be resumed for the Remaining time
+// at most.
+type StreamGroup struct {
+	Origin    resumption.Origin
+	Remaining time.Duration
+	Streams   []resumption.StreamID
+}
+
+// OriginArgs requests the origin of a stream.
+type OriginArgs struct {
+	Stream resumption.StreamID
+}
+
+// OriginReply is the reply to OriginArgs. Origin is used only if Known is set.
+type OriginReply struct {
+	Known  bool
+	Origin resumption.Origin
 }
 
 // LimitedUpstream is an upstream that states a rate limit in its responses.
@@ -170,6 +192,7 @@
 	Sync(ctx context.Context, args SyncArgs) SyncReply
 	Want(ctx context.Context, args WantArgs) WantReply
 	Note(ctx context.Context, args NoteArgs) NoteReply
+	Origin(args OriginArgs) OriginReply
 }
 
 // FeedService serves the calls of entry instances and of other control instances.
@@ -214,6 +237,17 @@
 	return nil
 }
 
+// Origin is the net/rpc method "Feed.Origin".
+func (s *FeedService) Origin(args OriginArgs, reply *OriginReply) error {
+	*reply = s.feed.Origin(args)
+	return nil
+}
+
+// StreamOrigin requests the origin of a stream from the control instance at address.
+func (p *Pool) StreamOrigin(ctx context.Context, address string, args OriginArgs) (OriginReply, error) {
+	return callForReply[OriginReply](ctx, p, address, "Feed.Origin", args)
+}
+
 // UpdateQuarantine reports an update of the request quarantine to the control instance at address.
 func (p *Pool) UpdateQuarantine(ctx context.Context, address string, args NoteArgs) (NoteReply, error) {
 	return callForReply[NoteReply](ctx, p, address, "Feed.Note", args)
--- a/internal/courier/feed_test.go
+++ b/internal/courier/feed_test.go
@@ -18,6 +18,8 @@
 	return courier.SyncReply{Leader: "here"}
 }
 
+func (blockingFeed) Origin(courier.OriginArgs) courier.OriginReply { return courier.OriginReply{} }
+
 func (blockingFeed) Note(context.Context, courier.NoteArgs) courier.NoteReply {
 	return courier.NoteReply{}
 }
--- a/internal/resumption/origins.go
+++ b/internal/resumption/origins.go
@@ -8,6 +8,10 @@
 // MaxRetention is the longest time for which an origin is kept.
 const MaxRetention = 10 * time.Minute
 
+// MaxStreams is the largest number of streams whose origins are kept. Those of further streams are
+// not recorded.
+const MaxStreams = 1 << 16
+
 // sweepInterval is the time between two removals of expired origins.
 const sweepInterval = time.Second
 
@@ -24,12 +28,15 @@
 }
 
 // Record records that a stream began at origin and may be resumed until expires, which is at most
-// MaxRetention from now.
+// MaxRetention from now. If there are MaxStreams others, it does nothing.
 func (o *Origins) Record(now time.Time, stream StreamID, origin Origin, expires time.Time) {
 	if o.byStream == nil {
 		o.byStream = map[StreamID]expiringOrigin{}
 	}
 	o.sweep(now)
+	if _, known := o.byStream[stream]; !known && len(o.byStream) >= MaxStreams {
+		return
+	}
 	if latest := now.Add(MaxRetention); expires.After(latest) {
 		expires = latest
 	}
--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -48,6 +48,17 @@
 		Expect(origins.Len()).To(Equal(1))
 	})
 
+	// A burst of callers that state a long time must not fill the memory either.
+	It("are bounded in number", func() {
+		var origins resumption.Origins
+		for n := range resumption.MaxStreams + 10 {
+			origins.Record(start, resumption.StreamID(n), origin, start.Add(time.Minute))
+		}
+		Expect(origins.Len()).To(Equal(resumption.MaxStreams))
+		origins.Record(start.Add(time.Minute), stream, origin, start.Add(2*time.Minute))
+		Expect(origins.Len()).To(Equal(1))
+	})
+
 	It("expire sooner once the streams are complete", func() {
 		var origins resumption.Origins
 		origins.Record(start, stream, origin, start.Add(15*time.Second))
