counter: an instance that stands in for the owner of a quota grants within the tolerated excess

Cause: an instance that is asked because the owner does not answer others granted the whole rate beside it, and began anew with half of the tolerated excess whenever it had not been asked for a second. An instance that reaches neither began with the whole slack, not its part. Now a stand-in fills its bucket by the share of the instances that ask it, nothing comes in while it is not asked, and it begins anew only after a whole window. An unanswered request to an owner is logged.

--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -246,7 +246,7 @@
 func (i Instance) SetInstances(now time.Time, all []netip.AddrPort) {
 	i.proxy.owners.assignment = permit.NewOwners(all)
 	i.proxy.owners.resetCache(now)
-	i.proxy.dropForeignQuotas(now)
+	i.proxy.loseForeignQuotas()
 }
 
 // Receive handles a message and returns the messages sent in response.
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -56,9 +56,9 @@
 	case permit.QuotaRequest:
 		p.handleQuotaRequest(now, from, m)
 	case permit.QuotaReturn:
-		p.handleQuotaAdjustment(now, m.Workspace, m.Units)
+		p.handleQuotaAdjustment(now, from, m.Workspace, m.Units)
 	case permit.QuotaDebit:
-		p.handleQuotaAdjustment(now, m.Workspace, -m.Units)
+		p.handleQuotaAdjustment(now, from, m.Workspace, -m.Units)
 	case permit.StreamReport:
 		p.receiveOrigin(now, m)
 	case permit.StreamQuery:
--- a/internal/counter/quota.go
+++ b/internal/counter/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/netip"
 	"time"
@@ -21,8 +22,7 @@
 	chargeTTL = time.Second
 	// quotaWaitShare is the share of a request's objective for which it may wait for its quota.
 	quotaWaitShare = 0.25
-	// standInTTL is how long an instance that does not own a quota keeps its bucket after a request
-	// of a peer that does not reach the owner.
+	// standInTTL is how long an instance counts as standing in for an owner after it was asked.
 	standInTTL = time.Second
 	// overQuota is the text sent to callers whose workspace has used up its quota.
 	overQuota = "the workspace is over its quota"
@@ -31,11 +31,16 @@
 // quotaAccount is the state of one workspace's quota at this instance.
 type quotaAccount struct {
 	lease quota.Lease
-	// bucket holds the units of all instances while this one owns the quota, and ownShare those of
-	// this instance while it reaches no owner. They are nil before the first request.
+	// bucket holds the units of all instances while this one owns the quota or stands in for its owner,
+	// and ownShare those of this instance while it reaches neither. They are nil before the first request.
 	bucket   *quota.Bucket
 	ownShare *quota.Bucket
-	usedAt   time.Time
+	// usedAt is the last use of bucket. lost is true if another instance has owned the quota since.
+	usedAt time.Time
+	lost   bool
+	// requesters are the instances that have asked this one while it stood in for the owner, and when
+	// each last did.
+	requesters map[netip.AddrPort]time.Time
 }
 
 // quotaAccounts maps the names of workspaces to their accounts.
@@ -60,15 +65,50 @@
 	return owner, known && owner != p.owners.self
 }
 
-// ownerBucket returns the bucket of all instances. p.mu is held.
-func (p *Proxy) ownerBucket(now time.Time, name string, limit quota.Limit) *quota.Bucket {
+// ownerBucket returns the bucket of all instances, for a request of the given instance, and the limit
+// by which it fills. p.mu is held.
+//
+// The owner fills it by the whole quota. An instance that stands in for an owner fills it by the share
+// of the instances that ask it, because the owner may still answer the others. Neither knows what was
+// granted while it was not asked, so nothing comes in for that time.
+func (p *Proxy) ownerBucket(now time.Time, name string, limit quota.Limit, from netip.AddrPort) (*quota.Bucket, quota.Limit) {
 	account := p.quotas.get(name)
-	_, elsewhere := p.quotaOwner(now, name)
-	if account.bucket == nil || elsewhere && now.Sub(account.usedAt) >= standInTTL {
+	idle := now.Sub(account.usedAt)
+	standsIn := p.standsIn(name)
+	interrupted := account.lost || standsIn && idle >= standInTTL
+	switch {
+	case account.bucket == nil, interrupted && idle >= p.options.QuotaTolerance.Window:
 		account.bucket = p.newQuotaBucket(now, limit)
+	case interrupted:
+		paused := account.bucket.Paused(now)
+		account.bucket = &paused
+	}
+	account.lost, account.usedAt = false, now
+	if standsIn {
+		limit.PerSecond *= float64(account.countRequester(now, from)) / float64(max(p.control.entryInstances, 1))
+	}
+	return account.bucket, limit
+}
+
+// standsIn reports whether another instance owns the quota of a workspace, though it may not answer.
+// p.mu is held.
+func (p *Proxy) standsIn(name string) bool {
+	if p.peers.conn == nil {
+		return false
 	}
-	account.usedAt = now
-	return account.bucket
+	owner, known := p.owners.assignment.Of(quotaOwnerService, name, func(netip.AddrPort) bool { return true })
+	return known && owner != p.owners.self
+}
+
+// countRequester records a request of an instance and returns the number of instances that have asked
+// recently.
+func (a *quotaAccount) countRequester(now time.Time, from netip.AddrPort) int {
+	if a.requesters == nil {
+		a.requesters = map[netip.AddrPort]time.Time{}
+	}
+	a.requesters[from] = now
+	maps.DeleteFunc(a.requesters, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) >= standInTTL })
+	return len(a.requesters)
 }
 
 // newQuotaBucket returns a bucket with what may be spent while it is unknown what was granted before.
@@ -77,11 +117,12 @@
 	return &bucket
 }
 
-// takeAsOwner takes units from the bucket of all instances. p.mu is held.
-func (p *Proxy) takeAsOwner(now time.Time, name string, limit quota.Limit, need, ahead float64) quota.Decision {
-	bucket := p.ownerBucket(now, name, limit)
+// takeAsOwner takes units from the bucket of all instances for a request of the given one. p.mu is
+// held.
+func (p *Proxy) takeAsOwner(now time.Time, name string, limit quota.Limit, need, ahead float64, from netip.AddrPort) quota.Decision {
+	bucket, filling := p.ownerBucket(now, name, limit, from)
 	var decision quota.Decision
-	*bucket, decision = bucket.Take(now, limit, need, ahead)
+	*bucket, decision = bucket.Take(now, filling, need, ahead)
 	return decision
 }
 
@@ -92,7 +133,8 @@
 	share := w.Quota.Share(p.control.entryInstances)
 	account := p.quotas.get(w.Name)
 	if account.ownShare == nil {
-		account.ownShare = p.newQuotaBucket(now, share)
+		bucket := quota.NewBucket(now, p.options.QuotaTolerance.Share(p.control.entryInstances).InitialUnits(share))
+		account.ownShare = &bucket
 	}
 	var decision quota.Decision
 	*account.ownShare, decision = account.ownShare.Take(now, share, need, 0)
@@ -130,6 +172,8 @@
 			return quota.Denied{}
 		}
 		p.avoidOwner(owner, unresponsiveAvoidance)
+		p.logLine(p.options.Now(), "quota owner unresponsive").Stringer("owner", owner).Str("workspace", w.Name).
+			Msg("quota owner does not answer; asking another instance")
 	}
 	return p.takeOwnShare(p.options.Now(), w, need)
 }
@@ -139,7 +183,7 @@
 func (p *Proxy) takeQuotaHere(now time.Time, w *workspace.Workspace, need float64) (quota.Decision, netip.AddrPort, float64) {
 	owner, elsewhere := p.quotaOwner(now, w.Name)
 	if !elsewhere {
-		return p.takeAsOwner(now, w.Name, w.Quota, need, 0), owner, 0
+		return p.takeAsOwner(now, w.Name, w.Quota, need, 0, p.owners.self), owner, 0
 	}
 	account := p.quotas.get(w.Name)
 	account.lease = account.lease.WithUse(now, need)
@@ -177,14 +221,14 @@
 		p.peers.send(owner, message)
 		return
 	}
-	p.applyQuotaAdjustment(now, w, units)
+	p.applyQuotaAdjustment(now, w, units, p.owners.self)
 }
 
-// applyQuotaAdjustment returns units to the bucket of all instances, or debits them if units is
+// applyQuotaAdjustment returns units of an instance to the bucket of all, or debits them if units is
 // negative. p.mu is held.
-func (p *Proxy) applyQuotaAdjustment(now time.Time, w *workspace.Workspace, units float64) {
-	bucket := p.ownerBucket(now, w.Name, w.Quota)
-	*bucket = bucket.Adjust(now, w.Quota, units)
+func (p *Proxy) applyQuotaAdjustment(now time.Time, w *workspace.Workspace, units float64, from netip.AddrPort) {
+	bucket, filling := p.ownerBucket(now, w.Name, w.Quota, from)
+	*bucket = bucket.Adjust(now, filling, units)
 }
 
 // handleQuotaRequest decides a peer's quota request, or repeats the earlier decision. p.mu is held.
@@ -198,7 +242,7 @@
 		if known := p.workspaceNamed(m.Workspace); known != nil && known.Quota.Limited() {
 			limit = known.Quota
 		}
-		switch decision := p.takeAsOwner(now, m.Workspace, limit, m.Need, m.Ahead).(type) {
+		switch decision := p.takeAsOwner(now, m.Workspace, limit, m.Need, m.Ahead, from).(type) {
 		case quota.Granted:
 			return permit.QuotaGranted{ID: m.ID, Units: decision.Units, Scarce: decision.Scarce}
 		case quota.Denied:
@@ -210,9 +254,9 @@
 }
 
 // handleQuotaAdjustment returns or debits units that a peer reports. p.mu is held.
-func (p *Proxy) handleQuotaAdjustment(now time.Time, name string, units float64) {
+func (p *Proxy) handleQuotaAdjustment(now time.Time, from netip.AddrPort, name string, units float64) {
 	if w := p.workspaceNamed(name); w != nil && w.Quota.Limited() {
-		p.applyQuotaAdjustment(now, w, units)
+		p.applyQuotaAdjustment(now, w, units, from)
 	}
 }
 
@@ -225,13 +269,11 @@
 	return table.Workspaces.Named(name)
 }
 
-// dropForeignQuotas removes the buckets of quotas that other instances own. A bucket that fills
-// while another instance grants would double the quota if the ownership came back. p.mu is held.
-func (p *Proxy) dropForeignQuotas(now time.Time) {
+// loseForeignQuotas marks the buckets of quotas that other instances own. A bucket that fills while
+// another instance grants would double the quota if the ownership came back. p.mu is held.
+func (p *Proxy) loseForeignQuotas() {
 	for name, account := range p.quotas {
-		if _, elsewhere := p.quotaOwner(now, name); elsewhere {
-			account.bucket = nil
-		}
+		account.lost = account.lost || p.standsIn(name)
 	}
 }
 
--- a/internal/counter/quota_test.go
+++ b/internal/counter/quota_test.go
@@ -81,6 +81,25 @@
 		Expect(ask(later, peer, 3, 450)).To(Equal(permit.QuotaGranted{ID: 3, Units: 450, Scarce: true}))
 	})
 
+	// Guards against more than the quota: the owner, which does not answer now and then, grants the
+	// whole rate to the others.
+	It("grants no more than the tolerated excess however often it stands in for the owner", func() {
+		stranger := modelOwnedBy(quotaService, instances[3], instances...)
+		total := 0.0
+		now := start
+		for id := permit.ID(1); now.Sub(start) < 8*time.Second; id++ {
+			request := permit.QuotaRequest{ID: id, Workspace: stranger, PerSecond: 1000, Burst: 1000, Need: 50}
+			if m, ok := instance.Receive(now, peer, request)[0].Message.(permit.QuotaGranted); ok {
+				total += m.Units
+			}
+			now = now.Add(20 * time.Millisecond)
+			if id%10 == 0 {
+				now = now.Add(time.Second)
+			}
+		}
+		Expect(total).To(BeNumerically("<=", 900), "a tenth of 8 s and the burst")
+	})
+
 	// Guards against twice the quota: a peer that doesn't reach the owner asks the next one.
 	It("starts anew each time that it stands in for the owner", func() {
 		stranger := modelOwnedBy(quotaService, instances[3], instances...)
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -217,7 +217,7 @@
 		p.control.membersSince = now
 	}
 	p.owners.setInstances(now, members.Entries)
-	p.dropForeignQuotas(now)
+	p.loseForeignQuotas()
 	p.budgets.Resize(p.options.Retries.perInstance(len(members.Entries)))
 	p.control.alive, p.control.nearby = members.Controls, members.Near
 	p.control.known = union(members.Controls, p.seeds)
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -74,6 +74,13 @@
 	return b
 }
 
+// Paused returns the bucket as if no time had passed since it was last filled: what has come in since
+// then may have been granted elsewhere.
+func (b Bucket) Paused(now time.Time) Bucket {
+	b.filledAt = now
+	return b
+}
+
 // filled returns the bucket with the units that have come in until now.
 func (b Bucket) filled(now time.Time, l Limit) Bucket {
 	if elapsed := now.Sub(b.filledAt); elapsed > 0 {
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -88,6 +88,12 @@
 	Slack   float64
 }
 
+// Share returns the part of the tolerated excess for each of several instances.
+func (t Tolerance) Share(instances int) Tolerance {
+	t.Slack /= float64(max(instances, 1))
+	return t
+}
+
 // initialShare is the part of the tolerated excess that a new owner may grant without
 // knowing what its predecessor granted. The rest covers instances that reach no owner, and
 // the time for which two instances consider themselves the owner.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -111,6 +111,8 @@
 	It("lets a new owner start with half of the tolerated excess, but not more than the burst", func() {
 		t := quota.Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 100}
 		Expect(t.InitialUnits(limit)).To(BeNumerically("~", 550))
+		shares := 71 * t.Share(71).InitialUnits(limit.Share(71))
+		Expect(shares).To(BeNumerically("~", 550), "all instances without an owner together")
 		Expect(quota.Tolerance{Slack: 1e6}.InitialUnits(limit)).To(Equal(limit.Burst))
 		Expect(quota.Tolerance{}.InitialUnits(limit)).To(BeZero())
 	})
