counter, backoffice: the list of entry instances does not shrink by the word of a control instance that lacks some

A control instance that has been cut off knows only the members that reach it, until it has pulled from the others. Now a control instance states that its roster is incomplete while it has run for less than a lease or has not pulled from a majority of the voters within one. Entry instances take no shorter list from it. The spec fails without (2 instances instead of 3).

--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -29,9 +29,11 @@
 	}
 	now := i.options.Now()
 	leader, _ := i.voter.Leader()
-	reply := courier.SyncReply{Leader: leader.Instance(), RosterIncomplete: now.Sub(i.startedAt) < i.options.UpstreamLease}
+	reply := courier.SyncReply{Leader: leader.Instance()}
+	voters := i.voter.Status().Voters
 	i.mu.Lock()
 	i.roster.Renew(now, args.From)
+	reply.RosterIncomplete = i.isRosterIncomplete(now, voters)
 	i.recordOrigins(now, args.Streams)
 	i.fillRoster(now, args.Cursor, &reply)
 	if members := i.membership(now).forDomain(args.FailureDomain); members.Revision != args.Members {
--- a/internal/backoffice/pulls.go
+++ b/internal/backoffice/pulls.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/roster"
 )
 
@@ -14,8 +15,9 @@
 	// is unreachable, to notice its return.
 	seed   bool
 	source roster.PullState
-	// pulling is set during a pull.
-	pulling bool
+	// pulling is set during a pull. pulledAt is when the last one that succeeded was sent.
+	pulling  bool
+	pulledAt time.Time
 	// unreachable is set while pulls fail.
 	unreachable bool
 }
@@ -84,9 +86,27 @@
 	}
 	if err == nil {
 		i.roster.Merge(sentAt, &p.source, changes)
+		p.pulledAt = sentAt
 	}
 }
 
+// isRosterIncomplete reports whether this instance may lack members that others know: it has run for
+// less than a lease, or has not pulled from a majority of the voters within one. i.mu is held.
+func (i *Instance) isRosterIncomplete(now time.Time, voters []jury.Identity) bool {
+	lease := i.options.UpstreamLease
+	if now.Sub(i.startedAt) < lease {
+		return true
+	}
+	current := 0
+	for _, voter := range voters {
+		p := i.peers[voter.Instance()]
+		if voter.Instance() == i.options.Address || p != nil && now.Sub(p.pulledAt) < lease {
+			current++
+		}
+	}
+	return 2*current <= len(voters)
+}
+
 // handlePull answers the pull of another control instance, which includes the
 // caller's own record.
 func (i *Instance) handlePull(cursor roster.Cursor, from *roster.InstanceRecord) roster.Changes {
--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -42,15 +42,31 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(reply.Known).To(BeFalse())
 	}, SpecTimeout(specTimeout))
+})
+
+var _ = Describe("The roster of a control instance", func() {
+	isIncomplete := func(ctx SpecContext, c *testCluster, address string) func() bool {
+		return func() bool {
+			reply, err := c.calls.Sync(ctx, address, courier.SyncArgs{})
+			Expect(err).NotTo(HaveOccurred())
+			return reply.RosterIncomplete
+		}
+	}
 
-	It("may be unknown to a control instance that has just started", func(ctx SpecContext) {
+	It("may be incomplete just after the start", func(ctx SpecContext) {
 		c := newTestCluster()
-		reply, err := c.calls.Sync(ctx, c.seeds[0], courier.SyncArgs{})
-		Expect(err).NotTo(HaveOccurred())
-		Expect(reply.RosterIncomplete).To(BeTrue())
-		Eventually(ctx, func() bool {
-			reply, err := c.calls.Sync(ctx, c.seeds[0], courier.SyncArgs{})
-			return err == nil && !reply.RosterIncomplete
-		}).Should(BeTrue())
+		Expect(isIncomplete(ctx, c, c.seeds[0])()).To(BeTrue())
+		Eventually(ctx, isIncomplete(ctx, c, c.seeds[0])).Should(BeFalse())
+	}, SpecTimeout(specTimeout))
+
+	// An instance that was cut off from the others knows only the members that reach it.
+	It("may be incomplete without the others", func(ctx SpecContext) {
+		c := newTestCluster()
+		Eventually(ctx, isIncomplete(ctx, c, c.seeds[0])).Should(BeFalse())
+		for _, address := range c.seeds[1:] {
+			c.stopped[address] = true
+			c.stop(c.instances[address])
+		}
+		Eventually(ctx, isIncomplete(ctx, c, c.seeds[0])).Should(BeTrue())
 	}, SpecTimeout(specTimeout))
 })
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -141,6 +141,13 @@
 	return courier.OriginReply{Known: known, Origin: origin}
 }
 
+// syncCount returns the number of syncs received.
+func (c *fakeControl) syncCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.syncs)
+}
+
 // knownStreams returns the number of streams whose origin was reported.
 func (c *fakeControl) knownStreams() int {
 	c.mu.Lock()
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -171,7 +171,7 @@
 		p.options.Log.Info().Str("control", address).Msg("control instance answers again")
 	}
 	p.mergeRoster(askedAt, reply)
-	if reply.Members != nil {
+	if reply.Members != nil && !p.lacksMembers(reply) {
 		p.applyMembers(now, *reply.Members)
 	}
 	var changed []roster.Upstream
@@ -208,6 +208,13 @@
 	p.roster.Merge(askedAt.Add(-reply.RosterAge), &p.control.source, changes)
 }
 
+// lacksMembers reports whether a reply has fewer entry instances than are known, from a control instance
+// that may not know all of them. Instances with such a list would have owners of their own for models
+// and quotas, beside those of the other instances. p.mu is held.
+func (p *Proxy) lacksMembers(reply courier.SyncReply) bool {
+	return reply.RosterIncomplete && len(reply.Members.Entries) < p.control.entryInstances
+}
+
 // applyMembers applies the list of live instances. p.mu is held.
 func (p *Proxy) applyMembers(now time.Time, members courier.Members) {
 	p.control.membersRevision = members.Revision
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -101,8 +101,7 @@
 	// RosterAge ago, once for all callers.
 	Roster    []byte
 	RosterAge time.Duration
-	// RosterIncomplete is true while the callee has run for less than a lease, so that it may not
-	// have heard from all upstreams.
+	// RosterIncomplete is true while the callee may lack upstreams and instances that others know.
 	RosterIncomplete bool
 	// Quarantine is nil if the caller already has this state.
 	Quarantine *quarantine.News
