backoffice: a control instance learns of the members that report to one which it cannot reach

Cause: control instances pull from each other only the members that report to the pulled one. While one cannot be reached from another, the latter lacks its members, and entry instances that sync with it get part of the list. That they had pulled from a majority did not help: alone is not the fix. Now, while a peer is unreachable, all members are pulled from one of the others, which changes every 2 s. A roster is complete only if each voter, or all members from one, were pulled within half a lease. The spec, three instances of which two cannot reach each other, fails without (the member is not known within 60 s). A list of entry instances is kept against shorter ones for 5 s at most.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -46,8 +46,13 @@
 	packedEdition *edition.Edition
 	// packedRoster is the whole roster as it was last sent to an entry instance that had none of it.
 	packedRoster packedRoster
-	// peers are the other control instances by address.
-	peers map[string]*peer
+	// peers are the other control instances by address. wholePullFrom is the one to pull all members
+	// from since wholePullSince, while another is unreachable, and wholePulledAt is when the last such
+	// pull that succeeded was sent.
+	peers          map[string]*peer
+	wholePullFrom  *peer
+	wholePullSince time.Time
+	wholePulledAt  time.Time
 	// leaderSince is the time since which this instance leads, zero while it does not.
 	leaderSince time.Time
 	// caughtUp is set once the replica has applied all committed log entries after the
--- a/internal/backoffice/backoffice_test.go
+++ b/internal/backoffice/backoffice_test.go
@@ -164,6 +164,8 @@
 	stopped map[string]bool
 	// orderGap is the minimum time between orders of two instances to the same engine.
 	orderGap time.Duration
+	// cut is set if the first and the last instance cannot reach each other.
+	cut bool
 }
 
 func newTestCluster() *testCluster {
@@ -172,10 +174,13 @@
 }
 
 func newTestClusterWithOrderGap(gap time.Duration) *testCluster {
-	c := &testCluster{
-		fakes: newFakeEngines(), instances: map[string]*backoffice.Instance{}, folders: map[string]string{},
-		calls: courier.NewPool(courier.DialTCP, time.Second), orderGap: gap, stopped: map[string]bool{},
-	}
+	return startTestCluster(&testCluster{orderGap: gap})
+}
+
+func startTestCluster(c *testCluster) *testCluster {
+	GinkgoHelper()
+	c.fakes, c.instances, c.folders, c.stopped = newFakeEngines(), map[string]*backoffice.Instance{}, map[string]string{}, map[string]bool{}
+	c.calls = courier.NewPool(courier.DialTCP, time.Second)
 	listeners := make([]net.Listener, 3)
 	for i := range listeners {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -201,13 +206,26 @@
 func (c *testCluster) start(address string, listener net.Listener, founder bool) {
 	instance, err := backoffice.New(backoffice.Options{
 		Address: address, FailureDomain: "here", Seeds: c.seeds, Bootstrap: founder, MinVoters: 3,
-		DataDir: c.folders[address], InnerListener: listener, Dial: courier.DialTCP, UpstreamLease: 3 * time.Second, MinOrderGap: c.orderGap,
+		DataDir: c.folders[address], InnerListener: listener, Dial: c.dialFrom(address), UpstreamLease: 3 * time.Second, MinOrderGap: c.orderGap,
 		ParseRoutes: parseRoutes, Engines: c.fakes, Now: time.Now, Log: zerolog.Nop(),
 	})
 	Expect(err).NotTo(HaveOccurred())
 	c.instances[address] = instance
 }
 
+var errCut = errors.New("the link is cut")
+
+// dialFrom returns the function with which an instance connects to others.
+func (c *testCluster) dialFrom(address string) courier.Dial {
+	first, last := c.seeds[0], c.seeds[len(c.seeds)-1]
+	return func(ctx context.Context, to string) (net.Conn, error) {
+		if c.cut && (address == first && to == last || address == last && to == first) {
+			return nil, errCut
+		}
+		return courier.DialTCP(ctx, to)
+	}
+}
+
 // stop closes an instance without handing over its leadership, as if it was killed.
 func (c *testCluster) stop(instance *backoffice.Instance) {
 	canceled, cancel := context.WithCancel(context.Background())
--- a/internal/backoffice/pulls.go
+++ b/internal/backoffice/pulls.go
@@ -18,6 +18,9 @@
 	// pulling is set during a pull. pulledAt is when the last one that succeeded was sent.
 	pulling  bool
 	pulledAt time.Time
+	// whole is set if the pull requests all members that the peer knows, and not only those that
+	// report to it.
+	whole bool
 	// unreachable is set while pulls fail.
 	unreachable bool
 }
@@ -67,12 +70,39 @@
 			started = append(started, p)
 		}
 	}
+	i.chooseWholePull(now, started)
 	return started
 }
 
+// wholePullTime is how long the same peer is pulled from for all members. Each change of the peer
+// transfers all of them again.
+const wholePullTime = 2 * time.Second
+
+// chooseWholePull sets which of the peers is pulled from for all members that it knows. While a peer is
+// unreachable from here, one of the others has to tell of the members that report to that one. i.mu is
+// held.
+func (i *Instance) chooseWholePull(now time.Time, started []*peer) {
+	if now.Sub(i.wholePullSince) >= wholePullTime || i.wholePullFrom == nil || i.wholePullFrom.unreachable {
+		i.wholePullFrom, i.wholePullSince = nil, now
+		for _, p := range started {
+			if !p.unreachable {
+				i.wholePullFrom = p
+			}
+		}
+	}
+	lost := false
+	for _, p := range i.peers {
+		lost = lost || p.unreachable
+	}
+	for _, p := range started {
+		p.whole = lost && p == i.wholePullFrom
+	}
+}
+
 func (i *Instance) pullFrom(ctx context.Context, p *peer) {
 	i.mu.Lock()
-	cursor := p.source.Cursor(true)
+	whole := p.whole
+	cursor := p.source.Cursor(!whole)
 	introduction := i.roster.SelfRecord(i.options.Now())
 	i.mu.Unlock()
 	sentAt := i.options.Now()
@@ -87,24 +117,29 @@
 	if err == nil {
 		i.roster.Merge(sentAt, &p.source, changes)
 		p.pulledAt = sentAt
+		if whole {
+			i.wholePulledAt = sentAt
+		}
 	}
 }
 
 // isRosterIncomplete reports whether this instance may lack members that others know: it has run for
-// less than a lease, or has not pulled from a majority of the voters within one. i.mu is held.
+// less than a lease, or has not pulled in time from a majority of the voters, or has pulled neither
+// from each of them nor all members from one. i.mu is held.
 func (i *Instance) isRosterIncomplete(now time.Time, voters []jury.Identity) bool {
-	lease := i.options.UpstreamLease
-	if now.Sub(i.startedAt) < lease {
+	// Members expire a lease after their last contact, which was before the pull.
+	inTime := i.options.UpstreamLease / 2
+	if now.Sub(i.startedAt) < i.options.UpstreamLease {
 		return true
 	}
 	current := 0
 	for _, voter := range voters {
 		p := i.peers[voter.Instance()]
-		if voter.Instance() == i.options.Address || p != nil && now.Sub(p.pulledAt) < lease {
+		if voter.Instance() == i.options.Address || p != nil && now.Sub(p.pulledAt) < inTime {
 			current++
 		}
 	}
-	return 2*current <= len(voters)
+	return 2*current <= len(voters) || current < len(voters) && now.Sub(i.wholePulledAt) >= inTime
 }
 
 // handlePull answers the pull of another control instance, which includes the
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -37,8 +37,10 @@
 	// domain. membersSince is when the first list of live instances arrived.
 	open         map[string][]string
 	membersSince time.Time
-	nextIndex    int
-	source       roster.PullState
+	// membersConfirmedAt is when a control instance that knows all instances last answered.
+	membersConfirmedAt time.Time
+	nextIndex          int
+	source             roster.PullState
 	// rosterIncomplete is true until a control instance has stated that it knows all upstreams.
 	rosterIncomplete bool
 	// lastFailed is the control instance that most recently failed to answer, at failedAt.
@@ -171,7 +173,7 @@
 		p.options.Log.Info().Str("control", address).Msg("control instance answers again")
 	}
 	p.mergeRoster(askedAt, reply)
-	if reply.Members != nil && !p.lacksMembers(reply) {
+	if lacking := p.lacksMembers(now, reply); reply.Members != nil && !lacking {
 		p.applyMembers(now, *reply.Members)
 	}
 	var changed []roster.Upstream
@@ -208,11 +210,19 @@
 	p.roster.Merge(askedAt.Add(-reply.RosterAge), &p.control.source, changes)
 }
 
+// maxMembersAge is how long a list of entry instances is kept although control instances that may not
+// know all of them send shorter ones.
+const maxMembersAge = 5 * time.Second
+
 // lacksMembers reports whether a reply has fewer entry instances than are known, from a control instance
 // that may not know all of them. Instances with such a list would have owners of their own for models
 // and quotas, beside those of the other instances. p.mu is held.
-func (p *Proxy) lacksMembers(reply courier.SyncReply) bool {
-	return reply.RosterIncomplete && len(reply.Members.Entries) < p.control.entryInstances
+func (p *Proxy) lacksMembers(now time.Time, reply courier.SyncReply) bool {
+	if !reply.RosterIncomplete {
+		p.control.membersConfirmedAt = now
+	}
+	return now.Sub(p.control.membersConfirmedAt) < maxMembersAge && reply.Members != nil &&
+		reply.RosterIncomplete && len(reply.Members.Entries) < p.control.entryInstances
 }
 
 // applyMembers applies the list of live instances. p.mu is held.
