backoffice: all members are pulled only while some may report to a peer that cannot be reached

A seed that is gone for good would otherwise have all members pulled again every 2 s for ever, and lists of members would count as incomplete. A peer counts while others know it to be alive, and for 4 s after the last pull. resumption: services that no upstream has any more are forgotten.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -46,6 +46,8 @@
 	packedEdition *edition.Edition
 	// packedRoster is the whole roster as it was last sent to an entry instance that had none of it.
 	packedRoster packedRoster
+	// aliveControls are the other control instances that were alive at the last pulls, by address.
+	aliveControls map[string]bool
 	// peers are the other control instances by address. wholePullFrom is the one to pull all members
 	// from since wholePullSince, while another is unreachable, and wholePulledAt is when the last such
 	// pull that succeeded was sent.
--- a/internal/backoffice/pulls.go
+++ b/internal/backoffice/pulls.go
@@ -50,6 +50,7 @@
 	i.roster.Heartbeat(now, roster.InstanceBeat{})
 	i.roster.EvictExpired(now)
 	alive := map[string]bool{}
+	i.aliveControls = alive
 	for _, instance := range i.roster.Instances(now) {
 		if instance.Identity == "" || instance.Name == i.options.Address {
 			continue
@@ -90,15 +91,27 @@
 			}
 		}
 	}
-	lost := false
+	needed := false
 	for _, p := range i.peers {
-		lost = lost || p.unreachable
+		needed = needed || p.unreachable && i.mayHaveMembers(now, p)
 	}
 	for _, p := range started {
-		p.whole = lost && p == i.wholePullFrom
+		p.whole = needed && p == i.wholePullFrom
 	}
 }
 
+// lostPeerTime is how long after the last pull members may still report to a peer that no other one
+// knows to be alive.
+const lostPeerTime = 4 * time.Second
+
+// mayHaveMembers reports whether members may report to a peer. i.mu is held.
+func (i *Instance) mayHaveMembers(now time.Time, p *peer) bool {
+	if i.aliveControls[p.address] {
+		return true
+	}
+	return now.Sub(p.pulledAt) < lostPeerTime || now.Sub(i.startedAt) < lostPeerTime
+}
+
 func (i *Instance) pullFrom(ctx context.Context, p *peer) {
 	i.mu.Lock()
 	whole := p.whole
@@ -124,22 +137,25 @@
 }
 
 // isRosterIncomplete reports whether this instance may lack members that others know: it has run for
-// less than a lease, or has not pulled in time from a majority of the voters, or has pulled neither
-// from each of them nor all members from one. i.mu is held.
+// less than a lease, or has not pulled in time from a majority of the voters, or neither from each
+// voter to which members may report nor all members from one. i.mu is held.
 func (i *Instance) isRosterIncomplete(now time.Time, voters []jury.Identity) bool {
-	// Members expire a lease after their last contact, which was before the pull.
-	inTime := i.options.UpstreamLease / 2
 	if now.Sub(i.startedAt) < i.options.UpstreamLease {
 		return true
 	}
-	current := 0
+	// Members expire a lease after their last contact, which was before the pull.
+	inTime := i.options.UpstreamLease / 2
+	pulled, missing := 0, 0
 	for _, voter := range voters {
 		p := i.peers[voter.Instance()]
-		if voter.Instance() == i.options.Address || p != nil && now.Sub(p.pulledAt) < inTime {
-			current++
+		switch {
+		case voter.Instance() == i.options.Address || p != nil && now.Sub(p.pulledAt) < inTime:
+			pulled++
+		case p != nil && i.mayHaveMembers(now, p):
+			missing++
 		}
 	}
-	return 2*current <= len(voters) || current < len(voters) && now.Sub(i.wholePulledAt) >= inTime
+	return 2*pulled <= len(voters) || missing > 0 && now.Sub(i.wholePulledAt) >= inTime
 }
 
 // handlePull answers the pull of another control instance, which includes the
--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -60,6 +60,14 @@
 		Eventually(ctx, isIncomplete(ctx, c, c.seeds[0])).Should(BeFalse())
 	}, SpecTimeout(specTimeout))
 
+	It("is complete again some time after one of the others is gone for good", func(ctx SpecContext) {
+		c := newTestCluster()
+		Eventually(ctx, isIncomplete(ctx, c, c.seeds[0])).Should(BeFalse())
+		c.stopped[c.seeds[2]] = true
+		c.stop(c.instances[c.seeds[2]])
+		Eventually(ctx, isIncomplete(ctx, c, c.seeds[0])).MustPassRepeatedly(10).WithPolling(time.Second).Should(BeFalse())
+	}, SpecTimeout(specTimeout))
+
 	// An instance that was cut off from the others knows only the members that reach it.
 	// Entry instances that sync with it would have other owners of models and quotas than the rest.
 	It("has the members that report to an instance which it cannot reach", func(ctx SpecContext) {
--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -106,6 +106,15 @@
 		Expect(only).To(Equal("v2"))
 	})
 
+	// Foreign announcements may name any services.
+	It("are forgotten with services that no upstream has any more", func() {
+		var versions resumption.Versions
+		versions.Observe("pool", "v1", start)
+		versions.Observe("desk", "v1", start.Add(resumption.MaxRetention+time.Second))
+		_, ok := versions.Only("pool", start)
+		Expect(ok).To(BeFalse())
+	})
+
 	It("are forgotten after the longest retention", func() {
 		var versions resumption.Versions
 		versions.Observe("pool", "v1", start)
--- a/internal/resumption/versions.go
+++ b/internal/resumption/versions.go
@@ -1,6 +1,9 @@
 package resumption
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Versions holds the software versions that the upstreams of each service have had, and when each
 // was last in use. The zero value is empty and ready to use. It is not safe for concurrent use.
@@ -17,6 +20,7 @@
 	}
 	versions := v.lastUse[service]
 	if versions == nil {
+		maps.DeleteFunc(v.lastUse, func(_ string, versions map[string]time.Time) bool { return unused(versions, at) })
 		versions = map[string]time.Time{}
 		v.lastUse[service] = versions
 	}
@@ -36,6 +40,16 @@
 	return len(versions) > 1
 }
 
+// unused reports whether no version has been in use for MaxRetention.
+func unused(versions map[string]time.Time, now time.Time) bool {
+	for _, lastUse := range versions {
+		if now.Sub(lastUse) <= MaxRetention {
+			return false
+		}
+	}
+	return true
+}
+
 // Only returns the software version of all upstreams that a service has had since a given time. It
 // returns false if there were none, or several versions.
 func (v *Versions) Only(service string, since time.Time) (version string, ok bool) {
