--- /dev/null
+++ b/internal/counter/origins.go
@@ -0,0 +1,114 @@
+package counter
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
+)
+
+const (
+	// originCopies is the number of other instances to which the origin of a stream is reported.
+	originCopies = 2
+	// originMargin is added to the time for which a stream may be resumed, for callers that state
+	// their remaining time late.
+	originMargin = time.Second
+	// maxUnsyncedStreams bounds the streams that wait for a sync. The oldest ones are dropped first.
+	maxUnsyncedStreams = 4096
+	// completedRetention is how long the origin of a complete stream is kept. Its last events may not
+	// have reached the caller.
+	completedRetention = 5 * time.Second
+)
+
+// recordOrigin records where a stream begins or goes on, before its first event is passed to the
+// caller.
+func (t *transaction) recordOrigin(a *upstreamAttempt) {
+	p := t.proxy
+	if !t.route.Resumable {
+		return
+	}
+	now := p.options.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	version := t.software.SoftwareVersion
+	if !t.software.Bound {
+		answering := p.pool.process(a.upstream.name, a.upstream.incarnation)
+		if answering == nil {
+			// Another process has taken over the name, or the upstream is not known here yet.
+			return
+		}
+		version = answering.softwareVersion()
+	}
+	record := resumption.Record{
+		Stream: t.streamID(), Origin: resumption.Origin{Service: t.service, SoftwareVersion: version},
+		Remaining: t.streamLifetime() + originMargin,
+	}
+	p.origins.Record(now, record.Stream, record.Origin, now.Add(record.Remaining))
+	if p.pool.versions.Several(t.service, now.Add(-resumption.MaxRetention)) {
+		p.reportOrigin(record)
+	}
+}
+
+// completeOrigin records that a stream is complete.
+func (t *transaction) completeOrigin() {
+	p := t.proxy
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.origins.Shorten(t.streamID(), p.options.Now().Add(completedRetention))
+}
+
+// reportOrigin reports the origin of a stream to the instances that rank first for it, and with the
+// next sync to a control instance. p.mu is held.
+func (p *Proxy) reportOrigin(record resumption.Record) {
+	if len(p.unsyncedStreams) >= maxUnsyncedStreams {
+		p.unsyncedStreams = slices.Delete(p.unsyncedStreams, 0, maxUnsyncedStreams/2)
+	}
+	p.unsyncedStreams = append(p.unsyncedStreams, record)
+	for _, peer := range p.owners.assignment.Ranked(uint64(record.Stream), originCopies, p.isPeer) {
+		p.peers.send(peer, permit.StreamReport{Stream: record.Stream, Origin: record.Origin, Remaining: record.Remaining})
+		p.metrics.countOriginReport()
+	}
+}
+
+// receiveOrigin records the origin of a stream that began at another instance. p.mu is held.
+func (p *Proxy) receiveOrigin(now time.Time, m permit.StreamReport) {
+	p.origins.Record(now, m.Stream, m.Origin, now.Add(m.Remaining))
+}
+
+// reportOrigins reports the origins of the streams of services that have just been found to have
+// several software versions. p.mu is held.
+func (p *Proxy) reportOrigins(now time.Time, services map[string]bool) {
+	if len(services) == 0 {
+		return
+	}
+	for record := range p.origins.All(now) {
+		if services[record.Service] {
+			p.reportOrigin(record)
+		}
+	}
+}
+
+// groupStreams groups streams by their origin.
+func groupStreams(records []resumption.Record) []courier.StreamGroup {
+	var groups []courier.StreamGroup
+	index := map[resumption.Origin]int{}
+	for _, record := range records {
+		n, found := index[record.Origin]
+		if !found {
+			n = len(groups)
+			index[record.Origin] = n
+			groups = append(groups, courier.StreamGroup{Origin: record.Origin})
+		}
+		groups[n].Streams = append(groups[n].Streams, record.Stream)
+		groups[n].Remaining = max(groups[n].Remaining, record.Remaining)
+	}
+	return groups
+}
+
+// isPeer reports whether an address is that of another instance.
+func (p *Proxy) isPeer(address netip.AddrPort) bool {
+	return address != p.owners.self
+}
--- a/internal/counter/relay_test.go
+++ b/internal/counter/relay_test.go
@@ -144,3 +144,25 @@
 		Expect(g.peers[1].path.dialCount()).To(Equal(dials))
 	}, SpecTimeout(specTimeout))
 })
+
+var _ = Describe("An instance that relays", func() {
+	// The process that the first instance has chosen may have been replaced by one of another version.
+	It("does not send to an upstream of another software version than the one meant", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		u := g.announceUpstreams("v2")[0]
+		for version, result := range map[string]string{"v1": "unwanted", "v2": "answered"} {
+			header := http.Header{
+				idHeader: {"r1"}, "Lovagelift-Relay-Upstream": {"e1"}, "Lovagelift-Relay-Request": {"r1"},
+				"Lovagelift-Relay-Timeout-Ms": {"1000"}, "Lovagelift-Relay-Software-Version": {version},
+			}
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.peers[1].address.String()+"/draft/", nil)
+			Expect(err).NotTo(HaveOccurred())
+			request.Header = header
+			response, err := http.DefaultTransport.RoundTrip(request)
+			Expect(err).NotTo(HaveOccurred())
+			response.Body.Close()
+			Expect(response.Header.Get("Lovagelift-Relay-Result")).To(Equal(result))
+		}
+		Expect(u.count()).To(Equal(1))
+	}, SpecTimeout(specTimeout))
+})
