counter: the software version of an upstream is fixed with its process

A leave may come without an announcement. It counted as an upstream without a version, so a service with one version seemed to have two: streams whose origin nobody knows were refused, and all streams were reported (spec fails with the version of the latest record). It was also read without the lock by lines of attempts. Now it is set when a process becomes known, like its name and address.

--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -95,7 +95,7 @@
 func (p *upstreamPool) eligible(now time.Time, q upstreamQuery) iter.Seq[*upstream] {
 	return func(yield func(*upstream) bool) {
 		for _, u := range p.upstreamsWith(q.service, q.model) {
-			if p.isAvailable(now, u) && q.software.Allows(u.softwareVersion()) && !yield(u) {
+			if p.isAvailable(now, u) && q.software.Allows(u.software) && !yield(u) {
 				return
 			}
 		}
@@ -108,7 +108,7 @@
 	for _, u := range p.byService[q.service] {
 		switch {
 		case !p.isAvailable(now, u):
-		case !q.software.Allows(u.softwareVersion()):
+		case !q.software.Allows(u.software):
 			missing = max(missing, missingVersion)
 		case q.model != "":
 			return missingModel
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -36,6 +36,11 @@
 	p.pool.apply(now, changed)
 }
 
+// HasSeveralVersions reports whether the upstreams of a service have had several software versions.
+func (p UpstreamPool) HasSeveralVersions(service string) bool {
+	return p.pool.versions.Several(service, time.Time{})
+}
+
 // SetRouted sets the services of the routes in force.
 func (p UpstreamPool) SetRouted(services ...string) {
 	p.pool.routedServices = map[string]*routes.Service{}
--- a/internal/counter/origins.go
+++ b/internal/counter/origins.go
@@ -40,7 +40,7 @@
 			// Another process has taken over the name, or the upstream is not known here yet.
 			return
 		}
-		version = answering.softwareVersion()
+		version = answering.software
 	}
 	record := resumption.Record{
 		Stream: t.streamID(), Origin: resumption.Origin{Service: t.service, SoftwareVersion: version},
--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -201,7 +201,7 @@
 		p.reportPushback(now, u, owner)
 		p.peers.send(owner, permit.Release{ID: m.ID})
 		return grant{}, errDecideLocally
-	case u != nil && (now.Before(u.refusals.PausedUntil()) || !t.software.Allows(u.softwareVersion())):
+	case u != nil && (now.Before(u.refusals.PausedUntil()) || !t.software.Allows(u.software)):
 		p.peers.send(owner, permit.Release{ID: m.ID})
 		return grant{}, errDecideLocally
 	}
--- a/internal/counter/pushback.go
+++ b/internal/counter/pushback.go
@@ -69,7 +69,7 @@
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if known := p.pool.byName[u.name]; known != nil && known.softwareVersion() != u.softwareVersion() && u.incarnation != 0 {
+	if known := p.pool.byName[u.name]; known != nil && u.announced && known.software != u.software {
 		return false
 	}
 	u = p.pool.current(u)
--- a/internal/counter/relayclient.go
+++ b/internal/counter/relayclient.go
@@ -132,8 +132,8 @@
 	header.Set(relayUpstreamHeader, a.upstream.name)
 	header.Set(relayRequestHeader, t.call.ID)
 	header.Set(relayTimeoutHeader, strconv.FormatInt(t.remaining().Milliseconds(), 10))
-	if a.upstream.isAnnounced() {
-		header.Set(relaySoftwareHeader, a.upstream.softwareVersion())
+	if a.upstream.announced {
+		header.Set(relaySoftwareHeader, a.upstream.software)
 	}
 	header.Set(relayIdempotentHeader, strconv.FormatBool(t.isIdempotent()))
 	response, err := t.proxy.relays.transports.of(t.isIdempotent()).RoundTrip(outgoing)
--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -61,7 +61,7 @@
 	switch {
 	case u == nil, p.draining, p.relaying >= maxRelaying, p.pool.isServiceLost(now, u.service):
 		return nil, relayUnavailable
-	case u.isLeaving(), u.pushesBack(now, p.owners.self), len(software) > 0 && software[0] != u.softwareVersion():
+	case u.isLeaving(), u.pushesBack(now, p.owners.self), len(software) > 0 && software[0] != u.software:
 		return nil, relayUnwanted
 	case u.path.IsLost():
 		return nil, relayUnreachable
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -179,7 +179,7 @@
 	if t.call.Resumes != "" {
 		line = line.Str("resumes", t.call.Resumes)
 	}
-	if version := a.upstream.softwareVersion(); version != "" {
+	if version := a.upstream.software; version != "" {
 		line = line.Str("software-version", version)
 	}
 	if t.call.Model != "" {
--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -16,6 +17,8 @@
 	"github.com/lovagelift/lovagelift/internal/counter"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
+	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 const (
@@ -288,6 +291,26 @@
 	}, SpecTimeout(specTimeout))
 })
 
+var _ = Describe("A service with one software version", func() {
+	// A leave may come without an announcement, and so without a version.
+	It("has one after an upstream has left", func() {
+		pool := counter.NewUpstreamPool("here", lease)
+		for _, name := range []string{"e1", "e2"} {
+			engine := engineRecord(name, "here", start, "m")
+			engine.Announcement.SoftwareVersion = "v1"
+			pool.Apply(start, engine)
+		}
+		pool.Apply(start, roster.Upstream{
+			Announcement: upstreamapi.Announcement{Name: "e1", Incarnation: math.MaxUint64}, LastContact: start, Leaving: true,
+		})
+		Expect(pool.HasSeveralVersions("pool")).To(BeFalse())
+		other := engineRecord("e3", "here", start, "m")
+		other.Announcement.SoftwareVersion = "v2"
+		pool.Apply(start, other)
+		Expect(pool.HasSeveralVersions("pool")).To(BeTrue())
+	})
+})
+
 var _ = Describe("The instance that owns a model", func() {
 	It("grants a stream that is resumed only an upstream of its version", func() {
 		instances := instanceAddresses(3)
--- a/internal/counter/upstreampool.go
+++ b/internal/counter/upstreampool.go
@@ -55,12 +55,16 @@
 // upstream is one process of a service.
 type upstream struct {
 	roster.Upstream
-	// name and address never change, so that requests in flight may read them during updates. A
-	// record that only reports a leave has no address.
+	// name, address and software never change, so that requests in flight may read them during
+	// updates. A record that only reports a leave has no address. announced is false if only the name
+	// and the address are known, from the owner of a model.
 	name        string
 	incarnation uint64
 	address     string
 	service     string
+	announced   bool
+	// software is the version of the upstream's software, empty if it announces none.
+	software string
 	// slots is the number of requests that the upstream runs at once, 0 if it is not known. remote
 	// is true for another failure domain.
 	slots  int
@@ -134,9 +138,9 @@
 	if u != nil && known.Announcement.Incarnation < u.incarnation {
 		return
 	}
-	if u != nil && known.Announcement.Incarnation > u.incarnation && len(known.Announcement.Services) > 0 {
-		// The process was restarted under its name. Load, models and failures of its predecessor do
-		// not apply to it.
+	restarted := u != nil && (known.Announcement.Incarnation > u.incarnation || known.Announcement.SoftwareVersion != u.software)
+	if restarted && len(known.Announcement.Services) > 0 {
+		// Load, models and failures of the former process under this name do not apply to it.
 		p.remove(name)
 		u = nil
 	}
@@ -146,6 +150,7 @@
 		}
 		u = &upstream{
 			name: name, incarnation: known.Announcement.Incarnation, address: known.Announcement.Address, service: known.Announcement.Services[0],
+			announced: true, software: known.Announcement.SoftwareVersion,
 			pacing: pacingFor(defaultMaxGap, speed.New(0)),
 		}
 		p.byName[name] = u
@@ -156,7 +161,7 @@
 	}
 	residentChanged := !slices.EqualFunc(u.Announcement.Resident, known.Announcement.Resident, equalResidents)
 	u.Upstream = known
-	if p.versions.Observe(u.service, u.softwareVersion(), known.LastContact) {
+	if p.versions.Observe(u.service, u.software, known.LastContact) {
 		p.newVersions[u.service] = true
 	}
 	u.slots = known.Announcement.Load.MaxRunning
@@ -277,7 +282,7 @@
 // or making room for. It returns false if there is none.
 func (p *upstreamPool) loadTime(now time.Time, q upstreamQuery) (shortest time.Duration, ok bool) {
 	for _, u := range p.byService[q.service] {
-		if u.loading != q.model || q.model == "" || !q.software.Allows(u.softwareVersion()) || !p.isAvailable(now, u) {
+		if u.loading != q.model || q.model == "" || !q.software.Allows(u.software) || !p.isAvailable(now, u) {
 			continue
 		}
 		if left := max(u.loadDoneAt.Sub(now), 0); !ok || left < shortest {
@@ -292,16 +297,6 @@
 	return !u.isLeaving() && p.byAddress[u.address] == u && (p.lastHeard.Sub(u.LastContact) < p.lease || now.Before(p.graceUntil))
 }
 
-// softwareVersion returns the version of the upstream's software, empty if it has announced none.
-func (u *upstream) softwareVersion() string {
-	return u.Announcement.SoftwareVersion
-}
-
-// isAnnounced reports whether the upstream's announcement is known here, and not only its address.
-func (u *upstream) isAnnounced() bool {
-	return u.Announcement.Name != ""
-}
-
 // process returns the upstream with a name and incarnation, or the name alone if incarnation is 0.
 // It returns nil if there is none.
 func (p *upstreamPool) process(name string, incarnation uint64) *upstream {
