counter: only the instances that are asked first are ranked for a stream that is resumed

The others need no order: they are listed when they are asked. A request that names no earlier one asks nobody, as its own ID is new; it called the control instances in vain. No decision changes.

--- a/internal/counter/originqueries.go
+++ b/internal/counter/originqueries.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
@@ -49,6 +50,15 @@
 	return resumption.Origin{}, false
 }
 
+// peersExcept returns the other instances that are not among asked.
+func (p *Proxy) peersExcept(asked []netip.AddrPort) []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.DeleteFunc(p.owners.assignment.All(), func(address netip.AddrPort) bool {
+		return !p.isPeer(address) || slices.Contains(asked, address)
+	})
+}
+
 // askControl asks all control instances for the origin of a stream. It returns false if none knows
 // it.
 func (p *Proxy) askControl(ctx context.Context, stream resumption.StreamID) (resumption.Origin, bool) {
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -76,22 +76,21 @@
 	stream := t.streamID()
 	p.mu.Lock()
 	origin, known := p.origins.Find(p.options.Now(), stream)
-	peers := p.owners.assignment.Ranked(uint64(stream), p.owners.assignment.Len(), p.isPeer)
+	ranked := p.owners.assignment.Ranked(uint64(stream), originRanksAsked, p.isPeer)
 	p.mu.Unlock()
-	if known {
+	switch {
+	case known:
 		return origin, originOwn
+	case t.call.Resumes == "":
+		return t.onlyOrigin()
 	}
-	if t.call.Resumes == "" {
-		peers = nil
-	}
-	ranked, others := peers[:min(originRanksAsked, len(peers))], peers[min(originRanksAsked, len(peers)):]
 	if origin, known := p.askOrigin(ctx, stream, ranked); known {
 		return origin, originRanked
 	}
-	if version, alone := t.onlyVersion(); alone {
-		return resumption.Origin{Service: t.service, SoftwareVersion: version}, originOnlyVersion
+	if origin, source := t.onlyOrigin(); source != originUnknown {
+		return origin, source
 	}
-	if origin, known := p.askOrigin(ctx, stream, others); known {
+	if origin, known := p.askOrigin(ctx, stream, p.peersExcept(ranked)); known {
 		return origin, originOther
 	}
 	if origin, known := p.askControl(ctx, stream); known {
@@ -100,18 +99,22 @@
 	return resumption.Origin{}, originUnknown
 }
 
-// onlyVersion returns the software version of all upstreams at which the stream can have begun. It
-// returns false if there are several, or if some upstreams may be unknown here.
-func (t *transaction) onlyVersion() (string, bool) {
+// onlyOrigin returns the origin of the stream if all upstreams at which it can have begun have one
+// software version. If there are several, or some upstreams may be unknown here, the origin is unknown.
+func (t *transaction) onlyOrigin() (resumption.Origin, originSource) {
 	p := t.proxy
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.control.rosterIncomplete || now.Sub(p.control.lastSyncSent) > p.options.UpstreamLease {
-		return "", false
+		return resumption.Origin{}, originUnknown
 	}
 	// The request states the rest of its caller's time, which may be less than half of the whole.
-	return p.pool.versions.Only(t.service, now.Add(-2*t.streamLifetime()-p.options.UpstreamLease))
+	version, alone := p.pool.versions.Only(t.service, now.Add(-2*t.streamLifetime()-p.options.UpstreamLease))
+	if !alone {
+		return resumption.Origin{}, originUnknown
+	}
+	return resumption.Origin{Service: t.service, SoftwareVersion: version}, originOnlyVersion
 }
 
 // untilVersionsKnown returns the time until all upstreams are known, 0 if they are.
