--- a/internal/counter/claims.go
+++ b/internal/counter/claims.go
@@ -49,7 +49,7 @@
 	}
 	id, pending := p.expectReply(owner)
 	p.mu.Unlock()
-	defer p.dropReply(id)
+	defer p.dropReplies(id)
 	answer := p.exchange(ctx, owner, permit.SendRequest{ID: id, Upstream: u.name, Limit: limit}, pending)
 	switch m := answer.(type) {
 	case permit.SendAllowed:
--- a/internal/counter/originqueries.go
+++ b/internal/counter/originqueries.go
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerAttempts*ownerTimeout)
 	defer cancel()
 	queries, answers := p.expectOrigins(peers)
-	defer p.dropReplies(maps.Clone(queries))
+	defer p.dropReplies(slices.Collect(maps.Keys(queries))...)
 	p.sendQueries(stream, queries)
 	repeat := time.NewTicker(ownerTimeout)
 	defer repeat.Stop()
@@ -96,21 +96,11 @@
 	queries = make(map[permit.ID]netip.AddrPort, len(peers))
 	answers = make(chan permit.Message, ownerAttempts*len(peers))
 	for _, peer := range peers {
-		p.lastMessageID++
-		p.pendingReplies[p.lastMessageID] = &pendingReply{owner: peer, answers: answers}
-		queries[p.lastMessageID] = peer
+		queries[p.registerReply(&pendingReply{owner: peer, answers: answers})] = peer
 	}
 	return queries, answers
 }
 
-func (p *Proxy) dropReplies(queries map[permit.ID]netip.AddrPort) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id := range queries {
-		delete(p.pendingReplies, id)
-	}
-}
-
 // answerOrigin answers a peer's query. p.mu is held.
 func (p *Proxy) answerOrigin(now time.Time, from netip.AddrPort, m permit.StreamQuery) {
 	if origin, known := p.origins.Find(now, m.Stream); known {
--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -156,20 +156,28 @@
 
 // expectReply registers a message to another instance that expects a reply. p.mu is held.
 func (p *Proxy) expectReply(owner netip.AddrPort) (permit.ID, *pendingReply) {
-	p.lastMessageID++
 	pending := &pendingReply{owner: owner, answers: make(chan permit.Message, ownerAttempts+1)}
+	return p.registerReply(pending), pending
+}
+
+// registerReply returns the ID of the message to which pending expects the reply. p.mu is held.
+func (p *Proxy) registerReply(pending *pendingReply) permit.ID {
+	p.lastMessageID++
 	p.pendingReplies[p.lastMessageID] = pending
-	return p.lastMessageID, pending
+	return p.lastMessageID
 }
 
-func (p *Proxy) dropReply(id permit.ID) {
+// dropReplies stops expecting the replies to messages.
+func (p *Proxy) dropReplies(ids ...permit.ID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.pendingReplies, id)
+	for _, id := range ids {
+		delete(p.pendingReplies, id)
+	}
 }
 
 func (p *Proxy) finishPermitRequest(t *transaction, id permit.ID) {
-	p.dropReply(id)
+	p.dropReplies(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.addWaiting(&t.requirements, -1)
--- a/internal/counter/quota.go
+++ b/internal/counter/quota.go
@@ -157,7 +157,7 @@
 		answer := p.exchange(ctx, owner, permit.QuotaRequest{
 			ID: id, Workspace: w.Name, PerSecond: w.Quota.PerSecond, Burst: w.Quota.Burst, Need: need, Ahead: ahead,
 		}, pending)
-		p.dropReply(id)
+		p.dropReplies(id)
 		switch m := answer.(type) {
 		case permit.QuotaGranted:
 			p.extendLease(w.Name, m.Units-need)
