--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -173,7 +173,10 @@
 		p.options.Log.Info().Str("control", address).Msg("control instance answers again")
 	}
 	p.mergeRoster(askedAt, reply)
-	if lacking := p.lacksMembers(now, reply); reply.Members != nil && !lacking {
+	if !reply.RosterIncomplete {
+		p.control.membersConfirmedAt = now
+	}
+	if reply.Members != nil && !p.lacksMembers(now, reply) {
 		p.applyMembers(now, *reply.Members)
 	}
 	var changed []roster.Upstream
@@ -218,11 +221,8 @@
 // that may not know all of them. Instances with such a list would have owners of their own for models
 // and quotas, beside those of the other instances. p.mu is held.
 func (p *Proxy) lacksMembers(now time.Time, reply courier.SyncReply) bool {
-	if !reply.RosterIncomplete {
-		p.control.membersConfirmedAt = now
-	}
-	return now.Sub(p.control.membersConfirmedAt) < maxMembersAge && reply.Members != nil &&
-		reply.RosterIncomplete && len(reply.Members.Entries) < p.control.entryInstances
+	return reply.RosterIncomplete && now.Sub(p.control.membersConfirmedAt) < maxMembersAge &&
+		len(reply.Members.Entries) < p.control.entryInstances
 }
 
 // applyMembers applies the list of live instances. p.mu is held.
