--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -49,7 +49,7 @@
 	// aliveControls are the other control instances that were alive at the last pulls, by address.
 	aliveControls map[string]bool
 	// peers are the other control instances by address. wholePullFrom is the one to pull all members
-	// from since wholePullSince, while another is unreachable, and wholePulledAt is when the last such
+	// from since wholePullSince, nil unless another is unreachable. wholePulledAt is when the last such
 	// pull that succeeded was sent.
 	peers          map[string]*peer
 	wholePullFrom  *peer
--- a/internal/backoffice/pulls.go
+++ b/internal/backoffice/pulls.go
@@ -18,9 +18,6 @@
 	// pulling is set during a pull. pulledAt is when the last one that succeeded was sent.
 	pulling  bool
 	pulledAt time.Time
-	// whole is set if the pull requests all members that the peer knows, and not only those that
-	// report to it.
-	whole bool
 	// unreachable is set while pulls fail.
 	unreachable bool
 }
@@ -79,24 +76,26 @@
 // transfers all of them again.
 const wholePullTime = 2 * time.Second
 
-// chooseWholePull sets which of the peers is pulled from for all members that it knows. While a peer is
-// unreachable from here, one of the others has to tell of the members that report to that one. i.mu is
-// held.
+// chooseWholePull sets which of the peers is pulled from for all members that it knows, and not only
+// those that report to it. While a peer is unreachable from here, one of the others has to tell of the
+// members that report to that one. i.mu is held.
 func (i *Instance) chooseWholePull(now time.Time, started []*peer) {
-	if now.Sub(i.wholePullSince) >= wholePullTime || i.wholePullFrom == nil || i.wholePullFrom.unreachable {
-		i.wholePullFrom, i.wholePullSince = nil, now
-		for _, p := range started {
-			if !p.unreachable {
-				i.wholePullFrom = p
-			}
-		}
-	}
 	needed := false
 	for _, p := range i.peers {
 		needed = needed || p.unreachable && i.mayHaveMembers(now, p)
 	}
+	current := i.wholePullFrom
+	if needed && current != nil && !current.unreachable && now.Sub(i.wholePullSince) < wholePullTime {
+		return
+	}
+	i.wholePullFrom, i.wholePullSince = nil, now
+	if !needed {
+		return
+	}
 	for _, p := range started {
-		p.whole = needed && p == i.wholePullFrom
+		if !p.unreachable {
+			i.wholePullFrom = p
+		}
 	}
 }
 
@@ -114,7 +113,7 @@
 
 func (i *Instance) pullFrom(ctx context.Context, p *peer) {
 	i.mu.Lock()
-	whole := p.whole
+	whole := p == i.wholePullFrom
 	cursor := p.source.Cursor(!whole)
 	introduction := i.roster.SelfRecord(i.options.Now())
 	i.mu.Unlock()
