--- a/internal/counter/relay_test.go
+++ b/internal/counter/relay_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -46,18 +45,7 @@
 // post sends a request to the first instance and returns the status and the body.
 func (g *relayGroup) post(ctx context.Context, path, body string) (status int, text string, err error) {
 	GinkgoHelper()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.server.URL+path, strings.NewReader(body))
-	Expect(err).NotTo(HaveOccurred())
-	request.Host = "spec.test"
-	request.Header.Set(idHeader, "r1")
-	request.Header.Set(keyHeader, "clerk-key")
-	response, err := http.DefaultTransport.RoundTrip(request)
-	if err != nil {
-		return 0, "", err
-	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(content), err
+	return postToInstance(ctx, g.server.URL+path, http.Header{idHeader: {"r1"}, keyHeader: {"clerk-key"}}, body)
 }
 
 var _ = Describe("A request that is sent through a peer", func() {
--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"net/http/httptest"
@@ -127,16 +126,7 @@
 
 func (g *resumptionGroup) post(ctx context.Context, instance int, header http.Header) (status int, text string, err error) {
 	GinkgoHelper()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.servers[instance].URL+"/draft/", nil)
-	Expect(err).NotTo(HaveOccurred())
-	request.Host, request.Header = "spec.test", header
-	response, err := http.DefaultTransport.RoundTrip(request)
-	if err != nil {
-		return 0, "", err
-	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(content), err
+	return postToInstance(ctx, g.servers[instance].URL+"/draft/", header, "")
 }
 
 // expectSameVersion begins streams at one instance and resumes each at another one. before is called
--- a/internal/counter/testproxy_test.go
+++ b/internal/counter/testproxy_test.go
@@ -107,3 +107,19 @@
 	text, err := io.ReadAll(response.Body)
 	return response, string(text), err
 }
+
+// postToInstance sends a request to the server of an instance for callers and returns the status and the
+// body.
+func postToInstance(ctx context.Context, url string, header http.Header, body string) (status int, text string, err error) {
+	GinkgoHelper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	request.Host, request.Header = "spec.test", header
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(content), err
+}
