counter, coroner: the parts of the prompts at an upstream that ended are logged

The lines of ended upstreams named whole requests only, and nothing told that crash reports were held back, so that the hypotheses of docs/incidents/prompt-part-crashes-engines.md could not be told apart. No decision uses the parts.

--- a/internal/coroner/coroner.go
+++ b/internal/coroner/coroner.go
@@ -279,6 +279,9 @@
 			if event == nil {
 				continue
 			}
+			if len(suspect.Parts) > 0 {
+				event = event.Strs(quarantine.FieldParts, quarantine.ShortDigests(suspect.Parts))
+			}
 			event.Str("request", suspect.Request).Str(quarantine.FieldDigest, suspect.Digest.Short()).
 				Str("upstream", report.Upstream).Bool("answering", suspect.Answering).
 				Int("requests", len(report.Suspects)).Msg(quarantine.LogEnded)
--- a/internal/counter/crashes.go
+++ b/internal/counter/crashes.go
@@ -36,8 +36,13 @@
 	p.mu.Lock()
 	address := p.control.current
 	var undecided bool
-	update.Reports, undecided = p.pool.confirmCrashes(now, update.Reports)
+	all := update.Reports
+	update.Reports, undecided = p.pool.confirmCrashes(now, all)
 	p.mu.Unlock()
+	if undecided {
+		p.logLine(now, "crash undecided").Int("upstreams", len(all)-len(update.Reports)).
+			Msg("crash reports held back while the path to the service may be lost")
+	}
 	if update.Empty() {
 		return !undecided
 	}
@@ -70,8 +75,17 @@
 	}.Digest()
 }
 
+// partsOf returns the digests of the parts of a prompt.
+func partsOf(call Call) []quarantine.Digest {
+	parts := make([]quarantine.Digest, 0, len(call.PromptParts))
+	for _, id := range call.PromptParts {
+		parts = append(parts, quarantine.PartDigest(id))
+	}
+	return parts
+}
+
 func (t *transaction) suspect(a *upstreamAttempt) quarantine.Suspect {
-	return quarantine.Suspect{Digest: t.digest, Request: t.call.ID, Answering: a.bodyStarted}
+	return quarantine.Suspect{Digest: t.digest, Request: t.call.ID, Answering: a.bodyStarted, Parts: t.parts}
 }
 
 func (u *upstream) endpoint() quarantine.Endpoint {
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -129,6 +129,8 @@
 	Adapter      string
 	PromptTokens int
 	OutputTokens int
+	// PromptParts are the ids of the parts of the prompt that other requests may share, each once.
+	PromptParts []string
 	// Size is what a quota counts. Unlike OutputTokens, it includes the maximum of the answer.
 	Size quota.Size
 }
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -28,6 +28,8 @@
 	request   *http.Request
 	body      []byte
 	digest    quarantine.Digest
+	// parts are the parts of the prompt that other requests may share.
+	parts []quarantine.Digest
 	requirements
 	// quotaCost is charged to the quota of the workspace. chargedAt is zero if nothing is.
 	quotaCost float64
@@ -75,7 +77,7 @@
 			arrived: arrived, deadline: arrived.Add(timeoutOf(call, route)), sender: p.owners.self,
 		},
 	}
-	t.digest = digestOf(r, t.workspaceName(), body)
+	t.digest, t.parts = digestOf(r, t.workspaceName(), body), partsOf(call)
 	if p.crashes.IsQuarantined(t.digest) {
 		t.refuseQuarantined(w)
 		return
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 	"io"
 
 	"github.com/cockroachdb/errors"
@@ -28,17 +29,30 @@
 func (i Identity) Digest() Digest {
 	hash := sha256.New()
 	for _, field := range []string{i.Caller, i.Method, i.Host, i.Target} {
-		// The length marks the end of the field. Without it, text could move from one
-		// field to the next without a change of the digest.
-		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
-		hash.Write(length[:])
-		_, _ = io.WriteString(hash, field)
+		writeField(hash, field)
 	}
 	hash.Write(i.Body)
 	return Digest(hash.Sum(nil))
 }
 
+// PartDigest returns the digest of a part of a prompt. Its id is the same in all requests that
+// contain the part. No request has the same digest.
+func PartDigest(id string) Digest {
+	hash := sha256.New()
+	writeField(hash, "prompt part")
+	writeField(hash, id)
+	return Digest(hash.Sum(nil))
+}
+
+// writeField writes a field with its length. Without the length, text could move from one field
+// to the next without a change of the digest.
+func writeField(hash hash.Hash, field string) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+	hash.Write(length[:])
+	_, _ = io.WriteString(hash, field)
+}
+
 // shortBytes is the number of bytes of a digest in a log line.
 const shortBytes = 8
 
@@ -47,6 +61,15 @@
 	return hex.EncodeToString(d[:shortBytes])
 }
 
+// ShortDigests returns the first bytes of each digest in hexadecimal, for logs.
+func ShortDigests(digests []Digest) []string {
+	short := make([]string, 0, len(digests))
+	for _, digest := range digests {
+		short = append(short, digest.Short())
+	}
+	return short
+}
+
 // String returns the digest in hexadecimal.
 func (d Digest) String() string {
 	return hex.EncodeToString(d[:])
--- a/internal/quarantine/log.go
+++ b/internal/quarantine/log.go
@@ -12,4 +12,6 @@
 	LogLifted = "quarantine lifted"
 
 	FieldDigest = "digest"
+	// FieldParts holds the shortened digests of parts of a prompt.
+	FieldParts = "parts"
 )
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -70,6 +70,8 @@
 	Request string `json:"request"`
 	// Answering is true if part of the response had arrived.
 	Answering bool `json:"answering,omitempty"`
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []Digest `json:"parts,omitempty"`
 }
 
 // Report states that an upstream has ended, and which requests of one instance it had.
