quarantine: crashes are counted for the parts of prompts as well

Callers saw: one part of prompts crashed each engine that began to answer on it.

Cause: crashes were counted for whole requests only.

Each part of a prompt that other requests may share now has a record of its own, by the same rules of guilt. Parts to which a whole response was seen at the instance in the last minute or two are not reported, and an instance that saw one clears a part that the news name. Parts that only ever were in the same requests can't be told apart; they are in quarantine together, so that a request with one of them alone is still sent and shows which it was. Later than a second after its first event a request brings its parts no crash, as a part crashes an engine that begins to answer.

--- a/internal/chamber/quarantine.go
+++ b/internal/chamber/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/quarantine"
@@ -18,21 +19,25 @@
 	return news
 }
 
-// logQuarantineChange logs that a request entered the quarantine, with the crashes that caused it,
-// or left the quarantine.
+// logQuarantineChange logs that a request or parts of prompts entered the quarantine, with the
+// crashes that caused it, or left the quarantine.
 func (v *Voter) logQuarantineChange(change quarantine.Change) {
 	if len(change.Crashes) == 0 {
 		v.options.Log.Info().Stringer(quarantine.FieldDigest, change.Digest).Msg(quarantine.LogLeft)
 		return
 	}
+	event, message := v.options.Log.Warn(), quarantine.LogEntered
+	if change.Part {
+		parts := slices.Concat([]quarantine.Digest{change.Digest}, change.Also)
+		event, message = event.Strs(quarantine.FieldParts, quarantine.ShortDigests(parts)), quarantine.LogPartEntered
+	}
 	upstreams := make([]string, 0, len(change.Crashes))
 	requests := make([]string, 0, len(change.Crashes))
 	for _, crash := range change.Crashes {
 		upstreams = append(upstreams, crash.Upstream)
 		requests = append(requests, crash.Request)
 	}
-	v.options.Log.Warn().Stringer(quarantine.FieldDigest, change.Digest).Strs("upstreams", upstreams).Strs("requests", requests).
-		Msg(quarantine.LogEntered)
+	event.Stringer(quarantine.FieldDigest, change.Digest).Strs("upstreams", upstreams).Strs("requests", requests).Msg(message)
 }
 
 // Quarantined lists the requests in quarantine and those under suspicion.
--- a/internal/command/quarantine.go
+++ b/internal/command/quarantine.go
@@ -59,13 +59,25 @@
 	return digests, findings.Err()
 }
 
+// describeParts returns what a listing says of parts of prompts, and nothing for a request.
+func describeParts(listing quarantine.Listing) string {
+	if !listing.Part {
+		return ""
+	}
+	text := " (part of prompts"
+	for _, part := range listing.With {
+		text += ", with " + part.String()
+	}
+	return text + ")"
+}
+
 func printQuarantine(listings []quarantine.Listing, streams Streams) {
 	if len(listings) == 0 {
 		fmt.Fprintln(streams.Out, "no request is in quarantine or suspected")
 		return
 	}
 	for _, request := range listings {
-		fmt.Fprintf(streams.Out, "%s %s\n", request.State, request.Digest)
+		fmt.Fprintf(streams.Out, "%s %s%s\n", request.State, request.Digest, describeParts(request))
 		for _, crash := range request.Crashes {
 			fmt.Fprintf(streams.Out, "  %s upstream %s ended under request %s\n",
 				crash.At.UTC().Format(time.RFC3339), crash.Upstream, crash.Request)
--- a/internal/coroner/coroner.go
+++ b/internal/coroner/coroner.go
@@ -98,11 +98,17 @@
 }
 
 // IsQuarantined reports whether a request is in quarantine and must not be sent.
-func (d *CrashDetector) IsQuarantined(digest quarantine.Digest) bool {
+func (d *CrashDetector) IsQuarantined(digest quarantine.Digest, parts ...quarantine.Digest) bool {
+	return d.Match(digest, parts...) != nil
+}
+
+// Match returns the digests for which a request is in quarantine and must not be sent: its own or
+// those of parts of its prompt. It returns nil if the request may be sent.
+func (d *CrashDetector) Match(digest quarantine.Digest, parts ...quarantine.Digest) []quarantine.Digest {
 	now := d.options.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.watch.IsQuarantined(now, digest)
+	return d.watch.Match(now, digest, parts...)
 }
 
 // Counts returns the number of requests in quarantine and the number of suspected requests.
@@ -141,14 +147,14 @@
 
 // Succeeded records that an upstream sent a complete response to a request. It ignores
 // responses with an error status.
-func (d *CrashDetector) Succeeded(digest quarantine.Digest, status int) {
+func (d *CrashDetector) Succeeded(digest quarantine.Digest, status int, parts ...quarantine.Digest) {
 	if status >= http.StatusBadRequest {
 		return
 	}
 	now := d.options.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.watch.Succeeded(now, digest)
+	d.watch.Succeeded(now, digest, parts...)
 	d.wakeReporter()
 }
 
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -17,8 +17,7 @@
 	p := t.proxy
 	a := &upstreamAttempt{grant: granted}
 	defer p.finishAttempt(t, a)
-	if p.crashes.IsQuarantined(t.digest) {
-		t.refuseQuarantined(w)
+	if t.refuseIfQuarantined(w) {
 		return true
 	}
 	if !p.mayStillSend(a.upstream) {
--- a/internal/counter/crashes.go
+++ b/internal/counter/crashes.go
@@ -85,7 +85,15 @@
 }
 
 func (t *transaction) suspect(a *upstreamAttempt) quarantine.Suspect {
-	return quarantine.Suspect{Digest: t.digest, Request: t.call.ID, Answering: a.bodyStarted, Parts: t.parts}
+	suspect := quarantine.Suspect{Digest: t.digest, Request: t.call.ID, Parts: t.parts}
+	switch {
+	case !a.bodyStarted:
+		return suspect
+	case t.timing.firstChunk.IsZero():
+		return suspect.WithAnswering(0)
+	default:
+		return suspect.WithAnswering(t.proxy.options.Now().Sub(t.timing.firstChunk))
+	}
 }
 
 func (u *upstream) endpoint() quarantine.Endpoint {
@@ -129,14 +137,23 @@
 // quarantinedText is the text sent to callers of quarantined requests.
 const quarantinedText = "upstreams end that run this request"
 
-// refuseQuarantined answers a quarantined request with a status that callers do not retry.
-func (t *transaction) refuseQuarantined(w http.ResponseWriter) {
+// refuseIfQuarantined answers a quarantined request with a status that callers do not retry, and
+// reports whether it did.
+func (t *transaction) refuseIfQuarantined(w http.ResponseWriter) bool {
+	match := t.proxy.crashes.Match(t.digest, t.parts...)
+	if match == nil {
+		return false
+	}
 	r := refusal{
 		status: http.StatusBadRequest, text: quarantinedText,
 		reason: quarantine.Reason, outcome: outcome.NotRun, digest: t.digest,
 	}
+	if match[0] != t.digest {
+		r.parts = match
+	}
 	if t.possibleRuns > 0 {
 		r.status, r.outcome = http.StatusBadGateway, outcome.Unknown
 	}
 	t.proxy.refuse(w, t.call, t.route, r)
+	return true
 }
--- a/internal/counter/refusal.go
+++ b/internal/counter/refusal.go
@@ -26,6 +26,9 @@
 	outcome outcome.Outcome
 	// digest identifies a quarantined request.
 	digest quarantine.Digest
+	// parts are the parts of the prompt for which the request is quarantined, nil if the request
+	// itself is.
+	parts []quarantine.Digest
 	// retryAfter is the Retry-After time, 0 if a retry does not help.
 	retryAfter time.Duration
 	// forecastWait is the forecast wait that caused the refusal, 0 if it had another cause.
@@ -86,6 +89,9 @@
 	if answer.reason != "" {
 		event = event.Stringer(quarantine.FieldDigest, answer.digest)
 	}
+	if len(answer.parts) > 0 {
+		event = event.Strs(quarantine.FieldParts, quarantine.ShortDigests(answer.parts))
+	}
 	if answer.forecastWait > 0 {
 		event = event.Dur("forecast", answer.forecastWait)
 	}
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -78,8 +78,7 @@
 		},
 	}
 	t.digest, t.parts = digestOf(r, t.workspaceName(), body), partsOf(call)
-	if p.crashes.IsQuarantined(t.digest) {
-		t.refuseQuarantined(w)
+	if t.refuseIfQuarantined(w) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), t.deadline.Sub(p.options.Now()))
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -24,6 +24,8 @@
 type task struct {
 	id     string
 	digest quarantine.Digest
+	// parts are the parts of the prompt that other requests may share.
+	parts []quarantine.Digest
 	// service is the name of the task's service. It may be empty.
 	service     string
 	requirement requirement
@@ -79,14 +81,15 @@
 			s.logRefusal(task, attempt, err)
 			return proxiedResponse{}, worseOutcome(reported, err)
 		}
-		if s.options.CrashDetector.IsQuarantined(task.digest) {
+		if match := s.options.CrashDetector.Match(task.digest, task.parts...); match != nil {
 			slot.release(dispatch.FailureCanceled)
-			return proxiedResponse{}, worseOutcome(reported, s.quarantineRefusal(task))
+			return proxiedResponse{}, worseOutcome(reported, s.quarantineRefusal(task, match))
 		}
 		s.logRoute(task, attempt, slot)
 		evidence := s.newCrashEvidence(task, slot)
 		response, err := s.sendAttempt(ctx, attempt, task, slot)
 		if err == nil {
+			evidence.answeredAt = s.options.Now()
 			return proxiedResponse{response: response, slot: slot, evidence: evidence}, nil
 		}
 		slot.release(attemptFailure(ctx, err))
--- a/internal/desk/body.go
+++ b/internal/desk/body.go
@@ -44,6 +44,19 @@
 	// name. They are raw, because it is the upstream that rejects invalid ones.
 	MaxTokens           json.RawMessage `json:"max_tokens"`
 	MaxCompletionTokens json.RawMessage `json:"max_completion_tokens"`
+	// Messages are raw, because it is the upstream that rejects invalid ones.
+	Messages rawMessages `json:"messages"`
+}
+
+// rawMessages are the messages of a prompt. Anything but a list is ignored.
+type rawMessages []json.RawMessage
+
+func (m *rawMessages) UnmarshalJSON(data []byte) error {
+	var messages []json.RawMessage
+	if json.Unmarshal(data, &messages) == nil {
+		*m = messages
+	}
+	return nil
 }
 
 // maxTokens returns the bound of the answer's tokens, or 0 if the caller names none.
--- a/internal/desk/completions.go
+++ b/internal/desk/completions.go
@@ -32,6 +32,7 @@
 	return s.serveTask(c, task{
 		id:          newRequestID(),
 		digest:      digestOf(r, body),
+		parts:       partsOf(completion),
 		service:     admitted.service,
 		requirement: requirement{model: completion.Model},
 		request: shuttle.Request{
@@ -87,8 +88,8 @@
 // serveTask serves a task, at most once if it has an idempotency key and must not run twice. It
 // refuses a quarantined request.
 func (s *Server) serveTask(c echo.Context, task task) error {
-	if s.options.CrashDetector.IsQuarantined(task.digest) {
-		return s.quarantineRefusal(task)
+	if match := s.options.CrashDetector.Match(task.digest, task.parts...); match != nil {
+		return s.quarantineRefusal(task, match)
 	}
 	if refusal := s.bindToVersion(&task); refusal != nil {
 		return refusal
--- a/internal/desk/crashes.go
+++ b/internal/desk/crashes.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -19,6 +21,18 @@
 	}.Digest()
 }
 
+// partsOf returns the digests of the parts of a completion's prompt that other requests may share:
+// all messages but the last, which belongs to the request itself.
+func partsOf(completion completionRequest) []quarantine.Digest {
+	var parts []quarantine.Digest
+	for _, message := range completion.Messages[:max(0, len(completion.Messages)-1)] {
+		if part := quarantine.PartDigest(string(message)); !slices.Contains(parts, part) {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
 // endpointOf returns the upstream process that a slot belongs to.
 func (s *Server) endpointOf(slot *slot) quarantine.Endpoint {
 	chosen := &slot.decision.Chosen
@@ -33,10 +47,15 @@
 type crashEvidence struct {
 	endpoint quarantine.Endpoint
 	suspect  quarantine.Suspect
+	// answeredAt is when the header of the response arrived.
+	answeredAt time.Time
 }
 
 func (s *Server) newCrashEvidence(task task, slot *slot) crashEvidence {
-	return crashEvidence{endpoint: s.endpointOf(slot), suspect: quarantine.Suspect{Digest: task.digest, Request: task.id}}
+	return crashEvidence{
+		endpoint: s.endpointOf(slot),
+		suspect:  quarantine.Suspect{Digest: task.digest, Request: task.id, Parts: task.parts},
+	}
 }
 
 // reportFailedAttempt reports an attempt that got no response to crash attribution.
@@ -49,7 +68,9 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		s.options.CrashDetector.Abandoned(evidence.endpoint, evidence.suspect)
 	default:
-		evidence.suspect.Answering = errors.Is(err, shuttle.ErrTruncated)
+		if errors.Is(err, shuttle.ErrTruncated) {
+			evidence.suspect = evidence.suspect.WithAnswering(0)
+		}
 		s.options.CrashDetector.Interrupted(evidence.endpoint, evidence.suspect)
 	}
 }
@@ -59,10 +80,10 @@
 	var cutOff *shuttle.Error
 	switch {
 	case err == nil:
-		s.options.CrashDetector.Succeeded(evidence.suspect.Digest, status)
+		s.options.CrashDetector.Succeeded(evidence.suspect.Digest, status, evidence.suspect.Parts...)
 	case errors.As(err, &cutOff):
-		evidence.suspect.Answering = true
-		s.options.CrashDetector.Interrupted(evidence.endpoint, evidence.suspect)
+		answering := evidence.suspect.WithAnswering(s.options.Now().Sub(evidence.answeredAt))
+		s.options.CrashDetector.Interrupted(evidence.endpoint, answering)
 	default:
 		s.options.CrashDetector.Abandoned(evidence.endpoint, evidence.suspect)
 	}
@@ -70,8 +91,12 @@
 
 // quarantineRefusal returns the refusal of a quarantined request, and logs it. Nothing of the
 // request has been sent.
-func (s *Server) quarantineRefusal(task task) *RefusalError {
-	s.options.Log.Info().Str("request", task.id).Stringer(quarantine.FieldDigest, task.digest).Msg("quarantined request refused")
+func (s *Server) quarantineRefusal(task task, match []quarantine.Digest) *RefusalError {
+	event := s.options.Log.Info()
+	if match[0] != task.digest {
+		event = event.Strs(quarantine.FieldParts, quarantine.ShortDigests(match))
+	}
+	event.Str("request", task.id).Stringer(quarantine.FieldDigest, task.digest).Msg("quarantined request refused")
 	return &RefusalError{
 		Status:  http.StatusUnprocessableEntity,
 		Code:    CodeQuarantined,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -151,20 +151,17 @@
 const maxQuarantineLines = 40
 
 // quarantineLines returns the lines that explain the quarantine of a request, limited to
-// the newest. They are found by the digest in the request's own lines.
+// the newest. They are found by the digests in the request's own lines.
 func (l *Log) quarantineLines(id string, ownLines []Line) []Line {
-	digest := ""
+	var digests []string
 	for _, line := range ownLines {
-		if value, ok := line.Fields[quarantine.FieldDigest].(string); ok {
-			digest = value
-		}
-	}
-	if digest == "" {
-		return nil
+		digests = append(digests, line.digests()...)
 	}
+	slices.Sort(digests)
+	digests = slices.Compact(digests)
 	var related []Line
 	for _, line := range l.lines {
-		if line.Fields[fieldRequest] != id && line.explainsQuarantine(digest) {
+		if line.Fields[fieldRequest] != id && line.explainsQuarantine(digests) {
 			related = append(related, line)
 		}
 	}
@@ -172,17 +169,35 @@
 	return related[max(0, len(related)-maxQuarantineLines):]
 }
 
-// explainsQuarantine reports whether the line is about the quarantine of the request with
-// the given digest, or about an upstream that terminated while it processed the request.
-// Some lines contain only a prefix of the digest.
-func (l Line) explainsQuarantine(digest string) bool {
+// digests returns the digests of the request and of parts of its prompt in a line.
+func (l Line) digests() []string {
+	var digests []string
+	if digest, ok := l.Fields[quarantine.FieldDigest].(string); ok && digest != "" {
+		digests = append(digests, digest)
+	}
+	parts, _ := l.Fields[quarantine.FieldParts].([]any)
+	for _, part := range parts {
+		if digest, ok := part.(string); ok && digest != "" {
+			digests = append(digests, digest)
+		}
+	}
+	return digests
+}
+
+// explainsQuarantine reports whether the line is about the quarantine of a request with one of
+// the given digests, or about an upstream that terminated while it processed one.
+// Some lines contain only a prefix of a digest.
+func (l Line) explainsQuarantine(digests []string) bool {
 	switch l.Message {
-	case quarantine.LogEnded, quarantine.LogEntered, quarantine.LogLeft, quarantine.LogLifted:
+	case quarantine.LogEnded, quarantine.LogEntered, quarantine.LogPartEntered, quarantine.LogLeft, quarantine.LogLifted:
 	default:
 		return false
 	}
-	lineDigest, _ := l.Fields[quarantine.FieldDigest].(string)
-	return lineDigest != "" && (strings.HasPrefix(lineDigest, digest) || strings.HasPrefix(digest, lineDigest))
+	return slices.ContainsFunc(l.digests(), func(own string) bool {
+		return slices.ContainsFunc(digests, func(digest string) bool {
+			return strings.HasPrefix(own, digest) || strings.HasPrefix(digest, own)
+		})
+	})
 }
 
 // lookback is how long before the start of a request a line may explain its outcome, for
--- /dev/null
+++ b/internal/quarantine/group.go
@@ -0,0 +1,88 @@
+package quarantine
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/lovagelift/lovagelift/internal/parcel"
+)
+
+// group is what the crashes can't tell apart: a request, or parts of prompts that were in
+// the same requests at the same crashes.
+type group struct {
+	// digests identify the requests that the group is about: a request is, if it has all of
+	// them. They are either one request, or one or more parts, sorted.
+	digests []Digest
+	// heaviest is the member with the most weight.
+	heaviest Case
+}
+
+// evidence identifies the crashes of a case and the requests that were there. Cases with the same
+// evidence can't be told apart.
+func (c Case) evidence() string {
+	var buffer []byte
+	for _, crash := range c.Crashes {
+		request := c.requestAt(crash)
+		buffer = parcel.AppendBytes(buffer, crash.Upstream)
+		buffer = parcel.AppendUint(buffer, crash.Incarnation)
+		buffer = append(buffer, request[:]...)
+	}
+	return string(buffer)
+}
+
+// requestAt returns the request that the case, or the part of its prompt, stands for at a crash.
+func (c Case) requestAt(crash Crash) Digest {
+	if c.isPart() {
+		return crash.Whole
+	}
+	return c.Digest
+}
+
+// onlyRequest returns the request that was at all crashes of the case, if it is the only one.
+func (c Case) onlyRequest() (Digest, bool) {
+	request := c.requestAt(c.Crashes[0])
+	differs := func(crash Crash) bool { return c.requestAt(crash) != request }
+	return request, !slices.ContainsFunc(c.Crashes, differs)
+}
+
+// groupCases returns the groups of the given cases, sorted by their digests.
+func groupCases(cases []Case) []group {
+	slices.SortFunc(cases, func(a, b Case) int { return compareDigests(a.Digest, b.Digest) })
+	byEvidence := map[string]*group{}
+	for _, c := range cases {
+		evidence := c.evidence()
+		g := byEvidence[evidence]
+		if g == nil {
+			g = &group{heaviest: c}
+			byEvidence[evidence] = g
+		}
+		if c.weight() > g.heaviest.weight() {
+			g.heaviest = c
+		}
+		g.digests = append(g.digests, c.Digest)
+	}
+	groups := make([]group, 0, len(byEvidence))
+	for _, g := range byEvidence {
+		if request, only := g.heaviest.onlyRequest(); only {
+			g.digests = []Digest{request}
+		}
+		groups = append(groups, *g)
+	}
+	slices.SortFunc(groups, compareGroups)
+	return groups
+}
+
+// hasParts reports whether the group is about parts of prompts, and not about a request.
+func (g group) hasParts() bool {
+	_, only := g.heaviest.onlyRequest()
+	return !only
+}
+
+// key returns a map key for the digests of a group.
+func key(digests []Digest) string {
+	var text strings.Builder
+	for _, digest := range digests {
+		text.Write(digest[:])
+	}
+	return text.String()
+}
--- a/internal/quarantine/investigations.go
+++ b/internal/quarantine/investigations.go
@@ -47,6 +47,8 @@
 	// requests of each.
 	maxInvestigations = 256
 	maxSuspects       = 256
+	// maxParts bounds the parts of prompts of the requests of an upstream.
+	maxParts = 1024
 )
 
 // investigation is an upstream whose responses were interrupted and that may have crashed.
@@ -124,9 +126,22 @@
 	if !i.crashed {
 		i.requests = slices.DeleteFunc(i.requests, func(r interruptedRequest) bool { return now.Sub(r.at) > interruptionSpread })
 	}
-	if len(i.requests) < maxSuspects {
-		i.requests = append(i.requests, interruptedRequest{suspect, now})
+	if len(i.requests) >= maxSuspects {
+		return
+	}
+	if i.partCount()+len(suspect.Parts) > maxParts {
+		suspect.Parts = nil
+	}
+	i.requests = append(i.requests, interruptedRequest{suspect, now})
+}
+
+// partCount returns the number of parts of all requests.
+func (i *investigation) partCount() int {
+	count := 0
+	for _, request := range i.requests {
+		count += len(request.Parts)
 	}
+	return count
 }
 
 // unreported returns the requests that are not reported yet.
--- a/internal/quarantine/listing.go
+++ b/internal/quarantine/listing.go
@@ -15,22 +15,29 @@
 	StateSuspected   State = "suspected"
 )
 
-// Listing is a request that is suspected or in quarantine.
+// Listing is a request, or a part of prompts, that is suspected or in quarantine.
 type Listing struct {
 	Case
 	State State `json:"state"`
+	// Part is true if Digest is that of a part of prompts.
+	Part bool `json:"part,omitempty"`
+	// With are further parts, if only prompts with all of them are in quarantine.
+	With []Digest `json:"with,omitempty"`
 }
 
-// List returns the requests in quarantine, followed by the suspected ones. In each group,
-// those with the newest crash come first.
+// List returns what is in quarantine, followed by what is suspected. In each of the two,
+// the newest crash comes first.
 func (r Records) List(now time.Time, limits Limits) []Listing {
 	list := []Listing{}
-	for digest, current := range r.judge(now, limits) {
-		state := StateSuspected
-		if current == verdictQuarantined {
-			state = StateQuarantined
-		}
-		list = append(list, Listing{Case: r.cases[digest], State: state})
+	judged := r.judge(now, limits)
+	for _, g := range judged.quarantined {
+		c := g.heaviest
+		c.Digest = g.digests[0]
+		list = append(list, Listing{Case: c, State: StateQuarantined, Part: g.hasParts(), With: g.digests[1:]})
+	}
+	for _, digest := range judged.suspected {
+		c := r.cases[digest]
+		list = append(list, Listing{Case: c, State: StateSuspected, Part: c.isPart()})
 	}
 	slices.SortFunc(list, func(a, b Listing) int {
 		return cmp.Or(cmp.Compare(a.State, b.State), b.last().Compare(a.last()), compareDigests(a.Digest, b.Digest))
--- a/internal/quarantine/log.go
+++ b/internal/quarantine/log.go
@@ -8,6 +8,8 @@
 	// LogEntered and LogLeft are logged when a request enters or leaves quarantine.
 	LogEntered = "request in quarantine: upstreams end that run it"
 	LogLeft    = "request out of quarantine"
+	// LogPartEntered is logged when parts of prompts enter quarantine.
+	LogPartEntered = "part of prompts in quarantine: upstreams end that answer on it"
 	// LogLifted is logged when an operator allows a request to be sent again.
 	LogLifted = "quarantine lifted"
 
--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"cmp"
 	"hash/fnv"
-	"maps"
 	"slices"
 	"time"
 )
@@ -22,13 +21,21 @@
 	Suspected []Digest
 }
 
-// Entry is a request that is in quarantine or about to enter it.
+// Entry is a request, or parts of prompts, in quarantine or about to enter it.
 type Entry struct {
+	// Digest is that of a request, or of a part of its prompt.
 	Digest Digest
-	// In is the time for which the request may still be sent.
+	// Also are further parts: a request is in quarantine only if its prompt has all of them.
+	Also []Digest
+	// In is the time for which the requests may still be sent.
 	In time.Duration
 }
 
+// digests returns Digest and Also.
+func (e Entry) digests() []Digest {
+	return slices.Concat([]Digest{e.Digest}, e.Also)
+}
+
 // Publisher computes the news at one control instance. It is not safe for concurrent use.
 type Publisher struct {
 	limits Limits
@@ -41,11 +48,13 @@
 	changes []Change
 }
 
-// Change is a request that entered or left quarantine.
+// Change is an Entry that entered or left quarantine.
 type Change struct {
 	Digest Digest
-	// Crashes are those that brought the request into quarantine. There are none if it
-	// left.
+	Also   []Digest
+	// Part is true if it entered and consists of parts of prompts.
+	Part bool
+	// Crashes are those that brought it into quarantine. There are none if it left.
 	Crashes []Crash
 }
 
@@ -95,57 +104,80 @@
 
 // recompute computes the news as of now, and the changes since the previous news.
 func (p *Publisher) recompute(now time.Time, records Records) {
-	verdicts := records.announcedVerdicts(now, p.limits)
-	maps.DeleteFunc(p.announcedAt, func(d Digest, _ time.Time) bool { return verdicts[d] == verdictNone })
+	judged := records.judge(now, p.limits).announced(records)
+	p.recordAnnouncements(now, judged, records)
 	previous := p.current.Quarantined
-	p.current, p.computedAt = News{Revision: records.Revision()}, now
-	for _, digest := range slices.SortedFunc(maps.Keys(verdicts), compareDigests) {
-		if _, found := p.announcedAt[digest]; !found {
-			p.announcedAt[digest] = p.announcementTime(now, records.cases[digest])
-		}
-		if verdicts[digest] == verdictQuarantined {
-			in := max(0, p.announcedAt[digest].Add(clearanceTime).Sub(now))
-			p.current.Quarantined = append(p.current.Quarantined, Entry{Digest: digest, In: in})
-		} else {
-			p.current.Suspected = append(p.current.Suspected, digest)
+	p.current, p.computedAt = News{Revision: records.Revision(), Suspected: judged.suspected}, now
+	for _, g := range judged.quarantined {
+		entry := Entry{Digest: g.digests[0], Also: g.digests[1:]}
+		for _, digest := range g.digests {
+			entry.In = max(entry.In, p.announcedAt[digest].Add(clearanceTime).Sub(now))
 		}
+		p.current.Quarantined = append(p.current.Quarantined, entry)
 	}
 	p.current.Mark = p.current.hash()
-	p.recordChanges(records, previous)
+	p.recordChanges(judged.quarantined, previous)
+}
+
+// recordAnnouncements updates announcedAt to the verdicts that are announced.
+func (p *Publisher) recordAnnouncements(now time.Time, judged verdicts, records Records) {
+	previous := p.announcedAt
+	p.announcedAt = map[Digest]time.Time{}
+	announce := func(digest Digest, lastCrash time.Time) {
+		at, known := previous[digest]
+		if !known {
+			at = announcementTime(now, lastCrash)
+		}
+		p.announcedAt[digest] = at
+	}
+	for _, digest := range judged.suspected {
+		announce(digest, records.cases[digest].last())
+	}
+	for _, g := range judged.quarantined {
+		for _, digest := range g.digests {
+			announce(digest, g.heaviest.last())
+		}
+	}
 }
 
-// announcementTime returns when a request that is new to this Publisher was first
-// announced. If its last crash is older than propagationTime, as after a restart of the
-// control instance, the other instances have already had the time to clear it.
-func (p *Publisher) announcementTime(now time.Time, c Case) time.Time {
-	if now.Sub(c.last()) > propagationTime {
+// announcementTime returns when a digest that is new to a Publisher was first announced. If
+// its last crash is older than propagationTime, as after a restart of the control instance,
+// the other instances have already had the time to clear it.
+func announcementTime(now, lastCrash time.Time) time.Time {
+	if now.Sub(lastCrash) > propagationTime {
 		return now.Add(-clearanceTime)
 	}
 	return now
 }
 
 // recordChanges records the differences to the previous news.
-func (p *Publisher) recordChanges(records Records, previous []Entry) {
-	contains := func(list []Entry, digest Digest) bool {
-		return slices.ContainsFunc(list, func(e Entry) bool { return e.Digest == digest })
+func (p *Publisher) recordChanges(groups []group, previous []Entry) {
+	isSame := func(a, b Entry) bool { return a.Digest == b.Digest && slices.Equal(a.Also, b.Also) }
+	contains := func(list []Entry, entry Entry) bool {
+		return slices.ContainsFunc(list, func(e Entry) bool { return isSame(e, entry) })
 	}
-	for _, entry := range p.current.Quarantined {
-		if !contains(previous, entry.Digest) {
-			p.changes = append(p.changes, Change{Digest: entry.Digest, Crashes: records.cases[entry.Digest].Crashes})
+	for i, entry := range p.current.Quarantined {
+		if !contains(previous, entry) {
+			p.changes = append(p.changes, Change{
+				Digest: entry.Digest, Also: entry.Also, Part: groups[i].hasParts(), Crashes: groups[i].heaviest.Crashes,
+			})
 		}
 	}
 	for _, entry := range previous {
-		if !contains(p.current.Quarantined, entry.Digest) {
-			p.changes = append(p.changes, Change{Digest: entry.Digest})
+		if !contains(p.current.Quarantined, entry) {
+			p.changes = append(p.changes, Change{Digest: entry.Digest, Also: entry.Also})
 		}
 	}
 }
 
-// hash returns a hash of the requests in the news.
+// hash returns a hash of the digests in the news.
 func (n News) hash() uint64 {
 	sum := fnv.New64a()
 	for _, entry := range n.Quarantined {
-		_, _ = sum.Write(entry.Digest[:])
+		for _, digest := range entry.digests() {
+			_, _ = sum.Write(digest[:])
+		}
+		_, _ = sum.Write([]byte{1})
 	}
 	_, _ = sum.Write([]byte{0})
 	for _, digest := range n.Suspected {
@@ -154,29 +186,32 @@
 	return max(sum.Sum64(), 1)
 }
 
-// maxAnnounced bounds the requests of each verdict in the news, because hundreds of
+// maxAnnounced bounds the digests of each verdict in the news, because hundreds of
 // instances each receive the whole list.
 const maxAnnounced = 256
 
-// announcedVerdicts returns the verdicts for the news. If there are too many of one kind,
-// it keeps those on the requests whose crashes have the most weight.
-func (r Records) announcedVerdicts(now time.Time, limits Limits) map[Digest]verdict {
-	verdicts := r.judge(now, limits)
-	for _, v := range []verdict{verdictSuspected, verdictQuarantined} {
-		var digests []Digest
-		for digest, assigned := range verdicts {
-			if assigned == v {
-				digests = append(digests, digest)
-			}
-		}
-		slices.SortFunc(digests, func(a, b Digest) int {
-			return cmp.Or(-cmp.Compare(r.cases[a].weight(), r.cases[b].weight()), compareDigests(a, b))
-		})
-		for _, digest := range digests[min(len(digests), maxAnnounced):] {
-			delete(verdicts, digest)
-		}
-	}
-	return verdicts
+// announced returns the verdicts for the news: each group once and, if there are too many digests,
+// those whose crashes have the most weight.
+func (v verdicts) announced(records Records) verdicts {
+	isSame := func(a, b group) bool { return slices.Equal(a.digests, b.digests) }
+	announced := verdicts{quarantined: slices.CompactFunc(v.quarantined, isSame), suspected: v.suspected}
+	slices.SortStableFunc(announced.quarantined, func(a, b group) int { return cmp.Compare(b.heaviest.weight(), a.heaviest.weight()) })
+	total := 0
+	announced.quarantined = slices.DeleteFunc(announced.quarantined, func(g group) bool {
+		total += len(g.digests)
+		return total > maxAnnounced
+	})
+	slices.SortFunc(announced.quarantined, compareGroups)
+	slices.SortStableFunc(announced.suspected, func(a, b Digest) int {
+		return cmp.Compare(records.cases[b].weight(), records.cases[a].weight())
+	})
+	announced.suspected = announced.suspected[:min(len(announced.suspected), maxAnnounced)]
+	slices.SortFunc(announced.suspected, compareDigests)
+	return announced
+}
+
+func compareGroups(a, b group) int {
+	return slices.CompareFunc(a.digests, b.digests, compareDigests)
 }
 
 func compareDigests(a, b Digest) int {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -11,6 +11,11 @@
 // An upstream that ends interrupts all of its requests. A crash counts against a request
 // only if no other request at that upstream was involved in more crashes. One complete
 // response at any instance clears a request.
+//
+// A part of a prompt may crash each upstream that begins to answer a prompt with it, whatever
+// else the prompt holds. Crashes are therefore counted for the parts of prompts as well, by the
+// same rules. Parts that were only in the same requests can't be told apart: they are in
+// quarantine together, and a request is refused only if its prompt has all of them.
 package quarantine
 
 import (
@@ -70,10 +75,25 @@
 	Request string `json:"request"`
 	// Answering is true if part of the response had arrived.
 	Answering bool `json:"answering,omitempty"`
-	// Parts are the parts of the prompt that other requests may share.
+	// Parts are the parts of the prompt that other requests may share. Parts that are known to
+	// be harmless may be missing.
 	Parts []Digest `json:"parts,omitempty"`
 }
 
+// answerOnset is the time in which an upstream that begins to answer on a part that crashes it
+// has ended.
+const answerOnset = time.Second
+
+// WithAnswering returns the suspect if part of the response had arrived, the first of it before
+// the given time.
+func (s Suspect) WithAnswering(elapsed time.Duration) Suspect {
+	s.Answering = true
+	if elapsed > answerOnset {
+		s.Parts = nil
+	}
+	return s
+}
+
 // Report states that an upstream has ended, and which requests of one instance it had.
 type Report struct {
 	Lifetime
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -13,11 +13,14 @@
 	At time.Time `json:"at"`
 	// Request is the id of the attempt at that upstream.
 	Request string `json:"request"`
-	// Answering is true if part of the response had arrived.
+	// Answering is true if part of the response had arrived. It is false for a part of a prompt.
 	Answering bool `json:"answering,omitempty"`
+	// Whole is the request that had the part of a prompt, and zero if the case is that of a
+	// request.
+	Whole Digest `json:"whole,omitzero"`
 }
 
-// Case is the record of a request that an upstream had when it ended.
+// Case is the record of a request, or of a part of a prompt, that an upstream had when it ended.
 type Case struct {
 	Digest Digest `json:"digest"`
 	// Crashes holds the latest crashes, oldest first, with each lifetime once. It has at
@@ -30,6 +33,11 @@
 	return c.Crashes[len(c.Crashes)-1].At
 }
 
+// isPart reports whether the case is that of a part of a prompt.
+func (c Case) isPart() bool {
+	return c.Crashes[0].Whole != Digest{}
+}
+
 // Records is the replicated record of the requests that upstreams had when they ended. It
 // is immutable, and replicas that apply the same updates in the same order are equal. The
 // zero value is empty.
@@ -43,6 +51,8 @@
 	// maxCases bounds the requests that are kept. An upstream that ends adds all of its
 	// concurrent requests, most of which are never repeated.
 	maxCases = 2048
+	// maxPartCases bounds the parts of prompts that are kept.
+	maxPartCases = 4096
 	// maxCrashes bounds the crashes that are kept for a request.
 	maxCrashes = 12
 	// maxRequestBytes bounds the bytes that are kept of the id of an attempt.
@@ -60,31 +70,54 @@
 	}
 	for _, report := range update.Reports {
 		for _, suspect := range report.Suspects {
-			next.add(update.Now, report.Lifetime, suspect)
+			next.addSuspect(update.Now, report.Lifetime, suspect)
 		}
 	}
 	for _, lifetime := range update.Alive {
 		next.retract(lifetime)
 	}
-	for _, digest := range slices.Concat(update.Succeeded, update.Lifted) {
+	for _, digest := range update.Succeeded {
 		delete(next.cases, digest)
 	}
+	for _, digest := range update.Lifted {
+		next.lift(digest)
+	}
 	next.evict(update.Now)
 	return next
 }
 
-// add adds a crash to the case of a request, unless the case already has it.
-func (r Records) add(now time.Time, lifetime Lifetime, suspect Suspect) {
-	existing := r.cases[suspect.Digest]
-	if slices.ContainsFunc(existing.Crashes, func(c Crash) bool { return c.Lifetime == lifetime }) {
-		return
-	}
+// addSuspect adds a crash to the cases of a request and of the parts of its prompt.
+func (r Records) addSuspect(now time.Time, lifetime Lifetime, suspect Suspect) {
 	crash := Crash{
 		Lifetime: lifetime, At: now, Answering: suspect.Answering,
 		Request: suspect.Request[:min(len(suspect.Request), maxRequestBytes)],
 	}
+	r.add(suspect.Digest, crash)
+	crash.Answering, crash.Whole = false, suspect.Digest
+	for _, part := range suspect.Parts {
+		r.add(part, crash)
+	}
+}
+
+// add adds a crash to a case, unless the case already has it.
+func (r Records) add(digest Digest, crash Crash) {
+	existing := r.cases[digest]
+	if slices.ContainsFunc(existing.Crashes, func(c Crash) bool { return c.Lifetime == crash.Lifetime }) {
+		return
+	}
 	older := existing.Crashes[max(0, len(existing.Crashes)-maxCrashes+1):]
-	r.cases[suspect.Digest] = Case{Digest: suspect.Digest, Crashes: append(slices.Clone(older), crash)}
+	r.cases[digest] = Case{Digest: digest, Crashes: append(slices.Clone(older), crash)}
+}
+
+// lift removes a case and all that can't be told apart from it. Otherwise the quarantine of the
+// remaining parts would extend to more requests.
+func (r Records) lift(digest Digest) {
+	lifted, found := r.cases[digest]
+	if !found {
+		return
+	}
+	evidence := lifted.evidence()
+	maps.DeleteFunc(r.cases, func(_ Digest, c Case) bool { return c.evidence() == evidence })
 }
 
 // retract removes a crash from all cases.
@@ -108,13 +141,29 @@
 	if len(r.cases) <= maxCases {
 		return
 	}
-	all := r.Cases()
-	slices.SortFunc(all, func(a, b Case) int {
+	var requests, parts []Case
+	for _, c := range r.cases {
+		if c.isPart() {
+			parts = append(parts, c)
+		} else {
+			requests = append(requests, c)
+		}
+	}
+	r.evictSurplus(requests, maxCases)
+	r.evictSurplus(parts, maxPartCases)
+}
+
+// evictSurplus removes all but limit of the given cases.
+func (r Records) evictSurplus(cases []Case, limit int) {
+	if len(cases) <= limit {
+		return
+	}
+	slices.SortFunc(cases, func(a, b Case) int {
 		return cmp.Or(
 			cmp.Compare(len(a.Crashes), len(b.Crashes)), a.last().Compare(b.last()), compareDigests(a.Digest, b.Digest),
 		)
 	})
-	for _, c := range all[:len(all)-maxCases] {
+	for _, c := range cases[:len(cases)-limit] {
 		delete(r.cases, c.Digest)
 	}
 }
--- a/internal/quarantine/snapshot.go
+++ b/internal/quarantine/snapshot.go
@@ -27,16 +27,27 @@
 	return buffer
 }
 
+// Flags of a crash in a snapshot.
+const (
+	flagAnswering = 1 << iota
+	// flagPart means that the digest of the whole request follows.
+	flagPart
+)
+
 func appendCrash(buffer []byte, c Crash) []byte {
 	buffer = parcel.AppendBytes(buffer, c.Upstream)
 	buffer = parcel.AppendUint(buffer, c.Incarnation)
 	buffer = parcel.AppendUint(buffer, uint64(c.At.UnixNano()))
 	buffer = parcel.AppendBytes(buffer, c.Request)
-	answering := uint64(0)
+	flags := uint64(0)
 	if c.Answering {
-		answering = 1
+		flags |= flagAnswering
 	}
-	return parcel.AppendUint(buffer, answering)
+	if c.Whole == (Digest{}) {
+		return parcel.AppendUint(buffer, flags)
+	}
+	buffer = parcel.AppendUint(buffer, flags|flagPart)
+	return append(buffer, c.Whole[:]...)
 }
 
 // Restore decodes a snapshot. If data is damaged, Restore returns an error.
@@ -58,10 +69,15 @@
 }
 
 func readCrash(reader *parcel.Reader) Crash {
-	return Crash{
-		Lifetime:  Lifetime{Upstream: reader.String(), Incarnation: reader.Uint()},
-		At:        time.Unix(0, int64(reader.Uint())).UTC(),
-		Request:   reader.String(),
-		Answering: reader.Uint() != 0,
+	crash := Crash{
+		Lifetime: Lifetime{Upstream: reader.String(), Incarnation: reader.Uint()},
+		At:       time.Unix(0, int64(reader.Uint())).UTC(),
+		Request:  reader.String(),
+	}
+	flags := reader.Uint()
+	crash.Answering = flags&flagAnswering != 0
+	if flags&flagPart != 0 {
+		copy(crash.Whole[:], reader.Take(len(crash.Whole)))
 	}
+	return crash
 }
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -24,6 +24,13 @@
 	return len(u.Reports)+len(u.Succeeded)+len(u.Alive)+len(u.Lifted) == 0
 }
 
+// HasParts reports whether a report names parts of prompts.
+func (u Update) HasParts() bool {
+	return slices.ContainsFunc(u.Reports, func(r Report) bool {
+		return slices.ContainsFunc(r.Suspects, func(s Suspect) bool { return len(s.Parts) > 0 })
+	})
+}
+
 // Newest returns the update with only the newest limit reports and the newest limit
 // successes.
 func (u Update) Newest(limit int) Update {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -19,31 +19,27 @@
 	return weightNoOutput
 }
 
-// verdict is the decision on one request.
-type verdict uint8
-
-const (
-	// verdictNone means that the request is sent as usual.
-	verdictNone verdict = iota
-	// verdictSuspected means that one more crash may bring the request into quarantine.
-	verdictSuspected
-	// verdictQuarantined means that the request is not sent.
-	verdictQuarantined
-)
+// verdicts are the decisions on all cases.
+type verdicts struct {
+	// quarantined are the groups whose requests are not sent.
+	quarantined []group
+	// suspected are the cases that one more crash may bring into quarantine, sorted by digest.
+	suspected []Digest
+}
 
-// blame returns the weight of the crashes that count against a request. needed is the
-// blame that brings it into quarantine. A crash counts only if no other request of the
-// upstream has more weight. If another one has the same weight, the crash counts only if
+// blame returns the weight of the crashes that count against a group. needed is the
+// blame that brings it into quarantine. A crash counts only if nothing else that the
+// upstream had has more weight. If another group has the same weight, the crash counts only if
 // that weight is at least jointBlameFactor times needed.
-func (c Case) blame(summaries map[Lifetime]crashSummary, needed int) int {
-	own, blame := c.weight(), 0
+func (g group) blame(summaries map[Lifetime]crashSummary, needed int) int {
+	own, blame := g.heaviest.weight(), 0
 	var counted []Crash
-	for _, crash := range c.Crashes {
+	for _, crash := range g.heaviest.Crashes {
 		summary := summaries[crash.Lifetime]
-		if summary.maxWeight != own || summary.count > 1 && own < jointBlameFactor*needed {
+		if summary.maxWeight != own || summary.groups > 1 && own < jointBlameFactor*needed {
 			continue
 		}
-		if c.isSameOutage(crash, counted, summaries) {
+		if g.heaviest.isSameOutage(crash, counted, summaries) {
 			continue
 		}
 		counted = append(counted, crash)
@@ -57,7 +53,7 @@
 const outageWindow = time.Second
 
 // isSameOutage reports whether a crash has the same cause as one that is already counted.
-// This is assumed if an upstream without the request ended at the same time, and that
+// This is assumed if an upstream without the case ended at the same time, and that
 // crash isn't attributable to a request of its own. A caller that sends a request several
 // times at once may have it at several upstreams that an outage ends.
 func (c Case) isSameOutage(crash Crash, counted []Crash, summaries map[Lifetime]crashSummary) bool {
@@ -74,7 +70,7 @@
 	return false
 }
 
-// weight returns the total weight of the crashes in which the request was involved.
+// weight returns the total weight of the crashes of the case.
 func (c Case) weight() int {
 	sum := 0
 	for _, crash := range c.Crashes {
@@ -83,11 +79,11 @@
 	return sum
 }
 
-// crashSummary holds the largest weight among the requests that an upstream had when it
-// ended, the number of requests with that weight, and the time of the crash.
+// crashSummary holds the largest weight of a case that an upstream had when it ended, the
+// number of groups with that weight if it is enough for quarantine, and the time of the crash.
 type crashSummary struct {
 	maxWeight int
-	count     int
+	groups    int
 	at        time.Time
 }
 
@@ -95,46 +91,66 @@
 	if s.at.IsZero() || at.Before(s.at) {
 		s.at = at
 	}
-	switch {
-	case weight > s.maxWeight:
-		s.maxWeight, s.count = weight, 1
-	case weight == s.maxWeight:
-		s.count++
-	}
+	s.maxWeight = max(s.maxWeight, weight)
 	return s
 }
 
-// isAttributable reports whether the upstream had a request that was also involved in
+// isAttributable reports whether the upstream had something that was also involved in
 // other crashes and may have caused this one.
 func (s crashSummary) isAttributable() bool {
 	return s.maxWeight > weightNoOutput
 }
 
-// jointBlameFactor is the multiple of the needed weight at which two requests that were
+// jointBlameFactor is the multiple of the needed weight at which two groups that were
 // involved in the same crashes are both held responsible. Below it, the next crash may
 // show which one causes them.
 const jointBlameFactor = 2
 
-// judge returns the verdicts on the requests that are suspected or quarantined.
-func (r Records) judge(now time.Time, limits Limits) map[Digest]verdict {
+// judge returns the verdicts.
+func (r Records) judge(now time.Time, limits Limits) verdicts {
 	limits = limits.withDefaults()
+	needed := limits.Crashes * weightNoOutput
 	summaries := map[Lifetime]crashSummary{}
-	for _, c := range r.cases {
+	var candidates []Case
+	var judged verdicts
+	for digest, c := range r.cases {
 		weight := c.weight()
 		for _, crash := range c.Crashes {
 			summaries[crash.Lifetime] = summaries[crash.Lifetime].with(weight, crash.At)
 		}
+		if weight >= needed {
+			candidates = append(candidates, c)
+		}
+		if weight >= needed-weightNoOutput {
+			judged.suspected = append(judged.suspected, digest)
+		}
 	}
-	verdicts := map[Digest]verdict{}
-	for digest, c := range r.cases {
-		needed := limits.Crashes * weightNoOutput
-		blame := c.blame(summaries, needed)
-		switch {
-		case blame >= needed && now.Sub(c.last()) < limits.Retention:
-			verdicts[digest] = verdictQuarantined
-		case c.weight() >= needed-weightNoOutput:
-			verdicts[digest] = verdictSuspected
+	groups := groupCases(candidates)
+	countGroups(groups, summaries)
+	for _, g := range groups {
+		if g.blame(summaries, needed) >= needed && now.Sub(g.heaviest.last()) < limits.Retention {
+			judged.quarantined = append(judged.quarantined, g)
+		}
+	}
+	judged.suspected = slices.DeleteFunc(judged.suspected, judged.isQuarantined)
+	slices.SortFunc(judged.suspected, compareDigests)
+	return judged
+}
+
+// countGroups records in the summary of each crash how many groups have its largest weight.
+func countGroups(groups []group, summaries map[Lifetime]crashSummary) {
+	for _, g := range groups {
+		weight := g.heaviest.weight()
+		for _, crash := range g.heaviest.Crashes {
+			if summary := summaries[crash.Lifetime]; summary.maxWeight == weight {
+				summary.groups++
+				summaries[crash.Lifetime] = summary
+			}
 		}
 	}
-	return verdicts
+}
+
+// isQuarantined reports whether a digest belongs to a group in quarantine.
+func (v verdicts) isQuarantined(digest Digest) bool {
+	return slices.ContainsFunc(v.quarantined, func(g group) bool { return slices.Contains(g.digests, digest) })
 }
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 )
 
@@ -9,38 +10,59 @@
 // concurrent use.
 type Watch struct {
 	investigations investigations
-	successes      successes
+	successes      recentDigests
+	// harmlessParts are the parts of prompts to which a response was complete here, and
+	// interruptedParts those to which one was interrupted.
+	harmlessParts    recentDigests
+	interruptedParts recentDigests
 	// revision and mark are those of the latest news.
 	revision uint64
 	mark     uint64
 	// staleSince is when stale news began to arrive, and zero if the last news was
 	// current.
 	staleSince time.Time
-	// quarantinedFrom is the time from which each request in quarantine is not sent.
-	quarantinedFrom map[Digest]time.Time
-	// suspected are the requests that one more crash may bring into quarantine.
+	// quarantined are the entries of the news by their first digest.
+	quarantined map[Digest][]held
+	// suspected are the digests in the news: those that one more crash may bring into quarantine,
+	// and all of the entries.
 	suspected map[Digest]bool
-	// cleared are requests in the news that ended with a complete response here. They are
+	// cleared are digests in the news to which a response was complete here. They are
 	// not reported yet.
 	cleared map[Digest]bool
 }
 
 // NewWatch returns an empty Watch.
 func NewWatch() *Watch {
-	return &Watch{quarantinedFrom: map[Digest]time.Time{}, suspected: map[Digest]bool{}, cleared: map[Digest]bool{}}
+	return &Watch{suspected: map[Digest]bool{}, cleared: map[Digest]bool{}}
 }
 
-// Counts returns the number of requests in quarantine and the number of suspected
-// requests.
+// Counts returns the number of entries in quarantine, and the number of other digests that are
+// suspected.
 func (w *Watch) Counts() (quarantined, suspected int) {
-	return len(w.quarantinedFrom), len(w.suspected)
+	suspected = len(w.suspected)
+	for _, entries := range w.quarantined {
+		quarantined += len(entries)
+		for _, entry := range entries {
+			suspected -= len(entry.digests)
+		}
+	}
+	return quarantined, max(suspected, 0)
 }
 
 // Succeeded records that a request ended with a complete, successful response. Error
 // responses don't count, because an upstream may send one without running the request.
-func (w *Watch) Succeeded(now time.Time, digest Digest) {
+func (w *Watch) Succeeded(now time.Time, digest Digest, parts ...Digest) {
 	w.successes.add(now, digest)
-	if _, found := w.quarantinedFrom[digest]; found || w.suspected[digest] {
+	w.clearIfSuspected(digest)
+	for _, part := range parts {
+		w.harmlessParts.add(now, part)
+		w.clearIfSuspected(part)
+	}
+}
+
+// clearIfSuspected clears a request or a part that the news names.
+func (w *Watch) clearIfSuspected(digest Digest) {
+	if w.suspected[digest] {
 		w.cleared[digest] = true
 	}
 }
@@ -48,12 +70,46 @@
 // Interrupted records that the response to a request was interrupted, and reports whether
 // the upstream should be probed, because it may have ended.
 func (w *Watch) Interrupted(now time.Time, endpoint Endpoint, suspect Suspect) bool {
-	return w.investigations.interrupted(now, endpoint, suspect)
+	return w.investigations.interrupted(now, endpoint, w.withSuspectedParts(now, suspect))
 }
 
 // Abandoned records that a caller abandoned a request while an upstream had it.
 func (w *Watch) Abandoned(now time.Time, endpoint Endpoint, suspect Suspect) {
-	w.investigations.abandoned(now, endpoint, suspect)
+	w.investigations.abandoned(now, endpoint, w.withSuspectedParts(now, suspect))
+}
+
+// maxSuspectParts bounds the parts of a prompt that are reported.
+const maxSuspectParts = 32
+
+// withSuspectedParts returns the suspect without the parts that are known to be harmless. If too
+// many remain, those that were interrupted before come first.
+func (w *Watch) withSuspectedParts(now time.Time, suspect Suspect) Suspect {
+	var again, first []Digest
+	for _, part := range suspect.Parts {
+		switch {
+		case w.harmlessParts.contains(now, part):
+		case w.interruptedParts.contains(now, part):
+			again = append(again, part)
+		default:
+			first = append(first, part)
+		}
+	}
+	for _, part := range first {
+		w.interruptedParts.add(now, part)
+	}
+	suspect.Parts = slices.Concat(again, first)
+	suspect.Parts = suspect.Parts[:min(len(suspect.Parts), maxSuspectParts)]
+	return suspect
+}
+
+// withoutHarmlessParts returns the report without the parts that were found to be harmless since
+// they were recorded.
+func (w *Watch) withoutHarmlessParts(now time.Time, report Report) Report {
+	isHarmless := func(part Digest) bool { return w.harmlessParts.contains(now, part) }
+	for i, suspect := range report.Suspects {
+		report.Suspects[i].Parts = slices.DeleteFunc(slices.Clone(suspect.Parts), isHarmless)
+	}
+	return report
 }
 
 // Observe records the status of an upstream.
@@ -80,7 +136,10 @@
 // TakeDue returns the update to report now, and removes it from the Watch. If the
 // report fails, the caller must repeat it.
 func (w *Watch) TakeDue(now time.Time) Update {
-	update := Update{Now: now, Reports: w.investigations.takeReports(now)}
+	update := Update{Now: now}
+	for _, report := range w.investigations.takeReports(now) {
+		update.Reports = append(update.Reports, w.withoutHarmlessParts(now, report))
+	}
 	for digest := range w.cleared {
 		update.Succeeded = append(update.Succeeded, digest)
 	}
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -17,7 +17,7 @@
 // newestCommandFormat is the newest command format that this version supports.
 // Every new kind of command and every new field increments it. An instance
 // proposes a command in a newer format only when all voters support that format.
-const newestCommandFormat = 5
+const newestCommandFormat = 6
 
 // baseCommandFormat is the command format that every version supports. A command
 // is encoded in the oldest format that includes its kind, so that voters that are
@@ -31,6 +31,8 @@
 	leaseCommandFormat    = 4
 	// quarantineCommandFormat introduced quarantine.Update.
 	quarantineCommandFormat = 5
+	// promptPartsCommandFormat introduced the parts of prompts in a quarantine.Update.
+	promptPartsCommandFormat = 6
 )
 
 // Command is a state machine command in the replicated log: a Change, an
@@ -95,6 +97,9 @@
 		e.Format, e.Lease = leaseCommandFormat, &c
 	case quarantine.Update:
 		e.Format, e.Quarantine = quarantineCommandFormat, &c
+		if c.HasParts() {
+			e.Format = promptPartsCommandFormat
+		}
 	default:
 		return nil, errors.AssertionFailedf("registry: command %T", command)
 	}
