quarantine: parts of prompts are tried before and while they are in quarantine

- Parts that were only seen together are refused together.
When the harmful one then came without the other, several instances sent it at once: 4 and 5 sends later than 3 s after the fifth crash.
Now a request with only some of the parts is sent as a trial.
The instance that owns the trial allows one in 5 s; the others answer 503 with the time to come back.
- An innocent part that no instance knows, at three crashes by chance, was refused for half an hour (34 and 714 requests denied).
Its requests are now answered 503 until it is certain, and one of them is tried 5 s after the last crash, then four times as long after each further crash.
- After 12 crashes two parts weighed the same for ever. 64 are kept.
- Many crashes a second looked like an outage as long as the reports of one were incomplete; at 86 instances 42 engines ended.
For parts an outage needs a quarter of the upstreams that end without them.
- Parts late in long prompts were cut off from the reports.

--- a/internal/coroner/coroner.go
+++ b/internal/coroner/coroner.go
@@ -29,6 +29,9 @@
 	// NewLogEvent starts a log line of a kind. It returns nil if there were too many of that
 	// kind.
 	NewLogEvent func(kind string) *zerolog.Event
+	// AllowTrial asks the instance that decides on a trial whether a request may be sent as such. If
+	// nil, none may.
+	AllowTrial func(ctx context.Context, trial quarantine.TrialID) bool
 	// Dial connects to an upstream. If nil, TCP is used.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Now  func() time.Time
@@ -74,6 +77,9 @@
 	if options.Dial == nil {
 		options.Dial = (&net.Dialer{}).DialContext
 	}
+	if options.AllowTrial == nil {
+		options.AllowTrial = func(context.Context, quarantine.TrialID) bool { return false }
+	}
 	if options.Metrics == nil {
 		options.Metrics = tally.NoopScope
 	}
@@ -99,16 +105,32 @@
 
 // IsQuarantined reports whether a request is in quarantine and must not be sent.
 func (d *CrashDetector) IsQuarantined(digest quarantine.Digest, parts ...quarantine.Digest) bool {
-	return d.Match(digest, parts...) != nil
+	now := d.options.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.watch.IsQuarantined(now, digest, parts...)
 }
 
-// Match returns the digests for which a request is in quarantine and must not be sent: its own or
-// those of parts of its prompt. It returns nil if the request may be sent.
-func (d *CrashDetector) Match(digest quarantine.Digest, parts ...quarantine.Digest) []quarantine.Digest {
+// Rule returns the decision on a request with the given parts of its prompt.
+func (d *CrashDetector) Rule(digest quarantine.Digest, parts ...quarantine.Digest) quarantine.Ruling {
 	now := d.options.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.watch.Match(now, digest, parts...)
+	return d.watch.Rule(now, digest, parts...)
+}
+
+// MaySend reports whether a request with the given parts of its prompt may be sent now, and the
+// ruling. If the ruling allows a trial, MaySend asks whether this request may be the trial.
+func (d *CrashDetector) MaySend(ctx context.Context, digest quarantine.Digest, parts ...quarantine.Digest) (quarantine.Ruling, bool) {
+	ruling := d.Rule(digest, parts...)
+	switch ruling.Decision {
+	case quarantine.DecisionSend:
+		return ruling, true
+	case quarantine.DecisionTry:
+		return ruling, d.options.AllowTrial(ctx, ruling.Trial())
+	default:
+		return ruling, false
+	}
 }
 
 // Counts returns the number of requests in quarantine and the number of suspected requests.
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -17,9 +17,6 @@
 	p := t.proxy
 	a := &upstreamAttempt{grant: granted}
 	defer p.finishAttempt(t, a)
-	if t.refuseIfQuarantined(w) {
-		return true
-	}
 	if !p.mayStillSend(a.upstream) {
 		return false
 	}
@@ -29,6 +26,9 @@
 	if !t.renewCharge(ctx, w) {
 		return true
 	}
+	if !t.maySend(ctx, w) {
+		return true
+	}
 	t.sends++
 	t.timing.sent = p.options.Now()
 	response, err := t.roundTrip(ctx, a)
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -12,6 +12,7 @@
 	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/roster"
@@ -66,6 +67,8 @@
 	// crashes detects upstreams that crash while running requests. Lock order: mu before the lock
 	// of the detector.
 	crashes *coroner.CrashDetector
+	// trials decides on the trials that this instance owns.
+	trials quarantine.Trials
 	// active is the number of requests in flight, and relaying how many of them other instances
 	// have sent here because they cannot reach the upstream.
 	active   int
--- a/internal/counter/crashes.go
+++ b/internal/counter/crashes.go
@@ -23,6 +23,7 @@
 		},
 		Report:      p.reportCrashes,
 		NewLogEvent: func(kind string) *zerolog.Event { return p.logLine(p.options.Now(), kind) },
+		AllowTrial:  p.allowTrial,
 		Dial:        p.dialUpstream,
 		Now:         p.options.Now,
 		Metrics:     p.metrics.scope,
@@ -134,26 +135,48 @@
 	}
 }
 
-// quarantinedText is the text sent to callers of quarantined requests.
-const quarantinedText = "upstreams end that run this request"
+// Texts sent to callers of quarantined and of suspected requests.
+const (
+	quarantinedText = "upstreams end that run this request"
+	suspectedText   = "upstreams may end that run this request"
+)
 
-// refuseIfQuarantined answers a quarantined request with a status that callers do not retry, and
+// refuseByQuarantine answers a request that must not be sent because upstreams end that run it, and
 // reports whether it did.
-func (t *transaction) refuseIfQuarantined(w http.ResponseWriter) bool {
-	match := t.proxy.crashes.Match(t.digest, t.parts...)
-	if match == nil {
+func (t *transaction) refuseByQuarantine(w http.ResponseWriter) bool {
+	ruling := t.proxy.crashes.Rule(t.digest, t.parts...)
+	if ruling.Decision != quarantine.DecisionRefuse {
 		return false
 	}
+	t.refuseByRuling(w, ruling)
+	return true
+}
+
+// maySend reports whether an attempt may be sent. If not, the caller was answered.
+func (t *transaction) maySend(ctx context.Context, w http.ResponseWriter) bool {
+	ruling, allowed := t.proxy.crashes.MaySend(ctx, t.digest, t.parts...)
+	if !allowed {
+		t.refuseByRuling(w, ruling)
+	}
+	return allowed
+}
+
+// refuseByRuling answers a quarantined request with a status that callers do not retry, and a
+// suspected one with the time of a retry.
+func (t *transaction) refuseByRuling(w http.ResponseWriter, ruling quarantine.Ruling) {
 	r := refusal{
 		status: http.StatusBadRequest, text: quarantinedText,
 		reason: quarantine.Reason, outcome: outcome.NotRun, digest: t.digest,
 	}
-	if match[0] != t.digest {
-		r.parts = match
+	if ruling.Suspected {
+		r.status, r.text = http.StatusServiceUnavailable, suspectedText
+		r.reason, r.retryAfter = quarantine.ReasonSuspected, quarantine.SuspectedRetryAfter
+	}
+	if ruling.Digests[0] != t.digest {
+		r.parts = ruling.Digests
 	}
 	if t.possibleRuns > 0 {
-		r.status, r.outcome = http.StatusBadGateway, outcome.Unknown
+		r.status, r.outcome, r.retryAfter = http.StatusBadGateway, outcome.Unknown, 0
 	}
 	t.proxy.refuse(w, t.call, t.route, r)
-	return true
 }
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -63,6 +63,8 @@
 		p.receiveOrigin(now, m)
 	case permit.StreamQuery:
 		p.answerOrigin(now, from, m)
+	case permit.TrialRequest:
+		p.handleTrialRequest(now, from, m)
 	case permit.Reply:
 		p.deliverAnswer(from, m.RequestID(), m)
 	}
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -78,7 +78,7 @@
 		},
 	}
 	t.digest, t.parts = digestOf(r, t.workspaceName(), body), partsOf(call)
-	if t.refuseIfQuarantined(w) {
+	if t.refuseByQuarantine(w) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), t.deadline.Sub(p.options.Now()))
--- /dev/null
+++ b/internal/counter/trials.go
@@ -0,0 +1,50 @@
+package counter
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
+)
+
+// trialOwnerService takes the place of the service name in the key that assigns trials to owners.
+const trialOwnerService = "\x00trial"
+
+// allowTrial asks the owner of a trial whether a suspected request may be sent. If the owner does not
+// answer, none may, because two owners would allow two.
+func (p *Proxy) allowTrial(ctx context.Context, trial quarantine.TrialID) bool {
+	now := p.options.Now()
+	p.mu.Lock()
+	owner, known := p.trialOwner(trial)
+	if !known || owner == p.owners.self {
+		defer p.mu.Unlock()
+		return p.trials.Take(now, trial)
+	}
+	id, pending := p.expectReply(owner)
+	p.mu.Unlock()
+	defer p.dropReplies(id)
+	_, allowed := p.exchange(ctx, owner, permit.TrialRequest{ID: id, Trial: trial}, pending).(permit.SendAllowed)
+	return allowed
+}
+
+// trialOwner returns the instance that decides on a trial. p.mu is held.
+func (p *Proxy) trialOwner(trial quarantine.TrialID) (netip.AddrPort, bool) {
+	if p.peers.conn == nil {
+		return netip.AddrPort{}, false
+	}
+	anyone := func(netip.AddrPort) bool { return true }
+	return p.owners.assignment.Of(trialOwnerService, strconv.FormatUint(uint64(trial), 16), anyone)
+}
+
+// handleTrialRequest decides on a peer's trial, or repeats the earlier answer. p.mu is held.
+func (p *Proxy) handleTrialRequest(now time.Time, from netip.AddrPort, m permit.TrialRequest) {
+	p.answerOnce(now, peerRequest{from, m.ID}, func() permit.Message {
+		if p.trials.Take(now, m.Trial) {
+			return permit.SendAllowed{ID: m.ID}
+		}
+		return permit.SendDelayed{ID: m.ID, Wait: quarantine.SuspectedRetryAfter}
+	})
+}
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -81,9 +81,9 @@
 			s.logRefusal(task, attempt, err)
 			return proxiedResponse{}, worseOutcome(reported, err)
 		}
-		if match := s.options.CrashDetector.Match(task.digest, task.parts...); match != nil {
+		if ruling, allowed := s.options.CrashDetector.MaySend(ctx, task.digest, task.parts...); !allowed {
 			slot.release(dispatch.FailureCanceled)
-			return proxiedResponse{}, worseOutcome(reported, s.quarantineRefusal(task, match))
+			return proxiedResponse{}, worseOutcome(reported, s.quarantineRefusal(task, ruling))
 		}
 		s.logRoute(task, attempt, slot)
 		evidence := s.newCrashEvidence(task, slot)
--- a/internal/desk/completions.go
+++ b/internal/desk/completions.go
@@ -88,8 +88,8 @@
 // serveTask serves a task, at most once if it has an idempotency key and must not run twice. It
 // refuses a quarantined request.
 func (s *Server) serveTask(c echo.Context, task task) error {
-	if match := s.options.CrashDetector.Match(task.digest, task.parts...); match != nil {
-		return s.quarantineRefusal(task, match)
+	if err := s.checkQuarantine(task); err != nil {
+		return err
 	}
 	if refusal := s.bindToVersion(&task); refusal != nil {
 		return refusal
--- a/internal/desk/crashes.go
+++ b/internal/desk/crashes.go
@@ -89,14 +89,34 @@
 	}
 }
 
-// quarantineRefusal returns the refusal of a quarantined request, and logs it. Nothing of the
-// request has been sent.
-func (s *Server) quarantineRefusal(task task, match []quarantine.Digest) *RefusalError {
+// checkQuarantine returns the refusal of a request that must not be sent because upstreams end that
+// run it, or nil. Nothing of the request has been sent.
+func (s *Server) checkQuarantine(task task) error {
+	ruling := s.options.CrashDetector.Rule(task.digest, task.parts...)
+	if ruling.Decision != quarantine.DecisionRefuse {
+		return nil
+	}
+	return s.quarantineRefusal(task, ruling)
+}
+
+// quarantineRefusal returns the refusal of a quarantined or a suspected request, and logs it.
+func (s *Server) quarantineRefusal(task task, ruling quarantine.Ruling) *RefusalError {
 	event := s.options.Log.Info()
-	if match[0] != task.digest {
-		event = event.Strs(quarantine.FieldParts, quarantine.ShortDigests(match))
+	if ruling.Digests[0] != task.digest {
+		event = event.Strs(quarantine.FieldParts, quarantine.ShortDigests(ruling.Digests))
+	}
+	event = event.Str("request", task.id).Stringer(quarantine.FieldDigest, task.digest)
+	if ruling.Suspected {
+		event.Msg("suspected request refused")
+		return &RefusalError{
+			Status:     http.StatusServiceUnavailable,
+			Code:       CodeSuspected,
+			Message:    "upstreams may end that run this request; another one is tried first",
+			Outcome:    outcome.NotRun,
+			RetryAfter: quarantine.SuspectedRetryAfter,
+		}
 	}
-	event.Str("request", task.id).Stringer(quarantine.FieldDigest, task.digest).Msg("quarantined request refused")
+	event.Msg("quarantined request refused")
 	return &RefusalError{
 		Status:  http.StatusUnprocessableEntity,
 		Code:    CodeQuarantined,
--- a/internal/desk/refusal.go
+++ b/internal/desk/refusal.go
@@ -48,6 +48,7 @@
 	CodeForbidden                 Code = "forbidden"
 	CodeOverQuota                 Code = "over-quota"
 	CodeQuarantined               Code = quarantine.Reason
+	CodeSuspected                 Code = quarantine.ReasonSuspected
 )
 
 // RefusalError is the final response to a request that gets no response from an upstream.
--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -19,12 +19,25 @@
 	return coroner.New(coroner.Options{
 		Status:      i.upstreamStatus,
 		Report:      i.reportCrashes,
+		AllowTrial:  i.allowTrial,
 		NewLogEvent: func(string) *zerolog.Event { return i.options.Log.Warn() },
 		Now:         i.options.Now,
 		Metrics:     i.metrics.Scope(),
 	})
 }
 
+// allowTrial reports whether a suspected request may be sent as a trial. The leader alone sends
+// trials.
+func (i *Instance) allowTrial(_ context.Context, trial quarantine.TrialID) bool {
+	leader, _ := i.controlPlane.Leader()
+	if leader == "" || leader != i.controlPlane.Identity() {
+		return false
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.trials.Take(i.options.Now(), trial)
+}
+
 // Upstream returns the latest known state of an upstream, and false if it is unknown.
 func (i *Instance) Upstream(name string) (roster.Upstream, bool) {
 	i.mu.Lock()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -20,6 +20,7 @@
 	"github.com/lovagelift/lovagelift/internal/desk"
 	"github.com/lovagelift/lovagelift/internal/foreman"
 	"github.com/lovagelift/lovagelift/internal/gauge"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
@@ -34,6 +35,7 @@
 	controlPlane  chamber.ControlPlane
 	proxy         *shuttle.Proxy
 	crashDetector *coroner.CrashDetector
+	trials        quarantine.Trials
 	callerAPI     *desk.Server
 	// placementController is nil unless this instance is a voter and placement is enabled.
 	placementController *foreman.Controller
--- a/internal/permit/decode.go
+++ b/internal/permit/decode.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/parcel"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 )
@@ -82,6 +83,8 @@
 		return RefusalReport{Upstream: r.String(), Incarnation: r.Uint(), Tolerance: r.count()}
 	case kindSendRequest:
 		return SendRequest{ID: r.id(), Upstream: r.String(), Limit: r.limit()}
+	case kindTrialRequest:
+		return TrialRequest{ID: r.id(), Trial: quarantine.TrialID(r.Uint())}
 	case kindSendAllowed:
 		return SendAllowed{ID: r.id()}
 	case kindSendDelayed:
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -41,6 +41,7 @@
 	// kindBoundRequest is a Request with a constraint. Instances that do not know constraints ignore
 	// it.
 	kindBoundRequest
+	kindTrialRequest
 )
 
 // Append appends the encoding of a message to buffer.
@@ -82,18 +83,30 @@
 		return appendProcess(buffer, kindLeaveReport, m.Upstream, m.Incarnation)
 	case RefusalReport:
 		return parcel.AppendUint(appendProcess(buffer, kindRefusalReport, m.Upstream, m.Incarnation), uint64(m.Tolerance))
+	case SendRequest, TrialRequest, SendAllowed, SendDelayed:
+		return appendSend(buffer, message)
+	case StreamReport, StreamQuery, StreamFound, StreamUnknown:
+		return appendStream(buffer, message)
+	default:
+		return appendQuota(buffer, message)
+	}
+}
+
+// appendSend appends the encoding of a message about whether a request may be sent.
+func appendSend(buffer []byte, message Message) []byte {
+	switch m := message.(type) {
 	case SendRequest:
 		buffer = appendHead(buffer, kindSendRequest, m.ID)
 		buffer = parcel.AppendBytes(buffer, m.Upstream)
 		return appendLimit(buffer, m.Limit)
+	case TrialRequest:
+		return parcel.AppendUint(appendHead(buffer, kindTrialRequest, m.ID), uint64(m.Trial))
 	case SendAllowed:
 		return appendHead(buffer, kindSendAllowed, m.ID)
 	case SendDelayed:
 		return appendDuration(appendHead(buffer, kindSendDelayed, m.ID), m.Wait)
-	case StreamReport, StreamQuery, StreamFound, StreamUnknown:
-		return appendStream(buffer, message)
 	default:
-		return appendQuota(buffer, message)
+		return buffer
 	}
 }
 
--- a/internal/permit/encode_test.go
+++ b/internal/permit/encode_test.go
@@ -37,6 +37,7 @@
 		permit.RefusalReport{Upstream: "e1", Incarnation: 1 << 60, Tolerance: 12},
 		permit.PushbackReport{Upstream: "e1", Incarnation: 1 << 60, Remaining: 3 * time.Second},
 		permit.SendRequest{ID: 7, Upstream: "e1", Limit: 0.3},
+		permit.TrialRequest{ID: 20, Trial: 1 << 63},
 		permit.SendAllowed{ID: 8},
 		permit.SendDelayed{ID: 9, Wait: 900 * time.Millisecond},
 		permit.QuotaRequest{ID: 10, Workspace: "clerks", PerSecond: 235_663, Burst: 2700, Need: 1540, Ahead: 800},
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -18,6 +18,7 @@
 import (
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 )
@@ -181,12 +182,19 @@
 	Limit ratelimit.Limit
 }
 
-// SendAllowed replies to a rate limit request: one request may be sent.
+// TrialRequest asks the owner of a trial for permission to send a suspected request. It may be
+// sent again: the owner repeats its decision.
+type TrialRequest struct {
+	ID    ID
+	Trial quarantine.TrialID
+}
+
+// SendAllowed replies to a rate limit request or a trial request: one request may be sent.
 type SendAllowed struct {
 	ID ID
 }
 
-// SendDelayed replies to a rate limit request: no request may be sent before Wait has passed.
+// SendDelayed replies to a rate limit request or a trial request: no request may be sent before Wait has passed.
 type SendDelayed struct {
 	ID   ID
 	Wait time.Duration
@@ -270,6 +278,7 @@
 func (LeaveReport) message()    {}
 func (RefusalReport) message()  {}
 func (SendRequest) message()    {}
+func (TrialRequest) message()   {}
 func (SendAllowed) message()    {}
 func (SendDelayed) message()    {}
 func (QuotaRequest) message()   {}
--- a/internal/quarantine/follow.go
+++ b/internal/quarantine/follow.go
@@ -1,49 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
-
-// held is an Entry of the news at an instance.
-type held struct {
-	digests []Digest
-	// from is the time from which its requests are not sent.
-	from time.Time
-}
-
-// Match returns the digests for which a request is in quarantine and must not be sent: its own or
-// those of parts of its prompt. It returns nil if the request may be sent.
-func (w *Watch) Match(now time.Time, digest Digest, parts ...Digest) []Digest {
-	if len(w.quarantined) == 0 {
-		return nil
-	}
-	if match := w.matchFirst(now, digest, nil); match != nil {
-		return match
-	}
-	for _, part := range parts {
-		if match := w.matchFirst(now, part, parts); match != nil {
-			return match
-		}
-	}
-	return nil
-}
-
-// matchFirst returns the digests of an entry that begins with first, if parts contains the others.
-func (w *Watch) matchFirst(now time.Time, first Digest, parts []Digest) []Digest {
-	isMissing := func(digest Digest) bool { return !slices.Contains(parts, digest) }
-	for _, entry := range w.quarantined[first] {
-		if !now.Before(entry.from) && !slices.ContainsFunc(entry.digests[1:], isMissing) {
-			return entry.digests
-		}
-	}
-	return nil
-}
-
-// IsQuarantined reports whether a request is in quarantine and must not be sent.
-func (w *Watch) IsQuarantined(now time.Time, digest Digest, parts ...Digest) bool {
-	return w.Match(now, digest, parts...) != nil
-}
+import "time"
 
 // Mark returns the mark of the latest news, and 0 if there is none.
 func (w *Watch) Mark() uint64 {
@@ -80,14 +37,20 @@
 			previous[key(entry.digests)] = entry.from
 		}
 	}
-	w.quarantined = make(map[Digest][]held, len(entries))
+	w.quarantined = make(map[Digest][]*held, len(entries))
 	for _, entry := range entries {
-		current := held{digests: entry.digests(), from: now.Add(entry.In)}
+		current := &held{
+			digests: entry.digests(), from: now.Add(entry.In),
+			trialFrom: now.Add(entry.TrialIn), part: entry.Part, suspected: entry.Suspected,
+		}
 		if earlier, found := previous[key(current.digests)]; found && earlier.Before(current.from) {
 			current.from = earlier
 		}
-		w.quarantined[entry.Digest] = append(w.quarantined[entry.Digest], current)
+		for _, digest := range current.digests {
+			w.quarantined[digest] = append(w.quarantined[digest], current)
+		}
 	}
+	w.entryCount = len(entries)
 }
 
 // maxStaleTime is the time for which older news is ignored. After that it is accepted,
--- a/internal/quarantine/group.go
+++ b/internal/quarantine/group.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/lovagelift/lovagelift/internal/parcel"
 )
@@ -15,6 +16,8 @@
 	digests []Digest
 	// heaviest is the member with the most weight.
 	heaviest Case
+	// certain is false if the crashes may be due to chance.
+	certain bool
 }
 
 // evidence identifies the crashes of a case and the requests that were there. Cases with the same
@@ -78,6 +81,24 @@
 	return !only
 }
 
+const (
+	// firstTrialDelay is the time from the last crash to the trial of a group that has just as
+	// many crashes as bring it into quarantine. Each further crash multiplies it by
+	// trialDelayFactor.
+	firstTrialDelay  = 5 * time.Second
+	trialDelayFactor = 4
+)
+
+// trialIn returns the time until a request of the group may be sent as a trial, if it has parts.
+func (g group) trialIn(now time.Time, limits Limits) time.Duration {
+	limits = limits.withDefaults()
+	delay := firstTrialDelay
+	for n := limits.Crashes; n < len(g.heaviest.Crashes) && delay < limits.Retention; n++ {
+		delay *= trialDelayFactor
+	}
+	return max(0, g.heaviest.last().Add(delay).Sub(now))
+}
+
 // key returns a map key for the digests of a group.
 func key(digests []Digest) string {
 	var text strings.Builder
--- a/internal/quarantine/investigations.go
+++ b/internal/quarantine/investigations.go
@@ -129,19 +129,25 @@
 	if len(i.requests) >= maxSuspects {
 		return
 	}
-	if i.partCount()+len(suspect.Parts) > maxParts {
-		suspect.Parts = nil
-	}
 	i.requests = append(i.requests, interruptedRequest{suspect, now})
+	i.dropSurplusParts()
 }
 
-// partCount returns the number of parts of all requests.
-func (i *investigation) partCount() int {
+// dropSurplusParts removes the parts of requests, of those whose responses had begun first, until
+// there are at most maxParts.
+func (i *investigation) dropSurplusParts() {
 	count := 0
 	for _, request := range i.requests {
 		count += len(request.Parts)
 	}
-	return count
+	for _, answering := range []bool{true, false} {
+		for n := range i.requests {
+			if request := &i.requests[n]; count > maxParts && request.Answering == answering {
+				count -= len(request.Parts)
+				request.Parts = nil
+			}
+		}
+	}
 }
 
 // unreported returns the requests that are not reported yet.
--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -29,6 +29,14 @@
 	Also []Digest
 	// In is the time for which the requests may still be sent.
 	In time.Duration
+	// Part is true if the entry is about parts of prompts. TrialIn is the time after which one of
+	// its requests may be sent as a trial.
+	Part    bool
+	TrialIn time.Duration
+	// Suspected is true if the crashes may be due to chance.
+	Suspected bool
+	// Crashes is the number of crashes in the records, so that a trial that failed is news.
+	Crashes int
 }
 
 // digests returns Digest and Also.
@@ -98,6 +106,7 @@
 	n.Quarantined = slices.Clone(n.Quarantined)
 	for i := range n.Quarantined {
 		n.Quarantined[i].In = max(0, n.Quarantined[i].In-age)
+		n.Quarantined[i].TrialIn = max(0, n.Quarantined[i].TrialIn-age)
 	}
 	return n
 }
@@ -109,7 +118,13 @@
 	previous := p.current.Quarantined
 	p.current, p.computedAt = News{Revision: records.Revision(), Suspected: judged.suspected}, now
 	for _, g := range judged.quarantined {
-		entry := Entry{Digest: g.digests[0], Also: g.digests[1:]}
+		entry := Entry{
+			Digest: g.digests[0], Crashes: len(g.heaviest.Crashes), TrialIn: g.trialIn(now, p.limits),
+			Part: g.hasParts(), Suspected: !g.certain,
+		}
+		if len(g.digests) > 1 {
+			entry.Also = g.digests[1:]
+		}
 		for _, digest := range g.digests {
 			entry.In = max(entry.In, p.announcedAt[digest].Add(clearanceTime).Sub(now))
 		}
@@ -177,7 +192,11 @@
 		for _, digest := range entry.digests() {
 			_, _ = sum.Write(digest[:])
 		}
-		_, _ = sum.Write([]byte{1})
+		certain := byte(1)
+		if entry.Suspected {
+			certain = 0
+		}
+		_, _ = sum.Write([]byte{byte(entry.Crashes), certain})
 	}
 	_, _ = sum.Write([]byte{0})
 	for _, digest := range n.Suspected {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -62,6 +62,10 @@
 const (
 	ReasonHeader = "Lovagelift-Reason"
 	Reason       = "quarantined"
+	// ReasonSuspected is the reason if a request has some of the parts that are in quarantine
+	// together. SuspectedRetryAfter is the time after which it may be sent again.
+	ReasonSuspected     = "suspected"
+	SuspectedRetryAfter = time.Second
 )
 
 func compareLifetimes(a, b Lifetime) int {
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -13,7 +13,7 @@
 	At time.Time `json:"at"`
 	// Request is the id of the attempt at that upstream.
 	Request string `json:"request"`
-	// Answering is true if part of the response had arrived. It is false for a part of a prompt.
+	// Answering is true if part of the response had arrived.
 	Answering bool `json:"answering,omitempty"`
 	// Whole is the request that had the part of a prompt, and zero if the case is that of a
 	// request.
@@ -54,7 +54,7 @@
 	// maxPartCases bounds the parts of prompts that are kept.
 	maxPartCases = 4096
 	// maxCrashes bounds the crashes that are kept for a request.
-	maxCrashes = 12
+	maxCrashes = 64
 	// maxRequestBytes bounds the bytes that are kept of the id of an attempt.
 	maxRequestBytes = 64
 	// caseRetention is how long a request is kept after its last crash, so that a request
@@ -93,7 +93,7 @@
 		Request: suspect.Request[:min(len(suspect.Request), maxRequestBytes)],
 	}
 	r.add(suspect.Digest, crash)
-	crash.Answering, crash.Whole = false, suspect.Digest
+	crash.Whole = suspect.Digest
 	for _, part := range suspect.Parts {
 		r.add(part, crash)
 	}
--- /dev/null
+++ b/internal/quarantine/trials.go
@@ -0,0 +1,33 @@
+package quarantine
+
+import (
+	"maps"
+	"time"
+)
+
+// Trials decides which requests are sent as trials. One instance decides on all trials of a TrialID.
+// It is not safe for concurrent use. The zero value allows one trial of each.
+type Trials struct {
+	allowedAt map[TrialID]time.Time
+}
+
+const (
+	// trialInterval is the time in which the result of a trial becomes known to all instances.
+	trialInterval = 5 * time.Second
+	// maxTrials bounds the trials that are remembered. The news names fewer.
+	maxTrials = 2 * maxAnnounced
+)
+
+// Take reports whether a trial may be sent now. If it returns true, the next one may be sent after
+// the result is known.
+func (t *Trials) Take(now time.Time, trial TrialID) bool {
+	maps.DeleteFunc(t.allowedAt, func(_ TrialID, at time.Time) bool { return now.Sub(at) >= trialInterval })
+	if _, recent := t.allowedAt[trial]; recent || len(t.allowedAt) >= maxTrials {
+		return false
+	}
+	if t.allowedAt == nil {
+		t.allowedAt = map[TrialID]time.Time{}
+	}
+	t.allowedAt[trial] = now
+	return true
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -52,22 +52,54 @@
 // same cause, such as the loss of a failure domain.
 const outageWindow = time.Second
 
+// outageShare is the smallest share of the upstreams that end at the same time and of which
+// nothing else explains the end, if parts of prompts were at the others by chance.
+const outageShare = 0.25
+
 // isSameOutage reports whether a crash has the same cause as one that is already counted.
 // This is assumed if an upstream without the case ended at the same time, and that
 // crash isn't attributable to a request of its own. A caller that sends a request several
-// times at once may have it at several upstreams that an outage ends.
+// times at once may have it at several upstreams that an outage ends. Of a part, which different
+// requests have, it is assumed only if outageShare of the upstreams ended so: the reports of
+// several instances on one upstream arrive one after the other.
 func (c Case) isSameOutage(crash Crash, counted []Crash, summaries map[Lifetime]crashSummary) bool {
 	isNear := func(other Crash) bool { return crash.At.Sub(other.At).Abs() <= outageWindow }
 	if !slices.ContainsFunc(counted, isNear) {
 		return false
 	}
+	involved, unexplained := 0, 0
 	for lifetime, summary := range summaries {
-		involved := slices.ContainsFunc(c.Crashes, func(own Crash) bool { return own.Lifetime == lifetime })
-		if !involved && !summary.isAttributable() && crash.At.Sub(summary.at).Abs() <= outageWindow {
-			return true
+		switch {
+		case crash.At.Sub(summary.at).Abs() > outageWindow:
+		case slices.ContainsFunc(c.Crashes, func(own Crash) bool { return own.Lifetime == lifetime }):
+			involved++
+		case !summary.isAttributable():
+			unexplained++
+		}
+	}
+	if c.isPart() {
+		return float64(unexplained) >= outageShare*float64(involved+unexplained)
+	}
+	return unexplained > 0
+}
+
+// certaintyCrashes is the number of crashes beyond those that bring parts of prompts into
+// quarantine from which on it may be certain that they cause them.
+const certaintyCrashes = 2
+
+// isCertain reports whether there are enough crashes to be certain. Parts that many prompts share
+// may be at some crashes by chance.
+func (g group) isCertain(limits Limits, summaries map[Lifetime]crashSummary) bool {
+	if !g.hasParts() {
+		return true
+	}
+	clear := 0
+	for _, crash := range g.heaviest.Crashes {
+		if summary := summaries[crash.Lifetime]; summary.maxWeight == g.heaviest.weight() && summary.isClear() {
+			clear++
 		}
 	}
-	return false
+	return clear >= limits.Crashes && len(g.heaviest.Crashes) >= limits.Crashes+certaintyCrashes
 }
 
 // weight returns the total weight of the crashes of the case.
@@ -79,22 +111,35 @@
 	return sum
 }
 
-// crashSummary holds the largest weight of a case that an upstream had when it ended, the
-// number of groups with that weight if it is enough for quarantine, and the time of the crash.
+// crashSummary holds the largest weight of a case that an upstream had when it ended, the largest
+// below it, the number of groups with the largest if it is enough for quarantine, and the time of
+// the crash.
 type crashSummary struct {
-	maxWeight int
-	groups    int
-	at        time.Time
+	maxWeight  int
+	nextWeight int
+	groups     int
+	at         time.Time
 }
 
 func (s crashSummary) with(weight int, at time.Time) crashSummary {
 	if s.at.IsZero() || at.Before(s.at) {
 		s.at = at
 	}
-	s.maxWeight = max(s.maxWeight, weight)
+	switch {
+	case weight > s.maxWeight:
+		s.maxWeight, s.nextWeight = weight, s.maxWeight
+	case weight < s.maxWeight:
+		s.nextWeight = max(s.nextWeight, weight)
+	}
 	return s
 }
 
+// isClear reports whether only one group may have caused the crash: all others were at no other
+// crash.
+func (s crashSummary) isClear() bool {
+	return s.groups == 1 && s.nextWeight <= weightNoOutput
+}
+
 // isAttributable reports whether the upstream had something that was also involved in
 // other crashes and may have caused this one.
 func (s crashSummary) isAttributable() bool {
@@ -129,6 +174,7 @@
 	countGroups(groups, summaries)
 	for _, g := range groups {
 		if g.blame(summaries, needed) >= needed && now.Sub(g.heaviest.last()) < limits.Retention {
+			g.certain = g.isCertain(limits, summaries)
 			judged.quarantined = append(judged.quarantined, g)
 		}
 	}
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -21,8 +21,10 @@
 	// staleSince is when stale news began to arrive, and zero if the last news was
 	// current.
 	staleSince time.Time
-	// quarantined are the entries of the news by their first digest.
-	quarantined map[Digest][]held
+	// quarantined are the entries of the news by each of their digests, and entryCount is their
+	// number.
+	quarantined map[Digest][]*held
+	entryCount  int
 	// suspected are the digests in the news: those that one more crash may bring into quarantine,
 	// and all of the entries.
 	suspected map[Digest]bool
@@ -39,14 +41,7 @@
 // Counts returns the number of entries in quarantine, and the number of other digests that are
 // suspected.
 func (w *Watch) Counts() (quarantined, suspected int) {
-	suspected = len(w.suspected)
-	for _, entries := range w.quarantined {
-		quarantined += len(entries)
-		for _, entry := range entries {
-			suspected -= len(entry.digests)
-		}
-	}
-	return quarantined, max(suspected, 0)
+	return w.entryCount, len(w.suspected) - len(w.quarantined)
 }
 
 // Succeeded records that a request ended with a complete, successful response. Error
@@ -79,7 +74,7 @@
 }
 
 // maxSuspectParts bounds the parts of a prompt that are reported.
-const maxSuspectParts = 32
+const maxSuspectParts = 256
 
 // withSuspectedParts returns the suspect without the parts that are known to be harmless. If too
 // many remain, those that were interrupted before come first.
