quarantine: a response that ends with its connection clears nothing until its upstream is known to live

A crash closes the connection, and a response without a length or chunks then looks complete: the request and the parts of its prompt counted as harmless.

A trial is reserved when the request arrives, so that one that can't be sent is refused at once and does not wait for an upstream.

--- a/internal/coroner/coroner.go
+++ b/internal/coroner/coroner.go
@@ -111,28 +111,6 @@
 	return d.watch.IsQuarantined(now, digest, parts...)
 }
 
-// Rule returns the decision on a request with the given parts of its prompt.
-func (d *CrashDetector) Rule(digest quarantine.Digest, parts ...quarantine.Digest) quarantine.Ruling {
-	now := d.options.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.watch.Rule(now, digest, parts...)
-}
-
-// MaySend reports whether a request with the given parts of its prompt may be sent now, and the
-// ruling. If the ruling allows a trial, MaySend asks whether this request may be the trial.
-func (d *CrashDetector) MaySend(ctx context.Context, digest quarantine.Digest, parts ...quarantine.Digest) (quarantine.Ruling, bool) {
-	ruling := d.Rule(digest, parts...)
-	switch ruling.Decision {
-	case quarantine.DecisionSend:
-		return ruling, true
-	case quarantine.DecisionTry:
-		return ruling, d.options.AllowTrial(ctx, ruling.Trial())
-	default:
-		return ruling, false
-	}
-}
-
 // Counts returns the number of requests in quarantine and the number of suspected requests.
 func (d *CrashDetector) Counts() (quarantined, suspected int) {
 	d.mu.Lock()
@@ -180,6 +158,18 @@
 	d.wakeReporter()
 }
 
+// Closed records that an upstream sent a response that ended with its connection, which doesn't show
+// that it is complete. It ignores responses with an error status.
+func (d *CrashDetector) Closed(endpoint quarantine.Endpoint, suspect quarantine.Suspect, status int, parts ...quarantine.Digest) {
+	if status >= http.StatusBadRequest {
+		return
+	}
+	now := d.options.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.watch.Closed(now, endpoint, suspect, parts...)
+}
+
 // Abandoned records that a caller abandoned a request while an upstream had it.
 func (d *CrashDetector) Abandoned(endpoint quarantine.Endpoint, suspect quarantine.Suspect) {
 	now := d.options.Now()
--- a/internal/counter/crashes.go
+++ b/internal/counter/crashes.go
@@ -11,6 +11,7 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
 // newCrashDetector returns the detector of upstreams that crash while running requests.
@@ -112,6 +113,16 @@
 	t.proxy.crashes.ConnectionFailed(endpoint, cause)
 }
 
+// reportSuccess reports a complete response. One that ended with its connection proves that only
+// later.
+func (t *transaction) reportSuccess(a *upstreamAttempt, status int) {
+	if a.framing == shuttle.UntilClose {
+		t.proxy.crashes.Closed(a.upstream.endpoint(), t.suspect(a), status, t.parts...)
+		return
+	}
+	t.proxy.crashes.Succeeded(t.digest, status, t.parts...)
+}
+
 // reportCallerLeft reports that the caller disconnected while its request was at an upstream.
 func (t *transaction) reportCallerLeft(a *upstreamAttempt) {
 	if a.mayHaveSent.Load() {
@@ -141,20 +152,19 @@
 	suspectedText   = "upstreams may end that run this request"
 )
 
-// refuseByQuarantine answers a request that must not be sent because upstreams end that run it, and
-// reports whether it did.
-func (t *transaction) refuseByQuarantine(w http.ResponseWriter) bool {
-	ruling := t.proxy.crashes.Rule(t.digest, t.parts...)
-	if ruling.Decision != quarantine.DecisionRefuse {
-		return false
+// reserve reports whether the request may be sent, as far as crashes of upstreams are concerned. If
+// not, the caller was answered.
+func (t *transaction) reserve(ctx context.Context, w http.ResponseWriter) bool {
+	ruling, allowed := t.admission.Reserve(ctx)
+	if !allowed {
+		t.refuseByRuling(w, ruling)
 	}
-	t.refuseByRuling(w, ruling)
-	return true
+	return allowed
 }
 
-// maySend reports whether an attempt may be sent. If not, the caller was answered.
+// maySend is reserve for an attempt that is about to be sent.
 func (t *transaction) maySend(ctx context.Context, w http.ResponseWriter) bool {
-	ruling, allowed := t.proxy.crashes.MaySend(ctx, t.digest, t.parts...)
+	ruling, allowed := t.admission.Send(ctx)
 	if !allowed {
 		t.refuseByRuling(w, ruling)
 	}
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -38,7 +38,7 @@
 		return false
 	}
 	a.outcome = permit.Succeeded
-	t.proxy.crashes.Succeeded(t.digest, response.StatusCode, t.parts...)
+	t.reportSuccess(a, response.StatusCode)
 	end := beginResponse(w, t.request, response, a.framing)
 	if _, err := w.Write(body); err != nil {
 		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
@@ -92,7 +92,7 @@
 		end.Complete()
 		t.completeOrigin()
 		a.outcome, a.speed = permit.Succeeded, t.measuredSpeed()
-		t.proxy.crashes.Succeeded(t.digest, response.StatusCode, t.parts...)
+		t.reportSuccess(a, response.StatusCode)
 		t.proxy.logAttempt(t, a, "answered", response.StatusCode, "")
 	case t.request.Context().Err() != nil:
 		t.reportCallerLeft(a)
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -30,6 +31,8 @@
 	digest    quarantine.Digest
 	// parts are the parts of the prompt that other requests may share.
 	parts []quarantine.Digest
+	// admission decides whether it is sent if upstreams may crash on it.
+	admission *coroner.Admission
 	requirements
 	// quotaCost is charged to the quota of the workspace. chargedAt is zero if nothing is.
 	quotaCost float64
@@ -78,7 +81,8 @@
 		},
 	}
 	t.digest, t.parts = digestOf(r, t.workspaceName(), body), partsOf(call)
-	if t.refuseByQuarantine(w) {
+	t.admission = p.crashes.Admit(t.digest, t.parts...)
+	if !t.reserve(r.Context(), w) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), t.deadline.Sub(p.options.Now()))
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/dispatch"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
@@ -26,6 +27,8 @@
 	digest quarantine.Digest
 	// parts are the parts of the prompt that other requests may share.
 	parts []quarantine.Digest
+	// admission decides whether it is sent if upstreams may crash on it.
+	admission *coroner.Admission
 	// service is the name of the task's service. It may be empty.
 	service     string
 	requirement requirement
@@ -81,7 +84,7 @@
 			s.logRefusal(task, attempt, err)
 			return proxiedResponse{}, worseOutcome(reported, err)
 		}
-		if ruling, allowed := s.options.CrashDetector.MaySend(ctx, task.digest, task.parts...); !allowed {
+		if ruling, allowed := task.admission.Send(ctx); !allowed {
 			slot.release(dispatch.FailureCanceled)
 			return proxiedResponse{}, worseOutcome(reported, s.quarantineRefusal(task, ruling))
 		}
@@ -158,7 +161,9 @@
 		response.Header.Del("Content-Length")
 	}
 	needsDone := task.needsDoneEvent && isEventStream
-	end := shuttle.BeginResponse(c.Response(), c.Request(), callerFraming(response, needsDone))
+	framing := callerFraming(response, needsDone)
+	proxied.evidence.endsUnproven = framing == shuttle.UntilClose
+	end := shuttle.BeginResponse(c.Response(), c.Request(), framing)
 	shuttle.WriteHeader(c.Response(), response)
 	err := shuttle.StreamBody(c.Response(), response, needsDone)
 	proxied.slot.release(relayFailure(response.Status, err))
--- a/internal/desk/completions.go
+++ b/internal/desk/completions.go
@@ -88,8 +88,9 @@
 // serveTask serves a task, at most once if it has an idempotency key and must not run twice. It
 // refuses a quarantined request.
 func (s *Server) serveTask(c echo.Context, task task) error {
-	if err := s.checkQuarantine(task); err != nil {
-		return err
+	task.admission = s.options.CrashDetector.Admit(task.digest, task.parts...)
+	if ruling, allowed := task.admission.Reserve(c.Request().Context()); !allowed {
+		return s.quarantineRefusal(task, ruling)
 	}
 	if refusal := s.bindToVersion(&task); refusal != nil {
 		return refusal
--- a/internal/desk/crashes.go
+++ b/internal/desk/crashes.go
@@ -49,6 +49,8 @@
 	suspect  quarantine.Suspect
 	// answeredAt is when the header of the response arrived.
 	answeredAt time.Time
+	// endsUnproven is true if the response ends with its connection and nothing else.
+	endsUnproven bool
 }
 
 func (s *Server) newCrashEvidence(task task, slot *slot) crashEvidence {
@@ -80,7 +82,7 @@
 	var cutOff *shuttle.Error
 	switch {
 	case err == nil:
-		s.options.CrashDetector.Succeeded(evidence.suspect.Digest, status, evidence.suspect.Parts...)
+		s.reportSuccess(evidence, status)
 	case errors.As(err, &cutOff):
 		answering := evidence.suspect.WithAnswering(s.options.Now().Sub(evidence.answeredAt))
 		s.options.CrashDetector.Interrupted(evidence.endpoint, answering)
@@ -89,14 +91,15 @@
 	}
 }
 
-// checkQuarantine returns the refusal of a request that must not be sent because upstreams end that
-// run it, or nil. Nothing of the request has been sent.
-func (s *Server) checkQuarantine(task task) error {
-	ruling := s.options.CrashDetector.Rule(task.digest, task.parts...)
-	if ruling.Decision != quarantine.DecisionRefuse {
-		return nil
+// reportSuccess reports a complete response to crash attribution. One that ended with its connection
+// proves that only later.
+func (s *Server) reportSuccess(evidence crashEvidence, status int) {
+	if evidence.endsUnproven {
+		answering := evidence.suspect.WithAnswering(s.options.Now().Sub(evidence.answeredAt))
+		s.options.CrashDetector.Closed(evidence.endpoint, answering, status, evidence.suspect.Parts...)
+		return
 	}
-	return s.quarantineRefusal(task, ruling)
+	s.options.CrashDetector.Succeeded(evidence.suspect.Digest, status, evidence.suspect.Parts...)
 }
 
 // quarantineRefusal returns the refusal of a quarantined or a suspected request, and logs it.
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -30,6 +30,31 @@
 	}
 }
 
+// BenchmarkParts measures the cost of the watch for a request with three parts in its prompt, with
+// and without entries in quarantine.
+func BenchmarkParts(b *testing.B) {
+	for _, entries := range []int{0, 64} {
+		b.Run(fmt.Sprintf("quarantined=%d", entries), func(b *testing.B) {
+			watch := quarantine.NewWatch()
+			now := time.Unix(1_000_000, 0)
+			news := quarantine.News{Revision: 1, Mark: 1}
+			for n := range entries {
+				news.Quarantined = append(news.Quarantined, quarantine.Entry{Digest: quarantine.PartDigest(fmt.Sprint("dead", n)), Part: true})
+			}
+			watch.ApplyNews(now, news)
+			request := digest("x")
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				now = now.Add(time.Millisecond)
+				parts := partDigests([]string{"system", "tool", fmt.Sprint("subject", n%1000)})
+				if watch.Rule(now, request, parts...).Decision == quarantine.DecisionSend {
+					watch.Succeeded(now, request, parts...)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkJudge measures the cost of new reports at a control instance that keeps the
 // largest number of cases.
 func BenchmarkJudge(b *testing.B) {
--- a/internal/quarantine/fuzz_test.go
+++ b/internal/quarantine/fuzz_test.go
@@ -15,7 +15,7 @@
 		Now: time.Unix(1_000_000, 0),
 		Reports: []quarantine.Report{{
 			Lifetime: quarantine.Lifetime{Upstream: "e1", Incarnation: 7},
-			Suspects: []quarantine.Suspect{{Digest: quarantine.Identity{Target: "/x"}.Digest(), Request: "r1", Answering: true}},
+			Suspects: []quarantine.Suspect{{Digest: quarantine.Identity{Target: "/x"}.Digest(), Request: "r1", Answering: true, Parts: partDigests([]string{"a", "b"})}},
 		}},
 	})
 	f.Add(records.Snapshot())
--- a/internal/quarantine/investigations.go
+++ b/internal/quarantine/investigations.go
@@ -174,6 +174,12 @@
 	}
 }
 
+// hasCrashed reports whether an upstream is known to have crashed.
+func (i *investigations) hasCrashed(lifetime Lifetime) bool {
+	inv := i.byLifetime[lifetime]
+	return inv != nil && inv.crashed
+}
+
 // removeExpired ends the investigations of upstreams that were not found to have crashed.
 func (i *investigations) removeExpired(now time.Time) {
 	maps.DeleteFunc(i.byLifetime, func(_ Lifetime, inv *investigation) bool { return inv.isExpired(now) })
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -15,6 +15,7 @@
 	// interruptedParts those to which one was interrupted.
 	harmlessParts    recentDigests
 	interruptedParts recentDigests
+	unproven         unprovenEnds
 	// revision and mark are those of the latest news.
 	revision uint64
 	mark     uint64
@@ -55,6 +56,14 @@
 	}
 }
 
+// Closed records that a successful response ended with its connection, which doesn't show that it is
+// complete. The request and the parts of its prompt count as succeeded if its upstream is not found
+// to have crashed.
+func (w *Watch) Closed(now time.Time, endpoint Endpoint, suspect Suspect, parts ...Digest) {
+	w.unproven.add(unprovenEnd{at: now, lifetime: endpoint.Lifetime, digest: suspect.Digest, parts: parts})
+	w.Abandoned(now, endpoint, suspect)
+}
+
 // clearIfSuspected clears a request or a part that the news names.
 func (w *Watch) clearIfSuspected(digest Digest) {
 	if w.suspected[digest] {
@@ -110,6 +119,9 @@
 // Observe records the status of an upstream.
 func (w *Watch) Observe(lifetime Lifetime, status Status) {
 	w.investigations.observe(lifetime, status)
+	if w.investigations.hasCrashed(lifetime) {
+		w.unproven.drop(lifetime)
+	}
 }
 
 // Review calls status for each upstream under investigation that is not known to have
@@ -118,9 +130,12 @@
 	w.investigations.removeExpired(now)
 	for lifetime, inv := range w.investigations.byLifetime {
 		if !inv.crashed {
-			w.investigations.observe(lifetime, status(inv.endpoint))
+			w.Observe(lifetime, status(inv.endpoint))
 		}
 	}
+	for _, end := range w.unproven.takeProven(now) {
+		w.Succeeded(now, end.digest, end.parts...)
+	}
 }
 
 // IsPending reports whether there is something to report, now or soon.
