quarantine: parts are certain only where nothing else explains the crashes; specs of parts

A part is certain, and its requests are refused for good, at five crashes of which three can't be due to what was at other crashes as well.

Specs: parts at the entry instances, in the own interface, in explain, in the header; the number of parts that one response clears is bounded.

--- a/internal/counter/crashes_test.go
+++ b/internal/counter/crashes_test.go
@@ -110,6 +110,63 @@
 	}, SpecTimeout(specTimeout))
 })
 
+var _ = Describe("A request with a part in quarantine", func() {
+	const partOfSpec = "dead"
+
+	// setPart makes the control instance report an entry, and waits until the instance has applied it.
+	setPart := func(ctx context.Context, p *testProxy, entry quarantine.Entry) {
+		p.control.mu.Lock()
+		p.control.quarantine = &quarantine.News{Revision: 1, Mark: 1, Quarantined: []quarantine.Entry{entry}}
+		p.control.mu.Unlock()
+		Eventually(ctx, func() uint64 {
+			p.control.mu.Lock()
+			defer p.control.mu.Unlock()
+			return p.control.syncs[len(p.control.syncs)-1].Quarantine
+		}).Should(Equal(uint64(1)))
+	}
+
+	It("is refused for good if it is certain, whatever else it holds", func(ctx SpecContext) {
+		p := newTestProxy(newFakeUpstream(succeed))
+		setPart(ctx, p, quarantine.Entry{Digest: quarantine.PartDigest(partOfSpec), Part: true, TrialIn: time.Hour})
+		for _, body := range []string{"one", "two"} {
+			response, _, err := p.sendPrompt(ctx, body, "system", partOfSpec)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
+			Expect(response.Header.Get("Lovagelift-Outcome")).To(Equal("not-run"))
+			Expect(response.Header.Get("Retry-After")).To(BeEmpty())
+		}
+		response, _, err := p.sendPrompt(ctx, "three", "system")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+	}, SpecTimeout(specTimeout))
+
+	It("is told to come back if it is not certain", func(ctx SpecContext) {
+		p := newTestProxy(newFakeUpstream(succeed))
+		setPart(ctx, p, quarantine.Entry{Digest: quarantine.PartDigest(partOfSpec), Part: true, TrialIn: time.Hour, Suspected: true})
+		response, _, err := p.sendPrompt(ctx, "one", partOfSpec)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get(quarantine.ReasonHeader)).To(Equal(quarantine.ReasonSuspected))
+		Expect(response.Header.Get("Retry-After")).To(Equal("1.000"))
+		Expect(p.arrivals()).To(BeZero())
+	}, SpecTimeout(specTimeout))
+
+	// Of requests with only some of the parts, one is sent to show which of them crashes upstreams.
+	It("is sent once as a trial if it has some of the parts", func(ctx SpecContext) {
+		p := newTestProxy(newFakeUpstream(succeed))
+		setPart(ctx, p, quarantine.Entry{
+			Digest: quarantine.PartDigest(partOfSpec), Also: []quarantine.Digest{quarantine.PartDigest("beside")}, Part: true, TrialIn: time.Hour,
+		})
+		statuses := map[int]int{}
+		for n := range 3 {
+			response, _, err := p.sendPrompt(ctx, fmt.Sprint(n), "beside")
+			Expect(err).NotTo(HaveOccurred())
+			statuses[response.StatusCode]++
+		}
+		Expect(statuses).To(Equal(map[int]int{http.StatusOK: 1, http.StatusServiceUnavailable: 2}))
+	}, SpecTimeout(specTimeout))
+})
+
 var _ = Describe("A crashed upstream", func() {
 	It("is reported with the digests of its requests", func(ctx SpecContext) {
 		u := newFakeUpstream(succeed)
--- a/internal/counter/dialect_test.go
+++ b/internal/counter/dialect_test.go
@@ -18,6 +18,7 @@
 	notRunHeader = "Spec-Not-Run"
 	limitHeader  = "Spec-Limit"
 	keyHeader    = "Spec-Key"
+	partHeader   = "Spec-Part"
 
 	pushbackHeader = "Spec-Pushback"
 	leavingHeader  = "Spec-Leaving"
--- a/internal/counter/testproxy_test.go
+++ b/internal/counter/testproxy_test.go
@@ -47,7 +47,7 @@
 		ParseRoutes:    parseRoutes, Dialect: dialect{}, Now: p.now, Log: zerolog.Nop(),
 	})
 	p.server = startCallerServer(func(w http.ResponseWriter, r *http.Request) {
-		p.proxy.ServeRequest(w, r, counter.Call{ID: r.Header.Get(idHeader), Key: r.Header.Get(keyHeader), Timeout: 5 * time.Second})
+		p.proxy.ServeRequest(w, r, counter.Call{ID: r.Header.Get(idHeader), Key: r.Header.Get(keyHeader), Timeout: 5 * time.Second, PromptParts: r.Header[partHeader]})
 	})
 	DeferCleanup(func() {
 		p.server.CloseClientConnections()
@@ -85,6 +85,23 @@
 	return p.upstreams[0].count() > 0
 }
 
+// sendPrompt sends a request with the given parts in its prompt.
+func (p *testProxy) sendPrompt(ctx context.Context, body string, parts ...string) (*http.Response, string, error) {
+	GinkgoHelper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.server.URL+"/write/x", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	request.Host = "spec.test"
+	request.Header.Set(idHeader, "r-"+body)
+	request.Header[partHeader] = parts
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
 // send sends a request and returns the response, its body and any error.
 func (p *testProxy) send(ctx context.Context, method, path, body string) (*http.Response, string, error) {
 	GinkgoHelper()
--- a/internal/desk/crashes.go
+++ b/internal/desk/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,14 +24,16 @@
 // all messages but the last, which belongs to the request itself.
 func partsOf(completion completionRequest) []quarantine.Digest {
 	var parts []quarantine.Digest
-	for _, message := range completion.Messages[:max(0, len(completion.Messages)-1)] {
-		if part := quarantine.PartDigest(string(message)); !slices.Contains(parts, part) {
-			parts = append(parts, part)
-		}
+	shared := completion.Messages[:max(0, len(completion.Messages)-1)]
+	for _, message := range shared[:min(len(shared), maxPromptParts)] {
+		parts = append(parts, quarantine.PartDigest(string(message)))
 	}
 	return parts
 }
 
+// maxPromptParts bounds the messages of a prompt to which a crash may be attributed.
+const maxPromptParts = 1024
+
 // endpointOf returns the upstream process that a slot belongs to.
 func (s *Server) endpointOf(slot *slot) quarantine.Endpoint {
 	chosen := &slot.decision.Chosen
--- a/internal/desk/crashes_test.go
+++ b/internal/desk/crashes_test.go
@@ -1,6 +1,7 @@
 package desk_test
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -25,6 +26,52 @@
 	return upstream
 }
 
+var _ = Describe("a message that crashes engines", func() {
+	const dead = `{"role":"system","content":"dead"}`
+
+	// No two of these completions are alike: only the message that they share tells of the others.
+	It("is refused by all instances in any completion, and other messages are served",
+		SpecTimeout(specTimeout), func(ctx SpecContext) {
+			cluster := newFakeVoters()
+			publisher := quarantine.NewPublisher(quarantine.Limits{})
+			servers := []*testServer{newTestServer(cluster, "a"), newTestServer(cluster, "b")}
+			addresses := []string{}
+			for range 12 {
+				addresses = append(addresses, newCrashingUpstream("crash").address())
+			}
+			for _, server := range servers {
+				server.setUpstreams(addresses...)
+			}
+			syncQuarantine := func() quarantine.News {
+				cluster.mu.Lock()
+				defer cluster.mu.Unlock()
+				news := publisher.News(time.Now(), cluster.registry.CrashRecords())
+				for _, server := range servers {
+					server.crashDetector.ApplyNews(news)
+				}
+				return news
+			}
+			completion := func(n int) string {
+				return fmt.Sprintf(`{"model":"m","messages":[{"role":"system","content":"%d"},%s,{"role":"user","content":"%d"}]}`, n, dead, n)
+			}
+			for n := range 2 {
+				// Each attempt crashes several engines.
+				Expect(servers[0].completeWithMarker(ctx, completion(n)).status).To(Equal(http.StatusBadGateway))
+			}
+			Eventually(ctx, func() []quarantine.Entry { return syncQuarantine().Quarantined }).Should(HaveLen(1))
+			Eventually(ctx, func() bool {
+				syncQuarantine()
+				return servers[1].crashDetector.IsQuarantined(quarantine.Digest{}, quarantine.PartDigest(dead))
+			}).Should(BeTrue())
+			reply := servers[1].completeWithMarker(ctx, completion(9))
+			Expect(reply.status).To(Equal(http.StatusUnprocessableEntity), reply.body)
+			Expect(reply.outcome).To(Equal("not-run"))
+			Expect(reply.body).To(ContainSubstring(`"code":"quarantined"`))
+			sound := `{"model":"m","messages":[{"role":"system","content":"1"},{"role":"user","content":"dead"}]}`
+			Expect(servers[0].call(ctx, http.MethodPost, "/v1/completions", "", sound).status).To(Equal(http.StatusOK))
+		})
+})
+
 var _ = Describe("a completion that crashes engines", func() {
 	const crashing = `{"model":"m","prompt":"crash"}`
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -79,6 +79,21 @@
 		Expect(lines[1].Instance).To(Equal("core-1"))
 	})
 
+	// No attempt with a part that crashes upstreams is like another.
+	It("returns the lines of other requests with the part for which a request was refused", func() {
+		var l explain.Log
+		Expect(l.Read(strings.NewReader(`
+{"instance":"entry-1","time":"2026-12-02T08:00:01.000Z","request":"r1","digest":"aa11","parts":["dd77","ee88"],"upstream":"e1","message":"the upstream ended while it had the request"}
+{"instance":"entry-1","time":"2026-12-02T08:00:01.001Z","request":"r9","digest":"bb22","parts":["ff99"],"upstream":"e1","message":"the upstream ended while it had the request"}
+{"instance":"core-1","time":"2026-12-02T08:00:03.000Z","digest":"dd77cc","parts":["dd77"],"upstreams":["e1"],"message":"part of prompts in quarantine: upstreams end that answer on it"}
+{"instance":"entry-3","time":"2026-12-02T08:00:04.000Z","request":"r3","digest":"cc33","parts":["dd77"],"message":"request not served"}
+`))).To(Succeed())
+		lines := l.History("r3").QuarantineLines
+		Expect(lines).To(HaveLen(2))
+		Expect(lines[0].Fields["request"]).To(Equal("r1"))
+		Expect(lines[1].Instance).To(Equal("core-1"))
+	})
+
 	It("counts lines that cannot be parsed", func() {
 		history := historyOf("r7")
 		Expect(history.LineCount).To(Equal(9))
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -61,8 +61,12 @@
 	return hex.EncodeToString(d[:shortBytes])
 }
 
-// ShortDigests returns the first bytes of each digest in hexadecimal, for logs.
+// maxShortDigests bounds the digests in a log line.
+const maxShortDigests = 16
+
+// ShortDigests returns the first bytes of the first digests in hexadecimal, for logs.
 func ShortDigests(digests []Digest) []string {
+	digests = digests[:min(len(digests), maxShortDigests)]
 	short := make([]string, 0, len(digests))
 	for _, digest := range digests {
 		short = append(short, digest.Short())
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -39,7 +39,7 @@
 		if summary.maxWeight != own || summary.groups > 1 && own < jointBlameFactor*needed {
 			continue
 		}
-		if g.heaviest.isSameOutage(crash, counted, summaries) {
+		if g.isSameOutage(crash, counted, summaries) {
 			continue
 		}
 		counted = append(counted, crash)
@@ -57,12 +57,12 @@
 const outageShare = 0.25
 
 // isSameOutage reports whether a crash has the same cause as one that is already counted.
-// This is assumed if an upstream without the case ended at the same time, and that
+// This is assumed if an upstream without the group ended at the same time, and that
 // crash isn't attributable to a request of its own. A caller that sends a request several
 // times at once may have it at several upstreams that an outage ends. Of a part, which different
 // requests have, it is assumed only if outageShare of the upstreams ended so: the reports of
 // several instances on one upstream arrive one after the other.
-func (c Case) isSameOutage(crash Crash, counted []Crash, summaries map[Lifetime]crashSummary) bool {
+func (g group) isSameOutage(crash Crash, counted []Crash, summaries map[Lifetime]crashSummary) bool {
 	isNear := func(other Crash) bool { return crash.At.Sub(other.At).Abs() <= outageWindow }
 	if !slices.ContainsFunc(counted, isNear) {
 		return false
@@ -71,13 +71,13 @@
 	for lifetime, summary := range summaries {
 		switch {
 		case crash.At.Sub(summary.at).Abs() > outageWindow:
-		case slices.ContainsFunc(c.Crashes, func(own Crash) bool { return own.Lifetime == lifetime }):
+		case slices.ContainsFunc(g.heaviest.Crashes, func(own Crash) bool { return own.Lifetime == lifetime }):
 			involved++
 		case !summary.isAttributable():
 			unexplained++
 		}
 	}
-	if c.isPart() {
+	if g.hasParts() {
 		return float64(unexplained) >= outageShare*float64(involved+unexplained)
 	}
 	return unexplained > 0
@@ -87,19 +87,35 @@
 // quarantine from which on it may be certain that they cause them.
 const certaintyCrashes = 2
 
-// isCertain reports whether there are enough crashes to be certain. Parts that many prompts share
-// may be at some crashes by chance.
-func (g group) isCertain(limits Limits, summaries map[Lifetime]crashSummary) bool {
+// isCertain reports whether there are enough crashes to be certain of a group. Parts that many
+// prompts share may be at some crashes by chance.
+func (r Records) isCertain(g group, limits Limits) bool {
 	if !g.hasParts() {
 		return true
 	}
-	clear := 0
+	crashes := len(g.heaviest.Crashes)
+	return crashes >= limits.Crashes+certaintyCrashes && crashes-r.doubtfulCrashes(g) >= limits.Crashes
+}
+
+// doubtfulCrashes returns the number of crashes of a group that something else may have caused:
+// what was at other crashes, too.
+func (r Records) doubtfulCrashes(g group) int {
+	own, doubtful := map[Lifetime]bool{}, map[Lifetime]bool{}
 	for _, crash := range g.heaviest.Crashes {
-		if summary := summaries[crash.Lifetime]; summary.maxWeight == g.heaviest.weight() && summary.isClear() {
-			clear++
+		own[crash.Lifetime] = true
+	}
+	isElsewhere := func(crash Crash) bool { return !own[crash.Lifetime] }
+	for _, c := range r.cases {
+		if len(c.Crashes) < 2 || !slices.ContainsFunc(c.Crashes, isElsewhere) {
+			continue
+		}
+		for _, crash := range c.Crashes {
+			if own[crash.Lifetime] {
+				doubtful[crash.Lifetime] = true
+			}
 		}
 	}
-	return clear >= limits.Crashes && len(g.heaviest.Crashes) >= limits.Crashes+certaintyCrashes
+	return len(doubtful)
 }
 
 // weight returns the total weight of the crashes of the case.
@@ -111,35 +127,22 @@
 	return sum
 }
 
-// crashSummary holds the largest weight of a case that an upstream had when it ended, the largest
-// below it, the number of groups with the largest if it is enough for quarantine, and the time of
-// the crash.
+// crashSummary holds the largest weight of a case that an upstream had when it ended, the
+// number of groups with that weight if it is enough for quarantine, and the time of the crash.
 type crashSummary struct {
-	maxWeight  int
-	nextWeight int
-	groups     int
-	at         time.Time
+	maxWeight int
+	groups    int
+	at        time.Time
 }
 
 func (s crashSummary) with(weight int, at time.Time) crashSummary {
 	if s.at.IsZero() || at.Before(s.at) {
 		s.at = at
 	}
-	switch {
-	case weight > s.maxWeight:
-		s.maxWeight, s.nextWeight = weight, s.maxWeight
-	case weight < s.maxWeight:
-		s.nextWeight = max(s.nextWeight, weight)
-	}
+	s.maxWeight = max(s.maxWeight, weight)
 	return s
 }
 
-// isClear reports whether only one group may have caused the crash: all others were at no other
-// crash.
-func (s crashSummary) isClear() bool {
-	return s.groups == 1 && s.nextWeight <= weightNoOutput
-}
-
 // isAttributable reports whether the upstream had something that was also involved in
 // other crashes and may have caused this one.
 func (s crashSummary) isAttributable() bool {
@@ -174,7 +177,7 @@
 	countGroups(groups, summaries)
 	for _, g := range groups {
 		if g.blame(summaries, needed) >= needed && now.Sub(g.heaviest.last()) < limits.Retention {
-			g.certain = g.isCertain(limits, summaries)
+			g.certain = r.isCertain(g, limits)
 			judged.quarantined = append(judged.quarantined, g)
 		}
 	}
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -50,12 +50,18 @@
 func (w *Watch) Succeeded(now time.Time, digest Digest, parts ...Digest) {
 	w.successes.add(now, digest)
 	w.clearIfSuspected(digest)
-	for _, part := range parts {
-		w.harmlessParts.add(now, part)
+	for n, part := range parts {
+		if n < maxHarmlessParts {
+			w.harmlessParts.add(now, part)
+		}
 		w.clearIfSuspected(part)
 	}
 }
 
+// maxHarmlessParts bounds the parts that are remembered of one prompt, so that long prompts whose
+// parts are all different don't displace the others.
+const maxHarmlessParts = 64
+
 // Closed records that a successful response ended with its connection, which doesn't show that it is
 // complete. The request and the parts of its prompt count as succeeded if its upstream is not found
 // to have crashed.
