quarantine: a part that is at every crash which another part causes is not held responsible

A first part that victims share has as many crashes as the harmful one, and other requests to its name. From twelve crashes on both were in quarantine, and all requests with the first part were refused (spec failed). The rule for two requests that are always at the same crashes is not for parts.

A response that ended with its connection counts as soon as its upstream answers another one half a second later.

--- a/internal/coroner/coroner.go
+++ b/internal/coroner/coroner.go
@@ -158,6 +158,15 @@
 	d.wakeReporter()
 }
 
+// Responded records that the header of a response of an upstream has arrived.
+func (d *CrashDetector) Responded(lifetime quarantine.Lifetime) {
+	now := d.options.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.watch.Responded(now, lifetime)
+	d.wakeReporter()
+}
+
 // Closed records that an upstream sent a response that ended with its connection, which doesn't show
 // that it is complete. It ignores responses with an error status.
 func (d *CrashDetector) Closed(endpoint quarantine.Endpoint, suspect quarantine.Suspect, status int, parts ...quarantine.Digest) {
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -24,6 +24,7 @@
 // caller and the request may be retried.
 func (t *transaction) passResponse(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, response *http.Response) bool {
 	t.possibleRuns++
+	t.proxy.crashes.Responded(a.upstream.endpoint().Lifetime)
 	if t.route.Kind == routes.Stream && response.StatusCode < http.StatusMultipleChoices {
 		t.stream(ctx, w, a, response)
 		return true
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -93,6 +93,7 @@
 		response, err := s.sendAttempt(ctx, attempt, task, slot)
 		if err == nil {
 			evidence.answeredAt = s.options.Now()
+			s.options.CrashDetector.Responded(evidence.endpoint.Lifetime)
 			return proxiedResponse{response: response, slot: slot, evidence: evidence}, nil
 		}
 		slot.release(attemptFailure(ctx, err))
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -76,6 +76,18 @@
 		Expect(decision("beside")).To(Equal(quarantine.DecisionSend))
 	})
 
+	// A first part that victims share as well is at every crash.
+	It("are not held responsible for being at every crash that another one causes", func() {
+		for n := range 8 {
+			c.crash(fmt.Sprint("e", n), prompt(fmt.Sprint("victim", n), "system"), prompt(fmt.Sprint(n), "system", "dead"))
+			c.now = c.now.Add(2 * time.Second)
+		}
+		Expect(decision("system", "sound")).To(Equal(quarantine.DecisionSend))
+		c.apply(quarantine.Update{Succeeded: partDigests([]string{"system"})})
+		Expect(decision("system", "dead")).To(Equal(quarantine.DecisionRefuse))
+		Expect(decision("system", "sound")).To(Equal(quarantine.DecisionSend))
+	})
+
 	It("are not reported if a request with them has succeeded", func() {
 		watch.Succeeded(c.now, digest("good"), partDigests([]string{"system"})...)
 		watch.Interrupted(c.now, endpoint("e1"), prompt("bad", "system", "dead"))
@@ -106,6 +118,19 @@
 		}
 	})
 
+	It("are cleared by a response that ended with its connection when its upstream answers later", func() {
+		for n := range 3 {
+			c.crash(fmt.Sprint("e", n), prompt(fmt.Sprint(n), "dead"))
+		}
+		watch.ApplyNews(c.now, c.news())
+		watch.Closed(c.now, endpoint("e9"), suspect("x"), partDigests([]string{"dead"})...)
+		watch.Responded(c.now.Add(100*time.Millisecond), lifetime("e9"))
+		watch.Responded(c.now.Add(time.Second), lifetime("e8"))
+		Expect(watch.TakeDue(c.now).Succeeded).To(BeEmpty())
+		watch.Responded(c.now.Add(time.Second), lifetime("e9"))
+		Expect(watch.TakeDue(c.now).Succeeded).To(Equal(partDigests([]string{"dead"})))
+	})
+
 	It("are not suspected if the answer has gone on for more than a second", func() {
 		Expect(prompt("x", "a").WithAnswering(500 * time.Millisecond).Parts).To(HaveLen(1))
 		Expect(prompt("x", "a").WithAnswering(1500 * time.Millisecond).Parts).To(BeEmpty())
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -37,6 +37,8 @@
 	// entriesRestartAt and controlRestartAt are when all entry instances and the control instance
 	// restart, 0 for never.
 	entriesRestartAt, controlRestartAt time.Duration
+	// untilClose is true if all responses end with their connection.
+	untilClose bool
 	// answerStarts is the probability that the first event of a harmful answer arrives before the
 	// crash.
 	answerStarts float64
@@ -242,7 +244,7 @@
 				}
 				running = append(running, request)
 			case s.now >= request.endsAt:
-				s.watches[request.instance].Succeeded(s.cluster.now, digest(request.id), partDigests(request.parts)...)
+				s.succeed(engine, request)
 			default:
 				running = append(running, request)
 			}
@@ -254,6 +256,17 @@
 	}
 }
 
+// succeed ends a request with a whole response.
+func (s *partSimulation) succeed(engine *simulatedEngine, request simulatedRequest) {
+	watch := s.watches[request.instance]
+	if !s.scenario.untilClose {
+		watch.Succeeded(s.cluster.now, digest(request.id), partDigests(request.parts)...)
+		return
+	}
+	watch.Responded(s.cluster.now, lifetime(engine.name))
+	watch.Closed(s.cluster.now, endpoint(engine.name), request.suspect(s.now), partDigests(request.parts)...)
+}
+
 func (s *partSimulation) crash(engine *simulatedEngine) {
 	for _, request := range engine.requests {
 		s.watches[request.instance].Interrupted(s.cluster.now, endpoint(engine.name), request.suspect(s.now))
@@ -280,6 +293,7 @@
 			}
 		}
 		if tick%pollInterval == 0 {
+			watch.Review(s.cluster.now, func(quarantine.Endpoint) quarantine.Status { return quarantine.StatusUnknown })
 			watch.ApplyNews(s.cluster.now, s.cluster.news())
 		}
 	}
@@ -385,6 +399,19 @@
 	Entry("that often arrives when the answer has begun", func(p *partScenario) {
 		p.answerStarts = 0.5
 	}),
+	Entry("among responses that end with their connection", func(p *partScenario) {
+		p.untilClose = true
+	}),
+	// The first part is at each crash, and nothing shows that it is harmless.
+	Entry("beside one first part of all prompts, from the start, among responses that end with their connection", func(p *partScenario) {
+		p.untilClose, p.harmfulFrom = true, 0
+		p.sound = func(random *rand.Rand, _ time.Duration) []string {
+			return []string{"system", pick(random, "subject", 40)}
+		}
+		p.harmful = func(random *rand.Rand, _ time.Duration) []string {
+			return []string{"system", pick(random, "subject", 40), "dead"}
+		}
+	}),
 	Entry("two at once", func(p *partScenario) {
 		p.harmful = func(random *rand.Rand, now time.Duration) []string {
 			return append(soundParts(random, now), pick(random, "dead", 2))
--- a/internal/quarantine/unproven.go
+++ b/internal/quarantine/unproven.go
@@ -20,8 +20,9 @@
 
 const (
 	// proofTime is the time after which the upstream of such a response would be known to have
-	// crashed.
+	// crashed, and aliveTime the time after which another response of it proves that it has not.
 	proofTime = investigationTime
+	aliveTime = 500 * time.Millisecond
 	// maxUnproven bounds the responses that are kept.
 	maxUnproven = 1024
 )
@@ -37,13 +38,25 @@
 	u.ends = slices.DeleteFunc(u.ends, func(end unprovenEnd) bool { return end.lifetime == lifetime })
 }
 
-// takeProven removes and returns the responses that were complete.
+// takeProven removes and returns the responses that were complete by now.
 func (u *unprovenEnds) takeProven(now time.Time) []unprovenEnd {
-	proven := 0
-	for proven < len(u.ends) && now.Sub(u.ends[proven].at) > proofTime {
-		proven++
-	}
-	taken := slices.Clone(u.ends[:proven])
-	u.ends = slices.Delete(u.ends, 0, proven)
+	return u.take(func(end unprovenEnd) bool { return now.Sub(end.at) > proofTime })
+}
+
+// takeAlive removes and returns the responses that were complete because another response of the
+// upstream has arrived.
+func (u *unprovenEnds) takeAlive(now time.Time, lifetime Lifetime) []unprovenEnd {
+	return u.take(func(end unprovenEnd) bool { return end.lifetime == lifetime && now.Sub(end.at) > aliveTime })
+}
+
+func (u *unprovenEnds) take(isProven func(unprovenEnd) bool) []unprovenEnd {
+	var taken []unprovenEnd
+	u.ends = slices.DeleteFunc(u.ends, func(end unprovenEnd) bool {
+		proven := isProven(end)
+		if proven {
+			taken = append(taken, end)
+		}
+		return proven
+	})
 	return taken
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -30,13 +30,13 @@
 // blame returns the weight of the crashes that count against a group. needed is the
 // blame that brings it into quarantine. A crash counts only if nothing else that the
 // upstream had has more weight. If another group has the same weight, the crash counts only if
-// that weight is at least jointBlameFactor times needed.
+// both may be responsible.
 func (g group) blame(summaries map[Lifetime]crashSummary, needed int) int {
 	own, blame := g.heaviest.weight(), 0
 	var counted []Crash
 	for _, crash := range g.heaviest.Crashes {
 		summary := summaries[crash.Lifetime]
-		if summary.maxWeight != own || summary.groups > 1 && own < jointBlameFactor*needed {
+		if summary.maxWeight != own || summary.groups > 1 && !g.mayBeJoint(needed) {
 			continue
 		}
 		if g.isSameOutage(crash, counted, summaries) {
@@ -154,6 +154,12 @@
 // show which one causes them.
 const jointBlameFactor = 2
 
+// mayBeJoint reports whether the group is held responsible beside another one of the same weight.
+// Parts are not: one that many prompts share may be at every crash that another one causes.
+func (g group) mayBeJoint(needed int) bool {
+	return !g.hasParts() && g.heaviest.weight() >= jointBlameFactor*needed
+}
+
 // judge returns the verdicts.
 func (r Records) judge(now time.Time, limits Limits) verdicts {
 	limits = limits.withDefaults()
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -139,7 +139,16 @@
 			w.Observe(lifetime, status(inv.endpoint))
 		}
 	}
-	for _, end := range w.unproven.takeProven(now) {
+	w.prove(now, w.unproven.takeProven(now))
+}
+
+// Responded records that a response of an upstream has arrived: the upstream was alive then.
+func (w *Watch) Responded(now time.Time, lifetime Lifetime) {
+	w.prove(now, w.unproven.takeAlive(now, lifetime))
+}
+
+func (w *Watch) prove(now time.Time, ends []unprovenEnd) {
+	for _, end := range ends {
 		w.Succeeded(now, end.digest, end.parts...)
 	}
 }
