quarantine: no part is certain while engines still crash one after the other

A part is now certain only when there was no crash with it for 5 s, when all reports and successes that bear on it are known. Its first trial, 8 s after the last crash, no longer depends on the number of crashes, which such a storm drives up, but on the trials that failed.

--- a/internal/quarantine/group.go
+++ b/internal/quarantine/group.go
@@ -82,23 +82,41 @@
 }
 
 const (
-	// firstTrialDelay is the time from the last crash to the trial of a group that has just as
-	// many crashes as bring it into quarantine. Each further crash multiplies it by
-	// trialDelayFactor.
-	firstTrialDelay  = 5 * time.Second
-	trialDelayFactor = 4
+	// quietTime is the time without a crash after which all reports and all successes that bear on
+	// the earlier ones are known.
+	quietTime = 5 * time.Second
+	// firstTrialDelay is the time from the last crash to the first trial of a group that isn't
+	// certain: by then all instances know whether it is. Each trial that failed multiplies it by
+	// trialDelayFactor. A group that is certain is tried after certainTrialDelay.
+	firstTrialDelay   = quietTime + 3*time.Second
+	trialDelayFactor  = 8
+	certainTrialDelay = 5 * time.Minute
 )
 
 // trialIn returns the time until a request of the group may be sent as a trial, if it has parts.
 func (g group) trialIn(now time.Time, limits Limits) time.Duration {
 	limits = limits.withDefaults()
 	delay := firstTrialDelay
-	for n := limits.Crashes; n < len(g.heaviest.Crashes) && delay < limits.Retention; n++ {
+	for n := 0; n < g.failedTrials() && delay < limits.Retention; n++ {
 		delay *= trialDelayFactor
 	}
+	if g.certain {
+		delay = max(delay, certainTrialDelay)
+	}
 	return max(0, g.heaviest.last().Add(delay).Sub(now))
 }
 
+// failedTrials returns the number of crashes that came after a quiet time.
+func (g group) failedTrials() int {
+	count := 0
+	for n, crash := range g.heaviest.Crashes[1:] {
+		if crash.At.Sub(g.heaviest.Crashes[n].At) >= quietTime {
+			count++
+		}
+	}
+	return count
+}
+
 // key returns a map key for the digests of a group.
 func key(digests []Digest) string {
 	var text strings.Builder
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -136,25 +136,33 @@
 		Expect(prompt("x", "a").WithAnswering(1500 * time.Millisecond).Parts).To(BeEmpty())
 	})
 
-	// An innocent part may be at three crashes by chance, and nobody sends it any more.
-	It("are tried after a while, later after each further crash", func() {
-		for n := range 3 {
+	// An innocent part may be at crashes by chance, and nobody sends it any more.
+	It("are tried after a while, later after each trial that failed", func() {
+		for n := range 4 {
 			c.crash(fmt.Sprint("e", n), prompt(fmt.Sprint(n), "dead", fmt.Sprint("other", n)))
 		}
 		trialIn := func() time.Duration { return c.news().Quarantined[0].TrialIn }
 		Expect(c.news().Quarantined[0].Suspected).To(BeTrue())
-		Expect(trialIn()).To(Equal(5 * time.Second))
+		Expect(trialIn()).To(Equal(8 * time.Second))
 		watch.ApplyNews(c.now, c.news())
-		due := c.now.Add(5 * time.Second)
+		due := c.now.Add(8 * time.Second)
 		Expect(watch.Rule(due, digest("new"), partDigests([]string{"dead"})...).Decision).To(Equal(quarantine.DecisionTry))
 		mark := c.news().Mark
 		c.now = due
-		c.crash("e3", prompt("3", "dead"))
-		Expect(trialIn()).To(Equal(20 * time.Second))
-		Expect(c.news().Mark).NotTo(Equal(mark), "instances learn of the failed trial")
 		c.crash("e4", prompt("4", "dead"))
-		Expect(trialIn()).To(Equal(80 * time.Second))
+		Expect(trialIn()).To(Equal(64 * time.Second))
+		Expect(c.news().Mark).NotTo(Equal(mark), "instances learn of the failed trial")
+	})
+
+	// While engines crash one after the other nothing is answered whole, and no part is cleared.
+	It("are certain only when there was no crash for a while", func() {
+		for n := range 8 {
+			c.crash(fmt.Sprint("e", n), prompt(fmt.Sprint(n), "dead"))
+		}
+		Expect(c.news().Quarantined[0].Suspected).To(BeTrue())
+		c.now = c.now.Add(5 * time.Second)
 		Expect(c.news().Quarantined[0].Suspected).To(BeFalse())
+		Expect(c.news().Quarantined[0].TrialIn).To(Equal(295 * time.Second))
 	})
 
 	It("are tried once in the time in which the result becomes known", func() {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -87,12 +87,15 @@
 // quarantine from which on it may be certain that they cause them.
 const certaintyCrashes = 2
 
-// isCertain reports whether there are enough crashes to be certain of a group. Parts that many
-// prompts share may be at some crashes by chance.
-func (r Records) isCertain(g group, limits Limits) bool {
+// isCertain reports whether there are enough crashes to be certain of a group, and whether all that
+// bears on them is known. Parts that many prompts share may be at some crashes by chance.
+func (r Records) isCertain(now time.Time, g group, limits Limits) bool {
 	if !g.hasParts() {
 		return true
 	}
+	if now.Sub(g.heaviest.last()) < quietTime {
+		return false
+	}
 	crashes := len(g.heaviest.Crashes)
 	return crashes >= limits.Crashes+certaintyCrashes && crashes-r.doubtfulCrashes(g) >= limits.Crashes
 }
@@ -183,7 +186,7 @@
 	countGroups(groups, summaries)
 	for _, g := range groups {
 		if g.blame(summaries, needed) >= needed && now.Sub(g.heaviest.last()) < limits.Retention {
-			g.certain = r.isCertain(g, limits)
+			g.certain = r.isCertain(now, g, limits)
 			judged.quarantined = append(judged.quarantined, g)
 		}
 	}
