quarantine: trials of a part that is certain grow rarer, too

A part that is certain was tried every five minutes for as long as its requests came: four engines in twenty minutes, three are borne. Each trial that failed multiplies its delay now, as it does for the others; crashes before the quarantine are no failed trials. Found by reading.

--- a/internal/quarantine/group.go
+++ b/internal/quarantine/group.go
@@ -86,31 +86,31 @@
 	// the earlier ones are known.
 	quietTime = 5 * time.Second
 	// firstTrialDelay is the time from the last crash to the first trial of a group that isn't
-	// certain: by then all instances know whether it is. Each trial that failed multiplies it by
-	// trialDelayFactor. A group that is certain is tried after certainTrialDelay.
+	// certain: by then all instances know whether it is. certainTrialDelay is that of one that is
+	// certain. Each trial that failed multiplies it by trialDelayFactor.
 	firstTrialDelay   = quietTime + 3*time.Second
-	trialDelayFactor  = 8
 	certainTrialDelay = 5 * time.Minute
+	trialDelayFactor  = 8
 )
 
 // trialIn returns the time until a request of the group may be sent as a trial, if it has parts.
 func (g group) trialIn(now time.Time, limits Limits) time.Duration {
 	limits = limits.withDefaults()
 	delay := firstTrialDelay
-	for n := 0; n < g.failedTrials() && delay < limits.Retention; n++ {
-		delay *= trialDelayFactor
-	}
 	if g.certain {
-		delay = max(delay, certainTrialDelay)
+		delay = certainTrialDelay
+	}
+	for n := 0; n < g.failedTrials(limits) && delay < limits.Retention; n++ {
+		delay *= trialDelayFactor
 	}
 	return max(0, g.heaviest.last().Add(delay).Sub(now))
 }
 
-// failedTrials returns the number of crashes that came after a quiet time.
-func (g group) failedTrials() int {
+// failedTrials returns the number of crashes that came after a quiet time in quarantine.
+func (g group) failedTrials(limits Limits) int {
 	count := 0
-	for n, crash := range g.heaviest.Crashes[1:] {
-		if crash.At.Sub(g.heaviest.Crashes[n].At) >= quietTime {
+	for n, crash := range g.heaviest.Crashes {
+		if n >= limits.Crashes && crash.At.Sub(g.heaviest.Crashes[n-1].At) >= quietTime {
 			count++
 		}
 	}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -152,6 +152,9 @@
 		c.crash("e4", prompt("4", "dead"))
 		Expect(trialIn()).To(Equal(64 * time.Second))
 		Expect(c.news().Mark).NotTo(Equal(mark), "instances learn of the failed trial")
+		c.now = c.now.Add(6 * time.Second)
+		Expect(c.news().Quarantined[0].Suspected).To(BeFalse())
+		Expect(trialIn()).To(Equal(8*5*time.Minute - 6*time.Second))
 	})
 
 	// While engines crash one after the other nothing is answered whole, and no part is cleared.
