--- a/internal/desk/crashes_test.go
+++ b/internal/desk/crashes_test.go
@@ -42,10 +42,11 @@
 			for _, server := range servers {
 				server.setUpstreams(addresses...)
 			}
-			syncQuarantine := func() quarantine.News {
+			// syncQuarantine applies the news as of a later time.
+			syncQuarantine := func(later time.Duration) quarantine.News {
 				cluster.mu.Lock()
 				defer cluster.mu.Unlock()
-				news := publisher.News(time.Now(), cluster.registry.CrashRecords())
+				news := publisher.News(time.Now().Add(later), cluster.registry.CrashRecords())
 				for _, server := range servers {
 					server.crashDetector.ApplyNews(news)
 				}
@@ -58,12 +59,20 @@
 				// Each attempt crashes several engines.
 				Expect(servers[0].completeWithMarker(ctx, completion(n)).status).To(Equal(http.StatusBadGateway))
 			}
-			Eventually(ctx, func() []quarantine.Entry { return syncQuarantine().Quarantined }).Should(HaveLen(1))
+			Eventually(ctx, func() []quarantine.Entry { return syncQuarantine(0).Quarantined }).Should(HaveLen(1))
 			Eventually(ctx, func() bool {
-				syncQuarantine()
+				syncQuarantine(0)
 				return servers[1].crashDetector.IsQuarantined(quarantine.Digest{}, quarantine.PartDigest(dead))
 			}).Should(BeTrue())
-			reply := servers[1].completeWithMarker(ctx, completion(9))
+			reply := servers[1].completeWithMarker(ctx, completion(8))
+			Expect(reply.status).To(Equal(http.StatusServiceUnavailable), reply.body)
+			Expect(reply.outcome).To(Equal("not-run"))
+			Expect(reply.body).To(ContainSubstring(`"code":"suspected"`))
+			Expect(reply.header.Get("Retry-After")).To(Equal("1"))
+
+			By("being certain after a while")
+			syncQuarantine(20 * time.Second)
+			reply = servers[1].completeWithMarker(ctx, completion(9))
 			Expect(reply.status).To(Equal(http.StatusUnprocessableEntity), reply.body)
 			Expect(reply.outcome).To(Equal("not-run"))
 			Expect(reply.body).To(ContainSubstring(`"code":"quarantined"`))
