--- a/internal/counter/crashes_test.go
+++ b/internal/counter/crashes_test.go
@@ -23,12 +23,18 @@
 // entry instance has applied it.
 func (p *testProxy) setQuarantined(ctx context.Context, requests ...quarantine.Identity) {
 	GinkgoHelper()
-	state := &quarantine.News{Revision: 1, Mark: 1}
+	var entries []quarantine.Entry
 	for _, request := range requests {
-		state.Quarantined = append(state.Quarantined, quarantine.Entry{Digest: request.Digest()})
+		entries = append(entries, quarantine.Entry{Digest: request.Digest()})
 	}
+	p.setEntries(ctx, entries...)
+}
+
+// setEntries is setQuarantined for any entries.
+func (p *testProxy) setEntries(ctx context.Context, entries ...quarantine.Entry) {
+	GinkgoHelper()
 	p.control.mu.Lock()
-	p.control.quarantine = state
+	p.control.quarantine = &quarantine.News{Revision: 1, Mark: 1, Quarantined: entries}
 	p.control.mu.Unlock()
 	Eventually(ctx, func() uint64 {
 		p.control.mu.Lock()
@@ -113,21 +119,9 @@
 var _ = Describe("A request with a part in quarantine", func() {
 	const partOfSpec = "dead"
 
-	// setPart makes the control instance report an entry, and waits until the instance has applied it.
-	setPart := func(ctx context.Context, p *testProxy, entry quarantine.Entry) {
-		p.control.mu.Lock()
-		p.control.quarantine = &quarantine.News{Revision: 1, Mark: 1, Quarantined: []quarantine.Entry{entry}}
-		p.control.mu.Unlock()
-		Eventually(ctx, func() uint64 {
-			p.control.mu.Lock()
-			defer p.control.mu.Unlock()
-			return p.control.syncs[len(p.control.syncs)-1].Quarantine
-		}).Should(Equal(uint64(1)))
-	}
-
 	It("is refused for good if it is certain, whatever else it holds", func(ctx SpecContext) {
 		p := newTestProxy(newFakeUpstream(succeed))
-		setPart(ctx, p, quarantine.Entry{Digest: quarantine.PartDigest(partOfSpec), Part: true, TrialIn: time.Hour})
+		p.setEntries(ctx, quarantine.Entry{Digest: quarantine.PartDigest(partOfSpec), Part: true, TrialIn: time.Hour})
 		for _, body := range []string{"one", "two"} {
 			response, _, err := p.sendPrompt(ctx, body, "system", partOfSpec)
 			Expect(err).NotTo(HaveOccurred())
@@ -142,7 +136,7 @@
 
 	It("is told to come back if it is not certain", func(ctx SpecContext) {
 		p := newTestProxy(newFakeUpstream(succeed))
-		setPart(ctx, p, quarantine.Entry{Digest: quarantine.PartDigest(partOfSpec), Part: true, TrialIn: time.Hour, Suspected: true})
+		p.setEntries(ctx, quarantine.Entry{Digest: quarantine.PartDigest(partOfSpec), Part: true, TrialIn: time.Hour, Suspected: true})
 		response, _, err := p.sendPrompt(ctx, "one", partOfSpec)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
@@ -154,7 +148,7 @@
 	// Of requests with only some of the parts, one is sent to show which of them crashes upstreams.
 	It("is sent once as a trial if it has some of the parts", func(ctx SpecContext) {
 		p := newTestProxy(newFakeUpstream(succeed))
-		setPart(ctx, p, quarantine.Entry{
+		p.setEntries(ctx, quarantine.Entry{
 			Digest: quarantine.PartDigest(partOfSpec), Also: []quarantine.Digest{quarantine.PartDigest("beside")}, Part: true, TrialIn: time.Hour,
 		})
 		statuses := map[int]int{}
--- a/internal/counter/testproxy_test.go
+++ b/internal/counter/testproxy_test.go
@@ -88,18 +88,7 @@
 // sendPrompt sends a request with the given parts in its prompt.
 func (p *testProxy) sendPrompt(ctx context.Context, body string, parts ...string) (*http.Response, string, error) {
 	GinkgoHelper()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.server.URL+"/write/x", strings.NewReader(body))
-	Expect(err).NotTo(HaveOccurred())
-	request.Host = "spec.test"
-	request.Header.Set(idHeader, "r-"+body)
-	request.Header[partHeader] = parts
-	response, err := http.DefaultTransport.RoundTrip(request)
-	if err != nil {
-		return nil, "", err
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	return response, string(text), err
+	return p.sendWithHeader(ctx, http.Header{partHeader: parts}, http.MethodPost, "/write/x", body)
 }
 
 // send sends a request and returns the response, its body and any error.
@@ -110,12 +99,18 @@
 
 // sendWithKey is send with the key of a workspace.
 func (p *testProxy) sendWithKey(ctx context.Context, key, method, path, body string) (*http.Response, string, error) {
+	GinkgoHelper()
+	return p.sendWithHeader(ctx, http.Header{keyHeader: {key}}, method, path, body)
+}
+
+// sendWithHeader is send with further headers.
+func (p *testProxy) sendWithHeader(ctx context.Context, header http.Header, method, path, body string) (*http.Response, string, error) {
 	GinkgoHelper()
 	request, err := http.NewRequestWithContext(ctx, method, p.server.URL+path, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	request.Host = "spec.test"
+	request.Header = header
 	request.Header.Set(idHeader, "r1")
-	request.Header.Set(keyHeader, key)
 	response, err := http.DefaultTransport.RoundTrip(request)
 	if err != nil {
 		return nil, "", err
