counter, quarantine, coroner: one way to find an owner that is not replaced, and less that is kept twice

After a reading of the whole change; no decision changes.

- The owners of limits, quotas of stand-ins and trials were found by three copies of the same steps.
- Whether a group has parts is found once, and not at each question.
- IsQuarantined had no caller left but specs.
The Watch's is exported to its specs, and the others ask for the ruling; their assertions are as strict.

--- a/internal/coroner/admission.go
+++ b/internal/coroner/admission.go
@@ -29,9 +29,9 @@
 	if ruling.Decision != quarantine.DecisionTry {
 		return ruling, ruling.Decision == quarantine.DecisionSend
 	}
-	if !a.holdsTrial || a.trial != ruling.Trial() {
-		a.trial = ruling.Trial()
-		a.holdsTrial = a.detector.options.AllowTrial(ctx, a.trial)
+	if trial := ruling.Trial(); !a.holdsTrial || a.trial != trial {
+		a.trial = trial
+		a.holdsTrial = a.detector.options.AllowTrial(ctx, trial)
 	}
 	return ruling, a.holdsTrial
 }
--- a/internal/coroner/coroner.go
+++ b/internal/coroner/coroner.go
@@ -103,14 +103,6 @@
 	d.goroutines.Wait()
 }
 
-// IsQuarantined reports whether a request is in quarantine and must not be sent.
-func (d *CrashDetector) IsQuarantined(digest quarantine.Digest, parts ...quarantine.Digest) bool {
-	now := d.options.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.watch.IsQuarantined(now, digest, parts...)
-}
-
 // Counts returns the number of requests in quarantine and the number of suspected requests.
 func (d *CrashDetector) Counts() (quarantined, suspected int) {
 	d.mu.Lock()
--- a/internal/coroner/coroner_test.go
+++ b/internal/coroner/coroner_test.go
@@ -143,10 +143,12 @@
 		Expect(c.Mark()).To(Equal(uint64(7)))
 	})
 
-	It("applies the news of the quarantine", func() {
+	It("applies the news of the quarantine", func(ctx SpecContext) {
 		digest := suspect("a").Digest
 		c.ApplyNews(quarantine.News{Revision: 1, Mark: 7, Quarantined: []quarantine.Entry{{Digest: digest}}})
-		Expect(c.IsQuarantined(digest)).To(BeTrue())
+		ruling, allowed := c.Admit(digest).Reserve(ctx)
+		Expect(allowed).To(BeFalse())
+		Expect(ruling).To(Equal(quarantine.Ruling{Decision: quarantine.DecisionRefuse, Digests: []quarantine.Digest{digest}}))
 		quarantined, suspected := c.Counts()
 		Expect([]int{quarantined, suspected}).To(Equal([]int{1, 0}))
 	})
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -26,7 +26,8 @@
 	if !t.renewCharge(ctx, w) {
 		return true
 	}
-	if !t.maySend(ctx, w) {
+	if ruling, allowed := t.admission.Send(ctx); !allowed {
+		t.refuseByRuling(w, ruling)
 		return true
 	}
 	t.sends++
--- a/internal/counter/claims.go
+++ b/internal/counter/claims.go
@@ -18,12 +18,7 @@
 // this instance does. An owner that does not answer is not replaced, because two pacing instances
 // would allow twice the limit. p.mu is held.
 func (p *Proxy) limitOwner(u *upstream) (netip.AddrPort, bool) {
-	if p.peers.conn == nil {
-		return netip.AddrPort{}, false
-	}
-	anyone := func(netip.AddrPort) bool { return true }
-	owner, known := p.owners.assignment.Of(limitOwnerService, u.name, anyone)
-	return owner, known && owner != p.owners.self
+	return p.remoteFixedOwner(limitOwnerService, u.name)
 }
 
 // allowByLimit reports whether the rate limit of an upstream allows a request now. If not, it
--- a/internal/counter/crashes.go
+++ b/internal/counter/crashes.go
@@ -38,11 +38,11 @@
 	p.mu.Lock()
 	address := p.control.current
 	var undecided bool
-	all := update.Reports
-	update.Reports, undecided = p.pool.confirmCrashes(now, all)
+	reported := len(update.Reports)
+	update.Reports, undecided = p.pool.confirmCrashes(now, update.Reports)
 	p.mu.Unlock()
 	if undecided {
-		p.logLine(now, "crash undecided").Int("upstreams", len(all)-len(update.Reports)).
+		p.logLine(now, "crash undecided").Int("upstreams", reported-len(update.Reports)).
 			Msg("crash reports held back while the path to the service may be lost")
 	}
 	if update.Empty() {
@@ -152,25 +152,6 @@
 	suspectedText   = "upstreams may end that run this request"
 )
 
-// reserve reports whether the request may be sent, as far as crashes of upstreams are concerned. If
-// not, the caller was answered.
-func (t *transaction) reserve(ctx context.Context, w http.ResponseWriter) bool {
-	ruling, allowed := t.admission.Reserve(ctx)
-	if !allowed {
-		t.refuseByRuling(w, ruling)
-	}
-	return allowed
-}
-
-// maySend is reserve for an attempt that is about to be sent.
-func (t *transaction) maySend(ctx context.Context, w http.ResponseWriter) bool {
-	ruling, allowed := t.admission.Send(ctx)
-	if !allowed {
-		t.refuseByRuling(w, ruling)
-	}
-	return allowed
-}
-
 // refuseByRuling answers a quarantined request with a status that callers do not retry, and a
 // suspected one with the time of a retry.
 func (t *transaction) refuseByRuling(w http.ResponseWriter, ruling quarantine.Ruling) {
--- a/internal/counter/owners.go
+++ b/internal/counter/owners.go
@@ -94,6 +94,17 @@
 	o.resetCache(now)
 }
 
+// remoteFixedOwner returns the other instance that owns a key, whether it answers or not. It returns
+// false if this instance does. service takes the place of the service name in the key. p.mu is held.
+func (p *Proxy) remoteFixedOwner(service, name string) (netip.AddrPort, bool) {
+	if p.peers.conn == nil {
+		return netip.AddrPort{}, false
+	}
+	anyone := func(netip.AddrPort) bool { return true }
+	owner, known := p.owners.assignment.Of(service, name, anyone)
+	return owner, known && owner != p.owners.self
+}
+
 // remoteOwner returns the other instance that places a request. It returns false if this instance
 // does. p.mu is held.
 func (p *Proxy) remoteOwner(now time.Time, req *requirements) (netip.AddrPort, bool) {
--- a/internal/counter/quota.go
+++ b/internal/counter/quota.go
@@ -93,11 +93,8 @@
 // standsIn reports whether another instance owns the quota of a workspace, though it may not answer.
 // p.mu is held.
 func (p *Proxy) standsIn(name string) bool {
-	if p.peers.conn == nil {
-		return false
-	}
-	owner, known := p.owners.assignment.Of(quotaOwnerService, name, func(netip.AddrPort) bool { return true })
-	return known && owner != p.owners.self
+	_, elsewhere := p.remoteFixedOwner(quotaOwnerService, name)
+	return elsewhere
 }
 
 // countRequester records a request of an instance and returns the number of instances that have asked
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -82,7 +82,8 @@
 	}
 	t.digest, t.parts = digestOf(r, t.workspaceName(), body), partsOf(call)
 	t.admission = p.crashes.Admit(t.digest, t.parts...)
-	if !t.reserve(r.Context(), w) {
+	if ruling, allowed := t.admission.Reserve(r.Context()); !allowed {
+		t.refuseByRuling(w, ruling)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), t.deadline.Sub(p.options.Now()))
--- a/internal/counter/trials.go
+++ b/internal/counter/trials.go
@@ -18,8 +18,8 @@
 func (p *Proxy) allowTrial(ctx context.Context, trial quarantine.TrialID) bool {
 	now := p.options.Now()
 	p.mu.Lock()
-	owner, known := p.trialOwner(trial)
-	if !known || owner == p.owners.self {
+	owner, remote := p.remoteFixedOwner(trialOwnerService, strconv.FormatUint(uint64(trial), 16))
+	if !remote {
 		defer p.mu.Unlock()
 		return p.trials.Take(now, trial)
 	}
@@ -30,15 +30,6 @@
 	return allowed
 }
 
-// trialOwner returns the instance that decides on a trial. p.mu is held.
-func (p *Proxy) trialOwner(trial quarantine.TrialID) (netip.AddrPort, bool) {
-	if p.peers.conn == nil {
-		return netip.AddrPort{}, false
-	}
-	anyone := func(netip.AddrPort) bool { return true }
-	return p.owners.assignment.Of(trialOwnerService, strconv.FormatUint(uint64(trial), 16), anyone)
-}
-
 // handleTrialRequest decides on a peer's trial, or repeats the earlier answer. p.mu is held.
 func (p *Proxy) handleTrialRequest(now time.Time, from netip.AddrPort, m permit.TrialRequest) {
 	p.answerOnce(now, peerRequest{from, m.ID}, func() permit.Message {
--- a/internal/desk/crashes_test.go
+++ b/internal/desk/crashes_test.go
@@ -62,7 +62,7 @@
 			Eventually(ctx, func() []quarantine.Entry { return syncQuarantine(0).Quarantined }).Should(HaveLen(1))
 			Eventually(ctx, func() bool {
 				syncQuarantine(0)
-				return servers[1].crashDetector.IsQuarantined(quarantine.Digest{}, quarantine.PartDigest(dead))
+				return servers[1].refuses(ctx, quarantine.Digest{}, quarantine.PartDigest(dead))
 			}).Should(BeTrue())
 			reply := servers[1].completeWithMarker(ctx, completion(8))
 			Expect(reply.status).To(Equal(http.StatusServiceUnavailable), reply.body)
@@ -129,7 +129,7 @@
 			}).Should(Equal(1))
 			Eventually(ctx, func() bool {
 				syncQuarantine()
-				return servers[0].crashDetector.IsQuarantined(quarantine.Identity{
+				return servers[0].refuses(ctx, quarantine.Identity{
 					Method: http.MethodPost, Target: "/v1/completions", Body: []byte(crashing),
 				}.Digest())
 			}).Should(BeTrue())
--- a/internal/desk/fakes_test.go
+++ b/internal/desk/fakes_test.go
@@ -395,6 +395,12 @@
 	}
 }
 
+// refuses reports whether the server refuses a request because of the quarantine.
+func (s *testServer) refuses(ctx context.Context, digest quarantine.Digest, parts ...quarantine.Digest) bool {
+	ruling, _ := s.crashDetector.Admit(digest, parts...).Reserve(ctx)
+	return ruling.Decision == quarantine.DecisionRefuse
+}
+
 // completeWithMarker requests a completion that crashes the upstreams of newCrashingUpstream.
 func (s *testServer) completeWithMarker(ctx context.Context, body string) callerReply {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+"/v1/completions", strings.NewReader(body))
--- /dev/null
+++ b/internal/quarantine/export_test.go
@@ -0,0 +1,8 @@
+package quarantine
+
+import "time"
+
+// IsQuarantined reports whether a request is in quarantine and must not be sent.
+func (w *Watch) IsQuarantined(now time.Time, digest Digest, parts ...Digest) bool {
+	return w.Rule(now, digest, parts...).Decision == DecisionRefuse
+}
--- a/internal/quarantine/group.go
+++ b/internal/quarantine/group.go
@@ -14,6 +14,8 @@
 	// digests identify the requests that the group is about: a request is, if it has all of
 	// them. They are either one request, or one or more parts, sorted.
 	digests []Digest
+	// part is true if they are parts.
+	part bool
 	// heaviest is the member with the most weight.
 	heaviest Case
 	// certain is false if the crashes may be due to chance.
@@ -66,7 +68,9 @@
 	}
 	groups := make([]group, 0, len(byEvidence))
 	for _, g := range byEvidence {
-		if request, only := g.heaviest.onlyRequest(); only {
+		request, only := g.heaviest.onlyRequest()
+		g.part = !only
+		if only {
 			g.digests = []Digest{request}
 		}
 		groups = append(groups, *g)
@@ -75,12 +79,6 @@
 	return groups
 }
 
-// hasParts reports whether the group is about parts of prompts, and not about a request.
-func (g group) hasParts() bool {
-	_, only := g.heaviest.onlyRequest()
-	return !only
-}
-
 const (
 	// quietTime is the time without a crash after which all reports and all successes that bear on
 	// the earlier ones are known.
--- a/internal/quarantine/listing.go
+++ b/internal/quarantine/listing.go
@@ -33,7 +33,7 @@
 	for _, g := range judged.quarantined {
 		c := g.heaviest
 		c.Digest = g.digests[0]
-		list = append(list, Listing{Case: c, State: StateQuarantined, Part: g.hasParts(), With: g.digests[1:]})
+		list = append(list, Listing{Case: c, State: StateQuarantined, Part: g.part, With: g.digests[1:]})
 	}
 	for _, digest := range judged.suspected {
 		c := r.cases[digest]
--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -120,7 +120,7 @@
 	for _, g := range judged.quarantined {
 		entry := Entry{
 			Digest: g.digests[0], Crashes: len(g.heaviest.Crashes), TrialIn: g.trialIn(now, p.limits),
-			Part: g.hasParts(), Suspected: !g.certain,
+			Part: g.part, Suspected: !g.certain,
 		}
 		if len(g.digests) > 1 {
 			entry.Also = g.digests[1:]
@@ -174,7 +174,7 @@
 	for i, entry := range p.current.Quarantined {
 		if !contains(previous, entry) {
 			p.changes = append(p.changes, Change{
-				Digest: entry.Digest, Also: entry.Also, Part: groups[i].hasParts(), Crashes: groups[i].heaviest.Crashes,
+				Digest: entry.Digest, Also: entry.Also, Part: entry.Part, Crashes: groups[i].heaviest.Crashes,
 			})
 		}
 	}
--- a/internal/quarantine/ruling.go
+++ b/internal/quarantine/ruling.go
@@ -98,8 +98,3 @@
 	}
 	return other.Suspected && !r.Suspected
 }
-
-// IsQuarantined reports whether a request is in quarantine and must not be sent.
-func (w *Watch) IsQuarantined(now time.Time, digest Digest, parts ...Digest) bool {
-	return w.Rule(now, digest, parts...).Decision == DecisionRefuse
-}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -77,7 +77,7 @@
 			unexplained++
 		}
 	}
-	if g.hasParts() {
+	if g.part {
 		return float64(unexplained) >= outageShare*float64(involved+unexplained)
 	}
 	return unexplained > 0
@@ -90,7 +90,7 @@
 // isCertain reports whether there are enough crashes to be certain of a group, and whether all that
 // bears on them is known. Parts that many prompts share may be at some crashes by chance.
 func (r Records) isCertain(now time.Time, g group, limits Limits) bool {
-	if !g.hasParts() {
+	if !g.part {
 		return true
 	}
 	if now.Sub(g.heaviest.last()) < quietTime {
@@ -160,7 +160,7 @@
 // mayBeJoint reports whether the group is held responsible beside another one of the same weight.
 // Parts are not: one that many prompts share may be at every crash that another one causes.
 func (g group) mayBeJoint(needed int) bool {
-	return !g.hasParts() && g.heaviest.weight() >= jointBlameFactor*needed
+	return !g.part && g.heaviest.weight() >= jointBlameFactor*needed
 }
 
 // judge returns the verdicts.
