routes, permit, counter: batch routes, and requests that name their workspace and caller

Cause: nothing tells work that can wait from interactive requests, and the owner of a model does not know whose request it places. Result: the specs of routes, permit and counter pass; no decision changes.

--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -131,6 +131,9 @@
 	OutputTokens int
 	// PromptParts are the ids of the parts of the prompt that other requests may share, each once.
 	PromptParts []string
+	// Session is the id of the last part of the prompt, which belongs to the request or its session,
+	// empty if the headers list no parts. All attempts of a request have the same one.
+	Session string
 	// Size is what a quota counts. Unlike OutputTokens, it includes the maximum of the answer.
 	Size quota.Size
 }
--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -142,7 +142,7 @@
 		ID: id, Service: t.service, Model: t.model, Adapter: t.adapter,
 		PromptTokens: t.promptTokens, AnswerTokens: t.outputTokens, Priority: t.priority, Yields: t.yields,
 		Objective: t.objective, MaxEventGap: t.maxGap, Age: now.Sub(t.arrived), Remaining: t.deadline.Sub(now), Tried: t.tried,
-		Software: t.software,
+		Software: t.software, Workspace: t.requirements.workspace, Caller: t.caller,
 	}
 }
 
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/routes"
 )
 
 // permitRecord is the state of a peer's request that this instance places: it is queued, or has a
@@ -108,6 +109,7 @@
 		target:       target{service: m.Service, model: m.Model, adapter: m.Adapter},
 		promptTokens: m.PromptTokens, outputTokens: m.AnswerTokens, priority: m.Priority, yields: m.Yields, objective: m.Objective,
 		maxGap: m.MaxEventGap, arrived: now.Add(-m.Age), deadline: now.Add(m.Remaining), sender: from, tried: m.Tried, software: m.Software,
+		mixed: p.mixesUrgency(), batch: m.Objective >= routes.BatchObjective, workspace: m.Workspace, caller: m.Caller,
 	}
 	p.estimateCost(&req)
 	return req
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -28,6 +28,14 @@
 	arrived time.Time
 	// deadline is when the response must be complete.
 	deadline time.Time
+	// mixed is true if the routes mix batch and interactive requests, and batch if this is a batch
+	// request.
+	mixed bool
+	batch bool
+	// workspace is the name of the caller's workspace, empty if it has none. caller identifies the
+	// caller's piece of work across its attempts, 0 if it is not known. Both are set only if mixed is.
+	workspace string
+	caller    uint64
 	// sender is the instance that sends the request.
 	sender netip.AddrPort
 	// tried are the names of the upstreams that have failed the request.
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -80,6 +80,7 @@
 			arrived: arrived, deadline: arrived.Add(timeoutOf(call, route)), sender: p.owners.self,
 		},
 	}
+	t.identify(matched.table)
 	t.digest, t.parts = digestOf(r, t.workspaceName(), body), partsOf(call)
 	t.admission = p.crashes.Admit(t.digest, t.parts...)
 	if ruling, allowed := t.admission.Reserve(r.Context()); !allowed {
--- a/internal/permit/decode.go
+++ b/internal/permit/decode.go
@@ -50,6 +50,13 @@
 		m := r.request()
 		m.Software = resumption.BoundTo(r.String())
 		return m
+	case kindIdentifiedRequest:
+		m := r.request()
+		m.Workspace, m.Caller = r.String(), r.Uint()
+		if r.Byte() != 0 {
+			m.Software = resumption.BoundTo(r.String())
+		}
+		return m
 	case kindGranted:
 		return Granted{ID: r.id(), Upstream: r.String(), Address: r.String(), PrefillBacklog: r.duration()}
 	case kindQueued:
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -42,6 +42,8 @@
 	// it.
 	kindBoundRequest
 	kindTrialRequest
+	// kindIdentifiedRequest is a Request with a workspace or a caller.
+	kindIdentifiedRequest
 )
 
 // Append appends the encoding of a message to buffer.
@@ -188,7 +190,10 @@
 
 func appendRequest(buffer []byte, m Request) []byte {
 	kind := kindRequest
-	if m.Software.Bound {
+	switch {
+	case m.identified():
+		kind = kindIdentifiedRequest
+	case m.Software.Bound:
 		kind = kindBoundRequest
 	}
 	buffer = appendHead(buffer, kind, m.ID)
@@ -205,6 +210,10 @@
 	for _, name := range m.Tried {
 		buffer = parcel.AppendBytes(buffer, name)
 	}
+	if m.identified() {
+		buffer = parcel.AppendUint(parcel.AppendBytes(buffer, m.Workspace), m.Caller)
+		buffer = appendBool(buffer, m.Software.Bound)
+	}
 	if m.Software.Bound {
 		buffer = parcel.AppendBytes(buffer, m.Software.SoftwareVersion)
 	}
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -60,6 +60,16 @@
 	Tried []string
 	// Software limits the upstreams, if the request resumes a stream.
 	Software resumption.Constraint
+	// Workspace is the name of the caller's workspace, empty if it has none or the requesting instance
+	// does not schedule by workspace.
+	Workspace string
+	// Caller identifies the caller's piece of work across its attempts, 0 if it is not known.
+	Caller uint64
+}
+
+// identified reports whether the request names its workspace or caller.
+func (m Request) identified() bool {
+	return m.Workspace != "" || m.Caller != 0
 }
 
 // Granted replies to a permit request with the upstream to send to.
--- a/internal/routes/checker.go
+++ b/internal/routes/checker.go
@@ -25,10 +25,20 @@
 	for i := range draft.Routes {
 		c.route(&draft.Routes[i], seen)
 	}
+	c.table.mixesUrgency = mixesUrgency(draft.Routes)
 	c.table.Workspaces = workspace.New(draft.Workspaces, &c.findings)
 	return c.table, c.findings.Err()
 }
 
+func mixesUrgency(list []Route) bool {
+	batch, interactive := false, false
+	for i := range list {
+		batch = batch || list[i].Batch()
+		interactive = interactive || list[i].Objective > 0 && !list[i].Batch()
+	}
+	return batch && interactive
+}
+
 // checker builds a Table from a draft and collects the faults of the draft.
 type checker struct {
 	table    *Table
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -75,6 +75,15 @@
 	Shares []Share
 }
 
+// BatchObjective is the objective from which on nobody watches for the response: people keep their
+// attention on a reply for about 10 s.
+const BatchObjective = 10 * time.Second
+
+// Batch reports whether the requests are work that can wait.
+func (r *Route) Batch() bool {
+	return r.Objective >= BatchObjective
+}
+
 // Repeatable reports whether a request may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
@@ -172,6 +181,8 @@
 	services map[string]*Service
 	hosts    map[string][]*Route
 	routes   int
+	// mixesUrgency is true if there are batch routes and interactive routes.
+	mixesUrgency bool
 }
 
 // Draft is the unchecked content of a Table.
@@ -199,6 +210,12 @@
 	return t.services
 }
 
+// MixesUrgency reports whether the table has batch routes beside interactive ones, that is, routes with
+// a shorter objective.
+func (t *Table) MixesUrgency() bool {
+	return t.mixesUrgency
+}
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
 	return t.routes
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -51,6 +51,23 @@
 		Entry("another host", "other.test", "/drafts/", ""),
 	)
 
+	DescribeTable("mixes urgency if it has batch routes beside interactive ones",
+		func(mixes bool, objectives ...time.Duration) {
+			var list []routes.Route
+			for i, objective := range objectives {
+				list = append(list, routes.Route{Name: "r", Prefix: "/" + string(rune('a'+i)) + "/", Objective: objective})
+			}
+			table, err := routes.New(draft(list...))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(table.MixesUrgency()).To(Equal(mixes))
+		},
+		Entry("no objectives", false, 0*time.Second),
+		Entry("interactive only", false, time.Second, 9999*time.Millisecond),
+		Entry("batch only", false, 10*time.Second, time.Minute),
+		Entry("batch beside none", false, 10*time.Second, 0*time.Second),
+		Entry("both", true, 10*time.Second, 500*time.Millisecond),
+	)
+
 	It("splits requests by weight", func() {
 		route := routes.Route{Shares: []routes.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 		Expect(route.Service(0)).To(Equal("a"))
