chamber: a bootstrap repeats a call that takes too long

Cause: the call that writes the initial state of a voter had one attempt of 3 s, though a voter whose disk is busy completes it later and the call has no effect when it is repeated. Change: the call is repeated for up to 15 s.

--- a/internal/chamber/bootstrap.go
+++ b/internal/chamber/bootstrap.go
@@ -89,14 +89,31 @@
 	return v.Control().Bootstrap(ctx, charter)
 }
 
-// bootstrapTimeout bounds the call that writes the initial state of a voter, which takes several
-// syncs. With the timeout of other calls, a voter on a busy disk completed the bootstrap and was
-// still reported as not answering.
-const bootstrapTimeout = 3 * time.Second
+const (
+	// bootstrapCallTimeout bounds one call that writes the initial state of a voter, which takes
+	// several syncs. With the timeout of other calls, a voter on a busy disk completed the bootstrap
+	// and was still reported as not answering.
+	bootstrapCallTimeout = 3 * time.Second
+	// bootstrapTimeout bounds all calls for one voter. A sync on a busy disk may take seconds.
+	bootstrapTimeout = 15 * time.Second
+)
 
+// bootstrapVoter writes the initial state of a voter. A call that takes too long is repeated, since a
+// voter that has written the state by then, or writes it meanwhile, answers the next one.
 func (v *Voter) bootstrapVoter(ctx context.Context, voter VoterAddress, charter courier.Charter) error {
 	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 	defer cancel()
+	for {
+		err := v.callBootstrap(ctx, voter, charter)
+		if !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+func (v *Voter) callBootstrap(ctx context.Context, voter VoterAddress, charter courier.Charter) error {
+	ctx, cancel := context.WithTimeout(ctx, bootstrapCallTimeout)
+	defer cancel()
 	return v.options.Calls.Bootstrap(ctx, voter.InnerAddress, charter)
 }
 
