reservation, counter: callers of rejected requests are told when to return, and go first then

Cause: a caller that honors Retry-After returns as a newcomer and is rejected again, while callers that retry immediately take what becomes free. A permit rejection says whether it reserves.

--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -27,7 +27,7 @@
 		t.proxy.refuse(w, t.call, t.route, refusal{
 			status: http.StatusServiceUnavailable, text: rejected.Error(), retryAfter: rejected.retryAfter,
 			forecastWait: rejected.forecastWait, waited: t.proxy.options.Now().Sub(t.arrived), survey: &rejected.survey,
-			owner: t.owner,
+			owner: t.owner, reserved: rejected.reserved,
 		})
 	default:
 		t.refuseNoUpstream(w)
@@ -56,6 +56,7 @@
 	default:
 	}
 	p.dequeue(w)
+	p.reserveAfterWait(p.options.Now(), w)
 	t.lastMissing = w.missing
 	return grant{}, ctx.Err()
 }
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -49,6 +49,8 @@
 	forecastWait time.Duration
 	// survey counts the states of the upstreams that have loaded the model.
 	survey survey
+	// reserved is true if retryAfter is when a reservation of the caller begins.
+	reserved bool
 }
 
 // Error returns the text sent to the caller, which is also the metric tag of the refusal.
@@ -77,7 +79,7 @@
 	if rejected := p.rejectHeldBack(now, w); rejected != nil {
 		return rejected
 	}
-	if forecast := p.forecastWait(now, w); forecast > req.maxForecast(now) && !p.queue.isOnlyStarved(now, w) {
+	if forecast := p.forecastWait(now, w); forecast > p.maxForecast(now, w) && !p.queue.isOnlyStarved(now, w) {
 		return &rejection{reason: permit.WaitTooLong, retryAfter: req.retryAfterWait(now, forecast), forecastWait: forecast}
 	}
 	if req.model == "" || w.missing != missingModel {
@@ -102,6 +104,7 @@
 		// The caller will retry, so the leader must learn that the model is wanted.
 		p.requestLoad(w)
 	}
+	p.reserve(now, w, rejected)
 	rejected.survey = p.pool.survey(now, w.requirements.query())
 	p.dequeue(w)
 	return rejected
@@ -126,6 +129,7 @@
 	}
 	rate := max(p.queue.grantRate(now, req.modelKey()), minCapacityShare*p.capacity(now, w))
 	if rate > 0 {
+		ahead += p.reservedAhead(now, w, ahead, rate)
 		wait = max(wait, time.Duration(float64(ahead)/rate*float64(time.Second)))
 	}
 	return wait
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -47,6 +47,8 @@
 	// originReports the origins reported to other instances.
 	resumptions   map[string]tally.Counter
 	originReports tally.Counter
+	// turns counts what became of reservations.
+	turns map[string]tally.Counter
 	// quotaDecisions counts the quota decisions on this instance's requests, by workspace.
 	quotaDecisions map[quotaDecisionKey]tally.Counter
 }
@@ -96,6 +98,7 @@
 		failedSteps: map[string]tally.Counter{}, relays: map[string]tally.Counter{}, limitedSends: map[string]tally.Counter{},
 		untilClose:     map[string]tally.Counter{},
 		resumptions:    map[string]tally.Counter{},
+		turns:          map[string]tally.Counter{},
 		originReports:  scope.Counter("stream_origin_reports"),
 		quotaDecisions: map[quotaDecisionKey]tally.Counter{},
 		decisions:      map[string]tally.Counter{}, ownerAnswers: map[string]tally.Counter{},
@@ -217,6 +220,7 @@
 	scope.Gauge("suspected").Update(float64(suspected))
 	scope.Gauge("upstreams").Update(float64(len(p.pool.byName)))
 	scope.Gauge("stream_origins").Update(float64(p.origins.Len()))
+	scope.Gauge("reservations").Update(float64(p.reservationCount()))
 	p.updateLimitMetrics()
 	scope.Gauge("news_age_seconds").Update(now.Sub(p.control.lastSyncSent).Seconds())
 	if table := p.routes.Load(); table != nil {
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -95,7 +95,7 @@
 		p.metrics.countDecision("refused")
 		p.peers.send(from, permit.Rejected{
 			ID: m.ID, Reason: rejected.reason, RetryAfter: rejected.retryAfter, EstimatedWait: rejected.forecastWait,
-			Survey: permit.Survey(rejected.survey),
+			Survey: permit.Survey(rejected.survey), Reserved: rejected.reserved,
 		})
 		return
 	}
@@ -143,20 +143,21 @@
 	if record == nil {
 		return
 	}
-	p.removePermit(requester, record)
+	p.removePermit(now, requester, record)
 	if u := record.grant.upstream; u != nil {
 		u.recordOutcome(now, record.waiter.requirements.target, m.Outcome)
 		p.recordSpeed(&record.waiter.requirements, speedSample{firstEvent: m.FirstEventTime, serviceTime: m.RunTime, events: m.Events, streaming: m.StreamTime})
 	}
 }
 
-func (p *Proxy) removePermit(requester peerRequest, record *permitRecord) {
+func (p *Proxy) removePermit(now time.Time, requester peerRequest, record *permitRecord) {
 	delete(p.permits, requester)
 	if u := record.grant.upstream; u != nil {
 		u.release()
 		return
 	}
 	p.dequeue(record.waiter)
+	p.reserveAfterWait(now, record.waiter)
 }
 
 // expirePermits removes permits and stored answers whose time has run out.
@@ -166,7 +167,7 @@
 	p.expireAnswers(now)
 	for requester, record := range p.permits {
 		if now.After(record.expires) {
-			p.removePermit(requester, record)
+			p.removePermit(now, requester, record)
 		}
 	}
 }
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -8,6 +8,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/aging"
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/reservation"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
@@ -23,6 +24,8 @@
 	countedWaiting bool
 	// boosted puts the request before all others.
 	boosted bool
+	// arrival is what the caller was told before.
+	arrival reservation.Arrival
 }
 
 // requester receives the grant: a localRequest or a peerRequest.
@@ -68,11 +71,14 @@
 	starvation       *aging.Tracker[target]
 	grantsSinceBoost map[modelKey]int
 	lastBoostCheck   time.Time
+	// reservations are those of the models that this instance owns.
+	reservations map[modelKey]*reservation.Schedule
 }
 
 func newQueue() queue {
 	return queue{
 		recentGrants: map[modelKey]*slidingWindow{}, starvation: aging.New[target](starvationOptions), grantsSinceBoost: map[modelKey]int{},
+		reservations: map[modelKey]*reservation.Schedule{},
 	}
 }
 
@@ -87,6 +93,7 @@
 
 // enqueue adds a request and dispatches the queue. p.mu is held.
 func (p *Proxy) enqueue(now time.Time, w *waiter) {
+	p.useReservation(now, w)
 	p.queue.waiters = append(p.queue.waiters, w)
 	if w.requirements.model != "" {
 		p.queue.starvation.Requested(now, w.requirements.target)
@@ -192,6 +199,7 @@
 	p.notifyUse(now, chosen, &w.requirements)
 	p.queue.recordGrant(now, &w.requirements)
 	p.queue.recordBoost(w)
+	p.recordTurn(now, w)
 	p.updateWaiting(w, false)
 	switch to := w.requester.(type) {
 	case localRequest:
--- a/internal/counter/refusal.go
+++ b/internal/counter/refusal.go
@@ -31,6 +31,8 @@
 	parts []quarantine.Digest
 	// retryAfter is the Retry-After time, 0 if a retry does not help.
 	retryAfter time.Duration
+	// reserved is true if retryAfter is when a reservation of the caller begins.
+	reserved bool
 	// forecastWait is the forecast wait that caused the refusal, 0 if it had another cause.
 	forecastWait time.Duration
 	// waited is how long the request waited without finding an upstream. survey counts the states
@@ -95,6 +97,9 @@
 	if answer.forecastWait > 0 {
 		event = event.Dur("forecast", answer.forecastWait)
 	}
+	if answer.reserved {
+		event = event.Time("reserved", p.options.Now().Add(answer.retryAfter))
+	}
 	event.Str("request", call.ID).Int("status", answer.status).Str("reason", answer.text).Dur("retry-after", answer.retryAfter).
 		Str("model", call.Model).Str("adapter", call.Adapter).Msg("request not served")
 }
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -36,6 +36,9 @@
 	// caller's piece of work across its attempts, 0 if it is not known. Both are set only if mixed is.
 	workspace string
 	caller    uint64
+	// reserved puts the request before others with the same priority, because its caller returns at its
+	// reserved time.
+	reserved bool
 	// sender is the instance that sends the request.
 	sender netip.AddrPort
 	// tried are the names of the upstreams that have failed the request.
@@ -73,6 +76,7 @@
 		compareBools(req.isLate(now), other.isLate(now)),
 		cmp.Compare(req.priority, other.priority),
 		compareBools(req.yields, other.yields),
+		compareBools(!req.reserved, !other.reserved),
 		req.latestSend().Compare(other.latestSend()),
 	)
 }
--- a/internal/permit/decode.go
+++ b/internal/permit/decode.go
@@ -61,14 +61,10 @@
 		return Granted{ID: r.id(), Upstream: r.String(), Address: r.String(), PrefillBacklog: r.duration()}
 	case kindQueued:
 		return Queued{ID: r.id()}
-	case kindRejected:
-		return Rejected{
-			ID: r.id(), Reason: Reason(r.Byte()), RetryAfter: r.duration(), EstimatedWait: r.duration(),
-			Survey: Survey{
-				Holders: r.count(), Full: r.count(), PrefillBusy: r.count(), Yielding: r.count(), Avoided: r.count(),
-				ReportAge: r.duration(),
-			},
-		}
+	case kindRejected, kindReserved:
+		m := r.rejected()
+		m.Reserved = kind == kindReserved
+		return m
 	case kindShuttingDown:
 		return ShuttingDown{ID: r.id()}
 	case kindRelease:
@@ -173,6 +169,16 @@
 	return m
 }
 
+func (r reader) rejected() Rejected {
+	return Rejected{
+		ID: r.id(), Reason: Reason(r.Byte()), RetryAfter: r.duration(), EstimatedWait: r.duration(),
+		Survey: Survey{
+			Holders: r.count(), Full: r.count(), PrefillBusy: r.count(), Yielding: r.count(), Avoided: r.count(),
+			ReportAge: r.duration(),
+		},
+	}
+}
+
 func (r reader) id() ID {
 	return ID(r.Uint())
 }
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -44,6 +44,8 @@
 	kindTrialRequest
 	// kindIdentifiedRequest is a Request with a workspace or a caller.
 	kindIdentifiedRequest
+	// kindReserved is a Rejected with a reservation. It replies to a kindIdentifiedRequest only.
+	kindReserved
 )
 
 // Append appends the encoding of a message to buffer.
@@ -221,7 +223,11 @@
 }
 
 func appendRejected(buffer []byte, m Rejected) []byte {
-	buffer = append(appendHead(buffer, kindRejected, m.ID), byte(m.Reason))
+	kind := kindRejected
+	if m.Reserved {
+		kind = kindReserved
+	}
+	buffer = append(appendHead(buffer, kind, m.ID), byte(m.Reason))
 	buffer = appendDuration(buffer, m.RetryAfter)
 	buffer = appendDuration(buffer, m.EstimatedWait)
 	s := m.Survey
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -98,6 +98,8 @@
 	RetryAfter    time.Duration
 	EstimatedWait time.Duration
 	Survey        Survey
+	// Reserved is true if the caller has a reservation that begins after RetryAfter.
+	Reserved bool
 }
 
 // Survey counts the upstreams that could run a request, by the reason for which
