--- a/internal/counter/reservations.go
+++ b/internal/counter/reservations.go
@@ -14,7 +14,7 @@
 
 var reservationOptions = reservation.Options{
 	// At 1.5 times the capacity, six in ten first attempts are served by nine tenths of it.
-	Share:   0.1,
+	Share:   0.08,
 	MinWait: minRetryAfter,
 	// A caller that returns 100 ms early waits for that long at most. After 1 s it has left.
 	Early: 100 * time.Millisecond, Late: time.Second,
@@ -27,7 +27,7 @@
 // repeatedForecastShare is the part of the longest forecast wait with which a caller is queued that was
 // rejected before and returns without a reservation. While first attempts fill the queue, another one
 // has the same chance and was not told to return.
-const repeatedForecastShare = 0.5
+const repeatedForecastShare = 0.25
 
 // waitedTolerance is how much earlier than its longest wait a request may be withdrawn that has waited in
 // vain. One that is withdrawn before that has been left by its caller.
@@ -170,17 +170,22 @@
 	case req.reserved:
 		p.metrics.countTurns(turnMissed, 1)
 	}
-	if !inVain || w.missing != missingCapacity || len(req.tried) > 0 || req.yields {
+	if !inVain || w.missing != missingCapacity || len(req.tried) > 0 {
 		return
 	}
 	if _, loading := p.pool.loadTime(now, req.query()); loading {
 		return
 	}
-	told := req.retryAfterLoad(now, 0, false)
-	request := reservation.Request{Caller: req.caller, Class: req.class()}
-	if _, ok := p.newSchedule(now, w).ReserveWithin(now, request, told, told+reservationOptions.Early); ok {
-		p.metrics.countTurns(turnBooked, 1)
+	schedule, told, ok := p.newSchedule(now, w), req.retryAfterLoad(now, 0, false), false
+	if !req.yields {
+		request := reservation.Request{Caller: req.caller, Class: req.class()}
+		_, ok = schedule.ReserveWithin(now, request, told, told+reservationOptions.Early)
 	}
+	if !ok {
+		schedule.Refuse(req.caller, req.class(), now.Add(told))
+		return
+	}
+	p.metrics.countTurns(turnBooked, 1)
 }
 
 // expireReservations removes the reservations of callers that have not returned in time.
