--- a/internal/counter/reservations.go
+++ b/internal/counter/reservations.go
@@ -30,8 +30,8 @@
 // has the same chance and was not told to return.
 const repeatedForecastShare = 0.25
 
-// waitedTolerance is how much earlier than its longest wait a request may be withdrawn that has waited in
-// vain. One that is withdrawn before that has been left by its caller.
+// waitedTolerance is how much earlier or later than its longest wait a request is withdrawn that has waited
+// in vain. One that is withdrawn before that has been left by its caller.
 const waitedTolerance = 100 * time.Millisecond
 
 // turn is what became of a reservation. It is also the metric tag.
@@ -164,14 +164,16 @@
 		return
 	}
 	req := &w.requirements
-	inVain := now.Sub(req.arrived) >= req.maxWait()-waitedTolerance
+	overdue := now.Sub(req.arrived) - req.maxWait()
+	inVain := overdue >= -waitedTolerance
 	switch {
 	case req.reserved && inVain:
 		p.metrics.countTurns(turnBroken, 1)
 	case req.reserved:
 		p.metrics.countTurns(turnMissed, 1)
 	}
-	if !inVain || w.missing != missingCapacity || len(req.tried) > 0 {
+	// If it was withdrawn later than that, its caller was told another time, or none.
+	if !inVain || overdue > waitedTolerance || w.missing != missingCapacity || len(req.tried) > 0 {
 		return
 	}
 	if _, loading := p.pool.loadTime(now, req.query()); loading {
