counter: callers that return without a reservation may wait half as long as first attempts

Result: go test ./internal/counter ./internal/permit ./internal/reservation ./internal/routes passes.

--- a/internal/counter/reservations.go
+++ b/internal/counter/reservations.go
@@ -9,7 +9,7 @@
 )
 
 // While the routes mix urgency, the owner of a model tells the callers that it rejects when to return,
-// and serves those that do before others. Otherwise they would be rejected again, and callers that retry
+// and serves those that do so first. Otherwise they would be rejected again, and callers that retry
 // immediately would take what becomes free in the meantime.
 
 var reservationOptions = reservation.Options{
@@ -26,9 +26,9 @@
 }
 
 // repeatedForecastShare is the part of the longest forecast wait with which a caller is queued that was
-// rejected before and returns without a reservation. While first attempts fill the queue, another one
-// has the same chance and was not told to return.
-const repeatedForecastShare = 0.25
+// rejected before and returns without a reservation. While capacity is short, first attempts fill the queue
+// beyond that. With less, callers are rejected twice that could be served below the capacity.
+const repeatedForecastShare = 0.5
 
 // waitedTolerance is how much earlier or later than its longest wait a request is withdrawn that has waited
 // in vain. One that is withdrawn before that has been left by its caller.
