concurrency, counter: shared concurrency of plain upstreams

Cause: each instance places requests to plain services alone, so that together they send more than the upstreams queue, and requests wait where they cannot be placed elsewhere. Change: where the routes mix urgency, the upstreams of a plain service are divided into groups, each with an owner that grants by a limit for each upstream and rejects at once what would start too late.

--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -14,6 +14,7 @@
 	now := t.proxy.options.Now()
 	waitCtx, cancel := context.WithTimeout(ctx, t.arrived.Add(t.maxWait()).Sub(now))
 	defer cancel()
+	t.joinGroup()
 	granted, err := t.acquireFromOwner(waitCtx)
 	if errors.Is(err, errDecideLocally) {
 		granted, err = t.acquireLocally(waitCtx)
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -56,6 +56,8 @@
 	pendingReplies map[permit.ID]*pendingReply
 	lastMessageID  permit.ID
 	permits        map[peerRequest]*permitRecord
+	// plain holds the groups of the upstreams of plain services.
+	plain plainGroups
 	// storedAnswers are the recent answers to peers that requested units of a quota, or permission to
 	// send to a rate-limited upstream.
 	storedAnswers map[peerRequest]storedAnswer
@@ -117,6 +119,7 @@
 		permits:       map[peerRequest]*permitRecord{},
 		storedAnswers: map[peerRequest]storedAnswer{},
 		quotas:        quotaAccounts{},
+		plain:         plainGroups{},
 		syncNow:       make(chan struct{}, 1),
 		cancel:        cancel,
 	}
--- a/internal/counter/dialect_test.go
+++ b/internal/counter/dialect_test.go
@@ -73,6 +73,8 @@
 // Contents of the routes.
 const (
 	allRoutes = "{}"
+	// withBatchRoute has a batch route, and an objective for requests to the plain service.
+	withBatchRoute = "with-batch"
 	// withoutLookRoute lacks the route "look".
 	withoutLookRoute = "without-look"
 	// withKeys needs the key "clerk-key" for all routes but "look", and withNewKeys the key
@@ -113,6 +115,10 @@
 		Services: []routes.Service{{Name: "desk"}, {Name: "nobody"}},
 	}
 	switch string(content) {
+	case withBatchRoute:
+		draft.Version = 2
+		draft.Routes[0].Objective = plainObjective
+		draft.Routes[2].Objective = routes.BatchObjective
 	case withoutLookRoute:
 		draft.Version = 2
 		draft.Routes = draft.Routes[1:]
--- a/internal/counter/estimators.go
+++ b/internal/counter/estimators.go
@@ -51,6 +51,9 @@
 // measuredSpeed returns the measurement of a complete stream. It is empty if the request was sent
 // more than once, because the times would include the other attempts.
 func (t *transaction) measuredSpeed() speedSample {
+	if t.group != "" {
+		return speedSample{serviceTime: t.proxy.options.Now().Sub(t.timing.sent)}
+	}
 	if t.model == "" || t.sends != 1 {
 		return speedSample{}
 	}
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -142,7 +142,7 @@
 func NewQueue(pool UpstreamPool, instances int) Queue {
 	p := &Proxy{
 		pool: pool.pool, peers: &peerLink{}, demand: newDemand(), pendingLoads: map[courier.WantArgs]bool{}, loadLimiter: newLoadLimiter(),
-		metrics: newMetrics(nil), options: Options{Now: func() time.Time { return time.Time{} }},
+		plain: plainGroups{}, metrics: newMetrics(nil), options: Options{Now: func() time.Time { return time.Time{} }},
 	}
 	p.queue = newQueue()
 	p.queue.timerSet = true
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -114,6 +114,9 @@
 func (p *Proxy) forecastWait(now time.Time, w *waiter) time.Duration {
 	req := &w.requirements
 	wait := time.Duration(0)
+	if req.group != "" {
+		return p.forecastPlainWait(now, w)
+	}
 	if req.model == "" || w.missing != missingCapacity {
 		return wait
 	}
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -35,6 +35,8 @@
 	// relays counts requests that were sent through other instances, by result.
 	relays       map[string]tally.Counter
 	limitedSends map[string]tally.Counter
+	// plainRefusals counts granted requests that upstreams of plain services refused.
+	plainRefusals map[string]tally.Counter
 	// decisions counts decisions on peers' requests, and ownerAnswers the owners' answers to this
 	// instance.
 	decisions    map[string]tally.Counter
@@ -95,6 +97,7 @@
 		refusals: map[string]tally.Counter{}, failedSends: map[string]tally.Counter{},
 		failedSteps: map[string]tally.Counter{}, relays: map[string]tally.Counter{}, limitedSends: map[string]tally.Counter{},
 		untilClose:     map[string]tally.Counter{},
+		plainRefusals:  map[string]tally.Counter{},
 		resumptions:    map[string]tally.Counter{},
 		originReports:  scope.Counter("stream_origin_reports"),
 		quotaDecisions: map[quotaDecisionKey]tally.Counter{},
@@ -157,6 +160,12 @@
 	taggedCounter(m.scope, m.failedSteps, "failed_steps", "step", step).Inc(1)
 }
 
+// countPlainRefusal counts a request that was refused by an upstream of a plain service although it was
+// granted there.
+func (m *metrics) countPlainRefusal(service string) {
+	taggedCounter(m.scope, m.plainRefusals, "plain_refusals", "service", service).Inc(1)
+}
+
 // countLimitedSend counts a request held back by an upstream's rate limit.
 func (m *metrics) countLimitedSend(service string) {
 	taggedCounter(m.scope, m.limitedSends, "limited_sends", "service", service).Inc(1)
@@ -218,6 +227,7 @@
 	scope.Gauge("upstreams").Update(float64(len(p.pool.byName)))
 	scope.Gauge("stream_origins").Update(float64(p.origins.Len()))
 	p.updateLimitMetrics()
+	p.updatePlainMetrics(now)
 	scope.Gauge("news_age_seconds").Update(now.Sub(p.control.lastSyncSent).Seconds())
 	if table := p.routes.Load(); table != nil {
 		scope.Gauge("routes_version").Update(float64(table.Version))
--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"time"
@@ -139,7 +140,7 @@
 func (t *transaction) askMessage(id permit.ID) permit.Request {
 	now := t.proxy.options.Now()
 	return permit.Request{
-		ID: id, Service: t.service, Model: t.model, Adapter: t.adapter,
+		ID: id, Service: t.service, Model: t.model, Adapter: cmp.Or(t.group, t.adapter),
 		PromptTokens: t.promptTokens, AnswerTokens: t.outputTokens, Priority: t.priority, Yields: t.yields,
 		Objective: t.objective, MaxEventGap: t.maxGap, Age: now.Sub(t.arrived), Remaining: t.deadline.Sub(now), Tried: t.tried,
 		Software: t.software, Workspace: t.requirements.workspace, Caller: t.caller,
--- a/internal/counter/owners.go
+++ b/internal/counter/owners.go
@@ -108,17 +108,17 @@
 // remoteOwner returns the other instance that places a request. It returns false if this instance
 // does. p.mu is held.
 func (p *Proxy) remoteOwner(now time.Time, req *requirements) (netip.AddrPort, bool) {
-	if req.model == "" || p.peers.conn == nil {
+	if req.ownedName() == "" || p.peers.conn == nil {
 		return netip.AddrPort{}, false
 	}
-	owner, known := p.owners.ownerOf(now, req.service, req.model)
+	owner, known := p.owners.ownerOf(now, req.service, req.ownedName())
 	return owner, known && owner != p.owners.self
 }
 
 // placingInstances returns how many instances place requests for the model of a request that is
 // placed here: one if this instance owns the model, otherwise all of them. p.mu is held.
 func (p *Proxy) placingInstances(now time.Time, req *requirements) int {
-	if owner, known := p.owners.ownerOf(now, req.service, req.model); known && owner == p.owners.self {
+	if owner, known := p.owners.ownerOf(now, req.service, req.ownedName()); known && owner == p.owners.self {
 		return 1
 	}
 	return p.control.entryInstances
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -111,6 +111,11 @@
 		maxGap: m.MaxEventGap, arrived: now.Add(-m.Age), deadline: now.Add(m.Remaining), sender: from, tried: m.Tried, software: m.Software,
 		mixed: p.mixesUrgency(), batch: m.Objective >= routes.BatchObjective, workspace: m.Workspace, caller: m.Caller,
 	}
+	if m.Model == "" && m.Adapter != "" {
+		req.adapter, req.group = "", m.Adapter
+		p.estimatePlainCost(now, &req)
+		return req
+	}
 	p.estimateCost(&req)
 	return req
 }
@@ -146,6 +151,7 @@
 	p.removePermit(requester, record)
 	if u := record.grant.upstream; u != nil {
 		u.recordOutcome(now, record.waiter.requirements.target, m.Outcome)
+		p.observePlain(now, &record.waiter.requirements, record.grant, m.Outcome, m.RunTime)
 		p.recordSpeed(&record.waiter.requirements, speedSample{firstEvent: m.FirstEventTime, serviceTime: m.RunTime, events: m.Events, streaming: m.StreamTime})
 	}
 }
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -53,6 +53,9 @@
 	// owner is the instance that issued the grant under id. It is invalid if this instance did.
 	owner netip.AddrPort
 	id    permit.ID
+	// inFlight is the number of requests of this instance at the upstream when the grant was issued,
+	// this one included. It is 0 if another instance issued it.
+	inFlight int
 }
 
 // queue holds the waiting requests, unordered. It is not safe for concurrent use.
@@ -92,6 +95,10 @@
 		p.queue.starvation.Requested(now, w.requirements.target)
 	}
 	p.updateWaiting(w, true)
+	if w.requirements.group != "" {
+		w.missing = p.dispatchGroup(now, &w.requirements)
+		return
+	}
 	p.dispatch(now)
 }
 
@@ -125,6 +132,7 @@
 // selectionKey identifies queries that have the same result within one dispatch.
 type selectionKey struct {
 	target
+	group    string
 	pacing   pacing
 	software resumption.Constraint
 	// sender is set if any upstream pushes back to it.
@@ -160,7 +168,11 @@
 		if !known || !cacheable {
 			query := w.requirements.query()
 			query.boosted = w.boosted
-			chosen, missing = p.pool.choose(now, query, rand.Float64())
+			if w.requirements.group != "" {
+				chosen, missing, cacheable = p.choosePlain(now, w)
+			} else {
+				chosen, missing = p.pool.choose(now, query, rand.Float64())
+			}
 		}
 		w.missing = missing
 		if chosen == nil {
@@ -178,7 +190,7 @@
 }
 
 func (p *Proxy) selectionKey(now time.Time, req *requirements) selectionKey {
-	key := selectionKey{target: req.target, pacing: req.pacing, software: req.software}
+	key := selectionKey{target: req.target, group: req.group, pacing: req.pacing, software: req.software}
 	if p.pool.anyPushesBack(now, req.sender) {
 		key.sender = req.sender
 	}
@@ -187,7 +199,7 @@
 
 // issueGrant grants chosen to a waiting request. p.mu is held.
 func (p *Proxy) issueGrant(now time.Time, w *waiter, chosen *upstream) {
-	granted := grant{upstream: chosen, prefillAhead: chosen.backlog.remaining(now)}
+	granted := grant{upstream: chosen, prefillAhead: chosen.backlog.remaining(now), inFlight: chosen.active + 1}
 	chosen.recordSend(now, w.requirements.prefillTime, w.requirements.pacing)
 	p.notifyUse(now, chosen, &w.requirements)
 	p.queue.recordGrant(now, &w.requirements)
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -36,6 +36,9 @@
 	// caller's piece of work across its attempts, 0 if it is not known. Both are set only if mixed is.
 	workspace string
 	caller    uint64
+	// group is the group of upstreams of a plain service whose owner places the request, empty if it is
+	// not placed by group.
+	group string
 	// sender is the instance that sends the request.
 	sender netip.AddrPort
 	// tried are the names of the upstreams that have failed the request.
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -39,6 +39,9 @@
 		return false
 	}
 	a.outcome = permit.Succeeded
+	if t.group != "" && response.StatusCode < http.StatusInternalServerError {
+		a.speed = t.measuredSpeed()
+	}
 	t.reportSuccess(a, response.StatusCode)
 	end := beginResponse(w, t.request, response, a.framing)
 	if _, err := w.Write(body); err != nil {
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -77,6 +77,7 @@
 	p.recordSpeed(&t.requirements, a.speed)
 	if !a.owner.IsValid() {
 		a.upstream.release()
+		p.observePlain(now, &t.requirements, a.grant, a.outcome, a.speed.serviceTime)
 		return
 	}
 	p.peers.send(a.owner, permit.Release{
--- a/internal/counter/upstreampool.go
+++ b/internal/counter/upstreampool.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/concurrency"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/reachability"
@@ -74,8 +75,10 @@
 	models     map[string][]string
 	loading    string
 	loadDoneAt time.Time
-	// active is the number of requests of this instance in flight.
-	active int
+	// active is the number of requests of this instance in flight. limiter limits it at upstreams of
+	// plain services.
+	active  int
+	limiter concurrency.Limiter
 	// reportedAt is the time of the state described by the latest report.
 	reportedAt time.Time
 	// peerLoad estimates the peers' requests at the upstream. backlog estimates its unprocessed
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -38,7 +38,8 @@
 	ID      ID
 	Service string
 	Model   string
-	// Adapter is empty for a request to the base model.
+	// Adapter is empty for a request to the base model. In a request without a model it is the group
+	// of upstreams of a plain service.
 	Adapter      string
 	PromptTokens int
 	AnswerTokens int
