--- a/internal/concurrency/choice.go
+++ b/internal/concurrency/choice.go
@@ -13,7 +13,9 @@
 	Slots int
 	// WorkTime is the time for a request that finds a free slot, 0 if it is not known.
 	WorkTime time.Duration
-	// Avoided is true for a while after a failure or refusal: other candidates are preferred.
+	// FailureShare is the share of requests that fail, between 0 and 1.
+	FailureShare float64
+	// Avoided is true for a while after a refusal or repeated failures: other candidates are preferred.
 	Avoided bool
 }
 
@@ -21,6 +23,9 @@
 // evenly among upstreams whose work times differ by less than their spread.
 const loadWeight = 0.25
 
+// maxFailureShare bounds the share of failures that the score considers, so that it remains finite.
+const maxFailureShare = 0.9
+
 // hasRoom reports whether the candidate may receive a request now.
 func (c Candidate) hasRoom() bool {
 	return c.InFlight < c.Limit
@@ -39,10 +44,12 @@
 	return c.Limit
 }
 
-// score returns the value by which candidates with room are compared, the lowest first.
+// score returns the value by which candidates with room are compared, the lowest first. It is in
+// proportion to the number of attempts that a request needs: failures are often faster than responses,
+// and a candidate that fails would otherwise appear to be the least loaded.
 func (c Candidate) score() float64 {
-	work := max(c.WorkTime, time.Millisecond)
-	return work.Seconds() * (queueFactor(c.Slots, c.InFlight+1) + loadWeight*float64(c.InFlight)/float64(max(c.Slots, 1)))
+	work := max(c.WorkTime, time.Millisecond).Seconds() / (1 - min(c.FailureShare, maxFailureShare))
+	return work * (queueFactor(c.Slots, c.InFlight+1) + loadWeight*float64(c.InFlight)/float64(max(c.Slots, 1)))
 }
 
 // Choose returns the index of the candidate that a request is sent to now: the one with room that is
--- a/internal/concurrency/limiter.go
+++ b/internal/concurrency/limiter.go
@@ -26,9 +26,11 @@
 	// slowFactor is the work time, in multiples of the usual one, from which an upstream counts as
 	// slowed down.
 	slowFactor = 1.5
-	// staleAfter is the age of the last sample after which the work time returns to the usual one,
-	// with a half-life of staleHalfLife. An upstream that is avoided yields no samples, and would
-	// never be used again otherwise.
+	// failureSamples is the number of responses over which the share of failures is smoothed.
+	failureSamples = 16
+	// staleAfter is the age of the last sample after which the work time returns to the usual one and
+	// the share of failures to 0, with a half-life of staleHalfLife. An upstream that is avoided yields
+	// no samples, and would never be used again otherwise.
 	staleAfter    = 500 * time.Millisecond
 	staleHalfLife = time.Second
 	// refusalFactor is the share of the requests in flight that remains the limit after a refusal.
@@ -49,7 +51,9 @@
 	// work is the smoothed time that the upstream takes for a request that finds a free slot, and
 	// usual the same over a longer time. Both are 0 before the first sample.
 	work, usual time.Duration
-	// sampled is the time of the last sample.
+	// failures is the smoothed share of requests that failed.
+	failures float64
+	// sampled is the time of the last sample of a time or of a failure.
 	sampled time.Time
 	// ceiling is the limit after the last refusal as of reduced, 0 if there was none.
 	ceiling float64
@@ -65,11 +69,11 @@
 	}
 	sample := scale(runTime, 1/queueFactor(slots, inFlight))
 	if l.work == 0 {
-		l.work, l.usual, l.sampled = sample, sample, now
-		return
+		l.work, l.usual = sample, sample
 	}
-	work := l.WorkTime(now)
+	work, failures := l.WorkTime(now), l.FailureShare(now)
 	l.work = work + (min(sample, maxSampleFactor*work)-work)/workSamples
+	l.failures = failures - failures/failureSamples
 	l.sampled = now
 	// The usual time falls as fast as the work time, but rises slowly: it is that of an upstream
 	// without disturbance.
@@ -89,6 +93,13 @@
 	return float64(inFlight) / float64(slots)
 }
 
+// Failed records a request that got no proper response.
+func (l *Limiter) Failed(now time.Time) {
+	work, failures := l.WorkTime(now), l.FailureShare(now)
+	l.work, l.failures = work, failures+(1-failures)/failureSamples
+	l.sampled = now
+}
+
 // Refused records that the upstream refused a request for lack of capacity while inFlight requests
 // were there.
 func (l *Limiter) Refused(now time.Time, slots, inFlight int) {
@@ -102,11 +113,21 @@
 // WorkTime returns how long the upstream takes for a request that finds a free slot, 0 if it is not
 // known.
 func (l *Limiter) WorkTime(now time.Time) time.Duration {
+	return l.usual + scale(l.work-l.usual, l.weight(now))
+}
+
+// FailureShare returns the share of requests that fail.
+func (l *Limiter) FailureShare(now time.Time) float64 {
+	return l.failures * l.weight(now)
+}
+
+// weight returns the weight of the last samples, which decreases with their age, between 0 and 1.
+func (l *Limiter) weight(now time.Time) float64 {
 	stale := now.Sub(l.sampled) - staleAfter
-	if stale <= 0 || l.work == l.usual {
-		return l.work
+	if stale <= 0 {
+		return 1
 	}
-	return l.usual + scale(l.work-l.usual, math.Exp2(-stale.Seconds()/staleHalfLife.Seconds()))
+	return math.Exp2(-stale.Seconds() / staleHalfLife.Seconds())
 }
 
 // Limit returns how many requests an upstream with a number of slots, 0 if it is not known, may have
--- a/internal/concurrency/limiter_test.go
+++ b/internal/concurrency/limiter_test.go
@@ -61,6 +61,8 @@
 	state := func(inFlight, limit int, work time.Duration) concurrency.Candidate {
 		return concurrency.Candidate{InFlight: inFlight, Limit: limit, Slots: slots, WorkTime: work}
 	}
+	failing := state(0, 7, 60*ms)
+	failing.FailureShare = 0.5
 	avoided := state(0, 7, 60*ms)
 	avoided.Avoided = true
 	DescribeTable("selects the upstream that ends the request first",
@@ -73,6 +75,7 @@
 		Entry("a slow one if the fast one is full", 300*ms, 1, state(7, 7, 60*ms), state(0, 6, 150*ms)),
 		Entry("wait if only the fast one ends in time", 120*ms, -1, state(7, 7, 60*ms), state(0, 6, 150*ms)),
 		Entry("a slow one if the request is late everywhere", 70*ms, 1, state(7, 7, 60*ms), state(0, 6, 150*ms)),
+		Entry("a reliable one before one that fails half of its requests", 300*ms, 1, failing, state(6, 7, 60*ms)),
 		Entry("an avoided one only if it alone has room", 300*ms, 1, avoided, state(6, 7, 150*ms)),
 		Entry("an avoided one", 300*ms, 0, avoided, state(7, 7, 60*ms)),
 	)
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -113,6 +113,9 @@
 		verdict = t.verdict(now, run)
 	}
 	p.mu.Unlock()
+	if ctx.Err() != nil && t.group != "" {
+		a.speed = t.measuredSpeed()
+	}
 	t.lastError = cause
 	t.reportBroken(a, cause)
 	p.logAttempt(t, a, "attempt failed", 0, verdict.String())
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -21,7 +21,7 @@
 
 // recordGrant counts a request that was granted an upstream.
 func (q *queue) recordGrant(now time.Time, req *requirements) {
-	if req.model == "" {
+	if req.ownedName() == "" {
 		return
 	}
 	key := req.modelKey()
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -57,8 +57,9 @@
 	return upstreamQuery{service: req.service, model: req.model, adapter: req.adapter, pacing: req.pacing, sender: req.sender, tried: req.tried, software: req.software}
 }
 
+// modelKey identifies the model, or the group of upstreams of a plain service.
 func (req *requirements) modelKey() modelKey {
-	return modelKey{req.service, req.model}
+	return modelKey{req.service, req.ownedName()}
 }
 
 // loadArgs returns the arguments of the load call for a missing model or adapter.
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -39,9 +39,7 @@
 		return false
 	}
 	a.outcome = permit.Succeeded
-	if t.group != "" && response.StatusCode < http.StatusInternalServerError {
-		a.speed = t.measuredSpeed()
-	}
+	t.observePlainStatus(a, response.StatusCode)
 	t.reportSuccess(a, response.StatusCode)
 	end := beginResponse(w, t.request, response, a.framing)
 	if _, err := w.Write(body); err != nil {
@@ -73,6 +71,7 @@
 	if verdict != retry.Again {
 		return false
 	}
+	t.observePlainStatus(a, status)
 	t.tried = append(t.tried, a.upstream.name)
 	p.logAttempt(t, a, "failed", status, verdict.String())
 	return true
