--- a/internal/concurrency/limiter.go
+++ b/internal/concurrency/limiter.go
@@ -155,7 +155,7 @@
 	case work > scale(l.usual, slowFactor):
 		return 0
 	}
-	return min(int(math.Ceil(float64(slots)*handoverTime.Seconds()/work.Seconds())), slots)
+	return min(max(int(math.Round(float64(slots)*handoverTime.Seconds()/work.Seconds())), 1), slots)
 }
 
 func scale(d time.Duration, factor float64) time.Duration {
