--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -21,7 +21,7 @@
 
 // recordGrant counts a request that was granted an upstream.
 func (q *queue) recordGrant(now time.Time, req *requirements) {
-	if req.model == "" {
+	if req.ownedName() == "" {
 		return
 	}
 	key := req.modelKey()
@@ -117,6 +117,9 @@
 func (p *Proxy) forecastWait(now time.Time, w *waiter) time.Duration {
 	req := &w.requirements
 	wait := time.Duration(0)
+	if req.group != "" {
+		return p.forecastPlainWait(now, w)
+	}
 	if req.model == "" || w.missing != missingCapacity {
 		return wait
 	}
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -39,6 +39,9 @@
 	// reserved puts the request before others with the same priority, because its caller returns at its
 	// reserved time.
 	reserved bool
+	// group is the group of upstreams of a plain service whose owner places the request, empty if it is
+	// not placed by group.
+	group string
 	// sender is the instance that sends the request.
 	sender netip.AddrPort
 	// tried are the names of the upstreams that have failed the request.
@@ -57,8 +60,9 @@
 	return upstreamQuery{service: req.service, model: req.model, adapter: req.adapter, pacing: req.pacing, sender: req.sender, tried: req.tried, software: req.software}
 }
 
+// modelKey identifies the model, or the group of upstreams of a plain service.
 func (req *requirements) modelKey() modelKey {
-	return modelKey{req.service, req.model}
+	return modelKey{req.service, req.ownedName()}
 }
 
 // loadArgs returns the arguments of the load call for a missing model or adapter.
