deferral, counter: batch requests leave a part of an engine to urgent requests

Cause: a batch request takes any slot that its owner sees as free, and the owners of urgent models at the same engine find it full. Change: a batch request leaves a quarter of the slots, and ready prefill time, to others. The part shrinks until it is an ordinary request at two thirds of its objective. It is rejected if at the recent rate of batch grants it would start too late, and waits for a model load that has not begun. Only where the routes mix batch and interactive requests.

--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/deferral"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 )
@@ -25,6 +26,8 @@
 	software resumption.Constraint
 	// boosted allows an engine without free capacity.
 	boosted bool
+	// headroom is the capacity of an engine that a batch request leaves free.
+	headroom deferral.Headroom
 }
 
 // missingResource is the reason why no upstream matches a query. Larger values mean that more of
@@ -46,11 +49,13 @@
 	// missingCapacity means that all upstreams that could run the request are busy, avoided,
 	// paused by their rate limit or their refusals, or push back.
 	missingCapacity
+	// missingHeadroom means that the upstreams with capacity keep it for urgent requests.
+	missingHeadroom
 )
 
 // String returns the word used in response texts and in the log.
 func (m missingResource) String() string {
-	return [...]string{"none", "service", "software version", "model", "adapter", "room"}[m]
+	return [...]string{"none", "service", "software version", "model", "adapter", "room", "headroom"}[m]
 }
 
 // crossDomainCost is added to the cost of an upstream in another failure domain. It is a tenth of
@@ -126,11 +131,14 @@
 		return missingAdapter
 	case slices.Contains(q.tried, u.name) && now.Before(u.avoidUntil), now.Before(u.pausedUntil()), u.pushesBack(now, q.sender):
 		return missingCapacity
-	case q.model != "" && !u.hasCapacity(now, q, random):
+	}
+	if lacking := u.lacksHeadroom(now, q); lacking != missingNone {
+		return lacking
+	}
+	if q.model != "" && !u.hasCapacity(now, q, random) {
 		return missingCapacity
-	default:
-		return missingNone
 	}
+	return missingNone
 }
 
 // hasCapacity reports whether an engine may receive a request now. random, in [0, 1), scales the
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -77,6 +77,9 @@
 	if rejected := p.rejectHeldBack(now, w); rejected != nil {
 		return rejected
 	}
+	if req.isDeferrable() {
+		return p.rejectDeferred(now, w)
+	}
 	if forecast := p.forecastWait(now, w); forecast > req.maxForecast(now) && !p.queue.isOnlyStarved(now, w) {
 		return &rejection{reason: permit.WaitTooLong, retryAfter: req.retryAfterWait(now, forecast), forecastWait: forecast}
 	}
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -49,6 +49,7 @@
 	originReports tally.Counter
 	// quotaDecisions counts the quota decisions on this instance's requests, by workspace.
 	quotaDecisions map[quotaDecisionKey]tally.Counter
+	batch          batchMetrics
 }
 
 // quotaDecisionKey distinguishes the counters of quota decisions.
@@ -99,6 +100,7 @@
 		originReports:  scope.Counter("stream_origin_reports"),
 		quotaDecisions: map[quotaDecisionKey]tally.Counter{},
 		decisions:      map[string]tally.Counter{}, ownerAnswers: map[string]tally.Counter{},
+		batch: newBatchMetrics(scope),
 	}
 }
 
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/aging"
+	"github.com/lovagelift/lovagelift/internal/deferral"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 )
@@ -23,6 +24,8 @@
 	countedWaiting bool
 	// boosted puts the request before all others.
 	boosted bool
+	// deferred is the state of a batch request.
+	deferred deferredWait
 }
 
 // requester receives the grant: a localRequest or a peerRequest.
@@ -68,11 +71,14 @@
 	starvation       *aging.Tracker[target]
 	grantsSinceBoost map[modelKey]int
 	lastBoostCheck   time.Time
+	// deferredThroughput is that of the batch requests of each model that an engine holds.
+	deferredThroughput map[modelKey]*deferral.Throughput
 }
 
 func newQueue() queue {
 	return queue{
 		recentGrants: map[modelKey]*slidingWindow{}, starvation: aging.New[target](starvationOptions), grantsSinceBoost: map[modelKey]int{},
+		deferredThroughput: map[modelKey]*deferral.Throughput{},
 	}
 }
 
@@ -129,6 +135,8 @@
 	software resumption.Constraint
 	// sender is set if any upstream pushes back to it.
 	sender netip.AddrPort
+	// headroom has few values, so that few selections are made for the batch requests of a target.
+	headroom deferral.Headroom
 }
 
 // dispatch grants upstreams to waiting requests in order of priority. p.mu is held.
@@ -159,7 +167,7 @@
 		cacheable := len(w.requirements.tried) == 0 && !w.boosted
 		if !known || !cacheable {
 			query := w.requirements.query()
-			query.boosted = w.boosted
+			query.boosted, query.headroom = w.boosted, key.headroom
 			chosen, missing = p.pool.choose(now, query, rand.Float64())
 		}
 		w.missing = missing
@@ -167,6 +175,7 @@
 			if cacheable {
 				failed[key] = missing
 			}
+			p.recordDeferred(now, w)
 			remaining = append(remaining, w)
 			continue
 		}
@@ -178,7 +187,7 @@
 }
 
 func (p *Proxy) selectionKey(now time.Time, req *requirements) selectionKey {
-	key := selectionKey{target: req.target, pacing: req.pacing, software: req.software}
+	key := selectionKey{target: req.target, pacing: req.pacing, software: req.software, headroom: req.headroom(now)}
 	if p.pool.anyPushesBack(now, req.sender) {
 		key.sender = req.sender
 	}
@@ -192,6 +201,7 @@
 	p.notifyUse(now, chosen, &w.requirements)
 	p.queue.recordGrant(now, &w.requirements)
 	p.queue.recordBoost(w)
+	p.recordDeferredGrant(now, w)
 	p.updateWaiting(w, false)
 	switch to := w.requester.(type) {
 	case localRequest:
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -70,8 +70,9 @@
 // compare returns a negative number if req is to be dispatched before other.
 func (req *requirements) compare(now time.Time, other *requirements) int {
 	return cmp.Or(
-		compareBools(req.isLate(now), other.isLate(now)),
+		compareBools(req.isLate(now) || req.yieldsCapacity(now), other.isLate(now) || other.yieldsCapacity(now)),
 		cmp.Compare(req.priority, other.priority),
+		compareBools(req.yieldsCapacity(now), other.yieldsCapacity(now)),
 		compareBools(req.yields, other.yields),
 		req.latestSend().Compare(other.latestSend()),
 	)
@@ -107,10 +108,14 @@
 // maxWait returns how long the request may wait for an upstream.
 func (req *requirements) maxWait() time.Duration {
 	total := req.deadline.Sub(req.arrived)
-	if req.objective > 0 {
-		return min(time.Duration(maxWaitObjectives*float64(req.objective)), total/2)
+	if req.objective <= 0 {
+		return total / 2
+	}
+	longest := min(time.Duration(maxWaitObjectives*float64(req.objective)), total/2)
+	if req.isDeferrable() {
+		return max(longest, req.maxDeferredWait())
 	}
-	return total / 2
+	return longest
 }
 
 // maxForecast returns the longest forecast wait with which the request is queued: until its latest
