--- a/internal/counter/boost.go
+++ b/internal/counter/boost.go
@@ -35,7 +35,7 @@
 	for _, w := range q.waiters {
 		w.boosted = false
 		starvedFor, starved := q.starvation.Starved(now, w.requirements.target)
-		if !starved || w.missing == missingModel || w.missing == missingAdapter || w.requirements.yieldsCapacity(now) {
+		if !starved || w.missing == missingModel || w.missing == missingAdapter || !w.requirements.mayBeBoosted(now) {
 			continue
 		}
 		if key := w.requirements.modelKey(); starvedFor > longest[key] && q.isBoostDue(now, key) {
--- a/internal/counter/deferral.go
+++ b/internal/counter/deferral.go
@@ -33,7 +33,13 @@
 	if !req.isDeferrable() {
 		return deferral.None
 	}
-	return deferral.HeadroomOf(now.Sub(req.arrived), min(req.objective, req.maxWait()))
+	return deferral.HeadroomOf(now.Sub(req.arrived), req.agingTime())
+}
+
+// agingTime returns the time within which a batch request is to be granted an engine: its objective,
+// or less if its caller leaves before.
+func (req *requirements) agingTime() time.Duration {
+	return min(req.objective, req.maxWait())
 }
 
 // yieldsCapacity reports whether the request leaves capacity to others, because it has time.
@@ -41,6 +47,12 @@
 	return req.headroom(now) != deferral.None
 }
 
+// mayBeBoosted reports whether the request may go before all others if its model or adapter starves. A
+// batch request that may would take the capacity that it has just left to others.
+func (req *requirements) mayBeBoosted(now time.Time) bool {
+	return !req.isDeferrable() || deferral.IsNearObjective(now.Sub(req.arrived), req.agingTime())
+}
+
 // runTimeMargin is the multiple of the expected engine time of a batch request that is left after its
 // wait. Engines of one service differ in speed by up to that factor from the mean.
 const runTimeMargin = 2
@@ -100,7 +112,7 @@
 	if !w.requirements.isDeferrable() {
 		return
 	}
-	if w.deferred.throughput != nil {
+	if w.deferred.throughput != nil && w.requirements.yieldsCapacity(now) {
 		w.deferred.throughput.RecordGrant(now)
 	}
 	if w.deferred.heldForHeadroom {
--- a/internal/deferral/throughput.go
+++ b/internal/deferral/throughput.go
@@ -12,13 +12,14 @@
 	// maxObservationGap is the longest time between two observations of waiting requests during which
 	// they count as waiting. It exceeds the time between two dispatches many times.
 	maxObservationGap = 100 * time.Millisecond
-	// priorTime is the waiting time that the assumed rate counts for.
-	priorTime = time.Second
+	// priorGrants is the number of grants that the assumed rate counts for.
+	priorGrants = 1.0
 )
 
-// Throughput estimates the rate at which batch requests of one model are granted while some wait.
-// Requests that are granted at once are not counted, because they don't show how many others could
-// have been. Its zero value has no evidence. It is not safe for concurrent use.
+// Throughput estimates the rate at which batch requests of one model are granted while some wait, with
+// the capacity that urgent requests leave. Requests that are granted at once don't count, because they
+// don't show how many others could have been, nor do those that have become ordinary requests, because
+// they displace urgent ones. Its zero value has no evidence. It is not safe for concurrent use.
 type Throughput struct {
 	// grants is the number of requests granted after a wait, and waitedSeconds the time in which at
 	// least one waited, both decayed as of decayedAt.
@@ -42,7 +43,7 @@
 	}
 }
 
-// RecordGrant records that a request that had to wait was granted an engine.
+// RecordGrant records that a request that had to wait, and still left headroom, was granted an engine.
 func (t *Throughput) RecordGrant(now time.Time) {
 	t.decay(now)
 	t.grants++
@@ -63,8 +64,11 @@
 // grants per second without any evidence.
 func (t *Throughput) Forecast(now time.Time, ahead int, assumedRate float64) time.Duration {
 	t.decay(now)
-	rate := (t.grants + assumedRate*priorTime.Seconds()) / (t.waitedSeconds + priorTime.Seconds())
-	if ahead <= 0 || rate <= 0 {
+	if assumedRate <= 0 {
+		return 0
+	}
+	rate := (t.grants + priorGrants) / (t.waitedSeconds + priorGrants/assumedRate)
+	if ahead <= 0 {
 		return 0
 	}
 	return time.Duration(min(float64(ahead)/rate, maxForecastSeconds) * float64(time.Second))
