--- a/internal/counter/deferral_test.go
+++ b/internal/counter/deferral_test.go
@@ -22,49 +22,46 @@
 )
 
 const (
-	replayEngines, replaySlots = 8, 12
-	urgentObjective            = 800 * time.Millisecond
-	batchObjective             = 10 * time.Second
-	replayReportInterval       = 250 * time.Millisecond
+	urgentObjective = 800 * time.Millisecond
+	batchObjective  = 10 * time.Second
 )
 
+var engineNames = []string{"e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7"}
+
+// batchModel returns the batch model of an engine. Two engines hold each.
+func batchModel(engine int) string { return fmt.Sprint("batch", engine%(len(engineNames)/2)) }
+
 // deferralReplay replays urgent and batch requests. Their models have different owners, which see each
 // other's requests at the shared engines by load reports and by reports of the engines.
 type deferralReplay struct {
-	// random holds a source for each kind, so that all policies get the same requests.
-	random [kinds]*rand.Rand
-	// mixed is the switch, and placedObjective the objective by which batch requests are placed.
-	mixed           bool
-	placedObjective time.Duration
-	pools           [kinds]counter.UpstreamPool
-	queues          [kinds]counter.Queue
-	results         [kinds]replayResult
-	active          [kinds][replayEngines]int
-	engines         [replayEngines]replayEngine
-	waiting         []replayRequest
-	messages        []replayMessage
-	report          courier.EngineStates
+	owners [kinds]*replayOwner
+	// freeAt are the times at which the slots of each engine, and its prefill, become free.
+	freeAt  [8][12]time.Time
+	prefill [8]time.Time
+	events  []replayEvent
 }
 
-// replayEngine runs up to replaySlots requests and prefills one prompt at a time.
-type replayEngine struct {
-	queued, running []replayRequest
-	prefillEnds     time.Time
+type replayOwner struct {
+	replayResult
+	// random is a source of its own, so that all policies get the same requests.
+	random    *rand.Rand
+	pool      counter.UpstreamPool
+	queue     counter.Queue
+	active    [8]int
+	waiting   []replayRequest
+	objective time.Duration
+	enqueue   func(now time.Time) counter.Waiter
 }
 
 type replayRequest struct {
-	kind          int
-	arrived, ends time.Time
-	decode        time.Duration
-	maxWait       time.Duration
-	upstream      func() string
-	withdraw      func()
+	counter.Waiter
+	arrived time.Time
+	decode  time.Duration
 }
 
-type replayMessage struct {
-	at           time.Time
-	from, engine int
-	active       int
+type replayEvent struct {
+	at  time.Time
+	run func(now time.Time)
 }
 
 type replayResult struct {
@@ -75,181 +72,145 @@
 // late returns the share of the requests that were not served in time.
 func (r *replayResult) late() float64 { return 1 - float64(r.inTime)/float64(r.arrived) }
 
-func (r *replayResult) add(other replayResult) {
-	r.arrived, r.inTime = r.arrived+other.arrived, r.inTime+other.inTime
-	r.rejected, r.expired = r.rejected+other.rejected, r.expired+other.expired
-	r.longestWait = max(r.longestWait, other.longestWait)
-}
-
-// replay sends requests at rates relative to the engines' slots. The rate of batch requests is four
-// times as high in the second quarter of a minute.
-func replay(mixed bool, placedObjective time.Duration, seed uint64, urgentLoad, batchLoad float64) [kinds]replayResult {
-	const length = time.Minute
-	s := &deferralReplay{mixed: mixed, placedObjective: placedObjective}
+// replay sends requests for a minute at rates relative to the engines' slots. The rate of batch requests
+// is four times as high in the second quarter. mixed is the switch, and placedObjective the objective by
+// which batch requests are placed.
+func replay(mixed bool, placedObjective time.Duration, seed uint64, urgentLoad, batchLoad float64) (urgents, batches replayResult) {
+	s := &deferralReplay{}
 	for kind := range kinds {
-		s.random[kind] = rand.New(rand.NewPCG(seed, uint64(kind)))
-		s.pools[kind] = counter.NewUpstreamPool("here", lease)
-		for i := range replayEngines {
-			addSmallEngine(s.pools[kind], engineNames[i], "urgent", batchModel(i))
+		o := &replayOwner{random: rand.New(rand.NewPCG(seed, uint64(kind))), pool: counter.NewUpstreamPool("here", lease)}
+		for i, name := range engineNames {
+			addSmallEngine(o.pool, name, "urgent", batchModel(i))
 		}
-		s.queues[kind] = counter.NewQueue(s.pools[kind], 1)
+		o.queue, s.owners[kind] = counter.NewQueue(o.pool, 1), o
 	}
-	capacity := replayEngines * replaySlots / counter.ServiceTime().Seconds()
-	next := [kinds]time.Time{start, start}
-	for at := time.Duration(0); at < length+2*batchObjective; at += time.Millisecond {
-		now := start.Add(at)
-		s.deliver(now, at)
-		rates := [kinds]float64{urgentLoad * capacity, batchLoad * capacity}
-		if at >= length/4 && at < length/2 {
-			rates[batch] *= 4
+	u, b := s.owners[urgent], s.owners[batch]
+	u.objective, u.enqueue = urgentObjective, func(now time.Time) counter.Waiter { return u.queue.Enqueue(now, "urgent", urgentObjective) }
+	b.objective, b.enqueue = batchObjective, func(now time.Time) counter.Waiter {
+		return b.queue.EnqueueBatch(now, now, batchModel(b.random.IntN(8)), placedObjective, 20*time.Second, mixed)
+	}
+	for millis := range 80_000 {
+		now := start.Add(time.Duration(millis) * time.Millisecond)
+		s.events = slices.DeleteFunc(s.events, func(e replayEvent) bool {
+			due := !e.at.After(now)
+			if due {
+				e.run(now)
+			}
+			return due
+		})
+		if millis%250 == 0 {
+			s.reportEngines(now)
 		}
-		for kind := range kinds {
-			for at < length && !next[kind].After(now) {
-				s.arrive(now, kind)
-				next[kind] = next[kind].Add(scaled(time.Second, s.random[kind].ExpFloat64()/rates[kind]))
+		for kind, load := range [kinds]float64{urgentLoad, batchLoad} {
+			if kind == batch && millis/15_000 == 1 {
+				load *= 4
 			}
-			if at%(dispatchMillis*time.Millisecond) == 0 {
-				s.queues[kind].Dispatch(now)
+			perMillis := load * float64(len(engineNames)*len(s.freeAt[0])) / float64(counter.ServiceTime()/time.Millisecond)
+			if o := s.owners[kind]; millis < 60_000 && o.random.Float64() < perMillis {
+				o.arrive(now)
 			}
-		}
-		s.sendGranted(now)
-		for i := range s.engines {
-			s.advance(now, i)
+			if millis%dispatchMillis == 0 {
+				s.owners[kind].queue.Dispatch(now)
+			}
+			s.sendGranted(now, kind)
 		}
 	}
-	return s.results
+	return u.replayResult, b.replayResult
 }
 
-var engineNames = []string{"e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7"}
-
-// batchModel returns the batch model of an engine. Two engines hold each.
-func batchModel(engine int) string { return fmt.Sprint("batch", engine%(replayEngines/2)) }
-
-// deliver delivers the messages that are due, and the state of the engines one interval ago.
-func (s *deferralReplay) deliver(now time.Time, at time.Duration) {
-	for len(s.messages) > 0 && !s.messages[0].at.After(now) {
-		m := s.messages[0]
-		s.pools[kinds-1-m.from].PeerUses(now, engineNames[m.engine], m.active)
-		s.messages = s.messages[1:]
-	}
-	if at%replayReportInterval != 0 {
-		return
-	}
-	for _, pool := range s.pools {
-		pool.ApplyEngineStates(now, s.report)
-	}
-	s.report.Engines = nil
-	for i, e := range s.engines {
-		s.report.Engines = append(s.report.Engines, courier.EngineState{
-			Name: engineNames[i], Age: replayReportInterval - 100*time.Millisecond, Running: len(e.running), Queued: len(e.queued),
+// reportEngines delivers the present state of the engines to both owners some time later.
+func (s *deferralReplay) reportEngines(now time.Time) {
+	var states courier.EngineStates
+	for i, name := range engineNames {
+		states.Engines = append(states.Engines, courier.EngineState{
+			Name: name, Age: 150 * time.Millisecond, Running: s.owners[urgent].active[i] + s.owners[batch].active[i],
 			Models: []courier.LoadedModel{{Name: "urgent"}, {Name: batchModel(i)}},
 		})
 	}
+	s.events = append(s.events, replayEvent{now.Add(250 * time.Millisecond), func(now time.Time) {
+		for _, o := range s.owners {
+			o.pool.ApplyEngineStates(now, states)
+		}
+	}})
 }
 
-func (s *deferralReplay) arrive(now time.Time, kind int) {
-	s.results[kind].arrived++
-	decode := scaled(counter.ServiceTime()-counter.PromptTime(), 0.5+s.random[kind].Float64())
-	queue := s.queues[kind]
-	w := s.enqueue(now, kind)
-	if queue.Rejects(now, w) {
-		queue.Dequeue(w)
-		s.results[kind].rejected++
+func (o *replayOwner) arrive(now time.Time) {
+	o.arrived++
+	w := o.enqueue(now)
+	if o.queue.Rejects(now, w) {
+		o.queue.Dequeue(w)
+		o.rejected++
 		return
 	}
-	s.waiting = append(s.waiting, replayRequest{
-		kind: kind, arrived: now, decode: decode, maxWait: min(counter.MaxWait(w), batchObjective),
-		upstream: func() string { return counter.GrantedUpstream(w) }, withdraw: func() { queue.Dequeue(w) },
-	})
-}
-
-func (s *deferralReplay) enqueue(now time.Time, kind int) counter.Waiter {
-	if kind == urgent {
-		return s.queues[urgent].Enqueue(now, "urgent", urgentObjective)
-	}
-	model := batchModel(s.random[batch].IntN(replayEngines))
-	return s.queues[batch].EnqueueBatch(now, now, model, s.placedObjective, 20*time.Second, s.mixed)
+	decode := time.Duration((0.5 + o.random.Float64()) * float64(counter.ServiceTime()-counter.PromptTime()))
+	o.waiting = append(o.waiting, replayRequest{w, now, decode})
 }
 
 // sendGranted sends the granted requests, and withdraws those that have waited too long.
-func (s *deferralReplay) sendGranted(now time.Time) {
-	s.waiting = slices.DeleteFunc(s.waiting, func(r replayRequest) bool {
-		engine := slices.Index(engineNames, r.upstream())
-		if engine < 0 {
-			if now.Sub(r.arrived) <= r.maxWait {
-				return false
-			}
-			r.withdraw()
-			s.results[r.kind].expired++
+func (s *deferralReplay) sendGranted(now time.Time, kind int) {
+	o := s.owners[kind]
+	o.waiting = slices.DeleteFunc(o.waiting, func(r replayRequest) bool {
+		engine, waited := slices.Index(engineNames, counter.GrantedUpstream(r.Waiter)), now.Sub(r.arrived)
+		if engine >= 0 {
+			o.longestWait = max(o.longestWait, waited)
+			s.send(now, kind, engine, r)
 			return true
 		}
-		s.results[r.kind].longestWait = max(s.results[r.kind].longestWait, now.Sub(r.arrived))
-		s.engines[engine].queued = append(s.engines[engine].queued, r)
-		s.active[r.kind][engine]++
-		s.messages = append(s.messages, replayMessage{now.Add(messageDelay), r.kind, engine, s.active[r.kind][engine]})
-		return true
+		expired := waited > min(counter.MaxWait(r.Waiter), batchObjective)
+		if expired {
+			o.queue.Dequeue(r.Waiter)
+			o.expired++
+		}
+		return expired
 	})
 }
 
-// advance ends and starts requests at an engine.
-func (s *deferralReplay) advance(now time.Time, engine int) {
-	e := &s.engines[engine]
-	e.running = slices.DeleteFunc(e.running, func(r replayRequest) bool {
-		if r.ends.After(now) {
-			return false
-		}
-		s.pools[r.kind].Release(engineNames[engine])
-		s.active[r.kind][engine]--
-		return true
-	})
-	for len(e.queued) > 0 && len(e.running) < replaySlots {
-		r := e.queued[0]
-		e.queued = e.queued[1:]
-		if e.prefillEnds.Before(now) {
-			e.prefillEnds = now
-		}
-		e.prefillEnds = e.prefillEnds.Add(counter.PromptTime())
-		if e.prefillEnds.Sub(r.arrived) <= [kinds]time.Duration{urgentObjective, batchObjective}[r.kind] {
-			s.results[r.kind].inTime++
-		}
-		r.ends = e.prefillEnds.Add(r.decode)
-		e.running = append(e.running, r)
+func (s *deferralReplay) send(now time.Time, kind, engine int, r replayRequest) {
+	o, peer, name := s.owners[kind], s.owners[kinds-1-kind], engineNames[engine]
+	slices.SortFunc(s.freeAt[engine][:], time.Time.Compare)
+	first := slices.MaxFunc([]time.Time{now, s.freeAt[engine][0], s.prefill[engine]}, time.Time.Compare).Add(counter.PromptTime())
+	s.prefill[engine], s.freeAt[engine][0] = first, first.Add(r.decode)
+	if first.Sub(r.arrived) <= o.objective {
+		o.inTime++
 	}
+	o.active[engine]++
+	active := o.active[engine]
+	s.events = append(s.events,
+		replayEvent{now.Add(messageDelay), func(now time.Time) { peer.pool.PeerUses(now, name, active) }},
+		replayEvent{first.Add(r.decode), func(time.Time) {
+			o.pool.Release(name)
+			o.active[engine]--
+		}},
+	)
 }
 
-func scaled(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
-
 var _ = Describe("Batch requests beside urgent ones", func() {
 	// As ordinary requests, they take the slots that urgent requests of another owner need. If they
 	// always left a quarter of the slots, many of them would wait for their whole objective in vain.
 	It("leave capacity to urgent requests, and use what is left in time", func() {
-		var results [3][kinds]replayResult
+		lateUrgent, lateBatch, expired := [3]float64{}, [3]float64{}, [3]int{}
 		for i, policy := range []struct {
 			name      string
 			mixed     bool
 			objective time.Duration
 		}{{"as any other request", false, batchObjective}, {"a constant quarter", true, time.Hour}, {"the part", true, batchObjective}} {
 			for seed := range uint64(3) {
-				r := replay(policy.mixed, policy.objective, seed, 0.8, 0.08)
-				for kind := range kinds {
-					results[i][kind].add(r[kind])
-				}
+				u, b := replay(policy.mixed, policy.objective, seed, 0.8, 0.08)
+				lateUrgent[i], lateBatch[i], expired[i] = lateUrgent[i]+u.late()/3, lateBatch[i]+b.late()/3, expired[i]+b.expired
 			}
-			fmt.Fprintf(GinkgoWriter, "%s: urgent %+v, batch %+v\n", policy.name, results[i][urgent], results[i][batch])
+			fmt.Fprintf(GinkgoWriter, "%s: late urgent %.4f, late batch %.4f, expired %d\n", policy.name, lateUrgent[i], lateBatch[i], expired[i])
 		}
-		ordinary, constant, part := results[0], results[1], results[2]
-		Expect(part[urgent].late()).To(BeNumerically("<", 0.6*ordinary[urgent].late()))
-		Expect(part[batch].late()).To(BeNumerically("<", 0.15))
-		Expect(part[batch].expired).To(BeZero())
-		Expect(constant[batch].expired).To(BeNumerically(">", 20))
+		Expect(lateUrgent[2]).To(BeNumerically("<", 0.6*lateUrgent[0]))
+		Expect(lateBatch[2]).To(BeNumerically("<", 0.15))
+		Expect(expired[1]).To(BeNumerically(">", 20))
+		Expect(expired[2]).To(BeZero())
 	})
 
 	It("are served or rejected, and none waits forever, at 1.5 times the capacity", func() {
-		r := replay(true, batchObjective, 1, 1.4, 0.1)
-		fmt.Fprintf(GinkgoWriter, "1.5 times the capacity: urgent %+v, batch %+v\n", r[urgent], r[batch])
-		Expect(r[batch].late()).To(BeNumerically("<", 0.6))
-		Expect(r[batch].expired).To(BeZero())
-		Expect(r[batch].longestWait).To(BeNumerically("<=", batchObjective))
+		_, b := replay(true, batchObjective, 1, 1.4, 0.1)
+		Expect(b.late()).To(BeNumerically("<", 0.6))
+		Expect(b.expired).To(BeZero())
+		Expect(b.longestWait).To(BeNumerically("<=", batchObjective))
 	})
 })
 
@@ -313,9 +274,9 @@
 // BenchmarkDeferredDispatch dispatches 200 batch requests of different ages that wait for headroom.
 func BenchmarkDeferredDispatch(b *testing.B) {
 	pool := counter.NewUpstreamPool("here", lease)
-	for i := range replayEngines {
-		addSmallEngine(pool, engineNames[i], "m")
-		pool.PeerActive(start, engineNames[i], 11, 1)
+	for _, name := range engineNames {
+		addSmallEngine(pool, name, "m")
+		pool.PeerActive(start, name, 11, 1)
 	}
 	queue := counter.NewQueue(pool, 1)
 	for i := range 200 {
