--- a/internal/counter/deferral_test.go
+++ b/internal/counter/deferral_test.go
@@ -233,10 +233,21 @@
 		pool.PeerActive(start, "e", 11, 1)
 		now := start.Add(time.Millisecond)
 		Expect(enqueue(now, 0, "m", true)).To(BeFalse())
-		Expect(enqueue(now, 7*time.Second, "m", true)).To(BeTrue(), "one of the same model waits with another headroom")
+		Expect(enqueue(now, 7*time.Second, "m", true)).To(BeTrue())
 		Expect(enqueue(now.Add(time.Second), 0, "m", false)).To(BeTrue())
 	})
 
+	// One failed selection applies to all waiting requests that need the same.
+	It("that leaves headroom does not hold back a less urgent request of its model that needs none", func() {
+		pool.PeerActive(start, "e", 12, 1)
+		waits := queue.EnqueueBatch(start, start, "m", batchObjective, 30*time.Second, true)
+		late := queue.EnqueueAs(start.Add(-time.Second), "m", "", 1, urgentObjective)
+		pool.PeerActive(start, "e", 11, 1)
+		queue.Dispatch(start.Add(200 * time.Millisecond))
+		Expect(counter.Granted(late)).To(BeTrue())
+		Expect(counter.Granted(waits)).To(BeFalse())
+	})
+
 	It("goes after an urgent request that arrived later, even a late one, for the same engine", func() {
 		pool.PeerActive(start, "e", 12, 1)
 		waits := queue.EnqueueBatch(start, start, "m", batchObjective, 30*time.Second, true)
