--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -53,6 +53,7 @@
 	turns map[string]tally.Counter
 	// quotaDecisions counts the quota decisions on this instance's requests, by workspace.
 	quotaDecisions map[quotaDecisionKey]tally.Counter
+	batch          batchMetrics
 }
 
 // quotaDecisionKey distinguishes the counters of quota decisions.
@@ -105,6 +106,7 @@
 		originReports:  scope.Counter("stream_origin_reports"),
 		quotaDecisions: map[quotaDecisionKey]tally.Counter{},
 		decisions:      map[string]tally.Counter{}, ownerAnswers: map[string]tally.Counter{},
+		batch: newBatchMetrics(scope),
 	}
 }
 
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/aging"
+	"github.com/lovagelift/lovagelift/internal/deferral"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/reservation"
 	"github.com/lovagelift/lovagelift/internal/resumption"
@@ -26,6 +27,8 @@
 	boosted bool
 	// arrival is what the caller was told before.
 	arrival reservation.Arrival
+	// deferred is the state of a batch request.
+	deferred deferredWait
 }
 
 // requester receives the grant: a localRequest or a peerRequest.
@@ -76,12 +79,15 @@
 	lastBoostCheck   time.Time
 	// reservations are those of the models that this instance owns.
 	reservations map[modelKey]*reservation.Schedule
+	// deferredThroughput is that of the batch requests of each model that an engine holds.
+	deferredThroughput map[modelKey]*deferral.Throughput
 }
 
 func newQueue() queue {
 	return queue{
 		recentGrants: map[modelKey]*slidingWindow{}, starvation: aging.New[target](starvationOptions), grantsSinceBoost: map[modelKey]int{},
-		reservations: map[modelKey]*reservation.Schedule{},
+		reservations:       map[modelKey]*reservation.Schedule{},
+		deferredThroughput: map[modelKey]*deferral.Throughput{},
 	}
 }
 
@@ -144,6 +150,8 @@
 	software resumption.Constraint
 	// sender is set if any upstream pushes back to it.
 	sender netip.AddrPort
+	// headroom has few values, so that few selections are made for the batch requests of a target.
+	headroom deferral.Headroom
 }
 
 // dispatch grants upstreams to waiting requests in order of priority. p.mu is held.
@@ -174,7 +182,7 @@
 		cacheable := len(w.requirements.tried) == 0 && !w.boosted
 		if !known || !cacheable {
 			query := w.requirements.query()
-			query.boosted = w.boosted
+			query.boosted, query.headroom = w.boosted, key.headroom
 			if w.requirements.group != "" {
 				chosen, missing, cacheable = p.choosePlain(now, w)
 			} else {
@@ -186,6 +194,7 @@
 			if cacheable {
 				failed[key] = missing
 			}
+			p.recordDeferred(now, w)
 			remaining = append(remaining, w)
 			continue
 		}
@@ -197,7 +206,7 @@
 }
 
 func (p *Proxy) selectionKey(now time.Time, req *requirements) selectionKey {
-	key := selectionKey{target: req.target, group: req.group, pacing: req.pacing, software: req.software}
+	key := selectionKey{target: req.target, group: req.group, pacing: req.pacing, software: req.software, headroom: req.headroom(now)}
 	if p.pool.anyPushesBack(now, req.sender) {
 		key.sender = req.sender
 	}
@@ -212,6 +221,7 @@
 	p.queue.recordGrant(now, &w.requirements)
 	p.queue.recordBoost(w)
 	p.recordTurn(now, w)
+	p.recordDeferredGrant(now, w)
 	p.updateWaiting(w, false)
 	switch to := w.requester.(type) {
 	case localRequest:
--- a/internal/counter/reservations.go
+++ b/internal/counter/reservations.go
@@ -173,7 +173,7 @@
 		p.metrics.countTurns(turnMissed, 1)
 	}
 	// If it was withdrawn later than that, its caller was told another time, or none.
-	if !inVain || overdue > waitedTolerance || w.missing != missingCapacity || len(req.tried) > 0 {
+	if !inVain || overdue > waitedTolerance || w.missing < missingCapacity || len(req.tried) > 0 {
 		return
 	}
 	if _, loading := p.pool.loadTime(now, req.query()); loading {
