speed, counter, permit: the speed of each engine, learned and used for placement

Cause: times of prompts are estimated once for all engines of a service, so slow engines get prompts at twice the rate that their streams tolerate. Change: speed.Relative holds the factor of an engine, Estimator.ObserveResponse relates responses to the mean engine, and placement, pacing and forecasts use the factor while the routes mix urgency. SpeedReport tells it to other owners.

--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -25,6 +25,8 @@
 	software resumption.Constraint
 	// boosted allows an engine without free capacity.
 	boosted bool
+	// speed holds what is compared with the speeds of upstreams.
+	speed speedQuery
 }
 
 // missingResource is the reason why no upstream matches a query. Larger values mean that more of
@@ -66,6 +68,7 @@
 	missing := missingService
 	ties := 1.0
 	for u := range p.eligible(now, q) {
+		q := q.at(now, u)
 		if reason := u.missing(now, q, random); reason != missingNone {
 			missing = max(missing, reason)
 			continue
@@ -81,6 +84,9 @@
 			}
 		}
 	}
+	if best != nil && p.waitsForSuitable(now, q, best) {
+		return nil, missingCapacity
+	}
 	if best != nil {
 		return best, missingNone
 	}
@@ -165,7 +171,10 @@
 func (u *upstream) cost(now time.Time, q upstreamQuery) float64 {
 	slots := float64(max(u.slots, 1))
 	cost := float64(u.active) / slots
-	if q.model != "" {
+	switch {
+	case q.speed.mixed:
+		cost = u.predictedCost(now, q)
+	case q.model != "":
 		cost = u.backlog.remaining(now).Seconds()/(q.pacing.prefillShare*defaultMaxGap.Seconds()) + u.load(now)/slots
 	}
 	if u.remote {
--- a/internal/counter/estimators.go
+++ b/internal/counter/estimators.go
@@ -23,6 +23,9 @@
 	req.pacing = pacingFor(req.maxGap, estimator)
 	req.prefillTime = estimator.PrefillTime(req.model, req.promptTokens)
 	req.decodeTime = estimator.AnswerTime(req.outputTokens)
+	if req.mixed {
+		req.eventInterval = estimator.ModelEventInterval(req.model)
+	}
 }
 
 // speedByName returns the speed estimate of a service by name, or the default estimate if no route
@@ -60,12 +63,16 @@
 	}
 }
 
-// recordSpeed updates the speed estimate of a service with a measurement. p.mu is held.
-func (p *Proxy) recordSpeed(req *requirements, s speedSample) {
+// recordSpeed updates the speed estimate of a service with a measurement at an upstream. p.mu is held.
+func (p *Proxy) recordSpeed(now time.Time, u *upstream, req *requirements, s speedSample) {
 	estimator := p.estimators[req.service]
 	if estimator == nil || s.serviceTime <= 0 {
 		return
 	}
+	if req.mixed {
+		p.recordEngineSpeed(now, u, req, s, estimator)
+		return
+	}
 	estimator.ObservePrefill(req.model, req.promptTokens, s.firstEvent)
 	estimator.ObserveRequest(s.serviceTime)
 	estimator.ObserveStream(req.outputTokens, s.events, s.streaming)
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -77,7 +77,7 @@
 	if rejected := p.rejectHeldBack(now, w); rejected != nil {
 		return rejected
 	}
-	if forecast := p.forecastWait(now, w); forecast > req.maxForecast(now) && !p.queue.isOnlyStarved(now, w) {
+	if forecast := p.forecastWait(now, w); forecast > req.maxForecast(now) && !p.queue.isOnlyStarved(now, w) && !p.acceptsAnySpeed(now, w) {
 		return &rejection{reason: permit.WaitTooLong, retryAfter: req.retryAfterWait(now, forecast), forecastWait: forecast}
 	}
 	if req.model == "" || w.missing != missingModel {
@@ -136,11 +136,11 @@
 // is held.
 func (p *Proxy) capacity(now time.Time, w *waiter) float64 {
 	req := &w.requirements
-	slots := 0
+	slots := 0.0
 	for u := range p.pool.eligible(now, req.query()) {
 		if u.canRun(req.model, req.adapter) && !u.pushesBack(now, req.sender) {
-			slots += u.slots
+			slots += u.capacityFor(now, req)
 		}
 	}
-	return float64(slots) / max(req.pacing.serviceTime.Seconds(), dispatchInterval.Seconds()) / float64(max(w.placingInstances, 1))
+	return slots / max(req.pacing.serviceTime.Seconds(), dispatchInterval.Seconds()) / float64(max(w.placingInstances, 1))
 }
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -49,6 +49,18 @@
 	originReports tally.Counter
 	// quotaDecisions counts the quota decisions on this instance's requests, by workspace.
 	quotaDecisions map[quotaDecisionKey]tally.Counter
+	// engineFactors are the engines' factors after each response, and speedReports counts the reports of
+	// them to other owners.
+	engineFactors tally.Histogram
+	speedReports  tally.Counter
+}
+
+// factorBuckets are the histogram bounds of the engines' factors.
+var factorBuckets = tally.ValueBuckets{0.25, 0.4, 0.6, 0.8, 1, 1.25, 1.6, 2, 2.5, 4}
+
+// recordFactor records the factor of an engine after a response.
+func (m *metrics) recordFactor(factor float64) {
+	m.engineFactors.RecordValue(factor)
 }
 
 // quotaDecisionKey distinguishes the counters of quota decisions.
@@ -98,6 +110,8 @@
 		resumptions:    map[string]tally.Counter{},
 		originReports:  scope.Counter("stream_origin_reports"),
 		quotaDecisions: map[quotaDecisionKey]tally.Counter{},
+		engineFactors:  scope.Histogram("engine_factor", factorBuckets),
+		speedReports:   scope.Counter("speed_reports"),
 		decisions:      map[string]tally.Counter{}, ownerAnswers: map[string]tally.Counter{},
 	}
 }
@@ -218,6 +232,7 @@
 	scope.Gauge("upstreams").Update(float64(len(p.pool.byName)))
 	scope.Gauge("stream_origins").Update(float64(p.origins.Len()))
 	p.updateLimitMetrics()
+	p.updateSpeedMetrics(now)
 	scope.Gauge("news_age_seconds").Update(now.Sub(p.control.lastSyncSent).Seconds())
 	if table := p.routes.Load(); table != nil {
 		scope.Gauge("routes_version").Update(float64(table.Version))
--- a/internal/counter/owners.go
+++ b/internal/counter/owners.go
@@ -131,8 +131,9 @@
 	if req.model == "" {
 		return
 	}
+	prefillTime, _ := req.costAt(now, u)
 	for _, owner := range p.modelOwners(now, u) {
-		p.peers.send(owner, permit.LoadReport{Upstream: u.name, PrefillTime: req.prefillTime, ActiveRequests: u.active})
+		p.peers.send(owner, permit.LoadReport{Upstream: u.name, PrefillTime: prefillTime, ActiveRequests: u.active})
 	}
 }
 
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -52,6 +52,8 @@
 		p.receiveLeave(m)
 	case permit.RefusalReport:
 		p.receiveRefusal(now, m)
+	case permit.SpeedReport:
+		p.receiveSpeed(now, m)
 	case permit.SendRequest:
 		p.handleClaim(now, from, m)
 	case permit.QuotaRequest:
@@ -121,7 +123,7 @@
 	record.grant = granted
 	p.metrics.countDecision("granted")
 	req := &record.waiter.requirements
-	record.expires = now.Add(min(req.deadline.Sub(now), max(maxPermitServiceTimes*req.pacing.serviceTime, minPermitTime)))
+	record.expires = now.Add(min(req.deadline.Sub(now), max(maxPermitServiceTimes*granted.upstream.pacing.serviceTime, minPermitTime)))
 	p.sendDecision(requester, record)
 }
 
@@ -146,7 +148,7 @@
 	p.removePermit(requester, record)
 	if u := record.grant.upstream; u != nil {
 		u.recordOutcome(now, record.waiter.requirements.target, m.Outcome)
-		p.recordSpeed(&record.waiter.requirements, speedSample{firstEvent: m.FirstEventTime, serviceTime: m.RunTime, events: m.Events, streaming: m.StreamTime})
+		p.recordSpeed(now, u, &record.waiter.requirements, speedSample{firstEvent: m.FirstEventTime, serviceTime: m.RunTime, events: m.Events, streaming: m.StreamTime})
 	}
 }
 
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -127,6 +127,7 @@
 	target
 	pacing   pacing
 	software resumption.Constraint
+	speed    speedClass
 	// sender is set if any upstream pushes back to it.
 	sender netip.AddrPort
 }
@@ -178,7 +179,7 @@
 }
 
 func (p *Proxy) selectionKey(now time.Time, req *requirements) selectionKey {
-	key := selectionKey{target: req.target, pacing: req.pacing, software: req.software}
+	key := selectionKey{target: req.target, pacing: req.pacing, software: req.software, speed: req.speedClass()}
 	if p.pool.anyPushesBack(now, req.sender) {
 		key.sender = req.sender
 	}
@@ -188,7 +189,8 @@
 // issueGrant grants chosen to a waiting request. p.mu is held.
 func (p *Proxy) issueGrant(now time.Time, w *waiter, chosen *upstream) {
 	granted := grant{upstream: chosen, prefillAhead: chosen.backlog.remaining(now)}
-	chosen.recordSend(now, w.requirements.prefillTime, w.requirements.pacing)
+	prefillTime, pacing := w.requirements.costAt(now, chosen)
+	chosen.recordSend(now, prefillTime, pacing)
 	p.notifyUse(now, chosen, &w.requirements)
 	p.queue.recordGrant(now, &w.requirements)
 	p.queue.recordBoost(w)
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -48,10 +48,17 @@
 	// response occupies a slot of the batch.
 	prefillTime time.Duration
 	decodeTime  time.Duration
+	// eventInterval is the time between two events of the stream. It is set only if mixed is. anySpeed is
+	// true if the request does not wait for a suitable engine.
+	eventInterval time.Duration
+	anySpeed      bool
 }
 
 func (req *requirements) query() upstreamQuery {
-	return upstreamQuery{service: req.service, model: req.model, adapter: req.adapter, pacing: req.pacing, sender: req.sender, tried: req.tried, software: req.software}
+	return upstreamQuery{
+		service: req.service, model: req.model, adapter: req.adapter, pacing: req.pacing, sender: req.sender, tried: req.tried, software: req.software,
+		speed: req.speedQuery(),
+	}
 }
 
 func (req *requirements) modelKey() modelKey {
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -157,12 +157,14 @@
 // logAttempt logs and counts the result of an attempt.
 func (p *Proxy) logAttempt(t *transaction, a *upstreamAttempt, event string, status int, verdict string) {
 	now := p.options.Now()
+	factor, hasFactor := 1.0, false
 	p.mu.Lock()
 	if status != 0 {
 		p.metrics.countAnswer(now, t, status)
 		if a.framing == shuttle.UntilClose {
 			p.metrics.countUntilClose(event, a.endsInsideEvent())
 		}
+		factor, hasFactor = p.speedFactor(now, t, a.upstream)
 	} else {
 		p.metrics.countFailedSend(verdict)
 	}
@@ -190,6 +192,9 @@
 	if t.quotaCost > 0 {
 		line = line.Str("workspace", t.workspaceName()).Float64("cost", t.quotaCost)
 	}
+	if hasFactor {
+		line = line.Float64("speed-factor", factor)
+	}
 	if a.owner.IsValid() {
 		line = line.Stringer("placed-by", a.owner)
 	}
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -74,7 +74,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a.upstream.recordOutcome(now, t.target, a.outcome)
-	p.recordSpeed(&t.requirements, a.speed)
+	p.recordSpeed(now, a.upstream, &t.requirements, a.speed)
 	if !a.owner.IsValid() {
 		a.upstream.release()
 		return
--- a/internal/counter/survey.go
+++ b/internal/counter/survey.go
@@ -28,7 +28,7 @@
 			s.Avoided++
 		case u.isFull(now):
 			s.Full++
-		case now.Before(u.backlog.readySince(q.pacing)):
+		case now.Before(u.backlog.readySince(q.at(now, u).pacing)):
 			s.PrefillBusy++
 		default:
 			s.Yielding++
--- a/internal/counter/upstreampool.go
+++ b/internal/counter/upstreampool.go
@@ -84,6 +84,7 @@
 	history  loadHistory
 	backlog  promptBacklog
 	pacing   pacing
+	speed    upstreamSpeed
 	// backoff and activePeers keep instances from sending at the same moment.
 	backoff     sendBackoff
 	activePeers activePeers
--- a/internal/permit/decode.go
+++ b/internal/permit/decode.go
@@ -9,6 +9,7 @@
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
+	"github.com/lovagelift/lovagelift/internal/speed"
 )
 
 const (
@@ -88,6 +89,8 @@
 		return LeaveReport{Upstream: r.String(), Incarnation: r.Uint()}
 	case kindRefusalReport:
 		return RefusalReport{Upstream: r.String(), Incarnation: r.Uint(), Tolerance: r.count()}
+	case kindSpeedReport:
+		return SpeedReport{Upstream: r.String(), Incarnation: r.Uint(), Factor: r.factor(), Samples: r.count()}
 	case kindSendRequest:
 		return SendRequest{ID: r.id(), Upstream: r.String(), Limit: r.limit()}
 	case kindTrialRequest:
@@ -152,6 +155,15 @@
 	return limit
 }
 
+func (r reader) factor() float64 {
+	factor := float64(r.Uint()) / factorUnits
+	if factor < speed.MinFactor || factor > speed.MaxFactor {
+		r.Fail()
+		return 0
+	}
+	return factor
+}
+
 func (r reader) units() float64 {
 	return float64(r.uintUpTo(maxUnits))
 }
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -44,6 +44,7 @@
 	kindTrialRequest
 	// kindIdentifiedRequest is a Request with a workspace or a caller.
 	kindIdentifiedRequest
+	kindSpeedReport
 )
 
 // Append appends the encoding of a message to buffer.
@@ -85,6 +86,10 @@
 		return appendProcess(buffer, kindLeaveReport, m.Upstream, m.Incarnation)
 	case RefusalReport:
 		return parcel.AppendUint(appendProcess(buffer, kindRefusalReport, m.Upstream, m.Incarnation), uint64(m.Tolerance))
+	case SpeedReport:
+		buffer = appendProcess(buffer, kindSpeedReport, m.Upstream, m.Incarnation)
+		buffer = parcel.AppendUint(buffer, uint64(math.Round(m.Factor*factorUnits)))
+		return parcel.AppendUint(buffer, uint64(m.Samples))
 	case SendRequest, TrialRequest, SendAllowed, SendDelayed:
 		return appendSend(buffer, message)
 	case StreamReport, StreamQuery, StreamFound, StreamUnknown:
@@ -169,6 +174,9 @@
 	return parcel.AppendUint(buffer, uint64(math.Round(float64(limit)*limitUnits)))
 }
 
+// factorUnits is the factor of an encoded speed, which is in thousandths.
+const factorUnits = 1000
+
 func appendBool(buffer []byte, set bool) []byte {
 	if set {
 		return append(buffer, 1)
--- a/internal/permit/encode_test.go
+++ b/internal/permit/encode_test.go
@@ -35,6 +35,8 @@
 		permit.LimitReport{Upstream: "e1"},
 		permit.LeaveReport{Upstream: "e1", Incarnation: 1 << 60},
 		permit.RefusalReport{Upstream: "e1", Incarnation: 1 << 60, Tolerance: 12},
+		permit.SpeedReport{Upstream: "e1", Incarnation: 1 << 60, Factor: 1.6, Samples: 7},
+		permit.SpeedReport{Upstream: "e1", Factor: 0.25},
 		permit.PushbackReport{Upstream: "e1", Incarnation: 1 << 60, Remaining: 3 * time.Second},
 		permit.SendRequest{ID: 7, Upstream: "e1", Limit: 0.3},
 		permit.TrialRequest{ID: 20, Trial: 1 << 63},
@@ -78,6 +80,16 @@
 	})
 })
 
+// A factor of 0 or without bound from a damaged message would stop all requests to an engine, or draw all
+// of them there.
+var _ = DescribeTable("A report of a speed beyond the bounds is rejected",
+	func(factor float64) {
+		_, err := permit.Decode(permit.Append(nil, permit.SpeedReport{Upstream: "e1", Factor: factor, Samples: 3}))
+		Expect(err).To(MatchError(permit.ErrDamaged))
+	},
+	Entry("no time", 0.0), Entry("too fast", 0.2), Entry("too slow", 4.5),
+)
+
 // FuzzDecode checks that arbitrary bytes cause no panic, and that a decoded message stays
 // the same after another encoding and decoding.
 func FuzzDecode(f *testing.F) {
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -183,6 +183,17 @@
 	Tolerance int
 }
 
+// SpeedReport reports the speed of an engine to the owners of its other models.
+type SpeedReport struct {
+	Upstream string
+	// Incarnation is that of the upstream, 0 if the sender doesn't know it.
+	Incarnation uint64
+	// Factor is the factor of the engine's times against the mean of its service, from speed.MinFactor to
+	// speed.MaxFactor, and Samples the number of responses from which the sender has learned it.
+	Factor  float64
+	Samples int
+}
+
 // SendRequest asks the owner of an upstream's rate limit for permission to send one request. It
 // may be sent again: the owner repeats its decision.
 type SendRequest struct {
@@ -287,6 +298,7 @@
 func (PushbackReport) message() {}
 func (LeaveReport) message()    {}
 func (RefusalReport) message()  {}
+func (SpeedReport) message()    {}
 func (SendRequest) message()    {}
 func (TrialRequest) message()   {}
 func (SendAllowed) message()    {}
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -67,6 +67,8 @@
 	tokenSeconds float64
 	// requestSeconds is the time that a request spends at an engine.
 	requestSeconds float64
+	// references are used and updated only by ObserveResponse.
+	references references
 }
 
 // New returns an Estimator that holds the priors. tokensPerEvent is the number of tokens in
@@ -77,6 +79,9 @@
 		models: map[string]*regression{}, eventSeconds: event.Seconds(), priorEventTime: event,
 		tokenSeconds: priorDecodeStep.Seconds(), requestSeconds: priorRequestTime.Seconds(),
 	}
+	estimator.references = references{
+		allModels: logMean{mean: math.Log(event.Seconds()), weight: decodePriorSamples}, models: map[string]*logMean{},
+	}
 	estimator.allModels.addPrior(1.0/priorPrefillTokensPerSecond, priorOverhead.Seconds(), priorSamples)
 	return estimator
 }
