counter, speed: overdue requests count as slowness; tests and a benchmark of placement by speed

Cause: an engine that becomes five times slower completes nothing for many seconds, so no response tells; the interval of events over all models is that of the fastest models. Change: two requests that run longer than expected are a lower bound of the engine's factor; the event interval is normalized by model; a replay of three speeds, a slowdown, and a benchmark of a choice.

--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -173,7 +173,7 @@
 	cost := float64(u.active) / slots
 	switch {
 	case q.speed.mixed:
-		cost = u.predictedCost(now, q)
+		cost = u.predictedCost(now, &q)
 	case q.model != "":
 		cost = u.backlog.remaining(now).Seconds()/(q.pacing.prefillShare*defaultMaxGap.Seconds()) + u.load(now)/slots
 	}
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -267,9 +267,10 @@
 	return i.takeSent()
 }
 
-// ExpirePermits removes permits whose time has run out.
-func (i Instance) ExpirePermits(now time.Time) {
+// ExpirePermits removes permits whose time has run out, and returns the messages sent.
+func (i Instance) ExpirePermits(now time.Time) []SentMessage {
 	i.proxy.expirePermits(now)
+	return i.takeSent()
 }
 
 // Drain begins a planned shutdown.
@@ -377,3 +378,31 @@
 	}
 	return lost
 }
+
+// SetRoutes puts routes in force.
+func (i Instance) SetRoutes(table *routes.Table) {
+	i.proxy.routes.Store(table)
+	i.proxy.estimators = map[string]*speed.Estimator{}
+}
+
+// EngineFactor returns the speed factor of an upstream.
+func (p UpstreamPool) EngineFactor(now time.Time, name string) float64 {
+	return p.pool.byName[name].speed.Factor(now)
+}
+
+// SetEngineFactor records the speed factor of an upstream as of nine responses.
+func (p UpstreamPool) SetEngineFactor(now time.Time, name string, factor float64) {
+	for range 9 {
+		p.pool.byName[name].speed.Observe(now, factor)
+	}
+}
+
+// ChooserBySpeed returns a function that selects an upstream for an interactive request, by speed if the
+// routes mix urgency.
+func (p UpstreamPool) ChooserBySpeed(arrived time.Time, model string, tokens int, mixed bool) func(now time.Time) {
+	req := requirements{
+		target: target{service: "pool", model: model}, mixed: mixed, objective: time.Second, arrived: arrived, maxGap: 300 * time.Millisecond,
+		pacing: pacingFor(p.maxGap, speed.New(3)), prefillTime: prefillTime(tokens), eventInterval: 40 * time.Millisecond,
+	}
+	return func(now time.Time) { p.pool.choose(now, req.query(), 0.5) }
+}
--- a/internal/counter/peerload.go
+++ b/internal/counter/peerload.go
@@ -16,6 +16,16 @@
 	byInstance map[uint32]peerCount
 	total      float64
 	asOf       time.Time
+	// latest is the latest result of estimate. A selection needs the load of each engine several times.
+	latest loadEstimate
+}
+
+// loadEstimate is an estimated load with the arguments for which it was computed. It is invalid if at is
+// zero.
+type loadEstimate struct {
+	at          time.Time
+	serviceTime time.Duration
+	load        float64
 }
 
 // peerCount is the last count reported by one instance.
@@ -32,6 +42,7 @@
 	previous := l.byInstance[peer]
 	rest := l.estimate(now, serviceTime) - float64(previous.active)*decay(now.Sub(previous.at), serviceTime)
 	l.total, l.asOf = max(rest, 0)+float64(active), now
+	l.latest = loadEstimate{}
 	l.byInstance[peer] = peerCount{active: active, at: now}
 }
 
@@ -40,11 +51,15 @@
 func (l *peerLoad) correct(now, at time.Time, serviceTime time.Duration, difference float64) {
 	rest := l.estimate(now, serviceTime) + difference*decay(now.Sub(at), serviceTime)
 	l.total, l.asOf = max(rest, 0), now
+	l.latest = loadEstimate{}
 }
 
 // estimate returns the estimated number of requests at now.
 func (l *peerLoad) estimate(now time.Time, serviceTime time.Duration) float64 {
-	return l.total * decay(now.Sub(l.asOf), serviceTime)
+	if l.latest.at.IsZero() || l.latest.serviceTime != serviceTime || !l.latest.at.Equal(now) {
+		l.latest = loadEstimate{at: now, serviceTime: serviceTime, load: l.total * decay(now.Sub(l.asOf), serviceTime)}
+	}
+	return l.latest.load
 }
 
 // decay returns the share of requests still running after age, between 0 and 1.
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -15,6 +15,8 @@
 	waiter *waiter
 	// grant has no upstream while the request is queued.
 	grant grant
+	// granted is when the request got its permit.
+	granted time.Time
 	// expires is when the permit is removed even without a message from the peer, which may be
 	// gone.
 	expires time.Time
@@ -120,7 +122,7 @@
 // issuePermit grants an upstream to a peer's request. p.mu is held.
 func (p *Proxy) issuePermit(now time.Time, requester peerRequest, granted grant) {
 	record := p.permits[requester]
-	record.grant = granted
+	record.grant, record.granted = granted, now
 	p.metrics.countDecision("granted")
 	req := &record.waiter.requirements
 	record.expires = now.Add(min(req.deadline.Sub(now), max(maxPermitServiceTimes*granted.upstream.pacing.serviceTime, minPermitTime)))
@@ -166,6 +168,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expireAnswers(now)
+	p.updateOverdue(now)
 	for requester, record := range p.permits {
 		if now.After(record.expires) {
 			p.removePermit(requester, record)
--- a/internal/counter/relativespeed.go
+++ b/internal/counter/relativespeed.go
@@ -44,6 +44,10 @@
 	// reportedFactor is the factor last reported to other owners, 0 if none was, and reportedAt when.
 	reportedFactor float64
 	reportedAt     time.Time
+	overdue        overdue
+	// cached is the factor as of cachedAt. It is invalid if cachedAt is zero.
+	cached   float64
+	cachedAt time.Time
 }
 
 // speedQuery holds the times of a request, on the mean engine of its service or, in a query for one
@@ -63,8 +67,9 @@
 	// waits for a suitable engine. Both are zero if there is no objective.
 	startBy   time.Time
 	holdUntil time.Time
-	// factor is that of the engine.
+	// factor is that of the engine, and load the estimated number of requests there.
 	factor float64
+	load   float64
 }
 
 // speedQuery returns the speed part of a query.
@@ -89,20 +94,23 @@
 }
 
 // tolerance returns the prefill time that fits into one gap of the streams beside it.
-func (s speedQuery) tolerance() time.Duration {
+func (s *speedQuery) tolerance() time.Duration {
 	return s.maxGap - s.eventInterval - gapMargin
 }
 
+// prefillShare returns the share of its time that the engine may spend on prefill.
+func (s *speedQuery) prefillShare() float64 {
+	return max(float64(s.tolerance())/float64(s.maxGap), minPrefillShare)
+}
+
 // at returns the query with the times on u.
 func (q upstreamQuery) at(now time.Time, u *upstream) upstreamQuery {
-	if !q.speed.mixed {
-		return q
+	if q.speed.mixed {
+		s := &q.speed
+		s.factor, s.load = u.speed.Factor(now), u.load(now)
+		s.prefillTime, s.eventInterval = scale(s.prefillTime, s.factor), scale(s.eventInterval, s.factor)
+		q.pacing = pacing{prefillShare: s.prefillShare(), serviceTime: scale(q.pacing.serviceTime, s.factor)}
 	}
-	q.speed.factor = u.speed.Factor(now)
-	q.speed.prefillTime = scale(q.speed.prefillTime, q.speed.factor)
-	q.speed.eventInterval = scale(q.speed.eventInterval, q.speed.factor)
-	q.pacing.serviceTime = scale(q.pacing.serviceTime, q.speed.factor)
-	q.pacing.prefillShare = max(q.speed.tolerance().Seconds()/q.speed.maxGap.Seconds(), minPrefillShare)
 	return q
 }
 
@@ -119,32 +127,34 @@
 // speeds of engines.
 type speedClass struct {
 	batch, anySpeed bool
-	prompt          int
+	// prompt is a logarithm of the prefill time. It is small because map keys of more than 128 bytes are
+	// allocated.
+	prompt uint8
 }
 
 func (req *requirements) speedClass() speedClass {
 	if !req.mixed || req.model == "" {
 		return speedClass{}
 	}
-	milliseconds := max(req.prefillTime.Seconds()*1000, 1)
-	return speedClass{batch: req.batch, anySpeed: req.anySpeed, prompt: int(promptClassesPerDoubling * math.Log2(milliseconds))}
+	milliseconds := min(max(req.prefillTime.Seconds()*1000, 1), math.MaxInt32)
+	return speedClass{batch: req.batch, anySpeed: req.anySpeed, prompt: uint8(promptClassesPerDoubling * math.Log2(milliseconds))}
 }
 
 // suits reports whether the request, sent to u at a given time, starts in time there, streams without
 // long pauses, and does not make the streams beside it pause for too long. The query is that at u.
-func (q upstreamQuery) suits(now, sent time.Time, u *upstream) bool {
+func (q *upstreamQuery) suits(sent time.Time, u *upstream) bool {
 	tolerance := q.speed.tolerance()
 	switch {
 	case tolerance < scale(q.speed.maxGap, minPrefillShare):
 		return false
-	case q.speed.prefillTime > tolerance && u.load(now) >= minRunning:
+	case q.speed.prefillTime > tolerance && q.speed.load >= minRunning:
 		return false
 	}
 	return q.speed.startBy.IsZero() || !sent.Add(q.timeToStart(sent, u)).After(q.speed.startBy)
 }
 
 // timeToStart returns the predicted time to the first event of a request sent to u at a given time.
-func (q upstreamQuery) timeToStart(sent time.Time, u *upstream) time.Duration {
+func (q *upstreamQuery) timeToStart(sent time.Time, u *upstream) time.Duration {
 	return scale(u.backlog.remaining(sent), 1/q.pacing.prefillShare) + q.speed.prefillTime + gapMargin
 }
 
@@ -152,17 +162,16 @@
 // prefilled, the pause that the prompt causes there as a share of the one that its streams tolerate, and
 // its load. An interactive request costs more at a slow engine, where it takes a slot for longer, and a
 // batch request at a fast one that others use.
-func (u *upstream) predictedCost(now time.Time, q upstreamQuery) float64 {
+func (u *upstream) predictedCost(now time.Time, q *upstreamQuery) float64 {
 	slots := float64(max(u.slots, 1))
-	tolerance := max(q.speed.tolerance(), scale(q.speed.maxGap, minPrefillShare))
-	cost := u.backlog.remaining(now).Seconds()/(q.pacing.prefillShare*defaultMaxGap.Seconds()) +
-		q.speed.prefillTime.Seconds()/tolerance.Seconds()
+	tolerance := q.pacing.prefillShare * float64(q.speed.maxGap)
+	cost := float64(u.backlog.remaining(now))/(q.pacing.prefillShare*float64(defaultMaxGap)) + float64(q.speed.prefillTime)/tolerance
 	if q.speed.batch {
-		cost += u.load(now) / slots / q.speed.factor
+		cost += q.speed.load / slots / q.speed.factor
 	} else {
-		cost += (u.load(now) + 1) / slots * q.speed.factor
+		cost += (q.speed.load + 1) / slots * q.speed.factor
 	}
-	if !q.suits(now, now, u) {
+	if !q.suits(now, u) {
 		cost += unsuitableCost
 	}
 	return cost
@@ -171,15 +180,19 @@
 // waitsForSuitable reports whether a request waits although best has capacity, because another engine
 // that suits it better will have capacity in time.
 func (p *upstreamPool) waitsForSuitable(now time.Time, q upstreamQuery, best *upstream) bool {
-	if !q.speed.mixed || q.speed.anySpeed || q.boosted || !now.Before(q.speed.holdUntil) || q.at(now, best).suits(now, now, best) {
+	if !q.speed.mixed || q.speed.anySpeed || q.boosted || !now.Before(q.speed.holdUntil) {
+		return false
+	}
+	if at := q.at(now, best); at.suits(now, best) {
 		return false
 	}
 	for u := range p.eligible(now, q) {
-		if u != best && u.mayTakeLater(now, q) {
-			at := q.at(now, u)
-			if ready := u.readyAt(now, at); !ready.After(q.speed.holdUntil) && at.suits(now, ready, u) {
-				return true
-			}
+		if u == best || !u.mayTakeLater(now, q) {
+			continue
+		}
+		at := q.at(now, u)
+		if ready := u.readyAt(now, &at); !ready.After(q.speed.holdUntil) && at.suits(ready, u) {
+			return true
 		}
 	}
 	return false
@@ -193,7 +206,7 @@
 
 // readyAt returns the predicted time at which an engine has capacity. Requests end at the rate of the
 // slots over the service time. The query is that at u.
-func (u *upstream) readyAt(now time.Time, q upstreamQuery) time.Time {
+func (u *upstream) readyAt(now time.Time, q *upstreamQuery) time.Time {
 	ready := u.backlog.readySince(q.pacing)
 	if ready.Before(now) {
 		ready = now
@@ -201,7 +214,7 @@
 	if u.slots == 0 {
 		return ready
 	}
-	excess := u.load(now) - float64(u.slots) + 1
+	excess := q.speed.load - float64(u.slots) + 1
 	slotFree := now.Add(scale(q.pacing.serviceTime, max(excess, 0)/float64(u.slots)))
 	if slotFree.After(ready) {
 		return slotFree
@@ -236,11 +249,12 @@
 // p.mu is held.
 func (p *Proxy) recordEngineSpeed(now time.Time, u *upstream, req *requirements, s speedSample, estimator *speed.Estimator) {
 	u = p.pool.current(u)
-	ratio := estimator.ObserveResponse(u.speed.Factor(now), speed.Response{
+	ratio := estimator.ObserveResponse(u.speed.Relative.Factor(now), speed.Response{
 		Model: req.model, PromptTokens: req.promptTokens, AnswerTokens: req.outputTokens, FirstEvent: s.firstEvent,
 		Total: s.serviceTime, Streaming: s.streaming, Events: s.events,
 	})
 	u.speed.Observe(now, ratio)
+	u.speed.cachedAt = time.Time{}
 	p.metrics.recordFactor(u.speed.Factor(now))
 	if owner, known := p.owners.ownerOf(now, req.service, req.model); known && owner == p.owners.self {
 		p.reportSpeed(now, u)
@@ -251,6 +265,9 @@
 // held.
 func (p *Proxy) reportSpeed(now time.Time, u *upstream) {
 	factor, samples := u.speed.Own(now)
+	if atLeast := u.speed.atLeastOverdue(factor); atLeast > factor {
+		factor, samples = atLeast, max(samples, minReportedSamples)
+	}
 	previous := u.speed.reportedFactor
 	if previous == 0 {
 		previous = 1
@@ -270,6 +287,7 @@
 func (p *Proxy) receiveSpeed(now time.Time, m permit.SpeedReport) {
 	if u := p.pool.process(m.Upstream, m.Incarnation); u != nil {
 		u.speed.ObserveReport(now, m.Factor, m.Samples)
+		u.speed.cachedAt = time.Time{}
 	}
 }
 
--- a/internal/permit/decode.go
+++ b/internal/permit/decode.go
@@ -79,18 +79,8 @@
 		}
 	case kindLoadReport:
 		return LoadReport{Upstream: r.String(), PrefillTime: r.duration(), ActiveRequests: r.count()}
-	case kindLimitReport:
-		return LimitReport{
-			Upstream: r.String(), Incarnation: r.Uint(), Named: r.Byte() != 0, Limit: r.limit(), Age: r.duration(),
-		}
-	case kindPushbackReport:
-		return PushbackReport{Upstream: r.String(), Incarnation: r.Uint(), Remaining: r.duration()}
-	case kindLeaveReport:
-		return LeaveReport{Upstream: r.String(), Incarnation: r.Uint()}
-	case kindRefusalReport:
-		return RefusalReport{Upstream: r.String(), Incarnation: r.Uint(), Tolerance: r.count()}
-	case kindSpeedReport:
-		return SpeedReport{Upstream: r.String(), Incarnation: r.Uint(), Factor: r.factor(), Samples: r.count()}
+	case kindLimitReport, kindPushbackReport, kindLeaveReport, kindRefusalReport, kindSpeedReport:
+		return r.processReport(kind)
 	case kindSendRequest:
 		return SendRequest{ID: r.id(), Upstream: r.String(), Limit: r.limit()}
 	case kindTrialRequest:
@@ -106,6 +96,24 @@
 	}
 }
 
+// processReport decodes a report about one process of a service.
+func (r reader) processReport(kind byte) Message {
+	switch kind {
+	case kindLimitReport:
+		return LimitReport{
+			Upstream: r.String(), Incarnation: r.Uint(), Named: r.Byte() != 0, Limit: r.limit(), Age: r.duration(),
+		}
+	case kindPushbackReport:
+		return PushbackReport{Upstream: r.String(), Incarnation: r.Uint(), Remaining: r.duration()}
+	case kindLeaveReport:
+		return LeaveReport{Upstream: r.String(), Incarnation: r.Uint()}
+	case kindSpeedReport:
+		return SpeedReport{Upstream: r.String(), Incarnation: r.Uint(), Factor: r.factor(), Samples: r.count()}
+	default:
+		return RefusalReport{Upstream: r.String(), Incarnation: r.Uint(), Tolerance: r.count()}
+	}
+}
+
 // quotaMessage decodes a message about a quota.
 func (r reader) quotaMessage(kind byte) Message {
 	switch kind {
--- a/internal/speed/relative.go
+++ b/internal/speed/relative.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// MinFactor and MaxFactor bound the factor of an engine. A value beyond them is a measurement
-	// error, or an engine that no request should go to.
+	// MinFactor is the least factor of an engine. A lower value is a measurement error.
 	MinFactor = 0.25
+	// MaxFactor is the largest factor of an engine. One that is slower gets requests only if there is no
+	// other, whatever its factor.
 	MaxFactor = 4
 	// relativeSamples is the number of samples kept. A change of speed becomes the median after more
 	// than half of them: callers should not meet a slower engine for longer than five responses, and
@@ -19,7 +20,7 @@
 	relativeHalfLife = 10 * time.Second
 	// meanFactorSamples is the weight, in samples, of the assumption that an engine is as fast as the
 	// mean.
-	meanFactorSamples = 0.75
+	meanFactorSamples = 0.5
 	// maxReportSamples bounds the weight of another instance's report, so that own samples of as
 	// many responses prevail.
 	maxReportSamples = 4
--- a/internal/speed/response.go
+++ b/internal/speed/response.go
@@ -69,9 +69,13 @@
 	normalized := func(d time.Duration) time.Duration { return time.Duration(float64(d) / scale) }
 	e.ObservePrefill(r.Model, r.PromptTokens, normalized(r.FirstEvent))
 	e.ObserveRequest(normalized(r.Total))
-	e.ObserveStream(r.AnswerTokens, r.Events, normalized(r.Streaming))
 	if r.hasEventTime() {
 		e.observeEventTime(r.Model, r.logEventTime()-math.Log(scale))
+		// The low quantile over all models would be that of the fastest ones.
+		e.observeGap(math.Exp(r.logEventTime()) / scale / e.modelRatio(r.Model))
+	}
+	if r.AnswerTokens > 0 && r.Streaming > 0 {
+		e.observeAnswer(r.AnswerTokens, normalized(r.Streaming))
 	}
 	return ratio
 }
@@ -132,6 +136,9 @@
 	prior, limit := math.Log(e.priorEventTime.Seconds()), math.Log(maxPriorRatio)
 	value = min(max(value, prior-limit), prior+limit)
 	known := e.references.models[model]
+	if e.references.models == nil {
+		e.references.models = map[string]*logMean{}
+	}
 	if known == nil {
 		known = &logMean{mean: e.references.allModels.mean, weight: modelDecodePriorSamples}
 		e.references.models[model] = known
@@ -140,10 +147,15 @@
 	e.references.allModels.observe(value, decodeWindowSamples)
 }
 
+// modelRatio returns the ratio of the time between two events of a model to that of all models.
+func (e *Estimator) modelRatio(model string) float64 {
+	limit := math.Log(maxModelRatio)
+	return math.Exp(min(max(e.modelEventTime(model)-e.references.allModels.mean, -limit), limit))
+}
+
 // ModelEventInterval returns the estimated time between two events of a model's stream on the mean
-// engine while it prefills few prompts.
+// engine while it prefills few prompts. It is not related to EventInterval unless the service's
+// responses are recorded by ObserveResponse.
 func (e *Estimator) ModelEventInterval(model string) time.Duration {
-	limit := math.Log(maxModelRatio)
-	ratio := min(max(e.modelEventTime(model)-e.references.allModels.mean, -limit), limit)
-	return time.Duration(e.eventSeconds * math.Exp(ratio) * float64(time.Second))
+	return time.Duration(e.eventSeconds * e.modelRatio(model) * float64(time.Second))
 }
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -79,9 +79,7 @@
 		models: map[string]*regression{}, eventSeconds: event.Seconds(), priorEventTime: event,
 		tokenSeconds: priorDecodeStep.Seconds(), requestSeconds: priorRequestTime.Seconds(),
 	}
-	estimator.references = references{
-		allModels: logMean{mean: math.Log(event.Seconds()), weight: decodePriorSamples}, models: map[string]*logMean{},
-	}
+	estimator.references.allModels = logMean{mean: math.Log(event.Seconds()), weight: decodePriorSamples}
 	estimator.allModels.addPrior(1.0/priorPrefillTokensPerSecond, priorOverhead.Seconds(), priorSamples)
 	return estimator
 }
@@ -121,14 +119,23 @@
 	if events < 2 || declaredTokens <= 0 || duration <= 0 {
 		return
 	}
-	gap := duration.Seconds() / float64(events-1)
+	e.observeGap(duration.Seconds() / float64(events-1))
+	e.observeAnswer(declaredTokens, duration)
+}
+
+// observeAnswer records the time of an answer.
+func (e *Estimator) observeAnswer(declaredTokens int, duration time.Duration) {
+	e.tokenSeconds += meanWeight * (min(duration.Seconds()/float64(declaredTokens), priorDecodeStep.Seconds()*maxPriorRatio) - e.tokenSeconds)
+}
+
+// observeGap records the seconds between two events of a stream.
+func (e *Estimator) observeGap(gap float64) {
 	if gap > e.eventSeconds {
 		e.eventSeconds *= math.Exp(eventStepSize * eventQuantile)
 	} else {
 		e.eventSeconds *= math.Exp(-eventStepSize * (1 - eventQuantile))
 	}
 	e.eventSeconds = min(max(e.eventSeconds, e.priorEventTime.Seconds()/maxPriorRatio), e.priorEventTime.Seconds()*maxPriorRatio)
-	e.tokenSeconds += meanWeight * (min(duration.Seconds()/float64(declaredTokens), priorDecodeStep.Seconds()*maxPriorRatio) - e.tokenSeconds)
 }
 
 // ObserveRequest records the time that a request spent at an engine.
