--- a/internal/counter/overdue.go
+++ b/internal/counter/overdue.go
@@ -2,34 +2,44 @@
 
 import (
 	"math"
+	"net/netip"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/speed"
 )
 
 // An engine that becomes several times slower sends no complete response for many seconds, in which it
-// would receive requests as before. So the requests that are still running there count, too: once two of
-// them have taken longer than expected, the engine's factor is at least the ratio.
+// would receive requests as before. So the requests that are still running there count, too: once those
+// of two instances have taken longer than expected, the engine's factor is at least the ratio.
 
 // overdueMargin is the ratio of the longest expected time of a response to the mean one. Callers declare
 // the longest length of a response, and the mean is about half of it.
 const overdueMargin = 2
 
-// overdue holds the two largest lower bounds of an engine's factor by the requests that run there. A
-// single one may be an unusual response.
+// overdue holds the two largest lower bounds of an engine's factor by the requests that run there, of
+// different instances. A single one may be an unusual response, and the requests of one instance may have
+// ended with it.
 type overdue struct {
 	largest, second float64
+	instance        netip.AddrPort
 }
 
-func (o *overdue) observe(bound float64) {
+func (o *overdue) observe(instance netip.AddrPort, bound float64) {
 	switch {
+	case instance == o.instance:
+		o.largest = max(o.largest, bound)
 	case bound > o.largest:
-		o.largest, o.second = bound, o.largest
+		o.largest, o.second, o.instance = bound, o.largest, instance
 	case bound > o.second:
 		o.second = bound
 	}
 }
 
+// confirmed reports whether two instances have overdue requests at the engine.
+func (o *overdue) confirmed() bool {
+	return o.second > 1
+}
+
 // factorCacheTime is how long a computed factor is used. It changes little in that time, unless a sample
 // arrives.
 const factorCacheTime = 50 * time.Millisecond
@@ -44,14 +54,16 @@
 
 // atLeastOverdue returns factor or the lower bound by overdue requests, whichever is larger.
 func (s *upstreamSpeed) atLeastOverdue(factor float64) float64 {
-	if s.overdue.second > 1 {
+	if s.overdue.confirmed() {
 		return max(factor, min(s.overdue.second, speed.MaxFactor))
 	}
 	return factor
 }
 
 // updateOverdue updates the lower bounds of the engines' factors by the peers' requests that this
-// instance has placed and that have not ended. p.mu is held.
+// instance has placed and that have not ended. Permits at an engine with overdue requests last until the
+// deadline: otherwise they would expire before the responses are complete, and those would not be learned
+// from. p.mu is held.
 func (p *Proxy) updateOverdue(now time.Time) {
 	if !p.mixesUrgency() {
 		return
@@ -59,13 +71,18 @@
 	for _, u := range p.pool.byName {
 		u.speed.overdue, u.speed.cachedAt = overdue{}, time.Time{}
 	}
+	for requester, record := range p.permits {
+		if u := record.grant.upstream; u != nil {
+			u.speed.overdue.observe(requester.address, p.overdueRatio(now, record))
+		}
+	}
 	for _, record := range p.permits {
-		if u := record.grant.upstream; u != nil && record.waiter.requirements.model != "" {
-			u.speed.overdue.observe(p.overdueRatio(now, record))
+		if u := record.grant.upstream; u != nil && u.speed.overdue.confirmed() && !now.After(record.expires) {
+			record.expires = record.waiter.requirements.deadline
 		}
 	}
 	for _, u := range p.pool.byName {
-		if u.speed.overdue.second > 1 {
+		if u.speed.overdue.confirmed() {
 			p.reportSpeed(now, u)
 		}
 	}
