--- a/internal/counter/overdue.go
+++ b/internal/counter/overdue.go
@@ -89,11 +89,11 @@
 }
 
 // overdueRatio returns the ratio of the time that a request has taken since its grant to the longest
-// expected time on the mean engine.
+// expected time on the mean engine, 0 if that is not known.
 func (p *Proxy) overdueRatio(now time.Time, record *permitRecord) float64 {
 	req := &record.waiter.requirements
 	estimator := p.estimators[req.service]
-	if estimator == nil {
+	if estimator == nil || !req.mixed {
 		return 0
 	}
 	model := req.eventInterval.Seconds() / max(estimator.EventInterval().Seconds(), math.SmallestNonzeroFloat64)
