--- a/internal/concurrency/groups.go
+++ b/internal/concurrency/groups.go
@@ -27,7 +27,6 @@
 		return nil
 	}
 	count := (len(names) + MaxGroupSize - 1) / MaxGroupSize
-	size := (len(names) + count - 1) / count
 	hashes := make([]uint64, len(names))
 	order := make([]int, len(names))
 	for i, name := range names {
@@ -36,23 +35,34 @@
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Or(cmp.Compare(hashes[a], hashes[b]), cmp.Compare(names[a], names[b]))
 	})
-	sizes := make([]int, count)
+	groups := make([]group, count)
+	for i := range groups {
+		groups[i] = group{hash: rendezvous.Hash(GroupName(i)), room: len(names) / count}
+		if i < len(names)%count {
+			groups[i].room++
+		}
+	}
 	groupOf := make([]int, len(names))
 	for _, i := range order {
-		group := firstWithRoom(hashes[i], sizes, size)
-		groupOf[i] = group
-		sizes[group]++
+		groupOf[i] = firstWithRoom(hashes[i], groups)
+		groups[groupOf[i]].room--
 	}
 	return groupOf
 }
 
-// firstWithRoom returns the group that ranks first for an upstream among those below size.
-func firstWithRoom(upstream uint64, sizes []int, size int) int {
+// group is a group that is being filled. room is the number of upstreams that it still takes.
+type group struct {
+	hash uint64
+	room int
+}
+
+// firstWithRoom returns the group that ranks first for an upstream among those with room.
+func firstWithRoom(upstream uint64, groups []group) int {
 	first, highest := -1, uint64(0)
-	for group, used := range sizes {
-		score := rendezvous.Score(upstream, rendezvous.Hash(GroupName(group)))
-		if used < size && (first < 0 || score > highest) {
-			first, highest = group, score
+	for i, candidate := range groups {
+		score := rendezvous.Score(upstream, candidate.hash)
+		if candidate.room > 0 && (first < 0 || score > highest) {
+			first, highest = i, score
 		}
 	}
 	return first
--- a/internal/counter/export_plain_test.go
+++ b/internal/counter/export_plain_test.go
@@ -13,3 +13,12 @@
 func (p *Proxy) MixesUrgency() bool {
 	return p.mixesUrgency()
 }
+
+// EnqueuePlainAlone adds a request of this instance that it places without an owner.
+func (i Instance) EnqueuePlainAlone(now time.Time, objective time.Duration) {
+	q := Queue{proxy: i.proxy, pool: UpstreamPool{pool: i.proxy.pool}}
+	w := q.waiter(now, "", objective)
+	w.requirements.group, w.requirements.prefillTime, w.placingInstances = "0", 0, i.proxy.control.entryInstances
+	w.requirements.pacing = pacing{}
+	q.enqueue(now, w)
+}
--- a/internal/counter/export_reservation_test.go
+++ b/internal/counter/export_reservation_test.go
@@ -1,13 +1,8 @@
 package counter
 
-import (
-	"github.com/uber-go/tally/v4"
+import "github.com/uber-go/tally/v4"
 
-	"github.com/lovagelift/lovagelift/internal/routes"
-)
-
-// SetRoutes sets the routes in force, and the scope of the metrics.
-func (i Instance) SetRoutes(table *routes.Table, scope tally.Scope) {
-	i.proxy.routes.Store(table)
+// SetMetrics sets the scope of the metrics.
+func (i Instance) SetMetrics(scope tally.Scope) {
 	i.proxy.metrics = newMetrics(scope)
 }
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -15,6 +15,8 @@
 	waiter *waiter
 	// grant has no upstream while the request is queued.
 	grant grant
+	// granted is when the request got its permit.
+	granted time.Time
 	// expires is when the permit is removed even without a message from the peer, which may be
 	// gone.
 	expires time.Time
@@ -52,6 +54,8 @@
 		p.receiveLeave(m)
 	case permit.RefusalReport:
 		p.receiveRefusal(now, m)
+	case permit.SpeedReport:
+		p.receiveSpeed(now, m)
 	case permit.SendRequest:
 		p.handleClaim(now, from, m)
 	case permit.QuotaRequest:
@@ -123,10 +127,14 @@
 // issuePermit grants an upstream to a peer's request. p.mu is held.
 func (p *Proxy) issuePermit(now time.Time, requester peerRequest, granted grant) {
 	record := p.permits[requester]
-	record.grant = granted
+	record.grant, record.granted = granted, now
 	p.metrics.countDecision("granted")
 	req := &record.waiter.requirements
-	record.expires = now.Add(min(req.deadline.Sub(now), max(maxPermitServiceTimes*req.pacing.serviceTime, minPermitTime)))
+	record.expires = req.deadline
+	if req.group == "" {
+		lifetime := max(maxPermitServiceTimes*granted.upstream.pacing.serviceTime, minPermitTime)
+		record.expires = earlier(record.expires, now.Add(lifetime))
+	}
 	p.sendDecision(requester, record)
 }
 
@@ -152,7 +160,7 @@
 	if u := record.grant.upstream; u != nil {
 		u.recordOutcome(now, record.waiter.requirements.target, m.Outcome)
 		p.observePlain(now, &record.waiter.requirements, record.grant, m.Outcome, m.RunTime)
-		p.recordSpeed(&record.waiter.requirements, speedSample{firstEvent: m.FirstEventTime, serviceTime: m.RunTime, events: m.Events, streaming: m.StreamTime})
+		p.recordSpeed(now, u, &record.waiter.requirements, speedSample{firstEvent: m.FirstEventTime, serviceTime: m.RunTime, events: m.Events, streaming: m.StreamTime})
 	}
 }
 
@@ -171,6 +179,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expireAnswers(now)
+	p.updateOverdue(now)
 	for requester, record := range p.permits {
 		if now.After(record.expires) {
 			p.removePermit(now, requester, record)
--- a/internal/counter/plainplacement.go
+++ b/internal/counter/plainplacement.go
@@ -255,13 +255,21 @@
 // dispatchGroup grants upstreams to the requests that wait for the group of req, in the order of a
 // dispatch, but without a look at all other waiting requests: a group may have hundreds of grants and
 // ends in a second. It returns the resource that the first of those still waiting lacks. p.mu is held.
+//
+// Requests that this instance places alone are limited to its share. They must not keep those from free
+// upstreams that it places as the owner.
 func (p *Proxy) dispatchGroup(now time.Time, req *requirements) missingResource {
+	return max(p.dispatchGroupOf(now, req, false), p.dispatchGroupOf(now, req, true))
+}
+
+// dispatchGroupOf is dispatchGroup for the requests that this instance places alone, or for the others.
+func (p *Proxy) dispatchGroupOf(now time.Time, req *requirements, alone bool) missingResource {
 	for {
 		if !p.groupHasRoom(now, req) {
 			p.setTimer()
 			return missingCapacity
 		}
-		next := p.firstOfGroup(now, req)
+		next := p.firstOfGroup(now, req, alone)
 		if next == nil {
 			return missingNone
 		}
@@ -283,12 +291,17 @@
 	return len(members) == 0 || slices.ContainsFunc(members, func(u *upstream) bool { return u.active < u.limiter.Limit(now, u.slots) })
 }
 
+// placedAlone reports whether other instances place requests for the same upstreams, too.
+func (w *waiter) placedAlone() bool {
+	return w.placingInstances > 1
+}
+
 // firstOfGroup returns the waiting request of a group that is dispatched first, nil if none waits. p.mu
 // is held.
-func (p *Proxy) firstOfGroup(now time.Time, req *requirements) *waiter {
+func (p *Proxy) firstOfGroup(now time.Time, req *requirements, alone bool) *waiter {
 	var first *waiter
 	for _, w := range p.queue.waiters {
-		if w.requirements.sharesGroup(req) && (first == nil || w.requirements.compare(now, &first.requirements) < 0) {
+		if w.requirements.sharesGroup(req) && w.placedAlone() == alone && (first == nil || w.requirements.compare(now, &first.requirements) < 0) {
 			first = w
 		}
 	}
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -145,11 +145,13 @@
 // selectionKey identifies queries that have the same result within one dispatch.
 type selectionKey struct {
 	target
-	group    string
 	pacing   pacing
 	software resumption.Constraint
+	speed    speedClass
 	// sender is set if any upstream pushes back to it.
 	sender netip.AddrPort
+	// alone distinguishes requests to plain services that this instance places by its share.
+	alone bool
 	// headroom has few values, so that few selections are made for the batch requests of a target.
 	headroom deferral.Headroom
 }
@@ -176,7 +178,7 @@
 	failed := map[selectionKey]missingResource{}
 	remaining := waiters[:0]
 	for _, w := range waiters {
-		key := p.selectionKey(now, &w.requirements)
+		key := p.selectionKey(now, w)
 		missing, known := failed[key]
 		var chosen *upstream
 		cacheable := len(w.requirements.tried) == 0 && !w.boosted
@@ -205,8 +207,16 @@
 	p.setTimer()
 }
 
-func (p *Proxy) selectionKey(now time.Time, req *requirements) selectionKey {
-	key := selectionKey{target: req.target, group: req.group, pacing: req.pacing, software: req.software, headroom: req.headroom(now)}
+func (p *Proxy) selectionKey(now time.Time, w *waiter) selectionKey {
+	req := &w.requirements
+	key := selectionKey{
+		target: req.target, pacing: req.pacing, software: req.software, headroom: req.headroom(now), speed: req.speedClass(),
+	}
+	if req.group != "" {
+		// Requests to plain services name no adapter. A field of its own would make the key too large
+		// for a map without an allocation for each entry.
+		key.adapter, key.alone = req.group, w.placedAlone()
+	}
 	if p.pool.anyPushesBack(now, req.sender) {
 		key.sender = req.sender
 	}
@@ -216,7 +226,8 @@
 // issueGrant grants chosen to a waiting request. p.mu is held.
 func (p *Proxy) issueGrant(now time.Time, w *waiter, chosen *upstream) {
 	granted := grant{upstream: chosen, prefillAhead: chosen.backlog.remaining(now), inFlight: chosen.active + 1}
-	chosen.recordSend(now, w.requirements.prefillTime, w.requirements.pacing)
+	prefillTime, pacing := w.requirements.costAt(now, chosen)
+	chosen.recordSend(now, prefillTime, pacing)
 	p.notifyUse(now, chosen, &w.requirements)
 	p.queue.recordGrant(now, &w.requirements)
 	p.queue.recordBoost(w)
--- a/internal/counter/reservations_test.go
+++ b/internal/counter/reservations_test.go
@@ -32,7 +32,8 @@
 	}
 	instance := counter.NewInstance(pool, instanceAddresses(1)[0], instanceAddresses(1))
 	scope := tally.NewTestScope("", nil)
-	instance.SetRoutes(table, scope)
+	instance.SetRoutes(table)
+	instance.SetMetrics(scope)
 	return instance, func(result string) int64 {
 		if c := scope.Snapshot().Counters()["counter.turns+result="+result]; c != nil {
 			return c.Value()
@@ -249,4 +250,39 @@
 		Entry("returned and refused", true, "broken"),
 		Entry("not returned", false, "missed"),
 	)
+
+	// A caller that retries immediately would join the queue before those that wait until the time they
+	// were told.
+	It("are told again to callers that return early", func() {
+		owner, _ := ownerWith(time.Second, routes.BatchObjective)
+		peer := instanceAddresses(2)[1]
+		ask := func(now time.Time, id permit.ID, caller uint64) permit.Message {
+			return owner.Receive(now, peer, permit.Request{
+				ID: id, Service: "pool", Model: "m", PromptTokens: 1, Objective: replayObjective, Remaining: 12 * time.Second, Caller: caller,
+			})[0].Message
+		}
+		var rejected permit.Rejected
+		id := permit.ID(1)
+		now := start
+		for ; ; id++ {
+			m := ask(now, id, uint64(id))
+			owner.Dispatch(now)
+			now = now.Add(time.Millisecond)
+			var ok bool
+			if rejected, ok = m.(permit.Rejected); ok {
+				break
+			}
+			Expect(id).To(BeNumerically("<", 2000))
+		}
+		Expect(rejected.Reserved).To(BeTrue(), "%v", rejected)
+		for other := id - 8; other < id; other++ {
+			owner.Receive(now, peer, permit.Release{ID: other})
+		}
+		Expect(ask(now, 5001, 5001)).To(BeAssignableToTypeOf(permit.Queued{}), "a newcomer")
+		owner.Receive(now, peer, permit.Release{ID: 5001})
+		early, ok := ask(now, 5002, uint64(id)).(permit.Rejected)
+		Expect(ok).To(BeTrue(), "the same caller")
+		Expect(early.Reserved).To(BeTrue())
+		Expect(early.RetryAfter).To(BeNumerically("~", rejected.RetryAfter-time.Millisecond, time.Millisecond))
+	})
 })
--- a/internal/permit/decode.go
+++ b/internal/permit/decode.go
@@ -9,6 +9,7 @@
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
+	"github.com/lovagelift/lovagelift/internal/speed"
 )
 
 const (
@@ -74,16 +75,8 @@
 		}
 	case kindLoadReport:
 		return LoadReport{Upstream: r.String(), PrefillTime: r.duration(), ActiveRequests: r.count()}
-	case kindLimitReport:
-		return LimitReport{
-			Upstream: r.String(), Incarnation: r.Uint(), Named: r.Byte() != 0, Limit: r.limit(), Age: r.duration(),
-		}
-	case kindPushbackReport:
-		return PushbackReport{Upstream: r.String(), Incarnation: r.Uint(), Remaining: r.duration()}
-	case kindLeaveReport:
-		return LeaveReport{Upstream: r.String(), Incarnation: r.Uint()}
-	case kindRefusalReport:
-		return RefusalReport{Upstream: r.String(), Incarnation: r.Uint(), Tolerance: r.count()}
+	case kindLimitReport, kindPushbackReport, kindLeaveReport, kindRefusalReport, kindSpeedReport:
+		return r.processReport(kind)
 	case kindSendRequest:
 		return SendRequest{ID: r.id(), Upstream: r.String(), Limit: r.limit()}
 	case kindTrialRequest:
@@ -99,6 +92,24 @@
 	}
 }
 
+// processReport decodes a report about one process of a service.
+func (r reader) processReport(kind byte) Message {
+	switch kind {
+	case kindLimitReport:
+		return LimitReport{
+			Upstream: r.String(), Incarnation: r.Uint(), Named: r.Byte() != 0, Limit: r.limit(), Age: r.duration(),
+		}
+	case kindPushbackReport:
+		return PushbackReport{Upstream: r.String(), Incarnation: r.Uint(), Remaining: r.duration()}
+	case kindLeaveReport:
+		return LeaveReport{Upstream: r.String(), Incarnation: r.Uint()}
+	case kindSpeedReport:
+		return SpeedReport{Upstream: r.String(), Incarnation: r.Uint(), Factor: r.factor(), Samples: r.count()}
+	default:
+		return RefusalReport{Upstream: r.String(), Incarnation: r.Uint(), Tolerance: r.count()}
+	}
+}
+
 // quotaMessage decodes a message about a quota.
 func (r reader) quotaMessage(kind byte) Message {
 	switch kind {
@@ -148,6 +159,15 @@
 	return limit
 }
 
+func (r reader) factor() float64 {
+	factor := float64(r.Uint()) / factorUnits
+	if factor < speed.MinFactor || factor > speed.MaxFactor {
+		r.Fail()
+		return 0
+	}
+	return factor
+}
+
 func (r reader) units() float64 {
 	return float64(r.uintUpTo(maxUnits))
 }
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -46,6 +46,7 @@
 	kindIdentifiedRequest
 	// kindReserved is a Rejected with a reservation. It replies to a kindIdentifiedRequest only.
 	kindReserved
+	kindSpeedReport
 )
 
 // Append appends the encoding of a message to buffer.
@@ -87,6 +88,10 @@
 		return appendProcess(buffer, kindLeaveReport, m.Upstream, m.Incarnation)
 	case RefusalReport:
 		return parcel.AppendUint(appendProcess(buffer, kindRefusalReport, m.Upstream, m.Incarnation), uint64(m.Tolerance))
+	case SpeedReport:
+		buffer = appendProcess(buffer, kindSpeedReport, m.Upstream, m.Incarnation)
+		buffer = parcel.AppendUint(buffer, uint64(math.Round(m.Factor*factorUnits)))
+		return parcel.AppendUint(buffer, uint64(m.Samples))
 	case SendRequest, TrialRequest, SendAllowed, SendDelayed:
 		return appendSend(buffer, message)
 	case StreamReport, StreamQuery, StreamFound, StreamUnknown:
@@ -171,6 +176,9 @@
 	return parcel.AppendUint(buffer, uint64(math.Round(float64(limit)*limitUnits)))
 }
 
+// factorUnits is the factor of an encoded speed, which is in thousandths.
+const factorUnits = 1000
+
 func appendBool(buffer []byte, set bool) []byte {
 	if set {
 		return append(buffer, 1)
