fairshare, counter, workspace: a model's engine time is divided between workspaces by weight

Cause: while a model is short of capacity, the workspace with the most requests takes it, and callers that retry immediately gain by it. Change: internal/fairshare orders waiting requests by start-time fair queueing. The owner of a model uses it among requests of the same lateness and priority, and its forecast counts only the requests that go before. Workspaces have a weight; without stated weights it follows from the quotas. A rejection tells the use of the workspace. All of it is active only where the routes mix urgency. Result: the specs of fairshare, workspace, permit, routes and counter pass.

--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -27,7 +27,7 @@
 		t.proxy.refuse(w, t.call, t.route, refusal{
 			status: http.StatusServiceUnavailable, text: rejected.Error(), retryAfter: rejected.retryAfter,
 			forecastWait: rejected.forecastWait, waited: t.proxy.options.Now().Sub(t.arrived), survey: &rejected.survey,
-			owner: t.owner,
+			owner: t.owner, sharedWorkspace: t.requirements.workspace, relativeUse: rejected.relativeUse,
 		})
 	default:
 		t.refuseNoUpstream(w)
@@ -85,7 +85,7 @@
 	now := p.options.Now()
 	p.refuse(w, t.call, t.route, refusal{
 		status: http.StatusServiceUnavailable, text: "no upstream: " + t.lastMissing.String(), retryAfter: t.retryAfterNow(),
-		waited: now.Sub(t.arrived), survey: p.surveyUpstreams(now, t), owner: t.owner,
+		waited: now.Sub(t.arrived), survey: p.surveyUpstreams(now, t), owner: t.owner, sharedWorkspace: t.requirements.workspace,
 	})
 }
 
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -47,6 +47,9 @@
 	// waited.
 	retryAfter   time.Duration
 	forecastWait time.Duration
+	// relativeUse is the use of the request's workspace over its weight, relative to the mean of the
+	// workspaces, 0 if it is not known.
+	relativeUse float64
 	// survey counts the states of the upstreams that have loaded the model.
 	survey survey
 }
@@ -103,6 +106,7 @@
 		p.requestLoad(w)
 	}
 	rejected.survey = p.pool.survey(now, w.requirements.query())
+	p.recordShareRejection(now, w, rejected)
 	p.dequeue(w)
 	return rejected
 }
@@ -117,16 +121,21 @@
 	if req.model == "" || w.missing != missingCapacity {
 		return wait
 	}
-	ahead := 0
+	ahead, ownAhead := 0, 0
 	for _, other := range p.queue.waiters {
-		if other != w && other.requirements.model == req.model && other.requirements.compare(now, req) <= 0 {
+		if other == w || other.requirements.model != req.model || !other.goesBefore(now, w) {
+			continue
+		}
+		ahead++
+		if other.waitsLike(w) {
 			wait = max(wait, now.Sub(other.requirements.arrived))
-			ahead++
+			ownAhead++
 		}
 	}
 	rate := max(p.queue.grantRate(now, req.modelKey()), minCapacityShare*p.capacity(now, w))
 	if rate > 0 {
 		wait = max(wait, time.Duration(float64(ahead)/rate*float64(time.Second)))
+		wait = max(wait, p.forecastShareWait(now, w, ownAhead, rate))
 	}
 	return wait
 }
--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -61,6 +61,7 @@
 		case permit.Rejected:
 			return grant{}, &rejection{
 				reason: m.Reason, retryAfter: m.RetryAfter, forecastWait: m.EstimatedWait, survey: survey(m.Survey),
+				relativeUse: m.RelativeUse,
 			}
 		case permit.ShuttingDown:
 			p.avoidOwner(owner, drainingAvoidance)
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -95,7 +95,7 @@
 		p.metrics.countDecision("refused")
 		p.peers.send(from, permit.Rejected{
 			ID: m.ID, Reason: rejected.reason, RetryAfter: rejected.retryAfter, EstimatedWait: rejected.forecastWait,
-			Survey: permit.Survey(rejected.survey),
+			Survey: permit.Survey(rejected.survey), RelativeUse: rejected.relativeUse,
 		})
 		return
 	}
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -23,6 +23,8 @@
 	countedWaiting bool
 	// boosted puts the request before all others.
 	boosted bool
+	// share orders the request among those of other workspaces.
+	share waiterShare
 }
 
 // requester receives the grant: a localRequest or a peerRequest.
@@ -68,11 +70,13 @@
 	starvation       *aging.Tracker[target]
 	grantsSinceBoost map[modelKey]int
 	lastBoostCheck   time.Time
+	shares           shares
 }
 
 func newQueue() queue {
 	return queue{
 		recentGrants: map[modelKey]*slidingWindow{}, starvation: aging.New[target](starvationOptions), grantsSinceBoost: map[modelKey]int{},
+		shares: newShares(),
 	}
 }
 
@@ -150,6 +154,7 @@
 			return a.requirements.compare(now, &b.requirements)
 		})
 	}
+	p.orderByShare(now)
 	failed := map[selectionKey]missingResource{}
 	remaining := waiters[:0]
 	for _, w := range waiters {
@@ -190,6 +195,7 @@
 	granted := grant{upstream: chosen, prefillAhead: chosen.backlog.remaining(now)}
 	chosen.recordSend(now, w.requirements.prefillTime, w.requirements.pacing)
 	p.notifyUse(now, chosen, &w.requirements)
+	p.chargeShare(now, w, chosen)
 	p.queue.recordGrant(now, &w.requirements)
 	p.queue.recordBoost(w)
 	p.updateWaiting(w, false)
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -69,11 +69,15 @@
 
 // compare returns a negative number if req is to be dispatched before other.
 func (req *requirements) compare(now time.Time, other *requirements) int {
+	return cmp.Or(req.compareClass(now, other), req.latestSend().Compare(other.latestSend()))
+}
+
+// compareClass compares what goes before the shares of the workspaces and the latest send time.
+func (req *requirements) compareClass(now time.Time, other *requirements) int {
 	return cmp.Or(
 		compareBools(req.isLate(now), other.isLate(now)),
 		cmp.Compare(req.priority, other.priority),
 		compareBools(req.yields, other.yields),
-		req.latestSend().Compare(other.latestSend()),
 	)
 }
 
--- a/internal/permit/decode.go
+++ b/internal/permit/decode.go
@@ -61,14 +61,8 @@
 		return Granted{ID: r.id(), Upstream: r.String(), Address: r.String(), PrefillBacklog: r.duration()}
 	case kindQueued:
 		return Queued{ID: r.id()}
-	case kindRejected:
-		return Rejected{
-			ID: r.id(), Reason: Reason(r.Byte()), RetryAfter: r.duration(), EstimatedWait: r.duration(),
-			Survey: Survey{
-				Holders: r.count(), Full: r.count(), PrefillBusy: r.count(), Yielding: r.count(), Avoided: r.count(),
-				ReportAge: r.duration(),
-			},
-		}
+	case kindRejected, kindRejectedWithUse:
+		return r.rejected(kind)
 	case kindShuttingDown:
 		return ShuttingDown{ID: r.id()}
 	case kindRelease:
@@ -194,3 +188,17 @@
 	}
 	return number
 }
+
+func (r reader) rejected(kind byte) Rejected {
+	m := Rejected{
+		ID: r.id(), Reason: Reason(r.Byte()), RetryAfter: r.duration(), EstimatedWait: r.duration(),
+		Survey: Survey{
+			Holders: r.count(), Full: r.count(), PrefillBusy: r.count(), Yielding: r.count(), Avoided: r.count(),
+			ReportAge: r.duration(),
+		},
+	}
+	if kind == kindRejectedWithUse {
+		m.RelativeUse = r.units() / relativeUseUnits
+	}
+	return m
+}
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -44,6 +44,8 @@
 	kindTrialRequest
 	// kindIdentifiedRequest is a Request with a workspace or a caller.
 	kindIdentifiedRequest
+	// kindRejectedWithUse is a Rejected with a RelativeUse.
+	kindRejectedWithUse
 )
 
 // Append appends the encoding of a message to buffer.
@@ -220,15 +222,26 @@
 	return buffer
 }
 
+// relativeUseUnits is the number of units of a relative use of 1.
+const relativeUseUnits = 1000
+
 func appendRejected(buffer []byte, m Rejected) []byte {
-	buffer = append(appendHead(buffer, kindRejected, m.ID), byte(m.Reason))
+	kind := kindRejected
+	if m.RelativeUse > 0 {
+		kind = kindRejectedWithUse
+	}
+	buffer = append(appendHead(buffer, kind, m.ID), byte(m.Reason))
 	buffer = appendDuration(buffer, m.RetryAfter)
 	buffer = appendDuration(buffer, m.EstimatedWait)
 	s := m.Survey
 	for _, count := range []int{s.Holders, s.Full, s.PrefillBusy, s.Yielding, s.Avoided} {
 		buffer = parcel.AppendUint(buffer, uint64(count))
 	}
-	return appendDuration(buffer, s.ReportAge)
+	buffer = appendDuration(buffer, s.ReportAge)
+	if m.RelativeUse > 0 {
+		buffer = appendUnits(buffer, m.RelativeUse*relativeUseUnits)
+	}
+	return buffer
 }
 
 // appendDuration appends a duration in microseconds, and 0 for a negative one.
--- a/internal/permit/encode_test.go
+++ b/internal/permit/encode_test.go
@@ -26,6 +26,7 @@
 			ID: 4, Reason: permit.WaitTooLong, RetryAfter: time.Second, EstimatedWait: 2 * time.Second,
 			Survey: permit.Survey{Holders: 5, Full: 2, PrefillBusy: 1, Yielding: 1, Avoided: 1, ReportAge: time.Second},
 		},
+		permit.Rejected{ID: 23, Reason: permit.WaitTooLong, Survey: permit.Survey{Holders: 5}, RelativeUse: 7.25},
 		permit.ShuttingDown{ID: 5},
 		permit.Release{
 			ID: 6, Outcome: permit.Succeeded, FirstEventTime: time.Millisecond, RunTime: time.Second, Events: 22, StreamTime: 900 * time.Millisecond,
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -98,6 +98,9 @@
 	RetryAfter    time.Duration
 	EstimatedWait time.Duration
 	Survey        Survey
+	// RelativeUse is the use of the request's workspace over its weight, relative to the mean of the
+	// workspaces, 0 if it is not known or the request names no workspace.
+	RelativeUse float64
 }
 
 // Survey counts the upstreams that could run a request, by the reason for which
--- a/internal/workspace/directory.go
+++ b/internal/workspace/directory.go
@@ -7,6 +7,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"math"
 
 	"github.com/lovagelift/lovagelift/internal/finding"
 	"github.com/lovagelift/lovagelift/internal/quota"
@@ -29,14 +30,18 @@
 	// Priority is the priority of the workspace's requests, 0 being the most urgent. It goes
 	// before that of the route or service.
 	Priority uint8
-	Quota    quota.Limit
+	// Weight is the workspace's part of a capacity that is short, relative to the other workspaces.
+	// It is finite and not negative; 0 means 1.
+	Weight float64
+	Quota  quota.Limit
 }
 
 // Directory is a set of workspaces. It is immutable and safe for concurrent use. A nil
 // Directory and the zero value have no workspaces.
 type Directory struct {
-	byKey  map[KeyDigest]*Workspace
-	byName map[string]*Workspace
+	byKey   map[KeyDigest]*Workspace
+	byName  map[string]*Workspace
+	weights Weights
 }
 
 // New returns the Directory of list, and adds all faults of the list to findings. The faults
@@ -56,8 +61,12 @@
 		if !w.Quota.Valid() {
 			findings.Add(place, "a number of its quota is negative or infinite", "")
 		}
+		if !(w.Weight >= 0) || math.IsInf(w.Weight, 1) {
+			findings.Add(place, "its weight is negative, infinite or not a number", "")
+		}
 		d.addKeys(place, w, findings)
 	}
+	d.weights = weightsOf(list)
 	return d
 }
 
--- a/internal/workspace/directory_test.go
+++ b/internal/workspace/directory_test.go
@@ -1,6 +1,7 @@
 package workspace_test
 
 import (
+	"math"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -36,6 +37,21 @@
 		Expect(d.Find("one")).To(BeNil())
 	})
 
+	requests := func(perSecond float64) quota.Limit { return quota.Limit{PerSecond: perSecond, Burst: 1} }
+	tokens := quota.Limit{Unit: quota.Tokens, PerSecond: 600, Burst: 1}
+	DescribeTable("has the weights of its workspaces",
+		func(list []workspace.Workspace, a, b float64) {
+			var findings finding.List
+			weights := workspace.New(list, &findings).Weights()
+			Expect([]float64{weights.Of("a"), weights.Of("b"), weights.Of("unknown")}).To(Equal([]float64{a, b, 1}))
+		},
+		Entry("none is stated", []workspace.Workspace{{Name: "a"}, {Name: "b"}}, 1.0, 1.0),
+		Entry("one is stated", []workspace.Workspace{{Name: "a", Weight: 2.5, Quota: requests(10)}, {Name: "b", Quota: requests(30)}}, 2.5, 1.0),
+		Entry("quotas of one unit", []workspace.Workspace{{Name: "a", Quota: requests(10)}, {Name: "b", Quota: requests(30)}}, 0.5, 1.5),
+		Entry("quotas of two units", []workspace.Workspace{{Name: "a", Quota: requests(10)}, {Name: "b", Quota: tokens}}, 1.0, 1.0),
+		Entry("a workspace without a quota", []workspace.Workspace{{Name: "a", Quota: requests(10)}, {Name: "b"}}, 1.0, 1.0),
+	)
+
 	// Guards against a request that runs as the workspace of another caller.
 	It("reports all faults, and no key", func() {
 		var findings finding.List
@@ -45,6 +61,9 @@
 			{Name: "clerks"},
 			{Keys: []workspace.KeyDigest{workspace.Digest("")}},
 			{Name: "greedy", Quota: quota.Limit{PerSecond: -1}},
+			{Name: "negative", Weight: -1},
+			{Name: "infinite", Weight: math.Inf(1)},
+			{Name: "undefined", Weight: math.NaN()},
 		}, &findings)
 		Expect(findings.Err()).To(MatchError(And(
 			ContainSubstring("workspace jurors: its key 1 is also a key of workspace clerks"),
@@ -52,6 +71,9 @@
 			ContainSubstring("a workspace has no name"),
 			ContainSubstring("its key 0 is empty"),
 			ContainSubstring("workspace greedy: a number of its quota is negative or infinite"),
+			ContainSubstring("workspace negative: its weight is negative, infinite or not a number"),
+			ContainSubstring("workspace infinite: its weight is"),
+			ContainSubstring("workspace undefined: its weight is"),
 			Not(ContainSubstring("one")),
 		)))
 	})
