--- a/internal/counter/export_shares_test.go
+++ b/internal/counter/export_shares_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/workspace"
@@ -19,8 +20,27 @@
 
 // SetWorkspaces sets the workspaces of the routes in force.
 func (q Queue) SetWorkspaces(list ...workspace.Workspace) error {
-	table, err := routes.New(routes.Draft{Workspaces: list})
-	q.proxy.routes.Store(table)
+	return q.proxy.setWorkspaces(list)
+}
+
+// SetWorkspaces sets the workspaces of the routes in force, which mix batch and interactive work. It
+// returns the scope of the metrics.
+func (i Instance) SetWorkspaces(list ...workspace.Workspace) (tally.TestScope, error) {
+	scope := tally.NewTestScope("", nil)
+	i.proxy.metrics = newMetrics(scope)
+	return scope, i.proxy.setWorkspaces(list)
+}
+
+func (p *Proxy) setWorkspaces(list []workspace.Workspace) error {
+	to := []routes.Share{{Service: "pool", Weight: 1}}
+	table, err := routes.New(routes.Draft{
+		Workspaces: list, Services: []routes.Service{{Name: "pool"}},
+		Routes: []routes.Route{
+			{Name: "batch", Prefix: "/batch/", Kind: routes.Stream, Objective: routes.BatchObjective, Timeout: time.Minute, Shares: to},
+			{Name: "interactive", Prefix: "/interactive/", Kind: routes.Stream, Objective: time.Second, Timeout: time.Minute, Shares: to},
+		},
+	})
+	p.routes.Store(table)
 	return err
 }
 
--- a/internal/counter/holdback.go
+++ b/internal/counter/holdback.go
@@ -53,7 +53,7 @@
 	}
 	wait := held.wait
 	for _, other := range p.queue.waiters {
-		if other != w && other.requirements.target == req.target {
+		if other != w && other.requirements.target == req.target && (w.share.model == nil || other.goesBefore(now, w)) {
 			wait += time.Duration(float64(time.Second) / held.perSecond)
 		}
 	}
--- a/internal/counter/shares_test.go
+++ b/internal/counter/shares_test.go
@@ -10,6 +10,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/counter"
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/workspace"
 )
@@ -130,6 +132,34 @@
 		}
 	})
 
+	// Guards against requests of other instances that do not take part in the shares.
+	It("are told the use of their workspace if another instance places them", func() {
+		instances := instanceAddresses(2)
+		model := modelOwnedBy("pool", instances[0], instances...)
+		pool.ApplyEngineStates(start, courier.EngineStates{Engines: []courier.EngineState{{Name: "e0", Models: []courier.LoadedModel{{Name: model}}}}})
+		owner := counter.NewInstance(pool, instances[0], instances)
+		metrics, err := owner.SetWorkspaces(workspace.Workspace{Name: "large"}, workspace.Workspace{Name: "small"})
+		Expect(err).NotTo(HaveOccurred())
+		setLoad(start, 0)
+		ask := func(id int, name string) permit.Message {
+			m := askMessage(permit.ID(id), model)
+			m.Workspace = name
+			sent := owner.Receive(start.Add(backoff), instances[1], m)
+			return sent[len(sent)-1].Message
+		}
+		Expect(ask(1, "large")).To(BeAssignableToTypeOf(permit.Granted{}))
+		var last permit.Message
+		for id := range 300 {
+			last = ask(id+2, "large")
+		}
+		Expect(last).To(BeAssignableToTypeOf(permit.Rejected{}))
+		Expect(last.(permit.Rejected).RelativeUse).To(BeNumerically("~", 1, 1e-3))
+		Expect(ask(400, "small")).To(BeAssignableToTypeOf(permit.Queued{}))
+		counters := metrics.Snapshot().Counters()
+		Expect(counters["counter.workspace_engine_microseconds+workspace=large"].Value()).To(BeNumerically(">", 0))
+		Expect(counters["counter.workspace_rejections+workspace=large"].Value()).To(BeNumerically(">", 100))
+	})
+
 	It("leave no state for models that no upstream has loaded, and for models that are no longer requested", func() {
 		queue.EnqueueShared(start, "unknown", objective, "large")
 		Expect(queue.SharedModels()).To(BeZero())
--- a/internal/fairshare/replay_test.go
+++ b/internal/fairshare/replay_test.go
@@ -73,7 +73,9 @@
 	forecast(now time.Time, a *attempt, ahead, own int, rate float64) time.Duration
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func seconds(s float64) time.Duration { return scale(time.Second, s) }
+
+func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
 // byArrival is first come, first served.
 type byArrival struct{ rejects bool }
@@ -143,6 +145,20 @@
 	return max(seconds(float64(ahead)/rate), seconds(float64(own)/rate/p.scheduler.Use(now, a.claim()).Available))
 }
 
+// lostOwner is byShare with a new owner of the model every few seconds, which knows nothing of the
+// earlier use.
+type lostOwner struct {
+	byShare
+	since time.Time
+}
+
+func (p *lostOwner) order(now time.Time, waiting []*attempt) {
+	if now.Sub(p.since) > 3*time.Second {
+		p.byShare, p.since = newByShare(), now
+	}
+	p.byShare.order(now, waiting)
+}
+
 // result holds the share of each workspace's work that started in time, and the share of the slots'
 // time that was used.
 type result struct {
@@ -175,8 +191,9 @@
 	return total / float64(len(r.started))
 }
 
-// replay plays the load, with a factor for the flooder's, against a policy.
-func replay(p policy, factor float64) result {
+// replay plays the load, with a factor for the flooder's, against a policy. The flooder's callers honor
+// Retry-After, or retry immediately.
+func replay(p policy, factor float64, immediate bool) result {
 	random := rand.New(rand.NewPCG(3, 3))
 	begin := time.Unix(1000, 0)
 	var waiting, arriving []*attempt
@@ -186,19 +203,18 @@
 	later := map[int64][]*work{}
 	// retry lets a caller come back: after a third of its time left, as Retry-After tells it, or soon.
 	retry := func(now time.Time, w *work) {
-		wait := w.created.Add(deadline).Sub(now) / 3
-		if w.workspace == flooder {
+		wait := scale(min(w.created.Add(deadline).Sub(now)/3, objective), 0.5+random.Float64()/2)
+		if immediate && w.workspace == flooder {
 			wait = retryPause
-		} else {
-			wait = time.Duration((0.5 + random.Float64()/2) * float64(min(wait, objective)))
 		}
 		if back := now.Add(wait); back.Before(w.created.Add(deadline - objective)) {
-			later[back.Sub(begin).Nanoseconds()/int64(tick)+1] = append(later[back.Sub(begin).Nanoseconds()/int64(tick)+1], w)
+			step := int64(back.Sub(begin)/tick) + 1
+			later[step] = append(later[step], w)
 		}
 	}
 	for now := begin; now.Before(begin.Add(replayTime)); now = now.Add(tick) {
 		arriving = arriving[:0]
-		step := now.Sub(begin).Nanoseconds() / int64(tick)
+		step := int64(now.Sub(begin) / tick)
 		for _, w := range later[step] {
 			arriving = append(arriving, &attempt{work: w, arrived: now})
 		}
@@ -223,7 +239,7 @@
 		for len(ends) < slots && len(waiting) > 0 {
 			a := waiting[0]
 			waiting = waiting[1:]
-			service := time.Duration((0.4 + 1.2*random.Float64()) * float64(serviceTime()))
+			service := scale(serviceTime(), 0.4+1.2*random.Float64())
 			ends, grants, busy = append(ends, now.Add(service)), append(grants, now), busy+service
 			p.granted(now, a)
 			a.started = true
@@ -252,30 +268,35 @@
 	return r
 }
 
-func newByShare() policy {
+func newByShare() byShare {
 	return byShare{scheduler: fairshare.New(options), entered: map[*attempt]bool{}}
 }
 
 var _ = Describe("The shares of 16 workspaces, one at ten times its load", func() {
 	// Guards against a workspace whose overload and immediate retries are paid for by the others.
 	It("lets the others start as often as on a normal day", func() {
-		normal := replay(byArrival{rejects: true}, 1)
+		normal := replay(byArrival{rejects: true}, 1, false)
 		AddReportEntry("normal day", fmt.Sprintf("others %.3f smallest %.3f used %.3f", normal.others(), normal.smallest(), normal.used))
 		policies := map[string]func() policy{
 			"as it was":               func() policy { return byArrival{rejects: true} },
 			"first come first served": func() policy { return byArrival{} },
 			"round robin":             func() policy { return roundRobin{turns: make([]int, len(usualLoads))} },
-			"the part":                newByShare,
+			"the part":                func() policy { return newByShare() },
+			"the part, owner lost":    func() policy { return &lostOwner{} },
 		}
 		results := map[string]result{}
 		for name, create := range policies {
-			r := replay(create(), floodFactor)
+			r := replay(create(), floodFactor, true)
 			results[name] = r
 			AddReportEntry(name, fmt.Sprintf("others %.3f smallest %.3f mean %.3f flooder %.3f large %.3f used %.3f",
 				r.others(), r.smallest(), r.mean(), r.started[flooder], r.started[0], r.used))
 		}
 		part := results["the part"]
+		honoring := replay(newByShare(), floodFactor, false)
+		AddReportEntry("the part, Retry-After honored", fmt.Sprintf("others %.3f flooder %.3f", honoring.others(), honoring.started[flooder]))
+		Expect(part.started[flooder]).To(BeNumerically("<=", 1.1*honoring.started[flooder]), "immediate retries gain nothing")
 		Expect(part.others()).To(BeNumerically(">=", 0.9*normal.others()))
+		Expect(results["the part, owner lost"].others()).To(BeNumerically(">=", 0.9*normal.others()))
 		Expect(part.smallest()).To(BeNumerically(">=", 0.75*part.mean()))
 		Expect(part.used).To(BeNumerically(">=", 0.95))
 		for _, name := range []string{"as it was", "first come first served", "round robin"} {
