--- a/internal/counter/shares_test.go
+++ b/internal/counter/shares_test.go
@@ -74,18 +74,19 @@
 		Entry("by time alone if the routes do not mix batch and interactive work", false, 500.0, 0),
 	)
 
-	// Guards against a model whose requests wait for those of another model at the same engines because
-	// its workspaces have used more.
+	// Guards against a model whose requests go before or after those of another model at the same engines
+	// because of what its workspaces have used.
 	It("keep the places of the model among others", func() {
 		setLoad(start, 0)
 		enqueue(start, 6, model, "large", true)
 		now := start.Add(time.Second)
 		setLoad(now, 12)
-		large, other := enqueue(now, 1, model, "large", true), enqueue(now, 1, model, "other", true)
-		enqueue(now.Add(time.Millisecond), 6, "n", "large", true)
+		first := enqueue(now, 1, model, "large", true)
+		second := enqueue(now.Add(time.Millisecond), 4, "n", "large", true)
+		third := enqueue(now.Add(2*time.Millisecond), 3, model, "other", true)
 		setLoad(now, 0)
 		queue.Dispatch(now.Add(backoff))
-		Expect([]int{large(), other()}).To(Equal([]int{1, 1}))
+		Expect([]int{first() + third(), second()}).To(Equal([]int{2, 4}))
 	})
 
 	// Guards against small workspaces whose requests are rejected because of the many requests of a
