--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -62,7 +62,7 @@
 		case permit.Rejected:
 			return grant{}, &rejection{
 				reason: m.Reason, retryAfter: m.RetryAfter, forecastWait: m.EstimatedWait, survey: survey(m.Survey),
-				reserved: m.Reserved,
+				reserved: m.Reserved, relativeUse: m.RelativeUse,
 			}
 		case permit.ShuttingDown:
 			p.avoidOwner(owner, drainingAvoidance)
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -99,7 +99,7 @@
 		p.metrics.countDecision("refused")
 		p.peers.send(from, permit.Rejected{
 			ID: m.ID, Reason: rejected.reason, RetryAfter: rejected.retryAfter, EstimatedWait: rejected.forecastWait,
-			Survey: permit.Survey(rejected.survey), Reserved: rejected.reserved,
+			Survey: permit.Survey(rejected.survey), Reserved: rejected.reserved, RelativeUse: rejected.relativeUse,
 		})
 		return
 	}
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -29,6 +29,8 @@
 	arrival reservation.Arrival
 	// deferred is the state of a batch request.
 	deferred deferredWait
+	// share orders the request among those of other workspaces.
+	share waiterShare
 }
 
 // requester receives the grant: a localRequest or a peerRequest.
@@ -81,6 +83,7 @@
 	reservations map[modelKey]*reservation.Schedule
 	// deferredThroughput is that of the batch requests of each model that an engine holds.
 	deferredThroughput map[modelKey]*deferral.Throughput
+	shares             shares
 }
 
 func newQueue() queue {
@@ -88,6 +91,7 @@
 		recentGrants: map[modelKey]*slidingWindow{}, starvation: aging.New[target](starvationOptions), grantsSinceBoost: map[modelKey]int{},
 		reservations:       map[modelKey]*reservation.Schedule{},
 		deferredThroughput: map[modelKey]*deferral.Throughput{},
+		shares:             newShares(),
 	}
 }
 
@@ -175,6 +179,7 @@
 			return a.requirements.compare(now, &b.requirements)
 		})
 	}
+	p.orderByShare(now)
 	failed := map[selectionKey]missingResource{}
 	remaining := waiters[:0]
 	for _, w := range waiters {
@@ -229,6 +234,7 @@
 	prefillTime, pacing := w.requirements.costAt(now, chosen)
 	chosen.recordSend(now, prefillTime, pacing)
 	p.notifyUse(now, chosen, &w.requirements)
+	p.chargeShare(now, w, chosen)
 	p.queue.recordGrant(now, &w.requirements)
 	p.queue.recordBoost(w)
 	p.recordTurn(now, w)
--- a/internal/permit/decode.go
+++ b/internal/permit/decode.go
@@ -62,10 +62,8 @@
 		return Granted{ID: r.id(), Upstream: r.String(), Address: r.String(), PrefillBacklog: r.duration()}
 	case kindQueued:
 		return Queued{ID: r.id()}
-	case kindRejected, kindReserved:
-		m := r.rejected()
-		m.Reserved = kind == kindReserved
-		return m
+	case kindRejected, kindIdentifiedRejected:
+		return r.rejected(kind)
 	case kindShuttingDown:
 		return ShuttingDown{ID: r.id()}
 	case kindRelease:
@@ -189,16 +187,6 @@
 	return m
 }
 
-func (r reader) rejected() Rejected {
-	return Rejected{
-		ID: r.id(), Reason: Reason(r.Byte()), RetryAfter: r.duration(), EstimatedWait: r.duration(),
-		Survey: Survey{
-			Holders: r.count(), Full: r.count(), PrefillBusy: r.count(), Yielding: r.count(), Avoided: r.count(),
-			ReportAge: r.duration(),
-		},
-	}
-}
-
 func (r reader) id() ID {
 	return ID(r.Uint())
 }
@@ -220,3 +208,17 @@
 	}
 	return number
 }
+
+func (r reader) rejected(kind byte) Rejected {
+	m := Rejected{
+		ID: r.id(), Reason: Reason(r.Byte()), RetryAfter: r.duration(), EstimatedWait: r.duration(),
+		Survey: Survey{
+			Holders: r.count(), Full: r.count(), PrefillBusy: r.count(), Yielding: r.count(), Avoided: r.count(),
+			ReportAge: r.duration(),
+		},
+	}
+	if kind == kindIdentifiedRejected {
+		m.Reserved, m.RelativeUse = r.Byte() != 0, r.units()/relativeUseUnits
+	}
+	return m
+}
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -44,8 +44,9 @@
 	kindTrialRequest
 	// kindIdentifiedRequest is a Request with a workspace or a caller.
 	kindIdentifiedRequest
-	// kindReserved is a Rejected with a reservation. It replies to a kindIdentifiedRequest only.
-	kindReserved
+	// kindIdentifiedRejected is a Rejected with a reservation or a relative use. It replies to a
+	// kindIdentifiedRequest only.
+	kindIdentifiedRejected
 	kindSpeedReport
 )
 
@@ -230,10 +231,13 @@
 	return buffer
 }
 
+// relativeUseUnits is the number of units of a relative use of 1.
+const relativeUseUnits = 1000
+
 func appendRejected(buffer []byte, m Rejected) []byte {
 	kind := kindRejected
-	if m.Reserved {
-		kind = kindReserved
+	if m.identified() {
+		kind = kindIdentifiedRejected
 	}
 	buffer = append(appendHead(buffer, kind, m.ID), byte(m.Reason))
 	buffer = appendDuration(buffer, m.RetryAfter)
@@ -242,7 +246,11 @@
 	for _, count := range []int{s.Holders, s.Full, s.PrefillBusy, s.Yielding, s.Avoided} {
 		buffer = parcel.AppendUint(buffer, uint64(count))
 	}
-	return appendDuration(buffer, s.ReportAge)
+	buffer = appendDuration(buffer, s.ReportAge)
+	if m.identified() {
+		buffer = appendUnits(appendBool(buffer, m.Reserved), m.RelativeUse*relativeUseUnits)
+	}
+	return buffer
 }
 
 // appendDuration appends a duration in microseconds, and 0 for a negative one.
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -101,6 +101,14 @@
 	Survey        Survey
 	// Reserved is true if the caller has a reservation that begins after RetryAfter.
 	Reserved bool
+	// RelativeUse is the use of the request's workspace over its weight, relative to the mean of the
+	// workspaces, 0 if it is not known or the request names no workspace.
+	RelativeUse float64
+}
+
+// identified reports whether the message says more than that an unnamed request is rejected.
+func (m Rejected) identified() bool {
+	return m.Reserved || m.RelativeUse > 0
 }
 
 // Survey counts the upstreams that could run a request, by the reason for which
