backoffice, stocking, counter: demand by measured run times, and copies before the first request

Change: owners report the mean run time of their models, by which the leader counts demand; before the first demand all models give up the same share of their copies. Active while the routes mix urgency. The stocking spec fails without the change.

--- a/internal/backoffice/demand.go
+++ b/internal/backoffice/demand.go
@@ -35,6 +35,8 @@
 	// missingSince is the time since which requests have found no engine that holds the
 	// model. It is zero while an engine holds it.
 	missingSince time.Time
+	// runTime is the mean time for which an engine has a request for the model, 0 if it is not known.
+	runTime time.Duration
 	// currentBucket is the number of the bucket that is being filled, counted from the Unix
 	// epoch.
 	currentBucket int64
@@ -51,9 +53,14 @@
 	prefill, decode float64
 }
 
-// workloadOf returns the workload of d on an engine with the given number of slots.
-func workloadOf(d courier.Demand, slots int) workload {
-	return workload{prefill: d.Reading.Seconds(), decode: d.Answering.Seconds() / float64(max(slots, 1))}
+// workloadOf returns the workload of d on an engine with the given number of slots. A measured run time
+// replaces the estimate of d, which is that of the service's mean model.
+func workloadOf(d courier.Demand, slots int, runTime time.Duration) workload {
+	decode := d.Answering
+	if runTime > 0 {
+		decode = time.Duration(d.Requests) * runTime
+	}
+	return workload{prefill: d.Reading.Seconds(), decode: decode.Seconds() / float64(max(slots, 1))}
 }
 
 func (w *workload) add(other workload) {
--- a/internal/backoffice/demand_test.go
+++ b/internal/backoffice/demand_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/backoffice"
+	"github.com/lovagelift/lovagelift/internal/courier"
 )
 
 var _ = Describe("Requests that wait for a model", func() {
@@ -32,3 +33,22 @@
 		Expect(waiting.Total(now.Add(2 * time.Second))).To(BeZero())
 	})
 })
+
+// Models of one service differ in speed by a factor of four. By the service's mean, a fast model gets
+// copies that it does not need, for which slower models are unloaded.
+var _ = DescribeTable("The work requested of a model is counted by its run time",
+	func(runTime time.Duration, slots float64) {
+		now := time.Unix(1000, 0)
+		reported := backoffice.NewReported()
+		reported.RecordDemand(now, "owner", courier.Demand{Service: "pool", Model: "m", RunTime: runTime})
+		for range 16 {
+			reported.RecordDemand(now, "a", courier.Demand{Service: "pool", Model: "m", Requests: 5, Answering: 5 * time.Second})
+			now = now.Add(250 * time.Millisecond)
+		}
+		const maxDecodeShare = 0.9
+		Expect(reported.Rate(now.Add(-time.Millisecond), "pool", "m")).To(BeNumerically("~", slots/maxDecodeShare, 0.1))
+	},
+	Entry("unknown: the estimate of the requests", 0*time.Second, 20.0),
+	Entry("of a fast model", 250*time.Millisecond, 5.0),
+	Entry("of a slow model", 1500*time.Millisecond, 30.0),
+)
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -102,11 +102,13 @@
 
 func (o *orchestrator) plannerModels(now time.Time, service string, spec *routes.Engine) []stocking.Model {
 	models := make([]stocking.Model, 0, len(spec.Models))
+	o.countInitialCopies(service)
 	held := o.heldModels(service)
 	for _, model := range spec.Models {
 		m := stocking.Model{
 			Name: model.Name, Megabytes: model.Megabytes,
 			LoadTime: model.LoadTime, MemoryLoadTime: model.MemoryLoadTime, DiskLoadTime: model.DiskLoadTime,
+			InitialCopies: o.initialCopies[demandKey{service, model.Name}],
 		}
 		demand := o.demand[demandKey{service, model.Name}]
 		m.Idle = demand == nil || now.Sub(demand.lastRequested) > modelIdleTimeout
@@ -166,8 +168,11 @@
 		demand = &modelDemand{}
 		o.demand[key] = demand
 	}
+	if d.RunTime > 0 {
+		demand.runTime = d.RunTime
+	}
 	if d.Requests > 0 || d.Waiting > 0 {
-		demand.add(now, workloadOf(d, o.engineSlots(d.Service)))
+		demand.add(now, workloadOf(d, o.engineSlots(d.Service), demand.runTime))
 	}
 	demand.setWaiting(now, entry, d.Waiting)
 }
--- a/internal/backoffice/orchestrator.go
+++ b/internal/backoffice/orchestrator.go
@@ -85,6 +85,8 @@
 	usesByEntry        map[string]adapterUses
 	adapterUsers       map[Adapter]int
 	adapterRequestedAt map[Adapter]time.Time
+	// initialCopies is the highest number of copies of each model before the first demand.
+	initialCopies map[demandKey]int
 	// limits are the rate limits that upstreams state in their responses, by name.
 	limits map[string]reportedLimit
 	// fetchTokens is how many loads from the weight store may start, as of fetchTokensAt
@@ -97,7 +99,7 @@
 	o := &orchestrator{
 		instance: i, engines: map[string]*engine{}, changed: make(chan struct{}),
 		demand: map[demandKey]*modelDemand{}, usesByEntry: map[string]adapterUses{},
-		adapterUsers: map[Adapter]int{}, adapterRequestedAt: map[Adapter]time.Time{}, limits: map[string]reportedLimit{},
+		initialCopies: map[demandKey]int{}, adapterUsers: map[Adapter]int{}, adapterRequestedAt: map[Adapter]time.Time{}, limits: map[string]reportedLimit{},
 	}
 	o.leases = newLeaseBatcher(ctx, o)
 	return o
--- a/internal/backoffice/relay.go
+++ b/internal/backoffice/relay.go
@@ -1,6 +1,7 @@
 package backoffice
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -83,6 +84,7 @@
 		merged[n].Requests += d.Requests
 		merged[n].Reading += d.Reading
 		merged[n].Answering += d.Answering
+		merged[n].RunTime = cmp.Or(merged[n].RunTime, d.RunTime)
 	}
 	return merged
 }
--- a/internal/backoffice/relay_test.go
+++ b/internal/backoffice/relay_test.go
@@ -137,11 +137,11 @@
 
 	It("adds up requests of two reports, and takes the waiting ones from the newer", func() {
 		merged := backoffice.MergeDemand(
-			[]courier.Demand{{Model: "a", Requests: 2, Waiting: 2, Open: 1}, {Model: "b", Requests: 1, Waiting: 1}},
+			[]courier.Demand{{Model: "a", Requests: 2, Waiting: 2, Open: 1, RunTime: time.Second}, {Model: "b", Requests: 1, Waiting: 1}},
 			[]courier.Demand{{Model: "a", Requests: 3, Waiting: 1, Open: 4}},
 		)
 		Expect(merged).To(ConsistOf(
-			courier.Demand{Model: "a", Requests: 5, Waiting: 1, Open: 4},
+			courier.Demand{Model: "a", Requests: 5, Waiting: 1, Open: 4, RunTime: time.Second},
 			courier.Demand{Model: "b", Requests: 1},
 		))
 	})
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -29,12 +29,13 @@
 	relays    *relayClient
 	routes    atomic.Pointer[routes.Table]
 
-	mu      sync.Mutex
-	roster  *roster.Roster
-	pool    *upstreamPool
-	control controlLinks
-	seeds   []string
-	demand  *demand
+	mu       sync.Mutex
+	roster   *roster.Roster
+	pool     *upstreamPool
+	control  controlLinks
+	seeds    []string
+	demand   *demand
+	runTimes runTimes
 	// estimators holds the estimated engine speed of each service.
 	estimators map[string]*speed.Estimator
 	budgets    *retry.Budgets
@@ -106,6 +107,7 @@
 		}),
 		pool:       newUpstreamPool(options.FailureDomain, options.UpstreamLease),
 		demand:     newDemand(),
+		runTimes:   runTimes{},
 		estimators: map[string]*speed.Estimator{},
 		budgets: retry.NewBudgets(retry.Options{
 			MaxAttempts: maxSends, Share: options.Retries.Ratio, Reserve: minReserve,
--- a/internal/counter/demand.go
+++ b/internal/counter/demand.go
@@ -54,8 +54,16 @@
 	}
 }
 
-// flush returns the demand since the last call and resets the counts.
-func (d *demand) flush() []courier.Demand {
+// flush returns the demand since the last call, to which it adds the run times of models, and resets the
+// counts.
+func (d *demand) flush(runTimes []courier.Demand) []courier.Demand {
+	for _, measured := range runTimes {
+		t := target{service: measured.Service, model: measured.Model}
+		if d.counts[t] == nil {
+			d.counts[t] = &courier.Demand{Service: t.service, Model: t.model}
+		}
+		d.counts[t].RunTime = measured.RunTime
+	}
 	for _, counts := range []map[target]int{d.waiting, d.active} {
 		for t := range counts {
 			if d.counts[t] == nil {
--- a/internal/counter/estimators.go
+++ b/internal/counter/estimators.go
@@ -69,6 +69,9 @@
 	if estimator == nil || s.serviceTime <= 0 {
 		return
 	}
+	if req.mixed {
+		p.runTimes.observe(req.modelKey(), s.serviceTime)
+	}
 	estimator.ObservePrefill(req.model, req.promptTokens, s.firstEvent)
 	estimator.ObserveRequest(s.serviceTime)
 	estimator.ObserveStream(req.outputTokens, s.events, s.streaming)
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -141,7 +141,7 @@
 // NewQueue returns the queue of one of several instances.
 func NewQueue(pool UpstreamPool, instances int) Queue {
 	p := &Proxy{
-		pool: pool.pool, peers: &peerLink{}, demand: newDemand(), pendingLoads: map[courier.WantArgs]bool{}, loadLimiter: newLoadLimiter(),
+		pool: pool.pool, peers: &peerLink{}, demand: newDemand(), runTimes: runTimes{}, pendingLoads: map[courier.WantArgs]bool{}, loadLimiter: newLoadLimiter(),
 		plain: plainGroups{}, metrics: newMetrics(nil), options: Options{Now: func() time.Time { return time.Time{} }},
 	}
 	p.queue = newQueue()
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -97,7 +97,7 @@
 		Members:       p.control.membersRevision,
 		Holdings:      p.control.engineStatesRevision,
 		Quarantine:    p.crashes.Mark(),
-		Demand:        p.demand.flush(),
+		Demand:        p.demand.flush(p.takeRunTimes(now)),
 		Limited:       p.pool.limitedUpstreams(),
 		Streams:       groupStreams(p.unsyncedStreams),
 	}
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -79,6 +79,9 @@
 	// time for which their responses occupy slots of its batch.
 	Reading   time.Duration
 	Answering time.Duration
+	// RunTime is the mean time for which an engine has a request for Model, whatever the adapter. It is
+	// 0 unless the sender places the requests for the model and has measured it.
+	RunTime time.Duration
 }
 
 // SyncReply is the reply to SyncArgs.
--- a/internal/stocking/candidate.go
+++ b/internal/stocking/candidate.go
@@ -70,13 +70,27 @@
 	if c.victim == nil {
 		return c, false
 	}
-	c.costSeconds += loadPenaltySeconds * c.victim.Demand / float64(len(c.victim.copies))
+	c.costSeconds += loadPenaltySeconds * p.keepDemand(c.victim) / float64(len(c.victim.copies))
 	if len(c.victim.copies) == 1 {
 		c.costSeconds += lastCopyPenaltySeconds
 	}
 	return c, true
 }
 
+// initialCopyDemand is the demand, in engines, that each initial copy stands for before the first
+// request. It only ranks victims: it is too low to keep a copy from making room.
+const initialCopyDemand = 0.01
+
+// keepDemand returns the demand by which a model keeps its copies. Before the first request it is
+// proportional to the initial copies, so that all models lose the same share of them. Without it, one
+// model of many copies lost all but two.
+func (p *planner) keepDemand(m *modelState) float64 {
+	if p.highestDemand() > 0 {
+		return m.Demand
+	}
+	return initialCopyDemand * float64(m.InitialCopies)
+}
+
 // victim returns the model to unload from e to make room for m: the one with the lowest
 // demand for each remaining copy. A model is kept if its remaining copies would be loaded
 // by more than half of MaxLoad and at least as much as those of m.
@@ -97,7 +111,7 @@
 			}
 			continue
 		}
-		loadWithout := held.Demand / float64(held.loaded-1)
+		loadWithout := p.keepDemand(held) / float64(held.loaded-1)
 		if loadWithout > p.options.MaxLoad/2 && loadWithout >= m.Demand/float64(len(m.copies)+1) {
 			continue
 		}
--- a/internal/stocking/stocking.go
+++ b/internal/stocking/stocking.go
@@ -26,6 +26,9 @@
 	MissingFor time.Duration
 	// Idle reports that the model has had no requests for a while.
 	Idle bool
+	// InitialCopies is the number of copies before the first request for any model, 0 if it is not
+	// known. Until then it is the only sign of the demand to come.
+	InitialCopies int
 	// LoadTime is the time of a load from the weight store, MemoryLoadTime from the engine's
 	// memory and DiskLoadTime from its disk.
 	LoadTime, MemoryLoadTime, DiskLoadTime time.Duration
--- a/internal/stocking/stocking_test.go
+++ b/internal/stocking/stocking_test.go
@@ -62,6 +62,39 @@
 		Entry("before that model too after 8 s", 2.0, 8*time.Second, "w"),
 	)
 
+	// Before the first request no model has demand. Models without a copy then took the memory of the
+	// first model on each engine, which lost all copies but two, and its callers were refused for the
+	// seconds that new ones took to load.
+	It("takes the same share of copies from all models before the first request", func() {
+		copies := map[string]int{"busy": 16, "common": 8}
+		models := []stocking.Model{model("busy", 0), model("common", 0)}
+		var engines []stocking.Engine
+		for i := range 16 {
+			holds := []string{"busy"}
+			if i < 8 {
+				holds = append(holds, "common")
+			} else {
+				holds = append(holds, fmt.Sprint("rare-", i))
+				models = append(models, model(holds[1], 0))
+			}
+			engines = append(engines, engine(fmt.Sprintf("%02d", i), holds...))
+		}
+		for i := range models {
+			models[i].InitialCopies = max(copies[models[i].Name], 1)
+		}
+		for i := range 6 {
+			models = append(models, model(fmt.Sprint("unheld-", i), 0))
+		}
+		all := options
+		all.MaxMoves = 6
+		for _, move := range stocking.Plan(models, engines, all) {
+			if move.Unload {
+				copies[move.Model]--
+			}
+		}
+		Expect(copies).To(Equal(map[string]int{"busy": 12, "common": 6}))
+	})
+
 	// A narrow engine takes one request a second. If its copy counted as a full one, callers
 	// of a model without another copy would be refused for as long as the engine is narrow.
 	It("adds a copy of a model whose only copy is on a narrow engine", func() {
