--- a/internal/counter/estimators.go
+++ b/internal/counter/estimators.go
@@ -73,6 +73,7 @@
 		return
 	}
 	if req.mixed {
+		p.runTimes.observe(req.modelKey(), s.serviceTime)
 		p.recordEngineSpeed(now, u, req, s, estimator)
 		return
 	}
