--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -108,7 +108,9 @@
 		m := stocking.Model{
 			Name: model.Name, Megabytes: model.Megabytes,
 			LoadTime: model.LoadTime, MemoryLoadTime: model.MemoryLoadTime, DiskLoadTime: model.DiskLoadTime,
-			InitialCopies: o.initialCopies[demandKey{service, model.Name}],
+		}
+		if o.table.MixesUrgency() {
+			m.InitialCopies = o.initialCopies[demandKey{service, model.Name}]
 		}
 		demand := o.demand[demandKey{service, model.Name}]
 		m.Idle = demand == nil || now.Sub(demand.lastRequested) > modelIdleTimeout
--- a/internal/counter/overdue.go
+++ b/internal/counter/overdue.go
@@ -72,7 +72,8 @@
 		u.speed.overdue, u.speed.cachedAt = overdue{}, time.Time{}
 	}
 	for requester, record := range p.permits {
-		if u := record.grant.upstream; u != nil {
+		// Instances that are gone release no permits.
+		if u := record.grant.upstream; u != nil && p.owners.assignment.Contains(requester.address) {
 			u.speed.overdue.observe(requester.address, p.overdueRatio(now, record))
 		}
 	}
@@ -89,14 +90,20 @@
 }
 
 // overdueRatio returns the ratio of the time that a request has taken since its grant to the longest
-// expected time on the mean engine, 0 if that is not known.
+// expected time on the mean engine, 0 if that is not known. It is also 0 if the engine has completed a
+// response since the request became overdue: the factor follows from that then, and a release may have
+// been lost.
 func (p *Proxy) overdueRatio(now time.Time, record *permitRecord) float64 {
 	req := &record.waiter.requirements
 	estimator := p.estimators[req.service]
-	if estimator == nil || !req.mixed {
+	if estimator == nil || !req.mixed || req.outputTokens <= 0 {
 		return 0
 	}
 	model := req.eventInterval.Seconds() / max(estimator.EventInterval().Seconds(), math.SmallestNonzeroFloat64)
 	expected := req.prefillTime.Seconds() + gapMargin.Seconds() + overdueMargin*req.decodeTime.Seconds()*model
+	due := record.granted.Add(record.grant.prefillAhead + time.Duration(expected*float64(time.Second)))
+	if record.grant.upstream.speed.LastSample().After(due) {
+		return 0
+	}
 	return (now.Sub(record.granted) - record.grant.prefillAhead).Seconds() / expected
 }
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -215,7 +215,7 @@
 func (p *Proxy) selectionKey(now time.Time, w *waiter) selectionKey {
 	req := &w.requirements
 	key := selectionKey{
-		target: req.target, pacing: req.pacing, software: req.software, headroom: req.headroom(now), speed: req.speedClass(),
+		target: req.target, pacing: req.pacing, software: req.software, headroom: req.headroom(now), speed: req.speedClass(now),
 	}
 	if req.group != "" {
 		// Requests to plain services name no adapter. A field of its own would make the key too large
--- a/internal/counter/relativespeed.go
+++ b/internal/counter/relativespeed.go
@@ -85,7 +85,7 @@
 		q.maxGap = defaultMaxGap
 	}
 	if req.objective > 0 {
-		q.startBy, q.holdUntil = req.arrived.Add(req.objective), req.arrived.Add(req.objective/holdDivisor)
+		q.startBy, q.holdUntil = req.arrived.Add(req.objective), req.holdUntil()
 	}
 	if req.batch {
 		q.startBy = q.startBy.Add(-req.objective / batchStartMargin)
@@ -93,6 +93,15 @@
 	return q
 }
 
+// holdUntil returns the time until which the request waits for a suitable engine. It is zero if there is
+// no objective.
+func (req *requirements) holdUntil() time.Time {
+	if req.objective <= 0 {
+		return time.Time{}
+	}
+	return req.arrived.Add(req.objective / holdDivisor)
+}
+
 // tolerance returns the prefill time that fits into one gap of the streams beside it.
 func (s *speedQuery) tolerance() time.Duration {
 	return s.maxGap - s.eventInterval - gapMargin
@@ -130,18 +139,21 @@
 // speedClass distinguishes the requests for one target whose selections may differ because of the
 // speeds of engines.
 type speedClass struct {
-	batch, anySpeed bool
+	batch bool
+	// holds is true while the request waits for a suitable engine if there is one.
+	holds bool
 	// prompt is a logarithm of the prefill time. It is small because map keys of more than 128 bytes are
 	// allocated.
 	prompt uint8
 }
 
-func (req *requirements) speedClass() speedClass {
+func (req *requirements) speedClass(now time.Time) speedClass {
 	if !req.mixed || req.model == "" {
 		return speedClass{}
 	}
 	milliseconds := min(max(req.prefillTime.Seconds()*1000, 1), math.MaxInt32)
-	return speedClass{batch: req.batch, anySpeed: req.anySpeed, prompt: uint8(promptClassesPerDoubling * math.Log2(milliseconds))}
+	holds := !req.batch && !req.anySpeed && now.Before(req.holdUntil())
+	return speedClass{batch: req.batch, holds: holds, prompt: uint8(promptClassesPerDoubling * math.Log2(milliseconds))}
 }
 
 // suits reports whether the request, sent to u at a given time, starts in time there, streams without
@@ -182,9 +194,10 @@
 }
 
 // waitsForSuitable reports whether a request waits although best has capacity, because another engine
-// that suits it better will have capacity in time.
+// that suits it better will have capacity in time. A batch request takes what is free, because urgent
+// requests may keep the other engine's capacity for as long as it could wait.
 func (p *upstreamPool) waitsForSuitable(now time.Time, q upstreamQuery, best *upstream) bool {
-	if !q.speed.mixed || q.speed.anySpeed || q.boosted || !now.Before(q.speed.holdUntil) {
+	if !q.speed.mixed || q.speed.batch || q.speed.anySpeed || q.boosted || !now.Before(q.speed.holdUntil) {
 		return false
 	}
 	if at := q.at(now, best); at.suits(now, best) {
--- a/internal/counter/shares.go
+++ b/internal/counter/shares.go
@@ -139,7 +139,12 @@
 
 // shareClaim returns what a request asks of an engine with a number of slots. p.mu is held.
 func (p *Proxy) shareClaim(req *requirements, slots int) fairshare.Claim {
-	claim := fairshare.Claim{Workspace: req.workspace, Weight: 1, Cost: req.prefillTime + req.decodeTime/time.Duration(max(slots, 1))}
+	running := req.decodeTime
+	if req.outputTokens <= 0 {
+		// A caller that does not declare the length of the answer must not get more than its share.
+		running = req.pacing.serviceTime
+	}
+	claim := fairshare.Claim{Workspace: req.workspace, Weight: 1, Cost: req.prefillTime + running/time.Duration(max(slots, 1))}
 	if table := p.routes.Load(); table != nil {
 		claim.Weight = table.Workspaces.Weights().Of(req.workspace)
 	}
--- a/internal/permit/owners.go
+++ b/internal/permit/owners.go
@@ -32,6 +32,14 @@
 	return o
 }
 
+// Contains reports whether an instance is among them.
+func (o Owners) Contains(address netip.AddrPort) bool {
+	_, found := slices.BinarySearchFunc(o.instances, address, func(i instance, address netip.AddrPort) int {
+		return i.address.Compare(address)
+	})
+	return found
+}
+
 // Len returns the number of instances.
 func (o Owners) Len() int {
 	return len(o.instances)
--- a/internal/speed/relative.go
+++ b/internal/speed/relative.go
@@ -140,6 +140,11 @@
 	return math.Exp(r.spread)
 }
 
+// LastSample returns the time of the latest own sample. It is zero if there is none.
+func (r *Relative) LastSample() time.Time {
+	return r.own.at
+}
+
 // Age returns the time since the latest own sample or report, and false if there is none.
 func (r *Relative) Age(now time.Time) (time.Duration, bool) {
 	latest := r.own.at
