--- a/internal/counter/speedbounds_test.go
+++ b/internal/counter/speedbounds_test.go
@@ -11,7 +11,7 @@
 	"github.com/lovagelift/lovagelift/internal/permit"
 )
 
-var _ = Describe("Review of edge cases", func() {
+var _ = Describe("A placement by speed", func() {
 	instances := instanceAddresses(4)
 	model := modelOwnedBy("pool", instances[0], instances...)
 	DescribeTable("a request is granted an idle engine at once", func(slots int, objective, gap time.Duration, tokens int, factor float64) {
