--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -49,8 +49,8 @@
 	// originReports the origins reported to other instances.
 	resumptions   map[string]tally.Counter
 	originReports tally.Counter
-	// turns counts what became of reservations.
-	turns map[string]tally.Counter
+	// reservations counts what became of reservations.
+	reservations map[string]tally.Counter
 	// quotaDecisions counts the quota decisions on this instance's requests, by workspace.
 	quotaDecisions map[quotaDecisionKey]tally.Counter
 	batch          batchMetrics
@@ -114,7 +114,7 @@
 		untilClose:     map[string]tally.Counter{},
 		plainRefusals:  map[string]tally.Counter{},
 		resumptions:    map[string]tally.Counter{},
-		turns:          map[string]tally.Counter{},
+		reservations:   map[string]tally.Counter{},
 		originReports:  scope.Counter("stream_origin_reports"),
 		quotaDecisions: map[quotaDecisionKey]tally.Counter{},
 		engineFactors:  scope.Histogram("engine_factor", factorBuckets),
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -237,7 +237,7 @@
 	p.chargeShare(now, w, chosen)
 	p.queue.recordGrant(now, &w.requirements)
 	p.queue.recordBoost(w)
-	p.recordTurn(now, w)
+	p.recordReservationUse(now, w)
 	p.recordDeferredGrant(now, w)
 	p.updateWaiting(w, false)
 	switch to := w.requester.(type) {
--- a/internal/counter/reservations.go
+++ b/internal/counter/reservations.go
@@ -34,17 +34,17 @@
 // in vain. One that is withdrawn before that has been left by its caller.
 const waitedTolerance = 100 * time.Millisecond
 
-// turn is what became of a reservation. It is also the metric tag.
-type turn string
+// reservationResult is what became of a reservation. It is also the metric tag.
+type reservationResult string
 
 const (
-	turnBooked turn = "booked"
-	// turnKept means that the caller was served at its reserved time, or before.
-	turnKept turn = "kept"
-	// turnBroken means that the caller returned in time and was refused.
-	turnBroken turn = "broken"
-	// turnMissed means that the caller did not return in time, or left.
-	turnMissed turn = "missed"
+	reservationBooked reservationResult = "booked"
+	// reservationKept means that the caller was served at its reserved time, or before.
+	reservationKept reservationResult = "kept"
+	// reservationBroken means that the caller returned in time and was refused.
+	reservationBroken reservationResult = "broken"
+	// reservationMissed means that the caller did not return in time, or left.
+	reservationMissed reservationResult = "missed"
 )
 
 // isReservable reports whether this instance decides on the reservations of a request. Only the owner of
@@ -77,19 +77,19 @@
 	if schedule == nil {
 		return
 	}
-	p.metrics.countTurns(turnMissed, schedule.Expire(now))
+	p.metrics.countReservations(reservationMissed, schedule.Expire(now))
 	w.arrival = schedule.Arrive(now, w.requirements.caller)
 	w.requirements.reserved = w.arrival.Standing == reservation.Reserved
 }
 
-// recordTurn records that a request is granted an upstream. p.mu is held.
-func (p *Proxy) recordTurn(now time.Time, w *waiter) {
+// recordReservationUse records that a request is granted an upstream. p.mu is held.
+func (p *Proxy) recordReservationUse(now time.Time, w *waiter) {
 	if !w.isReservable() {
 		return
 	}
 	req := &w.requirements
 	if p.newSchedule(now, w).Granted(now, req.caller, req.class()) || req.reserved {
-		p.metrics.countTurns(turnKept, 1)
+		p.metrics.countReservations(reservationKept, 1)
 	}
 }
 
@@ -131,7 +131,7 @@
 	}
 	req := &w.requirements
 	if req.reserved {
-		p.metrics.countTurns(turnBroken, 1)
+		p.metrics.countReservations(reservationBroken, 1)
 	}
 	if w.arrival.Standing == reservation.Early {
 		rejected.retryAfter, rejected.reserved = w.arrival.Due.Sub(now), w.arrival.HasReservation
@@ -152,7 +152,7 @@
 		schedule.Refuse(req.caller, req.class(), now.Add(rejected.retryAfter))
 		return
 	}
-	p.metrics.countTurns(turnBooked, 1)
+	p.metrics.countReservations(reservationBooked, 1)
 	rejected.retryAfter, rejected.reserved = due.Sub(now), true
 }
 
@@ -168,9 +168,9 @@
 	inVain := overdue >= -waitedTolerance
 	switch {
 	case req.reserved && inVain:
-		p.metrics.countTurns(turnBroken, 1)
+		p.metrics.countReservations(reservationBroken, 1)
 	case req.reserved:
-		p.metrics.countTurns(turnMissed, 1)
+		p.metrics.countReservations(reservationMissed, 1)
 	}
 	// If it was withdrawn later than that, its caller was told another time, or none.
 	if !inVain || overdue > waitedTolerance || w.missing < missingCapacity || len(req.tried) > 0 {
@@ -188,7 +188,7 @@
 		schedule.Refuse(req.caller, req.class(), now.Add(told))
 		return
 	}
-	p.metrics.countTurns(turnBooked, 1)
+	p.metrics.countReservations(reservationBooked, 1)
 }
 
 // expireReservations removes the reservations of callers that have not returned in time.
@@ -196,7 +196,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, schedule := range p.queue.reservations {
-		p.metrics.countTurns(turnMissed, schedule.Expire(now))
+		p.metrics.countReservations(reservationMissed, schedule.Expire(now))
 		if schedule.Idle(now) {
 			delete(p.queue.reservations, key)
 		}
@@ -212,9 +212,9 @@
 	return count
 }
 
-// countTurns counts what became of reservations.
-func (m *metrics) countTurns(result turn, count int) {
+// countReservations counts what became of reservations.
+func (m *metrics) countReservations(result reservationResult, count int) {
 	if count > 0 {
-		taggedCounter(m.scope, m.turns, "turns", "result", string(result)).Inc(int64(count))
+		taggedCounter(m.scope, m.reservations, "reservation_results", "result", string(result)).Inc(int64(count))
 	}
 }
--- a/internal/counter/reservations_test.go
+++ b/internal/counter/reservations_test.go
@@ -35,7 +35,7 @@
 	instance.SetRoutes(table)
 	instance.SetMetrics(scope)
 	return instance, func(result string) int64 {
-		if c := scope.Snapshot().Counters()["counter.turns+result="+result]; c != nil {
+		if c := scope.Snapshot().Counters()["counter.reservation_results+result="+result]; c != nil {
 			return c.Value()
 		}
 		return 0
@@ -188,7 +188,7 @@
 	// so that first attempts find nothing.
 	DescribeTable("divide 1.5 times the capacity",
 		func(firstCome bool, minFirst, maxFirst, minReserved float64, objectives ...time.Duration) {
-			instance, turns := ownerWith(objectives...)
+			instance, count := ownerWith(objectives...)
 			r := &replay{instance: instance, firstCome: firstCome, random: rand.New(rand.NewPCG(3, 4))}
 			r.run()
 			c := r.counts
@@ -198,7 +198,7 @@
 			AddReportEntry("replay", fmt.Sprintf(
 				"first attempts in time %.2f, capacity used %.2f, served patient %.2f, impatient %.2f; %v; booked %d kept %d broken %d missed %d",
 				c["served-first"]/c["callers"], c["served"]/capacity, patient, impatient, c,
-				turns("booked"), turns("kept"), turns("broken"), turns("missed")))
+				count("booked"), count("kept"), count("broken"), count("missed")))
 			Expect(c["served"]).To(BeNumerically(">=", 0.9*capacity))
 			Expect(c["served-first"] / c["callers"]).To(And(BeNumerically(">=", minFirst), BeNumerically("<=", maxFirst)))
 			Expect(c["reserved"]).To(BeNumerically(">=", minReserved))
@@ -231,7 +231,7 @@
 
 	// A reply may be lost, capacity may fall, and callers may leave.
 	DescribeTable("are counted by what became of them", func(returns bool, result string) {
-		instance, turns := ownerWith(replayObjective, 10*time.Second)
+		instance, count := ownerWith(replayObjective, 10*time.Second)
 		now, ask, rejected := fill(instance)
 		Expect(rejected.Reserved).To(BeTrue())
 		ask.ID++
@@ -244,8 +244,8 @@
 			Expect(sent[0].Message).To(BeAssignableToTypeOf(permit.Queued{}), "it is not rejected by the forecast")
 		}
 		instance.ExpirePermits(due.Add(5 * time.Second))
-		Expect(turns("booked")).To(BeEquivalentTo(1))
-		Expect(turns(result)).To(BeEquivalentTo(1))
+		Expect(count("booked")).To(BeEquivalentTo(1))
+		Expect(count(result)).To(BeEquivalentTo(1))
 	},
 		Entry("returned and refused", true, "broken"),
 		Entry("not returned", false, "missed"),
