decay: one place for values that decay with their age

Cause: four new packages each had the formula of a half-life with its own guard against a clock that steps back, and counter, demand and reservation each that of a time constant. Change: they call the package decay. quota, admission and dispatch, which are older and treat a step back of the clock in other ways, are left as they are.

--- a/internal/concurrency/limiter.go
+++ b/internal/concurrency/limiter.go
@@ -9,6 +9,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lovagelift/lovagelift/internal/decay"
 )
 
 const (
@@ -123,11 +125,7 @@
 
 // weight returns the weight of the last samples, which decreases with their age, between 0 and 1.
 func (l *Limiter) weight(now time.Time) float64 {
-	stale := now.Sub(l.sampled) - staleAfter
-	if stale <= 0 {
-		return 1
-	}
-	return math.Exp2(-stale.Seconds() / staleHalfLife.Seconds())
+	return decay.HalfLife(now.Sub(l.sampled)-staleAfter, staleHalfLife)
 }
 
 // Limit returns how many requests an upstream with a number of slots, 0 if it is not known, may have
--- a/internal/counter/peerload.go
+++ b/internal/counter/peerload.go
@@ -1,8 +1,9 @@
 package counter
 
 import (
-	"math"
 	"time"
+
+	"github.com/lovagelift/lovagelift/internal/decay"
 )
 
 // peerLoad estimates how many requests the other instances have at an engine. Each instance reports
@@ -40,7 +41,7 @@
 		l.byInstance = map[uint32]peerCount{}
 	}
 	previous := l.byInstance[peer]
-	rest := l.estimate(now, serviceTime) - float64(previous.active)*decay(now.Sub(previous.at), serviceTime)
+	rest := l.estimate(now, serviceTime) - float64(previous.active)*decay.TimeConstant(now.Sub(previous.at), serviceTime)
 	l.total, l.asOf = max(rest, 0)+float64(active), now
 	l.latest = loadEstimate{}
 	l.byInstance[peer] = peerCount{active: active, at: now}
@@ -49,7 +50,7 @@
 // correct adjusts the estimate after a report that showed difference more requests at a past time
 // than estimated.
 func (l *peerLoad) correct(now, at time.Time, serviceTime time.Duration, difference float64) {
-	rest := l.estimate(now, serviceTime) + difference*decay(now.Sub(at), serviceTime)
+	rest := l.estimate(now, serviceTime) + difference*decay.TimeConstant(now.Sub(at), serviceTime)
 	l.total, l.asOf = max(rest, 0), now
 	l.latest = loadEstimate{}
 }
@@ -57,15 +58,7 @@
 // estimate returns the estimated number of requests at now.
 func (l *peerLoad) estimate(now time.Time, serviceTime time.Duration) float64 {
 	if l.latest.at.IsZero() || l.latest.serviceTime != serviceTime || !l.latest.at.Equal(now) {
-		l.latest = loadEstimate{at: now, serviceTime: serviceTime, load: l.total * decay(now.Sub(l.asOf), serviceTime)}
+		l.latest = loadEstimate{at: now, serviceTime: serviceTime, load: l.total * decay.TimeConstant(now.Sub(l.asOf), serviceTime)}
 	}
 	return l.latest.load
 }
-
-// decay returns the share of requests still running after age, between 0 and 1.
-func decay(age, serviceTime time.Duration) float64 {
-	if age <= 0 || serviceTime <= 0 {
-		return 1
-	}
-	return math.Exp(-age.Seconds() / serviceTime.Seconds())
-}
--- a/internal/deferral/throughput.go
+++ b/internal/deferral/throughput.go
@@ -1,8 +1,9 @@
 package deferral
 
 import (
-	"math"
 	"time"
+
+	"github.com/lovagelift/lovagelift/internal/decay"
 )
 
 const (
@@ -51,13 +52,10 @@
 
 // decay reduces the evidence by its age. If the clock has stepped back, nothing is reduced.
 func (t *Throughput) decay(now time.Time) {
-	age := now.Sub(t.decayedAt)
+	factor := decay.HalfLife(now.Sub(t.decayedAt), evidenceHalfLife)
 	t.decayedAt = now
-	if age > 0 {
-		factor := math.Exp2(-age.Seconds() / evidenceHalfLife.Seconds())
-		t.grants *= factor
-		t.waitedSeconds *= factor
-	}
+	t.grants *= factor
+	t.waitedSeconds *= factor
 }
 
 // Forecast returns how long a request waits that has ahead others before it. assumedRate is the rate of
--- a/internal/demand/estimator.go
+++ b/internal/demand/estimator.go
@@ -6,9 +6,10 @@
 package demand
 
 import (
-	"math"
 	"slices"
 	"time"
+
+	"github.com/lovagelift/lovagelift/internal/decay"
 )
 
 // Time scales of the averages: a burst, the time within which loading a copy
@@ -116,18 +117,13 @@
 	}
 	a.updatedAt = now
 	for i, scale := range scales {
-		a.rates[i] *= decayFactor(age, scale)
+		a.rates[i] *= decay.TimeConstant(age, scale)
 	}
-	factor := decayFactor(age, SlowScale)
+	factor := decay.TimeConstant(age, SlowScale)
 	a.ended *= factor
 	a.heldSeconds *= factor
 }
 
-// decayFactor returns the fraction of an average that is left after age.
-func decayFactor(age, scale time.Duration) float64 {
-	return math.Exp(-age.Seconds() / scale.Seconds())
-}
-
 // Estimates returns the estimates at now, sorted by target. It drops targets
 // whose arrival rate has become negligible, and instances that have not
 // reported for SlowScale.
@@ -162,7 +158,7 @@
 		// The lower bound on age keeps one request in the first second from
 		// counting as ten.
 		age := max(now.Sub(e.startedAt), FastScale)
-		loads[i] = a.rates[i] / (1 - decayFactor(age, scale)) * holdSeconds
+		loads[i] = a.rates[i] / (1 - decay.TimeConstant(age, scale)) * holdSeconds
 	}
 	return Estimate{Target: target, Fast: loads[0], Middle: loads[1], Slow: loads[2]}
 }
--- a/internal/fairshare/scheduler.go
+++ b/internal/fairshare/scheduler.go
@@ -10,8 +10,9 @@
 package fairshare
 
 import (
-	"math"
 	"time"
+
+	"github.com/lovagelift/lovagelift/internal/decay"
 )
 
 // Options configures a Scheduler. All fields must be above 0.
@@ -127,10 +128,10 @@
 
 // decayed returns what is left of a value as of an earlier time of the clock.
 func (s *Scheduler) decayed(value float64, at time.Duration) float64 {
-	if value == 0 || at >= s.clock {
-		return value
+	if value == 0 {
+		return 0
 	}
-	return value * math.Exp2(-(s.clock-at).Seconds()/s.options.HalfLife.Seconds())
+	return value * decay.HalfLife(s.clock-at, s.options.HalfLife)
 }
 
 // accountName returns the name of the account to which a workspace's requests are charged.
--- a/internal/reservation/rates.go
+++ b/internal/reservation/rates.go
@@ -1,8 +1,9 @@
 package reservation
 
 import (
-	"math"
 	"time"
+
+	"github.com/lovagelift/lovagelift/internal/decay"
 )
 
 // minRate is the rate of grants, per second, below which it counts as none.
@@ -41,5 +42,5 @@
 // decay returns the factor by which the rates have decayed since the last grant. It is 1 if the clock was
 // set back.
 func (r *grantRates) decay(now time.Time) float64 {
-	return math.Exp(-max(now.Sub(r.last), 0).Seconds() / r.window.Seconds())
+	return decay.TimeConstant(now.Sub(r.last), r.window)
 }
--- a/internal/speed/relative.go
+++ b/internal/speed/relative.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lovagelift/lovagelift/internal/decay"
 )
 
 const (
@@ -54,8 +56,7 @@
 	if s.weight == 0 {
 		return 0
 	}
-	age := max(now.Sub(s.at), 0)
-	return s.weight * math.Exp2(-age.Seconds()/relativeHalfLife.Seconds())
+	return s.weight * decay.HalfLife(now.Sub(s.at), relativeHalfLife)
 }
 
 // ValidFactor reports whether a factor is finite and above 0.
