counter: what stood twice is one piece, and dispatches allocate nothing

Cause: the key of a selection had 136 bytes instead of the 128 that its comment stated, so that a map allocated it, once per dispatch without batch routes and up to four times with them. A query, which the speeds have doubled in size, was copied for each check of each engine. Some logic stood twice: whether this instance or another owns a model (five places), the share of prefill, the count of requests ahead, the removal of a waiting request, the limit of a batch objective, and whether batch and interactive requests share engines (six places). Change: the small fields of the key are together; checks of an engine take the query by reference; each of the others is one function. Reservations expire with the permits under one lock. The class of a waiting request in an order by share is a counter, and a speed factor of 1 says itself that there is nothing to log.

--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -73,12 +73,12 @@
 	missing := missingService
 	ties := 1.0
 	for u := range p.eligible(now, q) {
-		q := q.at(now, u)
-		if reason := u.missing(now, q, random); reason != missingNone {
+		at := q.at(now, u)
+		if reason := u.missing(now, &at, random); reason != missingNone {
 			missing = max(missing, reason)
 			continue
 		}
-		cost := u.cost(now, q)
+		cost := u.cost(now, &at)
 		switch {
 		case best == nil || cost < bestCost:
 			best, bestCost, ties = u, cost, 1
@@ -129,7 +129,7 @@
 }
 
 // missing returns the resource that u lacks for q.
-func (u *upstream) missing(now time.Time, q upstreamQuery, random float64) missingResource {
+func (u *upstream) missing(now time.Time, q *upstreamQuery, random float64) missingResource {
 	switch {
 	case !u.canRun(q.model, ""):
 		return missingModel
@@ -149,7 +149,7 @@
 
 // hasCapacity reports whether an engine may receive a request now. random, in [0, 1), scales the
 // random backoff before this instance sends to a contended engine.
-func (u *upstream) hasCapacity(now time.Time, q upstreamQuery, random float64) bool {
+func (u *upstream) hasCapacity(now time.Time, q *upstreamQuery, random float64) bool {
 	if q.boosted {
 		return u.load(now) < float64(u.slots+max(u.slots/boostOverfillDivisor, 1))
 	}
@@ -176,12 +176,12 @@
 
 // cost returns the cost of sending to u. For an engine it combines the prompt backlog and the share
 // of slots in use, otherwise it is the share of slots in use by this instance.
-func (u *upstream) cost(now time.Time, q upstreamQuery) float64 {
+func (u *upstream) cost(now time.Time, q *upstreamQuery) float64 {
 	slots := float64(max(u.slots, 1))
 	cost := float64(u.active) / slots
 	switch {
 	case q.speed.mixed:
-		cost = u.predictedCost(now, &q)
+		cost = u.predictedCost(now, q)
 	case q.model != "":
 		cost = u.backlog.remaining(now).Seconds()/(q.pacing.prefillShare*defaultMaxGap.Seconds()) + u.load(now)/slots
 	}
--- a/internal/counter/deferral.go
+++ b/internal/counter/deferral.go
@@ -25,7 +25,7 @@
 
 // isDeferrable reports whether the request is for a model and may wait in favor of urgent requests.
 func (req *requirements) isDeferrable() bool {
-	return req.mixed && req.batch && req.model != ""
+	return req.sharesEngines() && req.batch
 }
 
 // headroom returns the capacity of an engine that the request leaves free.
@@ -66,7 +66,7 @@
 
 // lacksHeadroom returns the resource that u lacks for a batch request: missingHeadroom if another
 // request could be sent there. It returns missingNone if it lacks none.
-func (u *upstream) lacksHeadroom(now time.Time, q upstreamQuery) missingResource {
+func (u *upstream) lacksHeadroom(now time.Time, q *upstreamQuery) missingResource {
 	if q.headroom == deferral.None || q.boosted {
 		return missingNone
 	}
@@ -150,13 +150,10 @@
 // were granted lately. p.mu is held.
 func (p *Proxy) forecastDeferred(now time.Time, w *waiter) time.Duration {
 	req := &w.requirements
-	ahead := 0
-	for _, other := range p.queue.waiters {
-		ofModel := other != w && other.requirements.modelKey() == req.modelKey() && other.requirements.isDeferrable()
-		if ofModel && other.missing >= missingCapacity && other.requirements.compare(now, req) <= 0 {
-			ahead++
-		}
-	}
+	ahead := p.queue.countOthers(w, func(other *waiter) bool {
+		return other.requirements.modelKey() == req.modelKey() && other.requirements.isDeferrable() &&
+			other.missing >= missingCapacity && other.requirements.compare(now, req) <= 0
+	})
 	if ahead == 0 {
 		return 0
 	}
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -267,10 +267,9 @@
 	return i.takeSent()
 }
 
-// ExpirePermits removes permits whose time has run out, and returns the messages sent.
+// ExpirePermits removes permits and reservations whose time has run out, and returns the messages sent.
 func (i Instance) ExpirePermits(now time.Time) []SentMessage {
 	i.proxy.expirePermits(now)
-	i.proxy.expireReservations(now)
 	return i.takeSent()
 }
 
--- a/internal/counter/holdback.go
+++ b/internal/counter/holdback.go
@@ -51,12 +51,10 @@
 	if !ok {
 		return nil
 	}
-	wait := held.wait
-	for _, other := range p.queue.waiters {
-		if other != w && other.requirements.target == req.target && (w.share.model == nil || other.goesBefore(now, w)) {
-			wait += time.Duration(float64(time.Second) / held.perSecond)
-		}
-	}
+	ahead := p.queue.countOthers(w, func(other *waiter) bool {
+		return other.requirements.target == req.target && (w.share.model == nil || other.goesBefore(now, w))
+	})
+	wait := held.wait + time.Duration(ahead)*time.Duration(float64(time.Second)/held.perSecond)
 	switch {
 	case wait <= req.maxForecast(now):
 		return nil
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -63,11 +63,6 @@
 // factorBuckets are the histogram bounds of the engines' factors.
 var factorBuckets = tally.ValueBuckets{0.25, 0.4, 0.6, 0.8, 1, 1.25, 1.6, 2, 2.5, 4}
 
-// recordFactor records the factor of an engine after a response.
-func (m *metrics) recordFactor(factor float64) {
-	m.engineFactors.RecordValue(factor)
-}
-
 // quotaDecisionKey distinguishes the counters of quota decisions.
 type quotaDecisionKey struct {
 	workspace string
--- a/internal/counter/owners.go
+++ b/internal/counter/owners.go
@@ -88,6 +88,19 @@
 	return owner, known
 }
 
+// owns reports whether this instance places the requests of a model.
+func (o *ownerTable) owns(now time.Time, service, model string) bool {
+	owner, known := o.ownerOf(now, service, model)
+	return known && owner == o.self
+}
+
+// remoteOwnerOf returns the other instance that places the requests of a model. It returns false if this
+// instance does, or none.
+func (o *ownerTable) remoteOwnerOf(now time.Time, service, model string) (netip.AddrPort, bool) {
+	owner, known := o.ownerOf(now, service, model)
+	return owner, known && owner != o.self
+}
+
 // avoid excludes an instance from ownership for a while.
 func (o *ownerTable) avoid(now time.Time, address netip.AddrPort, duration time.Duration) {
 	o.avoided[address] = now.Add(duration)
@@ -111,14 +124,13 @@
 	if req.ownedName() == "" || p.peers.conn == nil {
 		return netip.AddrPort{}, false
 	}
-	owner, known := p.owners.ownerOf(now, req.service, req.ownedName())
-	return owner, known && owner != p.owners.self
+	return p.owners.remoteOwnerOf(now, req.service, req.ownedName())
 }
 
 // placingInstances returns how many instances place requests for the model of a request that is
 // placed here: one if this instance owns the model, otherwise all of them. p.mu is held.
 func (p *Proxy) placingInstances(now time.Time, req *requirements) int {
-	if owner, known := p.owners.ownerOf(now, req.service, req.ownedName()); known && owner == p.owners.self {
+	if p.owners.owns(now, req.service, req.ownedName()) {
 		return 1
 	}
 	return p.control.entryInstances
@@ -150,8 +162,8 @@
 func (p *Proxy) modelOwners(now time.Time, u *upstream) []netip.AddrPort {
 	var owners []netip.AddrPort
 	for model := range u.models {
-		owner, known := p.owners.ownerOf(now, u.service, model)
-		if known && owner != p.owners.self && !slices.Contains(owners, owner) {
+		owner, remote := p.owners.remoteOwnerOf(now, u.service, model)
+		if remote && !slices.Contains(owners, owner) {
 			owners = append(owners, owner)
 		}
 	}
--- a/internal/counter/pacing.go
+++ b/internal/counter/pacing.go
@@ -44,8 +44,18 @@
 	if maxGap <= 0 {
 		maxGap = defaultMaxGap
 	}
-	share := max((maxGap-estimator.EventInterval()-gapMargin).Seconds()/maxGap.Seconds(), minPrefillShare)
-	return pacing{prefillShare: share, serviceTime: estimator.RequestTime()}
+	return pacing{prefillShare: prefillShare(maxGap, estimator.EventInterval()), serviceTime: estimator.RequestTime()}
+}
+
+// prefillTolerance returns the prefill time that fits into one gap of streams whose events follow each
+// other in eventInterval.
+func prefillTolerance(maxGap, eventInterval time.Duration) time.Duration {
+	return maxGap - eventInterval - gapMargin
+}
+
+// prefillShare returns the share of its time that an engine with such streams may spend on prefill.
+func prefillShare(maxGap, eventInterval time.Duration) float64 {
+	return max(prefillTolerance(maxGap, eventInterval).Seconds()/maxGap.Seconds(), minPrefillShare)
 }
 
 // promptBacklog is the prefill time of the prompts that an engine has received but not yet
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -113,7 +113,7 @@
 		target:       target{service: m.Service, model: m.Model, adapter: m.Adapter},
 		promptTokens: m.PromptTokens, outputTokens: m.AnswerTokens, priority: m.Priority, yields: m.Yields, objective: m.Objective,
 		maxGap: m.MaxEventGap, arrived: now.Add(-m.Age), deadline: now.Add(m.Remaining), sender: from, tried: m.Tried, software: m.Software,
-		mixed: p.mixesUrgency(), batch: m.Objective >= routes.BatchObjective, workspace: m.Workspace, caller: m.Caller,
+		mixed: p.mixesUrgency(), batch: routes.IsBatch(m.Objective), workspace: m.Workspace, caller: m.Caller,
 	}
 	if m.Model == "" && m.Adapter != "" {
 		req.adapter, req.group = "", m.Adapter
@@ -174,7 +174,7 @@
 	p.reserveAfterWait(now, record.waiter)
 }
 
-// expirePermits removes permits and stored answers whose time has run out.
+// expirePermits removes permits, stored answers and reservations whose time has run out.
 func (p *Proxy) expirePermits(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -185,6 +185,7 @@
 			p.removePermit(now, requester, record)
 		}
 	}
+	p.expireReservations(now)
 }
 
 // hashAddress returns a hash that distinguishes the peers.
--- a/internal/counter/plainplacement.go
+++ b/internal/counter/plainplacement.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"time"
 
@@ -153,7 +152,7 @@
 			if isLastResort != lastResort || !p.pool.isAvailable(now, u) {
 				continue
 			}
-			if reason := u.missing(now, query, 0); reason != missingNone {
+			if reason := u.missing(now, &query, 0); reason != missingNone {
 				selection.missing = max(selection.missing, reason)
 				continue
 			}
@@ -210,26 +209,12 @@
 		return 0
 	}
 	req := &w.requirements
-	ahead := 0
-	for _, other := range p.queue.waiters {
-		if other != w && other.requirements.sharesGroup(req) && other.requirements.compare(now, req) <= 0 {
-			ahead++
-		}
-	}
+	ahead := p.queue.countOthers(w, func(other *waiter) bool {
+		return other.requirements.sharesGroup(req) && other.requirements.compare(now, req) <= 0
+	})
 	return concurrency.Wait(candidates, ahead)
 }
 
-// observePlainStatus records what a complete response of a plain service says of its upstream.
-func (t *transaction) observePlainStatus(a *upstreamAttempt, status int) {
-	switch {
-	case t.group == "":
-	case status >= http.StatusInternalServerError:
-		a.outcome = permit.Failed
-	default:
-		a.speed = t.measuredSpeed()
-	}
-}
-
 // observePlain records the end of a request that this instance has placed at an upstream of a plain
 // service, and grants the free place to the next one. p.mu is held.
 func (p *Proxy) observePlain(now time.Time, req *requirements, granted grant, outcome permit.Outcome, runTime time.Duration) {
@@ -279,7 +264,7 @@
 			p.setTimer()
 			return missing
 		}
-		p.queue.waiters = slices.DeleteFunc(p.queue.waiters, func(w *waiter) bool { return w == next })
+		p.dequeue(next)
 		p.issueGrant(now, next, chosen)
 	}
 }
@@ -319,7 +304,7 @@
 	for service, division := range p.plain {
 		limit, inFlight, slowest := 0, 0, time.Duration(0)
 		for group, members := range division.groups {
-			if owner, known := p.owners.ownerOf(now, service, concurrency.GroupName(group)); known && owner != p.owners.self {
+			if _, remote := p.owners.remoteOwnerOf(now, service, concurrency.GroupName(group)); remote {
 				continue
 			}
 			for _, u := range members {
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -125,6 +125,17 @@
 	p.updateWaiting(w, false)
 }
 
+// countOthers returns the number of waiting requests beside w that match.
+func (q *queue) countOthers(w *waiter, matches func(other *waiter) bool) int {
+	count := 0
+	for _, other := range q.waiters {
+		if other != w && matches(other) {
+			count++
+		}
+	}
+	return count
+}
+
 // updateWaiting updates the demand when a local request starts or stops waiting for an engine. p.mu
 // is held.
 func (p *Proxy) updateWaiting(w *waiter, waiting bool) {
@@ -146,18 +157,19 @@
 	}
 }
 
-// selectionKey identifies queries that have the same result within one dispatch.
+// selectionKey identifies queries that have the same result within one dispatch. It has 128 bytes: a
+// map allocates each larger key. The small fields are together, because apart they would be padded.
 type selectionKey struct {
 	target
 	pacing   pacing
 	software resumption.Constraint
 	speed    speedClass
-	// sender is set if any upstream pushes back to it.
-	sender netip.AddrPort
 	// alone distinguishes requests to plain services that this instance places by its share.
 	alone bool
 	// headroom has few values, so that few selections are made for the batch requests of a target.
 	headroom deferral.Headroom
+	// sender is set if any upstream pushes back to it.
+	sender netip.AddrPort
 }
 
 // dispatch grants upstreams to waiting requests in order of priority. p.mu is held.
@@ -188,11 +200,11 @@
 		var chosen *upstream
 		cacheable := len(w.requirements.tried) == 0 && !w.boosted
 		if !known || !cacheable {
-			query := w.requirements.query()
-			query.boosted, query.headroom = w.boosted, key.headroom
 			if w.requirements.group != "" {
 				chosen, missing, cacheable = p.choosePlain(now, w)
 			} else {
+				query := w.requirements.query()
+				query.boosted, query.headroom = w.boosted, key.headroom
 				chosen, missing = p.pool.choose(now, query, rand.Float64())
 			}
 		}
@@ -218,8 +230,7 @@
 		target: req.target, pacing: req.pacing, software: req.software, headroom: req.headroom(now), speed: req.speedClass(now),
 	}
 	if req.group != "" {
-		// Requests to plain services name no adapter. A field of its own would make the key too large
-		// for a map without an allocation for each entry.
+		// Requests to plain services name no adapter, and the key has no room for another name.
 		key.adapter, key.alone = req.group, w.placedAlone()
 	}
 	if p.pool.anyPushesBack(now, req.sender) {
--- a/internal/counter/quota.go
+++ b/internal/counter/quota.go
@@ -61,8 +61,7 @@
 	if p.peers.conn == nil {
 		return netip.AddrPort{}, false
 	}
-	owner, known := p.owners.ownerOf(now, quotaOwnerService, name)
-	return owner, known && owner != p.owners.self
+	return p.owners.remoteOwnerOf(now, quotaOwnerService, name)
 }
 
 // ownerBucket returns the bucket of all instances, for a request of the given instance, and the limit
--- a/internal/counter/relativespeed.go
+++ b/internal/counter/relativespeed.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -74,7 +75,7 @@
 
 // speedQuery returns the speed part of a query.
 func (req *requirements) speedQuery() speedQuery {
-	if !req.mixed || req.model == "" {
+	if !req.sharesEngines() {
 		return speedQuery{}
 	}
 	q := speedQuery{
@@ -102,23 +103,13 @@
 	return req.arrived.Add(req.objective / holdDivisor)
 }
 
-// tolerance returns the prefill time that fits into one gap of the streams beside it.
-func (s *speedQuery) tolerance() time.Duration {
-	return s.maxGap - s.eventInterval - gapMargin
-}
-
-// prefillShare returns the share of its time that the engine may spend on prefill.
-func (s *speedQuery) prefillShare() float64 {
-	return max(float64(s.tolerance())/float64(s.maxGap), minPrefillShare)
-}
-
 // at returns the query with the times on u.
 func (q upstreamQuery) at(now time.Time, u *upstream) upstreamQuery {
 	if q.speed.mixed {
 		s := &q.speed
 		s.factor, s.load = u.speed.Factor(now), u.load(now)
 		s.prefillTime, s.eventInterval = scale(s.prefillTime, s.factor), scale(s.eventInterval, s.factor)
-		q.pacing = pacing{prefillShare: s.prefillShare(), serviceTime: scale(q.pacing.serviceTime, s.factor)}
+		q.pacing = pacing{prefillShare: prefillShare(s.maxGap, s.eventInterval), serviceTime: scale(q.pacing.serviceTime, s.factor)}
 	}
 	return q
 }
@@ -129,7 +120,7 @@
 	case req.group != "":
 		// A plain upstream has no prefill backlog, which would never be processed.
 		return 0, req.pacing
-	case !req.mixed || req.model == "":
+	case !req.sharesEngines():
 		return req.prefillTime, req.pacing
 	}
 	q := req.query().at(now, u)
@@ -148,7 +139,7 @@
 }
 
 func (req *requirements) speedClass(now time.Time) speedClass {
-	if !req.mixed || req.model == "" {
+	if !req.sharesEngines() {
 		return speedClass{}
 	}
 	milliseconds := min(max(req.prefillTime.Seconds()*1000, 1), math.MaxInt32)
@@ -159,7 +150,7 @@
 // suits reports whether the request, sent to u at a given time, starts in time there, streams without
 // long pauses, and does not make the streams beside it pause for too long. The query is that at u.
 func (q *upstreamQuery) suits(sent time.Time, u *upstream) bool {
-	tolerance := q.speed.tolerance()
+	tolerance := prefillTolerance(q.speed.maxGap, q.speed.eventInterval)
 	switch {
 	case tolerance < scale(q.speed.maxGap, minPrefillShare):
 		return false
@@ -252,7 +243,7 @@
 // there is one. p.mu is held.
 func (p *Proxy) acceptsAnySpeed(now time.Time, w *waiter) bool {
 	req := &w.requirements
-	if !req.mixed || req.anySpeed || req.model == "" {
+	if !req.sharesEngines() || req.anySpeed {
 		return false
 	}
 	query := req.query()
@@ -272,8 +263,8 @@
 	})
 	u.speed.Observe(now, ratio)
 	u.speed.cachedAt = time.Time{}
-	p.metrics.recordFactor(u.speed.Factor(now))
-	if owner, known := p.owners.ownerOf(now, req.service, req.model); known && owner == p.owners.self {
+	p.metrics.engineFactors.RecordValue(u.speed.Factor(now))
+	if p.owners.owns(now, req.service, req.model) {
 		p.reportSpeed(now, u)
 	}
 }
@@ -285,10 +276,7 @@
 	if atLeast := u.speed.atLeastOverdue(factor); atLeast > factor {
 		factor, samples = atLeast, max(samples, minReportedSamples)
 	}
-	previous := u.speed.reportedFactor
-	if previous == 0 {
-		previous = 1
-	}
+	previous := cmp.Or(u.speed.reportedFactor, 1)
 	if samples < minReportedSamples || now.Sub(u.speed.reportedAt) < speedReportInterval ||
 		max(factor/previous, previous/factor) < minReportedChange {
 		return
@@ -308,14 +296,13 @@
 	}
 }
 
-// speedFactor returns the factor of the engine that an attempt was sent to, and false if it is not known
-// or 1. p.mu is held.
-func (p *Proxy) speedFactor(now time.Time, t *transaction, u *upstream) (float64, bool) {
-	if !t.mixed || t.model == "" {
-		return 1, false
+// speedFactor returns the rounded factor of the engine that an attempt was sent to, 1 if it is not known.
+// p.mu is held.
+func (p *Proxy) speedFactor(now time.Time, t *transaction, u *upstream) float64 {
+	if !t.sharesEngines() {
+		return 1
 	}
-	factor := math.Round(p.pool.current(u).speed.Factor(now)*100) / 100
-	return factor, factor != 1
+	return math.Round(p.pool.current(u).speed.Factor(now)*100) / 100
 }
 
 // updateSpeedMetrics sets the gauges of the engines' speeds.
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -67,6 +67,12 @@
 	}
 }
 
+// sharesEngines reports whether the request is for engines that batch and interactive requests share: it
+// names a model, and the routes mix both.
+func (req *requirements) sharesEngines() bool {
+	return req.mixed && req.model != ""
+}
+
 // modelKey identifies the model, or the group of upstreams of a plain service.
 func (req *requirements) modelKey() modelKey {
 	return modelKey{req.service, req.ownedName()}
--- a/internal/counter/reservations.go
+++ b/internal/counter/reservations.go
@@ -50,7 +50,7 @@
 // isReservable reports whether this instance decides on the reservations of a request. Only the owner of
 // its model does, because the caller may return at any instance.
 func (w *waiter) isReservable() bool {
-	return w.requirements.mixed && w.requirements.model != "" && w.placingInstances == 1
+	return w.requirements.sharesEngines() && w.placingInstances == 1
 }
 
 // schedule returns the reservations for the model of a request, nil if there are none. p.mu is held.
@@ -191,10 +191,8 @@
 	p.metrics.countReservations(reservationBooked, 1)
 }
 
-// expireReservations removes the reservations of callers that have not returned in time.
+// expireReservations removes the reservations of callers that have not returned in time. p.mu is held.
 func (p *Proxy) expireReservations(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	for key, schedule := range p.queue.reservations {
 		p.metrics.countReservations(reservationMissed, schedule.Expire(now))
 		if schedule.Idle(now) {
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -57,6 +57,17 @@
 	return true
 }
 
+// observePlainStatus records what a complete response of a plain service says of its upstream.
+func (t *transaction) observePlainStatus(a *upstreamAttempt, status int) {
+	switch {
+	case t.group == "":
+	case status >= http.StatusInternalServerError:
+		a.outcome = permit.Failed
+	default:
+		a.speed = t.measuredSpeed()
+	}
+}
+
 // retryFailedAnswer decides whether a request that an upstream answered with a server error is
 // retried. Only repeatable requests are.
 func (t *transaction) retryFailedAnswer(a *upstreamAttempt, status int) bool {
@@ -159,14 +170,14 @@
 // logAttempt logs and counts the result of an attempt.
 func (p *Proxy) logAttempt(t *transaction, a *upstreamAttempt, event string, status int, verdict string) {
 	now := p.options.Now()
-	factor, hasFactor := 1.0, false
+	factor := 1.0
 	p.mu.Lock()
 	if status != 0 {
 		p.metrics.countAnswer(now, t, status)
 		if a.framing == shuttle.UntilClose {
 			p.metrics.countUntilClose(event, a.endsInsideEvent())
 		}
-		factor, hasFactor = p.speedFactor(now, t, a.upstream)
+		factor = p.speedFactor(now, t, a.upstream)
 	} else {
 		p.metrics.countFailedSend(verdict)
 	}
@@ -194,7 +205,7 @@
 	if t.quotaCost > 0 {
 		line = line.Str("workspace", t.workspaceName()).Float64("cost", t.quotaCost)
 	}
-	if hasFactor {
+	if factor != 1 {
 		line = line.Float64("speed-factor", factor)
 	}
 	if a.owner.IsValid() {
--- a/internal/counter/runtimes.go
+++ b/internal/counter/runtimes.go
@@ -35,8 +35,7 @@
 func (p *Proxy) takeRunTimes(now time.Time) []courier.Demand {
 	var reports []courier.Demand
 	for key, known := range p.runTimes {
-		owner, hasOwner := p.owners.ownerOf(now, key.service, key.model)
-		if known.changed && hasOwner && owner == p.owners.self {
+		if known.changed && p.owners.owns(now, key.service, key.model) {
 			known.changed = false
 			reports = append(reports, courier.Demand{Service: key.service, Model: key.model, RunTime: known.mean})
 		}
--- a/internal/counter/shares.go
+++ b/internal/counter/shares.go
@@ -77,14 +77,13 @@
 	s := &p.queue.shares
 	s.beginOrder(now, p)
 	contended := false
-	for i, e := range s.entries {
-		w := e.waiter
+	class := 0
+	for i := range s.entries {
+		w := s.entries[i].waiter
 		if i > 0 && s.entries[i-1].waiter.requirements.compareClass(now, &w.requirements) != 0 {
-			e.class = s.entries[i-1].class + 1
-		} else if i > 0 {
-			e.class = s.entries[i-1].class
+			class++
 		}
-		s.entries[i].class = e.class
+		s.entries[i].class = class
 		w.share.start = w.share.model.scheduler.Start(w.share.entry, w.share.claim)
 		contended = contended || w.share.model.scheduler.Contended()
 	}
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -74,7 +74,6 @@
 	for {
 		p.sync(ctx)
 		p.expirePermits(p.options.Now())
-		p.expireReservations(p.options.Now())
 		select {
 		case <-p.syncNow:
 		case <-time.After(p.nextSyncDelay()):
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -79,9 +79,14 @@
 // attention on a reply for about 10 s.
 const BatchObjective = 10 * time.Second
 
+// IsBatch reports whether requests with an objective are work that can wait.
+func IsBatch(objective time.Duration) bool {
+	return objective >= BatchObjective
+}
+
 // Batch reports whether the requests are work that can wait.
 func (r *Route) Batch() bool {
-	return r.Objective >= BatchObjective
+	return IsBatch(r.Objective)
 }
 
 // Repeatable reports whether a request may run more than once.
