--- a/internal/counter/export_plain_test.go
+++ b/internal/counter/export_plain_test.go
@@ -16,7 +16,7 @@
 
 // EnqueuePlainAlone adds a request of this instance that it places without an owner.
 func (i Instance) EnqueuePlainAlone(now time.Time, objective time.Duration) {
-	q := Queue{proxy: i.proxy, pool: UpstreamPool{pool: i.proxy.pool}}
+	q := i.Queue()
 	w := q.waiter(now, "", objective)
 	w.requirements.group, w.requirements.prefillTime, w.placingInstances = "0", 0, i.proxy.control.entryInstances
 	w.requirements.pacing = pacing{}
--- a/internal/counter/export_shares_test.go
+++ b/internal/counter/export_shares_test.go
@@ -46,5 +46,5 @@
 
 // Queue returns the queue of the instance.
 func (i Instance) Queue() Queue {
-	return Queue{proxy: i.proxy}
+	return Queue{proxy: i.proxy, pool: UpstreamPool{pool: i.proxy.pool}}
 }
--- a/internal/counter/plaingroups_test.go
+++ b/internal/counter/plaingroups_test.go
@@ -30,15 +30,10 @@
 		now := start
 		for id := permit.ID(1); id <= 300_000; id++ {
 			now = now.Add(10 * time.Millisecond)
-			sent := owner.Receive(now, owner.peerOf(id), permit.Request{
-				ID: id, Service: "pool", Adapter: "0", Objective: plainObjective, Remaining: 800 * time.Millisecond,
-			})
-			if len(sent) != 1 {
+			if sent := owner.requestAt(now, id); len(sent) != 1 {
 				Fail(fmt.Sprintf("the grant of request %d cannot be decoded", id))
 			}
-			owner.Receive(now.Add(5*time.Millisecond), owner.peerOf(id), permit.Release{
-				ID: id, Outcome: permit.Succeeded, RunTime: 60 * time.Millisecond,
-			})
+			owner.releaseAt(now.Add(5*time.Millisecond), id, permit.Succeeded)
 		}
 	})
 
--- a/internal/counter/plainplacement_test.go
+++ b/internal/counter/plainplacement_test.go
@@ -45,11 +45,15 @@
 
 // request receives a peer's request to the first group and returns the messages sent.
 func (o *plainOwner) request(id permit.ID, change ...func(*permit.Request)) []counter.SentMessage {
+	return o.requestAt(start, id, change...)
+}
+
+func (o *plainOwner) requestAt(now time.Time, id permit.ID, change ...func(*permit.Request)) []counter.SentMessage {
 	m := permit.Request{ID: id, Service: "pool", Adapter: "0", Objective: plainObjective, Remaining: 800 * time.Millisecond}
 	for _, apply := range change {
 		apply(&m)
 	}
-	return o.Receive(start, o.peerOf(id), m)
+	return o.Receive(now, o.peerOf(id), m)
 }
 
 // fill grants all places, with IDs from 1 to 28.
@@ -61,7 +65,11 @@
 
 // release receives the end of a request that took 60 ms and returns the messages sent.
 func (o *plainOwner) release(id permit.ID, outcome permit.Outcome) []counter.SentMessage {
-	return o.Receive(start, o.peerOf(id), permit.Release{ID: id, Outcome: outcome, RunTime: 60 * time.Millisecond})
+	return o.releaseAt(start, id, outcome)
+}
+
+func (o *plainOwner) releaseAt(now time.Time, id permit.ID, outcome permit.Outcome) []counter.SentMessage {
+	return o.Receive(now, o.peerOf(id), permit.Release{ID: id, Outcome: outcome, RunTime: 60 * time.Millisecond})
 }
 
 var _ = Describe("the instance that owns a group of plain upstreams", func() {
--- a/internal/counter/relativespeed_test.go
+++ b/internal/counter/relativespeed_test.go
@@ -254,6 +254,31 @@
 	return best
 }
 
+// engineFactors are the factors of the engines of speedOwner by their names.
+var engineFactors = map[string]float64{"fast": 0.6, "mean": 1, "slow": 2}
+
+// speedOwner returns the first of some instances, which owns the first of the models, with engines that
+// hold the models and have four streams each.
+func speedOwner(mixed bool, instances []netip.AddrPort, models []string, engines ...string) (counter.UpstreamPool, counter.Instance) {
+	pool := counter.NewUpstreamPool("here", lease)
+	owner := counter.NewInstance(pool, instances[0], instances)
+	owner.SetRoutes(speedRoutes(mixed))
+	for _, name := range engines {
+		addSmallEngine(pool, name, models...)
+		owner.Receive(start, instances[1], permit.SpeedReport{Upstream: name, Factor: engineFactors[name], Samples: 4})
+		pool.PeerActive(start, name, 4, 1)
+	}
+	return pool, owner
+}
+
+// speedRequest returns a request whose stream may pause for up to 300 ms.
+func speedRequest(id permit.ID, model string, tokens int, objective time.Duration) permit.Request {
+	return permit.Request{
+		ID: id, Service: "pool", Model: model, PromptTokens: tokens, AnswerTokens: 100, Objective: objective,
+		MaxEventGap: 300 * time.Millisecond, Remaining: 12 * time.Second,
+	}
+}
+
 var _ = Describe("Engines of three speeds", func() {
 	// With the times of the service's mean, the streams of slow engines pause for too long.
 	It("have half as many late streams, where there is a choice, if requests are placed by their speeds", func() {
@@ -316,16 +341,9 @@
 	var instance counter.Instance
 	var asker netip.AddrPort
 
-	// setUp adds engines with four streams each, whose speeds their names tell.
-	setUp := func(mixed bool, names ...string) {
-		pool = counter.NewUpstreamPool("here", lease)
-		instance, asker = counter.NewInstance(pool, instances[0], instances), instances[1]
-		instance.SetRoutes(speedRoutes(mixed))
-		for _, name := range names {
-			addSmallEngine(pool, name, model, other)
-			instance.Receive(start, instances[1], permit.SpeedReport{Upstream: name, Factor: map[string]float64{"fast": 0.6, "slow": 2}[name], Samples: 4})
-			pool.PeerActive(start, name, 4, 1)
-		}
+	setUp := func(mixed bool, engines ...string) {
+		pool, instance = speedOwner(mixed, instances, []string{model, other}, engines...)
+		asker = instances[1]
 	}
 	grantedTo := func(sent []counter.SentMessage) string {
 		for _, m := range sent {
@@ -336,10 +354,7 @@
 		return ""
 	}
 	ask := func(now time.Time, id permit.ID, tokens int, objective time.Duration) string {
-		return grantedTo(instance.Receive(now, asker, permit.Request{
-			ID: id, Service: "pool", Model: model, PromptTokens: tokens, AnswerTokens: 100, Objective: objective,
-			MaxEventGap: 300 * time.Millisecond, Remaining: 12 * time.Second,
-		}))
+		return grantedTo(instance.Receive(now, asker, speedRequest(id, model, tokens, objective)))
 	}
 
 	It("takes the fast one, and the slow one for batch requests while the fast one is in use", func() {
--- a/internal/counter/reservations_test.go
+++ b/internal/counter/reservations_test.go
@@ -7,7 +7,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/counter"
 	"github.com/lovagelift/lovagelift/internal/permit"
@@ -31,9 +30,8 @@
 		addSmallEngine(pool, fmt.Sprint("e", i), "m")
 	}
 	instance := counter.NewInstance(pool, instanceAddresses(1)[0], instanceAddresses(1))
-	scope := tally.NewTestScope("", nil)
 	instance.SetRoutes(table)
-	instance.SetMetrics(scope)
+	scope, _ := instance.Observe()
 	return instance, func(result string) int64 {
 		if c := scope.Snapshot().Counters()["counter.reservation_results+result="+result]; c != nil {
 			return c.Value()
--- a/internal/counter/speedbounds_test.go
+++ b/internal/counter/speedbounds_test.go
@@ -28,9 +28,9 @@
 		for at := time.Duration(0); at < time.Second && got == ""; at += 4 * time.Millisecond {
 			var sent []counter.SentMessage
 			if at == 0 {
-				sent = instance.Receive(start, instances[1], permit.Request{
-					ID: 1, Service: "pool", Model: model, PromptTokens: tokens, AnswerTokens: 100, Objective: objective, MaxEventGap: gap, Remaining: 12 * time.Second,
-				})
+				request := speedRequest(1, model, tokens, objective)
+				request.MaxEventGap = gap
+				sent = instance.Receive(start, instances[1], request)
 			}
 			for _, m := range append(sent, instance.Dispatch(start.Add(at))...) {
 				if _, ok := m.Message.(permit.Granted); ok {
--- a/internal/counter/speedfaults_test.go
+++ b/internal/counter/speedfaults_test.go
@@ -19,21 +19,13 @@
 	var pool counter.UpstreamPool
 	var instance counter.Instance
 
-	setUp := func(names ...string) {
-		pool = counter.NewUpstreamPool("here", lease)
-		instance = counter.NewInstance(pool, instances[0], instances)
-		instance.SetRoutes(speedRoutes(true))
-		for _, name := range names {
-			addSmallEngine(pool, name, model)
-			instance.Receive(start, instances[1], permit.SpeedReport{Upstream: name, Factor: map[string]float64{"fast": 0.6, "slow": 2, "mean": 1}[name], Samples: 4})
-			pool.PeerActive(start, name, 4, 1)
-		}
+	setUp := func(engines ...string) {
+		pool, instance = speedOwner(true, instances, []string{model}, engines...)
 	}
 	ask := func(now time.Time, from netip.AddrPort, id permit.ID, tokens int, priority uint8, objective time.Duration) []counter.SentMessage {
-		return instance.Receive(now, from, permit.Request{
-			ID: id, Service: "pool", Model: model, PromptTokens: tokens, AnswerTokens: 100, Objective: objective, Priority: priority,
-			MaxEventGap: 300 * time.Millisecond, Remaining: 12 * time.Second,
-		})
+		request := speedRequest(id, model, tokens, objective)
+		request.Priority = priority
+		return instance.Receive(now, from, request)
 	}
 
 	// Requests that wait for a suitable engine and requests that no longer do share the cached result.
@@ -101,9 +93,9 @@
 	It("keeps the factor of an engine whose requests declare no answer tokens", func() {
 		setUp("mean")
 		for n, from := range instances[1:3] {
-			instance.Receive(start, from, permit.Request{
-				ID: 1, Service: "pool", Model: model, PromptTokens: 100, Objective: time.Second, MaxEventGap: 300 * time.Millisecond, Remaining: 12 * time.Second,
-			})
+			request := speedRequest(1, model, 100, time.Second)
+			request.AnswerTokens = 0
+			instance.Receive(start, from, request)
 			instance.Dispatch(start.Add(time.Duration(n+1) * 100 * time.Millisecond))
 		}
 		now := start.Add(900 * time.Millisecond)
