--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -17,6 +17,7 @@
 
 // plays are the cases by name.
 var plays = map[string]func(*deployment, *record, bool) (broken bool, err error){
+	"big-body":     playBigBody,
 	"other-writer": playOtherWriter,
 }
 
