--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -18,6 +18,7 @@
 // plays are the cases by name.
 var plays = map[string]func(*deployment, *record, bool) (broken bool, err error){
 	"big-body":     playBigBody,
+	"late-order":   playLateOrder,
 	"lost-leave":   playLostLeave,
 	"other-writer": playOtherWriter,
 }
