counter: a log line when an entry instance learns of an upstream's leave

Logs told only who acknowledged a leave. After an outage of the control instances they could not tell an entry instance that never heard of a leave from one that forgot it. One line an upstream and instance, within the quota of log lines.

--- a/internal/counter/leaving.go
+++ b/internal/counter/leaving.go
@@ -1,6 +1,11 @@
 package counter
 
-import "github.com/lovagelift/lovagelift/internal/permit"
+import (
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/roster"
+)
 
 // An upstream that leaves says so in its responses as well as in its announcements. An instance
 // that can't reach the control instances, or a leaving upstream that can't, is thus known here in
@@ -44,3 +49,16 @@
 		u.statedLeave = true
 	}
 }
+
+// logLeaves logs the upstreams that the control instance called control says are leaving, as far as
+// that was not known here. p.mu is held, and the pool does not have the changes yet.
+func (p *Proxy) logLeaves(now time.Time, control string, changed []roster.Upstream) {
+	for _, known := range changed {
+		u := p.pool.byName[known.Announcement.Name]
+		if u == nil || u.Leaving || !known.Leaving || known.Announcement.Incarnation < u.incarnation {
+			continue
+		}
+		p.logLineLocked(now, "upstream leaves").Str("upstream", u.name).Str("service", u.service).
+			Str("control", control).Msg("an upstream is leaving")
+	}
+}
--- a/internal/counter/logquota.go
+++ b/internal/counter/logquota.go
@@ -37,13 +37,18 @@
 // nil event.
 func (p *Proxy) logLine(now time.Time, kind string) *zerolog.Event {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.logLineLocked(now, kind)
+}
+
+// logLineLocked is logLine for callers that hold p.mu.
+func (p *Proxy) logLineLocked(now time.Time, kind string) *zerolog.Event {
 	quota := p.logQuotas[kind]
 	if quota == nil {
 		quota = &logQuota{}
 		p.logQuotas[kind] = quota
 	}
 	suppressed, ok := quota.allow(now)
-	p.mu.Unlock()
 	if !ok {
 		return nil
 	}
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -185,6 +185,7 @@
 		p.pool.routedServices = table.Services()
 		p.recordProof(now, askedAt, address, table.Version, reply.Reading)
 	}
+	p.logLeaves(now, address, changed)
 	p.pool.apply(now, changed)
 	p.reportOrigins(now, p.pool.takeNewVersions())
 	p.control.rosterIncomplete = p.control.rosterIncomplete && reply.RosterIncomplete
