backoffice: a leave is committed by the voters before it is acknowledged

Callers: an upstream announced its leave and got a 200. All control instances lost power for 2 s, 0.1 s later.

Cause: the acknowledged leave was in the memory of the control instance that answered, until the others pulled it. An upstream says nothing more after it, so that nobody knew of it after the loss. That entry instances heard of it and forgot it is ruled out: with the log line of the commit before, none of the three entry instances ever learns of it. The time of grace after an outage, in which no lease expires, determines how long it lasts; it has to stay.

Change: the leave is a command of the replicated log, and the 200 is sent once it is committed; without a majority within 0.8 s the answer is 503. Each control instance takes committed leaves into its roster. Leaves that arrive while a command is under way share the next one. All control instances are upgraded first (command format 7).

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -32,6 +31,7 @@
 	orchestrator  *orchestrator
 	relay         *relay
 	crashRecorder *crashRecorder
+	leaveRecorder *leaveRecorder
 
 	startedAt time.Time
 
@@ -48,6 +48,8 @@
 	packedRoster packedRoster
 	// aliveControls are the other control instances that were alive at the last pulls, by address.
 	aliveControls map[string]bool
+	// adoptedDepartures is the revision of the recorded departures that the roster includes.
+	adoptedDepartures uint64
 	// peers are the other control instances by address. wholePullFrom is the one to pull all members
 	// from since wholePullSince, nil unless another is unreachable. wholePulledAt is when the last such
 	// pull that succeeded was sent.
@@ -97,6 +99,7 @@
 	i.orchestrator = newOrchestrator(ctx, i)
 	i.relay = &relay{instance: i, demand: map[string][]courier.Demand{}, limited: map[string]courier.LimitedUpstream{}}
 	i.crashRecorder = newCrashRecorder(i)
+	i.leaveRecorder = newLeaveRecorder(i)
 	if err := i.start(); err != nil {
 		cancel()
 		options.InnerListener.Close()
@@ -110,6 +113,7 @@
 	i.done.Go(func() { i.orchestrator.run(ctx) })
 	i.done.Go(func() { i.relay.run(ctx) })
 	i.done.Go(func() { i.crashRecorder.run(ctx) })
+	i.done.Go(func() { i.leaveRecorder.run(ctx) })
 	i.done.Go(func() { i.crashRecorder.runRetraction(ctx) })
 	return i, nil
 }
@@ -222,28 +226,6 @@
 	return nil
 }
 
-// Leave records that an upstream is leaving. It also spreads the leave of an upstream
-// that this instance does not know yet: another control instance may know it
-// already, and the upstream would still receive work after its leave was acknowledged.
-// Incarnation 0 matches any incarnation.
-func (i *Instance) Leave(now time.Time, leave upstreamapi.Leave) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	placeholder := upstreamapi.Announcement{Name: leave.Name, Incarnation: leave.Incarnation}
-	if leave.Incarnation == 0 {
-		// An upstream that restarts after a crash has sent no leave, so this does not hide
-		// a restarted upstream.
-		placeholder.Incarnation = maxIncarnation
-	}
-	if err := i.roster.Announce(now, placeholder); err != nil && !errors.Is(err, roster.ErrNameTaken) {
-		i.options.Log.Warn().Err(err).Str("upstream", leave.Name).Msg("announcement of an unknown leaving upstream rejected")
-	}
-	i.roster.Leave(now, leave)
-}
-
-// maxIncarnation is higher than the incarnation of any process.
-const maxIncarnation = math.MaxUint64
-
 // PutRoutes proposes a new version of the routes. If it returns an error, the version may
 // still come into force.
 func (i *Instance) PutRoutes(ctx context.Context, put edition.Put) (edition.Result, error) {
--- a/internal/backoffice/backoffice_test.go
+++ b/internal/backoffice/backoffice_test.go
@@ -138,6 +138,12 @@
 	GinkgoHelper()
 	c.stop(c.instances[address])
 	Expect(os.RemoveAll(c.folders[address])).To(Succeed())
+	c.restart(address)
+}
+
+// restart starts an instance that was stopped.
+func (c *testCluster) restart(address string) {
+	GinkgoHelper()
 	var listener net.Listener
 	Eventually(func() (err error) {
 		listener, err = net.Listen("tcp", address)
@@ -314,7 +320,7 @@
 			return names
 		}
 		Eventually(ctx, upstreams).Should(ConsistOf("e1 left false"))
-		c.instances[c.seeds[2]].Leave(time.Now(), upstreamapi.Leave{Name: "e1", Incarnation: 1})
+		c.leave(ctx, upstreamapi.Leave{Name: "e1", Incarnation: 1})
 		Eventually(ctx, upstreams).Should(ConsistOf("e1 left true"))
 	}, SpecTimeout(specTimeout))
 
--- a/internal/backoffice/crashes.go
+++ b/internal/backoffice/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
@@ -26,62 +25,22 @@
 // as crashed while they served requests.
 type crashRecorder struct {
 	instance *Instance
-
-	mu sync.Mutex
-	// batch holds the reports that are not recorded yet.
-	batch quarantine.Update
-	// waiters receive whether the batch was recorded.
-	waiters []chan bool
-	// wake holds a token if the batch may be non-empty.
-	wake chan struct{}
+	batch    proposalBatch[quarantine.Update]
 }
 
 func newCrashRecorder(i *Instance) *crashRecorder {
-	return &crashRecorder{instance: i, wake: make(chan struct{}, 1)}
+	return &crashRecorder{instance: i, batch: newProposalBatch(quarantine.Update.With)}
 }
 
 // record adds update to the current batch, waits until the batch is recorded and
 // reports whether the voters have it.
 func (c *crashRecorder) record(ctx context.Context, update quarantine.Update) bool {
-	recorded := make(chan bool, 1)
-	c.mu.Lock()
-	c.batch = c.batch.With(c.instance.withoutLeavingUpstreams(update))
-	c.waiters = append(c.waiters, recorded)
-	c.mu.Unlock()
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-	select {
-	case ok := <-recorded:
-		return ok
-	case <-ctx.Done():
-		return false
-	}
+	return c.batch.record(ctx, c.instance.withoutLeavingUpstreams(update))
 }
 
 func (c *crashRecorder) run(ctx context.Context) {
-	for {
-		select {
-		case <-c.wake:
-		case <-ctx.Done():
-			return
-		}
-		if !pause.For(ctx, crashBatchDelay) {
-			return
-		}
-		c.flush(ctx)
-	}
-}
-
-func (c *crashRecorder) flush(ctx context.Context) {
-	c.mu.Lock()
-	update, waiters := c.batch, c.waiters
-	c.batch, c.waiters = quarantine.Update{}, nil
-	c.mu.Unlock()
-	ok := update.Empty() || c.propose(ctx, update)
-	for _, recorded := range waiters {
-		recorded <- ok
+	for c.batch.awaitUpdates(ctx) && pause.For(ctx, crashBatchDelay) {
+		c.batch.flush(func(update quarantine.Update) bool { return update.Empty() || c.propose(ctx, update) })
 	}
 }
 
--- a/internal/backoffice/crashes_test.go
+++ b/internal/backoffice/crashes_test.go
@@ -76,7 +76,7 @@
 			})).To(Succeed())
 		}
 		announce("leaving", 1)
-		c.instances[c.seeds[1]].Leave(time.Now(), upstreamapi.Leave{Name: "leaving"})
+		c.leave(ctx, upstreamapi.Leave{Name: "leaving"})
 		Eventually(ctx, func() bool { return note(ctx, c.seeds[1], "leaving") }).Should(BeTrue())
 		for n := range 3 {
 			Eventually(ctx, func() bool { return note(ctx, c.seeds[0], fmt.Sprint("engine-", n)) }).Should(BeTrue())
--- /dev/null
+++ b/internal/backoffice/leaves_test.go
@@ -0,0 +1,104 @@
+package backoffice_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/backoffice"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// loseAll stops the given instances at the same moment and restarts them.
+func (c *testCluster) loseAll(addresses ...string) {
+	GinkgoHelper()
+	var stops sync.WaitGroup
+	for _, address := range addresses {
+		stops.Go(func() { c.stop(c.instances[address]) })
+	}
+	stops.Wait()
+	for _, address := range addresses {
+		c.restart(address)
+	}
+}
+
+// leave announces a leave to one instance after the other until one acknowledges it.
+func (c *testCluster) leave(ctx context.Context, leave upstreamapi.Leave) {
+	GinkgoHelper()
+	next := 0
+	Eventually(ctx, func() error {
+		next++
+		return c.instances[c.seeds[next%len(c.seeds)]].Leave(ctx, leave)
+	}).Should(Succeed())
+}
+
+// saysLeft returns a function that reports whether the leader tells entry instances that an upstream
+// has left.
+func (c *testCluster) saysLeft(ctx context.Context, name string) func() bool {
+	return func() bool {
+		reply, ok := c.syncWithLeader(ctx)
+		if !ok {
+			return false
+		}
+		for _, record := range reply.Changes.Upstreams {
+			if record.Name == name && record.Left {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+var _ = Describe("An acknowledged leave", func() {
+	// An upstream announces its leave once. After a loss of power that forgot the leave, entry instances
+	// go on sending requests to it.
+	DescribeTable("is known after a loss of power right after the acknowledgement",
+		func(ctx SpecContext, incarnation uint64, losses, lost int) {
+			c := newTestCluster()
+			c.fakes.add("e1", "a")
+			c.putRoutes(ctx, c.seeds[0], 1)
+			Expect(c.instances[c.seeds[0]].Announce(time.Now(), upstreamapi.Announcement{
+				Name: "e1", Incarnation: 1, Sequence: 1, Address: "127.0.0.1:9", Services: []string{"pool"},
+			})).To(Succeed())
+			c.leave(ctx, upstreamapi.Leave{Name: "e1", Incarnation: incarnation})
+			for range losses {
+				c.loseAll(c.seeds[:lost]...)
+			}
+			Eventually(ctx, c.saysLeft(ctx, "e1")).Should(BeTrue())
+		},
+		Entry("of all instances", SpecTimeout(specTimeout), uint64(1), 1, 3),
+		Entry("of all instances, twice", SpecTimeout(specTimeout), uint64(1), 2, 3),
+		Entry("of a majority", SpecTimeout(specTimeout), uint64(1), 1, 2),
+		Entry("of all instances, if it names no process", SpecTimeout(specTimeout), uint64(0), 1, 3),
+	)
+
+	// A leave that only this instance knows would be lost with it.
+	It("is not given without a majority of the voters, and not later than upstreams wait for it", func(ctx SpecContext) {
+		c := newTestCluster()
+		c.fakes.add("e1", "a")
+		c.putRoutes(ctx, c.seeds[0], 1)
+		for _, address := range c.seeds[1:] {
+			c.stopped[address] = true
+			c.stop(c.instances[address])
+		}
+		started := time.Now()
+		Expect(c.instances[c.seeds[0]].Leave(ctx, upstreamapi.Leave{Name: "e1", Incarnation: 1})).To(MatchError(backoffice.ErrLeaveNotRecorded))
+		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+	}, SpecTimeout(specTimeout))
+
+	It("does not hide a later process of the same name", func(ctx SpecContext) {
+		c := newTestCluster()
+		c.fakes.add("e1", "a")
+		c.putRoutes(ctx, c.seeds[0], 1)
+		c.leave(ctx, upstreamapi.Leave{Name: "e1", Incarnation: 1})
+		c.loseAll(c.seeds...)
+		Eventually(ctx, c.saysLeft(ctx, "e1")).Should(BeTrue())
+		Expect(c.instances[c.seeds[1]].Announce(time.Now(), upstreamapi.Announcement{
+			Name: "e1", Incarnation: 2, Sequence: 1, Address: "127.0.0.1:10", Services: []string{"pool"},
+		})).To(Succeed())
+		Eventually(ctx, c.saysLeft(ctx, "e1")).Should(BeFalse())
+	}, SpecTimeout(specTimeout))
+})
--- a/internal/backoffice/orders.go
+++ b/internal/backoffice/orders.go
@@ -57,7 +57,7 @@
 	o.logOrder(e, order, result, err)
 	if result == (orderAnswered{RefusedByOtherProcess}) {
 		// Announcements of the engine may still arrive, but its process no longer exists.
-		o.instance.Leave(o.instance.options.Now(), upstreamapi.Leave{Name: e.Name, Incarnation: e.incarnation})
+		o.instance.noteLeave(o.instance.options.Now(), upstreamapi.Leave{Name: e.Name, Incarnation: e.incarnation})
 	}
 	o.instance.options.Metrics.SubScope("backoffice").Tagged(map[string]string{"answer": answerOf(result).String()}).Counter("orders").Inc(1)
 	o.mu.Lock()
--- a/internal/backoffice/pulls.go
+++ b/internal/backoffice/pulls.go
@@ -46,6 +46,7 @@
 	defer i.mu.Unlock()
 	i.roster.Heartbeat(now, roster.InstanceBeat{})
 	i.roster.EvictExpired(now)
+	i.adoptDepartures(now)
 	alive := map[string]bool{}
 	i.aliveControls = alive
 	for _, instance := range i.roster.Instances(now) {
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagelift/lovagelift/internal/departure"
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/lease"
@@ -17,7 +18,7 @@
 // newestCommandFormat is the newest command format that this version supports.
 // Every new kind of command and every new field increments it. An instance
 // proposes a command in a newer format only when all voters support that format.
-const newestCommandFormat = 6
+const newestCommandFormat = 7
 
 // baseCommandFormat is the command format that every version supports. A command
 // is encoded in the oldest format that includes its kind, so that voters that are
@@ -33,11 +34,12 @@
 	quarantineCommandFormat = 5
 	// promptPartsCommandFormat introduced the parts of prompts in a quarantine.Update.
 	promptPartsCommandFormat = 6
+	departureCommandFormat   = 7
 )
 
 // Command is a state machine command in the replicated log: a Change, an
-// edition.Put, a lease.Take, a quarantine.Update, or a command of package docket
-// or manifest.
+// edition.Put, a lease.Take, a quarantine.Update, a departure.Update, or a command
+// of package docket or manifest.
 type Command any
 
 // envelope is the encoding of a command. Exactly one field besides Format is set.
@@ -56,6 +58,8 @@
 	Lease *lease.Take `json:"lease,omitempty"`
 	// Quarantine is present since format 5.
 	Quarantine *quarantine.Update `json:"quarantine,omitempty"`
+	// Departure is present since format 7.
+	Departure *departure.Update `json:"departure,omitempty"`
 }
 
 // Encode returns the encoding of a command for the replicated log.
@@ -100,6 +104,8 @@
 		if c.HasParts() {
 			e.Format = promptPartsCommandFormat
 		}
+	case departure.Update:
+		e.Format, e.Departure = departureCommandFormat, &c
 	default:
 		return nil, errors.AssertionFailedf("registry: command %T", command)
 	}
@@ -189,6 +195,9 @@
 	if e.Quarantine != nil {
 		commands = append(commands, *e.Quarantine)
 	}
+	if e.Departure != nil {
+		commands = append(commands, *e.Departure)
+	}
 	if len(commands) != 1 {
 		return nil, errors.Newf("registry: decode command: %d commands in one", len(commands))
 	}
@@ -205,6 +214,8 @@
 	Lease *lease.Take `json:"lease,omitempty"`
 	// Quarantine is the revision of the crash records after a quarantine.Update.
 	Quarantine uint64 `json:"quarantine,omitempty"`
+	// Departure is the revision of the departures after a departure.Update.
+	Departure uint64 `json:"departure,omitempty"`
 }
 
 // Encode returns the encoding of the result, which is sent to the instance that
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -3,8 +3,9 @@
 //   - the edition, a version of the routes whose number operators assign,
 //   - the idempotency records of non-idempotent requests,
 //   - the manifest, the contents of the engines and the orders to them,
-//   - the leases of upstreams, and
-//   - the crash records of requests that were in flight at upstreams that crashed.
+//   - the leases of upstreams,
+//   - the crash records of requests that were in flight at upstreams that crashed, and
+//   - the departures of upstreams that announced their leave.
 //
 // The state machine is deterministic. Replicas that apply the same commands in
 // the same order have equal states, and their snapshots are equal byte for byte.
@@ -16,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagelift/lovagelift/internal/departure"
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/jury"
@@ -41,6 +43,8 @@
 	leases  lease.Leases
 	// crashRecords is replaced as a whole, for lock-free readers.
 	crashRecords atomic.Pointer[quarantine.Records]
+	// departures is replaced as a whole, for lock-free readers.
+	departures atomic.Pointer[departure.Records]
 }
 
 // New returns a replica with the empty state.
@@ -49,6 +53,7 @@
 	r.view.Store(r.configuration.view())
 	r.edition.Store(&edition.Edition{})
 	r.crashRecords.Store(&quarantine.Records{})
+	r.departures.Store(&departure.Records{})
 	return r
 }
 
@@ -83,6 +88,11 @@
 	return *r.crashRecords.Load()
 }
 
+// Departures returns the departures of upstreams, without locking.
+func (r *Registry) Departures() departure.Records {
+	return *r.departures.Load()
+}
+
 // Leases returns the last recorded holder of each upstream's lease.
 func (r *Registry) Leases() lease.Leases {
 	r.mutex.RLock()
@@ -143,6 +153,10 @@
 		next := r.crashRecords.Load().With(c)
 		r.crashRecords.Store(&next)
 		return Result{Quarantine: next.Revision()}, nil
+	case departure.Update:
+		next := r.departures.Load().With(c)
+		r.departures.Store(&next)
+		return Result{Departure: next.Revision()}, nil
 	default:
 		return Result{}, errors.AssertionFailedf("registry: command %T", decoded)
 	}
--- a/internal/registry/snapshot.go
+++ b/internal/registry/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagelift/lovagelift/internal/departure"
 	"github.com/lovagelift/lovagelift/internal/docket"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/jury"
@@ -25,6 +26,7 @@
 	editionSection       = "edition"
 	leaseSection         = "leases"
 	quarantineSection    = "quarantine"
+	departureSection     = "departures"
 )
 
 // section is one named section of a snapshot.
@@ -70,6 +72,9 @@
 	if crashes := r.crashRecords.Load(); !crashes.Empty() {
 		sections = append(sections, section{quarantineSection, crashes.Snapshot()})
 	}
+	if departures := r.departures.Load(); !departures.Empty() {
+		sections = append(sections, section{departureSection, departures.Snapshot()})
+	}
 	if r.manifest.Empty() {
 		return sections, nil
 	}
@@ -85,6 +90,7 @@
 	edition       edition.Edition
 	leases        lease.Leases
 	crashes       quarantine.Records
+	departures    departure.Records
 }
 
 // decodeSection decodes one section into s.
@@ -104,6 +110,8 @@
 		s.leases, err = lease.Restore(data)
 	case quarantineSection:
 		s.crashes, err = quarantine.Restore(data)
+	case departureSection:
+		s.departures, err = departure.Restore(data)
 	case "":
 		err = parcel.ErrTruncated
 	default:
@@ -145,6 +153,7 @@
 	r.edition.Store(&restored.edition)
 	r.leases = restored.leases
 	r.crashRecords.Store(&restored.crashes)
+	r.departures.Store(&restored.departures)
 	r.view.Store(restored.configuration.view())
 	return nil
 }
