counter, shuttle, platform: what a server sends without an end is bounded, and counts as its failure

Servers whose bodies had no end stayed in use if callers left after some megabytes.

Cause: the HTTP client reads ten megabytes of a head before it fails, for each attempt anew; bodies that are read before they are passed on had a bound each, and none together; a body counted as a success from its first megabyte on.

A body that still arrives at the deadline, and one that the caller left after more than 1 MiB and eight times the longest complete response of its service, count as failures of the upstream.

--- a/internal/backoffice/orchestrator.go
+++ b/internal/backoffice/orchestrator.go
@@ -294,6 +294,7 @@
 		// After an error, the next attempt waits for the regular interval. Otherwise an
 		// engine that is gone would be polled continuously.
 		e.reportRequestedAt = now
+		o.instance.options.Metrics.SubScope("backoffice").Counter("failed_reports").Inc(1)
 		o.instance.options.Log.Debug().Err(err).Str("engine", e.Name).Msg("fetching the engine's report failed")
 		return
 	}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // Options configures a Caller.
@@ -51,8 +53,9 @@
 func New(options Options) *Caller {
 	if options.Client == nil {
 		options.Client = &http.Client{Transport: &http.Transport{
-			DisableCompression: true,
-			TLSClientConfig:    options.TLS,
+			DisableCompression:     true,
+			TLSClientConfig:        options.TLS,
+			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
 		}}
 	}
 	if options.Now == nil {
@@ -107,6 +110,9 @@
 	return append(addresses, c.options.Seeds...)
 }
 
+// maxEntriesBytes bounds a list of entries. It holds thousands of them.
+const maxEntriesBytes = 1 << 20
+
 func (c *Caller) fetchEntries(ctx context.Context, address string) (entriesResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
@@ -123,7 +129,7 @@
 	if response.StatusCode != http.StatusOK {
 		return reply, errors.Newf("caller: entries: %s answered status %d", address, response.StatusCode)
 	}
-	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxEntriesBytes)).Decode(&reply); err != nil {
 		return reply, errors.Wrapf(err, "caller: entries from %s", address)
 	}
 	return reply, nil
--- a/internal/caller/complete.go
+++ b/internal/caller/complete.go
@@ -149,13 +149,17 @@
 	} `json:"error"`
 }
 
-const maxEventBytes = 1 << 20
+const (
+	maxEventBytes = 1 << 20
+	// maxAnswerBytes bounds a stream of events, whose text is kept.
+	maxAnswerBytes = 64 << 20
+)
 
 // readEvents reads server-sent events up to the final one, "[DONE]". If the stream
-// ends earlier, readEvents returns an *Error.
+// ends earlier, or has more than maxAnswerBytes, readEvents returns an *Error.
 func readEvents(body io.Reader, onChunk func(string)) (string, error) {
 	var text strings.Builder
-	scanner := bufio.NewScanner(body)
+	scanner := bufio.NewScanner(io.LimitReader(body, maxAnswerBytes))
 	scanner.Buffer(nil, maxEventBytes)
 	for scanner.Scan() {
 		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -106,6 +106,9 @@
 	p.mu.Lock()
 	p.metrics.countFailedStep(a.failedStep())
 	verdict := retry.TooLate
+	if t.isOverdueBody(ctx, a) {
+		a.outcome = permit.Failed
+	}
 	if ctx.Err() == nil {
 		if run != outcome.NotRun || !p.pool.isServiceLost(now, t.service) {
 			a.outcome = permit.Failed
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/lovagelift/lovagelift/internal/bodysize"
 	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
@@ -17,6 +18,7 @@
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
 	"github.com/lovagelift/lovagelift/internal/speed"
 )
 
@@ -72,6 +74,9 @@
 	crashes *coroner.CrashDetector
 	// trials decides on the trials that this instance owns.
 	trials quarantine.Trials
+	// responseBuffers bounds the memory of responses that are read before they are passed on.
+	responseBuffers *shuttle.ByteBudget
+	longestBodies   bodysize.Longest
 	// active is the number of requests in flight, and relaying how many of them other instances
 	// have sent here because they cannot reach the upstream.
 	active   int
@@ -125,8 +130,9 @@
 		storedAnswers: map[peerRequest]storedAnswer{},
 		quotas:        quotaAccounts{},
 		plain:         plainGroups{},
-		syncNow:       make(chan struct{}, 1),
-		cancel:        cancel,
+		longestBodies: bodysize.Longest{}, responseBuffers: shuttle.NewByteBudget(defaultResponseBufferBytes),
+		syncNow: make(chan struct{}, 1),
+		cancel:  cancel,
 	}
 	p.waits, p.endWaits = context.WithCancel(ctx)
 	p.upstreams = newTransports(p.dialUpstream)
--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -45,7 +45,7 @@
 	// An upstream must not set the result.
 	response.Header.Set(relayResultHeader, string(relayAnswered))
 	end := beginResponse(w, r, response, shuttle.FramingOf(response))
-	if readErr, writeErr := copyChunks(w, response.Body, func() {}); readErr != nil || writeErr != nil {
+	if readErr, writeErr := copyChunks(w, response.Body, func(int) {}); readErr != nil || writeErr != nil {
 		end.Abort()
 	}
 	end.Complete()
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -13,10 +13,6 @@
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
-// maxBufferedBytes is the size up to which a response is read completely before any of it is sent
-// to the caller, so that a truncated response can still be reported as a failure.
-const maxBufferedBytes = 1 << 20
-
 // streamBufferBytes is the buffer size of a stream. An event has about 50 bytes.
 const streamBufferBytes = 4 << 10
 
@@ -29,34 +25,43 @@
 		t.stream(ctx, w, a, response)
 		return true
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	ahead, err := shuttle.ReadBody(response.Body, response.ContentLength, maxBufferedBytes, t.proxy.responseBuffers)
+	defer ahead.Release()
+	a.bodyBytes = int64(len(ahead.Bytes))
 	if err != nil {
 		t.possibleRuns--
-		a.bodyStarted = len(body) > 0
+		a.bodyStarted = a.bodyBytes > 0
 		return t.handleFailure(ctx, w, a, err)
 	}
 	if response.StatusCode >= http.StatusInternalServerError && t.retryFailedAnswer(a, response.StatusCode) {
 		return false
 	}
-	a.outcome = permit.Succeeded
-	t.observePlainStatus(a, response.StatusCode)
-	t.reportSuccess(a, response.StatusCode)
+	if ahead.Whole {
+		t.recordAnswer(a, response.StatusCode)
+	}
 	end := beginResponse(w, t.request, response, a.framing)
-	if _, err := w.Write(body); err != nil {
+	if _, err := w.Write(ahead.Bytes); err != nil {
+		a.unfinished = !ahead.Whole
 		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
 		return true
 	}
-	if len(body) > maxBufferedBytes {
-		if _, err := io.Copy(w, response.Body); err != nil {
-			t.proxy.logAttempt(t, a, "broken off", response.StatusCode, err.Error())
-			end.Abort()
-		}
+	if !ahead.Whole {
+		ahead.Release()
+		t.passLong(w, a, response, end)
+		return true
 	}
 	end.Complete()
 	t.proxy.logAttempt(t, a, "answered", response.StatusCode, "")
 	return true
 }
 
+// recordAnswer records a complete response other than a stream.
+func (t *transaction) recordAnswer(a *upstreamAttempt, status int) {
+	a.outcome = permit.Succeeded
+	t.observePlainStatus(a, status)
+	t.reportSuccess(a, status)
+}
+
 // observePlainStatus records what a complete response of a plain service says of its upstream.
 func (t *transaction) observePlainStatus(a *upstreamAttempt, status int) {
 	switch {
@@ -93,12 +98,14 @@
 func (t *transaction) stream(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, response *http.Response) {
 	t.recordOrigin(a)
 	end := beginResponse(w, t.request, response, a.framing)
-	readErr, writeErr := copyChunks(w, response.Body, func() {
+	readErr, writeErr := copyChunks(w, response.Body, func(bytes int) {
 		a.bodyStarted = true
+		a.bodyBytes += int64(bytes)
 		t.timing.recordChunk(t.proxy.options.Now())
 	})
 	switch {
 	case writeErr != nil:
+		a.unfinished = true
 		t.reportCallerLeft(a)
 		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
 		end.Abort()
@@ -109,11 +116,13 @@
 		t.reportSuccess(a, response.StatusCode)
 		t.proxy.logAttempt(t, a, "answered", response.StatusCode, "")
 	case t.request.Context().Err() != nil:
+		a.unfinished = true
 		t.reportCallerLeft(a)
 		t.proxy.logAttempt(t, a, "caller disconnected", response.StatusCode, "the caller left")
 		end.Abort()
 	default:
 		t.reportBroken(a, readErr)
+		a.unfinished = true
 		if ctx.Err() == nil {
 			a.outcome = permit.Failed
 		}
@@ -122,15 +131,15 @@
 	}
 }
 
-// copyChunks copies body to w and flushes after each chunk, for which it calls observe. It returns
-// the error of the side that failed.
-func copyChunks(w http.ResponseWriter, body io.Reader, observe func()) (readErr, writeErr error) {
+// copyChunks copies body to w and flushes after each chunk, for whose size it calls observe. It
+// returns the error of the side that failed.
+func copyChunks(w http.ResponseWriter, body io.Reader, observe func(bytes int)) (readErr, writeErr error) {
 	controller := http.NewResponseController(w)
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			observe()
+			observe(n)
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 				return nil, writeErr
 			}
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -33,6 +33,10 @@
 	tolerance int
 	// bodyStarted is true once part of the response body has arrived.
 	bodyStarted bool
+	// bodyBytes is how much of the body has arrived. unfinished is true if the caller left, or the time
+	// was over, before its end.
+	bodyBytes  int64
+	unfinished bool
 	// framing is the framing of the response. events reads its body, and is nil unless that is an
 	// event stream.
 	framing shuttle.Framing
@@ -73,6 +77,7 @@
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.judgeBody(t.service, a)
 	a.upstream.recordOutcome(now, t.target, a.outcome)
 	p.recordSpeed(now, a.upstream, &t.requirements, a.speed)
 	if !a.owner.IsValid() {
--- a/internal/counter/transports.go
+++ b/internal/counter/transports.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // idleConnTimeout is how long an idle connection to an upstream is kept. Upstreams close idle
@@ -37,8 +39,12 @@
 		keepAlive: &http.Transport{
 			DialContext: dialKept, DisableCompression: true,
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream, IdleConnTimeout: idleConnTimeout,
+			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
+		},
+		singleUse: &http.Transport{
+			DialContext: dial, DisableCompression: true, DisableKeepAlives: true,
+			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
 		},
-		singleUse: &http.Transport{DialContext: dial, DisableCompression: true, DisableKeepAlives: true},
 	}
 }
 
--- a/internal/registrar/client.go
+++ b/internal/registrar/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // ErrUnauthorized is returned when the token is missing or wrong.
@@ -68,8 +69,10 @@
 		}
 	}
 	return &Client{options: options, http: &http.Client{
-		Timeout:   options.Timeout,
-		Transport: &http.Transport{TLSClientConfig: options.TLS, DisableKeepAlives: true},
+		Timeout: options.Timeout,
+		Transport: &http.Transport{
+			TLSClientConfig: options.TLS, DisableKeepAlives: true, MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
+		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
@@ -216,6 +219,9 @@
 	body    []byte
 }
 
+// maxAnswerBytes bounds the answer of an instance. The longest ones contain all declarations.
+const maxAnswerBytes = 64 << 20
+
 // send sends one request and reads the complete response. If no connection was
 // established, it returns an *UnavailableError.
 func (c *Client) send(ctx context.Context, address netip.AddrPort, method, path string, body []byte) (instanceResponse, error) {
@@ -234,10 +240,13 @@
 		return instanceResponse{}, classifySendError(err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return instanceResponse{}, errors.Wrapf(err, "registrar: the answer of %s was cut off", address)
 	}
+	if len(data) > maxAnswerBytes {
+		return instanceResponse{}, errors.Newf("registrar: the answer of %s is longer than %d bytes", address, maxAnswerBytes)
+	}
 	return instanceResponse{address: address, status: response.StatusCode, header: response.Header, body: data}, nil
 }
 
--- a/internal/shuttle/idempotent.go
+++ b/internal/shuttle/idempotent.go
@@ -122,6 +122,9 @@
 // statusQueryTimeout limits one status query.
 const statusQueryTimeout = 2 * time.Second
 
+// maxStatusBytes bounds the body of the response to a status query.
+const maxStatusBytes = 64 << 10
+
 // queryStatus queries the status of a request on a new connection.
 func (p *Proxy) queryStatus(ctx context.Context, address string, request Request) requestStatus {
 	if !request.SupportsStatusQuery {
@@ -140,7 +143,7 @@
 	}
 	defer response.Body.Close()
 	var status upstreamapi.RequestStatus
-	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&status) != nil {
+	if response.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&status) != nil {
 		return statusUnavailable
 	}
 	switch status.State {
--- /dev/null
+++ b/internal/shuttle/readahead.go
@@ -0,0 +1,100 @@
+package shuttle
+
+import (
+	"io"
+	"sync"
+)
+
+// ByteBudget bounds the memory of what is read ahead by many requests together. It is safe for
+// concurrent use. A nil budget has no bound.
+type ByteBudget struct {
+	mu   sync.Mutex
+	free int64
+}
+
+// NewByteBudget returns a budget of the given number of bytes.
+func NewByteBudget(limit int64) *ByteBudget {
+	return &ByteBudget{free: limit}
+}
+
+// take takes bytes from the budget, and reports whether there were as many.
+func (b *ByteBudget) take(bytes int64) bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.free < bytes {
+		return false
+	}
+	b.free -= bytes
+	return true
+}
+
+func (b *ByteBudget) giveBack(bytes int64) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.free += bytes
+}
+
+// ReadAhead is the beginning of a body, read before any of it is passed on. Use ReadBody.
+type ReadAhead struct {
+	Bytes []byte
+	// Whole is true if Bytes is the whole body.
+	Whole  bool
+	taken  int64
+	budget *ByteBudget
+}
+
+// unbudgetedBytes is what each body may take without a budget. It holds most responses that are not
+// streams.
+const unbudgetedBytes = 8 << 10
+
+// ReadBody reads a body until its end, but at most limit bytes, and less if budget is used up. If a read
+// fails, ReadBody returns the error with what was read before. The memory is held until Release.
+//
+// length is the stated length of the body, or negative if there is none.
+func ReadBody(body io.Reader, length, limit int64, budget *ByteBudget) (*ReadAhead, error) {
+	size := int64(unbudgetedBytes)
+	if length >= 0 {
+		// The end of the body is read with the byte after it.
+		size = min(size, length+1)
+	}
+	a := &ReadAhead{budget: budget, Bytes: make([]byte, 0, min(limit, size))}
+	for {
+		n, err := body.Read(a.Bytes[len(a.Bytes):cap(a.Bytes)])
+		a.Bytes = a.Bytes[:len(a.Bytes)+n]
+		switch {
+		case err == io.EOF:
+			a.Whole = true
+			return a, nil
+		case err != nil:
+			return a, err
+		case len(a.Bytes) == cap(a.Bytes) && !a.grow(limit):
+			return a, nil
+		}
+	}
+}
+
+// grow doubles the memory up to limit. It returns false if there is no more.
+func (a *ReadAhead) grow(limit int64) bool {
+	size := int64(cap(a.Bytes))
+	larger := min(2*size, limit)
+	if larger <= size || !a.budget.take(larger-size) {
+		return false
+	}
+	a.taken += larger - size
+	grown := make([]byte, len(a.Bytes), larger)
+	copy(grown, a.Bytes)
+	a.Bytes = grown
+	return true
+}
+
+// Release returns the memory to the budget. Bytes must not be used any more.
+func (a *ReadAhead) Release() {
+	a.budget.giveBack(a.taken)
+	a.Bytes, a.taken = nil, 0
+}
--- /dev/null
+++ b/internal/shuttle/readahead_test.go
@@ -0,0 +1,74 @@
+package shuttle_test
+
+import (
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/shuttle"
+)
+
+// endless is a body without an end.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
+var errBroken = errors.New("broken off")
+
+var _ = Describe("ReadBody", func() {
+	const limit = 1 << 20
+
+	It("reads a body whole if it is below the limit, whatever its size", func() {
+		budget := shuttle.NewByteBudget(limit)
+		for _, size := range []int{0, 1, 8<<10 - 1, 8 << 10, 8<<10 + 1, 100_000, limit - 1} {
+			text := strings.Repeat("a", size)
+			length := []int64{-1, int64(size)}[size%2]
+			ahead, err := shuttle.ReadBody(strings.NewReader(text), length, limit, budget)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(ahead.Whole).To(BeTrue(), "%d bytes", size)
+			Expect(string(ahead.Bytes) == text).To(BeTrue(), "%d bytes", size)
+			ahead.Release()
+		}
+	})
+
+	// Bodies without an end, from all servers at once, must not take the memory of the instance.
+	It("holds no more than the limit of a body, and than the budget of all", func() {
+		budget := shuttle.NewByteBudget(2 * limit)
+		held := 0
+		var all []*shuttle.ReadAhead
+		for range 100 {
+			ahead, err := shuttle.ReadBody(endless{}, -1, limit, budget)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(ahead.Whole).To(BeFalse())
+			held += cap(ahead.Bytes)
+			all = append(all, ahead)
+		}
+		Expect(held).To(BeNumerically("<=", 2*limit+100*(8<<10)))
+		for _, ahead := range all {
+			ahead.Release()
+		}
+		ahead, err := shuttle.ReadBody(endless{}, -1, limit, budget)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ahead.Bytes).To(HaveLen(limit))
+	})
+
+	It("returns what was read before a read failed", func() {
+		broken := io.MultiReader(strings.NewReader("begun"), failingReader{})
+		ahead, err := shuttle.ReadBody(broken, -1, limit, shuttle.NewByteBudget(limit))
+		Expect(err).To(MatchError(errBroken))
+		Expect(string(ahead.Bytes)).To(Equal("begun"))
+	})
+})
+
+// failingReader fails each read.
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, errBroken }
--- a/internal/shuttle/relay.go
+++ b/internal/shuttle/relay.go
@@ -25,23 +25,25 @@
 var ErrTruncated = errors.New("upstream response was truncated")
 
 // Prefetch reads the whole body of response if it has at most limit bytes, so that nothing is sent
-// to the caller before the body is complete. A larger body is streamed to the caller. If the body
+// to the caller before the body is complete. A larger body is streamed to the caller, and so is any
+// while the prefetched bodies of other responses take up the memory of the Proxy. If the body
 // is truncated within limit bytes, Prefetch returns a *Error and closes the body.
 func Prefetch(response *Response, limit int64) error {
 	if response.Length > limit {
 		return nil
 	}
-	prefix, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	ahead, err := ReadBody(response.Body, response.Length, limit+1, response.prefetchBudget)
 	if err != nil {
+		ahead.Release()
 		response.Body.Close()
 		return &Error{Outcome: outcome.Ran, cause: errors.Mark(err, ErrTruncated)}
 	}
-	if int64(len(prefix)) <= limit {
-		response.prefetched = prefix
+	if ahead.Whole {
+		response.prefetched = ahead.Bytes
 	}
 	response.Body = &prefixedBody{
-		Reader: io.MultiReader(bytes.NewReader(prefix), response.Body),
-		Closer: response.Body,
+		Reader: io.MultiReader(bytes.NewReader(ahead.Bytes), response.Body),
+		ahead:  ahead, rest: response.Body,
 	}
 	return nil
 }
@@ -49,7 +51,14 @@
 // prefixedBody is a body whose beginning has already been read.
 type prefixedBody struct {
 	io.Reader
-	io.Closer
+	ahead *ReadAhead
+	rest  io.Closer
+}
+
+// Close returns the memory of the beginning and closes the rest.
+func (b *prefixedBody) Close() error {
+	b.ahead.Release()
+	return b.rest.Close()
 }
 
 // WriteHeader writes the status and the headers of response to w.
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -59,6 +59,8 @@
 	Body    io.ReadCloser
 	// prefetched is the whole body if Prefetch has read it, else nil.
 	prefetched []byte
+	// prefetchBudget bounds the memory of all prefetched bodies. It may be nil.
+	prefetchBudget *ByteBudget
 }
 
 // PrefetchedBody returns the body if Prefetch has read all of it. Body still returns it as well.
@@ -98,6 +100,7 @@
 	statusQueryDelay time.Duration
 	bodyIdleTimeout  time.Duration
 	hedges           *hedgeBudget
+	prefetchBudget   *ByteBudget
 }
 
 // Options configures a Proxy. The zero value uses TCP and the defaults.
@@ -113,6 +116,8 @@
 	StatusQueryDelay time.Duration
 	// BodyIdleTimeout is how long a response may pause before it counts as truncated. 0 means 15 s.
 	BodyIdleTimeout time.Duration
+	// PrefetchBudgetBytes bounds the memory of all prefetched bodies. 0 means 64 MiB.
+	PrefetchBudgetBytes int64
 }
 
 // Defaults of Options.
@@ -121,7 +126,9 @@
 	defaultIdleConnections  = 64
 	defaultStatusQueryDelay = time.Second
 	defaultBodyIdleTimeout  = 15 * time.Second
-	idleConnectionTimeout   = 30 * time.Second
+	// defaultPrefetchBudgetBytes holds several of the largest bodies that are prefetched by default.
+	defaultPrefetchBudgetBytes = 64 << 20
+	idleConnectionTimeout      = 30 * time.Second
 )
 
 // New returns a Proxy.
@@ -138,6 +145,9 @@
 	if options.BodyIdleTimeout == 0 {
 		options.BodyIdleTimeout = defaultBodyIdleTimeout
 	}
+	if options.PrefetchBudgetBytes == 0 {
+		options.PrefetchBudgetBytes = defaultPrefetchBudgetBytes
+	}
 	if options.Dial == nil {
 		options.Dial = (&net.Dialer{}).DialContext
 	}
@@ -150,16 +160,19 @@
 		statusQueryDelay: options.StatusQueryDelay,
 		bodyIdleTimeout:  options.BodyIdleTimeout,
 		hedges:           newHedgeBudget(),
+		prefetchBudget:   NewByteBudget(options.PrefetchBudgetBytes),
 		keepAlive: &http.Transport{
-			DialContext:         dial,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: options.IdleConnections,
-			IdleConnTimeout:     idleConnectionTimeout,
+			DialContext:            dial,
+			DisableCompression:     true,
+			MaxIdleConnsPerHost:    options.IdleConnections,
+			IdleConnTimeout:        idleConnectionTimeout,
+			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
 		},
 		singleUse: &http.Transport{
-			DialContext:        dial,
-			DisableCompression: true,
-			DisableKeepAlives:  true,
+			DialContext:            dial,
+			DisableCompression:     true,
+			DisableKeepAlives:      true,
+			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
 		},
 	}
 }
@@ -259,6 +272,8 @@
 		Length:  response.ContentLength,
 		Framing: FramingOf(response),
 		Body:    newIdleTimeoutBody(response.Body, a.cancel, p.bodyIdleTimeout),
+
+		prefetchBudget: p.prefetchBudget,
 	}, nil
 }
 
--- a/internal/shuttle/shuttle_test.go
+++ b/internal/shuttle/shuttle_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -190,6 +191,18 @@
 		Expect(outcomeOf(err)).To(Equal(outcome.Ran))
 	})
 
+	// A head without an end would take megabytes before it fails.
+	It("whose head is longer than any sound one fails", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		upstream := newScriptedUpstream(func(upstream *scriptedUpstream, conn net.Conn, in *bufio.Reader) {
+			upstream.readRequest(in)
+			reply(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Long: "+strings.Repeat("x", 200<<10)+"\r\n\r\n")
+		})
+		p := shuttle.New(shuttle.Options{})
+		defer p.Close()
+		_, err := p.Send(ctx, upstream.address(), nonIdempotentRequest())
+		Expect(outcomeOf(err)).To(Equal(outcome.Unknown))
+	})
+
 	// A stopped engine closes its stream in the same way as one that has finished. Only the final
 	// event distinguishes them.
 	DescribeTable("of events is complete only with its final event",
