roster: a report of another writer takes no upstream out

Cause: the higher incarnation replaced the record whatever else it said; the upstream's own reports, with the lower one, were acknowledged and ignored until the record was forgotten after 30 leases. Anybody can write a high number.

Change: while a process is heard from, one of another service is refused, and not taken from other instances. A process that was silent for two thirds of a lease gives way to one heard from since, whatever their numbers; what has left stays away. A restart at the same address counts at once, as before. Own interface: as before.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -152,6 +152,7 @@
 		},
 		Lease:                 i.options.UpstreamLease,
 		AllowRestartElsewhere: true,
+		ContestTime:           roster.ContestTimeFor(i.options.UpstreamLease),
 	})
 	i.roster.Heartbeat(i.options.Now(), roster.InstanceBeat{})
 }
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -108,7 +108,8 @@
 			Static: roster.InstanceStatic{
 				CallerAddress: options.CallerAddress, InnerAddress: options.Name, FailureDomain: options.FailureDomain,
 			},
-			Lease: options.UpstreamLease,
+			Lease:       options.UpstreamLease,
+			ContestTime: roster.ContestTimeFor(options.UpstreamLease),
 		}),
 		pool:       newUpstreamPool(options.FailureDomain, options.UpstreamLease),
 		demand:     newDemand(),
--- a/internal/counter/upstreampool.go
+++ b/internal/counter/upstreampool.go
@@ -19,7 +19,9 @@
 // upstreamPool is the set of upstreams known to an entry instance, with their estimated load. It is
 // not safe for concurrent use.
 type upstreamPool struct {
-	lease         time.Duration
+	lease time.Duration
+	// contestTime is that of the roster.
+	contestTime   time.Duration
 	failureDomain string
 	byName        map[string]*upstream
 	byService     map[string][]*upstream
@@ -109,7 +111,7 @@
 
 func newUpstreamPool(failureDomain string, lease time.Duration) *upstreamPool {
 	return &upstreamPool{
-		lease: lease, failureDomain: failureDomain, paths: map[string]reachability.Service{}, lost: map[string][]*upstream{},
+		lease: lease, contestTime: roster.ContestTimeFor(lease), failureDomain: failureDomain, paths: map[string]reachability.Service{}, lost: map[string][]*upstream{},
 		newVersions: map[string]bool{}, byName: map[string]*upstream{}, byService: map[string][]*upstream{}, byAddress: map[string]*upstream{},
 	}
 }
@@ -139,10 +141,10 @@
 func (p *upstreamPool) upsert(known roster.Upstream) {
 	name := known.Announcement.Name
 	u := p.byName[name]
-	if u != nil && known.Announcement.Incarnation < u.incarnation {
+	if u != nil && known.Announcement.Incarnation < u.incarnation && known.LastContact.Sub(u.LastContact) < p.contestTime {
 		return
 	}
-	restarted := u != nil && (known.Announcement.Incarnation > u.incarnation || known.Announcement.SoftwareVersion != u.software)
+	restarted := u != nil && (known.Announcement.Incarnation != u.incarnation || known.Announcement.SoftwareVersion != u.software)
 	if restarted && len(known.Announcement.Services) > 0 {
 		// Load, models and failures of the former process under this name do not apply to it.
 		p.remove(name)
--- a/internal/roster/pull.go
+++ b/internal/roster/pull.go
@@ -104,7 +104,12 @@
 	allKnown := true
 	for _, record := range changes.Upstreams {
 		source.upstreams[record.Handle] = memberKey{record.Name, record.Incarnation}
-		r.upstreams.Put(record, Provenance{At: requestedAt.Add(-record.Age), Full: true})
+		contact := requestedAt.Add(-record.Age)
+		row, known := r.upstreams.rows[record.Name]
+		if known && record.Static != nil && r.contradicts(row, record.Incarnation, record.Static.Services, contact) {
+			continue
+		}
+		r.upstreams.Put(record, Provenance{At: contact, Full: true})
 	}
 	for n, handle := range changes.UpstreamBeats.Handles {
 		beats := &changes.UpstreamBeats
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -95,6 +95,17 @@
 	// AllowRestartElsewhere makes an announcement with a higher incarnation and another address
 	// count as a restart of the same upstream. Without it, the address of a live name can't change.
 	AllowRestartElsewhere bool
+	// ContestTime is how long an upstream must have been silent before another process under its name
+	// counts as the running one although its incarnation is lower, or its services differ: a report of
+	// another writer may give any incarnation and service, and the upstream goes on announcing itself.
+	// It is above the time between two announcements. With 0, the highest incarnation always counts.
+	ContestTime time.Duration
+}
+
+// ContestTimeFor returns the Options.ContestTime for a lease: an upstream whose name another writer has
+// used is heard from again before its lease ends.
+func ContestTimeFor(lease time.Duration) time.Duration {
+	return lease * 2 / 3
 }
 
 // Roster is the membership state of one instance. It is not safe for concurrent use.
@@ -109,7 +120,7 @@
 func New(options Options) *Roster {
 	return &Roster{
 		options:   options,
-		upstreams: NewTable[upstreamStatic, upstreamapi.Load](0),
+		upstreams: NewTable[upstreamStatic, upstreamapi.Load](options.ContestTime),
 		instances: NewTable[InstanceStatic, InstanceBeat](options.Lease),
 	}
 }
@@ -170,8 +181,9 @@
 // the leave of an upstream is known, its address is unknown and its name is free.
 //
 // If the incarnation was announced before with other services, the announcement does not come from
-// the upstream itself, and Announce returns an error that wraps ErrServicesMismatch. If it was
-// announced with another software version, the error wraps ErrVersionMismatch.
+// the upstream itself, and Announce returns an error that wraps ErrServicesMismatch. It does so as
+// well for another incarnation, unless the known one has been silent for Options.ContestTime. If the
+// incarnation was announced with another software version, the error wraps ErrVersionMismatch.
 func (r *Roster) Announce(now time.Time, announcement upstreamapi.Announcement) error {
 	row, known := r.upstreams.rows[announcement.Name]
 	if known && row.incarnation == announcement.Incarnation {
@@ -179,7 +191,11 @@
 			return err
 		}
 	}
-	if known && row.static.Address != "" && row.static.Address != announcement.Address {
+	if known && r.contradicts(row, announcement.Incarnation, announcement.Services, now) {
+		return errors.Wrapf(ErrServicesMismatch, "%q answers for %v, this announcement gives %v",
+			announcement.Name, row.static.Services, announcement.Services)
+	}
+	if known && !r.isContestable(row, announcement.Incarnation, now) && row.static.Address != "" && row.static.Address != announcement.Address {
 		restarted := r.options.AllowRestartElsewhere && row.incarnation < announcement.Incarnation
 		alive := !row.left && now.Sub(row.lastContact) < r.options.Lease && !restarted
 		if alive || row.incarnation >= announcement.Incarnation {
@@ -202,6 +218,22 @@
 	return nil
 }
 
+// isContestable reports whether another process, which was heard from at contact, takes the place of a
+// known one whatever its incarnation.
+func (r *Roster) isContestable(row *upstreamRow, incarnation uint64, contact time.Time) bool {
+	return r.options.ContestTime > 0 && !row.left && row.incarnation != incarnation && contact.Sub(row.lastContact) >= r.options.ContestTime
+}
+
+// contradicts reports whether the services that another process announced at contact contradict a
+// known one that is still heard from: an upstream keeps its services.
+func (r *Roster) contradicts(row *upstreamRow, incarnation uint64, services []string, contact time.Time) bool {
+	if r.options.ContestTime == 0 || row.left || row.incarnation == incarnation {
+		return false
+	}
+	known := row.static.Services
+	return len(known) > 0 && len(services) > 0 && !slices.Equal(known, services) && contact.Sub(row.lastContact) < r.options.ContestTime
+}
+
 // checkWriter returns an error if an announcement differs from an earlier one of the same process in
 // what never changes. An announcement without an address stands for a process of which only the leave
 // is known.
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -33,8 +33,8 @@
 	// nextHandle is the handle of the next new row. Handles are not reused.
 	nextHandle uint32
 	// lease orders two incarnations of a member: if their last contacts are at least a lease apart,
-	// the one with the later contact is the newer. Otherwise, or if lease is 0, the one with the higher
-	// number is.
+	// the one with the later contact is the newer. Otherwise, or if lease is 0 or one of them has left,
+	// the one with the higher number is.
 	lease time.Duration
 }
 
@@ -198,7 +198,7 @@
 		return record.Sequence > row.sequence
 	}
 	gap := lastContact.Sub(row.lastContact)
-	if t.lease > 0 && gap.Abs() >= t.lease {
+	if t.lease > 0 && gap.Abs() >= t.lease && !row.left && !record.Left {
 		return gap > 0
 	}
 	return record.Incarnation > row.incarnation
