backoffice: a late order is counted on also after the lease of its engine has ended

Cause: what an engine may still carry out counts against the room of its successor for 30 s, but was kept with the engine's record, which goes when the lease ends after 3.3 s.

Change: the leader keeps such orders by name, also when it loses and regains the leadership. If the same process is heard from again, the sequence number protects it, as before.

Tests: a spec of the restart after the lease (without the kept orders 70 MB count as used in place of 140). Open: another leader does not know of the order.

--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -61,16 +61,12 @@
 // newEngine returns the state of an engine of which only the announcement is known.
 // before is the previous process under the same name, or nil: the models that it held
 // are gone, but orders sent to it may still arrive.
-func newEngine(now time.Time, a upstreamapi.Announcement, service *routes.Service, before *engine) *engine {
-	e := &engine{
+func newEngine(a upstreamapi.Announcement, service *routes.Service, unconfirmed unconfirmedOrders) *engine {
+	return &engine{
 		EngineAddress: EngineAddress{Name: a.Name, Address: a.Address},
 		incarnation:   a.Incarnation, softwareVersion: a.SoftwareVersion,
-		service: service.Name, spec: service.Engine, updated: make(chan struct{}),
+		service: service.Name, spec: service.Engine, updated: make(chan struct{}), unconfirmed: unconfirmed,
 	}
-	if before != nil {
-		e.unconfirmed = before.unconfirmed.forSuccessor(now)
-	}
-	return e
 }
 
 // isLeaving reports whether the engine is known to be leaving.
--- a/internal/backoffice/engine_test.go
+++ b/internal/backoffice/engine_test.go
@@ -167,6 +167,25 @@
 		Expect(second.UsedMegabytes()).To(Equal(140.0))
 	})
 
+	// The leader forgot the order together with the engine when its lease ended, and placed two other
+	// models on its successor.
+	It("keeps room for an order to the one before also after the lease of that one has ended", func() {
+		first := backoffice.NewEngineOf(spec, 1)
+		first.ApplyReport(now, reportFrom(1, 1, "a"))
+		first.SendUnanswered(now, backoffice.Order{Kind: backoffice.Load, Model: "c", ExpectedSequence: 1})
+		gone, later := now.Add(3*time.Second), now.Add(5*time.Second)
+		second := first.RestartAfterLease(gone, later, 2)
+		second.ApplyReport(later, reportFrom(2, 0, "a"))
+		Expect(second.UsedMegabytes()).To(Equal(140.0))
+		same := first.RestartAfterLease(gone, later, 1)
+		same.ApplyReport(later, reportFrom(1, 1, "a"))
+		Expect(same.UsedMegabytes()).To(Equal(70.0), "the same process is heard from again")
+		muchLater := now.Add(time.Minute)
+		third := first.RestartAfterLease(gone, muchLater, 2)
+		third.ApplyReport(muchLater, reportFrom(2, 0, "a"))
+		Expect(third.UsedMegabytes()).To(Equal(70.0), "the order can no longer arrive")
+	})
+
 	It("keeps room for an order that is on its way when the engine crashes, for some time", func() {
 		first := backoffice.NewEngineOf(spec, 1)
 		first.ApplyReport(now, reportFrom(1, 3, "a"))
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -22,14 +22,23 @@
 // NewEngineOf returns an engine with the given spec, of which only the announced
 // incarnation is known.
 func NewEngineOf(spec *routes.Engine, incarnation uint64) Engine {
-	return Engine{engine: newEngine(time.Time{}, upstreamapi.Announcement{Name: "e", Incarnation: incarnation},
-		&routes.Service{Name: "pool", Engine: spec}, nil)}
+	return Engine{engine: newEngine(upstreamapi.Announcement{Name: "e", Incarnation: incarnation},
+		&routes.Service{Name: "pool", Engine: spec}, unconfirmedOrders{})}
 }
 
 // Restart returns the engine's successor under the same name.
 func (e Engine) Restart(now time.Time, incarnation uint64) Engine {
-	return Engine{engine: newEngine(now, upstreamapi.Announcement{Name: "e", Incarnation: incarnation},
-		&routes.Service{Name: "pool", Engine: e.engine.spec}, e.engine)}
+	return Engine{engine: newEngine(upstreamapi.Announcement{Name: "e", Incarnation: incarnation},
+		&routes.Service{Name: "pool", Engine: e.engine.spec}, e.engine.unconfirmed.forSuccessor(now))}
+}
+
+// RestartAfterLease returns the engine's successor under the same name, which is announced at now. The
+// engine was given up at gone.
+func (e Engine) RestartAfterLease(gone, now time.Time, incarnation uint64) Engine {
+	former := formerOrders{}
+	former.keep(gone, e.engine)
+	return Engine{engine: newEngine(upstreamapi.Announcement{Name: "e", Incarnation: incarnation},
+		&routes.Service{Name: "pool", Engine: e.engine.spec}, former.take(now, "e", incarnation))}
 }
 
 // Send records an order that is under way.
--- a/internal/backoffice/orchestrator.go
+++ b/internal/backoffice/orchestrator.go
@@ -9,6 +9,7 @@
 	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 const (
@@ -59,6 +60,8 @@
 
 	mu      sync.Mutex
 	engines map[string]*engine
+	// formerOrders are the unconfirmed orders to processes that are no longer in engines, by name.
+	formerOrders formerOrders
 	// table is parsed from the edition of the routes with its version.
 	table *routes.Table
 	// term is the leadership term in which engines was collected, or 0 while this
@@ -97,7 +100,7 @@
 
 func newOrchestrator(ctx context.Context, i *Instance) *orchestrator {
 	o := &orchestrator{
-		instance: i, engines: map[string]*engine{}, changed: make(chan struct{}),
+		instance: i, engines: map[string]*engine{}, formerOrders: formerOrders{}, changed: make(chan struct{}),
 		demand: map[demandKey]*modelDemand{}, usesByEntry: map[string]adapterUses{},
 		initialCopies: map[demandKey]int{}, adapterUsers: map[Adapter]int{}, adapterRequestedAt: map[Adapter]time.Time{}, limits: map[string]reportedLimit{},
 	}
@@ -139,7 +142,7 @@
 	if o.term != uint64(status.Term) {
 		o.term = uint64(status.Term)
 		o.revision = o.term << 32
-		o.engines = map[string]*engine{}
+		o.dropEngines(now)
 		// It is unknown how many fetches the previous leader has started.
 		o.fetchTokens, o.fetchTokensAt = 0, now
 		o.termSince = now
@@ -176,7 +179,24 @@
 	o.expire(now)
 	o.term = 0
 	o.wakeDelay = 0
-	clear(o.engines)
+	o.dropEngines(now)
+}
+
+// dropEngines removes all engines. o.mu is held.
+func (o *orchestrator) dropEngines(now time.Time) {
+	for _, e := range o.engines {
+		o.formerOrders.keep(now, e)
+	}
+	o.engines = map[string]*engine{}
+}
+
+// ordersToPredecessor returns the unconfirmed orders to the process that had the name of an announced one
+// before. before is that process, or nil if it is no longer known. o.mu is held.
+func (o *orchestrator) ordersToPredecessor(now time.Time, announced upstreamapi.Announcement, before *engine) unconfirmedOrders {
+	if before != nil {
+		return before.unconfirmed.forSuccessor(now)
+	}
+	return o.formerOrders.take(now, announced.Name, announced.Incarnation)
 }
 
 // refreshTable parses the routes in force if their version has changed. o.mu is held.
@@ -225,7 +245,7 @@
 		present[name] = true
 		e := o.engines[name]
 		if e == nil || e.incarnation != upstream.Announcement.Incarnation {
-			e = newEngine(now, upstream.Announcement, service, e)
+			e = newEngine(upstream.Announcement, service, o.ordersToPredecessor(now, upstream.Announcement, e))
 			o.engines[name] = e
 			o.markChanged()
 		}
@@ -240,6 +260,7 @@
 	var due []*engine
 	for name, e := range o.engines {
 		if !present[name] {
+			o.formerOrders.keep(now, e)
 			delete(o.engines, name)
 			o.markChanged()
 			continue
--- a/internal/backoffice/unconfirmed.go
+++ b/internal/backoffice/unconfirmed.go
@@ -62,6 +62,42 @@
 	u.inherited = slices.DeleteFunc(u.inherited, expired)
 }
 
+// formerOrders holds the unconfirmed orders to engines that are gone, by name: a process that starts
+// under the name later may still be reached by them.
+type formerOrders map[string]formerProcess
+
+// formerProcess is a process that is gone, with the orders that may reach its successor.
+type formerProcess struct {
+	incarnation uint64
+	orders      unconfirmedOrders
+}
+
+// keep keeps the orders to an engine that is gone, and drops those that can no longer arrive.
+func (f formerOrders) keep(now time.Time, e *engine) {
+	for name, former := range f {
+		former.orders.expire(now)
+		f[name] = former
+		if len(former.orders.inherited) == 0 {
+			delete(f, name)
+		}
+	}
+	if orders := e.unconfirmed.forSuccessor(now); len(orders.inherited) > 0 {
+		f[e.Name] = formerProcess{incarnation: e.incarnation, orders: orders}
+	}
+}
+
+// take removes and returns the orders that may still reach a process. If it is the process that seemed to
+// be gone, its sequence number keeps them from taking memory in addition to later ones.
+func (f formerOrders) take(now time.Time, name string, incarnation uint64) unconfirmedOrders {
+	former := f[name]
+	delete(f, name)
+	former.orders.expire(now)
+	if former.incarnation == incarnation {
+		return unconfirmedOrders{unanswered: former.orders.inherited}
+	}
+	return former.orders
+}
+
 // stillExecutable returns the inherited orders that e could still carry out.
 func (u *unconfirmedOrders) stillExecutable(e *engine) []unconfirmedOrder {
 	return slices.DeleteFunc(slices.Clone(u.inherited), func(o unconfirmedOrder) bool {
