counter: bodies of requests keep within the memory of the instance

Callers: 48 callers at each entry instance sent bodies of 4 MiB, the allowed size.

Cause: bodies are read whole before the request is admitted and kept until its answer ends, with a bound for each and none for all; the garbage collector did not know of the limit.

Change: a third of Limits.MemoryMb is for bodies. What does not fit is refused at once with 503 and Retry-After 1, before it is read where its length is stated; bodies up to 8 KiB always fit. What a refused caller still sends is received and dropped for 2 s at most, since the connection is reset otherwise and the refusal lost; that holds for bodies beyond the limit of the routes, too. Without the setting nothing changes but the last.

Open: the memory is not divided between workspaces.

--- a/internal/counter/bodies.go
+++ b/internal/counter/bodies.go
@@ -4,8 +4,12 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
@@ -20,6 +24,57 @@
 	passBufferBytes = 32 << 10
 )
 
+const (
+	// defaultMaxBodyBytes is the body limit where the routes do not set one.
+	defaultMaxBodyBytes = 4 << 20
+	// noRoomRetryAfter is the Retry-After time while bodies take all their memory. It is about the time
+	// in which one of them is sent and answered.
+	noRoomRetryAfter = time.Second
+)
+
+// readBody reads the whole body before the request is sent. Only then can the refusal of a
+// truncated body state that nothing was run. If the body can't be read, readBody returns a refusal with
+// a status. The body must be released in any case.
+func (p *Proxy) readBody(r *http.Request, limit int64) (*shuttle.ReadAhead, refusal) {
+	if r.ContentLength == 0 {
+		return &shuttle.ReadAhead{}, refusal{}
+	}
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	body, err := shuttle.ReadWhole(r.Body, r.ContentLength, limit, p.requestBodies)
+	switch {
+	case errors.Is(err, shuttle.ErrNoRoom):
+		return body, refusal{status: http.StatusServiceUnavailable, text: "no memory for the body", retryAfter: noRoomRetryAfter}
+	case err != nil:
+		return body, refusal{status: http.StatusBadRequest, text: "body not read"}
+	case !body.Whole:
+		return body, refusal{status: http.StatusRequestEntityTooLarge, text: "body not read"}
+	default:
+		return body, refusal{}
+	}
+}
+
+// maxDrainTime bounds how long the rest of the body of a refused request is received.
+const maxDrainTime = 2 * time.Second
+
+// refuseBody refuses a request whose body is not read whole. It receives what the caller still sends: the
+// connection would be reset, and the caller would not get the refusal.
+func (p *Proxy) refuseBody(w http.ResponseWriter, r *http.Request, call Call, route *routes.Route, refused refusal) {
+	controller := http.NewResponseController(w)
+	if refused.status == http.StatusBadRequest || controller.EnableFullDuplex() != nil {
+		p.refuse(w, call, route, refused)
+		return
+	}
+	w.Header().Set("Connection", "close")
+	p.refuse(w, call, route, refused)
+	// Errors are ignored: the caller may have disconnected.
+	_ = controller.Flush()
+	// A deadline in the past ends the read.
+	defer time.AfterFunc(maxDrainTime, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) }).Stop()
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
 // passRest passes on what is left of a body that is too long to be read first, and returns the number
 // of its bytes, and the error of the side that failed.
 func passRest(w io.Writer, body io.Reader) (passed int64, readErr, writeErr error) {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -76,7 +76,9 @@
 	trials quarantine.Trials
 	// responseBuffers bounds the memory of responses that are read before they are passed on.
 	responseBuffers *shuttle.ByteBudget
-	longestBodies   bodysize.Longest
+	// requestBodies bounds the memory of the bodies of requests, which are kept until their answers end.
+	requestBodies *shuttle.ByteBudget
+	longestBodies bodysize.Longest
 	// active is the number of requests in flight, and relaying how many of them other instances
 	// have sent here because they cannot reach the upstream.
 	active   int
@@ -132,8 +134,9 @@
 		quotas:        quotaAccounts{},
 		plain:         plainGroups{},
 		longestBodies: bodysize.Longest{}, responseBuffers: shuttle.NewByteBudget(defaultResponseBufferBytes),
-		syncNow: make(chan struct{}, 1),
-		cancel:  cancel,
+		requestBodies: options.requestBodies(),
+		syncNow:       make(chan struct{}, 1),
+		cancel:        cancel,
 	}
 	p.waits, p.endWaits = context.WithCancel(ctx)
 	p.upstreams = newTransports(p.dialUpstream)
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -19,6 +19,7 @@
 	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
 // Options configures a Proxy.
@@ -48,6 +49,9 @@
 	// MaxRouteUpdateDelay is the longest time between the acknowledgement of a route change to the
 	// operator and its effect at an instance that can reach a control instance. Default 2 s.
 	MaxRouteUpdateDelay time.Duration
+	// MemoryBytes is the memory that the process may take. A third of it is for the bodies of requests;
+	// what does not fit is refused. With 0, bodies have no common bound.
+	MemoryBytes int64
 	// Dialect is the protocol spoken with upstreams.
 	Dialect Dialect
 	Now     func() time.Time
@@ -56,6 +60,18 @@
 	Metrics tally.Scope
 }
 
+// bodyMemoryShare is the divisor of the memory for the bodies of requests. The garbage of as much again
+// may not be collected yet.
+const bodyMemoryShare = 3
+
+// requestBodies returns the budget for the bodies of requests, nil if they have no bound.
+func (o Options) requestBodies() *shuttle.ByteBudget {
+	if o.MemoryBytes == 0 {
+		return nil
+	}
+	return shuttle.NewByteBudget(o.MemoryBytes / bodyMemoryShare)
+}
+
 // RetryLimits limits the retries that all entry instances together send to the upstreams of one
 // service.
 type RetryLimits struct {
--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -25,8 +25,13 @@
 	}
 	defer p.finishRelaying()
 	timeoutMillis, err := strconv.ParseInt(r.Header.Get(relayTimeoutHeader), 10, 64)
-	body, status := readBody(w, r, p.maxBodyBytes())
-	if err != nil || status != 0 {
+	body, refused := p.readBody(r, p.maxBodyBytes())
+	defer body.Release()
+	switch {
+	case refused.status == http.StatusServiceUnavailable:
+		p.rejectRelay(w, r, relayUnavailable)
+		return
+	case err != nil || refused.status != 0:
 		p.rejectRelay(w, r, relayInvalid)
 		return
 	}
@@ -34,7 +39,7 @@
 	defer cancel()
 	var mayHaveSent atomic.Bool
 	idempotent := r.Header.Get(relayIdempotentHeader) == strconv.FormatBool(true)
-	response, err := p.upstreams.of(idempotent).RoundTrip(relayedRequest(ctx, r, u, body, &mayHaveSent))
+	response, err := p.upstreams.of(idempotent).RoundTrip(relayedRequest(ctx, r, u, body.Bytes, &mayHaveSent))
 	if err != nil {
 		p.rejectUnsent(w, r, u, &mayHaveSent)
 		return
--- a/internal/counter/testproxy_test.go
+++ b/internal/counter/testproxy_test.go
@@ -35,6 +35,11 @@
 }
 
 func newTestProxy(upstreams ...*upstream) *testProxy {
+	return newTestProxyWithMemory(0, upstreams...)
+}
+
+// newTestProxyWithMemory is newTestProxy with counter.Options.MemoryBytes.
+func newTestProxyWithMemory(memoryBytes int64, upstreams ...*upstream) *testProxy {
 	p := &testProxy{control: newFakeControl(), upstreams: upstreams}
 	for i, u := range upstreams {
 		p.control.announce(fmt.Sprint("u", i), u.address())
@@ -44,7 +49,7 @@
 		Dial: courier.DialTCP, UpstreamLease: time.Minute,
 		Retries:        counter.RetryLimits{Ratio: 0.1, Burst: 20, Window: 10 * time.Second},
 		QuotaTolerance: quota.Tolerance{Window: time.Second, Slack: 2},
-		ParseRoutes:    parseRoutes, Dialect: dialect{}, Now: p.now, Log: zerolog.Nop(),
+		ParseRoutes:    parseRoutes, Dialect: dialect{}, Now: p.now, Log: zerolog.Nop(), MemoryBytes: memoryBytes,
 	})
 	p.server = startCallerServer(func(w http.ResponseWriter, r *http.Request) {
 		p.proxy.ServeRequest(w, r, counter.Call{ID: r.Header.Get(idHeader), Key: r.Header.Get(keyHeader), Timeout: 5 * time.Second, PromptParts: r.Header[partHeader]})
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
@@ -66,11 +63,13 @@
 		return
 	}
 	route := matched.route
-	body, status := readBody(w, r, matched.table.Limits.BodyBytes)
-	if status != 0 {
-		p.refuse(w, call, route, refusal{status: status, text: "body not read"})
+	held, refused := p.readBody(r, matched.table.Limits.BodyBytes)
+	defer held.Release()
+	if refused.status != 0 {
+		p.refuseBody(w, r, call, route, refused)
 		return
 	}
+	body := held.Bytes
 	t := &transaction{
 		proxy: p, call: call, route: route, workspace: matched.workspace, version: matched.table.Version, request: r, body: body,
 		requirements: requirements{
@@ -158,29 +157,6 @@
 	}
 }
 
-// defaultMaxBodyBytes is the body limit where the routes do not set one.
-const defaultMaxBodyBytes = 4 << 20
-
-// readBody reads the whole body before the request is sent. Only then can the refusal of a
-// truncated body state that nothing was run.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, status int) {
-	if r.ContentLength == 0 {
-		return nil, 0
-	}
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
-	case err != nil:
-		return nil, http.StatusBadRequest
-	}
-	return body, 0
-}
-
 // serve attempts the request until it is answered.
 func (t *transaction) serve(ctx context.Context, w http.ResponseWriter) {
 	for {
--- a/internal/shuttle/readahead.go
+++ b/internal/shuttle/readahead.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"sync"
+
+	"github.com/cockroachdb/errors"
 )
 
 // ByteBudget bounds the memory of what is read ahead by many requests together. It is safe for
@@ -79,6 +81,43 @@
 	}
 }
 
+// ErrNoRoom is returned for a body for which the budget has no room.
+var ErrNoRoom = errors.New("shuttle: no room for the body")
+
+// ReadWhole reads a whole body, of which it reads limit bytes at most. If it is longer, ReadAhead.Whole
+// is false. If budget has no room for it, ReadWhole returns ErrNoRoom, before it reads anything if the
+// length of the body is stated. The memory is held until Release.
+func ReadWhole(body io.Reader, length, limit int64, budget *ByteBudget) (*ReadAhead, error) {
+	size := int64(unbudgetedBytes)
+	if length >= 0 {
+		size = min(length, limit) + 1
+	}
+	a := &ReadAhead{budget: budget}
+	if size > unbudgetedBytes {
+		if !budget.take(size) {
+			return a, ErrNoRoom
+		}
+		a.taken = size
+	}
+	a.Bytes = make([]byte, 0, size)
+	for {
+		n, err := body.Read(a.Bytes[len(a.Bytes):cap(a.Bytes)])
+		a.Bytes = a.Bytes[:len(a.Bytes)+n]
+		switch {
+		case err == io.EOF:
+			a.Whole = true
+			return a, nil
+		case err != nil:
+			return a, err
+		case len(a.Bytes) < cap(a.Bytes):
+		case int64(len(a.Bytes)) > limit:
+			return a, nil
+		case !a.grow(limit + 1):
+			return a, ErrNoRoom
+		}
+	}
+}
+
 // grow doubles the memory up to limit. It returns false if there is no more.
 func (a *ReadAhead) grow(limit int64) bool {
 	size := int64(cap(a.Bytes))
