--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -59,8 +59,8 @@
 }
 
 // newEngine returns the state of an engine of which only the announcement is known.
-// before is the previous process under the same name, or nil: the models that it held
-// are gone, but orders sent to it may still arrive.
+// unconfirmed are the orders to the previous process under the same name: the models that
+// it held are gone, but these may still arrive.
 func newEngine(a upstreamapi.Announcement, service *routes.Service, unconfirmed unconfirmedOrders) *engine {
 	return &engine{
 		EngineAddress: EngineAddress{Name: a.Name, Address: a.Address},
--- a/internal/backoffice/leaves.go
+++ b/internal/backoffice/leaves.go
@@ -53,8 +53,11 @@
 		// a restarted upstream.
 		placeholder.Incarnation = departure.AnyIncarnation
 	}
-	if err := i.roster.Announce(now, placeholder); err != nil && !errors.Is(err, roster.ErrNameTaken) {
-		i.options.Log.Warn().Err(err).Str("upstream", leave.Name).Msg("announcement of an unknown leaving upstream rejected")
+	known, found := i.roster.Upstream(leave.Name)
+	if !found || known.Announcement.Incarnation < placeholder.Incarnation {
+		if err := i.roster.Announce(now, placeholder); err != nil && !errors.Is(err, roster.ErrNameTaken) {
+			i.options.Log.Warn().Err(err).Str("upstream", leave.Name).Msg("announcement of an unknown leaving upstream rejected")
+		}
 	}
 	i.roster.Leave(now, leave)
 }
--- a/internal/counter/bodies.go
+++ b/internal/counter/bodies.go
@@ -42,6 +42,9 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	if r.ContentLength > limit {
+		return &shuttle.ReadAhead{}, refusal{status: http.StatusRequestEntityTooLarge, text: "body not read"}
+	}
 	body, err := shuttle.ReadWhole(r.Body, r.ContentLength, limit, p.requestBodies)
 	switch {
 	case errors.Is(err, shuttle.ErrNoRoom):
--- a/internal/shuttle/readahead.go
+++ b/internal/shuttle/readahead.go
@@ -42,7 +42,7 @@
 	b.free += bytes
 }
 
-// ReadAhead is the beginning of a body, read before any of it is passed on. Use ReadBody.
+// ReadAhead is a body, or its beginning, that is held in memory. Use ReadBody or ReadWhole.
 type ReadAhead struct {
 	Bytes []byte
 	// Whole is true if Bytes is the whole body.
@@ -66,19 +66,10 @@
 		size = min(size, length+1)
 	}
 	a := &ReadAhead{budget: budget, Bytes: make([]byte, 0, min(limit, size))}
-	for {
-		n, err := body.Read(a.Bytes[len(a.Bytes):cap(a.Bytes)])
-		a.Bytes = a.Bytes[:len(a.Bytes)+n]
-		switch {
-		case err == io.EOF:
-			a.Whole = true
-			return a, nil
-		case err != nil:
-			return a, err
-		case len(a.Bytes) == cap(a.Bytes) && !a.grow(limit):
-			return a, nil
-		}
+	if err := a.fill(body, limit); !errors.Is(err, ErrNoRoom) {
+		return a, err
 	}
+	return a, nil
 }
 
 // ErrNoRoom is returned for a body for which the budget has no room.
@@ -100,20 +91,27 @@
 		a.taken = size
 	}
 	a.Bytes = make([]byte, 0, size)
+	err := a.fill(body, limit+1)
+	if errors.Is(err, ErrNoRoom) && int64(len(a.Bytes)) > limit {
+		return a, nil
+	}
+	return a, err
+}
+
+// fill reads a body until its end. If there is no memory for the next byte, up to limit, it returns
+// ErrNoRoom.
+func (a *ReadAhead) fill(body io.Reader, limit int64) error {
 	for {
 		n, err := body.Read(a.Bytes[len(a.Bytes):cap(a.Bytes)])
 		a.Bytes = a.Bytes[:len(a.Bytes)+n]
 		switch {
 		case err == io.EOF:
 			a.Whole = true
-			return a, nil
+			return nil
 		case err != nil:
-			return a, err
-		case len(a.Bytes) < cap(a.Bytes):
-		case int64(len(a.Bytes)) > limit:
-			return a, nil
-		case !a.grow(limit + 1):
-			return a, ErrNoRoom
+			return err
+		case len(a.Bytes) == cap(a.Bytes) && !a.grow(limit):
+			return ErrNoRoom
 		}
 	}
 }
