--- a/internal/backoffice/adapters.go
+++ b/internal/backoffice/adapters.go
@@ -72,6 +72,7 @@
 // adapter, so the maps would grow without bound. o.mu is held.
 func (o *orchestrator) expire(now time.Time) {
 	o.expireLimits(now)
+	o.formerOrders.expire(now)
 	for entry, uses := range o.usesByEntry {
 		if now.Sub(uses.reportedAt) >= adapterUsesTTL {
 			o.dropAdapterUses(entry)
--- a/internal/backoffice/orchestrator.go
+++ b/internal/backoffice/orchestrator.go
@@ -187,7 +187,7 @@
 	for _, e := range o.engines {
 		o.formerOrders.keep(now, e)
 	}
-	o.engines = map[string]*engine{}
+	clear(o.engines)
 }
 
 // ordersToPredecessor returns the unconfirmed orders to the process that had the name of an announced one
--- a/internal/backoffice/unconfirmed.go
+++ b/internal/backoffice/unconfirmed.go
@@ -72,8 +72,8 @@
 	orders      unconfirmedOrders
 }
 
-// keep keeps the orders to an engine that is gone, and drops those that can no longer arrive.
-func (f formerOrders) keep(now time.Time, e *engine) {
+// expire removes the orders that can no longer arrive.
+func (f formerOrders) expire(now time.Time) {
 	for name, former := range f {
 		former.orders.expire(now)
 		f[name] = former
@@ -81,6 +81,10 @@
 			delete(f, name)
 		}
 	}
+}
+
+// keep keeps the orders to an engine that is gone.
+func (f formerOrders) keep(now time.Time, e *engine) {
 	if orders := e.unconfirmed.forSuccessor(now); len(orders.inherited) > 0 {
 		f[e.Name] = formerProcess{incarnation: e.incarnation, orders: orders}
 	}
