backoffice: a spec of a leave whose leader is lost

Here the leader that gave the acknowledgement is lost and stays away: the next leader tells entry instances of the leave.

--- a/internal/backoffice/leaves_test.go
+++ b/internal/backoffice/leaves_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/backoffice"
+	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -75,6 +76,26 @@
 		Entry("of all instances, if it names no process", SpecTimeout(specTimeout), uint64(0), 1, 3),
 	)
 
+	// A leave that only the leader knew would be lost with it.
+	It("is known to the next leader if the leader that acknowledged it is lost", func(ctx SpecContext) {
+		c := newTestCluster()
+		c.fakes.add("e1", "a")
+		c.putRoutes(ctx, c.seeds[0], 1)
+		leader := ""
+		Eventually(ctx, func() (led bool) {
+			var reply courier.SyncReply
+			reply, led = c.syncWithLeader(ctx)
+			leader = reply.Leader
+			return led
+		}).Should(BeTrue())
+		Eventually(ctx, func() error {
+			return c.instances[leader].Leave(ctx, upstreamapi.Leave{Name: "e1", Incarnation: 1})
+		}).Should(Succeed())
+		c.stopped[leader] = true
+		c.stop(c.instances[leader])
+		Eventually(ctx, c.saysLeft(ctx, "e1")).Should(BeTrue())
+	}, SpecTimeout(specTimeout))
+
 	// A leave that only this instance knows would be lost with it.
 	It("is not given without a majority of the voters, and not later than upstreams wait for it", func(ctx SpecContext) {
 		c := newTestCluster()
