shuttle: a body beyond a limit of less than 8 KiB is not taken as whole

Found on reading. Since a request body without a stated length was read into a first buffer of 8 KiB, whatever its limit: with MaxBodyBytes of 1,000 a body of up to 8,192 bytes was sent to the upstream, where callers got 413 before. Bodies of stated length, and limits from 8 KiB on, were not affected.

The first buffer has at most one byte more than the limit. The new specs of ReadWhole, which had none of its own, show it: of a limit of 1,000 bytes, "1001 bytes" failed before; the other four entries passed. Memory taken before a body is read, and its return, are checked as well.

--- a/internal/shuttle/readahead.go
+++ b/internal/shuttle/readahead.go
@@ -79,7 +79,9 @@
 // is false. If budget has no room for it, ReadWhole returns ErrNoRoom, before it reads anything if the
 // length of the body is stated. The memory is held until Release.
 func ReadWhole(body io.Reader, length, limit int64, budget *ByteBudget) (*ReadAhead, error) {
-	size := int64(unbudgetedBytes)
+	// The end of the body is read with the byte after it, and one byte beyond the limit shows that the
+	// body is longer.
+	size := min(unbudgetedBytes, limit+1)
 	if length >= 0 {
 		size = min(length, limit) + 1
 	}
--- a/internal/shuttle/readahead_test.go
+++ b/internal/shuttle/readahead_test.go
@@ -68,6 +68,44 @@
 	})
 })
 
+var _ = Describe("ReadWhole", func() {
+	// A body without a stated length that fitted the first buffer was taken as whole beyond its limit.
+	DescribeTable("reads a body that is as long as its limit, and none that is longer",
+		func(limit int, stated bool) {
+			for _, size := range []int{limit, limit + 1} {
+				length := int64(-1)
+				if stated {
+					length = int64(size)
+				}
+				budget := shuttle.NewByteBudget(1 << 20)
+				body, err := shuttle.ReadWhole(strings.NewReader(strings.Repeat("a", size)), length, int64(limit), budget)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(body.Whole).To(Equal(size == limit), "%d bytes", size)
+				body.Release()
+			}
+		},
+		Entry("below what is not counted, length not stated", 1000, false),
+		Entry("below what is not counted, length stated", 1000, true),
+		Entry("above it, length not stated", 100_000, false),
+		Entry("above it, length stated", 100_000, true),
+	)
+
+	It("takes nothing for a body of stated length for which there is no room, and returns all on Release", func() {
+		budget := shuttle.NewByteBudget(100_000)
+		first, err := shuttle.ReadWhole(strings.NewReader(strings.Repeat("a", 60_000)), 60_000, 1<<20, budget)
+		Expect(err).NotTo(HaveOccurred())
+		unread := strings.NewReader(strings.Repeat("a", 60_000))
+		second, err := shuttle.ReadWhole(unread, 60_000, 1<<20, budget)
+		Expect(err).To(MatchError(shuttle.ErrNoRoom))
+		Expect(unread.Len()).To(Equal(60_000))
+		second.Release()
+		first.Release()
+		third, err := shuttle.ReadWhole(unread, 60_000, 1<<20, budget)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(third.Whole).To(BeTrue())
+	})
+})
+
 // failingReader fails each read.
 type failingReader struct{}
 
