departure: a leave that names no process is valid for a minute

A leave without an incarnation is recorded for all processes of its name, is kept until ten minutes after it another one is recorded, and each control instance takes it in anew when it starts. An upstream that took over the name minutes later, and was served, was thus hidden by a restart of the control instances for 30 leases; without other leaves also hours later. A repeated leave was acknowledged by the old record.

Such a departure is valid for a minute: upstreams end some seconds after their leave. One that is repeated within the second half of the minute is recorded anew, so each acknowledgement holds for half a minute or longer. Departures that name a process are as before; later processes were never covered by them.

The spec with real voters, whose clocks go on by five minutes while they are down, timed out after 60 s before. The spec of a leave whose leader is lost now also plays a leave that names no process, known to all as running.

--- a/internal/backoffice/backoffice_test.go
+++ b/internal/backoffice/backoffice_test.go
@@ -66,6 +66,8 @@
 	orderGap time.Duration
 	// cut is set if the first and the last instance cannot reach each other.
 	cut bool
+	// ahead is how far the clocks of instances that start from now on are ahead.
+	ahead time.Duration
 }
 
 func newTestCluster() *testCluster {
@@ -104,10 +106,11 @@
 }
 
 func (c *testCluster) start(address string, listener net.Listener, founder bool) {
+	ahead := c.ahead
 	instance, err := backoffice.New(backoffice.Options{
 		Address: address, FailureDomain: "here", Seeds: c.seeds, Bootstrap: founder, MinVoters: 3,
 		DataDir: c.folders[address], InnerListener: listener, Dial: c.dialFrom(address), UpstreamLease: 3 * time.Second, MinOrderGap: c.orderGap,
-		ParseRoutes: parseRoutes, Engines: c.fakes, Now: time.Now, Log: zerolog.Nop(),
+		ParseRoutes: parseRoutes, Engines: c.fakes, Now: func() time.Time { return time.Now().Add(ahead) }, Log: zerolog.Nop(),
 	})
 	Expect(err).NotTo(HaveOccurred())
 	c.instances[address] = instance
--- a/internal/backoffice/leaves.go
+++ b/internal/backoffice/leaves.go
@@ -23,8 +23,9 @@
 // leave is known after the loss of power of all instances: an upstream may announce its leave once
 // and say nothing more. Incarnation 0 matches any incarnation.
 func (i *Instance) Leave(ctx context.Context, leave upstreamapi.Leave) error {
-	i.noteLeave(i.options.Now(), leave)
-	if i.voter.Departures().Covers(leave) {
+	now := i.options.Now()
+	i.noteLeave(now, leave)
+	if i.voter.Departures().Covers(now, leave) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
@@ -66,7 +67,7 @@
 // the roster knows of them from here only. i.mu is held.
 func (i *Instance) adoptDepartures(now time.Time) {
 	recorded := i.voter.Departures()
-	for _, leave := range recorded.Since(i.adoptedDepartures) {
+	for _, leave := range recorded.Since(now, i.adoptedDepartures) {
 		known, found := i.roster.Upstream(leave.Name)
 		if found && known.Leaving && known.Announcement.Incarnation >= leave.Incarnation {
 			continue
--- a/internal/backoffice/leaves_test.go
+++ b/internal/backoffice/leaves_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/backoffice"
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -77,10 +79,15 @@
 	)
 
 	// A leave that only the leader knew would be lost with it.
-	It("is known to the next leader if the leader that acknowledged it is lost", func(ctx SpecContext) {
+	DescribeTable("is known to the next leader if the leader that acknowledged it is lost", func(ctx SpecContext, incarnation uint64) {
 		c := newTestCluster()
 		c.fakes.add("e1", "a")
 		c.putRoutes(ctx, c.seeds[0], 1)
+		for _, address := range c.seeds {
+			Expect(c.instances[address].Announce(time.Now(), upstreamapi.Announcement{
+				Name: "e1", Incarnation: 1, Sequence: 1, Address: "127.0.0.1:9", Services: []string{"pool"},
+			})).To(Succeed())
+		}
 		leader := ""
 		Eventually(ctx, func() (led bool) {
 			var reply courier.SyncReply
@@ -89,12 +96,15 @@
 			return led
 		}).Should(BeTrue())
 		Eventually(ctx, func() error {
-			return c.instances[leader].Leave(ctx, upstreamapi.Leave{Name: "e1", Incarnation: 1})
+			return c.instances[leader].Leave(ctx, upstreamapi.Leave{Name: "e1", Incarnation: incarnation})
 		}).Should(Succeed())
 		c.stopped[leader] = true
 		c.stop(c.instances[leader])
 		Eventually(ctx, c.saysLeft(ctx, "e1")).Should(BeTrue())
-	}, SpecTimeout(specTimeout))
+	},
+		Entry("and it names the process", SpecTimeout(specTimeout), uint64(1)),
+		Entry("and it names no process", SpecTimeout(specTimeout), uint64(0)),
+	)
 
 	// A leave that only this instance knows would be lost with it.
 	It("is not given without a majority of the voters, and not later than upstreams wait for it", func(ctx SpecContext) {
@@ -122,4 +132,25 @@
 		})).To(Succeed())
 		Eventually(ctx, c.saysLeft(ctx, "e1")).Should(BeFalse())
 	}, SpecTimeout(specTimeout))
+
+	// After a restart of the control instances, a leave that named no process hid the one that has its name since.
+	It("that names no process does not hide one that takes over the name minutes later", func(ctx SpecContext) {
+		c := newTestCluster()
+		c.fakes.add("e1", "a")
+		c.putRoutes(ctx, c.seeds[0], 1)
+		c.leave(ctx, upstreamapi.Leave{Name: "e1"})
+		c.ahead = 5 * time.Minute
+		c.loseAll(c.seeds...)
+		sequence := uint64(0)
+		Eventually(ctx, func() (served bool) {
+			sequence++
+			_ = c.instances[c.seeds[1]].Announce(time.Now().Add(c.ahead), upstreamapi.Announcement{
+				Name: "e1", Sequence: sequence, Address: "127.0.0.1:10", Services: []string{"pool"},
+			})
+			reply, ok := c.syncWithLeader(ctx)
+			return ok && slices.ContainsFunc(reply.Changes.Upstreams, func(record roster.UpstreamRecord) bool {
+				return record.Name == "e1" && !record.Left && record.Static != nil && record.Static.Address == "127.0.0.1:10"
+			})
+		}).Should(BeTrue())
+	}, SpecTimeout(specTimeout))
 })
--- a/internal/departure/departure.go
+++ b/internal/departure/departure.go
@@ -20,6 +20,9 @@
 	// retention is how long a departure is kept. It is far above the time for which an instance may
 	// still know the upstream, and above the differences between the clocks of instances.
 	retention = 10 * time.Minute
+	// unnamedValidity is how long a departure that names no process is valid. An upstream that leaves ends
+	// sooner, and the next process of its name may start then.
+	unnamedValidity = time.Minute
 	// maxDepartures bounds the departures that are kept.
 	maxDepartures = 4096
 )
@@ -44,6 +47,11 @@
 	revision uint64
 }
 
+// isValid reports whether the departure still says something of the processes of its name.
+func (d departure) isValid(now time.Time) bool {
+	return d.incarnation != AnyIncarnation || now.Sub(d.at) < unnamedValidity
+}
+
 // Records are the departures. They are immutable, and replicas that apply the same updates in the
 // same order are equal. The zero value is empty.
 type Records struct {
@@ -60,7 +68,7 @@
 		next.byUpstream = map[string]departure{}
 	}
 	for _, leave := range update.Leaves {
-		if next.Covers(leave) {
+		if next.Covers(update.Now, leave) {
 			continue
 		}
 		next.revision++
@@ -99,21 +107,22 @@
 	})
 }
 
-// Covers reports whether the departure of an upstream, or of a later process of it, is recorded.
-func (r Records) Covers(leave upstreamapi.Leave) bool {
+// Covers reports whether the departure of an upstream, or of a later process of it, is recorded, and stays
+// valid for half of unnamedValidity or longer.
+func (r Records) Covers(now time.Time, leave upstreamapi.Leave) bool {
 	recorded, found := r.byUpstream[leave.Name]
-	return found && recorded.incarnation >= incarnationOf(leave)
+	return found && recorded.incarnation >= incarnationOf(leave) && recorded.isValid(now.Add(unnamedValidity/2))
 }
 
-// Since returns the departures that were recorded after a revision, oldest first. Each has an
-// incarnation.
-func (r Records) Since(revision uint64) []upstreamapi.Leave {
+// Since returns the departures that were recorded after a revision and are valid, oldest first. Each has
+// an incarnation.
+func (r Records) Since(now time.Time, revision uint64) []upstreamapi.Leave {
 	if revision == r.revision {
 		return nil
 	}
 	var leaves []upstreamapi.Leave
 	for _, name := range r.names() {
-		if recorded := r.byUpstream[name]; recorded.revision > revision {
+		if recorded := r.byUpstream[name]; recorded.revision > revision && recorded.isValid(now) {
 			leaves = append(leaves, upstreamapi.Leave{Name: name, Incarnation: recorded.incarnation})
 		}
 	}
--- a/internal/departure/departure_test.go
+++ b/internal/departure/departure_test.go
@@ -24,12 +24,21 @@
 var _ = Describe("Records", func() {
 	It("cover a process that has left and the earlier ones, and no later one", func() {
 		records := departure.Records{}.With(update(start, leave("e1", 5), leave("e2", 0)))
-		Expect(records.Covers(leave("e1", 4))).To(BeTrue())
-		Expect(records.Covers(leave("e1", 5))).To(BeTrue())
-		Expect(records.Covers(leave("e1", 6))).To(BeFalse())
-		Expect(records.Covers(leave("e1", 0))).To(BeFalse(), "a later process may have left")
-		Expect(records.Covers(leave("e2", 7))).To(BeTrue())
-		Expect(records.Covers(leave("e3", 1))).To(BeFalse())
+		Expect(records.Covers(start, leave("e1", 4))).To(BeTrue())
+		Expect(records.Covers(start, leave("e1", 5))).To(BeTrue())
+		Expect(records.Covers(start, leave("e1", 6))).To(BeFalse())
+		Expect(records.Covers(start, leave("e1", 0))).To(BeFalse(), "a later process may have left")
+		Expect(records.Covers(start, leave("e2", 7))).To(BeTrue())
+		Expect(records.Covers(start, leave("e3", 1))).To(BeFalse())
+	})
+
+	// The next process of the name would be hidden.
+	It("say nothing of a minute later if they name no process, and are renewed before", func() {
+		records := departure.Records{}.With(update(start, leave("e1", 0)))
+		Expect(records.Since(start.Add(time.Minute), 0)).To(BeEmpty())
+		again := update(start.Add(40*time.Second), leave("e1", 0))
+		Expect(records.Covers(again.Now, leave("e1", 0))).To(BeFalse())
+		Expect(records.With(again).Since(start.Add(time.Minute), records.Revision())).To(HaveLen(1))
 	})
 
 	It("are the same after a snapshot, and go on with the next revision", func() {
@@ -38,9 +47,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(restored).To(Equal(records))
 		later := update(start.Add(time.Second), leave("e1", 5), leave("e3", 1))
-		Expect(restored.With(later).Since(records.Revision())).To(Equal([]upstreamapi.Leave{leave("e3", 1)}))
+		Expect(restored.With(later).Since(later.Now, records.Revision())).To(Equal([]upstreamapi.Leave{leave("e3", 1)}))
 		Expect(restored.With(later)).To(Equal(records.With(later)))
-		Expect(departure.Records{}.With(later).Since(0)).To(HaveLen(2))
+		Expect(departure.Records{}.With(later).Since(later.Now, 0)).To(HaveLen(2))
 	})
 
 	It("reject a truncated snapshot", func() {
@@ -52,14 +61,14 @@
 	It("drop what is old and, beyond the bound, what is oldest", func() {
 		records := departure.Records{}.With(update(start, leave("e1", 1)))
 		records = records.With(update(start.Add(time.Hour), leave("e2", 1)))
-		Expect(records.Since(0)).To(Equal([]upstreamapi.Leave{leave("e2", 1)}))
+		Expect(records.Since(start.Add(time.Hour), 0)).To(Equal([]upstreamapi.Leave{leave("e2", 1)}))
 		var many []upstreamapi.Leave
 		for n := range 5000 {
 			many = append(many, leave(fmt.Sprintf("f%d", n), 1))
 		}
 		records = records.With(update(start.Add(time.Hour), many...))
-		Expect(records.Since(0)).To(HaveLen(4096))
-		Expect(records.Covers(leave("e2", 1))).To(BeFalse())
-		Expect(records.Covers(leave("f4999", 1))).To(BeTrue())
+		Expect(records.Since(start.Add(time.Hour), 0)).To(HaveLen(4096))
+		Expect(records.Covers(start, leave("e2", 1))).To(BeFalse())
+		Expect(records.Covers(start, leave("f4999", 1))).To(BeTrue())
 	})
 })
--- a/internal/registry/departure_test.go
+++ b/internal/registry/departure_test.go
@@ -26,7 +26,7 @@
 		restored := registry.New()
 		Expect(restored.Restore(snapshot)).To(Succeed())
 		Expect(restored.Departures()).To(Equal(r.Departures()))
-		Expect(restored.Departures().Covers(leave)).To(BeTrue())
+		Expect(restored.Departures().Covers(time.Unix(1_000_000, 0), leave)).To(BeTrue())
 	})
 
 	// A voter that is not yet upgraded can't read the section.
