desk: a caller that leaves is not a failure of its upstream

Found on reading. At the own interface an attempt at an idempotent request ends with its caller's connection, so that the upstream stops. Reading from the upstream then fails, which counted as a response that was cut off: five callers in a row that left a response, as browsers do with event streams, ejected an upstream that was well for 2 s and more, and each was reported to crash attribution as interrupted. Non-idempotent requests, and callers that a write found to be gone, were counted rightly.

An error of a relay counts as the caller's once the caller's connection has ended. The provider's interface does not use this package.

--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -167,6 +167,10 @@
 	end := shuttle.BeginResponse(c.Response(), c.Request(), framing)
 	shuttle.WriteHeader(c.Response(), response)
 	err := shuttle.StreamBody(c.Response(), response, needsDone)
+	if err != nil && c.Request().Context().Err() != nil {
+		// The attempt ends with the caller's connection, so reading from the upstream fails as well.
+		err = errors.Wrap(errCallerLeft, err.Error())
+	}
 	proxied.slot.release(relayFailure(response.Status, err))
 	s.reportRelay(proxied.evidence, response.Status, err)
 	if err == nil {
@@ -185,6 +189,9 @@
 	return nil
 }
 
+// errCallerLeft is returned for a response whose caller has disconnected.
+var errCallerLeft = errors.New("desk: the caller left")
+
 // callerFraming returns the framing of an upstream's response to the caller. The final event of a
 // completion proves that it is complete, even if the upstream's framing does not.
 func callerFraming(response *shuttle.Response, needsDone bool) shuttle.Framing {
--- /dev/null
+++ b/internal/desk/leavingcallers_test.go
@@ -0,0 +1,68 @@
+package desk_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/desk"
+)
+
+// respondUntilLeft sends pieces of a body, at most piecesPerSecond, until the other side closes the connection.
+func respondUntilLeft(contentType string, piece []byte, piecesPerSecond int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", contentType)
+		for r.Context().Err() == nil {
+			if _, err := w.Write(piece); err != nil || http.NewResponseController(w).Flush() != nil {
+				return
+			}
+			select {
+			case <-r.Context().Done():
+			case <-time.After(time.Second / time.Duration(piecesPerSecond)):
+			}
+		}
+	}
+}
+
+// readAndLeave sends an idempotent request to a service and leaves after limit bytes of the response.
+func (s *testServer) readAndLeave(ctx context.Context, limit int64) {
+	GinkgoHelper()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url+"/services/booking/seats", nil)
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, limit))
+}
+
+var _ = Describe("an upstream whose callers leave before the end of a response", func() {
+	var server *testServer
+	var left *fakeUpstream
+
+	BeforeEach(func() {
+		server = newTestServer(newFakeVoters(), "a", func(limits *desk.Limits) { limits.MaxPrefetchBytes = 64 << 10 })
+		left = newFakeUpstream(nil)
+		server.setUpstreams(left.address(), newFakeUpstream(nil).address(), newFakeUpstream(nil).address(), newFakeUpstream(nil).address())
+	})
+
+	// A caller that left was counted as a failure of its upstream, and upstreams that were well got no requests.
+	It("is used as before", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		left.handler = respondUntilLeft("text/event-stream", []byte("data: seat 7\n\n"), 200)
+		for range 40 {
+			server.readAndLeave(ctx, 20)
+		}
+		before := left.runCount()
+		for range 40 {
+			server.readAndLeave(ctx, 20)
+		}
+		Expect(left.runCount()).To(BeNumerically(">", before))
+	})
+})
