desk: a body without an end counts as its upstream's failure also if callers leave

Open from the work on responses without an end: at the own interface, a caller that left such a body was counted as nothing against its upstream, and the next ones got the same body. The relay counts the bytes of each response.

The spec has 80 callers that leave after 2 MiB; one of four upstreams sends without an end.

--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -166,12 +166,14 @@
 	proxied.evidence.endsUnproven = framing == shuttle.UntilClose
 	end := shuttle.BeginResponse(c.Response(), c.Request(), framing)
 	shuttle.WriteHeader(c.Response(), response)
+	body := &countedBody{ReadCloser: response.Body}
+	response.Body = body
 	err := shuttle.StreamBody(c.Response(), response, needsDone)
 	if err != nil && c.Request().Context().Err() != nil {
 		// The attempt ends with the caller's connection, so reading from the upstream fails as well.
 		err = errors.Wrap(errCallerLeft, err.Error())
 	}
-	proxied.slot.release(relayFailure(response.Status, err))
+	proxied.slot.release(s.bodySizes.judge(task.service, body.bytes, relayFailure(response.Status, err)))
 	s.reportRelay(proxied.evidence, response.Status, err)
 	if err == nil {
 		end.Complete()
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -136,6 +136,7 @@
 	pendingRecords sync.WaitGroup
 	router         *router
 	workspaces     *workspaces
+	bodySizes      *bodySizes
 }
 
 // New returns a Server.
@@ -148,6 +149,7 @@
 		router:  newRouter(options),
 
 		workspaces: newWorkspaces(options.Instances),
+		bodySizes:  newBodySizes(),
 	}
 	s.echo.HTTPErrorHandler = s.handleError
 	s.echo.Use(s.recoverPanic)
--- a/internal/desk/leavingcallers_test.go
+++ b/internal/desk/leavingcallers_test.go
@@ -65,4 +65,13 @@
 		}
 		Expect(left.runCount()).To(BeNumerically(">", before))
 	})
+
+	// Callers left after some megabytes, and the next ones got the same response.
+	It("is avoided if the response has no end", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		left.handler = respondUntilLeft("application/octet-stream", make([]byte, 256<<10), 1000)
+		for range 80 {
+			server.readAndLeave(ctx, 2<<20)
+		}
+		Expect(left.runCount()).To(BeNumerically("<=", 8))
+	})
 })
