counter: metrics of the memory of bodies

An operator saw refusals for lack of memory, but not how much of it bodies take. Two gauges, set with the others: request_body_bytes and response_buffer_bytes.

--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -234,6 +234,8 @@
 	scope.Gauge("waiting").Update(float64(len(p.queue.waiters)))
 	scope.Gauge("lost_paths").Update(float64(p.pool.lostPathCount()))
 	scope.Gauge("relaying").Update(float64(p.relaying))
+	scope.Gauge("request_body_bytes").Update(float64(p.requestBodies.Taken()))
+	scope.Gauge("response_buffer_bytes").Update(float64(p.responseBuffers.Taken()))
 	scope.Gauge("permits").Update(float64(len(p.permits)))
 	quarantined, suspected := p.crashes.Counts()
 	scope.Gauge("quarantined").Update(float64(quarantined))
--- a/internal/shuttle/readahead.go
+++ b/internal/shuttle/readahead.go
@@ -10,13 +10,15 @@
 // ByteBudget bounds the memory of what is read ahead by many requests together. It is safe for
 // concurrent use. A nil budget has no bound.
 type ByteBudget struct {
+	limit int64
+
 	mu   sync.Mutex
 	free int64
 }
 
 // NewByteBudget returns a budget of the given number of bytes.
 func NewByteBudget(limit int64) *ByteBudget {
-	return &ByteBudget{free: limit}
+	return &ByteBudget{limit: limit, free: limit}
 }
 
 // take takes bytes from the budget, and reports whether there were as many.
@@ -33,6 +35,16 @@
 	return true
 }
 
+// Taken returns the number of bytes that are taken. It is 0 without a bound.
+func (b *ByteBudget) Taken() int64 {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limit - b.free
+}
+
 func (b *ByteBudget) giveBack(bytes int64) {
 	if b == nil {
 		return
