desk: the spec of leaving callers does not depend on which upstream is faster

The others now take 300 ms, so that it is preferred unless it is ejected, and gets more than 15 of 30 requests.

--- a/internal/desk/leavingcallers_test.go
+++ b/internal/desk/leavingcallers_test.go
@@ -46,24 +46,26 @@
 var _ = Describe("an upstream whose callers leave before the end of a response", func() {
 	var server *testServer
 	var left *fakeUpstream
+	var others []*fakeUpstream
 
 	BeforeEach(func() {
 		server = newTestServer(newFakeVoters(), "a", func(limits *desk.Limits) { limits.MaxPrefetchBytes = 64 << 10 })
 		left = newFakeUpstream(nil)
-		server.setUpstreams(left.address(), newFakeUpstream(nil).address(), newFakeUpstream(nil).address(), newFakeUpstream(nil).address())
+		others = []*fakeUpstream{newFakeUpstream(nil), newFakeUpstream(nil), newFakeUpstream(nil)}
+		server.setUpstreams(left.address(), others[0].address(), others[1].address(), others[2].address())
 	})
 
 	// A caller that left was counted as a failure of its upstream, and upstreams that were well got no requests.
 	It("is used as before", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		left.handler = respondUntilLeft("text/event-stream", []byte("data: seat 7\n\n"), 200)
-		for range 40 {
-			server.readAndLeave(ctx, 20)
+		for _, slow := range others {
+			// The router prefers the upstream whose callers leave, unless it is ejected.
+			slow.handler = func(http.ResponseWriter, *http.Request) { time.Sleep(300 * time.Millisecond) }
 		}
-		before := left.runCount()
-		for range 40 {
+		for range 30 {
 			server.readAndLeave(ctx, 20)
 		}
-		Expect(left.runCount()).To(BeNumerically(">", before))
+		Expect(left.runCount()).To(BeNumerically(">", 15))
 	})
 
 	// Callers left after some megabytes, and the next ones got the same response.
