desk: the spec of responses without an end stops the clock

Ejections ended within the spec on a busy machine, and each let further requests reach the upstream.

--- a/internal/desk/leavingcallers_test.go
+++ b/internal/desk/leavingcallers_test.go
@@ -48,15 +48,16 @@
 	var left *fakeUpstream
 	var others []*fakeUpstream
 
-	BeforeEach(func() {
-		server = newTestServer(newFakeVoters(), "a", func(limits *desk.Limits) { limits.MaxPrefetchBytes = 64 << 10 })
+	start := func(now func() time.Time) {
+		server = newTestServerWithClock(newFakeVoters(), "a", now, func(limits *desk.Limits) { limits.MaxPrefetchBytes = 64 << 10 })
 		left = newFakeUpstream(nil)
 		others = []*fakeUpstream{newFakeUpstream(nil), newFakeUpstream(nil), newFakeUpstream(nil)}
 		server.setUpstreams(left.address(), others[0].address(), others[1].address(), others[2].address())
-	})
+	}
 
 	// A caller that left was counted as a failure of its upstream, and upstreams that were well got no requests.
 	It("is used as before", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		start(time.Now)
 		left.handler = respondUntilLeft("text/event-stream", []byte("data: seat 7\n\n"), 200)
 		for _, slow := range others {
 			// The router prefers the upstream whose callers leave, unless it is ejected.
@@ -70,6 +71,9 @@
 
 	// Callers left after some megabytes, and the next ones got the same response.
 	It("is avoided if the response has no end", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		// An ejection does not end.
+		started := time.Now()
+		start(func() time.Time { return started })
 		left.handler = respondUntilLeft("application/octet-stream", make([]byte, 256<<10), 1000)
 		for range 80 {
 			server.readAndLeave(ctx, 2<<20)
