--- a/internal/counter/endless_test.go
+++ b/internal/counter/endless_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/counter"
+	"github.com/lovagelift/lovagelift/internal/pause"
 )
 
 // longHead is a response that is complete but for its head, which is longer than any sound one.
@@ -48,10 +49,7 @@
 		if _, err := w.Write([]byte("x")); err != nil || http.NewResponseController(w).Flush() != nil {
 			return
 		}
-		select {
-		case <-r.Context().Done():
-		case <-time.After(10 * time.Millisecond):
-		}
+		pause.For(r.Context(), 10*time.Millisecond)
 	}
 }
 
--- a/internal/desk/leavingcallers_test.go
+++ b/internal/desk/leavingcallers_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/desk"
+	"github.com/lovagelift/lovagelift/internal/pause"
 )
 
 // respondUntilLeft sends pieces of a body, at most piecesPerSecond, until the other side closes the connection.
@@ -20,10 +21,7 @@
 			if _, err := w.Write(piece); err != nil || http.NewResponseController(w).Flush() != nil {
 				return
 			}
-			select {
-			case <-r.Context().Done():
-			case <-time.After(time.Second / time.Duration(piecesPerSecond)):
-			}
+			pause.For(r.Context(), time.Second/time.Duration(piecesPerSecond))
 		}
 	}
 }
@@ -61,7 +59,7 @@
 		left.handler = respondUntilLeft("text/event-stream", []byte("data: seat 7\n\n"), 200)
 		for _, slow := range others {
 			// The router prefers the upstream whose callers leave, unless it is ejected.
-			slow.handler = func(http.ResponseWriter, *http.Request) { time.Sleep(300 * time.Millisecond) }
+			slow.handler = func(_ http.ResponseWriter, r *http.Request) { pause.For(r.Context(), 300*time.Millisecond) }
 		}
 		for range 30 {
 			server.readAndLeave(ctx, 20)
