--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -134,7 +134,7 @@
 		quotas:        quotaAccounts{},
 		plain:         plainGroups{},
 		longestBodies: bodysize.Longest{}, responseBuffers: shuttle.NewByteBudget(defaultResponseBufferBytes),
-		requestBodies: options.requestBodies(),
+		requestBodies: shuttle.NewMemoryShare(options.MemoryBytes, bodyMemoryShare, 0),
 		syncNow:       make(chan struct{}, 1),
 		cancel:        cancel,
 	}
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -19,7 +19,6 @@
 	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/routes"
-	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
 // Options configures a Proxy.
@@ -64,14 +63,6 @@
 // may not be collected yet.
 const bodyMemoryShare = 3
 
-// requestBodies returns the budget for the bodies of requests, nil if they have no bound.
-func (o Options) requestBodies() *shuttle.ByteBudget {
-	if o.MemoryBytes == 0 {
-		return nil
-	}
-	return shuttle.NewByteBudget(o.MemoryBytes / bodyMemoryShare)
-}
-
 // RetryLimits limits the retries that all entry instances together send to the upstreams of one
 // service.
 type RetryLimits struct {
--- a/internal/shuttle/readahead.go
+++ b/internal/shuttle/readahead.go
@@ -21,6 +21,15 @@
 	return &ByteBudget{limit: limit, free: limit}
 }
 
+// NewMemoryShare returns a budget of the share 1/divisor of the memory of a process, but of minimum bytes or
+// more. If the memory is 0, it is not known, and NewMemoryShare returns nil.
+func NewMemoryShare(memoryBytes, divisor, minimum int64) *ByteBudget {
+	if memoryBytes == 0 {
+		return nil
+	}
+	return NewByteBudget(max(memoryBytes/divisor, minimum))
+}
+
 // take takes bytes from the budget, and reports whether there were as many.
 func (b *ByteBudget) take(bytes int64) bool {
 	if b == nil {
