counter, platform: the log says whether an upstream outlived a response that ended with its connection

A response until close ends alike whether its upstream has completed it or was killed between two events, and the lines of the relay could not tell these apart. What callers get does not change yet.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -38,6 +38,7 @@
 	}
 	defer response.Body.Close()
 	a.observeFraming(response)
+	t.confirmEnd(ctx, a, response)
 	class := p.options.Dialect.Classify(response, t.call.ID)
 	if class == Answered || class == NotRun {
 		p.observeLimit(t, a, response.Header)
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -29,6 +29,7 @@
 	// for this one.
 	upstreams transports
 	relays    *relayClient
+	liveness  livenessChecks
 	routes    atomic.Pointer[routes.Table]
 
 	mu       sync.Mutex
--- a/internal/counter/dialect_test.go
+++ b/internal/counter/dialect_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/counter"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -24,6 +25,9 @@
 	leavingHeader  = "Spec-Leaving"
 
 	toleranceHeader = "Spec-Tolerance"
+
+	// livenessPath is the path of liveness checks.
+	livenessPath = "/alive"
 )
 
 // dialect implements that protocol.
@@ -70,6 +74,17 @@
 	return header.Get(leavingHeader) != ""
 }
 
+func (dialect) LivenessCheck(_ *routes.Service, process quarantine.Lifetime) (path string, header http.Header) {
+	return livenessPath, http.Header{"Spec-Upstream": {process.Upstream}}
+}
+
+func (dialect) ParseLiveness(response *http.Response, _ quarantine.Lifetime) counter.Liveness {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return counter.Ended
+	}
+	return counter.Alive
+}
+
 // Contents of the routes.
 const (
 	allRoutes = "{}"
--- a/internal/counter/fakeupstream_test.go
+++ b/internal/counter/fakeupstream_test.go
@@ -17,11 +17,19 @@
 	mu       sync.Mutex
 	arrivals []string
 	server   *httptest.Server
+	// answerLiveness responds to liveness checks, and livenessChecks is their number.
+	answerLiveness http.HandlerFunc
+	livenessChecks int
 }
 
 func newFakeUpstream(answer http.HandlerFunc) *upstream {
-	u := &upstream{}
+	u := &upstream{answerLiveness: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }}
 	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == livenessPath {
+			u.countLivenessCheck()
+			u.answerLiveness(w, r)
+			return
+		}
 		u.mu.Lock()
 		u.arrivals = append(u.arrivals, r.Header.Get(idHeader))
 		u.mu.Unlock()
@@ -34,6 +42,12 @@
 	return u
 }
 
+func (u *upstream) countLivenessCheck() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.livenessChecks++
+}
+
 func (u *upstream) address() string {
 	return u.server.Listener.Addr().String()
 }
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -90,6 +91,12 @@
 	ParseRefusalTolerance(header http.Header) int
 	// StatesLeave reports whether a response header states that the upstream is leaving.
 	StatesLeave(header http.Header) bool
+	// LivenessCheck returns the path and the header of a GET request that a process of a service answers
+	// as long as it runs, and no other process does. service is nil if it is not in the routes. If there is
+	// no such request, the path is empty.
+	LivenessCheck(service *routes.Service, process quarantine.Lifetime) (path string, header http.Header)
+	// ParseLiveness returns what the response to a liveness check tells about a process.
+	ParseLiveness(response *http.Response, process quarantine.Lifetime) Liveness
 }
 
 // Attempt describes one attempt to send a request to an upstream.
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 
+	"github.com/rs/zerolog"
+
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
@@ -232,12 +234,7 @@
 	if a.statesLeave {
 		line = line.Bool("upstream-leaving", true)
 	}
-	if a.framing == shuttle.UntilClose {
-		line = line.Stringer("framing", a.framing)
-	}
-	if a.endsInsideEvent() {
-		line = line.Bool("inside-event", true)
-	}
+	line = a.logEnd(line)
 	if !t.timing.sent.IsZero() {
 		line = line.Dur("waited", t.timing.sent.Sub(t.arrived))
 	}
@@ -247,6 +244,20 @@
 	line.Msg(event)
 }
 
+// logEnd adds how the response ended to a log line.
+func (a *upstreamAttempt) logEnd(line *zerolog.Event) *zerolog.Event {
+	if a.framing == shuttle.UntilClose {
+		line = line.Stringer("framing", a.framing)
+	}
+	if a.liveness != "" {
+		line = line.Str("upstream-after", a.liveness)
+	}
+	if a.endsInsideEvent() {
+		line = line.Bool("inside-event", true)
+	}
+	return line
+}
+
 // logOutcome logs the end of a request that was sent to no upstream.
 func (p *Proxy) logOutcome(t *transaction, event, reason string) {
 	now := p.options.Now()
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -41,6 +41,9 @@
 	// event stream.
 	framing shuttle.Framing
 	events  *shuttle.EventReader
+	// liveness is what the upstream's process said after the end of a response that ended with its
+	// connection, empty if it was not asked.
+	liveness string
 	// relayedBy is the instance through which the request was last sent, invalid if it was sent
 	// directly.
 	relayedBy netip.AddrPort
@@ -66,6 +69,20 @@
 	}
 }
 
+// confirmEnd makes the end of a response's body depend on the upstream's process if the body ends with
+// its connection. Another instance that relays the response does so itself.
+func (t *transaction) confirmEnd(ctx context.Context, a *upstreamAttempt, response *http.Response) {
+	if a.framing != shuttle.UntilClose || a.relayedBy.IsValid() {
+		return
+	}
+	response.Body = shuttle.ConfirmEnd(response.Body, func() error {
+		if liveness, supported := t.proxy.checkLiveness(ctx, a.upstream); supported {
+			a.liveness = liveness.String()
+		}
+		return nil
+	})
+}
+
 // endsInsideEvent reports whether the response is an event stream that has ended inside an event.
 func (a *upstreamAttempt) endsInsideEvent() bool {
 	return a.events != nil && a.events.InsideEvent()
