--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -405,3 +405,19 @@
 	}
 	return func(now time.Time) { p.pool.choose(now, req.query(), 0.5) }
 }
+
+// LivenessChecks are those of one process.
+type LivenessChecks struct {
+	checks *livenessChecks
+}
+
+// NewLivenessChecks returns LivenessChecks.
+func NewLivenessChecks() LivenessChecks {
+	return LivenessChecks{&livenessChecks{}}
+}
+
+// Request requests a check and returns a function that waits for its result.
+func (c LivenessChecks) Request(ctx context.Context, send func() Liveness) (wait func() Liveness) {
+	check := c.checks.request(quarantine.Endpoint{}, send)
+	return func() Liveness { return check.wait(ctx) }
+}
--- a/internal/counter/liveness.go
+++ b/internal/counter/liveness.go
@@ -64,10 +64,10 @@
 	result Liveness
 }
 
-// run returns the result of a check of a process that is sent by send after the call of run. If ctx
-// ends before it, the result is LivenessUnknown.
-func (c *livenessChecks) run(ctx context.Context, process quarantine.Endpoint, send func() Liveness) Liveness {
+// request returns a check of a process that send is called for after the call of request.
+func (c *livenessChecks) request(process quarantine.Endpoint, send func() Liveness) *livenessCheck {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.underWay == nil {
 		c.underWay = map[quarantine.Endpoint]*livenessCheck{}
 	}
@@ -79,10 +79,14 @@
 	if !sending {
 		go c.sendAll(process, send)
 	}
-	c.mu.Unlock()
+	return check
+}
+
+// wait returns the result of the check. If ctx ends before it, that is LivenessUnknown.
+func (c *livenessCheck) wait(ctx context.Context) Liveness {
 	select {
-	case <-check.done:
-		return check.result
+	case <-c.done:
+		return c.result
 	case <-ctx.Done():
 		return LivenessUnknown
 	}
@@ -117,7 +121,8 @@
 	if path == "" {
 		return LivenessUnknown, false
 	}
-	liveness = p.liveness.run(ctx, process, func() Liveness { return p.sendLivenessChecks(process, path, header) })
+	check := p.liveness.request(process, func() Liveness { return p.sendLivenessChecks(process, path, header) })
+	liveness = check.wait(ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.metrics.countLiveness(liveness)
