counter: a response until close counts as whole only if its upstream is still there

Callers took streams and answers for complete that an upstream had not finished: a killed process closes its connections, and a response with neither a length nor chunks then ends between two events like a whole one. Cause: the end of a connection was taken as the end of the response, only with its framing passed on.

At such an end the process is asked whether it still runs, by a request that no other process answers. Refused, misdirected or unanswered for a second, the response counts as broken off: the caller's connection is reset, or the request is retried or fails where nothing was passed on. An instance that relays for another one asks itself, and resets its connection to that one.

--- a/internal/counter/liveness.go
+++ b/internal/counter/liveness.go
@@ -12,6 +12,7 @@
 	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
 // A response that ends with its connection looks alike whether its upstream has completed it or was
@@ -29,8 +30,10 @@
 type Liveness uint8
 
 const (
+	// NotChecked means that there was no check.
+	NotChecked Liveness = iota
 	// LivenessUnknown means that nothing was heard in time.
-	LivenessUnknown Liveness = iota
+	LivenessUnknown
 	// Alive means that the process has answered.
 	Alive
 	// Ended means that nothing listens at the address of the process, or another one does.
@@ -40,6 +43,8 @@
 // String returns the name of the result in logs and metrics.
 func (l Liveness) String() string {
 	switch l {
+	case NotChecked:
+		return "not-checked"
 	case Alive:
 		return "alive"
 	case Ended:
@@ -113,20 +118,28 @@
 	return check
 }
 
-// checkLiveness asks the process of an upstream whether it still runs. If the protocol has no liveness
-// check for its service, supported is false.
-func (p *Proxy) checkLiveness(ctx context.Context, u *upstream) (liveness Liveness, supported bool) {
+// confirmAlive asks the process of an upstream whether it still runs. If it does not answer, confirmAlive
+// returns an error marked as shuttle.ErrTruncated. If the protocol has no check for its service, there is
+// none, and no error.
+func (p *Proxy) confirmAlive(ctx context.Context, u *upstream) (Liveness, error) {
 	process := u.endpoint()
 	path, header := p.options.Dialect.LivenessCheck(p.serviceOf(u), process.Lifetime)
 	if path == "" {
-		return LivenessUnknown, false
+		return NotChecked, nil
 	}
 	check := p.liveness.request(process, func() Liveness { return p.sendLivenessChecks(process, path, header) })
-	liveness = check.wait(ctx)
+	liveness := check.wait(ctx)
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.metrics.countLiveness(liveness)
-	return liveness, true
+	p.mu.Unlock()
+	switch {
+	case liveness == Alive:
+		return liveness, nil
+	case ctx.Err() != nil:
+		return liveness, ctx.Err()
+	default:
+		return liveness, errors.Wrapf(shuttle.ErrTruncated, "the connection ends, and the upstream's process is %s", liveness)
+	}
 }
 
 // serviceOf returns the service of an upstream, or nil if the routes in force have none with its name.
--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -49,7 +49,14 @@
 	p.observeRelayed(u, response)
 	// An upstream must not set the result.
 	response.Header.Set(relayResultHeader, string(relayAnswered))
-	end := beginResponse(w, r, response, shuttle.FramingOf(response))
+	framing := shuttle.FramingOf(response)
+	if framing == shuttle.UntilClose {
+		response.Body = shuttle.ConfirmEnd(response.Body, func() error {
+			_, err := p.confirmAlive(ctx, u)
+			return err
+		})
+	}
+	end := beginResponse(w, r, response, framing)
 	if readErr, writeErr := copyChunks(w, response.Body, func(int) {}); readErr != nil || writeErr != nil {
 		end.Abort()
 	}
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -249,8 +249,8 @@
 	if a.framing == shuttle.UntilClose {
 		line = line.Stringer("framing", a.framing)
 	}
-	if a.liveness != "" {
-		line = line.Str("upstream-after", a.liveness)
+	if a.liveness != NotChecked {
+		line = line.Stringer("upstream-after", a.liveness)
 	}
 	if a.endsInsideEvent() {
 		line = line.Bool("inside-event", true)
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -41,9 +41,8 @@
 	// event stream.
 	framing shuttle.Framing
 	events  *shuttle.EventReader
-	// liveness is what the upstream's process said after the end of a response that ended with its
-	// connection, empty if it was not asked.
-	liveness string
+	// liveness is the result of the check after the end of a response that ended with its connection.
+	liveness Liveness
 	// relayedBy is the instance through which the request was last sent, invalid if it was sent
 	// directly.
 	relayedBy netip.AddrPort
@@ -76,10 +75,9 @@
 		return
 	}
 	response.Body = shuttle.ConfirmEnd(response.Body, func() error {
-		if liveness, supported := t.proxy.checkLiveness(ctx, a.upstream); supported {
-			a.liveness = liveness.String()
-		}
-		return nil
+		liveness, err := t.proxy.confirmAlive(ctx, a.upstream)
+		a.liveness = liveness
+		return err
 	})
 }
 
