desk: an error event does not join an event that was broken off

A caller whose event stream broke off inside an event got the error event right behind the part. As the SSE standard reads it, 'id: 5\ndata: sea' and the error became one event with id 5 and a garbled content; after the line 'id: 5' the error itself was event 5. The caller then resumed behind 5, and event 5 was missing. In a comment that was broken off, the error was lost.

The error event is now written only between events, after a line end that ends a comment. Inside an event the connection breaks off with nothing written behind the part, which a client drops. shuttle.EventReader follows the events of completions as well, to know.

--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -182,7 +182,7 @@
 	}
 	s.metrics.countCutOff(task.service)
 	s.options.Log.Warn().Err(err).Str("request", task.id).Msg("failed to relay the whole response")
-	if isEventStream {
+	if isEventStream && errors.Is(err, shuttle.ErrTruncated) && !errors.Is(err, shuttle.ErrInsideEvent) {
 		writeCutOffEvent(c.Response())
 	}
 	// The headers are already sent, so only an aborted connection can signal that the response
@@ -203,10 +203,11 @@
 	return response.Framing
 }
 
-// writeCutOffEvent sends an event with the reason why the stream ends early. A write error
-// means that the caller has disconnected, so it is ignored.
+// writeCutOffEvent sends an event with the reason why the stream ends early. It must not be called
+// inside an event. A write error means that the caller has disconnected, so it is ignored.
 func writeCutOffEvent(w http.ResponseWriter) {
-	_, err := fmt.Fprintf(w, "data: {\"error\":{\"message\":\"the upstream was lost before the answer was whole\","+
+	// The line end ends a comment that was broken off, and means nothing elsewhere between events.
+	_, err := fmt.Fprintf(w, "\ndata: {\"error\":{\"message\":\"the upstream was lost before the answer was whole\","+
 		"\"type\":\"server_error\",\"param\":null,\"code\":%q,\"outcome\":%q}}\n\n", CodeCutOff, outcome.Ran)
 	if err != nil {
 		return
--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -20,6 +20,9 @@
 	io.ReadCloser
 	framing Framing
 	scanner EventScanner
+	// needsDone is true if the stream is complete only with finalEvent, for which tail is kept.
+	needsDone bool
+	tail      tail
 }
 
 // NewEventReader returns an EventReader of a response body with a framing.
@@ -31,6 +34,9 @@
 func (r *EventReader) Read(buffer []byte) (int, error) {
 	n, err := r.ReadCloser.Read(buffer)
 	r.scanner.Scan(buffer[:n])
+	if r.needsDone {
+		r.tail.add(buffer[:n])
+	}
 	if errors.Is(err, io.EOF) {
 		err = r.endError()
 	}
@@ -40,6 +46,10 @@
 // endError returns the error for a stream that ends here.
 func (r *EventReader) endError() error {
 	switch {
+	case r.needsDone && r.tail.endsWithFinalEvent():
+		return io.EOF
+	case r.needsDone:
+		return errors.Wrap(ErrTruncated, "final event is missing")
 	case r.scanner.InsideEvent():
 		return errors.Wrap(ErrTruncated, "the stream ends inside an event")
 	case r.framing == UntilClose && !r.scanner.HasEvent():
--- a/internal/shuttle/relay.go
+++ b/internal/shuttle/relay.go
@@ -24,6 +24,10 @@
 // ErrTruncated marks the Error of a response that ended before it was complete. Use errors.Is.
 var ErrTruncated = errors.New("upstream response was truncated")
 
+// ErrInsideEvent marks the Error of an event stream that was truncated inside an event, of which a part
+// has been relayed. Whatever is written after it would become part of that event. Use errors.Is.
+var ErrInsideEvent = errors.New("event was relayed in part")
+
 // Prefetch reads the whole body of response if it has at most limit bytes, so that nothing is sent
 // to the caller before the body is complete. A larger body is streamed to the caller, and so is any
 // while the prefetched bodies of other responses take up the memory of the Proxy. If the body
@@ -83,33 +87,38 @@
 
 func streamWithTimeout(w http.ResponseWriter, response *Response, needsDone bool, timeout time.Duration) error {
 	defer response.Body.Close()
-	body := response.Body
-	if !needsDone && IsEventStream(response.Header) {
-		body = NewEventReader(body, response.Framing)
+	body := io.Reader(response.Body)
+	if needsDone || IsEventStream(response.Header) {
+		events := NewEventReader(response.Body, response.Framing)
+		events.needsDone = needsDone
+		body = events
 	}
 	writer := newFlushingWriter(w, timeout)
 	defer writer.watchdog.stop()
 	buffer := make([]byte, relayBufferBytes)
-	var streamTail tail
 	for {
 		n, readErr := body.Read(buffer)
 		if n > 0 {
-			streamTail.add(buffer[:n])
 			if err := writer.write(buffer[:n]); err != nil {
 				return err
 			}
 		}
 		if readErr == io.EOF {
-			break
+			return nil
 		}
 		if readErr != nil {
-			return &Error{Outcome: outcome.Ran, cause: errors.Mark(readErr, ErrTruncated)}
+			return truncatedError(body, readErr)
 		}
 	}
-	if needsDone && !streamTail.endsWithFinalEvent() {
-		return &Error{Outcome: outcome.Ran, cause: errors.Wrap(ErrTruncated, "final event is missing")}
+}
+
+// truncatedError returns the Error for a response whose body failed with cause.
+func truncatedError(body io.Reader, cause error) *Error {
+	cause = errors.Mark(cause, ErrTruncated)
+	if events, ok := body.(*EventReader); ok && events.InsideEvent() {
+		cause = errors.Mark(cause, ErrInsideEvent)
 	}
-	return nil
+	return &Error{Outcome: outcome.Ran, cause: cause}
 }
 
 // flushingWriter writes to a caller and flushes after each write.
