shuttle: the final event of a completion is a line of its own that is ended

A completion that broke off right behind the text 'data: [DONE]' inside an event, as in '{"a":"It ends with data: [DONE]', ended as complete for its caller, as only the last bytes were compared. So did one whose final event was not ended by a blank line, which a client as the SSE standard describes never gets: it saw a regular end without the final event.

The line must begin as one, and the stream must not end inside an event. The two new entries of the table failed before, and pass.

--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -46,12 +46,10 @@
 // endError returns the error for a stream that ends here.
 func (r *EventReader) endError() error {
 	switch {
-	case r.needsDone && r.tail.endsWithFinalEvent():
-		return io.EOF
-	case r.needsDone:
-		return errors.Wrap(ErrTruncated, "final event is missing")
 	case r.scanner.InsideEvent():
 		return errors.Wrap(ErrTruncated, "the stream ends inside an event")
+	case r.needsDone && !r.tail.endsWithFinalEvent():
+		return errors.Wrap(ErrTruncated, "final event is missing")
 	case r.framing == UntilClose && !r.scanner.HasEvent():
 		return errors.Wrap(ErrTruncated, "the connection ends before the first event")
 	default:
--- a/internal/shuttle/relay.go
+++ b/internal/shuttle/relay.go
@@ -167,7 +167,9 @@
 	t.n = kept + len(piece)
 }
 
+// endsWithFinalEvent reports whether the last line with a text is that of the final event.
 func (t *tail) endsWithFinalEvent() bool {
 	trimmed := bytes.TrimRight(t.buffer[:t.n], "\r\n")
-	return bytes.HasSuffix(trimmed, finalEvent)
+	before, ok := bytes.CutSuffix(trimmed, finalEvent)
+	return ok && (len(before) == 0 || bytes.ContainsAny(before[len(before)-1:], "\r\n"))
 }
