desk: the end of a response until close is confirmed by its upstream

An upstream that is killed closes its connections with FIN. A response with neither a length nor chunks then ended regularly for its caller: event streams of services between two events, and plain responses anywhere, which were also replayed from idempotency records as whole.

At its end the instance now asks the upstream on a new connection: for the status of the request where it is reported, else whether something accepts connections; and no later incarnation may have announced itself. What is not confirmed was broken off: retried or 502 with outcome ran if it was read ahead, reset otherwise, and recorded without a response.

--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -90,7 +90,7 @@
 		}
 		s.logRoute(task, attempt, slot)
 		evidence := s.newCrashEvidence(task, slot)
-		response, err := s.sendAttempt(ctx, attempt, task, slot)
+		response, err := s.sendAttempt(ctx, attempt, task, slot, evidence.endpoint)
 		if err == nil {
 			evidence.answeredAt = s.options.Now()
 			s.options.CrashDetector.Responded(evidence.endpoint.Lifetime)
@@ -118,9 +118,11 @@
 	return context.WithTimeout(ctx, task.deadline.Sub(s.options.Now()))
 }
 
-// sendAttempt sends a task to the upstream of a slot. It prefetches the response unless that is
-// an event stream.
-func (s *Server) sendAttempt(ctx context.Context, number int, task task, slot *slot) (*shuttle.Response, error) {
+// sendAttempt sends a task to endpoint, the upstream of a slot. It prefetches the response unless that
+// is an event stream.
+func (s *Server) sendAttempt(
+	ctx context.Context, number int, task task, slot *slot, endpoint quarantine.Endpoint,
+) (*shuttle.Response, error) {
 	request := task.request
 	request.ID = fmt.Sprintf("%s-%d", task.id, number)
 	request.Remaining = task.deadline.Sub(s.options.Now())
@@ -137,6 +139,7 @@
 		response.Body.Close()
 		return nil, err
 	}
+	response.Body = s.withConfirmedEnd(ctx, task, request, endpoint, response)
 	if shuttle.IsEventStream(response.Header) {
 		response.Body = &firstByteReader{ReadCloser: response.Body, slot: slot}
 		return response, nil
--- a/internal/shuttle/idempotent.go
+++ b/internal/shuttle/idempotent.go
@@ -130,35 +130,49 @@
 	if !request.SupportsStatusQuery {
 		return statusUnavailable
 	}
-	ctx, cancel := context.WithTimeout(ctx, statusQueryTimeout)
-	defer cancel()
-	target := "http://" + address + upstreamapi.RequestsPath + "/" + url.PathEscape(request.ID)
-	query, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
-	if err != nil {
+	status, err := p.fetchStatus(ctx, address, request.ID)
+	switch {
+	case errors.Is(err, errNoStatus):
 		return statusUnavailable
-	}
-	response, err := p.singleUse.RoundTrip(query)
-	if err != nil {
+	case err != nil:
 		return upstreamUnreachable
 	}
-	defer response.Body.Close()
-	var status upstreamapi.RequestStatus
-	if response.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&status) != nil {
-		return statusUnavailable
-	}
 	switch status.State {
 	case upstreamapi.RequestWaiting, upstreamapi.RequestRunning:
 		if status.Events == 0 || !request.Streamed {
 			return requestInProgress
 		}
 		return connectionLost
-	case "":
-		return statusUnavailable
 	default:
 		return connectionLost
 	}
 }
 
+// errNoStatus means that an upstream answers a status query with anything but a status.
+var errNoStatus = errors.New("upstream does not report the status of requests")
+
+// fetchStatus queries the status of a request on a new connection.
+func (p *Proxy) fetchStatus(ctx context.Context, address, id string) (upstreamapi.RequestStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusQueryTimeout)
+	defer cancel()
+	var status upstreamapi.RequestStatus
+	target := "http://" + address + upstreamapi.RequestsPath + "/" + url.PathEscape(id)
+	query, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return status, errors.Mark(err, errNoStatus)
+	}
+	response, err := p.singleUse.RoundTrip(query)
+	if err != nil {
+		return status, err
+	}
+	defer response.Body.Close()
+	err = json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&status)
+	if response.StatusCode != http.StatusOK || err != nil || status.State == "" {
+		return status, errNoStatus
+	}
+	return status, nil
+}
+
 // If an upstream does not report the status of a request, the request is hedged: sent a second time
 // while the first attempt is pending. Hedged requests are limited to a ratio of all requests plus a
 // small burst. Without this limit, the load of an upstream that is merely slow would double.
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -93,6 +93,7 @@
 
 // Proxy sends requests to upstreams. It is safe for concurrent use.
 type Proxy struct {
+	dial      func(ctx context.Context, network, address string) (net.Conn, error)
 	keepAlive *http.Transport
 	singleUse *http.Transport
 	// statusQueryDelay is how long an idempotent request waits for a response before its status is
@@ -157,6 +158,7 @@
 		return options.Dial(ctx, network, address)
 	}
 	return &Proxy{
+		dial:             dial,
 		statusQueryDelay: options.StatusQueryDelay,
 		bodyIdleTimeout:  options.BodyIdleTimeout,
 		hedges:           newHedgeBudget(),
