instance, shuttle: the end of a drain's grace breaks responses off over TLS as well

Callers are served over TLS where the settings say so (host.withTLS). Once the grace of a drain had ended, http.Server.Close closed the connections of unfinished responses, and TLS first announced a regular end: a response with neither a length nor chunks, or one to a caller that speaks HTTP/1.0, looked complete, although its TCP connection was then reset.

shuttle.Connections knows the connections of such responses. An instance that closes resets them before it closes its servers, so that nothing can be announced.

--- a/internal/instance/cluster_test.go
+++ b/internal/instance/cluster_test.go
@@ -46,20 +46,7 @@
 	listeners := map[string]instance.Listeners{}
 	for _, name := range []string{"a", "b", "c"} {
 		listeners[name] = instance.Listeners{Caller: listen(), Upstream: listen(), Operator: listen(), Inner: listen()}
-		member := &testInstance{name: name, settings: settings.Default()}
-		member.settings.Name, member.settings.FailureDomain, member.settings.Voter = name, "domain-"+name, true
-		member.settings.DataFolder = filepath.Join(GinkgoT().TempDir(), name)
-		member.settings.Advertise = settings.Addresses{
-			Caller: addressOf(listeners[name].Caller), Upstream: addressOf(listeners[name].Upstream),
-			Operator: addressOf(listeners[name].Operator), Inner: addressOf(listeners[name].Inner),
-		}
-		member.settings.Listen = member.settings.Advertise
-		member.settings.Limits.HeaderTime = 500 * time.Millisecond
-		member.settings.Limits.BodyTime = 500 * time.Millisecond
-		member.settings.Timing.ReferralTTL = 200 * time.Millisecond
-		member.settings.Timing.ConfigurationLease = 1500 * time.Millisecond
-		member.settings.Timing.ConfigurationRenewal = 200 * time.Millisecond
-		cluster[name] = member
+		cluster[name] = newVoter(name, listeners[name])
 	}
 	for _, member := range cluster {
 		for _, other := range cluster {
@@ -79,6 +66,24 @@
 	return cluster
 }
 
+// newVoter returns a voter with the given listeners that is not started.
+func newVoter(name string, listeners instance.Listeners) *testInstance {
+	member := &testInstance{name: name, settings: settings.Default()}
+	member.settings.Name, member.settings.FailureDomain, member.settings.Voter = name, "domain-"+name, true
+	member.settings.DataFolder = filepath.Join(GinkgoT().TempDir(), name)
+	member.settings.Advertise = settings.Addresses{
+		Caller: addressOf(listeners.Caller), Upstream: addressOf(listeners.Upstream),
+		Operator: addressOf(listeners.Operator), Inner: addressOf(listeners.Inner),
+	}
+	member.settings.Listen = member.settings.Advertise
+	member.settings.Limits.HeaderTime = 500 * time.Millisecond
+	member.settings.Limits.BodyTime = 500 * time.Millisecond
+	member.settings.Timing.ReferralTTL = 200 * time.Millisecond
+	member.settings.Timing.ConfigurationLease = 1500 * time.Millisecond
+	member.settings.Timing.ConfigurationRenewal = 200 * time.Millisecond
+	return member
+}
+
 func (t *testInstance) start(listeners instance.Listeners, maxResponsePause time.Duration) {
 	started, err := instance.New(instance.Options{
 		Settings: t.settings, Listeners: listeners, MaxResponsePause: maxResponsePause, Log: zerolog.Nop(),
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -44,6 +44,8 @@
 	callerServer   *http.Server
 	upstreamServer *http.Server
 	operatorServer *http.Server
+	// connections are those of the HTTP servers.
+	connections shuttle.Connections
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -210,7 +212,7 @@
 		ReadHeaderTimeout: limits.HeaderTime,
 		ReadTimeout:       limits.HeaderTime + limits.BodyTime,
 		MaxHeaderBytes:    int(limits.HeaderBytes),
-		ConnContext:       shuttle.WithConn,
+		ConnContext:       i.connections.WithConn,
 	}
 	i.goroutines.Go(func() {
 		err := server.Serve(listener)
@@ -273,6 +275,7 @@
 // Close stops the instance immediately and aborts requests in progress.
 func (i *Instance) Close() {
 	i.cancel()
+	i.connections.Reset()
 	for _, server := range []*http.Server{i.callerServer, i.upstreamServer, i.operatorServer} {
 		if server != nil {
 			server.Close()
--- a/internal/shuttle/responseend.go
+++ b/internal/shuttle/responseend.go
@@ -13,6 +13,8 @@
 	// conn is reset instead of closed, for whatever reason it ends, until Complete is called. It is
 	// nil if a length or chunks mark the end of the response, or if the server lacks WithConn.
 	conn tcpConn
+	// connections contains conn until Complete or Abort is called. It may be nil.
+	connections *Connections
 }
 
 // tcpConn is the part of a net.TCPConn that a ResponseEnd uses.
@@ -61,6 +63,8 @@
 		// Set in advance, the reset also covers the end of this process. An error means that the
 		// connection has ended.
 		_ = end.conn.SetLinger(lingerReset)
+		end.connections = connectionsOf(r.Context())
+		end.connections.begin(end.conn)
 	}
 	return end
 }
@@ -72,6 +76,7 @@
 	}
 	// A flush that fails means that the connection has ended.
 	_ = http.NewResponseController(e.writer).Flush()
+	e.connections.end(e.conn)
 	_ = e.conn.SetLinger(lingerDefault)
 }
 
@@ -81,6 +86,7 @@
 	if e.conn != nil {
 		// TLS would announce a regular end before the reset.
 		_ = e.conn.Close()
+		e.connections.end(e.conn)
 	}
 	panic(http.ErrAbortHandler)
 }
