desk: a stream that ends before the end of its first event is a failed attempt

The header of an event stream went to the caller at once. A stream that broke off before its first event, or inside it, then broke the caller's connection, although nothing of use had arrived: it could have been answered by another upstream, or with an error and its outcome.

A stream that is truncated before fails the attempt: requests that may run twice are retried, others get 502 with outcome ran.

--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -118,8 +118,8 @@
 	return context.WithTimeout(ctx, task.deadline.Sub(s.options.Now()))
 }
 
-// sendAttempt sends a task to endpoint, the upstream of a slot. It prefetches the response unless that
-// is an event stream.
+// sendAttempt sends a task to endpoint, the upstream of a slot. It prefetches the response, or
+// the first event of an event stream.
 func (s *Server) sendAttempt(
 	ctx context.Context, number int, task task, slot *slot, endpoint quarantine.Endpoint,
 ) (*shuttle.Response, error) {
@@ -142,6 +142,9 @@
 	response.Body = s.withConfirmedEnd(ctx, task, request, endpoint, response)
 	if shuttle.IsEventStream(response.Header) {
 		response.Body = &firstByteReader{ReadCloser: response.Body, slot: slot}
+		if err := shuttle.PrefetchEvent(response, task.needsDoneEvent); err != nil {
+			return nil, err
+		}
 		return response, nil
 	}
 	if !task.needsDoneEvent {
--- a/internal/desk/brokenstreams_test.go
+++ b/internal/desk/brokenstreams_test.go
@@ -1,6 +1,7 @@
 package desk_test
 
 import (
+	"bufio"
 	"fmt"
 	"net/http"
 	"strings"
@@ -82,3 +83,61 @@
 		Entry("after an id, with CR", SpecTimeout(specTimeout), "id: 5\r", false),
 	)
 })
+
+var _ = Describe("an event stream that breaks off before the end of its first event", func() {
+	const whole = "id: 1\ndata: seat 1\n\ndata: [DONE]\n\n"
+	var breaking, sound *fakeUpstream
+	var server *testServer
+
+	BeforeEach(func() {
+		breaking = newFakeUpstream(nil)
+		sound = newFakeUpstream(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, whole)
+		})
+		server = newTestServer(newFakeVoters(), "a")
+	})
+
+	DescribeTable("is replaced by another upstream's, or answered with an error if it must not run twice",
+		func(ctx SpecContext, handler http.HandlerFunc) {
+			breaking.handler = handler
+			server.setUpstreams(breaking.address(), sound.address())
+			for range 4 {
+				for method, path := range map[string]string{http.MethodGet: "/services/booking/events", http.MethodPost: "/v1/completions"} {
+					reply := server.call(ctx, method, path, "", `{"model":"m","stream":true}`)
+					Expect(reply.cutOff).To(BeFalse())
+					Expect(reply.body).To(Equal(whole))
+				}
+			}
+			Expect(breaking.runCount()).To(BeNumerically(">", 0))
+			server.setUpstreams(breaking.address())
+			reply := server.book(ctx, "", "two seats")
+			Expect(reply.status).To(Equal(http.StatusBadGateway))
+			Expect(reply.outcome).To(Equal("ran"))
+		},
+		Entry("before any byte", SpecTimeout(specTimeout), breakOff("")),
+		Entry("after an id", SpecTimeout(specTimeout), breakOff("id: 1\n")),
+		Entry("in a line of data", SpecTimeout(specTimeout), breakOff("id: 1\ndata: se")),
+		Entry("before any byte, with its connection", SpecTimeout(specTimeout), respondUntilClose("text/event-stream", "")),
+		Entry("in a line of data, with its connection", SpecTimeout(specTimeout), respondUntilClose("text/event-stream", "data: se")),
+	)
+
+	// Callers must not wait for the header of a stream whose first event is far away.
+	It("is passed on from the first comment on", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		testDone := make(chan struct{})
+		defer close(testDone)
+		breaking.handler = func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, ": busy\n")
+			_ = http.NewResponseController(w).Flush()
+			<-testDone
+		}
+		server.setUpstreams(breaking.address())
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.url+"/services/booking/events", nil)
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(bufio.NewReader(response.Body).ReadString('\n')).To(Equal(": busy\n"))
+	})
+})
--- a/internal/desk/crashes.go
+++ b/internal/desk/crashes.go
@@ -48,7 +48,7 @@
 type crashEvidence struct {
 	endpoint quarantine.Endpoint
 	suspect  quarantine.Suspect
-	// answeredAt is when the header of the response arrived.
+	// answeredAt is when the response, or the first event of a stream, had arrived.
 	answeredAt time.Time
 	// endsUnproven is true if the response ends with its connection and nothing else.
 	endsUnproven bool
--- a/internal/shuttle/eventscanner.go
+++ b/internal/shuttle/eventscanner.go
@@ -8,6 +8,9 @@
 	insideLine  bool
 	insideEvent bool
 	hasEvent    bool
+	// hasEnded is true once a line has ended outside events: that of a comment, or the blank one of an
+	// event.
+	hasEnded bool
 	// afterCarriageReturn is true if the last byte was a carriage return, which ends a line alone or
 	// together with a line feed.
 	afterCarriageReturn bool
@@ -21,6 +24,7 @@
 		case character == '\n' || character == '\r':
 			s.insideEvent = s.insideEvent && s.insideLine
 			s.insideLine = false
+			s.hasEnded = s.hasEnded || !s.insideEvent
 		case !s.insideLine:
 			s.insideLine = true
 			s.insideEvent = s.insideEvent || character != ':'
