shuttle: an error that wraps io.EOF is not the end of an event stream

The question whether an upstream still runs may itself fail with the end of its connection, an error that wraps io.EOF: a new connection that the process closes while it dies, or a status query without an answer. EventReader took any error that wraps io.EOF for the end of the stream, so that exactly this proof of a killed upstream ended the stream regularly. The same held for any confirmation given to ConfirmEnd.

EventReader and PrefetchEvent now take io.EOF itself alone.

--- /dev/null
+++ b/internal/shuttle/confirm_test.go
@@ -0,0 +1,50 @@
+package shuttle_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/shuttle"
+)
+
+var _ = Describe("the end of a response until close", func() {
+	// A process that is killed may close its listener after its connections.
+	It("is not confirmed by a new connection that ends at once", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		upstream := newScriptedUpstream(func(*scriptedUpstream, net.Conn, *bufio.Reader) {})
+		p := shuttle.New(shuttle.Options{})
+		defer p.Close()
+		for _, supportsStatusQuery := range []bool{false, true} {
+			request := shuttle.Request{ID: "r", SupportsStatusQuery: supportsStatusQuery}
+			err := p.ConfirmFinished(ctx, upstream.address(), request)
+			Expect(errors.Is(err, shuttle.ErrTruncated)).To(BeTrue())
+		}
+	})
+
+	// The question may itself fail because a connection ends.
+	It("is no end if the question for it ended early", func() {
+		confirm := func() error { return errors.Wrap(io.EOF, "asking the upstream") }
+		body := func() io.ReadCloser {
+			return shuttle.ConfirmEnd(io.NopCloser(strings.NewReader("data: seat 7\n\n")), confirm)
+		}
+		_, err := io.ReadAll(shuttle.NewEventReader(body(), shuttle.UntilClose))
+		Expect(err).To(HaveOccurred())
+		response := &shuttle.Response{Header: http.Header{"Content-Type": {"text/event-stream"}}, Length: -1, Framing: shuttle.UntilClose}
+		for _, prefetch := range []func() error{
+			func() error { return shuttle.Prefetch(response, 100) },
+			func() error {
+				response.Body = shuttle.ConfirmEnd(io.NopCloser(strings.NewReader("data: sea")), confirm)
+				return shuttle.PrefetchEvent(response, false)
+			},
+		} {
+			response.Body = body()
+			Expect(errors.Is(prefetch(), shuttle.ErrTruncated)).To(BeTrue())
+		}
+	})
+})
--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -37,8 +37,9 @@
 	if r.needsDone {
 		r.tail.add(buffer[:n])
 	}
-	if errors.Is(err, io.EOF) {
-		err = r.endError()
+	// An error may wrap the io.EOF of another connection.
+	if err == io.EOF {
+		return n, r.endError()
 	}
 	return n, err
 }
--- a/internal/shuttle/firstevent.go
+++ b/internal/shuttle/firstevent.go
@@ -17,20 +17,19 @@
 	events := NewEventReader(response.Body, response.Framing)
 	events.needsDone = needsDone
 	buffer := make([]byte, relayBufferBytes)
-	read := 0
-	var err error
-	for err == nil && read < len(buffer) && !events.scanner.hasEnded {
-		var n int
-		n, err = events.Read(buffer[read:])
-		read += n
-	}
-	if err != nil && !errors.Is(err, io.EOF) && !events.scanner.hasEnded {
-		response.Body.Close()
-		return &Error{Outcome: outcome.Ran, cause: errors.Mark(err, ErrTruncated)}
-	}
+	stream, read := io.Reader(events), 0
 	rest := io.Reader(response.Body)
-	if err != nil {
-		rest = failedReader{err: err}
+	for read < len(buffer) && !events.scanner.hasEnded {
+		n, err := stream.Read(buffer[read:])
+		read += n
+		if err != nil && err != io.EOF && !events.scanner.hasEnded {
+			response.Body.Close()
+			return &Error{Outcome: outcome.Ran, cause: errors.Mark(err, ErrTruncated)}
+		}
+		if err != nil {
+			rest = failedReader{err: err}
+			break
+		}
 	}
 	response.Body = &prefixedBody{
 		Reader: io.MultiReader(bytes.NewReader(buffer[:read]), rest),
