shuttle: a connection that confirms the end of a response must stay open for 100 ms

The kernel closes the listener of a killed process after its connections if it was opened first: a new connection is accepted meanwhile, and ends with the process.

The entry with a connection that ends after 50 ms failed before, and passes.

--- a/internal/shuttle/confirm.go
+++ b/internal/shuttle/confirm.go
@@ -18,8 +18,8 @@
 	// confirmInterval is the interval between two status queries of ConfirmFinished.
 	confirmInterval = 20 * time.Millisecond
 	// listenTime is how long a new connection must stay open. The kernel closes the connections of a
-	// killed process one after the other, and its listener may come last.
-	listenTime = 10 * time.Millisecond
+	// killed process one after the other, and its listener may come last of thousands.
+	listenTime = 100 * time.Millisecond
 )
 
 // ConfirmFinished returns nil if the upstream at address has finished a request whose response ended
--- a/internal/shuttle/confirm_test.go
+++ b/internal/shuttle/confirm_test.go
@@ -6,18 +6,20 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
 var _ = Describe("the end of a response until close", func() {
-	// A process that is killed may close its listener after its connections.
-	It("is not confirmed by a new connection that ends at once", SpecTimeout(specTimeout), func(ctx SpecContext) {
-		upstream := newScriptedUpstream(func(*scriptedUpstream, net.Conn, *bufio.Reader) {})
+	// A process that is killed closes its listener after its other connections, of which it may have many.
+	DescribeTable("is not confirmed by a new connection that ends", func(ctx SpecContext, after time.Duration) {
+		upstream := newScriptedUpstream(func(*scriptedUpstream, net.Conn, *bufio.Reader) { pause.For(ctx, after) })
 		p := shuttle.New(shuttle.Options{})
 		defer p.Close()
 		for _, supportsStatusQuery := range []bool{false, true} {
@@ -25,7 +27,10 @@
 			err := p.ConfirmFinished(ctx, upstream.address(), request)
 			Expect(errors.Is(err, shuttle.ErrTruncated)).To(BeTrue())
 		}
-	})
+	},
+		Entry("at once", SpecTimeout(specTimeout), time.Duration(0)),
+		Entry("after the end of thousands of others", SpecTimeout(specTimeout), 50*time.Millisecond),
+	)
 
 	// The question may itself fail because a connection ends.
 	It("is no end if the question for it ended early", func() {
