--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -90,7 +90,7 @@
 		}
 		s.logRoute(task, attempt, slot)
 		evidence := s.newCrashEvidence(task, slot)
-		response, err := s.sendAttempt(ctx, attempt, task, slot)
+		response, err := s.sendAttempt(ctx, attempt, task, slot, evidence.endpoint)
 		if err == nil {
 			evidence.answeredAt = s.options.Now()
 			s.options.CrashDetector.Responded(evidence.endpoint.Lifetime)
@@ -118,9 +118,11 @@
 	return context.WithTimeout(ctx, task.deadline.Sub(s.options.Now()))
 }
 
-// sendAttempt sends a task to the upstream of a slot. It prefetches the response unless that is
-// an event stream.
-func (s *Server) sendAttempt(ctx context.Context, number int, task task, slot *slot) (*shuttle.Response, error) {
+// sendAttempt sends a task to endpoint, the upstream of a slot. It prefetches the response, or
+// the first event of an event stream.
+func (s *Server) sendAttempt(
+	ctx context.Context, number int, task task, slot *slot, endpoint quarantine.Endpoint,
+) (*shuttle.Response, error) {
 	request := task.request
 	request.ID = fmt.Sprintf("%s-%d", task.id, number)
 	request.Remaining = task.deadline.Sub(s.options.Now())
@@ -137,8 +139,12 @@
 		response.Body.Close()
 		return nil, err
 	}
+	response.Body = s.withConfirmedEnd(ctx, task, request, endpoint, response)
 	if shuttle.IsEventStream(response.Header) {
 		response.Body = &firstByteReader{ReadCloser: response.Body, slot: slot}
+		if err := shuttle.PrefetchEvent(response, task.needsDoneEvent); err != nil {
+			return nil, err
+		}
 		return response, nil
 	}
 	if !task.needsDoneEvent {
@@ -182,7 +188,7 @@
 	}
 	s.metrics.countCutOff(task.service)
 	s.options.Log.Warn().Err(err).Str("request", task.id).Msg("failed to relay the whole response")
-	if isEventStream {
+	if isEventStream && errors.Is(err, shuttle.ErrTruncated) && !errors.Is(err, shuttle.ErrInsideEvent) {
 		writeCutOffEvent(c.Response())
 	}
 	// The headers are already sent, so only an aborted connection can signal that the response
@@ -203,10 +209,11 @@
 	return response.Framing
 }
 
-// writeCutOffEvent sends an event with the reason why the stream ends early. A write error
-// means that the caller has disconnected, so it is ignored.
+// writeCutOffEvent sends an event with the reason why the stream ends early. It must not be called
+// inside an event. A write error means that the caller has disconnected, so it is ignored.
 func writeCutOffEvent(w http.ResponseWriter) {
-	_, err := fmt.Fprintf(w, "data: {\"error\":{\"message\":\"the upstream was lost before the answer was whole\","+
+	// The line end ends a comment that was broken off, and means nothing elsewhere between events.
+	_, err := fmt.Fprintf(w, "\ndata: {\"error\":{\"message\":\"the upstream was lost before the answer was whole\","+
 		"\"type\":\"server_error\",\"param\":null,\"code\":%q,\"outcome\":%q}}\n\n", CodeCutOff, outcome.Ran)
 	if err != nil {
 		return
--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -20,6 +20,9 @@
 	io.ReadCloser
 	framing Framing
 	scanner EventScanner
+	// needsDone is true if the stream is complete only with finalEvent, for which tail is kept.
+	needsDone bool
+	tail      tail
 }
 
 // NewEventReader returns an EventReader of a response body with a framing.
@@ -31,8 +34,12 @@
 func (r *EventReader) Read(buffer []byte) (int, error) {
 	n, err := r.ReadCloser.Read(buffer)
 	r.scanner.Scan(buffer[:n])
-	if errors.Is(err, io.EOF) {
-		err = r.endError()
+	if r.needsDone {
+		r.tail.add(buffer[:n])
+	}
+	// An error may wrap the io.EOF of another connection.
+	if err == io.EOF {
+		return n, r.endError()
 	}
 	return n, err
 }
@@ -42,6 +49,8 @@
 	switch {
 	case r.scanner.InsideEvent():
 		return errors.Wrap(ErrTruncated, "the stream ends inside an event")
+	case r.needsDone && !r.tail.endsWithFinalEvent():
+		return errors.Wrap(ErrTruncated, "final event is missing")
 	case r.framing == UntilClose && !r.scanner.HasEvent():
 		return errors.Wrap(ErrTruncated, "the connection ends before the first event")
 	default:
