counter, routes: a resumed stream does not go on at the version of another service of its route

Callers got events of two software versions in one stream if the route of the stream led to several services, or was led to another service while it ran.

Cause: an instance reported the origin of a stream, and looked for other versions, within one service alone. A canary (service A at v1, B at v2, one version each) looked like one version: the origin was told to nobody, and the instance at which the stream was resumed took the only version of the service that its random choice had hit. After a route had moved it was the new service's.

Change: the versions of all services count to which the path leads, or led before (routes.History). A service without upstreams does not count.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -67,6 +67,8 @@
 	quotas        quotaAccounts
 	// origins are the origins of streams that began here, and of those reported by other instances.
 	origins resumption.Origins
+	// formerRoutes are the routes that were in force before and led streams elsewhere.
+	formerRoutes routes.History
 	// unsyncedStreams are the streams to report to a control instance.
 	unsyncedStreams []resumption.Record
 	// crashes detects upstreams that crash while running requests. Lock order: mu before the lock
--- a/internal/counter/dialect_test.go
+++ b/internal/counter/dialect_test.go
@@ -81,6 +81,10 @@
 	// "new-key". The workspace has a quota of 1 request, and another one a minute later.
 	withKeys    = "with-keys"
 	withNewKeys = "with-new-keys"
+	// withSplitDraft has a route "draft" that leads to "desk" and "nobody", and with withMovedDraft it
+	// leads to "nobody" alone.
+	withSplitDraft = "with-split-draft"
+	withMovedDraft = "with-moved-draft"
 )
 
 // clerks is the workspace of withKeys and withNewKeys.
@@ -131,6 +135,12 @@
 		draft.Version = 3
 		draft.Routes[0].Public = true
 		draft.Workspaces = clerks("new-key")
+	case withSplitDraft:
+		draft.Version = 2
+		draft.Routes[3].Shares = append(draft.Routes[3].Shares, routes.Share{Service: "nobody", Weight: 1})
+	case withMovedDraft:
+		draft.Version = 3
+		draft.Routes[3].Shares[0].Service = "nobody"
 	}
 	return routes.New(draft)
 }
--- a/internal/counter/export_plain_test.go
+++ b/internal/counter/export_plain_test.go
@@ -22,3 +22,8 @@
 	w.requirements.pacing = pacing{}
 	q.enqueue(now, w)
 }
+
+// RoutesVersion returns the version of the routes in force.
+func (p *Proxy) RoutesVersion() uint64 {
+	return p.routes.Load().Version
+}
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -226,6 +226,11 @@
 
 // announceVersion announces an upstream of a software version.
 func (c *fakeControl) announceVersion(version, name, address string, models ...string) {
+	c.announceService("desk", version, name, address, models...)
+}
+
+// announceService announces an upstream of a service and a software version.
+func (c *fakeControl) announceService(service, version, name, address string, models ...string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var resident []upstreamapi.Resident
@@ -233,7 +238,7 @@
 		resident = append(resident, upstreamapi.Resident{Model: model})
 	}
 	Expect(c.roster.Announce(time.Now(), upstreamapi.Announcement{
-		Name: name, Incarnation: 1, Sequence: 1, Address: address, Services: []string{"desk"}, SoftwareVersion: version,
+		Name: name, Incarnation: 1, Sequence: 1, Address: address, Services: []string{service}, SoftwareVersion: version,
 		Load: upstreamapi.Load{MaxRunning: 8}, Resident: resident,
 	})).To(Succeed())
 }
--- a/internal/counter/origins.go
+++ b/internal/counter/origins.go
@@ -47,7 +47,8 @@
 		Remaining: t.streamLifetime() + originMargin,
 	}
 	p.origins.Record(now, record.Stream, record.Origin, now.Add(record.Remaining))
-	if p.pool.versions.Several(t.service, now.Add(-resumption.MaxRetention)) {
+	services, known := t.possibleServices(now.Add(-resumption.MaxRetention))
+	if !known || len(services) > 1 || p.pool.versions.Several(t.service, now.Add(-resumption.MaxRetention)) {
 		p.reportOrigin(record)
 	}
 }
@@ -79,7 +80,7 @@
 }
 
 // reportOrigins reports the origins of the streams of services that have just been found to have
-// several software versions. p.mu is held.
+// several software versions, or whose requests go elsewhere from now on. p.mu is held.
 func (p *Proxy) reportOrigins(now time.Time, services map[string]bool) {
 	if len(services) == 0 {
 		return
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/resumption"
@@ -11,7 +13,7 @@
 )
 
 // A stream that a caller resumes goes on only at the software version that began it. While the
-// upstreams of a service have several versions, an instance that begins a stream reports its origin
+// upstreams of a service have several versions, or requests may go to several services, an instance that begins a stream reports its origin
 // to the instances that rank first for the stream, and to a control instance with the next sync. The
 // instance at which it is resumed asks the former, then all others, then the control instances.
 
@@ -110,13 +112,23 @@
 		return resumption.Origin{}, originUnknown
 	}
 	// The request states the rest of its caller's time, which may be less than half of the whole.
-	version, alone := p.pool.versions.Only(t.service, now.Add(-2*t.streamLifetime()-p.options.UpstreamLease))
-	if !alone {
+	since := now.Add(-2*t.streamLifetime() - p.options.UpstreamLease)
+	services, known := t.possibleServices(since)
+	version, alone := p.pool.versions.Only(since, services...)
+	if !known || !alone {
 		return resumption.Origin{}, originUnknown
 	}
 	return resumption.Origin{Service: t.service, SoftwareVersion: version}, originOnlyVersion
 }
 
+// possibleServices returns the services at which streams of the request's host and path may have begun
+// since a time. It returns false if some may be unknown. p.mu is held.
+func (t *transaction) possibleServices(since time.Time) ([]string, bool) {
+	services, known := t.proxy.formerRoutes.Services(hostOf(t.request), t.request.URL.EscapedPath(), since)
+	maps.Copy(services, t.route.Services())
+	return slices.Collect(maps.Keys(services)), known
+}
+
 // untilVersionsKnown returns the time until all upstreams are known, 0 if they are.
 func (t *transaction) untilVersionsKnown() time.Duration {
 	p := t.proxy
--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -86,12 +86,18 @@
 
 // announceUpstreams starts upstreams of the given versions and waits until all instances know them.
 func (g *resumptionGroup) announceUpstreams(versions ...string) []*versionedUpstream {
+	GinkgoHelper()
+	return g.announceService("desk", versions...)
+}
+
+// announceService is announceUpstreams for a service.
+func (g *resumptionGroup) announceService(service string, versions ...string) []*versionedUpstream {
 	GinkgoHelper()
 	var started []*versionedUpstream
 	for _, version := range versions {
 		u := newVersionedUpstream(version)
 		g.upstreams++
-		g.control.announceVersion(version, fmt.Sprint("e", g.upstreams), u.address(), resumedModel)
+		g.control.announceService(service, version, fmt.Sprint("e", g.upstreams), u.address(), resumedModel)
 		started = append(started, u)
 	}
 	g.waitUntilKnown(g.upstreams)
@@ -129,6 +135,49 @@
 	return postToInstance(ctx, g.servers[instance].URL+"/draft/", header, "")
 }
 
+// commit commits a version of the routes and waits until all instances use it.
+func (g *resumptionGroup) commit(ctx context.Context, content string) {
+	GinkgoHelper()
+	table, err := parseRoutes([]byte(content))
+	Expect(err).NotTo(HaveOccurred())
+	g.control.commit(content)
+	for _, p := range g.peers {
+		Eventually(ctx, p.proxy.RoutesVersion).Should(Equal(table.Version))
+	}
+}
+
+// expectNoOtherVersion begins streams at the first instance and resumes each at the second one with the
+// header that resumes returns. They are refused or go on at the version that began them. before is called
+// in between.
+func (g *resumptionGroup) expectNoOtherVersion(ctx context.Context, resumes func(id string) http.Header, before func()) {
+	GinkgoHelper()
+	began := map[string]string{}
+	for n := range streamsPerSpec {
+		id := fmt.Sprint("s", n)
+		began[id] = g.begin(ctx, 0, id)
+	}
+	before()
+	for id, version := range began {
+		g.clock.advance(100 * time.Millisecond)
+		header := resumes(id)
+		header.Set(idHeader, id+"-2")
+		if status, text, _ := g.post(ctx, 1, header); status != http.StatusServiceUnavailable {
+			Expect(versionIn(text)).To(Equal(version), "stream %s", id)
+		}
+	}
+}
+
+// named resumes the stream that a request began, and unnamed some stream.
+func named(id string) http.Header {
+	header := unnamed(id)
+	header.Set(resumesHeader, id)
+	return header
+}
+
+func unnamed(string) http.Header {
+	return http.Header{http.CanonicalHeaderKey(lastEventIDHeader): {"1"}}
+}
+
 // expectSameVersion begins streams at one instance and resumes each at another one. before is called
 // in between.
 func (g *resumptionGroup) expectSameVersion(ctx context.Context, begunAt, resumedAt int, before func()) {
@@ -259,6 +308,39 @@
 		Expect(upstreams[0].count()).To(BeZero())
 	}, SpecTimeout(specTimeout))
 
+	It("goes on at that version if its route leads to services of one version each", func(ctx SpecContext) {
+		g := newResumptionGroup(7)
+		g.announceService("desk", "v1")
+		g.announceService("nobody", "v2")
+		g.commit(ctx, withSplitDraft)
+		g.expectSameVersion(ctx, 0, 1, func() {})
+	}, SpecTimeout(specTimeout))
+
+	It("goes on if one of the services of its route has no upstream", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		g.announceUpstreams("v1")
+		g.commit(ctx, withSplitDraft)
+		Eventually(ctx, func() int {
+			g.clock.advance(100 * time.Millisecond)
+			status, _ := g.resume(ctx, 1, "never-begun")
+			return status
+		}).Should(Equal(http.StatusOK))
+	}, SpecTimeout(specTimeout))
+
+	DescribeTable("never goes on at another version",
+		func(ctx SpecContext, first, then string, resumes func(id string) http.Header) {
+			g := newResumptionGroup(7)
+			g.announceService("desk", "v1")
+			g.announceService("nobody", "v2")
+			g.commit(ctx, first)
+			g.expectNoOtherVersion(ctx, resumes, func() { g.commit(ctx, then) })
+		},
+		Entry("of its split route, if its beginning is not named", SpecTimeout(specTimeout), withSplitDraft, withSplitDraft, unnamed),
+		Entry("after its route has moved", SpecTimeout(specTimeout), allRoutes, withMovedDraft, named),
+		Entry("after its route has moved, if its beginning is not named", SpecTimeout(specTimeout), allRoutes, withMovedDraft, unnamed),
+		Entry("after its route is no longer split", SpecTimeout(specTimeout), withSplitDraft, withMovedDraft, named),
+	)
+
 	// An instance that cannot reach the control instances does not learn of other versions.
 	It("never goes on at another version at an instance that knows only that one", func(ctx SpecContext) {
 		g := newResumptionGroup(3)
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -10,6 +10,7 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/registry"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
 )
@@ -283,7 +284,8 @@
 
 // applyRoutes puts the routes of an edition into force. Older versions are ignored.
 func (p *Proxy) applyRoutes(latest edition.Edition) {
-	if table := p.routes.Load(); table != nil && table.Version >= latest.Version {
+	former := p.routes.Load()
+	if former != nil && former.Version >= latest.Version {
 		return
 	}
 	content, err := registry.Decompress(latest.Content)
@@ -295,6 +297,17 @@
 		p.options.Log.Error().Err(err).Uint64("version", latest.Version).Msg("cannot parse the routes in force")
 		return
 	}
-	p.routes.Store(table)
+	p.replaceRoutes(former, table)
 	p.options.Log.Info().Uint64("version", table.Version).Int("routes", table.Routes()).Msg("routes in force")
 }
+
+// replaceRoutes puts a table into force in place of the former one, which may be nil.
+func (p *Proxy) replaceRoutes(former, table *routes.Table) {
+	now := p.options.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if former != nil {
+		p.reportOrigins(now, p.formerRoutes.Replace(now, former, table, resumption.MaxRetention))
+	}
+	p.routes.Store(table)
+}
--- a/internal/desk/resumption.go
+++ b/internal/desk/resumption.go
@@ -108,7 +108,7 @@
 		return "", untilKnown, false
 	}
 	lifetime := task.deadline.Sub(task.arrivedAt)
-	version, ok = r.versions.Only(target.String(), now.Add(-lifetime-r.upstreamLease))
+	version, ok = r.versions.Only(now.Add(-lifetime-r.upstreamLease), target.String())
 	if !ok && !r.dispatcher.HasTarget(target) {
 		// The refusal of an unknown target tells more.
 		return "", 0, true
--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -95,13 +95,13 @@
 
 	It("are one if no other was in use recently", func() {
 		var versions resumption.Versions
-		_, ok := versions.Only("pool", start)
+		_, ok := versions.Only(start, "pool")
 		Expect(ok).To(BeFalse(), "nothing is known")
 		versions.Observe("pool", "v1", start)
 		versions.Observe("pool", "v2", start.Add(time.Minute))
-		_, ok = versions.Only("pool", start)
+		_, ok = versions.Only(start, "pool")
 		Expect(ok).To(BeFalse())
-		only, ok := versions.Only("pool", start.Add(time.Second))
+		only, ok := versions.Only(start.Add(time.Second), "pool")
 		Expect(ok).To(BeTrue())
 		Expect(only).To(Equal("v2"))
 	})
@@ -111,7 +111,7 @@
 		var versions resumption.Versions
 		versions.Observe("pool", "v1", start)
 		versions.Observe("desk", "v1", start.Add(resumption.MaxRetention+time.Second))
-		_, ok := versions.Only("pool", start)
+		_, ok := versions.Only(start, "pool")
 		Expect(ok).To(BeFalse())
 	})
 
--- a/internal/resumption/versions.go
+++ b/internal/resumption/versions.go
@@ -50,17 +50,19 @@
 	return true
 }
 
-// Only returns the software version of all upstreams that a service has had since a given time. It
+// Only returns the software version of all upstreams that some services have had since a given time. It
 // returns false if there were none, or several versions.
-func (v *Versions) Only(service string, since time.Time) (version string, ok bool) {
-	for candidate, last := range v.lastUse[service] {
-		if last.Before(since) {
-			continue
+func (v *Versions) Only(since time.Time, services ...string) (version string, ok bool) {
+	for _, service := range services {
+		for candidate, last := range v.lastUse[service] {
+			switch {
+			case last.Before(since):
+			case ok && candidate != version:
+				return "", false
+			default:
+				version, ok = candidate, true
+			}
 		}
-		if ok {
-			return "", false
-		}
-		version, ok = candidate, true
 	}
 	return version, ok
 }
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -6,7 +6,6 @@
 
 import (
 	"math"
-	"slices"
 	"strings"
 	"time"
 
@@ -94,9 +93,20 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// Services returns the services to which requests may go.
+func (r *Route) Services() map[string]bool {
+	services := make(map[string]bool, len(r.Shares))
+	for _, share := range r.Shares {
+		if share.Weight > 0 {
+			services[share.Service] = true
+		}
+	}
+	return services
+}
+
 // LeadsTo reports whether requests may go to a service.
 func (r *Route) LeadsTo(service string) bool {
-	return slices.ContainsFunc(r.Shares, func(share Share) bool { return share.Service == service && share.Weight > 0 })
+	return r.Services()[service]
 }
 
 // Service returns the service for a request, given a random number from [0, 1).
