counter: a resumable stream begins only at an upstream whose version is known here

Callers got events of two software versions in one stream.

Cause: the owner of a model may have heard of a new upstream before the instance that sends to it. That instance did not know the version of the upstream and recorded no origin, so an instance that knew one version alone, itself first of all, let the stream go on at that one.

Change: such a grant is returned, and the instance chooses among the upstreams that it knows, as it does with grants for upstreams that leave. Other requests use the grant as before. A stream that is resumed is bound to its version by the owner.

--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -197,7 +197,8 @@
 // and keeps granting it until it is gone. Nor does it know that an upstream pushes back, or accepts
 // no request because of its refusals, if the report was lost, or another instance owned the model
 // then. It may not know yet that a process of another software version has taken over the name of
-// an upstream. A grant for such an upstream is returned, and grantFrom returns errDecideLocally.
+// an upstream. A grant for such an upstream is returned, and grantFrom returns errDecideLocally. So is
+// one for an upstream that is unknown here, if the stream needs a known software version.
 func (p *Proxy) grantFrom(t *transaction, owner netip.AddrPort, m permit.Granted) (grant, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -217,6 +218,10 @@
 	}
 	if u == nil || u.address != m.Address {
 		// The owner knows the upstream before this instance does.
+		if t.needsKnownVersion() {
+			p.peers.send(owner, permit.Release{ID: m.ID})
+			return grant{}, errDecideLocally
+		}
 		u = &upstream{name: m.Upstream, address: m.Address, service: t.service}
 	}
 	return grant{upstream: u, prefillAhead: m.PrefillBacklog, owner: owner, id: m.ID}, nil
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -22,6 +22,12 @@
 	return t.route.Kind == routes.Stream && (t.call.Resumes != "" || t.request.Header.Get(upstreamapi.LastEventIDHeader) != "")
 }
 
+// needsKnownVersion reports whether the request may begin a stream that is resumed later. If this
+// instance did not know its version, nobody would.
+func (t *transaction) needsKnownVersion() bool {
+	return t.route.Kind == routes.Stream && t.route.Resumable && !t.software.Bound
+}
+
 // streamID returns the ID of the stream that the request begins or resumes.
 func (t *transaction) streamID() resumption.StreamID {
 	if t.call.Resumes != "" {
--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -6,7 +6,9 @@
 	"math"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -363,6 +365,41 @@
 	}, SpecTimeout(specTimeout))
 })
 
+var _ = Describe("A stream that is resumed", func() {
+	// The owner of a model may have heard of an upstream before the instance that sends to it.
+	It("never goes on at another version if the instance that began it does not know its upstream", func(ctx SpecContext) {
+		g := newResumptionGroup(3)
+		g.announceUpstreams("v1")
+		owner, _ := permit.NewOwners(g.addresses()).Of("desk", resumedModel, func(netip.AddrPort) bool { return true })
+		late := (slices.Index(g.addresses(), owner) + 1) % len(g.peers)
+		g.control.ignore(g.peers[late].address)
+		v2 := newVersionedUpstream("v2")
+		g.control.announceVersion("v2", "e2", v2.address(), resumedModel)
+		for n, p := range g.peers {
+			if n != late {
+				Eventually(p.proxy.Upstreams, specTimeout).Should(Equal(2))
+			}
+		}
+		began := map[string]string{}
+		for n := range streamsPerSpec {
+			id := fmt.Sprint("s", n)
+			began[id] = g.begin(ctx, late, id)
+		}
+		Eventually(ctx, func() int {
+			g.clock.advance(100 * time.Millisecond)
+			_, _, _ = postToInstance(ctx, g.servers[late].URL+"/write/", http.Header{idHeader: {"w"}}, "")
+			return v2.count()
+		}).Should(BeNumerically(">", 0), "the owner grants it")
+		for id, version := range began {
+			for at := range g.peers {
+				if status, resumed := g.resume(ctx, at, id); status == http.StatusOK {
+					Expect(resumed).To(Equal(version), "stream %s at %d, late is %d", id, at, late)
+				}
+			}
+		}
+	}, SpecTimeout(specTimeout))
+})
+
 var _ = Describe("A service with one software version", func() {
 	// A leave may come without an announcement, and so without a version.
 	It("has one after an upstream has left", func() {
