counter: a stream is resumed whichever value of its event ID header is set

Callers got events of two software versions in one stream if their request had an empty Last-Event-ID before the right one: only the first value was looked at, the request counted as a new stream, and its upstream got all of the values.

Evidence: the new spec fails at the commit before.

--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/resumption"
@@ -17,9 +18,11 @@
 // to the instances that rank first for the stream, and to a control instance with the next sync. The
 // instance at which it is resumed asks the former, then all others, then the control instances.
 
-// resumesStream reports whether the request resumes a stream.
+// resumesStream reports whether the request resumes a stream. An upstream may read any of several values
+// of its header.
 func (t *transaction) resumesStream() bool {
-	return t.route.Kind == routes.Stream && (t.call.Resumes != "" || t.request.Header.Get(upstreamapi.LastEventIDHeader) != "")
+	return t.route.Kind == routes.Stream &&
+		(t.call.Resumes != "" || strings.Join(t.request.Header.Values(upstreamapi.LastEventIDHeader), "") != "")
 }
 
 // needsKnownVersion reports whether the request may begin a stream that is resumed later. If this
--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -398,6 +398,24 @@
 			}
 		}
 	}, SpecTimeout(specTimeout))
+
+	DescribeTable("never goes on at another version if its request",
+		func(ctx SpecContext, beginID string, resumes http.Header) {
+			g := newResumptionGroup(2)
+			g.announceUpstreams("v1", "v2")
+			var last string
+			for range streamsPerSpec {
+				first := g.begin(ctx, 0, beginID)
+				last = g.begin(ctx, 0, beginID)
+				status, text, _ := g.post(ctx, 0, resumes.Clone())
+				if status == http.StatusOK {
+					Expect(versionIn(text)).To(Equal(first), "the last one began at %s", last)
+				}
+			}
+		},
+		Entry("has an empty event ID before the right one", SpecTimeout(specTimeout), "s1",
+			http.Header{idHeader: {"s2"}, http.CanonicalHeaderKey(lastEventIDHeader): {"", "1"}}),
+	)
 })
 
 var _ = Describe("A service with one software version", func() {
