counter: streams of callers that send no request ID have no common origin

Callers got events of two software versions in one stream: all streams without a request ID were recorded as the stream of the empty ID, so each that was resumed without an ID went on at the version of the last one that had begun here.

Evidence: the new spec fails at the commit before.

Change: without an ID nothing is recorded, and the only version counts.

--- a/internal/counter/origins.go
+++ b/internal/counter/origins.go
@@ -27,7 +27,7 @@
 // caller.
 func (t *transaction) recordOrigin(a *upstreamAttempt) {
 	p := t.proxy
-	if !t.route.Resumable {
+	if !t.route.Resumable || !t.identifiesStream() {
 		return
 	}
 	now := p.options.Now()
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -31,7 +31,13 @@
 	return t.route.Kind == routes.Stream && t.route.Resumable && !t.software.Bound
 }
 
-// streamID returns the ID of the stream that the request begins or resumes.
+// identifiesStream reports whether the stream has an ID. Otherwise all streams of callers that send none
+// would have the same.
+func (t *transaction) identifiesStream() bool {
+	return t.call.Resumes != "" || t.call.ID != ""
+}
+
+// streamID returns the ID of the stream that the request begins or resumes, if it has one.
 func (t *transaction) streamID() resumption.StreamID {
 	if t.call.Resumes != "" {
 		return resumption.StreamOf(t.call.Resumes)
@@ -90,7 +96,7 @@
 	ranked := p.owners.assignment.Ranked(uint64(stream), originRanksAsked, p.isPeer)
 	p.mu.Unlock()
 	switch {
-	case known:
+	case known && t.identifiesStream():
 		return origin, originOwn
 	case t.call.Resumes == "":
 		return t.onlyOrigin()
--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -413,6 +413,7 @@
 				}
 			}
 		},
+		Entry("has no ID, as that of another stream", SpecTimeout(specTimeout), "", unnamed("")),
 		Entry("has an empty event ID before the right one", SpecTimeout(specTimeout), "s1",
 			http.Header{idHeader: {"s2"}, http.CanonicalHeaderKey(lastEventIDHeader): {"", "1"}}),
 	)
