counter: specs of streams that break off before their first event is whole

Eight places at which the response of a resumable stream may end, in chunks, with its connection or with a length: each is broken off for the caller, and no second upstream gets the request.

--- a/internal/counter/untilclose_test.go
+++ b/internal/counter/untilclose_test.go
@@ -160,6 +160,24 @@
 	Entry("through a peer", SpecTimeout(specTimeout), throughPeer),
 )
 
+// A caller resumes such a stream itself. Events of a second run would be joined to those of the first.
+var _ = DescribeTable("A stream that may be resumed is broken off and not sent again once its response has begun",
+	func(ctx SpecContext, framing, body string) {
+		answer := respondAfterReading("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nContent-Type: " + eventStream + "\r\n" + framing + "\r\n" + body)
+		p := newTestProxy(newFakeUpstream(answer), newFakeUpstream(answer))
+		Expect(fetch(ctx, p.server.URL, "/draft/").err).To(HaveOccurred())
+		Expect(p.arrivals()).To(Equal(1))
+	},
+	Entry("before its body", SpecTimeout(specTimeout), "Transfer-Encoding: chunked\r\n", ""),
+	Entry("before its body, which ends with the connection", SpecTimeout(specTimeout), "", ""),
+	Entry("in a chunk", SpecTimeout(specTimeout), "Transfer-Encoding: chunked\r\n", "9\r\ndata"),
+	Entry("after a comment", SpecTimeout(specTimeout), "Transfer-Encoding: chunked\r\n", "e\r\n: keep-alive\n\n\r\n"),
+	Entry("after a comment, with the connection", SpecTimeout(specTimeout), "", ": keep-alive\n\n"),
+	Entry("in its first event", SpecTimeout(specTimeout), "", "id: 1\nda"),
+	Entry("in an event of a stated length", SpecTimeout(specTimeout), "Content-Length: 40\r\n", "id: 1\ndata: a\n\nid"),
+	Entry("between events of a stated length", SpecTimeout(specTimeout), "Content-Length: 40\r\n", "id: 1\ndata: a\n\n"),
+)
+
 var _ = DescribeTable("An event stream that ends inside an event is reported as failed if nothing of it was passed on",
 	func(ctx SpecContext, path string) {
 		view := fetch(ctx, direct.start(respondUntilClose(eventStream, "id: 1\ndata: se")), path)
