counter: the origin of a stream is known however long its caller waits

A stream whose caller stated a time near the largest one (9.22e12 ms) could not be resumed while its service had several versions: it was refused with 503.

Cause: a second more than that time overflows, so the origin expired before it was recorded. Twice the time overflows as well, so that the only version of a service was looked for in the last seconds alone, or in the future.

--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -45,9 +45,13 @@
 	return resumption.StreamOf(t.call.ID)
 }
 
+// maxStreamLifetime bounds the time that callers state. They may state any, and sums with it must not
+// overflow.
+const maxStreamLifetime = 24 * time.Hour
+
 // streamLifetime returns the longest time from the beginning of a stream to its end.
 func (t *transaction) streamLifetime() time.Duration {
-	return max(t.call.Timeout, t.route.Timeout)
+	return min(max(t.call.Timeout, t.route.Timeout), maxStreamLifetime)
 }
 
 // bindToOrigin limits the upstreams of a request that resumes a stream to the software version that
--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -61,11 +61,13 @@
 	*peerGroup
 	servers   []*httptest.Server
 	upstreams int
+	// callerTimeout is the time that callers state.
+	callerTimeout time.Duration
 }
 
 func newResumptionGroup(instances int) *resumptionGroup {
 	GinkgoHelper()
-	g := &resumptionGroup{peerGroup: newPeerGroup(instances)}
+	g := &resumptionGroup{peerGroup: newPeerGroup(instances), callerTimeout: 5 * time.Second}
 	for _, p := range g.peers {
 		g.serveCallers(p)
 	}
@@ -76,7 +78,7 @@
 func (g *resumptionGroup) serveCallers(p peer) {
 	server := startCallerServer(func(w http.ResponseWriter, r *http.Request) {
 		p.proxy.ServeRequest(w, r, counter.Call{
-			ID: r.Header.Get(idHeader), Resumes: r.Header.Get(resumesHeader), Timeout: 5 * time.Second, Model: resumedModel,
+			ID: r.Header.Get(idHeader), Resumes: r.Header.Get(resumesHeader), Timeout: g.callerTimeout, Model: resumedModel,
 		})
 	})
 	DeferCleanup(func() {
@@ -209,6 +211,13 @@
 		Entry("at another instance", SpecTimeout(specTimeout), 1),
 	)
 
+	It("goes on at that version whatever time its caller states", func(ctx SpecContext) {
+		g := newResumptionGroup(4)
+		g.callerTimeout = math.MaxInt64
+		g.announceUpstreams("v1", "v2")
+		g.expectSameVersion(ctx, 0, 1, func() {})
+	}, SpecTimeout(specTimeout))
+
 	It("goes on at that version after the instance that began it is gone", func(ctx SpecContext) {
 		g := newResumptionGroup(4)
 		g.announceUpstreams("v1", "v2")
