shuttle, counter: a compressed event stream is passed on whole

Callers of a whole stream got one that was broken off, if the upstream had compressed it (Content-Encoding) because they accept that.

Cause: the compressed bytes were read as events, and hardly ever end at the end of one. So a whole stream counted as ended inside an event.

Change: the events of a body with a content encoding are not read. Such a stream is passed on in its framing, like any other body. At the own interface it is still passed on as it arrives.

--- a/internal/counter/untilclose_test.go
+++ b/internal/counter/untilclose_test.go
@@ -160,6 +160,18 @@
 	Entry("through a peer", SpecTimeout(specTimeout), throughPeer),
 )
 
+// The bytes of an encoded stream do not show where its events end.
+var _ = DescribeTable("An event stream in a content encoding is passed on whole",
+	func(ctx SpecContext, way way, framing string) {
+		answer := respondAfterReading("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nContent-Type: " + eventStream + "\r\nContent-Encoding: gzip\r\n" + framing)
+		view := fetch(ctx, way.start(answer), "/draft/")
+		Expect(view.err).NotTo(HaveOccurred())
+		Expect(view.body).To(Equal("\x1f\x8b\n\n\x08"))
+	},
+	Entry("in chunks", SpecTimeout(specTimeout), direct, "Transfer-Encoding: chunked\r\n\r\n5\r\n\x1f\x8b\n\n\x08\r\n0\r\n\r\n"),
+	Entry("through a peer", SpecTimeout(specTimeout), throughPeer, "Content-Length: 5\r\n\r\n\x1f\x8b\n\n\x08"),
+)
+
 // A caller resumes such a stream itself. Events of a second run would be joined to those of the first.
 var _ = DescribeTable("A stream that may be resumed is broken off and not sent again once its response has begun",
 	func(ctx SpecContext, framing, body string) {
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -137,7 +137,7 @@
 		response.Body.Close()
 		return nil, err
 	}
-	if shuttle.IsEventStream(response.Header) {
+	if shuttle.AnnouncesEvents(response.Header) {
 		response.Body = &firstByteReader{ReadCloser: response.Body, slot: slot}
 		return response, nil
 	}
--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -4,16 +4,30 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
-// IsEventStream reports whether a response header announces an event stream.
-func IsEventStream(header http.Header) bool {
+// AnnouncesEvents reports whether a response header announces an event stream.
+func AnnouncesEvents(header http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
 	return err == nil && mediaType == "text/event-stream"
 }
 
+// IsEventStream reports whether a response header announces an event stream whose events can be read.
+func IsEventStream(header http.Header) bool {
+	return AnnouncesEvents(header) && !isEncoded(header)
+}
+
+// isEncoded reports whether a body has a content encoding, such as a compression.
+func isEncoded(header http.Header) bool {
+	return slices.ContainsFunc(header.Values("Content-Encoding"), func(encoding string) bool {
+		return encoding != "" && !strings.EqualFold(encoding, "identity")
+	})
+}
+
 // EventReader reads the event stream of an upstream. If the stream ends where no complete one ends,
 // it returns an error marked as ErrTruncated instead of io.EOF.
 type EventReader struct {
