--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -62,7 +62,7 @@
 // that fails if it ends inside an event.
 func (a *upstreamAttempt) observeFraming(response *http.Response) {
 	a.framing = shuttle.FramingOf(response)
-	if shuttle.IsEventStream(response.Header) {
+	if shuttle.IsPlainEventStream(response.Header) {
 		a.events = shuttle.NewEventReader(response.Body, a.framing)
 		response.Body = a.events
 	}
--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -4,6 +4,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,6 +15,13 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
+// IsPlainEventStream reports whether a response header announces an event stream whose bytes are those of
+// its events: it is not compressed.
+func IsPlainEventStream(header http.Header) bool {
+	encoding := header.Get("Content-Encoding")
+	return IsEventStream(header) && (encoding == "" || strings.EqualFold(encoding, "identity"))
+}
+
 // EventReader reads the event stream of an upstream. If the stream ends where no complete one ends,
 // it returns an error marked as ErrTruncated instead of io.EOF.
 type EventReader struct {
