desk: compressed event streams are not read as plain ones

A caller that accepts compressed responses, as most HTTP clients do without being asked, got an event stream of a service broken off at its end if the service compresses it: the compressed bytes were read as events, and ended 'inside' one. An error event was written in plain text behind them. A compressed completion never showed its final event.

Streamed completions now ask their upstream for no compression. The events of other streams are followed only if they are not compressed; compressed ones break off with their connection alone.

--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -129,6 +129,10 @@
 	request.SupportsStatusQuery = s.router.supportsRequestStatus(slot.decision.Chosen.Name)
 	request.Header = request.Header.Clone()
 	request.Header.Set(retry.AttemptHeader, strconv.Itoa(number))
+	if task.needsDoneEvent && request.Streamed {
+		// The final event of a compressed stream cannot be seen.
+		request.Header.Set("Accept-Encoding", "identity")
+	}
 	sentAt := s.options.Now()
 	response, err := s.options.Proxy.Send(ctx, slot.decision.Chosen.Address, request)
 	s.router.observeLimit(sentAt, slot.decision.Chosen.Name, response, err)
@@ -142,6 +146,9 @@
 	response.Body = s.withConfirmedEnd(ctx, task, request, endpoint, response)
 	if shuttle.IsEventStream(response.Header) {
 		response.Body = &firstByteReader{ReadCloser: response.Body, slot: slot}
+		if !shuttle.IsPlainEventStream(response.Header) {
+			return response, nil
+		}
 		if err := shuttle.PrefetchEvent(response, task.needsDoneEvent); err != nil {
 			return nil, err
 		}
@@ -161,13 +168,13 @@
 func (s *Server) relayResponse(c echo.Context, task task, proxied proxiedResponse) error {
 	response := proxied.response
 	c.Response().Header().Set(outcome.Header, outcome.Ran.String())
-	isEventStream := shuttle.IsEventStream(response.Header)
-	if isEventStream {
+	isPlainStream := shuttle.IsPlainEventStream(response.Header)
+	if isPlainStream {
 		// An event stream may turn out to be incomplete only at its end. With a Content-Length,
 		// no event could then be added to report that.
 		response.Header.Del("Content-Length")
 	}
-	needsDone := task.needsDoneEvent && isEventStream
+	needsDone := task.needsDoneEvent && shuttle.IsEventStream(response.Header)
 	framing := callerFraming(response, needsDone)
 	proxied.evidence.endsUnproven = framing == shuttle.UntilClose
 	end := shuttle.BeginResponse(c.Response(), c.Request(), framing)
@@ -188,7 +195,7 @@
 	}
 	s.metrics.countCutOff(task.service)
 	s.options.Log.Warn().Err(err).Str("request", task.id).Msg("failed to relay the whole response")
-	if isEventStream && errors.Is(err, shuttle.ErrTruncated) && !errors.Is(err, shuttle.ErrInsideEvent) {
+	if isPlainStream && errors.Is(err, shuttle.ErrTruncated) && !errors.Is(err, shuttle.ErrInsideEvent) {
 		writeCutOffEvent(c.Response())
 	}
 	// The headers are already sent, so only an aborted connection can signal that the response
--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -14,6 +14,13 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
+// IsPlainEventStream reports whether a response header announces an event stream whose bytes are those of
+// its events: it is not compressed.
+func IsPlainEventStream(header http.Header) bool {
+	encoding := header.Get("Content-Encoding")
+	return IsEventStream(header) && (encoding == "" || encoding == "identity")
+}
+
 // EventReader reads the event stream of an upstream. If the stream ends where no complete one ends,
 // it returns an error marked as ErrTruncated instead of io.EOF.
 type EventReader struct {
--- a/internal/shuttle/firstevent.go
+++ b/internal/shuttle/firstevent.go
@@ -9,7 +9,7 @@
 	"github.com/lovagelift/lovagelift/internal/outcome"
 )
 
-// PrefetchEvent reads the beginning of the event stream response up to the end of its first event or
+// PrefetchEvent reads the beginning of response, a plain event stream, up to the end of its first event or
 // comment, so that nothing is sent to the caller before. Of a longer event it reads relayBufferBytes.
 // For needsDone see StreamBody. If the stream is truncated before, PrefetchEvent returns a *Error
 // marked as ErrTruncated and closes the body.
--- a/internal/shuttle/relay.go
+++ b/internal/shuttle/relay.go
@@ -80,7 +80,7 @@
 //
 // If needsDone is true, the body is an event stream that is complete only if "data: [DONE]" is its last
 // event: a crashing engine may close its connection in the same way as one that has finished. Other
-// event streams are incomplete if they end inside an event.
+// event streams are incomplete if they end inside an event, unless they are compressed.
 func StreamBody(w http.ResponseWriter, response *Response, needsDone bool) error {
 	return streamWithTimeout(w, response, needsDone, writeTimeout)
 }
@@ -88,7 +88,7 @@
 func streamWithTimeout(w http.ResponseWriter, response *Response, needsDone bool, timeout time.Duration) error {
 	defer response.Body.Close()
 	body := io.Reader(response.Body)
-	if needsDone || IsEventStream(response.Header) {
+	if needsDone || IsPlainEventStream(response.Header) {
 		events := NewEventReader(response.Body, response.Framing)
 		events.needsDone = needsDone
 		body = events
