caller: events are read as the SSE standard says

The client took each line with 'data: ' for an event, and skipped any other. An event without the space was left out without notice, an event of several lines and a stream with CR failed, and a final event that was broken off counted as the end of a whole answer.

It now joins the lines of an event, passes an event on at its blank line, and drops one that is not ended.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -55,6 +55,11 @@
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// writeEvent returns an event with a text whose lines begin with field and end with lineEnd.
+func writeEvent(text, field, lineEnd string) string {
+	return fmt.Sprintf("%s{\"choices\":[{\"delta\":{\"content\":%q}}]}%s%s", field, text, lineEnd, lineEnd)
+}
+
 func respondDraining(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(outcome.Header, "not-run")
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -119,6 +124,30 @@
 		Expect(instance.completions.Load()).To(BeEquivalentTo(1))
 	})
 
+	// The SSE standard allows all of these.
+	DescribeTable("reads events however they are written", func(ctx SpecContext, stream string) {
+		instance := newFakeInstance(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, stream) })
+		client := caller.New(caller.Options{Seeds: []string{instance.address()}})
+		response, err := client.Complete(ctx, request, discardText)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Text).To(Equal("in ten"))
+	},
+		Entry("without a space behind the name of the field", writeEvent("in", "data:", "\n")+writeEvent(" ten", "data: ", "\n")+"data:[DONE]\n\n"),
+		Entry("with other fields and comments", ": busy\n\nid: 1\n"+writeEvent("in", "data: ", "\n")+"event: x\n"+writeEvent(" ten", "data: ", "\n")+"data: [DONE]\n\n"),
+		Entry("with CRLF", writeEvent("in", "data: ", "\r\n")+writeEvent(" ten", "data: ", "\r\n")+"data: [DONE]\r\n\r\n"),
+		Entry("with CR", writeEvent("in", "data: ", "\r")+writeEvent(" ten", "data: ", "\r")+"data: [DONE]\r\r"),
+		Entry("with an event of several lines", "data: {\"choices\":\ndata: [{\"delta\":{\"content\":\"in ten\"}}]}\n\ndata: [DONE]\n\n"),
+	)
+
+	It("takes no final event that was broken off", func(ctx SpecContext) {
+		instance := newFakeInstance(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, writeEvent("in", "data: ", "\n")+"data: [DONE]")
+		})
+		client := caller.New(caller.Options{Seeds: []string{instance.address()}})
+		_, err := client.Complete(ctx, request, discardText)
+		Expect(err).To(HaveOccurred())
+	})
+
 	It("gives up with the reason when nobody takes the question", func(ctx SpecContext) {
 		instance := newFakeInstance(respondDraining)
 		client := caller.New(caller.Options{Seeds: []string{instance.address()}})
--- a/internal/caller/complete.go
+++ b/internal/caller/complete.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -149,23 +148,12 @@
 	} `json:"error"`
 }
 
-const (
-	maxEventBytes = 1 << 20
-	// maxAnswerBytes bounds a stream of events, whose text is kept.
-	maxAnswerBytes = 64 << 20
-)
-
 // readEvents reads server-sent events up to the final one, "[DONE]". If the stream
 // ends earlier, or has more than maxAnswerBytes, readEvents returns an *Error.
 func readEvents(body io.Reader, onChunk func(string)) (string, error) {
 	var text strings.Builder
-	scanner := bufio.NewScanner(io.LimitReader(body, maxAnswerBytes))
-	scanner.Buffer(nil, maxEventBytes)
-	for scanner.Scan() {
-		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
-		if !ok {
-			continue
-		}
+	events := newEventStream(body)
+	for data, ok := events.next(); ok; data, ok = events.next() {
 		if data == "[DONE]" {
 			return text.String(), nil
 		}
@@ -185,7 +173,7 @@
 		}
 	}
 	message := "the answer ended before it was whole"
-	if err := scanner.Err(); err != nil {
+	if err := events.err(); err != nil {
 		message += ": " + err.Error()
 	}
 	return "", &Error{Outcome: outcome.Ran, Message: message}
