shuttle: the final event needs no space behind the name of its field

A completion of an engine that writes 'data:[DONE]', as the SSE standard allows, was broken off at its end. The entry failed before, and passes.

--- a/internal/shuttle/relay.go
+++ b/internal/shuttle/relay.go
@@ -18,8 +18,8 @@
 // writeTimeout limits one write to a caller.
 const writeTimeout = 30 * time.Second
 
-// finalEvent is the last event of a complete stream in the OpenAI API.
-var finalEvent = []byte("data: [DONE]")
+// finalEvent is the data of the last event of a complete stream in the OpenAI API.
+const finalEvent = "[DONE]"
 
 // ErrTruncated marks the Error of a response that ended before it was complete. Use errors.Is.
 var ErrTruncated = errors.New("upstream response was truncated")
@@ -169,7 +169,8 @@
 
 // endsWithFinalEvent reports whether the last line with a text is that of the final event.
 func (t *tail) endsWithFinalEvent() bool {
-	trimmed := bytes.TrimRight(t.buffer[:t.n], "\r\n")
-	before, ok := bytes.CutSuffix(trimmed, finalEvent)
-	return ok && (len(before) == 0 || bytes.ContainsAny(before[len(before)-1:], "\r\n"))
+	line := bytes.TrimRight(t.buffer[:t.n], "\r\n")
+	line = line[bytes.LastIndexAny(line, "\r\n")+1:]
+	value, ok := bytes.CutPrefix(line, []byte("data:"))
+	return ok && string(bytes.TrimPrefix(value, []byte(" "))) == finalEvent
 }
--- a/internal/shuttle/shuttle_test.go
+++ b/internal/shuttle/shuttle_test.go
@@ -220,6 +220,7 @@
 		Entry("present", "data: {\"a\":1}\n\ndata: [DONE]\n\n", true),
 		Entry("present, with CRLF line ends", "data: {\"a\":1}\r\n\r\ndata: [DONE]\r\n\r\n", true),
 		Entry("alone", "data: [DONE]\n\n", true),
+		Entry("without a space", "data:{\"a\":1}\n\ndata:[DONE]\n\n", true),
 		Entry("missing", "data: {\"a\":1}\n\n", false),
 		Entry("in the text of an event that was broken off", "data: {\"a\":\"It ends with data: [DONE]", false),
 		Entry("without the line that ends it", "data: {\"a\":1}\n\ndata: [DONE]\n", false),
