--- a/internal/shuttle/relay.go
+++ b/internal/shuttle/relay.go
@@ -18,8 +18,8 @@
 // writeTimeout limits one write to a caller.
 const writeTimeout = 30 * time.Second
 
-// finalEvent is the last event of a complete stream in the OpenAI API.
-var finalEvent = []byte("data: [DONE]")
+// finalEvent is the data of the last event of a complete stream in the OpenAI API.
+const finalEvent = "[DONE]"
 
 // ErrTruncated marks the Error of a response that ended before it was complete. Use errors.Is.
 var ErrTruncated = errors.New("upstream response was truncated")
@@ -80,7 +80,7 @@
 //
 // If needsDone is true, the body is an event stream that is complete only if "data: [DONE]" is its last
 // event: a crashing engine may close its connection in the same way as one that has finished. Other
-// event streams are incomplete if they end inside an event.
+// event streams are incomplete if they end inside an event, unless they are compressed.
 func StreamBody(w http.ResponseWriter, response *Response, needsDone bool) error {
 	return streamWithTimeout(w, response, needsDone, writeTimeout)
 }
@@ -88,7 +88,7 @@
 func streamWithTimeout(w http.ResponseWriter, response *Response, needsDone bool, timeout time.Duration) error {
 	defer response.Body.Close()
 	body := io.Reader(response.Body)
-	if needsDone || IsEventStream(response.Header) {
+	if needsDone || IsPlainEventStream(response.Header) {
 		events := NewEventReader(response.Body, response.Framing)
 		events.needsDone = needsDone
 		body = events
@@ -169,7 +169,8 @@
 
 // endsWithFinalEvent reports whether the last line with a text is that of the final event.
 func (t *tail) endsWithFinalEvent() bool {
-	trimmed := bytes.TrimRight(t.buffer[:t.n], "\r\n")
-	before, ok := bytes.CutSuffix(trimmed, finalEvent)
-	return ok && (len(before) == 0 || bytes.ContainsAny(before[len(before)-1:], "\r\n"))
+	line := bytes.TrimRight(t.buffer[:t.n], "\r\n")
+	line = line[bytes.LastIndexAny(line, "\r\n")+1:]
+	value, ok := bytes.CutPrefix(line, []byte("data:"))
+	return ok && string(bytes.TrimPrefix(value, []byte(" "))) == finalEvent
 }
