--- a/internal/counter/permits_test.go
+++ b/internal/counter/permits_test.go
@@ -208,6 +208,8 @@
 	address netip.AddrPort
 	proxy   *counter.Proxy
 	path    *upstreamPath
+	// relay is the server for requests of other instances.
+	relay *httptest.Server
 }
 
 func listenPeer() net.PacketConn {
@@ -251,13 +253,13 @@
 		Retries:     counter.RetryLimits{Ratio: 0.1, Burst: 20, Window: 10 * time.Second},
 		ParseRoutes: parseRoutes, Dialect: dialect{}, Now: now, Log: zerolog.Nop(),
 	})
-	p.startRelay(relayListener)
+	p.relay = p.startRelay(relayListener)
 	DeferCleanup(p.proxy.Close)
 	return p
 }
 
 // startRelay serves the requests that other instances send through this one.
-func (p peer) startRelay(listener net.Listener) {
+func (p peer) startRelay(listener net.Listener) *httptest.Server {
 	server := httptest.NewUnstartedServer(http.HandlerFunc(p.proxy.ServeRelay))
 	server.Listener.Close()
 	server.Listener = listener
@@ -267,6 +269,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
+	return server
 }
 
 // serve sends a request for a model through the instance and returns the status.
