counter: failing spec of a stream until close that is sent directly after its relay was rejected

An instance without a path asks a peer that is draining, and then sends directly, as the path works again.

--- a/internal/counter/relaystream_test.go
+++ b/internal/counter/relaystream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -104,3 +105,24 @@
 	Entry("about a buffer, through a peer", SpecTimeout(specTimeout), throughPeer, 4096-len("data: \r\n\r\n")),
 	Entry("1 MiB, through a peer", SpecTimeout(specTimeout), throughPeer, 1<<20),
 )
+
+// Its path works again when no peer can relay, before a probe finds that out.
+var _ = It("A stream until close that is sent directly after its relay was rejected is visibly incomplete if its upstream ends",
+	func(ctx SpecContext) {
+		var ending atomic.Bool
+		g := newRelayGroup(func(w http.ResponseWriter, r *http.Request) {
+			if ending.Load() {
+				respondAndEnd(eventStream, firstEvent)(w, r)
+				return
+			}
+			succeed(w, r)
+		})
+		status, _, err := g.post(ctx, "/look/", "the path is lost")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		ending.Store(true)
+		g.peers[1].proxy.Drain(0)
+		g.peers[0].path.fail(nil)
+		view := fetch(ctx, g.server.URL, "/write/")
+		Expect(view.isVisiblyIncomplete()).To(BeTrue(), "got %+v", view)
+	}, SpecTimeout(specTimeout))
