counter: a response is not taken as relayed after a relay was rejected

Callers saw a stream until close end regularly although its upstream was killed after an event (ORDER), if their instance had asked a peer to relay, was told that the peer can't, and then sent directly: relayedBy still named the peer, and only a peer checks the upstream after a relayed response. relayedBy is reset before each direct send, as its comment says.

--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -126,6 +126,8 @@
 
 // sendDirectly sends the request to the granted upstream.
 func (t *transaction) sendDirectly(ctx context.Context, a *upstreamAttempt) (*http.Response, error) {
+	// A peer may have rejected the request before.
+	a.relayedBy = netip.AddrPort{}
 	return t.proxy.upstreams.of(t.isIdempotent()).RoundTrip(t.outgoing(ctx, a, a.upstream.address))
 }
 
