--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -5,7 +5,9 @@
 package routes
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -104,6 +106,11 @@
 	return services
 }
 
+// goesLike reports whether the requests of r go to the services of other.
+func (r *Route) goesLike(other *Route) bool {
+	return slices.Equal(r.Shares, other.Shares) || maps.Equal(r.Services(), other.Services())
+}
+
 // LeadsTo reports whether requests may go to a service.
 func (r *Route) LeadsTo(service string) bool {
 	return r.Services()[service]
