--- a/internal/counter/liveness_test.go
+++ b/internal/counter/liveness_test.go
@@ -35,22 +35,20 @@
 }
 
 // A killed process closes its connections like one that has completed its responses.
-var _ = Describe("A response until close whose upstream ends with it", func() {
-	for _, way := range []way{direct, throughPeer} {
-		DescribeTable("and was sent "+way.name+" is visibly incomplete",
-			func(ctx SpecContext, path, contentType, body string) {
-				view := fetch(ctx, way.start(respondAndEnd(contentType, body)), path)
-				Expect(view.isVisiblyIncomplete()).To(BeTrue(), "got %+v", view)
-			},
-			Entry("a stream", SpecTimeout(specTimeout), "/write/", eventStream, wholeEvents),
-			Entry("a stream that may be resumed", SpecTimeout(specTimeout), "/draft/", eventStream, wholeEvents),
-			Entry("a stream of another content type", SpecTimeout(specTimeout), "/write/", "text/plain", wholeEvents),
-			Entry("an idempotent request", SpecTimeout(specTimeout), "/look/", "text/plain", "seats 7 and 8"),
-			Entry("a request that must not run twice", SpecTimeout(specTimeout), "/book/", "text/plain", "booked"),
-			Entry("a large response", SpecTimeout(specTimeout), "/look/", "text/plain", strings.Repeat("seat 7 ", 300_000)),
-		)
-	}
-})
+var _ = DescribeTable("A response until close whose upstream ends with it is visibly incomplete",
+	func(ctx SpecContext, path, contentType, body string) {
+		for _, way := range []way{direct, throughPeer} {
+			view := fetch(ctx, way.start(respondAndEnd(contentType, body)), path)
+			Expect(view.isVisiblyIncomplete()).To(BeTrue(), "%s: got %+v", way.name, view)
+		}
+	},
+	Entry("a stream", SpecTimeout(specTimeout), "/write/", eventStream, wholeEvents),
+	Entry("a stream that may be resumed", SpecTimeout(specTimeout), "/draft/", eventStream, wholeEvents),
+	Entry("a stream of another content type", SpecTimeout(specTimeout), "/write/", "text/plain", wholeEvents),
+	Entry("an idempotent request", SpecTimeout(specTimeout), "/look/", "text/plain", "seats 7 and 8"),
+	Entry("a request that must not run twice", SpecTimeout(specTimeout), "/book/", "text/plain", "booked"),
+	Entry("a large response", SpecTimeout(specTimeout), "/look/", "text/plain", strings.Repeat("seat 7 ", 300_000)),
+)
 
 var _ = DescribeTable("A response until close whose upstream does not confirm that it still runs is visibly incomplete",
 	func(ctx SpecContext, answer http.HandlerFunc) {
