desk: a response during which its instance fails is broken off

A panic of a handler, or an error of a replay, after the header of a response was turned into a log line: the handler returned, and net/http ended the response regularly, as if it were whole. The connection is aborted now. The spec failed before, and passes.

--- a/internal/desk/brokenstreams_test.go
+++ b/internal/desk/brokenstreams_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -141,3 +142,22 @@
 		Expect(bufio.NewReader(response.Body).ReadString('\n')).To(Equal(": busy\n"))
 	})
 })
+
+// failingWriter is the response of a caller at which the instance fails to write with a panic.
+type failingWriter struct {
+	*httptest.ResponseRecorder
+}
+
+func (failingWriter) Write([]byte) (int, error) {
+	panic("fault of the instance")
+}
+
+// A handler that returns ends its response regularly.
+var _ = Describe("a response during which its instance fails", func() {
+	It("is broken off", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		server := newTestServer(newFakeVoters(), "a")
+		server.setUpstreams(newFakeUpstream(nil).address())
+		request := httptest.NewRequestWithContext(ctx, http.MethodGet, "/services/booking/book", nil)
+		Expect(func() { server.api.ServeHTTP(failingWriter{httptest.NewRecorder()}, request) }).To(PanicWith(http.ErrAbortHandler))
+	})
+})
--- a/internal/desk/refusal.go
+++ b/internal/desk/refusal.go
@@ -110,10 +110,12 @@
 	return c.JSON(r.Status, r.body())
 }
 
-// handleError writes the error response, unless response headers were already sent.
+// handleError writes the error response. If the headers of another response were already sent, it
+// aborts the connection: that response would look complete.
 func (s *Server) handleError(err error, c echo.Context) {
 	if c.Response().Committed {
-		return
+		s.options.Log.Warn().Err(err).Str("path", c.Request().URL.Path).Msg("response aborted")
+		panic(http.ErrAbortHandler)
 	}
 	refusal := refusalOf(err)
 	s.metrics.countRefusal(refusal.Code, refusal.Outcome)
