caller: the outcome of an error covers all attempts

Complete returned the error of its last attempt. After an attempt that had run, wholly or in part, a refusal by the next instance made it say not-run, and so did a failed look-up of entries: a false promise to a caller that sends the request again because of it. An attempt that may have run takes precedence now, as in package desk. The spec failed before, and passes.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -148,6 +148,19 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// A later attempt does not undo an earlier one.
+	It("does not say that nothing was run after an attempt that was", func(ctx SpecContext) {
+		draining := newFakeInstance(respondDraining)
+		breaking := newFakeInstance(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, draining)
+		client := caller.New(caller.Options{Seeds: []string{breaking.address(), draining.address()}})
+		_, err := client.Complete(ctx, request, discardText)
+		var callErr *caller.Error
+		Expect(errors.As(err, &callErr)).To(BeTrue())
+		Expect(breaking.completions.Load()).To(BeNumerically(">", 0))
+		Expect(draining.completions.Load()).To(BeNumerically(">", 0))
+		Expect(callErr.Outcome).To(Equal(outcome.Unknown))
+	})
+
 	It("gives up with the reason when nobody takes the question", func(ctx SpecContext) {
 		instance := newFakeInstance(respondDraining)
 		client := caller.New(caller.Options{Seeds: []string{instance.address()}})
--- a/internal/caller/complete.go
+++ b/internal/caller/complete.go
@@ -42,13 +42,13 @@
 // arrives. A completion has no side effects, so Complete retries on the next instance if an
 // attempt fails before the first chunk, unless the response has a 4xx status. Once all
 // entries have failed, it first waits for the retry delay of the last response. If Complete
-// receives no complete response, it returns an *Error.
+// receives no complete response, it returns an *Error, whose outcome covers all attempts.
 func (c *Caller) Complete(ctx context.Context, request Request, onChunk func(string)) (Response, error) {
-	var lastErr error
+	var reported error
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
 		entries, err := c.Entries(ctx)
 		if err != nil {
-			return Response{}, &Error{Outcome: outcome.NotRun, Message: err.Error()}
+			return Response{}, worseOutcome(reported, &Error{Outcome: outcome.NotRun, Message: err.Error()})
 		}
 		entry := c.pick(entries)
 		started := false
@@ -59,7 +59,7 @@
 		if err == nil {
 			return Response{Entry: entry, Text: text, Attempts: attempt}, nil
 		}
-		lastErr = err
+		reported = worseOutcome(reported, err)
 		if started || isFinal(err) || ctx.Err() != nil {
 			break
 		}
@@ -68,7 +68,17 @@
 			break
 		}
 	}
-	return Response{}, lastErr
+	return Response{}, reported
+}
+
+// worseOutcome returns the error to report after two attempts: one that may have run the request takes
+// precedence over a later one that did not.
+func worseOutcome(earlier, latest error) error {
+	var callErr *Error
+	if earlier == nil || errors.As(earlier, &callErr) && callErr.Outcome == outcome.NotRun {
+		return latest
+	}
+	return earlier
 }
 
 // Limits of the delay before a failed instance is tried again.
