--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/resumption"
@@ -11,16 +14,30 @@
 )
 
 // A stream that a caller resumes goes on only at the software version that began it. While the
-// upstreams of a service have several versions, an instance that begins a stream reports its origin
+// upstreams of a service have several versions, or requests may go to several services, an instance that begins a stream reports its origin
 // to the instances that rank first for the stream, and to a control instance with the next sync. The
 // instance at which it is resumed asks the former, then all others, then the control instances.
 
-// resumesStream reports whether the request resumes a stream.
+// resumesStream reports whether the request resumes a stream. An upstream may read any of several values
+// of its header.
 func (t *transaction) resumesStream() bool {
-	return t.route.Kind == routes.Stream && (t.call.Resumes != "" || t.request.Header.Get(upstreamapi.LastEventIDHeader) != "")
+	return t.route.Kind == routes.Stream &&
+		(t.call.Resumes != "" || strings.Join(t.request.Header.Values(upstreamapi.LastEventIDHeader), "") != "")
 }
 
-// streamID returns the ID of the stream that the request begins or resumes.
+// needsKnownVersion reports whether the request may begin a stream that is resumed later. If this
+// instance did not know its version, nobody would.
+func (t *transaction) needsKnownVersion() bool {
+	return t.route.Kind == routes.Stream && t.route.Resumable && !t.software.Bound
+}
+
+// identifiesStream reports whether the stream has an ID. Otherwise all streams of callers that send none
+// would have the same.
+func (t *transaction) identifiesStream() bool {
+	return t.call.Resumes != "" || t.call.ID != ""
+}
+
+// streamID returns the ID of the stream that the request begins or resumes, if it has one.
 func (t *transaction) streamID() resumption.StreamID {
 	if t.call.Resumes != "" {
 		return resumption.StreamOf(t.call.Resumes)
@@ -28,9 +45,13 @@
 	return resumption.StreamOf(t.call.ID)
 }
 
+// maxStreamLifetime bounds the time that callers state. They may state any, and sums with it must not
+// overflow.
+const maxStreamLifetime = 24 * time.Hour
+
 // streamLifetime returns the longest time from the beginning of a stream to its end.
 func (t *transaction) streamLifetime() time.Duration {
-	return max(t.call.Timeout, t.route.Timeout)
+	return min(max(t.call.Timeout, t.route.Timeout), maxStreamLifetime)
 }
 
 // bindToOrigin limits the upstreams of a request that resumes a stream to the software version that
@@ -79,7 +100,7 @@
 	ranked := p.owners.assignment.Ranked(uint64(stream), originRanksAsked, p.isPeer)
 	p.mu.Unlock()
 	switch {
-	case known:
+	case known && t.identifiesStream():
 		return origin, originOwn
 	case t.call.Resumes == "":
 		return t.onlyOrigin()
@@ -110,13 +131,23 @@
 		return resumption.Origin{}, originUnknown
 	}
 	// The request states the rest of its caller's time, which may be less than half of the whole.
-	version, alone := p.pool.versions.Only(t.service, now.Add(-2*t.streamLifetime()-p.options.UpstreamLease))
-	if !alone {
+	since := now.Add(-2*t.streamLifetime() - p.options.UpstreamLease)
+	services, known := t.possibleServices(since)
+	version, alone := p.pool.versions.Only(since, services...)
+	if !known || !alone {
 		return resumption.Origin{}, originUnknown
 	}
 	return resumption.Origin{Service: t.service, SoftwareVersion: version}, originOnlyVersion
 }
 
+// possibleServices returns the services at which streams of the request's host and path may have begun
+// since a time. It returns false if some may be unknown. p.mu is held.
+func (t *transaction) possibleServices(since time.Time) ([]string, bool) {
+	services, known := t.proxy.formerRoutes.Services(hostOf(t.request), t.request.URL.EscapedPath(), since)
+	maps.Copy(services, t.route.Services())
+	return slices.Collect(maps.Keys(services)), known
+}
+
 // untilVersionsKnown returns the time until all upstreams are known, 0 if they are.
 func (t *transaction) untilVersionsKnown() time.Duration {
 	p := t.proxy
--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -4,6 +4,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -18,7 +19,7 @@
 // its events: it is not compressed.
 func IsPlainEventStream(header http.Header) bool {
 	encoding := header.Get("Content-Encoding")
-	return IsEventStream(header) && (encoding == "" || encoding == "identity")
+	return IsEventStream(header) && (encoding == "" || strings.EqualFold(encoding, "identity"))
 }
 
 // EventReader reads the event stream of an upstream. If the stream ends where no complete one ends,
