counter: an instance that no longer syncs uses upstreams that only others know

An instance cut off from the control instances for longer than a lease would have returned all grants for upstreams that came since, and sent resumable streams to the ones that it knows, which a release may have ended.

Such a stream has no known version, as before. It is not mixed: instances that sync know both versions, and those that do not take no version for the only one.

Evidence: the end of the spec fails without the condition.

--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -218,7 +218,7 @@
 	}
 	if u == nil || u.address != m.Address {
 		// The owner knows the upstream before this instance does.
-		if t.needsKnownVersion() {
+		if t.needsKnownVersion(now) {
 			p.peers.send(owner, permit.Release{ID: m.ID})
 			return grant{}, errDecideLocally
 		}
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -25,10 +25,13 @@
 		(t.call.Resumes != "" || strings.Join(t.request.Header.Values(upstreamapi.LastEventIDHeader), "") != "")
 }
 
-// needsKnownVersion reports whether the request may begin a stream that is resumed later. If this
-// instance did not know its version, nobody would.
-func (t *transaction) needsKnownVersion() bool {
-	return t.route.Kind == routes.Stream && t.route.Resumable && !t.software.Bound
+// needsKnownVersion reports whether the request may begin a stream that is resumed later, and instances
+// that are as late as this one may take it for one of the only version that they know. Those that have
+// not synced for longer than a lease do not. p.mu is held.
+func (t *transaction) needsKnownVersion(now time.Time) bool {
+	p := t.proxy
+	return t.route.Kind == routes.Stream && t.route.Resumable && !t.software.Bound &&
+		now.Sub(p.control.lastSyncSent) <= p.options.UpstreamLease
 }
 
 // identifiesStream reports whether the stream has an ID. Otherwise all streams of callers that send none
--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -406,6 +406,12 @@
 				}
 			}
 		}
+		g.clock.advance(2 * time.Minute)
+		count := v2.count()
+		Eventually(ctx, func() int {
+			g.begin(ctx, late, "after-a-lease")
+			return v2.count()
+		}).Should(BeNumerically(">", count), "an instance that does not sync any more uses what others know")
 	}, SpecTimeout(specTimeout))
 
 	DescribeTable("never goes on at another version if its request",
