counter, routes: what a new table leads elsewhere is found before the lock is taken

The comparison of two tables takes 26 ms on one core if a host has 1,000 routes, and 0.2 ms with 100 (benchmark, not committed). The lock of the instance was held meanwhile.

--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -303,11 +303,16 @@
 
 // replaceRoutes puts a table into force in place of the former one, which may be nil.
 func (p *Proxy) replaceRoutes(former, table *routes.Table) {
+	var redirected map[string]bool
+	if former != nil {
+		redirected = former.Redirected(table)
+	}
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if former != nil {
-		p.reportOrigins(now, p.formerRoutes.Replace(now, former, table, resumption.MaxRetention))
+	if len(redirected) > 0 {
+		p.formerRoutes.Replace(now, former, resumption.MaxRetention)
+		p.reportOrigins(now, redirected)
 	}
 	p.routes.Store(table)
 }
