--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -303,11 +303,14 @@
 
 // replaceRoutes puts a table into force in place of the former one, which may be nil.
 func (p *Proxy) replaceRoutes(former, table *routes.Table) {
+	var redirections routes.Redirections
+	if former != nil {
+		redirections = former.Redirections(table)
+	}
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if former != nil {
-		p.reportOrigins(now, p.formerRoutes.Replace(now, former, table, resumption.MaxRetention))
-	}
+	p.formerRoutes.Record(now, redirections, resumption.MaxRetention)
+	p.reportOrigins(now, redirections.Services())
 	p.routes.Store(table)
 }
--- a/internal/routes/history.go
+++ b/internal/routes/history.go
@@ -22,23 +22,40 @@
 // place is a host and a prefix of paths, which begins and ends with a slash.
 type place struct{ host, prefix string }
 
-// Replace records that a table was replaced at the given time, and returns the services whose requests go
-// elsewhere since then. What was replaced longer than retention ago is forgotten.
-func (h *History) Replace(now time.Time, former, successor *Table, retention time.Duration) (redirected map[string]bool) {
-	h.forget(now.Add(-retention))
-	redirected = map[string]bool{}
-	before, after := former.byPlace(), successor.byPlace()
+// Redirections are the places whose requests go elsewhere, each with the services to which they went before.
+type Redirections map[place]map[string]bool
+
+// Redirections returns the places of t and successor whose requests successor leads elsewhere.
+func (t *Table) Redirections(successor *Table) Redirections {
+	redirections := Redirections{}
+	before, after := t.byPlace(), successor.byPlace()
 	for _, list := range []map[place]*Route{before, after} {
 		for p := range list {
 			from, to := longest(before, p), longest(after, p)
-			if from == nil || to != nil && from.goesLike(to) {
-				continue
+			if from != nil && (to == nil || !from.goesLike(to)) {
+				redirections[p] = from.Services()
 			}
-			h.leave(now, p, from.Services())
-			maps.Copy(redirected, from.Services())
 		}
 	}
-	return redirected
+	return redirections
+}
+
+// Services returns the services whose requests go elsewhere.
+func (r Redirections) Services() map[string]bool {
+	all := map[string]bool{}
+	for _, services := range r {
+		maps.Copy(all, services)
+	}
+	return all
+}
+
+// Record records that requests went elsewhere at the given time. What is longer ago than retention is
+// forgotten.
+func (h *History) Record(now time.Time, redirections Redirections, retention time.Duration) {
+	h.forget(now.Add(-retention))
+	for p, services := range redirections {
+		h.leave(now, p, services)
+	}
 }
 
 func (h *History) forget(until time.Time) {
--- a/internal/routes/history_bench_test.go
+++ b/internal/routes/history_bench_test.go
@@ -3,13 +3,12 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/lovagelift/lovagelift/internal/routes"
 )
 
-// BenchmarkHistoryReplace replaces a table of 1,400 routes of one host, of which one moves.
-func BenchmarkHistoryReplace(b *testing.B) {
+// BenchmarkRedirections compares two tables of 1,400 routes of one host, of which two differ.
+func BenchmarkRedirections(b *testing.B) {
 	tables := make([]*routes.Table, 2)
 	for i := range tables {
 		var all []routes.Route
@@ -26,10 +25,8 @@
 		}
 		tables[i] = table
 	}
-	var history routes.History
-	now := time.Now()
 	b.ReportAllocs()
 	for n := 0; b.Loop(); n++ {
-		history.Replace(now, tables[n%2], tables[(n+1)%2], time.Minute)
+		tables[n%2].Redirections(tables[(n+1)%2])
 	}
 }
--- a/internal/routes/history_test.go
+++ b/internal/routes/history_test.go
@@ -37,8 +37,9 @@
 	DescribeTable("has the services whose requests go elsewhere",
 		func(former, successor []([]string), redirected, before string) {
 			var history routes.History
-			services := history.Replace(start, tableOf(former...), tableOf(successor...), time.Minute)
-			Expect(fmt.Sprint(services)).To(Equal("map[" + redirected + "]"))
+			redirections := tableOf(former...).Redirections(tableOf(successor...))
+			Expect(fmt.Sprint(redirections.Services())).To(Equal("map[" + redirected + "]"))
+			history.Record(start, redirections, time.Minute)
 			known, ok := history.Services("Example.test", "/a/b/", start)
 			Expect(ok).To(BeTrue())
 			Expect(fmt.Sprint(known)).To(Equal("map[" + before + "]"))
@@ -55,8 +56,8 @@
 	It("forgets tables after the retention", func() {
 		var history routes.History
 		old, other := tableOf([]string{"/", "desk"}), tableOf([]string{"/", "pool"})
-		history.Replace(start, old, other, time.Minute)
-		history.Replace(start.Add(time.Minute+1), other, old, time.Minute)
+		history.Record(start, old.Redirections(other), time.Minute)
+		history.Record(start.Add(time.Minute+1), other.Redirections(old), time.Minute)
 		services, ok := history.Services("example.test", "/", start)
 		Expect(services).To(Equal(map[string]bool{"pool": true}))
 		Expect(ok).To(BeTrue())
@@ -70,7 +71,7 @@
 				prefix := fmt.Sprintf("/%d-%d/", n, route)
 				before, after = append(before, []string{prefix, "desk"}), append(after, []string{prefix, "pool"})
 			}
-			history.Replace(start.Add(time.Duration(n)*time.Second), tableOf(before...), tableOf(after...), time.Minute)
+			history.Record(start.Add(time.Duration(n)*time.Second), tableOf(before...).Redirections(tableOf(after...)), time.Minute)
 		}
 		_, ok := history.Services("example.test", "/", start)
 		Expect(ok).To(BeFalse())
