--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -6,7 +6,9 @@
 	"math"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -59,11 +61,13 @@
 	*peerGroup
 	servers   []*httptest.Server
 	upstreams int
+	// callerTimeout is the time that callers state.
+	callerTimeout time.Duration
 }
 
 func newResumptionGroup(instances int) *resumptionGroup {
 	GinkgoHelper()
-	g := &resumptionGroup{peerGroup: newPeerGroup(instances)}
+	g := &resumptionGroup{peerGroup: newPeerGroup(instances), callerTimeout: 5 * time.Second}
 	for _, p := range g.peers {
 		g.serveCallers(p)
 	}
@@ -74,7 +78,7 @@
 func (g *resumptionGroup) serveCallers(p peer) {
 	server := startCallerServer(func(w http.ResponseWriter, r *http.Request) {
 		p.proxy.ServeRequest(w, r, counter.Call{
-			ID: r.Header.Get(idHeader), Resumes: r.Header.Get(resumesHeader), Timeout: 5 * time.Second, Model: resumedModel,
+			ID: r.Header.Get(idHeader), Resumes: r.Header.Get(resumesHeader), Timeout: g.callerTimeout, Model: resumedModel,
 		})
 	})
 	DeferCleanup(func() {
@@ -86,12 +90,18 @@
 
 // announceUpstreams starts upstreams of the given versions and waits until all instances know them.
 func (g *resumptionGroup) announceUpstreams(versions ...string) []*versionedUpstream {
+	GinkgoHelper()
+	return g.announceService("desk", versions...)
+}
+
+// announceService is announceUpstreams for a service.
+func (g *resumptionGroup) announceService(service string, versions ...string) []*versionedUpstream {
 	GinkgoHelper()
 	var started []*versionedUpstream
 	for _, version := range versions {
 		u := newVersionedUpstream(version)
 		g.upstreams++
-		g.control.announceVersion(version, fmt.Sprint("e", g.upstreams), u.address(), resumedModel)
+		g.control.announceService(service, version, fmt.Sprint("e", g.upstreams), u.address(), resumedModel)
 		started = append(started, u)
 	}
 	g.waitUntilKnown(g.upstreams)
@@ -129,6 +139,49 @@
 	return postToInstance(ctx, g.servers[instance].URL+"/draft/", header, "")
 }
 
+// commit commits a version of the routes and waits until all instances use it.
+func (g *resumptionGroup) commit(ctx context.Context, content string) {
+	GinkgoHelper()
+	table, err := parseRoutes([]byte(content))
+	Expect(err).NotTo(HaveOccurred())
+	g.control.commit(content)
+	for _, p := range g.peers {
+		Eventually(ctx, p.proxy.RoutesVersion).Should(Equal(table.Version))
+	}
+}
+
+// expectNoOtherVersion begins streams at the first instance and resumes each at the second one with the
+// header that resumes returns. They are refused or go on at the version that began them. before is called
+// in between.
+func (g *resumptionGroup) expectNoOtherVersion(ctx context.Context, resumes func(id string) http.Header, before func()) {
+	GinkgoHelper()
+	began := map[string]string{}
+	for n := range streamsPerSpec {
+		id := fmt.Sprint("s", n)
+		began[id] = g.begin(ctx, 0, id)
+	}
+	before()
+	for id, version := range began {
+		g.clock.advance(100 * time.Millisecond)
+		header := resumes(id)
+		header.Set(idHeader, id+"-2")
+		if status, text, _ := g.post(ctx, 1, header); status != http.StatusServiceUnavailable {
+			Expect(versionIn(text)).To(Equal(version), "stream %s", id)
+		}
+	}
+}
+
+// named resumes the stream that a request began, and unnamed some stream.
+func named(id string) http.Header {
+	header := unnamed(id)
+	header.Set(resumesHeader, id)
+	return header
+}
+
+func unnamed(string) http.Header {
+	return http.Header{http.CanonicalHeaderKey(lastEventIDHeader): {"1"}}
+}
+
 // expectSameVersion begins streams at one instance and resumes each at another one. before is called
 // in between.
 func (g *resumptionGroup) expectSameVersion(ctx context.Context, begunAt, resumedAt int, before func()) {
@@ -158,6 +211,13 @@
 		Entry("at another instance", SpecTimeout(specTimeout), 1),
 	)
 
+	It("goes on at that version whatever time its caller states", func(ctx SpecContext) {
+		g := newResumptionGroup(4)
+		g.callerTimeout = math.MaxInt64
+		g.announceUpstreams("v1", "v2")
+		g.expectSameVersion(ctx, 0, 1, func() {})
+	}, SpecTimeout(specTimeout))
+
 	It("goes on at that version after the instance that began it is gone", func(ctx SpecContext) {
 		g := newResumptionGroup(4)
 		g.announceUpstreams("v1", "v2")
@@ -259,6 +319,39 @@
 		Expect(upstreams[0].count()).To(BeZero())
 	}, SpecTimeout(specTimeout))
 
+	It("goes on at that version if its route leads to services of one version each", func(ctx SpecContext) {
+		g := newResumptionGroup(7)
+		g.announceService("desk", "v1")
+		g.announceService("nobody", "v2")
+		g.commit(ctx, withSplitDraft)
+		g.expectSameVersion(ctx, 0, 1, func() {})
+	}, SpecTimeout(specTimeout))
+
+	It("goes on if one of the services of its route has no upstream", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		g.announceUpstreams("v1")
+		g.commit(ctx, withSplitDraft)
+		Eventually(ctx, func() int {
+			g.clock.advance(100 * time.Millisecond)
+			status, _ := g.resume(ctx, 1, "never-begun")
+			return status
+		}).Should(Equal(http.StatusOK))
+	}, SpecTimeout(specTimeout))
+
+	DescribeTable("never goes on at another version",
+		func(ctx SpecContext, first, then string, resumes func(id string) http.Header) {
+			g := newResumptionGroup(7)
+			g.announceService("desk", "v1")
+			g.announceService("nobody", "v2")
+			g.commit(ctx, first)
+			g.expectNoOtherVersion(ctx, resumes, func() { g.commit(ctx, then) })
+		},
+		Entry("of its split route, if its beginning is not named", SpecTimeout(specTimeout), withSplitDraft, withSplitDraft, unnamed),
+		Entry("after its route has moved", SpecTimeout(specTimeout), allRoutes, withMovedDraft, named),
+		Entry("after its route has moved, if its beginning is not named", SpecTimeout(specTimeout), allRoutes, withMovedDraft, unnamed),
+		Entry("after its route is no longer split", SpecTimeout(specTimeout), withSplitDraft, withMovedDraft, named),
+	)
+
 	// An instance that cannot reach the control instances does not learn of other versions.
 	It("never goes on at another version at an instance that knows only that one", func(ctx SpecContext) {
 		g := newResumptionGroup(3)
@@ -281,6 +374,60 @@
 	}, SpecTimeout(specTimeout))
 })
 
+var _ = Describe("A stream that is resumed", func() {
+	// The owner of a model may have heard of an upstream before the instance that sends to it.
+	It("never goes on at another version if the instance that began it does not know its upstream", func(ctx SpecContext) {
+		g := newResumptionGroup(3)
+		g.announceUpstreams("v1")
+		owner, _ := permit.NewOwners(g.addresses()).Of("desk", resumedModel, func(netip.AddrPort) bool { return true })
+		late := (slices.Index(g.addresses(), owner) + 1) % len(g.peers)
+		g.control.ignore(g.peers[late].address)
+		v2 := newVersionedUpstream("v2")
+		g.control.announceVersion("v2", "e2", v2.address(), resumedModel)
+		for n, p := range g.peers {
+			if n != late {
+				Eventually(p.proxy.Upstreams, specTimeout).Should(Equal(2))
+			}
+		}
+		began := map[string]string{}
+		for n := range streamsPerSpec {
+			id := fmt.Sprint("s", n)
+			began[id] = g.begin(ctx, late, id)
+		}
+		Eventually(ctx, func() int {
+			g.clock.advance(100 * time.Millisecond)
+			_, _, _ = postToInstance(ctx, g.servers[late].URL+"/write/", http.Header{idHeader: {"w"}}, "")
+			return v2.count()
+		}).Should(BeNumerically(">", 0), "the owner grants it")
+		for id, version := range began {
+			for at := range g.peers {
+				if status, resumed := g.resume(ctx, at, id); status == http.StatusOK {
+					Expect(resumed).To(Equal(version), "stream %s at %d, late is %d", id, at, late)
+				}
+			}
+		}
+	}, SpecTimeout(specTimeout))
+
+	DescribeTable("never goes on at another version if its request",
+		func(ctx SpecContext, beginID string, resumes http.Header) {
+			g := newResumptionGroup(2)
+			g.announceUpstreams("v1", "v2")
+			var last string
+			for range streamsPerSpec {
+				first := g.begin(ctx, 0, beginID)
+				last = g.begin(ctx, 0, beginID)
+				status, text, _ := g.post(ctx, 0, resumes.Clone())
+				if status == http.StatusOK {
+					Expect(versionIn(text)).To(Equal(first), "the last one began at %s", last)
+				}
+			}
+		},
+		Entry("has no ID, as that of another stream", SpecTimeout(specTimeout), "", unnamed("")),
+		Entry("has an empty event ID before the right one", SpecTimeout(specTimeout), "s1",
+			http.Header{idHeader: {"s2"}, http.CanonicalHeaderKey(lastEventIDHeader): {"", "1"}}),
+	)
+})
+
 var _ = Describe("A service with one software version", func() {
 	// A leave may come without an announcement, and so without a version.
 	It("has one after an upstream has left", func() {
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -90,7 +90,7 @@
 		}
 		s.logRoute(task, attempt, slot)
 		evidence := s.newCrashEvidence(task, slot)
-		response, err := s.sendAttempt(ctx, attempt, task, slot)
+		response, err := s.sendAttempt(ctx, attempt, task, slot, evidence.endpoint)
 		if err == nil {
 			evidence.answeredAt = s.options.Now()
 			s.options.CrashDetector.Responded(evidence.endpoint.Lifetime)
@@ -118,15 +118,21 @@
 	return context.WithTimeout(ctx, task.deadline.Sub(s.options.Now()))
 }
 
-// sendAttempt sends a task to the upstream of a slot. It prefetches the response unless that is
-// an event stream.
-func (s *Server) sendAttempt(ctx context.Context, number int, task task, slot *slot) (*shuttle.Response, error) {
+// sendAttempt sends a task to endpoint, the upstream of a slot. It prefetches the response, or
+// the first event of an event stream.
+func (s *Server) sendAttempt(
+	ctx context.Context, number int, task task, slot *slot, endpoint quarantine.Endpoint,
+) (*shuttle.Response, error) {
 	request := task.request
 	request.ID = fmt.Sprintf("%s-%d", task.id, number)
 	request.Remaining = task.deadline.Sub(s.options.Now())
 	request.SupportsStatusQuery = s.router.supportsRequestStatus(slot.decision.Chosen.Name)
 	request.Header = request.Header.Clone()
 	request.Header.Set(retry.AttemptHeader, strconv.Itoa(number))
+	if task.needsDoneEvent && request.Streamed {
+		// The final event of a compressed stream cannot be seen.
+		request.Header.Set("Accept-Encoding", "identity")
+	}
 	sentAt := s.options.Now()
 	response, err := s.options.Proxy.Send(ctx, slot.decision.Chosen.Address, request)
 	s.router.observeLimit(sentAt, slot.decision.Chosen.Name, response, err)
@@ -137,8 +143,15 @@
 		response.Body.Close()
 		return nil, err
 	}
+	response.Body = s.withConfirmedEnd(ctx, task, request, endpoint, response)
 	if shuttle.IsEventStream(response.Header) {
 		response.Body = &firstByteReader{ReadCloser: response.Body, slot: slot}
+		if !shuttle.IsPlainEventStream(response.Header) {
+			return response, nil
+		}
+		if err := shuttle.PrefetchEvent(response, task.needsDoneEvent); err != nil {
+			return nil, err
+		}
 		return response, nil
 	}
 	if !task.needsDoneEvent {
@@ -155,13 +168,13 @@
 func (s *Server) relayResponse(c echo.Context, task task, proxied proxiedResponse) error {
 	response := proxied.response
 	c.Response().Header().Set(outcome.Header, outcome.Ran.String())
-	isEventStream := shuttle.IsEventStream(response.Header)
-	if isEventStream {
+	isPlainStream := shuttle.IsPlainEventStream(response.Header)
+	if isPlainStream {
 		// An event stream may turn out to be incomplete only at its end. With a Content-Length,
 		// no event could then be added to report that.
 		response.Header.Del("Content-Length")
 	}
-	needsDone := task.needsDoneEvent && isEventStream
+	needsDone := task.needsDoneEvent && shuttle.IsEventStream(response.Header)
 	framing := callerFraming(response, needsDone)
 	proxied.evidence.endsUnproven = framing == shuttle.UntilClose
 	end := shuttle.BeginResponse(c.Response(), c.Request(), framing)
@@ -182,7 +195,7 @@
 	}
 	s.metrics.countCutOff(task.service)
 	s.options.Log.Warn().Err(err).Str("request", task.id).Msg("failed to relay the whole response")
-	if isEventStream {
+	if isPlainStream && errors.Is(err, shuttle.ErrTruncated) && !errors.Is(err, shuttle.ErrInsideEvent) {
 		writeCutOffEvent(c.Response())
 	}
 	// The headers are already sent, so only an aborted connection can signal that the response
@@ -203,10 +216,11 @@
 	return response.Framing
 }
 
-// writeCutOffEvent sends an event with the reason why the stream ends early. A write error
-// means that the caller has disconnected, so it is ignored.
+// writeCutOffEvent sends an event with the reason why the stream ends early. It must not be called
+// inside an event. A write error means that the caller has disconnected, so it is ignored.
 func writeCutOffEvent(w http.ResponseWriter) {
-	_, err := fmt.Fprintf(w, "data: {\"error\":{\"message\":\"the upstream was lost before the answer was whole\","+
+	// The line end ends a comment that was broken off, and means nothing elsewhere between events.
+	_, err := fmt.Fprintf(w, "\ndata: {\"error\":{\"message\":\"the upstream was lost before the answer was whole\","+
 		"\"type\":\"server_error\",\"param\":null,\"code\":%q,\"outcome\":%q}}\n\n", CodeCutOff, outcome.Ran)
 	if err != nil {
 		return
--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -4,6 +4,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,12 +15,22 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
+// IsPlainEventStream reports whether a response header announces an event stream whose bytes are those of
+// its events: it is not compressed.
+func IsPlainEventStream(header http.Header) bool {
+	encoding := header.Get("Content-Encoding")
+	return IsEventStream(header) && (encoding == "" || strings.EqualFold(encoding, "identity"))
+}
+
 // EventReader reads the event stream of an upstream. If the stream ends where no complete one ends,
 // it returns an error marked as ErrTruncated instead of io.EOF.
 type EventReader struct {
 	io.ReadCloser
 	framing Framing
 	scanner EventScanner
+	// needsDone is true if the stream is complete only with finalEvent, for which tail is kept.
+	needsDone bool
+	tail      tail
 }
 
 // NewEventReader returns an EventReader of a response body with a framing.
@@ -31,8 +42,12 @@
 func (r *EventReader) Read(buffer []byte) (int, error) {
 	n, err := r.ReadCloser.Read(buffer)
 	r.scanner.Scan(buffer[:n])
-	if errors.Is(err, io.EOF) {
-		err = r.endError()
+	if r.needsDone {
+		r.tail.add(buffer[:n])
+	}
+	// An error may wrap the io.EOF of another connection.
+	if err == io.EOF {
+		return n, r.endError()
 	}
 	return n, err
 }
@@ -42,6 +57,8 @@
 	switch {
 	case r.scanner.InsideEvent():
 		return errors.Wrap(ErrTruncated, "the stream ends inside an event")
+	case r.needsDone && !r.tail.endsWithFinalEvent():
+		return errors.Wrap(ErrTruncated, "final event is missing")
 	case r.framing == UntilClose && !r.scanner.HasEvent():
 		return errors.Wrap(ErrTruncated, "the connection ends before the first event")
 	default:
--- a/internal/shuttle/relay.go
+++ b/internal/shuttle/relay.go
@@ -18,12 +18,16 @@
 // writeTimeout limits one write to a caller.
 const writeTimeout = 30 * time.Second
 
-// finalEvent is the last event of a complete stream in the OpenAI API.
-var finalEvent = []byte("data: [DONE]")
+// finalEvent is the data of the last event of a complete stream in the OpenAI API.
+const finalEvent = "[DONE]"
 
 // ErrTruncated marks the Error of a response that ended before it was complete. Use errors.Is.
 var ErrTruncated = errors.New("upstream response was truncated")
 
+// ErrInsideEvent marks the Error of an event stream that was truncated inside an event, of which a part
+// has been relayed. Whatever is written after it would become part of that event. Use errors.Is.
+var ErrInsideEvent = errors.New("event was relayed in part")
+
 // Prefetch reads the whole body of response if it has at most limit bytes, so that nothing is sent
 // to the caller before the body is complete. A larger body is streamed to the caller, and so is any
 // while the prefetched bodies of other responses take up the memory of the Proxy. If the body
@@ -76,40 +80,45 @@
 //
 // If needsDone is true, the body is an event stream that is complete only if "data: [DONE]" is its last
 // event: a crashing engine may close its connection in the same way as one that has finished. Other
-// event streams are incomplete if they end inside an event.
+// event streams are incomplete if they end inside an event, unless they are compressed.
 func StreamBody(w http.ResponseWriter, response *Response, needsDone bool) error {
 	return streamWithTimeout(w, response, needsDone, writeTimeout)
 }
 
 func streamWithTimeout(w http.ResponseWriter, response *Response, needsDone bool, timeout time.Duration) error {
 	defer response.Body.Close()
-	body := response.Body
-	if !needsDone && IsEventStream(response.Header) {
-		body = NewEventReader(body, response.Framing)
+	body := io.Reader(response.Body)
+	if needsDone || IsPlainEventStream(response.Header) {
+		events := NewEventReader(response.Body, response.Framing)
+		events.needsDone = needsDone
+		body = events
 	}
 	writer := newFlushingWriter(w, timeout)
 	defer writer.watchdog.stop()
 	buffer := make([]byte, relayBufferBytes)
-	var streamTail tail
 	for {
 		n, readErr := body.Read(buffer)
 		if n > 0 {
-			streamTail.add(buffer[:n])
 			if err := writer.write(buffer[:n]); err != nil {
 				return err
 			}
 		}
 		if readErr == io.EOF {
-			break
+			return nil
 		}
 		if readErr != nil {
-			return &Error{Outcome: outcome.Ran, cause: errors.Mark(readErr, ErrTruncated)}
+			return truncatedError(body, readErr)
 		}
 	}
-	if needsDone && !streamTail.endsWithFinalEvent() {
-		return &Error{Outcome: outcome.Ran, cause: errors.Wrap(ErrTruncated, "final event is missing")}
+}
+
+// truncatedError returns the Error for a response whose body failed with cause.
+func truncatedError(body io.Reader, cause error) *Error {
+	cause = errors.Mark(cause, ErrTruncated)
+	if events, ok := body.(*EventReader); ok && events.InsideEvent() {
+		cause = errors.Mark(cause, ErrInsideEvent)
 	}
-	return nil
+	return &Error{Outcome: outcome.Ran, cause: cause}
 }
 
 // flushingWriter writes to a caller and flushes after each write.
@@ -158,7 +167,10 @@
 	t.n = kept + len(piece)
 }
 
+// endsWithFinalEvent reports whether the last line with a text is that of the final event.
 func (t *tail) endsWithFinalEvent() bool {
-	trimmed := bytes.TrimRight(t.buffer[:t.n], "\r\n")
-	return bytes.HasSuffix(trimmed, finalEvent)
+	line := bytes.TrimRight(t.buffer[:t.n], "\r\n")
+	line = line[bytes.LastIndexAny(line, "\r\n")+1:]
+	value, ok := bytes.CutPrefix(line, []byte("data:"))
+	return ok && string(bytes.TrimPrefix(value, []byte(" "))) == finalEvent
 }
