shuttle, counter: the memory of bodies is divided between workspaces

One caller's large bodies took all the memory for bodies of an entry instance, and the large ones of every other workspace were refused as long as that lasted. A workspace now takes more than its equal share, one more holder counted in, only while a quarter of the room stays free. Without workspaces nothing changes. The line of a refusal tells who, how much, and what all bodies take, for explain.

The spec fills a budget as one holder: another one finds room for 10 of 39 bodies, then for 13, while the first gets nothing until it is back at its share. Without the division it finds none.

--- a/internal/counter/bodies.go
+++ b/internal/counter/bodies.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/routes"
@@ -32,10 +33,26 @@
 	noRoomRetryAfter = time.Second
 )
 
+// keylessHolder holds the memory of requests that need no key, where others do.
+const keylessHolder = "(no key)"
+
+// bodyHolder returns the workspace that the body of a request counts to. It is empty if callers are not
+// told apart.
+func (m match) bodyHolder() string {
+	switch {
+	case m.workspace != nil:
+		return m.workspace.Name
+	case !m.table.Workspaces.Empty():
+		return keylessHolder
+	default:
+		return ""
+	}
+}
+
 // readBody reads the whole body before the request is sent. Only then can the refusal of a
 // truncated body state that nothing was run. If the body can't be read, readBody returns a refusal with
-// a status. The body must be released in any case.
-func (p *Proxy) readBody(r *http.Request, limit int64) (*shuttle.ReadAhead, refusal) {
+// a status. The body must be released in any case. holder is who takes the memory, empty if callers are not told apart.
+func (p *Proxy) readBody(r *http.Request, limit int64, holder string) (*shuttle.ReadAhead, refusal) {
 	if r.ContentLength == 0 {
 		return &shuttle.ReadAhead{}, refusal{}
 	}
@@ -45,10 +62,13 @@
 	if r.ContentLength > limit {
 		return &shuttle.ReadAhead{}, refusal{status: http.StatusRequestEntityTooLarge, text: "body not read"}
 	}
-	body, err := shuttle.ReadWhole(r.Body, r.ContentLength, limit, p.requestBodies)
+	body, err := shuttle.ReadWhole(r.Body, r.ContentLength, limit, p.requestBodies.Of(holder))
 	switch {
 	case errors.Is(err, shuttle.ErrNoRoom):
-		return body, refusal{status: http.StatusServiceUnavailable, text: "no memory for the body", retryAfter: noRoomRetryAfter}
+		return body, refusal{
+			status: http.StatusServiceUnavailable, text: "no memory for the body", retryAfter: noRoomRetryAfter,
+			bodyMemory: &bodyMemory{holder: holder, bodyBytes: r.ContentLength, takenBytes: p.requestBodies.Taken()},
+		}
 	case err != nil:
 		return body, refusal{status: http.StatusBadRequest, text: "body not read"}
 	case !body.Whole:
@@ -58,6 +78,20 @@
 	}
 }
 
+// bodyMemory is the memory of bodies when another one did not fit.
+type bodyMemory struct {
+	// holder is the caller's workspace, if callers are told apart.
+	holder string
+	// bodyBytes is the stated length of the body, negative if there is none, and takenBytes what the
+	// bodies of all requests took.
+	bodyBytes, takenBytes int64
+}
+
+// MarshalZerologObject adds the fields to a log line.
+func (m bodyMemory) MarshalZerologObject(line *zerolog.Event) {
+	line.Str("body-holder", m.holder).Int64("body-bytes", m.bodyBytes).Int64("taken-bytes", m.takenBytes)
+}
+
 // maxDrainTime bounds how long the rest of the body of a refused request is received.
 const maxDrainTime = 2 * time.Second
 
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -80,7 +80,7 @@
 	// responseBuffers bounds the memory of responses that are read before they are passed on.
 	responseBuffers *shuttle.ByteBudget
 	// requestBodies bounds the memory of the bodies of requests, which are kept until their answers end.
-	requestBodies *shuttle.ByteBudget
+	requestBodies *shuttle.SharedBudget
 	longestBodies bodysize.Longest
 	// active is the number of requests in flight, and relaying how many of them other instances
 	// have sent here because they cannot reach the upstream.
@@ -137,7 +137,7 @@
 		quotas:        quotaAccounts{},
 		plain:         plainGroups{},
 		longestBodies: bodysize.Longest{}, responseBuffers: shuttle.NewByteBudget(defaultResponseBufferBytes),
-		requestBodies: shuttle.NewMemoryShare(options.MemoryBytes, bodyMemoryShare, 0),
+		requestBodies: shuttle.NewSharedBudget(shuttle.NewMemoryShare(options.MemoryBytes, bodyMemoryShare, 0)),
 		syncNow:       make(chan struct{}, 1),
 		cancel:        cancel,
 	}
--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -25,7 +25,7 @@
 	}
 	defer p.finishRelaying()
 	timeoutMillis, err := strconv.ParseInt(r.Header.Get(relayTimeoutHeader), 10, 64)
-	body, refused := p.readBody(r, p.maxBodyBytes())
+	body, refused := p.readBody(r, p.maxBodyBytes(), "")
 	defer body.Release()
 	switch {
 	case refused.status == http.StatusServiceUnavailable:
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -63,7 +63,7 @@
 		return
 	}
 	route := matched.route
-	held, refused := p.readBody(r, matched.table.Limits.BodyBytes)
+	held, refused := p.readBody(r, matched.table.Limits.BodyBytes, matched.bodyHolder())
 	defer held.Release()
 	if refused.status != 0 {
 		p.refuseBody(w, r, call, route, refused)
--- a/internal/shuttle/readahead.go
+++ b/internal/shuttle/readahead.go
@@ -7,6 +7,13 @@
 	"github.com/cockroachdb/errors"
 )
 
+// Budget bounds the memory of what is read ahead.
+type Budget interface {
+	// take takes bytes, and reports whether there were as many.
+	take(bytes int64) bool
+	giveBack(bytes int64)
+}
+
 // ByteBudget bounds the memory of what is read ahead by many requests together. It is safe for
 // concurrent use. A nil budget has no bound.
 type ByteBudget struct {
@@ -30,14 +37,18 @@
 	return NewByteBudget(max(memoryBytes/divisor, minimum))
 }
 
-// take takes bytes from the budget, and reports whether there were as many.
 func (b *ByteBudget) take(bytes int64) bool {
+	return b.takeLeaving(bytes, 0)
+}
+
+// takeLeaving takes bytes if at least left bytes stay free, and reports whether it did.
+func (b *ByteBudget) takeLeaving(bytes, left int64) bool {
 	if b == nil {
 		return true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.free < bytes {
+	if b.free-bytes < left {
 		return false
 	}
 	b.free -= bytes
@@ -69,7 +80,7 @@
 	// Whole is true if Bytes is the whole body.
 	Whole  bool
 	taken  int64
-	budget *ByteBudget
+	budget Budget
 }
 
 // unbudgetedBytes is what each body may take without a budget. It holds most responses that are not
@@ -80,7 +91,7 @@
 // fails, ReadBody returns the error with what was read before. The memory is held until Release.
 //
 // length is the stated length of the body, or negative if there is none.
-func ReadBody(body io.Reader, length, limit int64, budget *ByteBudget) (*ReadAhead, error) {
+func ReadBody(body io.Reader, length, limit int64, budget Budget) (*ReadAhead, error) {
 	size := int64(unbudgetedBytes)
 	if length >= 0 {
 		// The end of the body is read with the byte after it.
@@ -99,7 +110,7 @@
 // ReadWhole reads a whole body, of which it reads limit bytes at most. If it is longer, ReadAhead.Whole
 // is false. If budget has no room for it, ReadWhole returns ErrNoRoom, before it reads anything if the
 // length of the body is stated. The memory is held until Release.
-func ReadWhole(body io.Reader, length, limit int64, budget *ByteBudget) (*ReadAhead, error) {
+func ReadWhole(body io.Reader, length, limit int64, budget Budget) (*ReadAhead, error) {
 	// The end of the body is read with the byte after it, and one byte beyond the limit shows that the
 	// body is longer.
 	size := min(unbudgetedBytes, limit+1)
@@ -155,6 +166,8 @@
 
 // Release returns the memory to the budget. Bytes must not be used any more.
 func (a *ReadAhead) Release() {
-	a.budget.giveBack(a.taken)
+	if a.taken > 0 {
+		a.budget.giveBack(a.taken)
+	}
 	a.Bytes, a.taken = nil, 0
 }
--- a/internal/shuttle/readahead_test.go
+++ b/internal/shuttle/readahead_test.go
@@ -112,3 +112,44 @@
 type failingReader struct{}
 
 func (failingReader) Read([]byte) (int, error) { return 0, errBroken }
+
+// One caller's large bodies took the room of all others'.
+var _ = Describe("A budget that is divided between holders", func() {
+	const size, limit = 10_000, 400_000
+	// hold reads bodies of a holder until one does not fit, and returns those that did.
+	hold := func(budget *shuttle.SharedBudget, holder string) (held []*shuttle.ReadAhead) {
+		GinkgoHelper()
+		for {
+			body, err := shuttle.ReadWhole(strings.NewReader(strings.Repeat("a", size)), size, size, budget.Of(holder))
+			if errors.Is(err, shuttle.ErrNoRoom) {
+				return held
+			}
+			Expect(err).NotTo(HaveOccurred())
+			held = append(held, body)
+		}
+	}
+
+	It("has room for one that has nothing yet beside one that takes all it can", func() {
+		budget := shuttle.NewSharedBudget(shuttle.NewByteBudget(limit))
+		held := hold(budget, "flood")
+		Expect(held).To(HaveLen(29), "three quarters")
+		Expect(hold(budget, "quiet")).To(HaveLen(10), "the rest")
+		for _, body := range held[:10] {
+			body.Release()
+		}
+		Expect(hold(budget, "flood")).To(BeEmpty(), "beyond its share")
+		Expect(hold(budget, "quiet")).To(HaveLen(3), "up to its share")
+		for _, body := range held[10:] {
+			body.Release()
+		}
+		Expect(budget.Taken()).To(Equal(int64(13 * (size + 1))))
+	})
+
+	It("is not divided where callers are not told apart", func() {
+		Expect(hold(shuttle.NewSharedBudget(shuttle.NewByteBudget(limit)), "")).To(HaveLen(39))
+		body, err := shuttle.ReadWhole(strings.NewReader("a"), 1<<20, 1<<20, shuttle.NewSharedBudget(nil).Of("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body.Whole).To(BeTrue())
+		body.Release()
+	})
+})
