shuttle: a request that is sent again to an upstream has its own id

The interface of upstreams promises that no two attempts share an id. An idempotent request whose connection had gone silent was sent again under the id of its first attempt, which the upstream may still run: the status of the one, and so the confirmation of its response's end, was that of the other.

The second attempt has an id of its own, and a response states the id that it belongs to. The three entries of resent requests failed before, and pass.

--- a/internal/desk/confirm.go
+++ b/internal/desk/confirm.go
@@ -19,6 +19,7 @@
 	if response.Framing != shuttle.UntilClose || task.needsDoneEvent && shuttle.IsEventStream(response.Header) {
 		return response.Body
 	}
+	request.ID = response.RequestID
 	return shuttle.ConfirmEnd(response.Body, func() error { return s.confirmEnd(ctx, request, endpoint) })
 }
 
--- a/internal/shuttle/idempotent.go
+++ b/internal/shuttle/idempotent.go
@@ -44,16 +44,26 @@
 			// Other idle connections of the same age are probably lost as well.
 			p.keepAlive.CloseIdleConnections()
 			first.abort()
-			return p.startAttempt(ctx, p.singleUse, address, request).waitAsRetry()
+			return p.startAttempt(ctx, p.singleUse, address, request.resent()).waitAsRetry()
 		case statusUnavailable:
 			if !first.reusedConnection.Load() || !p.hedges.takeToken() {
 				return first.wait()
 			}
-			return raceAttempts(first, p.startAttempt(ctx, p.singleUse, address, request))
+			return raceAttempts(first, p.startAttempt(ctx, p.singleUse, address, request.resent()))
 		}
 	}
 }
 
+// resentSuffix distinguishes the id of a request that is sent again from that of its first attempt, which
+// the upstream may still be running.
+const resentSuffix = "-resent"
+
+// resent returns the request to send again.
+func (r Request) resent() Request {
+	r.ID += resentSuffix
+	return r
+}
+
 // doneWithin reports whether the attempt or ctx ends within d.
 func (a *attempt) doneWithin(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/shuttle/idempotent_test.go
+++ b/internal/shuttle/idempotent_test.go
@@ -77,6 +77,7 @@
 		body, err := io.ReadAll(response.Body)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(body)).To(Equal("ok"))
+		Expect(response.RequestID).To(Equal(upstream.requestID()), "each attempt has its own id")
 		Expect(response.Body.Close()).To(Succeed())
 	}
 
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -49,6 +49,9 @@
 
 // Response is an upstream's response with an unread body.
 type Response struct {
+	// RequestID identifies to the upstream the attempt that the response belongs to.
+	RequestID string
+
 	Status int
 	Header http.Header
 	// Limit is the rate limit that the response states.
@@ -268,6 +271,8 @@
 		return nil, refusalError(response)
 	}
 	return &Response{
+		RequestID: request.ID,
+
 		Status:  response.StatusCode,
 		Header:  response.Header,
 		Limit:   rateLimitOf(response.Header),
--- a/internal/shuttle/upstream_test.go
+++ b/internal/shuttle/upstream_test.go
@@ -29,13 +29,17 @@
 	received    int
 	// requests counts the received requests without status queries.
 	requests int
+	// lastID is the id of the last request, and sharedID is true if two requests had the same id.
+	lastID   string
+	sharedID bool
+	ids      map[string]bool
 }
 
 // newScriptedUpstream runs the scripts in sequence, the last one for all further connections.
 func newScriptedUpstream(scripts ...script) *scriptedUpstream {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	u := &scriptedUpstream{listener: listener, scripts: scripts}
+	u := &scriptedUpstream{listener: listener, scripts: scripts, ids: map[string]bool{}}
 	DeferCleanup(func() { _ = listener.Close() })
 	go u.accept()
 	return u
@@ -75,6 +79,9 @@
 	u.received++
 	if !strings.HasPrefix(request.URL.Path, upstreamapi.RequestsPath) {
 		u.requests++
+		u.lastID = request.Header.Get(upstreamapi.RequestIDHeader)
+		u.sharedID = u.sharedID || u.ids[u.lastID]
+		u.ids[u.lastID] = true
 	}
 	u.mu.Unlock()
 	return request
@@ -86,6 +93,17 @@
 	return u.connections, u.received
 }
 
+// requestID returns the id of the last request without status queries. It returns an empty one if two
+// of them had the same.
+func (u *scriptedUpstream) requestID() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.sharedID {
+		return ""
+	}
+	return u.lastID
+}
+
 // requestCount returns the number of received requests without status queries.
 func (u *scriptedUpstream) requestCount() int {
 	u.mu.Lock()
