shuttle: nothing follows the final event of a completion

A completion whose upstream was lost between the final event and the end of its response was whole, but its caller got an error event behind the final one, and a connection that broke off. The final event proves that the stream is whole: it ends there regularly now. The spec failed before, and passes.

--- a/internal/desk/brokenstreams_test.go
+++ b/internal/desk/brokenstreams_test.go
@@ -85,6 +85,17 @@
 	)
 })
 
+var _ = Describe("a completion that breaks off behind its final event", func() {
+	It("is whole, and nothing follows", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		const whole = "data: {\"a\":1}\n\ndata: [DONE]\n\n"
+		server := newTestServer(newFakeVoters(), "a")
+		server.setUpstreams(newFakeUpstream(breakOff(whole)).address())
+		reply := server.call(ctx, http.MethodPost, "/v1/completions", "", `{"model":"m","stream":true}`)
+		Expect(reply.cutOff).To(BeFalse())
+		Expect(reply.body).To(Equal(whole))
+	})
+})
+
 var _ = Describe("an event stream that breaks off before the end of its first event", func() {
 	const whole = "id: 1\ndata: seat 1\n\ndata: [DONE]\n\n"
 	var breaking, sound *fakeUpstream
--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -45,6 +45,9 @@
 	if r.needsDone {
 		r.tail.add(buffer[:n])
 	}
+	if err != nil && r.isProvenWhole() {
+		return n, io.EOF
+	}
 	// An error may wrap the io.EOF of another connection.
 	if err == io.EOF {
 		return n, r.endError()
@@ -57,7 +60,7 @@
 	switch {
 	case r.scanner.InsideEvent():
 		return errors.Wrap(ErrTruncated, "the stream ends inside an event")
-	case r.needsDone && !r.tail.endsWithFinalEvent():
+	case r.needsDone:
 		return errors.Wrap(ErrTruncated, "final event is missing")
 	case r.framing == UntilClose && !r.scanner.HasEvent():
 		return errors.Wrap(ErrTruncated, "the connection ends before the first event")
@@ -66,6 +69,12 @@
 	}
 }
 
+// isProvenWhole reports whether the stream has ended by its final event, whatever becomes of its
+// connection.
+func (r *EventReader) isProvenWhole() bool {
+	return r.needsDone && !r.scanner.InsideEvent() && r.tail.endsWithFinalEvent()
+}
+
 // InsideEvent reports whether the last byte read was inside an event.
 func (r *EventReader) InsideEvent() bool {
 	return r.scanner.InsideEvent()
