counter: a response until close is not whole if another process has taken over its upstream's name

Callers got a regular end of a response whose upstream had restarted at its address: the new process answered the liveness check under the same name. Only the report of an engine states an incarnation; the health of a plain service and a busy engine do not. The announcement of a successor that this instance knows now decides, as at the own interface. A process without a known incarnation is not compared, as any other one would look like its successor.

--- a/internal/counter/liveness.go
+++ b/internal/counter/liveness.go
@@ -128,10 +128,7 @@
 		return NotChecked, nil
 	}
 	check := p.liveness.request(process, func() Liveness { return p.sendLivenessChecks(process, path, header) })
-	liveness := check.wait(ctx)
-	p.mu.Lock()
-	p.metrics.countLiveness(liveness)
-	p.mu.Unlock()
+	liveness := p.concludeLiveness(process, check.wait(ctx))
 	switch {
 	case liveness == Alive:
 		return liveness, nil
@@ -142,6 +139,19 @@
 	}
 }
 
+// concludeLiveness returns the result of a check of a process. A process that restarts at the same address
+// may have answered in place of the one before it.
+func (p *Proxy) concludeLiveness(process quarantine.Endpoint, answered Liveness) Liveness {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// Without an incarnation, any other one would look like a successor.
+	if answered == Alive && process.Incarnation != 0 && p.pool.upstreamStatus(process) == quarantine.StatusReplaced {
+		answered = Ended
+	}
+	p.metrics.countLiveness(answered)
+	return answered
+}
+
 // serviceOf returns the service of an upstream, or nil if the routes in force have none with its name.
 func (p *Proxy) serviceOf(u *upstream) *routes.Service {
 	if table := p.routes.Load(); table != nil {
