counter: a response that switches protocols is not passed on

A caller got status 101 and whatever bytes followed it from an upstream that agreed to a switch that nobody had asked for. Such a response counts as one to another request now: the attempt fails, 502 here. The spec got 101 before.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -39,7 +39,7 @@
 	defer response.Body.Close()
 	a.observeFraming(response)
 	t.confirmEnd(ctx, a, response)
-	class := p.options.Dialect.Classify(response, t.call.ID)
+	class := p.classify(t, response)
 	if class == Answered || class == NotRun {
 		p.observeLimit(t, a, response.Header)
 		a.pushback = p.options.Dialect.ParsePushback(response)
@@ -60,6 +60,15 @@
 	}
 }
 
+// classify classifies a response. No request asks for another protocol, so that what follows an agreement
+// to switch is no response.
+func (p *Proxy) classify(t *transaction, response *http.Response) ResponseClass {
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return Mismatched
+	}
+	return p.options.Dialect.Classify(response, t.call.ID)
+}
+
 // handleNotRun handles an upstream that did not run the request.
 func (t *transaction) handleNotRun(w http.ResponseWriter, a *upstreamAttempt, response *http.Response, class ResponseClass) bool {
 	p := t.proxy
--- a/internal/counter/untilclose_test.go
+++ b/internal/counter/untilclose_test.go
@@ -230,3 +230,11 @@
 	_, err = io.ReadAll(response.Body)
 	Expect(err).To(HaveOccurred())
 }, SpecTimeout(specTimeout))
+
+// No request asks for another protocol.
+var _ = It("A response that switches protocols is not passed on", func(ctx SpecContext) {
+	answer := respondAfterReading("HTTP/1.1 101 Switching Protocols\r\nSpec-Request: ID\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\nbytes")
+	view := fetch(ctx, direct.start(answer), "/book/")
+	Expect(view.err).NotTo(HaveOccurred())
+	Expect(view.status).To(Equal(http.StatusBadGateway))
+}, SpecTimeout(specTimeout))
