counter: spec of streams that are resumed while their beginning is still relayed

Nine resumptions, three at once, at the instance that relays the beginning and at another one: each gets the events of its own run at the version that began, and nothing else is added to the beginning. No fault was found here.

--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -414,6 +416,64 @@
 		}).Should(BeNumerically(">", count), "an instance that does not sync any more uses what others know")
 	}, SpecTimeout(specTimeout))
 
+	// The caller may have left without this instance having noticed.
+	It("goes on at that version while its beginning is still relayed, and several times at once", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		release := make(chan struct{})
+		for _, version := range []string{"v1", "v2"} {
+			u := newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(idHeader, r.Header.Get(idHeader))
+				fmt.Fprintf(w, "id: 1\ndata: %s\n\n", version)
+				Expect(http.NewResponseController(w).Flush()).To(Succeed())
+				if r.Header.Get(lastEventIDHeader) == "" {
+					<-release
+				}
+			})
+			g.control.announceVersion(version, "e-"+version, u.address(), resumedModel)
+		}
+		g.waitUntilKnown(2)
+		var relayed sync.WaitGroup
+		// All of them have a slot at one upstream.
+		for n := range 3 {
+			g.clock.advance(time.Second)
+			id := fmt.Sprint("s", n)
+			first := make(chan string)
+			relayed.Go(func() {
+				defer GinkgoRecover()
+				request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.servers[0].URL+"/draft/", nil)
+				Expect(err).NotTo(HaveOccurred())
+				request.Host = "spec.test"
+				request.Header.Set(idHeader, id)
+				response, err := http.DefaultTransport.RoundTrip(request)
+				Expect(err).NotTo(HaveOccurred())
+				defer response.Body.Close()
+				event := make([]byte, len("id: 1\ndata: v1\n\n"))
+				_, err = io.ReadFull(response.Body, event)
+				Expect(err).NotTo(HaveOccurred())
+				first <- versionIn(string(event))
+				rest, err := io.ReadAll(response.Body)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(rest).To(BeEmpty(), "events of another run")
+			})
+			version := <-first
+			var resumed sync.WaitGroup
+			for at := range 3 {
+				resumed.Go(func() {
+					defer GinkgoRecover()
+					header := named(id)
+					header.Set(idHeader, fmt.Sprint(id, "-", at))
+					status, text, err := g.post(ctx, at%2, header)
+					Expect(err).NotTo(HaveOccurred())
+					Expect(status).To(Equal(http.StatusOK))
+					Expect(text).To(Equal("id: 1\ndata: " + version + "\n\n"))
+				})
+			}
+			resumed.Wait()
+		}
+		close(release)
+		relayed.Wait()
+	}, SpecTimeout(specTimeout))
+
 	DescribeTable("never goes on at another version if its request",
 		func(ctx SpecContext, beginID string, resumes http.Header) {
 			g := newResumptionGroup(2)
