desk: a stream that may have begun before the instance is not resumed at the only version

A caller that resumes a stream without naming its software version goes on at the only version of the service. An instance counted what it had heard of since its own start, from one lease (3 s) on: after a restart during a change of software it took the new version for the only one, and joined its events to those of the old one.

Without the header it now answers 409 with Retry-After until it has run for as long as the stream may last and a lease. Services whose upstreams announce no version go on as before. The spec failed before, and passes.

--- a/internal/desk/resumption.go
+++ b/internal/desk/resumption.go
@@ -94,8 +94,9 @@
 }
 
 // onlyVersion returns the software version of all upstreams at which the stream that a task resumes
-// can have begun. If there are several, or some upstreams may be unknown here, it returns false, and
-// the time after which the caller may retry, 0 if that would not help.
+// can have begun, empty if they announce none. If there are several, or some upstreams may be unknown
+// here, as they may have been replaced before this instance started, it returns false, and the time
+// after which the caller may retry, 0 if that would not help.
 func (r *router) onlyVersion(task task) (version string, retryAfter time.Duration, ok bool) {
 	target := dispatch.Target{Service: task.requirement.service}
 	if target.Service == "" {
@@ -107,8 +108,11 @@
 	if untilKnown := r.upstreamLease - now.Sub(r.startedAt); untilKnown > 0 {
 		return "", untilKnown, false
 	}
-	lifetime := task.deadline.Sub(task.arrivedAt)
-	version, ok = r.versions.Only(now.Add(-lifetime-r.upstreamLease), target.String())
+	window := task.deadline.Sub(task.arrivedAt) + r.upstreamLease
+	version, ok = r.versions.Only(now.Add(-window), target.String())
+	if untilKnown := window - now.Sub(r.startedAt); ok && version != "" && untilKnown > 0 {
+		return "", untilKnown, false
+	}
 	if !ok && !r.dispatcher.HasTarget(target) {
 		// The refusal of an unknown target tells more.
 		return "", 0, true
--- a/internal/desk/resumption_test.go
+++ b/internal/desk/resumption_test.go
@@ -30,9 +30,14 @@
 // newSettledServer returns a server that has run for longer than a lease, so that it knows all
 // upstreams.
 func newSettledServer() *testServer {
+	return newServerAfter(2 * upstreamLease)
+}
+
+// newServerAfter returns a server that has run for some time.
+func newServerAfter(uptime time.Duration) *testServer {
 	var advanced atomic.Int64
 	server := newTestServerWithClock(newFakeVoters(), "a", func() time.Time { return time.Now().Add(time.Duration(advanced.Load())) })
-	advanced.Store(int64(2 * upstreamLease))
+	advanced.Store(int64(uptime))
 	return server
 }
 
@@ -129,6 +134,17 @@
 		Expect(reply.header.Get("Retry-After")).NotTo(BeEmpty())
 	})
 
+	// Another instance, or this one before it was restarted, may have begun the stream at an upstream that
+	// was replaced since.
+	It("is refused if it can have begun before this instance did", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		server := newServerAfter(upstreamLease + time.Second)
+		server.setVersions(map[string]string{"v2": second.address()})
+		reply := server.follow(ctx, "1", "")
+		Expect(reply.status).To(Equal(http.StatusConflict))
+		Expect(reply.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(server.follow(ctx, "1", "v2").body).To(Equal("v2"))
+	})
+
 	// A process of another version has taken over the name and is not known yet.
 	It("does not go on at an upstream that states another version", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		second.handler = func(w http.ResponseWriter, _ *http.Request) {
