resumption, counter: a stream is reported once, however often its routes change

Callers would have waited while an instance reported all open streams of a service to other instances, under its lock, at each change of routes that leads some requests of that service elsewhere, also streams that were reported before, and those that others had reported. A stream now is marked once others know its origin, until it begins or goes on anew.

--- a/internal/counter/origins.go
+++ b/internal/counter/origins.go
@@ -64,6 +64,7 @@
 // reportOrigin reports the origin of a stream to the instances that rank first for it, and with the
 // next sync to a control instance. p.mu is held.
 func (p *Proxy) reportOrigin(record resumption.Record) {
+	p.origins.MarkReported(record.Stream)
 	if len(p.unsyncedStreams) >= maxUnsyncedStreams {
 		p.unsyncedStreams = slices.Delete(p.unsyncedStreams, 0, maxUnsyncedStreams/2)
 	}
@@ -77,15 +78,17 @@
 // receiveOrigin records the origin of a stream that began at another instance. p.mu is held.
 func (p *Proxy) receiveOrigin(now time.Time, m permit.StreamReport) {
 	p.origins.Record(now, m.Stream, m.Origin, now.Add(m.Remaining))
+	p.origins.MarkReported(m.Stream)
 }
 
 // reportOrigins reports the origins of the streams of services that have just been found to have
-// several software versions, or whose requests go elsewhere from now on. p.mu is held.
+// several software versions, or whose requests go elsewhere from now on, unless they have been reported.
+// p.mu is held.
 func (p *Proxy) reportOrigins(now time.Time, services map[string]bool) {
 	if len(services) == 0 {
 		return
 	}
-	for record := range p.origins.All(now) {
+	for record := range p.origins.Unreported(now) {
 		if services[record.Service] {
 			p.reportOrigin(record)
 		}
--- a/internal/resumption/origins.go
+++ b/internal/resumption/origins.go
@@ -25,6 +25,8 @@
 type expiringOrigin struct {
 	Origin
 	expires time.Time
+	// reported is true once other instances know the origin.
+	reported bool
 }
 
 // Record records that a stream began at origin and may be resumed until expires, which is at most
@@ -40,13 +42,22 @@
 	if latest := now.Add(MaxRetention); expires.After(latest) {
 		expires = latest
 	}
-	o.byStream[stream] = expiringOrigin{origin, expires}
+	o.byStream[stream] = expiringOrigin{Origin: origin, expires: expires}
+}
+
+// MarkReported records that other instances know the origin of a stream, until it is recorded again.
+func (o *Origins) MarkReported(stream StreamID) {
+	if known, found := o.byStream[stream]; found {
+		known.reported = true
+		o.byStream[stream] = known
+	}
 }
 
 // Shorten makes the origin of a stream expire at the given time, unless it expires earlier.
 func (o *Origins) Shorten(stream StreamID, expires time.Time) {
 	if known, found := o.byStream[stream]; found && expires.Before(known.expires) {
-		o.byStream[stream] = expiringOrigin{known.Origin, expires}
+		known.expires = expires
+		o.byStream[stream] = known
 	}
 }
 
@@ -71,10 +82,13 @@
 	Remaining time.Duration
 }
 
-// All returns the origins that have not expired.
-func (o *Origins) All(now time.Time) iter.Seq[Record] {
+// Unreported returns the origins that have neither expired nor been reported.
+func (o *Origins) Unreported(now time.Time) iter.Seq[Record] {
 	return func(yield func(Record) bool) {
 		for stream, known := range o.byStream {
+			if known.reported {
+				continue
+			}
 			if remaining := known.expires.Sub(now); remaining > 0 && !yield(Record{stream, known.Origin, remaining}) {
 				return
 			}
--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -69,12 +69,15 @@
 		Expect(known).To(BeFalse())
 	})
 
-	It("are listed without the expired ones", func() {
+	It("are listed without the expired and the reported ones", func() {
 		var origins resumption.Origins
 		origins.Record(start, stream, origin, start.Add(15*time.Second))
 		origins.Record(start, resumption.StreamOf("r2"), origin, start.Add(time.Second))
+		origins.Record(start, resumption.StreamOf("r3"), origin, start.Add(15*time.Second))
+		origins.MarkReported(resumption.StreamOf("r3"))
+		origins.Shorten(resumption.StreamOf("r3"), start.Add(10*time.Second))
 		var records []resumption.Record
-		for record := range origins.All(start.Add(5 * time.Second)) {
+		for record := range origins.Unreported(start.Add(5 * time.Second)) {
 			records = append(records, record)
 		}
 		Expect(records).To(ConsistOf(resumption.Record{Stream: stream, Origin: origin, Remaining: 10 * time.Second}))
