shuttle: a response that switches protocols is not passed on

A caller of the own interface got status 101 and the bytes behind it from an upstream that agreed to a switch that nobody had asked for. Such an attempt fails with the outcome unknown.

--- a/internal/shuttle/shuttle_test.go
+++ b/internal/shuttle/shuttle_test.go
@@ -191,6 +191,18 @@
 		Expect(outcomeOf(err)).To(Equal(outcome.Ran))
 	})
 
+	// No request asks for another protocol, so that what follows is no response.
+	It("that switches protocols fails", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		upstream := newScriptedUpstream(func(upstream *scriptedUpstream, conn net.Conn, in *bufio.Reader) {
+			upstream.readRequest(in)
+			reply(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\nbytes")
+		})
+		p := shuttle.New(shuttle.Options{})
+		defer p.Close()
+		_, err := p.Send(ctx, upstream.address(), nonIdempotentRequest())
+		Expect(outcomeOf(err)).To(Equal(outcome.Unknown))
+	})
+
 	// A head without an end would take megabytes before it fails.
 	It("whose head is longer than any sound one fails", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		upstream := newScriptedUpstream(func(upstream *scriptedUpstream, conn net.Conn, in *bufio.Reader) {
