shuttle: failing spec of a body that only the undivided memory holds

A body of the allowed size is refused with 503 and Retry-After for ever, also on an idle instance, if it takes more than three quarters of the memory of all bodies: the spec gets ErrNoRoom from an empty budget.

--- a/internal/shuttle/readahead_test.go
+++ b/internal/shuttle/readahead_test.go
@@ -145,6 +145,21 @@
 		Expect(budget.Taken()).To(Equal(int64(13 * (size + 1))))
 	})
 
+	// It would be refused for ever.
+	It("has room for a body that takes more than three quarters, as long as nobody has anything", func() {
+		budget := shuttle.NewSharedBudget(shuttle.NewByteBudget(limit))
+		read := func(holder string) (*shuttle.ReadAhead, error) {
+			return shuttle.ReadWhole(strings.NewReader(strings.Repeat("a", limit-1)), limit-1, limit, budget.Of(holder))
+		}
+		large, err := read("a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(large.Whole).To(BeTrue())
+		large.Release()
+		Expect(hold(budget, "a")).NotTo(BeEmpty())
+		_, err = read("b")
+		Expect(errors.Is(err, shuttle.ErrNoRoom)).To(BeTrue())
+	})
+
 	It("is not divided where callers are not told apart", func() {
 		Expect(hold(shuttle.NewSharedBudget(shuttle.NewByteBudget(limit)), "")).To(HaveLen(39))
 		body, err := shuttle.ReadWhole(strings.NewReader("a"), 1<<20, 1<<20, shuttle.NewSharedBudget(nil).Of("a"))
