shuttle: a body may take more than three quarters of the memory while nobody has anything

Callers with a workspace got 503 and Retry-After for ever for a body of the allowed size that needs more than three quarters of the memory for bodies, which was served before that was divided. The first body may take all again. A body without a stated length still grows in steps, of which the last is refused.

--- a/internal/shuttle/sharedbudget.go
+++ b/internal/shuttle/sharedbudget.go
@@ -7,7 +7,9 @@
 
 // SharedBudget is a ByteBudget that is divided between holders. A holder may take more than its share, an
 // equal part for each holder and for one more, only as long as a quarter of all bytes stays free: so one
-// that has nothing yet finds room beside others that take all they can. It is safe for concurrent use.
+// that has nothing yet finds room beside others that take all they can. While nobody has anything, the first
+// may take all at once: a body that needs so much would otherwise find room never. It is safe for concurrent
+// use.
 type SharedBudget struct {
 	whole *ByteBudget
 
@@ -50,7 +52,7 @@
 		holders++
 	}
 	own, left := s.taken[b.holder]+bytes, int64(0)
-	if own > s.whole.limit/(holders+1) {
+	if own > s.whole.limit/(holders+1) && len(s.taken) > 0 {
 		left = s.whole.limit / lentDivisor
 	}
 	if !s.whole.takeLeaving(bytes, left) {
