desk: a replay that cannot be written is aborted

The connection of a replayed response until close, or of any in HTTP/1.0, stayed in the list of unfinished responses if its caller left during the write, one entry for each until the instance ended. The handler now aborts the response like any other that fails.

--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -232,7 +232,7 @@
 	end := shuttle.BeginResponse(c.Response(), c.Request(), framingOfRecord(answer.Response))
 	c.Response().WriteHeader(answer.Response.Status)
 	if _, err := c.Response().Write(answer.Response.Body); err != nil {
-		return errors.Wrap(err, "desk: writing to the caller")
+		end.Abort()
 	}
 	end.Complete()
 	return nil
