--- a/internal/counter/liveness.go
+++ b/internal/counter/liveness.go
@@ -119,8 +119,8 @@
 }
 
 // confirmAlive asks the process of an upstream whether it still runs. If it does not answer, confirmAlive
-// returns an error marked as shuttle.ErrTruncated. If the protocol has no check for its service, there is
-// none, and no error.
+// returns an error marked as shuttle.ErrTruncated. If the protocol has no check for its service, it returns
+// NotChecked.
 func (p *Proxy) confirmAlive(ctx context.Context, u *upstream) (Liveness, error) {
 	process := u.endpoint()
 	path, header := p.options.Dialect.LivenessCheck(p.serviceOf(u), process.Lifetime)
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -13,10 +13,11 @@
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
-// A stream that a caller resumes goes on only at the software version that began it. While the
-// upstreams of a service have several versions, or requests may go to several services, an instance that begins a stream reports its origin
-// to the instances that rank first for the stream, and to a control instance with the next sync. The
-// instance at which it is resumed asks the former, then all others, then the control instances.
+// A stream that a caller resumes goes on only at the software version that began it. While the upstreams
+// of a service have several versions, or requests of a route may go to several services, an instance that
+// begins a stream reports its origin to the instances that rank first for the stream, and to a control
+// instance with the next sync. The instance at which it is resumed asks the former, then all others, then
+// the control instances.
 
 // resumesStream reports whether the request resumes a stream. An upstream may read any of several values
 // of its header.
