counter: one function confirms the end of a response, whoever relays it

The attempt and the relay for another instance wrapped the body of a response in the same way. Both call Proxy.confirmEnd now; a comment is wrapped.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -38,7 +38,10 @@
 	}
 	defer response.Body.Close()
 	a.observeFraming(response)
-	t.confirmEnd(ctx, a, response)
+	if !a.relayedBy.IsValid() {
+		// Another instance that relays the response confirms its end itself.
+		p.confirmEnd(ctx, a.upstream, response, a.framing, func(liveness Liveness) { a.liveness = liveness })
+	}
 	class := p.classify(t, response)
 	if class == Answered || class == NotRun {
 		p.observeLimit(t, a, response.Header)
--- a/internal/counter/bodies.go
+++ b/internal/counter/bodies.go
@@ -51,7 +51,8 @@
 
 // readBody reads the whole body before the request is sent. Only then can the refusal of a
 // truncated body state that nothing was run. If the body can't be read, readBody returns a refusal with
-// a status. The body must be released in any case. holder is who takes the memory, empty if callers are not told apart.
+// a status. The body must be released in any case. holder is who takes the memory, empty if callers are
+// not told apart.
 func (p *Proxy) readBody(r *http.Request, limit int64, holder string) (*shuttle.ReadAhead, refusal) {
 	if r.ContentLength == 0 {
 		return &shuttle.ReadAhead{}, refusal{}
--- a/internal/counter/liveness.go
+++ b/internal/counter/liveness.go
@@ -118,6 +118,19 @@
 	return check
 }
 
+// confirmEnd makes the end of a response's body depend on the process of its upstream, if the body ends
+// with its connection. observe is called with the result of the check.
+func (p *Proxy) confirmEnd(ctx context.Context, u *upstream, response *http.Response, framing shuttle.Framing, observe func(Liveness)) {
+	if framing != shuttle.UntilClose {
+		return
+	}
+	response.Body = shuttle.ConfirmEnd(response.Body, func() error {
+		liveness, err := p.confirmAlive(ctx, u)
+		observe(liveness)
+		return err
+	})
+}
+
 // confirmAlive asks the process of an upstream whether it still runs. If it does not answer, confirmAlive
 // returns an error marked as shuttle.ErrTruncated. If the protocol has no check for its service, it returns
 // NotChecked.
--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -50,12 +50,7 @@
 	// An upstream must not set the result.
 	response.Header.Set(relayResultHeader, string(relayAnswered))
 	framing := shuttle.FramingOf(response)
-	if framing == shuttle.UntilClose {
-		response.Body = shuttle.ConfirmEnd(response.Body, func() error {
-			_, err := p.confirmAlive(ctx, u)
-			return err
-		})
-	}
+	p.confirmEnd(ctx, u, response, framing, func(Liveness) {})
 	end := beginResponse(w, r, response, framing)
 	if readErr, writeErr := copyChunks(w, response.Body, func(int) {}); readErr != nil || writeErr != nil {
 		end.Abort()
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -68,19 +68,6 @@
 	}
 }
 
-// confirmEnd makes the end of a response's body depend on the upstream's process if the body ends with
-// its connection. Another instance that relays the response does so itself.
-func (t *transaction) confirmEnd(ctx context.Context, a *upstreamAttempt, response *http.Response) {
-	if a.framing != shuttle.UntilClose || a.relayedBy.IsValid() {
-		return
-	}
-	response.Body = shuttle.ConfirmEnd(response.Body, func() error {
-		liveness, err := t.proxy.confirmAlive(ctx, a.upstream)
-		a.liveness = liveness
-		return err
-	})
-}
-
 // endsInsideEvent reports whether the response is an event stream that has ended inside an event.
 func (a *upstreamAttempt) endsInsideEvent() bool {
 	return a.events != nil && a.events.InsideEvent()
