counter: attempts log how the origin of a resumed stream was found

Whether an instance knew the version of a stream that it resumed, or took the only one that it had heard of, could not be told from its log: both looked alike, and the metric is lost with the instance.

--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -206,6 +206,9 @@
 	if t.call.Resumes != "" {
 		line = line.Str("resumes", t.call.Resumes)
 	}
+	if t.originSource != "" {
+		line = line.Str("origin", string(t.originSource))
+	}
 	if version := a.upstream.software; version != "" {
 		line = line.Str("software-version", version)
 	}
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -65,6 +65,7 @@
 		return true
 	}
 	origin, source := t.findOrigin(ctx)
+	t.originSource = source
 	t.proxy.countResumption(source)
 	if source == originUnknown {
 		t.abortIfCallerLeft("the caller left while the origin of its stream was searched for")
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -46,6 +46,9 @@
 	owner netip.AddrPort
 	// lastMissing is the resource that was missing when the wait for an upstream ended.
 	lastMissing missingResource
+	// originSource tells how the origin of the stream that the request resumes was found. It is empty for
+	// other requests.
+	originSource originSource
 	// timing and lastError, the error of the last failed attempt, are logged.
 	timing    requestTiming
 	lastError error
