counter: failing specs of streams that are resumed after all instances have been replaced

Each fails: a stream goes on at the version that has replaced its own, or at that of the service to which its route was moved, and one whose version is still served is refused. The fake control instance lets an upstream restart elsewhere, as the real one does.

--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -56,7 +56,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	c := &fakeControl{
 		address: listener.Addr().String(), origins: map[resumption.StreamID]resumption.Origin{}, editions: []string{allRoutes},
-		roster: roster.New(roster.Options{Self: "control", Incarnation: 1, Lease: time.Minute}),
+		roster: roster.New(roster.Options{Self: "control", Incarnation: 1, Lease: time.Minute, AllowRestartElsewhere: true}),
 	}
 	server, err := courier.NewServer(listener, courier.Services{Others: map[string]any{"Feed": courier.NewFeedService(c)}})
 	Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/internal/counter/restart_test.go
@@ -0,0 +1,108 @@
+package counter_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// replaceUpstreams lets all upstreams leave, starts one of a version, and waits until all instances know
+// it. A leave that names no process replaces the record of the upstream, whose version is forgotten.
+func (g *resumptionGroup) replaceUpstreams(version string) {
+	GinkgoHelper()
+	for n := range g.upstreams {
+		g.control.forget(fmt.Sprint("e", n+1))
+	}
+	before := g.upstreams
+	g.upstreams++
+	u := newVersionedUpstream(version)
+	g.control.announceVersion(version, fmt.Sprint("e", g.upstreams), u.address(), resumedModel)
+	for _, p := range g.peers {
+		Eventually(p.proxy.Upstreams, specTimeout).Should(Equal(before + 1))
+	}
+}
+
+// replaceInstances closes all instances and starts one that has heard of nothing. It returns its number.
+func (g *resumptionGroup) replaceInstances() int {
+	GinkgoHelper()
+	for _, p := range g.peers {
+		p.proxy.Close()
+	}
+	replacement := startPeerWithClock(g.control, g.clock.Now)
+	g.control.setExactEntries(replacement.address)
+	g.peers = append(g.peers, replacement)
+	g.serveCallers(replacement)
+	Eventually(replacement.proxy.Upstreams, specTimeout).Should(BeNumerically(">", 0))
+	return len(g.servers) - 1
+}
+
+// forget replaces the record of an upstream by that of a leave without a process.
+func (c *fakeControl) forget(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	Expect(c.roster.Announce(time.Now(), upstreamapi.Announcement{Name: name, Incarnation: math.MaxUint64})).To(Succeed())
+	c.roster.Leave(time.Now(), upstreamapi.Leave{Name: name, Incarnation: math.MaxUint64})
+}
+
+// expectNoOtherVersionAfterRestart begins streams at the first instance, calls replace, replaces all instances,
+// and resumes each stream. It returns how many of them went on.
+func (g *resumptionGroup) expectNoOtherVersionAfterRestart(ctx context.Context, replace func()) (wentOn int) {
+	GinkgoHelper()
+	began := map[string]string{}
+	for n := range streamsPerSpec {
+		id := fmt.Sprint("s", n)
+		began[id] = g.begin(ctx, 0, id)
+	}
+	replace()
+	replacement := g.replaceInstances()
+	for id, version := range began {
+		if status, resumed := g.resume(ctx, replacement, id); status == http.StatusOK {
+			Expect(resumed).To(Equal(version), "stream %s", id)
+			wentOn++
+		}
+	}
+	return wentOn
+}
+
+// A process that has just started has heard of nothing that was in use before.
+var _ = Describe("A stream that is resumed after all instances have been replaced", func() {
+	It("never goes on at another version if all upstreams were replaced before", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		g.announceUpstreams("v1")
+		g.expectNoOtherVersionAfterRestart(ctx, func() { g.replaceUpstreams("v2") })
+	}, SpecTimeout(specTimeout))
+
+	It("never goes on at another version if its route was moved before", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		g.announceService("desk", "v1")
+		g.announceService("nobody", "v2")
+		g.expectNoOtherVersionAfterRestart(ctx, func() { g.commit(ctx, withMovedDraft) })
+	}, SpecTimeout(specTimeout))
+
+	It("goes on at its version if another one came into use in between", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		g.announceUpstreams("v1")
+		wentOn := g.expectNoOtherVersionAfterRestart(ctx, func() {
+			Eventually(ctx, g.control.knownStreams).Should(Equal(streamsPerSpec))
+			for _, p := range g.peers {
+				p.proxy.Close()
+			}
+			u := newVersionedUpstream("v2")
+			g.control.announceVersion("v2", "e2", u.address(), resumedModel)
+		})
+		Expect(wentOn).To(Equal(streamsPerSpec))
+	}, SpecTimeout(specTimeout))
+
+	It("goes on if there was only one version", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		g.announceUpstreams("v1")
+		Expect(g.expectNoOtherVersionAfterRestart(ctx, func() {})).To(Equal(streamsPerSpec))
+	}, SpecTimeout(specTimeout))
+})
