resumption, backoffice, counter: the voters record the software versions at which streams can have begun

Callers whose streams broke off when all entry instances were killed during a release resumed them with 200 and got the rest from the next version.

Cause: a process that has just started took the only version that it had heard of for the only one that there was. A leave that names no process replaces the record of the upstream by one without a version, so that control instances forget it too.

Now a version is recorded by the voters before a stream that may be resumed begins at it, and retired when no stream of it can be left. An instance that resumes a stream of which nobody knows compares with a copy of the records that is proven to be as recent as the request. The leader also records that the routes are settled; until then, the versions of all services count for an instance that has no history of its own. Control instances are told where each stream begins, also while there is one version, so that streams go on after a second one came into use while no entry instance was there.

The registry's specs of a newer command format name the next one.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -115,6 +115,8 @@
 	i.done.Go(func() { i.crashRecorder.run(ctx) })
 	i.done.Go(func() { i.leaveRecorder.run(ctx) })
 	i.done.Go(func() { i.crashRecorder.runRetraction(ctx) })
+	versions := &versionRecorder{instance: i}
+	i.done.Go(func() { versions.run(ctx) })
 	return i, nil
 }
 
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -29,7 +29,10 @@
 	}
 	now := i.options.Now()
 	leader, _ := i.voter.Leader()
-	reply := courier.SyncReply{Leader: leader.Instance()}
+	// The versions include what the reading covers, as they are read after it.
+	held, reading := i.voter.EditionWithAge()
+	reply := courier.SyncReply{Leader: leader.Instance(), Reading: reading}
+	i.fillVersions(args.Versions, &reply)
 	voters := i.voter.Status().Voters
 	i.mu.Lock()
 	i.roster.Renew(now, args.From)
@@ -40,8 +43,6 @@
 		reply.Members = &members
 	}
 	i.mu.Unlock()
-	held, reading := i.voter.EditionWithAge()
-	reply.Reading = reading
 	if held.Version > args.Edition {
 		reply.Edition = i.packEdition(held)
 	}
--- a/internal/backoffice/orchestrator.go
+++ b/internal/backoffice/orchestrator.go
@@ -199,6 +199,13 @@
 	return o.formerOrders.take(now, announced.Name, announced.Incarnation)
 }
 
+// routes returns the routes in force as of the last round, nil if there are none.
+func (o *orchestrator) routes() *routes.Table {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table
+}
+
 // refreshTable parses the routes in force if their version has changed. o.mu is held.
 func (o *orchestrator) refreshTable() {
 	held := o.instance.voter.Edition()
--- /dev/null
+++ b/internal/backoffice/versions.go
@@ -0,0 +1,161 @@
+package backoffice
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/resumption"
+	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/routes"
+)
+
+const (
+	// versionCheckInterval is the interval between two checks for versions that came into use. No stream
+	// that may be resumed begins at a version before it is recorded.
+	versionCheckInterval = 100 * time.Millisecond
+	// versionRecordTimeout bounds the recording of one update.
+	versionRecordTimeout = time.Second
+	// retentionTimeouts is how long a version stays recorded after its last use, in multiples of the longest
+	// timeout of a route: a caller may take longer than that of one attempt.
+	retentionTimeouts = 2
+)
+
+// versionRecorder records in the replicated log which software versions are in use, and which routes are
+// settled, while this instance leads. A leader that has just started counts the last use of whatever is
+// recorded as its own start.
+type versionRecorder struct {
+	instance *Instance
+	versions resumption.Versions
+	cursor   uint64
+	// leadsSince is the time since which this instance leads, and zero while it does not.
+	leadsSince time.Time
+	// table are the routes in force, nil before the first, and editionChanges counts their changes.
+	// redirectedAt is the latest time at which one may have led requests elsewhere, and zero if none has.
+	table          *routes.Table
+	editionChanges uint64
+	redirectedAt   time.Time
+}
+
+func (r *versionRecorder) run(ctx context.Context) {
+	for pause.For(ctx, versionCheckInterval) {
+		now := r.instance.options.Now()
+		if _, leads := r.instance.voter.IsLeader(now); !leads {
+			r.leadsSince = time.Time{}
+			continue
+		}
+		if update := r.nextUpdate(now); !update.Empty() {
+			r.record(ctx, update)
+		}
+	}
+}
+
+func (r *versionRecorder) record(ctx context.Context, update resumption.RecordsUpdate) {
+	ctx, cancel := context.WithTimeout(ctx, versionRecordTimeout)
+	defer cancel()
+	err := r.instance.voter.RecordVersions(ctx, update)
+	r.instance.options.Log.Info().Err(err).Interface("added", update.Added).Interface("retired", update.Retired).
+		Uint64("settled-routes", update.SettledRoutes).Msg("software versions recorded")
+}
+
+// nextUpdate returns what has to be recorded.
+func (r *versionRecorder) nextUpdate(now time.Time) resumption.RecordsUpdate {
+	records := r.instance.voter.Versions()
+	if r.leadsSince.IsZero() {
+		r.leadsSince, r.cursor = now, 0
+		r.table, r.redirectedAt = nil, now
+	}
+	r.observeRoutes(now, records)
+	inUse, complete := r.observeUpstreams(now)
+	update := resumption.RecordsUpdate{SettledRoutes: r.settledRoutes(now, records)}
+	for version := range inUse {
+		if !records.Has(version) && len(records.Versions())+len(update.Added) < resumption.MaxRecords {
+			update.Added = append(update.Added, version)
+		}
+	}
+	for _, version := range records.Versions() {
+		if complete && !inUse[version] && now.Sub(r.lastUse(version)) > r.retention() {
+			update.Retired = append(update.Retired, version)
+		}
+	}
+	return update
+}
+
+// observeUpstreams returns the versions that are in use, and whether this instance knows all upstreams.
+func (r *versionRecorder) observeUpstreams(now time.Time) (inUse map[resumption.ServiceVersion]bool, complete bool) {
+	i := r.instance
+	voters := i.voter.Status().Voters
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var changed []roster.Upstream
+	changed, r.cursor = i.roster.UpstreamsSince(r.cursor)
+	for _, upstream := range changed {
+		for _, service := range upstream.Announcement.Services {
+			r.versions.Observe(service, upstream.Announcement.SoftwareVersion, upstream.LastContact)
+		}
+	}
+	inUse = map[resumption.ServiceVersion]bool{}
+	for _, upstream := range i.roster.Upstreams(now) {
+		for _, service := range upstream.Announcement.Services {
+			inUse[resumption.ServiceVersion{Service: service, Version: upstream.Announcement.SoftwareVersion}] = true
+		}
+	}
+	return inUse, !i.isRosterIncomplete(now, voters)
+}
+
+// lastUse returns the latest time at which a version may have been in use.
+func (r *versionRecorder) lastUse(version resumption.ServiceVersion) time.Time {
+	last := r.versions.LastUse(version.Service, version.Version)
+	if last.Before(r.leadsSince) {
+		return r.leadsSince
+	}
+	return last
+}
+
+// retention returns how long a version stays recorded after its last use.
+func (r *versionRecorder) retention() time.Duration {
+	if r.table == nil {
+		return resumption.MaxRetention
+	}
+	return min(retentionTimeouts*r.table.ResumableTimeout()+r.instance.options.UpstreamLease, resumption.MaxRetention)
+}
+
+// observeRoutes notes whether the routes in force lead requests elsewhere than those before them. Of routes
+// that this instance has not seen, it is taken for granted.
+func (r *versionRecorder) observeRoutes(now time.Time, records resumption.Records) {
+	voter := r.instance.voter
+	changes := voter.EditionChanges()
+	table := r.instance.orchestrator.routes()
+	if table == nil || table.Version != voter.Edition().Version || changes != voter.EditionChanges() || r.table != nil && r.table.Version == table.Version {
+		return
+	}
+	former, missed := r.table, changes != r.editionChanges+1
+	r.table, r.editionChanges = table, changes
+	switch {
+	case changes == 1, records.SettledRoutes() >= table.Version:
+		// The first routes follow no others.
+		r.redirectedAt = time.Time{}
+	case former == nil, missed, len(former.Redirections(table)) > 0:
+		r.redirectedAt = now
+	}
+}
+
+// settledRoutes returns the version of the routes in force if no stream that may still be resumed can have
+// begun elsewhere than they lead, and that is not recorded yet. Otherwise it returns 0.
+func (r *versionRecorder) settledRoutes(now time.Time, records resumption.Records) uint64 {
+	switch {
+	case r.table == nil, records.SettledRoutes() >= r.table.Version, now.Sub(r.redirectedAt) <= r.retention():
+		return 0
+	default:
+		return r.table.Version
+	}
+}
+
+// fillVersions adds the recorded versions to a reply, unless the caller has them.
+func (i *Instance) fillVersions(known uint64, reply *courier.SyncReply) {
+	if records := i.voter.Versions(); records.Revision() > known {
+		list := resumption.ListOf(records)
+		reply.Versions = &list
+	}
+}
--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -1,6 +1,7 @@
 package backoffice_test
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -8,6 +9,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/resumption"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 var _ = Describe("Engines of several software versions", func() {
@@ -43,3 +45,60 @@
 		Expect(reply.Known).To(BeFalse())
 	}, SpecTimeout(specTimeout))
 })
+
+// confirmedVersions returns the recorded versions according to a reply that is confirmed, nil if there is none.
+func (c *testCluster) confirmedVersions(ctx context.Context) (versions []string) {
+	reply, ok := c.syncWithLeader(ctx)
+	if !ok || !reply.Reading.Confirmed || reply.Versions == nil {
+		return nil
+	}
+	for _, version := range reply.Versions.Versions {
+		versions = append(versions, version.Version)
+	}
+	return versions
+}
+
+// announceOnce announces an engine of a software version to every instance.
+func (c *testCluster) announceOnce(name, version string) {
+	for _, address := range c.seeds {
+		// An announcement that is lost is repeated.
+		_ = c.instances[address].Announce(time.Now(), upstreamapi.Announcement{
+			Name: name, Incarnation: 1, Sequence: uint64(time.Now().UnixNano()), Address: "127.0.0.1:9", Services: []string{"pool"}, SoftwareVersion: version,
+		})
+	}
+}
+
+var _ = Describe("The software versions in use", func() {
+	// Streams that began at a version may be resumed after a loss of power, when no upstream has it any more.
+	It("are known after a loss of all control instances, also those whose upstreams are gone", func(ctx SpecContext) {
+		c := newTestCluster()
+		c.fakes.add("e1", "a")
+		c.fakes.add("e2", "a")
+		c.putRoutes(ctx, c.seeds[0], 1)
+		c.announceOnce("e1", "v1")
+		recorded := func() []string {
+			c.announceOnce("e2", "v2")
+			return c.confirmedVersions(ctx)
+		}
+		Eventually(ctx, recorded).Should(Equal([]string{"v1", "v2"}))
+		c.leave(ctx, upstreamapi.Leave{Name: "e1"})
+		c.loseAll(c.seeds...)
+		Eventually(ctx, recorded).Should(Equal([]string{"v1", "v2"}))
+		Eventually(ctx, recorded).Should(Equal([]string{"v2"}), "no stream of v1 is left")
+	}, SpecTimeout(specTimeout))
+
+	// Until the routes are settled, a stream may have begun wherever they led before.
+	It("come with routes that are settled once they lead as before for long", func(ctx SpecContext) {
+		c := newTestCluster()
+		settled := func() uint64 {
+			if reply, ok := c.syncWithLeader(ctx); ok && reply.Versions != nil {
+				return reply.Versions.SettledRoutes
+			}
+			return 0
+		}
+		c.putRoutes(ctx, c.seeds[0], 1)
+		Eventually(ctx, settled).Should(Equal(uint64(1)))
+		c.putRoutes(ctx, c.seeds[0], 2)
+		Eventually(ctx, settled).Should(Equal(uint64(2)))
+	}, SpecTimeout(specTimeout))
+})
--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -73,6 +73,10 @@
 	missing := missingService
 	ties := 1.0
 	for u := range p.eligible(now, q) {
+		if q.software.Recorded && u.unrecorded {
+			missing = max(missing, missingCapacity)
+			continue
+		}
 		at := q.at(now, u)
 		if reason := u.missing(now, &at, random); reason != missingNone {
 			missing = max(missing, reason)
@@ -167,11 +171,13 @@
 	return float64(u.active) + u.peerLoad.estimate(now, u.pacing.serviceTime)
 }
 
-// avoidedPenalty exceeds the cost of any upstream that is not being avoided, and triedPenalty that
-// of any upstream that has not yet failed the request.
+// avoidedPenalty exceeds the cost of any upstream that is not being avoided, triedPenalty that of any
+// upstream that has not yet failed the request, and unrecordedPenalty that of any upstream at which all
+// requests may begin.
 const (
-	avoidedPenalty = 1e6
-	triedPenalty   = 1e3
+	avoidedPenalty    = 1e6
+	triedPenalty      = 1e3
+	unrecordedPenalty = 1e2
 )
 
 // cost returns the cost of sending to u. For an engine it combines the prompt backlog and the share
@@ -191,6 +197,9 @@
 	if now.Before(u.avoidUntil) {
 		cost += avoidedPenalty
 	}
+	if u.unrecorded {
+		cost += unrecordedPenalty
+	}
 	if slices.Contains(q.tried, u.name) {
 		cost += triedPenalty
 	}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/lovagelift/lovagelift/internal/bodysize"
 	"github.com/lovagelift/lovagelift/internal/coroner"
@@ -68,8 +69,10 @@
 	quotas        quotaAccounts
 	// origins are the origins of streams that began here, and of those reported by other instances.
 	origins resumption.Origins
-	// formerRoutes are the routes that were in force before and led streams elsewhere.
+	// formerRoutes are the routes that were in force here before and led streams elsewhere, and routesSince
+	// is when the first ones came into force here.
 	formerRoutes routes.History
+	routesSince  time.Time
 	// unsyncedStreams are the streams to report to a control instance.
 	unsyncedStreams []resumption.Record
 	// crashes detects upstreams that crash while running requests. Lock order: mu before the lock
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -47,8 +47,9 @@
 	// quarantine, if set, is served to the callers. reported holds the reported crashes.
 	quarantine *quarantine.News
 	reported   quarantine.Update
-	// origins are the reported origins of streams.
-	origins map[resumption.StreamID]resumption.Origin
+	// origins are the reported origins of streams, and versions the recorded software versions.
+	origins  map[resumption.StreamID]resumption.Origin
+	versions resumption.Records
 }
 
 func newFakeControl() *fakeControl {
@@ -87,6 +88,10 @@
 	if c.leaderless || c.ignored[args.From.Name] {
 		reply.Leader = ""
 	}
+	if args.Versions < c.versions.Revision() && !c.catchingUp {
+		list := resumption.ListOf(c.versions)
+		reply.Versions = &list
+	}
 	last := len(c.editions) - 1
 	if c.catchingUp {
 		last = 0
@@ -233,6 +238,7 @@
 func (c *fakeControl) announceService(service, version, name, address string, models ...string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.versions = c.versions.With(resumption.RecordsUpdate{Added: []resumption.ServiceVersion{{Service: service, Version: version}}})
 	var resident []upstreamapi.Resident
 	for _, model := range models {
 		resident = append(resident, upstreamapi.Resident{Model: model})
--- a/internal/counter/origins.go
+++ b/internal/counter/origins.go
@@ -47,12 +47,22 @@
 		Remaining: t.streamLifetime() + originMargin,
 	}
 	p.origins.Record(now, record.Stream, record.Origin, now.Add(record.Remaining))
+	p.syncOrigin(record)
 	services, known := t.possibleServices(now.Add(-resumption.MaxRetention))
-	if !known || len(services) > 1 || p.pool.versions.Several(t.service, now.Add(-resumption.MaxRetention)) {
+	_, only := p.pool.catalog.Only(services...)
+	if !known || len(services) > 1 || !only || p.pool.versions.Several(t.service, now.Add(-resumption.MaxRetention)) {
 		p.reportOrigin(record)
 	}
 }
 
+// syncOrigin reports the origin of a stream to a control instance with the next sync. p.mu is held.
+func (p *Proxy) syncOrigin(record resumption.Record) {
+	if len(p.unsyncedStreams) >= maxUnsyncedStreams {
+		p.unsyncedStreams = slices.Delete(p.unsyncedStreams, 0, maxUnsyncedStreams/2)
+	}
+	p.unsyncedStreams = append(p.unsyncedStreams, record)
+}
+
 // completeOrigin records that a stream is complete.
 func (t *transaction) completeOrigin() {
 	p := t.proxy
@@ -61,14 +71,9 @@
 	p.origins.Shorten(t.streamID(), p.options.Now().Add(completedRetention))
 }
 
-// reportOrigin reports the origin of a stream to the instances that rank first for it, and with the
-// next sync to a control instance. p.mu is held.
+// reportOrigin reports the origin of a stream to the instances that rank first for it. p.mu is held.
 func (p *Proxy) reportOrigin(record resumption.Record) {
 	p.origins.MarkReported(record.Stream)
-	if len(p.unsyncedStreams) >= maxUnsyncedStreams {
-		p.unsyncedStreams = slices.Delete(p.unsyncedStreams, 0, maxUnsyncedStreams/2)
-	}
-	p.unsyncedStreams = append(p.unsyncedStreams, record)
 	for _, peer := range p.owners.assignment.Ranked(uint64(record.Stream), originCopies, p.isPeer) {
 		p.peers.send(peer, permit.StreamReport{Stream: record.Stream, Origin: record.Origin, Remaining: record.Remaining})
 		p.metrics.countOriginReport()
--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -212,7 +212,7 @@
 		p.reportPushback(now, u, owner)
 		p.peers.send(owner, permit.Release{ID: m.ID})
 		return grant{}, errDecideLocally
-	case u != nil && (now.Before(u.refusals.PausedUntil()) || !t.software.Allows(u.software)):
+	case u != nil && (now.Before(u.refusals.PausedUntil()) || !t.software.Allows(u.software) || t.software.Recorded && u.unrecorded):
 		p.peers.send(owner, permit.Release{ID: m.ID})
 		return grant{}, errDecideLocally
 	}
--- a/internal/counter/requirements.go
+++ b/internal/counter/requirements.go
@@ -80,7 +80,10 @@
 
 // loadArgs returns the arguments of the load call for a missing model or adapter.
 func (req *requirements) loadArgs(missing missingResource) courier.WantArgs {
-	args := courier.WantArgs{Service: req.service, Model: req.model, Software: req.software, Timeout: loadTimeout}
+	args := courier.WantArgs{Service: req.service, Model: req.model, Timeout: loadTimeout}
+	if req.software.Bound {
+		args.Software = req.software
+	}
 	if missing == missingAdapter {
 		args.Adapter = req.adapter
 	}
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -13,11 +13,12 @@
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
-// A stream that a caller resumes goes on only at the software version that began it. While the upstreams
-// of a service have several versions, or requests of a route may go to several services, an instance that
-// begins a stream reports its origin to the instances that rank first for the stream, and to a control
-// instance with the next sync. The instance at which it is resumed asks the former, then all others, then
-// the control instances.
+// A stream that a caller resumes goes on only at the software version that began it. An instance that begins
+// a stream reports its origin to a control instance with the next sync, and, while the upstreams of a service
+// have several versions, or requests of a route may go to several services, to the instances that rank
+// first for the stream. The instance at which it is resumed asks the latter and the control instances. If
+// none knows the stream, it takes the only version that is recorded, as a stream begins only at a version
+// that the voters have recorded before.
 
 // resumesStream reports whether the request resumes a stream. An upstream may read any of several values
 // of its header.
@@ -62,6 +63,9 @@
 // began it. If that is unknown, bindToOrigin answers the caller and returns false.
 func (t *transaction) bindToOrigin(ctx context.Context, w http.ResponseWriter) bool {
 	if !t.resumesStream() {
+		if t.route.Kind == routes.Stream && t.route.Resumable {
+			t.software = resumption.ToRecorded()
+		}
 		return true
 	}
 	origin, source := t.findOrigin(ctx)
@@ -108,58 +112,94 @@
 	case known && t.identifiesStream():
 		return origin, originOwn
 	case t.call.Resumes == "":
-		return t.onlyOrigin()
+		return t.onlyOrigin(ctx)
 	}
 	if origin, known := p.askOrigin(ctx, stream, ranked); known {
 		return origin, originRanked
 	}
-	if origin, source := t.onlyOrigin(); source != originUnknown {
+	if origin, known := p.askControl(ctx, stream); known {
+		return origin, originControl
+	}
+	if origin, source := t.onlyOrigin(ctx); source != originUnknown {
 		return origin, source
 	}
 	if origin, known := p.askOrigin(ctx, stream, p.peersExcept(ranked)); known {
 		return origin, originOther
 	}
-	if origin, known := p.askControl(ctx, stream); known {
-		return origin, originControl
-	}
 	return resumption.Origin{}, originUnknown
 }
 
 // onlyOrigin returns the origin of the stream if all upstreams at which it can have begun have one
-// software version. If there are several, or some upstreams may be unknown here, the origin is unknown.
-func (t *transaction) onlyOrigin() (resumption.Origin, originSource) {
+// software version. If there are several, or some may not be known here, the origin is unknown.
+func (t *transaction) onlyOrigin(ctx context.Context) (resumption.Origin, originSource) {
 	p := t.proxy
+	if !p.waitForCatalog(ctx, t.call, t.arrived) {
+		return resumption.Origin{}, originUnknown
+	}
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.control.rosterIncomplete || now.Sub(p.control.lastSyncSent) > p.options.UpstreamLease {
+	if p.control.rosterIncomplete {
 		return resumption.Origin{}, originUnknown
 	}
 	// The request states the rest of its caller's time, which may be less than half of the whole.
 	since := now.Add(-2*t.streamLifetime() - p.options.UpstreamLease)
 	services, known := t.possibleServices(since)
-	version, alone := p.pool.versions.Only(since, services...)
+	version, alone := p.pool.catalog.Only(services...)
 	if !known || !alone {
 		return resumption.Origin{}, originUnknown
 	}
 	return resumption.Origin{Service: t.service, SoftwareVersion: version}, originOnlyVersion
 }
 
+// waitForCatalog waits until the copy of the recorded versions includes those that were recorded by the given
+// time. It returns false if that takes too long.
+func (p *Proxy) waitForCatalog(ctx context.Context, call Call, at time.Time) bool {
+	return p.waitForProof(ctx, call, func() bool {
+		if p.routesProvenAt(at) {
+			return true
+		}
+		p.syncForProof()
+		return false
+	})
+}
+
+// proofSyncInterval is the time between two syncs for the sake of a proof. A reply is as recent as the latest
+// heartbeat of the leader.
+const proofSyncInterval = 40 * time.Millisecond
+
+// syncForProof triggers a sync unless one has just been answered.
+func (p *Proxy) syncForProof() {
+	p.mu.Lock()
+	last := p.control.lastSyncSent
+	p.mu.Unlock()
+	if p.options.Now().Sub(last) >= proofSyncInterval {
+		p.syncSoon()
+	}
+}
+
 // possibleServices returns the services at which streams of the request's host and path may have begun
 // since a time. It returns false if some may be unknown. p.mu is held.
 func (t *transaction) possibleServices(since time.Time) ([]string, bool) {
-	services, known := t.proxy.formerRoutes.Services(hostOf(t.request), t.request.URL.EscapedPath(), since)
+	p := t.proxy
+	services, known := p.formerRoutes.Services(hostOf(t.request), t.request.URL.EscapedPath(), since)
 	maps.Copy(services, t.route.Services())
+	if p.routesSince.After(since) && !p.pool.catalog.RoutesSettled(t.version) {
+		// The routes may have led elsewhere before this instance started.
+		for _, service := range p.pool.catalog.Services() {
+			services[service] = true
+		}
+	}
 	return slices.Collect(maps.Keys(services)), known
 }
 
-// untilVersionsKnown returns the time until all upstreams are known, 0 if they are.
+// untilVersionsKnown returns the time until all upstreams and recorded versions are known, 0 if they are.
 func (t *transaction) untilVersionsKnown() time.Duration {
 	p := t.proxy
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.control.rosterIncomplete {
+	if !p.control.rosterIncomplete && p.control.proof.Covers(t.arrived) {
 		return 0
 	}
 	return max(min(p.options.UpstreamLease, t.deadline.Sub(now)/3), minRetryAfter)
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -99,6 +99,7 @@
 		Quarantine:    p.crashes.Mark(),
 		Demand:        p.demand.flush(p.takeRunTimes(now)),
 		Limited:       p.pool.limitedUpstreams(),
+		Versions:      p.pool.catalog.Revision(),
 		Streams:       groupStreams(p.unsyncedStreams),
 	}
 	synced := len(p.unsyncedStreams)
@@ -182,6 +183,10 @@
 	}
 	var changed []roster.Upstream
 	changed, p.rosterRevision = p.roster.UpstreamsSince(p.rosterRevision)
+	if reply.Versions != nil {
+		// They are as recent as the proof that is recorded next.
+		p.pool.setCatalog(p.pool.catalog.With(*reply.Versions))
+	}
 	if table := p.routes.Load(); table != nil {
 		p.pool.routedServices = table.Services()
 		p.recordProof(now, askedAt, address, table.Version, reply.Reading)
@@ -310,6 +315,9 @@
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if former == nil {
+		p.routesSince = now
+	}
 	p.formerRoutes.Record(now, redirections, resumption.MaxRetention)
 	p.reportOrigins(now, redirections.Services())
 	p.routes.Store(table)
--- a/internal/counter/upstreampool.go
+++ b/internal/counter/upstreampool.go
@@ -46,6 +46,8 @@
 	// newVersions are the services that have got another software version since the last call of
 	// takeNewVersions.
 	newVersions map[string]bool
+	// catalog is the copy of the versions that are recorded.
+	catalog resumption.Catalog
 	// pushedBack are the latest of the upstreams' pushbacks, by entry instance.
 	pushedBack ratelimit.Pushbacks[netip.AddrPort]
 	// lastHeard is the latest time at which any upstream was heard from.
@@ -68,6 +70,9 @@
 	announced   bool
 	// software is the version of the upstream's software, empty if it announces none.
 	software string
+	// unrecorded is true if no stream that may be resumed may begin at the upstream, since its version is
+	// not recorded.
+	unrecorded bool
 	// slots is the number of requests that the upstream runs at once, 0 if it is not known. remote
 	// is true for another failure domain.
 	slots  int
@@ -159,6 +164,7 @@
 			announced: true, software: known.Announcement.SoftwareVersion,
 			pacing: pacingFor(defaultMaxGap, speed.New(0)),
 		}
+		u.unrecorded = !p.catalog.MayBegin(u.service, u.software)
 		p.byName[name] = u
 		p.byService[u.service] = append(p.byService[u.service], u)
 	}
@@ -184,6 +190,14 @@
 	}
 }
 
+// setCatalog replaces the copy of the versions that are recorded.
+func (p *upstreamPool) setCatalog(catalog resumption.Catalog) {
+	p.catalog = catalog
+	for _, u := range p.byName {
+		u.unrecorded = !catalog.MayBegin(u.service, u.software)
+	}
+}
+
 // takeNewVersions returns the services that have got another software version since the last call.
 func (p *upstreamPool) takeNewVersions() map[string]bool {
 	services := p.newVersions
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -33,8 +33,9 @@
 	Demand []Demand
 	// Limited are the upstreams that state a rate limit.
 	Limited []LimitedUpstream
-	// Streams are the streams that began since the last call that received a reply, of services whose
-	// upstreams have several software versions.
+	// Versions is the revision of the caller's list of recorded software versions.
+	Versions uint64
+	// Streams are the streams that may be resumed and began since the last call that received a reply.
 	Streams []StreamGroup
 }
 
@@ -108,6 +109,9 @@
 	RosterIncomplete bool
 	// Quarantine is nil if the caller already has this state.
 	Quarantine *quarantine.News
+	// Versions are the recorded software versions, as recent as Reading states. It is nil if the caller
+	// has this list, or a newer one.
+	Versions *resumption.VersionList
 	// Holdings is an encoded EngineStates. It is empty if the caller already has this revision. It
 	// was encoded HoldingsAge ago, once for all callers: the states of 140 engines take 50 us to
 	// encode, and 86 callers get 344 replies a second. Encoding them for each reply would take a
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -13,12 +13,13 @@
 	"github.com/lovagelift/lovagelift/internal/lease"
 	"github.com/lovagelift/lovagelift/internal/manifest"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 // newestCommandFormat is the newest command format that this version supports.
 // Every new kind of command and every new field increments it. An instance
 // proposes a command in a newer format only when all voters support that format.
-const newestCommandFormat = 7
+const newestCommandFormat = 8
 
 // baseCommandFormat is the command format that every version supports. A command
 // is encoded in the oldest format that includes its kind, so that voters that are
@@ -35,11 +36,12 @@
 	// promptPartsCommandFormat introduced the parts of prompts in a quarantine.Update.
 	promptPartsCommandFormat = 6
 	departureCommandFormat   = 7
+	recordsCommandFormat     = 8
 )
 
 // Command is a state machine command in the replicated log: a Change, an
-// edition.Put, a lease.Take, a quarantine.Update, a departure.Update, or a command
-// of package docket or manifest.
+// edition.Put, a lease.Take, a quarantine.Update, a departure.Update, a
+// resumption.RecordsUpdate, or a command of package docket or manifest.
 type Command any
 
 // envelope is the encoding of a command. Exactly one field besides Format is set.
@@ -60,6 +62,8 @@
 	Quarantine *quarantine.Update `json:"quarantine,omitempty"`
 	// Departure is present since format 7.
 	Departure *departure.Update `json:"departure,omitempty"`
+	// Versions is present since format 8.
+	Versions *resumption.RecordsUpdate `json:"versions,omitempty"`
 }
 
 // Encode returns the encoding of a command for the replicated log.
@@ -106,6 +110,8 @@
 		}
 	case departure.Update:
 		e.Format, e.Departure = departureCommandFormat, &c
+	case resumption.RecordsUpdate:
+		e.Format, e.Versions = recordsCommandFormat, &c
 	default:
 		return nil, errors.AssertionFailedf("registry: command %T", command)
 	}
@@ -198,6 +204,9 @@
 	if e.Departure != nil {
 		commands = append(commands, *e.Departure)
 	}
+	if e.Versions != nil {
+		commands = append(commands, *e.Versions)
+	}
 	if len(commands) != 1 {
 		return nil, errors.Newf("registry: decode command: %d commands in one", len(commands))
 	}
@@ -216,6 +225,8 @@
 	Quarantine uint64 `json:"quarantine,omitempty"`
 	// Departure is the revision of the departures after a departure.Update.
 	Departure uint64 `json:"departure,omitempty"`
+	// Versions is the revision of the recorded versions after a resumption.RecordsUpdate.
+	Versions uint64 `json:"versions,omitempty"`
 }
 
 // Encode returns the encoding of the result, which is sent to the instance that
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -4,8 +4,9 @@
 //   - the idempotency records of non-idempotent requests,
 //   - the manifest, the contents of the engines and the orders to them,
 //   - the leases of upstreams,
-//   - the crash records of requests that were in flight at upstreams that crashed, and
-//   - the departures of upstreams that announced their leave.
+//   - the crash records of requests that were in flight at upstreams that crashed,
+//   - the departures of upstreams that announced their leave, and
+//   - the software versions at which streams that may still be resumed can have begun.
 //
 // The state machine is deterministic. Replicas that apply the same commands in
 // the same order have equal states, and their snapshots are equal byte for byte.
@@ -24,6 +25,7 @@
 	"github.com/lovagelift/lovagelift/internal/lease"
 	"github.com/lovagelift/lovagelift/internal/manifest"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 // Registry is one replica of the state machine. Its methods are safe for
@@ -38,13 +40,17 @@
 	manifest      *manifest.Manifest
 	// view is the view of configuration for lock-free readers.
 	view atomic.Pointer[View]
-	// edition is replaced as a whole, for lock-free readers.
-	edition atomic.Pointer[edition.Edition]
-	leases  lease.Leases
+	// edition is replaced as a whole, for lock-free readers. editionChanges counts its changes since the
+	// start of this replica; a snapshot that is restored counts as several.
+	edition        atomic.Pointer[edition.Edition]
+	editionChanges atomic.Uint64
+	leases         lease.Leases
 	// crashRecords is replaced as a whole, for lock-free readers.
 	crashRecords atomic.Pointer[quarantine.Records]
 	// departures is replaced as a whole, for lock-free readers.
 	departures atomic.Pointer[departure.Records]
+	// versions is replaced as a whole, for lock-free readers.
+	versions atomic.Pointer[resumption.Records]
 }
 
 // New returns a replica with the empty state.
@@ -54,6 +60,7 @@
 	r.edition.Store(&edition.Edition{})
 	r.crashRecords.Store(&quarantine.Records{})
 	r.departures.Store(&departure.Records{})
+	r.versions.Store(&resumption.Records{})
 	return r
 }
 
@@ -62,6 +69,12 @@
 	return *r.edition.Load()
 }
 
+// EditionChanges returns a number that increases by 1 with each change of the edition, and by more if some
+// changes are not known.
+func (r *Registry) EditionChanges() uint64 {
+	return r.editionChanges.Load()
+}
+
 // View returns the current configuration without locking or copying.
 func (r *Registry) View() *View {
 	return r.view.Load()
@@ -93,6 +106,11 @@
 	return *r.departures.Load()
 }
 
+// Versions returns the recorded software versions, without locking.
+func (r *Registry) Versions() resumption.Records {
+	return *r.versions.Load()
+}
+
 // Leases returns the last recorded holder of each upstream's lease.
 func (r *Registry) Leases() lease.Leases {
 	r.mutex.RLock()
@@ -145,6 +163,9 @@
 	case edition.Put:
 		next, result := r.edition.Load().Apply(c)
 		r.edition.Store(&next)
+		if result.Verdict == edition.Stored {
+			r.editionChanges.Add(1)
+		}
 		return Result{Edition: &result}, nil
 	case lease.Take:
 		r.leases = r.leases.With(c)
@@ -157,6 +178,10 @@
 		next := r.departures.Load().With(c)
 		r.departures.Store(&next)
 		return Result{Departure: next.Revision()}, nil
+	case resumption.RecordsUpdate:
+		next := r.versions.Load().With(c)
+		r.versions.Store(&next)
+		return Result{Versions: next.Revision()}, nil
 	default:
 		return Result{}, errors.AssertionFailedf("registry: command %T", decoded)
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -91,8 +91,8 @@
 		Expect(err).To(HaveOccurred())
 		Expect(r.AppliedIndex()).To(BeZero())
 	},
-		Entry("newer format", `{"format":8,"placement":{}}`, true),
-		Entry("newer format of a known kind", `{"format":8,"change":{"id":"one"}}`, true),
+		Entry("newer format", `{"format":9,"placement":{}}`, true),
+		Entry("newer format of a known kind", `{"format":9,"change":{"id":"one"}}`, true),
 		Entry("unknown kind", `{"format":1,"placement":{}}`, false),
 		Entry("unknown field", `{"format":1,"change":{"id":"one","colour":"red"}}`, false),
 		Entry("no command", `{"format":1}`, false),
--- a/internal/registry/snapshot.go
+++ b/internal/registry/snapshot.go
@@ -14,6 +14,7 @@
 	"github.com/lovagelift/lovagelift/internal/manifest"
 	"github.com/lovagelift/lovagelift/internal/parcel"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 // The header and the section names of a snapshot.
@@ -27,6 +28,7 @@
 	leaseSection         = "leases"
 	quarantineSection    = "quarantine"
 	departureSection     = "departures"
+	versionsSection      = "versions"
 )
 
 // section is one named section of a snapshot.
@@ -75,6 +77,9 @@
 	if departures := r.departures.Load(); !departures.Empty() {
 		sections = append(sections, section{departureSection, departures.Snapshot()})
 	}
+	if versions := r.versions.Load(); !versions.Empty() {
+		sections = append(sections, section{versionsSection, versions.Snapshot()})
+	}
 	if r.manifest.Empty() {
 		return sections, nil
 	}
@@ -91,6 +96,7 @@
 	leases        lease.Leases
 	crashes       quarantine.Records
 	departures    departure.Records
+	versions      resumption.Records
 }
 
 // decodeSection decodes one section into s.
@@ -112,6 +118,8 @@
 		s.crashes, err = quarantine.Restore(data)
 	case departureSection:
 		s.departures, err = departure.Restore(data)
+	case versionsSection:
+		s.versions, err = resumption.RestoreRecords(data)
 	case "":
 		err = parcel.ErrTruncated
 	default:
@@ -151,9 +159,11 @@
 	r.store = restored.store
 	r.manifest = restored.manifest
 	r.edition.Store(&restored.edition)
+	r.editionChanges.Add(2)
 	r.leases = restored.leases
 	r.crashRecords.Store(&restored.crashes)
 	r.departures.Store(&restored.departures)
+	r.versions.Store(&restored.versions)
 	r.view.Store(restored.configuration.view())
 	return nil
 }
--- a/internal/resumption/resumption.go
+++ b/internal/resumption/resumption.go
@@ -24,14 +24,21 @@
 	SoftwareVersion string
 }
 
-// Constraint limits the upstreams of a request to those of one software version. The zero value
-// allows all upstreams.
+// Constraint limits the upstreams of a request by their software version. The zero value allows all
+// upstreams.
 type Constraint struct {
 	Bound bool
+	// Recorded allows only upstreams whose version is recorded. It is used only if Bound is not set.
+	Recorded bool
 	// SoftwareVersion is used only if Bound is set. It may be empty.
 	SoftwareVersion string
 }
 
+// ToRecorded returns the Constraint that allows only recorded versions.
+func ToRecorded() Constraint {
+	return Constraint{Recorded: true}
+}
+
 // BoundTo returns the Constraint that allows only a software version.
 func BoundTo(version string) Constraint {
 	return Constraint{Bound: true, SoftwareVersion: version}
--- a/internal/resumption/versions.go
+++ b/internal/resumption/versions.go
@@ -67,6 +67,11 @@
 	return version, ok
 }
 
+// LastUse returns the latest time at which a version of a service was in use, zero if that is not known.
+func (v *Versions) LastUse(service, version string) time.Time {
+	return v.lastUse[service][version]
+}
+
 // Several reports whether the upstreams of a service have had several software versions since a given
 // time.
 func (v *Versions) Several(service string, since time.Time) bool {
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -205,6 +205,14 @@
 	routes   int
 	// mixesUrgency is true if there are batch routes and interactive routes.
 	mixesUrgency bool
+	// resumableTimeout is the longest timeout of the routes whose streams may be resumed.
+	resumableTimeout time.Duration
+}
+
+// ResumableTimeout returns the longest timeout of the routes whose streams may be resumed, 0 if there are
+// none.
+func (t *Table) ResumableTimeout() time.Duration {
+	return t.resumableTimeout
 }
 
 // Draft is the unchecked content of a Table.
