manifest: an order that another answer proves over keeps its outcome

Two loads that outlast the time in which they had to begin, and end before anybody asks after them, were shown as "done" and "over": the engine's answer about the first proves that the second can have no further effect, which closes it, and the final answer about the second, which comes a moment later, was dropped. A failed load whose answer was dropped that way is not avoided for 30 s either. A leader that stops is not needed for it; it makes it likely, as nobody asks until the next one leads.

Evidence: the new spec of foreman failed before with ["over", "done"] for both kinds of engines that honour expiry, the new spec of manifest with the answer ignored.

What a proof closes is done now if the account shows its result, which is what the engine answers for an order whose result is there. Otherwise it is over, until a final answer comes. The memory that is accounted for is the same as before.

--- a/internal/foreman/faults_test.go
+++ b/internal/foreman/faults_test.go
@@ -312,6 +312,24 @@
 	})
 }
 
+// Two loads outlast the time in which they had to begin, and nobody leads when they end. The answer
+// about one of them proves that the other one is over as well, which must not lose its outcome.
+func TestLoadsThatEndWithoutALeaderAreDone(t *testing.T) {
+	forEachEngineKind(t, func(c *testCluster) {
+		c.startEngine("e1", 1)
+		c.declare(map[string]int{"letters": 4, "fares": 4})
+		old := c.newController(1)
+		c.run(4*time.Second, old)
+		Expect(c.engines["e1"].Announcement().UnderWay).To(HaveLen(2))
+		c.grantRight(0)
+		c.run(15*time.Second, old)
+		c.grantRight(2)
+		c.run(5*time.Second, old, c.newController(2))
+		Expect(c.orderStates("e1")).To(Equal([]manifest.State{manifest.StateDone, manifest.StateDone}))
+		Expect(c.net.sendCounts()).To(HaveLen(2))
+	})
+}
+
 // An engine restarts during a load and returns empty with a new incarnation. It must refuse a late
 // copy of the old order, and a new order loads the model.
 func TestEngineRestartsInTheMiddle(t *testing.T) {
--- a/internal/manifest/engine.go
+++ b/internal/manifest/engine.go
@@ -49,14 +49,15 @@
 	// StateDoubtful means that the order is open and that its answer was lost or an
 	// earlier leader sent it.
 	StateDoubtful State = "doubtful"
-	// StateDone means that the order has taken effect.
+	// StateDone means that the order has taken effect, or was in effect already.
 	StateDone State = "done"
 	// StateRefused means that the order changed nothing and never will.
 	StateRefused State = "refused"
 	// StateWithdrawn means that the order was never sent.
 	StateWithdrawn State = "withdrawn"
 	// StateClosedWithoutAnswer means that a report proved that the order can have no
-	// further effect, without a final answer from the engine.
+	// further effect, and does not show one. A final answer that arrives later
+	// replaces it.
 	StateClosedWithoutAnswer State = "over"
 )
 
@@ -98,10 +99,11 @@
 }
 
 // withLedger returns the engine with another account and updates the states of its
-// orders. An order that is no longer open in the account gets
-// StateClosedWithoutAnswer, unless its entry already has a closed state. The oldest
-// closed orders beyond maxClosedOrders are removed.
+// orders. An order that is no longer open in the account gets its provedState,
+// unless its entry already has a closed state. The oldest closed orders beyond
+// maxClosedOrders are removed.
 func (e Engine) withLedger(account ledger.Ledger) Engine {
+	restarted := account.Incarnation() != e.Ledger.Incarnation()
 	e.Ledger = account
 	open := map[string]bool{}
 	for _, order := range account.Open() {
@@ -114,7 +116,7 @@
 		switch {
 		case !entry.State.isOpen():
 		case !open[entry.ID]:
-			entry.State = StateClosedWithoutAnswer
+			entry.State = entry.provedState(account, restarted)
 		case account.Doubtful(entry.ID):
 			entry.State = StateDoubtful
 		case entry.State == StateDoubtful:
@@ -134,6 +136,36 @@
 	return e
 }
 
+// provedState returns the state of an order that the account closes without an answer
+// to it: StateDone if the account shows its result, otherwise
+// StateClosedWithoutAnswer. After a restart, what the account shows is not due to the
+// order.
+func (o OrderEntry) provedState(account ledger.Ledger, restarted bool) State {
+	held := slices.ContainsFunc(account.Holdings(), func(h ledger.Holding) bool {
+		return h.Model == o.Model && h.Version == o.Version && h.Adapter == o.Adapter
+	})
+	inEffect := false
+	switch o.Kind {
+	case upstreamapi.OrderLoadModel, upstreamapi.OrderLoadAdapter:
+		inEffect = held
+	case upstreamapi.OrderUnloadModel, upstreamapi.OrderUnloadAdapter:
+		inEffect = !held
+	default:
+	}
+	if inEffect && !restarted {
+		return StateDone
+	}
+	return StateClosedWithoutAnswer
+}
+
+// awaitsAnswer reports whether the answer is of the current incarnation and its order
+// has not had a final answer yet.
+func (e Engine) awaitsAnswer(answer upstreamapi.OrderResponse) bool {
+	return answer.Incarnation == e.Ledger.Incarnation() && slices.ContainsFunc(e.Orders, func(entry OrderEntry) bool {
+		return entry.ID == answer.ID && (entry.State.isOpen() || entry.State == StateClosedWithoutAnswer)
+	})
+}
+
 // withOrderState returns the engine with the given state and reason in the entry of
 // an order.
 func (e Engine) withOrderState(id string, state State, reason string) Engine {
@@ -178,5 +210,6 @@
 func (e Engine) ChangedByAnswer(answer upstreamapi.OrderResponse) bool {
 	i := slices.IndexFunc(e.Orders, func(entry OrderEntry) bool { return entry.ID == answer.ID })
 	running := i >= 0 && e.Orders[i].State == StateRunning
-	return e.Ledger.ChangedByAnswer(answer) || answer.State == upstreamapi.OrderRunning && !running
+	return e.Ledger.ChangedByAnswer(answer) || answer.State == upstreamapi.OrderRunning && !running ||
+		answer.State.Terminal() && e.awaitsAnswer(answer)
 }
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -219,11 +219,10 @@
 		return err
 	}
 	account := e.Ledger.WithAnswer(c.Answer)
-	_, wasOpen := e.openOrder(c.Answer.ID)
 	updated := e.withLedger(account)
 	_, isOpen := updated.openOrder(c.Answer.ID)
 	switch {
-	case !wasOpen:
+	case !e.awaitsAnswer(c.Answer):
 	case !isOpen && c.Answer.State == upstreamapi.OrderDone:
 		updated = updated.withOrderState(c.Answer.ID, StateDone, "")
 	case !isOpen && c.Answer.State.Terminal():
--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -123,6 +123,29 @@
 		Expect(orderState(m, "e1", "order-1")).To(Equal(manifest.StateClosedWithoutAnswer))
 	})
 
+	// The answer about one order proves that another one, which has failed, is over. Its
+	// own answer comes after that. Without its outcome, the load would be tried again at once.
+	It("records a final answer to an order that was proved to be over before", func() {
+		m := newManifestWithEngine()
+		m.Apply(recordOrder("e1", loadOrder(1, 1, 1, "letters", 30)))
+		m.Apply(recordOrder("e1", loadOrder(2, 1, 1, "fares", 30)))
+		answer := upstreamapi.OrderResponse{
+			ID: "order-1", State: upstreamapi.OrderDone, Clock: startTime.Add(time.Minute), Incarnation: 1, Revision: 3,
+			Accelerators: announcement("e1", 1).Accelerators,
+			Resident:     []upstreamapi.Resident{{Model: "letters", Version: "1", Accelerators: []string{"a0"}, MemoryBytes: 30}},
+		}
+		m.Apply(manifest.Answer{Engine: "e1", Answer: answer})
+		Expect(orderState(m, "e1", "order-1")).To(Equal(manifest.StateDone))
+		Expect(orderState(m, "e1", "order-2")).To(Equal(manifest.StateClosedWithoutAnswer))
+		answer.ID, answer.State, answer.Reason = "order-2", upstreamapi.OrderFailed, "no weights"
+		e, _ := m.View().Engine("e1")
+		Expect(e.ChangedByAnswer(answer)).To(BeTrue())
+		m.Apply(manifest.Answer{Engine: "e1", Answer: answer})
+		Expect(orderState(m, "e1", "order-2")).To(Equal(manifest.StateRefused))
+		e, _ = m.View().Engine("e1")
+		Expect(e.ChangedByAnswer(answer)).To(BeFalse())
+	})
+
 	It("keeps an engine while an order to it is open, and reuses no order number", func() {
 		m := newManifestWithEngine()
 		m.Apply(recordOrder("e1", loadOrder(7, 1, 1, "letters", 60)))
