quarantine: a request is sent one copy at a time from its first crash on

Callers repeat a request that crashes engines under new ids. With copies at several engines at once, several end.

Cause: until a request is in quarantine (three upstreams), nothing bounds its copies; who waits is sent as soon as an upstream is free.

A trial that an upstream did not run stays with its request, and one that was held for as long as the owner remembers it has to be asked for again: two copies could be sent before, also of parts. The own interface has no owner of trials and stays as it was.

--- a/internal/coroner/admission.go
+++ b/internal/coroner/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
@@ -12,9 +13,13 @@
 	detector *CrashDetector
 	digest   quarantine.Digest
 	parts    []quarantine.Digest
-	// trial is the trial that the request holds for its next attempt, if holdsTrial is true.
+	// trial is the trial that the request holds for its next attempt, if holdsTrial is true. It was
+	// allowed at allowedAt at the earliest.
 	trial      quarantine.TrialID
 	holdsTrial bool
+	allowedAt  time.Time
+	// sentTrial is true if the last attempt was sent as the trial.
+	sentTrial bool
 }
 
 // Admit returns the Admission of a request with the given parts of its prompt.
@@ -25,12 +30,14 @@
 // Reserve decides on a request that has arrived. If it returns false, the request must be refused
 // by the ruling. A request that may be sent as a trial holds the trial until it is sent.
 func (a *Admission) Reserve(ctx context.Context) (quarantine.Ruling, bool) {
-	ruling := a.rule()
+	now := a.detector.options.Now()
+	ruling := a.rule(now)
 	if ruling.Decision != quarantine.DecisionTry {
 		return ruling, ruling.Decision == quarantine.DecisionSend
 	}
-	if trial := ruling.Trial(); !a.holdsTrial || a.trial != trial {
-		a.trial = trial
+	trial := ruling.Trial()
+	if !a.holdsTrial || a.trial != trial || now.Sub(a.allowedAt) >= quarantine.TrialInterval {
+		a.trial, a.allowedAt = trial, now
 		a.holdsTrial = a.detector.options.AllowTrial(ctx, trial)
 	}
 	return ruling, a.holdsTrial
@@ -40,13 +47,23 @@
 // refused by the ruling.
 func (a *Admission) Send(ctx context.Context) (quarantine.Ruling, bool) {
 	ruling, allowed := a.Reserve(ctx)
+	a.sentTrial = allowed && ruling.Decision == quarantine.DecisionTry
 	a.holdsTrial = false
 	return ruling, allowed
 }
 
-func (a *Admission) rule() quarantine.Ruling {
-	now := a.detector.options.Now()
+// NotRun records that the upstream did not run the last attempt. If that was a trial, the request
+// holds it for the next attempt.
+func (a *Admission) NotRun() {
+	a.holdsTrial, a.sentTrial = a.sentTrial, false
+}
+
+func (a *Admission) rule(now time.Time) quarantine.Ruling {
 	a.detector.mu.Lock()
 	defer a.detector.mu.Unlock()
-	return a.detector.watch.Rule(now, a.digest, a.parts...)
+	ruling := a.detector.watch.Rule(now, a.digest, a.parts...)
+	if ruling.Probation && !a.detector.options.Probation {
+		return quarantine.Ruling{}
+	}
+	return ruling
 }
--- a/internal/coroner/coroner_test.go
+++ b/internal/coroner/coroner_test.go
@@ -153,3 +153,62 @@
 		Expect([]int{quarantined, suspected}).To(Equal([]int{1, 0}))
 	})
 })
+
+var _ = Describe("Copies of a request that was at a crash", func() {
+	var now time.Time
+	var d *coroner.CrashDetector
+	digest := quarantine.Identity{Body: []byte("a")}.Digest()
+
+	BeforeEach(func() {
+		now = time.Unix(1_000_000, 0).UTC()
+		options := (&fakeInstance{}).options()
+		options.Now = func() time.Time { return now }
+		var trials quarantine.Trials
+		options.AllowTrial = func(_ context.Context, trial quarantine.TrialID) bool { return trials.Take(now, trial) }
+		options.Probation = true
+		d = coroner.New(options)
+		DeferCleanup(d.Close)
+	})
+	// sent returns which of the copies may be sent now.
+	sent := func(ctx context.Context, copies ...*coroner.Admission) []bool {
+		var allowed []bool
+		for _, c := range copies {
+			_, ok := c.Send(ctx)
+			allowed = append(allowed, ok)
+		}
+		return allowed
+	}
+
+	// A model is at one engine, which crashes. Callers repeat the request while another one loads
+	// the model, and it would get all of the copies at once.
+	It("that have waited for an upstream are not sent to it together", func(ctx SpecContext) {
+		first, second, third := d.Admit(digest), d.Admit(digest), d.Admit(digest)
+		for _, waiting := range []*coroner.Admission{first, second, third} {
+			_, allowed := waiting.Reserve(ctx)
+			Expect(allowed).To(BeTrue())
+		}
+		d.ApplyNews(quarantine.News{Revision: 1, Mark: 1, Probation: []quarantine.Digest{digest}})
+		Expect(sent(ctx, first, second, third)).To(Equal([]bool{true, false, false}))
+	})
+
+	// One copy waits for longer than the owner of the trial remembers it, and another gets the trial.
+	It("are not sent together because one of them has held the trial for long", func(ctx SpecContext) {
+		d.ApplyNews(quarantine.News{Revision: 1, Mark: 1, Probation: []quarantine.Digest{digest}})
+		first, second := d.Admit(digest), d.Admit(digest)
+		_, allowed := first.Reserve(ctx)
+		Expect(allowed).To(BeTrue())
+		now = now.Add(quarantine.TrialInterval)
+		_, allowed = second.Reserve(ctx)
+		Expect(allowed).To(BeTrue())
+		Expect(sent(ctx, first, second)).To(Equal([]bool{false, true}))
+	})
+
+	// The trial reaches the address of the engine that has just crashed. The next engine runs it.
+	It("keep the trial if the upstream did not run it", func(ctx SpecContext) {
+		d.ApplyNews(quarantine.News{Revision: 1, Mark: 1, Probation: []quarantine.Digest{digest}})
+		first, second := d.Admit(digest), d.Admit(digest)
+		Expect(sent(ctx, first)).To(Equal([]bool{true}))
+		first.NotRun()
+		Expect(sent(ctx, second, first, first)).To(Equal([]bool{false, true, false}))
+	})
+})
--- a/internal/quarantine/trials.go
+++ b/internal/quarantine/trials.go
@@ -12,8 +12,9 @@
 }
 
 const (
-	// trialInterval is the time in which the result of a trial becomes known to all instances.
-	trialInterval = 5 * time.Second
+	// TrialInterval is the time in which the result of a trial becomes known to all instances. A
+	// trial that isn't sent within it may be allowed to another request.
+	TrialInterval = 5 * time.Second
 	// maxTrials bounds the trials that are remembered. The news names fewer.
 	maxTrials = 2 * maxAnnounced
 )
@@ -21,7 +22,7 @@
 // Take reports whether a trial may be sent now. If it returns true, the next one may be sent after
 // the result is known.
 func (t *Trials) Take(now time.Time, trial TrialID) bool {
-	maps.DeleteFunc(t.allowedAt, func(_ TrialID, at time.Time) bool { return now.Sub(at) >= trialInterval })
+	maps.DeleteFunc(t.allowedAt, func(_ TrialID, at time.Time) bool { return now.Sub(at) >= TrialInterval })
 	if _, recent := t.allowedAt[trial]; recent || len(t.allowedAt) >= maxTrials {
 		return false
 	}
