--- a/internal/coroner/coroner_test.go
+++ b/internal/coroner/coroner_test.go
@@ -164,7 +164,7 @@
 		options := (&fakeInstance{}).options()
 		options.Now = func() time.Time { return now }
 		var trials quarantine.Trials
-		options.AllowTrial = func(_ context.Context, trial quarantine.TrialID) bool { return trials.Take(now, trial) }
+		options.AllowTrial = func(_ context.Context, trial quarantine.TrialID) bool { return trials.Take(now, time.Time{}, trial) }
 		options.Probation = true
 		d = coroner.New(options)
 		DeferCleanup(d.Close)
