shuttle: a status that is cut short confirms no end and is no missing status

A response until close was passed on as whole if the upstream's statement that it had finished broke off behind its head: a body that could not be read in full counted as "reports no status", and then a listener that still accepts connections was enough. The listener of a process that is killed may come last of thousands of connections.

The body is now read whole before it is decoded; a body that breaks off, a JSON value without an end and nothing until close are errors like a head that is cut short. A query for a request that has no response yet counts the upstream as lost then, as it does for a cut head; only requests that may run twice are queried.

--- a/internal/shuttle/confirm_test.go
+++ b/internal/shuttle/confirm_test.go
@@ -53,3 +53,24 @@
 		}
 	})
 })
+
+// An upstream that is ending may stop in its status, while its listener still accepts connections.
+var _ = DescribeTable("the end of a response until close is not confirmed by a status that is cut short at any byte",
+	func(ctx SpecContext, status string) {
+		for at := range len(status) + 1 {
+			upstream := newScriptedUpstream(func(u *scriptedUpstream, conn net.Conn, in *bufio.Reader) {
+				if u.readRequest(in) != nil {
+					_, _ = io.WriteString(conn, status[:at])
+				}
+			})
+			p := shuttle.New(shuttle.Options{})
+			err := p.ConfirmFinished(ctx, upstream.address(), shuttle.Request{ID: "r", SupportsStatusQuery: true})
+			p.Close()
+			Expect(errors.Is(err, shuttle.ErrTruncated)).To(Equal(at < len(status)), "%q: %v", status[:at], err)
+		}
+	},
+	Entry("with a length", SpecTimeout(specTimeout), "HTTP/1.1 200 OK\r\nContent-Length: 29\r\n\r\n{\"id\":\"r\",\"state\":\"finished\"}"),
+	Entry("in chunks", SpecTimeout(specTimeout), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1d\r\n{\"id\":\"r\",\"state\":\"finished\"}\r\n0\r\n\r\n"),
+	Entry("until close", SpecTimeout(specTimeout), "HTTP/1.1 200 OK\r\n\r\n{\"id\":\"r\",\"state\":\"finished\"}"),
+	Entry("of an upstream without one", SpecTimeout(specTimeout), "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno"),
+)
--- a/internal/shuttle/idempotent.go
+++ b/internal/shuttle/idempotent.go
@@ -1,6 +1,7 @@
 package shuttle
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -161,7 +162,8 @@
 // errNoStatus means that an upstream answers a status query with anything but a status.
 var errNoStatus = errors.New("upstream does not report the status of requests")
 
-// fetchStatus queries the status of a request on a new connection.
+// fetchStatus queries the status of a request on a new connection. If the upstream reports none, it returns
+// errNoStatus. A status that is cut short is another error, as its upstream may be ending.
 func (p *Proxy) fetchStatus(ctx context.Context, address, id string) (upstreamapi.RequestStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusQueryTimeout)
 	defer cancel()
@@ -176,8 +178,19 @@
 		return status, err
 	}
 	defer response.Body.Close()
-	err = json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&status)
-	if response.StatusCode != http.StatusOK || err != nil || status.State == "" {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxStatusBytes))
+	switch {
+	case err != nil:
+		return status, errors.Wrap(err, "status was cut off")
+	case response.StatusCode != http.StatusOK:
+		return status, errNoStatus
+	}
+	err = json.NewDecoder(bytes.NewReader(body)).Decode(&status)
+	isCut := errors.Is(err, io.ErrUnexpectedEOF) && len(body) < maxStatusBytes
+	switch {
+	case isCut, errors.Is(err, io.EOF) && FramingOf(response) == UntilClose:
+		return status, errors.Wrap(err, "status was cut off")
+	case err != nil || status.State == "":
 		return status, errNoStatus
 	}
 	return status, nil
