counter: specs of callers' requests that are cut short

Requests with a length, in chunks with a trailer, in HTTP/1.0 and without a body are cut at each byte, with a close and a reset, on three kinds of routes: none reaches an upstream.

--- a/internal/counter/cuthead_test.go
+++ b/internal/counter/cuthead_test.go
@@ -225,3 +225,31 @@
 		Expect(responder.arrivalsOf(id)).To(Equal(1))
 	}
 }, SpecTimeout(cutsTimeout))
+
+// A caller that stops in a request may have meant any other one.
+var _ = DescribeTable("A request that is cut short at any byte does not reach an upstream",
+	func(ctx SpecContext, text string) {
+		p := newTestProxy(newFakeUpstream(succeed))
+		for _, route := range []string{"look", "book", "write"} {
+			text := strings.ReplaceAll(text, "ROUTE", route)
+			for i := range 2 * len(text) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.server.Listener.Addr().String())
+				Expect(err).NotTo(HaveOccurred())
+				_, _ = io.WriteString(conn, text[:i/2])
+				if i%2 > 0 {
+					Expect(conn.(*net.TCPConn).SetLinger(0)).To(Succeed())
+				}
+				conn.Close()
+			}
+		}
+		status, _, err := postToInstance(ctx, p.server.URL+"/look/", http.Header{idHeader: {"r1"}}, "whole")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(p.arrivals()).To(Equal(1))
+	},
+	Entry("with a length", SpecTimeout(specTimeout), "POST /ROUTE/ HTTP/1.1\r\nHost: spec.test\r\nSpec-Request: r1\r\nContent-Length: 6\r\n\r\nseat 7"),
+	Entry("in chunks", SpecTimeout(specTimeout),
+		"POST /ROUTE/ HTTP/1.1\r\nHost: spec.test\r\nSpec-Request: r1\r\nTransfer-Encoding: chunked\r\n\r\n6;a=b\r\nseat 7\r\n0\r\nX-End: 1\r\n\r\n"),
+	Entry("in HTTP/1.0", SpecTimeout(specTimeout), "POST /ROUTE/ HTTP/1.0\r\nHost: spec.test\r\nSpec-Request: r1\r\nContent-Length: 6\r\n\r\nseat 7"),
+	Entry("without a body", SpecTimeout(specTimeout), "GET /ROUTE/ HTTP/1.1\r\nHost: spec.test\r\nSpec-Request: r1\r\n\r\n"),
+)
