--- a/internal/foreman/export_test.go
+++ b/internal/foreman/export_test.go
@@ -1,11 +1,14 @@
 package foreman
 
 import (
+	"context"
+	"net/http"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/manifest"
 	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // NewWithoutLoop returns a Controller without its control loop: it acts only in Reconcile.
@@ -35,3 +38,11 @@
 func PlanPauseAfter(cost time.Duration) time.Duration {
 	return planPauseAfter(cost)
 }
+
+// SendOrder sends an order to an engine, as a Controller with a client does.
+func SendOrder(ctx context.Context, client *http.Client, address string, order upstreamapi.Order) (upstreamapi.OrderResponse, error) {
+	return engineClient{client: client, timeout: time.Minute}.sendOrder(ctx, address, order)
+}
+
+// ErrNotSent marks the errors of orders that were not sent.
+var ErrNotSent = errNotSent
