counter: a spec of responses that are cut short on a kept connection

On a reused connection net/http may send a request again by itself. Each cut of a response there gives 502, and the request arrives no more often than its route allows.

--- a/internal/counter/cuthead_test.go
+++ b/internal/counter/cuthead_test.go
@@ -253,3 +253,35 @@
 	Entry("in HTTP/1.0", SpecTimeout(specTimeout), "POST /ROUTE/ HTTP/1.0\r\nHost: spec.test\r\nSpec-Request: r1\r\nContent-Length: 6\r\n\r\nseat 7"),
 	Entry("without a body", SpecTimeout(specTimeout), "GET /ROUTE/ HTTP/1.1\r\nHost: spec.test\r\nSpec-Request: r1\r\n\r\n"),
 )
+
+// On a kept connection, net/http sends some requests again by itself, beyond the attempts of the route.
+var _ = It("A response that is cut short at any byte on a kept connection is visibly incomplete, and only its route's attempts are made", func(ctx SpecContext) {
+	responder := &cutResponder{text: "HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nContent-Length: 4\r\n\r\nseat", arrivals: map[string]int{}}
+	var mu sync.Mutex
+	known := map[string]bool{}
+	reused := 0
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		isCut := !strings.HasSuffix(r.URL.Path, "/whole")
+		if isCut && known[r.RemoteAddr] {
+			reused++
+		}
+		known[r.RemoteAddr] = true
+		mu.Unlock()
+		if isCut {
+			responder.respond(w, r)
+			return
+		}
+		succeed(w, r)
+	}
+	address := newTestProxy(newFakeUpstream(answer), newFakeUpstream(answer)).server.Listener.Addr().String()
+	text := strings.ReplaceAll(responder.text, "ID", strconv.Itoa(firstCutID))
+	for i, c := range cutsOf(text, len(text)) {
+		id, method := strconv.Itoa(firstCutID+i), []string{http.MethodGet, http.MethodPost, http.MethodPut}[i%3]
+		Expect(callRaw(ctx, address, method, "/look/whole", "HTTP/1.1", id).status).To(Equal(http.StatusOK))
+		view := callRaw(ctx, address, method, c.path("look"), "HTTP/1.1", id)
+		Expect(view.status).To(Equal(http.StatusBadGateway), "%+v: got %+v", c, view)
+		Expect(responder.arrivalsOf(id)).To(BeNumerically("<=", 2))
+	}
+	Expect(reused).To(BeNumerically(">", len(text)), "most of them")
+}, SpecTimeout(cutsTimeout))
