registrar: an operator's call counts once its body is whole

A call to lift requests from quarantine, to preview moves, to bootstrap or to change voters was carried out although its sender stopped in it, if the JSON value had arrived: the decoder reads no further than the value.

Bodies are now read to their end. The body of a lift has the bound that other calls of operators have.

--- a/internal/registrar/moves.go
+++ b/internal/registrar/moves.go
@@ -59,7 +59,7 @@
 		return writeFailure(c, status, outcome.NotRun, failure{Code: code, Message: message})
 	}
 	var request movesRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&request); err != nil {
+	if err := decodeWhole(c.Request().Body, &request); err != nil {
 		return reject(http.StatusBadRequest, codeBadRequest, "registrar: body: "+err.Error())
 	}
 	declared, err := declaration.Decode(request.Declarations)
--- a/internal/registrar/quarantine.go
+++ b/internal/registrar/quarantine.go
@@ -70,7 +70,8 @@
 func (h quarantineHandlers) lift(c echo.Context) error {
 	operator, _ := c.Get(operatorContextKey).(string)
 	var request liftRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&request); err != nil || len(request.Lift) == 0 {
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, DefaultBodyBytes)
+	if err := decodeWhole(body, &request); err != nil || len(request.Lift) == 0 {
 		return writeFailure(c, http.StatusBadRequest, outcome.NotRun, failure{
 			Code: codeBadRequest, Message: "the body names no digests in \"lift\"",
 		})
--- a/internal/registrar/voters.go
+++ b/internal/registrar/voters.go
@@ -71,7 +71,7 @@
 	operator, _ := c.Get(operatorContextKey).(string)
 	var origin Origin
 	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxOriginBytes)
-	if err := json.NewDecoder(body).Decode(&origin); err != nil && !errors.Is(err, io.EOF) {
+	if err := decodeWhole(body, &origin); err != nil && !errors.Is(err, io.EOF) {
 		return writeFailure(c, http.StatusBadRequest, outcome.NotRun, failure{Code: codeBadRequest, Message: err.Error()})
 	}
 	err := s.options.VoterManager.Bootstrap(c.Request().Context(), origin)
@@ -89,12 +89,16 @@
 func (s *Server) changeVoters(c echo.Context) error {
 	operator, _ := c.Get(operatorContextKey).(string)
 	var change VotersChange
-	if err := c.Bind(&change); err != nil || (change.Add == "") == (change.Remove == "") {
+	err := c.Bind(&change)
+	if err == nil {
+		_, err = io.Copy(io.Discard, c.Request().Body)
+	}
+	if err != nil || (change.Add == "") == (change.Remove == "") {
 		return writeFailure(c, http.StatusBadRequest, outcome.NotRun, failure{
 			Code: codeBadRequest, Message: "a change of voters adds one identity or removes one",
 		})
 	}
-	err := s.options.VoterManager.ChangeVoters(c.Request().Context(), change)
+	err = s.options.VoterManager.ChangeVoters(c.Request().Context(), change)
 	s.options.Log.Info().Err(err).Str("by", operator).Str("add", change.Add).Str("remove", change.Remove).Msg("voter set change")
 	var unavailable *UnavailableError
 	switch {
--- a/internal/registrar/wire.go
+++ b/internal/registrar/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 
 	"github.com/lovagelift/lovagelift/internal/finding"
 	"github.com/lovagelift/lovagelift/internal/registry"
@@ -104,3 +105,13 @@
 	}
 	return findings
 }
+
+// decodeWhole decodes the JSON value of a body. If the body is cut short, even behind the value, it returns an
+// error: its sender did not finish.
+func decodeWhole(body io.Reader, value any) error {
+	if err := json.NewDecoder(body).Decode(value); err != nil {
+		return err
+	}
+	_, err := io.Copy(io.Discard, body)
+	return err
+}
