desk, counter: specs of responses cut short for callers over TLS, and of checks cut in their heads

A response that is cut at each byte (with a length, events in chunks, the head of one until close) is not whole for a caller over TLS, for which closing a connection announces a regular end; a response until close is visibly incomplete if each answer to the check of its upstream is cut in its head.

--- a/internal/counter/liveness_test.go
+++ b/internal/counter/liveness_test.go
@@ -59,6 +59,7 @@
 	Entry("as another process uses its address", SpecTimeout(specTimeout), func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	}),
+	Entry("as its answers are cut short in their heads", SpecTimeout(specTimeout), respondRaw("HTTP/1.1 204 No Content\r\nSpec-Request: ID\r\n")),
 	Entry("as it does not answer", SpecTimeout(specTimeout), func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }),
 )
 
--- a/internal/desk/cuthead_test.go
+++ b/internal/desk/cuthead_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/desk"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -141,3 +142,35 @@
 		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n"),
 	Entry("of events until close", SpecTimeout(cutsTimeout), "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: a\n\n"),
 )
+
+// TLS announces the regular end of a connection when it is closed.
+var _ = DescribeTable("a response that is cut short at any byte is not whole for a caller over TLS either",
+	func(ctx SpecContext, text string) {
+		responder := &cutResponder{text: text, arrivals: map[int]int{}}
+		upstream := httptest.NewServer(responder)
+		DeferCleanup(upstream.Close)
+		server := newTestServer(newFakeVoters(), "a")
+		server.setUpstreams(upstream.Listener.Addr().String())
+		secure := httptest.NewUnstartedServer(server.api)
+		secure.Config.ConnContext = shuttle.WithConn
+		secure.StartTLS()
+		DeferCleanup(secure.Close)
+		_, end := cutEnds(text)
+		for number := range 2 * end {
+			cut := fmt.Sprintf(cutFormat, number, number/2, number%2 > 0, false)
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, secure.URL+"/services/booking/book", strings.NewReader(cut))
+			Expect(err).NotTo(HaveOccurred())
+			response, err := secure.Client().Do(request)
+			if err != nil {
+				continue
+			}
+			_, err = io.ReadAll(response.Body)
+			response.Body.Close()
+			Expect(err != nil || response.StatusCode == http.StatusBadGateway).To(BeTrue(), "%s: got %d", cut, response.StatusCode)
+		}
+	},
+	Entry("with a length", SpecTimeout(cutsTimeout), "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nseat"),
+	Entry("of events in chunks", SpecTimeout(cutsTimeout),
+		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n9\r\ndata: b\n\n\r\n0\r\n\r\n"),
+	Entry("until close", SpecTimeout(cutsTimeout), "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nseat"),
+)
