counter: log and count what confirms that a response until close is whole

Callers saw streams until close end regularly before their last event. The log line told the framing, and whether the upstream's process went on, but not whether anything shows that such a response is whole: one that a living upstream had broken off looked like all others that were answered.

The line now has end=output-limit, nothing-left, unconfirmed or process-ended, and lovagelift_counter_until_close_ends counts them. To tell, the event scanner counts whole events with data and notes whether events have IDs, and a call keeps the stated maximum of output tokens, which a length hint no longer hides. Nothing is passed on differently.

--- a/internal/counter/bodies.go
+++ b/internal/counter/bodies.go
@@ -139,6 +139,9 @@
 func (t *transaction) passLong(w http.ResponseWriter, a *upstreamAttempt, response *http.Response, end shuttle.ResponseEnd) {
 	passed, readErr, writeErr := passRest(w, response.Body)
 	a.bodyBytes += passed
+	if writeErr == nil {
+		t.confirmWhole(a, readErr)
+	}
 	switch {
 	case writeErr != nil || t.request.Context().Err() != nil:
 		a.unfinished = true
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -32,6 +32,8 @@
 	failedSteps map[string]tally.Counter
 	// untilClose counts responses that ended with their connection.
 	untilClose map[string]tally.Counter
+	// confirmations counts them by what confirms that they are whole.
+	confirmations map[string]tally.Counter
 	// livenessChecks counts the liveness checks after such responses, by result.
 	livenessChecks map[string]tally.Counter
 	// relays counts requests that were sent through other instances, by result.
@@ -109,6 +111,7 @@
 		refusals: map[string]tally.Counter{}, failedSends: map[string]tally.Counter{},
 		failedSteps: map[string]tally.Counter{}, relays: map[string]tally.Counter{}, limitedSends: map[string]tally.Counter{},
 		untilClose:     map[string]tally.Counter{},
+		confirmations:  map[string]tally.Counter{},
 		livenessChecks: map[string]tally.Counter{},
 		plainRefusals:  map[string]tally.Counter{},
 		resumptions:    map[string]tally.Counter{},
@@ -162,6 +165,13 @@
 	taggedCounter(m.scope, m.untilClose, "until_close_answers", "end", event).Inc(1)
 }
 
+// countConfirmation counts a response that ended with its connection by what confirms that it is whole.
+func (m *metrics) countConfirmation(c confirmation) {
+	if c != notEnded {
+		taggedCounter(m.scope, m.confirmations, "until_close_ends", "confirmation", c.String()).Inc(1)
+	}
+}
+
 // countLiveness counts a response that ended with its connection by the result of the liveness check.
 func (m *metrics) countLiveness(liveness Liveness) {
 	taggedCounter(m.scope, m.livenessChecks, "liveness_checks", "result", liveness.String()).Inc(1)
--- a/internal/counter/options.go
+++ b/internal/counter/options.go
@@ -142,7 +142,10 @@
 	// Adapter is empty for the base model.
 	Adapter      string
 	PromptTokens int
-	OutputTokens int
+	// OutputTokens is the expected number of tokens of the answer, and MaxOutputTokens the maximum, 0 if the
+	// headers do not state it.
+	OutputTokens    int
+	MaxOutputTokens int
 	// PromptParts are the ids of the parts of the prompt that other requests may share, each once.
 	PromptParts []string
 	// Session is the id of the last part of the prompt, which belongs to the request or its session,
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -30,6 +30,9 @@
 	ahead, err := shuttle.ReadBody(response.Body, response.ContentLength, maxBufferedBytes, t.proxy.responseBuffers)
 	defer ahead.Release()
 	a.bodyBytes = int64(len(ahead.Bytes))
+	if ahead.Whole || err != nil {
+		t.confirmWhole(a, err)
+	}
 	if err != nil {
 		t.possibleRuns--
 		a.bodyStarted = a.bodyBytes > 0
@@ -105,6 +108,9 @@
 		a.bodyBytes += int64(bytes)
 		t.timing.recordChunk(t.proxy.options.Now())
 	})
+	if writeErr == nil {
+		t.confirmWhole(a, readErr)
+	}
 	switch {
 	case writeErr != nil:
 		a.unfinished = true
@@ -187,6 +193,7 @@
 		p.metrics.countAnswer(now, t, status)
 		if a.framing == shuttle.UntilClose {
 			p.metrics.countUntilClose(event, a.endsInsideEvent())
+			p.metrics.countConfirmation(a.confirmation)
 		}
 		factor = p.speedFactor(now, t, a.upstream)
 	} else {
@@ -252,6 +259,9 @@
 	if a.liveness != NotChecked {
 		line = line.Stringer("upstream-after", a.liveness)
 	}
+	if a.confirmation != notEnded {
+		line = line.Stringer("end", a.confirmation)
+	}
 	if a.endsInsideEvent() {
 		line = line.Bool("inside-event", true)
 	}
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -43,6 +43,8 @@
 	events  *shuttle.EventReader
 	// liveness is the result of the check after the end of a response that ended with its connection.
 	liveness Liveness
+	// confirmation is what confirms that such a response is whole.
+	confirmation confirmation
 	// relayedBy is the instance through which the request was last sent, invalid if it was sent
 	// directly.
 	relayedBy netip.AddrPort
--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -79,3 +79,18 @@
 func (r *EventReader) InsideEvent() bool {
 	return r.scanner.InsideEvent()
 }
+
+// Dispatched returns the number of whole events read that have data.
+func (r *EventReader) Dispatched() int {
+	return r.scanner.Dispatched()
+}
+
+// IsEmpty reports whether no event has begun.
+func (r *EventReader) IsEmpty() bool {
+	return !r.scanner.HasEvent()
+}
+
+// HasID reports whether an event has an ID, at which the stream can be resumed.
+func (r *EventReader) HasID() bool {
+	return r.scanner.HasID()
+}
