counter: a stream until close that a living upstream may have broken off is left to its caller to resume

Cause: that a process lives says nothing about one of its responses. An absence of further bytes was taken for a whole stream.

On a route that may be resumed, such a stream now ends regularly only if it has as many events as the largest answer allows, or if it was resumed after an event and brings none: then two runs agree. Otherwise the caller's connection is reset at the instance that talks to the caller, and the caller resumes. The upstream has not failed, and the stream's origin stays known.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -37,7 +37,7 @@
 		return t.handleFailure(ctx, w, a, err)
 	}
 	defer response.Body.Close()
-	a.observeFraming(response)
+	t.observeFraming(a, response)
 	if !a.relayedBy.IsValid() {
 		// Another instance that relays the response confirms its end itself.
 		p.confirmEnd(ctx, a.upstream, response, a.framing, func(liveness Liveness) { a.liveness = liveness })
--- a/internal/counter/confirmation.go
+++ b/internal/counter/confirmation.go
@@ -46,13 +46,31 @@
 	case err != nil:
 	case t.reachesOutputLimit(a):
 		a.confirmation = outputLimit
-	case t.resumesStream() && a.events != nil && a.events.IsEmpty():
+	case t.mayHaveNothingLeft() && a.events != nil && a.events.IsEmpty():
 		a.confirmation = nothingLeft
 	default:
 		a.confirmation = unconfirmed
 	}
 }
 
+// mayHaveNothingLeft reports whether the request resumes a stream after an event, which may have been the
+// last one. Events are counted from 1.
+func (t *transaction) mayHaveNothingLeft() bool {
+	switch t.lastEvent() {
+	case "", "0":
+		return false
+	default:
+		return t.route.Kind == routes.Stream && t.route.Resumable
+	}
+}
+
+// isLeftToCaller reports whether the caller has to find out whether the response is whole, by resuming it
+// after its last event. Compressed streams are left out, whose encoding marks their end, and so is what the
+// caller could only begin anew.
+func (t *transaction) isLeftToCaller(a *upstreamAttempt) bool {
+	return a.confirmation == unconfirmed && t.route.Resumable && a.events != nil && a.events.HasID()
+}
+
 // reachesOutputLimit reports whether the response has as many events as the maximum of the answer
 // allows. The events before those of a resumed stream do not count: its caller may state the maximum of
 // the rest.
--- a/internal/counter/dialect_test.go
+++ b/internal/counter/dialect_test.go
@@ -20,6 +20,8 @@
 	limitHeader  = "Spec-Limit"
 	keyHeader    = "Spec-Key"
 	partHeader   = "Spec-Part"
+	// maxOutputHeader is the maximum number of output tokens.
+	maxOutputHeader = "Spec-Max-Output"
 
 	pushbackHeader = "Spec-Pushback"
 	leavingHeader  = "Spec-Leaving"
@@ -100,6 +102,9 @@
 	// leads to "nobody" alone.
 	withSplitDraft = "with-split-draft"
 	withMovedDraft = "with-moved-draft"
+	// withStride has engines with eventTokens tokens in each event.
+	withStride  = "with-stride"
+	eventTokens = 3
 )
 
 // clerks is the workspace of withKeys and withNewKeys.
@@ -153,6 +158,9 @@
 	case withSplitDraft:
 		draft.Version = 2
 		draft.Routes[3].Shares = append(draft.Routes[3].Shares, routes.Share{Service: "nobody", Weight: 1})
+	case withStride:
+		draft.Version = 2
+		draft.Services[0].Engine = &routes.Engine{Slots: 8, TokensPerEvent: eventTokens}
 	case withMovedDraft:
 		draft.Version = 3
 		draft.Routes[3].Shares[0].Service = "nobody"
--- a/internal/counter/relay_test.go
+++ b/internal/counter/relay_test.go
@@ -12,8 +12,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"github.com/lovagelift/lovagelift/internal/counter"
 )
 
 // relayGroup is a group of instances of which the first one has no path to the two upstreams.
@@ -32,8 +30,7 @@
 	g.waitUntilKnown(2)
 	g.peers[0].path.fail(os.ErrDeadlineExceeded)
 	g.server = startCallerServer(func(w http.ResponseWriter, r *http.Request) {
-		call := counter.Call{ID: r.Header.Get(idHeader), Key: r.Header.Get(keyHeader), Timeout: 5 * time.Second}
-		g.peers[0].proxy.ServeRequest(w, r, call)
+		g.peers[0].proxy.ServeRequest(w, r, callOf(r))
 	})
 	DeferCleanup(func() {
 		g.server.CloseClientConnections()
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -98,8 +98,9 @@
 	return true
 }
 
-// stream relays events as they arrive. If the upstream breaks off, the caller's connection is
-// aborted as well, so that a truncated stream does not look complete.
+// stream relays events as they arrive. If the upstream breaks off, or may have done so and the caller can
+// resume the stream, the caller's connection is aborted as well, so that a truncated stream does not look
+// complete.
 func (t *transaction) stream(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, response *http.Response) {
 	t.recordOrigin(a)
 	end := beginResponse(w, t.request, response, a.framing)
@@ -118,11 +119,9 @@
 		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
 		end.Abort()
 	case readErr == nil:
-		end.Complete()
-		t.completeOrigin()
 		a.outcome, a.speed = permit.Succeeded, t.measuredSpeed()
 		t.reportSuccess(a, response.StatusCode)
-		t.proxy.logAttempt(t, a, "answered", response.StatusCode, "")
+		t.endStream(a, response.StatusCode, end)
 	case t.request.Context().Err() != nil:
 		a.unfinished = true
 		t.reportCallerLeft(a)
@@ -139,6 +138,17 @@
 	}
 }
 
+// endStream ends the caller's connection after a stream that its upstream has ended regularly.
+func (t *transaction) endStream(a *upstreamAttempt, status int, end shuttle.ResponseEnd) {
+	if t.isLeftToCaller(a) {
+		t.proxy.logAttempt(t, a, "left to caller", status, "")
+		end.Abort()
+	}
+	end.Complete()
+	t.completeOrigin()
+	t.proxy.logAttempt(t, a, "answered", status, "")
+}
+
 // copyChunks copies body to w and flushes after each chunk, for whose size it calls observe. It
 // returns the error of the side that failed.
 func copyChunks(w http.ResponseWriter, body io.Reader, observe func(bytes int)) (readErr, writeErr error) {
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -19,11 +19,15 @@
 // instance with the next sync. The instance at which it is resumed asks the former, then all others, then
 // the control instances.
 
-// resumesStream reports whether the request resumes a stream. An upstream may read any of several values
-// of its header.
+// resumesStream reports whether the request resumes a stream.
 func (t *transaction) resumesStream() bool {
-	return t.route.Kind == routes.Stream &&
-		(t.call.Resumes != "" || strings.Join(t.request.Header.Values(upstreamapi.LastEventIDHeader), "") != "")
+	return t.route.Kind == routes.Stream && (t.call.Resumes != "" || t.lastEvent() != "")
+}
+
+// lastEvent returns the ID of the event after which the request resumes a stream, empty if it names none.
+// An upstream may read any of several values of the header.
+func (t *transaction) lastEvent() string {
+	return strings.Join(t.request.Header.Values(upstreamapi.LastEventIDHeader), "")
 }
 
 // needsKnownVersion reports whether the request may begin a stream that is resumed later, and instances
--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -38,6 +39,8 @@
 type versionedUpstream struct {
 	*upstream
 	version string
+	// endsRegularly ends the connection of a new stream like that of a complete one.
+	endsRegularly atomic.Bool
 }
 
 func newVersionedUpstream(version string) *versionedUpstream {
@@ -49,12 +52,18 @@
 func (u *versionedUpstream) respond(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(idHeader, r.Header.Get(idHeader))
 	w.Header().Set("Content-Type", "text/event-stream")
+	if u.endsRegularly.Load() {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	if r.Header.Get(lastEventIDHeader) != "" {
 		fmt.Fprintf(w, "id: 2\ndata: %s\n\n", u.version)
 		return
 	}
 	fmt.Fprintf(w, "id: 1\ndata: %s\n\n", u.version)
 	Expect(http.NewResponseController(w).Flush()).To(Succeed())
+	if u.endsRegularly.Load() {
+		return
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -62,12 +62,17 @@
 
 // observeFraming records the framing of a response, and replaces the body of an event stream by one
 // that fails if it ends inside an event.
-func (a *upstreamAttempt) observeFraming(response *http.Response) {
+func (t *transaction) observeFraming(a *upstreamAttempt, response *http.Response) {
 	a.framing = shuttle.FramingOf(response)
-	if shuttle.IsPlainEventStream(response.Header) {
-		a.events = shuttle.NewEventReader(response.Body, a.framing)
-		response.Body = a.events
+	if !shuttle.IsPlainEventStream(response.Header) {
+		return
+	}
+	newReader := shuttle.NewEventReader
+	if t.mayHaveNothingLeft() {
+		newReader = shuttle.NewResumedEventReader
 	}
+	a.events = newReader(response.Body, a.framing)
+	response.Body = a.events
 }
 
 // endsInsideEvent reports whether the response is an event stream that has ended inside an event.
--- a/internal/counter/testproxy_test.go
+++ b/internal/counter/testproxy_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -52,7 +53,7 @@
 		ParseRoutes:    parseRoutes, Dialect: dialect{}, Now: p.now, Log: zerolog.Nop(), MemoryBytes: memoryBytes,
 	})
 	p.server = startCallerServer(func(w http.ResponseWriter, r *http.Request) {
-		p.proxy.ServeRequest(w, r, counter.Call{ID: r.Header.Get(idHeader), Key: r.Header.Get(keyHeader), Timeout: 5 * time.Second, PromptParts: r.Header[partHeader]})
+		p.proxy.ServeRequest(w, r, callOf(r))
 	})
 	DeferCleanup(func() {
 		p.server.CloseClientConnections()
@@ -63,6 +64,16 @@
 	return p
 }
 
+// callOf returns the parameters of a request.
+func callOf(r *http.Request) counter.Call {
+	// A request without the header states no maximum.
+	maxOutputTokens, _ := strconv.Atoi(r.Header.Get(maxOutputHeader))
+	return counter.Call{
+		ID: r.Header.Get(idHeader), Resumes: r.Header.Get(resumesHeader), Key: r.Header.Get(keyHeader), Timeout: 5 * time.Second,
+		PromptParts: r.Header[partHeader], MaxOutputTokens: maxOutputTokens,
+	}
+}
+
 // startCallerServer starts the server of an instance for callers.
 func startCallerServer(serve http.HandlerFunc) *httptest.Server {
 	server := httptest.NewUnstartedServer(serve)
--- a/internal/counter/untilclose_test.go
+++ b/internal/counter/untilclose_test.go
@@ -27,7 +27,13 @@
 // fetch sends a request on a new connection.
 func fetch(ctx context.Context, url, path string) callerView {
 	GinkgoHelper()
-	response, err := post(ctx, url, path)
+	return fetchWith(ctx, url, path, http.Header{})
+}
+
+// fetchWith sends a request with a header on a new connection.
+func fetchWith(ctx context.Context, url, path string, header http.Header) callerView {
+	GinkgoHelper()
+	response, err := postWith(ctx, url, path, header)
 	if err != nil {
 		return callerView{err: err}
 	}
@@ -38,11 +44,19 @@
 
 // post sends a request on a new connection and returns the response, whose body must be closed.
 func post(ctx context.Context, url, path string) (*http.Response, error) {
+	GinkgoHelper()
+	return postWith(ctx, url, path, http.Header{})
+}
+
+// postWith is post with a header.
+func postWith(ctx context.Context, url, path string, header http.Header) (*http.Response, error) {
 	GinkgoHelper()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+path, strings.NewReader("a letter"))
 	Expect(err).NotTo(HaveOccurred())
-	request.Host = "spec.test"
-	request.Header.Set(idHeader, "r1")
+	request.Host, request.Header = "spec.test", header.Clone()
+	if request.Header.Get(idHeader) == "" {
+		request.Header.Set(idHeader, "r1")
+	}
 	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
 	return transport.RoundTrip(request)
 }
--- a/internal/shuttle/eventreader.go
+++ b/internal/shuttle/eventreader.go
@@ -28,6 +28,8 @@
 	io.ReadCloser
 	framing Framing
 	scanner EventScanner
+	// mayBeEmpty is true if the stream goes on after an event, which may have been the last one.
+	mayBeEmpty bool
 	// needsDone is true if the stream is complete only with finalEvent, for which tail is kept.
 	needsDone bool
 	tail      tail
@@ -38,6 +40,12 @@
 	return &EventReader{ReadCloser: body, framing: framing}
 }
 
+// NewResumedEventReader returns an EventReader of the body of a response that resumes a stream after one of
+// its events.
+func NewResumedEventReader(body io.ReadCloser, framing Framing) *EventReader {
+	return &EventReader{ReadCloser: body, framing: framing, mayBeEmpty: true}
+}
+
 // Read reads from the stream.
 func (r *EventReader) Read(buffer []byte) (int, error) {
 	n, err := r.ReadCloser.Read(buffer)
@@ -62,7 +70,7 @@
 		return errors.Wrap(ErrTruncated, "the stream ends inside an event")
 	case r.needsDone:
 		return errors.Wrap(ErrTruncated, "final event is missing")
-	case r.framing == UntilClose && !r.scanner.HasEvent():
+	case r.framing == UntilClose && !r.mayBeEmpty && !r.scanner.HasEvent():
 		return errors.Wrap(ErrTruncated, "the connection ends before the first event")
 	default:
 		return io.EOF
