resumption, backoffice: settled routes are recorded by a digest of where they lead

Cause: what the record says was bound to a number that changes without need. Now it is a digest of the services to which routes with resumable streams lead, which other changes of the routes leave as it is; a change that leads streams elsewhere takes it back.

--- a/internal/backoffice/versions.go
+++ b/internal/backoffice/versions.go
@@ -56,7 +56,7 @@
 	defer cancel()
 	err := r.instance.voter.RecordVersions(ctx, update)
 	r.instance.options.Log.Info().Err(err).Interface("added", update.Added).Interface("retired", update.Retired).
-		Uint64("settled-routes", update.SettledRoutes).Msg("software versions recorded")
+		Bool("routes-moved", update.RoutesMoved).Bool("routes-settled", update.SettledRoutes != 0).Msg("software versions recorded")
 }
 
 // nextUpdate returns what has to be recorded.
@@ -68,7 +68,8 @@
 	}
 	r.observeRoutes(now, records)
 	inUse, complete := r.observeUpstreams(now)
-	update := resumption.RecordsUpdate{SettledRoutes: r.settledRoutes(now, records)}
+	var update resumption.RecordsUpdate
+	r.updateRoutes(now, records, &update)
 	for version := range inUse {
 		if !records.Has(version) && len(records.Versions())+len(update.Added) < resumption.MaxRecords {
 			update.Added = append(update.Added, version)
@@ -133,22 +134,27 @@
 	former, missed := r.table, changes != r.editionChanges+1
 	r.table, r.editionChanges = table, changes
 	switch {
-	case changes == 1, records.SettledRoutes() >= table.Version:
+	case changes == 1, former == nil && records.SettledRoutes() == table.ResumableDigest():
 		// The first routes follow no others.
 		r.redirectedAt = time.Time{}
-	case former == nil, missed, len(former.Redirections(table)) > 0:
+	case former == nil, missed:
+		r.redirectedAt = now
+	case former.ResumableDigest() != table.ResumableDigest() && len(former.Redirections(table)) > 0:
 		r.redirectedAt = now
 	}
 }
 
-// settledRoutes returns the version of the routes in force if no stream that may still be resumed can have
-// begun elsewhere than they lead, and that is not recorded yet. Otherwise it returns 0.
-func (r *versionRecorder) settledRoutes(now time.Time, records resumption.Records) uint64 {
-	switch {
-	case r.table == nil, records.SettledRoutes() >= r.table.Version, now.Sub(r.redirectedAt) <= r.retention():
-		return 0
-	default:
-		return r.table.Version
+// updateRoutes adds to an update what has to be recorded of the routes in force.
+func (r *versionRecorder) updateRoutes(now time.Time, records resumption.Records, update *resumption.RecordsUpdate) {
+	if r.table == nil {
+		return
+	}
+	settled, digest := records.SettledRoutes(), r.table.ResumableDigest()
+	switch moved := now.Sub(r.redirectedAt) <= r.retention(); {
+	case moved && settled != 0:
+		update.RoutesMoved = true
+	case !moved && settled != digest:
+		update.SettledRoutes = digest
 	}
 }
 
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -188,7 +188,7 @@
 	p := t.proxy
 	services, known := p.formerRoutes.Services(hostOf(t.request), t.request.URL.EscapedPath(), since)
 	maps.Copy(services, t.route.Services())
-	if p.routesSince.After(since) && !p.pool.catalog.RoutesSettled(t.version) {
+	if p.routesSince.After(since) && !p.pool.catalog.RoutesSettled(p.routes.Load().ResumableDigest()) {
 		// The routes may have led elsewhere before this instance started.
 		for _, service := range p.pool.catalog.Services() {
 			services[service] = true
--- a/internal/resumption/catalog.go
+++ b/internal/resumption/catalog.go
@@ -71,7 +71,7 @@
 }
 
 // RoutesSettled reports whether streams that may still be resumed can only have begun at services to which
-// the routes of a version lead.
-func (c Catalog) RoutesSettled(version uint64) bool {
-	return c.settledRoutes != 0 && c.settledRoutes >= version
+// routes with a digest lead.
+func (c Catalog) RoutesSettled(digest uint64) bool {
+	return c.settledRoutes != 0 && c.settledRoutes == digest
 }
--- a/internal/resumption/records.go
+++ b/internal/resumption/records.go
@@ -30,13 +30,16 @@
 	Added []ServiceVersion `json:"added,omitempty"`
 	// Retired are versions at which no stream has begun that may still be resumed.
 	Retired []ServiceVersion `json:"retired,omitempty"`
-	// SettledRoutes is a version of the routes, and 0 if it does not change.
+	// RoutesMoved is true if the routes lead requests elsewhere than before. SettledRoutes is the digest of
+	// routes that have led to the same services for as long as streams may be resumed, and 0 if there are
+	// no others.
+	RoutesMoved   bool   `json:"routes-moved,omitempty"`
 	SettledRoutes uint64 `json:"settled-routes,omitempty"`
 }
 
 // Empty reports whether the update changes nothing.
 func (u RecordsUpdate) Empty() bool {
-	return len(u.Added) == 0 && len(u.Retired) == 0 && u.SettledRoutes == 0
+	return len(u.Added) == 0 && len(u.Retired) == 0 && !u.RoutesMoved && u.SettledRoutes == 0
 }
 
 // Records are the software versions at which streams that may still be resumed can have begun. A version is
@@ -47,14 +50,20 @@
 	// revision increases with each update that changes something.
 	revision uint64
 	versions map[ServiceVersion]struct{}
-	// settledRoutes is the latest version of the routes under which no stream that may still be resumed
-	// can have begun at a service to which its route does not lead, 0 if there is none.
+	// settledRoutes is the digest of the routes under which no stream that may still be resumed can have
+	// begun at a service to which its route does not lead, 0 if there are none.
 	settledRoutes uint64
 }
 
 // With returns the records after an update. Beyond MaxRecords, no version is added.
 func (r Records) With(update RecordsUpdate) Records {
-	next := Records{revision: r.revision, versions: maps.Clone(r.versions), settledRoutes: max(r.settledRoutes, update.SettledRoutes)}
+	next := Records{revision: r.revision, versions: maps.Clone(r.versions), settledRoutes: r.settledRoutes}
+	if update.RoutesMoved {
+		next.settledRoutes = 0
+	}
+	if update.SettledRoutes != 0 {
+		next.settledRoutes = update.SettledRoutes
+	}
 	if next.versions == nil {
 		next.versions = map[ServiceVersion]struct{}{}
 	}
@@ -83,8 +92,8 @@
 	return slices.SortedFunc(maps.Keys(r.versions), ServiceVersion.compare)
 }
 
-// SettledRoutes returns the latest version of the routes under which no stream that may still be resumed
-// can have begun at a service to which its route does not lead, 0 if there is none.
+// SettledRoutes returns the digest of the routes under which no stream that may still be resumed can have
+// begun at a service to which its route does not lead, 0 if there are none.
 func (r Records) SettledRoutes() uint64 {
 	return r.settledRoutes
 }
--- a/internal/routes/checker.go
+++ b/internal/routes/checker.go
@@ -26,11 +26,7 @@
 		c.route(&draft.Routes[i], seen)
 	}
 	c.table.mixesUrgency = mixesUrgency(draft.Routes)
-	for _, route := range draft.Routes {
-		if route.Kind == Stream && route.Resumable {
-			c.table.resumableTimeout = max(c.table.resumableTimeout, route.Timeout)
-		}
-	}
+	c.table.indexResumable(draft.Routes)
 	c.table.Workspaces = workspace.New(draft.Workspaces, &c.findings)
 	return c.table, c.findings.Err()
 }
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -205,8 +205,16 @@
 	routes   int
 	// mixesUrgency is true if there are batch routes and interactive routes.
 	mixesUrgency bool
-	// resumableTimeout is the longest timeout of the routes whose streams may be resumed.
+	// resumableTimeout is the longest timeout of the routes whose streams may be resumed, and
+	// resumableDigest is a hash of the services to which they lead.
 	resumableTimeout time.Duration
+	resumableDigest  uint64
+}
+
+// ResumableDigest returns a hash of the services to which the routes lead whose streams may be resumed. It
+// is not 0.
+func (t *Table) ResumableDigest() uint64 {
+	return t.resumableDigest
 }
 
 // ResumableTimeout returns the longest timeout of the routes whose streams may be resumed, 0 if there are
