counter: a quota's new owner takes back what its predecessor began with

What callers saw: nothing; a workspace beyond its quota got more than the tolerated excess after the owner of the quota had been killed. Each process that begins to grant a quota starts with half of the tolerated excess, because it doesn't know what was granted before: the instance that stands in for the owner, and the owner once it is back. An owner that has just started takes what it never heard of for what never was. What the stand-in was not asked for less than a second came in all the same.

Cause: the absence of knowledge was paid for with the excess, as often as it occurred in a window.

Fix: those who ask outlive the owner and know who granted to them last, and since when. They tell it to another instance before they ask it (QuotaContinued, one datagram at a change of the owner; instances that don't know the message ignore it). If the former began within the window before the new one did, the initial units are taken back, and nothing comes in for the time for which another granted.

--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -64,6 +64,8 @@
 		p.handleQuotaAdjustment(now, from, m.Workspace, m.Units)
 	case permit.QuotaDebit:
 		p.handleQuotaAdjustment(now, from, m.Workspace, -m.Units)
+	case permit.QuotaContinued:
+		p.quotas.get(m.Workspace).followOwner(now.Add(-m.Age))
 	case permit.StreamReport:
 		p.receiveOrigin(now, m)
 	case permit.StreamQuery:
--- a/internal/counter/quota.go
+++ b/internal/counter/quota.go
@@ -41,6 +41,49 @@
 	// requesters are the instances that have asked this one while it stood in for the owner, and when
 	// each last did.
 	requesters map[netip.AddrPort]time.Time
+	// initial are the units with which bucket began at begunAt. They are 0 once they have been taken
+	// back.
+	initial float64
+	begunAt time.Time
+	// formerOwnerSince is when another instance began to grant units, the latest such time before
+	// begunAt that is known. It is zero if none is.
+	formerOwnerSince time.Time
+	// servedBy is the instance that has decided on requests of this one since servedSince. It is not
+	// valid before the first decision.
+	servedBy    netip.AddrPort
+	servedSince time.Time
+}
+
+// followOwner records that another instance has granted units since a given time.
+func (a *quotaAccount) followOwner(since time.Time) {
+	a.lost = true
+	if since.After(a.formerOwnerSince) && (a.initial == 0 || since.Before(a.begunAt)) {
+		a.formerOwnerSince = since
+	}
+}
+
+// takeInitialBack returns the units with which bucket began if another instance had begun with some in
+// the same window, and 0 otherwise or if it has returned them before.
+func (a *quotaAccount) takeInitialBack(window time.Duration) float64 {
+	if a.initial == 0 || a.formerOwnerSince.IsZero() || a.begunAt.Sub(a.formerOwnerSince) >= window {
+		return 0
+	}
+	surplus := a.initial
+	a.initial = 0
+	return surplus
+}
+
+// recordServer records which instance has decided on a request of this one.
+func (a *quotaAccount) recordServer(now time.Time, server netip.AddrPort) {
+	if a.servedBy != server {
+		a.servedBy, a.servedSince = server, now
+	}
+}
+
+// formerServerSince returns since when another instance than the given one has decided on the requests
+// of this one. It returns false if none has.
+func (a *quotaAccount) formerServerSince(server netip.AddrPort) (time.Time, bool) {
+	return a.servedSince, a.servedBy.IsValid() && a.servedBy != server
 }
 
 // quotaAccounts maps the names of workspaces to their accounts.
@@ -70,6 +113,9 @@
 // The owner fills it by the whole quota. An instance that stands in for an owner fills it by the share
 // of the instances that ask it, because the owner may still answer the others. Neither knows what was
 // granted while it was not asked, so nothing comes in for that time.
+//
+// A new bucket begins with units that the former owner may have granted as well. They are taken back if
+// the former owner had begun with some in the same window.
 func (p *Proxy) ownerBucket(now time.Time, name string, limit quota.Limit, from netip.AddrPort) (*quota.Bucket, quota.Limit) {
 	account := p.quotas.get(name)
 	idle := now.Sub(account.usedAt)
@@ -77,7 +123,8 @@
 	interrupted := account.lost || standsIn && idle >= standInTTL
 	switch {
 	case account.bucket == nil, interrupted && idle >= p.options.QuotaTolerance.Window:
-		account.bucket = p.newQuotaBucket(now, limit)
+		account.begunAt, account.initial = now, p.options.QuotaTolerance.InitialUnits(limit)
+		account.bucket = new(quota.NewBucket(now, account.initial))
 	case interrupted:
 		paused := account.bucket.Paused(now)
 		account.bucket = &paused
@@ -86,6 +133,7 @@
 	if standsIn {
 		limit.PerSecond *= float64(account.countRequester(now, from)) / float64(max(p.control.entryInstances, 1))
 	}
+	*account.bucket = account.bucket.Adjust(now, limit, -account.takeInitialBack(p.options.QuotaTolerance.Window))
 	return account.bucket, limit
 }
 
@@ -107,12 +155,6 @@
 	return len(a.requesters)
 }
 
-// newQuotaBucket returns a bucket with what may be spent while it is unknown what was granted before.
-func (p *Proxy) newQuotaBucket(now time.Time, limit quota.Limit) *quota.Bucket {
-	bucket := quota.NewBucket(now, p.options.QuotaTolerance.InitialUnits(limit))
-	return &bucket
-}
-
 // takeAsOwner takes units from the bucket of all instances for a request of the given one. p.mu is
 // held.
 func (p *Proxy) takeAsOwner(now time.Time, name string, limit quota.Limit, need, ahead float64, from netip.AddrPort) quota.Decision {
@@ -148,6 +190,7 @@
 			p.mu.Unlock()
 			return decision
 		}
+		p.announceFormerServer(now, w.Name, owner)
 		id, pending := p.expectReply(owner)
 		p.mu.Unlock()
 		answer := p.exchange(ctx, owner, permit.QuotaRequest{
@@ -156,9 +199,10 @@
 		p.dropReplies(id)
 		switch m := answer.(type) {
 		case permit.QuotaGranted:
-			p.extendLease(w.Name, m.Units-need)
+			p.recordQuotaDecision(w.Name, owner, m.Units-need)
 			return quota.Granted{Units: need, Scarce: m.Scarce}
 		case permit.QuotaDenied:
+			p.recordQuotaDecision(w.Name, owner, 0)
 			return quota.Denied{Wait: m.Wait}
 		case permit.ShuttingDown:
 			p.avoidOwner(owner, drainingAvoidance)
@@ -178,10 +222,14 @@
 // decision is nil, and it returns the owner and the units to ask for ahead. p.mu is held.
 func (p *Proxy) takeQuotaHere(now time.Time, w *workspace.Workspace, need float64) (quota.Decision, netip.AddrPort, float64) {
 	owner, elsewhere := p.quotaOwner(now, w.Name)
+	account := p.quotas.get(w.Name)
 	if !elsewhere {
+		if since, served := account.formerServerSince(p.owners.self); served {
+			account.followOwner(since)
+		}
+		account.recordServer(now, p.owners.self)
 		return p.takeAsOwner(now, w.Name, w.Quota, need, 0, p.owners.self), owner, 0
 	}
-	account := p.quotas.get(w.Name)
 	account.lease = account.lease.WithUse(now, need)
 	var spent bool
 	if account.lease, spent = account.lease.Spend(now, need); spent {
@@ -194,14 +242,26 @@
 	return nil, owner, account.lease.Ahead(now, need)
 }
 
-func (p *Proxy) extendLease(name string, units float64) {
-	if units <= 0 {
-		return
+// announceFormerServer tells an instance that is about to be asked which other one has granted units of
+// a quota recently. p.mu is held.
+func (p *Proxy) announceFormerServer(now time.Time, name string, owner netip.AddrPort) {
+	since, served := p.quotas.get(name).formerServerSince(owner)
+	if age := now.Sub(since); served && age < p.options.QuotaTolerance.Window {
+		p.peers.send(owner, permit.QuotaContinued{Workspace: name, Age: age})
 	}
+}
+
+// recordQuotaDecision records that an owner has decided on a request, and the units that it granted
+// ahead.
+func (p *Proxy) recordQuotaDecision(name string, owner netip.AddrPort, ahead float64) {
+	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	account := p.quotas.get(name)
-	account.lease = account.lease.WithGrant(p.options.Now(), units)
+	account.recordServer(now, owner)
+	if ahead > 0 {
+		account.lease = account.lease.WithGrant(now, ahead)
+	}
 }
 
 // adjustQuota returns units to the owner of a quota, or debits them if units is negative.
--- a/internal/counter/quota_test.go
+++ b/internal/counter/quota_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/counter"
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/quota"
 )
 
 // quotaService is the service name under which quotas have owners.
@@ -112,6 +113,65 @@
 	})
 })
 
+var _ = Describe("The instances that share a quota", func() {
+	instances := instanceAddresses(8)
+	owner := instances[2]
+	name := modelOwnedBy(quotaService, owner, instances...)
+	limit := quota.Limit{PerSecond: 1000, Burst: 1000}
+	const (
+		window = 8 * time.Second
+		need   = 50
+		// pressInterval is the time between two requests, which is a fifth of the time that the quota allows.
+		pressInterval = 10 * time.Millisecond
+		// tolerated is the quota of a window and a tenth more.
+		tolerated = 9900
+	)
+	var network *counter.QuotaNetwork
+
+	// press requests more than the quota for a while, at the instances in turn, and returns the granted units.
+	press := func(ctx context.Context, length time.Duration) float64 {
+		total := 0.0
+		for i := range int(length / pressInterval) {
+			if network.Take(ctx, instances[i%len(instances)], name, limit, need) {
+				total += need
+			}
+			network.Advance(pressInterval)
+		}
+		return total
+	}
+
+	BeforeEach(func(ctx SpecContext) {
+		network = counter.NewQuotaNetwork(start, instances)
+		Expect(network.Take(ctx, instances[0], name, limit, need)).To(BeTrue())
+		network.Advance(window)
+	}, NodeTimeout(specTimeout))
+
+	It("grant the quota and what was left of its burst", func(ctx SpecContext) {
+		Expect(press(ctx, window)).To(BeNumerically("~", 9000, 200))
+	}, NodeTimeout(specTimeout))
+
+	// Guards against more than the quota: the owner starts anew with each restart, as does each instance that
+	// stands in for it, and none knows what the one before granted.
+	DescribeTable("grant no more than the tolerated excess although the owner restarts",
+		func(ctx SpecContext, restarts int, down time.Duration) {
+			up := window/time.Duration(restarts) - down
+			total := 0.0
+			for range restarts {
+				total += press(ctx, up/2)
+				network.Kill(owner)
+				total += press(ctx, down)
+				network.Start(owner)
+				total += press(ctx, up/2)
+			}
+			Expect(total).To(BeNumerically("<=", tolerated))
+			Expect(total).To(BeNumerically(">=", 8000), "most of the quota is granted")
+		},
+		Entry("once", SpecTimeout(specTimeout), 1, 500*time.Millisecond),
+		Entry("once, after a while", SpecTimeout(specTimeout), 1, 2*time.Second),
+		Entry("again and again", SpecTimeout(specTimeout), 4, 500*time.Millisecond),
+	)
+})
+
 var _ = Describe("A request of a workspace", func() {
 	status := func(ctx SpecContext, p *testProxy, key, path string) int {
 		response, _, err := p.sendWithKey(ctx, key, http.MethodPost, path, "")
--- a/internal/permit/decode.go
+++ b/internal/permit/decode.go
@@ -83,7 +83,7 @@
 		return SendAllowed{ID: r.id()}
 	case kindSendDelayed:
 		return SendDelayed{ID: r.id(), Wait: r.duration()}
-	case kindQuotaRequest, kindQuotaGranted, kindQuotaDenied, kindQuotaReturn, kindQuotaDebit:
+	case kindQuotaRequest, kindQuotaGranted, kindQuotaDenied, kindQuotaReturn, kindQuotaDebit, kindQuotaContinued:
 		return r.quotaMessage(kind)
 	default:
 		return r.streamMessage(kind)
@@ -121,6 +121,8 @@
 		return QuotaDenied{ID: r.id(), Wait: r.duration()}
 	case kindQuotaReturn:
 		return QuotaReturn{Workspace: r.String(), Units: r.units()}
+	case kindQuotaContinued:
+		return QuotaContinued{Workspace: r.String(), Age: r.duration()}
 	default:
 		return QuotaDebit{Workspace: r.String(), Units: r.units()}
 	}
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -48,6 +48,8 @@
 	// kindIdentifiedRequest only.
 	kindIdentifiedRejected
 	kindSpeedReport
+	// kindQuotaContinued is ignored by instances that do not know it.
+	kindQuotaContinued
 )
 
 // Append appends the encoding of a message to buffer.
@@ -163,6 +165,8 @@
 		return appendUnits(parcel.AppendBytes(append(buffer, kindQuotaReturn), m.Workspace), m.Units)
 	case QuotaDebit:
 		return appendUnits(parcel.AppendBytes(append(buffer, kindQuotaDebit), m.Workspace), m.Units)
+	case QuotaContinued:
+		return appendDuration(parcel.AppendBytes(append(buffer, kindQuotaContinued), m.Workspace), m.Age)
 	default:
 		return buffer
 	}
--- a/internal/permit/encode_test.go
+++ b/internal/permit/encode_test.go
@@ -49,6 +49,7 @@
 		permit.QuotaDenied{ID: 12, Wait: 300 * time.Millisecond},
 		permit.QuotaReturn{Workspace: "clerks", Units: 800},
 		permit.QuotaDebit{Workspace: "clerks", Units: 1540},
+		permit.QuotaContinued{Workspace: "clerks", Age: 1400 * time.Millisecond},
 		permit.Request{ID: 21, Service: "pool", Model: "m", Workspace: "clerks", Caller: 1 << 63, Software: resumption.BoundTo("v2")},
 		permit.Request{ID: 22, Service: "pool", Model: "m", Tried: []string{"e1"}, Caller: 7},
 		permit.Request{ID: 13, Service: "pool", Model: "m", Software: resumption.BoundTo("v1.2")},
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -272,6 +272,13 @@
 	Units     float64
 }
 
+// QuotaContinued tells the owner of a workspace's quota that another instance began to grant units of
+// it to the sender Age ago.
+type QuotaContinued struct {
+	Workspace string
+	Age       time.Duration
+}
+
 // StreamReport reports where a stream began that may be resumed, to the instances that rank first
 // for it.
 type StreamReport struct {
@@ -319,6 +326,7 @@
 func (QuotaDenied) message()    {}
 func (QuotaReturn) message()    {}
 func (QuotaDebit) message()     {}
+func (QuotaContinued) message() {}
 func (StreamReport) message()   {}
 func (StreamQuery) message()    {}
 func (StreamFound) message()    {}
