quarantine: no trial while an earlier one may be unknown to who decides

What callers saw: streams lost with an upstream that a trial had crashed, where one trial was to be at a time. Of the requests that have only some of the suspected parts, one is sent in 5 s, and who decides on it remembers the last one in memory only. A process that had just started, and an instance that had just become the owner of the trial, had heard of none and allowed one at once; after a start of all, each entry instance that knew itself alone did. An instance that was asked although another one owned the trial by its own list decided as well. At the own interface, so did each new leader.

Cause: what was never heard is taken for what never was.

Fix: Trials.Take is told since when this instance has decided on such trials, and allows none for TrialInterval from then. Entry instances know it from their start and from the lists of instances of the last 5 s; a leader counts from its first such request in the term. Only requests that have suspected parts wait for it, with 503 and Retry-After as before.

The spec of one trial now lets 5 s of the instance's clock pass before it sends, since an instance that has just started allows none; what it checks is the same.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/lovagelift/lovagelift/internal/bodysize"
 	"github.com/lovagelift/lovagelift/internal/coroner"
@@ -77,6 +78,8 @@
 	crashes *coroner.CrashDetector
 	// trials decides on the trials that this instance owns.
 	trials quarantine.Trials
+	// startedAt is the start of this process, which knows nothing of the one before it.
+	startedAt time.Time
 	// responseBuffers bounds the memory of responses that are read before they are passed on.
 	responseBuffers *shuttle.ByteBudget
 	// requestBodies bounds the memory of the bodies of requests, which are kept until their answers end.
@@ -105,8 +108,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Proxy{
-		options: options,
-		relays:  newRelayClient(),
+		options:   options,
+		startedAt: options.Now(),
+		relays:    newRelayClient(),
 		roster: roster.New(roster.Options{
 			Self:        options.Name,
 			Incarnation: uint64(options.Now().UnixNano()),
--- a/internal/counter/crashes_test.go
+++ b/internal/counter/crashes_test.go
@@ -5,12 +5,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lovagelift/lovagelift/internal/counter"
+	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
 
@@ -145,20 +149,70 @@
 		Expect(p.arrivals()).To(BeZero())
 	}, SpecTimeout(specTimeout))
 
-	// Of requests with only some of the parts, one is sent to show which of them crashes upstreams.
-	It("is sent once as a trial if it has some of the parts", func(ctx SpecContext) {
-		p := newTestProxy(newFakeUpstream(succeed))
-		p.setEntries(ctx, quarantine.Entry{
-			Digest: quarantine.PartDigest(partOfSpec), Also: []quarantine.Digest{quarantine.PartDigest("beside")}, Part: true, TrialIn: time.Hour,
-		})
-		statuses := map[int]int{}
-		for n := range 3 {
-			response, _, err := p.sendPrompt(ctx, fmt.Sprint(n), "beside")
-			Expect(err).NotTo(HaveOccurred())
-			statuses[response.StatusCode]++
+	Describe("that has some of the parts", func() {
+		var p *testProxy
+		send := func(ctx context.Context) map[int]int {
+			statuses := map[int]int{}
+			for n := range 3 {
+				response, _, err := p.sendPrompt(ctx, fmt.Sprint(n), "beside")
+				Expect(err).NotTo(HaveOccurred())
+				statuses[response.StatusCode]++
+			}
+			return statuses
 		}
-		Expect(statuses).To(Equal(map[int]int{http.StatusOK: 1, http.StatusServiceUnavailable: 2}))
-	}, SpecTimeout(specTimeout))
+
+		BeforeEach(func(ctx SpecContext) {
+			p = newTestProxy(newFakeUpstream(succeed))
+			p.setEntries(ctx, quarantine.Entry{
+				Digest: quarantine.PartDigest(partOfSpec), Also: []quarantine.Digest{quarantine.PartDigest("beside")}, Part: true, TrialIn: time.Hour,
+			})
+		}, NodeTimeout(specTimeout))
+
+		// Of requests with only some of the parts, one is sent to show which of them crashes upstreams.
+		It("is sent once as a trial", func(ctx SpecContext) {
+			p.clockOffset.Store(int64(quarantine.TrialInterval))
+			Expect(send(ctx)).To(Equal(map[int]int{http.StatusOK: 1, http.StatusServiceUnavailable: 2}))
+		}, SpecTimeout(specTimeout))
+
+		// Guards against further crashes: the process before may have allowed a trial whose result is unknown.
+		It("is not sent as a trial by an instance that has just started", func(ctx SpecContext) {
+			Expect(send(ctx)).To(Equal(map[int]int{http.StatusServiceUnavailable: 3}))
+		}, SpecTimeout(specTimeout))
+	})
+})
+
+var _ = Describe("The instance that decides on trials", func() {
+	const trial = quarantine.TrialID(7)
+	instances := instanceAddresses(5)
+	ranked := permit.NewOwners(instances)
+	owner, _ := ranked.Of("\x00trial", "7", func(netip.AddrPort) bool { return true })
+	next, _ := ranked.Of("\x00trial", "7", func(a netip.AddrPort) bool { return a != owner })
+	others := slices.DeleteFunc(slices.Clone(instances), func(a netip.AddrPort) bool { return a == owner })
+	lastID := permit.ID(0)
+
+	ask := func(instance counter.Instance, now time.Time) permit.Message {
+		lastID++
+		return instance.Receive(now, instances[0], permit.TrialRequest{ID: lastID, Trial: trial})[0].Message
+	}
+
+	It("allows one", func() {
+		instance := counter.NewInstance(counter.NewUpstreamPool("here", lease), owner, instances)
+		Expect(ask(instance, start)).To(Equal(permit.SendAllowed{ID: lastID}))
+	})
+
+	// Guards against further crashes: an instance that knows fewer others would decide beside the owner.
+	It("allows none that another one decides on", func() {
+		instance := counter.NewInstance(counter.NewUpstreamPool("here", lease), next, instances)
+		Expect(ask(instance, start)).To(BeAssignableToTypeOf(permit.SendDelayed{}))
+	})
+
+	// Guards against further crashes: the former owner may have allowed one just before it was lost.
+	It("allows none while the result of one that its predecessor allowed may be unknown", func() {
+		instance := counter.NewInstance(counter.NewUpstreamPool("here", lease), next, instances)
+		instance.SetInstances(start, others)
+		Expect(ask(instance, start.Add(quarantine.TrialInterval-time.Millisecond))).To(BeAssignableToTypeOf(permit.SendDelayed{}))
+		Expect(ask(instance, start.Add(quarantine.TrialInterval))).To(Equal(permit.SendAllowed{ID: lastID}))
+	})
 })
 
 var _ = Describe("A crashed upstream", func() {
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -248,8 +248,7 @@
 
 // SetInstances replaces the entry instances.
 func (i Instance) SetInstances(now time.Time, all []netip.AddrPort) {
-	i.proxy.owners.assignment = permit.NewOwners(all)
-	i.proxy.owners.resetCache(now)
+	i.proxy.owners.replace(now, permit.NewOwners(all))
 	i.proxy.loseForeignQuotas()
 }
 
--- a/internal/counter/owners.go
+++ b/internal/counter/owners.go
@@ -6,13 +6,25 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
 
+// formerOwners are the owners before the instances changed.
+type formerOwners struct {
+	assignment permit.Owners
+	until      time.Time
+}
+
+// formerOwnersRetention is how long former owners are kept.
+const formerOwnersRetention = quarantine.TrialInterval
+
 // ownerTable maps each model to its owner as known here. The owner is the instance that places the
 // model's requests, which means that it queues them and selects their upstreams.
 type ownerTable struct {
 	self       netip.AddrPort
 	assignment permit.Owners
+	// former are the owners before the latest changes, oldest first.
+	former []formerOwners
 	// avoided holds the instances that did not answer or are draining, and the time until which
 	// they are not asked.
 	avoided map[netip.AddrPort]time.Time
@@ -45,10 +57,37 @@
 			parsed = append(parsed, instance)
 		}
 	}
-	o.assignment = permit.NewOwners(parsed)
+	o.replace(now, permit.NewOwners(parsed))
+}
+
+// replace replaces the instances.
+func (o *ownerTable) replace(now time.Time, assignment permit.Owners) {
+	o.former = slices.DeleteFunc(o.former, func(f formerOwners) bool { return now.Sub(f.until) >= formerOwnersRetention })
+	if o.assignment.Len() > 0 && !slices.Equal(o.assignment.All(), assignment.All()) {
+		o.former = append(o.former, formerOwners{assignment: o.assignment, until: now})
+	}
+	o.assignment = assignment
 	o.resetCache(now)
 }
 
+// ownedSince returns the time since which this instance has owned a key, whether others answered or not.
+// It is zero if another one has not owned it within formerOwnersRetention, and now if one does.
+func (o *ownerTable) ownedSince(now time.Time, service, name string) time.Time {
+	owns := func(assignment permit.Owners) bool {
+		owner, known := assignment.Of(service, name, func(netip.AddrPort) bool { return true })
+		return !known || owner == o.self
+	}
+	if !owns(o.assignment) {
+		return now
+	}
+	for _, former := range slices.Backward(o.former) {
+		if !owns(former.assignment) {
+			return former.until
+		}
+	}
+	return time.Time{}
+}
+
 // resetCache clears the cache and computes its next expiry.
 func (o *ownerTable) resetCache(now time.Time) {
 	clear(o.cache)
--- a/internal/counter/trials.go
+++ b/internal/counter/trials.go
@@ -18,10 +18,10 @@
 func (p *Proxy) allowTrial(ctx context.Context, trial quarantine.TrialID) bool {
 	now := p.options.Now()
 	p.mu.Lock()
-	owner, remote := p.remoteFixedOwner(trialOwnerService, strconv.FormatUint(uint64(trial), 16))
+	owner, remote := p.remoteFixedOwner(trialOwnerService, trialKey(trial))
 	if !remote {
 		defer p.mu.Unlock()
-		return p.trials.Take(now, trial)
+		return p.takeTrial(now, trial)
 	}
 	id, pending := p.expectReply(owner)
 	p.mu.Unlock()
@@ -30,10 +30,26 @@
 	return allowed
 }
 
+// trialKey returns the name under which a trial has an owner.
+func trialKey(trial quarantine.TrialID) string {
+	return strconv.FormatUint(uint64(trial), 16)
+}
+
+// takeTrial decides on a trial as its owner. p.mu is held.
+func (p *Proxy) takeTrial(now time.Time, trial quarantine.TrialID) bool {
+	since := p.startedAt
+	if p.peers.conn != nil {
+		if owned := p.owners.ownedSince(now, trialOwnerService, trialKey(trial)); owned.After(since) {
+			since = owned
+		}
+	}
+	return p.trials.Take(now, since, trial)
+}
+
 // handleTrialRequest decides on a peer's trial, or repeats the earlier answer. p.mu is held.
 func (p *Proxy) handleTrialRequest(now time.Time, from netip.AddrPort, m permit.TrialRequest) {
 	p.answerOnce(now, peerRequest{from, m.ID}, func() permit.Message {
-		if p.trials.Take(now, m.Trial) {
+		if p.takeTrial(now, m.Trial) {
 			return permit.SendAllowed{ID: m.ID}
 		}
 		return permit.SendDelayed{ID: m.ID, Wait: quarantine.SuspectedRetryAfter}
--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -27,15 +27,19 @@
 }
 
 // allowTrial reports whether a suspected request may be sent as a trial. The leader alone sends
-// trials.
+// trials. In each term, it counts as leader from its first such request on.
 func (i *Instance) allowTrial(_ context.Context, trial quarantine.TrialID) bool {
-	leader, _ := i.controlPlane.Leader()
+	leader, term := i.controlPlane.Leader()
 	if leader == "" || leader != i.controlPlane.Identity() {
 		return false
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.trials.Take(i.options.Now(), trial)
+	now := i.options.Now()
+	if i.trialTerm != term {
+		i.trialTerm, i.trialTermSince = term, now
+	}
+	return i.trials.Take(now, i.trialTermSince, trial)
 }
 
 // Upstream returns the latest known state of an upstream, and false if it is unknown.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -20,6 +20,7 @@
 	"github.com/lovagelift/lovagelift/internal/desk"
 	"github.com/lovagelift/lovagelift/internal/foreman"
 	"github.com/lovagelift/lovagelift/internal/gauge"
+	"github.com/lovagelift/lovagelift/internal/jury"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/roster"
@@ -36,7 +37,11 @@
 	proxy         *shuttle.Proxy
 	crashDetector *coroner.CrashDetector
 	trials        quarantine.Trials
-	callerAPI     *desk.Server
+	// trialTerm is the latest term in which this instance was asked for a trial as leader, first at
+	// trialTermSince.
+	trialTerm      jury.Term
+	trialTermSince time.Time
+	callerAPI      *desk.Server
 	// placementController is nil unless this instance is a voter and placement is enabled.
 	placementController *foreman.Controller
 	metrics             *gauge.Metrics
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -97,11 +97,13 @@
 	cluster  *cluster
 	watches  []*quarantine.Watch
 	trials   quarantine.Trials
-	engines  []*simulatedEngine
-	start    time.Time
-	now      time.Duration
-	starts   int
-	requests int
+	// decidesSince is when the instance that decides on trials started.
+	decidesSince time.Time
+	engines      []*simulatedEngine
+	start        time.Time
+	now          time.Duration
+	starts       int
+	requests     int
 	// pending are the updates on their way to the records, and ended the crashes that the
 	// instances have not detected yet.
 	pending []pendingUpdate
@@ -139,7 +141,7 @@
 }
 
 func (s *partSimulation) restartEntries() {
-	s.watches = nil
+	s.watches, s.trials, s.decidesSince = nil, quarantine.Trials{}, s.cluster.now
 	for range s.scenario.instances {
 		watch := quarantine.NewWatch()
 		watch.ApplyNews(s.cluster.now, s.cluster.news())
@@ -216,7 +218,7 @@
 
 func (s *partSimulation) rule(request simulatedRequest) quarantine.Ruling {
 	ruling := s.watches[request.instance].Rule(s.cluster.now, digest(request.id), partDigests(request.parts)...)
-	if ruling.Decision == quarantine.DecisionTry && !s.trials.Take(s.cluster.now, ruling.Trial()) {
+	if ruling.Decision == quarantine.DecisionTry && !s.trials.Take(s.cluster.now, s.decidesSince, ruling.Trial()) {
 		ruling.Decision = quarantine.DecisionRefuse
 	}
 	return ruling
--- a/internal/quarantine/trials.go
+++ b/internal/quarantine/trials.go
@@ -12,16 +12,20 @@
 }
 
 const (
-	// trialInterval is the time in which the result of a trial becomes known to all instances.
-	trialInterval = 5 * time.Second
+	// TrialInterval is the time in which the result of a trial becomes known to all instances.
+	TrialInterval = 5 * time.Second
 	// maxTrials bounds the trials that are remembered. The news names fewer.
 	maxTrials = 2 * maxAnnounced
 )
 
-// Take reports whether a trial may be sent now. If it returns true, the next one may be sent after
-// the result is known.
-func (t *Trials) Take(now time.Time, trial TrialID) bool {
-	maps.DeleteFunc(t.allowedAt, func(_ TrialID, at time.Time) bool { return now.Sub(at) >= trialInterval })
+// Take reports whether a trial may be sent now, if this instance has decided on such trials since a given
+// time. If it returns true, the next one may be sent after the result is known. It returns false while
+// the result of one that another instance, or the process before, allowed may be unknown.
+func (t *Trials) Take(now, since time.Time, trial TrialID) bool {
+	if now.Sub(since) < TrialInterval {
+		return false
+	}
+	maps.DeleteFunc(t.allowedAt, func(_ TrialID, at time.Time) bool { return now.Sub(at) >= TrialInterval })
 	if _, recent := t.allowedAt[trial]; recent || len(t.allowedAt) >= maxTrials {
 		return false
 	}
