counter: an outage of the control instances leaves the list of entry instances as it is

What callers saw: in the first second after a loss of all control instances, entry instances had lists of the few that had synced with the control instance that each asked. With other owners each, a quota is granted by several, trials are decided by several, a model is placed by several, and callers that ask for addresses are led to the few.

Cause: a list from a control instance that may lack some does not replace a longer one for 5 s, but these were counted from the last answer of one that knows all. After an outage of 5 s or more they were over before the first answer. What a control instance that has just started never heard of was taken for what never was.

Fix: the 5 s begin with the first answer that may lack some, since only then can the control instances hear of all. A list that nobody confirms for 5 s of answers is still replaced, and one that knows all is taken at once. An instance that has just started has no longer list, so that its first one is taken as before.

--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -38,10 +38,11 @@
 	// domain. membersSince is when the first list of live instances arrived.
 	open         map[string][]string
 	membersSince time.Time
-	// membersConfirmedAt is when a control instance that knows all instances last answered.
-	membersConfirmedAt time.Time
-	nextIndex          int
-	source             roster.PullState
+	// membersDoubtedSince is when a control instance that may not know all instances first answered
+	// since one that does. It is zero while the latest one does.
+	membersDoubtedSince time.Time
+	nextIndex           int
+	source              roster.PullState
 	// rosterIncomplete is true until a control instance has stated that it knows all upstreams.
 	rosterIncomplete bool
 	// lastFailed is the control instance that most recently failed to answer, at failedAt.
@@ -174,12 +175,7 @@
 		p.options.Log.Info().Str("control", address).Msg("control instance answers again")
 	}
 	p.mergeRoster(askedAt, reply)
-	if !reply.RosterIncomplete {
-		p.control.membersConfirmedAt = now
-	}
-	if reply.Members != nil && !p.lacksMembers(now, reply) {
-		p.applyMembers(now, *reply.Members)
-	}
+	p.receiveMembers(now, reply)
 	var changed []roster.Upstream
 	changed, p.rosterRevision = p.roster.UpstreamsSince(p.rosterRevision)
 	if table := p.routes.Load(); table != nil {
@@ -216,14 +212,28 @@
 }
 
 // maxMembersAge is how long a list of entry instances is kept although control instances that may not
-// know all of them send shorter ones.
+// know all of them send shorter ones. The time in which none answers does not count: those that start
+// after an outage hear of all instances only then.
 const maxMembersAge = 5 * time.Second
 
+// receiveMembers applies the list of live instances of a reply, unless it lacks some. p.mu is held.
+func (p *Proxy) receiveMembers(now time.Time, reply courier.SyncReply) {
+	switch {
+	case !reply.RosterIncomplete:
+		p.control.membersDoubtedSince = time.Time{}
+	case p.control.membersDoubtedSince.IsZero():
+		p.control.membersDoubtedSince = now
+	}
+	if reply.Members != nil && !p.lacksMembers(now, reply) {
+		p.applyMembers(now, *reply.Members)
+	}
+}
+
 // lacksMembers reports whether a reply has fewer entry instances than are known, from a control instance
 // that may not know all of them. Instances with such a list would have owners of their own for models
 // and quotas, beside those of the other instances. p.mu is held.
 func (p *Proxy) lacksMembers(now time.Time, reply courier.SyncReply) bool {
-	return reply.RosterIncomplete && now.Sub(p.control.membersConfirmedAt) < maxMembersAge &&
+	return reply.RosterIncomplete && now.Sub(p.control.membersDoubtedSince) < maxMembersAge &&
 		len(reply.Members.Entries) < p.control.entryInstances
 }
 
