counter: a resumed run until close without an event is sent once more before it ends regularly

Callers saw streams that they had resumed end regularly before their last event: a worker of an engine broke off the run that resumed the stream before its first event, with FIN, and the instance took that for a run that had nothing left.

Such a run is now sent once more, to another upstream if there is one, as far as the route's attempts allow and half of the retry budget is left, which failures keep for themselves. Nothing of it has been passed on: a resumed response until close is read up to its first event.

--- a/internal/counter/confirmation.go
+++ b/internal/counter/confirmation.go
@@ -1,6 +1,13 @@
 package counter
 
 import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
@@ -19,7 +26,9 @@
 	// outputLimit means that a stream has as many events as the largest answer.
 	outputLimit
 	// nothingLeft means that a stream was resumed and brought no event: two runs ended at the same one.
+	// nothingLeftTwice means that it was sent to two upstreams, neither of which brought any.
 	nothingLeft
+	nothingLeftTwice
 )
 
 // String returns the name of the confirmation in logs and metrics.
@@ -31,6 +40,8 @@
 		return "output-limit"
 	case nothingLeft:
 		return "nothing-left"
+	case nothingLeftTwice:
+		return "nothing-left-twice"
 	default:
 		return "unconfirmed"
 	}
@@ -48,6 +59,9 @@
 		a.confirmation = outputLimit
 	case t.mayHaveNothingLeft() && a.events != nil && a.events.IsEmpty():
 		a.confirmation = nothingLeft
+		if t.emptyRuns > 1 {
+			a.confirmation = nothingLeftTwice
+		}
 	default:
 		a.confirmation = unconfirmed
 	}
@@ -64,6 +78,55 @@
 	}
 }
 
+// needsAnotherRun reports whether the request is sent once more because its response resumes a stream until
+// close and brings no event: that may be a whole run that had nothing left, or one that was broken off. It reads
+// ahead until the first event.
+func (t *transaction) needsAnotherRun(a *upstreamAttempt, response *http.Response) bool {
+	if a.framing != shuttle.UntilClose || a.events == nil || !t.mayHaveNothingLeft() || !a.awaitEvent(response) {
+		return false
+	}
+	t.emptyRuns++
+	if t.emptyRuns > 1 || t.possibleRuns >= t.route.MaxAttempts {
+		return false
+	}
+	p := t.proxy
+	now := p.options.Now()
+	p.mu.Lock()
+	verdict := p.budgets.Get(now, t.service).Decide(now, retry.Attempt{
+		Number: t.sends, Outcome: outcome.Ran, Idempotent: true, IsConfirmation: true, Deadline: t.deadline,
+	})
+	p.mu.Unlock()
+	if verdict != retry.Again {
+		return false
+	}
+	a.outcome = permit.Succeeded
+	t.reportSuccess(a, response.StatusCode)
+	t.tried = append(t.tried, a.upstream.name)
+	p.logAttempt(t, a, "nothing left", response.StatusCode, verdict.String())
+	return true
+}
+
+// awaitEvent reads ahead until an event begins or the buffer is full, and reports whether the response has
+// ended regularly before it.
+func (a *upstreamAttempt) awaitEvent(response *http.Response) (ended bool) {
+	ahead := make([]byte, 0, streamBufferBytes)
+	var err error
+	for err == nil && a.events.IsEmpty() && len(ahead) < cap(ahead) {
+		var n int
+		n, err = response.Body.Read(ahead[len(ahead):cap(ahead)])
+		ahead = ahead[:len(ahead)+n]
+	}
+	// After an error, the body returns the same one again.
+	response.Body = bodyAhead{io.MultiReader(bytes.NewReader(ahead), response.Body), response.Body}
+	return err == io.EOF && a.events.IsEmpty()
+}
+
+// bodyAhead is a body whose beginning has been read.
+type bodyAhead struct {
+	io.Reader
+	io.Closer
+}
+
 // isLeftToCaller reports whether the caller has to find out whether the response is whole, by resuming it
 // after its last event. Compressed streams are left out, whose encoding marks their end, and so is what the
 // caller could only begin anew.
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -24,6 +24,9 @@
 	t.possibleRuns++
 	t.proxy.crashes.Responded(a.upstream.endpoint().Lifetime)
 	if t.route.Kind == routes.Stream && response.StatusCode < http.StatusMultipleChoices {
+		if t.needsAnotherRun(a, response) {
+			return false
+		}
 		t.stream(ctx, w, a, response)
 		return true
 	}
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -38,6 +38,8 @@
 	// of times it was sent.
 	possibleRuns int
 	sends        int
+	// emptyRuns is the number of runs until close that resumed a stream and brought no event.
+	emptyRuns int
 	// rateLimitHits is the number of times an upstream's rate limit held the request back.
 	rateLimitHits int
 	// prefillAhead is the engine's prefill time for earlier prompts when the grant was issued.
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// Attempt is a failed attempt.
+// Attempt is an attempt that another one may follow.
 type Attempt struct {
 	// Number is the number of the attempt, starting at 1.
 	Number int
@@ -71,6 +71,8 @@
 	AnswerBegun bool
 	// IsRetry reports that the request arrived with AttemptHeader.
 	IsRetry bool
+	// IsConfirmation reports that the attempt has not failed, and another one would only confirm it.
+	IsConfirmation bool
 	// Deadline is the time from which the response is useless. Zero means no deadline.
 	Deadline time.Time
 	// MinDuration is the shortest time in which another attempt can end.
@@ -99,6 +101,8 @@
 	// defaultRefillPerSecond keeps a service with few requests from staying without
 	// retries for long once its reserve is spent.
 	defaultRefillPerSecond = 0.2
+	// keptForFailures is the share of the reserve that attempts which only confirm others leave untouched.
+	keptForFailures = 0.5
 )
 
 // Budget is a token bucket that bounds the retries of one service to a share of its new
@@ -148,7 +152,11 @@
 	if verdict := a.denial(now, b.options.MaxAttempts); verdict != 0 {
 		return verdict
 	}
-	if b.tokens < 1 {
+	kept := 0.0
+	if a.IsConfirmation {
+		kept = b.options.Reserve * keptForFailures
+	}
+	if b.tokens < 1+kept {
 		return BudgetSpent
 	}
 	b.tokens--
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -45,6 +45,15 @@
 			retry.Attempt{Number: 1, Deadline: now.Add(time.Second), MinDuration: 2 * time.Second}, retry.TooLate),
 	)
 
+	It("keeps half of the reserve from attempts that only confirm others", func() {
+		confirmation := retry.Attempt{Number: 1, Idempotent: true, IsConfirmation: true}
+		for range 5 {
+			Expect(budget.Decide(now, confirmation)).To(Equal(retry.Again))
+		}
+		Expect(budget.Decide(now, confirmation)).To(Equal(retry.BudgetSpent))
+		Expect(budget.Decide(now, retry.Attempt{Number: 1, Idempotent: true})).To(Equal(retry.Again))
+	})
+
 	It("bounds what a lasting fault adds to the load", func() {
 		// All upstreams refuse for 10 s, at 100 requests a second. With three attempts for
 		// each request, the load would triple. The budget allows 10 retries from the
