--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/lovagelift/lovagelift/internal/bodysize"
 	"github.com/lovagelift/lovagelift/internal/coroner"
@@ -68,8 +69,10 @@
 	quotas        quotaAccounts
 	// origins are the origins of streams that began here, and of those reported by other instances.
 	origins resumption.Origins
-	// formerRoutes are the routes that were in force before and led streams elsewhere.
+	// formerRoutes are the routes that were in force here before and led streams elsewhere, and routesSince
+	// is when the first ones came into force here.
 	formerRoutes routes.History
+	routesSince  time.Time
 	// unsyncedStreams are the streams to report to a control instance.
 	unsyncedStreams []resumption.Record
 	// crashes detects upstreams that crash while running requests. Lock order: mu before the lock
@@ -77,6 +80,8 @@
 	crashes *coroner.CrashDetector
 	// trials decides on the trials that this instance owns.
 	trials quarantine.Trials
+	// startedAt is the start of this process, which knows nothing of the one before it.
+	startedAt time.Time
 	// responseBuffers bounds the memory of responses that are read before they are passed on.
 	responseBuffers *shuttle.ByteBudget
 	// requestBodies bounds the memory of the bodies of requests, which are kept until their answers end.
@@ -105,8 +110,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Proxy{
-		options: options,
-		relays:  newRelayClient(),
+		options:   options,
+		startedAt: options.Now(),
+		relays:    newRelayClient(),
 		roster: roster.New(roster.Options{
 			Self:        options.Name,
 			Incarnation: uint64(options.Now().UnixNano()),
