--- a/internal/counter/quota.go
+++ b/internal/counter/quota.go
@@ -48,8 +48,6 @@
 	// formerOwnerSince is when another instance began to grant units, the latest such time before
 	// begunAt that is known. It is zero if none is.
 	formerOwnerSince time.Time
-	// sharedUntil is the time until which instances may still ask the former owner.
-	sharedUntil time.Time
 	// servedBy is the instance that has decided on requests of this one since servedSince. It is not
 	// valid before the first decision.
 	servedBy    netip.AddrPort
@@ -71,7 +69,7 @@
 		return 0
 	}
 	surplus := a.initial
-	a.initial, a.sharedUntil = 0, a.begunAt.Add(unresponsiveAvoidance)
+	a.initial = 0
 	return surplus
 }
 
@@ -117,8 +115,7 @@
 // granted while it was not asked, so nothing comes in for that time.
 //
 // A new bucket begins with units that the former owner may have granted as well. They are taken back if
-// the former owner had begun with some in the same window. The bucket is then filled by the share of the
-// instances that ask it while others may still ask the former owner.
+// the former owner had begun with some in the same window.
 func (p *Proxy) ownerBucket(now time.Time, name string, limit quota.Limit, from netip.AddrPort) (*quota.Bucket, quota.Limit) {
 	account := p.quotas.get(name)
 	idle := now.Sub(account.usedAt)
@@ -133,11 +130,10 @@
 		account.bucket = &paused
 	}
 	account.lost, account.usedAt = false, now
-	surplus := account.takeInitialBack(p.options.QuotaTolerance.Window)
-	if standsIn || now.Before(account.sharedUntil) {
+	if standsIn {
 		limit.PerSecond *= float64(account.countRequester(now, from)) / float64(max(p.control.entryInstances, 1))
 	}
-	*account.bucket = account.bucket.Adjust(now, limit, -surplus)
+	*account.bucket = account.bucket.Adjust(now, limit, -account.takeInitialBack(p.options.QuotaTolerance.Window))
 	return account.bucket, limit
 }
 
