backoffice: versions stay recorded as long as the timeouts of replaced routes allow

What callers would see: a stream that began under a long timeout, resumed after all instances that knew it were lost, goes on at another version, if an operator shortened the timeout in between: the version that began it was retired by the timeout in force.

Cause: the retention was that of the present routes, where it has to be that of the routes by which the streams began.

The leader now keeps the timeouts of routes that it has seen replaced, each for as long as its streams may be resumed. A leader that has just started, or that missed a table, does not know former timeouts; that is left open.

--- a/internal/backoffice/versions.go
+++ b/internal/backoffice/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
@@ -36,6 +37,8 @@
 	table          *routes.Table
 	editionChanges uint64
 	redirectedAt   time.Time
+	// formerTimeouts holds the longest timeouts of routes that are no longer in force, and when each last was.
+	formerTimeouts map[time.Duration]time.Time
 }
 
 func (r *versionRecorder) run(ctx context.Context) {
@@ -65,6 +68,7 @@
 	if r.leadsSince.IsZero() {
 		r.leadsSince, r.cursor = now, 0
 		r.table, r.redirectedAt = nil, now
+		r.formerTimeouts = map[time.Duration]time.Time{}
 	}
 	r.observeRoutes(now, records)
 	inUse, complete := r.observeUpstreams(now)
@@ -76,7 +80,7 @@
 		}
 	}
 	for _, version := range records.Versions() {
-		if complete && !inUse[version] && now.Sub(r.lastUse(version)) > r.retention() {
+		if complete && !inUse[version] && now.Sub(r.lastUse(version)) > r.retention(now) {
 			update.Retired = append(update.Retired, version)
 		}
 	}
@@ -115,11 +119,31 @@
 }
 
 // retention returns how long a version stays recorded after its last use.
-func (r *versionRecorder) retention() time.Duration {
+func (r *versionRecorder) retention(now time.Time) time.Duration {
 	if r.table == nil {
 		return resumption.MaxRetention
 	}
-	return min(retentionTimeouts*r.table.ResumableTimeout()+r.instance.options.UpstreamLease, resumption.MaxRetention)
+	longest := r.table.ResumableTimeout()
+	for timeout, until := range r.formerTimeouts {
+		if now.Sub(until) <= r.retentionFor(timeout) {
+			longest = max(longest, timeout)
+		}
+	}
+	return r.retentionFor(longest)
+}
+
+// retentionFor returns how long a version stays recorded if the longest timeout is the given one.
+func (r *versionRecorder) retentionFor(timeout time.Duration) time.Duration {
+	return min(retentionTimeouts*timeout+r.instance.options.UpstreamLease, resumption.MaxRetention)
+}
+
+// keepTimeout notes that routes are no longer in force. Streams that began by them may be resumed for as long as
+// their timeouts allow.
+func (r *versionRecorder) keepTimeout(now time.Time, former *routes.Table) {
+	maps.DeleteFunc(r.formerTimeouts, func(timeout time.Duration, until time.Time) bool {
+		return now.Sub(until) > r.retentionFor(timeout)
+	})
+	r.formerTimeouts[former.ResumableTimeout()] = now
 }
 
 // observeRoutes notes whether the routes in force lead requests elsewhere than those before them. Of routes
@@ -133,6 +157,9 @@
 	}
 	former, missed := r.table, changes != r.editionChanges+1
 	r.table, r.editionChanges = table, changes
+	if former != nil {
+		r.keepTimeout(now, former)
+	}
 	switch {
 	case changes == 1, former == nil && records.SettledRoutes() == table.ResumableDigest():
 		// The first routes follow no others.
@@ -150,7 +177,7 @@
 		return
 	}
 	settled, digest := records.SettledRoutes(), r.table.ResumableDigest()
-	switch moved := now.Sub(r.redirectedAt) <= r.retention(); {
+	switch moved := now.Sub(r.redirectedAt) <= r.retention(now); {
 	case moved && settled != 0:
 		update.RoutesMoved = true
 	case !moved && settled != digest:
--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -61,6 +61,14 @@
 	return versions
 }
 
+// settledRoutes returns the digest of the routes that are recorded as settled, 0 if there are none.
+func (c *testCluster) settledRoutes(ctx context.Context) uint64 {
+	if reply, ok := c.syncWithLeader(ctx); ok && reply.Versions != nil {
+		return reply.Versions.SettledRoutes
+	}
+	return 0
+}
+
 // announceOnce announces an engine of a software version to every instance.
 func (c *testCluster) announceOnce(name, version string) {
 	for _, address := range c.seeds {
@@ -74,11 +82,17 @@
 // leadTo puts a version of the routes by which streams that may be resumed go to a service, and returns their
 // digest.
 func (c *testCluster) leadTo(ctx context.Context, version uint64, service string) (digest uint64) {
+	GinkgoHelper()
+	return c.leadToWithin(ctx, version, service, 500*time.Millisecond)
+}
+
+// leadToWithin is leadTo with a timeout of the route.
+func (c *testCluster) leadToWithin(ctx context.Context, version uint64, service string, timeout time.Duration) (digest uint64) {
 	GinkgoHelper()
 	content, err := json.Marshal(routes.Draft{
 		Version: version, Services: []routes.Service{{Name: "pool"}, {Name: "desk"}},
 		Routes: []routes.Route{{
-			Name: "r", Host: "h", Prefix: "/", Kind: routes.Stream, Resumable: true, Timeout: 500 * time.Millisecond, MaxAttempts: 1,
+			Name: "r", Host: "h", Prefix: "/", Kind: routes.Stream, Resumable: true, Timeout: timeout, MaxAttempts: 1,
 			Shares: []routes.Share{{Service: service, Weight: 1}},
 		}},
 	})
@@ -111,15 +125,28 @@
 		Eventually(ctx, recorded).Should(Equal([]string{"v2"}), "no stream of v1 is left")
 	}, SpecTimeout(specTimeout))
 
+	// A stream that began under a longer timeout may be resumed for longer than the routes in force tell.
+	It("stay recorded as long as the timeouts at which streams began require", func(ctx SpecContext) {
+		c := newTestCluster()
+		first := c.leadToWithin(ctx, 1, "pool", 1500*time.Millisecond)
+		Eventually(ctx, func() uint64 { return c.settledRoutes(ctx) }).Should(Equal(first), "the leader knows the routes")
+		c.announceOnce("e1", "v1")
+		recorded := func() []string {
+			c.announceOnce("e2", "v2")
+			return c.confirmedVersions(ctx)
+		}
+		Eventually(ctx, recorded).Should(Equal([]string{"v1", "v2"}))
+		c.leave(ctx, upstreamapi.Leave{Name: "e1"})
+		c.leadToWithin(ctx, 2, "pool", 100*time.Millisecond)
+		const retention, retentionOfNewRoutes = 6 * time.Second, 3200 * time.Millisecond
+		Consistently(ctx, recorded).WithTimeout((retention + retentionOfNewRoutes) / 2).WithPolling(100 * time.Millisecond).
+			Should(Or(BeEmpty(), Equal([]string{"v1", "v2"})))
+	}, SpecTimeout(specTimeout))
+
 	// Until the routes are settled, a stream may have begun wherever they led before.
 	It("come with routes that are settled while they lead as before", func(ctx SpecContext) {
 		c := newTestCluster()
-		settled := func() uint64 {
-			if reply, ok := c.syncWithLeader(ctx); ok && reply.Versions != nil {
-				return reply.Versions.SettledRoutes
-			}
-			return 0
-		}
+		settled := func() uint64 { return c.settledRoutes(ctx) }
 		first := c.leadTo(ctx, 1, "pool")
 		Eventually(ctx, settled).Should(Equal(first))
 		then := c.leadTo(ctx, 2, "desk")
