counter: an instance that is cut off from the control instances reports where streams begin

What callers would see: a stream that began at an instance and an upstream which the control instances did not reach for longer than versions are kept, resumed at another instance after the first was lost, goes on at the version that came after.

Cause: what the leader has not heard of counts as out of use; the instance had one version on record, and told the control instances alone, in vain.

Such an instance now reports each stream to the two instances that rank first for it, as with several versions. An instance that reaches neither is not covered. The fake control instance no longer takes in the streams of an instance that it ignores.

--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -70,6 +70,9 @@
 	defer c.mu.Unlock()
 	c.syncs = append(c.syncs, args)
 	for _, group := range args.Streams {
+		if c.ignored[args.From.Name] {
+			break
+		}
 		for _, stream := range group.Streams {
 			c.origins[stream] = group.Origin
 		}
--- a/internal/counter/origins.go
+++ b/internal/counter/origins.go
@@ -48,13 +48,25 @@
 	}
 	p.origins.Record(now, record.Stream, record.Origin, now.Add(record.Remaining))
 	p.syncOrigin(record)
-	services, known := t.possibleServices(now.Add(-resumption.MaxRetention))
-	_, only := p.pool.catalog.Only(services...)
-	if !known || len(services) > 1 || !only || p.pool.versions.Several(t.service, now.Add(-resumption.MaxRetention)) {
+	if t.isOriginAmbiguous(now) {
 		p.reportOrigin(record)
 	}
 }
 
+// isOriginAmbiguous reports whether the stream that the request begins may be taken for one of another version
+// where its origin is unknown: there are several versions, or the control instances do not know what is in use
+// here. p.mu is held.
+func (t *transaction) isOriginAmbiguous(now time.Time) bool {
+	p := t.proxy
+	if !p.control.proof.Covers(now.Add(-p.options.UpstreamLease)) {
+		return true
+	}
+	since := now.Add(-resumption.MaxRetention)
+	services, known := t.possibleServices(since)
+	_, only := p.pool.catalog.Only(services...)
+	return !known || len(services) > 1 || !only || p.pool.versions.Several(t.service, since)
+}
+
 // syncOrigin reports the origin of a stream to a control instance with the next sync. p.mu is held.
 func (p *Proxy) syncOrigin(record resumption.Record) {
 	if len(p.unsyncedStreams) >= maxUnsyncedStreams {
--- a/internal/counter/restart_test.go
+++ b/internal/counter/restart_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -106,3 +107,28 @@
 		Expect(g.expectNoOtherVersionAfterRestart(ctx, func() {})).To(Equal(streamsPerSpec))
 	}, SpecTimeout(specTimeout))
 })
+
+// Control instances count as gone what is at work for an instance that they do not reach.
+var _ = It("A stream never goes on at another version if it began at an instance that is cut off from the control instances", func(ctx SpecContext) {
+	g := newResumptionGroup(3)
+	g.announceUpstreams("v1")
+	g.control.ignore(g.peers[0].address)
+	g.clock.advance(2 * time.Minute)
+	Expect(g.begin(ctx, 0, "s1")).To(Equal("v1"))
+	g.peers[0].proxy.Close()
+	g.control.retire("v1")
+	g.control.forget("e1")
+	g.control.announceVersion("v2", "e2", newVersionedUpstream("v2").address(), resumedModel)
+	for _, p := range g.peers[1:] {
+		Eventually(p.proxy.Upstreams, specTimeout).Should(Equal(2))
+	}
+	status, version := g.resume(ctx, 1, "s1")
+	Expect(status).To(Equal(http.StatusServiceUnavailable), "went on at %s", version)
+}, SpecTimeout(specTimeout))
+
+// retire records that no stream of a version is left.
+func (c *fakeControl) retire(version string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.versions = c.versions.With(resumption.RecordsUpdate{Retired: []resumption.ServiceVersion{{Service: "desk", Version: version}}})
+}
