counter: streams that wait for the recorded versions do not make an instance sync in a loop

What operators would see: after a loss of all control instances, each entry instance with a resumed stream of unknown version calls them as fast as calls fail or are answered without a leader, while they start.

Cause: a sync for the sake of a proof was due 40 ms after the last one that was answered; none is, so each check of each waiting stream triggered one.

The latest attempt counts now, and after one that failed the regular interval holds.

--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -172,12 +172,16 @@
 // heartbeat of the leader.
 const proofSyncInterval = 40 * time.Millisecond
 
-// syncForProof triggers a sync unless one has just been answered.
+// syncForProof triggers a sync unless one has just been sent. While none is answered, it triggers no more than
+// there are without it.
 func (p *Proxy) syncForProof() {
 	p.mu.Lock()
-	last := p.control.lastSyncSent
+	last, interval := p.control.lastSyncAttempt, proofSyncInterval
+	if p.control.lastSyncFailed {
+		interval = minSyncInterval
+	}
 	p.mu.Unlock()
-	if p.options.Now().Sub(last) >= proofSyncInterval {
+	if p.options.Now().Sub(last) >= interval {
 		p.syncSoon()
 	}
 }
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -48,8 +48,9 @@
 	// lastFailed is the control instance that most recently failed to answer, at failedAt.
 	lastFailed string
 	failedAt   time.Time
-	// lastSyncSent is the send time of the latest answered sync.
-	lastSyncSent time.Time
+	// lastSyncSent is the send time of the latest answered sync, and lastSyncAttempt that of the latest one.
+	lastSyncSent    time.Time
+	lastSyncAttempt time.Time
 	// proof records up to which time the routes in force here are confirmed.
 	proof edition.Proof
 	// unprovenSince is when a control instance first answered without a sufficient proof of the
@@ -91,6 +92,7 @@
 	now := p.options.Now()
 	p.mu.Lock()
 	address := p.control.current
+	p.control.lastSyncAttempt = now
 	p.roster.Heartbeat(now, roster.InstanceBeat{Draining: p.draining, Stale: p.routes.Load() == nil, Streams: p.active})
 	args := courier.SyncArgs{
 		FailureDomain: p.options.FailureDomain,
