counter: an instance trusts no record of versions against what it has heard itself

What callers would see: a stream resumed later than twice the longest timeout of the routes and a lease after the last upstream of its version had gone, as callers that state longer times may, went on at the next version, even at an instance that had heard of both.

Cause: versions are recorded for as long as the timeouts of routes require, which callers may exceed. Before there were records, the instance compared with what it had heard for twice the caller's time.

Evidence: the new spec failed before: 200, with the next version.

Both have to agree now, so that nothing goes on that did not before there were records. An instance that has just started is not covered for such callers.

--- a/internal/counter/recordedversions_test.go
+++ b/internal/counter/recordedversions_test.go
@@ -26,6 +26,17 @@
 	c.origins = map[resumption.StreamID]resumption.Origin{}
 }
 
+// waitForRecords waits until an instance has the latest records: its next sync asks for later ones.
+func (g *resumptionGroup) waitForRecords(ctx context.Context, instance int) {
+	GinkgoHelper()
+	Eventually(ctx, func() bool {
+		g.control.mu.Lock()
+		defer g.control.mu.Unlock()
+		last := g.control.syncs[len(g.control.syncs)-1]
+		return last.From.Name == g.peers[instance].address.String() && last.Versions == g.control.versions.Revision()
+	}).Should(BeTrue())
+}
+
 // announceUnrecorded starts an upstream of a version that is not recorded.
 func (g *resumptionGroup) announceUnrecorded(version string) {
 	GinkgoHelper()
@@ -73,6 +84,22 @@
 		Expect(g.expectNoOtherVersionAfterRestart(ctx, func() { lose(g, streamsPerSpec) })).To(Equal(streamsPerSpec))
 	}, SpecTimeout(specTimeout))
 
+	// Versions are recorded for as long as the timeouts of routes require, which callers may exceed.
+	It("never goes on at another version at an instance that has heard of its own while its caller may wait", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		g.announceUpstreams("v1")
+		g.control.setExactEntries(g.peers[1].address)
+		Expect(g.begin(ctx, 0, "s1")).To(Equal("v1"))
+		lose(g, 1)
+		g.peers[0].proxy.Close()
+		g.peers, g.servers = g.peers[1:], g.servers[1:]
+		g.replaceUpstreams("v2")
+		g.control.retire("v1")
+		g.waitForRecords(ctx, 0)
+		status, version := g.resume(ctx, 0, "s1")
+		Expect(status).To(Equal(http.StatusServiceUnavailable), "went on at %s", version)
+	}, SpecTimeout(specTimeout))
+
 	// A version may have come into use that the instance has not heard of.
 	It("never goes on at another version at an instance with an old copy of the records", func(ctx SpecContext) {
 		g := newResumptionGroup(1)
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -150,7 +150,8 @@
 	since := now.Add(-2*t.streamLifetime() - p.options.UpstreamLease)
 	services, known := t.possibleServices(since)
 	version, alone := p.pool.catalog.Only(services...)
-	if !known || !alone {
+	// Callers may wait for longer than versions are recorded.
+	if !known || !alone || p.pool.versions.HasOther(version, since, services...) {
 		return resumption.Origin{}, originUnknown
 	}
 	return resumption.Origin{Service: t.service, SoftwareVersion: version}, originOnlyVersion
--- a/internal/resumption/resumption_test.go
+++ b/internal/resumption/resumption_test.go
@@ -107,6 +107,8 @@
 		only, ok := versions.Only(start.Add(time.Second), "pool")
 		Expect(ok).To(BeTrue())
 		Expect(only).To(Equal("v2"))
+		Expect(versions.HasOther("v2", start.Add(time.Second), "pool")).To(BeFalse())
+		Expect(versions.HasOther("v2", start, "pool")).To(BeTrue())
 	})
 
 	// Foreign announcements may name any services.
--- a/internal/resumption/versions.go
+++ b/internal/resumption/versions.go
@@ -67,6 +67,18 @@
 	return version, ok
 }
 
+// HasOther reports whether upstreams that some services have had since a given time had another software version.
+func (v *Versions) HasOther(version string, since time.Time, services ...string) bool {
+	for _, service := range services {
+		for candidate, last := range v.lastUse[service] {
+			if candidate != version && !last.Before(since) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // LastUse returns the latest time at which a version of a service was in use, zero if that is not known.
 func (v *Versions) LastUse(service, version string) time.Time {
 	return v.lastUse[service][version]
