registry, backoffice: the first routes of a system are settled at once

What callers would see: until twice the longest timeout of a route after the first routes were put, an instance that had just started compared a stream of which nobody knew with the versions of all services, and refused it if these had several.

One with routes still counts as several.

--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -143,6 +143,13 @@
 			Should(Or(BeEmpty(), Equal([]string{"v1", "v2"})))
 	}, SpecTimeout(specTimeout))
 
+	// An instance that has just started would refuse streams of services that never had another version.
+	It("come with settled routes from the start of the system", func(ctx SpecContext) {
+		c := newTestCluster()
+		first := c.leadToWithin(ctx, 1, "pool", 10*time.Minute)
+		Eventually(ctx, func() uint64 { return c.settledRoutes(ctx) }).Should(Equal(first))
+	}, SpecTimeout(specTimeout))
+
 	// Until the routes are settled, a stream may have begun wherever they led before.
 	It("come with routes that are settled while they lead as before", func(ctx SpecContext) {
 		c := newTestCluster()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -41,7 +41,7 @@
 	// view is the view of configuration for lock-free readers.
 	view atomic.Pointer[View]
 	// edition is replaced as a whole, for lock-free readers. editionChanges counts its changes since the
-	// start of this replica; a snapshot that is restored counts as several.
+	// start of this replica; a snapshot with an edition counts as several.
 	edition        atomic.Pointer[edition.Edition]
 	editionChanges atomic.Uint64
 	leases         lease.Leases
--- a/internal/registry/snapshot.go
+++ b/internal/registry/snapshot.go
@@ -159,7 +159,9 @@
 	r.store = restored.store
 	r.manifest = restored.manifest
 	r.edition.Store(&restored.edition)
-	r.editionChanges.Add(2)
+	if restored.edition.Content != nil {
+		r.editionChanges.Add(2)
+	}
 	r.leases = restored.leases
 	r.crashRecords.Store(&restored.crashes)
 	r.departures.Store(&restored.departures)
