backoffice: versions of undeclared services leave room in the records for others

What callers would see: no stream that may be resumed begins at a new version while announcements of other programs name so many services that the records are full.

Services that the routes do not declare take half of the room at most.

--- a/internal/backoffice/versions.go
+++ b/internal/backoffice/versions.go
@@ -75,7 +75,7 @@
 	var update resumption.RecordsUpdate
 	r.updateRoutes(now, records, &update)
 	for version := range inUse {
-		if !records.Has(version) && len(records.Versions())+len(update.Added) < resumption.MaxRecords {
+		if !records.Has(version) && len(records.Versions())+len(update.Added) < r.maxRecords(version.Service) {
 			update.Added = append(update.Added, version)
 		}
 	}
@@ -87,6 +87,15 @@
 	return update
 }
 
+// maxRecords returns the number of versions up to which one of a service is recorded. Services that no operator
+// has declared leave room for others.
+func (r *versionRecorder) maxRecords(service string) int {
+	if r.table == nil || r.table.Services()[service] == nil {
+		return resumption.MaxRecords / 2
+	}
+	return resumption.MaxRecords
+}
+
 // observeUpstreams returns the versions that are in use, and whether this instance knows all upstreams.
 func (r *versionRecorder) observeUpstreams(now time.Time) (inUse map[resumption.ServiceVersion]bool, complete bool) {
 	i := r.instance
--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -71,10 +72,15 @@
 
 // announceOnce announces an engine of a software version to every instance.
 func (c *testCluster) announceOnce(name, version string) {
+	c.announceServices(name, version, "pool")
+}
+
+// announceServices is announceOnce for some services.
+func (c *testCluster) announceServices(name, version string, services ...string) {
 	for _, address := range c.seeds {
 		// An announcement that is lost is repeated.
 		_ = c.instances[address].Announce(time.Now(), upstreamapi.Announcement{
-			Name: name, Incarnation: 1, Sequence: uint64(time.Now().UnixNano()), Address: "127.0.0.1:9", Services: []string{"pool"}, SoftwareVersion: version,
+			Name: name, Incarnation: 1, Sequence: uint64(time.Now().UnixNano()), Address: "127.0.0.1:9", Services: services, SoftwareVersion: version,
 		})
 	}
 }
@@ -128,6 +134,8 @@
 	// A stream that began under a longer timeout may be resumed for longer than the routes in force tell.
 	It("stay recorded as long as the timeouts at which streams began require", func(ctx SpecContext) {
 		c := newTestCluster()
+		c.fakes.add("e1", "a")
+		c.fakes.add("e2", "a")
 		first := c.leadToWithin(ctx, 1, "pool", 1500*time.Millisecond)
 		Eventually(ctx, func() uint64 { return c.settledRoutes(ctx) }).Should(Equal(first), "the leader knows the routes")
 		c.announceOnce("e1", "v1")
@@ -143,6 +151,28 @@
 			Should(Or(BeEmpty(), Equal([]string{"v1", "v2"})))
 	}, SpecTimeout(specTimeout))
 
+	// No stream that may be resumed would begin at a version for which no room is left.
+	It("are recorded although announcements name more services than can be", func(ctx SpecContext) {
+		c := newTestCluster()
+		c.fakes.add("e1", "a")
+		c.fakes.add("f1", "a")
+		c.leadTo(ctx, 1, "pool")
+		var foreign []string
+		for n := range resumption.MaxRecords {
+			foreign = append(foreign, fmt.Sprint("foreign-", n))
+		}
+		announce := func() int {
+			c.announceServices("f1", "v0", foreign...)
+			return len(c.confirmedVersions(ctx))
+		}
+		Eventually(ctx, announce).Should(BeNumerically(">=", resumption.MaxRecords/2))
+		Eventually(ctx, func() []string {
+			c.announceServices("f1", "v0", foreign...)
+			c.announceOnce("e1", "v1")
+			return c.confirmedVersions(ctx)
+		}).WithTimeout(10 * time.Second).Should(ContainElement("v1"))
+	}, SpecTimeout(specTimeout))
+
 	// An instance that has just started would refuse streams of services that never had another version.
 	It("come with settled routes from the start of the system", func(ctx SpecContext) {
 		c := newTestCluster()
