backoffice: recorded versions are sorted once in each check

They were sorted again for each version in use that is not recorded, ten times a second: with 512 that find no room, as many sorts of 512. Found by reading; not measured.

--- a/internal/backoffice/versions.go
+++ b/internal/backoffice/versions.go
@@ -74,12 +74,13 @@
 	inUse, complete := r.observeUpstreams(now)
 	var update resumption.RecordsUpdate
 	r.updateRoutes(now, records, &update)
+	recorded := records.Versions()
 	for version := range inUse {
-		if !records.Has(version) && len(records.Versions())+len(update.Added) < r.maxRecords(version.Service) {
+		if !records.Has(version) && len(recorded)+len(update.Added) < r.maxRecords(version.Service) {
 			update.Added = append(update.Added, version)
 		}
 	}
-	for _, version := range records.Versions() {
+	for _, version := range recorded {
 		if complete && !inUse[version] && now.Sub(r.lastUse(version)) > r.retention(now) {
 			update.Retired = append(update.Retired, version)
 		}
