counter: syncs for a proof are spaced by the number of instances

A resumed stream of which nobody knows waits for a copy of the records that is as recent as the request, and each instance may sync every 40 ms meanwhile. With 330 instances that start together that is up to 8,250 calls a second (by reading, from the review). They are spaced now like other syncs, a quarter of whose interval is the least. Not measured at that size.

--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -173,11 +173,15 @@
 // heartbeat of the leader.
 const proofSyncInterval = 40 * time.Millisecond
 
+// proofSyncShare is that time at least as a share of the interval of other syncs, which is the longer the more
+// instances share the control instances.
+const proofSyncShare = 4
+
 // syncForProof triggers a sync unless one has just been sent. While none is answered, it triggers no more than
 // there are without it.
 func (p *Proxy) syncForProof() {
 	p.mu.Lock()
-	last, interval := p.control.lastSyncAttempt, proofSyncInterval
+	last, interval := p.control.lastSyncAttempt, max(proofSyncInterval, p.control.interval/proofSyncShare)
 	if p.control.lastSyncFailed {
 		interval = minSyncInterval
 	}
