--- a/internal/courier/cutshort_test.go
+++ b/internal/courier/cutshort_test.go
@@ -72,15 +72,17 @@
 
 	// pull calls the instance over a connection that ends after the given numbers of bytes.
 	pull := func(ctx context.Context, toRead, toWrite int, end error) (*cutConn, roster.Changes, error) {
-		var conn *cutConn
+		// The pool connects anew if a connection breaks at once.
+		var latest atomic.Pointer[cutConn]
 		pool := courier.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
 			inner, err := courier.DialTCP(ctx, address)
-			conn = &cutConn{Conn: inner, toRead: toRead, toWrite: toWrite, end: end}
+			conn := &cutConn{Conn: inner, toRead: toRead, toWrite: toWrite, end: end}
+			latest.Store(conn)
 			return conn, err
 		}, time.Minute)
 		defer pool.Close()
 		changes, err := pool.PullRoster(ctx, address, roster.Cursor{}, nil)
-		return conn, changes, err
+		return latest.Load(), changes, err
 	}
 
 	// Half a list of instances would hide the others.
