--- a/internal/coroner/coroner.go
+++ b/internal/coroner/coroner.go
@@ -32,9 +32,6 @@
 	// AllowTrial asks the instance that decides on a trial whether a request may be sent as such. If
 	// nil, none may.
 	AllowTrial func(ctx context.Context, trial quarantine.TrialID) bool
-	// Probation is true if a request that was at a crash is sent one copy at a time. AllowTrial must
-	// then allow one of all instances, wherever the request arrives.
-	Probation bool
 	// Dial connects to an upstream. If nil, TCP is used.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Now  func() time.Time
--- a/internal/counter/crashes.go
+++ b/internal/counter/crashes.go
@@ -25,7 +25,6 @@
 		Report:      p.reportCrashes,
 		NewLogEvent: func(kind string) *zerolog.Event { return p.logLine(p.options.Now(), kind) },
 		AllowTrial:  p.allowTrial,
-		Probation:   true,
 		Dial:        p.dialUpstream,
 		Now:         p.options.Now,
 		Metrics:     p.metrics.scope,
--- a/internal/counter/crashes_test.go
+++ b/internal/counter/crashes_test.go
@@ -36,15 +36,9 @@
 
 // setEntries is setQuarantined for any entries.
 func (p *testProxy) setEntries(ctx context.Context, entries ...quarantine.Entry) {
-	GinkgoHelper()
-	p.setNews(ctx, quarantine.News{Revision: 1, Mark: 1, Quarantined: entries})
-}
-
-// setNews is setQuarantined for any news with the mark 1.
-func (p *testProxy) setNews(ctx context.Context, news quarantine.News) {
 	GinkgoHelper()
 	p.control.mu.Lock()
-	p.control.quarantine = &news
+	p.control.quarantine = &quarantine.News{Revision: 1, Mark: 1, Quarantined: entries}
 	p.control.mu.Unlock()
 	Eventually(ctx, func() uint64 {
 		p.control.mu.Lock()
@@ -221,54 +215,6 @@
 	})
 })
 
-var _ = Describe("A request that was at a crash", func() {
-	It("is sent one copy at a time", func(ctx SpecContext) {
-		hold := make(chan struct{})
-		p := newTestProxy(newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
-			<-hold
-			succeed(w, r)
-		}))
-		p.setNews(ctx, quarantine.News{
-			Revision: 1, Mark: 1, Probation: []quarantine.Digest{identityOf(http.MethodPost, "/write/x", "a").Digest()},
-		})
-		// An instance that has just started decides on no trial.
-		p.clockOffset.Store(int64(quarantine.TrialInterval))
-		statuses := make(chan int, 3)
-		for range 3 {
-			go func() {
-				defer GinkgoRecover()
-				response, _, err := p.send(ctx, http.MethodPost, "/write/x", "a")
-				Expect(err).NotTo(HaveOccurred())
-				statuses <- response.StatusCode
-			}()
-		}
-		Eventually(ctx, statuses).Should(Receive(Equal(http.StatusServiceUnavailable)))
-		Eventually(ctx, statuses).Should(Receive(Equal(http.StatusServiceUnavailable)))
-		close(hold)
-		Eventually(ctx, statuses).Should(Receive(Equal(http.StatusOK)))
-		Expect(p.arrivals()).To(Equal(1))
-		response, _, err := p.send(ctx, http.MethodPost, "/write/x", "a")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(response.StatusCode).To(Equal(http.StatusOK), "it has succeeded")
-	}, SpecTimeout(specTimeout))
-
-	// The trial must not be lost at an upstream that is full, or that is the one which has ended.
-	It("is sent to the next upstream if the first one did not run it", func(ctx SpecContext) {
-		p := newTestProxy(newFakeUpstream(refuseNotRun), newFakeUpstream(succeed))
-		news := quarantine.News{Revision: 1, Mark: 1}
-		for n := range 6 {
-			news.Probation = append(news.Probation, identityOf(http.MethodPost, "/write/x", fmt.Sprint(n)).Digest())
-		}
-		p.setNews(ctx, news)
-		p.clockOffset.Store(int64(quarantine.TrialInterval))
-		for n := range 6 {
-			response, _, err := p.send(ctx, http.MethodPost, "/write/x", fmt.Sprint(n))
-			Expect(err).NotTo(HaveOccurred())
-			Expect(response.StatusCode).To(Equal(http.StatusOK))
-		}
-	}, SpecTimeout(specTimeout))
-})
-
 var _ = Describe("A crashed upstream", func() {
 	It("is reported with the digests of its requests", func(ctx SpecContext) {
 		u := newFakeUpstream(succeed)
--- a/internal/quarantine/follow.go
+++ b/internal/quarantine/follow.go
@@ -24,11 +24,6 @@
 			w.suspected[digest] = true
 		}
 	}
-	clear(w.probation)
-	for _, digest := range news.Probation {
-		w.probation[digest] = true
-		w.clearIfSucceeded(now, digest)
-	}
 	for digest := range w.suspected {
 		w.clearIfSucceeded(now, digest)
 	}
--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -19,9 +19,6 @@
 	// Suspected are the requests that one more crash may bring into quarantine. An
 	// instance that knows of a complete response to one reports it.
 	Suspected []Digest
-	// Probation are the requests of which one copy is sent at a time. An instance that knows of
-	// a complete response to one reports it.
-	Probation []Digest
 }
 
 // Entry is a request, or parts of prompts, in quarantine or about to enter it.
@@ -119,8 +116,7 @@
 	judged := records.judge(now, p.limits).announced(records)
 	p.recordAnnouncements(now, judged, records)
 	previous := p.current.Quarantined
-	p.current = News{Revision: records.Revision(), Suspected: judged.suspected, Probation: judged.probation}
-	p.computedAt = now
+	p.current, p.computedAt = News{Revision: records.Revision(), Suspected: judged.suspected}, now
 	for _, g := range judged.quarantined {
 		entry := Entry{
 			Digest: g.digests[0], Crashes: len(g.heaviest.Crashes), TrialIn: g.trialIn(now, p.limits),
@@ -206,10 +202,6 @@
 	for _, digest := range n.Suspected {
 		_, _ = sum.Write(digest[:])
 	}
-	_, _ = sum.Write([]byte{0})
-	for _, digest := range n.Probation {
-		_, _ = sum.Write(digest[:])
-	}
 	return max(sum.Sum64(), 1)
 }
 
@@ -221,7 +213,7 @@
 // those whose crashes have the most weight.
 func (v verdicts) announced(records Records) verdicts {
 	isSame := func(a, b group) bool { return slices.Equal(a.digests, b.digests) }
-	announced := verdicts{quarantined: slices.CompactFunc(v.quarantined, isSame)}
+	announced := verdicts{quarantined: slices.CompactFunc(v.quarantined, isSame), suspected: v.suspected}
 	slices.SortStableFunc(announced.quarantined, func(a, b group) int { return cmp.Compare(b.heaviest.weight(), a.heaviest.weight()) })
 	total := 0
 	announced.quarantined = slices.DeleteFunc(announced.quarantined, func(g group) bool {
@@ -229,19 +221,12 @@
 		return total > maxAnnounced
 	})
 	slices.SortFunc(announced.quarantined, compareGroups)
-	announced.suspected = records.heaviest(v.suspected)
-	announced.probation = records.heaviest(v.probation)
-	return announced
-}
-
-// heaviest returns those of the sorted digests whose crashes have the most weight, sorted.
-func (r Records) heaviest(digests []Digest) []Digest {
-	slices.SortStableFunc(digests, func(a, b Digest) int {
-		return cmp.Compare(r.cases[b].weight(), r.cases[a].weight())
+	slices.SortStableFunc(announced.suspected, func(a, b Digest) int {
+		return cmp.Compare(records.cases[b].weight(), records.cases[a].weight())
 	})
-	digests = digests[:min(len(digests), maxAnnounced)]
-	slices.SortFunc(digests, compareDigests)
-	return digests
+	announced.suspected = announced.suspected[:min(len(announced.suspected), maxAnnounced)]
+	slices.SortFunc(announced.suspected, compareDigests)
+	return announced
 }
 
 func compareGroups(a, b group) int {
--- a/internal/quarantine/ruling.go
+++ b/internal/quarantine/ruling.go
@@ -28,8 +28,6 @@
 	// Suspected is true if it isn't certain that the request crashes upstreams: its prompt has
 	// only some of the parts, or the crashes may be due to chance.
 	Suspected bool
-	// Probation is true if the request is sent one copy at a time because it was at a crash.
-	Probation bool
 }
 
 // TrialID identifies the trials of the parts that a ruling is about.
@@ -61,13 +59,10 @@
 // which they are, and may crash an upstream. It is sent as a trial. So is a request with all parts
 // of an entry when its trial is due, so that an entry that is wrong is cleared.
 func (w *Watch) Rule(now time.Time, digest Digest, parts ...Digest) Ruling {
-	var ruling Ruling
-	if w.probation[digest] && !w.successes.contains(now, digest) {
-		ruling = Ruling{Decision: DecisionTry, Digests: []Digest{digest}, Suspected: true, Probation: true}
-	}
 	if len(w.quarantined) == 0 {
-		return ruling
+		return Ruling{}
 	}
+	var ruling Ruling
 	for _, entry := range w.entriesOf(now, digest, parts) {
 		if found := ruleByEntry(now, entry, digest, parts); found.isStricterThan(ruling) {
 			ruling = found
--- a/internal/quarantine/size_test.go
+++ b/internal/quarantine/size_test.go
@@ -12,7 +12,7 @@
 )
 
 // BenchmarkSize reports the encoded sizes of a report, of a case in a snapshot, and of
-// the news of one request in quarantine or on probation.
+// the news of one request in quarantine.
 func BenchmarkSize(b *testing.B) {
 	for _, requests := range []int{12, 64} {
 		b.Run(fmt.Sprintf("requests=%d", requests), func(b *testing.B) {
@@ -36,14 +36,11 @@
 		})
 	}
 	b.Run("news", func(b *testing.B) {
-		size := func(quarantined, onProbation int) float64 {
+		size := func(requests int) float64 {
 			news := quarantine.News{Revision: 1, Mark: 1}
-			for n := range quarantined {
+			for n := range requests {
 				news.Quarantined = append(news.Quarantined, quarantine.Entry{Digest: digest(fmt.Sprint(n)), In: time.Second})
 			}
-			for n := range onProbation {
-				news.Probation = append(news.Probation, digest(fmt.Sprint(n)))
-			}
 			var buffer bytes.Buffer
 			if err := gob.NewEncoder(&buffer).Encode(news); err != nil {
 				b.Fatal(err)
@@ -51,9 +48,8 @@
 			return float64(buffer.Len())
 		}
 		for b.Loop() {
-			size(1, 1)
+			size(1)
 		}
-		b.ReportMetric((size(101, 1)-size(1, 1))/100, "bytes/request")
-		b.ReportMetric((size(1, 101)-size(1, 1))/100, "bytes/probation")
+		b.ReportMetric((size(101)-size(1))/100, "bytes/request")
 	})
 }
--- a/internal/quarantine/trials.go
+++ b/internal/quarantine/trials.go
@@ -12,8 +12,7 @@
 }
 
 const (
-	// TrialInterval is the time in which the result of a trial becomes known to all instances. A
-	// trial that isn't sent within it may be allowed to another request.
+	// TrialInterval is the time in which the result of a trial becomes known to all instances.
 	TrialInterval = 5 * time.Second
 	// maxTrials bounds the trials that are remembered. The news names fewer.
 	maxTrials = 2 * maxAnnounced
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -25,17 +25,6 @@
 	quarantined []group
 	// suspected are the cases that one more crash may bring into quarantine, sorted by digest.
 	suspected []Digest
-	// probation are the requests of which one copy is sent at a time.
-	probation []Digest
-}
-
-// probationTime is how long a request is on probation after its last crash.
-const probationTime = time.Minute
-
-// isOnProbation reports whether only one copy of a request may be sent at a time: one crash can't
-// show that the request caused it, and several copies of it would crash as many upstreams.
-func (c Case) isOnProbation(now time.Time) bool {
-	return !c.isPart() && c.weight() >= weightNoOutput && now.Sub(c.last()) < probationTime
 }
 
 // blame returns the weight of the crashes that count against a group. needed is the
@@ -192,9 +181,6 @@
 		if weight >= needed-weightNoOutput {
 			judged.suspected = append(judged.suspected, digest)
 		}
-		if c.isOnProbation(now) {
-			judged.probation = append(judged.probation, digest)
-		}
 	}
 	groups := groupCases(candidates)
 	countGroups(groups, summaries)
@@ -206,7 +192,6 @@
 	}
 	judged.suspected = slices.DeleteFunc(judged.suspected, judged.isQuarantined)
 	slices.SortFunc(judged.suspected, compareDigests)
-	slices.SortFunc(judged.probation, compareDigests)
 	return judged
 }
 
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -29,8 +29,6 @@
 	// suspected are the digests in the news: those that one more crash may bring into quarantine,
 	// and all of the entries.
 	suspected map[Digest]bool
-	// probation are the requests in the news of which one copy is sent at a time.
-	probation map[Digest]bool
 	// cleared are digests in the news to which a response was complete here. They are
 	// not reported yet.
 	cleared map[Digest]bool
@@ -38,7 +36,7 @@
 
 // NewWatch returns an empty Watch.
 func NewWatch() *Watch {
-	return &Watch{suspected: map[Digest]bool{}, probation: map[Digest]bool{}, cleared: map[Digest]bool{}}
+	return &Watch{suspected: map[Digest]bool{}, cleared: map[Digest]bool{}}
 }
 
 // Counts returns the number of entries in quarantine, and the number of other digests that are
@@ -74,7 +72,7 @@
 
 // clearIfSuspected clears a request or a part that the news names.
 func (w *Watch) clearIfSuspected(digest Digest) {
-	if w.suspected[digest] || w.probation[digest] {
+	if w.suspected[digest] {
 		w.cleared[digest] = true
 	}
 }
