routes, counter: one method tells which routes have resumable streams, one where such a stream may begin

Three places compared the route's kind and its setting again, beside the method that routes had for itself; two compared the limit to recorded versions with an upstream. needsKnownVersion reads the limit that bindToOrigin has set instead of deriving it once more.

No change of behaviour.

--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -73,7 +73,7 @@
 	missing := missingService
 	ties := 1.0
 	for u := range p.eligible(now, q) {
-		if q.software.Recorded && u.unrecorded {
+		if !u.mayBegin(q.software) {
 			missing = max(missing, missingCapacity)
 			continue
 		}
@@ -160,6 +160,11 @@
 	return !u.isFull(now) && u.backoff.allows(now, u.backlog.readySince(q.pacing), random, u.activePeers.count(now))
 }
 
+// mayBegin reports whether a stream may begin at u that is limited to recorded versions.
+func (u *upstream) mayBegin(software resumption.Constraint) bool {
+	return !software.Recorded || !u.unrecorded
+}
+
 // isFull reports whether all slots of an engine are taken.
 func (u *upstream) isFull(now time.Time) bool {
 	return u.slots > 0 && u.load(now) >= float64(u.slots)
--- a/internal/counter/confirmation.go
+++ b/internal/counter/confirmation.go
@@ -74,7 +74,7 @@
 	case "", "0":
 		return false
 	default:
-		return t.route.Kind == routes.Stream && t.route.Resumable
+		return t.route.HasResumableStreams()
 	}
 }
 
--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -212,7 +212,7 @@
 		p.reportPushback(now, u, owner)
 		p.peers.send(owner, permit.Release{ID: m.ID})
 		return grant{}, errDecideLocally
-	case u != nil && (now.Before(u.refusals.PausedUntil()) || !t.software.Allows(u.software) || t.software.Recorded && u.unrecorded):
+	case u != nil && (now.Before(u.refusals.PausedUntil()) || !t.software.Allows(u.software) || !u.mayBegin(t.software)):
 		p.peers.send(owner, permit.Release{ID: m.ID})
 		return grant{}, errDecideLocally
 	}
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -36,8 +36,7 @@
 // not synced for longer than a lease do not. p.mu is held.
 func (t *transaction) needsKnownVersion(now time.Time) bool {
 	p := t.proxy
-	return t.route.Kind == routes.Stream && t.route.Resumable && !t.software.Bound &&
-		now.Sub(p.control.lastSyncSent) <= p.options.UpstreamLease
+	return t.software.Recorded && now.Sub(p.control.lastSyncSent) <= p.options.UpstreamLease
 }
 
 // identifiesStream reports whether the stream has an ID. Otherwise all streams of callers that send none
@@ -67,7 +66,7 @@
 // began it. If that is unknown, bindToOrigin answers the caller and returns false.
 func (t *transaction) bindToOrigin(ctx context.Context, w http.ResponseWriter) bool {
 	if !t.resumesStream() {
-		if t.route.Kind == routes.Stream && t.route.Resumable {
+		if t.route.HasResumableStreams() {
 			t.software = resumption.ToRecorded()
 		}
 		return true
--- a/internal/routes/resumable.go
+++ b/internal/routes/resumable.go
@@ -8,16 +8,11 @@
 	"slices"
 )
 
-// resumes reports whether streams of the route may be resumed.
-func (r *Route) resumes() bool {
-	return r.Kind == Stream && r.Resumable
-}
-
 // indexResumable sets what the table tells of the routes whose streams may be resumed.
 func (t *Table) indexResumable(list []Route) {
 	var resumable []Route
 	for _, route := range list {
-		if route.resumes() {
+		if route.HasResumableStreams() {
 			resumable = append(resumable, route)
 			t.resumableTimeout = max(t.resumableTimeout, route.Timeout)
 		}
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -92,7 +92,12 @@
 
 // Repeatable reports whether a request may run more than once.
 func (r *Route) Repeatable() bool {
-	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+	return r.Kind == Idempotent || r.HasResumableStreams()
+}
+
+// HasResumableStreams reports whether the responses are streams that may be resumed.
+func (r *Route) HasResumableStreams() bool {
+	return r.Kind == Stream && r.Resumable
 }
 
 // Services returns the services to which requests may go.
