shuttle, platform: one function decides that a JSON reply was cut short

The status of a request and an engine's report on itself were told from cut ones by the same two conditions, written twice. DecodeReply has them.

No change of behaviour; the specs of both, cut at each byte, pass as they were.

--- a/internal/shuttle/idempotent.go
+++ b/internal/shuttle/idempotent.go
@@ -1,9 +1,7 @@
 package shuttle
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
@@ -185,10 +183,9 @@
 	case response.StatusCode != http.StatusOK:
 		return status, errNoStatus
 	}
-	err = json.NewDecoder(bytes.NewReader(body)).Decode(&status)
-	isCut := errors.Is(err, io.ErrUnexpectedEOF) && len(body) < maxStatusBytes
+	err = DecodeReply(body, maxStatusBytes, FramingOf(response), &status)
 	switch {
-	case isCut, errors.Is(err, io.EOF) && FramingOf(response) == UntilClose:
+	case errors.Is(err, ErrTruncated):
 		return status, errors.Wrap(err, "status was cut off")
 	case err != nil || status.State == "":
 		return status, errNoStatus
