--- a/internal/counter/confirmation_test.go
+++ b/internal/counter/confirmation_test.go
@@ -1,11 +1,8 @@
 package counter_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -87,17 +84,10 @@
 	func(ctx SpecContext, framing, body string, regular bool) {
 		p := newTestProxy(newFakeUpstream(respondAfterReading(
 			"HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nContent-Type: " + eventStream + "\r\n" + framing + "\r\n" + body)))
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.server.Listener.Addr().String())
-		Expect(err).NotTo(HaveOccurred())
-		defer conn.Close()
-		_, err = io.WriteString(conn, "POST /draft/ HTTP/1.0\r\nHost: spec.test\r\n"+idHeader+": r1\r\n\r\n")
-		Expect(err).NotTo(HaveOccurred())
-		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		Expect(err).NotTo(HaveOccurred())
-		defer response.Body.Close()
-		text, err := io.ReadAll(response.Body)
-		Expect(err == nil).To(Equal(regular), "%v", err)
-		Expect(string(text)).To(Equal("id: 1\ndata: a\n\n"))
+		view := callRaw(ctx, p.server.Listener.Addr().String(), http.MethodPost, "/draft/", "HTTP/1.0", "r1")
+		Expect(view.status).To(Equal(http.StatusOK))
+		Expect(view.err == nil).To(Equal(regular), "%v", view.err)
+		Expect(view.body).To(Equal("id: 1\ndata: a\n\n"))
 	},
 	Entry("in chunks", SpecTimeout(specTimeout), "Transfer-Encoding: chunked\r\n", "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", true),
 	Entry("with a length", SpecTimeout(specTimeout), "Content-Length: 15\r\n", "id: 1\ndata: a\n\n", true),
@@ -208,11 +198,7 @@
 		for _, u := range g.announceUpstreams("v1", "v2") {
 			u.endsRegularly.Store(true)
 		}
-		began := map[string]string{}
-		for n := range streamsPerSpec {
-			id := fmt.Sprint("s", n)
-			began[id] = g.begin(ctx, 0, id)
-		}
+		began := g.beginAll(ctx, 0)
 		g.clock.advance(10 * time.Second)
 		for id, version := range began {
 			header := resumedAt("1")
--- a/internal/counter/cuthead_test.go
+++ b/internal/counter/cuthead_test.go
@@ -14,6 +14,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/standin"
 )
 
 const (
@@ -77,16 +79,11 @@
 	c.arrivals[id]++
 	c.mu.Unlock()
 	cut := parseCut(r.URL.Path)
-	conn, _, err := http.NewResponseController(w).Hijack()
-	Expect(err).NotTo(HaveOccurred())
-	defer conn.Close()
-	_, _ = io.WriteString(conn, strings.ReplaceAll(c.text, "ID", id)[:cut.at])
+	sent := standin.Cut{At: cut.at, Reset: cut.reset}
 	if cut.late {
-		time.Sleep(lateCut)
-	}
-	if cut.reset {
-		Expect(conn.(*net.TCPConn).SetLinger(0)).To(Succeed())
+		sent.Wait = lateCut
 	}
+	Expect(sent.Send(w, r, strings.ReplaceAll(c.text, "ID", id))).To(Succeed())
 }
 
 func (c *cutResponder) arrivalsOf(id string) int {
--- a/internal/counter/restart_test.go
+++ b/internal/counter/restart_test.go
@@ -56,11 +56,7 @@
 // and resumes each stream. It returns how many of them went on.
 func (g *resumptionGroup) expectNoOtherVersionAfterRestart(ctx context.Context, replace func()) (wentOn int) {
 	GinkgoHelper()
-	began := map[string]string{}
-	for n := range streamsPerSpec {
-		id := fmt.Sprint("s", n)
-		began[id] = g.begin(ctx, 0, id)
-	}
+	began := g.beginAll(ctx, 0)
 	replace()
 	replacement := g.replaceInstances()
 	for id, version := range began {
--- a/internal/counter/resumption_test.go
+++ b/internal/counter/resumption_test.go
@@ -130,6 +130,17 @@
 	return versionIn(text)
 }
 
+// beginAll begins streams at an instance, which then break off, and returns the version of each.
+func (g *resumptionGroup) beginAll(ctx context.Context, instance int) (versions map[string]string) {
+	GinkgoHelper()
+	versions = map[string]string{}
+	for n := range streamsPerSpec {
+		id := fmt.Sprint("s", n)
+		versions[id] = g.begin(ctx, instance, id)
+	}
+	return versions
+}
+
 // resume resumes a stream at an instance, and returns the status and the version of its next event.
 func (g *resumptionGroup) resume(ctx context.Context, instance int, id string) (status int, version string) {
 	GinkgoHelper()
@@ -166,11 +177,7 @@
 // in between.
 func (g *resumptionGroup) expectNoOtherVersion(ctx context.Context, resumes func(id string) http.Header, before func()) {
 	GinkgoHelper()
-	began := map[string]string{}
-	for n := range streamsPerSpec {
-		id := fmt.Sprint("s", n)
-		began[id] = g.begin(ctx, 0, id)
-	}
+	began := g.beginAll(ctx, 0)
 	before()
 	for id, version := range began {
 		g.clock.advance(100 * time.Millisecond)
@@ -197,11 +204,7 @@
 // in between.
 func (g *resumptionGroup) expectSameVersion(ctx context.Context, begunAt, resumedAt int, before func()) {
 	GinkgoHelper()
-	began := map[string]string{}
-	for n := range streamsPerSpec {
-		id := fmt.Sprint("s", n)
-		began[id] = g.begin(ctx, begunAt, id)
-	}
+	began := g.beginAll(ctx, begunAt)
 	before()
 	for id, version := range began {
 		status, resumed := g.resume(ctx, resumedAt, id)
@@ -371,11 +374,7 @@
 		v2 := newVersionedUpstream("v2")
 		g.control.announceVersion("v2", "e2", v2.address(), resumedModel)
 		Eventually(g.peers[0].proxy.Upstreams, specTimeout).Should(Equal(2))
-		began := map[string]string{}
-		for n := range streamsPerSpec {
-			id := fmt.Sprint("s", n)
-			began[id] = g.begin(ctx, 0, id)
-		}
+		began := g.beginAll(ctx, 0)
 		Expect(g.peers[1].proxy.Upstreams()).To(Equal(1))
 		for id, version := range began {
 			if status, resumed := g.resume(ctx, 1, id); status == http.StatusOK {
@@ -400,11 +399,7 @@
 				Eventually(p.proxy.Upstreams, specTimeout).Should(Equal(2))
 			}
 		}
-		began := map[string]string{}
-		for n := range streamsPerSpec {
-			id := fmt.Sprint("s", n)
-			began[id] = g.begin(ctx, late, id)
-		}
+		began := g.beginAll(ctx, late)
 		Eventually(ctx, func() int {
 			g.clock.advance(100 * time.Millisecond)
 			_, _, _ = postToInstance(ctx, g.servers[late].URL+"/write/", http.Header{idHeader: {"w"}}, "")
--- a/internal/counter/untilclose_test.go
+++ b/internal/counter/untilclose_test.go
@@ -1,7 +1,6 @@
 package counter_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -233,16 +232,9 @@
 var _ = It("A response in HTTP/1.0 that is broken off is visibly incomplete", func(ctx SpecContext) {
 	p := newTestProxy(newFakeUpstream(respondAfterReading(
 		"HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n")))
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.server.Listener.Addr().String())
-	Expect(err).NotTo(HaveOccurred())
-	defer conn.Close()
-	_, err = io.WriteString(conn, "POST /write/ HTTP/1.0\r\nHost: spec.test\r\n"+idHeader+": r1\r\n\r\n")
-	Expect(err).NotTo(HaveOccurred())
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	Expect(err).NotTo(HaveOccurred())
-	defer response.Body.Close()
-	_, err = io.ReadAll(response.Body)
-	Expect(err).To(HaveOccurred())
+	view := callRaw(ctx, p.server.Listener.Addr().String(), http.MethodPost, "/write/", "HTTP/1.0", "r1")
+	Expect(view.status).To(Equal(http.StatusOK))
+	Expect(view.err).To(HaveOccurred())
 }, SpecTimeout(specTimeout))
 
 // No request asks for another protocol.
--- a/internal/desk/cuthead_test.go
+++ b/internal/desk/cuthead_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +14,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/desk"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
+	"github.com/lovagelift/lovagelift/internal/standin"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -50,16 +50,11 @@
 	c.mu.Lock()
 	c.arrivals[number]++
 	c.mu.Unlock()
-	conn, _, err := http.NewResponseController(w).Hijack()
-	Expect(err).NotTo(HaveOccurred())
-	defer conn.Close()
-	_, _ = io.WriteString(conn, c.text[:at])
+	sent := standin.Cut{At: at, Reset: reset}
 	if late {
-		time.Sleep(lateCut)
-	}
-	if reset {
-		Expect(conn.(*net.TCPConn).SetLinger(0)).To(Succeed())
+		sent.Wait = lateCut
 	}
+	Expect(sent.Send(w, r, c.text)).To(Succeed())
 }
 
 func (c *cutResponder) arrivalsOf(number int) int {
--- a/internal/foreman/cutshort_test.go
+++ b/internal/foreman/cutshort_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/foreman"
+	"github.com/lovagelift/lovagelift/internal/standin"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -26,15 +26,7 @@
 			engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				arrivals.Add(1)
 				_, _ = io.ReadAll(r.Body)
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				_, _ = io.WriteString(conn, text[:at])
-				if reset {
-					_ = conn.(*net.TCPConn).SetLinger(0)
-				}
+				_ = standin.Cut{At: at, Reset: reset}.Send(w, r, text)
 			}))
 			_, err := foreman.SendOrder(ctx, &http.Client{}, engine.Listener.Addr().String(), upstreamapi.Order{ID: "o1"})
 			engine.Close()
--- a/internal/registrar/cutshort_test.go
+++ b/internal/registrar/cutshort_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,6 +18,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/registrar"
+	"github.com/lovagelift/lovagelift/internal/standin"
 )
 
 // A change whose answer breaks off may be in force, whatever the beginning of the answer says.
@@ -30,15 +30,7 @@
 			c := client("token", serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				arrivals.Add(1)
 				_, _ = io.ReadAll(r.Body)
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				_, _ = io.WriteString(conn, text[:at])
-				if reset {
-					_ = conn.(*net.TCPConn).SetLinger(0)
-				}
+				_ = standin.Cut{At: at, Reset: reset}.Send(w, r, text)
 			})))
 			what := fmt.Sprintf("%q, reset: %t", text[:at], reset)
 			_, err := c.Change(ctx, change(0, "ordinary"))
