counter: the line of a refused stream says whom its instance asked for the origin

Streams whose control instances have lost their origins, and streams whose origins have expired, looked alike: both are refused as unknown. The line now has how many control instances were asked and answered, and for how long they have kept origins.

--- a/internal/backoffice/origins.go
+++ b/internal/backoffice/origins.go
@@ -23,6 +23,7 @@
 	i := f.instance
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	origin, known := i.origins.Find(i.options.Now(), args.Stream)
-	return courier.OriginReply{Known: known, Origin: origin}
+	now := i.options.Now()
+	origin, known := i.origins.Find(now, args.Stream)
+	return courier.OriginReply{Known: known, Origin: origin, KeptFor: now.Sub(i.startedAt)}
 }
--- a/internal/counter/originqueries.go
+++ b/internal/counter/originqueries.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
@@ -59,28 +61,61 @@
 	})
 }
 
+// originSearch tells an operator what the control instances said of a stream whose origin is unknown.
+type originSearch struct {
+	controlsAsked, controlsAnswered int
+	// shortestKept and longestKept bound how long those that answered have kept origins.
+	shortestKept, longestKept time.Duration
+}
+
+// with returns the search after a control instance has answered.
+func (s originSearch) with(reply courier.OriginReply) originSearch {
+	if s.controlsAnswered == 0 || reply.KeptFor < s.shortestKept {
+		s.shortestKept = reply.KeptFor
+	}
+	s.controlsAnswered++
+	s.longestKept = max(s.longestKept, reply.KeptFor)
+	return s
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (s originSearch) MarshalZerologObject(event *zerolog.Event) {
+	event.Int("controls-asked", s.controlsAsked).Int("controls-answered", s.controlsAnswered).
+		Dur("shortest-kept", s.shortestKept).Dur("longest-kept", s.longestKept)
+}
+
 // askControl asks all control instances for the origin of a stream. It returns false if none knows
 // it.
-func (p *Proxy) askControl(ctx context.Context, stream resumption.StreamID) (resumption.Origin, bool) {
+func (p *Proxy) askControl(ctx context.Context, stream resumption.StreamID) (resumption.Origin, originSearch, bool) {
 	ctx, cancel := context.WithTimeout(ctx, controlOriginTimeout)
 	defer cancel()
 	p.mu.Lock()
 	addresses := p.control.known
 	p.mu.Unlock()
-	replies := make(chan courier.OriginReply, len(addresses))
+	search := originSearch{controlsAsked: len(addresses)}
+	// A failed call brings nil, and counts as the reply of an instance that does not know the stream.
+	replies := make(chan *courier.OriginReply, len(addresses))
 	for _, address := range addresses {
 		go func() {
-			// A failed call counts as the reply of an instance that does not know the stream.
-			reply, _ := p.control.originCalls.StreamOrigin(ctx, address, courier.OriginArgs{Stream: stream})
-			replies <- reply
+			reply, err := p.control.originCalls.StreamOrigin(ctx, address, courier.OriginArgs{Stream: stream})
+			if err != nil {
+				replies <- nil
+				return
+			}
+			replies <- &reply
 		}()
 	}
 	for range addresses {
-		if reply := <-replies; reply.Known {
-			return reply.Origin, true
+		reply := <-replies
+		switch {
+		case reply == nil:
+		case reply.Known:
+			return reply.Origin, search, true
+		default:
+			search = search.with(*reply)
 		}
 	}
-	return resumption.Origin{}, false
+	return resumption.Origin{}, search, false
 }
 
 func (p *Proxy) sendQueries(stream resumption.StreamID, queries map[permit.ID]netip.AddrPort) {
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -78,7 +78,7 @@
 		t.abortIfCallerLeft("the caller left while the origin of its stream was searched for")
 		t.proxy.refuse(w, t.call, t.route, refusal{
 			status: http.StatusServiceUnavailable, text: "the software version of the stream is unknown",
-			retryAfter: t.untilVersionsKnown(),
+			retryAfter: t.untilVersionsKnown(), originSearch: &t.originSearch,
 		})
 		return false
 	}
@@ -120,9 +120,11 @@
 	if origin, known := p.askOrigin(ctx, stream, ranked); known {
 		return origin, originRanked
 	}
-	if origin, known := p.askControl(ctx, stream); known {
+	origin, search, known := p.askControl(ctx, stream)
+	if known {
 		return origin, originControl
 	}
+	t.originSearch = search
 	if origin, source := t.onlyOrigin(ctx); source != originUnknown {
 		return origin, source
 	}
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -51,6 +51,8 @@
 	// originSource tells how the origin of the stream that the request resumes was found. It is empty for
 	// other requests.
 	originSource originSource
+	// originSearch is what the control instances said of that stream.
+	originSearch originSearch
 	// timing and lastError, the error of the last failed attempt, are logged.
 	timing    requestTiming
 	lastError error
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -56,6 +56,8 @@
 type OriginReply struct {
 	Known  bool
 	Origin resumption.Origin
+	// KeptFor is how long the callee has kept origins.
+	KeptFor time.Duration
 }
 
 // LimitedUpstream is an upstream that states a rate limit in its responses.
