backoffice: origins of streams are copied to a second control instance

Cause: beside the entry instances, one control instance knew where a stream began: the one that received the sync, which is the leader where entry instances are few. All entry instances were killed, and the leader lost its disk 9 s later. The class: a single copy in memory of what others need. Change: a control instance copies what entry instances tell it to its successor in the order of addresses, in another failure domain if there is one, and gets it back after a restart. A successor that has restarted gets all again.

--- a/internal/backoffice/backoffice.go
+++ b/internal/backoffice/backoffice.go
@@ -37,8 +37,12 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
-	// origins are the origins of streams that entry instances reported.
-	origins resumption.Origins
+	// origins are the origins of streams that entry instances reported, and uncopiedStreams those of them
+	// that are still to be copied. originCopies are the copies of those of other control instances, by
+	// address.
+	origins         resumption.Origins
+	uncopiedStreams []courier.StreamGroup
+	originCopies    map[string]*resumption.Origins
 	// cachedMembership is the result of the last call of membership that computed one.
 	cachedMembership membership
 	// packedEdition is the edition that was last sent to an entry instance, with its
@@ -85,6 +89,7 @@
 		heartbeatPool: courier.NewPool(options.Dial, callTimeout),
 		logEntryPool:  courier.NewPool(options.Dial, callTimeout),
 		peers:         map[string]*peer{},
+		originCopies:  map[string]*resumption.Origins{},
 		confirmed:     make(chan struct{}),
 		failed:        make(chan struct{}),
 		stop:          cancel,
@@ -117,6 +122,8 @@
 	i.done.Go(func() { i.crashRecorder.runRetraction(ctx) })
 	versions := &versionRecorder{instance: i}
 	i.done.Go(func() { versions.run(ctx) })
+	copier := &originCopier{instance: i}
+	i.done.Go(func() { copier.run(ctx) })
 	return i, nil
 }
 
--- a/internal/backoffice/feed.go
+++ b/internal/backoffice/feed.go
@@ -37,7 +37,7 @@
 	i.mu.Lock()
 	i.roster.Renew(now, args.From)
 	reply.RosterIncomplete = i.isRosterIncomplete(now, voters)
-	i.recordOrigins(now, args.Streams)
+	i.recordReportedOrigins(now, args.Streams)
 	i.fillRoster(now, args.Cursor, &reply)
 	if members := i.membership(now).forDomain(args.FailureDomain); members.Revision != args.Members {
 		reply.Members = &members
--- a/internal/backoffice/origins.go
+++ b/internal/backoffice/origins.go
@@ -4,16 +4,24 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
-// A control instance keeps the origins of the streams of the entry instances that sync with it, for
-// the case that all entry instances which know a stream are gone.
+// A control instance keeps the origins of the streams of the entry instances that sync with it, and
+// copies of those of another control instance, for the case that all entry instances which know a stream
+// are gone.
 
-// recordOrigins records where streams began. i.mu is held.
-func (i *Instance) recordOrigins(now time.Time, groups []courier.StreamGroup) {
+// recordReportedOrigins records where streams began that an entry instance has reported. i.mu is held.
+func (i *Instance) recordReportedOrigins(now time.Time, groups []courier.StreamGroup) {
+	recordOrigins(now, &i.origins, groups)
+	i.uncopiedStreams = append(i.uncopiedStreams, groups...)
+}
+
+// recordOrigins records where streams began.
+func recordOrigins(now time.Time, origins *resumption.Origins, groups []courier.StreamGroup) {
 	for _, group := range groups {
 		for _, stream := range group.Streams {
-			i.origins.Record(now, stream, group.Origin, now.Add(group.Remaining))
+			origins.Record(now, stream, group.Origin, now.Add(group.Remaining))
 		}
 	}
 }
@@ -24,6 +32,19 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.options.Now()
-	origin, known := i.origins.Find(now, args.Stream)
+	origin, known := i.findOrigin(now, args.Stream)
 	return courier.OriginReply{Known: known, Origin: origin, KeptFor: now.Sub(i.startedAt)}
 }
+
+// findOrigin returns the origin of a stream. i.mu is held.
+func (i *Instance) findOrigin(now time.Time, stream resumption.StreamID) (resumption.Origin, bool) {
+	if origin, known := i.origins.Find(now, stream); known {
+		return origin, true
+	}
+	for _, copies := range i.originCopies {
+		if origin, known := copies.Find(now, stream); known {
+			return origin, true
+		}
+	}
+	return resumption.Origin{}, false
+}
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -149,6 +149,11 @@
 	return courier.OriginReply{Known: known, Origin: origin}
 }
 
+// CopyOrigins does nothing: the fake has no other control instances.
+func (c *fakeControl) CopyOrigins(courier.OriginCopyArgs) courier.OriginCopyReply {
+	return courier.OriginCopyReply{}
+}
+
 // syncCount returns the number of syncs received.
 func (c *fakeControl) syncCount() int {
 	c.mu.Lock()
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -60,6 +60,24 @@
 	KeptFor time.Duration
 }
 
+// OriginCopyArgs holds origins that entry instances reported to the caller, which the callee copies.
+type OriginCopyArgs struct {
+	// From is the address of the caller.
+	From string
+	// Known is the process of the callee that has all earlier origins of the caller, 0 if none has.
+	Known   uint64
+	Streams []StreamGroup
+}
+
+// OriginCopyReply is the reply to OriginCopyArgs.
+type OriginCopyReply struct {
+	// Process identifies the process of the callee.
+	Process uint64
+	// Streams are the origins that the callee has copied before. They are set only if the caller does not
+	// know the process.
+	Streams []StreamGroup
+}
+
 // LimitedUpstream is an upstream that states a rate limit in its responses.
 type LimitedUpstream struct {
 	Name  string
@@ -201,6 +219,7 @@
 	Want(ctx context.Context, args WantArgs) WantReply
 	Note(ctx context.Context, args NoteArgs) NoteReply
 	Origin(args OriginArgs) OriginReply
+	CopyOrigins(args OriginCopyArgs) OriginCopyReply
 }
 
 // FeedService serves the calls of entry instances and of other control instances.
@@ -251,6 +270,17 @@
 	return nil
 }
 
+// CopyOrigins is the net/rpc method "Feed.CopyOrigins".
+func (s *FeedService) CopyOrigins(args OriginCopyArgs, reply *OriginCopyReply) error {
+	*reply = s.feed.CopyOrigins(args)
+	return nil
+}
+
+// CopyOrigins copies the origins of streams to the control instance at address.
+func (p *Pool) CopyOrigins(ctx context.Context, address string, args OriginCopyArgs) (OriginCopyReply, error) {
+	return callForReply[OriginCopyReply](ctx, p, address, "Feed.CopyOrigins", args)
+}
+
 // StreamOrigin requests the origin of a stream from the control instance at address.
 func (p *Pool) StreamOrigin(ctx context.Context, address string, args OriginArgs) (OriginReply, error) {
 	return callForReply[OriginReply](ctx, p, address, "Feed.Origin", args)
--- a/internal/courier/feed_test.go
+++ b/internal/courier/feed_test.go
@@ -20,6 +20,10 @@
 
 func (blockingFeed) Origin(courier.OriginArgs) courier.OriginReply { return courier.OriginReply{} }
 
+func (blockingFeed) CopyOrigins(courier.OriginCopyArgs) courier.OriginCopyReply {
+	return courier.OriginCopyReply{}
+}
+
 func (blockingFeed) Note(context.Context, courier.NoteArgs) courier.NoteReply {
 	return courier.NoteReply{}
 }
--- a/internal/resumption/origins.go
+++ b/internal/resumption/origins.go
@@ -70,6 +70,12 @@
 	return known.Origin, true
 }
 
+// Expire removes expired origins, unless it was done just before, and returns the number of the others.
+func (o *Origins) Expire(now time.Time) int {
+	o.sweep(now)
+	return len(o.byStream)
+}
+
 // Len returns the number of origins, including expired ones that have not been removed.
 func (o *Origins) Len() int {
 	return len(o.byStream)
@@ -82,14 +88,21 @@
 	Remaining time.Duration
 }
 
+// All returns the origins that have not expired.
+func (o *Origins) All(now time.Time) iter.Seq[Record] {
+	return o.records(now, func(expiringOrigin) bool { return true })
+}
+
 // Unreported returns the origins that have neither expired nor been reported.
 func (o *Origins) Unreported(now time.Time) iter.Seq[Record] {
+	return o.records(now, func(known expiringOrigin) bool { return !known.reported })
+}
+
+// records returns the selected origins that have not expired.
+func (o *Origins) records(now time.Time, selected func(expiringOrigin) bool) iter.Seq[Record] {
 	return func(yield func(Record) bool) {
 		for stream, known := range o.byStream {
-			if known.reported {
-				continue
-			}
-			if remaining := known.expires.Sub(now); remaining > 0 && !yield(Record{stream, known.Origin, remaining}) {
+			if remaining := known.expires.Sub(now); remaining > 0 && selected(known) && !yield(Record{stream, known.Origin, remaining}) {
 				return
 			}
 		}
