backoffice: failing specs of models that are not loaded for bound streams

A stream is bound to the version that began it, but demand and plan know no versions: a holder of another one counts, nothing is ordered, and the callers wait in vain. The wire gets optional fields that nothing fills or reads yet: Demand.Software, WantArgs.Remaining, WantReply.Unavailable.

--- a/internal/backoffice/backoffice_test.go
+++ b/internal/backoffice/backoffice_test.go
@@ -222,11 +222,16 @@
 
 // announceVersion is announce for an engine of a software version.
 func (c *testCluster) announceVersion(ctx context.Context, name, version string) {
+	c.announceAt(ctx, "127.0.0.1:9", name, version)
+}
+
+// announceAt is announceVersion for an engine at an address of its own.
+func (c *testCluster) announceAt(ctx context.Context, engineAddress, name, version string) {
 	go func() {
 		for sequence := uint64(1); ctx.Err() == nil; sequence++ {
 			for _, address := range c.seeds {
 				_ = c.instances[address].Announce(time.Now(), upstreamapi.Announcement{
-					Name: name, Incarnation: 1, Sequence: sequence, Address: "127.0.0.1:9", Services: []string{"pool"}, SoftwareVersion: version,
+					Name: name, Incarnation: 1, Sequence: sequence, Address: engineAddress, Services: []string{"pool"}, SoftwareVersion: version,
 				})
 			}
 			select {
--- a/internal/backoffice/relay_test.go
+++ b/internal/backoffice/relay_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/backoffice"
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -135,6 +136,14 @@
 		Expect(backoffice.EngineStatesInterval(3000)).To(BeNumerically("<=", time.Second))
 	})
 
+	It("keeps streams that are bound to a version apart", func() {
+		plain := courier.Demand{Model: "a", Requests: 3, Waiting: 1}
+		first, second := courier.Demand{Model: "a", Waiting: 2, Software: resumption.BoundTo("v1")}, courier.Demand{Model: "a", Waiting: 4, Software: resumption.BoundTo("v2")}
+		merged := backoffice.MergeDemand([]courier.Demand{first, plain}, []courier.Demand{plain, second})
+		first.Waiting = 0
+		Expect(merged).To(ConsistOf(courier.Demand{Model: "a", Requests: 6, Waiting: 1}, second, first))
+	})
+
 	It("adds up requests of two reports, and takes the waiting ones from the newer", func() {
 		merged := backoffice.MergeDemand(
 			[]courier.Demand{{Model: "a", Requests: 2, Waiting: 2, Open: 1, RunTime: time.Second}, {Model: "b", Requests: 1, Waiting: 1}},
--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -16,6 +16,20 @@
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
+// newHeldByLaterVersion returns a cluster in which an engine of v2 is the only one that holds model a, and one
+// of v1 can hold it.
+func newHeldByLaterVersion(ctx context.Context) *testCluster {
+	GinkgoHelper()
+	c := newTestCluster()
+	c.fakes.add("e1", "b", "c")
+	c.fakes.add("e2", "a", "c")
+	c.putRoutes(ctx, c.seeds[0], 1)
+	c.announceAt(ctx, "127.0.0.1:8", "e2", "v2")
+	Eventually(ctx, c.wantFromLeader(ctx, "a", "")).Should(Equal("e2"))
+	c.announceAt(ctx, "127.0.0.1:9", "e1", "v1")
+	return c
+}
+
 var _ = Describe("Engines of several software versions", func() {
 	// A stream that is resumed needs its adapter at the version that began it, even if an engine of
 	// another one has loaded it.
@@ -34,6 +48,42 @@
 		Expect(c.want(ctx, args)()).To(BeEmpty())
 	}, SpecTimeout(specTimeout))
 
+	// The engines of v1 that held the model are gone. The plan must not take the copy of another version
+	// for one at which a stream of v1 can go on.
+	It("get a model for each version to which streams are bound", func(ctx SpecContext) {
+		c := newHeldByLaterVersion(ctx)
+		args := courier.WantArgs{Service: "pool", Model: "a", Software: resumption.BoundTo("v1"), Timeout: time.Second}
+		Eventually(ctx, c.want(ctx, args)).WithTimeout(20 * time.Second).Should(Equal("e1"))
+		Expect(c.fakes.holds("e1", "b")).To(BeTrue(), "the only copy of a model")
+	}, SpecTimeout(specTimeout))
+
+	// Entry instances report the requests that wait, also while no call for the model is under way.
+	It("get a model for the streams that entry instances report as waiting", func(ctx SpecContext) {
+		c := newHeldByLaterVersion(ctx)
+		waiting := courier.Demand{Service: "pool", Model: "a", Waiting: 1, Software: resumption.BoundTo("v1")}
+		Eventually(ctx, func() bool {
+			c.syncWithLeader(ctx, waiting)
+			return c.fakes.holds("e1", "a")
+		}).WithTimeout(20 * time.Second).Should(BeTrue())
+	}, SpecTimeout(specTimeout))
+
+	DescribeTable("are not waited for if none can hold the model in time",
+		func(ctx SpecContext, args courier.WantArgs) {
+			c := newHeldByLaterVersion(ctx)
+			args.Service, args.Timeout = "pool", 5*time.Second
+			Eventually(ctx, func() courier.WantReply {
+				reply, _ := c.syncWithLeader(ctx)
+				callCtx, cancel := context.WithTimeout(ctx, time.Second)
+				defer cancel()
+				got, _ := c.calls.RequestModel(callCtx, reply.Leader, args)
+				return got
+			}).WithTimeout(20 * time.Second).Should(And(HaveField("Unavailable", true), HaveField("Reason", Not(BeEmpty()))))
+		},
+		Entry("none is of the version", SpecTimeout(specTimeout), courier.WantArgs{Model: "a", Software: resumption.BoundTo("v3")}),
+		Entry("none of the version holds the model of an adapter", SpecTimeout(specTimeout), courier.WantArgs{Model: "a", Adapter: "a1", Software: resumption.BoundTo("v3")}),
+		Entry("the load takes longer than callers wait", SpecTimeout(specTimeout), courier.WantArgs{Model: "a", Software: resumption.BoundTo("v1"), Remaining: 900 * time.Millisecond}),
+	)
+
 	// All entry instances that know a stream may be gone when it is resumed.
 	It("are found for the streams that entry instances have reported", func(ctx SpecContext) {
 		c := newTestCluster()
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -90,6 +90,9 @@
 	Model   string
 	// Adapter is empty for the model itself.
 	Adapter string
+	// Software is bound for requests that resume streams. Other requests have a Demand of their own,
+	// without it.
+	Software resumption.Constraint
 	// Requests is the number of requests received, and Waiting the number that are waiting for an
 	// engine now.
 	Requests int
@@ -185,6 +188,9 @@
 	// Timeout limits the time until the callee replies. The caller waits longer, because it closes
 	// the connection of a call that times out.
 	Timeout time.Duration
+	// Remaining is the longest time for which a request waits for the load, which may take several calls. It
+	// is 0 if it is not known.
+	Remaining time.Duration
 }
 
 // WantReply is the reply to WantArgs.
@@ -196,6 +202,9 @@
 	Reason string
 	// NotLeader is true if the callee does not send commands to engines.
 	NotLeader bool
+	// Unavailable is true if no engine that Software allows can hold the model in time, so that waiting
+	// for it is in vain. Callees of the version before don't set it.
+	Unavailable bool
 }
 
 // NoteArgs holds an update of the request quarantine, such as the crash of an upstream while it
--- a/internal/stocking/stocking.go
+++ b/internal/stocking/stocking.go
@@ -24,6 +24,11 @@
 	// MissingFor is how long requests have found none.
 	Waiting    int
 	MissingFor time.Duration
+	// Bound lists the requests that wait for a copy at a software version.
+	Bound []BoundWaiting
+	// KeptFor is for how much longer the last copy at each software version is kept, because streams that
+	// began there may be resumed. It is 0 if it is not kept.
+	KeptFor time.Duration
 	// Idle reports that the model has had no requests for a while.
 	Idle bool
 	// InitialCopies is the number of copies before the first request for any model, 0 if it is not
@@ -34,9 +39,21 @@
 	LoadTime, MemoryLoadTime, DiskLoadTime time.Duration
 }
 
+// BoundWaiting describes the requests that resume streams of a model, which go on only at the software version
+// that began them.
+type BoundWaiting struct {
+	SoftwareVersion string
+	// Waiting is the number of requests that find no engine of the version that holds the model. MissingFor
+	// is how long requests have found none.
+	Waiting    int
+	MissingFor time.Duration
+}
+
 // Engine describes an engine to the planner.
 type Engine struct {
-	Name      string
+	Name            string
+	SoftwareVersion string
+
 	Megabytes float64
 	// UsedMegabytes is the memory of weights and adapters, in megabytes.
 	UsedMegabytes float64
@@ -44,6 +61,9 @@
 	// empty.
 	Loaded  []string
 	Loading string
+	// Expected is the model that the engine will hold next by an order under way, or once another is
+	// unloaded for it, or empty.
+	Expected string
 	// Unavailable reports that the engine can take no order now.
 	Unavailable bool
 	// Leaving reports that the engine takes no more requests.
@@ -79,6 +99,8 @@
 const (
 	// Unreachable means that no engine holds the model.
 	Unreachable Reason = "unreachable"
+	// Bound means that no engine of the software version to which streams are bound holds the model.
+	Bound Reason = "bound"
 	// Demand means that the engines that hold the model are overloaded.
 	Demand Reason = "demand"
 	// Spare means that no model is short of copies, and that this one gets another in
