backoffice: streams that are bound to a version get a model at that version

Cause: the requests that wait were counted by service and model. A plan took a copy at another version for one that they can use, and ordered nothing. Change: requests that wait for a version are counted apart, by calls of entry instances and by Demand.Software, and expire as all others do. A version with such requests and no copy that is held, loaded or ordered is a shortage of its own, with the loss of those requests only. Only engines of the version are candidates; the demand for the model at other versions displaces nothing for it. A model that is being withdrawn stays if requests wait for it at that version.

--- a/internal/backoffice/demand.go
+++ b/internal/backoffice/demand.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 const (
@@ -21,9 +22,22 @@
 	modelIdleTimeout = 6 * time.Second
 )
 
-// demandKey identifies a model of a service.
+// demandKey identifies a model of a service, or the requests for it that are bound to a software version.
 type demandKey struct {
 	service, model string
+	// software is either bound or the zero value.
+	software resumption.Constraint
+}
+
+// keyOf returns the key of a model.
+func keyOf(service, model string) demandKey {
+	return demandKey{service: service, model: model}
+}
+
+// boundTo returns the key of the requests that are bound to a version.
+func (k demandKey) boundTo(version string) demandKey {
+	k.software = resumption.BoundTo(version)
+	return k
 }
 
 // modelDemand is the recent workload requested of one model, in time buckets.
--- a/internal/backoffice/engine.go
+++ b/internal/backoffice/engine.go
@@ -1,6 +1,7 @@
 package backoffice
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -38,6 +39,9 @@
 	// end of the load.
 	loading    string
 	loadDoneAt time.Time
+	// ordered is the model of a load whose order is pending or may be carried out without a known answer,
+	// or empty.
+	ordered string
 	// withdrawn is the model that is to be unloaded, or empty. Since withdrawnAt it is no
 	// longer advertised as held. unloading is set once the engine has accepted the order:
 	// it then refuses requests for the model, but lists it until the unload is done.
@@ -87,6 +91,9 @@
 // memory that this one needs; the engine must then refuse it.
 func (e *engine) beginOrder(order Order) Order {
 	e.orderPending = true
+	if order.Kind == Load && order.Adapter == "" {
+		e.ordered = order.Model
+	}
 	order.ExpectedSequence = e.report.Sequence
 	return order
 }
@@ -94,6 +101,9 @@
 // completeOrder updates e by the result of the pending order.
 func (e *engine) completeOrder(now time.Time, order Order, result orderResult) {
 	e.orderPending = false
+	if result != (orderUnanswered{}) {
+		e.ordered = ""
+	}
 	if order.Adapter == "" && order.Kind == Unload {
 		e.unloading = result == orderAnswered{Accepted}
 		if !e.unloading {
@@ -147,6 +157,9 @@
 	if !report.Busy {
 		e.loading = ""
 	}
+	if !report.Busy && !e.orderPending {
+		e.ordered = ""
+	}
 	if !report.Busy && e.unloading {
 		e.withdrawn, e.unloading = "", false
 	}
@@ -169,7 +182,7 @@
 		return
 	}
 	e.report, e.hasReport, e.stale = Report{}, false, true
-	e.loading, e.withdrawn, e.unloading = "", "", false
+	e.loading, e.ordered, e.withdrawn, e.unloading = "", "", "", false
 }
 
 // reservedFor returns the model for which another one is being unloaded, or an empty
@@ -181,6 +194,12 @@
 	return e.replacement
 }
 
+// expectedModel returns the model that the engine will hold next, as far as orders and the model that makes
+// room tell, or an empty string.
+func (e *engine) expectedModel() string {
+	return cmp.Or(e.loading, e.ordered, e.reservedFor())
+}
+
 // changing reports whether the engine is carrying out an order, or the result of one is
 // unknown.
 func (e *engine) changing() bool {
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -178,7 +178,7 @@
 
 // Rate returns the work requested of a model per second, in slots of engines.
 func (r Reported) Rate(now time.Time, service, model string) float64 {
-	return r.orchestrator.demand[demandKey{service, model}].rate(now)
+	return r.orchestrator.demand[keyOf(service, model)].rate(now)
 }
 
 func (r Reported) AdapterInUse(adapter Adapter) bool {
--- a/internal/backoffice/initialcopies.go
+++ b/internal/backoffice/initialcopies.go
@@ -13,7 +13,7 @@
 			continue
 		}
 		for _, model := range e.report.Models {
-			counts[demandKey{service, model.Name}]++
+			counts[keyOf(service, model.Name)]++
 		}
 	}
 	for key, count := range counts {
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -43,18 +43,27 @@
 }
 
 // neededAgain reports whether requests wait for the withdrawn model of e and no other
-// engine holds it.
+// engine that they allow holds it.
 func (o *orchestrator) neededAgain(now time.Time, e *engine) bool {
-	demand := o.demand[demandKey{e.service, e.withdrawn}]
-	if demand == nil || demand.totalWaiting(now) == 0 {
-		return false
-	}
+	key := keyOf(e.service, e.withdrawn)
+	return o.isWaitedFor(now, key) && !o.isHeldBeside(e, key) ||
+		o.isWaitedFor(now, key.boundTo(e.softwareVersion)) && !o.isHeldBeside(e, key.boundTo(e.softwareVersion))
+}
+
+// isWaitedFor reports whether requests wait for a model. o.mu is held.
+func (o *orchestrator) isWaitedFor(now time.Time, key demandKey) bool {
+	demand := o.demand[key]
+	return demand != nil && demand.totalWaiting(now) > 0
+}
+
+// isHeldBeside reports whether an engine beside e holds a model. o.mu is held.
+func (o *orchestrator) isHeldBeside(e *engine, key demandKey) bool {
 	for _, other := range o.engines {
-		if other != e && other.service == e.service && other.holds(e.withdrawn, "") {
-			return false
+		if other != e && other.service == key.service && key.software.Allows(other.softwareVersion) && other.holds(key.model, "") {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // placeModels orders models onto the engines where they are needed.
@@ -103,39 +112,41 @@
 func (o *orchestrator) plannerModels(now time.Time, service string, spec *routes.Engine) []stocking.Model {
 	models := make([]stocking.Model, 0, len(spec.Models))
 	o.countInitialCopies(service)
-	held := o.heldModels(service)
+	held, bound := o.heldModels(service), o.boundDemand(now, service)
 	for _, model := range spec.Models {
 		m := stocking.Model{
 			Name: model.Name, Megabytes: model.Megabytes,
 			LoadTime: model.LoadTime, MemoryLoadTime: model.MemoryLoadTime, DiskLoadTime: model.DiskLoadTime,
 		}
 		if o.table.MixesUrgency() {
-			m.InitialCopies = o.initialCopies[demandKey{service, model.Name}]
+			m.InitialCopies = o.initialCopies[keyOf(service, model.Name)]
 		}
-		demand := o.demand[demandKey{service, model.Name}]
+		demand := o.demand[keyOf(service, model.Name)]
 		m.Idle = demand == nil || now.Sub(demand.lastRequested) > modelIdleTimeout
 		if demand != nil {
 			m.Demand = demand.rate(now)
 			m.Waiting = demand.totalWaiting(now)
-			m.MissingFor = demand.missingFor(now, held[model.Name])
+			m.MissingFor = demand.missingFor(now, held[keyOf(service, model.Name)])
 		}
+		o.addBound(now, &m, bound[model.Name], held)
 		models = append(models, m)
 	}
 	return models
 }
 
-// heldModels returns the models that the engines of a service advertise. It is computed
-// once for each plan: a search of 140 engines for each of 242 models, 8 times a second,
+// heldModels returns the models that the engines of a service advertise, also by software version. It is
+// computed once for each plan: a search of 140 engines for each of 242 models, 8 times a second,
 // would take 8 ms of processor time.
-func (o *orchestrator) heldModels(service string) map[string]bool {
-	held := map[string]bool{}
+func (o *orchestrator) heldModels(service string) map[demandKey]bool {
+	held := map[demandKey]bool{}
 	for _, e := range o.engines {
 		if e.service != service || e.isLeaving() {
 			continue
 		}
 		for _, model := range e.report.Models {
 			if model.Name != e.withdrawn {
-				held[model.Name] = true
+				key := keyOf(service, model.Name)
+				held[key], held[key.boundTo(e.softwareVersion)] = true, true
 			}
 		}
 	}
@@ -149,7 +160,8 @@
 			continue
 		}
 		engine := stocking.Engine{
-			Name: e.Name, Megabytes: e.spec.Megabytes, UsedMegabytes: e.usedMegabytes(), Loading: e.loading,
+			Name: e.Name, SoftwareVersion: e.softwareVersion,
+			Megabytes: e.spec.Megabytes, UsedMegabytes: e.usedMegabytes(), Loading: e.loading, Expected: e.expectedModel(),
 			Unavailable: !e.isOrderable() || !o.leases.isFree(now, e.Name),
 			Leaving:     e.isLeaving(), Throttled: o.hasLowLimit(e), InMemory: e.report.InMemory, OnDisk: e.report.OnDisk,
 		}
@@ -164,19 +176,31 @@
 // recordModelDemand records the demand for one model at an entry instance. o.mu is
 // held.
 func (o *orchestrator) recordModelDemand(now time.Time, entry string, d courier.Demand) {
-	key := demandKey{d.Service, d.Model}
-	demand := o.demand[key]
-	if demand == nil {
-		demand = &modelDemand{}
-		o.demand[key] = demand
-	}
+	key := keyOf(d.Service, d.Model)
+	demand := o.demandOf(key)
 	if d.RunTime > 0 {
 		demand.runTime = d.RunTime
 	}
 	if d.Requests > 0 || d.Waiting > 0 {
 		demand.add(now, workloadOf(d, o.engineSlots(d.Service), demand.runTime))
 	}
-	demand.setWaiting(now, entry, d.Waiting)
+	if !d.Software.Bound {
+		demand.setWaiting(now, entry, d.Waiting)
+		return
+	}
+	bound := o.demandOf(key.boundTo(d.Software.SoftwareVersion))
+	bound.lastRequested = now
+	bound.setWaiting(now, entry, d.Waiting)
+}
+
+// demandOf returns the demand with a key, and adds it if there is none. o.mu is held.
+func (o *orchestrator) demandOf(key demandKey) *modelDemand {
+	demand := o.demand[key]
+	if demand == nil {
+		demand = &modelDemand{}
+		o.demand[key] = demand
+	}
+	return demand
 }
 
 // engineSlots returns how many requests an engine of a service runs at once, or 0 if
@@ -202,7 +226,7 @@
 func (o *orchestrator) awaitModel(ctx context.Context, args courier.WantArgs) courier.WantReply {
 	now := o.instance.options.Now()
 	o.mu.Lock()
-	o.recordModelDemand(now, callEntry, courier.Demand{Service: args.Service, Model: args.Model, Waiting: 1})
+	o.recordModelDemand(now, callEntry, courier.Demand{Service: args.Service, Model: args.Model, Waiting: 1, Software: args.Software})
 	o.mu.Unlock()
 	for {
 		o.mu.Lock()
--- a/internal/backoffice/relay.go
+++ b/internal/backoffice/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 const (
@@ -67,16 +68,20 @@
 // mergeDemand combines two successive reports of an entry instance. Requests and their
 // work add up. Waiting and Open are taken from the newer report.
 func mergeDemand(older, newer []courier.Demand) []courier.Demand {
-	type key struct{ service, model, adapter string }
+	type key struct {
+		service, model, adapter string
+		software                resumption.Constraint
+	}
+	keyOf := func(d courier.Demand) key { return key{d.Service, d.Model, d.Adapter, d.Software} }
 	index := make(map[key]int, len(newer))
 	merged := make([]courier.Demand, 0, len(older)+len(newer))
 	for _, d := range newer {
-		index[key{d.Service, d.Model, d.Adapter}] = len(merged)
+		index[keyOf(d)] = len(merged)
 		merged = append(merged, d)
 	}
 	for _, d := range older {
 		d.Waiting, d.Open = 0, 0
-		n, found := index[key{d.Service, d.Model, d.Adapter}]
+		n, found := index[keyOf(d)]
 		if !found {
 			merged = append(merged, d)
 			continue
--- a/internal/stocking/candidate.go
+++ b/internal/stocking/candidate.go
@@ -18,17 +18,16 @@
 }
 
 // addCopy orders a copy of a model on the engine where it costs least, if there is one.
-// load is that of the least loaded copy, 0 if there is none.
-func (p *planner) addCopy(m *modelState, reason Reason, load float64) {
+func (p *planner) addCopy(s shortage) {
 	var best candidate
 	for _, e := range p.engines {
-		c, ok := p.evaluate(m, e, load)
+		c, ok := p.evaluate(s, e)
 		if ok && (best.engine == nil || c.costSeconds < best.costSeconds) {
 			best = c
 		}
 	}
 	if best.engine != nil {
-		p.addMove(best, m, reason, load)
+		p.addMove(best, s)
 	}
 }
 
@@ -40,13 +39,13 @@
 // about the time to load it again.
 const lastCopyPenaltySeconds = 2
 
-// evaluate returns the candidate for a copy of a model on e. It returns false if e can't
-// get one.
-func (p *planner) evaluate(m *modelState, e *engineState, load float64) (c candidate, ok bool) {
-	if e.Unavailable || e.Throttled || e.Loading != "" || slices.Contains(e.holds, m) {
+// evaluate returns the candidate for a copy on e. It returns false if e can't get one.
+func (p *planner) evaluate(s shortage, e *engineState) (c candidate, ok bool) {
+	m := s.model
+	if e.Unavailable || e.Throttled || e.Loading != "" || slices.Contains(e.holds, m) || !s.allows(e) {
 		return c, false
 	}
-	if load > 0 && e.load > load*(1-p.options.MinGain) {
+	if s.load > 0 && e.load > s.load*(1-p.options.MinGain) {
 		return c, false
 	}
 	c.engine = e
@@ -66,7 +65,7 @@
 	if e.UsedMegabytes+m.Megabytes <= e.Megabytes {
 		return c, true
 	}
-	c.victim = p.victim(m, e)
+	c.victim = p.victim(s, e)
 	if c.victim == nil {
 		return c, false
 	}
@@ -91,28 +90,28 @@
 	return initialCopyDemand * float64(m.InitialCopies)
 }
 
-// victim returns the model to unload from e to make room for m: the one with the lowest
+// victim returns the model to unload from e to make room for the copy that is short: the one with the lowest
 // demand for each remaining copy. A model is kept if its remaining copies would be loaded
-// by more than half of MaxLoad and at least as much as those of m.
+// by more than half of MaxLoad and at least as much as those of the other model.
 //
-// The last copy of a model is unloaded only if the model is idle and m has demand. On its
+// The last copy of a model is unloaded only if the model is idle and the other one has demand. On its
 // next request, the model comes back from the engine's memory or disk within a second or
 // two.
-func (p *planner) victim(m *modelState, e *engineState) *modelState {
+func (p *planner) victim(s shortage, e *engineState) *modelState {
 	var chosen, lastResort *modelState
 	lowestLoad := 0.0
 	for _, held := range e.holds {
-		if e.UsedMegabytes-held.Megabytes+m.Megabytes > e.Megabytes {
+		if e.UsedMegabytes-held.Megabytes+s.model.Megabytes > e.Megabytes {
 			continue
 		}
 		if held.loaded < 2 {
-			if len(held.copies) < 2 && held.Idle && (m.Demand > 0 || m.Waiting > 0) && lastResort == nil {
+			if len(held.copies) < 2 && held.Idle && s.hasCallers() && lastResort == nil {
 				lastResort = held
 			}
 			continue
 		}
 		loadWithout := p.keepDemand(held) / float64(held.loaded-1)
-		if loadWithout > p.options.MaxLoad/2 && loadWithout >= m.Demand/float64(len(m.copies)+1) {
+		if loadWithout > p.options.MaxLoad/2 && loadWithout >= s.demandPerCopy() {
 			continue
 		}
 		if chosen == nil || loadWithout < lowestLoad {
@@ -125,21 +124,22 @@
 // addMove adds a candidate to the plan. If the copy needs room, this plan only unloads
 // the victim and a later one loads the copy: the room is free only once the engine
 // reports it.
-func (p *planner) addMove(c candidate, m *modelState, reason Reason, load float64) {
+func (p *planner) addMove(c candidate, s shortage) {
 	if len(p.moves) >= p.options.MaxMoves {
 		return
 	}
+	m := s.model
 	c.engine.Unavailable = true
 	m.copies = append(m.copies, c.engine)
 	m.planned++
 	if c.victim != nil {
 		c.victim.loaded--
 		c.victim.copies = slices.DeleteFunc(c.victim.copies, func(e *engineState) bool { return e == c.engine })
-		p.moves = append(p.moves, Move{Engine: c.engine.Name, Model: c.victim.Name, Unload: true, MakesRoomFor: m.Name, Reason: reason, Load: load})
+		p.moves = append(p.moves, Move{Engine: c.engine.Name, Model: c.victim.Name, Unload: true, MakesRoomFor: m.Name, Reason: s.reason, Load: s.load})
 		return
 	}
 	if c.fetch {
 		p.fetches--
 	}
-	p.moves = append(p.moves, Move{Engine: c.engine.Name, Model: m.Name, FromStore: c.fetch, Reason: reason, Load: load})
+	p.moves = append(p.moves, Move{Engine: c.engine.Name, Model: m.Name, FromStore: c.fetch, Reason: s.reason, Load: s.load})
 }
--- a/internal/stocking/planner.go
+++ b/internal/stocking/planner.go
@@ -120,7 +120,7 @@
 func (p *planner) restoreUnheld() {
 	for _, m := range p.models {
 		if len(m.copies) == 0 {
-			p.addCopy(m, Unreachable, 0)
+			p.addCopy(shortage{model: m, reason: Unreachable})
 		}
 	}
 }
@@ -172,9 +172,10 @@
 // it did. expectedLoad is the expected load of the spare copy. A copy from the weight store
 // is ordered only if the plan contains no other fetch.
 func (p *planner) tryAddSpare(m *modelState, expectedLoad float64) bool {
+	spare := shortage{model: m, reason: Spare}
 	var best candidate
 	for _, e := range p.engines {
-		c, ok := p.evaluate(m, e, 0)
+		c, ok := p.evaluate(spare, e)
 		if !ok || c.fetch && p.fetches < p.options.MaxFetches || !p.canSpare(c.victim, expectedLoad) {
 			continue
 		}
@@ -185,7 +186,7 @@
 	if best.engine == nil {
 		return false
 	}
-	p.addMove(best, m, Spare, 0)
+	p.addMove(best, spare)
 	return true
 }
 
--- a/internal/stocking/shortage.go
+++ b/internal/stocking/shortage.go
@@ -1,5 +1,7 @@
 package stocking
 
+import "slices"
+
 const (
 	// unreachableFactor is the weight of the demand for a model without a copy,
 	// compared with an overloaded model: all of its requests are lost, not only some.
@@ -21,6 +23,27 @@
 	load float64
 	// loss is an estimate of the work that is lost without the copy, in engines.
 	loss float64
+	// bound is set if the copy is needed at a software version, for the requests that are bound to it.
+	bound *BoundWaiting
+}
+
+// allows reports whether a copy on e is of use.
+func (s shortage) allows(e *engineState) bool {
+	return s.bound == nil || s.bound.SoftwareVersion == e.SoftwareVersion
+}
+
+// hasCallers reports whether there are requests for the copy.
+func (s shortage) hasCallers() bool {
+	return s.bound != nil || s.model.Demand > 0 || s.model.Waiting > 0
+}
+
+// demandPerCopy returns the demand that the copy is expected to take, in engines. The demand for a model
+// is no reason for a copy at the version to which a few requests are bound.
+func (s shortage) demandPerCopy() float64 {
+	if s.bound != nil {
+		return 0
+	}
+	return s.model.Demand / float64(len(s.model.copies)+1)
 }
 
 // shortage returns the shortage of a model, counting the copies that this plan has
@@ -55,25 +78,65 @@
 // four that it needs. When demand shifts and engines are lost, that rule
 // delivers 0.564 of the value owed, and this one 0.603.
 func (p *planner) relieveShortages() {
-	skipped := map[*modelState]bool{}
+	skipped := map[shortageKey]bool{}
 	for len(p.moves) < p.options.MaxMoves {
-		var worst shortage
-		for _, m := range p.models {
-			if skipped[m] {
-				continue
-			}
-			if s, ok := p.shortage(m); ok && (worst.model == nil || s.loss > worst.loss) {
-				worst = s
-			}
-		}
+		worst := p.worstShortage(skipped)
 		if worst.model == nil {
 			return
 		}
 		p.urgent = true
 		before := len(p.moves)
-		p.addCopy(worst.model, worst.reason, worst.load)
+		p.addCopy(worst)
 		if len(p.moves) == before {
-			skipped[worst.model] = true
+			skipped[worst.key()] = true
+		}
+	}
+}
+
+// shortageKey identifies a shortage in one plan.
+type shortageKey struct {
+	model *modelState
+	bound *BoundWaiting
+}
+
+func (s shortage) key() shortageKey {
+	return shortageKey{s.model, s.bound}
+}
+
+// worstShortage returns the shortage with the highest loss that is not skipped. Its model is nil if there
+// is none.
+func (p *planner) worstShortage(skipped map[shortageKey]bool) (worst shortage) {
+	consider := func(s shortage, ok bool) {
+		if ok && (worst.model == nil || s.loss > worst.loss) && !skipped[s.key()] {
+			worst = s
+		}
+	}
+	for _, m := range p.models {
+		consider(p.shortage(m))
+		for i := range m.Bound {
+			consider(p.boundShortage(m, &m.Bound[i]))
+		}
+	}
+	return worst
+}
+
+// boundShortage returns the shortage of a model at the software version to which requests are bound. It
+// returns false if they need no copy, or if no engine of the version is there.
+func (p *planner) boundShortage(m *modelState, bound *BoundWaiting) (shortage, bool) {
+	s := shortage{model: m, reason: Bound, bound: bound}
+	if bound.Waiting == 0 || slices.ContainsFunc(m.copies, s.allows) {
+		return s, false
+	}
+	present := false
+	for _, e := range p.engines {
+		if !s.allows(e) {
+			continue
+		}
+		if e.Expected == m.Name {
+			return s, false
 		}
+		present = true
 	}
+	s.loss = waitingLoss*float64(bound.Waiting) + missingLossPerSecond*bound.MissingFor.Seconds()
+	return s, present
 }
