stocking: a release keeps the last copy of a model at each version

Cause: while a release replaces engines, copies of the version before were unloaded for copies that demand or a spare called for, though streams that began there could go on nowhere else. A load takes as long as callers wait. Change: while several versions of a service are recorded and routes with resumable streams lead there, the last copy at each version of a model that was requested within the longest timeout of such a route is unloaded only for a model with requests that no engine holds. Engines with free memory, and all deployments with one version, are planned as before.

--- a/internal/backoffice/adapters.go
+++ b/internal/backoffice/adapters.go
@@ -68,7 +68,7 @@
 }
 
 // expire removes the reports of entry instances that have fallen silent, and models and
-// adapters that were not requested for demandTTL. Callers may name any model or
+// adapters that were not requested for demandTTL, or for as long as copies are kept for streams. Callers may name any model or
 // adapter, so the maps would grow without bound. o.mu is held.
 func (o *orchestrator) expire(now time.Time) {
 	o.expireLimits(now)
@@ -84,7 +84,7 @@
 		}
 	}
 	for key, demand := range o.demand {
-		if now.Sub(demand.lastRequested) >= demandTTL && demand.totalWaiting(now) == 0 {
+		if now.Sub(demand.lastRequested) >= max(demandTTL, o.keptTimeouts[key.service]) && demand.totalWaiting(now) == 0 {
 			delete(o.demand, key)
 		}
 	}
--- a/internal/backoffice/bound.go
+++ b/internal/backoffice/bound.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/resumption"
+	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/stocking"
 )
 
@@ -49,3 +51,12 @@
 	}
 	return true
 }
+
+// keptTimeout returns for how long after the last request for a model the last copy at each software version
+// is kept, 0 if it is not: streams go on at the version that began them.
+func keptTimeout(table *routes.Table, records resumption.Records, service string) time.Duration {
+	if !table.HasResumableStreams(service) || records.Count(service) < 2 {
+		return 0
+	}
+	return min(table.ResumableTimeout(), resumption.MaxRetention)
+}
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -206,6 +207,11 @@
 	return mergeDemand(older, newer)
 }
 
+// KeptTimeout exports keptTimeout.
+func KeptTimeout(table *routes.Table, records resumption.Records, service string) time.Duration {
+	return keptTimeout(table, records, service)
+}
+
 // MarkStale records that the state of the engine is uncertain.
 func (e Engine) MarkStale() {
 	e.engine.markStale()
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -92,6 +92,7 @@
 	o.fetchTokens = min(o.fetchTokens+elapsed.Seconds()*spec.LoadsPerSecond, maxFetchTokens)
 	options := placementOptions
 	options.MaxFetches = int(o.fetchTokens)
+	o.keptTimeouts[service] = keptTimeout(o.table, o.instance.voter.Versions(), service)
 	for _, move := range stocking.Plan(o.plannerModels(now, service, spec), o.plannerEngines(now, service), options) {
 		e := o.engines[move.Engine]
 		o.instance.options.Log.Info().Str("engine", e.Name).Str("model", move.Model).Bool("unload", move.Unload).
@@ -126,6 +127,7 @@
 		if demand != nil {
 			m.Demand = demand.rate(now)
 			m.Waiting = demand.totalWaiting(now)
+			m.KeptFor = max(o.keptTimeouts[service]-now.Sub(demand.lastRequested), 0)
 			m.MissingFor = demand.missingFor(now, held[keyOf(service, model.Name)])
 		}
 		o.addBound(now, &m, bound[model.Name], held)
--- a/internal/backoffice/orchestrator.go
+++ b/internal/backoffice/orchestrator.go
@@ -82,6 +82,9 @@
 	// demand is the demand for each model. It is kept when the leadership is lost, so
 	// that it is available when this instance leads again.
 	demand map[demandKey]*modelDemand
+	// keptTimeouts is for how long after the last request for a model of a service the last copy at each
+	// software version is kept.
+	keptTimeouts map[string]time.Duration
 	// usesByEntry holds the adapters in use at each entry instance, adapterUsers the
 	// number of entry instances that use each adapter, and adapterRequestedAt the time of
 	// the last request for each adapter.
@@ -101,7 +104,7 @@
 func newOrchestrator(ctx context.Context, i *Instance) *orchestrator {
 	o := &orchestrator{
 		instance: i, engines: map[string]*engine{}, formerOrders: formerOrders{}, changed: make(chan struct{}),
-		demand: map[demandKey]*modelDemand{}, usesByEntry: map[string]adapterUses{},
+		demand: map[demandKey]*modelDemand{}, keptTimeouts: map[string]time.Duration{}, usesByEntry: map[string]adapterUses{},
 		initialCopies: map[demandKey]int{}, adapterUsers: map[Adapter]int{}, adapterRequestedAt: map[Adapter]time.Time{}, limits: map[string]reportedLimit{},
 	}
 	o.leases = newLeaseBatcher(ctx, o)
--- a/internal/resumption/records.go
+++ b/internal/resumption/records.go
@@ -92,6 +92,17 @@
 	return slices.SortedFunc(maps.Keys(r.versions), ServiceVersion.compare)
 }
 
+// Count returns the number of recorded versions of a service.
+func (r Records) Count(service string) int {
+	count := 0
+	for version := range r.versions {
+		if version.Service == service {
+			count++
+		}
+	}
+	return count
+}
+
 // SettledRoutes returns the digest of the routes under which no stream that may still be resumed can have
 // begun at a service to which its route does not lead, 0 if there are none.
 func (r Records) SettledRoutes() uint64 {
--- a/internal/routes/resumable.go
+++ b/internal/routes/resumable.go
@@ -11,9 +11,11 @@
 // indexResumable sets what the table tells of the routes whose streams may be resumed.
 func (t *Table) indexResumable(list []Route) {
 	var resumable []Route
+	t.resumableServices = map[string]bool{}
 	for _, route := range list {
 		if route.HasResumableStreams() {
 			resumable = append(resumable, route)
+			maps.Copy(t.resumableServices, route.Services())
 			t.resumableTimeout = max(t.resumableTimeout, route.Timeout)
 		}
 	}
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -211,9 +211,15 @@
 	// mixesUrgency is true if there are batch routes and interactive routes.
 	mixesUrgency bool
 	// resumableTimeout is the longest timeout of the routes whose streams may be resumed, and
-	// resumableDigest is a hash of the services to which they lead.
-	resumableTimeout time.Duration
-	resumableDigest  uint64
+	// resumableDigest is a hash of the services to which they lead, resumableServices.
+	resumableTimeout  time.Duration
+	resumableDigest   uint64
+	resumableServices map[string]bool
+}
+
+// HasResumableStreams reports whether streams of a service may be resumed.
+func (t *Table) HasResumableStreams(service string) bool {
+	return t.resumableServices[service]
 }
 
 // ResumableDigest returns a hash of the services to which the routes lead whose streams may be resumed. It
--- a/internal/stocking/candidate.go
+++ b/internal/stocking/candidate.go
@@ -101,7 +101,7 @@
 	var chosen, lastResort *modelState
 	lowestLoad := 0.0
 	for _, held := range e.holds {
-		if e.UsedMegabytes-held.Megabytes+s.model.Megabytes > e.Megabytes {
+		if e.UsedMegabytes-held.Megabytes+s.model.Megabytes > e.Megabytes || p.isKept(held, e) && !s.isUnheld() {
 			continue
 		}
 		if held.loaded < 2 {
@@ -121,6 +121,14 @@
 	return cmp.Or(chosen, lastResort)
 }
 
+// isKept reports whether the copy of a model on e is the last one at its software version, and streams that
+// began there may be resumed.
+func (p *planner) isKept(held *modelState, e *engineState) bool {
+	return held.KeptFor > 0 && !slices.ContainsFunc(held.copies, func(other *engineState) bool {
+		return other != e && other.SoftwareVersion == e.SoftwareVersion && slices.Contains(other.holds, held)
+	})
+}
+
 // addMove adds a candidate to the plan. If the copy needs room, this plan only unloads
 // the victim and a later one loads the copy: the room is free only once the engine
 // reports it.
--- a/internal/stocking/shortage.go
+++ b/internal/stocking/shortage.go
@@ -37,6 +37,11 @@
 	return s.bound != nil || s.model.Demand > 0 || s.model.Waiting > 0
 }
 
+// isUnheld reports whether there are requests for a model that no engine holds or gets.
+func (s shortage) isUnheld() bool {
+	return len(s.model.copies) == 0 && s.hasCallers()
+}
+
 // demandPerCopy returns the demand that the copy is expected to take, in engines. The demand for a model
 // is no reason for a copy at the version to which a few requests are bound.
 func (s shortage) demandPerCopy() float64 {
