backoffice: a model that can't be had at a version in time is refused at once

What callers saw: resumed streams waited 7.5 s and were refused, also where no engine of their version could have held the model before they gave up. Cause: a call for a model ended with "not in time" whatever the reason, and the entry instance went on asking for as long as its callers waited. Change: for streams that are bound to a version, the leader computes a lower bound of the time until an engine of it holds the model, and replies Unavailable at once if there is none, or if it is longer than WantArgs.Remaining. An engine that is busy, throttled, not yet heard or about to change counts as free. The timeout of a call is no such bound: entry instances call for 800 ms at a time. Nothing is said by a leader that may lack engines, nor while all engines of the service are of the version.

--- a/internal/backoffice/bound.go
+++ b/internal/backoffice/bound.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/stocking"
@@ -60,3 +61,47 @@
 	}
 	return min(table.ResumableTimeout(), resumption.MaxRetention)
 }
+
+// unavailableReason returns why a model can't be had in time at the software version to which requests are
+// bound, or an empty string if it may be. An instance that doesn't lead, or may lack engines or their state,
+// doesn't know. While no engine of another version is there, those of this one may be starting again. o.mu is
+// held.
+func (o *orchestrator) unavailableReason(now time.Time, args courier.WantArgs) string {
+	key := keyOf(args.Service, args.Model).boundTo(args.Software.SoftwareVersion)
+	if !args.Software.Bound || o.term == 0 || o.table == nil || o.allAllowed(key) || o.mayLackEngines(now) || o.stateUncertain(args) {
+		return ""
+	}
+	service := o.table.Service(args.Service)
+	if service == nil || service.Engine == nil {
+		return ""
+	}
+	after, ok := stocking.EarliestCopy(args.Model, args.Software.SoftwareVersion,
+		o.plannerModels(now, args.Service, service.Engine), o.plannerEngines(now, args.Service))
+	switch {
+	case !ok:
+		return "no engine of the software version can hold the model"
+	case args.Remaining > 0 && after > args.Remaining:
+		return "no engine of the software version can load the model in time"
+	default:
+		return ""
+	}
+}
+
+// mayLackEngines reports whether other instances may know engines that this one doesn't.
+func (o *orchestrator) mayLackEngines(now time.Time) bool {
+	voters := o.instance.voter.Status().Voters
+	o.instance.mu.Lock()
+	defer o.instance.mu.Unlock()
+	return o.instance.isRosterIncomplete(now, voters)
+}
+
+// stateUncertain reports whether an engine may hold the requested model without this instance knowing it, or
+// will hold it if its withdrawal is cancelled. o.mu is held.
+func (o *orchestrator) stateUncertain(args courier.WantArgs) bool {
+	for _, e := range o.engines {
+		if e.mayServe(args) && (!e.hasReport || e.stale || e.withdrawn == args.Model) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -228,6 +228,10 @@
 func (o *orchestrator) awaitModel(ctx context.Context, args courier.WantArgs) courier.WantReply {
 	now := o.instance.options.Now()
 	o.mu.Lock()
+	if reason := o.unavailableReason(now, args); reason != "" {
+		o.mu.Unlock()
+		return courier.WantReply{Reason: reason, Unavailable: true}
+	}
 	o.recordModelDemand(now, callEntry, courier.Demand{Service: args.Service, Model: args.Model, Waiting: 1, Software: args.Software})
 	o.mu.Unlock()
 	for {
--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -68,8 +68,12 @@
 	}, SpecTimeout(specTimeout))
 
 	DescribeTable("are not waited for if none can hold the model in time",
-		func(ctx SpecContext, args courier.WantArgs) {
+		func(ctx SpecContext, args courier.WantArgs, reason string) {
 			c := newHeldByLaterVersion(ctx)
+			Eventually(ctx, func() bool {
+				reply, ok := c.syncWithLeader(ctx)
+				return ok && !reply.RosterIncomplete
+			}).Should(BeTrue())
 			args.Service, args.Timeout = "pool", 5*time.Second
 			Eventually(ctx, func() courier.WantReply {
 				reply, _ := c.syncWithLeader(ctx)
@@ -77,11 +81,11 @@
 				defer cancel()
 				got, _ := c.calls.RequestModel(callCtx, reply.Leader, args)
 				return got
-			}).WithTimeout(20 * time.Second).Should(And(HaveField("Unavailable", true), HaveField("Reason", Not(BeEmpty()))))
+			}).WithTimeout(20 * time.Second).Should(And(HaveField("Unavailable", true), HaveField("Reason", HaveSuffix(reason))))
 		},
-		Entry("none is of the version", SpecTimeout(specTimeout), courier.WantArgs{Model: "a", Software: resumption.BoundTo("v3")}),
-		Entry("none of the version holds the model of an adapter", SpecTimeout(specTimeout), courier.WantArgs{Model: "a", Adapter: "a1", Software: resumption.BoundTo("v3")}),
-		Entry("the load takes longer than callers wait", SpecTimeout(specTimeout), courier.WantArgs{Model: "a", Software: resumption.BoundTo("v1"), Remaining: 900 * time.Millisecond}),
+		Entry("none is of the version", SpecTimeout(specTimeout), courier.WantArgs{Model: "a", Software: resumption.BoundTo("v3")}, "can hold the model"),
+		Entry("none of the version holds the model of an adapter", SpecTimeout(specTimeout), courier.WantArgs{Model: "a", Adapter: "a1", Software: resumption.BoundTo("v3")}, "can hold the model"),
+		Entry("the load takes longer than callers wait", SpecTimeout(specTimeout), courier.WantArgs{Model: "a", Software: resumption.BoundTo("v1"), Remaining: 900 * time.Millisecond}, "in time"),
 	)
 
 	// All entry instances that know a stream may be gone when it is resumed.
--- a/internal/backoffice/want.go
+++ b/internal/backoffice/want.go
@@ -1,6 +1,7 @@
 package backoffice
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
 	"strings"
@@ -62,8 +63,9 @@
 	}
 	e := o.chooseAdapterEngine(now, args)
 	if e == nil {
+		reason := o.unavailableReason(now, args)
 		o.mu.Unlock()
-		return courier.WantReply{Reason: "no engine holds the model"}, nil
+		return courier.WantReply{Reason: cmp.Or(reason, "no engine holds the model"), Unavailable: reason != ""}, nil
 	}
 	o.adapterRequestedAt[Adapter{Model: args.Model, Name: args.Adapter}] = now
 	if e.holds(args.Model, args.Adapter) {
--- a/internal/stocking/bound_test.go
+++ b/internal/stocking/bound_test.go
@@ -88,4 +88,26 @@
 		Entry("from copies for demand", model("d", 2)),
 		Entry("but not from a model that no engine holds", model("w", 0.1), "1 a"),
 	)
+
+	// What changes while requests wait is no reason to refuse them.
+	DescribeTable("learn the time until an engine can hold the model",
+		func(want time.Duration, possible bool, change func(e *stocking.Engine)) {
+			kept := model("k", 0.1)
+			kept.KeptFor = 20 * time.Second
+			e := engineAt("v1", "1", "k", "other")
+			change(&e)
+			after, ok := stocking.EarliestCopy("a", "v1", []stocking.Model{model("a", 0.1), kept}, []stocking.Engine{engineAt("v2", "2", "a"), e})
+			Expect(after).To(Equal(want))
+			Expect(ok).To(Equal(possible))
+		},
+		Entry("none of the version", time.Duration(0), false, func(e *stocking.Engine) { e.SoftwareVersion = "v3" }),
+		Entry("it leaves", time.Duration(0), false, func(e *stocking.Engine) { e.Leaving = true }),
+		Entry("it is too small", time.Duration(0), false, func(e *stocking.Engine) { e.Megabytes, e.Unavailable = 60_000, true }),
+		Entry("nothing can be unloaded", time.Duration(0), false, func(e *stocking.Engine) { e.Loaded = []string{"other", "another"} }),
+		Entry("another model is kept there", 26*time.Second, true, func(*stocking.Engine) {}),
+		Entry("it has room", 6*time.Second, true, func(e *stocking.Engine) { e.UsedMegabytes = 70_000 }),
+		Entry("it has the weights on disk", time.Second, true, func(e *stocking.Engine) { e.UsedMegabytes, e.OnDisk = 70_000, []string{"a"} }),
+		Entry("it is busy", 6*time.Second, true, func(e *stocking.Engine) { e.Unavailable = true }),
+		Entry("it is loading the model", time.Duration(0), true, func(e *stocking.Engine) { e.Loading, e.Unavailable = "a", true }),
+	)
 })
--- a/internal/stocking/candidate.go
+++ b/internal/stocking/candidate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // candidate is a possible engine for another copy of a model.
@@ -49,15 +50,8 @@
 		return c, false
 	}
 	c.engine = e
-	loadTime := m.LoadTime
-	switch {
-	case slices.Contains(e.InMemory, m.Name):
-		loadTime = m.MemoryLoadTime
-	case slices.Contains(e.OnDisk, m.Name):
-		loadTime = m.DiskLoadTime
-	default:
-		c.fetch = true
-	}
+	var loadTime time.Duration
+	loadTime, c.fetch = e.loadTime(m)
 	if c.fetch && p.fetches <= 0 {
 		return c, false
 	}
@@ -76,6 +70,18 @@
 	return c, true
 }
 
+// loadTime returns how long e takes to load a model, and whether it reads from the weight store.
+func (e *engineState) loadTime(m *modelState) (loadTime time.Duration, fetch bool) {
+	switch {
+	case slices.Contains(e.InMemory, m.Name):
+		return m.MemoryLoadTime, false
+	case slices.Contains(e.OnDisk, m.Name):
+		return m.DiskLoadTime, false
+	default:
+		return m.LoadTime, true
+	}
+}
+
 // initialCopyDemand is the demand, in engines, that each initial copy stands for before the first
 // request. It only ranks victims: it is too low to keep a copy from making room.
 const initialCopyDemand = 0.01
--- a/internal/stocking/planner.go
+++ b/internal/stocking/planner.go
@@ -70,7 +70,6 @@
 			m.copies = append(m.copies, e)
 		}
 	}
-	p.spreadDemand()
 	return p
 }
 
--- a/internal/stocking/stocking.go
+++ b/internal/stocking/stocking.go
@@ -125,6 +125,7 @@
 // Plan returns the moves to order now, the most urgent first.
 func Plan(models []Model, engines []Engine, options Options) []Move {
 	p := newPlanner(models, engines, options)
+	p.spreadDemand()
 	p.relieveShortages()
 	if !p.urgent {
 		p.restoreUnheld()
