counter, resumption, backoffice: failing specs of an entry instance out of step

What callers would see: streams that begin at a software version that is not recorded, and one stream joined from two versions: begun at v2 at an instance without a sync for longer than a lease, which recorded v1, and resumed there and elsewhere at v1.

--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -113,6 +113,16 @@
 }
 
 var _ = Describe("The software versions in use", func() {
+	// Without, an entry instance could not tell an empty list from a control instance that keeps none.
+	It("are told to an entry instance also before there is one", func(ctx SpecContext) {
+		c := newTestCluster()
+		for _, seed := range c.seeds {
+			reply, err := c.calls.Sync(ctx, seed, courier.SyncArgs{})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.Versions).To(Equal(&resumption.VersionList{}))
+		}
+	}, SpecTimeout(specTimeout))
+
 	// Streams that began at a version may be resumed after a loss of power, when no upstream has it any more.
 	It("are known after a loss of all control instances, also those whose upstreams are gone", func(ctx SpecContext) {
 		c := newTestCluster()
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -50,6 +50,8 @@
 	// origins are the reported origins of streams, and versions the recorded software versions.
 	origins  map[resumption.StreamID]resumption.Origin
 	versions resumption.Records
+	// keepsRecords is true if callers without a list of versions get one even if it is empty.
+	keepsRecords bool
 }
 
 func newFakeControl() *fakeControl {
@@ -95,6 +97,9 @@
 		list := resumption.ListOf(c.versions)
 		reply.Versions = &list
 	}
+	if c.catchingUp && c.keepsRecords && args.Versions == 0 {
+		reply.Versions = &resumption.VersionList{}
+	}
 	last := len(c.editions) - 1
 	if c.catchingUp {
 		last = 0
@@ -142,6 +147,13 @@
 	c.catchingUp = catchingUp
 }
 
+// setKeepsRecords makes the control instance tell callers that records are kept, also before it has any.
+func (c *fakeControl) setKeepsRecords() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keepsRecords = true
+}
+
 func (c *fakeControl) Origin(args courier.OriginArgs) courier.OriginReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/internal/counter/outofstep_test.go
@@ -0,0 +1,135 @@
+package counter_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// ownerAndOther returns the instance that owns the model of the streams, and one that does not.
+func (g *resumptionGroup) ownerAndOther() (owner, other int) {
+	address, _ := permit.NewOwners(g.addresses()).Of("desk", resumedModel, func(netip.AddrPort) bool { return true })
+	owner = slices.Index(g.addresses(), address)
+	return owner, (owner + 1) % len(g.peers)
+}
+
+// restart announces that a process of another version has started under the name of an upstream.
+func (c *fakeControl) restart(name, version, address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.versions = c.versions.With(resumption.RecordsUpdate{Added: []resumption.ServiceVersion{{Service: "desk", Version: version}}})
+	Expect(c.roster.Announce(time.Now(), upstreamapi.Announcement{
+		Name: name, Incarnation: 2, Sequence: 1, Address: address, Services: []string{"desk"}, SoftwareVersion: version,
+		Load: upstreamapi.Load{MaxRunning: 8}, Resident: []upstreamapi.Resident{{Model: resumedModel}},
+	})).To(Succeed())
+}
+
+// originOf returns the version at which a stream began according to the control instance, empty if it does not
+// know.
+func (c *fakeControl) originOf(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.origins[resumption.StreamOf(id)].SoftwareVersion
+}
+
+// longerThanLease is above the lease of all instances.
+const longerThanLease = 2 * time.Minute
+
+var _ = Describe("A stream that may be resumed", func() {
+	// A control instance that has just started knows none of the records of its cluster.
+	It("does not begin at an unrecorded version at an instance that has no copy of the records yet", func(ctx SpecContext) {
+		g := newResumptionGroup(0)
+		g.control.record(resumption.RecordsUpdate{Added: []resumption.ServiceVersion{{Service: "desk", Version: "v1"}}})
+		g.control.setCatchingUp(true)
+		g.control.setKeepsRecords()
+		fresh := startPeerWithClock(g.control, g.clock.Now)
+		g.peers = append(g.peers, fresh)
+		g.control.addExactEntries(fresh.address)
+		g.serveCallers(fresh)
+		g.announceUnrecorded("v2")
+		status, version := g.beginAt(ctx, 0, "s1")
+		Expect(status).To(Equal(http.StatusServiceUnavailable), "began at %s", version)
+		g.control.record(resumption.RecordsUpdate{Added: []resumption.ServiceVersion{{Service: "desk", Version: "v2"}}})
+		g.control.setCatchingUp(false)
+		Eventually(ctx, func() int { status, _ := g.beginAt(ctx, 0, "s2"); return status }).Should(Equal(http.StatusOK))
+	}, SpecTimeout(specTimeout))
+
+	It("does not begin at an unrecorded version at an instance that has not synced for longer than a lease", func(ctx SpecContext) {
+		g := newResumptionGroup(3)
+		_, late := g.ownerAndOther()
+		g.announceUpstreams("v1")
+		g.control.ignore(g.peers[late].address)
+		g.control.announceLeave("e1")
+		unrecorded := newVersionedUpstream("v2")
+		g.control.announceUnrecorded(g.clock.Now(), "v2", "e2", unrecorded.address())
+		for n, p := range g.peers {
+			if n != late {
+				Eventually(p.proxy.Upstreams, specTimeout).Should(Equal(2))
+			}
+		}
+		g.clock.advance(longerThanLease)
+		for n := range 4 {
+			if status, version := g.beginAt(ctx, late, fmt.Sprint("s", n)); status == http.StatusOK {
+				Expect(version).NotTo(Equal("v2"))
+			}
+		}
+		Expect(unrecorded.count()).To(BeZero())
+	}, SpecTimeout(specTimeout))
+
+	// The process that an owner grants may have taken over the name of one that is known here.
+	It("never goes on at another version if an instance that has not synced for longer than a lease was granted a process that it does not know", func(ctx SpecContext) {
+		g := newResumptionGroup(3)
+		_, late := g.ownerAndOther()
+		g.announceUpstreams("v1", "v1")
+		g.control.ignore(g.peers[late].address)
+		successor := newVersionedUpstream("v2")
+		g.control.restart("e1", "v2", successor.address())
+		for n, p := range g.peers {
+			if n != late {
+				Eventually(p.proxy.IncarnationOf("e1"), specTimeout).Should(BeEquivalentTo(2))
+			}
+		}
+		g.clock.advance(longerThanLease)
+		began := g.beginAll(ctx, late)
+		Expect(began).To(ContainElement("v2"), "the owner grants it")
+		for id, version := range began {
+			for at := range g.peers {
+				if status, resumed := g.resume(ctx, at, id); status == http.StatusOK {
+					Expect(resumed).To(Equal(version), "stream %s at %d, late is %d", id, at, late)
+				}
+			}
+		}
+	}, SpecTimeout(specTimeout))
+
+	// Either of the two processes may have answered.
+	It("does not begin without a known version if a process of another version takes over the name of its upstream meanwhile", func(ctx SpecContext) {
+		g := newResumptionGroup(2)
+		var answers atomic.Int32
+		var u *upstream
+		u = newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
+			version := "v1"
+			if answers.Add(1) > 1 {
+				version = "v2"
+			} else {
+				g.control.restart("e1", "v2", u.address())
+				Eventually(ctx, g.peers[0].proxy.IncarnationOf("e1")).Should(BeEquivalentTo(2))
+			}
+			(&versionedUpstream{version: version}).respond(w, r)
+		})
+		g.control.announceVersion("v1", "e1", u.address(), resumedModel)
+		g.upstreams = 1
+		g.waitUntilKnown(1)
+		_, version := g.beginAt(ctx, 0, "s1")
+		Eventually(ctx, func() string { return g.control.originOf("s1") }).WithTimeout(2 * time.Second).Should(Equal(version))
+	}, SpecTimeout(specTimeout))
+})
--- a/internal/counter/recordedversions_test.go
+++ b/internal/counter/recordedversions_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -41,18 +42,22 @@
 func (g *resumptionGroup) announceUnrecorded(version string) {
 	GinkgoHelper()
 	g.upstreams++
-	address := newVersionedUpstream(version).address()
-	g.control.mu.Lock()
-	Expect(g.control.roster.Announce(g.clock.Now(), upstreamapi.Announcement{
-		Name: fmt.Sprint("e", g.upstreams), Incarnation: 1, Sequence: 1, Address: address, Services: []string{"desk"}, SoftwareVersion: version,
-		Load: upstreamapi.Load{MaxRunning: 8}, Resident: []upstreamapi.Resident{{Model: resumedModel}},
-	})).To(Succeed())
-	g.control.mu.Unlock()
+	g.control.announceUnrecorded(g.clock.Now(), version, fmt.Sprint("e", g.upstreams), newVersionedUpstream(version).address())
 	for _, p := range g.peers {
 		Eventually(p.proxy.Upstreams, specTimeout).Should(Equal(g.upstreams))
 	}
 }
 
+// announceUnrecorded announces an upstream whose version is not recorded with it.
+func (c *fakeControl) announceUnrecorded(now time.Time, version, name, address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	Expect(c.roster.Announce(now, upstreamapi.Announcement{
+		Name: name, Incarnation: 1, Sequence: 1, Address: address, Services: []string{"desk"}, SoftwareVersion: version,
+		Load: upstreamapi.Load{MaxRunning: 8}, Resident: []upstreamapi.Resident{{Model: resumedModel}},
+	})).To(Succeed())
+}
+
 // What entry and control instances have heard is lost with them; only the records are left.
 var _ = Describe("A stream that is resumed after all instances have been lost", func() {
 	lose := func(g *resumptionGroup, streams int) {
--- a/internal/resumption/records_test.go
+++ b/internal/resumption/records_test.go
@@ -79,6 +79,14 @@
 		Expect(resumption.Catalog{}.MayBegin("pool", "v3")).To(BeTrue())
 	})
 
+	// Control instances that keep records may have none yet.
+	It("lets no stream begin after an empty list", func() {
+		empty := resumption.Catalog{}.With(resumption.VersionList{})
+		Expect(empty.MayBegin("pool", "v1")).To(BeFalse())
+		Expect(empty.With(list).MayBegin("pool", "v1")).To(BeTrue())
+		Expect(catalog.With(resumption.VersionList{})).To(Equal(catalog))
+	})
+
 	It("knows which routes are settled", func() {
 		Expect(catalog.RoutesSettled(9)).To(BeTrue())
 		Expect(catalog.RoutesSettled(8)).To(BeFalse())
