resumption: an instance without a copy of the records doesn't take them for none

What callers would see: a stream begins at an instance that has just started, at a version that is not recorded, and is taken up at another version after the loss of those who knew it. Cause: MayBegin allowed every version without a copy. A control instance that has not read its log yet, or keeps no records, sent no list: both looked alike. Change: control instances that keep records send a caller without a copy their list, also an empty one. After it only recorded versions may be used. Control instances of the version before send no list, and are served as before.

--- a/internal/backoffice/versions.go
+++ b/internal/backoffice/versions.go
@@ -195,9 +195,10 @@
 	}
 }
 
-// fillVersions adds the recorded versions to a reply, unless the caller has them.
+// fillVersions adds the recorded versions to a reply, unless the caller has them. A caller that has none gets
+// an empty list, too: it must not take control instances that keep records for those that keep none.
 func (i *Instance) fillVersions(known uint64, reply *courier.SyncReply) {
-	if records := i.voter.Versions(); records.Revision() > known {
+	if records := i.voter.Versions(); records.Revision() > known || known == 0 {
 		list := resumption.ListOf(records)
 		reply.Versions = &list
 	}
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -97,7 +97,7 @@
 		list := resumption.ListOf(c.versions)
 		reply.Versions = &list
 	}
-	if c.catchingUp && c.keepsRecords && args.Versions == 0 {
+	if reply.Versions == nil && c.keepsRecords && args.Versions == 0 {
 		reply.Versions = &resumption.VersionList{}
 	}
 	last := len(c.editions) - 1
--- a/internal/counter/outofstep_test.go
+++ b/internal/counter/outofstep_test.go
@@ -64,6 +64,25 @@
 		Eventually(ctx, func() int { status, _ := g.beginAt(ctx, 0, "s2"); return status }).Should(Equal(http.StatusOK))
 	}, SpecTimeout(specTimeout))
 
+	It("waits for the first copy of the records", func(ctx SpecContext) {
+		g := newResumptionGroup(0)
+		g.control.setKeepsRecords()
+		fresh := startPeerWithClock(g.control, g.clock.Now)
+		g.peers = append(g.peers, fresh)
+		g.control.addExactEntries(fresh.address)
+		g.serveCallers(fresh)
+		g.announceUnrecorded("v1")
+		status := make(chan int)
+		go func() {
+			defer GinkgoRecover()
+			answer, _ := g.beginAt(ctx, 0, "s1")
+			status <- answer
+		}()
+		Consistently(status).WithTimeout(300 * time.Millisecond).ShouldNot(Receive())
+		g.control.record(resumption.RecordsUpdate{Added: []resumption.ServiceVersion{{Service: "desk", Version: "v1"}}})
+		Eventually(ctx, status).Should(Receive(Equal(http.StatusOK)))
+	}, SpecTimeout(specTimeout))
+
 	It("does not begin at an unrecorded version at an instance that has not synced for longer than a lease", func(ctx SpecContext) {
 		g := newResumptionGroup(3)
 		_, late := g.ownerAndOther()
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -277,8 +277,8 @@
 func (p *Proxy) nextSyncDelay() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.control.lastSyncFailed {
-		// The updates are overdue.
+	if p.control.lastSyncFailed || p.pool.catalog.AwaitsRecords() && len(p.pool.byName) > 0 {
+		// The updates are overdue, or no stream that may be resumed can begin before the next one.
 		return minSyncInterval
 	}
 	return max(p.control.interval, minSyncInterval)
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -130,7 +130,7 @@
 	// Quarantine is nil if the caller already has this state.
 	Quarantine *quarantine.News
 	// Versions are the recorded software versions, as recent as Reading states. It is nil if the caller
-	// has this list, or a newer one.
+	// has this list, or a newer one, or if the callee keeps no records.
 	Versions *resumption.VersionList
 	// Holdings is an encoded EngineStates. It is empty if the caller already has this revision. It
 	// was encoded HoldingsAge ago, once for all callers: the states of 140 engines take 50 us to
--- a/internal/resumption/catalog.go
+++ b/internal/resumption/catalog.go
@@ -4,7 +4,7 @@
 
 // VersionList is the content of Records as sent to an entry instance.
 type VersionList struct {
-	// Revision is that of the Records, which is above 0.
+	// Revision is that of the Records, 0 if nothing is recorded yet.
 	Revision uint64
 	Versions []ServiceVersion
 	// SettledRoutes is that of the Records.
@@ -18,6 +18,8 @@
 
 // Catalog is an instance's copy of Records. It is immutable. The zero value has no copy.
 type Catalog struct {
+	// kept is true once a list has arrived, which shows that the cluster keeps records.
+	kept          bool
 	revision      uint64
 	byService     map[string][]string
 	settledRoutes uint64
@@ -26,17 +28,22 @@
 // With returns the copy after a list has arrived. Lists may arrive in any order, and older ones are
 // ignored.
 func (c Catalog) With(list VersionList) Catalog {
-	if list.Revision <= c.revision {
+	if c.kept && list.Revision <= c.revision {
 		return c
 	}
-	next := Catalog{revision: list.Revision, settledRoutes: list.SettledRoutes, byService: map[string][]string{}}
+	next := Catalog{kept: true, revision: list.Revision, settledRoutes: list.SettledRoutes, byService: map[string][]string{}}
 	for _, version := range list.Versions {
 		next.byService[version.Service] = append(next.byService[version.Service], version.Version)
 	}
 	return next
 }
 
-// Revision returns the revision of the copied Records, 0 if there is no copy.
+// AwaitsRecords reports whether the cluster keeps records, of which none has arrived.
+func (c Catalog) AwaitsRecords() bool {
+	return c.kept && c.revision == 0
+}
+
+// Revision returns the revision of the copied Records, 0 if there is no copy, or an empty one.
 func (c Catalog) Revision() uint64 {
 	return c.revision
 }
@@ -44,7 +51,7 @@
 // MayBegin reports whether a stream that may be resumed may begin at a version. All versions may be used
 // by an instance that has no copy, since the control instances of its cluster keep no records then.
 func (c Catalog) MayBegin(service, version string) bool {
-	return c.revision == 0 || slices.Contains(c.byService[service], version)
+	return !c.kept || slices.Contains(c.byService[service], version)
 }
 
 // Only returns the software version at which all streams of some services that may still be resumed have
