counter, permit: owners describe what they grant to an instance out of step

What callers would see: a stream joined from two software versions. It began at v2 at an instance that had not synced for longer than a lease, and went on at v1 there and elsewhere. Or it began at a version that is not recorded. Cause: such an instance used whatever owners granted, by name and address alone. If it knew an older process under that name, it recorded the version of that one. The owner was not told that the stream must begin at a recorded version, as an instance that syncs checks that itself. Change: an instance out of step asks for recorded versions only, with a kind of request of its own. The owner replies with the incarnation and the version of the process, which are used instead of an older process's. A grant that is not described, of an upstream that is unknown here, is returned, whatever the age of the last sync.

--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 const (
@@ -140,11 +141,13 @@
 // askMessage returns the permit request to send now.
 func (t *transaction) askMessage(id permit.ID) permit.Request {
 	now := t.proxy.options.Now()
+	software := t.software
+	software.Recorded = software.Recorded && t.proxy.isOutOfStep(now)
 	return permit.Request{
 		ID: id, Service: t.service, Model: t.model, Adapter: cmp.Or(t.group, t.adapter),
 		PromptTokens: t.promptTokens, AnswerTokens: t.outputTokens, Priority: t.priority, Yields: t.yields,
 		Objective: t.objective, MaxEventGap: t.maxGap, Age: now.Sub(t.arrived), Remaining: t.deadline.Sub(now), Tried: t.tried,
-		Software: t.software, Workspace: t.requirements.workspace, Caller: t.caller,
+		Software: software, Workspace: t.requirements.workspace, Caller: t.caller,
 	}
 }
 
@@ -198,33 +201,44 @@
 // no request because of its refusals, if the report was lost, or another instance owned the model
 // then. It may not know yet that a process of another software version has taken over the name of
 // an upstream. A grant for such an upstream is returned, and grantFrom returns errDecideLocally. So is
-// one for an upstream that is unknown here, if the stream needs a known software version.
+// one for an upstream of which neither this instance nor the grant knows the software version, if a stream
+// begins that may be resumed.
 func (p *Proxy) grantFrom(t *transaction, owner netip.AddrPort, m permit.Granted) (grant, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u := p.pool.byName[m.Upstream]
 	now := p.options.Now()
-	switch {
-	case u != nil && u.isLeaving():
-		p.peers.send(owner, permit.Release{ID: m.ID, Outcome: permit.ModelAbsent})
-		return grant{}, errDecideLocally
-	case u != nil && u.pushesBack(now, p.owners.self):
-		p.reportPushback(now, u, owner)
-		p.peers.send(owner, permit.Release{ID: m.ID})
-		return grant{}, errDecideLocally
-	case u != nil && (now.Before(u.refusals.PausedUntil()) || !t.software.Allows(u.software) || !u.mayBegin(t.software)):
-		p.peers.send(owner, permit.Release{ID: m.ID})
-		return grant{}, errDecideLocally
-	}
-	if u == nil || u.address != m.Address {
-		// The owner knows the upstream before this instance does.
-		if t.needsKnownVersion(now) {
-			p.peers.send(owner, permit.Release{ID: m.ID})
-			return grant{}, errDecideLocally
+	granted := grant{prefillAhead: m.PrefillBacklog, owner: owner, id: m.ID}
+	var outcome permit.Outcome
+	switch known := p.pool.byName[m.Upstream]; {
+	case m.Described && (known == nil || known.incarnation < m.Incarnation):
+		granted.upstream = &upstream{
+			name: m.Upstream, incarnation: m.Incarnation, address: m.Address, service: t.service, announced: true, software: m.SoftwareVersion,
 		}
-		u = &upstream{name: m.Upstream, address: m.Address, service: t.service}
+		return granted, nil
+	case known != nil && known.isLeaving():
+		outcome = permit.ModelAbsent
+	case known != nil && known.pushesBack(now, p.owners.self):
+		p.reportPushback(now, known, owner)
+	case known != nil && (now.Before(known.refusals.PausedUntil()) || known.contradicts(t.software, m)):
+	case known != nil && known.address == m.Address:
+		granted.upstream = known
+		return granted, nil
+	case !t.software.Recorded:
+		// The owner knows the upstream before this instance does.
+		granted.upstream = &upstream{name: m.Upstream, address: m.Address, service: t.service}
+		return granted, nil
+	}
+	p.peers.send(owner, permit.Release{ID: m.ID, Outcome: outcome})
+	return grant{}, errDecideLocally
+}
+
+// contradicts reports whether a request with the given constraint must not use a grant by what is known of the
+// upstream here: it has another version, no stream may begin at it, or its process has replaced the granted one.
+func (u *upstream) contradicts(software resumption.Constraint, m permit.Granted) bool {
+	if m.Described {
+		return u.incarnation > m.Incarnation || u.software != m.SoftwareVersion
 	}
-	return grant{upstream: u, prefillAhead: m.PrefillBacklog, owner: owner, id: m.ID}, nil
+	return !software.Allows(u.software) || !u.mayBegin(software)
 }
 
 // deliverAnswer passes an owner's answer to the request that waits for it. p.mu is held.
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -147,9 +147,11 @@
 		p.peers.send(requester.address, permit.Queued{ID: requester.id})
 		return
 	}
-	p.peers.send(requester.address, permit.Granted{
-		ID: requester.id, Upstream: u.name, Address: u.address, PrefillBacklog: record.grant.prefillAhead,
-	})
+	granted := permit.Granted{ID: requester.id, Upstream: u.name, Address: u.address, PrefillBacklog: record.grant.prefillAhead}
+	if record.waiter.requirements.software.Recorded {
+		granted.Described, granted.Incarnation, granted.SoftwareVersion = true, u.incarnation, u.software
+	}
+	p.peers.send(requester.address, granted)
 }
 
 // handleEnded processes the outcome of a peer's request. p.mu is held.
--- a/internal/counter/pushback.go
+++ b/internal/counter/pushback.go
@@ -69,7 +69,8 @@
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if known := p.pool.byName[u.name]; known != nil && u.announced && known.software != u.software {
+	known := p.pool.byName[u.name]
+	if known != nil && u.announced && known.software != u.software && known.incarnation >= u.incarnation {
 		return false
 	}
 	u = p.pool.current(u)
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -31,12 +31,12 @@
 	return strings.Join(t.request.Header.Values(upstreamapi.LastEventIDHeader), "")
 }
 
-// needsKnownVersion reports whether the request may begin a stream that is resumed later, and instances
-// that are as late as this one may take it for one of the only version that they know. Those that have
-// not synced for longer than a lease do not. p.mu is held.
-func (t *transaction) needsKnownVersion(now time.Time) bool {
-	p := t.proxy
-	return t.software.Recorded && now.Sub(p.control.lastSyncSent) <= p.options.UpstreamLease
+// isOutOfStep reports whether this instance has not synced for longer than a lease, so that others may know
+// upstreams that it does not. The owner of a model then has to describe what it grants.
+func (p *Proxy) isOutOfStep(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.control.lastSyncSent) > p.options.UpstreamLease
 }
 
 // identifiesStream reports whether the stream has an ID. Otherwise all streams of callers that send none
--- a/internal/permit/decode.go
+++ b/internal/permit/decode.go
@@ -45,21 +45,10 @@
 
 func (r reader) message(kind byte) Message {
 	switch kind {
-	case kindRequest:
-		return r.request()
-	case kindBoundRequest:
-		m := r.request()
-		m.Software = resumption.BoundTo(r.String())
-		return m
-	case kindIdentifiedRequest:
-		m := r.request()
-		m.Workspace, m.Caller = r.String(), r.Uint()
-		if r.Byte() != 0 {
-			m.Software = resumption.BoundTo(r.String())
-		}
-		return m
-	case kindGranted:
-		return Granted{ID: r.id(), Upstream: r.String(), Address: r.String(), PrefillBacklog: r.duration()}
+	case kindRequest, kindBoundRequest, kindIdentifiedRequest, kindRecordedRequest:
+		return r.requestOf(kind)
+	case kindGranted, kindDescribedGranted:
+		return r.granted(kind)
 	case kindQueued:
 		return Queued{ID: r.id()}
 	case kindRejected, kindIdentifiedRejected:
@@ -189,6 +178,31 @@
 	return m
 }
 
+// requestOf decodes a request of one of several kinds.
+func (r reader) requestOf(kind byte) Request {
+	m := r.request()
+	switch kind {
+	case kindBoundRequest:
+		m.Software = resumption.BoundTo(r.String())
+	case kindIdentifiedRequest:
+		m.Workspace, m.Caller = r.String(), r.Uint()
+		if r.Byte() != 0 {
+			m.Software = resumption.BoundTo(r.String())
+		}
+	case kindRecordedRequest:
+		m.Workspace, m.Caller, m.Software = r.String(), r.Uint(), resumption.ToRecorded()
+	}
+	return m
+}
+
+func (r reader) granted(kind byte) Granted {
+	m := Granted{ID: r.id(), Upstream: r.String(), Address: r.String(), PrefillBacklog: r.duration()}
+	if kind == kindDescribedGranted {
+		m.Described, m.Incarnation, m.SoftwareVersion = true, r.Uint(), r.String()
+	}
+	return m
+}
+
 func (r reader) id() ID {
 	return ID(r.Uint())
 }
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -50,6 +50,12 @@
 	kindSpeedReport
 	// kindQuotaContinued is ignored by instances that do not know it.
 	kindQuotaContinued
+	// kindRecordedRequest is a Request that is limited to recorded versions, with a workspace and a caller.
+	// Instances that do not know it ignore it.
+	kindRecordedRequest
+	// kindDescribedGranted is a Granted that describes the upstream. It replies to a kindRecordedRequest
+	// only.
+	kindDescribedGranted
 )
 
 // Append appends the encoding of a message to buffer.
@@ -58,10 +64,7 @@
 	case Request:
 		return appendRequest(buffer, m)
 	case Granted:
-		buffer = appendHead(buffer, kindGranted, m.ID)
-		buffer = parcel.AppendBytes(buffer, m.Upstream)
-		buffer = parcel.AppendBytes(buffer, m.Address)
-		return appendDuration(buffer, m.PrefillBacklog)
+		return appendGranted(buffer, m)
 	case Queued:
 		return appendHead(buffer, kindQueued, m.ID)
 	case Rejected:
@@ -203,9 +206,26 @@
 	return parcel.AppendUint(append(buffer, kind), uint64(id))
 }
 
+func appendGranted(buffer []byte, m Granted) []byte {
+	kind := kindGranted
+	if m.Described {
+		kind = kindDescribedGranted
+	}
+	buffer = appendHead(buffer, kind, m.ID)
+	buffer = parcel.AppendBytes(buffer, m.Upstream)
+	buffer = parcel.AppendBytes(buffer, m.Address)
+	buffer = appendDuration(buffer, m.PrefillBacklog)
+	if m.Described {
+		buffer = parcel.AppendBytes(parcel.AppendUint(buffer, m.Incarnation), m.SoftwareVersion)
+	}
+	return buffer
+}
+
 func appendRequest(buffer []byte, m Request) []byte {
 	kind := kindRequest
 	switch {
+	case m.Software.Recorded:
+		kind = kindRecordedRequest
 	case m.identified():
 		kind = kindIdentifiedRequest
 	case m.Software.Bound:
@@ -225,6 +245,9 @@
 	for _, name := range m.Tried {
 		buffer = parcel.AppendBytes(buffer, name)
 	}
+	if kind == kindRecordedRequest {
+		return parcel.AppendUint(parcel.AppendBytes(buffer, m.Workspace), m.Caller)
+	}
 	if m.identified() {
 		buffer = parcel.AppendUint(parcel.AppendBytes(buffer, m.Workspace), m.Caller)
 		buffer = appendBool(buffer, m.Software.Bound)
--- a/internal/permit/encode_test.go
+++ b/internal/permit/encode_test.go
@@ -21,6 +21,8 @@
 			Age: 3 * time.Millisecond, Remaining: 12 * time.Second, Tried: []string{"e1", "e2"},
 		},
 		permit.Granted{ID: 2, Upstream: "e1", Address: "10.0.0.9:8080", PrefillBacklog: 40 * time.Millisecond},
+		permit.Granted{ID: 25, Upstream: "e1", Address: "10.0.0.9:8080", Described: true, Incarnation: 1 << 60, SoftwareVersion: "v1.2"},
+		permit.Granted{ID: 26, Upstream: "e1", Described: true},
 		permit.Queued{ID: 3},
 		permit.Rejected{
 			ID: 4, Reason: permit.WaitTooLong, RetryAfter: time.Second, EstimatedWait: 2 * time.Second,
@@ -54,6 +56,8 @@
 		permit.Request{ID: 22, Service: "pool", Model: "m", Tried: []string{"e1"}, Caller: 7},
 		permit.Request{ID: 13, Service: "pool", Model: "m", Software: resumption.BoundTo("v1.2")},
 		permit.Request{ID: 14, Service: "pool", Model: "m", Tried: []string{"e1"}, Software: resumption.BoundTo("")},
+		permit.Request{ID: 27, Service: "pool", Model: "m", Tried: []string{"e1"}, Software: resumption.ToRecorded()},
+		permit.Request{ID: 28, Service: "pool", Model: "m", Workspace: "clerks", Caller: 1 << 63, Software: resumption.ToRecorded()},
 		permit.StreamReport{Stream: 1 << 63, Origin: resumption.Origin{Service: "pool", SoftwareVersion: "v1.2"}, Remaining: 9 * time.Second},
 		permit.StreamQuery{ID: 15, Stream: 1 << 63},
 		permit.StreamFound{ID: 16, Origin: resumption.Origin{Service: "pool", SoftwareVersion: "v1"}},
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -59,7 +59,8 @@
 	Remaining time.Duration
 	// Tried are the names of the upstreams at which earlier attempts failed.
 	Tried []string
-	// Software limits the upstreams, if the request resumes a stream.
+	// Software limits the upstreams, if the request resumes a stream, or begins one that may be resumed at
+	// an instance that may not know the upstream.
 	Software resumption.Constraint
 	// Workspace is the name of the caller's workspace, empty if it has none or the requesting instance
 	// does not schedule by workspace.
@@ -82,6 +83,12 @@
 	// PrefillBacklog is the time that the engine needs to prefill the prompts ahead of this
 	// one.
 	PrefillBacklog time.Duration
+	// Described is set in the reply to a request that is limited to recorded versions, for a requesting
+	// instance that may know an older process under the name of the upstream, or none. Incarnation and
+	// SoftwareVersion are those of the upstream then.
+	Described       bool
+	Incarnation     uint64
+	SoftwareVersion string
 }
 
 // Queued replies to a permit request while no upstream has room. A grant follows when one
