counter: a stream whose origin is unknown is not passed on

What callers would see: a stream joined from two versions. While its request was at an upstream, a process of another version took over the name and the address; the answer came from that one, and went on as that of the version to which the stream is bound. A stream that began so had events and no record. Cause: recordOrigin returned without a record where the process that answers was not known, and did not look at the process of a stream that is resumed. Change: the version is the one of the granted process, which never changes. If another of another version is known under its name and address when the answer begins, either may have answered: nothing is passed on, the request is sent again while its route allows, or gets 502. Evidence: both specs of 'meanwhile' failed before (no origin; went on at v2 instead of v1), pass now. The second one is new, the first one checks what it did before.

--- a/internal/counter/origins.go
+++ b/internal/counter/origins.go
@@ -24,23 +24,18 @@
 )
 
 // recordOrigin records where a stream begins or goes on, before its first event is passed to the
-// caller.
-func (t *transaction) recordOrigin(a *upstreamAttempt) {
+// caller. It returns false if that is not known. Nobody could tell then where the stream may go on.
+func (t *transaction) recordOrigin(a *upstreamAttempt) bool {
 	p := t.proxy
 	if !t.route.Resumable || !t.identifiesStream() {
-		return
+		return true
 	}
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	version := t.software.SoftwareVersion
-	if !t.software.Bound {
-		answering := p.pool.process(a.upstream.name, a.upstream.incarnation)
-		if answering == nil {
-			// Another process has taken over the name, or the upstream is not known here yet.
-			return
-		}
-		version = answering.software
+	version, known := p.pool.answeringVersion(a.upstream, t.software)
+	if !known {
+		return false
 	}
 	record := resumption.Record{
 		Stream: t.streamID(), Origin: resumption.Origin{Service: t.service, SoftwareVersion: version},
@@ -51,6 +46,26 @@
 	if t.isOriginAmbiguous(now) {
 		p.reportOrigin(record)
 	}
+	return true
+}
+
+// answeringVersion returns the software version of the process that answers a request to u with the given
+// constraint. It returns false if that may be another process, of another version, which has taken over the name
+// and the address, or if nothing but these is known of u.
+func (p *upstreamPool) answeringVersion(u *upstream, software resumption.Constraint) (version string, known bool) {
+	granted, stated := u.software, u.announced
+	if software.Bound {
+		granted, stated = software.SoftwareVersion, true
+	}
+	current := p.byName[u.name]
+	switch {
+	case current == nil, current.address != u.address:
+		return granted, stated
+	case !stated:
+		return current.software, true
+	default:
+		return granted, current.software == granted
+	}
 }
 
 // isOriginAmbiguous reports whether the stream that the request begins may be taken for one of another version
--- a/internal/counter/outofstep_test.go
+++ b/internal/counter/outofstep_test.go
@@ -131,24 +131,30 @@
 	}, SpecTimeout(specTimeout))
 
 	// Either of the two processes may have answered.
-	It("does not begin without a known version if a process of another version takes over the name of its upstream meanwhile", func(ctx SpecContext) {
-		g := newResumptionGroup(2)
-		var answers atomic.Int32
-		var u *upstream
-		u = newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
-			version := "v1"
-			if answers.Add(1) > 1 {
-				version = "v2"
-			} else {
-				g.control.restart("e1", "v2", u.address())
-				Eventually(ctx, g.peers[0].proxy.IncarnationOf("e1")).Should(BeEquivalentTo(2))
+	DescribeTable("has a known version if a process of another version takes over the name of its upstream meanwhile",
+		func(ctx SpecContext, lastEvent string) {
+			g := newResumptionGroup(2)
+			var u *upstream
+			var version atomic.Pointer[string]
+			version.Store(new("v1"))
+			u = newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(lastEventIDHeader) == lastEvent && *version.Load() == "v1" {
+					version.Store(new("v2"))
+					g.control.restart("e1", "v2", u.address())
+					Eventually(ctx, g.peers[0].proxy.IncarnationOf("e1")).Should(BeEquivalentTo(2))
+				}
+				(&versionedUpstream{version: *version.Load()}).respond(w, r)
+			})
+			g.control.announceVersion("v1", "e1", u.address(), resumedModel)
+			g.upstreams = 1
+			g.waitUntilKnown(1)
+			_, began := g.beginAt(ctx, 0, "s1")
+			Eventually(ctx, func() string { return g.control.originOf("s1") }).WithTimeout(2 * time.Second).Should(Equal(began))
+			if status, resumed := g.resume(ctx, 0, "s1"); status == http.StatusOK {
+				Expect(resumed).To(Equal(began))
 			}
-			(&versionedUpstream{version: version}).respond(w, r)
-		})
-		g.control.announceVersion("v1", "e1", u.address(), resumedModel)
-		g.upstreams = 1
-		g.waitUntilKnown(1)
-		_, version := g.beginAt(ctx, 0, "s1")
-		Eventually(ctx, func() string { return g.control.originOf("s1") }).WithTimeout(2 * time.Second).Should(Equal(version))
-	}, SpecTimeout(specTimeout))
+		},
+		Entry("as it begins", SpecTimeout(specTimeout), ""),
+		Entry("as it goes on", SpecTimeout(specTimeout), "1"),
+	)
 })
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -27,6 +27,9 @@
 		if t.needsAnotherRun(a, response) {
 			return false
 		}
+		if !t.recordOrigin(a) {
+			return t.dropResponse(w, a, response.StatusCode)
+		}
 		t.stream(ctx, w, a, response)
 		return true
 	}
@@ -101,11 +104,25 @@
 	return true
 }
 
+// dropResponse ends an attempt whose stream is not passed on, since another process may have begun it than the
+// one that was granted. It reports whether the caller was answered.
+func (t *transaction) dropResponse(w http.ResponseWriter, a *upstreamAttempt, status int) bool {
+	p := t.proxy
+	p.mu.Lock()
+	verdict := t.verdict(p.options.Now(), outcome.Ran)
+	p.mu.Unlock()
+	p.logAttempt(t, a, "process replaced", status, verdict.String())
+	if verdict == retry.Again {
+		return false
+	}
+	p.refuse(w, t.call, t.route, refusal{status: http.StatusBadGateway, text: "the upstream was replaced meanwhile"})
+	return true
+}
+
 // stream relays events as they arrive. If the upstream breaks off, or may have done so and the caller can
 // resume the stream, the caller's connection is aborted as well, so that a truncated stream does not look
 // complete.
 func (t *transaction) stream(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, response *http.Response) {
-	t.recordOrigin(a)
 	end := beginResponse(w, t.request, response, a.framing)
 	readErr, writeErr := copyChunks(w, response.Body, func(bytes int) {
 		a.bodyStarted = true
