--- a/internal/counter/permits_test.go
+++ b/internal/counter/permits_test.go
@@ -13,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/counter"
-	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
@@ -208,6 +207,9 @@
 	address netip.AddrPort
 	proxy   *counter.Proxy
 	path    *upstreamPath
+	// messages and control carry what the instance exchanges with peers and control instances.
+	messages *messagePath
+	control  *controlPath
 	// relay is the server for requests of other instances.
 	relay *httptest.Server
 }
@@ -246,10 +248,13 @@
 func startPeerWithClock(c *fakeControl, now func() time.Time) peer {
 	GinkgoHelper()
 	conn, relayListener := listenPeerWithRelay()
-	p := peer{address: conn.LocalAddr().(*net.UDPAddr).AddrPort(), path: &upstreamPath{}}
+	p := peer{
+		address: conn.LocalAddr().(*net.UDPAddr).AddrPort(), path: &upstreamPath{},
+		messages: &messagePath{PacketConn: conn}, control: &controlPath{},
+	}
 	p.proxy = counter.New(counter.Options{
 		Name: p.address.String(), CallerAddress: "127.0.0.1:2", FailureDomain: "here", Seeds: []string{c.address},
-		Dial: courier.DialTCP, DialUpstream: p.path.dial, UpstreamLease: time.Minute, PeerConn: conn,
+		Dial: p.control.dial, DialUpstream: p.path.dial, UpstreamLease: time.Minute, PeerConn: p.messages,
 		Retries:     counter.RetryLimits{Ratio: 0.1, Burst: 20, Window: 10 * time.Second},
 		ParseRoutes: parseRoutes, Dialect: dialect{}, Now: now, Log: zerolog.Nop(),
 	})
