backoffice: a version stays recorded while an entry instance is missing

What callers would see: a stream joined from two versions. An entry instance and an upstream of v1 are cut off together from control instances and peers; elsewhere v1 is gone, and retired after twice the longest timeout. Cause: the time since the last use of a version that the leader hears of was taken for the time since its last use. An instance that is not heard of counts as one that uses nothing. Change: no version is retired while an entry instance has not been heard from since a lease after the last use of the version, when its upstreams have expired from every view. One that drained before is not missed; after ten minutes none is. All control instances take note, so that a new leader knows. Nothing changes while one version is recorded. Price: after the loss of an entry instance for good, versions of a release stay recorded for ten minutes instead of twice the timeout, in which streams that nobody knows are refused. Evidence: 'while an entry instance is missing' failed before (retired after 3.2 s), passes now.

--- a/internal/backoffice/versions.go
+++ b/internal/backoffice/versions.go
@@ -30,6 +30,8 @@
 	instance *Instance
 	versions resumption.Versions
 	cursor   uint64
+	// beginners are the entry instances, also those from which nothing is heard any more.
+	beginners resumption.Beginners
 	// leadsSince is the time since which this instance leads, and zero while it does not.
 	leadsSince time.Time
 	// table are the routes in force, nil before the first, and editionChanges counts their changes.
@@ -44,6 +46,7 @@
 func (r *versionRecorder) run(ctx context.Context) {
 	for pause.For(ctx, versionCheckInterval) {
 		now := r.instance.options.Now()
+		r.observeBeginners(now)
 		if _, leads := r.instance.voter.IsLeader(now); !leads {
 			r.leadsSince = time.Time{}
 			continue
@@ -81,7 +84,7 @@
 		}
 	}
 	for _, version := range recorded {
-		if complete && !inUse[version] && now.Sub(r.lastUse(version)) > r.retention(now) {
+		if complete && !inUse[version] && r.isOver(now, r.lastUse(version)) {
 			update.Retired = append(update.Retired, version)
 		}
 	}
@@ -119,6 +122,24 @@
 	return inUse, !i.isRosterIncomplete(now, voters)
 }
 
+// observeBeginners notes which entry instances are heard from.
+func (r *versionRecorder) observeBeginners(now time.Time) {
+	i := r.instance
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, instance := range i.roster.Instances(now) {
+		if instance.CallerAddress != "" {
+			r.beginners.Observe(now, instance.Name, instance.LastContact, instance.Draining)
+		}
+	}
+}
+
+// isOver reports whether no stream is left at a version that was last in use at the given time. An entry instance
+// that has not been heard from since the upstreams of the version expired may still use them.
+func (r *versionRecorder) isOver(now, lastUse time.Time) bool {
+	return now.Sub(lastUse) > r.retention(now) && !r.beginners.AnySilentSince(now, lastUse.Add(r.instance.options.UpstreamLease))
+}
+
 // lastUse returns the latest time at which a version may have been in use.
 func (r *versionRecorder) lastUse(version resumption.ServiceVersion) time.Time {
 	last := r.versions.LastUse(version.Service, version.Version)
--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -12,6 +12,7 @@
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
 	"github.com/lovagelift/lovagelift/internal/resumption"
+	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -161,6 +162,32 @@
 			Should(Or(BeEmpty(), Equal([]string{"v1", "v2"})))
 	}, SpecTimeout(specTimeout))
 
+	// An instance that is cut off with an upstream begins streams at its version, of which nobody is told.
+	It("stay recorded while an entry instance is missing", func(ctx SpecContext) {
+		c := newTestCluster()
+		c.fakes.add("e1", "a")
+		c.fakes.add("e2", "a")
+		first := c.leadToWithin(ctx, 1, "pool", 100*time.Millisecond)
+		Eventually(ctx, func() uint64 { return c.settledRoutes(ctx) }).Should(Equal(first), "the leader knows the routes")
+		c.announceOnce("e1", "v1")
+		recorded := func() []string {
+			c.announceOnce("e2", "v2")
+			return c.confirmedVersions(ctx)
+		}
+		Eventually(ctx, recorded).Should(Equal([]string{"v1", "v2"}))
+		entry := roster.InstanceRecord{
+			Name: "127.0.0.1:8", Incarnation: 1, Sequence: 1, Static: &roster.InstanceStatic{CallerAddress: "127.0.0.1:7", InnerAddress: "127.0.0.1:8"},
+		}
+		for _, seed := range c.seeds {
+			_, err := c.calls.Sync(ctx, seed, courier.SyncArgs{From: entry})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		c.leave(ctx, upstreamapi.Leave{Name: "e1"})
+		const retention = 3200 * time.Millisecond
+		Consistently(ctx, recorded).WithTimeout(2 * retention).WithPolling(100 * time.Millisecond).
+			Should(Or(BeEmpty(), Equal([]string{"v1", "v2"})))
+	}, SpecTimeout(specTimeout))
+
 	// No stream that may be resumed would begin at a version for which no room is left.
 	It("are recorded although announcements name more services than can be", func(ctx SpecContext) {
 		c := newTestCluster()
