counter: a spec of an owner of the version before, and an instance out of step

An owner that tells only the name and the address grants a process that the instance does not know: the grant is returned, and the stream begins at what is known here.

--- a/internal/counter/outofstep_test.go
+++ b/internal/counter/outofstep_test.go
@@ -18,11 +18,16 @@
 
 // ownerAndOther returns the instance that owns the model of the streams, and one that does not.
 func (g *resumptionGroup) ownerAndOther() (owner, other int) {
-	address, _ := permit.NewOwners(g.addresses()).Of("desk", resumedModel, func(netip.AddrPort) bool { return true })
-	owner = slices.Index(g.addresses(), address)
+	owner = slices.Index(g.addresses(), ownerAmong(g.addresses()...))
 	return owner, (owner + 1) % len(g.peers)
 }
 
+// ownerAmong returns which of several instances owns the model of the streams.
+func ownerAmong(instances ...netip.AddrPort) netip.AddrPort {
+	owner, _ := permit.NewOwners(instances).Of("desk", resumedModel, func(netip.AddrPort) bool { return true })
+	return owner
+}
+
 // restart announces that a process of another version has started under the name of an upstream.
 func (c *fakeControl) restart(name, version, address string) {
 	c.mu.Lock()
@@ -105,6 +110,26 @@
 		Expect(unrecorded.count()).To(BeZero())
 	}, SpecTimeout(specTimeout))
 
+	// Owners of the version before tell the name and the address alone.
+	It("does not begin at a process that its instance does not know and the owner does not describe", func(ctx SpecContext) {
+		g := newResumptionGroup(1)
+		known := g.announceUpstreams("v1")[0]
+		owner := listenGrantingOwner()
+		for ownerAmong(g.peers[0].address, owner.address) != owner.address {
+			owner = listenGrantingOwner()
+		}
+		g.control.addExactEntries(owner.address)
+		Eventually(ctx, g.peers[0].proxy.Instances).Should(Equal(2))
+		g.control.ignore(g.peers[0].address)
+		g.clock.advance(longerThanLease)
+		unknown := newVersionedUpstream("v2")
+		owner.grantAlways("unknown", unknown.address())
+		Expect(g.begin(ctx, 0, "s1")).To(Equal("v1"))
+		Eventually(ctx, owner.releases).Should(Receive())
+		Expect(unknown.count()).To(BeZero())
+		Expect(known.count()).To(Equal(1))
+	}, SpecTimeout(specTimeout))
+
 	// The process that an owner grants may have taken over the name of one that is known here.
 	It("never goes on at another version if an instance that has not synced for longer than a lease was granted a process that it does not know", func(ctx SpecContext) {
 		g := newResumptionGroup(3)
