courier: fields for the demand and the loads of streams that are resumed

Demand had no software version, so that streams which are bound to one were reported as waiting for any, and a load request could not be told that its model can't be held at its version.

--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -90,6 +90,8 @@
 	Model   string
 	// Adapter is empty for the model itself.
 	Adapter string
+	// Software limits the engines, if the requests that wait resume streams. It is the zero value for all others.
+	Software resumption.Constraint
 	// Requests is the number of requests received, and Waiting the number that are waiting for an
 	// engine now.
 	Requests int
@@ -194,6 +196,8 @@
 	Engine string
 	// Reason explains why Engine is empty.
 	Reason string
+	// Unavailable is true if no engine that Software allows can hold the model in time.
+	Unavailable bool
 	// NotLeader is true if the callee does not send commands to engines.
 	NotLeader bool
 }
