--- /dev/null
+++ b/internal/counter/export_bound_test.go
@@ -0,0 +1,24 @@
+package counter
+
+import (
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/resumption"
+)
+
+// EnqueueBound is Enqueue for a request that resumes a stream of a software version.
+func (q Queue) EnqueueBound(arrived time.Time, model, version string) *waiter {
+	w := q.waiter(arrived, model, 0)
+	w.requirements.software = resumption.BoundTo(version)
+	return q.enqueue(arrived, w)
+}
+
+// Demand returns the demand to report, by the software version to which it is bound, empty if to none.
+func (q Queue) Demand(now time.Time) map[string]courier.Demand {
+	byVersion := map[string]courier.Demand{}
+	for _, d := range q.proxy.demand.flush(q.proxy.takeRunTimes(now)) {
+		byVersion[d.Software.SoftwareVersion] = d
+	}
+	return byVersion
+}
