counter: demand names the software version of streams that lack a holder

Cause: the demand of streams that are resumed was counted for service and model, so the plan saw a holder of another version and ordered nothing. Change: those that wait are counted by version, at the instance that received them, whether it or an owner places them. A sync reports them apart while no available engine of the version holds the model, and with all others otherwise. Requests are counted as before, and so is the demand of requests that resume nothing.

--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// lacksModel reports whether no upstream that is eligible for q has loaded its model.
+func (p *upstreamPool) lacksModel(now time.Time, q upstreamQuery) bool {
+	for range p.eligible(now, q) {
+		return false
+	}
+	return q.model != ""
+}
+
 // missingInService returns what a service lacks that has no eligible upstream for q.
 func (p *upstreamPool) missingInService(now time.Time, q upstreamQuery) missingResource {
 	missing := missingService
--- a/internal/counter/export_bound_test.go
+++ b/internal/counter/export_bound_test.go
@@ -17,7 +17,7 @@
 // Demand returns the demand to report, by the software version to which it is bound, empty if to none.
 func (q Queue) Demand(now time.Time) map[string]courier.Demand {
 	byVersion := map[string]courier.Demand{}
-	for _, d := range q.proxy.demand.flush(q.proxy.takeRunTimes(now)) {
+	for _, d := range q.proxy.takeDemand(now) {
 		byVersion[d.Software.SoftwareVersion] = d
 	}
 	return byVersion
--- a/internal/counter/export_runtimes_test.go
+++ b/internal/counter/export_runtimes_test.go
@@ -10,7 +10,7 @@
 // ReportedRunTimes returns the run times that the instance reports with its next sync.
 func (i Instance) ReportedRunTimes(now time.Time) map[string]time.Duration {
 	reported := map[string]time.Duration{}
-	for _, d := range i.proxy.demand.flush(i.proxy.takeRunTimes(now)) {
+	for _, d := range i.proxy.takeDemand(now) {
 		reported[d.Model] = d.RunTime
 	}
 	return reported
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/aging"
+	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/deferral"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/reservation"
@@ -153,10 +154,17 @@
 // addWaiting adds change to the number of requests that wait for the target of req. p.mu is held.
 func (p *Proxy) addWaiting(req *requirements, change int) {
 	if req.model != "" {
-		p.demand.addWaiting(req.target, change)
+		p.demand.addWaiting(req.target, req.software, change)
 	}
 }
 
+// takeDemand returns the demand since the last call. p.mu is held.
+func (p *Proxy) takeDemand(now time.Time) []courier.Demand {
+	return p.demand.flush(p.takeRunTimes(now), func(t boundTarget) bool {
+		return p.pool.lacksModel(now, upstreamQuery{service: t.service, model: t.model, software: resumption.BoundTo(t.version)})
+	})
+}
+
 // selectionKey identifies queries that have the same result within one dispatch. It has 128 bytes: a
 // map allocates each larger key. The small fields are together, because apart they would be padded.
 type selectionKey struct {
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -100,7 +100,7 @@
 		Members:       p.control.membersRevision,
 		Holdings:      p.control.engineStatesRevision,
 		Quarantine:    p.crashes.Mark(),
-		Demand:        p.demand.flush(p.takeRunTimes(now)),
+		Demand:        p.takeDemand(now),
 		Limited:       p.pool.limitedUpstreams(),
 		Versions:      p.pool.catalog.Revision(),
 		Streams:       groupStreams(p.unsyncedStreams),
