counter: failing specs of streams that could await a load at their version

All 5 fail on this code: the stream is refused at once unless an engine of its version is loading the model already, also if that is done long before its caller leaves; and it is told to return when it is too late for that as well.

--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -1,6 +1,8 @@
 package counter_test
 
 import (
+	"context"
+	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -38,3 +40,58 @@
 	queue.Dequeue(waiting)
 	Expect(queue.Demand(start)["v1"].Waiting).To(Equal(1))
 })
+
+// newUnheldGroup returns instances at which a stream "s1" of v1 has begun. Then the holder of its model left: only
+// "e3" of v2 has the model, and "e2" of v1 could load it.
+func newUnheldGroup(ctx context.Context, instances int) *resumptionGroup {
+	GinkgoHelper()
+	g := &resumptionGroup{peerGroup: &peerGroup{clock: &manualClock{now: time.Now()}, control: newFakeControl()}, callerTimeout: 5 * time.Second}
+	for range instances {
+		// The load calls of an instance wait for its clock.
+		g.peers = append(g.peers, startPeerWithClock(g.control, time.Now))
+		g.serveCallers(g.peers[len(g.peers)-1])
+	}
+	g.control.addExactEntries(g.addresses()...)
+	g.announceUpstreams("v1")
+	Expect(g.begin(ctx, 0, "s1")).To(Equal("v1"))
+	g.control.announceVersion("v1", "e2", newVersionedUpstream("v1").address(), "other")
+	g.control.announceVersion("v2", "e3", newVersionedUpstream("v2").address(), resumedModel)
+	g.waitUntilKnown(3)
+	g.control.announceLeave("e1")
+	for _, p := range g.peers {
+		Eventually(p.proxy.KnowsLeave("e1"), specTimeout).Should(BeTrue())
+	}
+	return g
+}
+
+var _ = Describe("A stream whose version lacks its model", func() {
+	// The route allows 2 s. After a call that brings nothing, the next one follows within 0.4 s.
+	DescribeTable("goes on once that is loaded, however long others would wait",
+		func(ctx SpecContext, resumedAt int) {
+			g := newUnheldGroup(ctx, 2)
+			g.control.setLoads(map[int]courier.WantReply{6: {Engine: "e2"}})
+			status, version := g.resume(ctx, resumedAt, "s1")
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(version).To(Equal("v1"))
+		},
+		Entry("at one instance", SpecTimeout(specTimeout), 0),
+		Entry("at the other", SpecTimeout(specTimeout), 1),
+	)
+
+	// Its caller leaves 10 s after its arrival.
+	DescribeTable("waits for a load that leaves time to run",
+		func(loading string, loadTime time.Duration, waits bool) {
+			pool := versionedPool()
+			pool.ApplyEngineStates(start, courier.EngineStates{Engines: []courier.EngineState{{
+				Name: "e-v1", Incarnation: 1, NextModel: loading, NextModelIn: loadTime,
+			}}})
+			queue := counter.NewQueue(pool, 1)
+			retryAfter, rejected := queue.Rejection(start, queue.EnqueueBound(start, "m", "v1"))
+			Expect(rejected).To(Equal(!waits))
+			Expect(retryAfter).To(BeZero(), "a later attempt comes too late as well")
+		},
+		Entry("that nobody has begun", "", time.Duration(0), true),
+		Entry("of which others would not await the end", "m", 7*time.Second, true),
+		Entry("but not for one that ends with its caller's time", "m", 10*time.Second, false),
+	)
+})
--- a/internal/counter/export_bound_test.go
+++ b/internal/counter/export_bound_test.go
@@ -14,6 +14,16 @@
 	return q.enqueue(arrived, w)
 }
 
+// Rejection returns whether a request that was just enqueued is rejected, and the Retry-After time.
+func (q Queue) Rejection(now time.Time, w *waiter) (retryAfter time.Duration, rejected bool) {
+	q.proxy.mu.Lock()
+	defer q.proxy.mu.Unlock()
+	if r := q.proxy.rejectionFor(now, w); r != nil {
+		return r.retryAfter, true
+	}
+	return 0, false
+}
+
 // Demand returns the demand to report, by the software version to which it is bound, empty if to none.
 func (q Queue) Demand(now time.Time) map[string]courier.Demand {
 	byVersion := map[string]courier.Demand{}
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -42,6 +42,8 @@
 	// calls received.
 	otherEntries []string
 	loadCalls    int
+	// loads maps the number of a load call to the reply. Others get one without an engine.
+	loads map[int]courier.WantReply
 	// exactEntries, if set, are all entry instances.
 	exactEntries []string
 	// quarantine, if set, is served to the callers. reported holds the reported crashes.
@@ -183,9 +185,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.loadCalls++
+	if reply, found := c.loads[c.loadCalls]; found {
+		return reply
+	}
 	return courier.WantReply{Reason: "none"}
 }
 
+// setLoads sets the replies to load calls by their number.
+func (c *fakeControl) setLoads(loads map[int]courier.WantReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loads = loads
+}
+
 // reportedLimits returns the limits in the latest sync.
 func (c *fakeControl) reportedLimits() []courier.LimitedUpstream {
 	c.mu.Lock()
