counter: a stream waits for the load of its model at its version

Cause: a request waited for a load only if an engine had begun it and it was done within the wait of any other request: half the caller's time, or 1.5 objectives. For a stream that goes on at one version only, others are no way out; the load takes as long as a model takes, and nobody had begun one. Change: without a holder of its version, a stream that is resumed waits until its caller's time leaves just the run, here or at the owner of the model, and asks for the load meanwhile. A known load that is done later than that ends the request at once, without Retry-After. Requests that wait so are left out of the forecasts, the shares and the starvation of others, whose waits stay as they were.

--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -12,7 +12,10 @@
 // caller and returns false.
 func (t *transaction) acquireUpstream(ctx context.Context, w http.ResponseWriter) (grant, bool) {
 	now := t.proxy.options.Now()
-	waitCtx, cancel := t.proxy.boundWait(ctx, t.arrived.Add(t.maxWait()).Sub(now))
+	t.proxy.mu.Lock()
+	longest := t.proxy.waitLimit(now, &t.requirements)
+	t.proxy.mu.Unlock()
+	waitCtx, cancel := t.proxy.boundWait(ctx, t.arrived.Add(longest).Sub(now))
 	defer cancel()
 	t.joinGroup()
 	granted, err := t.acquireFromOwner(waitCtx)
--- a/internal/counter/boost.go
+++ b/internal/counter/boost.go
@@ -71,7 +71,7 @@
 		return false
 	}
 	for _, other := range q.waiters {
-		if other != w && other.requirements.target == w.requirements.target {
+		if other != w && other.requirements.target == w.requirements.target && !other.lacksHolder() {
 			return false
 		}
 	}
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -82,6 +82,10 @@
 	if rejected := p.rejectHeldBack(now, w); rejected != nil {
 		return rejected
 	}
+	if w.lacksHolder() {
+		loadTime, _ := p.pool.loadTime(now, req.query())
+		return req.rejectUnheld(now, loadTime)
+	}
 	if req.isDeferrable() {
 		return p.rejectDeferred(now, w)
 	}
@@ -132,7 +136,7 @@
 	}
 	ahead, ownAhead := 0, 0
 	for _, other := range p.queue.waiters {
-		if other == w || other.requirements.model != req.model || !other.goesBefore(now, w) {
+		if other == w || other.requirements.model != req.model || other.lacksHolder() || !other.goesBefore(now, w) {
 			continue
 		}
 		ahead++
--- a/internal/counter/holdback.go
+++ b/internal/counter/holdback.go
@@ -52,7 +52,7 @@
 		return nil
 	}
 	ahead := p.queue.countOthers(w, func(other *waiter) bool {
-		return other.requirements.target == req.target && (w.share.model == nil || other.goesBefore(now, w))
+		return other.requirements.target == req.target && !other.lacksHolder() && (w.share.model == nil || other.goesBefore(now, w))
 	})
 	wait := held.wait + time.Duration(ahead)*time.Duration(float64(time.Second)/held.perSecond)
 	switch {
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -90,7 +90,7 @@
 		return
 	}
 	w := &waiter{requirements: p.requirementsOf(now, from, m), requester: requester, placingInstances: 1}
-	record := &permitRecord{waiter: w, expires: w.requirements.arrived.Add(w.requirements.maxWait() + requesterGrace)}
+	record := &permitRecord{waiter: w, expires: w.requirements.arrived.Add(w.requirements.longestWait() + requesterGrace)}
 	p.permits[requester] = record
 	p.enqueue(now, w)
 	if record.grant.upstream != nil {
--- a/internal/counter/shares.go
+++ b/internal/counter/shares.go
@@ -99,7 +99,7 @@
 	s.entries = s.entries[:0]
 	models := 0
 	for position, w := range p.queue.waiters {
-		if !w.requirements.mixed || w.boosted || !p.joinShares(now, w) {
+		if !w.requirements.mixed || w.boosted || w.lacksHolder() || !p.joinShares(now, w) {
 			continue
 		}
 		if m := w.share.model; m.order != s.order {
