counter: failing specs of streams that await what can't be loaded

All 4 fail on this code: a stream is refused only after its time to wait is over (2 s of 2), though the leader has said before that no engine of its version can hold the model, or the last one has left.

--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -78,6 +79,47 @@
 		Entry("at the other", SpecTimeout(specTimeout), 1),
 	)
 
+	DescribeTable("is refused at once, with all that wait for the same, if that can't be loaded",
+		func(ctx SpecContext, resumedAt int) {
+			g := newUnheldGroup(ctx, 2)
+			loads := map[int]courier.WantReply{}
+			for call := range 20 {
+				loads[3+call] = courier.WantReply{Unavailable: true}
+			}
+			g.control.setLoads(loads)
+			began := time.Now()
+			var callers sync.WaitGroup
+			for range 3 {
+				callers.Go(func() {
+					defer GinkgoRecover()
+					status, _ := g.resume(ctx, resumedAt, "s1")
+					Expect(status).To(Equal(http.StatusServiceUnavailable))
+				})
+			}
+			callers.Wait()
+			Expect(time.Since(began)).To(BeNumerically("<", 1500*time.Millisecond))
+		},
+		Entry("at one instance", SpecTimeout(specTimeout), 0),
+		Entry("at the other", SpecTimeout(specTimeout), 1),
+	)
+
+	DescribeTable("is refused at once when the last engine of its version leaves",
+		func(ctx SpecContext, resumedAt int) {
+			g := newUnheldGroup(ctx, 2)
+			began := time.Now()
+			go func() {
+				defer GinkgoRecover()
+				Eventually(ctx, g.control.loadCallCount).Should(BeNumerically(">", 0))
+				g.control.announceLeave("e2")
+			}()
+			status, _ := g.resume(ctx, resumedAt, "s1")
+			Expect(status).To(Equal(http.StatusServiceUnavailable))
+			Expect(time.Since(began)).To(BeNumerically("<", 1500*time.Millisecond))
+		},
+		Entry("at one instance", SpecTimeout(specTimeout), 0),
+		Entry("at the other", SpecTimeout(specTimeout), 1),
+	)
+
 	// Its caller leaves 10 s after its arrival.
 	DescribeTable("waits for a load that leaves time to run",
 		func(loading string, loadTime time.Duration, waits bool) {
