counter: a stream that can't go on at its version is refused at once

Cause: the wait for a load ended only with a grant or its time, also after the leader had said that no engine of the version can hold the model, and after the last engine of the version had left. Change: WantReply.Unavailable ends the wait of all that lack the same model at the same version, local ones and those of peers, and holds for new ones until the next call (0.1 to 0.4 s). So does the end of the version, and a load that is seen to be done too late. Retry-After is given after Unavailable if the caller has time for another attempt.

--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -43,7 +43,7 @@
 // acquireLocally waits for a grant of this instance.
 func (t *transaction) acquireLocally(ctx context.Context) (grant, error) {
 	p := t.proxy
-	local := localRequest{grants: make(chan grant, 1)}
+	local := localRequest{grants: make(chan grant, 1), rejections: make(chan *rejection, 1)}
 	w := &waiter{requirements: t.requirements, requester: local}
 	if rejected := p.enqueueLocal(w, local); rejected != nil {
 		return grant{}, rejected
@@ -51,6 +51,8 @@
 	select {
 	case granted := <-local.grants:
 		return granted, nil
+	case rejected := <-local.rejections:
+		return grant{}, rejected
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -76,16 +76,12 @@
 // request may wait. p.mu is held.
 func (p *Proxy) rejectionFor(now time.Time, w *waiter) *rejection {
 	req := &w.requirements
-	if w.missing == missingVersion {
-		return &rejection{reason: permit.VersionUnavailable, retryAfter: req.retryAfterLoad(now, 0, false)}
+	if rejected := p.rejectByVersion(now, w); rejected != nil || w.lacksHolder() {
+		return rejected
 	}
 	if rejected := p.rejectHeldBack(now, w); rejected != nil {
 		return rejected
 	}
-	if w.lacksHolder() {
-		loadTime, _ := p.pool.loadTime(now, req.query())
-		return req.rejectUnheld(now, loadTime)
-	}
 	if req.isDeferrable() {
 		return p.rejectDeferred(now, w)
 	}
@@ -114,11 +110,16 @@
 		// The caller will retry, so the leader must learn that the model is wanted.
 		p.requestLoad(w)
 	}
+	p.reject(now, w, rejected)
+	return rejected
+}
+
+// reject removes a rejected request from the queue and completes the rejection. p.mu is held.
+func (p *Proxy) reject(now time.Time, w *waiter, rejected *rejection) {
 	p.reserve(now, w, rejected)
 	rejected.survey = p.pool.survey(now, w.requirements.query())
 	p.recordShareRejection(now, w, rejected)
 	p.dequeue(w)
-	return rejected
 }
 
 // forecastWait returns the expected wait of a request for which no upstream has capacity: the
--- a/internal/counter/loads.go
+++ b/internal/counter/loads.go
@@ -52,6 +52,8 @@
 	failures int
 	// retryAt is the earliest time of the next call.
 	retryAt time.Time
+	// unavailable is true if the leader has stated that no engine can hold the target in time.
+	unavailable bool
 }
 
 // loadShare returns the calls per second that each instance may make at least.
@@ -101,6 +103,19 @@
 	l.failed[args] = failedLoad{failures: failures + 1, retryAt: now.Add(wait)}
 }
 
+// recordUnavailable records that the call whose result was recorded last has no prospect of success.
+func (l *loadLimiter) recordUnavailable(args courier.WantArgs) {
+	failed := l.failed[args]
+	failed.unavailable = true
+	l.failed[args] = failed
+}
+
+// isUnavailable reports whether the latest call has no prospect of success and no other one is due.
+func (l *loadLimiter) isUnavailable(now time.Time, args courier.WantArgs) bool {
+	failed := l.failed[args]
+	return failed.unavailable && now.Before(failed.retryAt)
+}
+
 // requestLoad calls the leader to load the model or adapter that a waiting request is missing, if
 // that is what it needs. Requests with the same target share one call. p.mu is held.
 func (p *Proxy) requestLoad(w *waiter) {
@@ -128,7 +143,11 @@
 	if u := p.pool.byName[reply.Engine]; u != nil {
 		p.pool.addModel(u, args.Model, args.Adapter)
 	}
-	p.dispatch(p.options.Now())
+	now := p.options.Now()
+	p.dispatch(now)
+	if reply.Unavailable {
+		p.endHopelessWaits(now)
+	}
 }
 
 // waitForLoadCall waits until a call may be made and returns the leader to call, empty if no
@@ -177,6 +196,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.loadLimiter.recordResult(now, args, reply.Engine != "")
+	if reply.Unavailable {
+		p.loadLimiter.recordUnavailable(args)
+	}
 	if (err != nil || reply.NotLeader) && p.control.leader == leader {
 		p.control.leader = ""
 	}
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -97,18 +97,23 @@
 		return
 	}
 	if rejected := p.rejectOrWait(now, w); rejected != nil {
-		delete(p.permits, requester)
-		p.metrics.countDecision("refused")
-		p.peers.send(from, permit.Rejected{
-			ID: m.ID, Reason: rejected.reason, RetryAfter: rejected.retryAfter, EstimatedWait: rejected.forecastWait,
-			Survey: permit.Survey(rejected.survey), Reserved: rejected.reserved, RelativeUse: rejected.relativeUse,
-		})
+		p.refusePermit(requester, rejected)
 		return
 	}
 	p.metrics.countDecision("queued")
 	p.sendDecision(requester, record)
 }
 
+// refusePermit tells the requester that its request is rejected. p.mu is held.
+func (p *Proxy) refusePermit(requester peerRequest, rejected *rejection) {
+	delete(p.permits, requester)
+	p.metrics.countDecision("refused")
+	p.peers.send(requester.address, permit.Rejected{
+		ID: requester.id, Reason: rejected.reason, RetryAfter: rejected.retryAfter, EstimatedWait: rejected.forecastWait,
+		Survey: permit.Survey(rejected.survey), Reserved: rejected.reserved, RelativeUse: rejected.relativeUse,
+	})
+}
+
 // requirementsOf returns the requirements of a peer's request.
 func (p *Proxy) requirementsOf(now time.Time, from netip.AddrPort, m permit.Request) requirements {
 	req := requirements{
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -42,6 +42,8 @@
 // localRequest is a caller's request at this instance.
 type localRequest struct {
 	grants chan grant
+	// rejections receives the reason if the request is rejected while it waits.
+	rejections chan *rejection
 }
 
 // peerRequest is a request at another instance, which asked this one to place it.
@@ -277,7 +279,9 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.queue.timerSet = false
-		p.dispatch(p.options.Now())
+		now := p.options.Now()
+		p.dispatch(now)
+		p.endHopelessWaits(now)
 		p.requestMissingLoads()
 	}
 	if p.queue.timer == nil {
--- a/internal/counter/unheld.go
+++ b/internal/counter/unheld.go
@@ -37,12 +37,64 @@
 	return req.maxWait()
 }
 
-// rejectUnheld decides whether a request without a holder of its version is rejected, if an engine of the version
-// is known to have loaded the model in loadTime, 0 if none is. It returns nil if the request may wait. If the load
-// comes too late for it, it does so for a later attempt as well, which gets no Retry-After time.
-func (req *requirements) rejectUnheld(now time.Time, loadTime time.Duration) *rejection {
-	if loadTime < req.arrived.Add(req.maxLoadWait()).Sub(now) {
+// modelLoad is the load of a model by an engine of a software version, as far as it is known.
+type modelLoad struct {
+	// left is the time until it is done, 0 if no engine has begun it.
+	left time.Duration
+	// unavailable is true if the leader has just stated that no engine can hold the model in time.
+	unavailable bool
+}
+
+// rejectUnheld decides whether a request without a holder of its version is rejected. It returns nil if the
+// request may wait. If the load comes too late for it, it does so for a later attempt as well, which gets no
+// Retry-After time.
+func (req *requirements) rejectUnheld(now time.Time, load modelLoad) *rejection {
+	left := req.arrived.Add(req.maxLoadWait()).Sub(now)
+	switch {
+	case load.unavailable:
+		retryAfter := req.retryAfterLoad(now, 0, false)
+		if retryAfter >= left {
+			retryAfter = 0
+		}
+		return &rejection{reason: permit.ModelUnavailable, retryAfter: retryAfter}
+	case load.left > 0 && load.left >= left:
+		return &rejection{reason: permit.ModelUnavailable}
+	default:
+		return nil
+	}
+}
+
+// rejectByVersion decides whether a request is rejected because of the upstreams of its software version. It
+// returns nil if the request may wait. p.mu is held.
+func (p *Proxy) rejectByVersion(now time.Time, w *waiter) *rejection {
+	req := &w.requirements
+	switch {
+	case w.missing == missingVersion:
+		return &rejection{reason: permit.VersionUnavailable, retryAfter: req.retryAfterLoad(now, 0, false)}
+	case w.lacksHolder():
+		left, _ := p.pool.loadTime(now, req.query())
+		return req.rejectUnheld(now, modelLoad{left: left, unavailable: p.loadLimiter.isUnavailable(now, req.loadArgs(w.missing))})
+	default:
 		return nil
 	}
-	return &rejection{reason: permit.ModelUnavailable}
+}
+
+// endHopelessWaits rejects the waiting requests that no upstream of their software version can serve in time any
+// more. p.mu is held.
+func (p *Proxy) endHopelessWaits(now time.Time) {
+	ended := map[*waiter]*rejection{}
+	for _, w := range p.queue.waiters {
+		if rejected := p.rejectByVersion(now, w); rejected != nil {
+			ended[w] = rejected
+		}
+	}
+	for w, rejected := range ended {
+		p.reject(now, w, rejected)
+		switch to := w.requester.(type) {
+		case localRequest:
+			to.rejections <- rejected
+		case peerRequest:
+			p.refusePermit(to, rejected)
+		}
+	}
 }
