counter: failing specs of the reason with which a bound stream is refused

All 4 fail on this code: the text is 'no upstream: room' at the instance that does not own the model, also if nobody holds it, 'no upstream: model' at the owner and after a rejection, and Retry-After is given when no time is left.

--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 
@@ -120,6 +121,24 @@
 		Entry("at the other", SpecTimeout(specTimeout), 1),
 	)
 
+	DescribeTable("is refused with the reason, and asked to return only if there is time",
+		func(resumedAt int, load courier.WantReply, timeout time.Duration, returns bool) {
+			g := newUnheldGroup(context.Background(), 2)
+			g.control.setLoads(map[int]courier.WantReply{1: load})
+			request := httptest.NewRequest(http.MethodPost, "http://spec.test/draft/", nil)
+			request.Header = named("s1")
+			recorder := httptest.NewRecorder()
+			g.peers[resumedAt].proxy.ServeRequest(recorder, request, counter.Call{ID: "s2", Resumes: "s1", Timeout: timeout, Model: resumedModel})
+			Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
+			Expect(recorder.Body.String()).To(Equal("no upstream: model at the stream's software version\n"))
+			Expect(recorder.Header().Get("Retry-After") != "").To(Equal(returns))
+		},
+		Entry("after its wait at one instance", 0, courier.WantReply{}, 400*time.Millisecond, false),
+		Entry("after its wait at the other", 1, courier.WantReply{}, 400*time.Millisecond, false),
+		Entry("if it can't be loaded at one instance", 0, courier.WantReply{Unavailable: true}, 5*time.Second, true),
+		Entry("if it can't be loaded at the other", 1, courier.WantReply{Unavailable: true}, 5*time.Second, true),
+	)
+
 	// Its caller leaves 10 s after its arrival.
 	DescribeTable("waits for a load that leaves time to run",
 		func(loading string, loadTime time.Duration, waits bool) {
