counter: a bound stream is refused with what it lacks

Cause of 'room' with no holder, which the users traced: an instance whose request waited in vain at the owner of the model never knew what was missing there and always said 'room'. Change: it looks at what it knows itself; for requests that are not bound the word stays. The text is "no upstream: model at the stream's software version" after a wait and after a rejection, at owners and elsewhere. Retry-After is left out if the caller has no time for another attempt.

--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -29,7 +29,7 @@
 		return granted, true
 	case errors.As(err, &rejected) && t.possibleRuns == 0:
 		t.proxy.refuse(w, t.call, t.route, refusal{
-			status: http.StatusServiceUnavailable, text: rejected.Error(), retryAfter: rejected.retryAfter,
+			status: http.StatusServiceUnavailable, text: t.rejectionText(rejected.reason), retryAfter: rejected.retryAfter,
 			forecastWait: rejected.forecastWait, waited: t.proxy.options.Now().Sub(t.arrived), survey: &rejected.survey,
 			owner: t.owner, reserved: rejected.reserved,
 			sharedWorkspace: t.requirements.workspace, relativeUse: rejected.relativeUse,
@@ -92,11 +92,19 @@
 	t.abortIfCallerLeft("the caller left while the request waited")
 	now := p.options.Now()
 	p.refuse(w, t.call, t.route, refusal{
-		status: http.StatusServiceUnavailable, text: "no upstream: " + t.lastMissing.String(), retryAfter: t.retryAfterNow(),
+		status: http.StatusServiceUnavailable, text: t.noUpstreamText(t.lastMissing), retryAfter: t.retryAfterVain(now),
 		waited: now.Sub(t.arrived), survey: p.surveyUpstreams(now, t), owner: t.owner, sharedWorkspace: t.requirements.workspace,
 	})
 }
 
+// retryAfterVain returns the Retry-After time of a request that has waited in vain.
+func (t *transaction) retryAfterVain(now time.Time) time.Duration {
+	if t.software.Bound && t.lastMissing == missingModel {
+		return t.retryAfterUnheld(now)
+	}
+	return t.retryAfterNow()
+}
+
 // abortIfCallerLeft ends the request without a response if its caller has disconnected.
 func (t *transaction) abortIfCallerLeft(message string) {
 	if t.request.Context().Err() != nil {
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -56,17 +56,23 @@
 	reserved bool
 }
 
-// Error returns the text sent to the caller, which is also the metric tag of the refusal.
+// Error returns the reason.
 func (r *rejection) Error() string {
-	switch r.reason {
+	return (&requirements{}).rejectionText(r.reason)
+}
+
+// rejectionText returns the text sent to the caller of a rejected request, which is also the metric tag of the
+// refusal.
+func (req *requirements) rejectionText(reason permit.Reason) string {
+	switch reason {
 	case permit.ModelUnavailable:
-		return "no upstream: " + missingModel.String()
+		return req.noUpstreamText(missingModel)
 	case permit.LimitsExhausted:
 		return limitsReached
 	case permit.UpstreamsPushBack:
 		return "upstreams push back"
 	case permit.VersionUnavailable:
-		return "no upstream: " + missingVersion.String()
+		return req.noUpstreamText(missingVersion)
 	default:
 		return "too many requests wait"
 	}
--- a/internal/counter/ownerclient.go
+++ b/internal/counter/ownerclient.go
@@ -74,7 +74,9 @@
 		// A grant may be in transit.
 		p.peers.send(owner, permit.Release{ID: id})
 		if ctx.Err() != nil {
-			t.lastMissing = missingCapacity
+			p.mu.Lock()
+			t.lastMissing = p.missingAfterWait(p.options.Now(), &t.requirements)
+			p.mu.Unlock()
 			return grant{}, ctx.Err()
 		}
 		p.avoidOwner(owner, unresponsiveAvoidance)
--- a/internal/counter/unheld.go
+++ b/internal/counter/unheld.go
@@ -52,11 +52,7 @@
 	left := req.arrived.Add(req.maxLoadWait()).Sub(now)
 	switch {
 	case load.unavailable:
-		retryAfter := req.retryAfterLoad(now, 0, false)
-		if retryAfter >= left {
-			retryAfter = 0
-		}
-		return &rejection{reason: permit.ModelUnavailable, retryAfter: retryAfter}
+		return &rejection{reason: permit.ModelUnavailable, retryAfter: req.retryAfterUnheld(now)}
 	case load.left > 0 && load.left >= left:
 		return &rejection{reason: permit.ModelUnavailable}
 	default:
@@ -64,6 +60,36 @@
 	}
 }
 
+// retryAfterUnheld returns the Retry-After time of a request whose model is not loaded at its version, 0 if a
+// later attempt has no time to run.
+func (req *requirements) retryAfterUnheld(now time.Time) time.Duration {
+	retryAfter := req.retryAfterLoad(now, 0, false)
+	if now.Add(retryAfter).Before(req.arrived.Add(req.maxLoadWait())) {
+		return retryAfter
+	}
+	return 0
+}
+
+// modelAtVersion is the text to the caller of a stream whose model no engine of its version holds in time.
+const modelAtVersion = "no upstream: model at the stream's software version"
+
+// noUpstreamText returns the text to a caller whose request lacks a resource.
+func (req *requirements) noUpstreamText(missing missingResource) string {
+	if req.software.Bound && missing == missingModel {
+		return modelAtVersion
+	}
+	return "no upstream: " + missing.String()
+}
+
+// missingAfterWait returns what a request lacks that has waited in vain at another instance, by what is known here.
+// p.mu is held.
+func (p *Proxy) missingAfterWait(now time.Time, req *requirements) missingResource {
+	if req.software.Bound && p.pool.lacksModel(now, req.query()) {
+		return p.pool.missingInService(now, req.query())
+	}
+	return missingCapacity
+}
+
 // rejectByVersion decides whether a request is rejected because of the upstreams of its software version. It
 // returns nil if the request may wait. p.mu is held.
 func (p *Proxy) rejectByVersion(now time.Time, w *waiter) *rejection {
