--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -43,6 +43,16 @@
 	Expect(queue.Demand(start)["v1"].Waiting).To(Equal(1))
 })
 
+var _ = It("Streams whose last holder has just refused for lack of the model are reported so too", func() {
+	pool := versionedPool()
+	queue := counter.NewQueue(pool, 1)
+	queue.Enqueue(start, "m", time.Second)
+	queue.EnqueueBound(start, "m", "v2")
+	Expect(queue.Demand(start)).NotTo(HaveKey("v2"))
+	pool.Misdirect(start, "e-v2", "m")
+	Expect(queue.Demand(start)).To(HaveKeyWithValue("v2", HaveField("Waiting", 1)))
+})
+
 // newUnheldGroup returns instances at which a stream "s1" of v1 has begun. Then the holder of its model left: only
 // "e3" of v2 has the model, and "e2" of v1 could load it.
 func newUnheldGroup(ctx context.Context, instances int) *resumptionGroup {
--- a/internal/counter/export_bound_test.go
+++ b/internal/counter/export_bound_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
@@ -14,6 +15,11 @@
 	return q.enqueue(arrived, w)
 }
 
+// Misdirect records that an upstream has refused a request because it lacks the model.
+func (p UpstreamPool) Misdirect(now time.Time, name, model string) {
+	p.pool.byName[name].recordOutcome(now, target{model: model}, permit.ModelAbsent)
+}
+
 // Rejection returns whether a request that was just enqueued is rejected, and the Retry-After time.
 func (q Queue) Rejection(now time.Time, w *waiter) (retryAfter time.Duration, rejected bool) {
 	q.proxy.mu.Lock()
