counter: an engine that refused for lack of the model holds it no longer

Cause: the index of holders is rebuilt with the next report of the engines, and the demand and the wait of bound streams took its entries for holders. Change: they look at the engine's models, as the choice does.

--- a/internal/counter/choose.go
+++ b/internal/counter/choose.go
@@ -117,10 +117,13 @@
 	}
 }
 
-// lacksModel reports whether no upstream that is eligible for q has loaded its model.
+// lacksModel reports whether no upstream that is eligible for q has loaded its model. The index may still have
+// those that have just refused a request for lack of it.
 func (p *upstreamPool) lacksModel(now time.Time, q upstreamQuery) bool {
-	for range p.eligible(now, q) {
-		return false
+	for u := range p.eligible(now, q) {
+		if u.canRun(q.model, "") {
+			return false
+		}
 	}
 	return q.model != ""
 }
