--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -166,3 +166,40 @@
 		Entry("but not for one that ends with its caller's time", "m", 10*time.Second, false),
 	)
 })
+
+var _ = It("The metric of resumed streams tells what became of each", func(ctx SpecContext) {
+	g := newUnheldGroup(ctx, 1)
+	g.callerTimeout = 400 * time.Millisecond
+	proxy := g.peers[0].proxy
+	results, expected := proxy.CountResumptions(), map[string]int64{}
+	resume := func(id, result string) {
+		GinkgoHelper()
+		g.resume(ctx, 0, id)
+		expected[result]++
+		Eventually(ctx, results).Should(Equal(expected))
+	}
+	holder := func(name string, u *upstream) {
+		GinkgoHelper()
+		g.control.announceVersion("v1", name, u.address(), resumedModel)
+		Eventually(ctx, proxy.IncarnationOf(name)).ShouldNot(BeZero())
+	}
+	leave := func(name string) {
+		GinkgoHelper()
+		g.control.announceLeave(name)
+		Eventually(ctx, proxy.KnowsLeave(name)).Should(BeTrue())
+	}
+	resume("never-begun", "refused-unknown")
+	resume("s1", "refused-no-time")
+	g.control.setLoads(map[int]courier.WantReply{g.control.loadCallCount() + 1: {Unavailable: true}})
+	resume("s1", "refused-no-holder")
+	leave("e2")
+	resume("s1", "refused-no-version")
+	holder("e4", newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(idHeader, r.Header.Get(idHeader))
+		w.WriteHeader(http.StatusBadRequest)
+	}))
+	resume("s1", "other")
+	leave("e4")
+	holder("e5", newVersionedUpstream("v1").upstream)
+	resume("s1", "went-on")
+}, SpecTimeout(specTimeout))
--- a/internal/counter/export_bound_test.go
+++ b/internal/counter/export_bound_test.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
@@ -15,6 +17,24 @@
 	return q.enqueue(arrived, w)
 }
 
+// CountResumptions returns a function that returns how often each result of a resumed stream has been counted since
+// this call.
+func (p *Proxy) CountResumptions() func() map[string]int64 {
+	scope := tally.NewTestScope("", nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.metrics = newMetrics(scope)
+	return func() map[string]int64 {
+		results := map[string]int64{}
+		for _, counter := range scope.Snapshot().Counters() {
+			if counter.Name() == "counter.resumed_stream_results" {
+				results[counter.Tags()["result"]] = counter.Value()
+			}
+		}
+		return results
+	}
+}
+
 // Misdirect records that an upstream has refused a request because it lacks the model.
 func (p UpstreamPool) Misdirect(now time.Time, name, model string) {
 	p.pool.byName[name].recordOutcome(now, target{model: model}, permit.ModelAbsent)
