counter: a metric of what became of resumed streams

Cause: the metric counted how the origin of a stream was found, so that refusals for lack of an engine looked like streams that went on. Change: resumed_stream_results counts each request that resumes a stream once, at its end, by its result; resumed_streams stays as it is.

--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -28,6 +28,7 @@
 		t.prefillAhead = granted.prefillAhead
 		return granted, true
 	case errors.As(err, &rejected) && t.possibleRuns == 0:
+		t.resumptionResult = resultOfRejection(rejected.reason)
 		t.proxy.refuse(w, t.call, t.route, refusal{
 			status: http.StatusServiceUnavailable, text: t.rejectionText(rejected.reason), retryAfter: rejected.retryAfter,
 			forecastWait: rejected.forecastWait, waited: t.proxy.options.Now().Sub(t.arrived), survey: &rejected.survey,
@@ -91,6 +92,7 @@
 	}
 	t.abortIfCallerLeft("the caller left while the request waited")
 	now := p.options.Now()
+	t.resumptionResult = resultAfterWait(t.lastMissing)
 	p.refuse(w, t.call, t.route, refusal{
 		status: http.StatusServiceUnavailable, text: t.noUpstreamText(t.lastMissing), retryAfter: t.retryAfterVain(now),
 		waited: now.Sub(t.arrived), survey: p.surveyUpstreams(now, t), owner: t.owner, sharedWorkspace: t.requirements.workspace,
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -50,9 +50,11 @@
 	// proofWaits counts requests that waited for a proof of the routes.
 	proofWaits tally.Counter
 	// resumptions counts streams that callers resume, by the source of their origin, and
-	// originReports the origins reported to other instances.
-	resumptions   map[string]tally.Counter
-	originReports tally.Counter
+	// resumptionResults by what became of them. originReports counts the origins reported to other
+	// instances.
+	resumptions       map[string]tally.Counter
+	resumptionResults map[string]tally.Counter
+	originReports     tally.Counter
 	// reservations counts what became of reservations.
 	reservations map[string]tally.Counter
 	// quotaDecisions counts the quota decisions on this instance's requests, by workspace.
@@ -114,7 +116,7 @@
 		confirmations:  map[string]tally.Counter{},
 		livenessChecks: map[string]tally.Counter{},
 		plainRefusals:  map[string]tally.Counter{},
-		resumptions:    map[string]tally.Counter{},
+		resumptions:    map[string]tally.Counter{}, resumptionResults: map[string]tally.Counter{},
 		reservations:   map[string]tally.Counter{},
 		originReports:  scope.Counter("stream_origin_reports"),
 		quotaDecisions: map[quotaDecisionKey]tally.Counter{},
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -110,6 +110,7 @@
 	readErr, writeErr := copyChunks(w, response.Body, func(bytes int) {
 		a.bodyStarted = true
 		a.bodyBytes += int64(bytes)
+		t.resumptionResult = resumptionWentOn
 		t.timing.recordChunk(t.proxy.options.Now())
 	})
 	if writeErr == nil {
@@ -148,6 +149,7 @@
 		end.Abort()
 	}
 	end.Complete()
+	t.resumptionResult = resumptionWentOn
 	t.completeOrigin()
 	t.proxy.logAttempt(t, a, "answered", status, "")
 }
--- a/internal/counter/resumption.go
+++ b/internal/counter/resumption.go
@@ -76,6 +76,7 @@
 	t.proxy.countResumption(source)
 	if source == originUnknown {
 		t.abortIfCallerLeft("the caller left while the origin of its stream was searched for")
+		t.resumptionResult = resumptionUnknown
 		t.proxy.refuse(w, t.call, t.route, refusal{
 			status: http.StatusServiceUnavailable, text: "the software version of the stream is unknown",
 			retryAfter: t.untilVersionsKnown(), originSearch: &t.originSearch,
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -51,6 +51,8 @@
 	// originSource tells how the origin of the stream that the request resumes was found. It is empty for
 	// other requests.
 	originSource originSource
+	// resumptionResult is what became of the request if it resumes a stream.
+	resumptionResult resumptionResult
 	// originSearch is what the control instances said of that stream.
 	originSearch originSearch
 	// timing and lastError, the error of the last failed attempt, are logged.
@@ -95,6 +97,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), t.deadline.Sub(p.options.Now()))
 	defer cancel()
+	defer t.countResumptionResult()
 	if !t.bindToOrigin(ctx, w) || !t.chargeQuota(ctx, w, scale(t.objective, quotaWaitShare)) {
 		return
 	}
