--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -90,6 +90,29 @@
 		Entry("at the other", SpecTimeout(specTimeout), 1),
 	)
 
+	// Its holder is full when it arrives, and leaves while it waits.
+	It("goes on once that is loaded, also if it was not missing at first", func(ctx SpecContext) {
+		g := newUnheldGroup(ctx, 1)
+		release := make(chan struct{})
+		full := newFakeUpstream(func(http.ResponseWriter, *http.Request) { <-release })
+		DeferCleanup(func() { close(release) })
+		g.control.announceVersion("v1", "e4", full.address(), resumedModel)
+		g.waitUntilKnown(4)
+		g.control.setLoads(map[int]courier.WantReply{6: {Engine: "e2"}})
+		for range 8 {
+			go func() { _, _, _ = g.post(ctx, 0, named("s1")) }()
+		}
+		Eventually(ctx, full.count).Should(Equal(8))
+		go func() {
+			defer GinkgoRecover()
+			Eventually(ctx, g.peers[0].proxy.Waiting).Should(Equal(1))
+			g.control.announceLeave("e4")
+		}()
+		status, version := g.resume(ctx, 0, "s1")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(version).To(Equal("v1"))
+	}, SpecTimeout(specTimeout))
+
 	DescribeTable("is refused at once, with all that wait for the same, if that can't be loaded",
 		func(ctx SpecContext, resumedAt int) {
 			g := newUnheldGroup(ctx, 2)
--- a/internal/counter/export_bound_test.go
+++ b/internal/counter/export_bound_test.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// Waiting returns the number of requests that wait here.
+func (p *Proxy) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.queue.waiters)
+}
+
 // Misdirect records that an upstream has refused a request because it lacks the model.
 func (p UpstreamPool) Misdirect(now time.Time, name, model string) {
 	p.pool.byName[name].recordOutcome(now, target{model: model}, permit.ModelAbsent)
