counter: a stream that loses its holder while it waits awaits the load

Cause: the time to wait was decided at the beginning of the wait. While an engine that has crashed still counts as a holder, or one is full, that is the time for room: 1.5 objectives or half the caller's time. Change: at the end of that time a stream that is bound to a version waits on if its model is missing then, until the caller's time leaves just the run.

--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -11,11 +11,7 @@
 // acquireUpstream waits for a grant to send the request. If none is issued in time, it answers the
 // caller and returns false.
 func (t *transaction) acquireUpstream(ctx context.Context, w http.ResponseWriter) (grant, bool) {
-	now := t.proxy.options.Now()
-	t.proxy.mu.Lock()
-	longest := t.proxy.waitLimit(now, &t.requirements)
-	t.proxy.mu.Unlock()
-	waitCtx, cancel := t.proxy.boundWait(ctx, t.arrived.Add(longest).Sub(now))
+	waitCtx, cancel := t.waitContext(ctx)
 	defer cancel()
 	t.joinGroup()
 	granted, err := t.acquireFromOwner(waitCtx)
--- a/internal/counter/unheld.go
+++ b/internal/counter/unheld.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"context"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/permit"
@@ -29,14 +30,6 @@
 	return req.maxWait()
 }
 
-// waitLimit returns how long the request may wait by what it lacks at now. p.mu is held.
-func (p *Proxy) waitLimit(now time.Time, req *requirements) time.Duration {
-	if req.software.Bound && p.pool.lacksModel(now, req.query()) {
-		return req.maxLoadWait()
-	}
-	return req.maxWait()
-}
-
 // modelLoad is the load of a model by an engine of a software version, as far as it is known.
 type modelLoad struct {
 	// left is the time until it is done, 0 if no engine has begun it.
@@ -124,3 +117,25 @@
 		}
 	}
 }
+
+// waitContext returns a context that ends when the request may no longer wait for an upstream. The holder of its model
+// may be lost while it waits.
+func (t *transaction) waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	p, req := t.proxy, t.requirements
+	now := p.options.Now()
+	bounded, cancel := p.boundWait(ctx, req.arrived.Add(req.longestWait()).Sub(now))
+	if !req.software.Bound {
+		return bounded, cancel
+	}
+	timer := time.AfterFunc(req.arrived.Add(req.maxWait()).Sub(now), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.pool.lacksModel(p.options.Now(), req.query()) {
+			cancel()
+		}
+	})
+	return bounded, func() {
+		timer.Stop()
+		cancel()
+	}
+}
