counter: the specs of bound streams that are refused are one table

The tables of what ends a wait, of the reason, and the metric's spec each set up the same group. One table has them all, at both instances: the time, the text, Retry-After and the result in the metric are now expected of each case, of three streams at once. Nothing that was expected is left out.

--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -76,19 +77,66 @@
 	return g
 }
 
+// resumeAll resumes the stream several times at once, and expects the same result of each in the metric.
+func (g *resumptionGroup) resumeAll(at int, result string, timeout time.Duration) []*httptest.ResponseRecorder {
+	GinkgoHelper()
+	results := g.peers[at].proxy.CountResumptions()
+	recorders := make([]*httptest.ResponseRecorder, 3)
+	var callers sync.WaitGroup
+	for n := range recorders {
+		recorders[n] = httptest.NewRecorder()
+		callers.Go(func() {
+			request := httptest.NewRequest(http.MethodPost, "http://spec.test/draft/", nil)
+			request.Header = named("s1")
+			request.Header.Set(idHeader, fmt.Sprint("r", n))
+			g.peers[at].proxy.ServeRequest(recorders[n], request, counter.Call{ID: fmt.Sprint("r", n), Resumes: "s1", Timeout: timeout, Model: resumedModel})
+		})
+	}
+	callers.Wait()
+	Expect(results()).To(Equal(map[string]int64{result: 3}))
+	return recorders
+}
+
+// once calls change when a condition holds.
+func once(ctx context.Context, value func() int, atLeast int, change func()) {
+	go func() {
+		defer GinkgoRecover()
+		Eventually(ctx, value).Should(BeNumerically(">=", atLeast))
+		change()
+	}()
+}
+
 var _ = Describe("A stream whose version lacks its model", func() {
-	// The route allows 2 s. After a call that brings nothing, the next one follows within 0.4 s.
-	DescribeTable("goes on once that is loaded, however long others would wait",
-		func(ctx SpecContext, resumedAt int) {
+	for at, name := range []string{"at one instance", "at the other"} {
+		// The route allows 2 s. After a call that brings nothing, the next one follows within 0.4 s.
+		It("goes on once that is loaded, however long others would wait, "+name, func(ctx SpecContext) {
 			g := newUnheldGroup(ctx, 2)
 			g.control.setLoads(map[int]courier.WantReply{6: {Engine: "e2"}})
-			status, version := g.resume(ctx, resumedAt, "s1")
-			Expect(status).To(Equal(http.StatusOK))
-			Expect(version).To(Equal("v1"))
-		},
-		Entry("at one instance", SpecTimeout(specTimeout), 0),
-		Entry("at the other", SpecTimeout(specTimeout), 1),
-	)
+			for _, answer := range g.resumeAll(at, "went-on", time.Minute) {
+				Expect(versionIn(answer.Body.String())).To(Equal("v1"))
+			}
+		}, SpecTimeout(specTimeout))
+
+		DescribeTable("is refused with the reason, and asked to return only if that may help, "+name,
+			func(ctx SpecContext, hopeless func(c *fakeControl), timeout time.Duration, result, reason string, returns bool) {
+				g := newUnheldGroup(ctx, 2)
+				once(ctx, g.control.loadCallCount, 2, func() { hopeless(g.control) })
+				began := time.Now()
+				for _, answer := range g.resumeAll(at, result, timeout) {
+					Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
+					Expect(answer.Body.String()).To(Equal("no upstream: " + reason + "\n"))
+					Expect(answer.Header().Get("Retry-After") != "").To(Equal(returns))
+				}
+				Expect(time.Since(began)).To(BeNumerically("<", 1500*time.Millisecond))
+			},
+			Entry("at once if the leader can't load that", SpecTimeout(specTimeout), (*fakeControl).setUnavailable, time.Minute,
+				"refused-no-holder", "model at the stream's software version", true),
+			Entry("at once when the last engine of the version leaves", SpecTimeout(specTimeout), func(c *fakeControl) { c.announceLeave("e2") },
+				time.Minute, "refused-no-version", "software version", true),
+			Entry("after its wait", SpecTimeout(specTimeout), func(*fakeControl) {}, 400*time.Millisecond,
+				"refused-no-time", "model at the stream's software version", false),
+		)
+	}
 
 	// Its holder is full when it arrives, and leaves while it waits.
 	It("goes on once that is loaded, also if it was not missing at first", func(ctx SpecContext) {
@@ -103,75 +151,12 @@
 			go func() { _, _, _ = g.post(ctx, 0, named("s1")) }()
 		}
 		Eventually(ctx, full.count).Should(Equal(8))
-		go func() {
-			defer GinkgoRecover()
-			Eventually(ctx, g.peers[0].proxy.Waiting).Should(Equal(1))
-			g.control.announceLeave("e4")
-		}()
+		once(ctx, g.peers[0].proxy.Waiting, 1, func() { g.control.announceLeave("e4") })
 		status, version := g.resume(ctx, 0, "s1")
 		Expect(status).To(Equal(http.StatusOK))
 		Expect(version).To(Equal("v1"))
 	}, SpecTimeout(specTimeout))
 
-	DescribeTable("is refused at once, with all that wait for the same, if that can't be loaded",
-		func(ctx SpecContext, resumedAt int) {
-			g := newUnheldGroup(ctx, 2)
-			loads := map[int]courier.WantReply{}
-			for call := range 20 {
-				loads[3+call] = courier.WantReply{Unavailable: true}
-			}
-			g.control.setLoads(loads)
-			began := time.Now()
-			var callers sync.WaitGroup
-			for range 3 {
-				callers.Go(func() {
-					defer GinkgoRecover()
-					status, _ := g.resume(ctx, resumedAt, "s1")
-					Expect(status).To(Equal(http.StatusServiceUnavailable))
-				})
-			}
-			callers.Wait()
-			Expect(time.Since(began)).To(BeNumerically("<", 1500*time.Millisecond))
-		},
-		Entry("at one instance", SpecTimeout(specTimeout), 0),
-		Entry("at the other", SpecTimeout(specTimeout), 1),
-	)
-
-	DescribeTable("is refused at once when the last engine of its version leaves",
-		func(ctx SpecContext, resumedAt int) {
-			g := newUnheldGroup(ctx, 2)
-			began := time.Now()
-			go func() {
-				defer GinkgoRecover()
-				Eventually(ctx, g.control.loadCallCount).Should(BeNumerically(">", 0))
-				g.control.announceLeave("e2")
-			}()
-			status, _ := g.resume(ctx, resumedAt, "s1")
-			Expect(status).To(Equal(http.StatusServiceUnavailable))
-			Expect(time.Since(began)).To(BeNumerically("<", 1500*time.Millisecond))
-		},
-		Entry("at one instance", SpecTimeout(specTimeout), 0),
-		Entry("at the other", SpecTimeout(specTimeout), 1),
-	)
-
-	DescribeTable("is refused with the reason, and asked to return only if there is time",
-		func(resumedAt int, load courier.WantReply, timeout time.Duration, returns bool) {
-			g := newUnheldGroup(context.Background(), 2)
-			g.control.setLoads(map[int]courier.WantReply{1: load})
-			request := httptest.NewRequest(http.MethodPost, "http://spec.test/draft/", nil)
-			request.Header = named("s1")
-			recorder := httptest.NewRecorder()
-			g.peers[resumedAt].proxy.ServeRequest(recorder, request, counter.Call{ID: "s2", Resumes: "s1", Timeout: timeout, Model: resumedModel})
-			Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
-			Expect(recorder.Body.String()).To(Equal("no upstream: model at the stream's software version\n"))
-			Expect(recorder.Header().Get("Retry-After") != "").To(Equal(returns))
-		},
-		Entry("after its wait at one instance", 0, courier.WantReply{}, 400*time.Millisecond, false),
-		Entry("after its wait at the other", 1, courier.WantReply{}, 400*time.Millisecond, false),
-		Entry("if it can't be loaded at one instance", 0, courier.WantReply{Unavailable: true}, 5*time.Second, true),
-		Entry("if it can't be loaded at the other", 1, courier.WantReply{Unavailable: true}, 5*time.Second, true),
-	)
-
 	// Its caller leaves 10 s after its arrival.
 	DescribeTable("waits for a load that leaves time to run",
 		func(loading string, loadTime time.Duration, waits bool) {
@@ -190,39 +175,16 @@
 	)
 })
 
-var _ = It("The metric of resumed streams tells what became of each", func(ctx SpecContext) {
+var _ = It("The metric of resumed streams tells of those that are unknown, or whose upstream answers otherwise", func(ctx SpecContext) {
 	g := newUnheldGroup(ctx, 1)
-	g.callerTimeout = 400 * time.Millisecond
-	proxy := g.peers[0].proxy
-	results, expected := proxy.CountResumptions(), map[string]int64{}
-	resume := func(id, result string) {
-		GinkgoHelper()
-		g.resume(ctx, 0, id)
-		expected[result]++
-		Eventually(ctx, results).Should(Equal(expected))
-	}
-	holder := func(name string, u *upstream) {
-		GinkgoHelper()
-		g.control.announceVersion("v1", name, u.address(), resumedModel)
-		Eventually(ctx, proxy.IncarnationOf(name)).ShouldNot(BeZero())
-	}
-	leave := func(name string) {
-		GinkgoHelper()
-		g.control.announceLeave(name)
-		Eventually(ctx, proxy.KnowsLeave(name)).Should(BeTrue())
-	}
-	resume("never-begun", "refused-unknown")
-	resume("s1", "refused-no-time")
-	g.control.setLoads(map[int]courier.WantReply{g.control.loadCallCount() + 1: {Unavailable: true}})
-	resume("s1", "refused-no-holder")
-	leave("e2")
-	resume("s1", "refused-no-version")
-	holder("e4", newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
+	results := g.peers[0].proxy.CountResumptions()
+	g.resume(ctx, 0, "never-begun")
+	Eventually(ctx, results).Should(Equal(map[string]int64{"refused-unknown": 1}))
+	g.control.announceVersion("v1", "e4", newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(idHeader, r.Header.Get(idHeader))
 		w.WriteHeader(http.StatusBadRequest)
-	}))
-	resume("s1", "other")
-	leave("e4")
-	holder("e5", newVersionedUpstream("v1").upstream)
-	resume("s1", "went-on")
+	}).address(), resumedModel)
+	g.waitUntilKnown(4)
+	g.resume(ctx, 0, "s1")
+	Eventually(ctx, results).Should(Equal(map[string]int64{"refused-unknown": 1, "other": 1}))
 }, SpecTimeout(specTimeout))
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -42,8 +42,10 @@
 	// calls received.
 	otherEntries []string
 	loadCalls    int
-	// loads maps the number of a load call to the reply. Others get one without an engine.
-	loads map[int]courier.WantReply
+	// loads maps the number of a load call to the reply. Others get one without an engine, which states that
+	// there can be none if unavailable is set.
+	loads       map[int]courier.WantReply
+	unavailable bool
 	// exactEntries, if set, are all entry instances.
 	exactEntries []string
 	// quarantine, if set, is served to the callers. reported holds the reported crashes.
@@ -188,7 +190,7 @@
 	if reply, found := c.loads[c.loadCalls]; found {
 		return reply
 	}
-	return courier.WantReply{Reason: "none"}
+	return courier.WantReply{Reason: "none", Unavailable: c.unavailable}
 }
 
 // setLoads sets the replies to load calls by their number.
@@ -198,6 +200,13 @@
 	c.loads = loads
 }
 
+// setUnavailable makes the control instance state that no engine can hold what is requested.
+func (c *fakeControl) setUnavailable() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unavailable = true
+}
+
 // reportedLimits returns the limits in the latest sync.
 func (c *fakeControl) reportedLimits() []courier.LimitedUpstream {
 	c.mu.Lock()
