counter: the load that many streams await is looked up once

Each of the streams that wait for a load searched all engines for it every 4 ms. At 1,100 engines and hundreds of streams that is a part of a core (by calculation, not measured). One search now serves all streams of a model and version in one pass, as it does in the choice of engines.

--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -82,7 +82,7 @@
 // request may wait. p.mu is held.
 func (p *Proxy) rejectionFor(now time.Time, w *waiter) *rejection {
 	req := &w.requirements
-	if rejected := p.rejectByVersion(now, w); rejected != nil || w.lacksHolder() {
+	if rejected := p.rejectByVersion(now, w, nil); rejected != nil || w.lacksHolder() {
 		return rejected
 	}
 	if rejected := p.rejectHeldBack(now, w); rejected != nil {
--- a/internal/counter/unheld.go
+++ b/internal/counter/unheld.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
 )
 
@@ -83,27 +84,42 @@
 	return missingCapacity
 }
 
+// loadOf returns the load of the model that a request lacks, from known if it is there, to which it is added unless
+// that is nil. p.mu is held.
+func (p *Proxy) loadOf(now time.Time, w *waiter, known map[courier.WantArgs]modelLoad) modelLoad {
+	args := w.requirements.loadArgs(w.missing)
+	load, found := known[args]
+	if found {
+		return load
+	}
+	load.left, _ = p.pool.loadTime(now, w.requirements.query())
+	load.unavailable = p.loadLimiter.isUnavailable(now, args)
+	if known != nil {
+		known[args] = load
+	}
+	return load
+}
+
 // rejectByVersion decides whether a request is rejected because of the upstreams of its software version. It
 // returns nil if the request may wait. p.mu is held.
-func (p *Proxy) rejectByVersion(now time.Time, w *waiter) *rejection {
+func (p *Proxy) rejectByVersion(now time.Time, w *waiter, known map[courier.WantArgs]modelLoad) *rejection {
 	req := &w.requirements
 	switch {
 	case w.missing == missingVersion:
 		return &rejection{reason: permit.VersionUnavailable, retryAfter: req.retryAfterLoad(now, 0, false)}
 	case w.lacksHolder():
-		left, _ := p.pool.loadTime(now, req.query())
-		return req.rejectUnheld(now, modelLoad{left: left, unavailable: p.loadLimiter.isUnavailable(now, req.loadArgs(w.missing))})
+		return req.rejectUnheld(now, p.loadOf(now, w, known))
 	default:
 		return nil
 	}
 }
 
 // endHopelessWaits rejects the waiting requests that no upstream of their software version can serve in time any
-// more. p.mu is held.
+// more. Hundreds of streams may wait for one load, and the engines are examined once for all of them. p.mu is held.
 func (p *Proxy) endHopelessWaits(now time.Time) {
-	ended := map[*waiter]*rejection{}
+	ended, loads := map[*waiter]*rejection{}, map[courier.WantArgs]modelLoad{}
 	for _, w := range p.queue.waiters {
-		if rejected := p.rejectByVersion(now, w); rejected != nil {
+		if rejected := p.rejectByVersion(now, w, loads); rejected != nil {
 			ended[w] = rejected
 		}
 	}
