--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -42,6 +42,10 @@
 	// calls received.
 	otherEntries []string
 	loadCalls    int
+	// loads maps the number of a load call to the reply. Others get one without an engine, which states that
+	// there can be none if unavailable is set.
+	loads       map[int]courier.WantReply
+	unavailable bool
 	// exactEntries, if set, are all entry instances.
 	exactEntries []string
 	// quarantine, if set, is served to the callers. reported holds the reported crashes.
@@ -195,7 +199,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.loadCalls++
-	return courier.WantReply{Reason: "none"}
+	if reply, found := c.loads[c.loadCalls]; found {
+		return reply
+	}
+	return courier.WantReply{Reason: "none", Unavailable: c.unavailable}
+}
+
+// setLoads sets the replies to load calls by their number.
+func (c *fakeControl) setLoads(loads map[int]courier.WantReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loads = loads
+}
+
+// setUnavailable makes the control instance state that no engine can hold what is requested.
+func (c *fakeControl) setUnavailable() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unavailable = true
 }
 
 // reportedLimits returns the limits in the latest sync.
--- a/internal/counter/forecast.go
+++ b/internal/counter/forecast.go
@@ -56,17 +56,23 @@
 	reserved bool
 }
 
-// Error returns the text sent to the caller, which is also the metric tag of the refusal.
+// Error returns the reason.
 func (r *rejection) Error() string {
-	switch r.reason {
+	return (&requirements{}).rejectionText(r.reason)
+}
+
+// rejectionText returns the text sent to the caller of a rejected request, which is also the metric tag of the
+// refusal.
+func (req *requirements) rejectionText(reason permit.Reason) string {
+	switch reason {
 	case permit.ModelUnavailable:
-		return "no upstream: " + missingModel.String()
+		return req.noUpstreamText(missingModel)
 	case permit.LimitsExhausted:
 		return limitsReached
 	case permit.UpstreamsPushBack:
 		return "upstreams push back"
 	case permit.VersionUnavailable:
-		return "no upstream: " + missingVersion.String()
+		return req.noUpstreamText(missingVersion)
 	default:
 		return "too many requests wait"
 	}
@@ -76,8 +82,8 @@
 // request may wait. p.mu is held.
 func (p *Proxy) rejectionFor(now time.Time, w *waiter) *rejection {
 	req := &w.requirements
-	if w.missing == missingVersion {
-		return &rejection{reason: permit.VersionUnavailable, retryAfter: req.retryAfterLoad(now, 0, false)}
+	if rejected := p.rejectByVersion(now, w, nil); rejected != nil || w.lacksHolder() {
+		return rejected
 	}
 	if rejected := p.rejectHeldBack(now, w); rejected != nil {
 		return rejected
@@ -110,11 +116,16 @@
 		// The caller will retry, so the leader must learn that the model is wanted.
 		p.requestLoad(w)
 	}
+	p.reject(now, w, rejected)
+	return rejected
+}
+
+// reject removes a rejected request from the queue and completes the rejection. p.mu is held.
+func (p *Proxy) reject(now time.Time, w *waiter, rejected *rejection) {
 	p.reserve(now, w, rejected)
 	rejected.survey = p.pool.survey(now, w.requirements.query())
 	p.recordShareRejection(now, w, rejected)
 	p.dequeue(w)
-	return rejected
 }
 
 // forecastWait returns the expected wait of a request for which no upstream has capacity: the
@@ -132,7 +143,7 @@
 	}
 	ahead, ownAhead := 0, 0
 	for _, other := range p.queue.waiters {
-		if other == w || other.requirements.model != req.model || !other.goesBefore(now, w) {
+		if other == w || other.requirements.model != req.model || other.lacksHolder() || !other.goesBefore(now, w) {
 			continue
 		}
 		ahead++
