counter: a load call states how long its streams wait

The leader refuses a load at once that takes longer than its callers wait, if it knows their time. The call states the longest of those that wait for it. The expectation added to 'goes on once that is loaded' failed before (0).

--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -115,6 +115,7 @@
 			for _, answer := range g.resumeAll(at, "went-on", time.Minute) {
 				Expect(versionIn(answer.Body.String())).To(Equal("v1"))
 			}
+			Expect(g.control.statedLoadWait()).To(BeNumerically("~", 2*time.Second, time.Second), "the leader refuses what comes later")
 		}, SpecTimeout(specTimeout))
 
 		DescribeTable("is refused with the reason, and asked to return only if that may help, "+name,
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -42,6 +42,8 @@
 	// calls received.
 	otherEntries []string
 	loadCalls    int
+	// loadWait is the longest wait that a load call has stated.
+	loadWait time.Duration
 	// loads maps the number of a load call to the reply. Others get one without an engine, which states that
 	// there can be none if unavailable is set.
 	loads       map[int]courier.WantReply
@@ -195,10 +197,11 @@
 	return courier.GatherReply{}
 }
 
-func (c *fakeControl) Want(context.Context, courier.WantArgs) courier.WantReply {
+func (c *fakeControl) Want(_ context.Context, args courier.WantArgs) courier.WantReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.loadCalls++
+	c.loadWait = max(c.loadWait, args.Remaining)
 	if reply, found := c.loads[c.loadCalls]; found {
 		return reply
 	}
@@ -226,6 +229,13 @@
 	return c.syncs[len(c.syncs)-1].Limited
 }
 
+// statedLoadWait returns the longest wait that a load call has stated.
+func (c *fakeControl) statedLoadWait() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loadWait
+}
+
 // loadCallCount returns the number of load calls received.
 func (c *fakeControl) loadCallCount() int {
 	c.mu.Lock()
--- a/internal/counter/loads.go
+++ b/internal/counter/loads.go
@@ -187,7 +187,9 @@
 // callLeader makes one load call. If the callee is not the leader or does not answer, no further
 // calls are made until the next sync names a leader.
 func (p *Proxy) callLeader(ctx context.Context, leader string, args courier.WantArgs) courier.WantReply {
-	reply, err := p.control.loadCalls.RequestModel(ctx, leader, args)
+	sent := args
+	sent.Remaining = p.remainingFor(args)
+	reply, err := p.control.loadCalls.RequestModel(ctx, leader, sent)
 	now := p.options.Now()
 	if reply.Engine == "" {
 		p.logLine(now, "not loaded").Err(err).Str("model", args.Model).Str("adapter", args.Adapter).Str("reason", reply.Reason).
--- a/internal/counter/unheld.go
+++ b/internal/counter/unheld.go
@@ -114,6 +114,20 @@
 	}
 }
 
+// remainingFor returns the longest time for which a request that resumes a stream may still wait for a load, 0 if none
+// waits.
+func (p *Proxy) remainingFor(args courier.WantArgs) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, longest := p.options.Now(), time.Duration(0)
+	for _, w := range p.queue.waiters {
+		if w.lacksHolder() && w.requirements.loadArgs(w.missing) == args {
+			longest = max(longest, w.requirements.arrived.Add(w.requirements.maxLoadWait()).Sub(now))
+		}
+	}
+	return longest
+}
+
 // endHopelessWaits rejects the waiting requests that no upstream of their software version can serve in time any
 // more. Hundreds of streams may wait for one load, and the engines are examined once for all of them. p.mu is held.
 func (p *Proxy) endHopelessWaits(now time.Time) {
