--- a/internal/backoffice/origins.go
+++ b/internal/backoffice/origins.go
@@ -32,8 +32,10 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.options.Now()
-	origin, known := i.findOrigin(now, args.Stream)
-	return courier.OriginReply{Known: known, Origin: origin, KeptFor: now.Sub(i.startedAt)}
+	if origin, known := i.findOrigin(now, args.Stream); known {
+		return courier.OriginReply{Known: true, Origin: origin}
+	}
+	return courier.OriginReply{KeptFor: now.Sub(i.startedAt)}
 }
 
 // findOrigin returns the origin of a stream. i.mu is held.
