--- a/internal/stocking/candidate.go
+++ b/internal/stocking/candidate.go
@@ -19,7 +19,7 @@
 }
 
 // addCopy orders a copy of a model on the engine where it costs least, if there is one.
-func (p *planner) addCopy(s shortage) {
+func (p *planner) addCopy(s *shortage) {
 	var best candidate
 	for _, e := range p.engines {
 		c, ok := p.evaluate(s, e)
@@ -41,7 +41,7 @@
 const lastCopyPenaltySeconds = 2
 
 // evaluate returns the candidate for a copy on e. It returns false if e can't get one.
-func (p *planner) evaluate(s shortage, e *engineState) (c candidate, ok bool) {
+func (p *planner) evaluate(s *shortage, e *engineState) (c candidate, ok bool) {
 	m := s.model
 	if e.Unavailable || e.Throttled || e.Loading != "" || slices.Contains(e.holds, m) || !s.allows(e) {
 		return c, false
@@ -103,15 +103,15 @@
 // The last copy of a model is unloaded only if the model is idle and the other one has demand. On its
 // next request, the model comes back from the engine's memory or disk within a second or
 // two.
-func (p *planner) victim(s shortage, e *engineState) *modelState {
+func (p *planner) victim(s *shortage, e *engineState) *modelState {
 	var chosen, lastResort *modelState
 	lowestLoad := 0.0
 	for _, held := range e.holds {
-		if e.UsedMegabytes-held.Megabytes+s.model.Megabytes > e.Megabytes || p.isKept(held, e) && !s.isUnheld() {
+		if e.UsedMegabytes-held.Megabytes+s.model.Megabytes > e.Megabytes {
 			continue
 		}
 		if held.loaded < 2 {
-			if len(held.copies) < 2 && held.Idle && s.hasCallers() && lastResort == nil {
+			if len(held.copies) < 2 && held.Idle && s.hasCallers() && lastResort == nil && !p.isKept(s, held, e) {
 				lastResort = held
 			}
 			continue
@@ -120,7 +120,7 @@
 		if loadWithout > p.options.MaxLoad/2 && loadWithout >= s.demandPerCopy() {
 			continue
 		}
-		if chosen == nil || loadWithout < lowestLoad {
+		if (chosen == nil || loadWithout < lowestLoad) && !p.isKept(s, held, e) {
 			chosen, lowestLoad = held, loadWithout
 		}
 	}
@@ -128,9 +128,9 @@
 }
 
 // isKept reports whether the copy of a model on e is the last one at its software version, and streams that
-// began there may be resumed.
-func (p *planner) isKept(held *modelState, e *engineState) bool {
-	return held.KeptFor > 0 && !slices.ContainsFunc(held.copies, func(other *engineState) bool {
+// began there may be resumed. It yields only to requests for a model that no engine holds.
+func (p *planner) isKept(s *shortage, held *modelState, e *engineState) bool {
+	return held.KeptFor > 0 && !s.isUnheld() && !slices.ContainsFunc(held.copies, func(other *engineState) bool {
 		return other != e && other.SoftwareVersion == e.SoftwareVersion && slices.Contains(other.holds, held)
 	})
 }
@@ -138,7 +138,7 @@
 // addMove adds a candidate to the plan. If the copy needs room, this plan only unloads
 // the victim and a later one loads the copy: the room is free only once the engine
 // reports it.
-func (p *planner) addMove(c candidate, s shortage) {
+func (p *planner) addMove(c candidate, s *shortage) {
 	if len(p.moves) >= p.options.MaxMoves {
 		return
 	}
--- a/internal/stocking/earliest.go
+++ b/internal/stocking/earliest.go
@@ -14,7 +14,7 @@
 	if i < 0 {
 		return 0, false
 	}
-	s := shortage{model: p.models[i], reason: Bound, bound: &BoundWaiting{SoftwareVersion: version}}
+	s := &shortage{model: p.models[i], reason: Bound, bound: &BoundWaiting{SoftwareVersion: version}}
 	for _, e := range p.engines {
 		if !s.allows(e) {
 			continue
@@ -27,7 +27,7 @@
 }
 
 // earliestOn is EarliestCopy for one engine.
-func (p *planner) earliestOn(s shortage, e *engineState) (after time.Duration, ok bool) {
+func (p *planner) earliestOn(s *shortage, e *engineState) (after time.Duration, ok bool) {
 	m := s.model
 	loadTime, _ := e.loadTime(m)
 	switch {
@@ -43,7 +43,7 @@
 			continue
 		}
 		keptFor := time.Duration(0)
-		if p.isKept(held, e) && !s.isUnheld() {
+		if p.isKept(s, held, e) {
 			keptFor = held.KeptFor
 		}
 		if !ok || keptFor+loadTime < after {
--- a/internal/stocking/planner.go
+++ b/internal/stocking/planner.go
@@ -119,7 +119,7 @@
 func (p *planner) restoreUnheld() {
 	for _, m := range p.models {
 		if len(m.copies) == 0 {
-			p.addCopy(shortage{model: m, reason: Unreachable})
+			p.addCopy(&shortage{model: m, reason: Unreachable})
 		}
 	}
 }
@@ -171,7 +171,7 @@
 // it did. expectedLoad is the expected load of the spare copy. A copy from the weight store
 // is ordered only if the plan contains no other fetch.
 func (p *planner) tryAddSpare(m *modelState, expectedLoad float64) bool {
-	spare := shortage{model: m, reason: Spare}
+	spare := &shortage{model: m, reason: Spare}
 	var best candidate
 	for _, e := range p.engines {
 		c, ok := p.evaluate(spare, e)
--- a/internal/stocking/shortage.go
+++ b/internal/stocking/shortage.go
@@ -28,23 +28,23 @@
 }
 
 // allows reports whether a copy on e is of use.
-func (s shortage) allows(e *engineState) bool {
+func (s *shortage) allows(e *engineState) bool {
 	return s.bound == nil || s.bound.SoftwareVersion == e.SoftwareVersion
 }
 
 // hasCallers reports whether there are requests for the copy.
-func (s shortage) hasCallers() bool {
+func (s *shortage) hasCallers() bool {
 	return s.bound != nil || s.model.Demand > 0 || s.model.Waiting > 0
 }
 
 // isUnheld reports whether there are requests for a model that no engine holds or gets.
-func (s shortage) isUnheld() bool {
+func (s *shortage) isUnheld() bool {
 	return len(s.model.copies) == 0 && s.hasCallers()
 }
 
 // demandPerCopy returns the demand that the copy is expected to take, in engines. The demand for a model
 // is no reason for a copy at the version to which a few requests are bound.
-func (s shortage) demandPerCopy() float64 {
+func (s *shortage) demandPerCopy() float64 {
 	if s.bound != nil {
 		return 0
 	}
@@ -91,7 +91,7 @@
 		}
 		p.urgent = true
 		before := len(p.moves)
-		p.addCopy(worst)
+		p.addCopy(&worst)
 		if len(p.moves) == before {
 			skipped[worst.key()] = true
 		}
@@ -104,7 +104,7 @@
 	bound *BoundWaiting
 }
 
-func (s shortage) key() shortageKey {
+func (s *shortage) key() shortageKey {
 	return shortageKey{s.model, s.bound}
 }
 
