backoffice: requests bound to a version are missing a model only while they wait

Cause: while no such request waited, no plan asked how long they had found no copy, so the time went on. Those that came within 30 s were weighed by it, and came before models with a higher loss. Change: the time starts again once none waits.

--- a/internal/backoffice/bound.go
+++ b/internal/backoffice/bound.go
@@ -16,9 +16,14 @@
 func (o *orchestrator) boundDemand(now time.Time, service string) map[string][]demandKey {
 	bound := map[string][]demandKey{}
 	for key, demand := range o.demand {
-		if key.service == service && key.software.Bound && demand.totalWaiting(now) > 0 {
-			bound[key.model] = append(bound[key.model], key)
+		if key.service != service || !key.software.Bound {
+			continue
+		}
+		if demand.totalWaiting(now) == 0 {
+			demand.missingSince = time.Time{}
+			continue
 		}
+		bound[key.model] = append(bound[key.model], key)
 	}
 	for _, keys := range bound {
 		slices.SortFunc(keys, func(a, b demandKey) int {
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -7,6 +7,7 @@
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/stocking"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -88,6 +89,11 @@
 	return e.engine.loading
 }
 
+// Expected returns the model that the engine is expected to hold next, empty if there is none.
+func (e Engine) Expected() string {
+	return e.engine.expectedModel()
+}
+
 // IsLeaving reports whether the engine is known to be leaving.
 func (e Engine) IsLeaving() bool {
 	return e.engine.isLeaving()
@@ -182,6 +188,18 @@
 	return r.orchestrator.demand[keyOf(service, model)].rate(now)
 }
 
+// BoundTo returns a model with the requests that are bound to software versions, among engines of some
+// versions.
+func (r Reported) BoundTo(now time.Time, service, model string, versions ...string) stocking.Model {
+	r.orchestrator.engines = map[string]*engine{}
+	for _, version := range versions {
+		r.orchestrator.engines[version] = &engine{service: service, softwareVersion: version}
+	}
+	m := stocking.Model{Name: model}
+	r.orchestrator.addBound(now, &m, r.orchestrator.boundDemand(now, service)[model], nil)
+	return m
+}
+
 func (r Reported) AdapterInUse(adapter Adapter) bool {
 	return r.orchestrator.adapterInUse(adapter)
 }
