backoffice: failing spec of origins that are not copied after a failed call

originCopier.nextCall sets calledAt also when no call is due, every 125 ms, so that the second after a failed call never passes. Nothing is copied any more until the successor or this process changes.

--- a/internal/backoffice/origins_test.go
+++ b/internal/backoffice/origins_test.go
@@ -73,4 +73,18 @@
 		}
 		Eventually(ctx, c.knowing(ctx)).Should(BeNumerically(">", 1))
 	}, SpecTimeout(specTimeout))
+
+	// After a call without a reply, the time of the next one was put off each time that it was looked at.
+	It("is copied again after a call to the successor has failed", func(ctx SpecContext) {
+		Eventually(ctx, c.knowing(ctx)).Should(BeNumerically(">", 1))
+		copier, now := c.instances[c.seeds[0]].NewOriginCopier(), time.Now()
+		Expect(copier.IsCallDue(now)).To(BeTrue())
+		copier.Fail(now)
+		due := false
+		for range 16 {
+			now = now.Add(125 * time.Millisecond)
+			due = due || copier.IsCallDue(now)
+		}
+		Expect(due).To(BeTrue())
+	}, SpecTimeout(specTimeout))
 })
