backoffice: origins are copied again after a call that failed

The time of the last call is that of a call, not of a look: a second after a failed one, all origins are copied again. Before, one call without a reply ended the copying until the successor or this process changed.

--- a/internal/backoffice/origincopies.go
+++ b/internal/backoffice/origincopies.go
@@ -56,11 +56,12 @@
 	case c.successor == "":
 		i.uncopiedStreams = nil
 		return args, false
+	case c.process == 0 && !check:
+		// The next call copies all origins.
+		i.uncopiedStreams = nil
+		return args, false
 	case c.process == 0:
 		args.Streams = groupOrigins(now, &i.origins)
-		i.uncopiedStreams = nil
-		c.calledAt = now
-		return args, check
 	case len(args.Streams) == 0 && (!check || i.origins.Len() == 0):
 		return args, false
 	}
