backoffice: failing spec of a model that gets no room beside bound streams

A model that no engine holds may take the last copy of another one at a version. Once that is withdrawn, the streams of the version wait, and neededAgain calls the withdrawal off; the next plan chooses the same victim.

--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -68,6 +68,26 @@
 		}).WithTimeout(20 * time.Second).Should(BeTrue())
 	}, SpecTimeout(specTimeout))
 
+	// Each time that an engine was to make room, the streams at its version called that off.
+	It("make room for a model that no engine holds, though streams are bound to the one that they hold", func(ctx SpecContext) {
+		c := newTestCluster()
+		for _, name := range []string{"e1", "e2"} {
+			c.fakes.add(name, "b")
+			c.fakes.engines[name].models["b"] = make([]string, 1300)
+		}
+		c.putRoutes(ctx, c.seeds[0], 1)
+		c.announceAt(ctx, "127.0.0.1:9", "e1", "v1")
+		c.announceAt(ctx, "127.0.0.1:8", "e2", "v2")
+		waiting := []courier.Demand{
+			{Service: "pool", Model: "a", Requests: 1, Waiting: 1},
+			{Service: "pool", Model: "b", Waiting: 1, Software: resumption.BoundTo("v1")},
+		}
+		Eventually(ctx, func() bool {
+			c.syncWithLeader(ctx, waiting...)
+			return c.fakes.holds("e1", "a") || c.fakes.holds("e2", "a")
+		}).WithTimeout(15 * time.Second).Should(BeTrue())
+	}, SpecTimeout(specTimeout))
+
 	DescribeTable("are not waited for if none can hold the model in time",
 		func(ctx SpecContext, args courier.WantArgs, reason string) {
 			c := newHeldByLaterVersion(ctx)
