backoffice: bound streams don't call off the room of a model that no engine holds

neededAgain counts streams that are bound to the version of the engine only if an engine holds the model for which room is made.

--- a/internal/backoffice/models.go
+++ b/internal/backoffice/models.go
@@ -43,11 +43,13 @@
 }
 
 // neededAgain reports whether requests wait for the withdrawn model of e and no other
-// engine that they allow holds it.
+// engine that they allow holds it. Requests that are bound to a version don't keep it from
+// making room for a model that no engine holds: the next plan would choose the same victim.
 func (o *orchestrator) neededAgain(now time.Time, e *engine) bool {
 	key := keyOf(e.service, e.withdrawn)
+	bound := key.boundTo(e.softwareVersion)
 	return o.isWaitedFor(now, key) && !o.isHeldBeside(e, key) ||
-		o.isWaitedFor(now, key.boundTo(e.softwareVersion)) && !o.isHeldBeside(e, key.boundTo(e.softwareVersion))
+		o.isWaitedFor(now, bound) && !o.isHeldBeside(e, bound) && o.isHeldBeside(e, keyOf(e.service, e.replacement))
 }
 
 // isWaitedFor reports whether requests wait for a model. o.mu is held.
