backoffice: only the reply about an unknown stream says for how long origins are kept

Nothing else uses it, and "are found for the streams that entry instances have reported" failed since it was added (3 of 3): it compares the whole reply for a known stream.

--- a/internal/backoffice/origins.go
+++ b/internal/backoffice/origins.go
@@ -33,7 +33,10 @@
 	defer i.mu.Unlock()
 	now := i.options.Now()
 	origin, known := i.findOrigin(now, args.Stream)
-	return courier.OriginReply{Known: known, Origin: origin, KeptFor: now.Sub(i.startedAt)}
+	if !known {
+		return courier.OriginReply{KeptFor: now.Sub(i.startedAt)}
+	}
+	return courier.OriginReply{Known: true, Origin: origin}
 }
 
 // findOrigin returns the origin of a stream. i.mu is held.
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -56,7 +56,7 @@
 type OriginReply struct {
 	Known  bool
 	Origin resumption.Origin
-	// KeptFor is how long the callee has kept origins.
+	// KeptFor is how long the callee has kept origins. It is set if the stream is unknown.
 	KeptFor time.Duration
 }
 
