counter: streams wait apart only while engines of other versions are there

Found by review, by reading: a stream that is bound to the only version counted as one that awaits a load at its version, also where no other version is in service. It waited until its caller left, where it got 503 with Retry-After at once before, and the leader, which counts such waits with all others then, never ended them. Such requests wait and are reported like all others again. Beside it: a load that can't be done within the time of the callers that waited was refused for 0.4 s also to callers that may wait for longer. 'is refused like others while all engines are of its version' failed before.

--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -158,6 +158,19 @@
 		Expect(version).To(Equal("v1"))
 	}, SpecTimeout(specTimeout))
 
+	// The leader can't tell such waits from those of all others, and they would last until their callers leave.
+	It("is refused like others while all engines are of its version", func() {
+		pool := counter.NewUpstreamPool("here", lease)
+		engine := engineRecord("e1", "here", start, "other")
+		engine.Announcement.SoftwareVersion = "v1"
+		pool.Apply(start, engine)
+		queue := counter.NewQueue(pool, 1)
+		retryAfter, rejected := queue.Rejection(start, queue.EnqueueBound(start, "m", "v1"))
+		Expect(rejected).To(BeTrue())
+		Expect(retryAfter).To(BeNumerically(">", 0))
+		Expect(queue.Demand(start)).NotTo(HaveKey("v1"))
+	})
+
 	// Its caller leaves 10 s after its arrival.
 	DescribeTable("waits for a load that leaves time to run",
 		func(loading string, loadTime time.Duration, waits bool) {
--- a/internal/counter/loads.go
+++ b/internal/counter/loads.go
@@ -1,7 +1,9 @@
 package counter
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -52,8 +54,9 @@
 	failures int
 	// retryAt is the earliest time of the next call.
 	retryAt time.Time
-	// unavailable is true if the leader has stated that no engine can hold the target in time.
-	unavailable bool
+	// unavailableWithin is the time within which no engine can hold the target, as the leader has stated. It is 0
+	// if one may.
+	unavailableWithin time.Duration
 }
 
 // loadShare returns the calls per second that each instance may make at least.
@@ -103,17 +106,20 @@
 	l.failed[args] = failedLoad{failures: failures + 1, retryAt: now.Add(wait)}
 }
 
-// recordUnavailable records that the call whose result was recorded last has no prospect of success.
-func (l *loadLimiter) recordUnavailable(args courier.WantArgs) {
+// recordUnavailable records that the call whose result was recorded last has no prospect of success within a time,
+// and none at all if that is 0.
+func (l *loadLimiter) recordUnavailable(args courier.WantArgs, within time.Duration) {
 	failed := l.failed[args]
-	failed.unavailable = true
+	failed.unavailableWithin = cmp.Or(within, math.MaxInt64)
 	l.failed[args] = failed
 }
 
-// isUnavailable reports whether the latest call has no prospect of success and no other one is due.
-func (l *loadLimiter) isUnavailable(now time.Time, args courier.WantArgs) bool {
-	failed := l.failed[args]
-	return failed.unavailable && now.Before(failed.retryAt)
+// unavailableWithin returns the time within which a call has no prospect of success, 0 if it may have.
+func (l *loadLimiter) unavailableWithin(now time.Time, args courier.WantArgs) time.Duration {
+	if failed := l.failed[args]; now.Before(failed.retryAt) {
+		return failed.unavailableWithin
+	}
+	return 0
 }
 
 // requestLoad calls the leader to load the model or adapter that a waiting request is missing, if
@@ -199,7 +205,7 @@
 	defer p.mu.Unlock()
 	p.loadLimiter.recordResult(now, args, reply.Engine != "")
 	if reply.Unavailable {
-		p.loadLimiter.recordUnavailable(args)
+		p.loadLimiter.recordUnavailable(args, sent.Remaining)
 	}
 	if (err != nil || reply.NotLeader) && p.control.leader == leader {
 		p.control.leader = ""
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -22,6 +22,9 @@
 	placingInstances int
 	// missing is the resource that was missing when the request was last dispatched.
 	missing missingResource
+	// unheld is true if no engine of the software version to which the request is bound held its model then,
+	// while engines of other versions were there.
+	unheld bool
 	// countedWaiting is true while the request is counted in the reported demand as waiting.
 	countedWaiting bool
 	// boosted puts the request before all others.
@@ -163,7 +166,7 @@
 // takeDemand returns the demand since the last call. p.mu is held.
 func (p *Proxy) takeDemand(now time.Time) []courier.Demand {
 	return p.demand.flush(p.takeRunTimes(now), func(t boundTarget) bool {
-		return p.pool.lacksModel(now, upstreamQuery{service: t.service, model: t.model, software: resumption.BoundTo(t.version)})
+		return p.pool.lacksHolderOf(now, upstreamQuery{service: t.service, model: t.model, software: resumption.BoundTo(t.version)})
 	})
 }
 
@@ -218,7 +221,7 @@
 				chosen, missing = p.pool.choose(now, query, rand.Float64())
 			}
 		}
-		w.missing = missing
+		p.setMissing(now, w, missing)
 		if chosen == nil {
 			if cacheable {
 				failed[key] = missing
--- a/internal/counter/unheld.go
+++ b/internal/counter/unheld.go
@@ -2,19 +2,40 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 // A stream goes on at its software version only, of which few engines may be left. So it waits for the load
 // of its model for as long as its caller allows, while other requests are refused: their callers are better
 // off with another model, or later.
 
-// lacksHolder reports whether the request resumes a stream whose model no engine of its software version holds.
+// lacksHolder reports whether the request resumes a stream whose model no engine of its software version holds,
+// and engines of other versions are there. Otherwise it waits like all other requests.
 func (w *waiter) lacksHolder() bool {
-	return w.requirements.software.Bound && w.missing == missingModel
+	return w.unheld
+}
+
+// setMissing records the resource that was missing when the request was dispatched. p.mu is held.
+func (p *Proxy) setMissing(now time.Time, w *waiter, missing missingResource) {
+	w.missing = missing
+	w.unheld = missing == missingModel && p.pool.hasOtherVersion(now, w.requirements.service, w.requirements.software)
+}
+
+// hasOtherVersion reports whether upstreams of a service are available that software does not allow.
+func (p *upstreamPool) hasOtherVersion(now time.Time, service string, software resumption.Constraint) bool {
+	return software.Bound && slices.ContainsFunc(p.byService[service], func(u *upstream) bool {
+		return !software.Allows(u.software) && p.isAvailable(now, u)
+	})
+}
+
+// lacksHolderOf reports whether requests with a query wait apart from others, as lacksHolder does.
+func (p *upstreamPool) lacksHolderOf(now time.Time, q upstreamQuery) bool {
+	return p.lacksModel(now, q) && p.hasOtherVersion(now, q.service, q.software)
 }
 
 // maxLoadWait returns how long a request that resumes a stream may wait for the load of its model. Then there is
@@ -35,8 +56,9 @@
 type modelLoad struct {
 	// left is the time until it is done, 0 if no engine has begun it.
 	left time.Duration
-	// unavailable is true if the leader has just stated that no engine can hold the model in time.
-	unavailable bool
+	// unavailableWithin is the time within which no engine can hold the model, as the leader has just stated. It
+	// is 0 if one may.
+	unavailableWithin time.Duration
 }
 
 // rejectUnheld decides whether a request without a holder of its version is rejected. It returns nil if the
@@ -45,7 +67,7 @@
 func (req *requirements) rejectUnheld(now time.Time, load modelLoad) *rejection {
 	left := req.arrived.Add(req.maxLoadWait()).Sub(now)
 	switch {
-	case load.unavailable:
+	case left <= load.unavailableWithin:
 		return &rejection{reason: permit.ModelUnavailable, retryAfter: req.retryAfterUnheld(now)}
 	case load.left > 0 && load.left >= left:
 		return &rejection{reason: permit.ModelUnavailable}
@@ -78,7 +100,7 @@
 // missingAfterWait returns what a request lacks that has waited in vain at another instance, by what is known here.
 // p.mu is held.
 func (p *Proxy) missingAfterWait(now time.Time, req *requirements) missingResource {
-	if req.software.Bound && p.pool.lacksModel(now, req.query()) {
+	if p.pool.lacksHolderOf(now, req.query()) {
 		return p.pool.missingInService(now, req.query())
 	}
 	return missingCapacity
@@ -93,7 +115,7 @@
 		return load
 	}
 	load.left, _ = p.pool.loadTime(now, w.requirements.query())
-	load.unavailable = p.loadLimiter.isUnavailable(now, args)
+	load.unavailableWithin = p.loadLimiter.unavailableWithin(now, args)
 	if known != nil {
 		known[args] = load
 	}
@@ -160,7 +182,7 @@
 	timer := time.AfterFunc(req.arrived.Add(req.maxWait()).Sub(now), func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if !p.pool.lacksModel(p.options.Now(), req.query()) {
+		if !p.pool.lacksHolderOf(p.options.Now(), req.query()) {
 			cancel()
 		}
 	})
