--- /dev/null
+++ b/internal/backoffice/bound.go
@@ -0,0 +1,112 @@
+package backoffice
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/resumption"
+	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/stocking"
+)
+
+// boundDemand returns the requests that wait for models of a service at a software version, by model. o.mu
+// is held.
+func (o *orchestrator) boundDemand(now time.Time, service string) map[string][]demandKey {
+	bound := map[string][]demandKey{}
+	for key, demand := range o.demand {
+		if key.service != service || !key.software.Bound {
+			continue
+		}
+		if demand.totalWaiting(now) == 0 {
+			demand.missingSince = time.Time{}
+			continue
+		}
+		bound[key.model] = append(bound[key.model], key)
+	}
+	for _, keys := range bound {
+		slices.SortFunc(keys, func(a, b demandKey) int {
+			return strings.Compare(a.software.SoftwareVersion, b.software.SoftwareVersion)
+		})
+	}
+	return bound
+}
+
+// addBound adds requests that are bound to software versions to a model. While all engines are of the same
+// version, they wait like all others. o.mu is held.
+func (o *orchestrator) addBound(now time.Time, m *stocking.Model, bound []demandKey, held map[demandKey]bool) {
+	for _, key := range bound {
+		demand := o.demand[key]
+		if o.allAllowed(key) {
+			m.Waiting += demand.totalWaiting(now)
+			continue
+		}
+		m.Bound = append(m.Bound, stocking.BoundWaiting{
+			SoftwareVersion: key.software.SoftwareVersion, Waiting: demand.totalWaiting(now), MissingFor: demand.missingFor(now, held[key]),
+		})
+	}
+}
+
+// allAllowed reports whether all engines of a service are of the software version of the key. o.mu is held.
+func (o *orchestrator) allAllowed(key demandKey) bool {
+	for _, e := range o.engines {
+		if e.service == key.service && !key.software.Allows(e.softwareVersion) {
+			return false
+		}
+	}
+	return true
+}
+
+// keptTimeout returns for how long after the last request for a model the last copy at each software version
+// is kept, 0 if it is not: streams go on at the version that began them.
+func keptTimeout(table *routes.Table, records resumption.Records, service string) time.Duration {
+	if !table.HasResumableStreams(service) || records.Count(service) < 2 {
+		return 0
+	}
+	return min(table.ResumableTimeout(), resumption.MaxRetention)
+}
+
+// unavailableReason returns why a model can't be had in time at the software version to which requests are
+// bound, or an empty string if it may be. An instance that doesn't lead, or may lack engines or their state,
+// doesn't know. While no engine of another version is there, those of this one may be starting again. o.mu is
+// held.
+func (o *orchestrator) unavailableReason(now time.Time, args courier.WantArgs) string {
+	key := keyOf(args.Service, args.Model).boundTo(args.Software.SoftwareVersion)
+	if !args.Software.Bound || o.term == 0 || o.table == nil || o.allAllowed(key) || o.mayLackEngines(now) || o.stateUncertain(args) {
+		return ""
+	}
+	service := o.table.Service(args.Service)
+	if service == nil || service.Engine == nil {
+		return ""
+	}
+	after, ok := stocking.EarliestCopy(args.Model, args.Software.SoftwareVersion,
+		o.plannerModels(now, args.Service, service.Engine), o.plannerEngines(now, args.Service))
+	switch {
+	case !ok:
+		return "no engine of the software version can hold the model"
+	case args.Remaining > 0 && after > args.Remaining:
+		return "no engine of the software version can load the model in time"
+	default:
+		return ""
+	}
+}
+
+// mayLackEngines reports whether other instances may know engines that this one doesn't.
+func (o *orchestrator) mayLackEngines(now time.Time) bool {
+	voters := o.instance.voter.Status().Voters
+	o.instance.mu.Lock()
+	defer o.instance.mu.Unlock()
+	return o.instance.isRosterIncomplete(now, voters)
+}
+
+// stateUncertain reports whether an engine may hold the requested model without this instance knowing it, or
+// will hold it if its withdrawal is cancelled. o.mu is held.
+func (o *orchestrator) stateUncertain(args courier.WantArgs) bool {
+	for _, e := range o.engines {
+		if e.mayServe(args) && (!e.hasReport || e.stale || e.withdrawn == args.Model) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -5,7 +5,9 @@
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/stocking"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -87,6 +89,11 @@
 	return e.engine.loading
 }
 
+// Expected returns the model that the engine is expected to hold next, empty if there is none.
+func (e Engine) Expected() string {
+	return e.engine.expectedModel()
+}
+
 // IsLeaving reports whether the engine is known to be leaving.
 func (e Engine) IsLeaving() bool {
 	return e.engine.isLeaving()
@@ -178,7 +185,19 @@
 
 // Rate returns the work requested of a model per second, in slots of engines.
 func (r Reported) Rate(now time.Time, service, model string) float64 {
-	return r.orchestrator.demand[demandKey{service, model}].rate(now)
+	return r.orchestrator.demand[keyOf(service, model)].rate(now)
+}
+
+// BoundTo returns a model with the requests that are bound to software versions, among engines of some
+// versions.
+func (r Reported) BoundTo(now time.Time, service, model string, versions ...string) stocking.Model {
+	r.orchestrator.engines = map[string]*engine{}
+	for _, version := range versions {
+		r.orchestrator.engines[version] = &engine{service: service, softwareVersion: version}
+	}
+	m := stocking.Model{Name: model}
+	r.orchestrator.addBound(now, &m, r.orchestrator.boundDemand(now, service)[model], nil)
+	return m
 }
 
 func (r Reported) AdapterInUse(adapter Adapter) bool {
@@ -206,6 +225,11 @@
 	return mergeDemand(older, newer)
 }
 
+// KeptTimeout exports keptTimeout.
+func KeptTimeout(table *routes.Table, records resumption.Records, service string) time.Duration {
+	return keptTimeout(table, records, service)
+}
+
 // MarkStale records that the state of the engine is uncertain.
 func (e Engine) MarkStale() {
 	e.engine.markStale()
--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -11,8 +11,7 @@
 // acquireUpstream waits for a grant to send the request. If none is issued in time, it answers the
 // caller and returns false.
 func (t *transaction) acquireUpstream(ctx context.Context, w http.ResponseWriter) (grant, bool) {
-	now := t.proxy.options.Now()
-	waitCtx, cancel := t.proxy.boundWait(ctx, t.arrived.Add(t.maxWait()).Sub(now))
+	waitCtx, cancel := t.waitContext(ctx)
 	defer cancel()
 	t.joinGroup()
 	granted, err := t.acquireFromOwner(waitCtx)
@@ -25,8 +24,9 @@
 		t.prefillAhead = granted.prefillAhead
 		return granted, true
 	case errors.As(err, &rejected) && t.possibleRuns == 0:
+		t.resumptionResult = resultOfRejection(rejected.reason)
 		t.proxy.refuse(w, t.call, t.route, refusal{
-			status: http.StatusServiceUnavailable, text: rejected.Error(), retryAfter: rejected.retryAfter,
+			status: http.StatusServiceUnavailable, text: t.rejectionText(rejected.reason), retryAfter: rejected.retryAfter,
 			forecastWait: rejected.forecastWait, waited: t.proxy.options.Now().Sub(t.arrived), survey: &rejected.survey,
 			owner: t.owner, reserved: rejected.reserved,
 			sharedWorkspace: t.requirements.workspace, relativeUse: rejected.relativeUse,
@@ -40,7 +40,7 @@
 // acquireLocally waits for a grant of this instance.
 func (t *transaction) acquireLocally(ctx context.Context) (grant, error) {
 	p := t.proxy
-	local := localRequest{grants: make(chan grant, 1)}
+	local := localRequest{grants: make(chan grant, 1), rejections: make(chan *rejection, 1)}
 	w := &waiter{requirements: t.requirements, requester: local}
 	if rejected := p.enqueueLocal(w, local); rejected != nil {
 		return grant{}, rejected
@@ -48,6 +48,8 @@
 	select {
 	case granted := <-local.grants:
 		return granted, nil
+	case rejected := <-local.rejections:
+		return grant{}, rejected
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
@@ -86,12 +88,21 @@
 	}
 	t.abortIfCallerLeft("the caller left while the request waited")
 	now := p.options.Now()
+	t.resumptionResult = resultAfterWait(t.lastMissing)
 	p.refuse(w, t.call, t.route, refusal{
-		status: http.StatusServiceUnavailable, text: "no upstream: " + t.lastMissing.String(), retryAfter: t.retryAfterNow(),
+		status: http.StatusServiceUnavailable, text: t.noUpstreamText(t.lastMissing), retryAfter: t.retryAfterVain(now),
 		waited: now.Sub(t.arrived), survey: p.surveyUpstreams(now, t), owner: t.owner, sharedWorkspace: t.requirements.workspace,
 	})
 }
 
+// retryAfterVain returns the Retry-After time of a request that has waited in vain.
+func (t *transaction) retryAfterVain(now time.Time) time.Duration {
+	if t.software.Bound && t.lastMissing == missingModel {
+		return t.retryAfterUnheld(now)
+	}
+	return t.retryAfterNow()
+}
+
 // abortIfCallerLeft ends the request without a response if its caller has disconnected.
 func (t *transaction) abortIfCallerLeft(message string) {
 	if t.request.Context().Err() != nil {
--- a/internal/counter/fakecontrol_test.go
+++ b/internal/counter/fakecontrol_test.go
@@ -42,6 +42,12 @@
 	// calls received.
 	otherEntries []string
 	loadCalls    int
+	// loadWait is the longest wait that a load call has stated.
+	loadWait time.Duration
+	// loads maps the number of a load call to the reply. Others get one without an engine, which states that
+	// there can be none if unavailable is set.
+	loads       map[int]courier.WantReply
+	unavailable bool
 	// exactEntries, if set, are all entry instances.
 	exactEntries []string
 	// quarantine, if set, is served to the callers. reported holds the reported crashes.
@@ -50,6 +56,8 @@
 	// origins are the reported origins of streams, and versions the recorded software versions.
 	origins  map[resumption.StreamID]resumption.Origin
 	versions resumption.Records
+	// keepsRecords is true if callers without a list of versions get one even if it is empty.
+	keepsRecords bool
 }
 
 func newFakeControl() *fakeControl {
@@ -95,6 +103,9 @@
 		list := resumption.ListOf(c.versions)
 		reply.Versions = &list
 	}
+	if reply.Versions == nil && c.keepsRecords && args.Versions == 0 {
+		reply.Versions = &resumption.VersionList{}
+	}
 	last := len(c.editions) - 1
 	if c.catchingUp {
 		last = 0
@@ -142,6 +153,13 @@
 	c.catchingUp = catchingUp
 }
 
+// setKeepsRecords makes the control instance tell callers that records are kept, also before it has any.
+func (c *fakeControl) setKeepsRecords() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keepsRecords = true
+}
+
 func (c *fakeControl) Origin(args courier.OriginArgs) courier.OriginReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -179,11 +197,29 @@
 	return courier.GatherReply{}
 }
 
-func (c *fakeControl) Want(context.Context, courier.WantArgs) courier.WantReply {
+func (c *fakeControl) Want(_ context.Context, args courier.WantArgs) courier.WantReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.loadCalls++
-	return courier.WantReply{Reason: "none"}
+	c.loadWait = max(c.loadWait, args.Remaining)
+	if reply, found := c.loads[c.loadCalls]; found {
+		return reply
+	}
+	return courier.WantReply{Reason: "none", Unavailable: c.unavailable}
+}
+
+// setLoads sets the replies to load calls by their number.
+func (c *fakeControl) setLoads(loads map[int]courier.WantReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loads = loads
+}
+
+// setUnavailable makes the control instance state that no engine can hold what is requested.
+func (c *fakeControl) setUnavailable() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unavailable = true
 }
 
 // reportedLimits returns the limits in the latest sync.
@@ -193,6 +229,13 @@
 	return c.syncs[len(c.syncs)-1].Limited
 }
 
+// statedLoadWait returns the longest wait that a load call has stated.
+func (c *fakeControl) statedLoadWait() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loadWait
+}
+
 // loadCallCount returns the number of load calls received.
 func (c *fakeControl) loadCallCount() int {
 	c.mu.Lock()
--- a/internal/counter/loads.go
+++ b/internal/counter/loads.go
@@ -1,7 +1,9 @@
 package counter
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -52,6 +54,9 @@
 	failures int
 	// retryAt is the earliest time of the next call.
 	retryAt time.Time
+	// unavailableWithin is the time within which no engine can hold the target, as the leader has stated. It is 0
+	// if one may.
+	unavailableWithin time.Duration
 }
 
 // loadShare returns the calls per second that each instance may make at least.
@@ -101,6 +106,22 @@
 	l.failed[args] = failedLoad{failures: failures + 1, retryAt: now.Add(wait)}
 }
 
+// recordUnavailable records that the call whose result was recorded last has no prospect of success within a time,
+// and none at all if that is 0.
+func (l *loadLimiter) recordUnavailable(args courier.WantArgs, within time.Duration) {
+	failed := l.failed[args]
+	failed.unavailableWithin = cmp.Or(within, math.MaxInt64)
+	l.failed[args] = failed
+}
+
+// unavailableWithin returns the time within which a call has no prospect of success, 0 if it may have.
+func (l *loadLimiter) unavailableWithin(now time.Time, args courier.WantArgs) time.Duration {
+	if failed := l.failed[args]; now.Before(failed.retryAt) {
+		return failed.unavailableWithin
+	}
+	return 0
+}
+
 // requestLoad calls the leader to load the model or adapter that a waiting request is missing, if
 // that is what it needs. Requests with the same target share one call. p.mu is held.
 func (p *Proxy) requestLoad(w *waiter) {
@@ -128,7 +149,11 @@
 	if u := p.pool.byName[reply.Engine]; u != nil {
 		p.pool.addModel(u, args.Model, args.Adapter)
 	}
-	p.dispatch(p.options.Now())
+	now := p.options.Now()
+	p.dispatch(now)
+	if reply.Unavailable {
+		p.endHopelessWaits(now)
+	}
 }
 
 // waitForLoadCall waits until a call may be made and returns the leader to call, empty if no
@@ -168,7 +193,9 @@
 // callLeader makes one load call. If the callee is not the leader or does not answer, no further
 // calls are made until the next sync names a leader.
 func (p *Proxy) callLeader(ctx context.Context, leader string, args courier.WantArgs) courier.WantReply {
-	reply, err := p.control.loadCalls.RequestModel(ctx, leader, args)
+	sent := args
+	sent.Remaining = p.remainingFor(args)
+	reply, err := p.control.loadCalls.RequestModel(ctx, leader, sent)
 	now := p.options.Now()
 	if reply.Engine == "" {
 		p.logLine(now, "not loaded").Err(err).Str("model", args.Model).Str("adapter", args.Adapter).Str("reason", reply.Reason).
@@ -177,6 +204,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.loadLimiter.recordResult(now, args, reply.Engine != "")
+	if reply.Unavailable {
+		p.loadLimiter.recordUnavailable(args, sent.Remaining)
+	}
 	if (err != nil || reply.NotLeader) && p.control.leader == leader {
 		p.control.leader = ""
 	}
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -90,25 +90,30 @@
 		return
 	}
 	w := &waiter{requirements: p.requirementsOf(now, from, m), requester: requester, placingInstances: 1}
-	record := &permitRecord{waiter: w, expires: w.requirements.arrived.Add(w.requirements.maxWait() + requesterGrace)}
+	record := &permitRecord{waiter: w, expires: w.requirements.arrived.Add(w.requirements.longestWait() + requesterGrace)}
 	p.permits[requester] = record
 	p.enqueue(now, w)
 	if record.grant.upstream != nil {
 		return
 	}
 	if rejected := p.rejectOrWait(now, w); rejected != nil {
-		delete(p.permits, requester)
-		p.metrics.countDecision("refused")
-		p.peers.send(from, permit.Rejected{
-			ID: m.ID, Reason: rejected.reason, RetryAfter: rejected.retryAfter, EstimatedWait: rejected.forecastWait,
-			Survey: permit.Survey(rejected.survey), Reserved: rejected.reserved, RelativeUse: rejected.relativeUse,
-		})
+		p.refusePermit(requester, rejected)
 		return
 	}
 	p.metrics.countDecision("queued")
 	p.sendDecision(requester, record)
 }
 
+// refusePermit tells the requester that its request is rejected. p.mu is held.
+func (p *Proxy) refusePermit(requester peerRequest, rejected *rejection) {
+	delete(p.permits, requester)
+	p.metrics.countDecision("refused")
+	p.peers.send(requester.address, permit.Rejected{
+		ID: requester.id, Reason: rejected.reason, RetryAfter: rejected.retryAfter, EstimatedWait: rejected.forecastWait,
+		Survey: permit.Survey(rejected.survey), Reserved: rejected.reserved, RelativeUse: rejected.relativeUse,
+	})
+}
+
 // requirementsOf returns the requirements of a peer's request.
 func (p *Proxy) requirementsOf(now time.Time, from netip.AddrPort, m permit.Request) requirements {
 	req := requirements{
@@ -147,9 +152,11 @@
 		p.peers.send(requester.address, permit.Queued{ID: requester.id})
 		return
 	}
-	p.peers.send(requester.address, permit.Granted{
-		ID: requester.id, Upstream: u.name, Address: u.address, PrefillBacklog: record.grant.prefillAhead,
-	})
+	granted := permit.Granted{ID: requester.id, Upstream: u.name, Address: u.address, PrefillBacklog: record.grant.prefillAhead}
+	if record.waiter.requirements.software.Recorded {
+		granted.Described, granted.Incarnation, granted.SoftwareVersion = true, u.incarnation, u.software
+	}
+	p.peers.send(requester.address, granted)
 }
 
 // handleEnded processes the outcome of a peer's request. p.mu is held.
--- a/internal/counter/queue.go
+++ b/internal/counter/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/aging"
+	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/deferral"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/reservation"
@@ -21,6 +22,9 @@
 	placingInstances int
 	// missing is the resource that was missing when the request was last dispatched.
 	missing missingResource
+	// unheld is true if no engine of the software version to which the request is bound held its model then,
+	// while engines of other versions were there.
+	unheld bool
 	// countedWaiting is true while the request is counted in the reported demand as waiting.
 	countedWaiting bool
 	// boosted puts the request before all others.
@@ -41,6 +45,8 @@
 // localRequest is a caller's request at this instance.
 type localRequest struct {
 	grants chan grant
+	// rejections receives the reason if the request is rejected while it waits.
+	rejections chan *rejection
 }
 
 // peerRequest is a request at another instance, which asked this one to place it.
@@ -153,10 +159,17 @@
 // addWaiting adds change to the number of requests that wait for the target of req. p.mu is held.
 func (p *Proxy) addWaiting(req *requirements, change int) {
 	if req.model != "" {
-		p.demand.addWaiting(req.target, change)
+		p.demand.addWaiting(req.target, req.software, change)
 	}
 }
 
+// takeDemand returns the demand since the last call. p.mu is held.
+func (p *Proxy) takeDemand(now time.Time) []courier.Demand {
+	return p.demand.flush(p.takeRunTimes(now), func(t boundTarget) bool {
+		return p.pool.lacksHolderOf(now, upstreamQuery{service: t.service, model: t.model, software: resumption.BoundTo(t.version)})
+	})
+}
+
 // selectionKey identifies queries that have the same result within one dispatch. It has 128 bytes: a
 // map allocates each larger key. The small fields are together, because apart they would be padded.
 type selectionKey struct {
@@ -208,7 +221,7 @@
 				chosen, missing = p.pool.choose(now, query, rand.Float64())
 			}
 		}
-		w.missing = missing
+		p.setMissing(now, w, missing)
 		if chosen == nil {
 			if cacheable {
 				failed[key] = missing
@@ -269,7 +282,9 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.queue.timerSet = false
-		p.dispatch(p.options.Now())
+		now := p.options.Now()
+		p.dispatch(now)
+		p.endHopelessWaits(now)
 		p.requestMissingLoads()
 	}
 	if p.queue.timer == nil {
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -100,7 +100,7 @@
 		Members:       p.control.membersRevision,
 		Holdings:      p.control.engineStatesRevision,
 		Quarantine:    p.crashes.Mark(),
-		Demand:        p.demand.flush(p.takeRunTimes(now)),
+		Demand:        p.takeDemand(now),
 		Limited:       p.pool.limitedUpstreams(),
 		Versions:      p.pool.catalog.Revision(),
 		Streams:       groupStreams(p.unsyncedStreams),
@@ -277,8 +277,8 @@
 func (p *Proxy) nextSyncDelay() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.control.lastSyncFailed {
-		// The updates are overdue.
+	if p.control.lastSyncFailed || p.pool.catalog.AwaitsRecords() && len(p.pool.byName) > 0 {
+		// The updates are overdue, or no stream that may be resumed can begin before the next one.
 		return minSyncInterval
 	}
 	return max(p.control.interval, minSyncInterval)
