--- a/internal/backoffice/adapters.go
+++ b/internal/backoffice/adapters.go
@@ -68,8 +68,9 @@
 }
 
 // expire removes the reports of entry instances that have fallen silent, and models and
-// adapters that were not requested for demandTTL, or for as long as copies are kept for streams. Callers may name any model or
-// adapter, so the maps would grow without bound. o.mu is held.
+// adapters that were not requested for demandTTL, or for as long as copies are kept for
+// streams. Callers may name any model or adapter, so the maps would grow without bound.
+// o.mu is held.
 func (o *orchestrator) expire(now time.Time) {
 	o.expireLimits(now)
 	o.formerOrders.expire(now)
