courier: one function groups the streams of a report by their origin

The reports of entry instances and the copies between control instances had a loop each. A copy's remaining time is now the longest in its group, below a second more than its own, and no longer rounded up to a whole one.

--- a/internal/backoffice/origincopies.go
+++ b/internal/backoffice/origincopies.go
@@ -17,6 +17,8 @@
 	// originCheckInterval is the time between two calls without new origins, which notice that the copies
 	// have been lost.
 	originCheckInterval = time.Second
+	// copiedResolution bounds by how much a copy of an origin outlasts it.
+	copiedResolution = time.Second
 )
 
 // originCopier copies the origins that entry instances report to this control instance to one other, its
@@ -61,7 +63,7 @@
 		i.uncopiedStreams = nil
 		return args, false
 	case c.process == 0:
-		args.Streams = groupOrigins(now, &i.origins)
+		args.Streams = courier.GroupStreams(i.origins.All(now), copiedResolution)
 	case len(args.Streams) == 0 && (!check || i.origins.Len() == 0):
 		return args, false
 	}
@@ -127,30 +129,9 @@
 		i.originCopies[args.From] = copies
 	}
 	if args.Known != reply.Process {
-		reply.Streams = groupOrigins(now, copies)
+		reply.Streams = courier.GroupStreams(copies.All(now), copiedResolution)
 	}
 	recordOrigins(now, copies, args.Streams)
 	maps.DeleteFunc(i.originCopies, func(_ string, copies *resumption.Origins) bool { return copies.Expire(now) == 0 })
 	return reply
 }
-
-// groupOrigins groups origins by where the streams began and, by the second, how long they may be resumed.
-func groupOrigins(now time.Time, origins *resumption.Origins) []courier.StreamGroup {
-	type key struct {
-		resumption.Origin
-		remaining time.Duration
-	}
-	var groups []courier.StreamGroup
-	index := map[key]int{}
-	for record := range origins.All(now) {
-		k := key{record.Origin, record.Remaining.Truncate(time.Second) + time.Second}
-		n, found := index[k]
-		if !found {
-			n = len(groups)
-			index[k] = n
-			groups = append(groups, courier.StreamGroup{Origin: k.Origin, Remaining: k.remaining})
-		}
-		groups[n].Streams = append(groups[n].Streams, record.Stream)
-	}
-	return groups
-}
--- a/internal/counter/origins.go
+++ b/internal/counter/origins.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 )
@@ -127,23 +126,6 @@
 	}
 }
 
-// groupStreams groups streams by their origin.
-func groupStreams(records []resumption.Record) []courier.StreamGroup {
-	var groups []courier.StreamGroup
-	index := map[resumption.Origin]int{}
-	for _, record := range records {
-		n, found := index[record.Origin]
-		if !found {
-			n = len(groups)
-			index[record.Origin] = n
-			groups = append(groups, courier.StreamGroup{Origin: record.Origin})
-		}
-		groups[n].Streams = append(groups[n].Streams, record.Stream)
-		groups[n].Remaining = max(groups[n].Remaining, record.Remaining)
-	}
-	return groups
-}
-
 // isPeer reports whether an address is that of another instance.
 func (p *Proxy) isPeer(address netip.AddrPort) bool {
 	return address != p.owners.self
--- a/internal/counter/sync.go
+++ b/internal/counter/sync.go
@@ -103,7 +103,7 @@
 		Demand:        p.takeDemand(now),
 		Limited:       p.pool.limitedUpstreams(),
 		Versions:      p.pool.catalog.Revision(),
-		Streams:       groupStreams(p.unsyncedStreams),
+		Streams:       courier.GroupStreams(slices.Values(p.unsyncedStreams), 0),
 	}
 	synced := len(p.unsyncedStreams)
 	if own := p.roster.SelfRecord(now); own != nil {
--- a/internal/courier/feed.go
+++ b/internal/courier/feed.go
@@ -39,14 +39,6 @@
 	Streams []StreamGroup
 }
 
-// StreamGroup is a group of streams with the same origin, which may be resumed for the Remaining time
-// at most.
-type StreamGroup struct {
-	Origin    resumption.Origin
-	Remaining time.Duration
-	Streams   []resumption.StreamID
-}
-
 // OriginArgs requests the origin of a stream.
 type OriginArgs struct {
 	Stream resumption.StreamID
