--- a/internal/counter/unheld.go
+++ b/internal/counter/unheld.go
@@ -44,6 +44,11 @@
 	return max(req.maxWait(), req.deadline.Sub(req.arrived)-req.prefillTime-req.decodeTime)
 }
 
+// loadWaitLeft returns how long the request may still wait for the load of its model.
+func (req *requirements) loadWaitLeft(now time.Time) time.Duration {
+	return req.arrived.Add(req.maxLoadWait()).Sub(now)
+}
+
 // longestWait returns how long the request may wait for an upstream, whatever it lacks.
 func (req *requirements) longestWait() time.Duration {
 	if req.software.Bound {
@@ -65,7 +70,7 @@
 // request may wait. If the load comes too late for it, it does so for a later attempt as well, which gets no
 // Retry-After time.
 func (req *requirements) rejectUnheld(now time.Time, load modelLoad) *rejection {
-	left := req.arrived.Add(req.maxLoadWait()).Sub(now)
+	left := req.loadWaitLeft(now)
 	switch {
 	case left <= load.unavailableWithin:
 		return &rejection{reason: permit.ModelUnavailable, retryAfter: req.retryAfterUnheld(now)}
@@ -80,7 +85,7 @@
 // later attempt has no time to run.
 func (req *requirements) retryAfterUnheld(now time.Time) time.Duration {
 	retryAfter := req.retryAfterLoad(now, 0, false)
-	if now.Add(retryAfter).Before(req.arrived.Add(req.maxLoadWait())) {
+	if retryAfter < req.loadWaitLeft(now) {
 		return retryAfter
 	}
 	return 0
@@ -144,7 +149,7 @@
 	now, longest := p.options.Now(), time.Duration(0)
 	for _, w := range p.queue.waiters {
 		if w.lacksHolder() && w.requirements.loadArgs(w.missing) == args {
-			longest = max(longest, w.requirements.arrived.Add(w.requirements.maxLoadWait()).Sub(now))
+			longest = max(longest, w.requirements.loadWaitLeft(now))
 		}
 	}
 	return longest
