--- a/internal/backoffice/versions_test.go
+++ b/internal/backoffice/versions_test.go
@@ -125,6 +125,19 @@
 	}, SpecTimeout(specTimeout))
 })
 
+// recordTwo waits until v1 and v2 are recorded. It returns a function that keeps v2 in use and returns the recorded
+// versions, as confirmedVersions does.
+func (c *testCluster) recordTwo(ctx context.Context) (recorded func() []string) {
+	GinkgoHelper()
+	c.announceOnce("e1", "v1")
+	recorded = func() []string {
+		c.announceOnce("e2", "v2")
+		return c.confirmedVersions(ctx)
+	}
+	Eventually(ctx, recorded).Should(Equal([]string{"v1", "v2"}))
+	return recorded
+}
+
 // confirmedVersions returns the recorded versions according to a reply that is confirmed, nil if there is none.
 func (c *testCluster) confirmedVersions(ctx context.Context) (versions []string) {
 	reply, ok := c.syncWithLeader(ctx)
@@ -204,12 +217,7 @@
 		c.fakes.add("e1", "a")
 		c.fakes.add("e2", "a")
 		c.putRoutes(ctx, c.seeds[0], 1)
-		c.announceOnce("e1", "v1")
-		recorded := func() []string {
-			c.announceOnce("e2", "v2")
-			return c.confirmedVersions(ctx)
-		}
-		Eventually(ctx, recorded).Should(Equal([]string{"v1", "v2"}))
+		recorded := c.recordTwo(ctx)
 		c.leave(ctx, upstreamapi.Leave{Name: "e1"})
 		c.loseAll(c.seeds...)
 		Eventually(ctx, recorded).Should(Equal([]string{"v1", "v2"}))
@@ -223,12 +231,7 @@
 		c.fakes.add("e2", "a")
 		first := c.leadToWithin(ctx, 1, "pool", 1500*time.Millisecond)
 		Eventually(ctx, func() uint64 { return c.settledRoutes(ctx) }).Should(Equal(first), "the leader knows the routes")
-		c.announceOnce("e1", "v1")
-		recorded := func() []string {
-			c.announceOnce("e2", "v2")
-			return c.confirmedVersions(ctx)
-		}
-		Eventually(ctx, recorded).Should(Equal([]string{"v1", "v2"}))
+		recorded := c.recordTwo(ctx)
 		c.leave(ctx, upstreamapi.Leave{Name: "e1"})
 		c.leadToWithin(ctx, 2, "pool", 100*time.Millisecond)
 		const retention, retentionOfNewRoutes = 6 * time.Second, 3200 * time.Millisecond
@@ -243,12 +246,7 @@
 		c.fakes.add("e2", "a")
 		first := c.leadToWithin(ctx, 1, "pool", 100*time.Millisecond)
 		Eventually(ctx, func() uint64 { return c.settledRoutes(ctx) }).Should(Equal(first), "the leader knows the routes")
-		c.announceOnce("e1", "v1")
-		recorded := func() []string {
-			c.announceOnce("e2", "v2")
-			return c.confirmedVersions(ctx)
-		}
-		Eventually(ctx, recorded).Should(Equal([]string{"v1", "v2"}))
+		recorded := c.recordTwo(ctx)
 		entry := roster.InstanceRecord{
 			Name: "127.0.0.1:8", Incarnation: 1, Sequence: 1, Static: &roster.InstanceStatic{CallerAddress: "127.0.0.1:7", InnerAddress: "127.0.0.1:8"},
 		}
--- a/internal/counter/outofstep_test.go
+++ b/internal/counter/outofstep_test.go
@@ -50,17 +50,23 @@
 // longerThanLease is above the lease of all instances.
 const longerThanLease = 2 * time.Minute
 
+// startWithoutRecords starts an instance whose cluster keeps records, of which it has none yet.
+func (g *resumptionGroup) startWithoutRecords() {
+	GinkgoHelper()
+	g.control.setKeepsRecords()
+	fresh := startPeerWithClock(g.control, g.clock.Now)
+	g.peers = append(g.peers, fresh)
+	g.control.addExactEntries(fresh.address)
+	g.serveCallers(fresh)
+}
+
 var _ = Describe("A stream that may be resumed", func() {
 	// A control instance that has just started knows none of the records of its cluster.
 	It("does not begin at an unrecorded version at an instance that has no copy of the records yet", func(ctx SpecContext) {
 		g := newResumptionGroup(0)
 		g.control.record(resumption.RecordsUpdate{Added: []resumption.ServiceVersion{{Service: "desk", Version: "v1"}}})
 		g.control.setCatchingUp(true)
-		g.control.setKeepsRecords()
-		fresh := startPeerWithClock(g.control, g.clock.Now)
-		g.peers = append(g.peers, fresh)
-		g.control.addExactEntries(fresh.address)
-		g.serveCallers(fresh)
+		g.startWithoutRecords()
 		g.announceUnrecorded("v2")
 		status, version := g.beginAt(ctx, 0, "s1")
 		Expect(status).To(Equal(http.StatusServiceUnavailable), "began at %s", version)
@@ -71,11 +77,7 @@
 
 	It("waits for the first copy of the records", func(ctx SpecContext) {
 		g := newResumptionGroup(0)
-		g.control.setKeepsRecords()
-		fresh := startPeerWithClock(g.control, g.clock.Now)
-		g.peers = append(g.peers, fresh)
-		g.control.addExactEntries(fresh.address)
-		g.serveCallers(fresh)
+		g.startWithoutRecords()
 		g.announceUnrecorded("v1")
 		status := make(chan int)
 		go func() {
