counter: a stream whose own time ends is not counted as without a holder

The check of hopeless waits compared the time left with the time within which no engine can hold the model, also where that is 0, which says that one may. A stream whose wait had just ended, and that had not yet left the queue, was so rejected as without a holder.

--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -171,6 +171,12 @@
 		Expect(queue.Demand(start)).NotTo(HaveKey("v1"))
 	})
 
+	It("is not told that no engine can load that when its own time ends", func() {
+		queue := counter.NewQueue(versionedPool(), 1)
+		_, rejected := queue.Rejection(start.Add(10*time.Second), queue.EnqueueBound(start, "m", "v1"))
+		Expect(rejected).To(BeFalse())
+	})
+
 	// Its caller leaves 10 s after its arrival.
 	DescribeTable("waits for a load that leaves time to run",
 		func(loading string, loadTime time.Duration, waits bool) {
--- a/internal/counter/unheld.go
+++ b/internal/counter/unheld.go
@@ -72,7 +72,7 @@
 func (req *requirements) rejectUnheld(now time.Time, load modelLoad) *rejection {
 	left := req.loadWaitLeft(now)
 	switch {
-	case left <= load.unavailableWithin:
+	case load.unavailableWithin > 0 && left <= load.unavailableWithin:
 		return &rejection{reason: permit.ModelUnavailable, retryAfter: req.retryAfterUnheld(now)}
 	case load.left > 0 && load.left >= left:
 		return &rejection{reason: permit.ModelUnavailable}
