counter: spec of how long an owner keeps the request of a stream that waits for a load

Without longestWait in handleAsk, the owner of a model forgets a stream that waits at another instance 500 ms after others would have left, at each sync, and queues it anew when its instance repeats the request, up to 200 ms later. Meanwhile, the load is not wanted and what becomes free goes to others. No spec saw that.

--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -13,21 +13,28 @@
 
 	"github.com/lovagelift/lovagelift/internal/counter"
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
+	"github.com/lovagelift/lovagelift/internal/roster"
 )
 
 // versionedPool has an engine of v2 that holds the model "m", and one of v1 that holds another one.
 func versionedPool() counter.UpstreamPool {
 	pool := counter.NewUpstreamPool("here", lease)
 	for version, model := range map[string]string{"v1": "other", "v2": "m"} {
-		engine := engineRecord("e-"+version, "here", start, model)
-		engine.Announcement.SoftwareVersion = version
-		engine.Announcement.Load.MaxRunning = 1
-		pool.Apply(start, engine)
+		pool.Apply(start, versionedRecord(version, start, model))
 	}
 	return pool
 }
 
+// versionedRecord is the record of the engine of a version in a versionedPool.
+func versionedRecord(version string, heard time.Time, models ...string) roster.Upstream {
+	engine := engineRecord("e-"+version, "here", heard, models...)
+	engine.Announcement.SoftwareVersion = version
+	engine.Announcement.Load.MaxRunning = 1
+	return engine
+}
+
 // A holder of another version does not serve them, so the plan must know the version.
 var _ = It("Streams whose version lacks the model are reported as waiting at that version", func() {
 	queue := counter.NewQueue(versionedPool(), 1)
@@ -54,6 +61,19 @@
 	Expect(queue.Demand(start)).To(HaveKeyWithValue("v2", HaveField("Waiting", 1)))
 })
 
+// Others wait for 1.2 s at most.
+var _ = It("The owner of a model keeps the permit request of a stream that waits at another instance for a load", func() {
+	pool, instances := versionedPool(), instanceAddresses(2)
+	owner := counter.NewInstance(pool, instances[0], instances)
+	request := askMessage(1, "m")
+	request.Software = resumption.BoundTo("v1")
+	Expect(owner.Receive(start, instances[1], request)).To(ConsistOf(HaveField("Message", permit.Queued{ID: 1})))
+	loaded := start.Add(8 * time.Second)
+	Expect(owner.ExpirePermits(loaded)).To(BeEmpty())
+	pool.Apply(loaded, versionedRecord("v1", loaded, "other", "m"))
+	Expect(owner.Dispatch(loaded)).To(ContainElement(HaveField("Message", HaveField("Upstream", "e-v1"))))
+})
+
 // newUnheldGroup returns instances at which a stream "s1" of v1 has begun. Then the holder of its model left: only
 // "e3" of v2 has the model, and "e2" of v1 could load it.
 func newUnheldGroup(ctx context.Context, instances int) *resumptionGroup {
