counter: specs of streams that wait for a load run at the owner and at another instance in each run

They ran at the first and at the second instance, of which one or the other owns the model, by the ports that each spec is given.

--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -127,12 +127,17 @@
 }
 
 var _ = Describe("A stream whose version lacks its model", func() {
-	for at, name := range []string{"at one instance", "at the other"} {
+	for place, name := range []string{"at the owner of its model", "at another instance"} {
+		instance := func(g *resumptionGroup) int {
+			owner, other := g.ownerAndOther()
+			return []int{owner, other}[place]
+		}
+
 		// The route allows 2 s. After a call that brings nothing, the next one follows within 0.4 s.
 		It("goes on once that is loaded, however long others would wait, "+name, func(ctx SpecContext) {
 			g := newUnheldGroup(ctx, 2)
 			g.control.setLoads(map[int]courier.WantReply{6: {Engine: "e2"}})
-			for _, answer := range g.resumeAll(at, "went-on", time.Minute) {
+			for _, answer := range g.resumeAll(instance(g), "went-on", time.Minute) {
 				Expect(versionIn(answer.Body.String())).To(Equal("v1"))
 			}
 			Expect(g.control.statedLoadWait()).To(BeNumerically("~", 2*time.Second, time.Second), "the leader refuses what comes later")
@@ -143,7 +148,7 @@
 				g := newUnheldGroup(ctx, 2)
 				once(ctx, g.control.loadCallCount, 2, func() { hopeless(g.control) })
 				began := time.Now()
-				for _, answer := range g.resumeAll(at, result, timeout) {
+				for _, answer := range g.resumeAll(instance(g), result, timeout) {
 					Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
 					Expect(answer.Body.String()).To(Equal("no upstream: " + reason + "\n"))
 					Expect(answer.Header().Get("Retry-After") != "").To(Equal(returns))
