counter: spec of what a stream lacks that has waited in vain at another instance

missingAfterWait tells a stream that waited beside a full holder of its version from one without a holder, and from one of whose version no engine is left. No spec told them apart: the specs of streams passed without the check for a holder, whose callers would be told "model at the stream's software version" and asked to return at another time, and with missingModel for all, which counts "refused-no-time" instead of "refused-no-version". The entries fail so ("Expected model to equal room", "Expected model to equal software version"), and pass with the lines, 3 of 3 with -race.

--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -74,6 +74,20 @@
 	Expect(owner.Dispatch(loaded)).To(ContainElement(HaveField("Message", HaveField("Upstream", "e-v1"))))
 })
 
+var _ = DescribeTable("What a stream lacks that has waited in vain at another instance",
+	func(version string, change func(pool counter.UpstreamPool), missing string) {
+		pool := versionedPool()
+		queue := counter.NewQueue(pool, 1)
+		Expect(counter.Granted(queue.Enqueue(start, "m", time.Second))).To(BeTrue())
+		w := queue.EnqueueBound(start, "m", version)
+		change(pool)
+		Expect(queue.MissingAfterWait(start, w)).To(Equal(missing))
+	},
+	Entry("without a holder of its version", "v1", func(counter.UpstreamPool) {}, "model"),
+	Entry("beside a holder of its version that is full", "v2", func(counter.UpstreamPool) {}, "room"),
+	Entry("after the last engine of its version left", "v1", func(pool counter.UpstreamPool) { pool.StateLeave("e-v1") }, "software version"),
+)
+
 // newUnheldGroup returns instances at which a stream "s1" of v1 has begun. Then the holder of its model left: only
 // "e3" of v2 has the model, and "e2" of v1 could load it.
 func newUnheldGroup(ctx context.Context, instances int) *resumptionGroup {
--- a/internal/counter/export_bound_test.go
+++ b/internal/counter/export_bound_test.go
@@ -57,6 +57,13 @@
 	return 0, false
 }
 
+// MissingAfterWait returns what a request lacks that has waited in vain at another instance.
+func (q Queue) MissingAfterWait(now time.Time, w *waiter) string {
+	q.proxy.mu.Lock()
+	defer q.proxy.mu.Unlock()
+	return q.proxy.missingAfterWait(now, &w.requirements).String()
+}
+
 // Demand returns the demand to report, by the software version to which it is bound, empty if to none.
 func (q Queue) Demand(now time.Time) map[string]courier.Demand {
 	byVersion := map[string]courier.Demand{}
