counter: specs of requests beside streams that wait for a load at their version

Such streams wait for as long as their callers allow, and for nothing that the other requests of their model wait for. Four places leave them out, which no spec saw. Without each, callers of the model would see: - in forecastWait, and in rejectHeldBack at a rate limit: "too many requests wait" and "limits reached" for a wait that does not exist; - in isOnlyStarved: the only request of a starved target is rejected; - in the order by shares: requests of the streams' workspace go behind later ones of others, as though the streams had been served before them.

--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -247,3 +247,53 @@
 	g.resume(ctx, 0, "s1")
 	Eventually(ctx, results).Should(Equal(map[string]int64{"refused-unknown": 1, "other": 1}))
 }, SpecTimeout(specTimeout))
+
+// Such streams take nothing of what the others wait for.
+var _ = Describe("A request for the model of streams that wait for its load at their version", func() {
+	const streams = 20
+	var pool counter.UpstreamPool
+	var queue counter.Queue
+	mayWait := func(w counter.Waiter) {
+		GinkgoHelper()
+		Expect(counter.Granted(w)).To(BeFalse())
+		Expect(queue.Rejects(start, w)).To(BeFalse())
+	}
+
+	BeforeEach(func() {
+		pool = versionedPool()
+		queue = counter.NewQueue(pool, 1)
+		for range streams {
+			queue.EnqueueBoundShared(start, "m", "v1", "large")
+		}
+	})
+
+	It("may wait for capacity as if they were not there", func() {
+		pool.PeerActive(start, "e-v2", 2, 1)
+		mayWait(queue.Enqueue(start, "m", 0))
+	})
+
+	It("may wait at a rate limit as if they were not there", func() {
+		pool.HoldBack(start, "e-v2", 1, start.Add(time.Second))
+		mayWait(queue.Enqueue(start, "m", 0))
+	})
+
+	It("may wait behind others if it is the only one that is starved", func() {
+		queue = counter.NewQueue(pool, 1)
+		queue.EnqueueBound(start.Add(-4*time.Second), "m", "v1")
+		pool.PeerActive(start, "e-v2", 2, 1)
+		for range streams {
+			queue.EnqueueAs(start, "m", "adapter", 0, time.Second)
+		}
+		mayWait(queue.Enqueue(start, "m", time.Second))
+	})
+
+	It("goes before later ones of another workspace as if they were not there", func() {
+		pool.PeerActive(start, "e-v2", 2, 1)
+		first := queue.EnqueueShared(start.Add(time.Millisecond), "m", "large", true)
+		second := queue.EnqueueShared(start.Add(2*time.Millisecond), "m", "small", true)
+		pool.PeerActive(start.Add(3*time.Millisecond), "e-v2", 0, 1)
+		queue.Dispatch(start.Add(20 * time.Millisecond))
+		Expect(counter.Granted(first)).To(BeTrue())
+		Expect(counter.Granted(second)).To(BeFalse())
+	})
+})
--- a/internal/counter/export_bound_test.go
+++ b/internal/counter/export_bound_test.go
@@ -17,6 +17,19 @@
 	return q.enqueue(arrived, w)
 }
 
+// EnqueueBoundShared is EnqueueShared for a request that resumes a stream of a software version.
+func (q Queue) EnqueueBoundShared(arrived time.Time, model, version, workspaceName string) *waiter {
+	w := q.waiter(arrived, model, time.Second)
+	w.requirements.software, w.requirements.mixed, w.requirements.workspace = resumption.BoundTo(version), true, workspaceName
+	return q.enqueue(arrived, w)
+}
+
+// HoldBack records that the rate limit of an upstream holds requests back until a time.
+func (p UpstreamPool) HoldBack(now time.Time, name string, limit float64, until time.Time) {
+	p.SetLimit(now, name, limit)
+	p.pool.byName[name].limit.pausedUntil = until
+}
+
 // CountResumptions returns a function that returns how often each result of a resumed stream has been counted since
 // this call.
 func (p *Proxy) CountResumptions() func() map[string]int64 {
