counter: spec of the syncs of an instance that has no copy of the records

Without AwaitsRecords in nextSyncDelay, an instance of many that has just started waits for its usual time, up to 1 s, for the records without which no stream that may be resumed can begin there: such callers wait that much longer, or are refused. The entry fails so ("Expected to equal"), and the last one without the condition on upstreams, with which instances of a cluster that has none don't sync as often as possible for good ("Expected to equal").

--- a/internal/counter/export_control_test.go
+++ b/internal/counter/export_control_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/edition"
+	"github.com/lovagelift/lovagelift/internal/resumption"
 )
 
 // ChosenControl returns the control instance that an entry instance calls.
@@ -26,6 +27,14 @@
 	return l.syncDelay(upstreams)
 }
 
+// NextSyncDelay returns the time until the next sync of one of several instances, after a reply.
+func NextSyncDelay(pool UpstreamPool, entries int, catalog resumption.Catalog) time.Duration {
+	p := NewQueue(pool, entries).proxy
+	p.pool.setCatalog(catalog)
+	p.control.interval = p.control.syncDelay(len(p.pool.byName))
+	return p.nextSyncDelay()
+}
+
 // NeedsProof reports whether requests wait at now for a proof of the routes, which were last proven
 // and first found unproven at the given times. Zero times stand for never.
 func NeedsProof(now, proven, unproven time.Time, maxDelay time.Duration, disconnected bool) bool {
--- a/internal/counter/recordedversions_test.go
+++ b/internal/counter/recordedversions_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lovagelift/lovagelift/internal/counter"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -144,3 +145,13 @@
 		Eventually(func() int { status, _ := g.beginAt(ctx, n, "s2"); return status }).WithTimeout(specTimeout).Should(Equal(http.StatusOK))
 	}
 }, SpecTimeout(specTimeout))
+
+// No stream that may be resumed can begin before it.
+var _ = DescribeTable("An instance that has no copy of the records syncs soon, however many there are",
+	func(pool counter.UpstreamPool, list resumption.VersionList, delay time.Duration) {
+		Expect(counter.NextSyncDelay(pool, 86, resumption.Catalog{}.With(list))).To(Equal(delay))
+	},
+	Entry("if its cluster keeps records", versionedPool(), resumption.VersionList{}, 250*time.Millisecond),
+	Entry("but not once it has one", versionedPool(), resumption.VersionList{Revision: 1}, 516*time.Millisecond),
+	Entry("nor before it knows an upstream", counter.NewUpstreamPool("here", lease), resumption.VersionList{}, 516*time.Millisecond),
+)
