counter: spec of grants that describe a process, beside what the instance knows of it

No spec saw what contradicts decides of a described grant. Without it, an instance that is out of step returns the grant of a process whose version is recorded by what its owner knows, but not here, and its caller is refused; and it uses the grant of a process that has since been replaced, or whose version is another one than known here, so that the stream is reported to have begun at a version that may not be the one that answers.

--- a/internal/counter/export_bound_test.go
+++ b/internal/counter/export_bound_test.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -30,6 +31,22 @@
 	p.pool.byName[name].limit.pausedUntil = until
 }
 
+// SetCatalog sets the recorded versions.
+func (p UpstreamPool) SetCatalog(catalog resumption.Catalog) {
+	p.pool.setCatalog(catalog)
+}
+
+// UseGrant handles an owner's grant to a request that begins a stream which may be resumed. It returns the software
+// version at which that begins, or the messages sent if it does not.
+func (i Instance) UseGrant(owner netip.AddrPort, m permit.Granted) (version string, sent []SentMessage) {
+	t := &transaction{proxy: i.proxy, requirements: requirements{software: resumption.ToRecorded()}}
+	granted, err := i.proxy.grantFrom(t, owner, m)
+	if err != nil {
+		return "", i.takeSent()
+	}
+	return granted.upstream.software, nil
+}
+
 // CountResumptions returns a function that returns how often each result of a resumed stream has been counted since
 // this call.
 func (p *Proxy) CountResumptions() func() map[string]int64 {
--- a/internal/counter/outofstep_test.go
+++ b/internal/counter/outofstep_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lovagelift/lovagelift/internal/counter"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
@@ -185,3 +186,27 @@
 		Entry("as it goes on", SpecTimeout(specTimeout), "1"),
 	)
 })
+
+var _ = DescribeTable("A grant that describes a process, at an instance that knows the second one of v1 under its name",
+	func(incarnation uint64, version string, recorded []resumption.ServiceVersion, used bool) {
+		pool, instances := counter.NewUpstreamPool("here", lease), instanceAddresses(2)
+		known := versionedRecord("v1", start, "m")
+		known.Announcement.Incarnation = 2
+		pool.Apply(start, known)
+		pool.SetCatalog(resumption.Catalog{}.With(resumption.VersionList{Revision: 1, Versions: recorded}))
+		began, sent := counter.NewInstance(pool, instances[0], instances).UseGrant(instances[1], permit.Granted{
+			ID: 1, Upstream: "e-v1", Address: known.Announcement.Address, Described: true, Incarnation: incarnation, SoftwareVersion: version,
+		})
+		if used {
+			Expect(began).To(Equal(version))
+			return
+		}
+		Expect(began).To(BeEmpty())
+		Expect(sent).To(ConsistOf(counter.SentMessage{To: instances[1], Message: permit.Release{ID: 1}}))
+	},
+	Entry("is used if it is that one", uint64(2), "v1", []resumption.ServiceVersion{{Service: "pool", Version: "v1"}}, true),
+	Entry("is used if only its owner has heard that the version is recorded", uint64(2), "v1", nil, true),
+	Entry("is used if it is the next one", uint64(3), "v2", nil, true),
+	Entry("is returned if it is the first one", uint64(1), "v1", []resumption.ServiceVersion{{Service: "pool", Version: "v1"}}, false),
+	Entry("is returned if its version is another one", uint64(2), "v2", []resumption.ServiceVersion{{Service: "pool", Version: "v1"}}, false),
+)
