--- a/internal/counter/boundstreams_test.go
+++ b/internal/counter/boundstreams_test.go
@@ -13,21 +13,28 @@
 
 	"github.com/lovagelift/lovagelift/internal/counter"
 	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
+	"github.com/lovagelift/lovagelift/internal/roster"
 )
 
 // versionedPool has an engine of v2 that holds the model "m", and one of v1 that holds another one.
 func versionedPool() counter.UpstreamPool {
 	pool := counter.NewUpstreamPool("here", lease)
 	for version, model := range map[string]string{"v1": "other", "v2": "m"} {
-		engine := engineRecord("e-"+version, "here", start, model)
-		engine.Announcement.SoftwareVersion = version
-		engine.Announcement.Load.MaxRunning = 1
-		pool.Apply(start, engine)
+		pool.Apply(start, versionedRecord(version, start, model))
 	}
 	return pool
 }
 
+// versionedRecord is the record of the engine of a version in a versionedPool.
+func versionedRecord(version string, heard time.Time, models ...string) roster.Upstream {
+	engine := engineRecord("e-"+version, "here", heard, models...)
+	engine.Announcement.SoftwareVersion = version
+	engine.Announcement.Load.MaxRunning = 1
+	return engine
+}
+
 // A holder of another version does not serve them, so the plan must know the version.
 var _ = It("Streams whose version lacks the model are reported as waiting at that version", func() {
 	queue := counter.NewQueue(versionedPool(), 1)
@@ -54,6 +61,33 @@
 	Expect(queue.Demand(start)).To(HaveKeyWithValue("v2", HaveField("Waiting", 1)))
 })
 
+// Others wait for 1.2 s at most.
+var _ = It("The owner of a model keeps the permit request of a stream that waits at another instance for a load", func() {
+	pool, instances := versionedPool(), instanceAddresses(2)
+	owner := counter.NewInstance(pool, instances[0], instances)
+	request := askMessage(1, "m")
+	request.Software = resumption.BoundTo("v1")
+	Expect(owner.Receive(start, instances[1], request)).To(ConsistOf(HaveField("Message", permit.Queued{ID: 1})))
+	loaded := start.Add(8 * time.Second)
+	Expect(owner.ExpirePermits(loaded)).To(BeEmpty())
+	pool.Apply(loaded, versionedRecord("v1", loaded, "other", "m"))
+	Expect(owner.Dispatch(loaded)).To(ContainElement(HaveField("Message", HaveField("Upstream", "e-v1"))))
+})
+
+var _ = DescribeTable("What a stream lacks that has waited in vain at another instance",
+	func(version string, change func(pool counter.UpstreamPool), missing string) {
+		pool := versionedPool()
+		queue := counter.NewQueue(pool, 1)
+		Expect(counter.Granted(queue.Enqueue(start, "m", time.Second))).To(BeTrue())
+		w := queue.EnqueueBound(start, "m", version)
+		change(pool)
+		Expect(queue.MissingAfterWait(start, w)).To(Equal(missing))
+	},
+	Entry("without a holder of its version", "v1", func(counter.UpstreamPool) {}, "model"),
+	Entry("beside a holder of its version that is full", "v2", func(counter.UpstreamPool) {}, "room"),
+	Entry("after the last engine of its version left", "v1", func(pool counter.UpstreamPool) { pool.StateLeave("e-v1") }, "software version"),
+)
+
 // newUnheldGroup returns instances at which a stream "s1" of v1 has begun. Then the holder of its model left: only
 // "e3" of v2 has the model, and "e2" of v1 could load it.
 func newUnheldGroup(ctx context.Context, instances int) *resumptionGroup {
@@ -107,12 +141,17 @@
 }
 
 var _ = Describe("A stream whose version lacks its model", func() {
-	for at, name := range []string{"at one instance", "at the other"} {
+	for place, name := range []string{"at the owner of its model", "at another instance"} {
+		instance := func(g *resumptionGroup) int {
+			owner, other := g.ownerAndOther()
+			return []int{owner, other}[place]
+		}
+
 		// The route allows 2 s. After a call that brings nothing, the next one follows within 0.4 s.
 		It("goes on once that is loaded, however long others would wait, "+name, func(ctx SpecContext) {
 			g := newUnheldGroup(ctx, 2)
 			g.control.setLoads(map[int]courier.WantReply{6: {Engine: "e2"}})
-			for _, answer := range g.resumeAll(at, "went-on", time.Minute) {
+			for _, answer := range g.resumeAll(instance(g), "went-on", time.Minute) {
 				Expect(versionIn(answer.Body.String())).To(Equal("v1"))
 			}
 			Expect(g.control.statedLoadWait()).To(BeNumerically("~", 2*time.Second, time.Second), "the leader refuses what comes later")
@@ -123,7 +162,7 @@
 				g := newUnheldGroup(ctx, 2)
 				once(ctx, g.control.loadCallCount, 2, func() { hopeless(g.control) })
 				began := time.Now()
-				for _, answer := range g.resumeAll(at, result, timeout) {
+				for _, answer := range g.resumeAll(instance(g), result, timeout) {
 					Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
 					Expect(answer.Body.String()).To(Equal("no upstream: " + reason + "\n"))
 					Expect(answer.Header().Get("Retry-After") != "").To(Equal(returns))
@@ -208,3 +247,53 @@
 	g.resume(ctx, 0, "s1")
 	Eventually(ctx, results).Should(Equal(map[string]int64{"refused-unknown": 1, "other": 1}))
 }, SpecTimeout(specTimeout))
+
+// Such streams take nothing of what the others wait for.
+var _ = Describe("A request for the model of streams that wait for its load at their version", func() {
+	const streams = 20
+	var pool counter.UpstreamPool
+	var queue counter.Queue
+	mayWait := func(w counter.Waiter) {
+		GinkgoHelper()
+		Expect(counter.Granted(w)).To(BeFalse())
+		Expect(queue.Rejects(start, w)).To(BeFalse())
+	}
+
+	BeforeEach(func() {
+		pool = versionedPool()
+		queue = counter.NewQueue(pool, 1)
+		for range streams {
+			queue.EnqueueBoundShared(start, "m", "v1", "large")
+		}
+	})
+
+	It("may wait for capacity as if they were not there", func() {
+		pool.PeerActive(start, "e-v2", 2, 1)
+		mayWait(queue.Enqueue(start, "m", 0))
+	})
+
+	It("may wait at a rate limit as if they were not there", func() {
+		pool.HoldBack(start, "e-v2", 1, start.Add(time.Second))
+		mayWait(queue.Enqueue(start, "m", 0))
+	})
+
+	It("may wait behind others if it is the only one that is starved", func() {
+		queue = counter.NewQueue(pool, 1)
+		queue.EnqueueBound(start.Add(-4*time.Second), "m", "v1")
+		pool.PeerActive(start, "e-v2", 2, 1)
+		for range streams {
+			queue.EnqueueAs(start, "m", "adapter", 0, time.Second)
+		}
+		mayWait(queue.Enqueue(start, "m", time.Second))
+	})
+
+	It("goes before later ones of another workspace as if they were not there", func() {
+		pool.PeerActive(start, "e-v2", 2, 1)
+		first := queue.EnqueueShared(start.Add(time.Millisecond), "m", "large", true)
+		second := queue.EnqueueShared(start.Add(2*time.Millisecond), "m", "small", true)
+		pool.PeerActive(start.Add(3*time.Millisecond), "e-v2", 0, 1)
+		queue.Dispatch(start.Add(20 * time.Millisecond))
+		Expect(counter.Granted(first)).To(BeTrue())
+		Expect(counter.Granted(second)).To(BeFalse())
+	})
+})
