backoffice: a spec that a leader which may lack engines refuses no stream

unavailableReason tells streams that no engine can load their model in time only if the leader knows all engines. No spec noticed when the check was gone: callers would get a 503 for a stream that an engine can serve which has not announced itself to the new leader yet.

--- /dev/null
+++ b/internal/backoffice/export_leader_test.go
@@ -0,0 +1,39 @@
+package backoffice
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovagelift/lovagelift/internal/courier"
+	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/upstreamapi"
+)
+
+// Leader gives specs access to the decisions of a leader about engines, apart from the rounds that make and
+// carry them out.
+type Leader struct {
+	orchestrator *orchestrator
+}
+
+// NewLeader returns a leader that knows no engines yet.
+func (i *Instance) NewLeader(table *routes.Table) Leader {
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	o := newOrchestrator(canceled, i)
+	o.term, o.table = 1, table
+	return Leader{o}
+}
+
+// Add adds an engine of which only the announcement is known.
+func (l Leader) Add(service, name, softwareVersion string) Engine {
+	e := newEngine(upstreamapi.Announcement{Name: name, SoftwareVersion: softwareVersion}, l.orchestrator.table.Service(service), unconfirmedOrders{})
+	l.orchestrator.engines[name] = e
+	return Engine{engine: e}
+}
+
+// UnavailableReason returns why a model can't be had, empty if it may be.
+func (l Leader) UnavailableReason(now time.Time, args courier.WantArgs) string {
+	l.orchestrator.mu.Lock()
+	defer l.orchestrator.mu.Unlock()
+	return l.orchestrator.unavailableReason(now, args)
+}
