backoffice: specs that streams wait for an engine whose state is uncertain

unavailableReason refuses a stream only if the state of all engines of its version is known: each has reported, has no order with an unknown result, and may not get the model back because its withdrawal is cancelled. No spec noticed when that was gone: callers would get a 503 although the engine of their version holds the model, or will again 400 ms later.

--- a/internal/backoffice/unavailable_test.go
+++ b/internal/backoffice/unavailable_test.go
@@ -32,4 +32,32 @@
 		Expect(leader.UnavailableReason(now.Add(-loneLease/2), soon)).To(BeEmpty())
 		Expect(leader.UnavailableReason(now, soon)).To(HaveSuffix(inTime))
 	}, SpecTimeout(specTimeout))
+
+	DescribeTable("waits only while an engine of the version may hold the model without the leader's knowledge",
+		func(ctx SpecContext, version string, waits bool, change func(now time.Time, e backoffice.Engine)) {
+			leader, now := newLoneLeader(ctx)
+			leader.Add("pool", "e1", "v1").ApplyReport(now, reportOf())
+			leader.Add("pool", "e2", "v2").ApplyReport(now, reportOf("a"))
+			change(now, leader.Add("pool", "e3", version))
+			if waits {
+				Expect(leader.UnavailableReason(now, soon)).To(BeEmpty())
+				return
+			}
+			Expect(leader.UnavailableReason(now, soon)).To(HaveSuffix(inTime))
+		},
+		Entry("as it has not reported yet", SpecTimeout(specTimeout), "v1", true, func(time.Time, backoffice.Engine) {}),
+		Entry("as an order to it has failed", SpecTimeout(specTimeout), "v1", true, func(now time.Time, e backoffice.Engine) {
+			e.ApplyReport(now, reportOf())
+			e.MarkStale()
+		}),
+		Entry("as the withdrawal of the model may be cancelled", SpecTimeout(specTimeout), "v1", true, func(now time.Time, e backoffice.Engine) {
+			e.ApplyReport(now, reportOf("a"))
+			e.Withdraw("a")
+		}),
+		Entry("not as another model is withdrawn", SpecTimeout(specTimeout), "v1", false, func(now time.Time, e backoffice.Engine) {
+			e.ApplyReport(now, reportOf("b"))
+			e.Withdraw("b")
+		}),
+		Entry("not as one of another version has not reported yet", SpecTimeout(specTimeout), "v2", false, func(time.Time, backoffice.Engine) {}),
+	)
 })
