backoffice: a spec that streams which wait cancel the withdrawal of their model

While an engine makes room, requests that wait for the withdrawn model call that off. Those that are bound to the version of the engine count apart, and no spec noticed when their clause in neededAgain was gone: callers would wait for a load of the model that their engine still held, and get a 503 if it takes too long.

Without the clause the first entry fails, as it does without the call of neededAgain and without either of the clause's conditions the one for it.

--- a/internal/backoffice/export_leader_test.go
+++ b/internal/backoffice/export_leader_test.go
@@ -27,10 +27,28 @@
 // Add adds an engine of which only the announcement is known.
 func (l Leader) Add(service, name, softwareVersion string) Engine {
 	e := newEngine(upstreamapi.Announcement{Name: name, SoftwareVersion: softwareVersion}, l.orchestrator.table.Service(service), unconfirmedOrders{})
+	l.orchestrator.mu.Lock()
+	defer l.orchestrator.mu.Unlock()
 	l.orchestrator.engines[name] = e
 	return Engine{engine: e}
 }
 
+// RecordDemand records the demand that an entry instance reports.
+func (l Leader) RecordDemand(now time.Time, demand ...courier.Demand) {
+	l.orchestrator.recordDemand(now, "entry", demand)
+}
+
+// CancelsWithdrawal decides whether the withdrawn model of an engine is unloaded now, and reports whether the
+// withdrawal is cancelled instead. No order is sent.
+func (l Leader) CancelsWithdrawal(now time.Time, e Engine) bool {
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	l.orchestrator.mu.Lock()
+	defer l.orchestrator.mu.Unlock()
+	l.orchestrator.unloadWithdrawn(canceled, now)
+	return e.engine.withdrawn == ""
+}
+
 // UnavailableReason returns why a model can't be had, empty if it may be.
 func (l Leader) UnavailableReason(now time.Time, args courier.WantArgs) string {
 	l.orchestrator.mu.Lock()
--- a/internal/backoffice/export_test.go
+++ b/internal/backoffice/export_test.go
@@ -124,6 +124,11 @@
 	e.engine.withdrawn = model
 }
 
+// WithdrawFor marks a model as one to be unloaded for another.
+func (e Engine) WithdrawFor(model, replacement string) {
+	e.engine.withdrawn, e.engine.replacement = model, replacement
+}
+
 // AcceptUnload applies an accepted order to unload a model.
 func (e Engine) AcceptUnload(model string, expected uint64) {
 	e.engine.withdrawn, e.engine.unloading = model, true
