backoffice: a spec that a plan keeps the last copies at each version

plannerModels tells the planner for how long the last copy of a model at each version is kept. The planner's own specs set that time, and no spec noticed when the leader no longer did: a busy model would replace the only copy at an older version, and callers who resume streams of it would get a 503.

--- a/internal/backoffice/export_leader_test.go
+++ b/internal/backoffice/export_leader_test.go
@@ -38,6 +38,21 @@
 	l.orchestrator.recordDemand(now, "entry", demand)
 }
 
+// Place makes a plan and returns the models that it withdraws, each after its engine. No order is sent.
+func (l Leader) Place(now time.Time) (withdrawn []string) {
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	l.orchestrator.placeModels(canceled, now)
+	l.orchestrator.mu.Lock()
+	defer l.orchestrator.mu.Unlock()
+	for name, e := range l.orchestrator.engines {
+		if e.withdrawn != "" {
+			withdrawn = append(withdrawn, name+" "+e.withdrawn)
+		}
+	}
+	return withdrawn
+}
+
 // CancelsWithdrawal decides whether the withdrawn model of an engine is unloaded now, and reports whether the
 // withdrawal is cancelled instead. No order is sent.
 func (l Leader) CancelsWithdrawal(now time.Time, e Engine) bool {
