--- a/internal/counter/dialect_test.go
+++ b/internal/counter/dialect_test.go
@@ -45,6 +45,8 @@
 	switch {
 	case response.Header.Get(notRunHeader) != "":
 		return counter.NotRun
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		return counter.Misdirected
 	case response.Header.Get(idHeader) != requestID:
 		return counter.Mismatched
 	default:
