--- a/internal/counter/export_quota_test.go
+++ b/internal/counter/export_quota_test.go
@@ -17,11 +17,16 @@
 	now       time.Time
 	addresses []netip.AddrPort
 	running   map[netip.AddrPort]*Proxy
+	// frozen are the instances that stand still, and cutOff those whose messages are lost.
+	frozen map[netip.AddrPort]*Proxy
+	cutOff map[netip.AddrPort]bool
 }
 
 // NewQuotaNetwork returns a group of running instances.
 func NewQuotaNetwork(now time.Time, addresses []netip.AddrPort) *QuotaNetwork {
-	n := &QuotaNetwork{now: now, addresses: addresses, running: map[netip.AddrPort]*Proxy{}}
+	n := &QuotaNetwork{
+		now: now, addresses: addresses, running: map[netip.AddrPort]*Proxy{}, frozen: map[netip.AddrPort]*Proxy{}, cutOff: map[netip.AddrPort]bool{},
+	}
 	for _, address := range addresses {
 		n.Start(address)
 	}
@@ -42,6 +47,28 @@
 	delete(n.running, address)
 }
 
+// Freeze makes an instance stand still until Thaw.
+func (n *QuotaNetwork) Freeze(address netip.AddrPort) {
+	n.frozen[address] = n.running[address]
+	n.Kill(address)
+}
+
+// Thaw lets an instance go on with what it knew.
+func (n *QuotaNetwork) Thaw(address netip.AddrPort) {
+	n.running[address] = n.frozen[address]
+	delete(n.frozen, address)
+}
+
+// SetCutOff sets whether the messages from and to an instance are lost.
+func (n *QuotaNetwork) SetCutOff(address netip.AddrPort, cutOff bool) {
+	n.cutOff[address] = cutOff
+}
+
+// SetInstances replaces the entry instances that an instance knows.
+func (n *QuotaNetwork) SetInstances(at netip.AddrPort, all []netip.AddrPort) {
+	Instance{proxy: n.running[at]}.SetInstances(n.now, all)
+}
+
 // Advance lets time pass.
 func (n *QuotaNetwork) Advance(by time.Duration) {
 	n.now = n.now.Add(by)
@@ -69,7 +96,8 @@
 	if err != nil {
 		return 0, err
 	}
-	if receiver := c.network.running[to.(*net.UDPAddr).AddrPort()]; receiver != nil {
+	address := to.(*net.UDPAddr).AddrPort()
+	if receiver := c.network.running[address]; receiver != nil && !c.network.cutOff[c.self] && !c.network.cutOff[address] {
 		receiver.receive(c.network.now, c.self, message)
 	}
 	return len(encoded), nil
--- a/internal/counter/quota_test.go
+++ b/internal/counter/quota_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -128,17 +129,18 @@
 	)
 	var network *counter.QuotaNetwork
 
-	// press requests more than the quota for a while, at the instances in turn, and returns the granted units.
-	press := func(ctx context.Context, length time.Duration) float64 {
+	// pressAt requests more than the quota for a while, at some instances in turn, and returns the granted units.
+	pressAt := func(ctx context.Context, length time.Duration, pressed ...netip.AddrPort) float64 {
 		total := 0.0
 		for i := range int(length / pressInterval) {
-			if network.Take(ctx, instances[i%len(instances)], name, limit, need) {
+			if network.Take(ctx, pressed[i%len(pressed)], name, limit, need) {
 				total += need
 			}
 			network.Advance(pressInterval)
 		}
 		return total
 	}
+	press := func(ctx context.Context, length time.Duration) float64 { return pressAt(ctx, length, instances...) }
 
 	BeforeEach(func(ctx SpecContext) {
 		network = counter.NewQuotaNetwork(start, instances)
@@ -170,6 +172,50 @@
 		Entry("once, after a while", SpecTimeout(specTimeout), 1, 2*time.Second),
 		Entry("again and again", SpecTimeout(specTimeout), 4, 500*time.Millisecond),
 	)
+
+	// setListed sets whether the others have the owner in their lists.
+	others := slices.DeleteFunc(slices.Clone(instances), func(a netip.AddrPort) bool { return a == owner })
+	setListed := func(listed bool) {
+		all := others
+		if listed {
+			all = instances
+		}
+		for _, at := range others {
+			network.SetInstances(at, all)
+		}
+	}
+
+	// The owner does not know that another instance granted meanwhile until somebody asks it again.
+	DescribeTable("exceed the tolerance by no more than comes in while the owner stands still",
+		func(ctx SpecContext, pauses int, length time.Duration, listed bool) {
+			up := window/time.Duration(pauses) - length
+			total := 0.0
+			for range pauses {
+				total += press(ctx, up/2)
+				network.Freeze(owner)
+				setListed(listed)
+				total += press(ctx, length)
+				network.Thaw(owner)
+				total += press(ctx, up/4)
+				setListed(true)
+				total += press(ctx, up/4)
+			}
+			Expect(total).To(BeNumerically("<=", tolerated+float64(pauses)*min(limit.PerSecond*length.Seconds(), limit.Burst)))
+		},
+		Entry("once", SpecTimeout(specTimeout), 1, 500*time.Millisecond, true),
+		Entry("for so long that the others do not list it", SpecTimeout(specTimeout), 1, 4*time.Second, false),
+		Entry("again and again", SpecTimeout(specTimeout), 4, 500*time.Millisecond, false),
+	)
+
+	// The others grant the quota meanwhile.
+	DescribeTable("grant while one of them is cut off no more to its callers than",
+		func(ctx SpecContext, isolated netip.AddrPort, granted float64) {
+			network.SetCutOff(isolated, true)
+			Expect(pressAt(ctx, time.Second, isolated)).To(BeNumerically("<=", granted))
+		},
+		Entry("the quota at the owner", SpecTimeout(specTimeout), owner, limit.Burst+limit.PerSecond),
+		Entry("half of the tolerated excess and a share of the quota at another", SpecTimeout(specTimeout), instances[0], 450*9.0/8+limit.PerSecond/8),
+	)
 })
 
 var _ = Describe("A request of a workspace", func() {
