counter: a request is not sent after its deadline by an instance that stood still

Only the timer of the context ended a request whose time was over. After a pause of the process, the grant of an owner may be handled before that timer: the spec's request, which resumes a stream by the only recorded version as of its arrival, was sent two minutes late and answered 200.

The deadline is compared with the clock before each send. The answers are those of an attempt whose context has ended: 503 with Retry-After while no upstream may have run the request, 504 otherwise.

The new spec fails without the comparison.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -30,6 +30,11 @@
 		t.refuseByRuling(w, ruling)
 		return true
 	}
+	if t.remaining() <= 0 {
+		// ctx may not have ended yet if the process stood still.
+		t.refuseFailed(w, true)
+		return true
+	}
 	t.sends++
 	t.timing.sent = p.options.Now()
 	response, err := t.roundTrip(ctx, a)
@@ -139,17 +144,20 @@
 	if verdict == retry.Again {
 		return false
 	}
+	t.refuseFailed(w, ctx.Err() != nil)
+	return true
+}
+
+// refuseFailed answers a request of which no attempt has succeeded. tooLate is true if its time has ended.
+func (t *transaction) refuseFailed(w http.ResponseWriter, tooLate bool) {
+	answer := refusal{status: http.StatusBadGateway, text: "the upstream's answer was lost"}
 	switch {
 	case t.possibleRuns == 0:
-		p.refuse(w, t.call, t.route, refusal{
-			status: http.StatusServiceUnavailable, text: "no upstream was reached", retryAfter: t.retryAfterNow(),
-		})
-	case ctx.Err() != nil:
-		p.refuse(w, t.call, t.route, refusal{status: http.StatusGatewayTimeout, text: "no answer in time"})
-	default:
-		p.refuse(w, t.call, t.route, refusal{status: http.StatusBadGateway, text: "the upstream's answer was lost"})
+		answer = refusal{status: http.StatusServiceUnavailable, text: "no upstream was reached", retryAfter: t.retryAfterNow()}
+	case tooLate:
+		answer = refusal{status: http.StatusGatewayTimeout, text: "no answer in time"}
 	}
-	return true
+	t.proxy.refuse(w, t.call, t.route, answer)
 }
 
 // verdict decides whether the request is retried. A failure to connect is not charged to the retry
--- a/internal/counter/permits_test.go
+++ b/internal/counter/permits_test.go
@@ -306,6 +306,11 @@
 }
 
 func (o *grantingOwner) grantAlways(upstream, address string) {
+	o.grantAfter(func() {}, upstream, address)
+}
+
+// grantAfter is grantAlways with a call before each grant.
+func (o *grantingOwner) grantAfter(before func(), upstream, address string) {
 	go func() {
 		defer GinkgoRecover()
 		buffer := make([]byte, permit.MaxBytes)
@@ -318,6 +323,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			switch m := message.(type) {
 			case permit.Request:
+				before()
 				granted := permit.Granted{ID: m.ID, Upstream: upstream, Address: address}
 				_, _ = o.conn.WriteTo(permit.Append(nil, granted), from)
 			case permit.Release:
--- a/internal/counter/staleview_test.go
+++ b/internal/counter/staleview_test.go
@@ -251,6 +251,22 @@
 		Expect(g.sendTo(0, "/short/", "")).To(Equal(http.StatusOK))
 	})
 
+	It("does not send a stream whose caller's time has ended, by records that were proven before", func(ctx SpecContext) {
+		g := newResumptionGroup(1)
+		u := g.announceUpstreams("v1")[0]
+		owner := listenGrantingOwner()
+		for ownerAmong(g.peers[0].address, owner.address) != owner.address {
+			owner = listenGrantingOwner()
+		}
+		g.control.addExactEntries(owner.address)
+		Eventually(ctx, g.peers[0].proxy.Instances).Should(Equal(2))
+		owner.grantAfter(func() { g.clock.advance(longerThanLease) }, "e1", u.address())
+		status, _ := g.resume(ctx, 0, "begun-at-the-only-version")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(u.count()).To(BeZero())
+		Eventually(ctx, owner.releases).Should(Receive())
+	}, SpecTimeout(specTimeout))
+
 	It("tells callers the entry instances of its last sync", func() {
 		p := newTestProxy()
 		Eventually(p.firstSynced, specTimeout).Should(BeTrue())
