counter: an instance without a recent sync allows no trials

The owner of a trial that was cut off from control instances allowed one each 5 s (5 of 5 in a trial of 30 s): others may have another owner by then, and without news the result of the trial before stays unknown, so that each may crash one more engine.

An instance allows trials only within 5 s, the time in which the result of one becomes known, of a sync that was answered. Its requests get 503 with Retry-After, as those whose owner does not answer.

--- a/internal/counter/trials.go
+++ b/internal/counter/trials.go
@@ -35,8 +35,12 @@
 	return strconv.FormatUint(uint64(trial), 16)
 }
 
-// takeTrial decides on a trial as its owner. p.mu is held.
+// takeTrial decides on a trial as its owner. Without a recent sync another instance may own it, and the
+// result of an earlier trial may be unknown here. p.mu is held.
 func (p *Proxy) takeTrial(now time.Time, trial quarantine.TrialID) bool {
+	if synced := p.control.lastSyncSent; !synced.IsZero() && now.Sub(synced) >= quarantine.TrialInterval {
+		return false
+	}
 	since := p.startedAt
 	if p.peers.conn != nil {
 		if owned := p.owners.ownedSince(now, trialOwnerService, trialKey(trial)); owned.After(since) {
