backoffice: a plan looks up once for each version whether all engines are of it

While all engines are of one version, requests that are bound to it wait like all others. Each plan searched all engines for that once for each model and version to which requests are bound.

--- a/internal/backoffice/bench_test.go
+++ b/internal/backoffice/bench_test.go
@@ -18,9 +18,10 @@
 	benchCalls   = 100
 )
 
-// newBenchLeader returns a leader of engines of two versions that are full, and a time at which it knows all
-// that there are. Requests are bound to both versions of half of the models, and model m0 is held at v2 only.
-func newBenchLeader(b *testing.B) (backoffice.Leader, time.Time) {
+// newBenchLeader returns a leader of engines of some versions that are full, and a time at which it knows all
+// that there are. Requests are bound to v1 and v2 of half of the models. Only one engine, of v2 if there are several
+// versions, holds model m0.
+func newBenchLeader(b *testing.B, versions int) (backoffice.Leader, time.Time) {
 	b.Helper()
 	instance, err := startLone(b.TempDir())
 	if err != nil {
@@ -44,7 +45,7 @@
 		if i == 1 {
 			held[0] = "m0"
 		}
-		leader.Add("pool", fmt.Sprint("e", i), fmt.Sprint("v", 1+i%2)).ApplyReport(now, reportOf(held...))
+		leader.Add("pool", fmt.Sprint("e", i), fmt.Sprint("v", 1+i%versions)).ApplyReport(now, reportOf(held...))
 	}
 	var demand []courier.Demand
 	for i := range benchModels {
@@ -62,7 +63,7 @@
 
 // BenchmarkUnavailableReason asks for each of 100 streams that wait whether their model can be had.
 func BenchmarkUnavailableReason(b *testing.B) {
-	leader, now := newBenchLeader(b)
+	leader, now := newBenchLeader(b, 2)
 	for name, remaining := range map[string]time.Duration{"to wait": time.Minute, "refused": time.Millisecond} {
 		args := courier.WantArgs{Service: "pool", Model: "m0", Software: resumption.BoundTo("v1"), Remaining: remaining}
 		b.Run(name, func(b *testing.B) {
@@ -76,3 +77,15 @@
 		})
 	}
 }
+
+// BenchmarkPlannerModels describes the models to a planner, as a control instance does eight times a second.
+func BenchmarkPlannerModels(b *testing.B) {
+	for _, versions := range []int{1, 2} {
+		leader, now := newBenchLeader(b, versions)
+		b.Run(fmt.Sprint("versions ", versions), func(b *testing.B) {
+			for b.Loop() {
+				leader.PlannerModels(now, "pool")
+			}
+		})
+	}
+}
--- a/internal/backoffice/bound.go
+++ b/internal/backoffice/bound.go
@@ -11,10 +11,18 @@
 	"github.com/lovagelift/lovagelift/internal/stocking"
 )
 
+// boundRequests identifies the requests for a model that are bound to a software version.
+type boundRequests struct {
+	key demandKey
+	// allAllowed reports that all engines of the service are of the version.
+	allAllowed bool
+}
+
 // boundDemand returns the requests that wait for models of a service at a software version, by model. o.mu
 // is held.
-func (o *orchestrator) boundDemand(now time.Time, service string) map[string][]demandKey {
-	bound := map[string][]demandKey{}
+func (o *orchestrator) boundDemand(now time.Time, service string) map[string][]boundRequests {
+	bound := map[string][]boundRequests{}
+	allAllowed := map[string]bool{}
 	for key, demand := range o.demand {
 		if key.service != service || !key.software.Bound {
 			continue
@@ -23,11 +31,15 @@
 			demand.missingSince = time.Time{}
 			continue
 		}
-		bound[key.model] = append(bound[key.model], key)
+		version := key.software.SoftwareVersion
+		if _, known := allAllowed[version]; !known {
+			allAllowed[version] = o.allAllowed(key)
+		}
+		bound[key.model] = append(bound[key.model], boundRequests{key: key, allAllowed: allAllowed[version]})
 	}
-	for _, keys := range bound {
-		slices.SortFunc(keys, func(a, b demandKey) int {
-			return strings.Compare(a.software.SoftwareVersion, b.software.SoftwareVersion)
+	for _, requests := range bound {
+		slices.SortFunc(requests, func(a, b boundRequests) int {
+			return strings.Compare(a.key.software.SoftwareVersion, b.key.software.SoftwareVersion)
 		})
 	}
 	return bound
@@ -35,10 +47,11 @@
 
 // addBound adds requests that are bound to software versions to a model. While all engines are of the same
 // version, they wait like all others. o.mu is held.
-func (o *orchestrator) addBound(now time.Time, m *stocking.Model, bound []demandKey, held map[demandKey]bool) {
-	for _, key := range bound {
+func (o *orchestrator) addBound(now time.Time, m *stocking.Model, bound []boundRequests, held map[demandKey]bool) {
+	for _, requests := range bound {
+		key := requests.key
 		demand := o.demand[key]
-		if o.allAllowed(key) {
+		if requests.allAllowed {
 			m.Waiting += demand.totalWaiting(now)
 			continue
 		}
--- a/internal/backoffice/export_leader_test.go
+++ b/internal/backoffice/export_leader_test.go
@@ -76,6 +76,11 @@
 	l.orchestrator.recordLimits(now, []courier.LimitedUpstream{{Name: engine, Limit: ratelimit.Limit(limit)}})
 }
 
+// PlannerModels returns the models of a service as a plan takes them into account.
+func (l Leader) PlannerModels(now time.Time, service string) []stocking.Model {
+	return l.orchestrator.plannerModels(now, service, l.orchestrator.table.Service(service).Engine)
+}
+
 // EarliestCopy is the time until an engine of a version holds a model.
 type EarliestCopy struct {
 	After    time.Duration
@@ -90,9 +95,7 @@
 
 // PlannedEarliestCopy is EarliestCopy by all that a plan takes into account.
 func (l Leader) PlannedEarliestCopy(now time.Time, service, model, version string) (earliest EarliestCopy) {
-	o := l.orchestrator
-	earliest.After, earliest.Possible = stocking.EarliestCopy(model, version,
-		o.plannerModels(now, service, o.table.Service(service).Engine), o.plannerEngines(now, service))
+	earliest.After, earliest.Possible = stocking.EarliestCopy(model, version, l.PlannerModels(now, service), l.orchestrator.plannerEngines(now, service))
 	return earliest
 }
 
