quarantine: a request is sent one copy at a time, the next one once the result is known

Callers repeat a request that crashes engines under new ids.

Cause of the delay: the owner of trials knew nothing of their results, and waited 5 s for each, and 5 s more after each change of owners.

The owner allows one after each crash at once; 5 s hold only as long as nothing is known of the one before. The owner decides by the larger number of its own and the asker's, and refuses one with fewer than it has allowed. - A trial that was never sent, was not run, or whose response was complete ends with its request, which tells the owner (TrialEnded). One whose response was interrupted, or whose caller left, stays for 5 s: nobody knows yet. - A new owner allows one at once after a crash that it hears of later than a second after it became the owner: its predecessor was asked for none after it. Otherwise it waits for 5 s as before. - Between the third crash and the quarantine (1.5 s) no copy is sent. - An entry about parts goes before probation, and trials of parts are as before. The own interface drops what the news say of probation.

--- a/internal/coroner/coroner.go
+++ b/internal/coroner/coroner.go
@@ -31,7 +31,12 @@
 	NewLogEvent func(kind string) *zerolog.Event
 	// AllowTrial asks the instance that decides on a trial whether a request may be sent as such. If
 	// nil, none may.
-	AllowTrial func(ctx context.Context, trial quarantine.TrialID) bool
+	AllowTrial func(ctx context.Context, trial quarantine.Trial) bool
+	// EndTrial tells that instance that a trial has ended without a crash. If nil, nothing is told.
+	EndTrial func(trial quarantine.Trial)
+	// Probation is true if a request that was at a crash is sent one copy at a time. AllowTrial must
+	// then allow one of all instances, wherever the request arrives.
+	Probation bool
 	// Dial connects to an upstream. If nil, TCP is used.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Now  func() time.Time
@@ -78,7 +83,10 @@
 		options.Dial = (&net.Dialer{}).DialContext
 	}
 	if options.AllowTrial == nil {
-		options.AllowTrial = func(context.Context, quarantine.TrialID) bool { return false }
+		options.AllowTrial = func(context.Context, quarantine.Trial) bool { return false }
+	}
+	if options.EndTrial == nil {
+		options.EndTrial = func(quarantine.Trial) {}
 	}
 	if options.Metrics == nil {
 		options.Metrics = tally.NoopScope
@@ -120,12 +128,22 @@
 // ApplyNews applies news of the quarantine.
 func (d *CrashDetector) ApplyNews(news quarantine.News) {
 	now := d.options.Now()
+	if !d.options.Probation {
+		news.OnProbation = nil
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.watch.ApplyNews(now, news)
 	d.wakeReporter()
 }
 
+// KnownCrashes returns what is known here of the request of a trial.
+func (d *CrashDetector) KnownCrashes(trial quarantine.TrialID) quarantine.KnownCrashes {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.watch.KnownCrashes(trial)
+}
+
 // Review calls status for each upstream whose responses were interrupted, and records the
 // result. status is like Options.Status, and is called with the lock of the CrashDetector
 // held.
--- a/internal/coroner/coroner_test.go
+++ b/internal/coroner/coroner_test.go
@@ -153,3 +153,97 @@
 		Expect([]int{quarantined, suspected}).To(Equal([]int{1, 0}))
 	})
 })
+
+var _ = Describe("Copies of a request that was at a crash", func() {
+	var now time.Time
+	var d *coroner.CrashDetector
+	digest := quarantine.Identity{Body: []byte("a")}.Digest()
+
+	BeforeEach(func() {
+		now = time.Unix(1_000_000, 0).UTC()
+		options := (&fakeInstance{}).options()
+		options.Now = func() time.Time { return now }
+		var trials quarantine.Trials
+		options.AllowTrial = func(_ context.Context, trial quarantine.Trial) bool { return trials.Take(now, time.Time{}, trial) }
+		options.EndTrial = func(trial quarantine.Trial) { trials.End(now, trial) }
+		options.Probation = true
+		d = coroner.New(options)
+		DeferCleanup(d.Close)
+	})
+	// sent returns which of the copies may be sent now.
+	sent := func(ctx context.Context, copies ...*coroner.Admission) []bool {
+		var allowed []bool
+		for _, c := range copies {
+			_, ok := c.Send(ctx)
+			allowed = append(allowed, ok)
+		}
+		return allowed
+	}
+
+	// A model is at one engine, which crashes. Callers repeat the request while another one loads
+	// the model, and it would get all of the copies at once.
+	It("that have waited for an upstream are not sent to it together", func(ctx SpecContext) {
+		first, second, third := d.Admit(digest), d.Admit(digest), d.Admit(digest)
+		for _, waiting := range []*coroner.Admission{first, second, third} {
+			_, allowed := waiting.Reserve(ctx)
+			Expect(allowed).To(BeTrue())
+		}
+		d.ApplyNews(quarantine.News{Revision: 1, Mark: 1, OnProbation: []quarantine.Probation{{Digest: digest, Crashes: 1}}})
+		Expect(sent(ctx, first, second, third)).To(Equal([]bool{true, false, false}))
+	})
+
+	// One copy waits for longer than the owner of the trial remembers it, and another gets the trial.
+	It("are not sent together because one of them has held the trial for long", func(ctx SpecContext) {
+		d.ApplyNews(quarantine.News{Revision: 1, Mark: 1, OnProbation: []quarantine.Probation{{Digest: digest, Crashes: 1}}})
+		first, second := d.Admit(digest), d.Admit(digest)
+		_, allowed := first.Reserve(ctx)
+		Expect(allowed).To(BeTrue())
+		now = now.Add(quarantine.TrialInterval)
+		_, allowed = second.Reserve(ctx)
+		Expect(allowed).To(BeTrue())
+		Expect(sent(ctx, first, second)).To(Equal([]bool{false, true}))
+	})
+
+	// The trial reaches the address of the engine that has just crashed. The next engine runs it.
+	It("keep the trial if the upstream did not run it", func(ctx SpecContext) {
+		d.ApplyNews(quarantine.News{Revision: 1, Mark: 1, OnProbation: []quarantine.Probation{{Digest: digest, Crashes: 1}}})
+		first, second := d.Admit(digest), d.Admit(digest)
+		Expect(sent(ctx, first)).To(Equal([]bool{true}))
+		first.NotRun()
+		Expect(sent(ctx, second, first, first)).To(Equal([]bool{false, true, false}))
+	})
+
+	setCrashes := func(crashes int) {
+		d.ApplyNews(quarantine.News{
+			Revision: uint64(crashes), Mark: uint64(crashes), OnProbation: []quarantine.Probation{{Digest: digest, Crashes: crashes}},
+		})
+	}
+
+	It("are sent one at a time after each crash", func(ctx SpecContext) {
+		first, second, third := d.Admit(digest), d.Admit(digest), d.Admit(digest)
+		setCrashes(1)
+		Expect(sent(ctx, first, second, third)).To(Equal([]bool{true, false, false}))
+		setCrashes(2)
+		Expect(sent(ctx, second, third)).To(Equal([]bool{true, false}))
+	})
+
+	DescribeTable("leave the trial to another one",
+		func(ctx SpecContext, end func(a *coroner.Admission), left bool) {
+			setCrashes(1)
+			first, second := d.Admit(digest), d.Admit(digest)
+			_, allowed := first.Reserve(ctx)
+			Expect(allowed).To(BeTrue())
+			end(first)
+			first.End()
+			Expect(sent(ctx, second)).To(Equal([]bool{left}))
+		},
+		Entry("if they end before they are sent", func(*coroner.Admission) {}, true),
+		Entry("if no upstream has run them", func(a *coroner.Admission) { a.Send(context.Background()); a.NotRun() }, true),
+		Entry("if the response was complete", func(a *coroner.Admission) { a.Send(context.Background()); a.Completed() }, true),
+		Entry("but not if it was interrupted", func(a *coroner.Admission) { a.Send(context.Background()) }, false),
+		Entry("but not if another one may hold it by now", func(a *coroner.Admission) {
+			now = now.Add(quarantine.TrialInterval)
+			Expect(sent(context.Background(), d.Admit(digest))).To(Equal([]bool{true}))
+		}, false),
+	)
+})
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -76,6 +76,7 @@
 func (t *transaction) handleNotRun(w http.ResponseWriter, a *upstreamAttempt, response *http.Response, class ResponseClass) bool {
 	p := t.proxy
 	now := p.options.Now()
+	t.admission.NotRun()
 	a.outcome = permit.Full
 	if class == Misdirected && t.model != "" {
 		a.outcome = permit.ModelAbsent
@@ -110,6 +111,8 @@
 	if a.mayHaveSent.Load() {
 		run = outcome.Unknown
 		t.possibleRuns++
+	} else {
+		t.admission.NotRun()
 	}
 	if t.request.Context().Err() != nil {
 		t.reportCallerLeft(a)
--- a/internal/counter/crashes.go
+++ b/internal/counter/crashes.go
@@ -25,6 +25,8 @@
 		Report:      p.reportCrashes,
 		NewLogEvent: func(kind string) *zerolog.Event { return p.logLine(p.options.Now(), kind) },
 		AllowTrial:  p.allowTrial,
+		EndTrial:    p.endTrial,
+		Probation:   true,
 		Dial:        p.dialUpstream,
 		Now:         p.options.Now,
 		Metrics:     p.metrics.scope,
@@ -120,6 +122,7 @@
 		t.proxy.crashes.Closed(a.upstream.endpoint(), t.suspect(a), status, t.parts...)
 		return
 	}
+	t.admission.Completed()
 	t.proxy.crashes.Succeeded(t.digest, status, t.parts...)
 }
 
--- a/internal/counter/permits.go
+++ b/internal/counter/permits.go
@@ -72,6 +72,8 @@
 		p.answerOrigin(now, from, m)
 	case permit.TrialRequest:
 		p.handleTrialRequest(now, from, m)
+	case permit.TrialEnded:
+		p.trials.End(now, m.Trial)
 	case permit.Reply:
 		p.deliverAnswer(from, m.RequestID(), m)
 	}
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -95,6 +95,7 @@
 		t.refuseByRuling(w, ruling)
 		return
 	}
+	defer t.admission.End()
 	ctx, cancel := context.WithTimeout(r.Context(), t.deadline.Sub(p.options.Now()))
 	defer cancel()
 	defer t.countResumptionResult()
--- a/internal/instance/crashes.go
+++ b/internal/instance/crashes.go
@@ -28,7 +28,7 @@
 
 // allowTrial reports whether a suspected request may be sent as a trial. The leader alone sends
 // trials. In each term, it counts as leader from its first such request on.
-func (i *Instance) allowTrial(_ context.Context, trial quarantine.TrialID) bool {
+func (i *Instance) allowTrial(_ context.Context, trial quarantine.Trial) bool {
 	leader, term := i.controlPlane.Leader()
 	if leader == "" || leader != i.controlPlane.Identity() {
 		return false
--- a/internal/permit/decode.go
+++ b/internal/permit/decode.go
@@ -67,7 +67,11 @@
 	case kindSendRequest:
 		return SendRequest{ID: r.id(), Upstream: r.String(), Limit: r.limit()}
 	case kindTrialRequest:
-		return TrialRequest{ID: r.id(), Trial: quarantine.TrialID(r.Uint())}
+		return TrialRequest{ID: r.id(), Trial: quarantine.Trial{ID: quarantine.TrialID(r.Uint())}}
+	case kindProbationRequest:
+		return TrialRequest{ID: r.id(), Trial: r.trial()}
+	case kindTrialEnded:
+		return TrialEnded{Trial: r.trial()}
 	case kindSendAllowed:
 		return SendAllowed{ID: r.id()}
 	case kindSendDelayed:
@@ -139,6 +143,10 @@
 	return resumption.Origin{Service: r.String(), SoftwareVersion: r.String()}
 }
 
+func (r reader) trial() quarantine.Trial {
+	return quarantine.Trial{ID: quarantine.TrialID(r.Uint()), Crashes: r.count()}
+}
+
 func (r reader) limit() ratelimit.Limit {
 	limit := ratelimit.Limit(float64(r.Uint()) / limitUnits)
 	if !limit.Valid() {
--- a/internal/permit/encode.go
+++ b/internal/permit/encode.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/parcel"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 )
@@ -56,6 +57,10 @@
 	// kindDescribedGranted is a Granted that describes the upstream. It replies to a kindRecordedRequest
 	// only.
 	kindDescribedGranted
+	// kindProbationRequest is a TrialRequest with a number of crashes. Instances that do not know it
+	// ignore it, and kindTrialEnded.
+	kindProbationRequest
+	kindTrialEnded
 )
 
 // Append appends the encoding of a message to buffer.
@@ -98,7 +103,7 @@
 		buffer = appendProcess(buffer, kindSpeedReport, m.Upstream, m.Incarnation)
 		buffer = parcel.AppendUint(buffer, uint64(math.Round(m.Factor*factorUnits)))
 		return parcel.AppendUint(buffer, uint64(m.Samples))
-	case SendRequest, TrialRequest, SendAllowed, SendDelayed:
+	case SendRequest, TrialRequest, TrialEnded, SendAllowed, SendDelayed:
 		return appendSend(buffer, message)
 	case StreamReport, StreamQuery, StreamFound, StreamUnknown:
 		return appendStream(buffer, message)
@@ -107,6 +112,10 @@
 	}
 }
 
+func appendTrial(buffer []byte, trial quarantine.Trial) []byte {
+	return parcel.AppendUint(parcel.AppendUint(buffer, uint64(trial.ID)), uint64(trial.Crashes))
+}
+
 // appendSend appends the encoding of a message about whether a request may be sent.
 func appendSend(buffer []byte, message Message) []byte {
 	switch m := message.(type) {
@@ -115,7 +124,12 @@
 		buffer = parcel.AppendBytes(buffer, m.Upstream)
 		return appendLimit(buffer, m.Limit)
 	case TrialRequest:
-		return parcel.AppendUint(appendHead(buffer, kindTrialRequest, m.ID), uint64(m.Trial))
+		if m.Trial.Crashes == 0 {
+			return parcel.AppendUint(appendHead(buffer, kindTrialRequest, m.ID), uint64(m.Trial.ID))
+		}
+		return appendTrial(appendHead(buffer, kindProbationRequest, m.ID), m.Trial)
+	case TrialEnded:
+		return appendTrial(append(buffer, kindTrialEnded), m.Trial)
 	case SendAllowed:
 		return appendHead(buffer, kindSendAllowed, m.ID)
 	case SendDelayed:
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -225,7 +225,12 @@
 // sent again: the owner repeats its decision.
 type TrialRequest struct {
 	ID    ID
-	Trial quarantine.TrialID
+	Trial quarantine.Trial
+}
+
+// TrialEnded tells the owner of a trial that it has ended without a crash.
+type TrialEnded struct {
+	Trial quarantine.Trial
 }
 
 // SendAllowed replies to a rate limit request or a trial request: one request may be sent.
@@ -325,6 +330,7 @@
 func (RefusalReport) message()  {}
 func (SpeedReport) message()    {}
 func (SendRequest) message()    {}
+func (TrialEnded) message()     {}
 func (TrialRequest) message()   {}
 func (SendAllowed) message()    {}
 func (SendDelayed) message()    {}
--- a/internal/quarantine/follow.go
+++ b/internal/quarantine/follow.go
@@ -13,6 +13,7 @@
 	if w.isStale(now, news) {
 		return
 	}
+	isFirst := w.mark == 0
 	w.revision, w.mark = news.Revision, news.Mark
 	w.hold(now, news.Quarantined)
 	clear(w.suspected)
@@ -24,6 +25,7 @@
 			w.suspected[digest] = true
 		}
 	}
+	w.setProbation(now, news.OnProbation, isFirst)
 	for digest := range w.suspected {
 		w.clearIfSucceeded(now, digest)
 	}
--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -19,6 +19,9 @@
 	// Suspected are the requests that one more crash may bring into quarantine. An
 	// instance that knows of a complete response to one reports it.
 	Suspected []Digest
+	// OnProbation are the requests of which one copy is sent at a time. An instance that knows of
+	// a complete response to one reports it.
+	OnProbation []Probation
 }
 
 // Entry is a request, or parts of prompts, in quarantine or about to enter it.
@@ -116,7 +119,8 @@
 	judged := records.judge(now, p.limits).announced(records)
 	p.recordAnnouncements(now, judged, records)
 	previous := p.current.Quarantined
-	p.current, p.computedAt = News{Revision: records.Revision(), Suspected: judged.suspected}, now
+	p.current = News{Revision: records.Revision(), Suspected: judged.suspected, OnProbation: records.probations(judged.probation)}
+	p.computedAt = now
 	for _, g := range judged.quarantined {
 		entry := Entry{
 			Digest: g.digests[0], Crashes: len(g.heaviest.Crashes), TrialIn: g.trialIn(now, p.limits),
@@ -202,6 +206,10 @@
 	for _, digest := range n.Suspected {
 		_, _ = sum.Write(digest[:])
 	}
+	_, _ = sum.Write([]byte{0})
+	for _, p := range n.OnProbation {
+		_, _ = sum.Write(append(p.Digest[:], byte(p.Crashes)))
+	}
 	return max(sum.Sum64(), 1)
 }
 
@@ -213,7 +221,7 @@
 // those whose crashes have the most weight.
 func (v verdicts) announced(records Records) verdicts {
 	isSame := func(a, b group) bool { return slices.Equal(a.digests, b.digests) }
-	announced := verdicts{quarantined: slices.CompactFunc(v.quarantined, isSame), suspected: v.suspected}
+	announced := verdicts{quarantined: slices.CompactFunc(v.quarantined, isSame)}
 	slices.SortStableFunc(announced.quarantined, func(a, b group) int { return cmp.Compare(b.heaviest.weight(), a.heaviest.weight()) })
 	total := 0
 	announced.quarantined = slices.DeleteFunc(announced.quarantined, func(g group) bool {
@@ -221,14 +229,21 @@
 		return total > maxAnnounced
 	})
 	slices.SortFunc(announced.quarantined, compareGroups)
-	slices.SortStableFunc(announced.suspected, func(a, b Digest) int {
-		return cmp.Compare(records.cases[b].weight(), records.cases[a].weight())
-	})
-	announced.suspected = announced.suspected[:min(len(announced.suspected), maxAnnounced)]
-	slices.SortFunc(announced.suspected, compareDigests)
+	announced.suspected = records.heaviest(v.suspected)
+	announced.probation = v.probation
 	return announced
 }
 
+// heaviest returns those of the sorted digests whose crashes have the most weight, sorted.
+func (r Records) heaviest(digests []Digest) []Digest {
+	slices.SortStableFunc(digests, func(a, b Digest) int {
+		return cmp.Compare(r.cases[b].weight(), r.cases[a].weight())
+	})
+	digests = digests[:min(len(digests), maxAnnounced)]
+	slices.SortFunc(digests, compareDigests)
+	return digests
+}
+
 func compareGroups(a, b group) int {
 	return slices.CompareFunc(a.digests, b.digests, compareDigests)
 }
--- a/internal/quarantine/ruling.go
+++ b/internal/quarantine/ruling.go
@@ -28,15 +28,23 @@
 	// Suspected is true if it isn't certain that the request crashes upstreams: its prompt has
 	// only some of the parts, or the crashes may be due to chance.
 	Suspected bool
+	// Probation is true if the request is sent one copy at a time because it was at a crash.
+	Probation bool
+	// Crashes is the number of crashes that are known of a request on probation.
+	Crashes int
 }
 
-// TrialID identifies the trials of the parts that a ruling is about.
+// TrialID identifies the trials of the request, or of the parts, that a ruling is about.
 type TrialID uint64
 
-// Trial returns the identity of the trials.
-func (r Ruling) Trial() TrialID {
+// Trial returns the trial that the request would be.
+func (r Ruling) Trial() Trial {
+	return Trial{ID: trialOf(r.Digests...), Crashes: r.Crashes}
+}
+
+func trialOf(digests ...Digest) TrialID {
 	sum := fnv.New64a()
-	for _, digest := range r.Digests {
+	for _, digest := range digests {
 		_, _ = sum.Write(digest[:])
 	}
 	return TrialID(sum.Sum64())
@@ -59,10 +67,10 @@
 // which they are, and may crash an upstream. It is sent as a trial. So is a request with all parts
 // of an entry when its trial is due, so that an entry that is wrong is cleared.
 func (w *Watch) Rule(now time.Time, digest Digest, parts ...Digest) Ruling {
+	ruling := w.ruleByProbation(now, digest)
 	if len(w.quarantined) == 0 {
-		return Ruling{}
+		return ruling
 	}
-	var ruling Ruling
 	for _, entry := range w.entriesOf(now, digest, parts) {
 		if found := ruleByEntry(now, entry, digest, parts); found.isStricterThan(ruling) {
 			ruling = found
@@ -90,11 +98,14 @@
 	return ruling
 }
 
-// isStricterThan reports whether r takes precedence over other: a refusal over a trial, and
-// certainty over suspicion.
+// isStricterThan reports whether r takes precedence over other: a refusal over a trial, an entry over
+// probation, and certainty over suspicion.
 func (r Ruling) isStricterThan(other Ruling) bool {
 	if r.Decision != other.Decision {
 		return r.Decision > other.Decision
 	}
+	if r.Probation != other.Probation {
+		return other.Probation
+	}
 	return other.Suspected && !r.Suspected
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -25,6 +25,8 @@
 	quarantined []group
 	// suspected are the cases that one more crash may bring into quarantine, sorted by digest.
 	suspected []Digest
+	// probation are the requests of which one copy is sent at a time.
+	probation []Digest
 }
 
 // blame returns the weight of the crashes that count against a group. needed is the
@@ -181,6 +183,9 @@
 		if weight >= needed-weightNoOutput {
 			judged.suspected = append(judged.suspected, digest)
 		}
+		if c.isOnProbation(now) {
+			judged.probation = append(judged.probation, digest)
+		}
 	}
 	groups := groupCases(candidates)
 	countGroups(groups, summaries)
@@ -192,6 +197,7 @@
 	}
 	judged.suspected = slices.DeleteFunc(judged.suspected, judged.isQuarantined)
 	slices.SortFunc(judged.suspected, compareDigests)
+	slices.SortFunc(judged.probation, compareDigests)
 	return judged
 }
 
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -29,6 +29,8 @@
 	// suspected are the digests in the news: those that one more crash may bring into quarantine,
 	// and all of the entries.
 	suspected map[Digest]bool
+	// probation are the requests in the news of which one copy is sent at a time.
+	probation map[TrialID]KnownCrashes
 	// cleared are digests in the news to which a response was complete here. They are
 	// not reported yet.
 	cleared map[Digest]bool
@@ -72,7 +74,7 @@
 
 // clearIfSuspected clears a request or a part that the news names.
 func (w *Watch) clearIfSuspected(digest Digest) {
-	if w.suspected[digest] {
+	if _, onProbation := w.probation[trialOf(digest)]; onProbation || w.suspected[digest] {
 		w.cleared[digest] = true
 	}
 }
