--- a/internal/counter/staleview_test.go
+++ b/internal/counter/staleview_test.go
@@ -36,7 +36,7 @@
 	for i := 0; ; i++ {
 		part, other = fmt.Sprint("part-", i), fmt.Sprint("other-", i)
 		trial := quarantine.Ruling{Digests: []quarantine.Digest{quarantine.PartDigest(part), quarantine.PartDigest(other)}}.Trial()
-		if found, _ := owners.Of("\x00trial", fmt.Sprintf("%x", uint64(trial)), func(netip.AddrPort) bool { return true }); found == owner {
+		if found, _ := owners.Of("\x00trial", fmt.Sprintf("%x", uint64(trial.ID)), func(netip.AddrPort) bool { return true }); found == owner {
 			return part, other
 		}
 	}
