quarantine: probation ends a minute after the last crash also without news

Requests on probation are sent as trials only, which the owner allows only while control instances answer. Its end came with news alone: while none arrive, a request that was in flight at a crash, and its repetitions, would get 503 for as long. The spec fails without the time (sent as a trial a minute later), and passes with it; news that are in time say so earlier.

--- a/internal/quarantine/probation.go
+++ b/internal/quarantine/probation.go
@@ -34,12 +34,19 @@
 	Since time.Time
 }
 
+// followedProbation is a request on probation at an instance that follows the news.
+type followedProbation struct {
+	KnownCrashes
+	// until is the end of the probation. News that say so may be late.
+	until time.Time
+}
+
 // setProbation replaces the requests on probation.
 func (w *Watch) setProbation(now time.Time, probations []Probation, isFirst bool) {
 	previous := w.probation
-	w.probation = make(map[TrialID]KnownCrashes, len(probations))
+	w.probation = make(map[TrialID]followedProbation, len(probations))
 	for _, p := range probations {
-		known := KnownCrashes{Crashes: p.Crashes, Since: now}
+		known := followedProbation{KnownCrashes{Crashes: p.Crashes, Since: now}, now.Add(probationTime)}
 		if before, found := previous[trialOf(p.Digest)]; found && before.Crashes == p.Crashes {
 			known = before
 		} else if isFirst {
@@ -52,14 +59,14 @@
 
 // KnownCrashes returns what is known here of the request of a trial.
 func (w *Watch) KnownCrashes(trial TrialID) KnownCrashes {
-	return w.probation[trial]
+	return w.probation[trial].KnownCrashes
 }
 
 // ruleByProbation returns the decision on a request by its crashes alone. If it is about to enter
 // quarantine, its trials have an end.
 func (w *Watch) ruleByProbation(now time.Time, digest Digest) Ruling {
 	known, found := w.probation[trialOf(digest)]
-	if !found || w.successes.contains(now, digest) {
+	if !found || !now.Before(known.until) || w.successes.contains(now, digest) {
 		return Ruling{}
 	}
 	ruling := Ruling{
--- a/internal/quarantine/records_test.go
+++ b/internal/quarantine/records_test.go
@@ -332,6 +332,14 @@
 		Expect(watch.Rule(c.now, digest("bad"))).To(Equal(quarantine.Ruling{}))
 	})
 
+	// Trials need a control instance, so it would be refused for as long as none answers.
+	It("sends all copies of a request a minute after its last crash also if no news arrive", func() {
+		c.crash("e1", suspect("bad"))
+		watch.ApplyNews(c.now, c.news())
+		Expect(watch.Rule(c.now.Add(time.Minute-1), digest("bad")).Probation).To(BeTrue())
+		Expect(watch.Rule(c.now.Add(time.Minute), digest("bad"))).To(Equal(quarantine.Ruling{}))
+	})
+
 	// Many callers repeat the same request, such as a status check, which must not wait for the
 	// others to hear that it is harmless.
 	It("sends all copies of a request that has succeeded here, and clears it at the other instances", func() {
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -30,7 +30,7 @@
 	// and all of the entries.
 	suspected map[Digest]bool
 	// probation are the requests in the news of which one copy is sent at a time.
-	probation map[TrialID]KnownCrashes
+	probation map[TrialID]followedProbation
 	// cleared are digests in the news to which a response was complete here. They are
 	// not reported yet.
 	cleared map[Digest]bool
