shuttle: a write timeout that ends at once does not meet a watchdog without its timer

newWatchdog assigned the timer after AfterFunc had started it. If the goroutine did not get on for the timeout, the check read or reset the timer while it was written, or before: a data race, and a nil timer. The timer is created idle and then set, which orders both.

--- a/internal/shuttle/watchdog.go
+++ b/internal/shuttle/watchdog.go
@@ -1,6 +1,7 @@
 package shuttle
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -21,7 +22,9 @@
 
 func newWatchdog(timeout time.Duration, onTimeout func()) *watchdog {
 	w := &watchdog{timeout: timeout, onTimeout: onTimeout, created: time.Now()}
-	w.timer = time.AfterFunc(timeout, w.check)
+	// check needs the timer, and may run before AfterFunc has returned.
+	w.timer = time.AfterFunc(math.MaxInt64, w.check)
+	w.timer.Reset(timeout)
 	return w
 }
 
--- a/internal/shuttle/writetimeout_test.go
+++ b/internal/shuttle/writetimeout_test.go
@@ -69,3 +69,13 @@
 		Entry("a later one", SpecTimeout(specTimeout), 3),
 	)
 })
+
+// The timer of a write that times out at once may run before the stream has begun.
+var _ = It("A stream that times out at once is ended", func() {
+	for range 200 {
+		caller := &stalledCaller{ResponseRecorder: httptest.NewRecorder(), deadlinePassed: make(chan struct{})}
+		body := &closeRecorder{Reader: strings.NewReader("data: {}\n\n")}
+		err := shuttle.StreamWithTimeout(caller, &shuttle.Response{Status: http.StatusOK, Body: body}, true, time.Nanosecond)
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+	}
+})
