counter: specs that replay loads run their replays at the same time

The package took 600 s beside load 25 to 50 (go's limit), of which 240 s were three specs that replay nine, twelve and six independent loads one after another, each with its own pools, queues and random source.

--- a/internal/counter/deferral_test.go
+++ b/internal/counter/deferral_test.go
@@ -189,14 +189,21 @@
 	// always left a quarter of the slots, many of them would wait for their whole objective in vain.
 	It("leave capacity to urgent requests, and use what is left in time", func() {
 		lateUrgent, lateBatch, expired := [3]float64{}, [3]float64{}, [3]int{}
-		for i, policy := range []struct {
+		policies := []struct {
 			name      string
 			mixed     bool
 			objective time.Duration
-		}{{"as any other request", false, batchObjective}, {"a constant quarter", true, time.Hour}, {"the part", true, batchObjective}} {
-			for seed := range uint64(3) {
-				u, b := replayDeferral(policy.mixed, policy.objective, seed, 0.8, 0.08)
-				lateUrgent[i], lateBatch[i], expired[i] = lateUrgent[i]+u.late()/3, lateBatch[i]+b.late()/3, expired[i]+b.expired
+		}{{"as any other request", false, batchObjective}, {"a constant quarter", true, time.Hour}, {"the part", true, batchObjective}}
+		const seeds = 3
+		results := concurrently(len(policies)*seeds, func(i int) (results [kinds]replayResult) {
+			policy := policies[i/seeds]
+			results[urgent], results[batch] = replayDeferral(policy.mixed, policy.objective, uint64(i%seeds), 0.8, 0.08)
+			return results
+		})
+		for i, policy := range policies {
+			for _, result := range results[i*seeds : (i+1)*seeds] {
+				u, b := &result[urgent], &result[batch]
+				lateUrgent[i], lateBatch[i], expired[i] = lateUrgent[i]+u.late()/seeds, lateBatch[i]+b.late()/seeds, expired[i]+b.expired
 			}
 			fmt.Fprintf(GinkgoWriter, "%s: late urgent %.4f, late batch %.4f, expired %d\n", policy.name, lateUrgent[i], lateBatch[i], expired[i])
 		}
--- a/internal/counter/relativespeed_test.go
+++ b/internal/counter/relativespeed_test.go
@@ -288,12 +288,15 @@
 			mixed   bool
 			samples int
 		}{{"by speed", true, 0}, {"service mean", false, 0}, {"least outstanding", false, 100}, {"two choices", false, 2}} {
-			var sum unevenCounts
-			for seed := range uint64(3) {
-				r := newUnevenReplay(policy.mixed, seed)
+			replays := concurrently(3, func(seed int) *unevenReplay {
+				r := newUnevenReplay(policy.mixed, uint64(seed))
 				r.samples = policy.samples
 				r.run(0, 10*time.Second, 100)
 				r.run(10*time.Second, 40*time.Second, 100)
+				return r
+			})
+			var sum unevenCounts
+			for _, r := range replays {
 				sum = unevenCounts{sum.arrived + r.arrived, sum.late + r.late, sum.avoidable + r.avoidable, sum.refused + r.refused}
 			}
 			AddReportEntry(policy.name, fmt.Sprintf("%+v", sum))
@@ -309,9 +312,9 @@
 
 	It("have fewer late streams while a tenth of them is five times slower, and are used again after that", func() {
 		late, served := map[bool]int{}, map[bool]int{}
-		for i := range 6 {
-			mixed := i%2 == 0
-			replay := newUnevenReplay(mixed, uint64(i/2))
+		type result struct{ late, served int }
+		results := concurrently(6, func(i int) (r result) {
+			replay := newUnevenReplay(i%2 == 0, uint64(i/2))
 			slowed := []*unevenEngine{replay.engines["e2"], replay.engines["e10"], replay.engines["e21"]}
 			for phase, factor := range []float64{1, 5, 0.2} {
 				for _, e := range slowed {
@@ -319,13 +322,19 @@
 				}
 				until := []time.Duration{0, 10 * time.Second, 22 * time.Second, 60 * time.Second}
 				replay.run(until[phase], until[phase+1], 60)
-				late[mixed] += min(phase, 1) * replay.late
+				r.late += min(phase, 1) * replay.late
 			}
 			for _, request := range replay.requests {
 				if slices.Contains(slowed, request.engine) && request.sent.After(start.Add(40*time.Second)) {
-					served[mixed]++
+					r.served++
 				}
 			}
+			return r
+		})
+		for i, r := range results {
+			mixed := i%2 == 0
+			late[mixed] += r.late
+			served[mixed] += r.served
 		}
 		AddReportEntry("by speed or not", fmt.Sprint("late ", late, ", served after recovery ", served))
 		Expect(late[true]).To(BeNumerically("<", late[false]*3/4))
