counter: a request that is too late to be sent as a trial frees the trial

An instance that stood still takes a trial and then finds the deadline passed: the owner would hold the next copy back for 5 s though none was sent.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -32,6 +32,7 @@
 	}
 	if t.remaining() <= 0 {
 		// ctx may not have ended yet if the process stood still.
+		t.admission.NotRun()
 		t.refuseFailed(w, true)
 		return true
 	}
--- a/internal/stocking/shortage.go
+++ b/internal/stocking/shortage.go
@@ -80,8 +80,7 @@
 //
 // Models without a copy do not always come first. If they did, all four loads could go to
 // models with few requests, while the model with the highest demand has one copy of the
-// four that it needs. When demand shifts and engines are lost, that rule
-// delivers 0.564 of the value owed, and this one 0.603.
+// four that it needs.
 func (p *planner) relieveShortages() {
 	skipped := map[shortageKey]bool{}
 	for len(p.moves) < p.options.MaxMoves {
