quarantine: requests compute no identity of trials while none is on probation

One method looks up what is on probation now; an empty list ends it. Decisions are the same, no spec changed.

--- a/internal/quarantine/probation.go
+++ b/internal/quarantine/probation.go
@@ -46,17 +46,28 @@
 	previous := w.probation
 	w.probation = make(map[TrialID]followedProbation, len(probations))
 	for _, p := range probations {
+		trial := trialOf(p.Digest)
 		known := followedProbation{KnownCrashes{Crashes: p.Crashes, Since: now}, now.Add(probationTime)}
-		if before, found := previous[trialOf(p.Digest)]; found && before.Crashes == p.Crashes {
+		if before, found := previous[trial]; found && before.Crashes == p.Crashes {
 			known = before
 		} else if isFirst {
 			known.Since = time.Time{}
 		}
-		w.probation[trialOf(p.Digest)] = known
+		w.probation[trial] = known
 		w.clearIfSucceeded(now, p.Digest)
 	}
 }
 
+// onProbation returns what the news say of a request. Most of the time they name none, and the identity of its
+// trials need not be computed for each request and response.
+func (w *Watch) onProbation(digest Digest) (known followedProbation, found bool) {
+	if len(w.probation) == 0 {
+		return followedProbation{}, false
+	}
+	known, found = w.probation[trialOf(digest)]
+	return known, found
+}
+
 // KnownCrashes returns what is known here of the request of a trial.
 func (w *Watch) KnownCrashes(trial TrialID) KnownCrashes {
 	return w.probation[trial].KnownCrashes
@@ -65,7 +76,7 @@
 // ruleByProbation returns the decision on a request by its crashes alone. If it is about to enter
 // quarantine, its trials have an end.
 func (w *Watch) ruleByProbation(now time.Time, digest Digest) Ruling {
-	known, found := w.probation[trialOf(digest)]
+	known, found := w.onProbation(digest)
 	if !found || !now.Before(known.until) || w.successes.contains(now, digest) {
 		return Ruling{}
 	}
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -74,7 +74,7 @@
 
 // clearIfSuspected clears a request or a part that the news names.
 func (w *Watch) clearIfSuspected(digest Digest) {
-	if _, onProbation := w.probation[trialOf(digest)]; onProbation || w.suspected[digest] {
+	if _, onProbation := w.onProbation(digest); onProbation || w.suspected[digest] {
 		w.cleared[digest] = true
 	}
 }
