--- a/internal/counter/outofstep_test.go
+++ b/internal/counter/outofstep_test.go
@@ -1,6 +1,7 @@
 package counter_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -61,6 +62,20 @@
 	g.serveCallers(fresh)
 }
 
+// newGroupOwnedElsewhere starts an instance that knows an upstream of v1, and the owner of its model.
+func newGroupOwnedElsewhere(ctx context.Context) (g *resumptionGroup, known *versionedUpstream, owner *grantingOwner) {
+	GinkgoHelper()
+	g = newResumptionGroup(1)
+	known = g.announceUpstreams("v1")[0]
+	owner = listenGrantingOwner()
+	for ownerAmong(g.peers[0].address, owner.address) != owner.address {
+		owner = listenGrantingOwner()
+	}
+	g.control.addExactEntries(owner.address)
+	Eventually(ctx, g.peers[0].proxy.Instances).Should(Equal(2))
+	return g, known, owner
+}
+
 var _ = Describe("A stream that may be resumed", func() {
 	// A control instance that has just started knows none of the records of its cluster.
 	It("does not begin at an unrecorded version at an instance that has no copy of the records yet", func(ctx SpecContext) {
@@ -115,14 +130,7 @@
 
 	// Owners of the version before tell the name and the address alone.
 	It("does not begin at a process that its instance does not know and the owner does not describe", func(ctx SpecContext) {
-		g := newResumptionGroup(1)
-		known := g.announceUpstreams("v1")[0]
-		owner := listenGrantingOwner()
-		for ownerAmong(g.peers[0].address, owner.address) != owner.address {
-			owner = listenGrantingOwner()
-		}
-		g.control.addExactEntries(owner.address)
-		Eventually(ctx, g.peers[0].proxy.Instances).Should(Equal(2))
+		g, known, owner := newGroupOwnedElsewhere(ctx)
 		g.control.ignore(g.peers[0].address)
 		g.clock.advance(longerThanLease)
 		unknown := newVersionedUpstream("v2")
--- a/internal/counter/staleview_test.go
+++ b/internal/counter/staleview_test.go
@@ -317,14 +317,7 @@
 	})
 
 	It("does not send a stream whose caller's time has ended, by records that were proven before", func(ctx SpecContext) {
-		g := newResumptionGroup(1)
-		u := g.announceUpstreams("v1")[0]
-		owner := listenGrantingOwner()
-		for ownerAmong(g.peers[0].address, owner.address) != owner.address {
-			owner = listenGrantingOwner()
-		}
-		g.control.addExactEntries(owner.address)
-		Eventually(ctx, g.peers[0].proxy.Instances).Should(Equal(2))
+		g, u, owner := newGroupOwnedElsewhere(ctx)
 		owner.grantAfter(func() { g.clock.advance(longerThanLease) }, "e1", u.address())
 		status, _ := g.resume(ctx, 0, "begun-at-the-only-version")
 		Expect(status).To(Equal(http.StatusServiceUnavailable))
