transport: a connection on which a write has failed has no regular end

Callers got a part of a body as a whole answer: an engine answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still written.

Cause: a socket reports a reset once. If the write of the request takes it, the next read returns io.EOF, and the end of the connection is the end of a body without a length. The liveness check that follows does not help: the process still runs. It is a race of two goroutines; standin.ResetConn shows it without one, as a connection whose write returns the reset and whose read returns io.EOF after it.

Change: package transport wraps the connections of all HTTP clients. At the end of a connection, a read waits for the write that is under way, and returns its error. A write that takes the reset either has returned its error by then or is under way when the read ends, so nothing can slip between. If the upstream has ended its side in order and reads on, the write ends without an error, and the end counts. A write that does not end within a second is an error, too.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/transport"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -52,11 +53,11 @@
 // New returns a Caller.
 func New(options Options) *Caller {
 	if options.Client == nil {
-		options.Client = &http.Client{Transport: &http.Transport{
+		options.Client = &http.Client{Transport: transport.New(&http.Transport{
 			DisableCompression:     true,
 			TLSClientConfig:        options.TLS,
 			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
-		}}
+		})}
 	}
 	if options.Now == nil {
 		options.Now = time.Now
--- a/internal/counter/testproxy_test.go
+++ b/internal/counter/testproxy_test.go
@@ -36,22 +36,29 @@
 }
 
 func newTestProxy(upstreams ...*upstream) *testProxy {
-	return newTestProxyWithMemory(0, upstreams...)
+	return newTestProxyWith(func(*counter.Options) {}, upstreams...)
 }
 
 // newTestProxyWithMemory is newTestProxy with counter.Options.MemoryBytes.
 func newTestProxyWithMemory(memoryBytes int64, upstreams ...*upstream) *testProxy {
+	return newTestProxyWith(func(options *counter.Options) { options.MemoryBytes = memoryBytes }, upstreams...)
+}
+
+// newTestProxyWith is newTestProxy with changed options.
+func newTestProxyWith(change func(*counter.Options), upstreams ...*upstream) *testProxy {
 	p := &testProxy{control: newFakeControl(), upstreams: upstreams}
 	for i, u := range upstreams {
 		p.control.announce(fmt.Sprint("u", i), u.address())
 	}
-	p.proxy = counter.New(counter.Options{
+	options := counter.Options{
 		Name: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", FailureDomain: "here", Seeds: []string{p.control.address},
 		Dial: courier.DialTCP, UpstreamLease: time.Minute,
 		Retries:        counter.RetryLimits{Ratio: 0.1, Burst: 20, Window: 10 * time.Second},
 		QuotaTolerance: quota.Tolerance{Window: time.Second, Slack: 2},
-		ParseRoutes:    parseRoutes, Dialect: dialect{}, Now: p.now, Log: zerolog.Nop(), MemoryBytes: memoryBytes,
-	})
+		ParseRoutes:    parseRoutes, Dialect: dialect{}, Now: p.now, Log: zerolog.Nop(),
+	}
+	change(&options)
+	p.proxy = counter.New(options)
 	p.server = startCallerServer(func(w http.ResponseWriter, r *http.Request) {
 		p.proxy.ServeRequest(w, r, callOf(r))
 	})
--- a/internal/counter/transports.go
+++ b/internal/counter/transports.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lovagelift/lovagelift/internal/transport"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -23,8 +24,8 @@
 	// opens a connection for each: on a reused connection that the other end has lost or is just
 	// closing, a request may be written and never answered, and a request that must not run twice
 	// could then not be retried.
-	keepAlive *http.Transport
-	singleUse *http.Transport
+	keepAlive *transport.Transport
+	singleUse *transport.Transport
 }
 
 func newTransports(dial func(ctx context.Context, network, address string) (net.Conn, error)) transports {
@@ -36,20 +37,20 @@
 		return conn, err
 	}
 	return transports{
-		keepAlive: &http.Transport{
+		keepAlive: transport.New(&http.Transport{
 			DialContext: dialKept, DisableCompression: true,
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream, IdleConnTimeout: idleConnTimeout,
 			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
-		},
-		singleUse: &http.Transport{
+		}),
+		singleUse: transport.New(&http.Transport{
 			DialContext: dial, DisableCompression: true, DisableKeepAlives: true,
 			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
-		},
+		}),
 	}
 }
 
 // of returns the client for a request.
-func (t transports) of(idempotent bool) *http.Transport {
+func (t transports) of(idempotent bool) *transport.Transport {
 	if idempotent {
 		return t.keepAlive
 	}
--- a/internal/instance/placement.go
+++ b/internal/instance/placement.go
@@ -9,6 +9,7 @@
 	"github.com/lovagelift/lovagelift/internal/foreman"
 	"github.com/lovagelift/lovagelift/internal/placement"
 	"github.com/lovagelift/lovagelift/internal/registrar"
+	"github.com/lovagelift/lovagelift/internal/transport"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -33,7 +34,7 @@
 		Client: &http.Client{
 			// Orders are rare, so each uses a new connection: a kept-alive one may be
 			// dead, whereas a failure to connect proves that no byte was sent.
-			Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes},
+			Transport: transport.New(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes}),
 			// A redirect would send the order to an engine that it is not meant for.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/internal/registrar/client.go
+++ b/internal/registrar/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/transport"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -70,9 +71,9 @@
 	}
 	return &Client{options: options, http: &http.Client{
 		Timeout: options.Timeout,
-		Transport: &http.Transport{
+		Transport: transport.New(&http.Transport{
 			TLSClientConfig: options.TLS, DisableKeepAlives: true, MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -22,6 +22,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/ratelimit"
+	"github.com/lovagelift/lovagelift/internal/transport"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
@@ -97,8 +98,8 @@
 // Proxy sends requests to upstreams. It is safe for concurrent use.
 type Proxy struct {
 	dial      func(ctx context.Context, network, address string) (net.Conn, error)
-	keepAlive *http.Transport
-	singleUse *http.Transport
+	keepAlive *transport.Transport
+	singleUse *transport.Transport
 	// statusQueryDelay is how long an idempotent request waits for a response before its status is
 	// queried.
 	statusQueryDelay time.Duration
@@ -166,19 +167,19 @@
 		bodyIdleTimeout:  options.BodyIdleTimeout,
 		hedges:           newHedgeBudget(),
 		prefetchBudget:   NewByteBudget(options.PrefetchBudgetBytes),
-		keepAlive: &http.Transport{
+		keepAlive: transport.New(&http.Transport{
 			DialContext:            dial,
 			DisableCompression:     true,
 			MaxIdleConnsPerHost:    options.IdleConnections,
 			IdleConnTimeout:        idleConnectionTimeout,
 			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
-		},
-		singleUse: &http.Transport{
+		}),
+		singleUse: transport.New(&http.Transport{
 			DialContext:            dial,
 			DisableCompression:     true,
 			DisableKeepAlives:      true,
 			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
-		},
+		}),
 	}
 }
 
@@ -219,13 +220,13 @@
 	err      error
 }
 
-// startAttempt sends request on a connection of transport.
-func (p *Proxy) startAttempt(ctx context.Context, transport *http.Transport, address string, request Request) *attempt {
+// startAttempt sends request on a connection of client.
+func (p *Proxy) startAttempt(ctx context.Context, client *transport.Transport, address string, request Request) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(a.done)
-		a.response, a.err = p.roundTrip(ctx, a, transport, address, request)
+		a.response, a.err = p.roundTrip(ctx, a, client, address, request)
 		if a.err != nil {
 			cancel()
 		}
@@ -249,7 +250,7 @@
 }
 
 func (p *Proxy) roundTrip(
-	ctx context.Context, a *attempt, transport *http.Transport, address string, request Request,
+	ctx context.Context, a *attempt, client *transport.Transport, address string, request Request,
 ) (*Response, error) {
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		// From here on bytes may be sent. All earlier steps only establish the connection.
@@ -262,7 +263,7 @@
 	if err != nil {
 		return nil, &Error{Outcome: outcome.NotRun, cause: err}
 	}
-	response, err := transport.RoundTrip(outgoing)
+	response, err := client.RoundTrip(outgoing)
 	if err != nil {
 		return nil, transportError(err, a.mayHaveSent.Load())
 	}
