transport: a response without a status or a version of HTTP/1 is broken

Callers got no answer, or the answer of an engine in trouble: an engine sent HTTP/1.1 000.

Cause: http.Transport takes any three characters that Atoi accepts for a status, and any two digits for a version. Below 100, http.ResponseWriter panics with "invalid WriteHeader code 0", which closes the caller's connection without a byte; the engine loses no trust. From 600 on, and in HTTP/2.0, the answer was passed on.

Change: transport.Transport checks the head of each response, for all HTTP clients of the product: requests at both interfaces, requests through peers, liveness checks, reports, orders, operators' calls and `ask`. What fails it is a *BrokenResponseError after the request was sent, and thereby treated like a connection that breaks: 502 (unknown), retried only where the request may run twice, a failure of the engine. The switch of protocols was checked at two places; both are gone.

That also mends a smaller fault: a switch counted as two runs, so that it was never retried.

One head (a status that is no number) was refused before; the spec of it stays.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -48,7 +48,7 @@
 		// Another instance that relays the response confirms its end itself.
 		p.confirmEnd(ctx, a.upstream, response, a.framing, func(liveness Liveness) { a.liveness = liveness })
 	}
-	class := p.classify(t, response)
+	class := p.options.Dialect.Classify(response, t.call.ID)
 	if class == Answered || class == NotRun {
 		p.observeLimit(t, a, response.Header)
 		a.pushback = p.options.Dialect.ParsePushback(response)
@@ -69,15 +69,6 @@
 	}
 }
 
-// classify classifies a response. No request asks for another protocol, so that what follows an agreement
-// to switch is no response.
-func (p *Proxy) classify(t *transaction, response *http.Response) ResponseClass {
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		return Mismatched
-	}
-	return p.options.Dialect.Classify(response, t.call.ID)
-}
-
 // handleNotRun handles an upstream that did not run the request.
 func (t *transaction) handleNotRun(w http.ResponseWriter, a *upstreamAttempt, response *http.Response, class ResponseClass) bool {
 	p := t.proxy
--- a/internal/foreman/client.go
+++ b/internal/foreman/client.go
@@ -12,12 +12,24 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagelift/lovagelift/internal/transport"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // maxResponseBytes limits the body of an engine's response.
 const maxResponseBytes = 4 << 20
 
+// NewClient returns a client for calls to engines.
+func NewClient() *http.Client {
+	return &http.Client{
+		// Orders are rare, so each uses a new connection: a kept-alive one may be
+		// dead, whereas a failure to connect proves that no byte was sent.
+		Transport: transport.New(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes}),
+		// A redirect would send the order to an engine that it is not meant for.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // engineClient calls engines.
 type engineClient struct {
 	client *http.Client
--- a/internal/instance/placement.go
+++ b/internal/instance/placement.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/chamber"
@@ -9,8 +8,6 @@
 	"github.com/lovagelift/lovagelift/internal/foreman"
 	"github.com/lovagelift/lovagelift/internal/placement"
 	"github.com/lovagelift/lovagelift/internal/registrar"
-	"github.com/lovagelift/lovagelift/internal/transport"
-	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // newPlacementController starts the controller that issues orders to engines while
@@ -31,13 +28,7 @@
 			MaxConcurrentLoads: settings.WeightStore.Concurrent,
 		},
 		WeightOfMoves: settings.Policy.WeightOfMoves,
-		Client: &http.Client{
-			// Orders are rare, so each uses a new connection: a kept-alive one may be
-			// dead, whereas a failure to connect proves that no byte was sent.
-			Transport: transport.New(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes}),
-			// A redirect would send the order to an engine that it is not meant for.
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
+		Client:        foreman.NewClient(),
 		OrderTimeout:  settings.Timing.OrderTimeout,
 		UpstreamLease: settings.Timing.UpstreamLease,
 		Now:           i.options.Now,
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -267,10 +267,6 @@
 	if err != nil {
 		return nil, transportError(err, a.mayHaveSent.Load())
 	}
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		response.Body.Close()
-		return nil, &Error{Outcome: outcome.Unknown, cause: errSwitched}
-	}
 	if response.Header.Get(upstreamapi.RefusedHeader) == outcome.NotRun.String() {
 		defer response.Body.Close()
 		return nil, refusalError(response)
@@ -329,6 +325,3 @@
 // errUnresponsive is the cause of the Error for an upstream that neither responds nor can be
 // queried.
 var errUnresponsive = errors.New("upstream neither responds nor can be queried")
-
-// errSwitched is the cause of the Error for an upstream that switches to another protocol.
-var errSwitched = errors.New("upstream agrees to a protocol that nobody has asked for")
