transport: a response whose head or trailer has names that are none is broken

Callers got answers whose heads had a blank in a name: with that line dropped or passed on, or with a body that was not the engine's, where the name was that of the length or of the transfer coding ("4\r\nseat\r\n0\r\n" as the body).

Cause: net/http refuses control bytes, empty names and lines without a colon, but tolerates blanks in names of the heads and trailers that it reads, and leaves such lines out of what it writes.

Change: the check of heads covers the names of all fields, which have to be tokens; a body in chunks does not end regularly before the same check of its trailer. golang.org/x/net, so far an indirect dependency in the same version, has the check of tokens.

Heads of interim responses stay as they are: net/http drops them, bounded together with the final head.

--- a/internal/standin/brokenresponse.go
+++ b/internal/standin/brokenresponse.go
@@ -42,6 +42,22 @@
 	{Name: "HTTP/0.9", statusLine: "HTTP/0.9 200 OK"},
 	{Name: "HTTP/2.0", statusLine: "HTTP/2.0 200 OK"},
 	{Name: "HTTP/9.1", statusLine: "HTTP/9.1 200 OK"},
+	{Name: "a blank in a name", fields: "X Seat: 7\r\n" + lengthField},
+	{Name: "a blank before a colon", fields: "X-Seat : 7\r\n" + lengthField},
+	{Name: "a blank in the name of the length", fields: "Content-Length : LENGTH\r\n"},
+	{Name: "a blank in the name of the transfer coding", fields: "Transfer-Encoding : chunked\r\n"},
+	{Name: "a tab in a name", fields: "X\tSeat: 7\r\n" + lengthField},
+	{Name: "a control byte in a name", fields: "X\x01Seat: 7\r\n" + lengthField},
+	{Name: "a zero in a name", fields: "X\x00Seat: 7\r\n" + lengthField},
+	{Name: "a delete in a name", fields: "X\x7fSeat: 7\r\n" + lengthField},
+	{Name: "a byte over 127 in a name", fields: "X\xe9Seat: 7\r\n" + lengthField},
+	{Name: "an empty name", fields: ": 7\r\n" + lengthField},
+	{Name: "a line without a colon", fields: "X-Seat\r\n" + lengthField},
+	{Name: "a control byte in a value", fields: "X-Seat: \x01\r\n" + lengthField},
+	{Name: "a zero in a value", fields: "X-Seat: \x00\r\n" + lengthField},
+	{Name: "two lengths", fields: "Content-Length: 3\r\n" + lengthField},
+	{Name: "a blank in a name of the trailer", InTrailer: true, trailer: "X Seat: 7\r\n"},
+	{Name: "a control byte in a name of the trailer", InTrailer: true, trailer: "X\x01Seat: 7\r\n"},
 }
 
 // WithBody returns the response with a body.
--- a/internal/transport/response.go
+++ b/internal/transport/response.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // BrokenResponseError describes why what has arrived is no response in HTTP/1.
@@ -24,8 +28,9 @@
 	spokenMajor = 1
 )
 
-// RoundTrip sends a request and returns its response. If that is broken, RoundTrip returns a
-// *BrokenResponseError. http.Transport lets any status of three characters pass.
+// RoundTrip sends a request and returns its response. If that is broken, RoundTrip or the read at the end of its
+// body returns a *BrokenResponseError. http.Transport lets blanks in names of fields pass, and any status of three
+// characters.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.Transport.RoundTrip(request)
 	if err != nil {
@@ -35,6 +40,9 @@
 		response.Body.Close()
 		return nil, err
 	}
+	if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
+		response.Body = &checkedBody{ReadCloser: response.Body, response: response}
+	}
 	return response, nil
 }
 
@@ -45,5 +53,33 @@
 	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
 		return &BrokenResponseError{Reason: fmt.Sprintf("status %q", response.Status)}
 	}
+	return checkNames(response.Header)
+}
+
+// checkNames returns an error if a name of a field is no token.
+func checkNames(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &BrokenResponseError{Reason: fmt.Sprintf("field name %q", name)}
+		}
+	}
 	return nil
 }
+
+// checkedBody is the body of a response that may have a trailer, without which it does not end regularly.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read reads from the body.
+func (b *checkedBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if brokenErr := checkNames(b.response.Trailer); brokenErr != nil {
+		return n, brokenErr
+	}
+	return n, err
+}
