counter: a response that belongs to another request counts as one attempt

Callers of idempotent requests got 502 although another upstream could have answered: an engine answered with the id of another request, or with none.

Cause: such a response counted as a possible run twice, where it was classified and where the failed attempt is handled, so that a route with two attempts had spent both.

Evidence: the new spec fails before (502 from the first request on that meets the faulty upstream) and passes now: 20 of 20 requests get the answer of the other upstream, and the faulty one is avoided after 3 at the most.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -62,7 +62,6 @@
 	case NotRun, Misdirected:
 		return t.handleNotRun(w, a, response, class)
 	case Mismatched:
-		t.possibleRuns++
 		return t.handleFailure(ctx, w, a, errors.New("counter: response belongs to another request"))
 	default:
 		return t.passResponse(ctx, w, a, response)
--- a/internal/counter/brokenhead_test.go
+++ b/internal/counter/brokenhead_test.go
@@ -85,3 +85,14 @@
 		calls.Wait()
 	}, SpecTimeout(cutsTimeout))
 })
+
+// The attempt counted twice, so that the request was never sent to another upstream.
+var _ = It("A response that belongs to another request is replaced by that of another upstream if the request is idempotent", func(ctx SpecContext) {
+	faulty := newFakeUpstream(respondAfterReading("HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nContent-Length: 4\r\n\r\nseat"))
+	p := newTestProxy(faulty, newFakeUpstream(succeed))
+	for range 20 {
+		view := fetch(ctx, p.server.URL, "/look/")
+		Expect(view.body).To(HavePrefix("POST /look/"), "got %+v", view)
+	}
+	Expect(faulty.count()).To(And(BeNumerically(">", 0), BeNumerically("<=", 3)))
+}, SpecTimeout(specTimeout))
