counter: a planned stop answers each request that it has taken

Callers lost requests in calm, among them ones that may not be repeated: in the planned stop of an entry instance, requests that came late in the grace were taken and passed on, and cut with no answer at its end.

Cause: everything that arrived was sent until half of the grace, whatever it would take, and at 0.97 of the grace the connections were closed.

Change: a request is sent only if it is expected to end in time: by the mean and four deviations of the complete responses of its route and model, or by the timeout of its route where there were none, and whatever it takes if its deadline is within the grace. Otherwise it gets 503 at once, not-run, with other instances; also if it waits for an upstream, as soon as it could not end any more. At 0.92 of the grace what still runs gets 502, unknown; the upstream does not count as failed. Streams that may be resumed are cut after an event shortly before.

Seven new specs of counter have the parts.

A spec without learned times shows the price: all that arrives at an instance that has served nothing of a route is refused while it stops.

--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -87,6 +87,10 @@
 		return
 	}
 	t.abortIfCallerLeft("the caller left while the request waited")
+	if p.Draining() {
+		t.refuseStopping(w)
+		return
+	}
 	now := p.options.Now()
 	t.resumptionResult = resultAfterWait(t.lastMissing)
 	p.refuse(w, t.call, t.route, refusal{
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -36,6 +36,11 @@
 		t.refuseFailed(w, true)
 		return true
 	}
+	if !t.endsInTime() {
+		t.admission.NotRun()
+		t.refuseStopping(w)
+		return true
+	}
 	t.sends++
 	t.timing.sent = p.options.Now()
 	response, err := t.roundTrip(ctx, a)
@@ -115,6 +120,12 @@
 		p.logAttempt(t, a, "caller disconnected", 0, "the caller left")
 		panic(http.ErrAbortHandler)
 	}
+	if isStopped(ctx) {
+		t.reportCallerLeft(a)
+		p.logAttempt(t, a, "stopped", 0, "the instance stops")
+		t.refuseStopping(w)
+		return true
+	}
 	p.mu.Lock()
 	p.metrics.countFailedStep(a.failedStep())
 	verdict := retry.TooLate
--- a/internal/counter/bodies.go
+++ b/internal/counter/bodies.go
@@ -136,7 +136,7 @@
 }
 
 // passLong passes on a response that is too long to be read first, after its beginning.
-func (t *transaction) passLong(w http.ResponseWriter, a *upstreamAttempt, response *http.Response, end shuttle.ResponseEnd) {
+func (t *transaction) passLong(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, response *http.Response, end shuttle.ResponseEnd) {
 	passed, readErr, writeErr := passRest(w, response.Body)
 	a.bodyBytes += passed
 	if writeErr == nil {
@@ -148,6 +148,11 @@
 		t.reportCallerLeft(a)
 		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
 		end.Abort()
+	case isStopped(ctx):
+		a.unfinished = true
+		t.reportCallerLeft(a)
+		t.proxy.logAttempt(t, a, "stopped", response.StatusCode, "the instance stops")
+		end.Abort()
 	case readErr != nil:
 		a.outcome = permit.Failed
 		t.reportBroken(a, readErr)
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -93,9 +93,12 @@
 	relaying int
 	draining bool
 
-	// waits ends when requests may no longer wait for an upstream, by endWaits.
-	waits    context.Context
-	endWaits context.CancelFunc
+	// drainBegun ends when a planned shutdown begins, by beginDrain. shutdown is its schedule then.
+	drainBegun context.Context
+	beginDrain context.CancelFunc
+	shutdown   stopSchedule
+	// completionTimes are those of the requests that were sent here.
+	completionTimes completionTimes
 	// syncNow triggers the next sync immediately.
 	syncNow    chan struct{}
 	cancel     context.CancelFunc
@@ -137,17 +140,18 @@
 		pendingReplies: map[permit.ID]*pendingReply{},
 		// IDs start at the current time, so that they are above those of an earlier process at this
 		// address.
-		lastMessageID: permit.ID(options.Now().UnixNano()),
-		permits:       map[peerRequest]*permitRecord{},
-		storedAnswers: map[peerRequest]storedAnswer{},
-		quotas:        quotaAccounts{},
-		plain:         plainGroups{},
-		longestBodies: bodysize.Longest{}, responseBuffers: shuttle.NewByteBudget(defaultResponseBufferBytes),
+		lastMessageID:   permit.ID(options.Now().UnixNano()),
+		permits:         map[peerRequest]*permitRecord{},
+		storedAnswers:   map[peerRequest]storedAnswer{},
+		quotas:          quotaAccounts{},
+		plain:           plainGroups{},
+		completionTimes: completionTimes{},
+		longestBodies:   bodysize.Longest{}, responseBuffers: shuttle.NewByteBudget(defaultResponseBufferBytes),
 		requestBodies: shuttle.NewSharedBudget(shuttle.NewMemoryShare(options.MemoryBytes, bodyMemoryShare, 0)),
 		syncNow:       make(chan struct{}, 1),
 		cancel:        cancel,
 	}
-	p.waits, p.endWaits = context.WithCancel(ctx)
+	p.drainBegun, p.beginDrain = context.WithCancel(ctx)
 	p.upstreams = newTransports(p.dialUpstream)
 	p.queue = newQueue()
 	p.control = controlLinks{
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/counter"
 )
 
 // specTimeout bounds each wait of a spec. No spec needs a tenth of it.
@@ -186,7 +188,7 @@
 
 	It("reports draining as soon as a planned shutdown begins, and continues to serve", func(ctx SpecContext) {
 		p := newTestProxy(newFakeUpstream(succeed))
-		p.proxy.Drain(specTimeout)
+		p.proxy.Drain(counter.Grace{Wait: specTimeout})
 		Expect(p.proxy.Ready()).To(BeFalse())
 		Eventually(ctx, func() bool {
 			p.control.mu.Lock()
--- a/internal/counter/directory_test.go
+++ b/internal/counter/directory_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/counter"
 )
 
 var _ = Describe("The directory of an entry instance", func() {
@@ -21,7 +23,7 @@
 	It("leaves itself out once it drains", SpecTimeout(specTimeout), func(SpecContext) {
 		p := newTestProxy()
 		Eventually(p.firstSynced).Should(BeTrue())
-		p.proxy.Drain(specTimeout)
+		p.proxy.Drain(counter.Grace{Wait: specTimeout})
 		open := p.proxy.OpenEntries(time.Now().Add(2 * time.Second))
 		Expect(open).To(Equal(map[string][]string{"here": {"127.0.0.1:3"}, "there": {"127.0.0.1:4"}}))
 		Expect(openEntries["here"]).To(HaveLen(2), "the shared list is unchanged")
--- a/internal/counter/drain_test.go
+++ b/internal/counter/drain_test.go
@@ -1,6 +1,8 @@
 package counter_test
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -8,6 +10,10 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/counter"
+	"github.com/lovagelift/lovagelift/internal/entries"
+	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
 
 // A request that may wait for longer than the rest of the grace period would lose its connection
@@ -23,7 +29,7 @@
 	go func() {
 		defer GinkgoRecover()
 		Eventually(arrived, specTimeout).Should(BeClosed())
-		p.proxy.Drain(50 * time.Millisecond)
+		p.proxy.Drain(counter.Grace{Wait: 50 * time.Millisecond})
 	}()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+"/patient/", http.NoBody)
 	Expect(err).NotTo(HaveOccurred())
@@ -34,3 +40,118 @@
 	Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
 	Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
 }, SpecTimeout(specTimeout))
+
+// longGrace leaves time for requests, but not for those that may take as long as their routes allow.
+var longGrace = counter.Grace{Wait: 5 * time.Second, Run: 10 * time.Second}
+
+// startPatient starts the server of a proxy for callers that wait for a minute.
+func (p *testProxy) startPatient() string {
+	server := startCallerServer(func(w http.ResponseWriter, r *http.Request) {
+		p.proxy.ServeRequest(w, r, counter.Call{ID: r.Header.Get(idHeader), Timeout: time.Minute})
+	})
+	DeferCleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.URL
+}
+
+// Such requests were sent, and their connections were closed without an answer at the end of the grace.
+var _ = Describe("A request that is not expected to end before the instance stops", func() {
+	expectRefusal := func(response *http.Response) {
+		GinkgoHelper()
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get(quarantine.ReasonHeader)).To(Equal("draining"))
+		Expect(response.Header.Get(outcome.Header)).To(Equal("not-run"))
+		Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+	}
+
+	It("is refused at once, and told where to go", func(ctx SpecContext) {
+		p := newTestProxy(newFakeUpstream(succeed))
+		Eventually(ctx, p.firstSynced).Should(BeTrue())
+		p.clockOffset.Store(int64(time.Minute))
+		p.proxy.Drain(longGrace)
+		response, err := post(ctx, p.startPatient(), "/patient/")
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		expectRefusal(response)
+		Expect(response.Header.Get(entries.Header)).To(Equal("127.0.0.1:3,127.0.0.1:4"))
+		Expect(p.arrivals()).To(BeZero())
+	}, SpecTimeout(specTimeout))
+
+	It("is refused at once if it waits for an upstream", func(ctx SpecContext) {
+		p := newTestProxy()
+		url := p.startPatient()
+		go func() {
+			defer GinkgoRecover()
+			Eventually(ctx, p.proxy.ActiveRequests).Should(Equal(1))
+			p.proxy.Drain(longGrace)
+		}()
+		started := time.Now()
+		response, err := post(ctx, url, "/patient/")
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		expectRefusal(response)
+		Expect(time.Since(started)).To(BeNumerically("<", longGrace.Wait))
+	}, SpecTimeout(specTimeout))
+
+	It("is served if requests like it have taken less", func(ctx SpecContext) {
+		p := newTestProxy(newFakeUpstream(succeed))
+		url := p.startPatient()
+		Expect(fetch(ctx, url, "/patient/").status).To(Equal(http.StatusOK))
+		p.proxy.Drain(longGrace)
+		Expect(fetch(ctx, url, "/patient/").status).To(Equal(http.StatusOK))
+	}, SpecTimeout(specTimeout))
+})
+
+var _ = Describe("A request that still runs when the instance stops", func() {
+	shortGrace := counter.Grace{Wait: 100 * time.Millisecond, Run: 600 * time.Millisecond}
+
+	// drainLater begins a planned stop once a request has reached an upstream.
+	drainLater := func(ctx SpecContext, p *testProxy) {
+		go func() {
+			defer GinkgoRecover()
+			Eventually(ctx, p.arrivals).Should(Equal(1))
+			p.proxy.Drain(shortGrace)
+		}()
+	}
+
+	DescribeTable("is answered with an unknown outcome, and not sent again", func(ctx SpecContext, path string) {
+		hang := func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			<-r.Context().Done()
+		}
+		p := newTestProxy(newFakeUpstream(hang), newFakeUpstream(hang))
+		drainLater(ctx, p)
+		response, err := post(ctx, p.startPatient(), path)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(response.Header.Get(quarantine.ReasonHeader)).To(Equal("draining"))
+		Expect(response.Header.Get(outcome.Header)).To(Equal("unknown"))
+		Expect(p.arrivals()).To(Equal(1))
+	},
+		Entry("an idempotent one", SpecTimeout(specTimeout), "/look/"),
+		Entry("one that must not run twice", SpecTimeout(specTimeout), "/book/"),
+		Entry("a stream before its first byte", SpecTimeout(specTimeout), "/draft/"),
+	)
+
+	It("is cut between two events if it is a stream that may be resumed", func(ctx SpecContext) {
+		p := newTestProxy(newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			w.Header().Set(idHeader, r.Header.Get(idHeader))
+			w.Header().Set("Content-Type", eventStream)
+			for n := 0; r.Context().Err() == nil; n++ {
+				for _, part := range []string{fmt.Sprintf("id: %d\nda", n), "ta: a\n\n"} {
+					_, _ = io.WriteString(w, part)
+					_ = http.NewResponseController(w).Flush()
+					pause.For(r.Context(), 5*time.Millisecond)
+				}
+			}
+		}))
+		drainLater(ctx, p)
+		view := fetch(ctx, p.startPatient(), "/draft/")
+		Expect(view.err).To(HaveOccurred(), "visibly incomplete")
+		Expect(view.body).To(HaveSuffix("\ndata: a\n\n"))
+	}, SpecTimeout(specTimeout))
+})
--- a/internal/counter/relaystream_test.go
+++ b/internal/counter/relaystream_test.go
@@ -10,6 +10,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/counter"
 )
 
 const (
@@ -60,7 +62,7 @@
 		// A planned stop must not cut what can still end.
 		It(framing.name+" goes on while the peer drains", func(ctx SpecContext) {
 			stream := newPausedStream(ctx, framing.header, framing.value)
-			stream.peers[1].proxy.Drain(0)
+			stream.peers[1].proxy.Drain(counter.Grace{})
 			close(stream.proceed)
 			rest, err := io.ReadAll(stream.body)
 			Expect(err).NotTo(HaveOccurred())
@@ -121,7 +123,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(status).To(Equal(http.StatusOK))
 		ending.Store(true)
-		g.peers[1].proxy.Drain(0)
+		g.peers[1].proxy.Drain(counter.Grace{})
 		g.peers[0].path.fail(nil)
 		view := fetch(ctx, g.server.URL, "/write/")
 		Expect(view.isVisiblyIncomplete()).To(BeTrue(), "got %+v", view)
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
@@ -63,7 +64,7 @@
 	}
 	if !ahead.Whole {
 		ahead.Release()
-		t.passLong(w, a, response, end)
+		t.passLong(ctx, w, a, response, end)
 		return true
 	}
 	end.Complete()
@@ -129,7 +130,7 @@
 // complete.
 func (t *transaction) stream(ctx context.Context, w http.ResponseWriter, a *upstreamAttempt, response *http.Response) {
 	end := beginResponse(w, t.request, response, a.framing)
-	readErr, writeErr := copyChunks(w, response.Body, func(bytes int) {
+	readErr, writeErr := copyChunks(w, t.withCut(a, response.Body), func(bytes int) {
 		a.bodyStarted = true
 		a.bodyBytes += int64(bytes)
 		t.resumptionResult = resumptionWentOn
@@ -153,6 +154,11 @@
 		t.reportCallerLeft(a)
 		t.proxy.logAttempt(t, a, "caller disconnected", response.StatusCode, "the caller left")
 		end.Abort()
+	case isStopped(ctx) || errors.Is(readErr, errStopping):
+		a.unfinished = true
+		t.reportCallerLeft(a)
+		t.proxy.logAttempt(t, a, "stopped", response.StatusCode, "the instance stops")
+		end.Abort()
 	default:
 		t.reportBroken(a, readErr)
 		a.unfinished = true
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -87,6 +87,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.judgeBody(t.service, a)
+	if a.outcome == permit.Succeeded {
+		p.completionTimes.observe(t.completionKey(), now.Sub(t.timing.sent))
+	}
 	a.upstream.recordOutcome(now, t.target, a.outcome)
 	p.recordSpeed(now, a.upstream, &t.requirements, a.speed)
 	if !a.owner.IsValid() {
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -90,13 +90,17 @@
 	}
 	t.identify(matched.table)
 	t.digest, t.parts = digestOf(r, t.workspaceName(), body), partsOf(call)
+	if !t.endsInTime() {
+		t.refuseStopping(w)
+		return
+	}
 	t.admission = p.crashes.Admit(t.digest, t.parts...)
 	if ruling, allowed := t.admission.Reserve(r.Context()); !allowed {
 		t.refuseByRuling(w, ruling)
 		return
 	}
 	defer t.admission.End()
-	ctx, cancel := context.WithTimeout(r.Context(), t.deadline.Sub(p.options.Now()))
+	ctx, cancel := t.runContext(r.Context())
 	defer cancel()
 	defer t.countResumptionResult()
 	if !t.bindToOrigin(ctx, w) || !t.chargeQuota(ctx, w, scale(t.objective, quotaWaitShare)) {
--- a/internal/counter/unheld.go
+++ b/internal/counter/unheld.go
@@ -180,7 +180,7 @@
 func (t *transaction) waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	p, req := t.proxy, t.requirements
 	now := p.options.Now()
-	bounded, cancel := p.boundWait(ctx, req.arrived.Add(req.longestWait()).Sub(now))
+	bounded, cancel := t.boundWait(ctx, req.arrived.Add(req.longestWait()).Sub(now))
 	if !req.software.Bound {
 		return bounded, cancel
 	}
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/desk"
+	"github.com/lovagelift/lovagelift/internal/entries"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 )
 
@@ -109,7 +110,7 @@
 		reply := complete(ctx, `{"model":"m"}`)
 		Expect(reply.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(reply.outcome).To(Equal("not-run"))
-		Expect(reply.header.Get(desk.EntriesHeader)).To(Equal("127.0.0.1:7610,127.0.0.1:7620"))
+		Expect(reply.header.Get(entries.Header)).To(Equal("127.0.0.1:7610,127.0.0.1:7620"))
 		Expect(upstream.runCount()).To(BeZero())
 	})
 
--- a/internal/desk/limits_test.go
+++ b/internal/desk/limits_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/desk"
+	"github.com/lovagelift/lovagelift/internal/entries"
 )
 
 var _ = Describe("an instance at its limits", func() {
@@ -50,7 +51,7 @@
 		Expect(refused.outcome).To(Equal("not-run"))
 		Expect(refused.body).To(ContainSubstring(`"code":"overloaded"`))
 		Expect(refused.header.Get("Retry-After")).To(Equal("2"))
-		Expect(refused.header.Get(desk.EntriesHeader)).To(Equal("127.0.0.1:1"))
+		Expect(refused.header.Get(entries.Header)).To(Equal("127.0.0.1:1"))
 		Expect(server.call(ctx, http.MethodGet, "/v1/entries", "", "").status).To(Equal(http.StatusOK))
 		Expect(busy.runCount()).To(Equal(1))
 	})
--- a/internal/desk/refusal.go
+++ b/internal/desk/refusal.go
@@ -11,14 +11,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/lovagelift/lovagelift/internal/entries"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 )
 
-// EntriesHeader lists the addresses of other instances that a refused caller may use, separated
-// by commas.
-const EntriesHeader = "Lovagelift-Entries"
-
 // Code is the machine-readable reason of a refusal. Callers' programs may rely on it.
 type Code string
 
@@ -105,7 +102,7 @@
 		header.Set("Retry-After", strconv.Itoa(seconds))
 	}
 	if len(r.OtherAddresses) > 0 {
-		header.Set(EntriesHeader, strings.Join(r.OtherAddresses, ","))
+		header.Set(entries.Header, strings.Join(r.OtherAddresses, ","))
 	}
 	return c.JSON(r.Status, r.body())
 }
--- a/internal/entries/entries.go
+++ b/internal/entries/entries.go
@@ -11,6 +11,10 @@
 	"time"
 )
 
+// Header is the response header that lists the addresses of other instances that a refused caller may use,
+// separated by commas.
+const Header = "Lovagelift-Entries"
+
 const (
 	defaultMaxInstances = 3
 	// keepJitter is the share of the keep time that is random.
