desk: a planned stop answers each request that it has taken

Callers of the own interface lost requests likewise: one that still runs at the end of a drain, ten times drain-time, ended with its connection and no answer. With the default settings no deadline is as late; with a short drain-time or a late deadline there are such requests.

A request that arrives during a drain whose deadline is later than its end is served only if requests of its service and model have taken less here; otherwise 503, draining, not-run, with other instances. What still runs half a second before the end gets 502, draining, with what is known of its outcome; a stream ends with an event that says so, and no longer with one that blames the upstream. The estimate of counter moves to package completion.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/bodysize"
+	"github.com/lovagelift/lovagelift/internal/completion"
 	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
@@ -98,7 +99,7 @@
 	beginDrain context.CancelFunc
 	shutdown   stopSchedule
 	// completionTimes are those of the requests that were sent here.
-	completionTimes completionTimes
+	completionTimes completion.Times[completionKey]
 	// syncNow triggers the next sync immediately.
 	syncNow    chan struct{}
 	cancel     context.CancelFunc
@@ -145,7 +146,7 @@
 		storedAnswers:   map[peerRequest]storedAnswer{},
 		quotas:          quotaAccounts{},
 		plain:           plainGroups{},
-		completionTimes: completionTimes{},
+		completionTimes: completion.Times[completionKey]{},
 		longestBodies:   bodysize.Longest{}, responseBuffers: shuttle.NewByteBudget(defaultResponseBufferBytes),
 		requestBodies: shuttle.NewSharedBudget(shuttle.NewMemoryShare(options.MemoryBytes, bodyMemoryShare, 0)),
 		syncNow:       make(chan struct{}, 1),
--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -132,12 +132,17 @@
 	p := t.proxy
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if longest, known := p.completionTimes.longest(t.completionKey()); known {
+	if longest, known := p.completionTimes.Longest(t.completionKey()); known {
 		return longest
 	}
 	return t.route.Timeout
 }
 
+// completionKey identifies requests that take similar times.
+type completionKey struct {
+	route, model string
+}
+
 func (t *transaction) completionKey() completionKey {
 	return completionKey{route: t.route.Name, model: t.call.Model}
 }
--- a/internal/desk/active_requests.go
+++ b/internal/desk/active_requests.go
@@ -30,12 +30,20 @@
 			Message:    fmt.Sprintf("%d requests are in progress at this instance; use another", limit),
 			Outcome:    outcome.NotRun,
 			RetryAfter: defaultRetryAfter,
-		}
-		for _, entry := range s.options.Instance.Entries(s.options.Now(), callerOf(c)).Instances {
-			if entry.Name != s.options.Name {
-				refusal.OtherAddresses = append(refusal.OtherAddresses, entry.Address)
-			}
+
+			OtherAddresses: s.otherAddresses(callerOf(c)),
 		}
 		return refusal
 	}
 }
+
+// otherAddresses returns the addresses of other instances that a caller may use.
+func (s *Server) otherAddresses(caller string) []string {
+	var addresses []string
+	for _, entry := range s.options.Instance.Entries(s.options.Now(), caller).Instances {
+		if entry.Name != s.options.Name {
+			addresses = append(addresses, entry.Address)
+		}
+	}
+	return addresses
+}
--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
+	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/workspace"
 )
 
@@ -61,5 +62,8 @@
 		deadline = s.options.Limits.DefaultDeadline
 	}
 	a.deadline = now.Add(deadline)
+	if !s.planned.endsInTime(now, completionKey{service: a.service, model: model}, a.deadline) {
+		return admittedRequest{}, s.stoppingRefusal(outcome.NotRun)
+	}
 	return a, nil
 }
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -52,7 +52,7 @@
 	defer cancel()
 	proxied, err := s.tryUpstreams(ctx, task)
 	if err != nil {
-		return s.finalRefusal(task, err)
+		return s.finalRefusal(ctx, task, err)
 	}
 	// Free the slot even if relaying panics. Otherwise relayResponse releases it first.
 	defer proxied.slot.release(dispatch.FailureCanceled)
@@ -109,13 +109,13 @@
 }
 
 // attemptContext returns a context for all attempts at a task, which expires at the task's
-// deadline. A non-idempotent request continues after its caller disconnects: canceling it would
+// deadline, or when the instance stops. A non-idempotent request continues after its caller disconnects: canceling it would
 // leave its outcome unknown, and the caller can retrieve the response later.
 func (s *Server) attemptContext(ctx context.Context, task task) (context.Context, context.CancelFunc) {
 	if !task.request.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithTimeout(ctx, task.deadline.Sub(s.options.Now()))
+	return s.planned.withStop(ctx, task.deadline.Sub(s.options.Now()))
 }
 
 // sendAttempt sends a task to endpoint, the upstream of a slot. It prefetches the response, or
@@ -188,21 +188,20 @@
 	body := &countedBody{ReadCloser: response.Body}
 	response.Body = body
 	err := shuttle.StreamBody(c.Response(), response, needsDone)
-	if err != nil && c.Request().Context().Err() != nil {
-		// The attempt ends with the caller's connection, so reading from the upstream fails as well.
-		err = errors.Wrap(errCallerLeft, err.Error())
-	}
+	endsInsideEvent := errors.Is(err, shuttle.ErrInsideEvent)
+	err = s.relayError(c, err)
 	proxied.slot.release(s.bodySizes.judge(task.service, body.bytes, relayFailure(response.Status, err)))
 	s.reportRelay(proxied.evidence, response.Status, err)
 	if err == nil {
 		end.Complete()
+		s.planned.observe(task, s.options.Now())
 		s.metrics.countResponse(task.service, s.options.Now().Sub(task.arrivedAt))
 		return nil
 	}
 	s.metrics.countCutOff(task.service)
 	s.options.Log.Warn().Err(err).Str("request", task.id).Msg("failed to relay the whole response")
-	if isPlainStream && errors.Is(err, shuttle.ErrTruncated) && !errors.Is(err, shuttle.ErrInsideEvent) {
-		writeCutOffEvent(c.Response())
+	if isPlainStream && !endsInsideEvent {
+		writeCutOffEvent(c.Response(), err)
 	}
 	// The headers are already sent, so only an aborted connection can signal that the response
 	// is incomplete. A regular end would look like a complete, shorter response.
@@ -213,6 +212,21 @@
 // errCallerLeft is returned for a response whose caller has disconnected.
 var errCallerLeft = errors.New("desk: the caller left")
 
+// relayError returns why a response was not relayed in full, given the error at its end: the attempt also ends
+// with the caller's connection and with the instance, so that reading from the upstream fails as well.
+func (s *Server) relayError(c echo.Context, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case c.Request().Context().Err() != nil:
+		return errors.Wrap(errCallerLeft, err.Error())
+	case s.planned.ended.Err() != nil:
+		return errors.Wrap(errStopping, err.Error())
+	default:
+		return err
+	}
+}
+
 // callerFraming returns the framing of an upstream's response to the caller. The final event of a
 // completion proves that it is complete, even if the upstream's framing does not.
 func callerFraming(response *shuttle.Response, needsDone bool) shuttle.Framing {
@@ -222,12 +236,19 @@
 	return response.Framing
 }
 
-// writeCutOffEvent sends an event with the reason why the stream ends early. It must not be called
-// inside an event. A write error means that the caller has disconnected, so it is ignored.
-func writeCutOffEvent(w http.ResponseWriter) {
+// writeCutOffEvent sends an event with the reason why the stream ends early, unless that is its caller. It must not
+// be called inside an event. A write error means that the caller has disconnected, so it is ignored.
+func writeCutOffEvent(w http.ResponseWriter, cause error) {
+	message, code := "the upstream was lost before the answer was whole", CodeCutOff
+	switch {
+	case errors.Is(cause, errStopping):
+		message, code = "this instance has stopped before the answer was whole", CodeDraining
+	case !errors.Is(cause, shuttle.ErrTruncated):
+		return
+	}
 	// The line end ends a comment that was broken off, and means nothing elsewhere between events.
-	_, err := fmt.Fprintf(w, "\ndata: {\"error\":{\"message\":\"the upstream was lost before the answer was whole\","+
-		"\"type\":\"server_error\",\"param\":null,\"code\":%q,\"outcome\":%q}}\n\n", CodeCutOff, outcome.Ran)
+	_, err := fmt.Fprintf(w, "\ndata: {\"error\":{\"message\":%q,"+
+		"\"type\":\"server_error\",\"param\":null,\"code\":%q,\"outcome\":%q}}\n\n", message, code, outcome.Ran)
 	if err != nil {
 		return
 	}
@@ -240,10 +261,12 @@
 // fails is replaced in the roster within its lease.
 const defaultRetryAfter = 2 * time.Second
 
-// finalRefusal returns the refusal to send for a task that failed with err.
-func (s *Server) finalRefusal(task task, err error) *RefusalError {
+// finalRefusal returns the refusal to send for a task that failed with err. ctx is that of its attempts.
+func (s *Server) finalRefusal(ctx context.Context, task task, err error) *RefusalError {
 	var existing *RefusalError
 	switch {
+	case errors.Is(context.Cause(ctx), errStopping):
+		return s.stoppingRefusal(outcomeOf(err))
 	case errors.Is(err, errNoCandidate) && task.software.Bound:
 		return versionUnavailableRefusal(task.software)
 	case errors.Is(err, errNoCandidate):
--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -129,7 +129,7 @@
 	proxied, err := s.tryUpstreams(ctx, claim.task)
 	if err != nil {
 		s.pendingRecords.Go(func() { s.record(claim, stateOf(err), nil) })
-		return s.finalRefusal(claim.task, err)
+		return s.finalRefusal(ctx, claim.task, err)
 	}
 	defer proxied.slot.release(dispatch.FailureCanceled)
 	recorded := s.recordableResponse(proxied.response)
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -137,6 +137,7 @@
 	router         *router
 	workspaces     *workspaces
 	bodySizes      *bodySizes
+	planned        *plannedStop
 }
 
 // New returns a Server.
@@ -150,6 +151,7 @@
 
 		workspaces: newWorkspaces(options.Instances),
 		bodySizes:  newBodySizes(),
+		planned:    newPlannedStop(),
 	}
 	s.echo.HTTPErrorHandler = s.handleError
 	s.echo.Use(s.recoverPanic)
--- /dev/null
+++ b/internal/desk/plannedstop_test.go
@@ -0,0 +1,81 @@
+package desk_test
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lovagelift/lovagelift/internal/entries"
+)
+
+// Such requests were sent, and their connections were closed without an answer at the end of the stop.
+var _ = Describe("a request beside a planned stop", func() {
+	// timeLeft is shorter than the deadline of a request.
+	const timeLeft = 5 * time.Second
+	var server *testServer
+	var upstream *fakeUpstream
+
+	BeforeEach(func() {
+		server = newTestServer(newFakeVoters(), "self")
+		upstream = newFakeUpstream(nil)
+		server.setUpstreams(upstream.address())
+	})
+
+	// stopSoon begins a stop that ends soon once a request has reached the upstream.
+	stopSoon := func(ctx SpecContext) {
+		go func() {
+			defer GinkgoRecover()
+			Eventually(ctx, upstream.runCount).Should(Equal(1))
+			server.api.Stop(100 * time.Millisecond)
+		}()
+	}
+
+	It("is refused at once, and told where to go, if its deadline is later and nothing is known of its kind", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		server.api.Stop(timeLeft)
+		reply := server.book(ctx, "", "two seats")
+		Expect(reply.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(reply.outcome).To(Equal("not-run"))
+		Expect(reply.body).To(ContainSubstring(`"draining"`))
+		Expect(reply.header.Get(entries.Header)).To(Equal("127.0.0.1:1"))
+		Expect(upstream.runCount()).To(BeZero())
+	})
+
+	It("is served if requests of its kind have taken less", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		Expect(server.book(ctx, "", "two seats").status).To(Equal(http.StatusOK))
+		server.api.Stop(timeLeft)
+		Expect(server.book(ctx, "", "two seats").status).To(Equal(http.StatusOK))
+	})
+
+	DescribeTable("is answered with an unknown outcome, and not sent again, if it still runs at its end",
+		func(ctx SpecContext, method, key string) {
+			upstream.handler = func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+			stopSoon(ctx)
+			reply := server.call(ctx, method, "/services/booking/book", key, "two seats")
+			Expect(reply.cutOff).To(BeFalse())
+			Expect(reply.status).To(Equal(http.StatusBadGateway))
+			Expect(reply.outcome).To(Equal("unknown"))
+			Expect(reply.body).To(ContainSubstring(`"draining"`))
+			Expect(upstream.runCount()).To(Equal(1))
+		},
+		Entry("one that must not run twice", SpecTimeout(specTimeout), http.MethodPost, ""),
+		Entry("one with a key", SpecTimeout(specTimeout), http.MethodPost, "k"),
+		Entry("one that may run twice", SpecTimeout(specTimeout), http.MethodPut, ""),
+	)
+
+	It("ends with the reason between two events if its stream still runs", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		upstream.handler = func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, "id: 1\ndata: seat 7\n\n")
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}
+		stopSoon(ctx)
+		reply := server.book(ctx, "", "two seats")
+		Expect(reply.cutOff).To(BeTrue())
+		Expect(reply.body).To(HavePrefix("id: 1\ndata: seat 7\n\n"))
+		Expect(reply.body).To(ContainSubstring(`"code":"draining"`))
+	})
+})
--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/registrar"
 )
 
@@ -92,6 +94,33 @@
 		stopping.closed = true
 	})
 
+	// Its connection was closed without an answer.
+	It("answers a request that still runs at its end", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		arrived := make(chan struct{})
+		upstream := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			close(arrived)
+			<-r.Context().Done()
+		}))
+		DeferCleanup(upstream.Close)
+		defer keepAnnounced(ctx, cluster["a"], upstream.Listener.Addr().String())()
+		Eventually(ctx, func() int { return len(stopping.Upstreams(time.Now())) }).Should(Equal(1))
+		stopped := make(chan error, 1)
+		go func() {
+			<-arrived
+			stopCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+			defer cancel()
+			stopped <- stopping.Drain(stopCtx)
+		}()
+		response, err := stopping.complete(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(response.Header.Get(outcome.Header)).To(Equal("unknown"))
+		Eventually(ctx, stopped).Should(Receive(BeNil()))
+		stopping.closed = true
+	})
+
 	// The response to a drain request is lost, and two operators repeat the request
 	// concurrently. Each request must succeed, and the drain must start only once.
 	It("is asked for twice, and begins once", SpecTimeout(specTimeout), func(ctx SpecContext) {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -228,19 +228,28 @@
 	return server
 }
 
+// answerTime is the time before the end of a drain at which requests that still run are
+// answered.
+const answerTime = 500 * time.Millisecond
+
 // Drain shuts the instance down gracefully, without aborting requests.
 //
 // First the instance is no longer listed to callers, but continues to serve
 // those that have cached its address until their cache entries expire. Then it
 // refuses new requests with the addresses of other instances, and closes once no
-// request is in progress. If ctx ends earlier, Drain closes the instance anyway
-// and returns an error with the number of aborted requests.
+// request is in progress. Requests that arrive and can't be expected to end before
+// the deadline of ctx are refused at once, and those that still run shortly before it
+// are answered. If ctx ends earlier, Drain closes the instance anyway and returns an
+// error with the number of aborted requests.
 func (i *Instance) Drain(ctx context.Context) error {
 	i.mu.Lock()
 	i.draining = true
 	i.renewIfDueLocked(i.options.Now())
 	i.mu.Unlock()
 	i.options.Log.Info().Msg("draining")
+	if end, ok := ctx.Deadline(); ok {
+		i.callerAPI.Stop(time.Until(end) - answerTime)
+	}
 	// The drain state reaches every instance within three pulls and one call. Until
 	// then, another instance may still list this one to callers.
 	addressExpiry := time.NewTimer(i.options.Settings.Timing.ReferralTTL + 3*pullInterval + callTimeout)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,7 +112,7 @@
 	// instance that has stopped.
 	ReferralTTL time.Duration
 	// DrainTime is the expected maximum duration of a planned stop. A stop may take
-	// longer, but after ten times DrainTime it aborts the remaining requests.
+	// longer, but after ten times DrainTime the remaining requests are answered.
 	DrainTime time.Duration
 }
 
