counter: a spec of the memory that responses without an end take

Another operator's machine ran out of memory by bytes that were no answer. Here they are bounded already: heads and interim heads by MaxHeaderBytes, bodies that are read first by one budget, the rest is passed on as it is read, chunk sizes and trailers by net/http. Nothing changes for it.

The spec sends twelve kinds (status line, line, name, head, interim heads, body until close, chunks, chunk size, extension, trailer, event, events) from twelve upstreams at once to 96 callers that read nothing, and bounds what is reachable by the 284 MB of the users' entry machine.

--- a/internal/counter/endless_test.go
+++ b/internal/counter/endless_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,6 +20,39 @@
 var longHead = "HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nContent-Length: 4\r\nX-Long: " +
 	strings.Repeat("x", 200<<10) + "\r\n\r\nlong"
 
+// respondEndlessly sends the beginning of a response and then a piece of it without an end.
+func respondEndlessly(beginning, piece string) http.HandlerFunc {
+	piece = strings.Repeat(piece, 32<<10/len(piece))
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, err = io.WriteString(conn, strings.ReplaceAll(beginning, "ID", r.Header.Get(idHeader)))
+		for err == nil {
+			_, err = io.WriteString(conn, piece)
+		}
+	}
+}
+
+// endlessResponses are responses without an end in each of their parts.
+var endlessResponses = map[string]http.HandlerFunc{
+	"status line":     respondEndlessly("HTTP/1.1 200 O", "K"),
+	"line of a head":  respondEndlessly("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nX-Long: ", "x"),
+	"name of a field": respondEndlessly("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nX", "x"),
+	"head":            respondEndlessly("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\n", "X-More: 1\r\n"),
+	"interim heads":   respondEndlessly("", "HTTP/1.1 102 Processing\r\nX-More: 1\r\n\r\n"),
+	"until close":     respondEndlessly("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\n\r\n", "x"),
+	"chunks":          respondEndlessly("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+	"chunk size":      respondEndlessly("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
+	"chunk extension": respondEndlessly("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nTransfer-Encoding: chunked\r\n\r\n4;x=", "x"),
+	"trailer":         respondEndlessly("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: 1\r\n"),
+	"event":           respondEndlessly("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nContent-Type: "+eventStream+"\r\n\r\ndata: ", "x"),
+	"events":          respondEndlessly("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nContent-Type: "+eventStream+"\r\n\r\n", "data: x\n\n"),
+}
+
 // endlessInterim sends interim responses without an end.
 func endlessInterim(w http.ResponseWriter, _ *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -108,4 +143,51 @@
 		}
 		Expect(endless.count()).To(And(BeNumerically(">", 0), BeNumerically("<=", 4)))
 	})
+
+	// The memory of the requests of all other callers ended with the process.
+	It("in any part takes no more memory than an instance has, from all upstreams at once", func(ctx SpecContext) {
+		// An entry instance of the users has this memory for everything.
+		const calls, mostBytes = 96, 284 << 20
+		var upstreams []*upstream
+		for _, faulty := range endlessResponses {
+			upstreams = append(upstreams, newFakeUpstream(faulty))
+		}
+		url := newTestProxy(upstreams...).server.URL
+		callCtx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+		defer cancel()
+		var running sync.WaitGroup
+		for i := range calls {
+			path := []string{"/look/", "/book/", "/write/", "/draft/"}[i%4]
+			running.Go(func() {
+				for callCtx.Err() == nil {
+					stall(callCtx, url, path)
+				}
+			})
+		}
+		most := uint64(0)
+		for pause.For(callCtx, 50*time.Millisecond) {
+			most = max(most, liveBytes())
+		}
+		running.Wait()
+		AddReportEntry("live bytes", most)
+		Expect(most).To(BeNumerically("<", mostBytes))
+	}, SpecTimeout(specTimeout))
 })
+
+// liveBytes returns the memory that is reachable.
+func liveBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// stall sends a request and reads nothing of the response until ctx ends.
+func stall(ctx context.Context, url, path string) {
+	response, err := post(ctx, url, path)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	<-ctx.Done()
+}
