--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -121,8 +121,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if isStopped(ctx) {
-		t.reportCallerLeft(a)
-		p.logAttempt(t, a, "stopped", 0, "the instance stops")
+		t.recordStopped(a, 0)
 		t.refuseStopping(w)
 		return true
 	}
--- a/internal/counter/bodies.go
+++ b/internal/counter/bodies.go
@@ -149,10 +149,7 @@
 		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
 		end.Abort()
 	case isStopped(ctx):
-		a.unfinished = true
-		t.reportCallerLeft(a)
-		t.proxy.logAttempt(t, a, "stopped", response.StatusCode, "the instance stops")
-		end.Abort()
+		t.abortStopped(a, response.StatusCode, end)
 	case readErr != nil:
 		a.outcome = permit.Failed
 		t.reportBroken(a, readErr)
--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -13,6 +12,7 @@
 	"github.com/lovagelift/lovagelift/internal/entries"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
 // Grace is the time that a planned shutdown leaves for requests.
@@ -39,40 +39,6 @@
 	p.syncSoon()
 }
 
-// stopSchedule is the schedule of a planned shutdown.
-type stopSchedule struct {
-	// waitsEnd is when requests may no longer wait for an upstream.
-	waitsEnd time.Time
-	// runsEnd is when requests may no longer run, zero if they may run until they end.
-	runsEnd time.Time
-}
-
-// latestSend returns the latest time to send a request that is expected to take runTime at most. One whose deadline
-// is within the schedule ends in time whatever it takes.
-func (s stopSchedule) latestSend(deadline time.Time, runTime time.Duration) time.Time {
-	if s.runsEnd.IsZero() || !deadline.After(s.runsEnd) {
-		return deadline
-	}
-	return s.runsEnd.Add(-runTime)
-}
-
-// waitEnd returns when such a request may no longer wait for an upstream.
-func (s stopSchedule) waitEnd(deadline time.Time, runTime time.Duration) time.Time {
-	if latest := s.latestSend(deadline, runTime); latest.Before(s.waitsEnd) {
-		return latest
-	}
-	return s.waitsEnd
-}
-
-// streamCutTime is the time before the end of a shutdown from which on streams that may be resumed are cut after
-// their next event.
-const streamCutTime = 400 * time.Millisecond
-
-// cutsStreams reports whether streams that may be resumed are cut.
-func (s stopSchedule) cutsStreams(now time.Time) bool {
-	return !s.runsEnd.IsZero() && !now.Before(s.runsEnd.Add(-streamCutTime))
-}
-
 // errStopping is why a request ends that still runs at the end of a planned shutdown.
 var errStopping = errors.New("counter: the instance stops")
 
@@ -156,6 +122,19 @@
 	return !p.options.Now().After(p.stopSchedule().latestSend(t.deadline, t.expectedRunTime()))
 }
 
+// recordStopped records an attempt that ended because the instance stops, which is no failure of its upstream.
+func (t *transaction) recordStopped(a *upstreamAttempt, status int) {
+	t.reportCallerLeft(a)
+	t.proxy.logAttempt(t, a, "stopped", status, "the instance stops")
+}
+
+// abortStopped breaks off a response of which a part has been passed on, because the instance stops.
+func (t *transaction) abortStopped(a *upstreamAttempt, status int, end shuttle.ResponseEnd) {
+	a.unfinished = true
+	t.recordStopped(a, status)
+	end.Abort()
+}
+
 // refuseStopping answers a request that is not sent, or no more, because the instance stops.
 func (t *transaction) refuseStopping(w http.ResponseWriter) {
 	p := t.proxy
@@ -187,29 +166,3 @@
 	}
 	return others[:min(len(others), maxNamedEntries)]
 }
-
-// cuttableStream is the body of a stream that may be resumed. It ends with errStopping after an event, once the
-// instance is about to stop.
-type cuttableStream struct {
-	io.ReadCloser
-	transaction *transaction
-	attempt     *upstreamAttempt
-}
-
-// Read reads from the stream.
-func (s cuttableStream) Read(buffer []byte) (int, error) {
-	p := s.transaction.proxy
-	if p.drainBegun.Err() != nil && !s.attempt.events.InsideEvent() && p.stopSchedule().cutsStreams(p.options.Now()) {
-		return 0, errStopping
-	}
-	return s.ReadCloser.Read(buffer)
-}
-
-// withCut returns the body of a stream, which is cut between two events before the instance stops if its caller may
-// resume it.
-func (t *transaction) withCut(a *upstreamAttempt, body io.ReadCloser) io.ReadCloser {
-	if !t.route.HasResumableStreams() || a.events == nil {
-		return body
-	}
-	return cuttableStream{ReadCloser: body, transaction: t, attempt: a}
-}
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -155,10 +155,7 @@
 		t.proxy.logAttempt(t, a, "caller disconnected", response.StatusCode, "the caller left")
 		end.Abort()
 	case isStopped(ctx) || errors.Is(readErr, errStopping):
-		a.unfinished = true
-		t.reportCallerLeft(a)
-		t.proxy.logAttempt(t, a, "stopped", response.StatusCode, "the instance stops")
-		end.Abort()
+		t.abortStopped(a, response.StatusCode, end)
 	default:
 		t.reportBroken(a, readErr)
 		a.unfinished = true
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -109,8 +109,9 @@
 }
 
 // attemptContext returns a context for all attempts at a task, which expires at the task's
-// deadline, or when the instance stops. A non-idempotent request continues after its caller disconnects: canceling it would
-// leave its outcome unknown, and the caller can retrieve the response later.
+// deadline, or when the instance stops. A non-idempotent request continues after its caller
+// disconnects: canceling it would leave its outcome unknown, and the caller can retrieve the
+// response later.
 func (s *Server) attemptContext(ctx context.Context, task task) (context.Context, context.CancelFunc) {
 	if !task.request.Idempotent {
 		ctx = context.WithoutCancel(ctx)
