--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -16,7 +16,6 @@
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/transport"
-	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // Options configures a Caller.
@@ -54,9 +53,8 @@
 func New(options Options) *Caller {
 	if options.Client == nil {
 		options.Client = &http.Client{Transport: transport.New(&http.Transport{
-			DisableCompression:     true,
-			TLSClientConfig:        options.TLS,
-			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
+			DisableCompression: true,
+			TLSClientConfig:    options.TLS,
 		})}
 	}
 	if options.Now == nil {
--- a/internal/counter/transports.go
+++ b/internal/counter/transports.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/transport"
-	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // idleConnTimeout is how long an idle connection to an upstream is kept. Upstreams close idle
@@ -40,11 +39,9 @@
 		keepAlive: transport.New(&http.Transport{
 			DialContext: dialKept, DisableCompression: true,
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream, IdleConnTimeout: idleConnTimeout,
-			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
 		}),
 		singleUse: transport.New(&http.Transport{
 			DialContext: dial, DisableCompression: true, DisableKeepAlives: true,
-			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
 		}),
 	}
 }
--- a/internal/foreman/client.go
+++ b/internal/foreman/client.go
@@ -24,7 +24,7 @@
 	return &http.Client{
 		// Orders are rare, so each uses a new connection: a kept-alive one may be
 		// dead, whereas a failure to connect proves that no byte was sent.
-		Transport: transport.New(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes}),
+		Transport: transport.New(&http.Transport{DisableKeepAlives: true}),
 		// A redirect would send the order to an engine that it is not meant for.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/registrar/client.go
+++ b/internal/registrar/client.go
@@ -19,7 +19,6 @@
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/transport"
-	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
 
 // ErrUnauthorized is returned when the token is missing or wrong.
@@ -72,7 +71,7 @@
 	return &Client{options: options, http: &http.Client{
 		Timeout: options.Timeout,
 		Transport: transport.New(&http.Transport{
-			TLSClientConfig: options.TLS, DisableKeepAlives: true, MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
+			TLSClientConfig: options.TLS, DisableKeepAlives: true,
 		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -168,17 +168,15 @@
 		hedges:           newHedgeBudget(),
 		prefetchBudget:   NewByteBudget(options.PrefetchBudgetBytes),
 		keepAlive: transport.New(&http.Transport{
-			DialContext:            dial,
-			DisableCompression:     true,
-			MaxIdleConnsPerHost:    options.IdleConnections,
-			IdleConnTimeout:        idleConnectionTimeout,
-			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
+			DialContext:         dial,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: options.IdleConnections,
+			IdleConnTimeout:     idleConnectionTimeout,
 		}),
 		singleUse: transport.New(&http.Transport{
-			DialContext:            dial,
-			DisableCompression:     true,
-			DisableKeepAlives:      true,
-			MaxResponseHeaderBytes: upstreamapi.MaxHeaderBytes,
+			DialContext:        dial,
+			DisableCompression: true,
+			DisableKeepAlives:  true,
 		}),
 	}
 }
