shuttle: one loop reads the beginning of a body at both interfaces

counter.readAhead and shuttle.prefetchUntil were the same loop: read until enough has come or a buffer is full, then give everything back, the end included. ReadBeginning serves both. counter no longer relies on a body returning its error a second time. Specs of first bytes, ends and resumed streams pass.

--- a/internal/counter/confirmation.go
+++ b/internal/counter/confirmation.go
@@ -107,8 +107,8 @@
 // awaitEvent reads ahead until an event begins or the buffer is full, and reports whether the response has
 // ended regularly before it.
 func (a *upstreamAttempt) awaitEvent(response *http.Response) (ended bool) {
-	_, ended, _ = readAhead(response, func([]byte) bool { return !a.events.IsEmpty() })
-	return ended && a.events.IsEmpty()
+	beginning := readAhead(response, func(int) bool { return !a.events.IsEmpty() })
+	return beginning.Ended && a.events.IsEmpty()
 }
 
 // isLeftToCaller reports whether the caller has to find out whether the response is whole, by resuming it
--- a/internal/shuttle/firstevent.go
+++ b/internal/shuttle/firstevent.go
@@ -1,7 +1,6 @@
 package shuttle
 
 import (
-	"bytes"
 	"io"
 
 	"github.com/cockroachdb/errors"
@@ -25,36 +24,14 @@
 	return prefetchUntil(response, response.Body, func(bytes int) bool { return bytes > 0 })
 }
 
-// prefetchUntil reads the beginning of response from body until isEnough reports true of the number of bytes. It
-// reads relayBufferBytes at most. If body fails before, prefetchUntil returns a *Error and closes the body.
+// prefetchUntil reads the beginning of response from body until isEnough reports true of the number of bytes. If body
+// fails before, prefetchUntil returns a *Error and closes the body.
 func prefetchUntil(response *Response, body io.Reader, isEnough func(bytes int) bool) error {
-	buffer, read := make([]byte, relayBufferBytes), 0
-	rest := io.Reader(response.Body)
-	for read < len(buffer) && !isEnough(read) {
-		n, err := body.Read(buffer[read:])
-		read += n
-		if err != nil && err != io.EOF && !isEnough(read) {
-			response.Body.Close()
-			return &Error{Outcome: outcome.Ran, cause: errors.Mark(err, ErrTruncated)}
-		}
-		if err != nil {
-			rest = failedReader{err: err}
-			break
-		}
-	}
-	response.Body = &prefixedBody{
-		Reader: io.MultiReader(bytes.NewReader(buffer[:read]), rest),
-		ahead:  &ReadAhead{}, rest: response.Body,
+	beginning := ReadBeginning(body, response.Body, relayBufferBytes, isEnough)
+	if beginning.Err != nil && !isEnough(beginning.Bytes) {
+		response.Body.Close()
+		return &Error{Outcome: outcome.Ran, cause: errors.Mark(beginning.Err, ErrTruncated)}
 	}
+	response.Body = &prefixedBody{Reader: beginning, ahead: &ReadAhead{}, rest: response.Body}
 	return nil
 }
-
-// failedReader is a reader whose reads fail with err.
-type failedReader struct {
-	err error
-}
-
-// Read returns the error.
-func (r failedReader) Read([]byte) (int, error) {
-	return 0, r.err
-}
