standin, desk, counter: pieces that stood twice are called instead

BrokenResponse.Send is a Cut after its last byte; endlessInterim was an entry of endlessResponses; the refusal of a draining instance was written out in instance and in desk; an instance that drains leaves itself out of OpenEntries already. Assertions are the same.

--- a/internal/caller/brokenhead_test.go
+++ b/internal/caller/brokenhead_test.go
@@ -20,10 +20,10 @@
 		mux := http.NewServeMux()
 		server := httptest.NewServer(mux)
 		isListBroken := true
-		mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, _ *http.Request) { _ = answer.Send(w) })
-		mux.HandleFunc("GET /v1/entries", func(w http.ResponseWriter, _ *http.Request) {
+		mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { _ = answer.Send(w, r) })
+		mux.HandleFunc("GET /v1/entries", func(w http.ResponseWriter, r *http.Request) {
 			if isListBroken {
-				_ = list.Send(w)
+				_ = list.Send(w, r)
 				return
 			}
 			fmt.Fprintf(w, `{"entries":[{"name":"self","address":%q}],"keep-seconds":60}`, server.Listener.Addr())
--- a/internal/counter/brokenhead_test.go
+++ b/internal/counter/brokenhead_test.go
@@ -21,7 +21,7 @@
 	number, err := strconv.Atoi(r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:])
 	Expect(err).NotTo(HaveOccurred())
 	id := idHeader + ": " + r.Header.Get(idHeader) + "\r\n"
-	Expect(standin.BrokenResponses[number].Send(w, id, "Lovagelift-Relay-Result: answered\r\n")).To(Succeed())
+	Expect(standin.BrokenResponses[number].Send(w, r, id, "Lovagelift-Relay-Result: answered\r\n")).To(Succeed())
 }
 
 // Callers got such responses as answers, or no answer at all.
@@ -74,7 +74,7 @@
 				continue
 			}
 			u := newFakeUpstream(respondUntilClose("text/plain", "booked"))
-			u.answerLiveness = func(w http.ResponseWriter, _ *http.Request) { _ = broken.Send(w) }
+			u.answerLiveness = func(w http.ResponseWriter, r *http.Request) { _ = broken.Send(w, r) }
 			url := newTestProxy(u).server.URL
 			calls.Go(func() {
 				defer GinkgoRecover()
--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -154,10 +154,10 @@
 // maxNamedEntries bounds the instances that a refusal names.
 const maxNamedEntries = 8
 
-// otherEntries returns the caller addresses of other instances that accept requests, those in the same failure
-// domain first.
+// otherEntries returns the caller addresses of the instances that accept requests, those in the same failure domain
+// first. This one is not among them, as it drains.
 func (p *Proxy) otherEntries(now time.Time) []string {
-	open := withoutEntry(p.OpenEntries(now), p.options.FailureDomain, p.options.CallerAddress)
+	open := p.OpenEntries(now)
 	others := slices.Clone(open[p.options.FailureDomain])
 	for domain, addresses := range open {
 		if domain != p.options.FailureDomain {
--- a/internal/counter/endless_test.go
+++ b/internal/counter/endless_test.go
@@ -53,18 +53,6 @@
 	"events":          respondEndlessly("HTTP/1.1 200 OK\r\nSpec-Request: ID\r\nContent-Type: "+eventStream+"\r\n\r\n", "data: x\n\n"),
 }
 
-// endlessInterim sends interim responses without an end.
-func endlessInterim(w http.ResponseWriter, _ *http.Request) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	Expect(err).NotTo(HaveOccurred())
-	defer conn.Close()
-	for {
-		if _, err := io.WriteString(conn, "HTTP/1.1 102 Processing\r\nX-More: 1\r\n\r\n"); err != nil {
-			return
-		}
-	}
-}
-
 // endlessBody sends a body without an end.
 func endlessBody(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(idHeader, r.Header.Get(idHeader))
@@ -114,7 +102,7 @@
 			Expect(endless.count()).To(And(BeNumerically(">", 0), BeNumerically("<=", 3)))
 		},
 		Entry("of a long header", respondAfterReading(longHead)),
-		Entry("of interim responses", http.HandlerFunc(endlessInterim)),
+		Entry("of interim responses", endlessResponses["interim heads"]),
 	)
 
 	// Callers left after some megabytes, which counted as a success of the upstream.
--- a/internal/desk/active_requests.go
+++ b/internal/desk/active_requests.go
@@ -24,7 +24,7 @@
 		if limit == 0 || s.ActiveRequests() <= limit || c.Path() == entriesPath {
 			return next(c)
 		}
-		refusal := &RefusalError{
+		return &RefusalError{
 			Status:     http.StatusServiceUnavailable,
 			Code:       CodeOverloaded,
 			Message:    fmt.Sprintf("%d requests are in progress at this instance; use another", limit),
@@ -33,7 +33,6 @@
 
 			OtherAddresses: s.otherAddresses(callerOf(c)),
 		}
-		return refusal
 	}
 }
 
--- a/internal/desk/brokenhead_test.go
+++ b/internal/desk/brokenhead_test.go
@@ -15,7 +15,7 @@
 	It("is reported as lost, and its request is not sent again if it must not run twice", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		server := newTestServer(newFakeVoters(), "a")
 		for _, broken := range standin.BrokenResponses {
-			upstream := newFakeUpstream(func(w http.ResponseWriter, _ *http.Request) { _ = broken.Send(w) })
+			upstream := newFakeUpstream(func(w http.ResponseWriter, r *http.Request) { _ = broken.Send(w, r) })
 			server.setUpstreams(upstream.address())
 			for _, body := range []string{"two seats", `{"model":"m","stream":true}`} {
 				reply := server.book(ctx, "", body)
@@ -31,7 +31,7 @@
 	It("is replaced by that of another upstream if the request may run twice", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		for _, broken := range standin.BrokenResponses {
 			server := newTestServer(newFakeVoters(), "a")
-			upstream := newFakeUpstream(func(w http.ResponseWriter, _ *http.Request) { _ = broken.Send(w) })
+			upstream := newFakeUpstream(func(w http.ResponseWriter, r *http.Request) { _ = broken.Send(w, r) })
 			server.setUpstreams(upstream.address(), newFakeUpstream(nil).address())
 			for range 4 {
 				reply := server.call(ctx, http.MethodGet, "/services/booking/book", "", "")
--- a/internal/desk/plannedstop.go
+++ b/internal/desk/plannedstop.go
@@ -80,17 +80,23 @@
 	time.AfterFunc(timeLeft, s.planned.endRuns)
 }
 
+// DrainingRefusal returns the refusal of a request that arrives at an instance that is stopping, without the
+// addresses of others.
+func DrainingRefusal() *RefusalError {
+	return &RefusalError{
+		Status:  http.StatusServiceUnavailable,
+		Code:    CodeDraining,
+		Message: "this instance is stopping; use another",
+		Outcome: outcome.NotRun,
+	}
+}
+
 // stoppingRefusal returns the refusal of a request that is not sent, or not any longer, because the instance stops.
 func (s *Server) stoppingRefusal(run outcome.Outcome) *RefusalError {
-	refusal := &RefusalError{
-		Status:         http.StatusServiceUnavailable,
-		Code:           CodeDraining,
-		Message:        "this instance is stopping; use another",
-		Outcome:        run,
-		OtherAddresses: s.otherAddresses(""),
-	}
+	refusal := DrainingRefusal()
+	refusal.OtherAddresses = s.otherAddresses("")
 	if run != outcome.NotRun {
-		refusal.Status = http.StatusBadGateway
+		refusal.Status, refusal.Outcome = http.StatusBadGateway, run
 		refusal.Message = "this instance has stopped before the answer"
 	}
 	return refusal
--- a/internal/foreman/brokenhead_test.go
+++ b/internal/foreman/brokenhead_test.go
@@ -18,7 +18,7 @@
 var _ = It("a broken answer to an order is none, and the order counts as sent", func(ctx SpecContext) {
 	for _, broken := range standin.BrokenResponses {
 		broken = broken.WithBody(`{"id":"o1","state":"done"}`)
-		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = broken.Send(w) }))
+		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _ = broken.Send(w, r) }))
 		_, err := foreman.SendOrder(ctx, foreman.NewClient(), engine.Listener.Addr().String(), upstreamapi.Order{ID: "o1"})
 		engine.Close()
 		Expect(err).To(HaveOccurred(), broken.Name)
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -21,8 +21,7 @@
 	refusal := &desk.RefusalError{Status: http.StatusServiceUnavailable, Outcome: outcome.NotRun}
 	switch {
 	case i.refusingRequests:
-		refusal.Code = desk.CodeDraining
-		refusal.Message = "this instance is stopping; use another"
+		refusal = desk.DrainingRefusal()
 	case !hasLease:
 		refusal.Code = desk.CodeConfigurationNotConfirmed
 		refusal.Message = "this instance can't confirm its configuration; use another"
--- a/internal/registrar/brokenhead_test.go
+++ b/internal/registrar/brokenhead_test.go
@@ -17,9 +17,9 @@
 	for _, broken := range standin.BrokenResponses {
 		broken = broken.WithBody(`{"revision":1,"requests":[]}`)
 		var arrivals atomic.Int32
-		c := client("token", serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c := client("token", serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			arrivals.Add(1)
-			_ = broken.Send(w)
+			_ = broken.Send(w, r)
 		})))
 		_, err := c.Change(ctx, change(0, "ordinary"))
 		Expect(errors.HasType(err, (*registrar.UnknownError)(nil))).To(BeTrue(), broken.Name)
--- a/internal/standin/brokenresponse.go
+++ b/internal/standin/brokenresponse.go
@@ -3,12 +3,9 @@
 import (
 	"cmp"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
-
-	"github.com/cockroachdb/errors"
 )
 
 // BrokenResponse is a raw response that is none in HTTP/1.
@@ -84,12 +81,7 @@
 // Send sends the response with further fields, such as "X-Seat: 7\r\n", in the place of one by w, and closes the
 // connection. The request must have been read. An error means that the connection can't be taken over; that the
 // client has left is none.
-func (b BrokenResponse) Send(w http.ResponseWriter, fields ...string) error {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return errors.Wrap(err, "standin: broken response")
-	}
-	defer conn.Close()
-	_, _ = io.WriteString(conn, b.text(strings.Join(fields, "")))
-	return nil
+func (b BrokenResponse) Send(w http.ResponseWriter, r *http.Request, fields ...string) error {
+	text := b.text(strings.Join(fields, ""))
+	return Cut{At: len(text)}.Send(w, r, text)
 }
