shutdown: one plan decides at both interfaces which requests still end in time

counter and desk each had the end of a planned stop, the learned times, the rule that compares them, and a context with the stop as its cause. Plan has them once. The rule is the same: counter took the timeout of the route where nothing was learned, which never ends in time if the deadline does not, as the deadline is within that timeout. The wait for an upstream and the cut of streams stay in counter.

--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/retry"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 )
 
 // attempt sends the request to the granted upstream, and reports whether the caller was answered.
@@ -120,7 +121,7 @@
 		p.logAttempt(t, a, "caller disconnected", 0, "the caller left")
 		panic(http.ErrAbortHandler)
 	}
-	if isStopped(ctx) {
+	if shutdown.IsStopped(ctx) {
 		t.recordStopped(a, 0)
 		t.refuseStopping(w)
 		return true
--- a/internal/counter/bodies.go
+++ b/internal/counter/bodies.go
@@ -11,6 +11,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
@@ -148,7 +149,7 @@
 		t.reportCallerLeft(a)
 		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
 		end.Abort()
-	case isStopped(ctx):
+	case shutdown.IsStopped(ctx):
 		t.abortStopped(a, response.StatusCode, end)
 	case readErr != nil:
 		a.outcome = permit.Failed
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/bodysize"
-	"github.com/lovagelift/lovagelift/internal/completion"
 	"github.com/lovagelift/lovagelift/internal/coroner"
 	"github.com/lovagelift/lovagelift/internal/courier"
 	"github.com/lovagelift/lovagelift/internal/permit"
@@ -20,6 +19,7 @@
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/roster"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 	"github.com/lovagelift/lovagelift/internal/speed"
 )
@@ -94,12 +94,13 @@
 	relaying int
 	draining bool
 
-	// drainBegun ends when a planned shutdown begins, by beginDrain. shutdown is its schedule then.
+	// drainBegun ends when a planned shutdown begins, by beginDrain. Requests may wait for an upstream until waitsEnd
+	// then.
 	drainBegun context.Context
 	beginDrain context.CancelFunc
-	shutdown   stopSchedule
-	// completionTimes are those of the requests that were sent here.
-	completionTimes completion.Times[completionKey]
+	waitsEnd   time.Time
+	// shutdown knows the requests that were sent here. Lock order: mu before its lock.
+	shutdown *shutdown.Plan[completionKey]
 	// syncNow triggers the next sync immediately.
 	syncNow    chan struct{}
 	cancel     context.CancelFunc
@@ -141,13 +142,13 @@
 		pendingReplies: map[permit.ID]*pendingReply{},
 		// IDs start at the current time, so that they are above those of an earlier process at this
 		// address.
-		lastMessageID:   permit.ID(options.Now().UnixNano()),
-		permits:         map[peerRequest]*permitRecord{},
-		storedAnswers:   map[peerRequest]storedAnswer{},
-		quotas:          quotaAccounts{},
-		plain:           plainGroups{},
-		completionTimes: completion.Times[completionKey]{},
-		longestBodies:   bodysize.Longest{}, responseBuffers: shuttle.NewByteBudget(defaultResponseBufferBytes),
+		lastMessageID: permit.ID(options.Now().UnixNano()),
+		permits:       map[peerRequest]*permitRecord{},
+		storedAnswers: map[peerRequest]storedAnswer{},
+		quotas:        quotaAccounts{},
+		plain:         plainGroups{},
+		shutdown:      shutdown.New[completionKey](),
+		longestBodies: bodysize.Longest{}, responseBuffers: shuttle.NewByteBudget(defaultResponseBufferBytes),
 		requestBodies: shuttle.NewSharedBudget(shuttle.NewMemoryShare(options.MemoryBytes, bodyMemoryShare, 0)),
 		syncNow:       make(chan struct{}, 1),
 		cancel:        cancel,
--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/lovagelift/lovagelift/internal/entries"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/pause"
@@ -30,53 +28,25 @@
 	now := p.options.Now()
 	p.mu.Lock()
 	p.draining = true
-	p.shutdown = stopSchedule{waitsEnd: now.Add(grace.Wait)}
+	p.waitsEnd = now.Add(grace.Wait)
+	p.mu.Unlock()
 	if grace.Run > 0 {
-		p.shutdown.runsEnd = now.Add(grace.Run)
+		p.shutdown.Begin(now, grace.Run)
 	}
-	p.mu.Unlock()
 	p.beginDrain()
 	p.syncSoon()
 }
 
-// errStopping is why a request ends that still runs at the end of a planned shutdown.
-var errStopping = errors.New("counter: the instance stops")
-
 // stoppingReason is the machine-readable reason of a refusal for a planned shutdown.
 const stoppingReason = "draining"
 
-// isStopped reports whether the request has ended because the instance stops. ctx is its context.
-func isStopped(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), errStopping)
-}
-
-// runContext returns the context of the request's attempts. It ends at the deadline, and with the cause errStopping
-// at the end of a planned shutdown.
-func (t *transaction) runContext(parent context.Context) (context.Context, context.CancelFunc) {
-	p := t.proxy
-	stoppable, stop := context.WithCancelCause(parent)
-	ctx, cancel := context.WithTimeout(stoppable, t.remaining())
-	release := context.AfterFunc(p.drainBegun, func() {
-		runsEnd := p.stopSchedule().runsEnd
-		if !runsEnd.IsZero() && pause.For(ctx, runsEnd.Sub(p.options.Now())) {
-			stop(errStopping)
-		}
-	})
-	return ctx, func() {
-		release()
-		cancel()
-		stop(nil)
-	}
-}
-
 // boundWait returns a context that ends with ctx, at limit, and when a draining instance lets the request wait no
 // longer.
 func (t *transaction) boundWait(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
 	p := t.proxy
 	bounded, cancel := context.WithTimeout(ctx, limit)
 	release := context.AfterFunc(p.drainBegun, func() {
-		end := p.stopSchedule().waitEnd(t.deadline, t.expectedRunTime())
-		pause.For(bounded, end.Sub(p.options.Now()))
+		pause.For(bounded, t.waitEnd().Sub(p.options.Now()))
 		cancel()
 	})
 	return bounded, func() {
@@ -85,23 +55,16 @@
 	}
 }
 
-// stopSchedule returns the schedule of the planned shutdown that has begun.
-func (p *Proxy) stopSchedule() stopSchedule {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.shutdown
-}
-
-// expectedRunTime returns the time that the request takes at most, as far as can be expected: as others of its route
-// and model have taken, or all that its route allows.
-func (t *transaction) expectedRunTime() time.Duration {
+// waitEnd returns when the request may no longer wait for an upstream of a draining instance.
+func (t *transaction) waitEnd() time.Time {
 	p := t.proxy
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if longest, known := p.completionTimes.Longest(t.completionKey()); known {
-		return longest
+	end := p.waitsEnd
+	p.mu.Unlock()
+	if latest := p.shutdown.LatestStart(t.completionKey(), t.deadline); latest.Before(end) {
+		return latest
 	}
-	return t.route.Timeout
+	return end
 }
 
 // completionKey identifies requests that take similar times.
@@ -119,7 +82,7 @@
 	if p.drainBegun.Err() == nil {
 		return true
 	}
-	return !p.options.Now().After(p.stopSchedule().latestSend(t.deadline, t.expectedRunTime()))
+	return !p.options.Now().After(p.shutdown.LatestStart(t.completionKey(), t.deadline))
 }
 
 // recordStopped records an attempt that ended because the instance stops, which is no failure of its upstream.
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -13,6 +13,7 @@
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/retry"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
@@ -154,7 +155,7 @@
 		t.reportCallerLeft(a)
 		t.proxy.logAttempt(t, a, "caller disconnected", response.StatusCode, "the caller left")
 		end.Abort()
-	case isStopped(ctx) || errors.Is(readErr, errStopping):
+	case shutdown.IsStopped(ctx) || errors.Is(readErr, shutdown.ErrStopping):
 		t.abortStopped(a, response.StatusCode, end)
 	default:
 		t.reportBroken(a, readErr)
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -88,7 +88,7 @@
 	defer p.mu.Unlock()
 	p.judgeBody(t.service, a)
 	if a.outcome == permit.Succeeded {
-		p.completionTimes.Observe(t.completionKey(), now.Sub(t.timing.sent))
+		p.shutdown.Observe(t.completionKey(), now.Sub(t.timing.sent))
 	}
 	a.upstream.recordOutcome(now, t.target, a.outcome)
 	p.recordSpeed(now, a.upstream, &t.requirements, a.speed)
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -100,7 +100,7 @@
 		return
 	}
 	defer t.admission.End()
-	ctx, cancel := t.runContext(r.Context())
+	ctx, cancel := p.shutdown.WithEnd(r.Context(), t.remaining())
 	defer cancel()
 	defer t.countResumptionResult()
 	if !t.bindToOrigin(ctx, w) || !t.chargeQuota(ctx, w, scale(t.objective, quotaWaitShare)) {
--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -62,7 +62,7 @@
 		deadline = s.options.Limits.DefaultDeadline
 	}
 	a.deadline = now.Add(deadline)
-	if !s.planned.endsInTime(now, completionKey{service: a.service, model: model}, a.deadline) {
+	if now.After(s.shutdown.LatestStart(completionKey{service: a.service, model: model}, a.deadline)) {
 		return admittedRequest{}, s.stoppingRefusal(outcome.NotRun)
 	}
 	return a, nil
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -17,6 +17,7 @@
 	"github.com/lovagelift/lovagelift/internal/quota"
 	"github.com/lovagelift/lovagelift/internal/resumption"
 	"github.com/lovagelift/lovagelift/internal/retry"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -116,7 +117,7 @@
 	if !task.request.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return s.planned.withStop(ctx, task.deadline.Sub(s.options.Now()))
+	return s.shutdown.WithEnd(ctx, task.deadline.Sub(s.options.Now()))
 }
 
 // sendAttempt sends a task to endpoint, the upstream of a slot. It prefetches the response, or
@@ -195,7 +196,7 @@
 	s.reportRelay(proxied.evidence, response.Status, err)
 	if err == nil {
 		end.Complete()
-		s.planned.observe(task, s.options.Now())
+		s.shutdown.Observe(completionKey{service: task.admitted.service, model: task.requirement.model}, s.options.Now().Sub(task.arrivedAt))
 		s.metrics.countResponse(task.service, s.options.Now().Sub(task.arrivedAt))
 		return nil
 	}
@@ -221,8 +222,8 @@
 		return nil
 	case c.Request().Context().Err() != nil:
 		return errors.Wrap(errCallerLeft, err.Error())
-	case s.planned.ended.Err() != nil:
-		return errors.Wrap(errStopping, err.Error())
+	case s.shutdown.HasEnded():
+		return errors.Wrap(shutdown.ErrStopping, err.Error())
 	default:
 		return err
 	}
@@ -242,7 +243,7 @@
 func writeCutOffEvent(w http.ResponseWriter, cause error) {
 	message, code := "the upstream was lost before the answer was whole", CodeCutOff
 	switch {
-	case errors.Is(cause, errStopping):
+	case errors.Is(cause, shutdown.ErrStopping):
 		message, code = "this instance has stopped before the answer was whole", CodeDraining
 	case !errors.Is(cause, shuttle.ErrTruncated):
 		return
@@ -266,7 +267,7 @@
 func (s *Server) finalRefusal(ctx context.Context, task task, err error) *RefusalError {
 	var existing *RefusalError
 	switch {
-	case errors.Is(context.Cause(ctx), errStopping):
+	case shutdown.IsStopped(ctx):
 		return s.stoppingRefusal(outcomeOf(err))
 	case errors.Is(err, errNoCandidate) && task.software.Bound:
 		return versionUnavailableRefusal(task.software)
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -20,6 +20,7 @@
 	"github.com/lovagelift/lovagelift/internal/gazette"
 	"github.com/lovagelift/lovagelift/internal/registry"
 	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 	"github.com/lovagelift/lovagelift/internal/upstreamapi"
 )
@@ -137,7 +138,7 @@
 	router         *router
 	workspaces     *workspaces
 	bodySizes      *bodySizes
-	planned        *plannedStop
+	shutdown       *shutdown.Plan[completionKey]
 }
 
 // New returns a Server.
@@ -151,7 +152,7 @@
 
 		workspaces: newWorkspaces(options.Instances),
 		bodySizes:  newBodySizes(),
-		planned:    newPlannedStop(),
+		shutdown:   shutdown.New[completionKey](),
 	}
 	s.echo.HTTPErrorHandler = s.handleError
 	s.echo.Use(s.recoverPanic)
