shutdown: a planned stop answers requests on connections accepted just before

Cause: http.Server drops, without an answer, a request whose head it reads after Shutdown has begun, also on a connection that it has accepted before.

Change: StopServer closes the listener first and begins Shutdown 250 ms later, when the last accepted connections have sent their heads. What remains is an idle kept connection whose next request crosses its end, as with any server.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/registrar"
 	"github.com/lovagelift/lovagelift/internal/roster"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
@@ -221,7 +222,7 @@
 	}
 	i.goroutines.Go(func() {
 		err := server.Serve(listener)
-		if !errors.Is(err, http.ErrServerClosed) {
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			i.options.Log.Error().Err(err).Str("listener", name).Msg("listener failed")
 		}
 	})
@@ -261,9 +262,9 @@
 	i.mu.Lock()
 	i.refusingRequests = true
 	i.mu.Unlock()
-	// Shutdown closes the listener before it waits, so no request can arrive
+	// StopServer closes the listener before it waits, so no request can arrive
 	// between the last response and Close.
-	err := i.callerServer.Shutdown(ctx)
+	err := shutdown.StopServer(ctx, i.callerServer, i.options.Listeners.Caller, shutdown.HeadTime)
 	if err != nil {
 		err = errors.Wrapf(err, "instance: %d requests cut off", i.callerAPI.ActiveRequests())
 	}
