shutdown: one line of a planned stop says what became of its requests

Callers saw streams that ended without a whole answer around planned stops. The log of an instance that stopped named how many requests were open at its beginning, and how many connections were closed at its end: neither what it had taken, refused and cut in between, nor why.

Plan counts what becomes of the requests from the beginning of the shutdown on, and the line "drained" holds the counts. Answers that end after their head and before they are whole are also counted at any time, by the cause, in early_ends and as early-end of their lines: a cut by the instance shows without a stop as well.

Routing and ends are as before.

--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -88,7 +88,7 @@
 	}
 	t.abortIfCallerLeft("the caller left while the request waited")
 	if p.Draining() {
-		t.refuseStopping(w)
+		t.refuseStopping(w, stopReasonWaited)
 		return
 	}
 	now := p.options.Now()
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -39,7 +39,7 @@
 	}
 	if !t.endsInTime() {
 		t.admission.NotRun()
-		t.refuseStopping(w)
+		t.refuseStopping(w, stopReasonTooLong)
 		return true
 	}
 	t.sends++
@@ -123,7 +123,7 @@
 	}
 	if shutdown.IsStopped(ctx) {
 		t.recordStopped(a, 0)
-		t.refuseStopping(w)
+		t.refuseStopping(w, stopReasonStillRuns)
 		return true
 	}
 	p.mu.Lock()
--- a/internal/counter/bodies.go
+++ b/internal/counter/bodies.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/shutdown"
@@ -143,24 +144,27 @@
 	if writeErr == nil {
 		t.confirmWhole(a, readErr)
 	}
+	status := response.StatusCode
 	switch {
 	case writeErr != nil || t.request.Context().Err() != nil:
 		a.unfinished = true
 		t.reportCallerLeft(a)
-		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
-		end.Abort()
+		t.recordEarlyEnd(a, status, outcome.CallerLeft, "cannot write to caller", "")
 	case shutdown.IsStopped(ctx):
-		t.abortStopped(a, response.StatusCode, end)
+		a.unfinished = true
+		t.reportCallerLeft(a)
+		t.recordEarlyEnd(a, status, outcome.InstanceStopped, "stopped", "the instance stops")
 	case readErr != nil:
 		a.outcome = permit.Failed
 		t.reportBroken(a, readErr)
-		t.proxy.logAttempt(t, a, "broken off", response.StatusCode, readErr.Error())
-		end.Abort()
+		t.recordEarlyEnd(a, status, brokenOffBy(ctx), "broken off", readErr.Error())
 	default:
-		t.recordAnswer(a, response.StatusCode)
+		t.recordAnswer(a, status)
 		end.Complete()
-		t.proxy.logAttempt(t, a, "answered", response.StatusCode, "")
+		t.recordWhole(a, status)
+		return
 	}
+	end.Abort()
 }
 
 // judgeBody counts a response without an end as the failure of its upstream, also if the caller left
--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -10,7 +10,7 @@
 	"github.com/lovagelift/lovagelift/internal/entries"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/pause"
-	"github.com/lovagelift/lovagelift/internal/shuttle"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 )
 
 // Grace is the time that a planned shutdown leaves for requests.
@@ -29,10 +29,9 @@
 	p.mu.Lock()
 	p.draining = true
 	p.waitsEnd = now.Add(grace.Wait)
+	open := p.active
 	p.mu.Unlock()
-	if grace.Run > 0 {
-		p.shutdown.Begin(now, grace.Run)
-	}
+	p.shutdown.Begin(now, open, grace.Run)
 	p.beginDrain()
 	p.syncSoon()
 }
@@ -91,19 +90,24 @@
 	t.proxy.logAttempt(t, a, "stopped", status, "the instance stops")
 }
 
-// abortStopped breaks off a response of which a part has been passed on, because the instance stops.
-func (t *transaction) abortStopped(a *upstreamAttempt, status int, end shuttle.ResponseEnd) {
-	a.unfinished = true
-	t.recordStopped(a, status)
-	end.Abort()
+// DrainSummary returns what became of the requests since the planned shutdown began.
+func (p *Proxy) DrainSummary() shutdown.Summary {
+	return p.shutdown.Summary()
 }
 
+// Why a stopping instance does not serve a request.
+const (
+	stopReasonTooLong   = "expected-to-take-too-long"
+	stopReasonWaited    = "no-upstream-in-time"
+	stopReasonStillRuns = "still-runs"
+)
+
 // refuseStopping answers a request that is not sent, or no more, because the instance stops.
-func (t *transaction) refuseStopping(w http.ResponseWriter) {
+func (t *transaction) refuseStopping(w http.ResponseWriter, stopReason string) {
 	p := t.proxy
 	answer := refusal{
 		status: http.StatusServiceUnavailable, text: "the instance stops", reason: stoppingReason, outcome: outcome.NotRun,
-		digest: t.digest, retryAfter: minRetryAfter,
+		digest: t.digest, stopReason: stopReason, retryAfter: minRetryAfter,
 	}
 	if t.possibleRuns > 0 {
 		answer.status, answer.outcome, answer.retryAfter = http.StatusBadGateway, outcome.Unknown, 0
--- a/internal/counter/metrics.go
+++ b/internal/counter/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/lovagelift/lovagelift/internal/outcome"
 )
 
 // maxRoutes bounds the combinations of route and status with metrics of their own, because an
@@ -30,6 +32,8 @@
 	refusals    map[string]tally.Counter
 	failedSends map[string]tally.Counter
 	failedSteps map[string]tally.Counter
+	// earlyEnds counts responses that ended after their head and before they were whole, by the cause.
+	earlyEnds map[string]tally.Counter
 	// untilClose counts responses that ended with their connection.
 	untilClose map[string]tally.Counter
 	// confirmations counts them by what confirms that they are whole.
@@ -112,6 +116,7 @@
 		proofWaits: scope.Counter("routes_proof_waits"), routes: map[string]routeMetrics{},
 		refusals: map[string]tally.Counter{}, failedSends: map[string]tally.Counter{},
 		failedSteps: map[string]tally.Counter{}, relays: map[string]tally.Counter{}, limitedSends: map[string]tally.Counter{},
+		earlyEnds:      map[string]tally.Counter{},
 		untilClose:     map[string]tally.Counter{},
 		confirmations:  map[string]tally.Counter{},
 		livenessChecks: map[string]tally.Counter{},
@@ -158,6 +163,11 @@
 	}
 }
 
+// countEarlyEnd counts a response that ended after its head and before it was whole.
+func (m *metrics) countEarlyEnd(cause outcome.EarlyEnd) {
+	taggedCounter(m.scope, m.earlyEnds, "early_ends", "cause", cause.String()).Inc(1)
+}
+
 // countUntilClose counts a response that ended with its connection, by the event of its log line and
 // by whether its event stream ended inside an event.
 func (m *metrics) countUntilClose(event string, insideEvent bool) {
--- a/internal/counter/refusal.go
+++ b/internal/counter/refusal.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"net/netip"
@@ -29,6 +30,8 @@
 	// parts are the parts of the prompt for which the request is quarantined, nil if the request
 	// itself is.
 	parts []quarantine.Digest
+	// stopReason is why a stopping instance does not serve the request, empty if there is another reason.
+	stopReason string
 	// retryAfter is the Retry-After time, 0 if a retry does not help.
 	retryAfter time.Duration
 	// reserved is true if retryAfter is when a reservation of the caller begins.
@@ -68,6 +71,12 @@
 	p.mu.Lock()
 	p.metrics.countRefusal(answer.text)
 	p.mu.Unlock()
+	switch answer.status {
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		p.shutdown.CountUnfinished()
+	default:
+		p.shutdown.CountRefused(cmp.Or(answer.stopReason, answer.text))
+	}
 	p.logRefusal(call, route, answer)
 	w.WriteHeader(answer.status)
 	// Errors are ignored: the caller may have disconnected.
@@ -114,6 +123,9 @@
 	if answer.forecastWait > 0 {
 		event = event.Dur("forecast", answer.forecastWait)
 	}
+	if answer.stopReason != "" {
+		event = event.Str("stop-reason", answer.stopReason)
+	}
 	if answer.reserved {
 		event = event.Time("reserved", p.options.Now().Add(answer.retryAfter))
 	}
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -60,7 +60,7 @@
 	end := beginResponse(w, t.request, response, a.framing)
 	if _, err := w.Write(ahead.Bytes); err != nil {
 		a.unfinished = !ahead.Whole
-		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
+		t.recordEarlyEnd(a, response.StatusCode, outcome.CallerLeft, "cannot write to caller", err.Error())
 		return true
 	}
 	if !ahead.Whole {
@@ -69,10 +69,36 @@
 		return true
 	}
 	end.Complete()
-	t.proxy.logAttempt(t, a, "answered", response.StatusCode, "")
+	t.recordWhole(a, response.StatusCode)
 	return true
 }
 
+// recordWhole logs and counts a response that was passed on in full.
+func (t *transaction) recordWhole(a *upstreamAttempt, status int) {
+	t.proxy.shutdown.CountWhole()
+	t.proxy.logAttempt(t, a, "answered", status, "")
+}
+
+// recordEarlyEnd logs and counts a response that ends early after its head has been passed on.
+func (t *transaction) recordEarlyEnd(a *upstreamAttempt, status int, cause outcome.EarlyEnd, event, reason string) {
+	p := t.proxy
+	p.shutdown.CountEarlyEnd(p.options.Now(), cause)
+	p.mu.Lock()
+	p.metrics.countEarlyEnd(cause)
+	p.mu.Unlock()
+	a.earlyEnd = cause
+	p.logAttempt(t, a, event, status, reason)
+}
+
+// brokenOffBy returns why the response of an upstream has ended early while its caller waited and the instance did
+// not stop.
+func brokenOffBy(ctx context.Context) outcome.EarlyEnd {
+	if ctx.Err() != nil {
+		return outcome.DeadlinePassed
+	}
+	return outcome.UpstreamBrokeOff
+}
+
 // recordAnswer records a complete response other than a stream.
 func (t *transaction) recordAnswer(a *upstreamAttempt, status int) {
 	a.outcome = permit.Succeeded
@@ -140,44 +166,46 @@
 	if writeErr == nil {
 		t.confirmWhole(a, readErr)
 	}
+	status := response.StatusCode
 	switch {
 	case writeErr != nil:
-		a.unfinished = true
 		t.reportCallerLeft(a)
-		t.proxy.logAttempt(t, a, "cannot write to caller", response.StatusCode, "")
-		end.Abort()
+		t.recordEarlyEnd(a, status, outcome.CallerLeft, "cannot write to caller", writeErr.Error())
 	case readErr == nil:
 		a.outcome, a.speed = permit.Succeeded, t.measuredSpeed()
-		t.reportSuccess(a, response.StatusCode)
-		t.endStream(a, response.StatusCode, end)
+		t.reportSuccess(a, status)
+		t.endStream(a, status, end)
+		return
 	case t.request.Context().Err() != nil:
-		a.unfinished = true
 		t.reportCallerLeft(a)
-		t.proxy.logAttempt(t, a, "caller disconnected", response.StatusCode, "the caller left")
-		end.Abort()
-	case shutdown.IsStopped(ctx) || errors.Is(readErr, shutdown.ErrStopping):
-		t.abortStopped(a, response.StatusCode, end)
+		t.recordEarlyEnd(a, status, outcome.CallerLeft, "caller disconnected", "the caller left")
+	case errors.Is(readErr, shutdown.ErrStopping):
+		t.reportCallerLeft(a)
+		t.recordEarlyEnd(a, status, outcome.CutBetweenEvents, "stopped", "the instance stops")
+	case shutdown.IsStopped(ctx):
+		t.reportCallerLeft(a)
+		t.recordEarlyEnd(a, status, outcome.InstanceStopped, "stopped", "the instance stops")
 	default:
 		t.reportBroken(a, readErr)
-		a.unfinished = true
 		if ctx.Err() == nil {
 			a.outcome = permit.Failed
 		}
-		t.proxy.logAttempt(t, a, "broken off", response.StatusCode, readErr.Error())
-		end.Abort()
+		t.recordEarlyEnd(a, status, brokenOffBy(ctx), "broken off", readErr.Error())
 	}
+	a.unfinished = true
+	end.Abort()
 }
 
 // endStream ends the caller's connection after a stream that its upstream has ended regularly.
 func (t *transaction) endStream(a *upstreamAttempt, status int, end shuttle.ResponseEnd) {
 	if t.isLeftToCaller(a) {
-		t.proxy.logAttempt(t, a, "left to caller", status, "")
+		t.recordEarlyEnd(a, status, outcome.LeftToCaller, "left to caller", "")
 		end.Abort()
 	}
 	end.Complete()
 	t.resumptionResult = resumptionWentOn
 	t.completeOrigin()
-	t.proxy.logAttempt(t, a, "answered", status, "")
+	t.recordWhole(a, status)
 }
 
 // copyChunks copies body to w and flushes after each chunk, for whose size it calls observe. It
@@ -309,6 +337,9 @@
 	if a.endsInsideEvent() {
 		line = line.Bool("inside-event", true)
 	}
+	if a.earlyEnd != 0 {
+		line = line.Stringer("early-end", a.earlyEnd)
+	}
 	return line
 }
 
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/permit"
 	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
@@ -37,6 +38,8 @@
 	// was over, before its end.
 	bodyBytes  int64
 	unfinished bool
+	// earlyEnd is why the response ended after its head, 0 unless it did so early.
+	earlyEnd outcome.EarlyEnd
 	// framing is the framing of the response. events reads its body, and is nil unless that is an
 	// event stream.
 	framing shuttle.Framing
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -91,9 +91,10 @@
 	t.identify(matched.table)
 	t.digest, t.parts = digestOf(r, t.workspaceName(), body), partsOf(call)
 	if !t.endsInTime() {
-		t.refuseStopping(w)
+		t.refuseStopping(w, stopReasonTooLong)
 		return
 	}
+	p.shutdown.CountTaken(arrived)
 	t.admission = p.crashes.Admit(t.digest, t.parts...)
 	if ruling, allowed := t.admission.Reserve(r.Context()); !allowed {
 		t.refuseByRuling(w, ruling)
--- a/internal/desk/plannedstop.go
+++ b/internal/desk/plannedstop.go
@@ -15,7 +15,7 @@
 // Stop begins a planned stop, for the end of which it leaves timeLeft. Requests that arrive from now on and are not
 // expected to end by then are refused at once. What still runs then is answered with what is known of its outcome.
 func (s *Server) Stop(timeLeft time.Duration) {
-	s.shutdown.Begin(s.options.Now(), timeLeft)
+	s.shutdown.Begin(s.options.Now(), s.ActiveRequests(), timeLeft)
 }
 
 // DrainingRefusal returns the refusal of a request that arrives at an instance that is stopping, without the
--- a/internal/shutdown/plan.go
+++ b/internal/shutdown/plan.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/completion"
+	"github.com/lovagelift/lovagelift/internal/outcome"
 )
 
 // ErrStopping is the cause of contexts that end because the instance stops.
@@ -28,9 +29,12 @@
 	endRuns context.CancelFunc
 
 	mu sync.Mutex
-	// runsEnd is when that will be, zero while no end is planned.
-	runsEnd time.Time
-	times   completion.Times[K]
+	// begunAt is when the shutdown began, zero before it. runsEnd is when requests may no longer run, zero while
+	// no end is planned.
+	begunAt, runsEnd time.Time
+	times            completion.Times[K]
+	// summary counts from begunAt on.
+	summary Summary
 }
 
 // New returns a Plan without an end.
@@ -40,12 +44,17 @@
 	return p
 }
 
-// Begin plans the end of all requests after timeLeft.
-func (p *Plan[K]) Begin(now time.Time, timeLeft time.Duration) {
+// Begin begins the shutdown of an instance with the given number of open requests, and plans the end of all requests
+// after timeLeft. 0 means that they may run until they end.
+func (p *Plan[K]) Begin(now time.Time, open int, timeLeft time.Duration) {
 	p.mu.Lock()
-	p.runsEnd = now.Add(timeLeft)
-	p.mu.Unlock()
-	time.AfterFunc(timeLeft, p.endRuns)
+	defer p.mu.Unlock()
+	p.begunAt = now
+	p.summary = Summary{Open: open, Refused: map[string]int{}, EndedEarly: map[outcome.EarlyEnd]int{}}
+	if timeLeft > 0 {
+		p.runsEnd = now.Add(timeLeft)
+		time.AfterFunc(timeLeft, p.endRuns)
+	}
 }
 
 // HasEnded reports whether requests may no longer run.
--- a/internal/shutdown/plan_test.go
+++ b/internal/shutdown/plan_test.go
@@ -28,14 +28,14 @@
 
 	It("lets a request start whose deadline is before the end, whatever it takes", func() {
 		plan := shutdown.New[string]()
-		plan.Begin(now, time.Minute)
+		plan.Begin(now, 0, time.Minute)
 		deadline := now.Add(time.Minute)
 		Expect(plan.LatestStart("seats", deadline)).To(Equal(deadline))
 	})
 
 	It("lets others start as long as requests like them have ended in time", func() {
 		plan := shutdown.New[string]()
-		plan.Begin(now, time.Minute)
+		plan.Begin(now, 0, time.Minute)
 		Expect(plan.LatestStart("seats", late)).To(BeZero())
 		for range 100 {
 			plan.Observe("seats", 10*time.Second)
@@ -51,7 +51,7 @@
 		defer cancel()
 		canceled, cancelFirst := plan.WithEnd(ctx, time.Minute)
 		cancelFirst()
-		plan.Begin(now, time.Millisecond)
+		plan.Begin(now, 0, time.Millisecond)
 		Eventually(ctx, running.Done()).Should(BeClosed())
 		Expect(shutdown.IsStopped(running)).To(BeTrue())
 		Expect(shutdown.IsStopped(canceled)).To(BeFalse())
