shutdown: a begun response runs until the grace is over

All requests had one end, which leaves time to answer those that have no response yet. A response that has begun can get no other answer.

A response whose head comes at the very end of the answers is answered, and not begun. At the own interface responses that have begun run 0.3 s longer.

In the counter, a cut by the end and one between two events are told apart.

--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -15,15 +15,15 @@
 
 // Grace is the time that a planned shutdown leaves for requests.
 type Grace struct {
+	shutdown.Schedule
 	// Wait is how long requests may wait for an upstream.
 	Wait time.Duration
-	// Run is how long requests may run. 0 means until they end.
-	Run time.Duration
 }
 
 // Drain begins a planned shutdown. Callers are directed to other instances. Requests that still arrive are served if
 // they are expected to end within grace, and refused at once otherwise. At its end, what still runs is answered with
-// an unknown outcome, and streams that may be resumed are cut between two events shortly before.
+// an unknown outcome, and responses that have begun are broken off, streams that may be resumed between two events
+// shortly before.
 func (p *Proxy) Drain(grace Grace) {
 	now := p.options.Now()
 	p.mu.Lock()
@@ -31,7 +31,7 @@
 	p.waitsEnd = now.Add(grace.Wait)
 	open := p.active
 	p.mu.Unlock()
-	p.shutdown.Begin(now, open, grace.Run)
+	p.shutdown.Begin(now, open, grace.Schedule)
 	p.beginDrain()
 	p.syncSoon()
 }
--- a/internal/counter/drain_test.go
+++ b/internal/counter/drain_test.go
@@ -14,6 +14,7 @@
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 )
 
 // A request that may wait for longer than the rest of the grace period would lose its connection
@@ -41,8 +42,13 @@
 	Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
 }, SpecTimeout(specTimeout))
 
+// graceOf returns a grace.
+func graceOf(wait, run time.Duration) counter.Grace {
+	return counter.Grace{Wait: wait, Schedule: shutdown.Schedule{AnswersEnd: run, BegunEnd: run}}
+}
+
 // longGrace leaves time for requests, but not for those that may take as long as their routes allow.
-var longGrace = counter.Grace{Wait: 5 * time.Second, Run: 10 * time.Second}
+var longGrace = graceOf(5*time.Second, 10*time.Second)
 
 // startPatient starts the server of a proxy for callers that wait for a minute.
 func (p *testProxy) startPatient() string {
@@ -105,7 +111,7 @@
 })
 
 var _ = Describe("A request that still runs when the instance stops", func() {
-	shortGrace := counter.Grace{Wait: 100 * time.Millisecond, Run: 600 * time.Millisecond}
+	shortGrace := graceOf(100*time.Millisecond, 600*time.Millisecond)
 
 	// drainLater begins a planned stop once a request has reached an upstream.
 	drainLater := func(ctx SpecContext, p *testProxy) {
@@ -136,22 +142,34 @@
 		Entry("a stream before its first byte", SpecTimeout(specTimeout), "/draft/"),
 	)
 
-	It("is cut between two events if it is a stream that may be resumed", func(ctx SpecContext) {
-		p := newTestProxy(newFakeUpstream(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.ReadAll(r.Body)
-			w.Header().Set(idHeader, r.Header.Get(idHeader))
-			w.Header().Set("Content-Type", eventStream)
-			for n := 0; r.Context().Err() == nil; n++ {
-				for _, part := range []string{fmt.Sprintf("id: %d\nda", n), "ta: a\n\n"} {
-					_, _ = io.WriteString(w, part)
-					_ = http.NewResponseController(w).Flush()
-					pause.For(r.Context(), 5*time.Millisecond)
-				}
+	// streamForever writes events, each in two parts.
+	streamForever := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		w.Header().Set(idHeader, r.Header.Get(idHeader))
+		w.Header().Set("Content-Type", eventStream)
+		for n := 0; r.Context().Err() == nil; n++ {
+			for _, part := range []string{fmt.Sprintf("id: %d\nda", n), "ta: a\n\n"} {
+				_, _ = io.WriteString(w, part)
+				_ = http.NewResponseController(w).Flush()
+				pause.For(r.Context(), 5*time.Millisecond)
 			}
-		}))
+		}
+	}
+
+	It("is cut between two events if it is a stream that may be resumed", func(ctx SpecContext) {
+		p := newTestProxy(newFakeUpstream(streamForever))
 		drainLater(ctx, p)
 		view := fetch(ctx, p.startPatient(), "/draft/")
 		Expect(view.err).To(HaveOccurred(), "visibly incomplete")
 		Expect(view.body).To(HaveSuffix("\ndata: a\n\n"))
+		Expect(p.proxy.DrainSummary().EndedEarly).To(Equal(map[outcome.EarlyEnd]int{outcome.CutBetweenEvents: 1}))
+	}, SpecTimeout(specTimeout))
+
+	It("is cut at the end of the grace if it is another stream", func(ctx SpecContext) {
+		p := newTestProxy(newFakeUpstream(streamForever))
+		drainLater(ctx, p)
+		view := fetch(ctx, p.startPatient(), "/write/")
+		Expect(view.err).To(HaveOccurred(), "visibly incomplete")
+		Expect(p.proxy.DrainSummary().EndedEarly).To(Equal(map[outcome.EarlyEnd]int{outcome.InstanceStopped: 1}))
 	}, SpecTimeout(specTimeout))
 })
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -37,6 +37,10 @@
 		if !t.recordOrigin(a) {
 			return t.dropResponse(w, a, response.StatusCode)
 		}
+		if !t.run.BeginResponse() {
+			t.possibleRuns--
+			return t.handleFailure(ctx, w, a, shutdown.ErrStopping)
+		}
 		t.stream(ctx, w, a, response)
 		return true
 	}
@@ -56,6 +60,9 @@
 	}
 	if ahead.Whole {
 		t.recordAnswer(a, response.StatusCode)
+	} else if !t.run.BeginResponse() {
+		t.possibleRuns--
+		return t.handleFailure(ctx, w, a, shutdown.ErrStopping)
 	}
 	end := beginResponse(w, t.request, response, a.framing)
 	if _, err := w.Write(ahead.Bytes); err != nil {
@@ -179,12 +186,12 @@
 	case t.request.Context().Err() != nil:
 		t.reportCallerLeft(a)
 		t.recordEarlyEnd(a, status, outcome.CallerLeft, "caller disconnected", "the caller left")
-	case errors.Is(readErr, shutdown.ErrStopping):
-		t.reportCallerLeft(a)
-		t.recordEarlyEnd(a, status, outcome.CutBetweenEvents, "stopped", "the instance stops")
 	case shutdown.IsStopped(ctx):
 		t.reportCallerLeft(a)
 		t.recordEarlyEnd(a, status, outcome.InstanceStopped, "stopped", "the instance stops")
+	case errors.Is(readErr, shutdown.ErrStopping):
+		t.reportCallerLeft(a)
+		t.recordEarlyEnd(a, status, outcome.CutBetweenEvents, "stopped", "the instance stops")
 	default:
 		t.reportBroken(a, readErr)
 		if ctx.Err() == nil {
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -12,6 +12,7 @@
 	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/quarantine"
 	"github.com/lovagelift/lovagelift/internal/routes"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 	"github.com/lovagelift/lovagelift/internal/workspace"
 )
 
@@ -28,6 +29,8 @@
 	digest    quarantine.Digest
 	// parts are the parts of the prompt that other requests may share.
 	parts []quarantine.Digest
+	// run ends the request when its time is over or the instance stops.
+	run *shutdown.Run
 	// admission decides whether it is sent if upstreams may crash on it.
 	admission *coroner.Admission
 	requirements
@@ -101,8 +104,9 @@
 		return
 	}
 	defer t.admission.End()
-	ctx, cancel := p.shutdown.WithEnd(r.Context(), t.remaining())
-	defer cancel()
+	t.run = p.shutdown.Start(r.Context(), t.remaining())
+	defer t.run.End()
+	ctx := t.run.Context()
 	defer t.countResumptionResult()
 	if !t.bindToOrigin(ctx, w) || !t.chargeQuota(ctx, w, scale(t.objective, quotaWaitShare)) {
 		return
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -49,15 +49,15 @@
 // serveUnclaimed proxies a task that needs no idempotency claim: either it may run twice, or it
 // has no key. It returns an error only if nothing of a response has been sent to the caller.
 func (s *Server) serveUnclaimed(c echo.Context, task task) error {
-	ctx, cancel := s.attemptContext(c.Request().Context(), task)
-	defer cancel()
-	proxied, err := s.tryUpstreams(ctx, task)
+	run := s.startRun(c.Request().Context(), task)
+	defer run.End()
+	proxied, err := s.tryUpstreams(run.Context(), task)
 	if err != nil {
-		return s.finalRefusal(ctx, task, err)
+		return s.finalRefusal(run.Context(), task, err)
 	}
 	// Free the slot even if relaying panics. Otherwise relayResponse releases it first.
 	defer proxied.slot.release(dispatch.FailureCanceled)
-	return s.relayResponse(c, task, proxied)
+	return s.relayResponse(c, task, run, proxied)
 }
 
 // proxiedResponse is an upstream's response that is being relayed to the caller.
@@ -109,15 +109,15 @@
 	}
 }
 
-// attemptContext returns a context for all attempts at a task, which expires at the task's
+// startRun returns the Run of all attempts at a task, whose context expires at the task's
 // deadline, or when the instance stops. A non-idempotent request continues after its caller
 // disconnects: canceling it would leave its outcome unknown, and the caller can retrieve the
 // response later.
-func (s *Server) attemptContext(ctx context.Context, task task) (context.Context, context.CancelFunc) {
+func (s *Server) startRun(ctx context.Context, task task) *shutdown.Run {
 	if !task.request.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return s.shutdown.WithEnd(ctx, task.deadline.Sub(s.options.Now()))
+	return s.shutdown.Start(ctx, task.deadline.Sub(s.options.Now()))
 }
 
 // sendAttempt sends a task to endpoint, the upstream of a slot. It prefetches the response, or
@@ -173,7 +173,8 @@
 
 // relayResponse streams an upstream's response to the caller. If it cannot relay the response in
 // full, it panics with http.ErrAbortHandler to abort the connection.
-func (s *Server) relayResponse(c echo.Context, task task, proxied proxiedResponse) error {
+func (s *Server) relayResponse(c echo.Context, task task, run *shutdown.Run, proxied proxiedResponse) error {
+	run.BeginResponse()
 	response := proxied.response
 	c.Response().Header().Set(outcome.Header, outcome.Ran.String())
 	isPlainStream := shuttle.IsPlainEventStream(response.Header)
@@ -191,7 +192,7 @@
 	response.Body = body
 	err := shuttle.StreamBody(c.Response(), response, needsDone)
 	endsInsideEvent := errors.Is(err, shuttle.ErrInsideEvent)
-	err = s.relayError(c, err)
+	err = s.relayError(c, run, err)
 	proxied.slot.release(s.bodySizes.judge(task.service, body.bytes, relayFailure(response.Status, err)))
 	s.reportRelay(proxied.evidence, response.Status, err)
 	if err == nil {
@@ -216,13 +217,13 @@
 
 // relayError returns why a response was not relayed in full, given the error at its end: the attempt also ends
 // with the caller's connection and with the instance, so that reading from the upstream fails as well.
-func (s *Server) relayError(c echo.Context, err error) error {
+func (s *Server) relayError(c echo.Context, run *shutdown.Run, err error) error {
 	switch {
 	case err == nil:
 		return nil
 	case c.Request().Context().Err() != nil:
 		return errors.Wrap(errCallerLeft, err.Error())
-	case s.shutdown.HasEnded():
+	case shutdown.IsStopped(run.Context()):
 		return errors.Wrap(shutdown.ErrStopping, err.Error())
 	default:
 		return err
--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -124,17 +124,17 @@
 // background. The caller does not wait for the record; a resend in the meantime waits, as the
 // claim is still in progress.
 func (s *Server) sendClaimed(c echo.Context, claim claim) error {
-	ctx, cancel := s.attemptContext(c.Request().Context(), claim.task)
-	defer cancel()
-	proxied, err := s.tryUpstreams(ctx, claim.task)
+	run := s.startRun(c.Request().Context(), claim.task)
+	defer run.End()
+	proxied, err := s.tryUpstreams(run.Context(), claim.task)
 	if err != nil {
 		s.pendingRecords.Go(func() { s.record(claim, stateOf(err), nil) })
-		return s.finalRefusal(ctx, claim.task, err)
+		return s.finalRefusal(run.Context(), claim.task, err)
 	}
 	defer proxied.slot.release(dispatch.FailureCanceled)
 	recorded := s.recordableResponse(proxied.response)
 	s.pendingRecords.Go(func() { s.record(claim, docket.StateCompleted, recorded) })
-	return s.relayResponse(c, claim.task, proxied)
+	return s.relayResponse(c, claim.task, run, proxied)
 }
 
 // record proposes the outcome of a claimed request to the voters. If that fails, the outcome
--- a/internal/desk/plannedstop.go
+++ b/internal/desk/plannedstop.go
@@ -2,9 +2,9 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 )
 
 // completionKey identifies requests that take similar times.
@@ -12,10 +12,10 @@
 	service, model string
 }
 
-// Stop begins a planned stop, for the end of which it leaves timeLeft. Requests that arrive from now on and are not
-// expected to end by then are refused at once. What still runs then is answered with what is known of its outcome.
-func (s *Server) Stop(timeLeft time.Duration) {
-	s.shutdown.Begin(s.options.Now(), s.ActiveRequests(), timeLeft)
+// Stop begins a planned stop by a schedule. Requests that arrive from now on and are not expected to end in time are
+// refused at once. What still runs at its end is answered with what is known of its outcome.
+func (s *Server) Stop(schedule shutdown.Schedule) {
+	s.shutdown.Begin(s.options.Now(), s.ActiveRequests(), schedule)
 }
 
 // DrainingRefusal returns the refusal of a request that arrives at an instance that is stopping, without the
--- a/internal/desk/plannedstop_test.go
+++ b/internal/desk/plannedstop_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/entries"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 )
 
 // Such requests were sent, and their connections were closed without an answer at the end of the stop.
@@ -29,12 +30,12 @@
 		go func() {
 			defer GinkgoRecover()
 			Eventually(ctx, upstream.runCount).Should(Equal(1))
-			server.api.Stop(100 * time.Millisecond)
+			server.api.Stop(shutdown.Schedule{AnswersEnd: 100 * time.Millisecond, BegunEnd: 100 * time.Millisecond})
 		}()
 	}
 
 	It("is refused at once, and told where to go, if its deadline is later and nothing is known of its kind", SpecTimeout(specTimeout), func(ctx SpecContext) {
-		server.api.Stop(timeLeft)
+		server.api.Stop(shutdown.Schedule{AnswersEnd: timeLeft, BegunEnd: timeLeft})
 		reply := server.book(ctx, "", "two seats")
 		Expect(reply.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(reply.outcome).To(Equal("not-run"))
@@ -45,7 +46,7 @@
 
 	It("is served if requests of its kind have taken less", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		Expect(server.book(ctx, "", "two seats").status).To(Equal(http.StatusOK))
-		server.api.Stop(timeLeft)
+		server.api.Stop(shutdown.Schedule{AnswersEnd: timeLeft, BegunEnd: timeLeft})
 		Expect(server.book(ctx, "", "two seats").status).To(Equal(http.StatusOK))
 	})
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -229,9 +229,14 @@
 	return server
 }
 
-// answerTime is the time before the end of a drain at which requests that still run are
-// answered.
-const answerTime = 500 * time.Millisecond
+const (
+	// answerTime is the time before the end of a drain at which requests that still run are
+	// answered.
+	answerTime = 500 * time.Millisecond
+	// cutTime is the time before the end of a drain at which responses that have begun are ended,
+	// event streams with an event that says so.
+	cutTime = 200 * time.Millisecond
+)
 
 // Drain shuts the instance down gracefully, without aborting requests.
 //
@@ -249,7 +254,8 @@
 	i.mu.Unlock()
 	i.options.Log.Info().Msg("draining")
 	if end, ok := ctx.Deadline(); ok {
-		i.callerAPI.Stop(time.Until(end) - answerTime)
+		left := time.Until(end)
+		i.callerAPI.Stop(shutdown.Schedule{AnswersEnd: left - answerTime, BegunEnd: left - cutTime})
 	}
 	// The drain state reaches every instance within three pulls and one call. Until
 	// then, another instance may still list this one to callers.
--- a/internal/shutdown/plan.go
+++ b/internal/shutdown/plan.go
@@ -1,5 +1,5 @@
-// Package shutdown is a planned shutdown as the requests of an instance see it: which of them still end in time, and
-// when those that do not are ended.
+// Package shutdown is a planned shutdown as the requests of an instance see it: which of them are still taken, and
+// when those that do not end in time are ended.
 package shutdown
 
 import (
@@ -21,65 +21,58 @@
 	return errors.Is(context.Cause(ctx), ErrStopping)
 }
 
-// Plan holds the end of a planned shutdown, and what requests are expected to take until then, by a key whose
+// Plan holds the schedule of a planned shutdown, and what requests are expected to take until its end, by a key whose
 // requests take similar times. It is safe for concurrent use. Use New.
 type Plan[K comparable] struct {
-	// ended ends when requests may no longer run, by endRuns.
-	ended   context.Context
-	endRuns context.CancelFunc
+	// answersEnded ends when requests without a response are answered, and begunEnded when responses that have begun
+	// are ended.
+	answersEnded, begunEnded context.Context
+	endAnswers, endBegun     context.CancelFunc
 
 	mu sync.Mutex
-	// begunAt is when the shutdown began, zero before it. runsEnd is when requests may no longer run, zero while
-	// no end is planned.
-	begunAt, runsEnd time.Time
-	times            completion.Times[K]
+	// begunAt is when the shutdown began, zero before it.
+	begunAt  time.Time
+	schedule Schedule
+	times    completion.Times[K]
 	// summary counts from begunAt on.
 	summary Summary
 }
 
-// New returns a Plan without an end.
+// New returns a Plan without a shutdown.
 func New[K comparable]() *Plan[K] {
 	p := &Plan[K]{times: completion.Times[K]{}}
-	p.ended, p.endRuns = context.WithCancel(context.Background())
+	p.answersEnded, p.endAnswers = context.WithCancel(context.Background())
+	p.begunEnded, p.endBegun = context.WithCancel(context.Background())
 	return p
 }
 
-// Begin begins the shutdown of an instance with the given number of open requests, and plans the end of all requests
-// after timeLeft. 0 means that they may run until they end.
-func (p *Plan[K]) Begin(now time.Time, open int, timeLeft time.Duration) {
+// Begin begins the shutdown of an instance with the given number of open requests.
+func (p *Plan[K]) Begin(now time.Time, open int, schedule Schedule) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.begunAt = now
+	p.begunAt, p.schedule = now, schedule
 	p.summary = Summary{Open: open, Refused: map[string]int{}, EndedEarly: map[outcome.EarlyEnd]int{}}
-	if timeLeft > 0 {
-		p.runsEnd = now.Add(timeLeft)
-		time.AfterFunc(timeLeft, p.endRuns)
+	if schedule.hasEnd() {
+		time.AfterFunc(schedule.AnswersEnd, p.endAnswers)
+		time.AfterFunc(schedule.BegunEnd, p.endBegun)
 	}
 }
 
-// HasEnded reports whether requests may no longer run.
+// HasEnded reports whether requests without a response may no longer run.
 func (p *Plan[K]) HasEnded() bool {
-	return p.ended.Err() != nil
+	return p.answersEnded.Err() != nil
 }
 
-// EndsWithin reports whether the planned end is at most d away.
+// EndsWithin reports whether the end of the responses that have begun is at most d away.
 func (p *Plan[K]) EndsWithin(now time.Time, d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.runsEnd.IsZero() && !now.Before(p.runsEnd.Add(-d))
+	return p.endsAll() && !now.Before(p.begunAt.Add(p.schedule.BegunEnd-d))
 }
 
-// WithEnd returns a context that ends with ctx, after timeout, and with the cause ErrStopping when requests may no
-// longer run.
-func (p *Plan[K]) WithEnd(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
-	stoppable, stop := context.WithCancelCause(ctx)
-	bounded, cancel := context.WithTimeout(stoppable, timeout)
-	release := context.AfterFunc(p.ended, func() { stop(ErrStopping) })
-	return bounded, func() {
-		release()
-		cancel()
-		stop(nil)
-	}
+// endsAll reports whether requests are ended by a shutdown that has begun. p.mu must be held.
+func (p *Plan[K]) endsAll() bool {
+	return !p.begunAt.IsZero() && p.schedule.hasEnd()
 }
 
 // Observe records the time that a complete request has taken.
@@ -94,12 +87,13 @@
 func (p *Plan[K]) LatestStart(key K, deadline time.Time) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.runsEnd.IsZero() || !deadline.After(p.runsEnd) {
+	end := p.begunAt.Add(p.schedule.AnswersEnd)
+	if !p.endsAll() || !deadline.After(end) {
 		return deadline
 	}
 	longest, known := p.times.Longest(key)
 	if !known {
 		return time.Time{}
 	}
-	return p.runsEnd.Add(-longest)
+	return end.Add(-longest)
 }
