shutdown: a stopping instance takes streams that may run out, and no later ones by an estimate

Callers saw streams that were sent 3.0 s after SIGTERM taken and cut: others like them had been short, and an estimate is no promise. At the same time streams that would have been whole were refused, because nearly all like them had to be short.

Requests other than streams are taken as before, if nearly all like them end in time: an upstream may have run what is cut, and their callers would not know.

--- a/internal/completion/times.go
+++ b/internal/completion/times.go
@@ -44,3 +44,9 @@
 	known, ok := t[key]
 	return known.mean + longDeviations*known.deviation, ok
 }
+
+// Usual returns a time within which most requests of a key complete, 0 if none has completed yet.
+func (t Times[K]) Usual(key K) time.Duration {
+	known := t[key]
+	return known.mean + known.deviation
+}
--- a/internal/completion/times_test.go
+++ b/internal/completion/times_test.go
@@ -47,4 +47,19 @@
 		}
 		Expect(exceeded).To(BeNumerically("<", 20))
 	})
+
+	It("tells a time that most of times that vary do not exceed", func() {
+		times := completion.Times[string]{}
+		Expect(times.Usual("seats")).To(BeZero())
+		exceeded := 0
+		for n := range 1000 {
+			sample := time.Duration(1+n*7919%100) * 10 * time.Millisecond
+			if n > 0 && sample > times.Usual("seats") {
+				exceeded++
+			}
+			times.Observe("seats", sample)
+		}
+		Expect(exceeded).To(BeNumerically("<", 300))
+		Expect(exceeded).To(BeNumerically(">", 50), "far less than the longest")
+	})
 })
--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -10,6 +10,7 @@
 	"github.com/lovagelift/lovagelift/internal/entries"
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/pause"
+	"github.com/lovagelift/lovagelift/internal/routes"
 	"github.com/lovagelift/lovagelift/internal/shutdown"
 )
 
@@ -60,12 +61,19 @@
 	p.mu.Lock()
 	end := p.waitsEnd
 	p.mu.Unlock()
-	if latest := p.shutdown.LatestStart(t.completionKey(), t.deadline); latest.Before(end) {
+	if latest := t.latestStart(); latest.Before(end) {
 		return latest
 	}
 	return end
 }
 
+// latestStart returns the latest time to send the request at an instance that may be stopping.
+func (t *transaction) latestStart() time.Time {
+	return t.proxy.shutdown.LatestStart(shutdown.Request[completionKey]{
+		Key: t.completionKey(), Arrived: t.arrived, Deadline: t.deadline, IsStream: t.route.Kind == routes.Stream,
+	})
+}
+
 // completionKey identifies requests that take similar times.
 type completionKey struct {
 	route, model string
@@ -81,7 +89,7 @@
 	if p.drainBegun.Err() == nil {
 		return true
 	}
-	return !p.options.Now().After(p.shutdown.LatestStart(t.completionKey(), t.deadline))
+	return !p.options.Now().After(t.latestStart())
 }
 
 // recordStopped records an attempt that ended because the instance stops, which is no failure of its upstream.
--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -6,6 +6,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 	"github.com/lovagelift/lovagelift/internal/workspace"
 )
 
@@ -62,7 +63,10 @@
 		deadline = s.options.Limits.DefaultDeadline
 	}
 	a.deadline = now.Add(deadline)
-	if now.After(s.shutdown.LatestStart(completionKey{service: a.service, model: model}, a.deadline)) {
+	latest := s.shutdown.LatestStart(shutdown.Request[completionKey]{
+		Key: completionKey{service: a.service, model: model}, Arrived: now, Deadline: a.deadline,
+	})
+	if now.After(latest) {
 		return admittedRequest{}, s.stoppingRefusal(outcome.NotRun)
 	}
 	return a, nil
--- a/internal/shutdown/plan.go
+++ b/internal/shutdown/plan.go
@@ -82,16 +82,36 @@
 	p.times.Observe(key, taken)
 }
 
-// LatestStart returns the latest time to start a request that is expected to end in time, as others with its key
-// have. It is zero if none has been completed, and the deadline if the request ends by then whatever it takes.
-func (p *Plan[K]) LatestStart(key K, deadline time.Time) time.Time {
+// Request is what decides whether an instance that stops sends a request.
+type Request[K comparable] struct {
+	Key               K
+	Arrived, Deadline time.Time
+	// IsStream is true if the response begins long before it ends. Its cut can't be told by a status.
+	IsStream bool
+}
+
+// LatestStart returns the latest time to send a request, zero if it is not to be sent at all. It is the deadline if
+// the request ends by then whatever its upstream does.
+//
+// A stream that arrived early enough to run out is sent if it usually ends in time. Any other request is sent only if
+// nearly all like it do: its upstream may have run it, and its caller would not know.
+func (p *Plan[K]) LatestStart(r Request[K]) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	end := p.begunAt.Add(p.schedule.AnswersEnd)
-	if !p.endsAll() || !deadline.After(end) {
-		return deadline
+	if r.IsStream {
+		end = p.begunAt.Add(p.schedule.BegunEnd)
+	}
+	if !p.endsAll() || !r.Deadline.After(end) {
+		return r.Deadline
+	}
+	if r.IsStream {
+		if r.Arrived.After(p.begunAt.Add(p.schedule.TakeUntil)) {
+			return time.Time{}
+		}
+		return end.Add(-p.times.Usual(r.Key))
 	}
-	longest, known := p.times.Longest(key)
+	longest, known := p.times.Longest(r.Key)
 	if !known {
 		return time.Time{}
 	}
