desk: a stop of the own interface says what became of its requests

Callers of the own interface whose answers ended early around a stop left no trace of the reason: the metric cut_off and the warning line didn't tell a caller that left from an upstream that broke off, a deadline, or the instance's own stop, and the end of a drain logged nothing.

Answers that end after their head are counted at any time by their cause (early_ends), which their line names as early-end, and Drain ends with the line "drained" and the counts of the plan: open, taken, whole, unfinished, refused and ended early.

Routing and ends are as before.

--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -63,7 +63,8 @@
 	}
 	a.deadline = now.Add(deadline)
 	if now.After(s.shutdown.LatestStart(completionKey{service: a.service, model: model}, a.deadline)) {
-		return admittedRequest{}, s.stoppingRefusal(outcome.NotRun)
+		return admittedRequest{}, s.stoppingRefusal(outcome.NotRun, stopReasonTooLong)
 	}
+	s.shutdown.CountTaken(now)
 	return a, nil
 }
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -198,10 +198,11 @@
 		end.Complete()
 		s.shutdown.Observe(completionKey{service: task.admitted.service, model: task.requirement.model}, s.options.Now().Sub(task.arrivedAt))
 		s.metrics.countResponse(task.service, s.options.Now().Sub(task.arrivedAt))
+		s.shutdown.CountWhole()
 		return nil
 	}
 	s.metrics.countCutOff(task.service)
-	s.options.Log.Warn().Err(err).Str("request", task.id).Msg("failed to relay the whole response")
+	s.recordEarlyEnd(task.id, err)
 	if isPlainStream && !endsInsideEvent {
 		writeCutOffEvent(c.Response(), err)
 	}
@@ -229,6 +230,29 @@
 	}
 }
 
+// recordEarlyEnd logs and counts a response that ends early with err after its head has been relayed.
+func (s *Server) recordEarlyEnd(request string, err error) {
+	cause := earlyEndOf(err)
+	s.metrics.countEarlyEnd(cause)
+	s.shutdown.CountEarlyEnd(s.options.Now(), cause)
+	s.options.Log.Warn().Err(err).Str("request", request).Stringer("early-end", cause).Msg("failed to relay the whole response")
+}
+
+// earlyEndOf returns the cause of a response that ends early with err.
+func earlyEndOf(err error) outcome.EarlyEnd {
+	var cutOff *shuttle.Error
+	switch {
+	case errors.Is(err, shutdown.ErrStopping):
+		return outcome.InstanceStopped
+	case errors.Is(err, context.DeadlineExceeded):
+		return outcome.DeadlinePassed
+	case errors.As(err, &cutOff):
+		return outcome.UpstreamBrokeOff
+	default:
+		return outcome.CallerLeft
+	}
+}
+
 // callerFraming returns the framing of an upstream's response to the caller. The final event of a
 // completion proves that it is complete, even if the upstream's framing does not.
 func callerFraming(response *shuttle.Response, needsDone bool) shuttle.Framing {
@@ -268,7 +292,7 @@
 	var existing *RefusalError
 	switch {
 	case shutdown.IsStopped(ctx):
-		return s.stoppingRefusal(outcomeOf(err))
+		return s.stoppingRefusal(outcomeOf(err), stopReasonWaited)
 	case errors.Is(err, errNoCandidate) && task.software.Bound:
 		return versionUnavailableRefusal(task.software)
 	case errors.Is(err, errNoCandidate):
--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -87,7 +87,7 @@
 			// got an answer must not be reused.
 			claim.claimant.Request = s.lastClaimID.Add(1)
 		default:
-			return replayRecorded(c, answer)
+			return s.replayRecorded(c, task, answer)
 		}
 	}
 }
@@ -219,7 +219,7 @@
 }
 
 // replayRecorded responds with the recorded response, or a refusal if there is none.
-func replayRecorded(c echo.Context, answer docket.Answer) error {
+func (s *Server) replayRecorded(c echo.Context, task task, answer docket.Answer) error {
 	if answer.Verdict != docket.VerdictCompleted || answer.Response == nil {
 		return refusalOfRecord(answer)
 	}
@@ -232,9 +232,11 @@
 	end := shuttle.BeginResponse(c.Response(), c.Request(), framingOfRecord(answer.Response))
 	c.Response().WriteHeader(answer.Response.Status)
 	if _, err := c.Response().Write(answer.Response.Body); err != nil {
+		s.recordEarlyEnd(task.id, errors.Wrap(errCallerLeft, err.Error()))
 		end.Abort()
 	}
 	end.Complete()
+	s.shutdown.CountWhole()
 	return nil
 }
 
--- a/internal/desk/fakes_test.go
+++ b/internal/desk/fakes_test.go
@@ -14,7 +14,9 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/lovagelift/lovagelift/internal/chamber"
 	"github.com/lovagelift/lovagelift/internal/coroner"
@@ -195,6 +197,8 @@
 	crashDetector *coroner.CrashDetector
 	url           string
 	now           func() time.Time
+	metrics       tally.TestScope
+	log           *gbytes.Buffer
 	// sequence is the sequence number of the last announcement.
 	sequence uint64
 }
@@ -224,8 +228,10 @@
 		NewLogEvent: func(string) *zerolog.Event { return nil },
 		Now:         now,
 	})
+	metrics, log := tally.NewTestScope("", nil), gbytes.NewBuffer()
 	server := desk.New(desk.Options{
-		CrashDetector: detector, Instance: instance, Name: name, Incarnation: 1, Proxy: proxy, Now: now, Log: zerolog.New(GinkgoWriter).With().Timestamp().Logger(),
+		CrashDetector: detector, Instance: instance, Name: name, Incarnation: 1, Proxy: proxy, Now: now,
+		Log: zerolog.New(io.MultiWriter(GinkgoWriter, log)).With().Timestamp().Logger(), Metrics: metrics,
 		UpstreamLease: upstreamLease,
 		Limits:        limits,
 	})
@@ -238,7 +244,7 @@
 		detector.Close()
 		proxy.Close()
 	})
-	return &testServer{fakeInstance: instance, api: server, crashDetector: detector, url: listener.URL, now: now}
+	return &testServer{fakeInstance: instance, api: server, crashDetector: detector, url: listener.URL, now: now, metrics: metrics, log: log}
 }
 
 // callerReply is what a caller receives.
--- a/internal/desk/metrics.go
+++ b/internal/desk/metrics.go
@@ -41,6 +41,11 @@
 	m.scope.Tagged(map[string]string{"code": string(code), "outcome": reported.String()}).Counter("refusals").Inc(1)
 }
 
+// countEarlyEnd records why a response ended after its headers were sent and before it was whole.
+func (m metrics) countEarlyEnd(cause outcome.EarlyEnd) {
+	m.scope.Tagged(map[string]string{"cause": cause.String()}).Counter("early_ends").Inc(1)
+}
+
 func (m metrics) setActiveRequests(requests int64) {
 	m.scope.Gauge("streams").Update(float64(requests))
 }
--- a/internal/desk/plannedstop.go
+++ b/internal/desk/plannedstop.go
@@ -1,10 +1,12 @@
 package desk
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 )
 
 // completionKey identifies requests that take similar times.
@@ -12,12 +14,34 @@
 	service, model string
 }
 
-// Stop begins a planned stop, for the end of which it leaves timeLeft. Requests that arrive from now on and are not
-// expected to end by then are refused at once. What still runs then is answered with what is known of its outcome.
+// Stop begins a planned stop. Requests that arrive from now on and are not expected to end within timeLeft are refused
+// at once. What still runs then is answered with what is known of its outcome. 0 means that requests may run until they
+// end.
 func (s *Server) Stop(timeLeft time.Duration) {
 	s.shutdown.Begin(s.options.Now(), s.ActiveRequests(), timeLeft)
 }
 
+// StopSummary returns what became of the requests since the planned stop began.
+func (s *Server) StopSummary() shutdown.Summary {
+	return s.shutdown.Summary()
+}
+
+// Why a stopping instance does not serve a request.
+const (
+	stopReasonTooLong = "expected-to-take-too-long"
+	stopReasonWaited  = "no-upstream-in-time"
+)
+
+// countStopRefusal counts a refusal in the summary of a planned stop.
+func (s *Server) countStopRefusal(refusal *RefusalError) {
+	isAnswerLost := refusal.Status == http.StatusBadGateway || refusal.Status == http.StatusGatewayTimeout
+	if isAnswerLost && refusal.Outcome != outcome.NotRun {
+		s.shutdown.CountUnfinished()
+		return
+	}
+	s.shutdown.CountRefused(cmp.Or(refusal.stopReason, string(refusal.Code)))
+}
+
 // DrainingRefusal returns the refusal of a request that arrives at an instance that is stopping, without the
 // addresses of others.
 func DrainingRefusal() *RefusalError {
@@ -30,8 +54,9 @@
 }
 
 // stoppingRefusal returns the refusal of a request that is not sent, or not any longer, because the instance stops.
-func (s *Server) stoppingRefusal(run outcome.Outcome) *RefusalError {
+func (s *Server) stoppingRefusal(run outcome.Outcome, stopReason string) *RefusalError {
 	refusal := DrainingRefusal()
+	refusal.stopReason = stopReason
 	refusal.OtherAddresses = s.otherAddresses("")
 	if run != outcome.NotRun {
 		refusal.Status, refusal.Outcome = http.StatusBadGateway, run
--- a/internal/desk/plannedstop_test.go
+++ b/internal/desk/plannedstop_test.go
@@ -7,8 +7,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
+	"github.com/lovagelift/lovagelift/internal/desk"
 	"github.com/lovagelift/lovagelift/internal/entries"
+	"github.com/lovagelift/lovagelift/internal/outcome"
 )
 
 // Such requests were sent, and their connections were closed without an answer at the end of the stop.
@@ -77,5 +80,70 @@
 		Expect(reply.cutOff).To(BeTrue())
 		Expect(reply.body).To(HavePrefix("id: 1\ndata: seat 7\n\n"))
 		Expect(reply.body).To(ContainSubstring(`"code":"draining"`))
+		Expect(server.earlyEnds()).To(Equal(map[string]int64{"instance-stopped": 1}))
+		Expect(server.api.StopSummary().EndedEarly).To(Equal(map[outcome.EarlyEnd]int{outcome.InstanceStopped: 1}))
 	})
+
+	// Nothing told which requests a stop had refused and cut, and why.
+	It("is counted by what became of it", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		upstream.handler = func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+		stopSoon(ctx)
+		Expect(server.book(ctx, "", "two seats").status).To(Equal(http.StatusBadGateway))
+		Expect(server.book(ctx, "", "two seats").status).To(Equal(http.StatusServiceUnavailable))
+		summary := server.api.StopSummary()
+		Expect(summary.Open).To(Equal(1))
+		Expect(summary.Unfinished).To(Equal(1))
+		Expect(summary.Refused).To(Equal(map[string]int{"expected-to-take-too-long": 1}))
+	})
+
+	It("is counted as taken and whole", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		Expect(server.book(ctx, "", "two seats").status).To(Equal(http.StatusOK))
+		server.api.Stop(timeLeft)
+		Expect(server.book(ctx, "", "two seats").status).To(Equal(http.StatusOK))
+		Expect(server.api.StopSummary().Taken).To(Equal(1))
+		Expect(server.api.StopSummary().Whole).To(Equal(1))
+	})
+})
+
+// earlyEnds returns how many responses ended early, by the cause.
+func (s *testServer) earlyEnds() map[string]int64 {
+	counts := map[string]int64{}
+	for _, counter := range s.metrics.Snapshot().Counters() {
+		if counter.Name() == "desk.early_ends" {
+			counts[counter.Tags()["cause"]] += counter.Value()
+		}
+	}
+	return counts
+}
+
+// Which of the begun responses the instance itself had cut could not be told without a stop.
+var _ = Describe("a response that ends early", func() {
+	// writeBeginning begins a stream.
+	writeBeginning := func(w http.ResponseWriter) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "id: 1\ndata: seat 7\n\n")
+		_ = http.NewResponseController(w).Flush()
+	}
+
+	DescribeTable("is counted and logged by the cause",
+		func(ctx SpecContext, cause string, deadline time.Duration, leavesAfter int64, handler http.HandlerFunc) {
+			server := newTestServer(newFakeVoters(), "self", func(limits *desk.Limits) { limits.DefaultDeadline = deadline })
+			upstream := newFakeUpstream(nil)
+			upstream.handler = handler
+			server.setUpstreams(upstream.address())
+			server.readAndLeave(ctx, leavesAfter)
+			Eventually(ctx, server.earlyEnds).Should(Equal(map[string]int64{cause: 1}))
+			Eventually(ctx, server.log).Should(gbytes.Say(`"early-end":"` + cause + `"`))
+		},
+		Entry("its upstream breaks off", SpecTimeout(specTimeout), "upstream-broke-off", 10*time.Second, int64(1<<10), func(w http.ResponseWriter, _ *http.Request) {
+			writeBeginning(w)
+			panic(http.ErrAbortHandler)
+		}),
+		Entry("its deadline passes", SpecTimeout(specTimeout), "deadline-passed", 300*time.Millisecond, int64(1<<10), func(w http.ResponseWriter, r *http.Request) {
+			writeBeginning(w)
+			<-r.Context().Done()
+		}),
+		Entry("its caller leaves", SpecTimeout(specTimeout), "caller-left", 10*time.Second, int64(20),
+			respondUntilLeft("text/event-stream", []byte("data: seat 7\n\n"), 200)),
+	)
 })
--- a/internal/desk/refusal.go
+++ b/internal/desk/refusal.go
@@ -58,6 +58,8 @@
 	RetryAfter time.Duration
 	// OtherAddresses are the addresses of other instances that the caller may use now.
 	OtherAddresses []string
+	// stopReason is why a stopping instance does not serve the request, empty if there is another reason.
+	stopReason string
 }
 
 // Error returns the code and the message.
@@ -116,6 +118,7 @@
 	}
 	refusal := refusalOf(err)
 	s.metrics.countRefusal(refusal.Code, refusal.Outcome)
+	s.countStopRefusal(refusal)
 	if refusal.Code == CodeInternal {
 		s.options.Log.Error().Err(err).Str("path", c.Request().URL.Path).Msg("request failed")
 	}
--- a/internal/instance/cluster_test.go
+++ b/internal/instance/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/rs/zerolog"
 
 	"github.com/lovagelift/lovagelift/internal/instance"
@@ -31,6 +32,7 @@
 	*instance.Instance
 	name     string
 	settings settings.Settings
+	log      *gbytes.Buffer
 	// partitioned is true while the instance can reach no other.
 	partitioned atomic.Bool
 	// lastBody is the response body of the last call of completionStatus.
@@ -68,7 +70,7 @@
 
 // newVoter returns a voter with the given listeners that is not started.
 func newVoter(name string, listeners instance.Listeners) *testInstance {
-	member := &testInstance{name: name, settings: settings.Default()}
+	member := &testInstance{name: name, settings: settings.Default(), log: gbytes.NewBuffer()}
 	member.settings.Name, member.settings.FailureDomain, member.settings.Voter = name, "domain-"+name, true
 	member.settings.DataFolder = filepath.Join(GinkgoT().TempDir(), name)
 	member.settings.Advertise = settings.Addresses{
@@ -86,7 +88,7 @@
 
 func (t *testInstance) start(listeners instance.Listeners, maxResponsePause time.Duration) {
 	started, err := instance.New(instance.Options{
-		Settings: t.settings, Listeners: listeners, MaxResponsePause: maxResponsePause, Log: zerolog.Nop(),
+		Settings: t.settings, Listeners: listeners, MaxResponsePause: maxResponsePause, Log: zerolog.New(t.log),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			if t.partitioned.Load() {
 				return nil, errors.New("instance is partitioned")
--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/registrar"
@@ -119,6 +120,7 @@
 		Expect(response.Header.Get(outcome.Header)).To(Equal("unknown"))
 		Eventually(ctx, stopped).Should(Receive(BeNil()))
 		stopping.closed = true
+		Expect(stopping.log).To(gbytes.Say(`"requests":{"open":1,"taken":0,"whole":0,"unfinished":1,.*"cut-off":0,.*"message":"drained"`))
 	})
 
 	// The response to a drain request is lost, and two operators repeat the request
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -243,14 +243,17 @@
 // are answered. If ctx ends earlier, Drain closes the instance anyway and returns an
 // error with the number of aborted requests.
 func (i *Instance) Drain(ctx context.Context) error {
+	start := i.options.Now()
 	i.mu.Lock()
 	i.draining = true
-	i.renewIfDueLocked(i.options.Now())
+	i.renewIfDueLocked(start)
 	i.mu.Unlock()
 	i.options.Log.Info().Msg("draining")
+	var timeLeft time.Duration
 	if end, ok := ctx.Deadline(); ok {
-		i.callerAPI.Stop(time.Until(end) - answerTime)
+		timeLeft = time.Until(end) - answerTime
 	}
+	i.callerAPI.Stop(timeLeft)
 	// The drain state reaches every instance within three pulls and one call. Until
 	// then, another instance may still list this one to callers.
 	addressExpiry := time.NewTimer(i.options.Settings.Timing.ReferralTTL + 3*pullInterval + callTimeout)
@@ -268,6 +271,8 @@
 	if err != nil {
 		err = errors.Wrapf(err, "instance: %d requests cut off", i.callerAPI.ActiveRequests())
 	}
+	i.options.Log.Info().Object("requests", i.callerAPI.StopSummary()).Int("cut-off", i.callerAPI.ActiveRequests()).
+		Dur("took", i.options.Now().Sub(start)).Msg("drained")
 	// Outcomes of requests must be recorded before the control plane closes.
 	i.callerAPI.Wait()
 	i.stopPlacementController()
