instance: a stop with less than half a second answers what runs

A caller whose request ran when an instance stopped with a grace under 0.5 s got a closed connection.

The time for answers, 0.5 s, was taken off the grace, and the plan takes what isn't above 0 for a stop without an end since it can be begun without one: nothing was ended before the server was closed. Before that, all would have been ended at once.

At most half of the grace is for answers.

--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -96,7 +96,7 @@
 	})
 
 	// Its connection was closed without an answer.
-	It("answers a request that still runs at its end", SpecTimeout(specTimeout), func(ctx SpecContext) {
+	DescribeTable("answers a request that still runs at its end", func(ctx SpecContext, grace time.Duration) {
 		arrived := make(chan struct{})
 		upstream := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			_, _ = io.ReadAll(r.Body)
@@ -109,7 +109,7 @@
 		stopped := make(chan error, 1)
 		go func() {
 			<-arrived
-			stopCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+			stopCtx, cancel := context.WithTimeout(ctx, grace)
 			defer cancel()
 			stopped <- stopping.Drain(stopCtx)
 		}()
@@ -121,7 +121,10 @@
 		Eventually(ctx, stopped).Should(Receive(BeNil()))
 		stopping.closed = true
 		Expect(stopping.log).To(gbytes.Say(`"requests":{"open":1,"taken":0,"whole":0,"unfinished":1,.*"cut-off":0,.*"message":"drained"`))
-	})
+	},
+		Entry("of some seconds", SpecTimeout(specTimeout), 2*time.Second),
+		Entry("that comes at once", SpecTimeout(specTimeout), 300*time.Millisecond),
+	)
 
 	// The response to a drain request is lost, and two operators repeat the request
 	// concurrently. Each request must succeed, and the drain must start only once.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -230,7 +230,7 @@
 }
 
 // answerTime is the time before the end of a drain at which requests that still run are
-// answered.
+// answered, at most half of the drain.
 const answerTime = 500 * time.Millisecond
 
 // Drain shuts the instance down gracefully, without aborting requests.
@@ -251,7 +251,8 @@
 	i.options.Log.Info().Msg("draining")
 	var timeLeft time.Duration
 	if end, ok := ctx.Deadline(); ok {
-		timeLeft = time.Until(end) - answerTime
+		left := time.Until(end)
+		timeLeft = max(left-answerTime, left/2, time.Nanosecond)
 	}
 	i.callerAPI.Stop(timeLeft)
 	// The drain state reaches every instance within three pulls and one call. Until
