chamber: a proposal without an outcome ends with its voter

An operator whose manifest waited for the other control instances got a closed connection from a control instance that stopped, in place of "it is not known whether the manifest is accepted".

Voter.Propose tried a command whose outcome was unknown until its time was over, 3 s for a manifest, also at its own replica that was closed meanwhile; the servers are closed 2 s after the stop begins.

It ends once the replica is closed, and says that the outcome is unknown.

--- a/internal/chamber/voter.go
+++ b/internal/chamber/voter.go
@@ -327,7 +327,7 @@
 
 // Propose proposes command through the current leader.
 //
-// Commands are idempotent, so a command whose outcome is unknown is proposed again until ctx ends.
+// Commands are idempotent, so a command whose outcome is unknown is proposed again until ctx ends or the voter is closed.
 func (v *Voter) Propose(ctx context.Context, command registry.Command) (registry.Result, error) {
 	data, err := registry.Encode(command)
 	if err != nil {
@@ -346,7 +346,7 @@
 		if !outcomeUnknown && !proposed.Passing {
 			return registry.Result{}, proposalError(proposed)
 		}
-		if !pause.For(ctx, retryInterval) {
+		if errors.Is(err, clerk.ErrClosed) || !pause.For(ctx, retryInterval) {
 			if outcomeUnknown {
 				proposed.Fate = courier.ProposalUnknown
 			}
--- a/internal/clerk/applier.go
+++ b/internal/clerk/applier.go
@@ -227,7 +227,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for index, pending := range a.pending {
-		pending.result.complete(nil, &UnknownError{Cause: errClosed})
+		pending.result.complete(nil, &UnknownError{Cause: ErrClosed})
 		delete(a.pending, index)
 	}
 }
--- a/internal/clerk/errors.go
+++ b/internal/clerk/errors.go
@@ -58,5 +58,5 @@
 // errCoveredBySnapshot means that a snapshot from another replica covers the index of the proposal.
 var errCoveredBySnapshot = errors.New("clerk: a snapshot of another replica covers the entry")
 
-// errClosed means that the replica is closed.
-var errClosed = errors.New("clerk: the replica is closed")
+// ErrClosed means that the replica is closed. It is the cause of other errors; use errors.Is.
+var ErrClosed = errors.New("clerk: the replica is closed")
--- a/internal/clerk/loop.go
+++ b/internal/clerk/loop.go
@@ -195,6 +195,6 @@
 // failPending completes all pending requests with ErrUnknown when the replica closes.
 func (l *loop) failPending() {
 	for _, request := range l.pending {
-		request.result.complete(nil, &UnknownError{Cause: errClosed})
+		request.result.complete(nil, &UnknownError{Cause: ErrClosed})
 	}
 }
--- a/internal/clerk/propose.go
+++ b/internal/clerk/propose.go
@@ -92,7 +92,7 @@
 	case <-ctx.Done():
 		return nil, &RejectedError{Cause: ctx.Err()}
 	case <-r.ctx.Done():
-		return nil, &RejectedError{Cause: errClosed}
+		return nil, &RejectedError{Cause: ErrClosed}
 	}
 	return r.wait(ctx, p.result)
 }
@@ -110,7 +110,7 @@
 	case o := <-f.outcomes:
 		return o.result, o.err
 	default:
-		return nil, &UnknownError{Cause: errClosed}
+		return nil, &UnknownError{Cause: ErrClosed}
 	}
 }
 
@@ -122,7 +122,7 @@
 	case <-ctx.Done():
 		return &RejectedError{Cause: ctx.Err()}
 	case <-r.ctx.Done():
-		return &RejectedError{Cause: errClosed}
+		return &RejectedError{Cause: ErrClosed}
 	}
 	_, err := r.wait(ctx, req.pending.result)
 	return err
