counter: an upstream may read a long body late

Idempotent requests with long bodies were answered 502 if their upstream took over half a second until it read the body, at any time.

Their connections have a TCP user timeout of 0.5 s, so that a reused connection whose path has lost its state is noticed. The kernel also applies it to a peer that acknowledges everything with a closed receive window, which 700 kB fill.

Requests with bodies above 32 KiB, which with their head fit into the receive window of a new connection, go over connections of their own, as requests that must not run twice do: those have no such timeout.

--- a/internal/counter/relayclient.go
+++ b/internal/counter/relayclient.go
@@ -136,7 +136,7 @@
 		header.Set(relaySoftwareHeader, a.upstream.software)
 	}
 	header.Set(relayIdempotentHeader, strconv.FormatBool(t.isIdempotent()))
-	response, err := t.proxy.relays.transports.of(t.isIdempotent()).RoundTrip(outgoing)
+	response, err := t.proxy.relays.transports.of(t.isIdempotent(), t.body).RoundTrip(outgoing)
 	if err != nil {
 		return nil, "", errors.Wrapf(err, "counter: relaying through %s", peer)
 	}
--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -39,7 +39,7 @@
 	defer cancel()
 	var mayHaveSent atomic.Bool
 	idempotent := r.Header.Get(relayIdempotentHeader) == strconv.FormatBool(true)
-	response, err := p.upstreams.of(idempotent).RoundTrip(relayedRequest(ctx, r, u, body.Bytes, &mayHaveSent))
+	response, err := p.upstreams.of(idempotent, body.Bytes).RoundTrip(relayedRequest(ctx, r, u, body.Bytes, &mayHaveSent))
 	if err != nil {
 		p.rejectUnsent(w, r, u, &mayHaveSent)
 		return
--- a/internal/counter/send.go
+++ b/internal/counter/send.go
@@ -128,7 +128,7 @@
 func (t *transaction) sendDirectly(ctx context.Context, a *upstreamAttempt) (*http.Response, error) {
 	// A peer may have rejected the request before.
 	a.relayedBy = netip.AddrPort{}
-	return t.proxy.upstreams.of(t.isIdempotent()).RoundTrip(t.outgoing(ctx, a, a.upstream.address))
+	return t.proxy.upstreams.of(t.isIdempotent(), t.body).RoundTrip(t.outgoing(ctx, a, a.upstream.address))
 }
 
 // outgoing returns the request for the granted upstream, to be sent to address.
--- a/internal/counter/transports.go
+++ b/internal/counter/transports.go
@@ -17,9 +17,13 @@
 // maxIdleConnsPerUpstream is the number of idle connections kept to each upstream.
 const maxIdleConnsPerUpstream = 8
 
+// maxKeptBodyBytes is the largest body of a request on a reused connection. An upstream may wait before it reads a
+// longer one, whose rest then does not fit into its receive window: that counts as silence, see limitSilence.
+const maxKeptBodyBytes = 32 << 10
+
 // transports are the HTTP clients for one kind of server.
 type transports struct {
-	// keepAlive serves idempotent requests over reused connections. singleUse serves all others and
+	// keepAlive serves idempotent requests with short bodies over reused connections. singleUse serves all others and
 	// opens a connection for each: on a reused connection that the other end has lost or is just
 	// closing, a request may be written and never answered, and a request that must not run twice
 	// could then not be retried.
@@ -46,9 +50,9 @@
 	}
 }
 
-// of returns the client for a request.
-func (t transports) of(idempotent bool) *transport.Transport {
-	if idempotent {
+// of returns the client for a request with a body.
+func (t transports) of(idempotent bool, body []byte) *transport.Transport {
+	if idempotent && len(body) <= maxKeptBodyBytes {
 		return t.keepAlive
 	}
 	return t.singleUse
