counter: a long answer that is passed on whole is not aborted when a stop ends

A caller that read the last bytes of an answer above 1 MiB slowly got a reset connection if a planned stop reached the end of its grace meanwhile, although the upstream had ended and all bytes had been written.

The last bytes of a body with a length come together with its end. The end of the plan was asked for before the end of the body. Streams have asked in the right order all along.

--- a/internal/counter/bodies.go
+++ b/internal/counter/bodies.go
@@ -146,6 +146,11 @@
 	}
 	status := response.StatusCode
 	switch {
+	case readErr == nil && writeErr == nil:
+		t.recordAnswer(a, status)
+		end.Complete()
+		t.recordWhole(a, status)
+		return
 	case writeErr != nil || t.request.Context().Err() != nil:
 		a.unfinished = true
 		t.reportCallerLeft(a)
@@ -154,15 +159,10 @@
 		a.unfinished = true
 		t.reportCallerLeft(a)
 		t.recordEarlyEnd(a, status, outcome.InstanceStopped, "stopped", "the instance stops")
-	case readErr != nil:
+	default:
 		a.outcome = permit.Failed
 		t.reportBroken(a, readErr)
 		t.recordEarlyEnd(a, status, brokenOffBy(ctx), "broken off", readErr.Error())
-	default:
-		t.recordAnswer(a, status)
-		end.Complete()
-		t.recordWhole(a, status)
-		return
 	}
 	end.Abort()
 }
