counter: the line of a stop tells what became of relayed streams

A stream that a stopping instance relayed for another one was counted as open by the line "drained", and then neither as whole nor as cut; the line about it named the beginning of the answer alone. It is closed with the connections of the server, after the end of the plan, which the other instance sees as an engine that breaks off.

The relaying instance counts such answers, whole and by cause, and logs those that end early.

--- a/internal/counter/relayserver.go
+++ b/internal/counter/relayserver.go
@@ -8,6 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/lovagelift/lovagelift/internal/outcome"
 	"github.com/lovagelift/lovagelift/internal/shuttle"
 )
 
@@ -52,10 +55,33 @@
 	framing := shuttle.FramingOf(response)
 	p.confirmEnd(ctx, u, response, framing, func(Liveness) {})
 	end := beginResponse(w, r, response, framing)
-	if readErr, writeErr := copyChunks(w, response.Body, func(int) {}); readErr != nil || writeErr != nil {
+	readErr, writeErr := copyChunks(w, response.Body, func(int) {})
+	if readErr != nil || writeErr != nil {
+		p.recordRelayedEarlyEnd(r, p.relayedEarlyEnd(ctx, r, writeErr))
 		end.Abort()
 	}
 	end.Complete()
+	p.shutdown.CountWhole()
+}
+
+// relayedEarlyEnd returns why a relayed response has ended early. A stopping instance ends its connections to the
+// others after the end of its plan.
+func (p *Proxy) relayedEarlyEnd(ctx context.Context, r *http.Request, writeErr error) outcome.EarlyEnd {
+	switch isGone := writeErr != nil || r.Context().Err() != nil; {
+	case isGone && p.shutdown.HasEnded():
+		return outcome.InstanceStopped
+	case isGone:
+		return outcome.CallerLeft
+	default:
+		return brokenOffBy(ctx)
+	}
+}
+
+// recordRelayedEarlyEnd logs a relayed response that ends early, and counts it in the summary of a planned shutdown.
+// The instance that has the caller counts it in its metrics.
+func (p *Proxy) recordRelayedEarlyEnd(r *http.Request, cause outcome.EarlyEnd) {
+	p.shutdown.CountEarlyEnd(p.options.Now(), cause)
+	p.relayLine(r).Stringer("early-end", cause).Msg("relayed response ended early")
 }
 
 // startRelaying returns the upstream of a request to relay, or why it is rejected.
@@ -109,9 +135,13 @@
 
 // logRelay logs what became of a relayed request.
 func (p *Proxy) logRelay(r *http.Request, result relayResult) {
-	p.logLine(p.options.Now(), "relay").Str("request", r.Header.Get(relayRequestHeader)).
-		Str("upstream", r.Header.Get(relayUpstreamHeader)).Str("from", r.RemoteAddr).Str("result", string(result)).
-		Msg("request relayed for another instance")
+	p.relayLine(r).Str("result", string(result)).Msg("request relayed for another instance")
+}
+
+// relayLine returns a log line about a relayed request.
+func (p *Proxy) relayLine(r *http.Request) *zerolog.Event {
+	return p.logLine(p.options.Now(), "relay").Str("request", r.Header.Get(relayRequestHeader)).
+		Str("upstream", r.Header.Get(relayUpstreamHeader)).Str("from", r.RemoteAddr)
 }
 
 func (p *Proxy) rejectRelay(w http.ResponseWriter, r *http.Request, result relayResult) {
--- a/internal/counter/relaystream_test.go
+++ b/internal/counter/relaystream_test.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/lovagelift/lovagelift/internal/counter"
+	"github.com/lovagelift/lovagelift/internal/outcome"
 )
 
 const (
@@ -79,6 +81,34 @@
 	}
 })
 
+// The last line of the stop counted it as open, and not what became of it.
+var _ = Describe("A stream through a peer that stops", func() {
+	It("is counted as whole", func(ctx SpecContext) {
+		stream := newPausedStream(ctx, "Transfer-Encoding", "chunked")
+		relaying := stream.peers[1].proxy
+		relaying.Drain(counter.Grace{})
+		close(stream.proceed)
+		_, err := io.ReadAll(stream.body)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(ctx, relaying.DrainSummary).Should(And(HaveField("Open", 1), HaveField("Whole", 1)))
+	}, SpecTimeout(specTimeout))
+
+	It("is counted as ended early at its end", func(ctx SpecContext) {
+		stream := newPausedStream(ctx, "Transfer-Encoding", "chunked")
+		relaying := stream.peers[1].proxy
+		statuses := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			statuses <- stream.sendTo(1, "/book/", "")
+		}()
+		Eventually(ctx, relaying.ActiveRequests).Should(Equal(2))
+		relaying.Drain(counter.Grace{Run: time.Millisecond})
+		Eventually(ctx, statuses).Should(Receive(Equal(http.StatusBadGateway)), "the stop has ended")
+		stream.peers[1].relay.CloseClientConnections()
+		Eventually(ctx, relaying.DrainSummary).Should(HaveField("EndedEarly", map[outcome.EarlyEnd]int{outcome.InstanceStopped: 1}))
+	}, SpecTimeout(specTimeout))
+})
+
 // An event may begin and end at any byte of a buffer.
 var _ = DescribeTable("Events of any size are passed on unchanged",
 	func(ctx SpecContext, way way, size int) {
