--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -67,7 +67,8 @@
 		Key: completionKey{service: a.service, model: model}, Arrived: now, Deadline: a.deadline,
 	})
 	if now.After(latest) {
-		return admittedRequest{}, s.stoppingRefusal(outcome.NotRun)
+		return admittedRequest{}, s.stoppingRefusal(outcome.NotRun, stopReasonTooLong)
 	}
+	s.shutdown.CountTaken(now)
 	return a, nil
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -231,7 +231,7 @@
 
 const (
 	// answerTime is the time before the end of a drain at which requests that still run are
-	// answered.
+	// answered, at most half of the drain.
 	answerTime = 500 * time.Millisecond
 	// cutTime is the time before the end of a drain at which responses that have begun are ended,
 	// event streams with an event that says so.
@@ -248,15 +248,20 @@
 // are answered. If ctx ends earlier, Drain closes the instance anyway and returns an
 // error with the number of aborted requests.
 func (i *Instance) Drain(ctx context.Context) error {
+	start := i.options.Now()
 	i.mu.Lock()
 	i.draining = true
-	i.renewIfDueLocked(i.options.Now())
+	i.renewIfDueLocked(start)
 	i.mu.Unlock()
 	i.options.Log.Info().Msg("draining")
+	var schedule shutdown.Schedule
 	if end, ok := ctx.Deadline(); ok {
 		left := time.Until(end)
-		i.callerAPI.Stop(shutdown.Schedule{AnswersEnd: left - answerTime, BegunEnd: left - cutTime})
+		schedule = shutdown.Schedule{
+			AnswersEnd: max(left-answerTime, left/2, time.Nanosecond), BegunEnd: max(left-cutTime, left/2, time.Nanosecond),
+		}
 	}
+	i.callerAPI.Stop(schedule)
 	// The drain state reaches every instance within three pulls and one call. Until
 	// then, another instance may still list this one to callers.
 	addressExpiry := time.NewTimer(i.options.Settings.Timing.ReferralTTL + 3*pullInterval + callTimeout)
@@ -274,6 +279,8 @@
 	if err != nil {
 		err = errors.Wrapf(err, "instance: %d requests cut off", i.callerAPI.ActiveRequests())
 	}
+	i.options.Log.Info().Object("requests", i.callerAPI.StopSummary()).Int("cut-off", i.callerAPI.ActiveRequests()).
+		Dur("took", i.options.Now().Sub(start)).Msg("drained")
 	// Outcomes of requests must be recorded before the control plane closes.
 	i.callerAPI.Wait()
 	i.stopPlacementController()
