desk: a stop answers requests that wait for the record of their key

A request with an idempotency key that waited for the voters, or for another request with its key at another instance, got a closed connection if it waited at the end of a planned stop; so did a question for the state of a key.

These waits ended with the caller and with their own times (3 s and 5 s), not with the plan of the stop.

They end with it: another request in progress is answered 409 with the time to come back, as after the whole wait, and what the voters didn't take in time 503 with not-run. The other two have no spec.

--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -69,9 +69,12 @@
 // after a restart, therefore replays the recorded response and never runs the request again.
 func (s *Server) serveClaimed(c echo.Context, task task, key string) error {
 	claim := s.newClaim(task, key)
-	waitDeadline := s.options.Now().Add(s.options.Limits.InProgressWait)
+	now := s.options.Now()
+	waitDeadline := now.Add(s.options.Limits.InProgressWait)
+	ctx, cancel := s.shutdown.WithEnd(c.Request().Context(), task.deadline.Sub(now))
+	defer cancel()
 	for {
-		answer, err := s.proposeClaim(c.Request().Context(), claim)
+		answer, err := s.proposeClaim(ctx, claim)
 		if err != nil {
 			return err
 		}
@@ -80,7 +83,7 @@
 			claim.attempt = answer.Attempt
 			return s.sendClaimed(c, claim)
 		case docket.VerdictInProgress:
-			if refusal := s.awaitInProgress(c.Request().Context(), claim, waitDeadline); refusal != nil {
+			if refusal := s.awaitInProgress(ctx, claim, waitDeadline); refusal != nil {
 				return refusal
 			}
 			// The other request has ended, possibly without running. A claimant that already
@@ -307,7 +310,7 @@
 // handleRequestStatus handles GET /v1/requests/{key}?service=NAME. A caller that lost a
 // response can retrieve it here without sending the request again.
 func (s *Server) handleRequestStatus(c echo.Context) error {
-	ctx, cancel := context.WithTimeout(c.Request().Context(), claimTimeout)
+	ctx, cancel := s.shutdown.WithEnd(c.Request().Context(), claimTimeout)
 	defer cancel()
 	service := c.QueryParam("service")
 	caller, refusal := s.workspaces.authorize(c.Request().Header, s.options.Instance.Configuration(), service)
--- a/internal/desk/plannedstop_test.go
+++ b/internal/desk/plannedstop_test.go
@@ -84,6 +84,33 @@
 		Expect(server.api.StopSummary().EndedEarly).To(Equal(map[outcome.EarlyEnd]int{outcome.InstanceStopped: 1}))
 	})
 
+	// It waited beyond the end of the stop, and its connection was closed without an answer.
+	It("is answered at its end if another request with its key is in progress elsewhere", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		voters := newFakeVoters()
+		waiting := newTestServer(voters, "waiting", func(limits *desk.Limits) { limits.InProgressWait = specTimeout })
+		running := newTestServer(voters, "running")
+		release := make(chan struct{})
+		defer close(release)
+		upstream.handler = func(http.ResponseWriter, *http.Request) { <-release }
+		running.setUpstreams(upstream.address())
+		go func() {
+			defer GinkgoRecover()
+			running.book(ctx, "k", "two seats")
+		}()
+		Eventually(ctx, upstream.runCount).Should(Equal(1))
+		replies := make(chan callerReply, 1)
+		go func() {
+			defer GinkgoRecover()
+			replies <- waiting.book(ctx, "k", "two seats")
+		}()
+		Eventually(ctx, waiting.api.ActiveRequests).Should(Equal(1))
+		waiting.api.Stop(100 * time.Millisecond)
+		var reply callerReply
+		Eventually(ctx, replies, 2*time.Second).Should(Receive(&reply))
+		Expect(reply.status).To(Equal(http.StatusConflict))
+		Expect(reply.body).To(ContainSubstring(`"in-progress"`))
+	})
+
 	// Nothing told which requests a stop had refused and cut, and why.
 	It("is counted by what became of it", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		upstream.handler = func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
