--- a/internal/desk/claims.go
+++ b/internal/desk/claims.go
@@ -71,10 +71,10 @@
 	claim := s.newClaim(task, key)
 	now := s.options.Now()
 	waitDeadline := now.Add(s.options.Limits.InProgressWait)
-	ctx, cancel := s.shutdown.WithEnd(c.Request().Context(), task.deadline.Sub(now))
-	defer cancel()
+	wait := s.shutdown.Start(c.Request().Context(), task.deadline.Sub(now))
+	defer wait.End()
 	for {
-		answer, err := s.proposeClaim(ctx, claim)
+		answer, err := s.proposeClaim(wait.Context(), claim)
 		if err != nil {
 			return err
 		}
@@ -83,7 +83,7 @@
 			claim.attempt = answer.Attempt
 			return s.sendClaimed(c, claim)
 		case docket.VerdictInProgress:
-			if refusal := s.awaitInProgress(ctx, claim, waitDeadline); refusal != nil {
+			if refusal := s.awaitInProgress(wait.Context(), claim, waitDeadline); refusal != nil {
 				return refusal
 			}
 			// The other request has ended, possibly without running. A claimant that already
@@ -310,8 +310,9 @@
 // handleRequestStatus handles GET /v1/requests/{key}?service=NAME. A caller that lost a
 // response can retrieve it here without sending the request again.
 func (s *Server) handleRequestStatus(c echo.Context) error {
-	ctx, cancel := s.shutdown.WithEnd(c.Request().Context(), claimTimeout)
-	defer cancel()
+	run := s.shutdown.Start(c.Request().Context(), claimTimeout)
+	defer run.End()
+	ctx := run.Context()
 	service := c.QueryParam("service")
 	caller, refusal := s.workspaces.authorize(c.Request().Header, s.options.Instance.Configuration(), service)
 	if refusal != nil {
--- a/internal/desk/plannedstop_test.go
+++ b/internal/desk/plannedstop_test.go
@@ -33,12 +33,12 @@
 		go func() {
 			defer GinkgoRecover()
 			Eventually(ctx, upstream.runCount).Should(Equal(1))
-			server.api.Stop(shutdown.Schedule{AnswersEnd: 100 * time.Millisecond, BegunEnd: 100 * time.Millisecond})
+			server.api.Stop(endAfter(100 * time.Millisecond))
 		}()
 	}
 
 	It("is refused at once, and told where to go, if its deadline is later and nothing is known of its kind", SpecTimeout(specTimeout), func(ctx SpecContext) {
-		server.api.Stop(shutdown.Schedule{AnswersEnd: timeLeft, BegunEnd: timeLeft})
+		server.api.Stop(endAfter(timeLeft))
 		reply := server.book(ctx, "", "two seats")
 		Expect(reply.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(reply.outcome).To(Equal("not-run"))
@@ -49,7 +49,7 @@
 
 	It("is served if requests of its kind have taken less", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		Expect(server.book(ctx, "", "two seats").status).To(Equal(http.StatusOK))
-		server.api.Stop(shutdown.Schedule{AnswersEnd: timeLeft, BegunEnd: timeLeft})
+		server.api.Stop(endAfter(timeLeft))
 		Expect(server.book(ctx, "", "two seats").status).To(Equal(http.StatusOK))
 	})
 
@@ -105,7 +105,7 @@
 			replies <- waiting.book(ctx, "k", "two seats")
 		}()
 		Eventually(ctx, waiting.api.ActiveRequests).Should(Equal(1))
-		waiting.api.Stop(100 * time.Millisecond)
+		waiting.api.Stop(endAfter(100 * time.Millisecond))
 		var reply callerReply
 		Eventually(ctx, replies, 2*time.Second).Should(Receive(&reply))
 		Expect(reply.status).To(Equal(http.StatusConflict))
@@ -128,7 +128,7 @@
 		Expect(server.book(ctx, "", "two seats").status).To(Equal(http.StatusOK))
 		// A response ends for its caller before it is counted.
 		Eventually(ctx, server.api.ActiveRequests).Should(BeZero())
-		server.api.Stop(shutdown.Schedule{AnswersEnd: timeLeft, BegunEnd: timeLeft})
+		server.api.Stop(endAfter(timeLeft))
 		Expect(server.book(ctx, "", "two seats").status).To(Equal(http.StatusOK))
 		Eventually(ctx, server.api.ActiveRequests).Should(BeZero())
 		Expect(server.api.StopSummary().Taken).To(Equal(1))
@@ -136,6 +136,11 @@
 	})
 })
 
+// endAfter returns the schedule of a stop that ends all requests at once.
+func endAfter(timeLeft time.Duration) shutdown.Schedule {
+	return shutdown.Schedule{AnswersEnd: timeLeft, BegunEnd: timeLeft}
+}
+
 // earlyEnds returns how many responses ended early, by the cause.
 func (s *testServer) earlyEnds() map[string]int64 {
 	counts := map[string]int64{}
