--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -188,7 +188,7 @@
 
 	It("reports draining as soon as a planned shutdown begins, and continues to serve", func(ctx SpecContext) {
 		p := newTestProxy(newFakeUpstream(succeed))
-		p.proxy.Drain(counter.Grace{Wait: specTimeout})
+		p.proxy.Drain(p.now(), counter.Grace{Wait: specTimeout})
 		Expect(p.proxy.Ready()).To(BeFalse())
 		Eventually(ctx, func() bool {
 			p.control.mu.Lock()
--- a/internal/counter/directory_test.go
+++ b/internal/counter/directory_test.go
@@ -23,7 +23,7 @@
 	It("leaves itself out once it drains", SpecTimeout(specTimeout), func(SpecContext) {
 		p := newTestProxy()
 		Eventually(p.firstSynced).Should(BeTrue())
-		p.proxy.Drain(counter.Grace{Wait: specTimeout})
+		p.proxy.Drain(p.now(), counter.Grace{Wait: specTimeout})
 		open := p.proxy.OpenEntries(time.Now().Add(2 * time.Second))
 		Expect(open).To(Equal(map[string][]string{"here": {"127.0.0.1:3"}, "there": {"127.0.0.1:4"}}))
 		Expect(openEntries["here"]).To(HaveLen(2), "the shared list is unchanged")
--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -21,18 +21,17 @@
 	Wait time.Duration
 }
 
-// Drain begins a planned shutdown. Callers are directed to other instances. Requests that still arrive are served if
+// Drain begins a planned shutdown, whose grace counts from begunAt on. Callers are directed to other instances. Requests that still arrive are served if
 // they are expected to end within grace, and refused at once otherwise. At its end, what still runs is answered with
 // an unknown outcome, and responses that have begun are broken off, streams that may be resumed between two events
 // shortly before.
-func (p *Proxy) Drain(grace Grace) {
-	now := p.options.Now()
+func (p *Proxy) Drain(begunAt time.Time, grace Grace) {
 	p.mu.Lock()
 	p.draining = true
-	p.waitsEnd = now.Add(grace.Wait)
+	p.waitsEnd = begunAt.Add(grace.Wait)
 	open := p.active
 	p.mu.Unlock()
-	p.shutdown.Begin(now, open, grace.Schedule)
+	p.shutdown.Begin(p.options.Now(), begunAt, open, grace.Schedule)
 	p.beginDrain()
 	p.syncSoon()
 }
--- a/internal/counter/drain_test.go
+++ b/internal/counter/drain_test.go
@@ -30,7 +30,7 @@
 	go func() {
 		defer GinkgoRecover()
 		Eventually(arrived, specTimeout).Should(BeClosed())
-		p.proxy.Drain(counter.Grace{Wait: 50 * time.Millisecond})
+		p.proxy.Drain(p.now(), counter.Grace{Wait: 50 * time.Millisecond})
 	}()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+"/patient/", http.NoBody)
 	Expect(err).NotTo(HaveOccurred())
@@ -76,7 +76,7 @@
 		p := newTestProxy(newFakeUpstream(succeed))
 		Eventually(ctx, p.firstSynced).Should(BeTrue())
 		p.clockOffset.Store(int64(time.Minute))
-		p.proxy.Drain(longGrace)
+		p.proxy.Drain(p.now(), longGrace)
 		response, err := post(ctx, p.startPatient(), "/patient/")
 		Expect(err).NotTo(HaveOccurred())
 		defer response.Body.Close()
@@ -91,7 +91,7 @@
 		go func() {
 			defer GinkgoRecover()
 			Eventually(ctx, p.proxy.ActiveRequests).Should(Equal(1))
-			p.proxy.Drain(longGrace)
+			p.proxy.Drain(p.now(), longGrace)
 		}()
 		started := time.Now()
 		response, err := post(ctx, url, "/patient/")
@@ -105,7 +105,7 @@
 		p := newTestProxy(newFakeUpstream(succeed))
 		url := p.startPatient()
 		Expect(fetch(ctx, url, "/patient/").status).To(Equal(http.StatusOK))
-		p.proxy.Drain(longGrace)
+		p.proxy.Drain(p.now(), longGrace)
 		Expect(fetch(ctx, url, "/patient/").status).To(Equal(http.StatusOK))
 	}, SpecTimeout(specTimeout))
 })
@@ -118,7 +118,7 @@
 		go func() {
 			defer GinkgoRecover()
 			Eventually(ctx, p.arrivals).Should(Equal(1))
-			p.proxy.Drain(shortGrace)
+			p.proxy.Drain(p.now(), shortGrace)
 		}()
 	}
 
--- a/internal/counter/longdrain_test.go
+++ b/internal/counter/longdrain_test.go
@@ -62,7 +62,7 @@
 		stopped <- response.StatusCode
 	}()
 	Eventually(ctx, u.count).Should(Equal(2))
-	p.proxy.Drain(graceOf(0, time.Millisecond))
+	p.proxy.Drain(p.now(), graceOf(0, time.Millisecond))
 	Eventually(ctx, stopped).Should(Receive(Equal(http.StatusBadGateway)), "the stop has ended")
 	close(caller.resume)
 	var panicked any
--- a/internal/counter/relaystream_test.go
+++ b/internal/counter/relaystream_test.go
@@ -64,7 +64,7 @@
 		// A planned stop must not cut what can still end.
 		It(framing.name+" goes on while the peer drains", func(ctx SpecContext) {
 			stream := newPausedStream(ctx, framing.header, framing.value)
-			stream.peers[1].proxy.Drain(counter.Grace{})
+			stream.peers[1].proxy.Drain(time.Now(), counter.Grace{})
 			close(stream.proceed)
 			rest, err := io.ReadAll(stream.body)
 			Expect(err).NotTo(HaveOccurred())
@@ -86,7 +86,7 @@
 	It("is counted as whole", func(ctx SpecContext) {
 		stream := newPausedStream(ctx, "Transfer-Encoding", "chunked")
 		relaying := stream.peers[1].proxy
-		relaying.Drain(counter.Grace{})
+		relaying.Drain(time.Now(), counter.Grace{})
 		close(stream.proceed)
 		_, err := io.ReadAll(stream.body)
 		Expect(err).NotTo(HaveOccurred())
@@ -102,7 +102,7 @@
 			statuses <- stream.sendTo(1, "/book/", "")
 		}()
 		Eventually(ctx, relaying.ActiveRequests).Should(Equal(2))
-		relaying.Drain(graceOf(0, time.Millisecond))
+		relaying.Drain(time.Now(), graceOf(0, time.Millisecond))
 		Eventually(ctx, statuses).Should(Receive(Equal(http.StatusBadGateway)), "the stop has ended")
 		stream.peers[1].relay.CloseClientConnections()
 		Eventually(ctx, relaying.DrainSummary).Should(HaveField("EndedEarly", map[outcome.EarlyEnd]int{outcome.InstanceStopped: 1}))
@@ -153,7 +153,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(status).To(Equal(http.StatusOK))
 		ending.Store(true)
-		g.peers[1].proxy.Drain(counter.Grace{})
+		g.peers[1].proxy.Drain(time.Now(), counter.Grace{})
 		g.peers[0].path.fail(nil)
 		view := fetch(ctx, g.server.URL, "/write/")
 		Expect(view.isVisiblyIncomplete()).To(BeTrue(), "got %+v", view)
--- a/internal/desk/plannedstop.go
+++ b/internal/desk/plannedstop.go
@@ -16,7 +16,8 @@
 // Stop begins a planned stop by a schedule. Requests that arrive from now on and are not expected to end in time are
 // refused at once. What still runs at its end is answered with what is known of its outcome.
 func (s *Server) Stop(schedule shutdown.Schedule) {
-	s.shutdown.Begin(s.options.Now(), s.ActiveRequests(), schedule)
+	now := s.options.Now()
+	s.shutdown.Begin(now, now, s.ActiveRequests(), schedule)
 }
 
 // StopSummary returns what became of the requests since the planned stop began.
--- a/internal/shutdown/plan.go
+++ b/internal/shutdown/plan.go
@@ -46,15 +46,17 @@
 	return p
 }
 
-// Begin begins the shutdown of an instance with the given number of open requests.
-func (p *Plan[K]) Begin(now time.Time, open int, schedule Schedule) {
+// Begin begins the shutdown of an instance with the given number of open requests. The schedule counts from begunAt on,
+// which is at most now.
+func (p *Plan[K]) Begin(now, begunAt time.Time, open int, schedule Schedule) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.begunAt, p.schedule = now, schedule
+	p.begunAt, p.schedule = begunAt, schedule
 	p.summary = Summary{Open: open, Refused: map[string]int{}, EndedEarly: map[outcome.EarlyEnd]int{}}
 	if schedule.hasEnd() {
-		time.AfterFunc(schedule.AnswersEnd, p.endAnswers)
-		time.AfterFunc(schedule.BegunEnd, p.endBegun)
+		passed := now.Sub(begunAt)
+		time.AfterFunc(schedule.AnswersEnd-passed, p.endAnswers)
+		time.AfterFunc(schedule.BegunEnd-passed, p.endBegun)
 	}
 }
 
--- a/internal/shutdown/plan_test.go
+++ b/internal/shutdown/plan_test.go
@@ -43,14 +43,14 @@
 
 	It("lets requests start until their deadline if the shutdown ends none", func() {
 		plan := shutdown.New[string]()
-		plan.Begin(now, 0, shutdown.Schedule{})
+		plan.Begin(now, now, 0, shutdown.Schedule{})
 		Expect(plan.LatestStart(stream(time.Minute))).To(Equal(late))
 		Expect(plan.EndsWithin(late, time.Hour)).To(BeFalse())
 	})
 
 	It("lets a request start whose deadline is before the end, whatever it takes", func() {
 		plan := shutdown.New[string]()
-		plan.Begin(now, 0, schedule)
+		plan.Begin(now, now, 0, schedule)
 		r := request(time.Second)
 		r.Deadline = now.Add(time.Minute)
 		Expect(plan.LatestStart(r)).To(Equal(r.Deadline))
@@ -61,7 +61,7 @@
 
 	It("lets others start as long as requests like them have ended in time", func() {
 		plan := shutdown.New[string]()
-		plan.Begin(now, 0, schedule)
+		plan.Begin(now, now, 0, schedule)
 		Expect(plan.LatestStart(request(0))).To(BeZero())
 		observe(plan)
 		Expect(plan.LatestStart(request(0))).To(BeTemporally("~", now.Add(50*time.Second), time.Second))
@@ -71,7 +71,7 @@
 
 	It("lets a stream start that may run out, unless streams like it usually do", func() {
 		plan := shutdown.New[string]()
-		plan.Begin(now, 0, schedule)
+		plan.Begin(now, now, 0, schedule)
 		Expect(plan.LatestStart(stream(10 * time.Second))).To(Equal(now.Add(2 * time.Minute)))
 		observe(plan)
 		Expect(plan.LatestStart(stream(10 * time.Second))).To(BeTemporally("~", now.Add(110*time.Second), time.Second))
@@ -80,7 +80,7 @@
 	// Others like it had been short.
 	It("does not let a stream start that arrives too late to run out", func() {
 		plan := shutdown.New[string]()
-		plan.Begin(now, 0, schedule)
+		plan.Begin(now, now, 0, schedule)
 		observe(plan)
 		Expect(plan.LatestStart(stream(10*time.Second + 1))).To(BeZero())
 	})
@@ -94,7 +94,7 @@
 		running, ended := plan.Start(ctx, time.Minute), plan.Start(ctx, time.Minute)
 		defer running.End()
 		ended.End()
-		plan.Begin(now, 0, shutdown.Schedule{AnswersEnd: time.Millisecond, BegunEnd: time.Hour})
+		plan.Begin(now, now, 0, shutdown.Schedule{AnswersEnd: time.Millisecond, BegunEnd: time.Hour})
 		Eventually(ctx, running.Context().Done()).Should(BeClosed())
 		Expect(shutdown.IsStopped(running.Context())).To(BeTrue())
 		Expect(running.BeginResponse()).To(BeFalse())
@@ -109,7 +109,7 @@
 		defer begun.End()
 		defer waiting.End()
 		Expect(begun.BeginResponse()).To(BeTrue())
-		plan.Begin(now, 0, shutdown.Schedule{AnswersEnd: time.Millisecond, BegunEnd: 200 * time.Millisecond})
+		plan.Begin(now, now, 0, shutdown.Schedule{AnswersEnd: time.Millisecond, BegunEnd: 200 * time.Millisecond})
 		Eventually(ctx, waiting.Context().Done()).Should(BeClosed())
 		Expect(begun.Context().Err()).NotTo(HaveOccurred())
 		Eventually(ctx, begun.Context().Done()).Should(BeClosed())
--- a/internal/shutdown/summary_test.go
+++ b/internal/shutdown/summary_test.go
@@ -17,7 +17,7 @@
 	plan := shutdown.New[string]()
 	plan.CountWhole()
 	Expect(plan.Summary()).To(BeZero())
-	plan.Begin(now, 3, shutdown.Schedule{BegunEnd: time.Minute})
+	plan.Begin(now, now, 3, shutdown.Schedule{BegunEnd: time.Minute})
 	plan.CountTaken(now.Add(time.Second))
 	plan.CountWhole()
 	plan.CountUnfinished()
