shutdown: requests that are received too late to run out are refused, whatever their kind

What decides is the time at which all of the request has been read, and what is received after the time for streams is taken only if its deadline is before the end. At the own interface, which refuses all requests after its accept time, nothing changes.

--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -69,7 +69,7 @@
 // latestStart returns the latest time to send the request at an instance that may be stopping.
 func (t *transaction) latestStart() time.Time {
 	return t.proxy.shutdown.LatestStart(shutdown.Request[completionKey]{
-		Key: t.completionKey(), Arrived: t.arrived, Deadline: t.deadline, IsStream: t.route.Kind == routes.Stream,
+		Key: t.completionKey(), Received: t.received, Deadline: t.deadline, IsStream: t.route.Kind == routes.Stream,
 	})
 }
 
--- a/internal/counter/drain_test.go
+++ b/internal/counter/drain_test.go
@@ -47,6 +47,13 @@
 	return counter.Grace{Wait: wait, Schedule: shutdown.Schedule{TakeUntil: wait, AnswersEnd: run, BegunEnd: run}}
 }
 
+// begunLater returns a grace in which begun responses run longer than others.
+func begunLater(takeUntil, answersEnd, begunEnd time.Duration) counter.Grace {
+	return counter.Grace{
+		Wait: answersEnd, Schedule: shutdown.Schedule{TakeUntil: takeUntil, AnswersEnd: answersEnd, BegunEnd: begunEnd},
+	}
+}
+
 // longGrace leaves time for requests, but not for those that may take as long as their routes allow.
 var longGrace = graceOf(5*time.Second, 10*time.Second)
 
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -25,8 +25,10 @@
 	workspace *workspace.Workspace
 	version   uint64
 	request   *http.Request
-	body      []byte
-	digest    quarantine.Digest
+	// received is when all of the request had been read.
+	received time.Time
+	body     []byte
+	digest   quarantine.Digest
 	// parts are the parts of the prompt that other requests may share.
 	parts []quarantine.Digest
 	// run ends the request when its time is over or the instance stops.
@@ -83,7 +85,7 @@
 	}
 	body := held.Bytes
 	t := &transaction{
-		proxy: p, call: call, route: route, workspace: matched.workspace, version: matched.table.Version, request: r, body: body,
+		proxy: p, received: p.options.Now(), call: call, route: route, workspace: matched.workspace, version: matched.table.Version, request: r, body: body,
 		requirements: requirements{
 			target:       target{service: route.Service(rand.Float64()), model: call.Model, adapter: call.Adapter},
 			promptTokens: call.PromptTokens, outputTokens: call.OutputTokens,
--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -64,7 +64,7 @@
 	}
 	a.deadline = now.Add(deadline)
 	latest := s.shutdown.LatestStart(shutdown.Request[completionKey]{
-		Key: completionKey{service: a.service, model: model}, Arrived: now, Deadline: a.deadline,
+		Key: completionKey{service: a.service, model: model}, Received: now, Deadline: a.deadline,
 	})
 	if now.After(latest) {
 		return admittedRequest{}, s.stoppingRefusal(outcome.NotRun, stopReasonTooLong)
--- a/internal/desk/plannedstop_test.go
+++ b/internal/desk/plannedstop_test.go
@@ -138,7 +138,7 @@
 
 // endAfter returns the schedule of a stop that ends all requests at once.
 func endAfter(timeLeft time.Duration) shutdown.Schedule {
-	return shutdown.Schedule{AnswersEnd: timeLeft, BegunEnd: timeLeft}
+	return shutdown.Schedule{TakeUntil: timeLeft, AnswersEnd: timeLeft, BegunEnd: timeLeft}
 }
 
 // earlyEnds returns how many responses ended early, by the cause.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -258,6 +258,7 @@
 	if end, ok := ctx.Deadline(); ok {
 		left := time.Until(end)
 		schedule = shutdown.Schedule{
+			TakeUntil:  left,
 			AnswersEnd: max(left-answerTime, left/2, time.Nanosecond), BegunEnd: max(left-cutTime, left/2, time.Nanosecond),
 		}
 	}
--- a/internal/shutdown/plan.go
+++ b/internal/shutdown/plan.go
@@ -86,17 +86,18 @@
 
 // Request is what decides whether an instance that stops sends a request.
 type Request[K comparable] struct {
-	Key               K
-	Arrived, Deadline time.Time
-	// IsStream is true if the response begins long before it ends. Its cut can't be told by a status.
+	Key K
+	// Received is when all of the request had been read.
+	Received, Deadline time.Time
+	// IsStream is true if the response begins long before it ends.
 	IsStream bool
 }
 
 // LatestStart returns the latest time to send a request, zero if it is not to be sent at all. It is the deadline if
 // the request ends by then whatever its upstream does.
 //
-// A stream that arrived early enough to run out is sent if it usually ends in time. Any other request is sent only if
-// nearly all like it do: its upstream may have run it, and its caller would not know.
+// A request that was received early enough may run out. A stream is then sent if streams like it usually end in time,
+// and another request if nearly all like it do: its upstream may have run it, and its caller would not know.
 func (p *Plan[K]) LatestStart(r Request[K]) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -107,10 +108,10 @@
 	if !p.endsAll() || !r.Deadline.After(end) {
 		return r.Deadline
 	}
+	if r.Received.After(p.begunAt.Add(p.schedule.TakeUntil)) {
+		return time.Time{}
+	}
 	if r.IsStream {
-		if r.Arrived.After(p.begunAt.Add(p.schedule.TakeUntil)) {
-			return time.Time{}
-		}
 		return end.Add(-p.times.Usual(r.Key))
 	}
 	longest, known := p.times.Longest(r.Key)
--- a/internal/shutdown/plan_test.go
+++ b/internal/shutdown/plan_test.go
@@ -26,11 +26,11 @@
 			plan.Observe("seats", 10*time.Second)
 		}
 	}
-	request := func(arrived time.Duration) shutdown.Request[string] {
-		return shutdown.Request[string]{Key: "seats", Arrived: now.Add(arrived), Deadline: late}
+	request := func(received time.Duration) shutdown.Request[string] {
+		return shutdown.Request[string]{Key: "seats", Received: now.Add(received), Deadline: late}
 	}
-	stream := func(arrived time.Duration) shutdown.Request[string] {
-		r := request(arrived)
+	stream := func(received time.Duration) shutdown.Request[string] {
+		r := request(received)
 		r.IsStream = true
 		return r
 	}
@@ -78,11 +78,12 @@
 	})
 
 	// Others like it had been short.
-	It("does not let a stream start that arrives too late to run out", func() {
+	It("does not let a request start that is received too late to run out", func() {
 		plan := shutdown.New[string]()
 		plan.Begin(now, now, 0, schedule)
 		observe(plan)
 		Expect(plan.LatestStart(stream(10*time.Second + 1))).To(BeZero())
+		Expect(plan.LatestStart(request(10*time.Second + 1))).To(BeZero())
 	})
 })
 
