clerk: a proposal at a closed replica ends

A change that waited for the other voters at a voter which isn't the leader went on waiting when its replica was closed, until its own time was over (5 s for an operator's change); its caller's connection was closed before that.

Replica.Propose looked for another leader until its context ended, and a closed replica knows none. Only proposals at the leader itself ended with it.

It ends when the replica is closed, with ErrClosed, and so do calls to other replicas for it.

--- a/internal/clerk/propose.go
+++ b/internal/clerk/propose.go
@@ -40,9 +40,16 @@
 // A *RejectedError means that the command was not applied and never will be. Any other error is
 // ErrUnknown: the command may still be applied. While no leader is known or the leader cannot
 // accept the command, Propose retries until ctx ends, so that callers see no error during a change
-// of leader. If this replica has failed, Propose returns immediately.
+// of leader. If this replica has failed or is closed, Propose returns immediately.
 func (r *Replica) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	release := context.AfterFunc(r.ctx, cancel)
+	defer release()
 	for {
+		if r.ctx.Err() != nil {
+			return nil, &RejectedError{Cause: ErrClosed}
+		}
 		before := r.view.Load()
 		result, err := r.proposeTo(ctx, before.status.Leader, command)
 		var rejected *RejectedError
