instance: a stop answers the calls of operators and upstreams

An operator whose change waited for the other voters when the instance stopped got a closed connection, and didn't know whether to repeat it elsewhere.

Drain waited for the server of the callers only. Those for operators and upstreams were closed with their calls.

Calls of upstreams have no spec of their own.

--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -126,6 +127,31 @@
 		Entry("that comes at once", SpecTimeout(specTimeout), 300*time.Millisecond),
 	)
 
+	// Its connection was closed without an answer.
+	It("answers an operator whose change waits for the other voters", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		for _, name := range []string{"a", "c"} {
+			cluster[name].partitioned.Store(true)
+		}
+		statuses := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			url := "http://" + stopping.settings.Advertise.Operator.String() + "/operator/v1/changes"
+			body := strings.NewReader(`{"change-id":"c1","expected-revision":0,"preset":"quiet"}`)
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.DefaultClient.Do(request)
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			statuses <- response.StatusCode
+		}()
+		Consistently(ctx, statuses, 100*time.Millisecond).ShouldNot(Receive())
+		stopCtx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		Expect(stopping.Drain(stopCtx)).To(Succeed())
+		stopping.closed = true
+		Eventually(ctx, statuses).Should(Receive(BeElementOf(http.StatusServiceUnavailable, http.StatusGatewayTimeout)))
+	})
+
 	// The response to a drain request is lost, and two operators repeat the request
 	// concurrently. Each request must succeed, and the drain must start only once.
 	It("is asked for twice, and begins once", SpecTimeout(specTimeout), func(ctx SpecContext) {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -278,10 +278,26 @@
 	i.callerAPI.Wait()
 	i.stopPlacementController()
 	i.controlPlane.Close(ctx)
+	i.answerCalls()
 	i.Close()
 	return err
 }
 
+// answerCalls stops the servers for upstreams and operators after their calls in progress, which do not wait for a
+// closed control plane.
+func (i *Instance) answerCalls() {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	var stops sync.WaitGroup
+	stop := func(server *http.Server, listener net.Listener) {
+		// An error means that a call is cut off by Close.
+		stops.Go(func() { _ = shutdown.StopServer(ctx, server, listener, 0) })
+	}
+	stop(i.upstreamServer, i.options.Listeners.Upstream)
+	stop(i.operatorServer, i.options.Listeners.Operator)
+	stops.Wait()
+}
+
 // UpstreamAddress returns the address where upstreams announce themselves.
 func (i *Instance) UpstreamAddress() string {
 	return i.options.Settings.Advertise.Upstream.String()
