counter: the owner of a quota notices that it has stood still

A workspace got more than its quota and the tolerated excess (QUOTA), from which others had less, where the instance that owns the quota stood still for a while.

Cause: the owner's bucket fills for the pause, while another instance grants the same units. An owner learns of that from an instance that had asked the other one; the first to ask it may be one that had not.

Change: each instance wakes from a timer every 50 ms. From 240 ms without a wake on it has stood still, and nothing comes in for its quotas since their last use, as after a change of the owner. It is looked at before a request is decided, too, which may arrive before the next wake. Others turn to a stand-in after 80 ms, but an instance that is short of processor time also wakes late, and would grant less than the quota.

Two of the three new specs of the owner fail before; the third bounds what a late wake costs.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -68,6 +68,8 @@
 	// send to a rate-limited upstream.
 	storedAnswers map[peerRequest]storedAnswer
 	quotas        quotaAccounts
+	// awakeAt is the latest wake of this process, and zero before the first one.
+	awakeAt time.Time
 	// origins are the origins of streams that began here, and of those reported by other instances.
 	origins resumption.Origins
 	// formerRoutes are the routes that were in force here before and led streams elsewhere, and routesSince
@@ -171,6 +173,7 @@
 	p.crashes = p.newCrashDetector()
 	p.background.Go(func() { p.syncLoop(ctx) })
 	p.background.Go(func() { p.probeLoop(ctx) })
+	p.background.Go(func() { p.wakeLoop(ctx) })
 	return p
 }
 
--- a/internal/counter/export_quota_test.go
+++ b/internal/counter/export_quota_test.go
@@ -69,9 +69,14 @@
 	Instance{proxy: n.running[at]}.SetInstances(n.now, all)
 }
 
-// Advance lets time pass.
+// Advance lets time pass, in which the running instances wake.
 func (n *QuotaNetwork) Advance(by time.Duration) {
-	n.now = n.now.Add(by)
+	for end := n.now.Add(by); n.now.Before(end); {
+		n.now = n.now.Add(min(wakeInterval, end.Sub(n.now)))
+		for _, p := range n.running {
+			p.wake(n.now)
+		}
+	}
 }
 
 // Take takes units of a workspace's quota at an instance, and reports whether it may spend them.
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -252,6 +252,11 @@
 	i.proxy.loseForeignQuotas()
 }
 
+// Wake shows that the instance runs.
+func (i Instance) Wake(now time.Time) {
+	i.proxy.wake(now)
+}
+
 // Receive handles a message and returns the messages sent in response.
 func (i Instance) Receive(now time.Time, from netip.AddrPort, message permit.Message) []SentMessage {
 	i.proxy.receive(now, from, message)
--- a/internal/counter/quota.go
+++ b/internal/counter/quota.go
@@ -35,7 +35,8 @@
 	// and ownShare those of this instance while it reaches neither. They are nil before the first request.
 	bucket   *quota.Bucket
 	ownShare *quota.Bucket
-	// usedAt is the last use of bucket. lost is true if another instance has owned the quota since.
+	// usedAt is the last use of bucket. lost is true if another instance has owned the quota since, or may have
+	// granted units of it while this one stood still.
 	usedAt time.Time
 	lost   bool
 	// requesters are the instances that have asked this one while it stood in for the owner, and when
@@ -117,6 +118,7 @@
 // A new bucket begins with units that the former owner may have granted as well. They are taken back if
 // the former owner had begun with some in the same window.
 func (p *Proxy) ownerBucket(now time.Time, name string, limit quota.Limit, from netip.AddrPort) (*quota.Bucket, quota.Limit) {
+	p.noticeStandstill(now)
 	account := p.quotas.get(name)
 	idle := now.Sub(account.usedAt)
 	standsIn := p.standsIn(name)
--- a/internal/counter/quota_test.go
+++ b/internal/counter/quota_test.go
@@ -83,6 +83,32 @@
 		Expect(ask(later, peer, 3, 450)).To(Equal(permit.QuotaGranted{ID: 3, Units: 450, Scarce: true}))
 	})
 
+	// Guards against more than the quota: another instance grants while the owner stands still.
+	DescribeTable("grants nothing for the time in which it stood still, whoever asks first",
+		func(wake func(time.Time)) {
+			instance.Wake(start)
+			ask(start, peer, 1, 450)
+			later := start.Add(time.Second)
+			wake(later)
+			Expect(ask(later, peer, 2, 1)).To(BeAssignableToTypeOf(permit.QuotaDenied{}))
+			instance.Wake(later)
+			Expect(ask(later.Add(200*time.Millisecond), peer, 3, 200)).To(Equal(permit.QuotaGranted{ID: 3, Units: 200, Scarce: true}))
+		},
+		Entry("a caller", func(time.Time) {}),
+		Entry("nobody before it wakes", func(now time.Time) { instance.Wake(now) }),
+	)
+
+	It("grants the quota although it wakes late", func() {
+		instance.Wake(start)
+		ask(start, peer, 1, 450)
+		now := start
+		for id := permit.ID(2); id < 10; id++ {
+			now = now.Add(200 * time.Millisecond)
+			instance.Wake(now)
+			Expect(ask(now, peer, id, 200)).To(Equal(permit.QuotaGranted{ID: id, Units: 200, Scarce: true}))
+		}
+	})
+
 	// Guards against more than the quota: the owner, which does not answer now and then, grants the
 	// whole rate to the others.
 	It("grants no more than the tolerated excess however often it stands in for the owner", func() {
