counter: a spec of the line of a refusal for lack of memory

It prints the lines of a request; no spec showed that the line of this refusal names the request, the length of its body and what bodies take. It does; without these fields the spec times out.

--- a/internal/counter/bodies_test.go
+++ b/internal/counter/bodies_test.go
@@ -9,8 +9,22 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/lovagelift/lovagelift/internal/counter"
 )
 
+// lineWriter passes on each line that is written, and drops those for which there is no room.
+type lineWriter chan<- string
+
+func (w lineWriter) Write(line []byte) (int, error) {
+	select {
+	case w <- string(line):
+	default:
+	}
+	return len(line), nil
+}
+
 var _ = Describe("Bodies of requests", func() {
 	// upload sends a body of the given size and returns the response without its body.
 	upload := func(ctx context.Context, p *testProxy, size int, chunked bool) *http.Response {
@@ -66,6 +80,31 @@
 		Entry("in chunks", SpecTimeout(specTimeout), true),
 	)
 
+	// Guards against a refusal of which its operator can't see what takes the memory.
+	It("are refused with a line that says what takes the memory", func(ctx SpecContext) {
+		release := make(chan struct{})
+		free := sync.OnceFunc(func() { close(release) })
+		held := newFakeUpstream(func(http.ResponseWriter, *http.Request) { <-release })
+		DeferCleanup(free)
+		lines := make(chan string, 64)
+		p := newTestProxyWith(func(options *counter.Options) {
+			options.MemoryBytes, options.Log = 3<<20, zerolog.New(lineWriter(lines))
+		}, held)
+		var uploads sync.WaitGroup
+		uploads.Go(func() {
+			defer GinkgoRecover()
+			upload(ctx, p, 700<<10, false)
+		})
+		Eventually(held.count, specTimeout).Should(Equal(1))
+		Expect(upload(ctx, p, 600<<10, false).StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Eventually(ctx, lines).Should(Receive(And(
+			ContainSubstring(`"request":"r1"`), ContainSubstring("no memory for the body"),
+			ContainSubstring(`"body-bytes":614400`), ContainSubstring(`"taken-bytes":7168`),
+		)))
+		free()
+		uploads.Wait()
+	}, SpecTimeout(specTimeout))
+
 	It("beyond the limit of the routes are refused for good", func(ctx SpecContext) {
 		p := newTestProxyWithMemory(300<<20, newFakeUpstream(succeed))
 		for _, chunked := range []bool{false, true} {
