shutdown: the counts of a stop balance, and its times hold at small graces

The line of a stop counts callers that leave before the head of an answer, and the last request taken by the time at which it had been read. A type of its own holds the counts. At the own interface, a response that would begin at the end of the answers is refused with the truth, as on the provider.

--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -110,6 +110,7 @@
 // abortIfCallerLeft ends the request without a response if its caller has disconnected.
 func (t *transaction) abortIfCallerLeft(message string) {
 	if t.request.Context().Err() != nil {
+		t.proxy.shutdown.CountLeft()
 		t.proxy.logOutcome(t, "caller disconnected", message)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -118,12 +118,13 @@
 	}
 	if t.request.Context().Err() != nil {
 		t.reportCallerLeft(a)
+		p.shutdown.CountLeft()
 		p.logAttempt(t, a, "caller disconnected", 0, "the caller left")
 		panic(http.ErrAbortHandler)
 	}
 	if shutdown.IsStopped(ctx) {
 		t.recordStopped(a, 0)
-		t.refuseStopping(w, stopReasonStillRuns)
+		t.refuseStopping(w, stopReasonWaited)
 		return true
 	}
 	p.mu.Lock()
--- a/internal/counter/cuttablestream.go
+++ b/internal/counter/cuttablestream.go
@@ -2,15 +2,10 @@
 
 import (
 	"io"
-	"time"
 
 	"github.com/lovagelift/lovagelift/internal/shutdown"
 )
 
-// streamCutTime is the time before the end of a shutdown from which on streams that may be resumed are cut after
-// their next event.
-const streamCutTime = 400 * time.Millisecond
-
 // cuttableStream is the body of a stream that may be resumed. It ends with shutdown.ErrStopping after an event, once the
 // instance is about to stop.
 type cuttableStream struct {
@@ -22,7 +17,7 @@
 // Read reads from the stream.
 func (s cuttableStream) Read(buffer []byte) (int, error) {
 	p := s.transaction.proxy
-	if p.drainBegun.Err() != nil && !s.attempt.events.InsideEvent() && p.shutdown.EndsWithin(p.options.Now(), streamCutTime) {
+	if p.drainBegun.Err() != nil && !s.attempt.events.InsideEvent() && p.shutdown.CutsStreams(p.options.Now()) {
 		return 0, shutdown.ErrStopping
 	}
 	return s.ReadCloser.Read(buffer)
--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -104,9 +104,8 @@
 
 // Why a stopping instance does not serve a request.
 const (
-	stopReasonTooLong   = "expected-to-take-too-long"
-	stopReasonWaited    = "no-upstream-in-time"
-	stopReasonStillRuns = "still-runs"
+	stopReasonTooLong = "expected-to-take-too-long"
+	stopReasonWaited  = "no-upstream-in-time"
 )
 
 // refuseStopping answers a request that is not sent, or no more, because the instance stops.
--- a/internal/counter/drain_test.go
+++ b/internal/counter/drain_test.go
@@ -44,13 +44,13 @@
 
 // graceOf returns a grace in which streams that may run out are taken as long as requests may wait.
 func graceOf(wait, run time.Duration) counter.Grace {
-	return counter.Grace{Wait: wait, Schedule: shutdown.Schedule{TakeUntil: wait, AnswersEnd: run, BegunEnd: run}}
+	return counter.Grace{Wait: wait, Schedule: shutdown.Schedule{TakeUntil: wait, AnswersEnd: run, BegunEnd: run, CutFrom: run / 2}}
 }
 
 // begunLater returns a grace in which begun responses run longer than others.
 func begunLater(takeUntil, answersEnd, begunEnd time.Duration) counter.Grace {
 	return counter.Grace{
-		Wait: answersEnd, Schedule: shutdown.Schedule{TakeUntil: takeUntil, AnswersEnd: answersEnd, BegunEnd: begunEnd},
+		Wait: answersEnd, Schedule: shutdown.Schedule{TakeUntil: takeUntil, AnswersEnd: answersEnd, BegunEnd: begunEnd, CutFrom: begunEnd},
 	}
 }
 
--- a/internal/counter/laterequests_test.go
+++ b/internal/counter/laterequests_test.go
@@ -33,7 +33,7 @@
 	return status
 }
 
-var _ = Describe("A request that a stopping instance receives too late to run out", func() {
+var _ = Describe("A request that a stopping instance receives too late", func() {
 	const unavailable = http.StatusServiceUnavailable
 
 	// learn completes a request on each path, so that the instance knows how long they take.
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -99,7 +99,7 @@
 		t.refuseStopping(w, stopReasonTooLong)
 		return
 	}
-	p.shutdown.CountTaken(arrived)
+	p.shutdown.CountTaken(t.received)
 	t.admission = p.crashes.Admit(t.digest, t.parts...)
 	if ruling, allowed := t.admission.Reserve(r.Context()); !allowed {
 		t.refuseByRuling(w, ruling)
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -174,7 +174,10 @@
 // relayResponse streams an upstream's response to the caller. If it cannot relay the response in
 // full, it panics with http.ErrAbortHandler to abort the connection.
 func (s *Server) relayResponse(c echo.Context, task task, run *shutdown.Run, proxied proxiedResponse) error {
-	run.BeginResponse()
+	if _, isWhole := proxied.response.PrefetchedBody(); !isWhole && !run.BeginResponse() {
+		proxied.response.Body.Close()
+		return s.stoppingRefusal(outcome.Ran, stopReasonWaited)
+	}
 	response := proxied.response
 	c.Response().Header().Set(outcome.Header, outcome.Ran.String())
 	isPlainStream := shuttle.IsPlainEventStream(response.Header)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -259,7 +259,8 @@
 		left := time.Until(end)
 		schedule = shutdown.Schedule{
 			TakeUntil:  left,
-			AnswersEnd: max(left-answerTime, left/2, time.Nanosecond), BegunEnd: max(left-cutTime, left/2, time.Nanosecond),
+			AnswersEnd: max(left-answerTime, left/2, time.Nanosecond),
+			CutFrom:    max(left-cutTime, left/2, time.Nanosecond), BegunEnd: max(left-cutTime, left/2, time.Nanosecond),
 		}
 	}
 	i.callerAPI.Stop(schedule)
--- a/internal/outcome/earlyend.go
+++ b/internal/outcome/earlyend.go
@@ -32,7 +32,9 @@
 		return "cut-between-events"
 	case LeftToCaller:
 		return "left-to-caller"
-	default:
+	case UpstreamBrokeOff:
 		return "upstream-broke-off"
+	default:
+		return "unknown"
 	}
 }
--- a/internal/shutdown/plan.go
+++ b/internal/shutdown/plan.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagelift/lovagelift/internal/completion"
-	"github.com/lovagelift/lovagelift/internal/outcome"
 )
 
 // ErrStopping is the cause of contexts that end because the instance stops.
@@ -29,13 +28,13 @@
 	answersEnded, begunEnded context.Context
 	endAnswers, endBegun     context.CancelFunc
 
+	tally
+
 	mu sync.Mutex
 	// begunAt is when the shutdown began, zero before it.
 	begunAt  time.Time
 	schedule Schedule
 	times    completion.Times[K]
-	// summary counts from begunAt on.
-	summary Summary
 }
 
 // New returns a Plan without a shutdown.
@@ -52,7 +51,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.begunAt, p.schedule = begunAt, schedule
-	p.summary = Summary{Open: open, Refused: map[string]int{}, EndedEarly: map[outcome.EarlyEnd]int{}}
+	p.begin(begunAt, open)
 	if schedule.hasEnd() {
 		passed := now.Sub(begunAt)
 		time.AfterFunc(schedule.AnswersEnd-passed, p.endAnswers)
@@ -65,11 +64,11 @@
 	return p.answersEnded.Err() != nil
 }
 
-// EndsWithin reports whether the end of the responses that have begun is at most d away.
-func (p *Plan[K]) EndsWithin(now time.Time, d time.Duration) bool {
+// CutsStreams reports whether streams that may be resumed are cut after their next event.
+func (p *Plan[K]) CutsStreams(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.endsAll() && !now.Before(p.begunAt.Add(p.schedule.BegunEnd-d))
+	return p.endsAll() && !now.Before(p.begunAt.Add(p.schedule.CutFrom))
 }
 
 // endsAll reports whether requests are ended by a shutdown that has begun. p.mu must be held.
@@ -96,8 +95,8 @@
 // LatestStart returns the latest time to send a request, zero if it is not to be sent at all. It is the deadline if
 // the request ends by then whatever its upstream does.
 //
-// A request that was received early enough may run out. A stream is then sent if streams like it usually end in time,
-// and another request if nearly all like it do: its upstream may have run it, and its caller would not know.
+// A request that was received early enough may run until the end. A stream is then sent if streams like it usually end
+// in time, and another request if nearly all like it do: its upstream may have run it, and its caller would not know.
 func (p *Plan[K]) LatestStart(r Request[K]) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/shutdown/plan_test.go
+++ b/internal/shutdown/plan_test.go
@@ -19,7 +19,7 @@
 var _ = Describe("Plan", func() {
 	now := time.Unix(1000, 0)
 	late := now.Add(time.Hour)
-	schedule := shutdown.Schedule{TakeUntil: 10 * time.Second, AnswersEnd: time.Minute, BegunEnd: 2 * time.Minute}
+	schedule := shutdown.Schedule{TakeUntil: 10 * time.Second, AnswersEnd: time.Minute, BegunEnd: 2 * time.Minute, CutFrom: 110 * time.Second}
 	// observe records requests that take 10 s.
 	observe := func(plan *shutdown.Plan[string]) {
 		for range 100 {
@@ -38,14 +38,14 @@
 	It("lets requests start until their deadline while no shutdown has begun", func() {
 		plan := shutdown.New[string]()
 		Expect(plan.LatestStart(request(0))).To(Equal(late))
-		Expect(plan.EndsWithin(now, time.Hour)).To(BeFalse())
+		Expect(plan.CutsStreams(late)).To(BeFalse())
 	})
 
 	It("lets requests start until their deadline if the shutdown ends none", func() {
 		plan := shutdown.New[string]()
 		plan.Begin(now, now, 0, shutdown.Schedule{})
 		Expect(plan.LatestStart(stream(time.Minute))).To(Equal(late))
-		Expect(plan.EndsWithin(late, time.Hour)).To(BeFalse())
+		Expect(plan.CutsStreams(late)).To(BeFalse())
 	})
 
 	It("lets a request start whose deadline is before the end, whatever it takes", func() {
@@ -65,11 +65,11 @@
 		Expect(plan.LatestStart(request(0))).To(BeZero())
 		observe(plan)
 		Expect(plan.LatestStart(request(0))).To(BeTemporally("~", now.Add(50*time.Second), time.Second))
-		Expect(plan.EndsWithin(now.Add(110*time.Second), 9*time.Second)).To(BeFalse())
-		Expect(plan.EndsWithin(now.Add(110*time.Second), 10*time.Second)).To(BeTrue())
+		Expect(plan.CutsStreams(now.Add(109 * time.Second))).To(BeFalse())
+		Expect(plan.CutsStreams(now.Add(110 * time.Second))).To(BeTrue())
 	})
 
-	It("lets a stream start that may run out, unless streams like it usually do", func() {
+	It("lets a stream start that may last until the end, unless streams like it usually do", func() {
 		plan := shutdown.New[string]()
 		plan.Begin(now, now, 0, schedule)
 		Expect(plan.LatestStart(stream(10 * time.Second))).To(Equal(now.Add(2 * time.Minute)))
@@ -78,7 +78,7 @@
 	})
 
 	// Others like it had been short.
-	It("does not let a request start that is received too late to run out", func() {
+	It("does not let a request start that is received too late to last until the end", func() {
 		plan := shutdown.New[string]()
 		plan.Begin(now, now, 0, schedule)
 		observe(plan)
--- a/internal/shutdown/summary_test.go
+++ b/internal/shutdown/summary_test.go
@@ -22,12 +22,13 @@
 	plan.CountWhole()
 	plan.CountUnfinished()
 	plan.CountRefused("too-late")
+	plan.CountLeft()
 	plan.CountEarlyEnd(now.Add(2*time.Second), outcome.CallerLeft)
 	plan.CountEarlyEnd(now.Add(3*time.Second), outcome.InstanceStopped)
 	plan.CountEarlyEnd(now.Add(4*time.Second), outcome.InstanceStopped)
 	var out bytes.Buffer
 	log := zerolog.New(&out)
 	log.Info().Object("requests", plan.Summary()).Send()
-	Expect(out.String()).To(MatchJSON(`{"level":"info","requests":{"open":3,"taken":1,"whole":1,"unfinished":1,
+	Expect(out.String()).To(MatchJSON(`{"level":"info","requests":{"open":3,"taken":1,"whole":1,"unfinished":1,"left":1,
 		"refused":{"too-late":1},"ended-early":{"caller-left":1,"instance-stopped":2},"last-taken":1000,"first-cut":3000}}`))
 })
