--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -96,6 +97,40 @@
 		stopping.closed = true
 	})
 
+	// Its connection is set to be reset until its end.
+	It("lets a stream of an HTTP/1.0 caller that reads late end whole", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		const events = 50_000
+		began := make(chan struct{})
+		upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			for range events {
+				fmt.Fprint(w, "data: {}\n\n")
+			}
+			fmt.Fprint(w, "data: [DONE]\n\n")
+			close(began)
+		}))
+		DeferCleanup(upstream.Close)
+		defer keepAnnounced(ctx, cluster["a"], upstream.Listener.Addr().String())()
+		Eventually(ctx, func() int { return len(stopping.Upstreams(time.Now())) }).Should(Equal(1))
+		var dialer net.Dialer
+		caller, err := dialer.DialContext(ctx, "tcp", stopping.settings.Advertise.Caller.String())
+		Expect(err).NotTo(HaveOccurred())
+		defer caller.Close()
+		body := `{"model":"m","stream":true}`
+		fmt.Fprintf(caller, "POST /v1/completions HTTP/1.0\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		Eventually(ctx, began).Should(BeClosed())
+		stopped := make(chan error, 1)
+		go func() { stopped <- stopping.Drain(ctx) }()
+		// The caller reads on only once the instance has begun to stop.
+		Consistently(ctx, stopped, 300*time.Millisecond).ShouldNot(Receive())
+		answer, err := io.ReadAll(caller)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Count(string(answer), "data: {}\n\n")).To(Equal(events))
+		Expect(string(answer)).To(HaveSuffix("data: [DONE]\n\n"))
+		Eventually(ctx, stopped).Should(Receive(BeNil()))
+		stopping.closed = true
+	})
+
 	// Its connection was closed without an answer.
 	DescribeTable("answers a request that still runs at its end", func(ctx SpecContext, grace time.Duration) {
 		arrived := make(chan struct{})
