desk: a late reader that a stop cuts is no caller that left

An answer whose caller read so late that the instance closed its connection at the end of a stop was counted and logged as left by its caller.

A write that blocks doesn't see the end of the plan; it fails when the connection is closed, which also ends the context of the request. That context was asked first.

The end of the stop is asked first.

--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -221,10 +221,11 @@
 	switch {
 	case err == nil:
 		return nil
-	case c.Request().Context().Err() != nil:
-		return errors.Wrap(errCallerLeft, err.Error())
 	case s.shutdown.HasEnded():
+		// The instance closes the connections of callers that read late.
 		return errors.Wrap(shutdown.ErrStopping, err.Error())
+	case c.Request().Context().Err() != nil:
+		return errors.Wrap(errCallerLeft, err.Error())
 	default:
 		return err
 	}
--- a/internal/desk/plannedstop_test.go
+++ b/internal/desk/plannedstop_test.go
@@ -1,8 +1,11 @@
 package desk_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -84,6 +87,35 @@
 		Expect(server.api.StopSummary().EndedEarly).To(Equal(map[outcome.EarlyEnd]int{outcome.InstanceStopped: 1}))
 	})
 
+	// It was counted as left by its caller.
+	It("is counted as ended by the stop if its caller reads so late that its connection is closed", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		upstream.handler = func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, "seat 7")
+			if r.Method == http.MethodPut {
+				<-r.Context().Done()
+			}
+		}
+		calling, closeConnection := context.WithCancel(ctx)
+		caller := &lateCaller{ResponseRecorder: httptest.NewRecorder(), writing: make(chan struct{}), closed: calling.Done()}
+		ended := make(chan any, 1)
+		go func() {
+			defer func() { ended <- recover() }()
+			server.api.ServeHTTP(caller, httptest.NewRequestWithContext(calling, http.MethodGet, "/services/booking/seats", http.NoBody))
+		}()
+		Eventually(ctx, caller.writing).Should(BeClosed())
+		statuses := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			statuses <- server.call(ctx, http.MethodPut, "/services/booking/seats", "", "two seats").status
+		}()
+		Eventually(ctx, upstream.runCount).Should(Equal(2))
+		server.api.Stop(time.Millisecond)
+		Eventually(ctx, statuses).Should(Receive(Equal(http.StatusBadGateway)), "the stop has ended")
+		closeConnection()
+		Eventually(ctx, ended).Should(Receive())
+		Expect(server.earlyEnds()).To(Equal(map[string]int64{"instance-stopped": 1}))
+	})
+
 	// It waited beyond the end of the stop, and its connection was closed without an answer.
 	It("is answered at its end if another request with its key is in progress elsewhere", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		voters := newFakeVoters()
@@ -132,6 +164,19 @@
 	})
 })
 
+// lateCaller is the response writer of a caller that reads nothing until its connection is closed.
+type lateCaller struct {
+	*httptest.ResponseRecorder
+	writing chan struct{}
+	closed  <-chan struct{}
+}
+
+func (c *lateCaller) Write([]byte) (int, error) {
+	close(c.writing)
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
 // earlyEnds returns how many responses ended early, by the cause.
 func (s *testServer) earlyEnds() map[string]int64 {
 	counts := map[string]int64{}
