--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -225,10 +225,11 @@
 	switch {
 	case err == nil:
 		return nil
-	case c.Request().Context().Err() != nil:
-		return errors.Wrap(errCallerLeft, err.Error())
 	case shutdown.IsStopped(run.Context()):
+		// The instance closes the connections of callers that read late.
 		return errors.Wrap(shutdown.ErrStopping, err.Error())
+	case c.Request().Context().Err() != nil:
+		return errors.Wrap(errCallerLeft, err.Error())
 	default:
 		return err
 	}
