--- a/internal/counter/bodies.go
+++ b/internal/counter/bodies.go
@@ -154,7 +154,7 @@
 	case writeErr != nil || t.request.Context().Err() != nil:
 		a.unfinished = true
 		t.reportCallerLeft(a)
-		t.recordEarlyEnd(a, status, outcome.CallerLeft, "cannot write to caller", "")
+		t.recordEarlyEnd(a, status, unwrittenBy(ctx), "cannot write to caller", "")
 	case shutdown.IsStopped(ctx):
 		a.unfinished = true
 		t.reportCallerLeft(a)
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -97,6 +97,15 @@
 	p.logAttempt(t, a, event, status, reason)
 }
 
+// unwrittenBy returns why a response can't be written to its caller. An instance that stops closes the connections of
+// callers that read late.
+func unwrittenBy(ctx context.Context) outcome.EarlyEnd {
+	if shutdown.IsStopped(ctx) {
+		return outcome.InstanceStopped
+	}
+	return outcome.CallerLeft
+}
+
 // brokenOffBy returns why the response of an upstream has ended early while its caller waited and the instance did
 // not stop.
 func brokenOffBy(ctx context.Context) outcome.EarlyEnd {
@@ -177,18 +186,18 @@
 	switch {
 	case writeErr != nil:
 		t.reportCallerLeft(a)
-		t.recordEarlyEnd(a, status, outcome.CallerLeft, "cannot write to caller", writeErr.Error())
+		t.recordEarlyEnd(a, status, unwrittenBy(ctx), "cannot write to caller", writeErr.Error())
 	case readErr == nil:
 		a.outcome, a.speed = permit.Succeeded, t.measuredSpeed()
 		t.reportSuccess(a, status)
 		t.endStream(a, status, end)
 		return
-	case t.request.Context().Err() != nil:
-		t.reportCallerLeft(a)
-		t.recordEarlyEnd(a, status, outcome.CallerLeft, "caller disconnected", "the caller left")
 	case shutdown.IsStopped(ctx):
 		t.reportCallerLeft(a)
 		t.recordEarlyEnd(a, status, outcome.InstanceStopped, "stopped", "the instance stops")
+	case t.request.Context().Err() != nil:
+		t.reportCallerLeft(a)
+		t.recordEarlyEnd(a, status, outcome.CallerLeft, "caller disconnected", "the caller left")
 	case errors.Is(readErr, shutdown.ErrStopping):
 		t.reportCallerLeft(a)
 		t.recordEarlyEnd(a, status, outcome.CutBetweenEvents, "stopped", "the instance stops")
