desk: a request that has waited is not sent if it is not expected to end before a stop

A request that waited for an upstream at a stopping instance was sent however late, and answered 502 with an unknown outcome at the end. Whether it ends in time was only asked on arrival; the provider's interface asks before each send. So does this one now.

--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -6,7 +6,6 @@
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/outcome"
-	"github.com/lovagelift/lovagelift/internal/shutdown"
 	"github.com/lovagelift/lovagelift/internal/workspace"
 )
 
@@ -63,10 +62,7 @@
 		deadline = s.options.Limits.DefaultDeadline
 	}
 	a.deadline = now.Add(deadline)
-	latest := s.shutdown.LatestStart(shutdown.Request[completionKey]{
-		Key: completionKey{service: a.service, model: model}, Received: now, Deadline: a.deadline,
-	})
-	if now.After(latest) {
+	if !s.isSentInTime(a, model) {
 		return admittedRequest{}, s.stoppingRefusal(outcome.NotRun, stopReasonTooLong)
 	}
 	s.shutdown.CountTaken(now)
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -85,6 +85,10 @@
 			s.logRefusal(task, attempt, err)
 			return proxiedResponse{}, worseOutcome(reported, err)
 		}
+		if !s.isSentInTime(task.admitted, task.requirement.model) {
+			slot.release(dispatch.FailureCanceled)
+			return proxiedResponse{}, worseOutcome(reported, s.stoppingRefusal(outcome.NotRun, stopReasonTooLong))
+		}
 		if ruling, allowed := task.admission.Send(ctx); !allowed {
 			slot.release(dispatch.FailureCanceled)
 			return proxiedResponse{}, worseOutcome(reported, s.quarantineRefusal(task, ruling))
--- a/internal/desk/plannedstop.go
+++ b/internal/desk/plannedstop.go
@@ -20,6 +20,13 @@
 	s.shutdown.Begin(now, now, s.ActiveRequests(), schedule)
 }
 
+// isSentInTime reports whether a request that is sent now is expected to end before the instance stops.
+func (s *Server) isSentInTime(a admittedRequest, model string) bool {
+	return !s.options.Now().After(s.shutdown.LatestStart(shutdown.Request[completionKey]{
+		Key: completionKey{service: a.service, model: model}, Received: a.arrivedAt, Deadline: a.deadline,
+	}))
+}
+
 // StopSummary returns what became of the requests since the planned stop began.
 func (s *Server) StopSummary() shutdown.Summary {
 	return s.shutdown.Summary()
--- a/internal/desk/plannedstop_test.go
+++ b/internal/desk/plannedstop_test.go
@@ -15,6 +15,7 @@
 	"github.com/lovagelift/lovagelift/internal/desk"
 	"github.com/lovagelift/lovagelift/internal/entries"
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/pause"
 	"github.com/lovagelift/lovagelift/internal/shutdown"
 )
 
@@ -144,6 +145,30 @@
 		Expect(reply.body).To(ContainSubstring(`"in-progress"`))
 	})
 
+	// It was sent although it could not end, and its outcome was unknown.
+	It("is not sent if it has waited until it is not expected to end in time", SpecTimeout(specTimeout), func(ctx SpecContext) {
+		const firstTime = 300 * time.Millisecond
+		server.maxRunning = 1
+		server.setUpstreams(upstream.address())
+		upstream.handler = func(w http.ResponseWriter, r *http.Request) {
+			pause.For(r.Context(), firstTime)
+			fmt.Fprint(w, "booked")
+		}
+		statuses := make(chan int, 2)
+		book := func(seats string) {
+			defer GinkgoRecover()
+			statuses <- server.book(ctx, "", seats).status
+		}
+		go book("two seats")
+		Eventually(ctx, upstream.runCount).Should(Equal(1))
+		go book("three seats")
+		Eventually(ctx, server.api.ActiveRequests).Should(Equal(2))
+		server.api.Stop(endAfter(2 * firstTime))
+		Eventually(ctx, statuses).Should(Receive(Equal(http.StatusOK)))
+		Eventually(ctx, statuses).Should(Receive(Equal(http.StatusServiceUnavailable)))
+		Expect(upstream.runCount()).To(Equal(1))
+	})
+
 	// Nothing told which requests a stop had refused and cut, and why.
 	It("is counted by what became of it", SpecTimeout(specTimeout), func(ctx SpecContext) {
 		upstream.handler = func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
