--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -69,7 +69,8 @@
 	storedAnswers map[peerRequest]storedAnswer
 	quotas        quotaAccounts
 	// awakeAt is the latest wake of this process, and zero before the first one.
-	awakeAt time.Time
+	awakeAt    time.Time
+	wakeDelays wakeDelays
 	// origins are the origins of streams that began here, and of those reported by other instances.
 	origins resumption.Origins
 	// formerRoutes are the routes that were in force here before and led streams elsewhere, and routesSince
--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -66,10 +66,11 @@
 	return end
 }
 
-// latestStart returns the latest time to send the request at an instance that may be stopping.
+// latestStart returns the latest time to send the request at an instance that may be stopping. One that is short of
+// processor time may have got the signal to stop before it handled it, and the request came as much later.
 func (t *transaction) latestStart() time.Time {
 	return t.proxy.shutdown.LatestStart(shutdown.Request[completionKey]{
-		Key: t.completionKey(), Received: t.received, Deadline: t.deadline, IsStream: t.route.Kind == routes.Stream,
+		Key: t.completionKey(), Received: t.received.Add(t.proxy.wakeDelay()), Deadline: t.deadline, IsStream: t.route.Kind == routes.Stream,
 	})
 }
 
--- a/internal/counter/export_test.go
+++ b/internal/counter/export_test.go
@@ -252,6 +252,11 @@
 	i.proxy.loseForeignQuotas()
 }
 
+// WakeDelay returns how late the instance has recently woken at most.
+func (p *Proxy) WakeDelay() time.Duration {
+	return p.wakeDelay()
+}
+
 // Wake shows that the instance runs.
 func (i Instance) Wake(now time.Time) {
 	i.proxy.wake(now)
--- a/internal/counter/laterequests_test.go
+++ b/internal/counter/laterequests_test.go
@@ -55,6 +55,17 @@
 		Expect(p.arrivals()).To(Equal(2))
 	}, SpecTimeout(specTimeout))
 
+	// The signal to stop was handled late, and the request was taken and cut.
+	It("is refused if the instance wakes late", func(ctx SpecContext) {
+		p := newTestProxy(newFakeUpstream(succeed))
+		url := p.startPatient()
+		learn(ctx, url, "/write/")
+		p.clockOffset.Store(int64(time.Second))
+		Eventually(ctx, p.proxy.WakeDelay).Should(BeNumerically(">", 500*time.Millisecond))
+		p.proxy.Drain(p.now(), begunLater(500*time.Millisecond, time.Second, 2*time.Second))
+		Expect(fetch(ctx, url, "/write/").status).To(Equal(unavailable))
+	}, SpecTimeout(specTimeout))
+
 	// It was taken by the time of its head.
 	It("is refused if its body was late", func(ctx SpecContext) {
 		p := newTestProxy(newFakeUpstream(succeed))
--- a/internal/desk/plannedstop_test.go
+++ b/internal/desk/plannedstop_test.go
@@ -147,10 +147,14 @@
 
 	// It was sent although it could not end, and its outcome was unknown.
 	It("is not sent if it has waited until it is not expected to end in time", SpecTimeout(specTimeout), func(ctx SpecContext) {
-		const firstTime = 300 * time.Millisecond
+		// Others are expected to take three times as long as the first.
+		const firstTime, timeLeft = time.Second, 3 * time.Second
+		stopping := make(chan struct{})
+		server := newTestServer(newFakeVoters(), "self")
 		server.maxRunning = 1
 		server.setUpstreams(upstream.address())
 		upstream.handler = func(w http.ResponseWriter, r *http.Request) {
+			<-stopping
 			pause.For(r.Context(), firstTime)
 			fmt.Fprint(w, "booked")
 		}
@@ -163,9 +167,10 @@
 		Eventually(ctx, upstream.runCount).Should(Equal(1))
 		go book("three seats")
 		Eventually(ctx, server.api.ActiveRequests).Should(Equal(2))
-		server.api.Stop(endAfter(2 * firstTime))
-		Eventually(ctx, statuses).Should(Receive(Equal(http.StatusOK)))
-		Eventually(ctx, statuses).Should(Receive(Equal(http.StatusServiceUnavailable)))
+		server.api.Stop(endAfter(timeLeft))
+		close(stopping)
+		Eventually(ctx, statuses).Should(HaveLen(2))
+		Expect([]int{<-statuses, <-statuses}).To(ConsistOf(http.StatusOK, http.StatusServiceUnavailable))
 		Expect(upstream.runCount()).To(Equal(1))
 	})
 
