shutdown: a listener that is closed first is no failure of a stop

StopServer closes the listener before the server, which closes it once more unless it has noticed by then.

That error is left out.

--- a/internal/shutdown/server.go
+++ b/internal/shutdown/server.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lovagelift/lovagelift/internal/pause"
 )
 
@@ -19,5 +21,10 @@
 	// An error means that the listener is closed.
 	_ = listener.Close()
 	pause.For(ctx, headTime)
-	return server.Shutdown(ctx)
+	err := server.Shutdown(ctx)
+	if errors.Is(err, net.ErrClosed) {
+		// The server had not noticed yet that its listener is closed.
+		return nil
+	}
+	return err
 }
