--- a/internal/shutdown/server.go
+++ b/internal/shutdown/server.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lovagelift/lovagelift/internal/pause"
 )
 
@@ -26,7 +28,11 @@
 		poll, cancel := context.WithTimeout(ctx, idlePollInterval)
 		err := server.Shutdown(poll)
 		cancel()
-		if err == nil || ctx.Err() != nil {
+		switch {
+		case err == nil, errors.Is(err, net.ErrClosed):
+			// The server may not have noticed yet that its listener is closed.
+			return nil
+		case ctx.Err() != nil:
 			return err
 		}
 	}
