--- a/internal/counter/acquire.go
+++ b/internal/counter/acquire.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 )
 
 // acquireUpstream waits for a grant to send the request. If none is issued in time, it answers the
@@ -88,7 +90,7 @@
 	}
 	t.abortIfCallerLeft("the caller left while the request waited")
 	if p.Draining() {
-		t.refuseStopping(w, stopReasonWaited)
+		t.refuseStopping(w, shutdown.ReasonWaited)
 		return
 	}
 	now := p.options.Now()
--- a/internal/counter/attempt.go
+++ b/internal/counter/attempt.go
@@ -39,7 +39,7 @@
 	}
 	if !t.endsInTime() {
 		t.admission.NotRun()
-		t.refuseStopping(w, stopReasonTooLong)
+		t.refuseStopping(w, shutdown.ReasonTooLong)
 		return true
 	}
 	t.sends++
@@ -124,7 +124,7 @@
 	}
 	if shutdown.IsStopped(ctx) {
 		t.recordStopped(a, 0)
-		t.refuseStopping(w, stopReasonWaited)
+		t.refuseStopping(w, shutdown.ReasonWaited)
 		return true
 	}
 	p.mu.Lock()
--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -21,10 +21,10 @@
 	Wait time.Duration
 }
 
-// Drain begins a planned shutdown, whose grace counts from begunAt on. Callers are directed to other instances. Requests that still arrive are served if
-// they are expected to end within grace, and refused at once otherwise. At its end, what still runs is answered with
-// an unknown outcome, and responses that have begun are broken off, streams that may be resumed between two events
-// shortly before.
+// Drain begins a planned shutdown, whose grace counts from begunAt on. Callers are directed to other instances.
+// Requests that still arrive are served if they are expected to end within grace, and refused at once otherwise. At its
+// end, what still runs is answered with an unknown outcome, and responses that have begun are broken off, streams that
+// may be resumed between two events shortly before.
 func (p *Proxy) Drain(begunAt time.Time, grace Grace) {
 	p.mu.Lock()
 	p.draining = true
@@ -103,12 +103,6 @@
 	return p.shutdown.Summary()
 }
 
-// Why a stopping instance does not serve a request.
-const (
-	stopReasonTooLong = "expected-to-take-too-long"
-	stopReasonWaited  = "no-upstream-in-time"
-)
-
 // refuseStopping answers a request that is not sent, or no more, because the instance stops.
 func (t *transaction) refuseStopping(w http.ResponseWriter, stopReason string) {
 	p := t.proxy
--- a/internal/counter/transaction.go
+++ b/internal/counter/transaction.go
@@ -96,7 +96,7 @@
 	t.identify(matched.table)
 	t.digest, t.parts = digestOf(r, t.workspaceName(), body), partsOf(call)
 	if !t.endsInTime() {
-		t.refuseStopping(w, stopReasonTooLong)
+		t.refuseStopping(w, shutdown.ReasonTooLong)
 		return
 	}
 	p.shutdown.CountTaken(t.received)
--- a/internal/desk/admit.go
+++ b/internal/desk/admit.go
@@ -6,6 +6,7 @@
 
 	"github.com/lovagelift/lovagelift/internal/declaration"
 	"github.com/lovagelift/lovagelift/internal/outcome"
+	"github.com/lovagelift/lovagelift/internal/shutdown"
 	"github.com/lovagelift/lovagelift/internal/workspace"
 )
 
@@ -63,7 +64,7 @@
 	}
 	a.deadline = now.Add(deadline)
 	if !s.isSentInTime(a, model) {
-		return admittedRequest{}, s.stoppingRefusal(outcome.NotRun, stopReasonTooLong)
+		return admittedRequest{}, s.stoppingRefusal(outcome.NotRun, shutdown.ReasonTooLong)
 	}
 	s.shutdown.CountTaken(now)
 	return a, nil
--- a/internal/desk/attempts.go
+++ b/internal/desk/attempts.go
@@ -87,7 +87,7 @@
 		}
 		if !s.isSentInTime(task.admitted, task.requirement.model) {
 			slot.release(dispatch.FailureCanceled)
-			return proxiedResponse{}, worseOutcome(reported, s.stoppingRefusal(outcome.NotRun, stopReasonTooLong))
+			return proxiedResponse{}, worseOutcome(reported, s.stoppingRefusal(outcome.NotRun, shutdown.ReasonTooLong))
 		}
 		if ruling, allowed := task.admission.Send(ctx); !allowed {
 			slot.release(dispatch.FailureCanceled)
@@ -180,7 +180,7 @@
 func (s *Server) relayResponse(c echo.Context, task task, run *shutdown.Run, proxied proxiedResponse) error {
 	if _, isWhole := proxied.response.PrefetchedBody(); !isWhole && !run.BeginResponse() {
 		proxied.response.Body.Close()
-		return s.stoppingRefusal(outcome.Ran, stopReasonWaited)
+		return s.stoppingRefusal(outcome.Ran, shutdown.ReasonWaited)
 	}
 	response := proxied.response
 	c.Response().Header().Set(outcome.Header, outcome.Ran.String())
@@ -301,7 +301,7 @@
 	var existing *RefusalError
 	switch {
 	case shutdown.IsStopped(ctx):
-		return s.stoppingRefusal(outcomeOf(err), stopReasonWaited)
+		return s.stoppingRefusal(outcomeOf(err), shutdown.ReasonWaited)
 	case errors.Is(err, errNoCandidate) && task.software.Bound:
 		return versionUnavailableRefusal(task.software)
 	case errors.Is(err, errNoCandidate):
--- a/internal/desk/plannedstop.go
+++ b/internal/desk/plannedstop.go
@@ -32,12 +32,6 @@
 	return s.shutdown.Summary()
 }
 
-// Why a stopping instance does not serve a request.
-const (
-	stopReasonTooLong = "expected-to-take-too-long"
-	stopReasonWaited  = "no-upstream-in-time"
-)
-
 // countStopRefusal counts a refusal in the summary of a planned stop.
 func (s *Server) countStopRefusal(refusal *RefusalError) {
 	isAnswerLost := refusal.Status == http.StatusBadGateway || refusal.Status == http.StatusGatewayTimeout
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -257,11 +257,8 @@
 	var schedule shutdown.Schedule
 	if end, ok := ctx.Deadline(); ok {
 		left := time.Until(end)
-		schedule = shutdown.Schedule{
-			TakeUntil:  left,
-			AnswersEnd: max(left-answerTime, left/2, time.Nanosecond),
-			CutFrom:    max(left-cutTime, left/2, time.Nanosecond), BegunEnd: max(left-cutTime, left/2, time.Nanosecond),
-		}
+		until := func(rest time.Duration) time.Duration { return max(left-rest, left/2, time.Nanosecond) }
+		schedule = shutdown.Schedule{TakeUntil: left, AnswersEnd: until(answerTime), CutFrom: until(cutTime), BegunEnd: until(cutTime)}
 	}
 	i.callerAPI.Stop(schedule)
 	// The drain state reaches every instance within three pulls and one call. Until
--- a/internal/shutdown/summary.go
+++ b/internal/shutdown/summary.go
@@ -9,6 +9,12 @@
 	"github.com/lovagelift/lovagelift/internal/outcome"
 )
 
+// Why a stopping instance does not serve a request, for Refused of a Summary.
+const (
+	ReasonTooLong = "expected-to-take-too-long"
+	ReasonWaited  = "no-upstream-in-time"
+)
+
 // Summary is what became of the requests of an instance since its planned shutdown began.
 type Summary struct {
 	// Open is how many were in progress then, and Taken how many of those that arrived later were not refused
