counter: a response that the instance cuts is recorded in one place

Three branches called the same two functions with the same words: both ends of a stream, and that of a long answer. recordCut serves them.

--- a/internal/counter/bodies.go
+++ b/internal/counter/bodies.go
@@ -157,8 +157,7 @@
 		t.recordEarlyEnd(a, status, unwrittenBy(ctx), "cannot write to caller", "")
 	case shutdown.IsStopped(ctx):
 		a.unfinished = true
-		t.reportCallerLeft(a)
-		t.recordEarlyEnd(a, status, outcome.InstanceStopped, "stopped", "the instance stops")
+		t.recordCut(a, status, outcome.InstanceStopped)
 	default:
 		a.outcome = permit.Failed
 		t.reportBroken(a, readErr)
--- a/internal/counter/drain.go
+++ b/internal/counter/drain.go
@@ -98,6 +98,12 @@
 	t.proxy.logAttempt(t, a, "stopped", status, "the instance stops")
 }
 
+// recordCut records a response that ends after its head because the instance stops, which is no failure of its upstream.
+func (t *transaction) recordCut(a *upstreamAttempt, status int, cause outcome.EarlyEnd) {
+	t.reportCallerLeft(a)
+	t.recordEarlyEnd(a, status, cause, "stopped", "the instance stops")
+}
+
 // DrainSummary returns what became of the requests since the planned shutdown began.
 func (p *Proxy) DrainSummary() shutdown.Summary {
 	return p.shutdown.Summary()
--- a/internal/counter/response.go
+++ b/internal/counter/response.go
@@ -193,14 +193,12 @@
 		t.endStream(a, status, end)
 		return
 	case shutdown.IsStopped(ctx):
-		t.reportCallerLeft(a)
-		t.recordEarlyEnd(a, status, outcome.InstanceStopped, "stopped", "the instance stops")
+		t.recordCut(a, status, outcome.InstanceStopped)
 	case t.request.Context().Err() != nil:
 		t.reportCallerLeft(a)
 		t.recordEarlyEnd(a, status, outcome.CallerLeft, "caller disconnected", "the caller left")
 	case errors.Is(readErr, shutdown.ErrStopping):
-		t.reportCallerLeft(a)
-		t.recordEarlyEnd(a, status, outcome.CutBetweenEvents, "stopped", "the instance stops")
+		t.recordCut(a, status, outcome.CutBetweenEvents)
 	default:
 		t.reportBroken(a, readErr)
 		if ctx.Err() == nil {
